Build, message schema, codec, sheet and a thin decision core

Cause: empty repository. The core takes typed messages and emits typed messages; copying, printing and the wire codec are driven by one field table, so a new message is a struct and a table.

Weighed: protobuf-c (needs a generator on the build machine) against MessagePack with numeric tags; the latter ignores unknown tags as well and needs no generated code.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+# Makefile over CMake; see README.md.
+BUILD ?= build
+ASAN_BUILD ?= build-asan
+JOBS ?= $(shell nproc)
+C_FILES = $(shell git ls-files '*.c' '*.h' '*.cc')
+
+.PHONY: all build check test asan format format-check lint clean
+
+all: build
+
+$(BUILD)/CMakeCache.txt:
+	cmake -S . -B $(BUILD)
+
+build: $(BUILD)/CMakeCache.txt
+	cmake --build $(BUILD) -j $(JOBS)
+
+test: build
+	ctest --test-dir $(BUILD) --output-on-failure -j $(JOBS)
+
+asan:
+	cmake -S . -B $(ASAN_BUILD) -DBS_SANITIZE=ON
+	cmake --build $(ASAN_BUILD) -j $(JOBS)
+	ctest --test-dir $(ASAN_BUILD) --output-on-failure -j $(JOBS)
+
+format:
+	clang-format -i $(C_FILES)
+
+format-check:
+	clang-format --dry-run --Werror $(C_FILES)
+
+lint: build
+	printf '%s\n' $(filter %.c,$(C_FILES)) | \
+		xargs -P $(JOBS) -n 2 clang-tidy --quiet -p $(BUILD)
+	cppcheck --quiet --error-exitcode=1 --inline-suppr --std=c11 \
+		--enable=warning,portability --library=gnu --library=gtk \
+		--suppress=unknownMacro -I src \
+		-j $(JOBS) src
+
+# Formatter, linters, and every test with and without sanitizers.
+check: format-check lint test asan
+
+clean:
+	rm -rf $(BUILD) $(ASAN_BUILD)
--- /dev/null
+++ b/src/boragespur.h
@@ -0,0 +1,533 @@
+/*
+ * boragespur.h - public interface of libboragespur.
+ *
+ * The library holds every scheduling decision and does no input or output of
+ * its own.  A host feeds typed messages to a core with BsCore_Step() and gets
+ * typed messages back through a callback.  The same messages in the same
+ * order, with the same clock readings and seed, give the same output.
+ */
+#ifndef BORAGESPUR_H
+#define BORAGESPUR_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <time.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define BS_VERSION "0.1.0"
+
+/* Version of the peer message schema, sent in every peer message. */
+#define BS_PROTOCOL_VERSION 1
+
+/* Longest accepted instance, account, upstream or model name, in bytes. */
+#define BS_NAME_MAX_BYTES 63
+
+/* ---------------------------------------------------------------------- */
+/* Errors                                                                  */
+/* ---------------------------------------------------------------------- */
+
+/* Domain of every GError reported by the library. */
+#define BS_ERROR (bs_error_quark())
+
+/* Typed error kinds; BsError_Describe() gives text, remedy and status. */
+typedef enum {
+    BS_ERR_NONE = 0,
+    BS_ERR_SETTINGS,         /* settings file is missing or invalid */
+    BS_ERR_SHEET,            /* sheet is invalid */
+    BS_ERR_MESSAGE,          /* peer message cannot be decoded */
+    BS_ERR_BAD_REQUEST,      /* malformed request */
+    BS_ERR_UNAUTHORIZED,     /* unknown bearer token */
+    BS_ERR_UNKNOWN_MODEL,    /* no such model in the sheet */
+    BS_ERR_UNKNOWN_SERVICE,  /* no such service in the sheet */
+    BS_ERR_UNKNOWN_TIER,     /* no such tier in the sheet */
+    BS_ERR_TOO_LARGE,        /* request exceeds a size limit */
+    BS_ERR_ACCOUNT_LIMIT,    /* account exceeds its own limit */
+    BS_ERR_OVERLOADED,       /* shed for lack of capacity */
+    BS_ERR_DEADLINE,         /* deadline passed or cannot be met */
+    BS_ERR_NO_UPSTREAM,      /* no open upstream serves this */
+    BS_ERR_UPSTREAM_FAILED,  /* upstream failed while running */
+    BS_ERR_UPSTREAM_REFUSED, /* upstream refused before running */
+    BS_ERR_CONNECT,          /* upstream could not be reached */
+    BS_ERR_PEER_LOST,        /* instance holding the request was lost */
+    BS_ERR_KEY_CONFLICT,     /* idempotency key reused with another body */
+    BS_ERR_KEY_UNCERTAIN, /* an earlier attempt with this key may have run */
+    BS_ERR_TICKET,        /* ticket is invalid or its keeper is gone */
+    BS_ERR_QUARANTINED,   /* request repeatedly crashed its upstreams */
+    BS_ERR_DRAINING,      /* instance is stopping */
+    BS_ERR_MEMORY_FULL,   /* a bounded table is full */
+    BS_ERR_NOT_READY,     /* instance has no sheet or list yet */
+    BS_ERR_CANCELLED,     /* caller went away */
+    BS_ERR_NOT_FOUND,     /* no such request */
+    BS_ERR_COUNT
+} BsErrorKind;
+
+/* Static description of an error kind. */
+typedef struct {
+    const char *name;     /* stable machine-readable identifier */
+    uint16_t http_status; /* status used towards callers */
+    const char *message;  /* what happened */
+    const char *remedy;   /* what the reader can do about it */
+} BsErrorText;
+
+/* Returns the quark of the BS_ERROR domain. */
+GQuark bs_error_quark(void);
+
+/* Returns the description of KIND; never NULL. */
+const BsErrorText *BsError_Describe(BsErrorKind kind);
+
+/* ---------------------------------------------------------------------- */
+/* Clock                                                                   */
+/* ---------------------------------------------------------------------- */
+
+/* Monotonic time source passed in by the host. */
+typedef struct {
+    struct timespec (*now)(void *context);
+    void *context;
+} BsClock;
+
+/* Returns the reading of CLOCK in milliseconds. */
+int64_t BsClock_NowMs(const BsClock *clock);
+
+/* ---------------------------------------------------------------------- */
+/* Messages                                                                */
+/* ---------------------------------------------------------------------- */
+
+/* What became of a request, as told to its caller. */
+typedef enum {
+    BS_OUTCOME_NONE = 0, /* not decided yet */
+    BS_OUTCOME_RAN,      /* the upstream ran it */
+    BS_OUTCOME_NOT_RUN,  /* it did not run and will not run */
+    BS_OUTCOME_UNKNOWN   /* it may have run */
+} BsOutcome;
+
+/* Role that handles a request on one hop. */
+typedef enum {
+    BS_STAGE_NONE = 0,
+    BS_STAGE_ENTRY,  /* accepted the caller's connection */
+    BS_STAGE_KEEPER, /* holds the at-most-once record */
+    BS_STAGE_OWNER   /* dispatches to the upstream */
+} BsStage;
+
+/* Kind of an entry in the platform's instance list. */
+typedef enum {
+    BS_NODE_INSTANCE = 1, /* a boragespur instance */
+    BS_NODE_ENGINE,       /* a model engine */
+    BS_NODE_SERVICE       /* a plain service */
+} BsNodeKind;
+
+/* State of an entry in the platform's instance list. */
+typedef enum { BS_NODE_LIVE = 1, BS_NODE_LEAVING } BsNodeState;
+
+/* Kinds of message; the comment names the payload member. */
+typedef enum {
+    /* Host to core. */
+    BS_TICK = 1,        /* no payload; drives timers */
+    BS_CALLER_REQUEST,  /* request */
+    BS_CALLER_CANCEL,   /* cancel */
+    BS_CALLER_FLOW,     /* flow */
+    BS_UPSTREAM_ANSWER, /* answer */
+    BS_UPSTREAM_REPORT, /* report */
+    BS_PLATFORM_LIST,   /* list */
+    BS_PLATFORM_SHEET,  /* sheet */
+    BS_PLATFORM_DOWN,   /* no payload; a read of the service failed */
+    BS_QUERY,           /* query */
+    BS_DRAIN,           /* drain */
+
+    /* Core to host. */
+    BS_CALLER_ANSWER = 32, /* answer */
+    BS_UPSTREAM_DISPATCH,  /* request */
+    BS_UPSTREAM_CANCEL,    /* cancel */
+    BS_UPSTREAM_FLOW,      /* flow */
+    BS_UPSTREAM_ORDER,     /* order */
+    BS_PLATFORM_WATCH,     /* watch */
+    BS_QUERY_REPLY,        /* reply */
+    BS_SPAN,               /* span */
+    BS_LOG,                /* log */
+    BS_DRAINED,            /* no payload; the host may exit */
+
+    /* Core to core. */
+    BS_FORWARD = 64,  /* request */
+    BS_ACCEPT,        /* accept */
+    BS_ANSWER,        /* answer */
+    BS_CANCEL,        /* cancel */
+    BS_FLOW,          /* flow */
+    BS_DIGEST,        /* digest */
+    BS_PROBE,         /* probe */
+    BS_PROBE_REPLY,   /* probe */
+    BS_COLLECT,       /* collect */
+    BS_COLLECT_REPLY, /* collected */
+    BS_WITNESS,       /* note */
+    BS_WITNESS_ACK,   /* note */
+    BS_SHEET_PULL,    /* sheet */
+    BS_SHEET_PUSH,    /* sheet */
+    BS_SUSPECT,       /* suspect */
+    BS_PEER_QUERY,    /* query */
+    BS_PEER_REPLY     /* reply */
+} BsMessageKind;
+
+/* A request as it travels from caller to upstream. */
+typedef struct {
+    char *request_id;     /* assigned by the entry; NULL from a new caller */
+    char *account;        /* resolved by the entry */
+    char *token;          /* bearer token; never leaves the entry */
+    char *key;            /* idempotency key, or NULL */
+    char *ticket;         /* ticket, or NULL */
+    char *service;        /* plain service name, or NULL for a model call */
+    char *model;          /* model name, or NULL for a service call */
+    char *version;        /* model version chosen by the owner */
+    char *method;         /* HTTP method */
+    char *path;           /* path and query sent to the upstream */
+    char *content_type;   /* of the body, or NULL */
+    char *tier;           /* tier asked for, then tier granted */
+    char *traceparent;    /* W3C trace context, or NULL */
+    char *upstream;       /* set on dispatch */
+    GBytes *body;         /* may be NULL */
+    int64_t deadline_ms;  /* time left when sent; 0 means the tier default */
+    uint64_t prefix_hash; /* hash of the prompt prefix */
+    uint32_t prompt_tokens;
+    uint32_t output_tokens; /* expected */
+    uint32_t attempt;       /* number of this forward of the request */
+    uint32_t from_stage;    /* BsStage of the sender */
+    uint32_t stage;         /* BsStage that shall handle it */
+    uint32_t skip_events;   /* events already delivered to the caller */
+    bool idempotent;        /* may be repeated */
+    bool stream;            /* answer is a server-sent event stream */
+} BsRequest;
+
+/* A piece of an answer; sequence numbers start at 0 on every hop. */
+typedef struct {
+    char *request_id;
+    char *content_type; /* in the first piece */
+    char *upstream;     /* in the first piece */
+    char *ticket;       /* spare ticket, in the first piece */
+    char *detail;       /* extra error text, or NULL */
+    GBytes *data;       /* may be NULL */
+    uint64_t seq;
+    uint64_t queued_ms;     /* time spent in queues */
+    uint32_t attempt;       /* copied from the request */
+    uint32_t to_stage;      /* BsStage that shall handle it */
+    uint32_t status;        /* HTTP status, in the first piece */
+    uint32_t tokens;        /* output tokens in this piece */
+    uint32_t cached_tokens; /* prompt tokens found in the prefix cache */
+    uint32_t outcome;       /* BsOutcome, in the last piece */
+    uint32_t error;         /* BsErrorKind, in the last piece */
+    uint32_t retry_after_s; /* in the last piece, when an error */
+    bool final;             /* last piece */
+    bool crashed;           /* the upstream process died while running it */
+} BsAnswer;
+
+/* Cancels a request on a hop. */
+typedef struct {
+    char *request_id;
+    uint32_t attempt;
+    uint32_t to_stage;
+    uint32_t reason; /* BsErrorKind */
+} BsCancel;
+
+/* Stops or restarts the flow of an answer. */
+typedef struct {
+    char *request_id;
+    uint32_t attempt;
+    uint32_t to_stage;
+    bool paused;
+} BsFlow;
+
+/* Tells the sender of a forward that it was received. */
+typedef struct {
+    char *request_id;
+    uint32_t attempt;
+    uint32_t to_stage;
+} BsAccept;
+
+/* One entry of the platform's instance list. */
+typedef struct {
+    char *name;
+    char *address; /* IP:port */
+    char *data_centre;
+    char *region;
+    char *serves;     /* comma-separated models, or the service name */
+    char *generation; /* hardware generation of an engine */
+    uint32_t kind;    /* BsNodeKind */
+    uint32_t state;   /* BsNodeState */
+    uint32_t slots;   /* published concurrency limit */
+    uint32_t tokens;  /* published limit of tokens in flight */
+} BsListEntry;
+
+/* The platform's instance list at a revision. */
+typedef struct {
+    uint64_t revision;
+    GPtrArray *entries; /* of BsListEntry */
+} BsList;
+
+/* A sheet as text, a request for one, or a delta between two. */
+typedef struct {
+    uint64_t revision;
+    uint64_t base_revision; /* 0 when TEXT is whole */
+    GBytes *text;
+} BsSheetText;
+
+/* An upstream's report of its own state. */
+typedef struct {
+    char *upstream;
+    char *loaded;     /* comma-separated model@version */
+    char *boot_id;    /* changes when the upstream restarts */
+    uint64_t fencing; /* highest fencing number it has seen */
+    uint32_t age_ms;  /* how old the report is */
+    uint32_t running; /* requests running */
+    uint32_t waiting; /* requests waiting in the engine */
+    uint32_t tokens;  /* tokens in flight */
+    bool reachable;
+    bool checks_fencing; /* refuses orders with an old fencing number */
+} BsReport;
+
+/* An order to an engine. */
+typedef struct {
+    char *upstream;
+    char *verb; /* "load" or "unload" */
+    char *model;
+    char *version;
+    uint64_t fencing;
+} BsOrder;
+
+/* Tells the host whether this instance shall watch the platform. */
+typedef struct {
+    bool sheet;
+    bool list;
+} BsWatch;
+
+/* A question of an operator or caller. */
+typedef struct {
+    char *query_id;
+    char *what; /* "status", "explain", "request", "metrics", "models",
+                   "ticket" or "ready" */
+    char *argument;
+    char *token; /* bearer token of a caller, or NULL for an operator */
+} BsQuery;
+
+/* The answer to a query. */
+typedef struct {
+    char *query_id;
+    GBytes *body;    /* JSON, or Prometheus text for "metrics" */
+    uint32_t status; /* HTTP status */
+} BsQueryReply;
+
+/* A planned stop. */
+typedef struct {
+    int64_t limit_ms; /* time until running work is given up */
+} BsDrain;
+
+/* One finished trace span. */
+typedef struct {
+    char *traceparent; /* context of this span */
+    char *parent;      /* span id of the parent, or NULL */
+    char *name;
+    char *request_id;
+    int64_t start_ms;
+    int64_t end_ms;
+} BsSpan;
+
+/* A change of state worth a log line. */
+typedef struct {
+    uint32_t priority; /* syslog priority, 0 to 7 */
+    char *text;
+} BsLog;
+
+/* Load of one model or service behind one owner. */
+typedef struct {
+    char *serves; /* model or service */
+    int64_t free_tokens;
+    uint32_t free_slots;
+    uint32_t waiting;        /* requests queued */
+    uint32_t oldest_wait_ms; /* of any tier */
+    uint32_t lowest_rank;    /* rank of the least urgent tier that runs or
+                                waits, 0 when none */
+} BsLoad;
+
+/* Periodic summary of an instance, sent to a few peers. */
+typedef struct {
+    uint64_t sheet_revision;
+    uint64_t list_revision;
+    GPtrArray *loads;  /* of BsLoad */
+    uint32_t suspects; /* number of suspects known */
+    bool draining;
+} BsDigest;
+
+/* Contact check; the reply repeats the sequence and sending time. */
+typedef struct {
+    uint64_t seq;
+    int64_t sent_ms; /* sender's clock */
+    uint64_t list_revision;
+    bool denied; /* the replier's list does not hold the prober */
+} BsProbe;
+
+/* What an instance knows of one non-idempotent request. */
+typedef struct {
+    char *account;
+    char *key;
+    char *body_hash;
+    char *request_id;
+    char *keeper; /* instance the request was sent to */
+    uint64_t keeper_incarnation;
+    uint32_t state;   /* BsRecordState */
+    int64_t age_ms;   /* since first seen */
+    uint32_t outcome; /* BsOutcome */
+} BsNote;
+
+/* Work in flight at an upstream, told to its next owner. */
+typedef struct {
+    char *upstream;
+    uint32_t requests;
+    uint32_t tokens;
+    bool cold;
+} BsInFlight;
+
+/* An instance that left the list within the resend window. */
+typedef struct {
+    char *name;
+    uint64_t incarnation;
+    int64_t age_ms;
+} BsLoss;
+
+/* Asks a peer what it knows of things the sender is now in charge of. */
+typedef struct {
+    uint64_t list_revision;
+} BsCollect;
+
+/* Answers a BsCollect; the sender acts on no older list afterwards. */
+typedef struct {
+    uint64_t list_revision;
+    int64_t age_ms;       /* since the replier started */
+    GPtrArray *notes;     /* of BsNote */
+    GPtrArray *in_flight; /* of BsInFlight */
+    GPtrArray *losses;    /* of BsLoss */
+} BsCollected;
+
+/* A request suspected of crashing upstreams. */
+typedef struct {
+    char *fingerprint;
+    uint32_t crashes;
+    bool cleared;
+} BsSuspect;
+
+/* A typed message; exactly one payload member is in use. */
+typedef struct {
+    uint32_t kind; /* BsMessageKind */
+    char *from;    /* instance name, on peer messages */
+    char *to;      /* instance name, on peer messages */
+    uint64_t from_incarnation;
+    uint64_t to_incarnation; /* 0 matches any incarnation */
+    union {
+        BsRequest request;
+        BsAnswer answer;
+        BsCancel cancel;
+        BsFlow flow;
+        BsAccept accept;
+        BsList list;
+        BsSheetText sheet;
+        BsReport report;
+        BsOrder order;
+        BsWatch watch;
+        BsQuery query;
+        BsQueryReply reply;
+        BsDrain drain;
+        BsSpan span;
+        BsLog log;
+        BsDigest digest;
+        BsProbe probe;
+        BsCollect collect;
+        BsCollected collected;
+        BsNote note;
+        BsSuspect suspect;
+    } u;
+} BsMessage;
+
+/* Creates an empty message of KIND. */
+BsMessage *BsMessage_Create(BsMessageKind kind);
+
+/* Creates a deep copy; byte strings are shared. */
+BsMessage *BsMessage_Copy(const BsMessage *message);
+
+/* Frees MESSAGE and all it holds; NULL is allowed. */
+void BsMessage_Destroy(BsMessage *message);
+
+/* Returns the name of KIND, such as "forward"; never NULL. */
+const char *BsMessage_KindName(uint32_t kind);
+
+/* Returns one line of text with the non-empty fields; g_free() it. */
+char *BsMessage_Format(const BsMessage *message);
+
+/* Encodes MESSAGE for the wire; the caller unrefs the result. */
+GBytes *BsMessage_Encode(const BsMessage *message);
+
+/* Decodes wire bytes; NULL with BS_ERR_MESSAGE set when they are invalid. */
+BsMessage *BsMessage_Decode(const void *data, size_t size_bytes,
+                            GError **error);
+
+/* Replaces the string at SLOT by a copy of TEXT. */
+void BsMessage_SetString(char **slot, const char *text);
+
+/* Creates an empty list element of the given payload type. */
+BsListEntry *BsListEntry_Create(void);
+
+/* ---------------------------------------------------------------------- */
+/* Core                                                                    */
+/* ---------------------------------------------------------------------- */
+
+/* How an entry chooses among owners; all but the first are baselines. */
+typedef enum {
+    BS_POLICY_AFFINITY = 0, /* rendezvous on the prompt prefix, with spill */
+    BS_POLICY_RANDOM,
+    BS_POLICY_ROUND_ROBIN,
+    BS_POLICY_LEAST_OUTSTANDING /* on stale load */
+} BsPolicy;
+
+/* Settings of a core.  Strings are copied. */
+typedef struct {
+    const char *name;
+    const char *data_centre;
+    const char *region;
+    const char *secret;   /* shared by all instances; authenticates tickets */
+    uint64_t incarnation; /* random per start, never 0 */
+    uint64_t seed;
+    int64_t lease_ms;         /* contact lease, default 2000 */
+    int64_t list_lag_ms;      /* bound on the list's lag, default 10000 */
+    int64_t resend_window_ms; /* how long callers resend, default 600000 */
+    int64_t digest_ms;        /* between digests, default 1000 */
+    uint32_t record_limit;    /* at-most-once records, default 100000 */
+    uint32_t request_limit;   /* requests held, default 20000 */
+    uint64_t queue_bytes;     /* bodies held, default 64 MiB */
+    uint32_t policy;          /* BsPolicy */
+    bool fresh_fleet;         /* no caller holds keys sent before this start */
+} BsCoreConfig;
+
+/* A scheduler instance without input or output. */
+typedef struct BsCore BsCore;
+
+/* Receives each message of a core; MESSAGE is valid during the call. */
+typedef void (*BsEmitFunc)(const BsMessage *message, void *context);
+
+/* Fills CONFIG with the defaults. */
+void BsCoreConfig_Init(BsCoreConfig *config);
+
+/* Creates a core; NULL with ERROR set when CONFIG is invalid. */
+BsCore *BsCore_Create(const BsCoreConfig *config, const BsClock *clock,
+                      BsEmitFunc emit, void *context, GError **error);
+
+/* Frees CORE; NULL is allowed. */
+void BsCore_Destroy(BsCore *core);
+
+/* Handles one message and emits what follows from it. */
+void BsCore_Step(BsCore *core, const BsMessage *message);
+
+/* Returns the value of a counter, 0 when it was never counted. */
+uint64_t BsCore_Counter(const BsCore *core, const char *name);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif /* BORAGESPUR_H */
--- /dev/null
+++ b/src/core.h
@@ -0,0 +1,68 @@
+/*
+ * core.h - what the roles of a core share.
+ *
+ * Each role is the only writer of its own state and reaches the others only
+ * through messages, also when they live in the same core.
+ */
+#ifndef BS_CORE_H
+#define BS_CORE_H
+
+#include "boragespur.h"
+#include "counter.h"
+#include "member.h"
+#include "sheet.h"
+
+typedef struct BsEntry BsEntry;
+typedef struct BsKeeper BsKeeper;
+typedef struct BsOwner BsOwner;
+typedef struct BsSheetStore BsSheetStore;
+typedef struct BsTenure BsTenure;
+typedef struct BsDigests BsDigests;
+typedef struct BsPoison BsPoison;
+
+struct BsCore {
+    BsCoreConfig config; /* owns its strings */
+    BsClock clock;
+    BsEmitFunc emit;
+    void *context;
+    GRand *random;
+    GQueue local; /* messages from this core to itself */
+    BsCounters *counters;
+    BsMembers *members;
+    BsSheetStore *sheets;
+    BsTenure *tenure;
+    BsDigests *digests;
+    BsPoison *poison;
+    BsEntry *entry;
+    BsKeeper *keeper;
+    BsOwner *owner;
+    bool stepping;
+};
+
+/* Returns the time in milliseconds. */
+int64_t BsCore_NowMs(const BsCore *core);
+
+/* Emits MESSAGE to the host and destroys it. */
+void BsCore_Emit(BsCore *core, BsMessage *message);
+
+/* Sends MESSAGE to instance TO and destroys it; INCARNATION 0 matches any.
+   A message to this instance is handled before the step returns. */
+void BsCore_Send(BsCore *core, const char *to, uint64_t incarnation,
+                 BsMessage *message);
+
+/* Adds AMOUNT to a counter. */
+void BsCore_Count(BsCore *core, const char *name, uint64_t amount);
+
+/* Emits a log line for a change of state. */
+void BsCore_Log(BsCore *core, int priority, const char *format, ...)
+    G_GNUC_PRINTF(3, 4);
+
+/* Returns the sheet in force, or NULL before the first. */
+const BsSheet *BsCore_Sheet(const BsCore *core);
+
+/* Creates a final answer that reports an error. */
+BsMessage *BsCore_CreateError(BsMessageKind kind, const char *request_id,
+                              uint32_t attempt, BsErrorKind error,
+                              BsOutcome outcome);
+
+#endif /* BS_CORE_H */
--- /dev/null
+++ b/src/poison.h
@@ -0,0 +1,40 @@
+/*
+ * poison.h - requests that crash the upstreams running them.
+ *
+ * Rules: every crash marks the fingerprints running then as suspects; a
+ * suspect runs alone; a second crash quarantines it; a suspect that finishes
+ * is cleared.
+ */
+#ifndef BS_POISON_H
+#define BS_POISON_H
+
+#include "core.h"
+
+typedef enum {
+    BS_POISON_CLEAN = 0,
+    BS_POISON_SUSPECT,    /* run it alone on an upstream */
+    BS_POISON_QUARANTINED /* refuse it */
+} BsPoisonVerdict;
+
+/* Creates the suspects of CORE. */
+BsPoison *BsPoison_Create(BsCore *core);
+
+/* Frees POISON; NULL is allowed. */
+void BsPoison_Destroy(BsPoison *poison);
+
+/* Returns what to do with REQUEST. */
+BsPoisonVerdict BsPoison_Judge(BsPoison *poison, const BsRequest *request);
+
+/* Records that REQUEST was running when its upstream crashed. */
+void BsPoison_OnCrash(BsPoison *poison, const BsRequest *request);
+
+/* Records that REQUEST finished without a crash. */
+void BsPoison_OnFinish(BsPoison *poison, const BsRequest *request);
+
+/* Handles a suspect told by a peer. */
+void BsPoison_OnMessage(BsPoison *poison, const BsMessage *message);
+
+/* Drives timers. */
+void BsPoison_OnTick(BsPoison *poison);
+
+#endif /* BS_POISON_H */
--- /dev/null
+++ b/src/reorder.h
@@ -0,0 +1,30 @@
+/*
+ * reorder.h - puts the pieces of an answer back into sequence.
+ *
+ * Rules: each piece is released once, in order; repeats are dropped; pieces
+ * that run too far ahead are refused.
+ */
+#ifndef BS_REORDER_H
+#define BS_REORDER_H
+
+#include "boragespur.h"
+
+/* Most pieces held back while an earlier one is missing. */
+#define BS_REORDER_MAX_PIECES 4096
+
+typedef struct BsReorder BsReorder;
+
+/* Creates a sequence that expects piece 0. */
+BsReorder *BsReorder_Create(void);
+
+/* Frees REORDER and the pieces it holds; NULL is allowed. */
+void BsReorder_Destroy(BsReorder *reorder);
+
+/* Stores a copy of MESSAGE, which carries an answer; returns whether it was
+   new and within bounds. */
+bool BsReorder_Push(BsReorder *reorder, const BsMessage *message);
+
+/* Returns the next piece in order, or NULL; the caller destroys it. */
+BsMessage *BsReorder_Pop(BsReorder *reorder);
+
+#endif /* BS_REORDER_H */
--- /dev/null
+++ b/src/sheetstore.h
@@ -0,0 +1,30 @@
+/*
+ * sheetstore.h - the sheet in force and how it reaches every instance.
+ *
+ * Rules: the sheet in force is the highest accepted revision seen; revisions
+ * never go down; a refused text changes nothing.
+ */
+#ifndef BS_SHEETSTORE_H
+#define BS_SHEETSTORE_H
+
+#include "core.h"
+
+/* Creates a store without a sheet. */
+BsSheetStore *BsSheetStore_Create(BsCore *core);
+
+/* Frees STORE; NULL is allowed. */
+void BsSheetStore_Destroy(BsSheetStore *store);
+
+/* Returns the sheet in force, or NULL before the first. */
+const BsSheet *BsSheetStore_Current(const BsSheetStore *store);
+
+/* Returns the revision in force, 0 before the first. */
+uint64_t BsSheetStore_Revision(const BsSheetStore *store);
+
+/* Handles a sheet from the platform, or a pull or push of a peer. */
+void BsSheetStore_OnMessage(BsSheetStore *store, const BsMessage *message);
+
+/* Drives timers. */
+void BsSheetStore_OnTick(BsSheetStore *store);
+
+#endif /* BS_SHEETSTORE_H */
--- /dev/null
+++ b/src/tenure.h
@@ -0,0 +1,46 @@
+/*
+ * tenure.h - whether this instance may act as the one in charge of a thing.
+ *
+ * A thing is an idempotency key or an upstream.  Rules: an instance is in
+ * charge when it ranks first in its newest list, has had contact with enough
+ * other instances within the lease, and knows what those in charge before it
+ * did: they handed over, or they left the list and can no longer act.
+ */
+#ifndef BS_TENURE_H
+#define BS_TENURE_H
+
+#include "core.h"
+
+typedef enum {
+    BS_TENURE_NONE = 0,  /* another instance ranks first */
+    BS_TENURE_WAITING,   /* ranks first, but a take-over is under way */
+    BS_TENURE_UNCERTAIN, /* ranks first; what went before cannot be known */
+    BS_TENURE_HELD       /* in charge */
+} BsTenureState;
+
+/* Creates the tenure of CORE. */
+BsTenure *BsTenure_Create(BsCore *core);
+
+/* Frees TENURE; NULL is allowed. */
+void BsTenure_Destroy(BsTenure *tenure);
+
+/* Returns the state for KEY of ACCOUNT. */
+BsTenureState BsTenure_OfKey(BsTenure *tenure, const char *account,
+                             const char *key);
+
+/* Returns the state for the upstream NAME. */
+BsTenureState BsTenure_OfUpstream(BsTenure *tenure, const char *name);
+
+/* Returns whether contact is recent enough to act at all. */
+bool BsTenure_HasContact(BsTenure *tenure);
+
+/* Handles a new instance list, after it came into force. */
+void BsTenure_OnList(BsTenure *tenure);
+
+/* Handles a probe, a collect, or a reply to either. */
+void BsTenure_OnMessage(BsTenure *tenure, const BsMessage *message);
+
+/* Drives timers. */
+void BsTenure_OnTick(BsTenure *tenure);
+
+#endif /* BS_TENURE_H */
