Message fields for at-most-once records, handover and suspects

Cause: a keeper must know which forward is which, a resend must reach the answer that is kept, and a stopping instance must hand over what it knows. Tags are appended; the token of a query stays on its instance and the resolved account travels in its place.

--- a/src/boragespur.h
+++ b/src/boragespur.h
@@ -62,6 +62,9 @@
     BS_ERR_NOT_READY,     /* instance has no sheet or list yet */
     BS_ERR_CANCELLED,     /* caller went away */
     BS_ERR_NOT_FOUND,     /* no such request */
+    BS_ERR_INCARNATION,   /* meant for another incarnation of the instance */
+    BS_ERR_NOT_KEEPER,    /* another instance keeps the key */
+    BS_ERR_KEY_MOVED,     /* the record is at the instance named */
     BS_ERR_COUNT
 } BsErrorKind;
 
@@ -112,6 +115,17 @@
     BS_STAGE_OWNER   /* dispatches to the upstream */
 } BsStage;
 
+/* What an instance knows of a non-idempotent request. */
+typedef enum {
+    BS_RECORD_NONE = 0,
+    BS_RECORD_SENT,       /* forwarded to a keeper; its end is not known */
+    BS_RECORD_PARKED,     /* waits for a take-over; not dispatched */
+    BS_RECORD_WITNESSING, /* waits for a witness; not dispatched */
+    BS_RECORD_DISPATCHED, /* forwarded to an owner */
+    BS_RECORD_FINISHED,   /* has an outcome */
+    BS_RECORD_FENCED      /* never run here; may have run elsewhere */
+} BsRecordState;
+
 /* Kind of an entry in the platform's instance list. */
 typedef enum {
     BS_NODE_INSTANCE = 1, /* a boragespur instance */
@@ -166,7 +180,9 @@
     BS_SHEET_PUSH,    /* sheet */
     BS_SUSPECT,       /* suspect */
     BS_PEER_QUERY,    /* query */
-    BS_PEER_REPLY     /* reply */
+    BS_PEER_REPLY,    /* reply */
+    BS_HANDOVER,      /* collected */
+    BS_HANDOVER_ACK   /* probe */
 } BsMessageKind;
 
 /* A request as it travels from caller to upstream. */
@@ -189,13 +205,20 @@
     int64_t deadline_ms;  /* time left when sent; 0 means the tier default */
     uint64_t prefix_hash; /* hash of the prompt prefix */
     uint32_t prompt_tokens;
-    uint32_t output_tokens; /* expected */
-    uint32_t attempt;       /* number of this forward of the request */
-    uint32_t from_stage;    /* BsStage of the sender */
-    uint32_t stage;         /* BsStage that shall handle it */
-    uint32_t skip_events;   /* events already delivered to the caller */
-    bool idempotent;        /* may be repeated */
-    bool stream;            /* answer is a server-sent event stream */
+    uint32_t output_tokens;     /* expected */
+    uint32_t attempt;           /* number of this forward of the request */
+    uint32_t from_stage;        /* BsStage of the sender */
+    uint32_t stage;             /* BsStage that shall handle it */
+    uint32_t skip_events;       /* events already delivered to the caller */
+    uint32_t crashes;           /* upstreams lost while running it */
+    uint64_t seq;               /* number of this forward by its sender */
+    uint64_t from_piece;        /* first piece wanted, when RESUME */
+    uint64_t prior_incarnation; /* of PRIOR_KEEPER */
+    char *prior_keeper;         /* instance an earlier attempt was sent to */
+    char *body_hash;            /* of method, path and body */
+    bool idempotent;            /* may be repeated */
+    bool stream;                /* answer is a server-sent event stream */
+    bool resume; /* asks for the rest of an answer; starts none */
 } BsRequest;
 
 /* A piece of an answer; sequence numbers start at 0 on every hop. */
@@ -205,19 +228,21 @@
     char *upstream;     /* in the first piece */
     char *ticket;       /* spare ticket, in the first piece */
     char *detail;       /* extra error text, or NULL */
+    char *keeper;       /* with BS_ERR_KEY_MOVED */
     GBytes *data;       /* may be NULL */
     uint64_t seq;
-    uint64_t queued_ms;     /* time spent in queues */
-    uint32_t attempt;       /* copied from the request */
-    uint32_t to_stage;      /* BsStage that shall handle it */
-    uint32_t status;        /* HTTP status, in the first piece */
-    uint32_t tokens;        /* output tokens in this piece */
-    uint32_t cached_tokens; /* prompt tokens found in the prefix cache */
-    uint32_t outcome;       /* BsOutcome, in the last piece */
-    uint32_t error;         /* BsErrorKind, in the last piece */
-    uint32_t retry_after_s; /* in the last piece, when an error */
-    bool final;             /* last piece */
-    bool crashed;           /* the upstream process died while running it */
+    uint64_t queued_ms;          /* time spent in queues */
+    uint64_t keeper_incarnation; /* of KEEPER */
+    uint32_t attempt;            /* copied from the request */
+    uint32_t to_stage;           /* BsStage that shall handle it */
+    uint32_t status;             /* HTTP status, in the first piece */
+    uint32_t tokens;             /* output tokens in this piece */
+    uint32_t cached_tokens;      /* prompt tokens found in the prefix cache */
+    uint32_t outcome;            /* BsOutcome, in the last piece */
+    uint32_t error;              /* BsErrorKind, in the last piece */
+    uint32_t retry_after_s;      /* in the last piece, when an error */
+    bool final;                  /* last piece */
+    bool crashed; /* the upstream process died while running it */
 } BsAnswer;
 
 /* Cancels a request on a hop. */
@@ -305,7 +330,8 @@
     char *what; /* "status", "explain", "request", "metrics", "models",
                    "ticket" or "ready" */
     char *argument;
-    char *token; /* bearer token of a caller, or NULL for an operator */
+    char *token;   /* bearer token of a caller, or NULL for an operator */
+    char *account; /* between instances: of the caller, or NULL */
 } BsQuery;
 
 /* The answer to a query. */
@@ -372,9 +398,12 @@
     char *request_id;
     char *keeper; /* instance the request was sent to */
     uint64_t keeper_incarnation;
-    uint32_t state;   /* BsRecordState */
-    int64_t age_ms;   /* since first seen */
-    uint32_t outcome; /* BsOutcome */
+    uint32_t state;     /* BsRecordState */
+    int64_t age_ms;     /* since first seen */
+    uint32_t outcome;   /* BsOutcome */
+    uint32_t status;    /* HTTP status of ANSWER */
+    char *content_type; /* of ANSWER */
+    GBytes *answer;     /* whole answer, in a handover; else NULL */
 } BsNote;
 
 /* Work in flight at an upstream, told to its next owner. */
@@ -409,8 +438,9 @@
 /* A request suspected of crashing upstreams. */
 typedef struct {
     char *fingerprint;
-    uint32_t crashes;
-    bool cleared;
+    char *instance;   /* that counted the crashes */
+    uint32_t crashes; /* counted by INSTANCE */
+    bool cleared;     /* it has finished since */
 } BsSuspect;
 
 /* A typed message; exactly one payload member is in use. */
--- a/src/error.c
+++ b/src/error.c
@@ -70,6 +70,14 @@
                           "send it again"},
     [BS_ERR_NOT_FOUND] = {"not_found", 404, "no such request is known",
                           "check the request id and the account"},
+    [BS_ERR_INCARNATION] = {"incarnation", 503, "the instance was replaced",
+                            "send it again after Retry-After"},
+    [BS_ERR_NOT_KEEPER] = {"not_keeper", 503,
+                           "the instances disagree on the list",
+                           "send it again after Retry-After"},
+    [BS_ERR_KEY_MOVED] = {"key_moved", 503,
+                          "another instance holds the record",
+                          "send it again with the same Idempotency-Key"},
 };
 
 const BsErrorText *
--- a/src/schema.c
+++ b/src/schema.c
@@ -78,6 +78,9 @@
     FIELD(7, U32, BsNote, state),
     FIELD(8, I64, BsNote, age_ms),
     FIELD(9, U32, BsNote, outcome),
+    FIELD(10, U32, BsNote, status),
+    FIELD(11, STRING, BsNote, content_type),
+    FIELD(12, BYTES, BsNote, answer),
 };
 
 static void
@@ -147,6 +150,13 @@
     FIELD(23, U32, BsRequest, skip_events),
     FIELD(24, BOOL, BsRequest, idempotent),
     FIELD(25, BOOL, BsRequest, stream),
+    FIELD(26, U32, BsRequest, crashes),
+    FIELD(27, U64, BsRequest, seq),
+    FIELD(28, U64, BsRequest, from_piece),
+    FIELD(29, U64, BsRequest, prior_incarnation),
+    FIELD(30, STRING, BsRequest, prior_keeper),
+    FIELD(31, STRING, BsRequest, body_hash),
+    FIELD(32, BOOL, BsRequest, resume),
 };
 
 static const BsSchema S_request_schema =
@@ -171,6 +181,8 @@
     FIELD(16, U32, BsAnswer, retry_after_s),
     FIELD(17, BOOL, BsAnswer, final),
     FIELD(18, BOOL, BsAnswer, crashed),
+    FIELD(19, STRING, BsAnswer, keeper),
+    FIELD(20, U64, BsAnswer, keeper_incarnation),
 };
 
 static const BsSchema S_answer_schema =
@@ -252,10 +264,9 @@
 static const BsSchema S_watch_schema = SCHEMA(BsWatch, S_watch_fields, NULL);
 
 static const BsField S_query_fields[] = {
-    FIELD(1, STRING, BsQuery, query_id),
-    FIELD(2, STRING, BsQuery, what),
-    FIELD(3, STRING, BsQuery, argument),
-    FIELD(4, STRING, BsQuery, token),
+    FIELD(1, STRING, BsQuery, query_id), FIELD(2, STRING, BsQuery, what),
+    FIELD(3, STRING, BsQuery, argument), LOCAL(4, STRING, BsQuery, token),
+    FIELD(5, STRING, BsQuery, account),
 };
 
 static const BsSchema S_query_schema = SCHEMA(BsQuery, S_query_fields, NULL);
@@ -335,6 +346,7 @@
     FIELD(1, STRING, BsSuspect, fingerprint),
     FIELD(2, U32, BsSuspect, crashes),
     FIELD(3, BOOL, BsSuspect, cleared),
+    FIELD(4, STRING, BsSuspect, instance),
 };
 
 static const BsSchema S_suspect_schema =
@@ -379,6 +391,8 @@
     {BS_SUSPECT, "suspect", &S_suspect_schema},
     {BS_PEER_QUERY, "peer_query", &S_query_schema},
     {BS_PEER_REPLY, "peer_reply", &S_query_reply_schema},
+    {BS_HANDOVER, "handover", &S_collected_schema},
+    {BS_HANDOVER_ACK, "handover_ack", &S_probe_schema},
 };
 
 static const BsKindRow *
