--- a/tests/standin/engine.c
+++ b/tests/standin/engine.c
@@ -24,7 +24,8 @@
     uint32_t output_tokens;
     uint32_t next_event; /* words, then the usage event, then the end */
     int64_t due_us;      /* of the next word */
-    size_t sent_bytes;   /* of the event under way */
+    size_t event_bytes;  /* of the event under way */
+    size_t sent_bytes;   /* of it */
     char event[EVENT_MAX_BYTES];
     bool chat;
     bool complete;
@@ -124,7 +125,8 @@
     uint32_t index = completion->next_event++;
     completion->sent_bytes = 0;
     if (index > completion->output_tokens) {
-        g_strlcpy(completion->event, "data: [DONE]\n\n", EVENT_MAX_BYTES);
+        completion->event_bytes =
+            g_strlcpy(completion->event, "data: [DONE]\n\n", EVENT_MAX_BYTES);
         return;
     }
     bool last = index == completion->output_tokens;
@@ -138,7 +140,8 @@
         json_object_set_new(chunk, "usage", S_create_usage(completion));
     }
     char *text = json_dumps(chunk, JSON_COMPACT);
-    g_snprintf(completion->event, EVENT_MAX_BYTES, "data: %s\n\n", text);
+    completion->event_bytes = (size_t)g_snprintf(
+        completion->event, EVENT_MAX_BYTES, "data: %s\n\n", text);
     free(text);
     json_decref(chunk);
 }
@@ -173,7 +176,7 @@
 {
     S_Completion *completion = context;
     (void)position;
-    if (completion->event[completion->sent_bytes] == '\0') {
+    if (completion->sent_bytes == completion->event_bytes) {
         if (completion->next_event > completion->output_tokens + 1) {
             completion->complete = true;
             return MHD_CONTENT_READER_END_OF_STREAM;
@@ -182,9 +185,8 @@
             return MHD_CONTENT_READER_END_WITH_ERROR;
         }
     }
-    const char *rest = completion->event + completion->sent_bytes;
-    size_t count = MIN(size, strlen(rest));
-    memcpy(buffer, rest, count);
+    size_t count = MIN(size, completion->event_bytes - completion->sent_bytes);
+    memcpy(buffer, completion->event + completion->sent_bytes, count);
     completion->sent_bytes += count;
     return (ssize_t)count;
 }
