--- a/tests/scenario/world.c
+++ b/tests/scenario/world.c
@@ -44,7 +44,7 @@
     WorldNode *node = data;
     BsCore_Destroy(node->core);
     g_queue_clear_full(&node->waiting, (GDestroyNotify)BsMessage_Destroy);
-    BsMessage_Destroy(node->list);
+    WorldList_Unref(node->list);
     g_free(node->name);
     g_free(node->data_centre);
     g_free(node->region);
@@ -72,6 +72,7 @@
     world->config.fresh_fleet = true;
     world->config.seed = seed;
     world->nodes = g_ptr_array_new_with_free_func(S_destroy_node);
+    world->nodes_by_name = g_hash_table_new(g_str_hash, g_str_equal);
     world->upstreams = g_ptr_array_new_with_free_func(WorldUpstream_Destroy);
     world->calls = g_ptr_array_new_with_free_func(WorldCall_Destroy);
     world->calls_by_id = g_hash_table_new(g_str_hash, g_str_equal);
@@ -98,7 +99,8 @@
     g_hash_table_destroy(world->replies);
     g_ptr_array_unref(world->cuts);
     g_hash_table_destroy(world->listed);
-    BsMessage_Destroy(world->platform_list);
+    WorldList_Unref(world->platform_list);
+    g_hash_table_destroy(world->nodes_by_name);
     BsMessage_Destroy(world->platform_sheet);
     g_rand_free(world->random);
     g_free(world->hold_to);
@@ -367,13 +369,7 @@
 static WorldNode *
 S_find_node(World *world, const char *name)
 {
-    for (guint i = 0; i < world->nodes->len; i++) {
-        WorldNode *node = world->nodes->pdata[i];
-        if (g_strcmp0(node->name, name) == 0) {
-            return node;
-        }
-    }
-    return NULL;
+    return g_hash_table_lookup(world->nodes_by_name, name);
 }
 
 static bool
@@ -524,6 +520,7 @@
     node->region = g_strdup(region);
     g_queue_init(&node->waiting);
     g_ptr_array_add(world->nodes, node);
+    g_hash_table_insert(world->nodes_by_name, node->name, node);
     World_SetListed(world, name, BS_NODE_LIVE);
     S_start(world, node);
 }
@@ -536,7 +533,7 @@
     node->core = NULL;
     g_queue_clear_full(&node->waiting, (GDestroyNotify)BsMessage_Destroy);
     g_queue_init(&node->waiting);
-    g_clear_pointer(&node->list, BsMessage_Destroy);
+    g_clear_pointer(&node->list, WorldList_Unref);
     WorldUpstream_OnKill(world, node);
     WorldCall_OnKill(world, node);
 }
--- a/tests/scenario/world_platform.c
+++ b/tests/scenario/world_platform.c
@@ -32,19 +32,43 @@
     }
 }
 
+static void
+S_clear_list(void *data)
+{
+    WorldList *list = data;
+    BsMessage_Destroy(list->message);
+    g_hash_table_destroy(list->owned);
+}
+
+void
+WorldList_Unref(WorldList *list)
+{
+    if (list != NULL) {
+        g_rc_box_release_full(list, S_clear_list);
+    }
+}
+
+static uint64_t
+S_list_revision(const World *world)
+{
+    return world->platform_list == NULL
+               ? 0
+               : world->platform_list->message->u.list.revision;
+}
+
 static void
 S_renew_list(World *world)
 {
-    uint64_t revision = world->platform_list == NULL
-                            ? 0
-                            : world->platform_list->u.list.revision;
+    uint64_t revision = S_list_revision(world);
     BsMessage *message = BsMessage_Create(BS_PLATFORM_LIST);
     message->u.list.revision = revision + 1;
     message->u.list.entries = BsSchema_NewList(&bs_schema_list_entry);
     S_append_instances(world, message->u.list.entries);
     WorldUpstream_AppendEntries(world, message->u.list.entries);
-    BsMessage_Destroy(world->platform_list);
-    world->platform_list = message;
+    WorldList_Unref(world->platform_list);
+    world->platform_list = g_rc_box_new0(WorldList);
+    world->platform_list->message = message;
+    world->platform_list->owned = WorldUpstream_Own(world, &message->u.list);
 }
 
 void
@@ -57,10 +81,10 @@
 static void
 S_hand_list(World *world, WorldNode *node)
 {
-    node->list_seen = world->platform_list->u.list.revision;
-    BsMessage_Destroy(node->list);
-    node->list = BsMessage_Copy(world->platform_list);
-    World_Step(world, node, world->platform_list);
+    node->list_seen = S_list_revision(world);
+    WorldList_Unref(node->list);
+    node->list = g_rc_box_acquire(world->platform_list);
+    World_Step(world, node, node->list->message);
 }
 
 void
@@ -117,7 +141,7 @@
     }
     if (node->watch_list && world->platform_list != NULL &&
         world->now_ms >= world->list_at_ms &&
-        node->list_seen != world->platform_list->u.list.revision) {
+        node->list_seen != S_list_revision(world)) {
         S_hand_list(world, node);
     }
 }
--- a/tests/scenario/world_private.h
+++ b/tests/scenario/world_private.h
@@ -7,6 +7,12 @@
 
 #define KINDS_MAX 128
 
+/* A published list and the upstreams each instance owns by it. */
+typedef struct {
+    BsMessage *message;
+    GHashTable *owned; /* instance name to GPtrArray of upstream names */
+} WorldList;
+
 typedef struct {
     char *name;
     char *data_centre;
@@ -21,7 +27,7 @@
     bool drained;
     bool watch_sheet;
     bool watch_list;
-    BsMessage *list; /* last list handed over */
+    WorldList *list; /* last list handed over, or NULL */
 } WorldNode;
 
 /* Something that happens at a time. */
@@ -49,7 +55,8 @@
     uint64_t next_order;
     uint64_t next_incarnation;
     BsCoreConfig config;
-    GPtrArray *nodes;     /* WorldNode */
+    GPtrArray *nodes; /* WorldNode */
+    GHashTable *nodes_by_name;
     GPtrArray *upstreams; /* WorldUpstream */
     GPtrArray *calls;     /* WorldCall */
     GHashTable *calls_by_id;
@@ -58,7 +65,7 @@
     GPtrArray *cuts;     /* WorldCut */
     GPtrArray *held;     /* WorldEvent */
     GHashTable *listed;  /* name to state */
-    BsMessage *platform_list;
+    WorldList *platform_list;
     BsMessage *platform_sheet;
     int64_t list_at_ms; /* when it can be read */
     int64_t sheet_at_ms;
@@ -110,6 +117,9 @@
 /* Sends load reports to the owners. */
 void WorldUpstream_Report(World *world);
 
+/* Returns who owns which upstream by LIST. */
+GHashTable *WorldUpstream_Own(World *world, const BsList *list);
+
 /* Appends the upstreams' entries to a list. */
 void WorldUpstream_AppendEntries(World *world, GPtrArray *entries);
 
@@ -120,6 +130,9 @@
 void WorldCall_OnKill(World *world, WorldNode *node);
 void WorldCall_Destroy(void *call);
 
+/* Drops a reference to LIST; NULL is allowed. */
+void WorldList_Unref(WorldList *list);
+
 /* Reads of the platform by the watchers. */
 void WorldPlatform_Poll(World *world);
 
--- a/tests/scenario/world_upstream.c
+++ b/tests/scenario/world_upstream.c
@@ -421,6 +421,28 @@
     World_Schedule(world, node, message, 1);
 }
 
+GHashTable *
+WorldUpstream_Own(World *world, const BsList *list)
+{
+    GHashTable *owned = g_hash_table_new_full(
+        g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
+    for (guint i = 0; i < world->upstreams->len; i++) {
+        const WorldUpstream *upstream = world->upstreams->pdata[i];
+        const char *owner = BsList_Rank(
+            list, upstream->name, upstream->data_centre, upstream->region);
+        if (owner == NULL) {
+            continue;
+        }
+        GPtrArray *names = g_hash_table_lookup(owned, owner);
+        if (names == NULL) {
+            names = g_ptr_array_new_with_free_func(g_free);
+            g_hash_table_insert(owned, g_strdup(owner), names);
+        }
+        g_ptr_array_add(names, g_strdup(upstream->name));
+    }
+    return owned;
+}
+
 void
 WorldUpstream_Report(World *world)
 {
@@ -429,14 +451,10 @@
         if (node->core == NULL || node->list == NULL) {
             continue;
         }
-        for (guint k = 0; k < world->upstreams->len; k++) {
-            const WorldUpstream *upstream = world->upstreams->pdata[k];
-            const char *owner =
-                BsList_Rank(&node->list->u.list, upstream->name,
-                            upstream->data_centre, upstream->region);
-            if (g_strcmp0(owner, node->name) == 0) {
-                S_report_to(world, upstream, node);
-            }
+        const GPtrArray *names =
+            g_hash_table_lookup(node->list->owned, node->name);
+        for (guint k = 0; names != NULL && k < names->len; k++) {
+            S_report_to(world, S_find(world, names->pdata[k]), node);
         }
     }
 }
