--- a/Makefile
+++ b/Makefile
@@ -41,3 +41,9 @@
 
 clean:
 	rm -rf $(BUILD) $(ASAN_BUILD)
+
+.PHONY: slopes
+
+# Prints the tables quoted in docs/CAPACITY.md.
+slopes: build
+	$(BUILD)/bin/slopes
--- a/src/boragespur.h
+++ b/src/boragespur.h
@@ -526,6 +526,12 @@
 /* Returns the value of a counter, 0 when it was never counted. */
 uint64_t BsCore_Counter(const BsCore *core, const char *name);
 
+/* Returns the revision of the sheet in force, 0 before the first. */
+uint64_t BsCore_SheetRevision(const BsCore *core);
+
+/* Returns the revision of the list in force, 0 before the first. */
+uint64_t BsCore_ListRevision(const BsCore *core);
+
 #ifdef __cplusplus
 }
 #endif
--- a/src/core.c
+++ b/src/core.c
@@ -173,6 +173,18 @@
     return BsCounters_Get(core->counters, name);
 }
 
+uint64_t
+BsCore_SheetRevision(const BsCore *core)
+{
+    return BsSheetStore_Revision(core->sheets);
+}
+
+uint64_t
+BsCore_ListRevision(const BsCore *core)
+{
+    return BsMembers_Revision(core->members);
+}
+
 void
 BsCore_Log(BsCore *core, int priority, const char *format, ...)
 {
