--- a/src/entry.c
+++ b/src/entry.c
@@ -4,6 +4,7 @@
 #include "choice.h"
 #include "reorder.h"
 #include "schema.h"
+#include "token.h"
 
 #include <string.h>
 
@@ -235,11 +236,13 @@
     if (sheet == NULL || BsMembers_List(entry->core->members) == NULL) {
         return BS_ERR_NOT_READY;
     }
-    const BsAccount *account = BsSheet_FindToken(sheet, request->token);
+    g_free(request->account);
+    request->account =
+        BsToken_Resolve(sheet, entry->core->config.secret, request->token);
+    const BsAccount *account = BsSheet_FindAccount(sheet, request->account);
     if (account == NULL) {
         return BS_ERR_UNAUTHORIZED;
     }
-    BsMessage_SetString(&request->account, account->name);
     BsErrorKind error = S_resolve_target(sheet, request, account);
     if (error != BS_ERR_NONE) {
         return error;
--- a/src/sheet.h
+++ b/src/sheet.h
@@ -58,6 +58,15 @@
     uint32_t tokens_per_s;   /* 0 means no limit */
 } BsAccount;
 
+/* Rules of all accounts whose signed token names this class. */
+typedef struct {
+    char *name;
+    char *tier;              /* most urgent tier they may use */
+    uint32_t weight;         /* share of each inside a tier */
+    uint32_t requests_per_s; /* of each; 0 means no limit */
+    uint32_t tokens_per_s;   /* of each; 0 means no limit */
+} BsAccountClass;
+
 /* A data centre. */
 typedef struct {
     char *name;
@@ -82,6 +91,10 @@
     unsigned services_count;
     BsAccount *accounts;
     unsigned accounts_count;
+    BsAccountClass *account_classes;
+    unsigned account_classes_count;
+    char **revoked; /* accounts whose signed tokens are refused */
+    unsigned revoked_count;
     BsDataCentre *data_centres;
     unsigned data_centres_count;
     BsColdStart cold_start;
@@ -110,11 +123,16 @@
 /* Returns the service NAME, or NULL. */
 const BsService *BsSheet_FindService(const BsSheet *sheet, const char *name);
 
-/* Returns the account NAME, or NULL. */
+/* Returns the rules of the account NAME, or NULL.  For "CLASS:NAME" these are
+   the rules of the class; their name is that of the class. */
 const BsAccount *BsSheet_FindAccount(const BsSheet *sheet, const char *name);
 
-/* Returns the account that owns the bearer TOKEN, or NULL. */
-const BsAccount *BsSheet_FindToken(const BsSheet *sheet, const char *token);
+/* Returns the listed account whose token has the given SHA-256, or NULL. */
+const BsAccount *BsSheet_FindTokenHash(const BsSheet *sheet,
+                                       const char *token_sha256);
+
+/* Returns whether the signed token of the account NAME is revoked. */
+bool BsSheet_IsRevoked(const BsSheet *sheet, const char *name);
 
 /* Returns whether the data centre NAME is listed as open. */
 bool BsSheet_IsOpen(const BsSheet *sheet, const char *name);
