--- a/tests/standin/engine.c
+++ b/tests/standin/engine.c
@@ -140,8 +140,8 @@
         json_object_set_new(chunk, "usage", S_create_usage(completion));
     }
     char *text = json_dumps(chunk, JSON_COMPACT);
-    completion->event_bytes = (size_t)g_snprintf(
-        completion->event, EVENT_MAX_BYTES, "data: %s\n\n", text);
+    g_snprintf(completion->event, EVENT_MAX_BYTES, "data: %s\n\n", text);
+    completion->event_bytes = strlen(completion->event);
     free(text);
     json_decref(chunk);
 }
