--- a/src/boragespur.h
+++ b/src/boragespur.h
@@ -166,7 +166,9 @@
     BS_SHEET_PUSH,    /* sheet */
     BS_SUSPECT,       /* suspect */
     BS_PEER_QUERY,    /* query */
-    BS_PEER_REPLY     /* reply */
+    BS_PEER_REPLY,    /* reply */
+    BS_LIST_PULL,     /* list; the revision alone, 0 for the newest */
+    BS_LIST_PUSH      /* list */
 } BsMessageKind;
 
 /* A request as it travels from caller to upstream. */
@@ -361,7 +363,10 @@
     uint64_t seq;
     int64_t sent_ms; /* sender's clock */
     uint64_t list_revision;
-    bool denied; /* the replier's list does not hold the prober */
+    bool denied; /* the replier does not accept the prober's tenure */
+    uint64_t sheet_revision;
+    uint64_t settled_revision; /* list the prober last settled, 0 for none */
+    int64_t age_ms;            /* since the sender started */
 } BsProbe;
 
 /* What an instance knows of one non-idempotent request. */
@@ -390,11 +395,16 @@
     char *name;
     uint64_t incarnation;
     int64_t age_ms;
+    bool clean; /* what it knew was collected from the others */
 } BsLoss;
 
 /* Asks a peer what it knows of things the sender is now in charge of. */
 typedef struct {
     uint64_t list_revision;
+    uint64_t view_hash; /* of the instances in that list */
+    uint64_t round;     /* repeated in the answer */
+    int64_t age_ms;     /* since the sender started */
+    GPtrArray *losses;  /* of BsLoss; to be denied contact */
 } BsCollect;
 
 /* Answers a BsCollect; the sender acts on no older list afterwards. */
@@ -404,6 +414,11 @@
     GPtrArray *notes;     /* of BsNote */
     GPtrArray *in_flight; /* of BsInFlight */
     GPtrArray *losses;    /* of BsLoss */
+    uint64_t view_hash;   /* of the instances in that list */
+    uint64_t round;       /* copied from the BsCollect */
+    int64_t settled_ms;   /* since the replier first settled a list, or 0 */
+    int64_t known_ms;     /* how far back the replier's knowledge reaches */
+    char *views;          /* comma-separated revisions not yet settled */
 } BsCollected;
 
 /* A request suspected of crashing upstreams. */
--- a/src/core.c
+++ b/src/core.c
@@ -4,12 +4,14 @@
 #include "digest.h"
 #include "entry.h"
 #include "keeper.h"
+#include "order.h"
 #include "owner.h"
 #include "poison.h"
 #include "query.h"
 #include "schema.h"
 #include "sheetstore.h"
 #include "tenure.h"
+#include "watch.h"
 
 #include <string.h>
 #include <syslog.h>
@@ -105,6 +107,8 @@
     core->entry = BsEntry_Create(core);
     core->keeper = BsKeeper_Create(core);
     core->owner = BsOwner_Create(core);
+    core->orders = BsOrders_Create(core);
+    core->watchers = BsWatchers_Create(core);
     return core;
 }
 
@@ -114,6 +118,8 @@
     if (core == NULL) {
         return;
     }
+    BsWatchers_Destroy(core->watchers);
+    BsOrders_Destroy(core->orders);
     BsOwner_Destroy(core->owner);
     BsKeeper_Destroy(core->keeper);
     BsEntry_Destroy(core->entry);
@@ -216,9 +222,24 @@
     }
     BsCore_Count(core, "lists_accepted", 1);
     BsTenure_OnList(core->tenure);
+    BsWatchers_OnList(core->watchers);
     BsOwner_OnList(core->owner);
 }
 
+/* Answers a pull with the list in force when it is newer. */
+static void
+S_push_list(BsCore *core, const BsMessage *message)
+{
+    const BsList *list = BsMembers_List(core->members);
+    if (message->from == NULL || list == NULL ||
+        list->revision <= message->u.list.revision) {
+        return;
+    }
+    BsMessage *push = BsMessage_Create(BS_LIST_PUSH);
+    BsSchema_Copy(BsSchema_OfKind(BS_LIST_PUSH), &push->u, list);
+    BsCore_Send(core, message->from, message->from_incarnation, push);
+}
+
 static void
 S_deliver_answer(BsCore *core, const BsMessage *message)
 {
@@ -302,6 +323,7 @@
 static void
 S_tick(BsCore *core)
 {
+    BsWatchers_OnTick(core->watchers);
     BsSheetStore_OnTick(core->sheets);
     BsTenure_OnTick(core->tenure);
     BsDigests_OnTick(core->digests);
@@ -309,6 +331,7 @@
     BsEntry_OnTick(core->entry);
     BsKeeper_OnTick(core->keeper);
     BsOwner_OnTick(core->owner);
+    BsOrders_OnTick(core->orders);
 }
 
 static void
@@ -332,10 +355,18 @@
         break;
     case BS_UPSTREAM_REPORT:
         BsOwner_OnReport(core->owner, message);
+        BsOrders_OnReport(core->orders, message);
         break;
     case BS_PLATFORM_LIST:
+    case BS_LIST_PUSH:
         S_accept_list(core, message);
         break;
+    case BS_PLATFORM_DOWN:
+        BsWatchers_OnDown(core->watchers);
+        break;
+    case BS_LIST_PULL:
+        S_push_list(core, message);
+        break;
     case BS_PLATFORM_SHEET:
     case BS_SHEET_PULL:
     case BS_SHEET_PUSH:
--- a/src/core.h
+++ b/src/core.h
@@ -19,6 +19,8 @@
 typedef struct BsTenure BsTenure;
 typedef struct BsDigests BsDigests;
 typedef struct BsPoison BsPoison;
+typedef struct BsOrders BsOrders;
+typedef struct BsWatchers BsWatchers;
 
 struct BsCore {
     BsCoreConfig config; /* owns its strings */
@@ -36,6 +38,8 @@
     BsEntry *entry;
     BsKeeper *keeper;
     BsOwner *owner;
+    BsOrders *orders;
+    BsWatchers *watchers;
     bool stepping;
 };
 
--- a/src/keeper.c
+++ b/src/keeper.c
@@ -267,3 +267,18 @@
 {
     (void)keeper;
 }
+
+void
+BsKeeper_AppendNotes(BsKeeper *keeper, const char *instance, GPtrArray *list)
+{
+    (void)keeper;
+    (void)instance;
+    (void)list;
+}
+
+void
+BsKeeper_OnNotes(BsKeeper *keeper, const BsMessage *message)
+{
+    (void)keeper;
+    (void)message;
+}
--- a/src/keeper.h
+++ b/src/keeper.h
@@ -33,4 +33,11 @@
 /* Drives timers. */
 void BsKeeper_OnTick(BsKeeper *keeper);
 
+/* Appends a BsNote to LIST for each key INSTANCE may now be in charge of. */
+void BsKeeper_AppendNotes(BsKeeper *keeper, const char *instance,
+                          GPtrArray *list);
+
+/* Takes in the notes of a collect reply; repeats are harmless. */
+void BsKeeper_OnNotes(BsKeeper *keeper, const BsMessage *message);
+
 #endif /* BS_KEEPER_H */
--- a/src/owner.c
+++ b/src/owner.c
@@ -277,3 +277,18 @@
         }
     }
 }
+
+void
+BsOwner_AppendInFlight(BsOwner *owner, const char *instance, GPtrArray *list)
+{
+    (void)owner;
+    (void)instance;
+    (void)list;
+}
+
+void
+BsOwner_OnInFlight(BsOwner *owner, const BsMessage *message)
+{
+    (void)owner;
+    (void)message;
+}
--- a/src/schema.c
+++ b/src/schema.c
@@ -110,6 +110,7 @@
     FIELD(1, STRING, BsLoss, name),
     FIELD(2, U64, BsLoss, incarnation),
     FIELD(3, I64, BsLoss, age_ms),
+    FIELD(4, BOOL, BsLoss, clean),
 };
 
 static void
@@ -309,12 +310,19 @@
     FIELD(2, I64, BsProbe, sent_ms),
     FIELD(3, U64, BsProbe, list_revision),
     FIELD(4, BOOL, BsProbe, denied),
+    FIELD(5, U64, BsProbe, sheet_revision),
+    FIELD(6, U64, BsProbe, settled_revision),
+    FIELD(7, I64, BsProbe, age_ms),
 };
 
 static const BsSchema S_probe_schema = SCHEMA(BsProbe, S_probe_fields, NULL);
 
 static const BsField S_collect_fields[] = {
     FIELD(1, U64, BsCollect, list_revision),
+    FIELD(2, U64, BsCollect, view_hash),
+    FIELD(3, U64, BsCollect, round),
+    FIELD(4, I64, BsCollect, age_ms),
+    LIST(5, BsCollect, losses, bs_schema_loss),
 };
 
 static const BsSchema S_collect_schema =
@@ -326,6 +334,11 @@
     LIST(3, BsCollected, notes, bs_schema_note),
     LIST(4, BsCollected, in_flight, bs_schema_in_flight),
     LIST(5, BsCollected, losses, bs_schema_loss),
+    FIELD(6, U64, BsCollected, view_hash),
+    FIELD(7, U64, BsCollected, round),
+    FIELD(8, I64, BsCollected, settled_ms),
+    FIELD(9, I64, BsCollected, known_ms),
+    FIELD(10, STRING, BsCollected, views),
 };
 
 static const BsSchema S_collected_schema =
@@ -379,6 +392,8 @@
     {BS_SUSPECT, "suspect", &S_suspect_schema},
     {BS_PEER_QUERY, "peer_query", &S_query_schema},
     {BS_PEER_REPLY, "peer_reply", &S_query_reply_schema},
+    {BS_LIST_PULL, "list_pull", &S_list_schema},
+    {BS_LIST_PUSH, "list_push", &S_list_schema},
 };
 
 static const BsKindRow *
