Tenure: contact lease, collection before take-over, doubt after losses

Cause: ranking first in one's own list proves nothing: a paused or cut off instance goes on believing in it. Two instances could act for one key.

Ruled out: a majority of the newest list alone (a list that names only a part of the fleet gives that part its own majority), and trusting revision numbers to be consecutive (readers skip some). So each instance keeps the views since the last one that everybody answered for, needs a lease by all of them, and asks others for views it never saw.

--- a/src/boragespur.h
+++ b/src/boragespur.h
@@ -131,7 +131,7 @@
     BS_CALLER_FLOW,     /* flow */
     BS_UPSTREAM_ANSWER, /* answer */
     BS_UPSTREAM_REPORT, /* report */
-    BS_PLATFORM_LIST,   /* list */
+    BS_PLATFORM_LIST,   /* list; also to the host when a peer told it */
     BS_PLATFORM_SHEET,  /* sheet */
     BS_PLATFORM_DOWN,   /* no payload; a read of the service failed */
     BS_QUERY,           /* query */
@@ -167,7 +167,7 @@
     BS_SUSPECT,       /* suspect */
     BS_PEER_QUERY,    /* query */
     BS_PEER_REPLY,    /* reply */
-    BS_LIST_PULL,     /* list; the revision alone, 0 for the newest */
+    BS_LIST_PULL,     /* sheet; REVISION wanted, BASE_REVISION held */
     BS_LIST_PUSH      /* list */
 } BsMessageKind;
 
--- a/src/core.c
+++ b/src/core.c
@@ -213,26 +213,46 @@
     return message;
 }
 
+/* Tells the host of a list that came from a peer. */
+static void
+S_tell_list(BsCore *core)
+{
+    BsMessage *told = BsMessage_Create(BS_PLATFORM_LIST);
+    BsSchema_Copy(BsSchema_OfKind(BS_PLATFORM_LIST), &told->u,
+                  BsMembers_List(core->members));
+    BsCore_Emit(core, told);
+}
+
 static void
 S_accept_list(BsCore *core, const BsMessage *message)
 {
     if (!BsMembers_Accept(core->members, &message->u.list)) {
         BsCore_Count(core, "lists_ignored", 1);
+        if (message->kind == BS_LIST_PUSH) {
+            BsTenure_OnOldList(core->tenure, &message->u.list);
+        }
         return;
     }
+    if (message->kind == BS_LIST_PUSH) {
+        S_tell_list(core);
+    }
     BsCore_Count(core, "lists_accepted", 1);
     BsTenure_OnList(core->tenure);
     BsWatchers_OnList(core->watchers);
     BsOwner_OnList(core->owner);
 }
 
-/* Answers a pull with the list in force when it is newer. */
+/* Answers a pull with the list in force when it is newer, else with the
+   instances of the old list asked for. */
 static void
 S_push_list(BsCore *core, const BsMessage *message)
 {
+    const BsSheetText *pull = &message->u.sheet;
     const BsList *list = BsMembers_List(core->members);
-    if (message->from == NULL || list == NULL ||
-        list->revision <= message->u.list.revision) {
+    if (list == NULL || list->revision <= pull->base_revision) {
+        list = BsTenure_FindList(core->tenure, pull->revision);
+    }
+    if (message->from == NULL || list == NULL) {
         return;
     }
     BsMessage *push = BsMessage_Create(BS_LIST_PUSH);
--- a/src/schema.c
+++ b/src/schema.c
@@ -392,7 +392,7 @@
     {BS_SUSPECT, "suspect", &S_suspect_schema},
     {BS_PEER_QUERY, "peer_query", &S_query_schema},
     {BS_PEER_REPLY, "peer_reply", &S_query_reply_schema},
-    {BS_LIST_PULL, "list_pull", &S_list_schema},
+    {BS_LIST_PULL, "list_pull", &S_sheet_text_schema},
     {BS_LIST_PUSH, "list_push", &S_list_schema},
 };
 
--- a/src/sheetstore.c
+++ b/src/sheetstore.c
@@ -90,3 +90,19 @@
 {
     (void)store;
 }
+
+void
+BsSheetStore_OnRevision(BsSheetStore *store, const BsMessage *message,
+                        uint64_t revision)
+{
+    (void)store;
+    (void)message;
+    (void)revision;
+}
+
+bool
+BsSheetStore_IsBehind(const BsSheetStore *store)
+{
+    (void)store;
+    return false;
+}
--- a/src/sheetstore.h
+++ b/src/sheetstore.h
@@ -24,6 +24,13 @@
 /* Handles a sheet from the platform, or a pull or push of a peer. */
 void BsSheetStore_OnMessage(BsSheetStore *store, const BsMessage *message);
 
+/* Notes that the sender of MESSAGE has REVISION in force. */
+void BsSheetStore_OnRevision(BsSheetStore *store, const BsMessage *message,
+                             uint64_t revision);
+
+/* Returns whether a peer is known to have a newer sheet in force. */
+bool BsSheetStore_IsBehind(const BsSheetStore *store);
+
 /* Drives timers. */
 void BsSheetStore_OnTick(BsSheetStore *store);
 
--- a/src/tenure.c
+++ b/src/tenure.c
@@ -1,67 +1,341 @@
 /* tenure.c - whether this instance may act as the one in charge. */
 #include "tenure.h"
 
+#include "collect.h"
+#include "contact.h"
+#include "loss.h"
+#include "schema.h"
+#include "sheetstore.h"
+
 #include <string.h>
+#include <syslog.h>
+
+/* Probes in one lease time. */
+#define PROBES_PER_LEASE 2
 
 struct BsTenure {
     BsCore *core;
+    BsContact *contact;
+    BsLosses *losses;
+    BsCollects *collects;
+    int64_t probed_ms;
+    int64_t stepped_ms;
+    int64_t woke_ms;
+    bool waking; /* the clock jumped and contact is not back yet */
 };
 
+static void
+S_on_replaced(const char *name, uint64_t incarnation, void *context)
+{
+    BsTenure *tenure = context;
+    BsCollects_OnReplaced(tenure->collects, name, incarnation);
+}
+
 BsTenure *
 BsTenure_Create(BsCore *core)
 {
     BsTenure *tenure = g_new0(BsTenure, 1);
     tenure->core = core;
+    tenure->contact = BsContact_Create(core, S_on_replaced, tenure);
+    tenure->losses = BsLosses_Create(core);
+    tenure->collects =
+        BsCollects_Create(core, tenure->contact, tenure->losses);
+    tenure->stepped_ms = BsCore_NowMs(core);
+    tenure->probed_ms = G_MININT64;
     return tenure;
 }
 
 void
 BsTenure_Destroy(BsTenure *tenure)
 {
+    if (tenure == NULL) {
+        return;
+    }
+    BsCollects_Destroy(tenure->collects);
+    BsLosses_Destroy(tenure->losses);
+    BsContact_Destroy(tenure->contact);
     g_free(tenure);
 }
 
+static const BsView *
+S_newest(const BsTenure *tenure)
+{
+    const GPtrArray *chain = BsCollects_Chain(tenure->collects);
+    return chain->len == 0 ? NULL : chain->pdata[chain->len - 1];
+}
+
+/* Returns whether the clock jumped by more than a lease since the last step,
+   so that what was known before may be out of date. */
+static bool
+S_has_jumped(const BsTenure *tenure)
+{
+    return BsCore_NowMs(tenure->core) >=
+           tenure->stepped_ms + tenure->core->config.lease_ms;
+}
+
+bool
+BsTenure_HasContact(BsTenure *tenure)
+{
+    const BsView *newest = S_newest(tenure);
+    return newest != NULL && !tenure->waking && !S_has_jumped(tenure) &&
+           BsView_Find(newest, tenure->core->config.name) != NULL &&
+           BsContact_HasQuorum(tenure->contact, newest, false);
+}
+
+/* Returns whether the lease holds by every view since the settled one. */
+static bool
+S_has_lease(BsTenure *tenure)
+{
+    const GPtrArray *chain = BsCollects_Chain(tenure->collects);
+    for (guint i = 0; i < chain->len; i++) {
+        if (!BsContact_HasQuorum(tenure->contact, chain->pdata[i], true)) {
+            return false;
+        }
+    }
+    return !tenure->waking && !S_has_jumped(tenure);
+}
+
+/* Returns whether this instance ranked first for THING in every view since
+   the settled one. */
+static bool
+S_was_always_first(const BsTenure *tenure, const char *thing,
+                   const char *data_centre, const char *region)
+{
+    const GPtrArray *chain = BsCollects_Chain(tenure->collects);
+    if (!BsCollects_HasBase(tenure->collects)) {
+        return false;
+    }
+    for (guint i = 0; i < chain->len; i++) {
+        const char *first = BsList_Rank(BsView_List(chain->pdata[i]), thing,
+                                        data_centre, region);
+        if (g_strcmp0(first, tenure->core->config.name) != 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static bool
+S_is_in_doubt(BsTenure *tenure, const char *thing)
+{
+    int64_t now_ms = BsCore_NowMs(tenure->core);
+    if (now_ms < BsCollects_KnownSinceMs(tenure->collects) +
+                     tenure->core->config.resend_window_ms) {
+        return true;
+    }
+    return BsLosses_Concern(tenure->losses, tenure->contact, S_newest(tenure),
+                            BsCollects_FirstSettledMs(tenure->collects),
+                            thing);
+}
+
 static BsTenureState
-S_state(const BsTenure *tenure, const char *first)
+S_state_of_key(BsTenure *tenure, const char *thing)
 {
-    return g_strcmp0(first, tenure->core->config.name) == 0 ? BS_TENURE_HELD
-                                                            : BS_TENURE_NONE;
+    const BsView *newest = S_newest(tenure);
+    if (newest == NULL ||
+        g_strcmp0(BsList_Rank(BsView_List(newest), thing, NULL, NULL),
+                  tenure->core->config.name) != 0) {
+        return BS_TENURE_NONE;
+    }
+    if (!S_was_always_first(tenure, thing, NULL, NULL) ||
+        !S_has_lease(tenure)) {
+        return BS_TENURE_WAITING;
+    }
+    return S_is_in_doubt(tenure, thing) ? BS_TENURE_UNCERTAIN : BS_TENURE_HELD;
 }
 
 BsTenureState
 BsTenure_OfKey(BsTenure *tenure, const char *account, const char *key)
 {
-    return S_state(tenure,
-                   BsMembers_KeeperOf(tenure->core->members, account, key));
+    char *thing = g_strdup_printf("%s\n%s", account, key);
+    BsTenureState state = S_state_of_key(tenure, thing);
+    g_free(thing);
+    return state;
+}
+
+/* Returns whether a loss so recent that the lost instance may still be read
+   from a lagging list could have left work in flight at UPSTREAM. */
+static bool
+S_is_loss_recent(const BsTenure *tenure)
+{
+    int64_t newest_ms = BsLosses_NewestMs(tenure->losses);
+    return newest_ms != G_MININT64 &&
+           BsCore_NowMs(tenure->core) <
+               newest_ms + tenure->core->config.list_lag_ms;
 }
 
 BsTenureState
 BsTenure_OfUpstream(BsTenure *tenure, const char *name)
 {
-    return S_state(tenure, BsMembers_OwnerOf(tenure->core->members, name));
+    const BsMembers *members = tenure->core->members;
+    const BsListEntry *entry = BsMembers_Find(members, name);
+    if (entry == NULL || g_strcmp0(BsMembers_OwnerOf(members, name),
+                                   tenure->core->config.name) != 0) {
+        return BS_TENURE_NONE;
+    }
+    if (!S_was_always_first(tenure, name, entry->data_centre, entry->region) ||
+        !S_has_lease(tenure)) {
+        return BS_TENURE_WAITING;
+    }
+    return S_is_loss_recent(tenure) ? BS_TENURE_WAITING : BS_TENURE_HELD;
 }
 
-bool
-BsTenure_HasContact(BsTenure *tenure)
+void
+BsTenure_OnList(BsTenure *tenure)
+{
+    BsCollects_OnList(tenure->collects, BsMembers_List(tenure->core->members));
+}
+
+const BsList *
+BsTenure_FindList(const BsTenure *tenure, uint64_t revision)
 {
-    return BsMembers_List(tenure->core->members) != NULL;
+    const GPtrArray *chain = BsCollects_Chain(tenure->collects);
+    for (guint i = 0; i < chain->len; i++) {
+        const BsView *view = chain->pdata[i];
+        if (BsView_Revision(view) == revision) {
+            return BsView_List(view);
+        }
+    }
+    return NULL;
 }
 
 void
-BsTenure_OnList(BsTenure *tenure)
+BsTenure_OnOldList(BsTenure *tenure, const BsList *list)
+{
+    BsCollects_OnOldList(tenure->collects, list);
+}
+
+/* Pulls a list or sheet that SENDER has and this instance lacks. */
+static void
+S_catch_up(BsTenure *tenure, const BsMessage *message)
 {
-    (void)tenure;
+    const BsProbe *probe = &message->u.probe;
+    uint64_t held = BsMembers_Revision(tenure->core->members);
+    if (probe->list_revision > held) {
+        BsMessage *pull = BsMessage_Create(BS_LIST_PULL);
+        pull->u.sheet.base_revision = held;
+        BsCore_Send(tenure->core, message->from, message->from_incarnation,
+                    pull);
+    }
+    BsSheetStore_OnRevision(tenure->core->sheets, message,
+                            probe->sheet_revision);
 }
 
 void
 BsTenure_OnMessage(BsTenure *tenure, const BsMessage *message)
 {
-    (void)tenure;
-    (void)message;
+    if (message->from == NULL) {
+        BsCore_Count(tenure->core, "peer_messages_dropped", 1);
+        return;
+    }
+    switch (message->kind) {
+    case BS_PROBE:
+        BsContact_OnProbe(tenure->contact, message);
+        S_catch_up(tenure, message);
+        break;
+    case BS_PROBE_REPLY:
+        S_catch_up(tenure, message);
+        if (BsContact_OnReply(tenure->contact, message)) {
+            BsCollects_OnDenied(tenure->collects);
+        }
+        break;
+    case BS_COLLECT:
+        BsCollects_OnCollect(tenure->collects, message);
+        break;
+    default:
+        BsCollects_OnReply(tenure->collects, message);
+        break;
+    }
+}
+
+/* Returns the lessors of this instance in every view since the settled. */
+static GHashTable *
+S_targets(const BsTenure *tenure)
+{
+    const char *self = tenure->core->config.name;
+    const GPtrArray *chain = BsCollects_Chain(tenure->collects);
+    GHashTable *targets = g_hash_table_new(g_str_hash, g_str_equal);
+    for (guint i = 0; i < chain->len; i++) {
+        guint needed;
+        GPtrArray *lessors = BsView_Lessors(chain->pdata[i], self, &needed);
+        for (guint k = 0; k < lessors->len; k++) {
+            if (strcmp(lessors->pdata[k], self) != 0) {
+                g_hash_table_add(targets, lessors->pdata[k]);
+            }
+        }
+        g_ptr_array_unref(lessors);
+    }
+    return targets;
+}
+
+static void
+S_probe(BsTenure *tenure)
+{
+    GHashTable *targets = S_targets(tenure);
+    tenure->probed_ms = BsCore_NowMs(tenure->core);
+    BsContact_Probe(tenure->contact, targets,
+                    BsCollects_SettledRevision(tenure->collects));
+    g_hash_table_destroy(targets);
+}
+
+static void
+S_check_clock(BsTenure *tenure)
+{
+    int64_t now_ms = BsCore_NowMs(tenure->core);
+    if (S_has_jumped(tenure)) {
+        tenure->waking = true;
+        tenure->woke_ms = now_ms;
+        tenure->probed_ms = G_MININT64;
+        BsCore_Count(tenure->core, "pauses_seen", 1);
+        BsCore_Log(tenure->core, LOG_WARNING,
+                   "paused for %" G_GINT64_FORMAT
+                   " ms; reading sheet and list again",
+                   now_ms - tenure->stepped_ms);
+    }
+    tenure->stepped_ms = now_ms;
+}
+
+/* Ends the wait after a pause once contact was regained by probes sent since,
+   or after a lease when there is nobody else to ask. */
+static void
+S_check_waking(BsTenure *tenure)
+{
+    const BsView *newest = S_newest(tenure);
+    if (!tenure->waking || newest == NULL) {
+        return;
+    }
+    GHashTable *targets = S_targets(tenure);
+    bool alone = g_hash_table_size(targets) == 0;
+    g_hash_table_destroy(targets);
+    int64_t due_ms =
+        tenure->woke_ms + (alone ? tenure->core->config.lease_ms : 0);
+    if (BsCore_NowMs(tenure->core) >= due_ms &&
+        BsContact_HasQuorum(tenure->contact, newest, false) &&
+        !BsSheetStore_IsBehind(tenure->core->sheets)) {
+        tenure->waking = false;
+    }
+}
+
+bool
+BsTenure_IsWaking(const BsTenure *tenure)
+{
+    return tenure->waking;
 }
 
 void
 BsTenure_OnTick(BsTenure *tenure)
 {
-    (void)tenure;
+    int64_t now_ms = BsCore_NowMs(tenure->core);
+    S_check_clock(tenure);
+    BsLosses_OnTick(tenure->losses);
+    if (S_newest(tenure) == NULL) {
+        return;
+    }
+    BsCollects_OnTick(tenure->collects);
+    int64_t interval_ms = tenure->core->config.lease_ms / PROBES_PER_LEASE;
+    if (tenure->probed_ms == G_MININT64 ||
+        now_ms >= tenure->probed_ms + interval_ms) {
+        S_probe(tenure);
+    }
+    S_check_waking(tenure);
 }
--- a/src/tenure.h
+++ b/src/tenure.h
@@ -37,6 +37,15 @@
 /* Handles a new instance list, after it came into force. */
 void BsTenure_OnList(BsTenure *tenure);
 
+/* Returns the instances of list REVISION while it is not settled, or NULL. */
+const BsList *BsTenure_FindList(const BsTenure *tenure, uint64_t revision);
+
+/* Handles a list that is older than the one in force. */
+void BsTenure_OnOldList(BsTenure *tenure, const BsList *list);
+
+/* Returns whether this instance was paused and has no contact since. */
+bool BsTenure_IsWaking(const BsTenure *tenure);
+
 /* Handles a probe, a collect, or a reply to either. */
 void BsTenure_OnMessage(BsTenure *tenure, const BsMessage *message);
 
--- /dev/null
+++ b/src/view.c
@@ -0,0 +1,167 @@
+/* view.c - the instances of one list, without its upstreams. */
+#include "view.h"
+
+#include "member.h"
+#include "schema.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+struct BsView {
+    BsList list;
+    GHashTable *index; /* name to BsListEntry */
+    uint64_t hash;
+    guint live;
+};
+
+static gint
+S_compare_entries(gconstpointer a, gconstpointer b)
+{
+    const BsListEntry *left = *(const BsListEntry *const *)a;
+    const BsListEntry *right = *(const BsListEntry *const *)b;
+    return strcmp(left->name, right->name);
+}
+
+static uint64_t
+S_hash(const GPtrArray *entries)
+{
+    GString *text = g_string_new(NULL);
+    for (guint i = 0; i < entries->len; i++) {
+        const BsListEntry *entry = entries->pdata[i];
+        g_string_append_printf(
+            text, "%s\n%s\n%s\n%u\n", entry->name, entry->data_centre,
+            entry->region == NULL ? "" : entry->region, entry->state);
+    }
+    uint64_t hash = XXH3_64bits(text->str, text->len);
+    g_string_free(text, TRUE);
+    return hash;
+}
+
+BsView *
+BsView_Create(const BsList *list)
+{
+    BsView *view = g_new0(BsView, 1);
+    view->list.revision = list->revision;
+    view->list.entries = BsSchema_NewList(&bs_schema_list_entry);
+    view->index = g_hash_table_new(g_str_hash, g_str_equal);
+    for (guint i = 0; i < list->entries->len; i++) {
+        const BsListEntry *entry = list->entries->pdata[i];
+        if (entry->kind != BS_NODE_INSTANCE) {
+            continue;
+        }
+        BsListEntry *copy = BsListEntry_Create();
+        BsSchema_Copy(&bs_schema_list_entry, copy, entry);
+        g_ptr_array_add(view->list.entries, copy);
+        g_hash_table_insert(view->index, copy->name, copy);
+        view->live += copy->state == BS_NODE_LIVE ? 1 : 0;
+    }
+    g_ptr_array_sort(view->list.entries, S_compare_entries);
+    view->hash = S_hash(view->list.entries);
+    return view;
+}
+
+void
+BsView_Destroy(BsView *view)
+{
+    if (view == NULL) {
+        return;
+    }
+    g_hash_table_destroy(view->index);
+    g_ptr_array_unref(view->list.entries);
+    g_free(view);
+}
+
+const BsList *
+BsView_List(const BsView *view)
+{
+    return &view->list;
+}
+
+uint64_t
+BsView_Revision(const BsView *view)
+{
+    return view->list.revision;
+}
+
+uint64_t
+BsView_Hash(const BsView *view)
+{
+    return view->hash;
+}
+
+const BsListEntry *
+BsView_Find(const BsView *view, const char *name)
+{
+    return name == NULL ? NULL : g_hash_table_lookup(view->index, name);
+}
+
+bool
+BsView_IsLive(const BsView *view, const char *name)
+{
+    const BsListEntry *entry = BsView_Find(view, name);
+    return entry != NULL && entry->state == BS_NODE_LIVE;
+}
+
+static GPtrArray *
+S_all_live(const BsView *view)
+{
+    GPtrArray *names = g_ptr_array_new();
+    for (guint i = 0; i < view->list.entries->len; i++) {
+        BsListEntry *entry = view->list.entries->pdata[i];
+        if (entry->state == BS_NODE_LIVE) {
+            g_ptr_array_add(names, entry->name);
+        }
+    }
+    return names;
+}
+
+typedef struct {
+    char *name;
+    uint64_t weight;
+} BsCandidate;
+
+/* Inserts CANDIDATE among the COUNT best so far; returns the new count. */
+static guint
+S_insert(BsCandidate *best, guint count, BsCandidate candidate)
+{
+    guint at = count;
+    while (at > 0 && best[at - 1].weight < candidate.weight) {
+        at--;
+    }
+    if (at == BS_VIEW_LESSORS) {
+        return count;
+    }
+    guint last = MIN(count, BS_VIEW_LESSORS - 1);
+    for (guint i = last; i > at; i--) {
+        best[i] = best[i - 1];
+    }
+    best[at] = candidate;
+    return last + 1;
+}
+
+GPtrArray *
+BsView_Lessors(const BsView *view, const char *holder, guint *needed)
+{
+    if (view->live <= BS_VIEW_MAJORITY_MAX) {
+        *needed = view->live / 2 + 1;
+        return S_all_live(view);
+    }
+    BsCandidate best[BS_VIEW_LESSORS];
+    guint count = 0;
+    char *thing = g_strconcat("lease\n", holder, NULL);
+    for (guint i = 0; i < view->list.entries->len; i++) {
+        BsListEntry *entry = view->list.entries->pdata[i];
+        if (entry->state == BS_NODE_LIVE && strcmp(entry->name, holder) != 0) {
+            BsCandidate candidate = {entry->name,
+                                     BsMembers_Weight(entry->name, thing)};
+            count = S_insert(best, count, candidate);
+        }
+    }
+    g_free(thing);
+    GPtrArray *names = g_ptr_array_new();
+    for (guint i = 0; i < count; i++) {
+        g_ptr_array_add(names, best[i].name);
+    }
+    *needed = BS_VIEW_LESSORS_NEEDED;
+    return names;
+}
--- a/tests/scenario/world.c
+++ b/tests/scenario/world.c
@@ -470,6 +470,10 @@
         node->watch_sheet = message->u.watch.sheet;
         node->watch_list = message->u.watch.list;
         break;
+    case BS_PLATFORM_LIST:
+        BsMessage_Destroy(node->list);
+        node->list = BsMessage_Copy(message);
+        break;
     case BS_QUERY_REPLY:
         S_keep_reply(world, &message->u.reply);
         break;
