--- a/tests/scenario/world.c
+++ b/tests/scenario/world.c
@@ -467,8 +467,7 @@
         node->watch_list = message->u.watch.list;
         break;
     case BS_PLATFORM_LIST:
-        BsMessage_Destroy(node->list);
-        node->list = BsMessage_Copy(message);
+        WorldPlatform_OnList(world, node, message);
         break;
     case BS_QUERY_REPLY:
         S_keep_reply(world, &message->u.reply);
--- a/tests/scenario/world_platform.c
+++ b/tests/scenario/world_platform.c
@@ -78,6 +78,19 @@
     world->list_at_ms = world->now_ms + lag_ms;
 }
 
+void
+WorldPlatform_OnList(World *world, WorldNode *node, const BsMessage *message)
+{
+    WorldList_Unref(node->list);
+    if (message->u.list.revision == S_list_revision(world)) {
+        node->list = g_rc_box_acquire(world->platform_list);
+        return;
+    }
+    node->list = g_rc_box_new0(WorldList);
+    node->list->message = BsMessage_Copy(message);
+    node->list->owned = WorldUpstream_Own(world, &node->list->message->u.list);
+}
+
 static void
 S_hand_list(World *world, WorldNode *node)
 {
--- a/tests/scenario/world_private.h
+++ b/tests/scenario/world_private.h
@@ -133,6 +133,10 @@
 /* Drops a reference to LIST; NULL is allowed. */
 void WorldList_Unref(WorldList *list);
 
+/* Notes a list that an instance got from a peer. */
+void WorldPlatform_OnList(World *world, WorldNode *node,
+                          const BsMessage *message);
+
 /* Reads of the platform by the watchers. */
 void WorldPlatform_Poll(World *world);
 
