--- /dev/null
+++ b/src/attempt.c
@@ -0,0 +1,314 @@
+/*
+ * attempt.c - the attempts of an idempotent request at owners.
+ *
+ * Rules: only idempotent requests get a second attempt from here; work that
+ * an owner handed back unstarted goes to another owner at once, urgent work
+ * to every owner that could serve it; a failed attempt is repeated within the
+ * retry budget after a random wait; an attempt that the child lost is given
+ * up, cancelled and repeated; a stream resumes after the events passed on.
+ */
+#include "entrystate.h"
+
+#include "choice.h"
+#include "digest.h"
+#include "link.h"
+#include "retry.h"
+#include "work.h"
+
+#include <string.h>
+
+/* Retries of one request after failures. */
+#define RETRIES_MAX 3
+
+/* Owners asked for work of a tier that no other yields to. */
+#define REDIRECTS_MAX 2
+
+/* Time in which a forward is accepted. */
+#define ACCEPT_MS 300
+
+/* Silence of a child after which it is checked. */
+#define CHECK_MS 500
+
+/* Time without a piece after which the request itself is checked. */
+#define REQUEST_CHECK_MS 5000
+
+/* Time for which a missing piece may be late. */
+#define GAP_MS 1000
+
+static const BsRequest *
+S_wanted(const BsEntryRequest *request)
+{
+    return &request->request->u.request;
+}
+
+static BsOutcome
+S_outcome(const BsEntryRequest *request)
+{
+    return request->maybe_ran || request->next_seq > 0 ? BS_OUTCOME_UNKNOWN
+                                                       : BS_OUTCOME_NOT_RUN;
+}
+
+static bool
+S_is_restartable(const BsEntryRequest *request)
+{
+    return S_wanted(request)->idempotent &&
+           (S_wanted(request)->stream || request->next_seq == 0);
+}
+
+static bool
+S_is_privileged(const BsEntry *entry, const BsEntryRequest *request)
+{
+    return BsSheet_IsYieldedTo(BsCore_Sheet(entry->core),
+                               S_wanted(request)->tier);
+}
+
+void
+BsEntry_CancelChild(BsEntry *entry, BsEntryRequest *request,
+                    BsErrorKind reason)
+{
+    if (request->child == NULL || request->retry_ms != 0) {
+        return;
+    }
+    BsMessage *cancel = BsMessage_Create(BS_CANCEL);
+    cancel->u.cancel.request_id = g_strdup(S_wanted(request)->request_id);
+    cancel->u.cancel.attempt = request->attempt;
+    cancel->u.cancel.to_stage = S_wanted(request)->stage;
+    cancel->u.cancel.reason = reason;
+    BsCore_Send(entry->core, request->child, request->child_incarnation,
+                cancel);
+}
+
+static const char *
+S_pick_child(BsEntry *entry, BsEntryRequest *request)
+{
+    const BsRequest *wanted = S_wanted(request);
+    if (!wanted->idempotent) {
+        return BsMembers_KeeperOf(entry->core->members, wanted->account,
+                                  wanted->key);
+    }
+    const char *child =
+        BsChoice_PickOwner(entry->core, wanted, request->tried);
+    if (child == NULL && request->retries > 0) {
+        g_hash_table_remove_all(request->tried);
+        child = BsChoice_PickOwner(entry->core, wanted, request->tried);
+    }
+    return child;
+}
+
+/* Counts what the forward costs the link and the child. */
+static void
+S_account(BsEntry *entry, BsEntryRequest *request)
+{
+    const BsRequest *wanted = S_wanted(request);
+    request->remote = BsChoice_IsRemote(entry->core, request->child);
+    if (request->remote) {
+        BsLink_Charge(entry->core->link, wanted->tier, request->body_bytes);
+    }
+    BsDigests_OnForward(entry->core->digests, request->child,
+                        BsRequest_Serves(wanted),
+                        wanted->prompt_tokens + wanted->output_tokens);
+}
+
+void
+BsEntry_Forward(BsEntry *entry, BsEntryRequest *request)
+{
+    int64_t now_ms = BsCore_NowMs(entry->core);
+    const char *child = S_pick_child(entry, request);
+    request->retry_ms = 0;
+    if (child == NULL) {
+        BsErrorKind error = request->last_error == BS_ERR_NONE
+                                ? BS_ERR_NO_UPSTREAM
+                                : (BsErrorKind)request->last_error;
+        BsEntry_Fail(entry, request, error, S_outcome(request));
+        return;
+    }
+    request->attempt++;
+    request->accepted = false;
+    request->child_incarnation = 0;
+    request->forwarded_ms = now_ms;
+    request->heard_ms = now_ms;
+    request->gap_ms = 0;
+    BsMessage_SetString(&request->child, child);
+    BsReorder_Destroy(request->reorder);
+    request->reorder = BsReorder_Create();
+    S_account(entry, request);
+    BsMessage *forward = BsMessage_Copy(request->request);
+    forward->u.request.attempt = request->attempt;
+    forward->u.request.deadline_ms = request->deadline_ms - now_ms;
+    forward->u.request.skip_events = request->events;
+    BsCore_Count(entry->core, "forwards", 1);
+    BsCore_Send(entry->core, child, 0, forward);
+}
+
+/* Returns whether the owner handed the request back for lack of room. */
+static bool
+S_is_handed_back(const BsEntry *entry, const BsEntryRequest *request,
+                 const BsAnswer *answer)
+{
+    switch (answer->error) {
+    case BS_ERR_OVERLOADED:
+    case BS_ERR_NO_UPSTREAM:
+    case BS_ERR_DRAINING:
+    case BS_ERR_MEMORY_FULL:
+    case BS_ERR_NOT_READY:
+        return true;
+    case BS_ERR_DEADLINE:
+        return S_is_privileged(entry, request) &&
+               answer->outcome == BS_OUTCOME_NOT_RUN;
+    default:
+        return false;
+    }
+}
+
+static bool
+S_is_transient(BsErrorKind error)
+{
+    return error == BS_ERR_CONNECT || error == BS_ERR_UPSTREAM_REFUSED ||
+           error == BS_ERR_UPSTREAM_FAILED || error == BS_ERR_PEER_LOST;
+}
+
+/* Schedules another attempt after a random wait; false without a budget. */
+static bool
+S_retry(BsEntry *entry, BsEntryRequest *request)
+{
+    int64_t now_ms = BsCore_NowMs(entry->core);
+    int64_t wait_ms = BsRetries_WaitMs(entry->core->retries, request->retries);
+    if (request->retries >= RETRIES_MAX ||
+        now_ms + wait_ms >= request->deadline_ms ||
+        !BsRetries_Take(entry->core->retries, S_wanted(request)->tier)) {
+        return false;
+    }
+    request->retries++;
+    request->retry_ms = now_ms + MAX(wait_ms, 1);
+    return true;
+}
+
+bool
+BsEntry_TryAgain(BsEntry *entry, BsEntryRequest *request,
+                 const BsAnswer *answer)
+{
+    if (!S_is_restartable(request) ||
+        BsCore_NowMs(entry->core) >= request->deadline_ms) {
+        return false;
+    }
+    request->maybe_ran =
+        request->maybe_ran || answer->outcome != BS_OUTCOME_NOT_RUN;
+    request->last_error = answer->error;
+    request->retry_after_s = answer->retry_after_s;
+    g_hash_table_add(request->tried, g_strdup(request->child));
+    if (S_is_handed_back(entry, request, answer)) {
+        if (!S_is_privileged(entry, request) &&
+            request->redirects >= REDIRECTS_MAX) {
+            return false;
+        }
+        request->redirects++;
+        BsCore_Count(entry->core, "redirects", 1);
+        BsEntry_Forward(entry, request);
+        return true;
+    }
+    return S_is_transient(answer->error) && S_retry(entry, request);
+}
+
+void
+BsEntry_OnLost(BsEntry *entry, BsEntryRequest *request)
+{
+    if (!S_wanted(request)->idempotent) {
+        return;
+    }
+    BsCore_Count(entry->core, "attempts_lost", 1);
+    BsEntry_CancelChild(entry, request, BS_ERR_PEER_LOST);
+    g_hash_table_add(request->tried, g_strdup(request->child));
+    request->maybe_ran = true;
+    request->last_error = BS_ERR_PEER_LOST;
+    if (!S_is_restartable(request) || !S_retry(entry, request)) {
+        BsEntry_Fail(entry, request, BS_ERR_PEER_LOST, BS_OUTCOME_UNKNOWN);
+    }
+}
+
+/* Returns when the child was heard last, as far as this instance ran. */
+static int64_t
+S_child_heard_ms(const BsEntry *entry, const BsEntryRequest *request)
+{
+    int64_t heard_ms = BsDigests_HeardMs(entry->core->digests, request->child);
+    heard_ms = MAX(heard_ms, request->forwarded_ms);
+    return MAX(heard_ms, entry->awake_ms);
+}
+
+/* Returns whether the child left the list or restarted. */
+static bool
+S_is_replaced(const BsEntry *entry, const BsEntryRequest *request)
+{
+    uint64_t known =
+        BsDigests_Incarnation(entry->core->digests, request->child);
+    if (BsMembers_Find(entry->core->members, request->child) == NULL) {
+        return true;
+    }
+    return known != 0 && request->child_incarnation != 0 &&
+           known != request->child_incarnation;
+}
+
+static bool
+S_is_lost(const BsEntry *entry, const BsEntryRequest *request)
+{
+    int64_t now_ms = BsCore_NowMs(entry->core);
+    int64_t start_ms = MAX(request->forwarded_ms, entry->awake_ms);
+    if (!request->accepted) {
+        return now_ms - start_ms > ACCEPT_MS;
+    }
+    if (request->gap_ms != 0 &&
+        now_ms - MAX(request->gap_ms, entry->awake_ms) > GAP_MS) {
+        return true;
+    }
+    return S_is_replaced(entry, request) ||
+           now_ms - S_child_heard_ms(entry, request) >
+               entry->core->config.lease_ms;
+}
+
+/* Asks the child whether it still holds the request. */
+static void
+S_check(BsEntry *entry, BsEntryRequest *request)
+{
+    int64_t now_ms = BsCore_NowMs(entry->core);
+    bool child_silent = now_ms - S_child_heard_ms(entry, request) > CHECK_MS;
+    bool request_silent = now_ms - request->heard_ms > REQUEST_CHECK_MS;
+    int64_t *last_ms = g_hash_table_lookup(entry->checks, request->child);
+    if (last_ms == NULL) {
+        last_ms = g_new0(int64_t, 1);
+        g_hash_table_insert(entry->checks, g_strdup(request->child), last_ms);
+    }
+    if (!request_silent && (!child_silent || now_ms - *last_ms < CHECK_MS)) {
+        return;
+    }
+    *last_ms = now_ms;
+    request->heard_ms = request_silent ? now_ms : request->heard_ms;
+    BsMessage *check = BsMessage_Create(BS_CHECK);
+    check->u.accept.request_id = g_strdup(S_wanted(request)->request_id);
+    check->u.accept.attempt = request->attempt;
+    check->u.accept.to_stage = S_wanted(request)->stage;
+    BsCore_Count(entry->core, "checks", 1);
+    BsCore_Send(entry->core, request->child, request->child_incarnation,
+                check);
+}
+
+void
+BsEntry_Watch(BsEntry *entry, BsEntryRequest *request)
+{
+    if (request->retry_ms != 0) {
+        if (BsCore_NowMs(entry->core) >= request->retry_ms) {
+            BsEntry_Forward(entry, request);
+        }
+        return;
+    }
+    if (!S_wanted(request)->idempotent ||
+        g_strcmp0(request->child, entry->core->config.name) == 0) {
+        return;
+    }
+    if (S_is_lost(entry, request)) {
+        if (request->gap_ms == 0) {
+            BsDigests_OnSilence(entry->core->digests, request->child);
+        }
+        BsEntry_OnLost(entry, request);
+        return;
+    }
+    S_check(entry, request);
+}
--- a/src/boragespur.h
+++ b/src/boragespur.h
@@ -182,7 +182,8 @@
     BS_PEER_QUERY,    /* query */
     BS_PEER_REPLY,    /* reply */
     BS_HANDOVER,      /* collected */
-    BS_HANDOVER_ACK   /* probe */
+    BS_HANDOVER_ACK,  /* probe */
+    BS_CHECK          /* accept */
 } BsMessageKind;
 
 /* A request as it travels from caller to upstream. */
@@ -261,11 +262,13 @@
     bool paused;
 } BsFlow;
 
-/* Tells the sender of a forward that it was received. */
+/* Tells the sender of a forward that it was received, or asks whether a
+   forward is still held. */
 typedef struct {
     char *request_id;
     uint32_t attempt;
     uint32_t to_stage;
+    bool gone; /* answers a check: the request is not known here */
 } BsAccept;
 
 /* One entry of the platform's instance list. */
@@ -373,11 +376,18 @@
                                 waits, 0 when none */
 } BsLoad;
 
+/* Usual inter-token time of a hardware generation behind one owner. */
+typedef struct {
+    char *generation;
+    uint32_t inter_token_us;
+} BsPace;
+
 /* Periodic summary of an instance, sent to a few peers. */
 typedef struct {
     uint64_t sheet_revision;
     uint64_t list_revision;
     GPtrArray *loads;  /* of BsLoad */
+    GPtrArray *paces;  /* of BsPace */
     uint32_t suspects; /* number of suspects known */
     bool draining;
 } BsDigest;
--- a/src/choice.c
+++ b/src/choice.c
@@ -1,6 +1,36 @@
 /* choice.c - which owner a request is forwarded to. */
 #include "choice.h"
 
+#include "digest.h"
+#include "link.h"
+#include "work.h"
+
+/* Owners in the order of a prefix that are looked at in one distance. */
+#define CANDIDATES 3
+
+/* Distances from this instance. */
+typedef enum {
+    DISTANCE_CENTRE = 0,
+    DISTANCE_REGION,
+    DISTANCE_REMOTE,
+    DISTANCE_COUNT
+} BsDistance;
+
+/* An owner, with the weight of its best upstream. */
+typedef struct {
+    const char *name;
+    uint64_t weight;
+    int64_t wait_ms;
+    bool full;     /* its digest shows no room */
+    bool yielding; /* its digest shows work that yields, or there is none */
+} BsCandidate;
+
+/* The owners of one distance in order of weight. */
+typedef struct {
+    BsCandidate rows[CANDIDATES];
+    guint count;
+} BsRanking;
+
 bool
 BsChoice_IsOpen(const BsCore *core, const BsListEntry *upstream)
 {
@@ -9,36 +39,192 @@
            BsSheet_IsOpen(sheet, upstream->data_centre);
 }
 
-/* Returns the weight of OWNER for REQUEST: same prefix, same owner. */
-static uint64_t
-S_weigh(const char *owner, const BsRequest *request)
+bool
+BsChoice_IsRemote(const BsCore *core, const char *instance)
 {
-    char thing[32];
-    g_snprintf(thing, sizeof(thing), "%" G_GINT64_MODIFIER "x",
-               request->prefix_hash);
-    return BsMembers_Weight(owner, thing);
+    const BsListEntry *entry = BsMembers_Find(core->members, instance);
+    return entry != NULL && g_strcmp0(entry->region, core->config.region) != 0;
 }
 
-const char *
-BsChoice_PickOwner(BsCore *core, const BsRequest *request, GHashTable *avoid)
+uint32_t
+BsChoice_CountInstances(const BsCore *core)
+{
+    const BsList *list = BsMembers_List(core->members);
+    uint32_t count = 0;
+    for (guint i = 0; list != NULL && i < list->entries->len; i++) {
+        const BsListEntry *entry = list->entries->pdata[i];
+        count +=
+            entry->kind == BS_NODE_INSTANCE && entry->state == BS_NODE_LIVE;
+    }
+    return count;
+}
+
+static BsDistance
+S_distance(const BsCore *core, const char *owner)
 {
-    const char *serves =
-        request->service != NULL ? request->service : request->model;
-    const GPtrArray *upstreams = BsMembers_Serving(core->members, serves);
-    const char *best = NULL;
-    uint64_t best_weight = 0;
+    const BsListEntry *entry = BsMembers_Find(core->members, owner);
+    if (entry == NULL || g_strcmp0(entry->region, core->config.region) != 0) {
+        return DISTANCE_REMOTE;
+    }
+    return g_strcmp0(entry->data_centre, core->config.data_centre) == 0
+               ? DISTANCE_CENTRE
+               : DISTANCE_REGION;
+}
+
+/* Adds OWNER to RANKING, or raises its weight. */
+static void
+S_rank(BsRanking *ranking, const char *owner, uint64_t weight)
+{
+    guint at = 0;
+    while (at < ranking->count && ranking->rows[at].name != owner) {
+        at++;
+    }
+    if (at == ranking->count) {
+        if (ranking->count < CANDIDATES) {
+            ranking->count++;
+        }
+        else if (ranking->rows[CANDIDATES - 1].weight >= weight) {
+            return;
+        }
+        at = ranking->count - 1;
+        ranking->rows[at] = (BsCandidate){.name = owner, .weight = weight};
+    }
+    ranking->rows[at].weight = MAX(ranking->rows[at].weight, weight);
+    for (; at > 0 && ranking->rows[at].weight > ranking->rows[at - 1].weight;
+         at--) {
+        BsCandidate row = ranking->rows[at];
+        ranking->rows[at] = ranking->rows[at - 1];
+        ranking->rows[at - 1] = row;
+    }
+}
+
+/* Sorts the owners that may serve REQUEST by distance and weight. */
+static void
+S_rank_owners(BsCore *core, const BsRequest *request, GHashTable *avoid,
+              bool unfit, BsRanking *rankings)
+{
+    char thing[32];
+    uint64_t hash = request->prefix_hash;
+    if (hash == 0) {
+        hash = ((uint64_t)g_rand_int(core->random) << 32) |
+               g_rand_int(core->random);
+    }
+    g_snprintf(thing, sizeof(thing), "%" G_GINT64_MODIFIER "x", hash);
+    const GPtrArray *upstreams =
+        BsMembers_Serving(core->members, BsRequest_Serves(request));
     for (guint i = 0; upstreams != NULL && i < upstreams->len; i++) {
         const BsListEntry *upstream = upstreams->pdata[i];
         const char *owner = BsMembers_OwnerOf(core->members, upstream->name);
         if (owner == NULL || !BsChoice_IsOpen(core, upstream) ||
-            (avoid != NULL && g_hash_table_contains(avoid, owner))) {
+            (avoid != NULL && g_hash_table_contains(avoid, owner)) ||
+            BsDigests_IsUnfit(core->digests, owner) != unfit) {
             continue;
         }
-        uint64_t weight = S_weigh(owner, request);
-        if (best == NULL || weight > best_weight) {
-            best = owner;
-            best_weight = weight;
+        S_rank(&rankings[S_distance(core, owner)], owner,
+               BsMembers_Weight(upstream->name, thing));
+    }
+}
+
+/* Fills in what the digests say of the owners in RANKING. */
+static void
+S_look_up(BsCore *core, const BsRequest *request, BsRanking *ranking)
+{
+    const BsTier *tier = BsSheet_FindTier(BsCore_Sheet(core), request->tier);
+    uint32_t rank = tier == NULL ? UINT32_MAX : tier->rank;
+    int64_t tokens = (int64_t)request->prompt_tokens + request->output_tokens;
+    for (guint i = 0; i < ranking->count; i++) {
+        BsCandidate *row = &ranking->rows[i];
+        const BsLoad *load = BsDigests_FindLoad(
+            core->digests, row->name, BsRequest_Serves(request), NULL);
+        row->full = load != NULL &&
+                    (load->free_slots == 0 || load->free_tokens < tokens);
+        row->yielding = load == NULL || load->lowest_rank > rank;
+        row->wait_ms = load == NULL ? 0 : load->oldest_wait_ms;
+    }
+}
+
+/* Returns the first owner with room, then the better of the next two. */
+static const char *
+S_pick_free(const BsRanking *ranking)
+{
+    const BsCandidate *best = NULL;
+    for (guint i = 0; i < ranking->count; i++) {
+        const BsCandidate *row = &ranking->rows[i];
+        if (row->full) {
+            continue;
+        }
+        if (i == 0) {
+            return row->name;
+        }
+        if (best == NULL || row->wait_ms < best->wait_ms) {
+            best = row;
+        }
+    }
+    return best == NULL ? NULL : best->name;
+}
+
+/* Returns the nearest owner that runs work that yields. */
+static const char *
+S_pick_yielding(const BsRanking *rankings, guint count)
+{
+    for (guint distance = 0; distance < count; distance++) {
+        for (guint i = 0; i < rankings[distance].count; i++) {
+            if (rankings[distance].rows[i].yielding) {
+                return rankings[distance].rows[i].name;
+            }
+        }
+    }
+    return NULL;
+}
+
+/* Returns the owner with the shortest wait; nearer ones win ties. */
+static const char *
+S_pick_shortest(const BsRanking *rankings, guint count)
+{
+    const BsCandidate *best = NULL;
+    for (guint distance = 0; distance < count; distance++) {
+        for (guint i = 0; i < rankings[distance].count; i++) {
+            const BsCandidate *row = &rankings[distance].rows[i];
+            if (best == NULL || row->wait_ms < best->wait_ms) {
+                best = row;
+            }
+        }
+    }
+    return best == NULL ? NULL : best->name;
+}
+
+static const char *
+S_pick(BsCore *core, const BsRequest *request, GHashTable *avoid, bool unfit)
+{
+    BsRanking rankings[DISTANCE_COUNT] = {0};
+    S_rank_owners(core, request, avoid, unfit, rankings);
+    guint count =
+        BsLink_Allows(core->link, request) ? DISTANCE_COUNT : DISTANCE_REMOTE;
+    const char *owner = NULL;
+    for (guint distance = 0; distance < count; distance++) {
+        S_look_up(core, request, &rankings[distance]);
+        owner = S_pick_free(&rankings[distance]);
+        if (owner != NULL) {
+            return owner;
         }
     }
-    return best;
+    if (BsSheet_IsYieldedTo(BsCore_Sheet(core), request->tier)) {
+        owner = S_pick_yielding(rankings, count);
+    }
+    return owner != NULL ? owner : S_pick_shortest(rankings, count);
+}
+
+const char *
+BsChoice_PickOwner(BsCore *core, const BsRequest *request, GHashTable *avoid)
+{
+    if (BsCore_Sheet(core) == NULL) {
+        return NULL;
+    }
+    if (core->config.policy != BS_POLICY_AFFINITY) {
+        return avoid != NULL && g_hash_table_contains(avoid, core->config.name)
+                   ? NULL
+                   : core->config.name;
+    }
+    const char *owner = S_pick(core, request, avoid, false);
+    return owner != NULL ? owner : S_pick(core, request, avoid, true);
 }
--- a/src/core.c
+++ b/src/core.c
@@ -1,12 +1,15 @@
 /* core.c - creation of a core and delivery of messages to its roles. */
 #include "core.h"
 
+#include "account.h"
 #include "digest.h"
 #include "entry.h"
 #include "keeper.h"
+#include "link.h"
 #include "owner.h"
 #include "poison.h"
 #include "query.h"
+#include "retry.h"
 #include "schema.h"
 #include "sheetstore.h"
 #include "tenure.h"
@@ -102,6 +105,9 @@
     core->tenure = BsTenure_Create(core);
     core->digests = BsDigests_Create(core);
     core->poison = BsPoison_Create(core);
+    core->link = BsLink_Create(core);
+    core->accounts = BsAccounts_Create(core);
+    core->retries = BsRetries_Create(core);
     core->entry = BsEntry_Create(core);
     core->keeper = BsKeeper_Create(core);
     core->owner = BsOwner_Create(core);
@@ -117,6 +123,9 @@
     BsOwner_Destroy(core->owner);
     BsKeeper_Destroy(core->keeper);
     BsEntry_Destroy(core->entry);
+    BsRetries_Destroy(core->retries);
+    BsAccounts_Destroy(core->accounts);
+    BsLink_Destroy(core->link);
     BsPoison_Destroy(core->poison);
     BsDigests_Destroy(core->digests);
     BsTenure_Destroy(core->tenure);
@@ -311,6 +320,17 @@
     }
 }
 
+static void
+S_deliver_check(BsCore *core, const BsMessage *message)
+{
+    if (message->u.accept.to_stage == BS_STAGE_OWNER) {
+        BsOwner_OnCheck(core->owner, message);
+    }
+    else {
+        BsCore_Count(core, "peer_messages_dropped", 1);
+    }
+}
+
 static void
 S_tick(BsCore *core)
 {
@@ -318,6 +338,7 @@
     BsTenure_OnTick(core->tenure);
     BsDigests_OnTick(core->digests);
     BsPoison_OnTick(core->poison);
+    BsAccounts_OnTick(core->accounts);
     BsEntry_OnTick(core->entry);
     BsKeeper_OnTick(core->keeper);
     BsOwner_OnTick(core->owner);
@@ -362,6 +383,9 @@
     case BS_ACCEPT:
         S_deliver_accept(core, message);
         break;
+    case BS_CHECK:
+        S_deliver_check(core, message);
+        break;
     case BS_ANSWER:
         S_deliver_answer(core, message);
         break;
@@ -404,6 +428,9 @@
 {
     g_assert(!core->stepping);
     core->stepping = true;
+    if (BsSchema_IsPeerKind(message->kind)) {
+        BsDigests_OnHeard(core->digests, message);
+    }
     if (S_is_for_us(core, message)) {
         S_deliver(core, message);
     }
--- a/src/core.h
+++ b/src/core.h
@@ -19,6 +19,9 @@
 typedef struct BsTenure BsTenure;
 typedef struct BsDigests BsDigests;
 typedef struct BsPoison BsPoison;
+typedef struct BsLink BsLink;
+typedef struct BsAccounts BsAccounts;
+typedef struct BsRetries BsRetries;
 
 struct BsCore {
     BsCoreConfig config; /* owns its strings */
@@ -33,6 +36,9 @@
     BsTenure *tenure;
     BsDigests *digests;
     BsPoison *poison;
+    BsLink *link;
+    BsAccounts *accounts;
+    BsRetries *retries;
     BsEntry *entry;
     BsKeeper *keeper;
     BsOwner *owner;
--- /dev/null
+++ b/src/dispatch.c
@@ -0,0 +1,219 @@
+/*
+ * dispatch.c - which queued work goes to which upstream next.
+ *
+ * Rules: tiers below their guaranteed share go first, then tiers by rank; a
+ * less urgent tier never overtakes one that waits for room; work whose
+ * deadline cannot be met any more is given back instead of dispatched; a
+ * suspect reserves an upstream and runs there alone.
+ */
+#include "ownerstate.h"
+
+#include "sheet.h"
+#include "tenure.h"
+
+#define PERCENT 100
+
+/* Time to spare at which urgent work is handed back for other owners. */
+#define ASK_OTHERS_SPARE_MS 1000
+
+/* What became of the first work of a tier. */
+typedef enum {
+    STEP_NONE = 0, /* nothing waits */
+    STEP_BLOCKED,  /* it waits for room */
+    STEP_DONE      /* it left the queue */
+} BsStep;
+
+/* Notes for each upstream whether this instance may dispatch to it now. */
+static void
+S_refresh_permits(BsOwner *owner)
+{
+    BsTenure *tenure = owner->core->tenure;
+    bool contact = BsTenure_HasContact(tenure);
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, owner->upstreams);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        BsUpstream *upstream = value;
+        bool cold = upstream->warmth == BS_WARMTH_COLD;
+        upstream->permitted =
+            cold
+                ? BsTenure_OfUpstream(tenure, upstream->name) == BS_TENURE_HELD
+                : contact;
+    }
+}
+
+static void
+S_dispatch(BsOwner *owner, BsPool *pool, BsWork *work, BsUpstream *upstream)
+{
+    int64_t now_ms = BsCore_NowMs(owner->core);
+    BsOwner_Dequeue(owner, work, true);
+    BsMessage *dispatch = BsMessage_Copy(work->request);
+    BsRequest *request = &dispatch->u.request;
+    const BsModel *model =
+        BsSheet_FindModel(BsCore_Sheet(owner->core), request->model);
+    dispatch->kind = BS_UPSTREAM_DISPATCH;
+    BsMessage_SetString(&request->upstream, upstream->name);
+    if (model != NULL) {
+        BsMessage_SetString(&request->version, model->version);
+    }
+    work->dispatch = ++owner->next_dispatch;
+    request->attempt = work->dispatch;
+    request->deadline_ms = work->deadline_ms - now_ms;
+    request->skip_events = work->events;
+    if (upstream->reserved == work) {
+        upstream->reserved = NULL;
+    }
+    BsUpstream_Start(upstream, work, now_ms);
+    if (work->alone) {
+        upstream->reserved = work;
+    }
+    pool->running[work->rank]++;
+    g_hash_table_insert(owner->dispatched, GUINT_TO_POINTER(work->dispatch),
+                        work);
+    BsCore_Count(owner->core, "dispatches", 1);
+    BsCore_Count(owner->core, "prefill_tokens",
+                 request->prompt_tokens - work->cached_tokens);
+    BsCore_Emit(owner->core, dispatch);
+}
+
+/* Reserves the upstream with the least to finish for a suspect. */
+static void
+S_reserve(BsPool *pool, BsWork *work)
+{
+    BsUpstream *best = NULL;
+    for (guint i = 0; i < pool->upstreams->len; i++) {
+        BsUpstream *upstream = pool->upstreams->pdata[i];
+        if (upstream->reserved == work) {
+            return;
+        }
+        if (upstream->reserved == NULL &&
+            (best == NULL ||
+             upstream->tokens_in_flight < best->tokens_in_flight)) {
+            best = upstream;
+        }
+    }
+    if (best != NULL) {
+        best->reserved = work;
+    }
+}
+
+/* Takes WORK out of the way of others until the next tick. */
+static void
+S_set_aside(BsOwner *owner, BsPool *pool, BsWork *work)
+{
+    if (work->alone) {
+        S_reserve(pool, work);
+    }
+    BsOwner_Dequeue(owner, work, false);
+    owner->queued++;
+    owner->queued_bytes += work->body_bytes;
+    g_ptr_array_add(pool->aside, work);
+}
+
+static bool
+S_is_hopeless(const BsOwner *owner, const BsPool *pool, const BsWork *work)
+{
+    int64_t now_ms = BsCore_NowMs(owner->core);
+    return now_ms + BsPool_ExpectMs(pool, work, now_ms) >= work->deadline_ms;
+}
+
+/* Returns whether urgent work has no prospect here but time elsewhere. */
+static bool
+S_should_ask_others(const BsOwner *owner, const BsPool *pool,
+                    const BsWork *work)
+{
+    int64_t now_ms = BsCore_NowMs(owner->core);
+    int64_t spare_ms =
+        work->deadline_ms - now_ms - BsPool_ExpectMs(pool, work, now_ms);
+    return BsOwner_IsPrivileged(owner, work->rank) &&
+           spare_ms < ASK_OTHERS_SPARE_MS &&
+           !BsOwner_CouldPreempt(owner, pool, work);
+}
+
+static BsStep
+S_step(BsOwner *owner, BsPool *pool, uint32_t rank)
+{
+    const BsColdStart *cold = BsOwner_ColdStart(owner);
+    int64_t now_ms = BsCore_NowMs(owner->core);
+    BsWork *work = BsQueue_Peek(pool->queue, rank);
+    if (work == NULL) {
+        return STEP_NONE;
+    }
+    if (S_is_hopeless(owner, pool, work)) {
+        BsCore_Count(owner->core, "refused_deadline", 1);
+        BsOwner_GiveBack(owner, work, BS_ERR_DEADLINE);
+        return STEP_DONE;
+    }
+    BsUpstream *upstream = BsPool_Pick(pool, work, cold, now_ms);
+    if (upstream == NULL) {
+        upstream = BsOwner_Preempt(owner, pool, work);
+    }
+    if (upstream != NULL) {
+        S_dispatch(owner, pool, work, upstream);
+        return STEP_DONE;
+    }
+    if (S_should_ask_others(owner, pool, work)) {
+        BsCore_Count(owner->core, "handed_back", 1);
+        BsOwner_GiveBack(owner, work, BS_ERR_OVERLOADED);
+        return STEP_DONE;
+    }
+    if (work->alone || !BsPool_FitsEmpty(pool, work, cold, now_ms)) {
+        S_set_aside(owner, pool, work);
+        return STEP_DONE;
+    }
+    return STEP_BLOCKED;
+}
+
+/* Returns whether TIER runs less than its guaranteed share. */
+static bool
+S_is_below_share(const BsPool *pool, const BsTier *tier, uint32_t limit)
+{
+    return tier->guaranteed_percent > 0 &&
+           pool->running[tier->rank] * PERCENT <
+               limit * tier->guaranteed_percent;
+}
+
+static bool
+S_dispatch_guaranteed(BsOwner *owner, BsPool *pool)
+{
+    const BsSheetData *sheet = BsSheet_Data(BsCore_Sheet(owner->core));
+    uint32_t limit = BsPool_Limit(pool, BsOwner_ColdStart(owner),
+                                  BsCore_NowMs(owner->core));
+    for (unsigned i = 0; i < sheet->tiers_count; i++) {
+        const BsTier *tier = &sheet->tiers[i];
+        if (S_is_below_share(pool, tier, limit) &&
+            S_step(owner, pool, tier->rank) == STEP_DONE) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+S_dispatch_by_rank(BsOwner *owner, BsPool *pool)
+{
+    for (uint32_t rank = 1; rank <= BS_RANK_MAX; rank++) {
+        BsStep step = S_step(owner, pool, rank);
+        if (step != STEP_NONE) {
+            return step == STEP_DONE;
+        }
+    }
+    return false;
+}
+
+void
+BsOwner_DispatchAll(BsOwner *owner)
+{
+    if (BsCore_Sheet(owner->core) == NULL) {
+        return;
+    }
+    BsOwner_Review(owner);
+    S_refresh_permits(owner);
+    GList *pools = g_hash_table_get_values(owner->pools);
+    for (GList *node = pools; node != NULL; node = node->next) {
+        while (S_dispatch_guaranteed(owner, node->data) ||
+               S_dispatch_by_rank(owner, node->data)) {
+        }
+    }
+    g_list_free(pools);
+}
--- a/src/entry.c
+++ b/src/entry.c
@@ -1,39 +1,22 @@
 /* entry.c - requests of callers connected to this instance. */
 #include "entry.h"
 
-#include "choice.h"
-#include "reorder.h"
-#include "schema.h"
-#include "token.h"
-
-#include <string.h>
+#include "account.h"
+#include "entrystate.h"
+#include "link.h"
+#include "retry.h"
+#include "work.h"
 
 /* Time beyond the deadline in which the owner's own answer may arrive. */
 #define DEADLINE_GRACE_MS 250
 
-/* Longest deadline a caller may ask for. */
-#define DEADLINE_MAX_MS (24 * 3600 * 1000)
-
-/* Most forwards of one request. */
-#define ATTEMPTS_MAX 4
+/* Time between ticks that shows that this instance was paused. */
+#define PAUSE_MS 1000
 
-typedef struct {
-    BsMessage *request; /* BS_FORWARD; the template of every attempt */
-    BsReorder *reorder;
-    GHashTable *tried;          /* owners that gave this request back */
-    char *child;                /* instance the request was forwarded to */
-    uint64_t child_incarnation; /* 0 until the child answered */
-    int64_t deadline_ms;        /* on this core's clock */
-    uint64_t next_seq;          /* of the next piece to the caller */
-    uint32_t attempt;
-    bool accepted;
-} BsEntryRequest;
+/* Share of the limits that the least urgent tier may use, in percent. */
+#define LEAST_URGENT_PERCENT 80
 
-struct BsEntry {
-    BsCore *core;
-    GHashTable *requests; /* request id to BsEntryRequest */
-    uint64_t next_id;
-};
+#define PERCENT 100
 
 static void
 S_destroy_request(void *data)
@@ -53,6 +36,8 @@
     entry->core = core;
     entry->requests = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
                                             S_destroy_request);
+    entry->checks =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return entry;
 }
 
@@ -63,6 +48,7 @@
         return;
     }
     g_hash_table_destroy(entry->requests);
+    g_hash_table_destroy(entry->checks);
     g_free(entry);
 }
 
@@ -86,17 +72,26 @@
                : g_hash_table_lookup(entry->requests, request_id);
 }
 
-/* Sends a final error to the caller and forgets the request. */
+/* Forgets REQUEST. */
 static void
-S_fail(BsEntry *entry, BsEntryRequest *request, BsErrorKind error,
-       BsOutcome outcome)
+S_forget(BsEntry *entry, BsEntryRequest *request)
+{
+    entry->body_bytes -= request->body_bytes;
+    g_hash_table_remove(entry->requests, S_id(request));
+}
+
+void
+BsEntry_Fail(BsEntry *entry, BsEntryRequest *request, BsErrorKind error,
+             BsOutcome outcome)
 {
     BsMessage *answer = BsCore_CreateError(BS_CALLER_ANSWER, S_id(request),
                                            request->attempt, error, outcome);
     answer->u.answer.seq = request->next_seq;
+    answer->u.answer.retry_after_s =
+        MAX(answer->u.answer.retry_after_s, request->retry_after_s);
     BsCore_Count(entry->core, "answers_error", 1);
     BsCore_Emit(entry->core, answer);
-    g_hash_table_remove(entry->requests, S_id(request));
+    S_forget(entry, request);
 }
 
 /* Refuses a request that was never admitted. */
@@ -109,150 +104,43 @@
                                    error, BS_OUTCOME_NOT_RUN));
 }
 
-static void
-S_cancel_child(BsEntry *entry, BsEntryRequest *request, BsErrorKind reason)
-{
-    if (request->child == NULL) {
-        return;
-    }
-    BsMessage *cancel = BsMessage_Create(BS_CANCEL);
-    cancel->u.cancel.request_id = g_strdup(S_id(request));
-    cancel->u.cancel.attempt = request->attempt;
-    cancel->u.cancel.to_stage = request->request->u.request.stage;
-    cancel->u.cancel.reason = reason;
-    BsCore_Send(entry->core, request->child, request->child_incarnation,
-                cancel);
-}
-
-static const char *
-S_pick_child(BsEntry *entry, BsEntryRequest *request)
-{
-    const BsRequest *wanted = &request->request->u.request;
-    if (!wanted->idempotent) {
-        return BsMembers_KeeperOf(entry->core->members, wanted->account,
-                                  wanted->key);
-    }
-    return BsChoice_PickOwner(entry->core, wanted, request->tried);
-}
-
-static void
-S_forward(BsEntry *entry, BsEntryRequest *request)
-{
-    const char *child = S_pick_child(entry, request);
-    if (child == NULL) {
-        S_fail(entry, request, BS_ERR_NO_UPSTREAM, BS_OUTCOME_NOT_RUN);
-        return;
-    }
-    request->attempt++;
-    request->accepted = false;
-    request->child_incarnation = 0;
-    BsMessage_SetString(&request->child, child);
-    BsReorder_Destroy(request->reorder);
-    request->reorder = BsReorder_Create();
-    BsMessage *forward = BsMessage_Copy(request->request);
-    forward->u.request.attempt = request->attempt;
-    forward->u.request.deadline_ms =
-        request->deadline_ms - BsCore_NowMs(entry->core);
-    BsCore_Count(entry->core, "forwards", 1);
-    BsCore_Send(entry->core, child, 0, forward);
-}
-
-/* Resolves service or model, tier and idempotence from the sheet. */
-static BsErrorKind
-S_resolve_target(const BsSheet *sheet, BsRequest *request,
-                 const BsAccount *account)
+static uint64_t
+S_body_bytes(const BsRequest *request)
 {
-    const char *tier = account->tier;
-    request->idempotent = true;
-    if (request->service != NULL) {
-        const BsService *service =
-            BsSheet_FindService(sheet, request->service);
-        if (service == NULL) {
-            return BS_ERR_UNKNOWN_SERVICE;
-        }
-        const BsRoute *route =
-            BsSheet_FindRoute(service, request->method, request->path);
-        request->idempotent = route != NULL && route->idempotent;
-        tier =
-            route != NULL && route->tier != NULL ? route->tier : service->tier;
-    }
-    else {
-        const BsModel *model = BsSheet_FindModel(sheet, request->model);
-        if (model == NULL) {
-            return BS_ERR_UNKNOWN_MODEL;
-        }
-        if (request->output_tokens == 0) {
-            request->output_tokens = model->output_tokens;
-        }
-    }
-    if (request->tier == NULL && tier != NULL) {
-        request->tier = g_strdup(tier);
-    }
-    return BS_ERR_NONE;
+    return request->body == NULL ? 0 : g_bytes_get_size(request->body);
 }
 
-/* Returns the least urgent tier of SHEET. */
-static const BsTier *
-S_last_tier(const BsSheet *sheet)
+/* Returns the share of the memory limits that RANK may use, in percent. */
+static uint64_t
+S_memory_percent(const BsSheetData *sheet, uint32_t rank)
 {
-    const BsSheetData *data = BsSheet_Data(sheet);
-    const BsTier *last = &data->tiers[0];
-    for (unsigned i = 1; i < data->tiers_count; i++) {
-        if (data->tiers[i].rank > last->rank) {
-            last = &data->tiers[i];
-        }
+    uint32_t more_urgent = 0;
+    for (unsigned i = 0; i < sheet->tiers_count; i++) {
+        more_urgent += sheet->tiers[i].rank < rank;
     }
-    return last;
+    uint32_t steps = MAX(sheet->tiers_count, 2) - 1;
+    return PERCENT - (PERCENT - LEAST_URGENT_PERCENT) * more_urgent / steps;
 }
 
-/* Sets the granted tier and the deadline. */
+/* Returns why a resolved request is not admitted. */
 static BsErrorKind
-S_resolve_tier(const BsSheet *sheet, BsRequest *request,
-               const BsAccount *account)
-{
-    if (request->tier == NULL) {
-        request->tier = g_strdup(S_last_tier(sheet)->name);
-    }
-    const BsTier *tier = BsSheet_FindTier(sheet, request->tier);
-    const BsTier *best = BsSheet_FindTier(sheet, account->tier);
-    if (tier == NULL) {
-        return BS_ERR_UNKNOWN_TIER;
-    }
-    if (best != NULL && tier->rank < best->rank) {
-        BsMessage_SetString(&request->tier, best->name);
-        tier = best;
-    }
-    if (request->deadline_ms <= 0) {
-        request->deadline_ms = tier->deadline_ms;
-    }
-    request->deadline_ms = MIN(request->deadline_ms, DEADLINE_MAX_MS);
-    return BS_ERR_NONE;
-}
-
-static BsErrorKind
-S_resolve(BsEntry *entry, BsRequest *request)
+S_judge(BsEntry *entry, const BsRequest *request)
 {
+    const BsCoreConfig *config = &entry->core->config;
     const BsSheet *sheet = BsCore_Sheet(entry->core);
-    if (sheet == NULL || BsMembers_List(entry->core->members) == NULL) {
-        return BS_ERR_NOT_READY;
-    }
-    g_free(request->account);
-    request->account =
-        BsToken_Resolve(sheet, entry->core->config.secret, request->token);
+    const BsTier *tier = BsSheet_FindTier(sheet, request->tier);
     const BsAccount *account = BsSheet_FindAccount(sheet, request->account);
-    if (account == NULL) {
-        return BS_ERR_UNAUTHORIZED;
-    }
-    BsErrorKind error = S_resolve_target(sheet, request, account);
-    if (error != BS_ERR_NONE) {
-        return error;
+    uint64_t percent = S_memory_percent(BsSheet_Data(sheet), tier->rank);
+    uint64_t bytes = entry->body_bytes + S_body_bytes(request);
+    if (PERCENT * (uint64_t)BsEntry_Count(entry) >=
+            percent * config->request_limit ||
+        PERCENT * bytes > percent * config->queue_bytes) {
+        return BS_ERR_MEMORY_FULL;
     }
-    if (!request->idempotent && request->key == NULL) {
-        request->key = g_strdup(request->request_id);
-    }
-    request->from_stage = BS_STAGE_ENTRY;
-    request->stage = request->idempotent ? BS_STAGE_OWNER : BS_STAGE_KEEPER;
-    return S_resolve_tier(sheet, request, account);
+    uint32_t tokens = request->prompt_tokens + request->output_tokens;
+    return BsAccounts_Admit(entry->core->accounts, account, tokens)
+               ? BS_ERR_NONE
+               : BS_ERR_ACCOUNT_LIMIT;
 }
 
 static BsEntryRequest *
@@ -264,6 +152,8 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     request->deadline_ms =
         BsCore_NowMs(entry->core) + forward->u.request.deadline_ms;
+    request->body_bytes = S_body_bytes(&forward->u.request);
+    entry->body_bytes += request->body_bytes;
     g_hash_table_insert(entry->requests, forward->u.request.request_id,
                         request);
     return request;
@@ -276,10 +166,9 @@
     BsRequest *request = &forward->u.request;
     forward->kind = BS_FORWARD;
     BsCore_Count(entry->core, "requests", 1);
-    BsErrorKind error = S_resolve(entry, request);
-    if (error == BS_ERR_NONE &&
-        BsEntry_Count(entry) >= entry->core->config.request_limit) {
-        error = BS_ERR_MEMORY_FULL;
+    BsErrorKind error = BsEntry_Resolve(entry, request);
+    if (error == BS_ERR_NONE) {
+        error = S_judge(entry, request);
     }
     if (error != BS_ERR_NONE) {
         S_refuse(entry, request, error);
@@ -287,7 +176,8 @@
         return;
     }
     g_clear_pointer(&request->token, g_free);
-    S_forward(entry, S_admit(entry, forward));
+    BsRetries_OnRequest(entry->core->retries);
+    BsEntry_Forward(entry, S_admit(entry, forward));
 }
 
 void
@@ -299,9 +189,9 @@
     }
     BsCore_Count(entry->core, "callers_gone", 1);
     if (request->request->u.request.idempotent) {
-        S_cancel_child(entry, request, BS_ERR_CANCELLED);
+        BsEntry_CancelChild(entry, request, BS_ERR_CANCELLED);
     }
-    g_hash_table_remove(entry->requests, message->u.cancel.request_id);
+    S_forget(entry, request);
 }
 
 void
@@ -322,47 +212,60 @@
 BsEntry_OnAccept(BsEntry *entry, const BsMessage *message)
 {
     BsEntryRequest *request = S_find(entry, message->u.accept.request_id);
-    if (request == NULL || request->attempt != message->u.accept.attempt) {
+    if (request == NULL || request->attempt != message->u.accept.attempt ||
+        g_strcmp0(request->child, message->from) != 0) {
+        return;
+    }
+    if (message->u.accept.gone) {
+        BsEntry_OnLost(entry, request);
         return;
     }
     request->accepted = true;
+    request->heard_ms = BsCore_NowMs(entry->core);
     request->child_incarnation = message->from_incarnation;
 }
 
-/* Returns whether a failed attempt may be repeated. */
-static bool
-S_may_retry(BsEntry *entry, const BsEntryRequest *request,
-            const BsAnswer *answer)
+/* Makes PIECE the next one to the caller; a resumed stream has sent its
+   status and content type before. */
+static void
+S_number(BsEntryRequest *request, BsMessage *piece)
 {
-    bool transient = answer->error == BS_ERR_CONNECT ||
-                     answer->error == BS_ERR_UPSTREAM_REFUSED ||
-                     answer->error == BS_ERR_NO_UPSTREAM ||
-                     answer->error == BS_ERR_UPSTREAM_FAILED ||
-                     answer->error == BS_ERR_DRAINING;
-    return transient && request->request->u.request.idempotent &&
-           request->next_seq == 0 && request->attempt < ATTEMPTS_MAX &&
-           BsCore_NowMs(entry->core) < request->deadline_ms;
+    BsAnswer *answer = &piece->u.answer;
+    piece->kind = BS_CALLER_ANSWER;
+    if (request->next_seq > 0 && answer->error == BS_ERR_NONE) {
+        g_clear_pointer(&answer->content_type, g_free);
+        answer->status = 0;
+    }
+    if (answer->outcome == BS_OUTCOME_NOT_RUN && request->maybe_ran) {
+        answer->outcome = BS_OUTCOME_UNKNOWN;
+    }
+    answer->seq = request->next_seq++;
 }
 
-/* Passes one piece to the caller, or tries another owner. */
+/* Passes one piece to the caller, or tries again. */
 static void
 S_relay(BsEntry *entry, BsEntryRequest *request, BsMessage *piece)
 {
-    BsAnswer *answer = &piece->u.answer;
-    if (answer->final && S_may_retry(entry, request, answer)) {
-        g_hash_table_add(request->tried, g_strdup(request->child));
-        BsCore_Count(entry->core, "retries", 1);
+    const BsAnswer *answer = &piece->u.answer;
+    if (answer->final && answer->error != BS_ERR_NONE &&
+        BsEntry_TryAgain(entry, request, answer)) {
         BsMessage_Destroy(piece);
-        S_forward(entry, request);
         return;
     }
+    const BsRequest *wanted = &request->request->u.request;
     bool final = answer->final;
-    piece->kind = BS_CALLER_ANSWER;
-    answer->seq = request->next_seq++;
+    if (wanted->stream) {
+        request->events += BsEvents_Count(answer->data);
+    }
+    if (request->remote && answer->data != NULL) {
+        BsLink_Charge(entry->core->link, wanted->tier,
+                      g_bytes_get_size(answer->data));
+    }
+    S_number(request, piece);
     BsCore_Emit(entry->core, piece);
     if (final) {
         BsCore_Count(entry->core, "answers_final", 1);
-        g_hash_table_remove(entry->requests, S_id(request));
+        S_forget(entry, request);
     }
 }
 
@@ -380,6 +283,8 @@
         return;
     }
     request->child_incarnation = message->from_incarnation;
+    request->accepted = true;
+    request->heard_ms = BsCore_NowMs(entry->core);
     while ((request = S_find(entry, id)) != NULL &&
            request->attempt == attempt) {
         BsMessage *piece = BsReorder_Pop(request->reorder);
@@ -388,19 +293,43 @@
         }
         S_relay(entry, request, piece);
     }
+    if (request != NULL) {
+        bool gap = BsReorder_HasHeld(request->reorder);
+        int64_t since_ms =
+            request->gap_ms != 0 ? request->gap_ms : request->heard_ms;
+        request->gap_ms = gap ? since_ms : 0;
+    }
     g_free(id);
 }
 
+/* Ends a request past its deadline. */
+static void
+S_expire(BsEntry *entry, BsEntryRequest *request)
+{
+    BsOutcome outcome = request->attempt == 0 || request->retry_ms != 0
+                            ? BS_OUTCOME_NOT_RUN
+                            : BS_OUTCOME_UNKNOWN;
+    BsEntry_CancelChild(entry, request, BS_ERR_DEADLINE);
+    BsEntry_Fail(entry, request, BS_ERR_DEADLINE,
+                 request->maybe_ran ? BS_OUTCOME_UNKNOWN : outcome);
+}
+
 void
 BsEntry_OnTick(BsEntry *entry)
 {
     int64_t now_ms = BsCore_NowMs(entry->core);
+    if (now_ms - entry->tick_ms > PAUSE_MS) {
+        entry->awake_ms = now_ms;
+    }
+    entry->tick_ms = now_ms;
     GList *requests = g_hash_table_get_values(entry->requests);
     for (GList *node = requests; node != NULL; node = node->next) {
         BsEntryRequest *request = node->data;
         if (now_ms > request->deadline_ms + DEADLINE_GRACE_MS) {
-            S_cancel_child(entry, request, BS_ERR_DEADLINE);
-            S_fail(entry, request, BS_ERR_DEADLINE, BS_OUTCOME_UNKNOWN);
+            S_expire(entry, request);
+        }
+        else {
+            BsEntry_Watch(entry, request);
         }
     }
     g_list_free(requests);
--- a/src/owner.c
+++ b/src/owner.c
@@ -1,48 +1,32 @@
 /* owner.c - queues and dispatches work to owned upstreams. */
 #include "owner.h"
 
-#include "choice.h"
+#include "ownerstate.h"
+#include "poison.h"
 
 #include <string.h>
 
-/* Requests in flight at an upstream that publishes no limit. */
-#define DEFAULT_SLOTS 4
-
-/* A request queued or running here. */
-typedef struct {
-    BsMessage *request; /* BS_FORWARD as received */
-    char *upstream;     /* where it runs, or NULL while queued */
-    int64_t deadline_ms;
-    uint64_t next_seq;
-    uint32_t rank;
-} BsWork;
-
-struct BsOwner {
-    BsCore *core;
-    GPtrArray *queue;      /* BsWork, in order of arrival */
-    GHashTable *running;   /* request id to BsWork */
-    GHashTable *in_flight; /* upstream name to count */
-};
+/* Rank of work whose tier the sheet does not list. */
+#define UNKNOWN_RANK BS_RANK_MAX
 
-static void
-S_destroy_work(void *data)
-{
-    BsWork *work = data;
-    BsMessage_Destroy(work->request);
-    g_free(work->upstream);
-    g_free(work);
-}
+/* Longest time told to a caller before it may send again. */
+#define RETRY_AFTER_MAX_S 60
+
+#define MS_PER_S 1000
 
 BsOwner *
 BsOwner_Create(BsCore *core)
 {
     BsOwner *owner = g_new0(BsOwner, 1);
     owner->core = core;
-    owner->queue = g_ptr_array_new_with_free_func(S_destroy_work);
-    owner->running =
-        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, S_destroy_work);
-    owner->in_flight =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    owner->works = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+                                         (GDestroyNotify)BsWork_Destroy);
+    owner->dispatched = g_hash_table_new(g_direct_hash, g_direct_equal);
+    owner->pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+                                         (GDestroyNotify)BsPool_Destroy);
+    owner->upstreams = g_hash_table_new_full(
+        g_str_hash, g_str_equal, NULL, (GDestroyNotify)BsUpstream_Destroy);
+    owner->fences = BsFences_Create();
     return owner;
 }
 
@@ -52,209 +36,449 @@
     if (owner == NULL) {
         return;
     }
-    g_ptr_array_unref(owner->queue);
-    g_hash_table_destroy(owner->running);
-    g_hash_table_destroy(owner->in_flight);
+    g_hash_table_destroy(owner->pools);
+    g_hash_table_destroy(owner->upstreams);
+    g_hash_table_destroy(owner->dispatched);
+    g_hash_table_destroy(owner->works);
+    BsFences_Destroy(owner->fences);
     g_free(owner);
 }
 
+const BsColdStart *
+BsOwner_ColdStart(const BsOwner *owner)
+{
+    return &BsSheet_Data(BsCore_Sheet(owner->core))->cold_start;
+}
+
+BsPool *
+BsOwner_FindPool(const BsOwner *owner, const char *serves)
+{
+    return serves == NULL ? NULL : g_hash_table_lookup(owner->pools, serves);
+}
+
+static const BsTier *
+S_find_tier(const BsOwner *owner, uint32_t rank)
+{
+    const BsSheetData *sheet = BsSheet_Data(BsCore_Sheet(owner->core));
+    for (unsigned i = 0; i < sheet->tiers_count; i++) {
+        if (sheet->tiers[i].rank == rank) {
+            return &sheet->tiers[i];
+        }
+    }
+    return NULL;
+}
+
+bool
+BsOwner_Yields(const BsOwner *owner, uint32_t lower, uint32_t higher)
+{
+    const BsTier *low = S_find_tier(owner, lower);
+    const BsTier *high = S_find_tier(owner, higher);
+    return low != NULL && high != NULL &&
+           BsSheet_Yields(BsCore_Sheet(owner->core), low->name, high->name);
+}
+
+bool
+BsOwner_IsPrivileged(const BsOwner *owner, uint32_t rank)
+{
+    const BsTier *tier = S_find_tier(owner, rank);
+    return tier != NULL &&
+           BsSheet_IsYieldedTo(BsCore_Sheet(owner->core), tier->name);
+}
+
 static uint32_t
-S_in_flight(const BsOwner *owner, const char *upstream)
+S_weight(const BsOwner *owner, const BsWork *work)
 {
-    return GPOINTER_TO_UINT(g_hash_table_lookup(owner->in_flight, upstream));
+    const BsAccount *account = BsSheet_FindAccount(
+        BsCore_Sheet(owner->core), BsWork_Request(work)->account);
+    return account == NULL ? 1 : account->weight;
 }
 
-static void
-S_change_in_flight(BsOwner *owner, const char *upstream, int change)
+void
+BsOwner_Enqueue(BsOwner *owner, BsWork *work)
 {
-    uint32_t count = S_in_flight(owner, upstream);
-    g_hash_table_insert(owner->in_flight, g_strdup(upstream),
-                        GUINT_TO_POINTER(count + (uint32_t)change));
+    BsPool *pool = BsOwner_FindPool(owner, work->serves);
+    work->queued_ms = BsCore_NowMs(owner->core);
+    owner->queued++;
+    owner->queued_bytes += work->body_bytes;
+    BsQueue_Push(pool->queue, work, S_weight(owner, work));
 }
 
-static void
-S_answer(BsOwner *owner, BsWork *work, BsMessage *piece)
+void
+BsOwner_Dequeue(BsOwner *owner, BsWork *work, bool dispatched)
+{
+    BsPool *pool = BsOwner_FindPool(owner, work->serves);
+    owner->queued--;
+    owner->queued_bytes -= work->body_bytes;
+    if (work->queued != NULL) {
+        BsQueue_Remove(pool->queue, work, dispatched);
+    }
+    else {
+        g_ptr_array_remove(pool->aside, work);
+    }
+}
+
+void
+BsOwner_Answer(BsOwner *owner, BsWork *work, BsMessage *piece)
 {
-    const BsRequest *request = &work->request->u.request;
+    const BsRequest *request = BsWork_Request(work);
+    BsAnswer *answer = &piece->u.answer;
     piece->kind = BS_ANSWER;
-    piece->u.answer.seq = work->next_seq++;
-    piece->u.answer.attempt = request->attempt;
-    piece->u.answer.to_stage = request->from_stage;
+    if (work->next_seq == 0) {
+        answer->queued_ms =
+            (uint64_t)(MAX(work->started_ms, work->arrived_ms) -
+                       work->arrived_ms);
+    }
+    else if (answer->error == BS_ERR_NONE) {
+        g_clear_pointer(&answer->content_type, g_free);
+        answer->status = 0;
+    }
+    answer->seq = work->next_seq++;
+    answer->attempt = request->attempt;
+    answer->to_stage = request->from_stage;
     BsCore_Send(owner->core, work->request->from,
                 work->request->from_incarnation, piece);
 }
 
+void
+BsOwner_Release(BsOwner *owner, BsWork *work)
+{
+    BsPool *pool = BsOwner_FindPool(owner, work->serves);
+    BsUpstream *upstream = work->upstream;
+    if (upstream == NULL) {
+        return;
+    }
+    if (upstream->reserved == work) {
+        upstream->reserved = NULL;
+    }
+    pool->running[work->rank]--;
+    pool->ended_tokens += work->charged_tokens;
+    g_hash_table_remove(owner->dispatched, GUINT_TO_POINTER(work->dispatch));
+    BsUpstream_End(upstream, work);
+}
+
 static void
-S_fail(BsOwner *owner, BsWork *work, BsErrorKind error)
+S_count_waste(BsOwner *owner, const char *cause, uint64_t tokens)
 {
-    const char *id = work->request->u.request.request_id;
-    S_answer(owner, work,
-             BsCore_CreateError(BS_ANSWER, id, 0, error, BS_OUTCOME_NOT_RUN));
+    char name[64];
+    g_snprintf(name, sizeof(name), "wasted_prefill_tokens{cause=\"%s\"}",
+               cause);
+    BsCore_Count(owner->core, name, tokens);
 }
 
-static bool
-S_has_room(const BsOwner *owner, const BsListEntry *upstream)
-{
-    uint32_t slots = upstream->slots == 0 ? DEFAULT_SLOTS : upstream->slots;
-    return S_in_flight(owner, upstream->name) < slots;
-}
-
-/* Returns the owned upstream with room and the least in flight. */
-static const BsListEntry *
-S_pick_upstream(BsOwner *owner, const BsRequest *request, bool *exists)
-{
-    const char *serves =
-        request->service != NULL ? request->service : request->model;
-    const GPtrArray *upstreams =
-        BsMembers_Serving(owner->core->members, serves);
-    const BsListEntry *best = NULL;
-    *exists = false;
-    for (guint i = 0; upstreams != NULL && i < upstreams->len; i++) {
-        const BsListEntry *upstream = upstreams->pdata[i];
-        const char *owned_by =
-            BsMembers_OwnerOf(owner->core->members, upstream->name);
-        if (g_strcmp0(owned_by, owner->core->config.name) != 0 ||
-            !BsChoice_IsOpen(owner->core, upstream)) {
-            continue;
-        }
-        *exists = true;
-        if (S_has_room(owner, upstream) &&
-            (best == NULL || S_in_flight(owner, upstream->name) <
-                                 S_in_flight(owner, best->name))) {
-            best = upstream;
-        }
+void
+BsOwner_Stop(BsOwner *owner, BsWork *work, BsErrorKind reason,
+             const char *cause)
+{
+    BsMessage *cancel = BsMessage_Create(BS_UPSTREAM_CANCEL);
+    cancel->u.cancel.request_id = g_strdup(BsWork_Request(work)->request_id);
+    cancel->u.cancel.attempt = work->dispatch;
+    cancel->u.cancel.reason = reason;
+    S_count_waste(owner, cause, BsWork_WasteTokens(work));
+    BsOwner_Release(owner, work);
+    BsCore_Emit(owner->core, cancel);
+}
+
+/* Forgets WORK, wherever it is. */
+static void
+S_forget(BsOwner *owner, BsWork *work)
+{
+    if (work->upstream != NULL) {
+        BsOwner_Release(owner, work);
+    }
+    else if (work->queued_ms != 0) {
+        BsOwner_Dequeue(owner, work, false);
     }
-    return best;
+    g_hash_table_remove(owner->works, work->id);
+}
+
+void
+BsOwner_GiveBack(BsOwner *owner, BsWork *work, BsErrorKind error)
+{
+    const BsPool *pool = BsOwner_FindPool(owner, work->serves);
+    int64_t wait_ms = pool == NULL ? 0 : BsPool_WaitMs(pool, work->rank);
+    BsMessage *answer = BsCore_CreateError(
+        BS_ANSWER, BsWork_Request(work)->request_id, 0, error,
+        work->dispatch == 0 ? BS_OUTCOME_NOT_RUN : BS_OUTCOME_UNKNOWN);
+    answer->u.answer.retry_after_s =
+        (uint32_t)CLAMP(wait_ms / MS_PER_S + 1, 1, RETRY_AFTER_MAX_S);
+    BsOwner_Answer(owner, work, answer);
+    S_forget(owner, work);
 }
 
 static void
-S_dispatch(BsOwner *owner, BsWork *work, const BsListEntry *upstream)
-{
-    BsMessage *dispatch = BsMessage_Copy(work->request);
-    dispatch->kind = BS_UPSTREAM_DISPATCH;
-    BsMessage_SetString(&dispatch->u.request.upstream, upstream->name);
-    dispatch->u.request.deadline_ms =
-        work->deadline_ms - BsCore_NowMs(owner->core);
-    work->upstream = g_strdup(upstream->name);
-    S_change_in_flight(owner, upstream->name, 1);
-    g_hash_table_insert(owner->running, work->request->u.request.request_id,
-                        work);
-    BsCore_Count(owner->core, "dispatches", 1);
-    BsCore_Emit(owner->core, dispatch);
-}
-
-/* Returns the index of the most urgent queued work that has an upstream. */
-static bool
-S_dispatch_one(BsOwner *owner)
-{
-    BsWork *best = NULL;
-    const BsListEntry *best_upstream = NULL;
-    guint best_index = 0;
-    for (guint i = 0; i < owner->queue->len; i++) {
-        BsWork *work = owner->queue->pdata[i];
-        bool exists;
-        if (best != NULL && work->rank >= best->rank) {
-            continue;
+S_accept(BsOwner *owner, const BsMessage *forward)
+{
+    BsMessage *accept = BsMessage_Create(BS_ACCEPT);
+    accept->u.accept.request_id = g_strdup(forward->u.request.request_id);
+    accept->u.accept.attempt = forward->u.request.attempt;
+    accept->u.accept.to_stage = forward->u.request.from_stage;
+    BsCore_Send(owner->core, forward->from, forward->from_incarnation, accept);
+}
+
+static uint32_t
+S_rank(const BsOwner *owner, const BsRequest *request)
+{
+    const BsTier *tier =
+        BsSheet_FindTier(BsCore_Sheet(owner->core), request->tier);
+    return tier == NULL ? UNKNOWN_RANK : tier->rank;
+}
+
+/* Returns the least urgent queued work of all pools. */
+static BsWork *
+S_find_last(const BsOwner *owner)
+{
+    BsWork *last = NULL;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, owner->pools);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const BsPool *pool = value;
+        BsWork *work = BsQueue_Last(pool->queue);
+        if (work != NULL && (last == NULL || work->rank > last->rank)) {
+            last = work;
         }
-        const BsListEntry *upstream =
-            S_pick_upstream(owner, &work->request->u.request, &exists);
-        if (upstream != NULL) {
-            best = work;
-            best_upstream = upstream;
-            best_index = i;
+    }
+    return last;
+}
+
+/* Makes room in the queue for WORK; less urgent work goes first. */
+static bool
+S_reserve_memory(BsOwner *owner, const BsWork *work)
+{
+    const BsCoreConfig *config = &owner->core->config;
+    while (owner->queued >= config->request_limit ||
+           owner->queued_bytes + work->body_bytes > config->queue_bytes) {
+        BsWork *last = S_find_last(owner);
+        if (last == NULL || last->rank <= work->rank) {
+            return false;
         }
+        BsCore_Count(owner->core, "queue_evictions", 1);
+        BsOwner_GiveBack(owner, last, BS_ERR_MEMORY_FULL);
     }
-    if (best == NULL) {
+    return true;
+}
+
+/* Returns whether WORK would wait here past its deadline. */
+static bool
+S_waits_too_long(const BsOwner *owner, const BsPool *pool, const BsWork *work)
+{
+    int64_t now_ms = BsCore_NowMs(owner->core);
+    if (BsOwner_IsPrivileged(owner, work->rank) &&
+        BsOwner_CouldPreempt(owner, pool, work)) {
         return false;
     }
-    g_ptr_array_steal_index(owner->queue, best_index);
-    S_dispatch(owner, best, best_upstream);
-    return true;
+    int64_t wait_ms = BsPool_WaitMs(pool, work->rank);
+    return wait_ms > 0 &&
+           now_ms + wait_ms + BsPool_ExpectMs(pool, work, now_ms) >
+               work->deadline_ms;
+}
+
+/* Returns why WORK is refused on arrival. */
+static BsErrorKind
+S_judge(BsOwner *owner, BsWork *work)
+{
+    const BsPool *pool = BsOwner_FindPool(owner, work->serves);
+    BsPoisonVerdict verdict =
+        BsPoison_Judge(owner->core->poison, BsWork_Request(work));
+    if (verdict == BS_POISON_QUARANTINED) {
+        return BS_ERR_QUARANTINED;
+    }
+    work->alone = verdict == BS_POISON_SUSPECT;
+    if (pool == NULL || pool->upstreams->len == 0) {
+        return BS_ERR_NO_UPSTREAM;
+    }
+    if (BsWork_Request(work)->deadline_ms <= 0) {
+        return BS_ERR_DEADLINE;
+    }
+    if (S_waits_too_long(owner, pool, work)) {
+        return BS_ERR_OVERLOADED;
+    }
+    return S_reserve_memory(owner, work) ? BS_ERR_NONE : BS_ERR_MEMORY_FULL;
 }
 
 static void
-S_dispatch_all(BsOwner *owner)
+S_take_forward(BsOwner *owner, const BsMessage *message)
 {
-    while (S_dispatch_one(owner)) {
+    const BsRequest *request = &message->u.request;
+    BsWork *work = BsWork_Create(message, S_rank(owner, request),
+                                 BsCore_NowMs(owner->core));
+    g_hash_table_insert(owner->works, work->id, work);
+    if (!request->idempotent) {
+        BsFences_Add(owner->fences, work->id, BsCore_NowMs(owner->core),
+                     owner->core->config.resend_window_ms);
+    }
+    BsOwner_Review(owner);
+    BsErrorKind error = S_judge(owner, work);
+    if (error != BS_ERR_NONE) {
+        BsCore_Count(owner->core, "refused_on_arrival", 1);
+        BsOwner_GiveBack(owner, work, error);
+        return;
     }
+    BsOwner_Enqueue(owner, work);
+    BsOwner_DispatchAll(owner);
 }
 
 void
 BsOwner_OnForward(BsOwner *owner, const BsMessage *message)
 {
     const BsRequest *request = &message->u.request;
-    const BsSheet *sheet = BsCore_Sheet(owner->core);
-    if (request->request_id == NULL || sheet == NULL) {
+    if (request->request_id == NULL || BsRequest_Serves(request) == NULL ||
+        BsCore_Sheet(owner->core) == NULL) {
         BsCore_Count(owner->core, "peer_messages_dropped", 1);
         return;
     }
-    BsMessage *accept = BsMessage_Create(BS_ACCEPT);
-    accept->u.accept.request_id = g_strdup(request->request_id);
-    accept->u.accept.attempt = request->attempt;
-    accept->u.accept.to_stage = request->from_stage;
-    BsCore_Send(owner->core, message->from, message->from_incarnation, accept);
-    BsWork *work = g_new0(BsWork, 1);
-    const BsTier *tier = BsSheet_FindTier(sheet, request->tier);
-    bool exists;
-    work->request = BsMessage_Copy(message);
-    work->rank = tier == NULL ? UINT32_MAX : tier->rank;
-    work->deadline_ms = BsCore_NowMs(owner->core) + request->deadline_ms;
-    S_pick_upstream(owner, request, &exists);
-    if (!exists) {
-        S_fail(owner, work, BS_ERR_NO_UPSTREAM);
-        S_destroy_work(work);
+    char *id = g_strdup_printf("%s/%u", request->request_id, request->attempt);
+    bool known = g_hash_table_contains(owner->works, id);
+    bool fenced = !known && BsFences_Has(owner->fences, id);
+    g_free(id);
+    if (fenced) {
+        BsCore_Count(owner->core, "forwards_fenced", 1);
         return;
     }
-    g_ptr_array_add(owner->queue, work);
-    S_dispatch_all(owner);
+    S_accept(owner, message);
+    if (!known) {
+        S_take_forward(owner, message);
+    }
+}
+
+/* Returns the running work that ANSWER belongs to, or NULL. */
+static BsWork *
+S_find_dispatched(const BsOwner *owner, const BsAnswer *answer)
+{
+    BsWork *work = g_hash_table_lookup(owner->dispatched,
+                                       GUINT_TO_POINTER(answer->attempt));
+    return work != NULL && g_strcmp0(answer->request_id,
+                                     BsWork_Request(work)->request_id) == 0
+               ? work
+               : NULL;
+}
+
+static void
+S_finish(BsOwner *owner, BsWork *work, const BsAnswer *answer)
+{
+    const BsRequest *request = BsWork_Request(work);
+    if (answer->crashed) {
+        BsPoison_OnCrash(owner->core->poison, request);
+    }
+    else {
+        BsPoison_OnFinish(owner->core->poison, request);
+    }
+    if (answer->error != BS_ERR_NONE) {
+        S_count_waste(owner, "retried", BsWork_WasteTokens(work));
+    }
+    S_forget(owner, work);
+    BsOwner_DispatchAll(owner);
 }
 
 void
 BsOwner_OnUpstreamAnswer(BsOwner *owner, const BsMessage *message)
 {
-    const char *id = message->u.answer.request_id;
-    BsWork *work = id == NULL ? NULL : g_hash_table_lookup(owner->running, id);
+    const BsAnswer *answer = &message->u.answer;
+    BsWork *work = S_find_dispatched(owner, answer);
     if (work == NULL) {
         BsCore_Count(owner->core, "answers_dropped", 1);
         return;
     }
-    S_answer(owner, work, BsMessage_Copy(message));
-    if (message->u.answer.final) {
-        S_change_in_flight(owner, work->upstream, -1);
-        g_hash_table_remove(owner->running, id);
-        S_dispatch_all(owner);
+    if (work->first_ms == 0 && answer->error == BS_ERR_NONE &&
+        work->upstream->hits_seen &&
+        answer->cached_tokens < work->cached_tokens) {
+        S_count_waste(owner, "redone",
+                      work->cached_tokens - answer->cached_tokens);
+    }
+    BsUpstream_OnPiece(work->upstream, work, answer,
+                       BsCore_NowMs(owner->core));
+    if (BsWork_Request(work)->stream) {
+        work->events += BsEvents_Count(answer->data);
+    }
+    BsOwner_Answer(owner, work, BsMessage_Copy(message));
+    if (answer->final) {
+        S_finish(owner, work, answer);
     }
 }
 
 void
 BsOwner_OnReport(BsOwner *owner, const BsMessage *message)
 {
-    (void)message;
+    const BsReport *report = &message->u.report;
+    BsUpstream *upstream =
+        report->upstream == NULL
+            ? NULL
+            : g_hash_table_lookup(owner->upstreams, report->upstream);
     BsCore_Count(owner->core, "reports", 1);
+    if (upstream != NULL) {
+        BsUpstream_OnReport(upstream, report, BsCore_NowMs(owner->core));
+        BsOwner_DispatchAll(owner);
+    }
+}
+
+/* Tells the sender of a cancel that the request will never start here. */
+static void
+S_deny_start(BsOwner *owner, const BsMessage *cancel, const char *id)
+{
+    const BsCancel *wanted = &cancel->u.cancel;
+    if (BsFences_Has(owner->fences, id)) {
+        return;
+    }
+    BsFences_Add(owner->fences, id, BsCore_NowMs(owner->core),
+                 owner->core->config.resend_window_ms);
+    if (cancel->to_incarnation != owner->core->config.incarnation) {
+        return;
+    }
+    BsMessage *answer =
+        BsCore_CreateError(BS_ANSWER, wanted->request_id, wanted->attempt,
+                           BS_ERR_CANCELLED, BS_OUTCOME_NOT_RUN);
+    answer->u.answer.to_stage = BS_STAGE_KEEPER;
+    BsCore_Send(owner->core, cancel->from, cancel->from_incarnation, answer);
 }
 
 void
 BsOwner_OnCancel(BsOwner *owner, const BsMessage *message)
 {
-    const char *id = message->u.cancel.request_id;
-    BsWork *work = id == NULL ? NULL : g_hash_table_lookup(owner->running, id);
-    if (work != NULL) {
-        BsMessage *cancel = BsMessage_Copy(message);
-        cancel->kind = BS_UPSTREAM_CANCEL;
-        BsCore_Emit(owner->core, cancel);
-        S_change_in_flight(owner, work->upstream, -1);
-        g_hash_table_remove(owner->running, id);
-        S_dispatch_all(owner);
+    const BsCancel *cancel = &message->u.cancel;
+    if (cancel->request_id == NULL) {
+        return;
     }
+    char *id = g_strdup_printf("%s/%u", cancel->request_id, cancel->attempt);
+    BsWork *work = g_hash_table_lookup(owner->works, id);
+    if (work == NULL) {
+        S_deny_start(owner, message, id);
+    }
+    else if (work->upstream == NULL) {
+        BsOwner_GiveBack(owner, work, BS_ERR_CANCELLED);
+    }
+    else if (BsWork_Request(work)->idempotent) {
+        BsOwner_Stop(owner, work, BS_ERR_CANCELLED, "cancelled");
+        g_hash_table_remove(owner->works, id);
+        BsOwner_DispatchAll(owner);
+    }
+    g_free(id);
+}
+
+void
+BsOwner_OnCheck(BsOwner *owner, const BsMessage *message)
+{
+    const BsAccept *check = &message->u.accept;
+    char *id = g_strdup_printf("%s/%u", check->request_id, check->attempt);
+    BsMessage *reply = BsMessage_Create(BS_ACCEPT);
+    reply->u.accept.request_id = g_strdup(check->request_id);
+    reply->u.accept.attempt = check->attempt;
+    reply->u.accept.to_stage = BS_STAGE_ENTRY;
+    reply->u.accept.gone = !g_hash_table_contains(owner->works, id);
+    BsCore_Send(owner->core, message->from, message->from_incarnation, reply);
+    g_free(id);
 }
 
 void
 BsOwner_OnFlow(BsOwner *owner, const BsMessage *message)
 {
-    const char *id = message->u.flow.request_id;
-    if (id != NULL && g_hash_table_contains(owner->running, id)) {
+    const BsFlow *wanted = &message->u.flow;
+    char *id = g_strdup_printf("%s/%u", wanted->request_id, wanted->attempt);
+    const BsWork *work = g_hash_table_lookup(owner->works, id);
+    g_free(id);
+    if (work != NULL && work->upstream != NULL) {
         BsMessage *flow = BsMessage_Copy(message);
         flow->kind = BS_UPSTREAM_FLOW;
+        flow->u.flow.attempt = work->dispatch;
         BsCore_Emit(owner->core, flow);
     }
 }
@@ -262,18 +486,5 @@
 void
 BsOwner_OnList(BsOwner *owner)
 {
-    S_dispatch_all(owner);
-}
-
-void
-BsOwner_OnTick(BsOwner *owner)
-{
-    int64_t now_ms = BsCore_NowMs(owner->core);
-    for (guint i = owner->queue->len; i > 0; i--) {
-        BsWork *work = owner->queue->pdata[i - 1];
-        if (now_ms >= work->deadline_ms) {
-            S_fail(owner, work, BS_ERR_DEADLINE);
-            g_ptr_array_remove_index(owner->queue, i - 1);
-        }
-    }
+    BsOwner_DispatchAll(owner);
 }
--- /dev/null
+++ b/src/preempt.c
@@ -0,0 +1,207 @@
+/*
+ * preempt.c - makes room for urgent work by stopping work that yields to it.
+ *
+ * Rules: only restartable work of a tier that yields is stopped, the least
+ * urgent first, then the one with the least prefill to lose; nothing is
+ * stopped unless that makes room; the sheet's guaranteed share of a tier is
+ * left alone until the urgent work would otherwise miss its deadline.
+ */
+#include "ownerstate.h"
+
+#include "sheet.h"
+
+/* Longest wait for room to come by itself. */
+#define PATIENCE_MS 200
+
+/* Share of the time to spare that may be spent waiting. */
+#define PATIENCE_SHARE 8
+
+/* Time to spare below which a guaranteed share is used too. */
+#define RISK_MS 1000
+
+#define PERCENT 100
+
+/* What would be stopped at one upstream. */
+typedef struct {
+    BsUpstream *upstream;
+    GPtrArray *victims; /* of BsWork */
+    uint64_t waste_tokens;
+} BsPlan;
+
+static int64_t
+S_spare_ms(const BsOwner *owner, const BsPool *pool, const BsWork *work)
+{
+    int64_t now_ms = BsCore_NowMs(owner->core);
+    return work->deadline_ms - now_ms - BsPool_ExpectMs(pool, work, now_ms);
+}
+
+/* Returns whether WORK has waited long enough to displace other work. */
+static bool
+S_is_due(const BsOwner *owner, const BsPool *pool, const BsWork *work)
+{
+    int64_t spare_ms = S_spare_ms(owner, pool, work);
+    int64_t waited_ms = BsCore_NowMs(owner->core) - work->queued_ms;
+    int64_t patience_ms = MIN(PATIENCE_MS, spare_ms / PATIENCE_SHARE);
+    return waited_ms >= patience_ms;
+}
+
+/* Returns the requests of RANK that may be stopped in POOL. */
+static uint32_t
+S_stoppable(const BsOwner *owner, const BsPool *pool, uint32_t rank,
+            bool at_risk)
+{
+    const BsSheetData *sheet = BsSheet_Data(BsCore_Sheet(owner->core));
+    uint32_t guaranteed = 0;
+    for (unsigned i = 0; i < sheet->tiers_count; i++) {
+        if (sheet->tiers[i].rank == rank) {
+            guaranteed = sheet->tiers[i].guaranteed_percent;
+        }
+    }
+    if (guaranteed == 0 || at_risk) {
+        return pool->running[rank];
+    }
+    uint32_t limit = BsPool_Limit(pool, BsOwner_ColdStart(owner),
+                                  BsCore_NowMs(owner->core));
+    uint32_t kept = (limit * guaranteed + PERCENT - 1) / PERCENT;
+    return pool->running[rank] - MIN(kept, pool->running[rank]);
+}
+
+static int
+S_compare_victims(gconstpointer a, gconstpointer b)
+{
+    const BsWork *left = *(BsWork *const *)a;
+    const BsWork *right = *(BsWork *const *)b;
+    if (left->rank != right->rank) {
+        return left->rank > right->rank ? -1 : 1;
+    }
+    uint32_t left_tokens = BsWork_WasteTokens(left);
+    uint32_t right_tokens = BsWork_WasteTokens(right);
+    if (left_tokens != right_tokens) {
+        return left_tokens < right_tokens ? -1 : 1;
+    }
+    return left->dispatch > right->dispatch ? -1 : 1;
+}
+
+/* Returns the work at UPSTREAM that gives way to WORK, best victim first. */
+static GPtrArray *
+S_list_victims(const BsOwner *owner, const BsUpstream *upstream,
+               const BsWork *work)
+{
+    GPtrArray *victims = g_ptr_array_new();
+    GHashTableIter iter;
+    gpointer key;
+    g_hash_table_iter_init(&iter, upstream->running);
+    while (g_hash_table_iter_next(&iter, &key, NULL)) {
+        BsWork *other = key;
+        if (BsOwner_Yields(owner, other->rank, work->rank) &&
+            BsWork_IsRestartable(other)) {
+            g_ptr_array_add(victims, other);
+        }
+    }
+    g_ptr_array_sort(victims, S_compare_victims);
+    return victims;
+}
+
+static bool
+S_may_use(const BsOwner *owner, const BsPool *pool, const BsUpstream *upstream)
+{
+    int64_t now_ms = BsCore_NowMs(owner->core);
+    return upstream->reserved == NULL &&
+           BsUpstream_IsAvailable(upstream, now_ms) &&
+           BsUpstream_HasLoaded(upstream, pool->version);
+}
+
+/* Keeps as many of the victims as make room; returns whether they do. */
+static bool
+S_trim(const BsOwner *owner, const BsPool *pool, BsPlan *plan,
+       const BsWork *work)
+{
+    int64_t now_ms = BsCore_NowMs(owner->core);
+    bool at_risk = S_spare_ms(owner, pool, work) < RISK_MS;
+    uint32_t left[BS_RANK_MAX + 1];
+    uint32_t requests_limit;
+    uint32_t tokens_limit;
+    uint32_t requests;
+    uint32_t tokens;
+    BsUpstream_Limit(plan->upstream, BsOwner_ColdStart(owner), now_ms,
+                     &requests_limit, &tokens_limit);
+    BsUpstream_InFlight(plan->upstream, now_ms, &requests, &tokens);
+    uint32_t cost = BsUpstream_Cost(plan->upstream, work);
+    for (uint32_t rank = 1; rank <= BS_RANK_MAX; rank++) {
+        left[rank] = S_stoppable(owner, pool, rank, at_risk);
+    }
+    guint used = 0;
+    for (guint i = 0;
+         i < plan->victims->len && (requests >= requests_limit ||
+                                    (uint64_t)tokens + cost > tokens_limit);
+         i++) {
+        BsWork *victim = plan->victims->pdata[i];
+        if (left[victim->rank] == 0) {
+            continue;
+        }
+        left[victim->rank]--;
+        requests--;
+        tokens -= victim->charged_tokens;
+        plan->waste_tokens += BsWork_WasteTokens(victim);
+        plan->victims->pdata[used++] = victim;
+    }
+    g_ptr_array_set_size(plan->victims, (gint)used);
+    return used > 0 && requests < requests_limit &&
+           (uint64_t)tokens + cost <= tokens_limit;
+}
+
+static void
+S_stop_victims(BsOwner *owner, const BsPlan *plan)
+{
+    for (guint i = 0; i < plan->victims->len; i++) {
+        BsWork *victim = plan->victims->pdata[i];
+        BsCore_Count(owner->core, "preemptions", 1);
+        BsOwner_Stop(owner, victim, BS_ERR_OVERLOADED, "preempted");
+        victim->preempted = true;
+        BsOwner_Enqueue(owner, victim);
+    }
+}
+
+BsUpstream *
+BsOwner_Preempt(BsOwner *owner, BsPool *pool, const BsWork *work)
+{
+    BsPlan best = {NULL, NULL, 0};
+    if (work->alone || !BsOwner_IsPrivileged(owner, work->rank) ||
+        !S_is_due(owner, pool, work)) {
+        return NULL;
+    }
+    for (guint i = 0; i < pool->upstreams->len; i++) {
+        BsPlan plan = {pool->upstreams->pdata[i], NULL, 0};
+        if (!S_may_use(owner, pool, plan.upstream)) {
+            continue;
+        }
+        plan.victims = S_list_victims(owner, plan.upstream, work);
+        if (S_trim(owner, pool, &plan, work) &&
+            (best.victims == NULL || plan.waste_tokens < best.waste_tokens)) {
+            g_clear_pointer(&best.victims, g_ptr_array_unref);
+            best = plan;
+        }
+        else {
+            g_ptr_array_unref(plan.victims);
+        }
+    }
+    if (best.victims != NULL) {
+        S_stop_victims(owner, &best);
+        g_ptr_array_unref(best.victims);
+    }
+    return best.upstream;
+}
+
+bool
+BsOwner_CouldPreempt(const BsOwner *owner, const BsPool *pool,
+                     const BsWork *work)
+{
+    for (uint32_t rank = work->rank + 1; rank <= BS_RANK_MAX; rank++) {
+        if ((pool->running[rank] > 0 ||
+             BsQueue_Count(pool->queue, rank) > 0) &&
+            BsOwner_Yields(owner, rank, work->rank)) {
+            return true;
+        }
+    }
+    return false;
+}
--- a/src/reorder.c
+++ b/src/reorder.c
@@ -50,3 +50,9 @@
     reorder->next_seq++;
     return message;
 }
+
+bool
+BsReorder_HasHeld(const BsReorder *reorder)
+{
+    return g_hash_table_size(reorder->held) > 0;
+}
--- a/src/reorder.h
+++ b/src/reorder.h
@@ -27,4 +27,7 @@
 /* Returns the next piece in order, or NULL; the caller destroys it. */
 BsMessage *BsReorder_Pop(BsReorder *reorder);
 
+/* Returns whether pieces are held back because an earlier one is missing. */
+bool BsReorder_HasHeld(const BsReorder *reorder);
+
 #endif /* BS_REORDER_H */
--- a/src/schema.c
+++ b/src/schema.c
@@ -68,6 +68,20 @@
 
 const BsSchema bs_schema_load = SCHEMA(BsLoad, S_load_fields, S_destroy_load);
 
+static const BsField S_pace_fields[] = {
+    FIELD(1, STRING, BsPace, generation),
+    FIELD(2, U32, BsPace, inter_token_us),
+};
+
+static void
+S_destroy_pace(void *object)
+{
+    BsSchema_Clear(&bs_schema_pace, object);
+    g_free(object);
+}
+
+const BsSchema bs_schema_pace = SCHEMA(BsPace, S_pace_fields, S_destroy_pace);
+
 static const BsField S_note_fields[] = {
     FIELD(1, STRING, BsNote, account),
     FIELD(2, STRING, BsNote, key),
@@ -211,6 +225,7 @@
     FIELD(1, STRING, BsAccept, request_id),
     FIELD(2, U32, BsAccept, attempt),
     FIELD(3, U32, BsAccept, to_stage),
+    FIELD(4, BOOL, BsAccept, gone),
 };
 
 static const BsSchema S_accept_schema =
@@ -310,6 +325,7 @@
     LIST(3, BsDigest, loads, bs_schema_load),
     FIELD(4, U32, BsDigest, suspects),
     FIELD(5, BOOL, BsDigest, draining),
+    LIST(6, BsDigest, paces, bs_schema_pace),
 };
 
 static const BsSchema S_digest_schema =
@@ -393,6 +409,7 @@
     {BS_PEER_REPLY, "peer_reply", &S_query_reply_schema},
     {BS_HANDOVER, "handover", &S_collected_schema},
     {BS_HANDOVER_ACK, "handover_ack", &S_probe_schema},
+    {BS_CHECK, "check", &S_accept_schema},
 };
 
 static const BsKindRow *
--- a/src/schema.h
+++ b/src/schema.h
@@ -61,6 +61,7 @@
 
 extern const BsSchema bs_schema_list_entry;
 extern const BsSchema bs_schema_load;
+extern const BsSchema bs_schema_pace;
 extern const BsSchema bs_schema_note;
 extern const BsSchema bs_schema_in_flight;
 extern const BsSchema bs_schema_loss;
--- a/src/sheet.c
+++ b/src/sheet.c
@@ -229,3 +229,15 @@
     }
     return false;
 }
+
+bool
+BsSheet_IsYieldedTo(const BsSheet *sheet, const char *name)
+{
+    const BsSheetData *data = sheet->data;
+    for (unsigned i = 0; name != NULL && i < data->tiers_count; i++) {
+        if (BsSheet_Yields(sheet, data->tiers[i].name, name)) {
+            return true;
+        }
+    }
+    return false;
+}
--- a/src/sheet.h
+++ b/src/sheet.h
@@ -145,4 +145,7 @@
 bool BsSheet_Yields(const BsSheet *sheet, const char *lower,
                     const char *higher);
 
+/* Returns whether some tier may be displaced by tier NAME. */
+bool BsSheet_IsYieldedTo(const BsSheet *sheet, const char *name);
+
 #endif /* BS_SHEET_H */
