--- a/src/core.h
+++ b/src/core.h
@@ -21,6 +21,9 @@
 typedef struct BsPoison BsPoison;
 typedef struct BsOrders BsOrders;
 typedef struct BsWatchers BsWatchers;
+typedef struct BsLink BsLink;
+typedef struct BsAccounts BsAccounts;
+typedef struct BsRetries BsRetries;
 
 struct BsCore {
     BsCoreConfig config; /* owns its strings */
@@ -35,6 +38,9 @@
     BsTenure *tenure;
     BsDigests *digests;
     BsPoison *poison;
+    BsLink *link;
+    BsAccounts *accounts;
+    BsRetries *retries;
     BsEntry *entry;
     BsKeeper *keeper;
     BsOwner *owner;
