--- a/src/contact.c
+++ b/src/contact.c
@@ -70,7 +70,7 @@
 {
     uint64_t *key = g_new(uint64_t, 1);
     *key = incarnation;
-    g_hash_table_add(contact->denied, key);
+    g_hash_table_replace(contact->denied, key, key);
 }
 
 static bool
