--- a/src/boragespur.h
+++ b/src/boragespur.h
@@ -184,7 +184,7 @@
     BS_HANDOVER,      /* collected */
     BS_HANDOVER_ACK,  /* probe */
     BS_LIST_PULL,     /* sheet; REVISION wanted, BASE_REVISION held */
-    BS_LIST_PUSH      /* list */
+    BS_LIST_PUSH,     /* list */
     BS_CHECK          /* accept */
 } BsMessageKind;
 
--- a/src/owner.c
+++ b/src/owner.c
@@ -488,18 +488,3 @@
 {
     BsOwner_DispatchAll(owner);
 }
-
-void
-BsOwner_AppendInFlight(BsOwner *owner, const char *instance, GPtrArray *list)
-{
-    (void)owner;
-    (void)instance;
-    (void)list;
-}
-
-void
-BsOwner_OnInFlight(BsOwner *owner, const BsMessage *message)
-{
-    (void)owner;
-    (void)message;
-}
--- a/src/owner.h
+++ b/src/owner.h
@@ -61,11 +61,4 @@
 /* Drives timers. */
 void BsOwner_OnTick(BsOwner *owner);
 
-/* Appends a BsInFlight to LIST for each upstream INSTANCE may now own. */
-void BsOwner_AppendInFlight(BsOwner *owner, const char *instance,
-                            GPtrArray *list);
-
-/* Takes in the work in flight of a collect reply; repeats are harmless. */
-void BsOwner_OnInFlight(BsOwner *owner, const BsMessage *message);
-
 #endif /* BS_OWNER_H */
