--- a/src/core.c
+++ b/src/core.c
@@ -1,15 +1,20 @@
 /* core.c - creation of a core and delivery of messages to its roles. */
 #include "core.h"
 
+#include "account.h"
 #include "digest.h"
 #include "entry.h"
 #include "keeper.h"
+#include "link.h"
+#include "order.h"
 #include "owner.h"
 #include "poison.h"
 #include "query.h"
+#include "retry.h"
 #include "schema.h"
 #include "sheetstore.h"
 #include "tenure.h"
+#include "watch.h"
 
 #include <string.h>
 #include <syslog.h>
@@ -102,9 +107,14 @@
     core->tenure = BsTenure_Create(core);
     core->digests = BsDigests_Create(core);
     core->poison = BsPoison_Create(core);
+    core->link = BsLink_Create(core);
+    core->accounts = BsAccounts_Create(core);
+    core->retries = BsRetries_Create(core);
     core->entry = BsEntry_Create(core);
     core->keeper = BsKeeper_Create(core);
     core->owner = BsOwner_Create(core);
+    core->orders = BsOrders_Create(core);
+    core->watchers = BsWatchers_Create(core);
     return core;
 }
 
@@ -114,9 +124,14 @@
     if (core == NULL) {
         return;
     }
+    BsWatchers_Destroy(core->watchers);
+    BsOrders_Destroy(core->orders);
     BsOwner_Destroy(core->owner);
     BsKeeper_Destroy(core->keeper);
     BsEntry_Destroy(core->entry);
+    BsRetries_Destroy(core->retries);
+    BsAccounts_Destroy(core->accounts);
+    BsLink_Destroy(core->link);
     BsPoison_Destroy(core->poison);
     BsDigests_Destroy(core->digests);
     BsTenure_Destroy(core->tenure);
@@ -219,18 +234,53 @@
     return message;
 }
 
+/* Tells the host of a list that came from a peer. */
+static void
+S_tell_list(BsCore *core)
+{
+    BsMessage *told = BsMessage_Create(BS_PLATFORM_LIST);
+    BsSchema_Copy(BsSchema_OfKind(BS_PLATFORM_LIST), &told->u,
+                  BsMembers_List(core->members));
+    BsCore_Emit(core, told);
+}
+
 static void
 S_accept_list(BsCore *core, const BsMessage *message)
 {
     if (!BsMembers_Accept(core->members, &message->u.list)) {
         BsCore_Count(core, "lists_ignored", 1);
+        if (message->kind == BS_LIST_PUSH) {
+            BsTenure_OnOldList(core->tenure, &message->u.list);
+        }
         return;
     }
+    if (message->kind == BS_LIST_PUSH) {
+        S_tell_list(core);
+    }
     BsCore_Count(core, "lists_accepted", 1);
     BsTenure_OnList(core->tenure);
+    BsWatchers_OnList(core->watchers);
     BsOwner_OnList(core->owner);
 }
 
+/* Answers a pull with the list in force when it is newer, else with the
+   instances of the old list asked for. */
+static void
+S_push_list(BsCore *core, const BsMessage *message)
+{
+    const BsSheetText *pull = &message->u.sheet;
+    const BsList *list = BsMembers_List(core->members);
+    if (list == NULL || list->revision <= pull->base_revision) {
+        list = BsTenure_FindList(core->tenure, pull->revision);
+    }
+    if (message->from == NULL || list == NULL) {
+        return;
+    }
+    BsMessage *push = BsMessage_Create(BS_LIST_PUSH);
+    BsSchema_Copy(BsSchema_OfKind(BS_LIST_PUSH), &push->u, list);
+    BsCore_Send(core, message->from, message->from_incarnation, push);
+}
+
 static void
 S_deliver_answer(BsCore *core, const BsMessage *message)
 {
@@ -311,16 +361,30 @@
     }
 }
 
+static void
+S_deliver_check(BsCore *core, const BsMessage *message)
+{
+    if (message->u.accept.to_stage == BS_STAGE_OWNER) {
+        BsOwner_OnCheck(core->owner, message);
+    }
+    else {
+        BsCore_Count(core, "peer_messages_dropped", 1);
+    }
+}
+
 static void
 S_tick(BsCore *core)
 {
+    BsWatchers_OnTick(core->watchers);
     BsSheetStore_OnTick(core->sheets);
     BsTenure_OnTick(core->tenure);
     BsDigests_OnTick(core->digests);
     BsPoison_OnTick(core->poison);
+    BsAccounts_OnTick(core->accounts);
     BsEntry_OnTick(core->entry);
     BsKeeper_OnTick(core->keeper);
     BsOwner_OnTick(core->owner);
+    BsOrders_OnTick(core->orders);
 }
 
 static void
@@ -344,10 +408,18 @@
         break;
     case BS_UPSTREAM_REPORT:
         BsOwner_OnReport(core->owner, message);
+        BsOrders_OnReport(core->orders, message);
         break;
     case BS_PLATFORM_LIST:
+    case BS_LIST_PUSH:
         S_accept_list(core, message);
         break;
+    case BS_PLATFORM_DOWN:
+        BsWatchers_OnDown(core->watchers);
+        break;
+    case BS_LIST_PULL:
+        S_push_list(core, message);
+        break;
     case BS_PLATFORM_SHEET:
     case BS_SHEET_PULL:
     case BS_SHEET_PUSH:
@@ -362,6 +434,9 @@
     case BS_ACCEPT:
         S_deliver_accept(core, message);
         break;
+    case BS_CHECK:
+        S_deliver_check(core, message);
+        break;
     case BS_ANSWER:
         S_deliver_answer(core, message);
         break;
@@ -404,6 +479,9 @@
 {
     g_assert(!core->stepping);
     core->stepping = true;
+    if (BsSchema_IsPeerKind(message->kind)) {
+        BsDigests_OnHeard(core->digests, message);
+    }
     if (S_is_for_us(core, message)) {
         S_deliver(core, message);
     }
--- a/src/core.h
+++ b/src/core.h
@@ -19,6 +19,11 @@
 typedef struct BsTenure BsTenure;
 typedef struct BsDigests BsDigests;
 typedef struct BsPoison BsPoison;
+typedef struct BsOrders BsOrders;
+typedef struct BsWatchers BsWatchers;
+typedef struct BsLink BsLink;
+typedef struct BsAccounts BsAccounts;
+typedef struct BsRetries BsRetries;
 
 struct BsCore {
     BsCoreConfig config; /* owns its strings */
@@ -33,9 +38,14 @@
     BsTenure *tenure;
     BsDigests *digests;
     BsPoison *poison;
+    BsLink *link;
+    BsAccounts *accounts;
+    BsRetries *retries;
     BsEntry *entry;
     BsKeeper *keeper;
     BsOwner *owner;
+    BsOrders *orders;
+    BsWatchers *watchers;
     bool stepping;
 };
 
