Sheet and list spread between peers; a few watchers per data centre

Cause: only instances that could read the service had the newest sheet, a restarted one took whatever a stale service served, and at 340 instances every one of them would watch.

Two texts under one revision: the higher hash counts everywhere, since an order of arrival differs between instances.

--- a/src/boragespur.h
+++ b/src/boragespur.h
@@ -184,7 +184,8 @@
     BS_HANDOVER,      /* collected */
     BS_HANDOVER_ACK,  /* probe */
     BS_LIST_PULL,     /* sheet; REVISION wanted, BASE_REVISION held */
-    BS_LIST_PUSH      /* list */
+    BS_LIST_PUSH,     /* list */
+    BS_WATCH_HANDOVER /* watch; the sender cannot read the service */
 } BsMessageKind;
 
 /* A request as it travels from caller to upstream. */
@@ -295,6 +296,7 @@
     uint64_t revision;
     uint64_t base_revision; /* 0 when TEXT is whole */
     GBytes *text;
+    uint32_t hash; /* of the text held, or of the whole result */
 } BsSheetText;
 
 /* An upstream's report of its own state. */
@@ -393,6 +395,7 @@
     uint64_t sheet_revision;
     uint64_t settled_revision; /* list the prober last settled, 0 for none */
     int64_t age_ms;            /* since the sender started */
+    uint32_t sheet_hash;       /* of the text in force */
 } BsProbe;
 
 /* What an instance knows of one non-idempotent request. */
--- a/src/contact.c
+++ b/src/contact.c
@@ -134,6 +134,7 @@
     BsCore *core = contact->core;
     probe->list_revision = BsMembers_Revision(core->members);
     probe->sheet_revision = BsSheetStore_Revision(core->sheets);
+    probe->sheet_hash = BsSheetStore_Hash(core->sheets);
     probe->age_ms = BsCore_NowMs(core) - contact->started_ms;
 }
 
--- a/src/core.c
+++ b/src/core.c
@@ -396,6 +396,9 @@
     case BS_PLATFORM_DOWN:
         BsWatchers_OnDown(core->watchers);
         break;
+    case BS_WATCH_HANDOVER:
+        BsWatchers_OnHandover(core->watchers);
+        break;
     case BS_LIST_PULL:
         S_push_list(core, message);
         break;
@@ -430,6 +433,9 @@
         break;
     case BS_DIGEST:
         BsDigests_OnMessage(core->digests, message);
+        BsTenure_OnRevisions(core->tenure, message,
+                             message->u.digest.list_revision,
+                             message->u.digest.sheet_revision, 0);
         break;
     case BS_SUSPECT:
         BsPoison_OnMessage(core->poison, message);
--- a/src/schema.c
+++ b/src/schema.c
@@ -228,6 +228,7 @@
     FIELD(1, U64, BsSheetText, revision),
     FIELD(2, U64, BsSheetText, base_revision),
     FIELD(3, BYTES, BsSheetText, text),
+    FIELD(4, U32, BsSheetText, hash),
 };
 
 static const BsSchema S_sheet_text_schema =
@@ -324,6 +325,7 @@
     FIELD(5, U64, BsProbe, sheet_revision),
     FIELD(6, U64, BsProbe, settled_revision),
     FIELD(7, I64, BsProbe, age_ms),
+    FIELD(8, U32, BsProbe, sheet_hash),
 };
 
 static const BsSchema S_probe_schema = SCHEMA(BsProbe, S_probe_fields, NULL);
@@ -408,6 +410,7 @@
     {BS_HANDOVER_ACK, "handover_ack", &S_probe_schema},
     {BS_LIST_PULL, "list_pull", &S_sheet_text_schema},
     {BS_LIST_PUSH, "list_push", &S_list_schema},
+    {BS_WATCH_HANDOVER, "watch_handover", &S_watch_schema},
 };
 
 static const BsKindRow *
--- a/src/tenure.c
+++ b/src/tenure.c
@@ -13,6 +13,9 @@
 /* Probes in one lease time. */
 #define PROBES_PER_LEASE 2
 
+/* Between two pulls of a list. */
+#define PULL_RETRY_MS 300
+
 struct BsTenure {
     BsCore *core;
     BsContact *contact;
@@ -21,7 +24,8 @@
     int64_t probed_ms;
     int64_t stepped_ms;
     int64_t woke_ms;
-    bool waking; /* the clock jumped and contact is not back yet */
+    int64_t pulled_ms; /* last pull of a list */
+    bool waking;       /* the clock jumped and contact is not back yet */
 };
 
 static void
@@ -183,7 +187,9 @@
 void
 BsTenure_OnList(BsTenure *tenure)
 {
+    tenure->pulled_ms = 0;
     BsCollects_OnList(tenure->collects, BsMembers_List(tenure->core->members));
+    BsTenure_ProbeSoon(tenure);
 }
 
 const BsList *
@@ -205,20 +211,40 @@
     BsCollects_OnOldList(tenure->collects, list);
 }
 
-/* Pulls a list or sheet that SENDER has and this instance lacks. */
-static void
-S_catch_up(BsTenure *tenure, const BsMessage *message)
+void
+BsTenure_OnRevisions(BsTenure *tenure, const BsMessage *message,
+                     uint64_t list_revision, uint64_t sheet_revision,
+                     uint32_t sheet_hash)
 {
-    const BsProbe *probe = &message->u.probe;
+    int64_t now_ms = BsCore_NowMs(tenure->core);
     uint64_t held = BsMembers_Revision(tenure->core->members);
-    if (probe->list_revision > held) {
+    if (message->from == NULL) {
+        return;
+    }
+    if (list_revision > held && now_ms >= tenure->pulled_ms + PULL_RETRY_MS) {
         BsMessage *pull = BsMessage_Create(BS_LIST_PULL);
+        tenure->pulled_ms = now_ms;
         pull->u.sheet.base_revision = held;
         BsCore_Send(tenure->core, message->from, message->from_incarnation,
                     pull);
     }
-    BsSheetStore_OnRevision(tenure->core->sheets, message,
-                            probe->sheet_revision);
+    BsSheetStore_OnRevision(tenure->core->sheets, message, sheet_revision,
+                            sheet_hash);
+}
+
+/* Pulls a list or sheet that the sender has and this instance lacks. */
+static void
+S_catch_up(BsTenure *tenure, const BsMessage *message)
+{
+    const BsProbe *probe = &message->u.probe;
+    BsTenure_OnRevisions(tenure, message, probe->list_revision,
+                         probe->sheet_revision, probe->sheet_hash);
+}
+
+void
+BsTenure_ProbeSoon(BsTenure *tenure)
+{
+    tenure->probed_ms = G_MININT64;
 }
 
 void
--- a/src/tenure.h
+++ b/src/tenure.h
@@ -46,6 +46,15 @@
 /* Returns whether this instance was paused and has no contact since. */
 bool BsTenure_IsWaking(const BsTenure *tenure);
 
+/* Notes what the sender of MESSAGE has in force and pulls what is newer;
+   SHEET_HASH is 0 when it did not say. */
+void BsTenure_OnRevisions(BsTenure *tenure, const BsMessage *message,
+                          uint64_t list_revision, uint64_t sheet_revision,
+                          uint32_t sheet_hash);
+
+/* Sends the next probes at the next tick, to spread a new list or sheet. */
+void BsTenure_ProbeSoon(BsTenure *tenure);
+
 /* Handles a probe, a collect, or a reply to either. */
 void BsTenure_OnMessage(BsTenure *tenure, const BsMessage *message);
 
--- a/tests/scenario/world.c
+++ b/tests/scenario/world.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #define START_MS 1000000
+#define FIRST_INCARNATION (UINT64_C(1) << 60) /* wide, as in use */
 #define SAME_DATA_CENTRE_MS 1
 #define SAME_REGION_MS 2
 #define OTHER_REGION_MS 12
@@ -66,7 +67,7 @@
     World *world = g_new0(World, 1);
     world->random = g_rand_new_with_seed(seed);
     world->now_ms = START_MS;
-    world->next_incarnation = 1;
+    world->next_incarnation = FIRST_INCARNATION;
     BsCoreConfig_Init(&world->config);
     world->config.secret = "scenario";
     world->config.fresh_fleet = true;
