--- a/src/boragespur.h
+++ b/src/boragespur.h
@@ -164,29 +164,29 @@
     BS_DRAINED,            /* no payload; the host may exit */
 
     /* Core to core. */
-    BS_FORWARD = 64,  /* request */
-    BS_ACCEPT,        /* accept */
-    BS_ANSWER,        /* answer */
-    BS_CANCEL,        /* cancel */
-    BS_FLOW,          /* flow */
-    BS_DIGEST,        /* digest */
-    BS_PROBE,         /* probe */
-    BS_PROBE_REPLY,   /* probe */
-    BS_COLLECT,       /* collect */
-    BS_COLLECT_REPLY, /* collected */
-    BS_WITNESS,       /* note */
-    BS_WITNESS_ACK,   /* note */
-    BS_SHEET_PULL,    /* sheet */
-    BS_SHEET_PUSH,    /* sheet */
-    BS_SUSPECT,       /* suspect */
-    BS_PEER_QUERY,    /* query */
-    BS_PEER_REPLY,    /* reply */
-    BS_HANDOVER,      /* collected */
-    BS_HANDOVER_ACK,  /* probe */
-    BS_LIST_PULL,     /* sheet; REVISION wanted, BASE_REVISION held */
-    BS_LIST_PUSH,     /* list */
-    BS_WATCH_HANDOVER /* watch; the sender cannot read the service */
-    BS_CHECK          /* accept */
+    BS_FORWARD = 64,   /* request */
+    BS_ACCEPT,         /* accept */
+    BS_ANSWER,         /* answer */
+    BS_CANCEL,         /* cancel */
+    BS_FLOW,           /* flow */
+    BS_DIGEST,         /* digest */
+    BS_PROBE,          /* probe */
+    BS_PROBE_REPLY,    /* probe */
+    BS_COLLECT,        /* collect */
+    BS_COLLECT_REPLY,  /* collected */
+    BS_WITNESS,        /* note */
+    BS_WITNESS_ACK,    /* note */
+    BS_SHEET_PULL,     /* sheet */
+    BS_SHEET_PUSH,     /* sheet */
+    BS_SUSPECT,        /* suspect */
+    BS_PEER_QUERY,     /* query */
+    BS_PEER_REPLY,     /* reply */
+    BS_HANDOVER,       /* collected */
+    BS_HANDOVER_ACK,   /* probe */
+    BS_LIST_PULL,      /* sheet; REVISION wanted, BASE_REVISION held */
+    BS_LIST_PUSH,      /* list */
+    BS_WATCH_HANDOVER, /* watch; the sender cannot read the service */
+    BS_CHECK           /* accept */
 } BsMessageKind;
 
 /* A request as it travels from caller to upstream. */
--- a/tests/api/sheet_spread_test.cc
+++ b/tests/api/sheet_spread_test.cc
@@ -117,6 +117,9 @@
 TEST(Sheet, SpreadsTo9Within5SecondsAtTenPercentLoss)
 {
     Fleet fleet(9);
+    for (int i = 0; i < 8; i++) { // all but one hear of it from peers
+        World_Cut(fleet.world, WORLD_PLATFORM, NameOf(i).c_str());
+    }
     World_SetNetwork(fleet.world, 0.1, 0.1, 20);
     for (uint64_t revision = 2; revision < 12; revision++) {
         fleet.Publish(revision);
