--- a/src/boragespur.h
+++ b/src/boragespur.h
@@ -65,6 +65,7 @@
     BS_ERR_INCARNATION,   /* meant for another incarnation of the instance */
     BS_ERR_NOT_KEEPER,    /* another instance keeps the key */
     BS_ERR_KEY_MOVED,     /* the record is at the instance named */
+    BS_ERR_ANSWER_LOST,   /* it ran; its answer is not kept */
     BS_ERR_COUNT
 } BsErrorKind;
 
--- a/src/core.c
+++ b/src/core.c
@@ -3,13 +3,19 @@
 
 #include "digest.h"
 #include "entry.h"
+#include "explain.h"
 #include "keeper.h"
+#include "once.h"
 #include "owner.h"
+#include "peer.h"
 #include "poison.h"
 #include "query.h"
+#include "run.h"
 #include "schema.h"
 #include "sheetstore.h"
+#include "stop.h"
 #include "tenure.h"
+#include "witness.h"
 
 #include <string.h>
 #include <syslog.h>
@@ -98,12 +104,18 @@
     g_queue_init(&core->local);
     core->counters = BsCounters_Create();
     core->members = BsMembers_Create();
+    core->peers = BsPeers_Create(config->resend_window_ms);
+    core->witness = BsWitness_Create(core);
+    core->explain = BsExplain_Create(core);
+    core->stop = BsStop_Create(core);
     core->sheets = BsSheetStore_Create(core);
     core->tenure = BsTenure_Create(core);
     core->digests = BsDigests_Create(core);
     core->poison = BsPoison_Create(core);
     core->entry = BsEntry_Create(core);
+    core->once = BsOnce_Create(core);
     core->keeper = BsKeeper_Create(core);
+    core->runs = BsRuns_Create(core);
     core->owner = BsOwner_Create(core);
     return core;
 }
@@ -115,12 +127,18 @@
         return;
     }
     BsOwner_Destroy(core->owner);
+    BsRuns_Destroy(core->runs);
     BsKeeper_Destroy(core->keeper);
+    BsOnce_Destroy(core->once);
     BsEntry_Destroy(core->entry);
     BsPoison_Destroy(core->poison);
     BsDigests_Destroy(core->digests);
     BsTenure_Destroy(core->tenure);
     BsSheetStore_Destroy(core->sheets);
+    BsStop_Destroy(core->stop);
+    BsExplain_Destroy(core->explain);
+    BsWitness_Destroy(core->witness);
+    BsPeers_Destroy(core->peers);
     BsMembers_Destroy(core->members);
     BsCounters_Destroy(core->counters);
     g_queue_clear_full(&core->local, (GDestroyNotify)BsMessage_Destroy);
@@ -161,6 +179,12 @@
     BsCore_Emit(core, message);
 }
 
+uint64_t
+BsCore_NextForward(BsCore *core)
+{
+    return ++core->next_forward;
+}
+
 void
 BsCore_Count(BsCore *core, const char *name, uint64_t amount)
 {
@@ -236,7 +260,9 @@
 {
     switch (message->u.answer.to_stage) {
     case BS_STAGE_ENTRY:
-        BsEntry_OnAnswer(core->entry, message);
+        if (!BsOnce_OnAnswer(core->once, message)) {
+            BsEntry_OnAnswer(core->entry, message);
+        }
         break;
     case BS_STAGE_KEEPER:
         BsKeeper_OnAnswer(core->keeper, message);
@@ -247,19 +273,65 @@
     }
 }
 
+/* Tells the sender of a forward that it was meant for another incarnation,
+   or for none by name, and which one this is. */
+static void
+S_refuse_incarnation(BsCore *core, const BsMessage *message)
+{
+    const BsRequest *request = &message->u.request;
+    BsMessage *answer =
+        BsCore_CreateError(BS_ANSWER, request->request_id, request->attempt,
+                           BS_ERR_INCARNATION, BS_OUTCOME_NOT_RUN);
+    answer->u.answer.to_stage = request->from_stage;
+    BsCore_Count(core, "forwards_for_another_incarnation", 1);
+    BsCore_Send(core, message->from, message->from_incarnation, answer);
+}
+
+/* Handles a non-idempotent forward, each one at most once. */
+static void
+S_deliver_once(BsCore *core, const BsMessage *message)
+{
+    const BsRequest *request = &message->u.request;
+    if (message->from == NULL || request->seq == 0) {
+        BsCore_Count(core, "peer_messages_dropped", 1);
+        return;
+    }
+    if (message->to_incarnation != core->config.incarnation) {
+        S_refuse_incarnation(core, message);
+        return;
+    }
+    bool fresh = BsPeers_Admit(core->peers, message->from_incarnation,
+                               request->seq, BsCore_NowMs(core));
+    BsCore_Count(core, "forwards_repeated", fresh ? 0 : 1);
+    if (request->stage == BS_STAGE_KEEPER) {
+        if (fresh) {
+            BsKeeper_OnForward(core->keeper, message);
+        }
+        else {
+            BsKeeper_OnRepeat(core->keeper, message);
+        }
+    }
+    else if (fresh && BsRuns_Admit(core->runs, message)) {
+        BsOwner_OnForward(core->owner, message);
+    }
+    else if (!fresh) {
+        BsRuns_OnRepeat(core->runs, message);
+    }
+}
+
 static void
 S_deliver_forward(BsCore *core, const BsMessage *message)
 {
-    switch (message->u.request.stage) {
-    case BS_STAGE_KEEPER:
-        BsKeeper_OnForward(core->keeper, message);
-        break;
-    case BS_STAGE_OWNER:
+    const BsRequest *request = &message->u.request;
+    if (!request->idempotent && (request->stage == BS_STAGE_KEEPER ||
+                                 request->stage == BS_STAGE_OWNER)) {
+        S_deliver_once(core, message);
+    }
+    else if (request->stage == BS_STAGE_OWNER) {
         BsOwner_OnForward(core->owner, message);
-        break;
-    default:
+    }
+    else {
         BsCore_Count(core, "peer_messages_dropped", 1);
-        break;
     }
 }
 
@@ -301,6 +373,7 @@
     switch (message->u.accept.to_stage) {
     case BS_STAGE_ENTRY:
         BsEntry_OnAccept(core->entry, message);
+        BsOnce_OnAccept(core->once, message);
         break;
     case BS_STAGE_KEEPER:
         BsKeeper_OnAccept(core->keeper, message);
@@ -318,9 +391,15 @@
     BsTenure_OnTick(core->tenure);
     BsDigests_OnTick(core->digests);
     BsPoison_OnTick(core->poison);
+    BsPeers_Expire(core->peers, BsCore_NowMs(core));
+    BsWitness_OnTick(core->witness);
     BsEntry_OnTick(core->entry);
+    BsOnce_OnTick(core->once);
     BsKeeper_OnTick(core->keeper);
+    BsRuns_OnTick(core->runs);
     BsOwner_OnTick(core->owner);
+    BsExplain_OnTick(core->explain);
+    BsStop_OnTick(core->stop);
 }
 
 static void
@@ -335,6 +414,7 @@
         break;
     case BS_CALLER_CANCEL:
         BsEntry_OnCancel(core->entry, message);
+        BsOnce_OnCancel(core->once, message);
         break;
     case BS_CALLER_FLOW:
         BsEntry_OnFlow(core->entry, message);
@@ -379,10 +459,30 @@
         break;
     case BS_DIGEST:
         BsDigests_OnMessage(core->digests, message);
+        BsPoison_OnDigest(core->poison, message);
         break;
     case BS_SUSPECT:
         BsPoison_OnMessage(core->poison, message);
         break;
+    case BS_WITNESS:
+        BsWitness_OnMessage(core->witness, message);
+        break;
+    case BS_WITNESS_ACK:
+        BsKeeper_OnWitnessAck(core->keeper, message);
+        break;
+    case BS_PEER_QUERY:
+    case BS_PEER_REPLY:
+        BsExplain_OnMessage(core->explain, message);
+        break;
+    case BS_DRAIN:
+        BsStop_OnDrain(core->stop, message);
+        break;
+    case BS_HANDOVER:
+        BsStop_OnHandover(core->stop, message);
+        break;
+    case BS_HANDOVER_ACK:
+        BsStop_OnAck(core->stop, message);
+        break;
     default:
         BsCore_Count(core, "messages_ignored", 1);
         break;
@@ -396,6 +496,9 @@
     if (!BsSchema_IsPeerKind(message->kind) || message->to_incarnation == 0) {
         return true;
     }
+    if (message->kind == BS_FORWARD && !message->u.request.idempotent) {
+        return true; /* refused with an answer */
+    }
     return message->to_incarnation == core->config.incarnation;
 }
 
@@ -404,6 +507,9 @@
 {
     g_assert(!core->stepping);
     core->stepping = true;
+    if (BsSchema_IsPeerKind(message->kind)) {
+        BsPeers_OnMessage(core->peers, message, BsCore_NowMs(core));
+    }
     if (S_is_for_us(core, message)) {
         S_deliver(core, message);
     }
--- a/src/core.h
+++ b/src/core.h
@@ -19,6 +19,12 @@
 typedef struct BsTenure BsTenure;
 typedef struct BsDigests BsDigests;
 typedef struct BsPoison BsPoison;
+typedef struct BsPeers BsPeers;
+typedef struct BsOnce BsOnce;
+typedef struct BsRuns BsRuns;
+typedef struct BsWitness BsWitness;
+typedef struct BsExplain BsExplain;
+typedef struct BsStop BsStop;
 
 struct BsCore {
     BsCoreConfig config; /* owns its strings */
@@ -36,6 +42,14 @@
     BsEntry *entry;
     BsKeeper *keeper;
     BsOwner *owner;
+    BsPeers *peers;
+    BsOnce *once;
+    BsRuns *runs;
+    BsWitness *witness;
+    BsExplain *explain;
+    BsStop *stop;
+    uint64_t next_forward; /* number of the last forward sent */
+    uint64_t next_ticket;  /* number of the last ticket issued */
     bool stepping;
 };
 
@@ -50,6 +64,9 @@
 void BsCore_Send(BsCore *core, const char *to, uint64_t incarnation,
                  BsMessage *message);
 
+/* Returns the number of the next forward, never 0. */
+uint64_t BsCore_NextForward(BsCore *core);
+
 /* Adds AMOUNT to a counter. */
 void BsCore_Count(BsCore *core, const char *name, uint64_t amount);
 
--- a/src/entry.c
+++ b/src/entry.c
@@ -2,8 +2,13 @@
 #include "entry.h"
 
 #include "choice.h"
+#include "explain.h"
+#include "once.h"
+#include "poison.h"
 #include "reorder.h"
 #include "schema.h"
+#include "stop.h"
+#include "ticket.h"
 #include "token.h"
 
 #include <string.h>
@@ -94,6 +99,8 @@
     BsMessage *answer = BsCore_CreateError(BS_CALLER_ANSWER, S_id(request),
                                            request->attempt, error, outcome);
     answer->u.answer.seq = request->next_seq;
+    BsExplain_OnEnd(entry->core->explain, S_id(request), &answer->u.answer,
+                    NULL);
     BsCore_Count(entry->core, "answers_error", 1);
     BsCore_Emit(entry->core, answer);
     g_hash_table_remove(entry->requests, S_id(request));
@@ -128,10 +135,6 @@
 S_pick_child(BsEntry *entry, BsEntryRequest *request)
 {
     const BsRequest *wanted = &request->request->u.request;
-    if (!wanted->idempotent) {
-        return BsMembers_KeeperOf(entry->core->members, wanted->account,
-                                  wanted->key);
-    }
     return BsChoice_PickOwner(entry->core, wanted, request->tried);
 }
 
@@ -247,8 +250,15 @@
     if (error != BS_ERR_NONE) {
         return error;
     }
-    if (!request->idempotent && request->key == NULL) {
-        request->key = g_strdup(request->request_id);
+    if (!request->idempotent) {
+        error = BsOnce_Prepare(entry->core->once, request);
+    }
+    if (error == BS_ERR_NONE && BsPoison_Judge(entry->core->poison, request) ==
+                                    BS_POISON_QUARANTINED) {
+        error = BS_ERR_QUARANTINED;
+    }
+    if (error != BS_ERR_NONE) {
+        return error;
     }
     request->from_stage = BS_STAGE_ENTRY;
     request->stage = request->idempotent ? BS_STAGE_OWNER : BS_STAGE_KEEPER;
@@ -276,9 +286,12 @@
     BsRequest *request = &forward->u.request;
     forward->kind = BS_FORWARD;
     BsCore_Count(entry->core, "requests", 1);
-    BsErrorKind error = S_resolve(entry, request);
+    BsErrorKind error = BsStop_IsActive(entry->core->stop)
+                            ? BS_ERR_DRAINING
+                            : S_resolve(entry, request);
     if (error == BS_ERR_NONE &&
-        BsEntry_Count(entry) >= entry->core->config.request_limit) {
+        BsEntry_Count(entry) + BsOnce_Count(entry->core->once) >=
+            entry->core->config.request_limit) {
         error = BS_ERR_MEMORY_FULL;
     }
     if (error != BS_ERR_NONE) {
@@ -287,6 +300,11 @@
         return;
     }
     g_clear_pointer(&request->token, g_free);
+    if (!request->idempotent) {
+        BsOnce_Submit(entry->core->once, forward);
+        return;
+    }
+    BsExplain_OnStart(entry->core->explain, request);
     S_forward(entry, S_admit(entry, forward));
 }
 
@@ -298,9 +316,7 @@
         return;
     }
     BsCore_Count(entry->core, "callers_gone", 1);
-    if (request->request->u.request.idempotent) {
-        S_cancel_child(entry, request, BS_ERR_CANCELLED);
-    }
+    S_cancel_child(entry, request, BS_ERR_CANCELLED);
     g_hash_table_remove(entry->requests, message->u.cancel.request_id);
 }
 
@@ -339,8 +355,8 @@
                      answer->error == BS_ERR_NO_UPSTREAM ||
                      answer->error == BS_ERR_UPSTREAM_FAILED ||
                      answer->error == BS_ERR_DRAINING;
-    return transient && request->request->u.request.idempotent &&
-           request->next_seq == 0 && request->attempt < ATTEMPTS_MAX &&
+    return transient && request->next_seq == 0 &&
+           request->attempt < ATTEMPTS_MAX &&
            BsCore_NowMs(entry->core) < request->deadline_ms;
 }
 
@@ -358,7 +374,15 @@
     }
     bool final = answer->final;
     piece->kind = BS_CALLER_ANSWER;
+    if (request->next_seq == 0) {
+        g_free(answer->ticket);
+        answer->ticket =
+            BsTicket_Issue(entry->core, request->request->u.request.account);
+    }
     answer->seq = request->next_seq++;
+    if (final) {
+        BsExplain_OnEnd(entry->core->explain, S_id(request), answer, NULL);
+    }
     BsCore_Emit(entry->core, piece);
     if (final) {
         BsCore_Count(entry->core, "answers_final", 1);
@@ -391,6 +415,18 @@
     g_free(id);
 }
 
+void
+BsEntry_GiveUp(BsEntry *entry)
+{
+    GList *requests = g_hash_table_get_values(entry->requests);
+    for (GList *node = requests; node != NULL; node = node->next) {
+        BsEntryRequest *request = node->data;
+        S_cancel_child(entry, request, BS_ERR_DRAINING);
+        S_fail(entry, request, BS_ERR_DRAINING, BS_OUTCOME_UNKNOWN);
+    }
+    g_list_free(requests);
+}
+
 void
 BsEntry_OnTick(BsEntry *entry)
 {
--- a/src/entry.h
+++ b/src/entry.h
@@ -31,6 +31,9 @@
 /* Handles a piece of an answer from a keeper or owner. */
 void BsEntry_OnAnswer(BsEntry *entry, const BsMessage *message);
 
+/* Ends all requests, for a stop that cannot wait. */
+void BsEntry_GiveUp(BsEntry *entry);
+
 /* Drives timers. */
 void BsEntry_OnTick(BsEntry *entry);
 
--- a/src/error.c
+++ b/src/error.c
@@ -78,6 +78,10 @@
     [BS_ERR_KEY_MOVED] = {"key_moved", 503,
                           "another instance holds the record",
                           "send it again with the same Idempotency-Key"},
+    [BS_ERR_ANSWER_LOST] = {"answer_lost", 410,
+                            "the request ran; its answer is not kept",
+                            "read the result from the service; do not send "
+                            "it again under a new key"},
 };
 
 const BsErrorText *
--- /dev/null
+++ b/src/explain.c
@@ -0,0 +1,546 @@
+/* explain.c - what became of each request, for callers and operators. */
+#include "explain.h"
+
+#include "keeper.h"
+#include "token.h"
+
+#include <jansson.h>
+#include <string.h>
+
+/* Longest wait for the replies of other instances. */
+#define QUERY_WAIT_MS 1000
+
+/* Queries that may wait at once. */
+#define QUERIES_MAX 1024
+
+#define STATUS_OK 200
+#define STATUS_UNAUTHORIZED 401
+#define STATUS_NOT_FOUND 404
+#define STATUS_BUSY 503
+
+/* Query of one instance to another for the record of a key. */
+#define WHAT_KEY "key"
+#define KEY_PARTS 3
+#define WHAT_REQUEST "request"
+
+typedef struct {
+    char *id;
+    char *account;
+    char *key;
+    char *tier;
+    char *target; /* service or model */
+    char *keeper;
+    char *upstream;
+    int64_t start_ms;
+    int64_t end_ms; /* 0 while it runs */
+    uint64_t queued_ms;
+    BsOutcome outcome;
+    BsErrorKind error;
+    bool idempotent;
+} BsStory;
+
+/* A query that waits for other instances. */
+typedef struct {
+    char *query_id;
+    char *peer; /* instance that asked, or NULL for a local query */
+    uint64_t peer_incarnation;
+    char *story_id; /* looked up at its keeper, or NULL */
+    int64_t until_ms;
+    uint32_t replies_due;
+} BsPending;
+
+struct BsExplain {
+    BsCore *core;
+    GHashTable *stories; /* request id to BsStory */
+    GQueue order;        /* BsStory, oldest first */
+    GHashTable *pending; /* own query id to BsPending */
+    uint64_t next_query;
+};
+
+static void
+S_destroy_story(void *data)
+{
+    BsStory *story = data;
+    g_free(story->id);
+    g_free(story->account);
+    g_free(story->key);
+    g_free(story->tier);
+    g_free(story->target);
+    g_free(story->keeper);
+    g_free(story->upstream);
+    g_free(story);
+}
+
+static void
+S_destroy_pending(void *data)
+{
+    BsPending *pending = data;
+    g_free(pending->query_id);
+    g_free(pending->peer);
+    g_free(pending->story_id);
+    g_free(pending);
+}
+
+BsExplain *
+BsExplain_Create(BsCore *core)
+{
+    BsExplain *explain = g_new0(BsExplain, 1);
+    explain->core = core;
+    explain->stories =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, S_destroy_story);
+    explain->pending = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                             S_destroy_pending);
+    g_queue_init(&explain->order);
+    return explain;
+}
+
+void
+BsExplain_Destroy(BsExplain *explain)
+{
+    if (explain == NULL) {
+        return;
+    }
+    g_queue_clear(&explain->order);
+    g_hash_table_destroy(explain->stories);
+    g_hash_table_destroy(explain->pending);
+    g_free(explain);
+}
+
+/* ---------------------------------------------------------------------- */
+/* Stories                                                                 */
+/* ---------------------------------------------------------------------- */
+
+static void
+S_drop_oldest(BsExplain *explain)
+{
+    BsStory *story = g_queue_pop_head(&explain->order);
+    g_hash_table_remove(explain->stories, story->id);
+}
+
+void
+BsExplain_OnStart(BsExplain *explain, const BsRequest *request)
+{
+    const char *id = request->request_id;
+    if (id == NULL || g_hash_table_contains(explain->stories, id)) {
+        return;
+    }
+    BsStory *story = g_new0(BsStory, 1);
+    story->id = g_strdup(id);
+    story->account = g_strdup(request->account);
+    story->key = g_strdup(request->key);
+    story->tier = g_strdup(request->tier);
+    story->target =
+        g_strdup(request->service != NULL ? request->service : request->model);
+    story->start_ms = BsCore_NowMs(explain->core);
+    story->idempotent = request->idempotent;
+    g_hash_table_insert(explain->stories, story->id, story);
+    g_queue_push_tail(&explain->order, story);
+    if (explain->order.length > explain->core->config.request_limit) {
+        S_drop_oldest(explain);
+    }
+}
+
+void
+BsExplain_OnEnd(BsExplain *explain, const char *request_id,
+                const BsAnswer *answer, const char *keeper)
+{
+    BsStory *story = g_hash_table_lookup(explain->stories, request_id);
+    if (story == NULL) {
+        return;
+    }
+    story->end_ms = BsCore_NowMs(explain->core);
+    story->outcome = answer->outcome;
+    story->error = answer->error;
+    story->queued_ms = answer->queued_ms;
+    BsMessage_SetString(&story->keeper, keeper);
+    BsMessage_SetString(&story->upstream, answer->upstream);
+}
+
+static const char *
+S_outcome_name(BsOutcome outcome)
+{
+    switch (outcome) {
+    case BS_OUTCOME_RAN:
+        return "ran";
+    case BS_OUTCOME_NOT_RUN:
+        return "not-run";
+    case BS_OUTCOME_UNKNOWN:
+        return "unknown";
+    default:
+        return "pending";
+    }
+}
+
+static GBytes *
+S_to_bytes(json_t *json)
+{
+    char *text = json_dumps(json, JSON_COMPACT | JSON_SORT_KEYS);
+    json_decref(json);
+    GBytes *bytes = g_bytes_new(text, strlen(text));
+    free(text);
+    return bytes;
+}
+
+static GBytes *
+S_error_body(BsErrorKind error)
+{
+    const BsErrorText *text = BsError_Describe(error);
+    return S_to_bytes(json_pack("{s:s, s:s, s:s}", "error", text->name,
+                                "message", text->message, "remedy",
+                                text->remedy));
+}
+
+static GBytes *
+S_describe(const BsExplain *explain, const BsStory *story)
+{
+    const BsErrorText *error = BsError_Describe(story->error);
+    int64_t now_ms = BsCore_NowMs(explain->core);
+    int64_t end_ms = story->end_ms == 0 ? now_ms : story->end_ms;
+    json_t *body = json_pack(
+        "{s:s, s:s, s:s, s:b, s:I, s:I, s:I}", "request_id", story->id,
+        "state", story->end_ms == 0 ? "running" : "finished", "outcome",
+        S_outcome_name(story->outcome), "idempotent", story->idempotent,
+        "age_ms", (json_int_t)(now_ms - story->start_ms), "took_ms",
+        (json_int_t)(end_ms - story->start_ms), "queued_ms",
+        (json_int_t)story->queued_ms);
+    json_object_set_new(body, "entry",
+                        json_string(explain->core->config.name));
+    json_object_set_new(body, "target", json_string(story->target));
+    json_object_set_new(body, "tier", json_string(story->tier));
+    if (story->keeper != NULL) {
+        json_object_set_new(body, "keeper", json_string(story->keeper));
+    }
+    if (story->upstream != NULL) {
+        json_object_set_new(body, "upstream", json_string(story->upstream));
+    }
+    if (story->error != BS_ERR_NONE) {
+        json_object_set_new(body, "error", json_string(error->name));
+        json_object_set_new(body, "remedy", json_string(error->remedy));
+    }
+    return S_to_bytes(body);
+}
+
+/* ---------------------------------------------------------------------- */
+/* Replies                                                                 */
+/* ---------------------------------------------------------------------- */
+
+/* Answers a query of PEER or, when NULL, of the host; takes BODY. */
+static void
+S_reply(BsExplain *explain, const char *peer, uint64_t incarnation,
+        const char *query_id, uint32_t status, GBytes *body)
+{
+    BsMessage *reply =
+        BsMessage_Create(peer == NULL ? BS_QUERY_REPLY : BS_PEER_REPLY);
+    reply->u.reply.query_id = g_strdup(query_id);
+    reply->u.reply.status = status;
+    reply->u.reply.body = body;
+    if (peer == NULL) {
+        BsCore_Emit(explain->core, reply);
+    }
+    else {
+        BsCore_Send(explain->core, peer, incarnation, reply);
+    }
+}
+
+/* Answers PENDING with all that is known here. */
+static void
+S_settle(BsExplain *explain, const BsPending *pending)
+{
+    const BsStory *story =
+        pending->story_id == NULL
+            ? NULL
+            : g_hash_table_lookup(explain->stories, pending->story_id);
+    S_reply(explain, pending->peer, pending->peer_incarnation,
+            pending->query_id, story == NULL ? STATUS_NOT_FOUND : STATUS_OK,
+            story == NULL ? S_error_body(BS_ERR_NOT_FOUND)
+                          : S_describe(explain, story));
+}
+
+static void
+S_ask(BsExplain *explain, const char *own_id, const char *instance,
+      const char *what, const char *argument, const char *account)
+{
+    BsMessage *ask = BsMessage_Create(BS_PEER_QUERY);
+    ask->u.query.query_id = g_strdup(own_id);
+    ask->u.query.what = g_strdup(what);
+    ask->u.query.argument = g_strdup(argument);
+    ask->u.query.account = g_strdup(account);
+    BsCore_Send(explain->core, instance, 0, ask);
+}
+
+/* Adds PENDING, which it takes; returns its id or NULL when too many wait. */
+static char *
+S_wait(BsExplain *explain, BsPending *pending)
+{
+    if (g_hash_table_size(explain->pending) >= QUERIES_MAX) {
+        S_reply(explain, pending->peer, pending->peer_incarnation,
+                pending->query_id, STATUS_BUSY,
+                S_error_body(BS_ERR_MEMORY_FULL));
+        S_destroy_pending(pending);
+        return NULL;
+    }
+    char *own_id =
+        g_strdup_printf("%s-%" G_GUINT64_FORMAT, explain->core->config.name,
+                        explain->next_query++);
+    pending->until_ms = BsCore_NowMs(explain->core) + QUERY_WAIT_MS;
+    g_hash_table_insert(explain->pending, own_id, pending);
+    return own_id;
+}
+
+/* ---------------------------------------------------------------------- */
+/* Look-ups                                                                */
+/* ---------------------------------------------------------------------- */
+
+/* Asks the keepers of STORY what became of it. */
+static void
+S_ask_keepers(BsExplain *explain, BsPending *pending, const BsStory *story)
+{
+    const char *now =
+        BsMembers_KeeperOf(explain->core->members, story->account, story->key);
+    char *key =
+        g_strdup_printf("%s\n%s\n%s", story->id, story->account, story->key);
+    pending->story_id = g_strdup(story->id);
+    char *own_id = S_wait(explain, pending);
+    if (own_id != NULL && now != NULL) {
+        pending->replies_due++;
+        S_ask(explain, own_id, now, WHAT_KEY, key, NULL);
+    }
+    if (own_id != NULL && story->keeper != NULL &&
+        g_strcmp0(story->keeper, now) != 0) {
+        pending->replies_due++;
+        S_ask(explain, own_id, story->keeper, WHAT_KEY, key, NULL);
+    }
+    g_free(key);
+}
+
+/* Returns the instance that assigned ID, or NULL; g_free() it. */
+static char *
+S_instance_of(const char *id)
+{
+    char *name = g_strdup(id);
+    for (int i = 0; i < 2; i++) {
+        char *dash = strrchr(name, '-');
+        if (dash == NULL) {
+            g_free(name);
+            return NULL;
+        }
+        *dash = '\0';
+    }
+    return name;
+}
+
+static bool
+S_is_peer(const BsExplain *explain, const BsListEntry *entry)
+{
+    return entry->kind == BS_NODE_INSTANCE &&
+           strcmp(entry->name, explain->core->config.name) != 0;
+}
+
+/* Asks the instance that admitted ID or, when it is not listed, all. */
+static void
+S_ask_entries(BsExplain *explain, BsPending *pending, const char *id,
+              const char *account)
+{
+    const BsList *list = BsMembers_List(explain->core->members);
+    char *own_id = S_wait(explain, pending);
+    if (own_id == NULL) {
+        return;
+    }
+    char *named = S_instance_of(id);
+    bool listed =
+        named != NULL && BsMembers_Find(explain->core->members, named) != NULL;
+    for (guint i = 0; list != NULL && i < list->entries->len; i++) {
+        const BsListEntry *entry = list->entries->pdata[i];
+        if (S_is_peer(explain, entry) &&
+            (!listed || strcmp(entry->name, named) == 0)) {
+            pending->replies_due++;
+            S_ask(explain, own_id, entry->name, WHAT_REQUEST, id, account);
+        }
+    }
+    g_free(named);
+    if (pending->replies_due == 0) {
+        S_settle(explain, pending);
+        g_hash_table_remove(explain->pending, own_id);
+    }
+}
+
+static BsPending *
+S_create_pending(const char *query_id, const BsMessage *from)
+{
+    BsPending *pending = g_new0(BsPending, 1);
+    pending->query_id = g_strdup(query_id);
+    if (from != NULL) {
+        pending->peer = g_strdup(from->from);
+        pending->peer_incarnation = from->from_incarnation;
+    }
+    return pending;
+}
+
+/* Looks up request ID for ACCOUNT, or for an operator when NULL. */
+static void
+S_look_up(BsExplain *explain, BsPending *pending, const char *id,
+          const char *account)
+{
+    const BsStory *story = g_hash_table_lookup(explain->stories, id);
+    if (story == NULL && pending->peer == NULL) {
+        S_ask_entries(explain, pending, id, account);
+        return;
+    }
+    if (story != NULL && !story->idempotent &&
+        (account == NULL || g_strcmp0(account, story->account) == 0) &&
+        story->outcome != BS_OUTCOME_RAN &&
+        story->outcome != BS_OUTCOME_NOT_RUN) {
+        S_ask_keepers(explain, pending, story);
+        return;
+    }
+    if (story != NULL &&
+        (account == NULL || g_strcmp0(account, story->account) == 0)) {
+        pending->story_id = g_strdup(id);
+    }
+    S_settle(explain, pending);
+    S_destroy_pending(pending);
+}
+
+bool
+BsExplain_OnQuery(BsExplain *explain, const BsMessage *message)
+{
+    const BsQuery *query = &message->u.query;
+    if (g_strcmp0(query->what, "request") != 0 &&
+        g_strcmp0(query->what, "explain") != 0) {
+        return false;
+    }
+    const BsSheet *sheet = BsCore_Sheet(explain->core);
+    char *account = query->token == NULL || sheet == NULL
+                        ? NULL
+                        : BsToken_Resolve(sheet, explain->core->config.secret,
+                                          query->token);
+    if (query->token != NULL && account == NULL) {
+        S_reply(explain, NULL, 0, query->query_id, STATUS_UNAUTHORIZED,
+                S_error_body(BS_ERR_UNAUTHORIZED));
+        return true;
+    }
+    S_look_up(explain, S_create_pending(query->query_id, NULL),
+              query->argument == NULL ? "" : query->argument, account);
+    g_free(account);
+    return true;
+}
+
+/* Answers a peer that asks for the record of a key. */
+static void
+S_answer_key(BsExplain *explain, const BsMessage *message)
+{
+    const BsQuery *query = &message->u.query;
+    char **parts = g_strsplit(query->argument, "\n", KEY_PARTS);
+    BsOutcome outcome = BS_OUTCOME_NONE;
+    if (g_strv_length(parts) == KEY_PARTS) {
+        outcome =
+            BsKeeper_Ask(explain->core->keeper, parts[0], parts[1], parts[2]);
+    }
+    g_strfreev(parts);
+    S_reply(explain, message->from, message->from_incarnation, query->query_id,
+            outcome == BS_OUTCOME_NONE ? STATUS_NOT_FOUND : STATUS_OK,
+            S_to_bytes(json_pack("{s:i}", "outcome", (int)outcome)));
+}
+
+static void
+S_on_peer_query(BsExplain *explain, const BsMessage *message)
+{
+    const BsQuery *query = &message->u.query;
+    if (query->argument == NULL || query->query_id == NULL) {
+        BsCore_Count(explain->core, "peer_messages_dropped", 1);
+        return;
+    }
+    if (g_strcmp0(query->what, WHAT_KEY) == 0) {
+        S_answer_key(explain, message);
+        return;
+    }
+    S_look_up(explain, S_create_pending(query->query_id, message),
+              query->argument, query->account);
+}
+
+/* Takes over a certain outcome that a keeper told of a story. */
+static void
+S_learn(BsStory *story, GBytes *body)
+{
+    gsize size;
+    const char *data = g_bytes_get_data(body, &size);
+    json_t *json = json_loadb(data, size, 0, NULL);
+    json_int_t outcome = json_integer_value(json_object_get(json, "outcome"));
+    json_decref(json);
+    if (story->end_ms != 0 &&
+        (outcome == BS_OUTCOME_RAN || outcome == BS_OUTCOME_NOT_RUN)) {
+        story->outcome = (BsOutcome)outcome;
+    }
+}
+
+static void
+S_on_peer_reply(BsExplain *explain, const BsMessage *message)
+{
+    const BsQueryReply *reply = &message->u.reply;
+    BsPending *pending =
+        reply->query_id == NULL || reply->body == NULL
+            ? NULL
+            : g_hash_table_lookup(explain->pending, reply->query_id);
+    if (pending == NULL) {
+        return;
+    }
+    pending->replies_due--;
+    bool found = reply->status == STATUS_OK;
+    BsStory *story =
+        pending->story_id == NULL
+            ? NULL
+            : g_hash_table_lookup(explain->stories, pending->story_id);
+    if (found && story != NULL) {
+        S_learn(story, reply->body);
+    }
+    if (found && pending->story_id == NULL) {
+        S_reply(explain, pending->peer, pending->peer_incarnation,
+                pending->query_id, STATUS_OK, g_bytes_ref(reply->body));
+    }
+    else if (pending->replies_due == 0) {
+        S_settle(explain, pending);
+    }
+    else {
+        return;
+    }
+    g_hash_table_remove(explain->pending, reply->query_id);
+}
+
+void
+BsExplain_OnMessage(BsExplain *explain, const BsMessage *message)
+{
+    if (message->kind == BS_PEER_QUERY) {
+        S_on_peer_query(explain, message);
+    }
+    else {
+        S_on_peer_reply(explain, message);
+    }
+}
+
+static void
+S_expire_stories(BsExplain *explain, int64_t now_ms)
+{
+    int64_t oldest_ms = now_ms - explain->core->config.resend_window_ms;
+    const BsStory *story;
+    while ((story = g_queue_peek_head(&explain->order)) != NULL &&
+           story->start_ms < oldest_ms) {
+        S_drop_oldest(explain);
+    }
+}
+
+void
+BsExplain_OnTick(BsExplain *explain)
+{
+    int64_t now_ms = BsCore_NowMs(explain->core);
+    GHashTableIter iter;
+    gpointer value;
+    S_expire_stories(explain, now_ms);
+    g_hash_table_iter_init(&iter, explain->pending);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        BsPending *pending = value;
+        if (now_ms >= pending->until_ms) {
+            S_settle(explain, pending);
+            g_hash_table_iter_remove(&iter);
+        }
+    }
+}
--- a/src/keeper.c
+++ b/src/keeper.c
@@ -1,66 +1,34 @@
-/* keeper.c - runs each non-idempotent request at most once. */
+/* keeper.c - decides whether an idempotency key may run here. */
 #include "keeper.h"
 
 #include "choice.h"
-#include "reorder.h"
+#include "keeperstate.h"
+#include "stop.h"
+#include "tenure.h"
+#include "ticket.h"
+#include "witness.h"
 
 #include <string.h>
 
-/* A hop that waits for the answer of a record. */
-typedef struct {
-    char *instance;
-    uint64_t incarnation;
-    char *request_id;
-    uint32_t attempt;
-    uint64_t next_seq;
-} BsWaiter;
+/* Longest wait for a take-over to end. */
+#define PARKED_MAX_MS 5000
 
-typedef struct {
-    char *scope; /* account and key */
-    char *body_hash;
-    char *run_id; /* request id the work runs under */
-    BsReorder *reorder;
-    GPtrArray *pieces;  /* BsMessage, in order */
-    GPtrArray *waiters; /* BsWaiter */
-    bool finished;
-} BsRecord;
-
-struct BsKeeper {
-    BsCore *core;
-    GHashTable *records; /* scope to BsRecord */
-    GHashTable *runs;    /* run id to BsRecord */
-};
+/* Instances asked to witness before a request is refused. */
+#define WITNESSES_MAX 3
 
-static void
-S_destroy_waiter(void *data)
-{
-    BsWaiter *waiter = data;
-    g_free(waiter->instance);
-    g_free(waiter->request_id);
-    g_free(waiter);
-}
+/* Witnesses asked within a lease. */
+#define WITNESSES_PER_LEASE 4
 
-static void
-S_destroy_record(void *data)
-{
-    BsRecord *record = data;
-    g_free(record->scope);
-    g_free(record->body_hash);
-    g_free(record->run_id);
-    BsReorder_Destroy(record->reorder);
-    g_ptr_array_unref(record->pieces);
-    g_ptr_array_unref(record->waiters);
-    g_free(record);
-}
+/* Share of the memory for request bodies that kept answers may use. */
+#define ANSWER_SHARE 2
 
 BsKeeper *
 BsKeeper_Create(BsCore *core)
 {
     BsKeeper *keeper = g_new0(BsKeeper, 1);
     keeper->core = core;
-    keeper->records =
-        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, S_destroy_record);
-    keeper->runs = g_hash_table_new(g_str_hash, g_str_equal);
+    keeper->records = BsRecords_Create(
+        core->config.record_limit, core->config.queue_bytes / ANSWER_SHARE);
     return keeper;
 }
 
@@ -70,125 +38,345 @@
     if (keeper == NULL) {
         return;
     }
-    g_hash_table_destroy(keeper->runs);
-    g_hash_table_destroy(keeper->records);
+    BsRecords_Destroy(keeper->records);
     g_free(keeper);
 }
 
-static char *
-S_hash_body(const BsRequest *request)
+uint32_t
+BsKeeper_CountOpen(const BsKeeper *keeper)
 {
-    GChecksum *checksum = g_checksum_new(G_CHECKSUM_SHA256);
-    g_checksum_update(checksum, (const guchar *)request->method, -1);
-    g_checksum_update(checksum, (const guchar *)"\n", 1);
-    g_checksum_update(checksum, (const guchar *)request->path, -1);
-    g_checksum_update(checksum, (const guchar *)"\n", 1);
-    if (request->body != NULL) {
-        gsize size;
-        const void *data = g_bytes_get_data(request->body, &size);
-        g_checksum_update(checksum, data, (gssize)size);
-    }
-    char *hash = g_strdup(g_checksum_get_string(checksum));
-    g_checksum_free(checksum);
-    return hash;
+    GList *open = BsRecords_ListOpen(keeper->records);
+    uint32_t count = g_list_length(open);
+    g_list_free(open);
+    return count;
 }
 
-/* Sends the pieces that WAITER has not got yet. */
-static void
-S_serve(BsKeeper *keeper, const BsRecord *record, BsWaiter *waiter)
+uint32_t
+BsKeeper_CountRecords(const BsKeeper *keeper)
 {
-    while (waiter->next_seq < record->pieces->len) {
-        const BsMessage *piece = record->pieces->pdata[waiter->next_seq];
-        BsMessage *copy = BsMessage_Copy(piece);
-        copy->kind = BS_ANSWER;
-        BsMessage_SetString(&copy->u.answer.request_id, waiter->request_id);
-        copy->u.answer.seq = waiter->next_seq++;
-        copy->u.answer.attempt = waiter->attempt;
-        copy->u.answer.to_stage = BS_STAGE_ENTRY;
-        BsCore_Send(keeper->core, waiter->instance, waiter->incarnation, copy);
+    return BsRecords_Count(keeper->records);
+}
+
+BsOutcome
+BsKeeper_Ask(BsKeeper *keeper, const char *request_id, const char *account,
+             const char *key)
+{
+    BsRecord *record = BsRecords_Find(keeper->records, account, key);
+    if (record == NULL) {
+        return BS_OUTCOME_NONE;
+    }
+    if (record->outcome == BS_OUTCOME_NOT_RUN) {
+        return g_strcmp0(record->run_id, request_id) == 0 ? BS_OUTCOME_NOT_RUN
+                                                          : BS_OUTCOME_NONE;
     }
+    if (record->state == BS_RECORD_FINISHED && !record->complete) {
+        BsKeeper_Poll(keeper, record);
+    }
+    return record->outcome == BS_OUTCOME_NONE ? BS_OUTCOME_UNKNOWN
+                                              : record->outcome;
 }
 
 static void
-S_add_waiter(BsKeeper *keeper, BsRecord *record, const BsMessage *message)
+S_accept(BsKeeper *keeper, const BsMessage *message)
 {
-    BsWaiter *waiter = g_new0(BsWaiter, 1);
-    waiter->instance = g_strdup(message->from);
-    waiter->incarnation = message->from_incarnation;
-    waiter->request_id = g_strdup(message->u.request.request_id);
-    waiter->attempt = message->u.request.attempt;
-    g_ptr_array_add(record->waiters, waiter);
-    S_serve(keeper, record, waiter);
+    BsMessage *accept = BsMessage_Create(BS_ACCEPT);
+    accept->u.accept.request_id = g_strdup(message->u.request.request_id);
+    accept->u.accept.attempt = message->u.request.attempt;
+    accept->u.accept.to_stage = message->u.request.from_stage;
+    BsCore_Send(keeper->core, message->from, message->from_incarnation,
+                accept);
 }
 
+/* Tells the entry where the record of a fenced key is, or what is known. */
 static void
-S_reject(BsKeeper *keeper, const BsMessage *message, BsErrorKind error,
-         BsOutcome outcome)
+S_reject_fenced(BsKeeper *keeper, const BsRecord *record,
+                const BsMessage *message)
 {
+    const BsMembers *members = keeper->core->members;
+    bool movable = record->keeper != NULL && !message->u.request.resume &&
+                   record->keeper_incarnation != 0 &&
+                   strcmp(record->keeper, keeper->core->config.name) != 0 &&
+                   BsMembers_Find(members, record->keeper) != NULL;
+    if (!movable) {
+        BsKeeper_Reject(keeper, message,
+                        record->outcome == BS_OUTCOME_RAN
+                            ? BS_ERR_ANSWER_LOST
+                            : BS_ERR_KEY_UNCERTAIN,
+                        record->outcome);
+        return;
+    }
     const BsRequest *request = &message->u.request;
-    BsMessage *answer = BsCore_CreateError(BS_ANSWER, request->request_id,
-                                           request->attempt, error, outcome);
+    BsMessage *answer =
+        BsCore_CreateError(BS_ANSWER, request->request_id, request->attempt,
+                           BS_ERR_KEY_MOVED, record->outcome);
     answer->u.answer.to_stage = request->from_stage;
+    answer->u.answer.keeper = g_strdup(record->keeper);
+    answer->u.answer.keeper_incarnation = record->keeper_incarnation;
     BsCore_Send(keeper->core, message->from, message->from_incarnation,
                 answer);
 }
 
+/* Returns whether the body of MESSAGE is another than that of RECORD. */
+static bool
+S_conflicts(BsKeeper *keeper, const BsRecord *record, const BsMessage *message)
+{
+    if (record->body_hash != NULL &&
+        g_strcmp0(record->body_hash, message->u.request.body_hash) == 0) {
+        return false;
+    }
+    bool known = record->body_hash != NULL && !record->fenced &&
+                 record->state != BS_RECORD_PARKED;
+    if (record->body_hash == NULL && record->fenced) {
+        return false;
+    }
+    BsCore_Count(keeper->core, "key_conflicts", 1);
+    BsKeeper_Reject(keeper, message, BS_ERR_KEY_CONFLICT,
+                    known ? BS_OUTCOME_NOT_RUN : BS_OUTCOME_UNKNOWN);
+    return true;
+}
+
+/* Answers a forward whose key is known here. */
 static void
-S_accept(BsKeeper *keeper, const BsMessage *message)
+S_join(BsKeeper *keeper, BsRecord *record, const BsMessage *message)
 {
-    BsMessage *accept = BsMessage_Create(BS_ACCEPT);
-    accept->u.accept.request_id = g_strdup(message->u.request.request_id);
-    accept->u.accept.attempt = message->u.request.attempt;
-    accept->u.accept.to_stage = message->u.request.from_stage;
-    BsCore_Send(keeper->core, message->from, message->from_incarnation,
-                accept);
+    const BsRequest *request = &message->u.request;
+    if (S_conflicts(keeper, record, message)) {
+        return;
+    }
+    BsCore_Count(keeper->core, "keys_joined", 1);
+    if (record->fenced) {
+        S_reject_fenced(keeper, record, message);
+        return;
+    }
+    if (record->state == BS_RECORD_FINISHED && !record->complete) {
+        BsKeeper_Poll(keeper, record);
+        BsKeeper_Reject(keeper, message, record->error, record->outcome);
+        return;
+    }
+    if (record->answer_lost) {
+        BsKeeper_Reject(keeper, message, BS_ERR_ANSWER_LOST, record->outcome);
+        return;
+    }
+    BsWaiter *waiter = BsRecord_AddWaiter(record, message);
+    waiter->next_seq = request->resume ? request->from_piece : 0;
+    BsKeeper_Serve(keeper, record, waiter);
 }
 
 static BsRecord *
-S_create_record(BsKeeper *keeper, const BsRequest *request, char *scope,
-                char *body_hash)
-{
-    BsRecord *record = g_new0(BsRecord, 1);
-    record->scope = scope;
-    record->body_hash = body_hash;
-    record->run_id = g_strdup(request->request_id);
-    record->reorder = BsReorder_Create();
-    record->pieces =
-        g_ptr_array_new_with_free_func((GDestroyNotify)BsMessage_Destroy);
-    record->waiters = g_ptr_array_new_with_free_func(S_destroy_waiter);
-    g_hash_table_insert(keeper->records, record->scope, record);
-    g_hash_table_insert(keeper->runs, record->run_id, record);
+S_create_record(BsKeeper *keeper, const BsMessage *message,
+                BsRecordState state)
+{
+    const BsRequest *request = &message->u.request;
+    int64_t now_ms = BsCore_NowMs(keeper->core);
+    BsRecord *record =
+        BsRecords_Add(keeper->records, request->account, request->key);
+    record->state = state;
+    record->body_hash = g_strdup(request->body_hash);
+    record->deadline_ms = now_ms + request->deadline_ms;
+    record->heard_ms = now_ms;
+    BsRecords_SetRun(keeper->records, record, request->request_id);
+    BsRecords_SetRequest(keeper->records, record, BsMessage_Copy(message));
+    BsRecord_AddWaiter(record, message);
     return record;
 }
 
+/* Fences the key of MESSAGE, which may have run at KEEPER_NAME or, when
+   NULL, anywhere. */
 static void
-S_dispatch(BsKeeper *keeper, const BsMessage *message, const char *owner)
+S_fence_new(BsKeeper *keeper, const BsMessage *message,
+            const char *keeper_name, uint64_t incarnation)
 {
-    BsMessage *forward = BsMessage_Copy(message);
-    forward->u.request.from_stage = BS_STAGE_KEEPER;
-    forward->u.request.stage = BS_STAGE_OWNER;
-    forward->u.request.attempt = 1;
-    BsCore_Send(keeper->core, owner, 0, forward);
+    BsRecord *record = S_create_record(keeper, message, BS_RECORD_FENCED);
+    record->keeper = g_strdup(keeper_name);
+    record->keeper_incarnation = incarnation;
+    g_ptr_array_set_size(record->waiters, 0);
+    BsKeeper_Fence(keeper, record);
+    S_reject_fenced(keeper, record, message);
 }
 
+/* Returns whether the key of MESSAGE may have been sent to a keeper before
+   this one, and fences it if so. */
+static bool
+S_fence_if_sent(BsKeeper *keeper, const BsMessage *message)
+{
+    const BsRequest *request = &message->u.request;
+    const BsCoreConfig *config = &keeper->core->config;
+    if (request->prior_keeper != NULL &&
+        (strcmp(request->prior_keeper, config->name) != 0 ||
+         request->prior_incarnation != config->incarnation)) {
+        S_fence_new(keeper, message, request->prior_keeper,
+                    request->prior_incarnation);
+        return true;
+    }
+    const BsNote *note =
+        BsWitness_FindOther(keeper->core->witness, request->account,
+                            request->key, config->name, config->incarnation);
+    if (note != NULL) {
+        S_fence_new(keeper, message, note->keeper, note->keeper_incarnation);
+    }
+    return note != NULL;
+}
+
+typedef struct {
+    const char *name;
+    uint64_t weight;
+} BsCandidate;
+
+static gint
+S_compare_candidates(gconstpointer left, gconstpointer right)
+{
+    const BsCandidate *a = left;
+    const BsCandidate *b = right;
+    return a->weight == b->weight ? 0 : a->weight < b->weight ? 1 : -1;
+}
+
+/* Returns the candidate number INDEX to witness RECORD, or NULL. */
+static const char *
+S_pick_witness(BsKeeper *keeper, const BsRecord *record, uint32_t index)
+{
+    const BsList *list = BsMembers_List(keeper->core->members);
+    GArray *candidates = g_array_new(FALSE, FALSE, sizeof(BsCandidate));
+    for (guint i = 0; list != NULL && i < list->entries->len; i++) {
+        const BsListEntry *entry = list->entries->pdata[i];
+        if (entry->kind == BS_NODE_INSTANCE && entry->state == BS_NODE_LIVE &&
+            strcmp(entry->name, keeper->core->config.name) != 0) {
+            BsCandidate candidate = {
+                entry->name, BsMembers_Weight(entry->name, record->scope)};
+            g_array_append_val(candidates, candidate);
+        }
+    }
+    g_array_sort(candidates, S_compare_candidates);
+    const char *name =
+        candidates->len == 0
+            ? NULL
+            : g_array_index(candidates, BsCandidate, index % candidates->len)
+                  .name;
+    g_array_unref(candidates);
+    return name;
+}
+
+/* Asks the next instance to witness RECORD. */
+static void
+S_ask_witness(BsKeeper *keeper, BsRecord *record)
+{
+    const char *name = S_pick_witness(keeper, record, record->witnesses_asked);
+    if (name == NULL) {
+        BsKeeper_Dispatch(keeper, record);
+        return;
+    }
+    if (record->witnesses_asked++ >= WITNESSES_MAX) {
+        BsKeeper_Refuse(keeper, record, BS_ERR_PEER_LOST);
+        return;
+    }
+    const BsCoreConfig *config = &keeper->core->config;
+    BsMessage *ask = BsMessage_Create(BS_WITNESS);
+    BsNote *note =
+        BsRecord_CreateNote(record, config->name, config->incarnation, false);
+    note->state = BS_RECORD_SENT;
+    ask->u.note = *note;
+    g_free(note);
+    record->polled_ms = BsCore_NowMs(keeper->core);
+    BsMessage_SetString(&record->witness, name);
+    BsCore_Send(keeper->core, name, 0, ask);
+}
+
+/* Runs the key of MESSAGE for the first time. */
 static void
-S_start(BsKeeper *keeper, const BsMessage *message, char *scope,
-        char *body_hash)
+S_begin(BsKeeper *keeper, const BsMessage *message)
 {
     const BsRequest *request = &message->u.request;
-    const char *owner = BsChoice_PickOwner(keeper->core, request, NULL);
-    if (owner == NULL || g_hash_table_size(keeper->records) >=
-                             keeper->core->config.record_limit) {
-        S_reject(keeper, message,
-                 owner == NULL ? BS_ERR_NO_UPSTREAM : BS_ERR_MEMORY_FULL,
-                 BS_OUTCOME_NOT_RUN);
-        g_free(scope);
-        g_free(body_hash);
+    if (S_fence_if_sent(keeper, message)) {
+        return;
+    }
+    if (!BsRecords_HasRoom(keeper->records)) {
+        BsCore_Count(keeper->core, "record_table_full", 1);
+        BsKeeper_Reject(keeper, message, BS_ERR_MEMORY_FULL,
+                        BS_OUTCOME_NOT_RUN);
         return;
     }
-    BsRecord *record = S_create_record(keeper, request, scope, body_hash);
-    S_add_waiter(keeper, record, message);
-    S_dispatch(keeper, message, owner);
+    BsRecord *record = S_create_record(keeper, message, BS_RECORD_WITNESSING);
+    if (request->ticket == NULL &&
+        strcmp(message->from, keeper->core->config.name) == 0) {
+        S_ask_witness(keeper, record);
+        return;
+    }
+    BsKeeper_Dispatch(keeper, record);
+}
+
+static void
+S_begin_ticket(BsKeeper *keeper, const BsMessage *message)
+{
+    const BsRequest *request = &message->u.request;
+    switch (BsTicket_Judge(keeper->core, request->ticket, request->account)) {
+    case BS_TICKET_OURS:
+        S_begin(keeper, message);
+        break;
+    case BS_TICKET_EXPIRED:
+        BsKeeper_Reject(keeper, message, BS_ERR_TICKET, BS_OUTCOME_UNKNOWN);
+        break;
+    default:
+        BsKeeper_Reject(keeper, message, BS_ERR_TICKET, BS_OUTCOME_NOT_RUN);
+        break;
+    }
+}
+
+/* Holds MESSAGE until a take-over ends. */
+static void
+S_park(BsKeeper *keeper, const BsMessage *message)
+{
+    if (!BsRecords_HasRoom(keeper->records)) {
+        BsKeeper_Reject(keeper, message, BS_ERR_MEMORY_FULL,
+                        BS_OUTCOME_UNKNOWN);
+        return;
+    }
+    BsCore_Count(keeper->core, "keys_parked", 1);
+    BsRecord *record = S_create_record(keeper, message, BS_RECORD_PARKED);
+    int64_t parked_ms = BsCore_NowMs(keeper->core) + PARKED_MAX_MS;
+    record->parked_until_ms = MIN(parked_ms, record->deadline_ms);
+}
+
+static BsTenureState
+S_tenure(BsKeeper *keeper, const BsRequest *request)
+{
+    BsTenureState state =
+        BsTenure_OfKey(keeper->core->tenure, request->account, request->key);
+    bool uncertain = BsCore_NowMs(keeper->core) < keeper->uncertain_until_ms;
+    return state == BS_TENURE_HELD && uncertain ? BS_TENURE_UNCERTAIN : state;
+}
+
+/* Decides about a forward whose key is not known here. */
+static void
+S_consider(BsKeeper *keeper, const BsMessage *message)
+{
+    const BsRequest *request = &message->u.request;
+    if (request->resume) {
+        BsKeeper_Reject(keeper, message, BS_ERR_KEY_UNCERTAIN,
+                        BS_OUTCOME_UNKNOWN);
+        return;
+    }
+    if (BsStop_IsActive(keeper->core->stop)) {
+        BsKeeper_Reject(keeper, message, BS_ERR_DRAINING, BS_OUTCOME_NOT_RUN);
+        return;
+    }
+    if (request->ticket != NULL) {
+        S_begin_ticket(keeper, message);
+        return;
+    }
+    switch (S_tenure(keeper, request)) {
+    case BS_TENURE_HELD:
+        S_begin(keeper, message);
+        break;
+    case BS_TENURE_WAITING:
+        S_park(keeper, message);
+        break;
+    case BS_TENURE_UNCERTAIN:
+        S_fence_new(keeper, message, NULL, 0);
+        break;
+    case BS_TENURE_NONE:
+        BsKeeper_Reject(keeper, message, BS_ERR_NOT_KEEPER,
+                        BS_OUTCOME_NOT_RUN);
+        break;
+    }
 }
 
 void
@@ -196,74 +384,170 @@
 {
     const BsRequest *request = &message->u.request;
     if (request->request_id == NULL || request->account == NULL ||
-        request->key == NULL || request->method == NULL ||
-        request->path == NULL) {
+        request->key == NULL || request->body_hash == NULL) {
         BsCore_Count(keeper->core, "peer_messages_dropped", 1);
         return;
     }
-    char *scope = g_strdup_printf("%s\n%s", request->account, request->key);
-    char *body_hash = S_hash_body(request);
-    BsRecord *record = g_hash_table_lookup(keeper->records, scope);
     S_accept(keeper, message);
-    if (record == NULL) {
-        S_start(keeper, message, scope, body_hash);
+    BsRecord *record =
+        BsRecords_Find(keeper->records, request->account, request->key);
+    if (record != NULL) {
+        S_join(keeper, record, message);
         return;
     }
-    if (strcmp(record->body_hash, body_hash) != 0) {
-        S_reject(keeper, message, BS_ERR_KEY_CONFLICT, BS_OUTCOME_NOT_RUN);
+    S_consider(keeper, message);
+}
+
+void
+BsKeeper_OnRepeat(BsKeeper *keeper, const BsMessage *message)
+{
+    S_accept(keeper, message);
+}
+
+void
+BsKeeper_OnWitnessAck(BsKeeper *keeper, const BsMessage *message)
+{
+    const BsNote *note = &message->u.note;
+    BsRecord *record = BsRecords_FindRun(keeper->records, note->request_id);
+    if (record == NULL || record->state != BS_RECORD_WITNESSING ||
+        record->witness == NULL ||
+        note->keeper_incarnation != keeper->core->config.incarnation) {
+        return;
     }
-    else {
-        BsCore_Count(keeper->core, "keys_joined", 1);
-        S_add_waiter(keeper, record, message);
+    if (S_tenure(keeper, &record->request->u.request) != BS_TENURE_HELD) {
+        BsKeeper_Refuse(keeper, record, BS_ERR_NOT_KEEPER);
+        return;
     }
-    g_free(scope);
-    g_free(body_hash);
+    BsMessage_SetString(&record->witness, message->from);
+    BsKeeper_Dispatch(keeper, record);
 }
 
 void
-BsKeeper_OnAnswer(BsKeeper *keeper, const BsMessage *message)
+BsKeeper_Redeliver(BsKeeper *keeper, BsMessage *forward, GPtrArray *waiters)
 {
-    const char *id = message->u.answer.request_id;
-    BsRecord *record =
-        id == NULL ? NULL : g_hash_table_lookup(keeper->runs, id);
-    if (record == NULL || record->finished ||
-        !BsReorder_Push(record->reorder, message)) {
-        BsCore_Count(keeper->core, "answers_dropped", 1);
+    for (guint i = 0; i < waiters->len; i++) {
+        const BsWaiter *waiter = waiters->pdata[i];
+        BsMessage_SetString(&forward->from, waiter->instance);
+        forward->from_incarnation = waiter->incarnation;
+        BsMessage_SetString(&forward->u.request.request_id,
+                            waiter->request_id);
+        forward->u.request.attempt = waiter->attempt;
+        BsKeeper_OnForward(keeper, forward);
+    }
+    g_ptr_array_unref(waiters);
+    BsMessage_Destroy(forward);
+}
+
+/* Starts the parked RECORD now that its key is held here. */
+static void
+S_unpark(BsKeeper *keeper, BsRecord *record)
+{
+    BsMessage *forward = BsMessage_Copy(record->request);
+    GPtrArray *waiters = BsRecord_TakeWaiters(record);
+    forward->u.request.deadline_ms =
+        record->deadline_ms - BsCore_NowMs(keeper->core);
+    BsRecords_Remove(keeper->records, record);
+    BsKeeper_Redeliver(keeper, forward, waiters);
+}
+
+static void
+S_drop_parked(BsKeeper *keeper, BsRecord *record, BsErrorKind error,
+              BsOutcome outcome)
+{
+    BsKeeper_FailWaiters(keeper, record, error, outcome);
+    BsRecords_Remove(keeper->records, record);
+}
+
+static void
+S_check_parked(BsKeeper *keeper, BsRecord *record)
+{
+    switch (S_tenure(keeper, &record->request->u.request)) {
+    case BS_TENURE_HELD:
+        S_unpark(keeper, record);
+        return;
+    case BS_TENURE_UNCERTAIN:
+        BsKeeper_FailWaiters(keeper, record, BS_ERR_KEY_UNCERTAIN,
+                             BS_OUTCOME_UNKNOWN);
+        BsKeeper_Fence(keeper, record);
         return;
+    case BS_TENURE_NONE:
+        S_drop_parked(keeper, record, BS_ERR_NOT_KEEPER, BS_OUTCOME_NOT_RUN);
+        return;
+    case BS_TENURE_WAITING:
+        break;
     }
-    BsMessage *piece;
-    while ((piece = BsReorder_Pop(record->reorder)) != NULL) {
-        record->finished = record->finished || piece->u.answer.final;
-        g_ptr_array_add(record->pieces, piece);
+    if (BsCore_NowMs(keeper->core) >= record->parked_until_ms) {
+        BsCore_Count(keeper->core, "keys_parked_too_long", 1);
+        S_drop_parked(keeper, record, BS_ERR_KEY_UNCERTAIN,
+                      BS_OUTCOME_UNKNOWN);
     }
-    for (guint i = 0; i < record->waiters->len; i++) {
-        S_serve(keeper, record, record->waiters->pdata[i]);
+}
+
+static void
+S_check_witness(BsKeeper *keeper, BsRecord *record)
+{
+    const BsCore *core = keeper->core;
+    int64_t now_ms = BsCore_NowMs(core);
+    if (now_ms >= record->deadline_ms) {
+        BsKeeper_Refuse(keeper, record, BS_ERR_DEADLINE);
+        return;
+    }
+    if (now_ms - record->polled_ms >=
+        core->config.lease_ms / WITNESSES_PER_LEASE) {
+        S_ask_witness(keeper, record);
     }
 }
 
 void
-BsKeeper_OnAccept(BsKeeper *keeper, const BsMessage *message)
+BsKeeper_OnTick(BsKeeper *keeper)
 {
-    (void)keeper;
-    (void)message;
+    BsRecords_Expire(keeper->records, BsCore_NowMs(keeper->core));
+    GList *open = BsRecords_ListOpen(keeper->records);
+    for (GList *node = open; node != NULL; node = node->next) {
+        BsRecord *record = node->data;
+        switch (record->state) {
+        case BS_RECORD_PARKED:
+            S_check_parked(keeper, record);
+            break;
+        case BS_RECORD_WITNESSING:
+            S_check_witness(keeper, record);
+            break;
+        case BS_RECORD_DISPATCHED:
+            BsKeeper_CheckRun(keeper, record);
+            break;
+        default:
+            break;
+        }
+    }
+    g_list_free(open);
 }
 
 void
-BsKeeper_OnCancel(BsKeeper *keeper, const BsMessage *message)
+BsKeeper_GiveUp(BsKeeper *keeper)
 {
-    (void)keeper;
-    (void)message;
+    GList *open = BsRecords_ListOpen(keeper->records);
+    for (GList *node = open; node != NULL; node = node->next) {
+        BsRecord *record = node->data;
+        if (record->state == BS_RECORD_DISPATCHED) {
+            BsKeeper_LoseRun(keeper, record, BS_ERR_DRAINING);
+        }
+        else {
+            BsKeeper_Refuse(keeper, record, BS_ERR_DRAINING);
+        }
+    }
+    g_list_free(open);
 }
 
 void
-BsKeeper_OnFlow(BsKeeper *keeper, const BsMessage *message)
+BsKeeper_OnCancel(BsKeeper *keeper, const BsMessage *message)
 {
-    (void)keeper;
     (void)message;
+    BsCore_Count(keeper->core, "keeper_cancels_ignored", 1);
 }
 
 void
-BsKeeper_OnTick(BsKeeper *keeper)
+BsKeeper_OnFlow(BsKeeper *keeper, const BsMessage *message)
 {
-    (void)keeper;
+    (void)message;
+    BsCore_Count(keeper->core, "keeper_flows_ignored", 1);
 }
--- a/src/keeper.h
+++ b/src/keeper.h
@@ -18,6 +18,38 @@
 /* Handles a request forwarded to this keeper. */
 void BsKeeper_OnForward(BsKeeper *keeper, const BsMessage *message);
 
+/* Handles a forward that the network repeated. */
+void BsKeeper_OnRepeat(BsKeeper *keeper, const BsMessage *message);
+
+/* Handles BS_WITNESS_ACK. */
+void BsKeeper_OnWitnessAck(BsKeeper *keeper, const BsMessage *message);
+
+/* Appends a BsNote for each key within the resend window that this instance
+   knows as keeper, owner, entry or witness, and that INSTANCE now keeps. */
+void BsKeeper_AppendNotes(BsKeeper *keeper, const char *instance,
+                          GPtrArray *notes);
+
+/* Returns notes with answers for the keys kept here that INSTANCE would keep
+   by LIST. */
+GPtrArray *BsKeeper_TakeNotesFor(BsKeeper *keeper, const BsList *list,
+                                 const char *instance);
+
+/* Takes over the notes of a collect reply or a handover. */
+void BsKeeper_OnNotes(BsKeeper *keeper, const BsMessage *message);
+
+/* Returns the number of keys without an outcome. */
+uint32_t BsKeeper_CountOpen(const BsKeeper *keeper);
+
+/* Returns the number of records. */
+uint32_t BsKeeper_CountRecords(const BsKeeper *keeper);
+
+/* Returns what is known of the key that REQUEST_ID was sent with. */
+BsOutcome BsKeeper_Ask(BsKeeper *keeper, const char *request_id,
+                       const char *account, const char *key);
+
+/* Ends all running records with true outcomes. */
+void BsKeeper_GiveUp(BsKeeper *keeper);
+
 /* Handles a piece of an answer from an owner. */
 void BsKeeper_OnAnswer(BsKeeper *keeper, const BsMessage *message);
 
--- /dev/null
+++ b/src/keeperstate.h
@@ -0,0 +1,56 @@
+/*
+ * keeperstate.h - what the parts of the keeper share.
+ *
+ * Rules: keeper.c decides whether a key may run; keeperrun.c runs it at an
+ * owner; keeperserve.c answers the hops that wait for it.
+ */
+#ifndef BS_KEEPERSTATE_H
+#define BS_KEEPERSTATE_H
+
+#include "keeper.h"
+#include "record.h"
+
+struct BsKeeper {
+    BsCore *core;
+    BsRecords *records;
+    int64_t uncertain_until_ms; /* notes were lost for lack of room */
+};
+
+/* Sends the pieces that WAITER has not got yet. */
+void BsKeeper_Serve(BsKeeper *keeper, const BsRecord *record,
+                    BsWaiter *waiter);
+
+/* Serves all hops that wait for RECORD. */
+void BsKeeper_ServeAll(BsKeeper *keeper, const BsRecord *record);
+
+/* Answers the forward MESSAGE with an error. */
+void BsKeeper_Reject(BsKeeper *keeper, const BsMessage *message,
+                     BsErrorKind error, BsOutcome outcome);
+
+/* Ends the wait of all hops of RECORD with an error. */
+void BsKeeper_FailWaiters(BsKeeper *keeper, BsRecord *record,
+                          BsErrorKind error, BsOutcome outcome);
+
+/* Tells all hops that RECORD did not run, and that it may be sent again. */
+void BsKeeper_Refuse(BsKeeper *keeper, BsRecord *record, BsErrorKind error);
+
+/* Makes RECORD one that never runs here. */
+void BsKeeper_Fence(BsKeeper *keeper, BsRecord *record);
+
+/* Handles FORWARD again for each of WAITERS; takes both. */
+void BsKeeper_Redeliver(BsKeeper *keeper, BsMessage *forward,
+                        GPtrArray *waiters);
+
+/* Sends RECORD to an owner, or refuses it when there is none. */
+void BsKeeper_Dispatch(BsKeeper *keeper, BsRecord *record);
+
+/* Gives up waiting for the owner; a late answer is still recorded. */
+void BsKeeper_LoseRun(BsKeeper *keeper, BsRecord *record, BsErrorKind error);
+
+/* Asks the owner of RECORD for what is missing. */
+void BsKeeper_Poll(BsKeeper *keeper, BsRecord *record);
+
+/* Checks the contact with the owner of RECORD and its deadline. */
+void BsKeeper_CheckRun(BsKeeper *keeper, BsRecord *record);
+
+#endif /* BS_KEEPERSTATE_H */
--- /dev/null
+++ b/src/once.c
@@ -0,0 +1,540 @@
+/* once.c - non-idempotent requests of callers connected to this instance. */
+#include "once.h"
+
+#include "explain.h"
+#include "peer.h"
+#include "reorder.h"
+#include "schema.h"
+#include "ticket.h"
+#include "witness.h"
+
+#include <string.h>
+
+/* Time beyond the deadline in which the keeper's own answer may arrive. */
+#define DEADLINE_GRACE_MS 250
+
+/* Most forwards of one request that start work. */
+#define ATTEMPTS_MAX 32
+
+/* Time before another keeper is asked when the lists disagree. */
+#define RETRY_MS 200
+
+/* Longest time for which the lists may disagree before the request is
+   refused. */
+#define RETRY_MAX_MS 5000
+
+/* Polls of a silent keeper within a lease. */
+#define POLLS_PER_LEASE 4
+
+/* Prefix of the keys under which ticketed requests are recorded. */
+#define TICKET_KEY "ticket "
+
+typedef struct {
+    BsMessage *request; /* BS_FORWARD; the template of every attempt */
+    BsReorder *reorder;
+    char *keeper;         /* instance the request was forwarded to */
+    uint64_t incarnation; /* it was meant for; 0 while that is asked */
+    uint64_t forward_seq; /* number of the forward */
+    uint64_t next_seq;    /* of the next piece to the caller */
+    int64_t deadline_ms;
+    int64_t started_ms;
+    int64_t heard_ms;  /* from the keeper */
+    int64_t polled_ms; /* last message to the keeper */
+    int64_t retry_ms;  /* when to ask a keeper again, or 0 */
+    uint32_t attempt;
+    BsOutcome hint; /* outcome to tell if the keeper cannot be asked */
+    bool accepted;
+    bool moved; /* asks a keeper that may have run it before */
+    bool gone;  /* the caller went away */
+} BsSent;
+
+struct BsOnce {
+    BsCore *core;
+    GHashTable *requests; /* request id to BsSent */
+};
+
+static void
+S_destroy_sent(void *data)
+{
+    BsSent *sent = data;
+    BsMessage_Destroy(sent->request);
+    BsReorder_Destroy(sent->reorder);
+    g_free(sent->keeper);
+    g_free(sent);
+}
+
+BsOnce *
+BsOnce_Create(BsCore *core)
+{
+    BsOnce *once = g_new0(BsOnce, 1);
+    once->core = core;
+    once->requests =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, S_destroy_sent);
+    return once;
+}
+
+void
+BsOnce_Destroy(BsOnce *once)
+{
+    if (once == NULL) {
+        return;
+    }
+    g_hash_table_destroy(once->requests);
+    g_free(once);
+}
+
+uint32_t
+BsOnce_Count(const BsOnce *once)
+{
+    return g_hash_table_size(once->requests);
+}
+
+static const BsRequest *
+S_request(const BsSent *sent)
+{
+    return &sent->request->u.request;
+}
+
+static BsSent *
+S_find(const BsOnce *once, const char *request_id)
+{
+    return request_id == NULL
+               ? NULL
+               : g_hash_table_lookup(once->requests, request_id);
+}
+
+static char *
+S_hash(const BsRequest *request)
+{
+    GChecksum *checksum = g_checksum_new(G_CHECKSUM_SHA256);
+    const char *parts[] = {request->service, request->method, request->path};
+    for (size_t i = 0; i < G_N_ELEMENTS(parts); i++) {
+        const char *part = parts[i] == NULL ? "" : parts[i];
+        g_checksum_update(checksum, (const guchar *)part,
+                          (gssize)strlen(part) + 1);
+    }
+    if (request->body != NULL) {
+        gsize size;
+        const void *data = g_bytes_get_data(request->body, &size);
+        g_checksum_update(checksum, data, (gssize)size);
+    }
+    char *hash = g_strdup(g_checksum_get_string(checksum));
+    g_checksum_free(checksum);
+    return hash;
+}
+
+BsErrorKind
+BsOnce_Prepare(BsOnce *once, BsRequest *request)
+{
+    g_free(request->body_hash);
+    request->body_hash = S_hash(request);
+    if (request->ticket == NULL) {
+        if (request->key == NULL) {
+            request->key = g_strdup(request->request_id);
+        }
+        return BS_ERR_NONE;
+    }
+    BsTicketParts parts;
+    bool valid =
+        BsTicket_Read(once->core, request->ticket, request->account, &parts);
+    if (valid) {
+        g_free(request->key);
+        request->key =
+            g_strconcat(TICKET_KEY, parts.nonce, "@", parts.keeper, NULL);
+    }
+    BsTicketParts_Clear(&parts);
+    return valid ? BS_ERR_NONE : BS_ERR_TICKET;
+}
+
+/* Fills NOTE with what SENT says; the strings stay with SENT. */
+static void
+S_fill_note(const BsSent *sent, BsNote *note)
+{
+    const BsRequest *request = S_request(sent);
+    memset(note, 0, sizeof(*note));
+    note->account = request->account;
+    note->key = request->key;
+    note->body_hash = request->body_hash;
+    note->request_id = request->request_id;
+    note->keeper = sent->keeper;
+    note->keeper_incarnation = sent->incarnation;
+    note->state = BS_RECORD_SENT;
+}
+
+static bool
+S_has_note(const BsSent *sent)
+{
+    return sent->incarnation != 0 && !sent->moved &&
+           S_request(sent)->ticket == NULL;
+}
+
+static void
+S_finish_note(BsOnce *once, const BsSent *sent, BsOutcome outcome)
+{
+    if (S_has_note(sent)) {
+        BsNote note;
+        S_fill_note(sent, &note);
+        BsWitness_Finish(once->core->witness, &note, outcome);
+    }
+}
+
+/* Passes PIECE, which it takes, to the caller; ends SENT when it is final. */
+static void
+S_emit(BsOnce *once, BsSent *sent, BsMessage *piece)
+{
+    BsAnswer *answer = &piece->u.answer;
+    bool final = answer->final;
+    piece->kind = BS_CALLER_ANSWER;
+    BsMessage_SetString(&answer->request_id, S_request(sent)->request_id);
+    answer->attempt = sent->attempt;
+    if (sent->next_seq == 0) {
+        g_free(answer->ticket);
+        answer->ticket = BsTicket_Issue(once->core, S_request(sent)->account);
+    }
+    answer->seq = sent->next_seq++;
+    if (final) {
+        S_finish_note(once, sent, answer->outcome);
+        BsExplain_OnEnd(once->core->explain, S_request(sent)->request_id,
+                        answer, sent->keeper);
+        BsCore_Count(once->core, "answers_final", 1);
+    }
+    if (sent->gone) {
+        BsMessage_Destroy(piece);
+    }
+    else {
+        BsCore_Emit(once->core, piece);
+    }
+    if (final) {
+        g_hash_table_remove(once->requests, S_request(sent)->request_id);
+    }
+}
+
+static void
+S_fail(BsOnce *once, BsSent *sent, BsErrorKind error, BsOutcome outcome)
+{
+    BsCore_Count(once->core, "answers_error", 1);
+    S_emit(once, sent,
+           BsCore_CreateError(BS_CALLER_ANSWER, S_request(sent)->request_id,
+                              sent->attempt, error, outcome));
+}
+
+/* Ends SENT, whose keeper may have run it but cannot be asked. */
+static void
+S_lose(BsOnce *once, BsSent *sent, BsErrorKind error)
+{
+    if (sent->incarnation == 0 && !sent->moved) {
+        S_fail(once, sent, error, BS_OUTCOME_NOT_RUN);
+    }
+    else if (sent->hint == BS_OUTCOME_RAN) {
+        S_fail(once, sent, BS_ERR_ANSWER_LOST, BS_OUTCOME_RAN);
+    }
+    else {
+        S_fail(once, sent, error, BS_OUTCOME_UNKNOWN);
+    }
+}
+
+/* Sends the forward of SENT under the number SEQ or, when 0, a new one. */
+static void
+S_send_forward(BsOnce *once, BsSent *sent, uint64_t seq)
+{
+    BsMessage *forward = BsMessage_Copy(sent->request);
+    BsRequest *request = &forward->u.request;
+    int64_t now_ms = BsCore_NowMs(once->core);
+    request->attempt = sent->attempt;
+    request->deadline_ms = sent->deadline_ms - now_ms;
+    request->seq = seq == 0 ? BsCore_NextForward(once->core) : seq;
+    request->resume = sent->moved || (sent->accepted && seq == 0);
+    request->from_piece = request->resume ? sent->next_seq : 0;
+    if (sent->incarnation == 0 || request->resume) {
+        g_clear_pointer(&request->body, g_bytes_unref);
+    }
+    const BsNote *prior =
+        BsWitness_FindOther(once->core->witness, request->account,
+                            request->key, sent->keeper, sent->incarnation);
+    if (prior != NULL && !sent->moved) {
+        BsMessage_SetString(&request->prior_keeper, prior->keeper);
+        request->prior_incarnation = prior->keeper_incarnation;
+    }
+    if (!request->resume) {
+        sent->forward_seq = request->seq;
+    }
+    sent->polled_ms = now_ms;
+    BsCore_Count(once->core, "forwards", 1);
+    BsCore_Send(once->core, sent->keeper, sent->incarnation, forward);
+}
+
+/* Starts an attempt at KEEPER, which is meant to be INCARNATION. */
+static void
+S_start_attempt(BsOnce *once, BsSent *sent, const char *keeper,
+                uint64_t incarnation)
+{
+    BsMessage_SetString(&sent->keeper, keeper);
+    sent->incarnation = incarnation;
+    sent->attempt++;
+    sent->accepted = false;
+    sent->retry_ms = 0;
+    sent->heard_ms = BsCore_NowMs(once->core);
+    BsReorder_Destroy(sent->reorder);
+    sent->reorder = BsReorder_Create();
+    if (S_has_note(sent)) {
+        BsNote note;
+        S_fill_note(sent, &note);
+        if (!BsWitness_Add(once->core->witness, &note)) {
+            sent->incarnation = 0;
+            S_fail(once, sent, BS_ERR_MEMORY_FULL, BS_OUTCOME_NOT_RUN);
+            return;
+        }
+    }
+    S_send_forward(once, sent, 0);
+}
+
+/* Sends SENT to the instance that keeps its key. */
+static void
+S_send(BsOnce *once, BsSent *sent)
+{
+    const BsCore *core = once->core;
+    const BsRequest *request = S_request(sent);
+    const char *keeper =
+        BsMembers_KeeperOf(core->members, request->account, request->key);
+    if (keeper == NULL) {
+        S_fail(once, sent, BS_ERR_NO_UPSTREAM, BS_OUTCOME_NOT_RUN);
+        return;
+    }
+    uint64_t incarnation =
+        strcmp(keeper, core->config.name) == 0
+            ? core->config.incarnation
+            : BsPeers_Incarnation(core->peers, keeper, core->config.lease_ms,
+                                  BsCore_NowMs(core));
+    S_start_attempt(once, sent, keeper, incarnation);
+}
+
+/* Sends SENT to the incarnation that its ticket names.  When that one left
+   the list, the next keeper may have been handed its record. */
+static void
+S_send_by_ticket(BsOnce *once, BsSent *sent)
+{
+    const BsRequest *request = S_request(sent);
+    const BsMembers *members = once->core->members;
+    BsTicketParts parts;
+    BsTicket_Read(once->core, request->ticket, request->account, &parts);
+    if (BsMembers_Find(members, parts.keeper) != NULL) {
+        S_start_attempt(once, sent, parts.keeper, parts.incarnation);
+    }
+    else {
+        sent->moved = true;
+        S_send(once, sent);
+    }
+    BsTicketParts_Clear(&parts);
+}
+
+void
+BsOnce_Submit(BsOnce *once, BsMessage *forward)
+{
+    BsSent *sent = g_new0(BsSent, 1);
+    int64_t now_ms = BsCore_NowMs(once->core);
+    sent->request = forward;
+    sent->started_ms = now_ms;
+    sent->deadline_ms = now_ms + forward->u.request.deadline_ms;
+    g_hash_table_insert(once->requests, forward->u.request.request_id, sent);
+    BsExplain_OnStart(once->core->explain, &forward->u.request);
+    if (forward->u.request.ticket != NULL) {
+        S_send_by_ticket(once, sent);
+    }
+    else {
+        S_send(once, sent);
+    }
+}
+
+/* Asks the keeper that may have run the key before. */
+static void
+S_follow(BsOnce *once, BsSent *sent, const BsAnswer *answer)
+{
+    if (sent->moved || answer->keeper == NULL) {
+        S_lose(once, sent, BS_ERR_KEY_UNCERTAIN);
+        return;
+    }
+    S_finish_note(once, sent,
+                  answer->outcome == BS_OUTCOME_RAN ? BS_OUTCOME_RAN
+                                                    : BS_OUTCOME_UNKNOWN);
+    sent->moved = true;
+    sent->hint = answer->outcome;
+    S_start_attempt(once, sent, answer->keeper, answer->keeper_incarnation);
+}
+
+/* Returns whether SENT may be sent to another keeper, or later again. */
+static bool
+S_may_retry(const BsOnce *once, const BsSent *sent, const BsAnswer *answer)
+{
+    const BsCore *core = once->core;
+    const BsRequest *request = S_request(sent);
+    int64_t now_ms = BsCore_NowMs(core);
+    if (answer->outcome != BS_OUTCOME_NOT_RUN || sent->next_seq > 0 ||
+        sent->moved || request->ticket != NULL ||
+        sent->attempt >= ATTEMPTS_MAX || now_ms >= sent->deadline_ms ||
+        now_ms >= sent->started_ms + RETRY_MAX_MS) {
+        return false;
+    }
+    if (answer->error == BS_ERR_NOT_KEEPER) {
+        return true;
+    }
+    const char *keeper =
+        BsMembers_KeeperOf(core->members, request->account, request->key);
+    return answer->error == BS_ERR_DRAINING &&
+           g_strcmp0(keeper, sent->keeper) != 0;
+}
+
+/* Handles the last piece of the keeper's answer, which it takes. */
+static void
+S_on_final(BsOnce *once, BsSent *sent, BsMessage *piece)
+{
+    const BsAnswer *answer = &piece->u.answer;
+    if (answer->error == BS_ERR_KEY_MOVED) {
+        S_follow(once, sent, answer);
+    }
+    else if (S_may_retry(once, sent, answer)) {
+        S_finish_note(once, sent, BS_OUTCOME_NOT_RUN);
+        sent->incarnation = 0;
+        sent->accepted = false;
+        sent->retry_ms = BsCore_NowMs(once->core) + RETRY_MS;
+        BsCore_Count(once->core, "keeper_retries", 1);
+    }
+    else if (sent->moved && answer->error == BS_ERR_KEY_UNCERTAIN) {
+        S_lose(once, sent,
+               S_request(sent)->ticket != NULL ? BS_ERR_TICKET
+                                               : BS_ERR_KEY_UNCERTAIN);
+    }
+    else {
+        S_emit(once, sent, piece);
+        return;
+    }
+    BsMessage_Destroy(piece);
+}
+
+/* Handles an instance that refused a forward meant for another incarnation. */
+static void
+S_on_incarnation(BsOnce *once, BsSent *sent, const BsMessage *message)
+{
+    if (sent->incarnation != 0 || sent->retry_ms != 0) {
+        S_lose(once, sent,
+               S_request(sent)->ticket != NULL ? BS_ERR_TICKET
+                                               : BS_ERR_PEER_LOST);
+    }
+    else if (sent->attempt >= ATTEMPTS_MAX) {
+        S_fail(once, sent, BS_ERR_INCARNATION, BS_OUTCOME_NOT_RUN);
+    }
+    else {
+        S_start_attempt(once, sent, message->from, message->from_incarnation);
+    }
+}
+
+bool
+BsOnce_OnAnswer(BsOnce *once, const BsMessage *message)
+{
+    BsSent *sent = S_find(once, message->u.answer.request_id);
+    if (sent == NULL) {
+        return false;
+    }
+    uint32_t attempt = message->u.answer.attempt;
+    bool expected = sent->attempt == attempt && sent->retry_ms == 0 &&
+                    g_strcmp0(sent->keeper, message->from) == 0;
+    if (expected && message->u.answer.error == BS_ERR_INCARNATION) {
+        S_on_incarnation(once, sent, message);
+        return true;
+    }
+    if (!expected || sent->incarnation != message->from_incarnation ||
+        !BsReorder_Push(sent->reorder, message)) {
+        BsCore_Count(once->core, "answers_dropped", 1);
+        return true;
+    }
+    sent->accepted = true;
+    sent->heard_ms = BsCore_NowMs(once->core);
+    char *id = g_strdup(message->u.answer.request_id);
+    BsMessage *piece;
+    while ((sent = S_find(once, id)) != NULL && sent->attempt == attempt &&
+           (piece = BsReorder_Pop(sent->reorder)) != NULL) {
+        if (piece->u.answer.final) {
+            S_on_final(once, sent, piece);
+        }
+        else {
+            S_emit(once, sent, piece);
+        }
+    }
+    g_free(id);
+    return true;
+}
+
+void
+BsOnce_OnAccept(BsOnce *once, const BsMessage *message)
+{
+    BsSent *sent = S_find(once, message->u.accept.request_id);
+    if (sent != NULL && sent->attempt == message->u.accept.attempt &&
+        sent->incarnation == message->from_incarnation) {
+        sent->accepted = true;
+        sent->heard_ms = BsCore_NowMs(once->core);
+    }
+}
+
+void
+BsOnce_OnCancel(BsOnce *once, const BsMessage *message)
+{
+    BsSent *sent = S_find(once, message->u.cancel.request_id);
+    if (sent != NULL) {
+        BsCore_Count(once->core, "callers_gone", 1);
+        sent->gone = true;
+    }
+}
+
+void
+BsOnce_GiveUp(BsOnce *once)
+{
+    GList *all = g_hash_table_get_values(once->requests);
+    for (GList *node = all; node != NULL; node = node->next) {
+        S_lose(once, node->data, BS_ERR_DRAINING);
+    }
+    g_list_free(all);
+}
+
+/* Checks the contact with the keeper of SENT. */
+static void
+S_check_contact(BsOnce *once, BsSent *sent, int64_t now_ms)
+{
+    int64_t lease_ms = once->core->config.lease_ms;
+    if (strcmp(sent->keeper, once->core->config.name) == 0) {
+        return;
+    }
+    if (now_ms - sent->heard_ms >= lease_ms) {
+        S_lose(once, sent,
+               S_request(sent)->ticket != NULL ? BS_ERR_TICKET
+                                               : BS_ERR_PEER_LOST);
+        return;
+    }
+    if (now_ms - MAX(sent->heard_ms, sent->polled_ms) >=
+        lease_ms / POLLS_PER_LEASE) {
+        S_send_forward(once, sent, sent->accepted ? 0 : sent->forward_seq);
+    }
+}
+
+static void
+S_check(BsOnce *once, BsSent *sent, int64_t now_ms)
+{
+    if (now_ms > sent->deadline_ms + DEADLINE_GRACE_MS) {
+        S_lose(once, sent, BS_ERR_DEADLINE);
+    }
+    else if (sent->retry_ms == 0) {
+        S_check_contact(once, sent, now_ms);
+    }
+    else if (now_ms >= sent->retry_ms) {
+        S_send(once, sent);
+    }
+}
+
+void
+BsOnce_OnTick(BsOnce *once)
+{
+    int64_t now_ms = BsCore_NowMs(once->core);
+    GList *all = g_hash_table_get_values(once->requests);
+    for (GList *node = all; node != NULL; node = node->next) {
+        S_check(once, node->data, now_ms);
+    }
+    g_list_free(all);
+}
--- a/src/owner.c
+++ b/src/owner.c
@@ -2,6 +2,9 @@
 #include "owner.h"
 
 #include "choice.h"
+#include "poison.h"
+#include "run.h"
+#include "stop.h"
 
 #include <string.h>
 
@@ -80,6 +83,9 @@
     piece->u.answer.seq = work->next_seq++;
     piece->u.answer.attempt = request->attempt;
     piece->u.answer.to_stage = request->from_stage;
+    if (!request->idempotent) {
+        BsRuns_Keep(owner->core->runs, work->request, piece);
+    }
     BsCore_Send(owner->core, work->request->from,
                 work->request->from_incarnation, piece);
 }
@@ -139,6 +145,9 @@
     S_change_in_flight(owner, upstream->name, 1);
     g_hash_table_insert(owner->running, work->request->u.request.request_id,
                         work);
+    if (!dispatch->u.request.idempotent) {
+        BsRuns_OnDispatch(owner->core->runs, work->request);
+    }
     BsCore_Count(owner->core, "dispatches", 1);
     BsCore_Emit(owner->core, dispatch);
 }
@@ -200,8 +209,16 @@
     work->rank = tier == NULL ? UINT32_MAX : tier->rank;
     work->deadline_ms = BsCore_NowMs(owner->core) + request->deadline_ms;
     S_pick_upstream(owner, request, &exists);
-    if (!exists) {
-        S_fail(owner, work, BS_ERR_NO_UPSTREAM);
+    BsErrorKind error = exists ? BS_ERR_NONE : BS_ERR_NO_UPSTREAM;
+    if (BsStop_IsActive(owner->core->stop)) {
+        error = BS_ERR_DRAINING;
+    }
+    else if (BsPoison_Judge(owner->core->poison, request) ==
+             BS_POISON_QUARANTINED) {
+        error = BS_ERR_QUARANTINED;
+    }
+    if (error != BS_ERR_NONE) {
+        S_fail(owner, work, error);
         S_destroy_work(work);
         return;
     }
@@ -233,12 +250,46 @@
     BsCore_Count(owner->core, "reports", 1);
 }
 
+/* Takes a non-idempotent request that was cancelled out of the queue. */
+static void
+S_refuse_queued(BsOwner *owner, const BsMessage *message)
+{
+    for (guint i = 0; i < owner->queue->len; i++) {
+        BsWork *work = owner->queue->pdata[i];
+        if (work->request->from_incarnation == message->from_incarnation &&
+            strcmp(work->request->u.request.request_id,
+                   message->u.cancel.request_id) == 0) {
+            S_fail(owner, work, message->u.cancel.reason);
+            g_ptr_array_remove_index(owner->queue, i);
+            return;
+        }
+    }
+}
+
+void
+BsOwner_Release(BsOwner *owner)
+{
+    for (guint i = 0; i < owner->queue->len; i++) {
+        S_fail(owner, owner->queue->pdata[i], BS_ERR_DRAINING);
+    }
+    g_ptr_array_set_size(owner->queue, 0);
+}
+
+uint32_t
+BsOwner_Count(const BsOwner *owner)
+{
+    return owner->queue->len + g_hash_table_size(owner->running);
+}
+
 void
 BsOwner_OnCancel(BsOwner *owner, const BsMessage *message)
 {
     const char *id = message->u.cancel.request_id;
     BsWork *work = id == NULL ? NULL : g_hash_table_lookup(owner->running, id);
-    if (work != NULL) {
+    if (BsRuns_OnCancel(owner->core->runs, message)) {
+        S_refuse_queued(owner, message);
+    }
+    if (work != NULL && work->request->u.request.idempotent) {
         BsMessage *cancel = BsMessage_Copy(message);
         cancel->kind = BS_UPSTREAM_CANCEL;
         BsCore_Emit(owner->core, cancel);
--- a/src/owner.h
+++ b/src/owner.h
@@ -34,6 +34,12 @@
 /* Handles a new instance list. */
 void BsOwner_OnList(BsOwner *owner);
 
+/* Gives queued work back to its senders, for a planned stop. */
+void BsOwner_Release(BsOwner *owner);
+
+/* Returns the number of requests queued and running. */
+uint32_t BsOwner_Count(const BsOwner *owner);
+
 /* Drives timers. */
 void BsOwner_OnTick(BsOwner *owner);
 
--- a/src/poison.h
+++ b/src/poison.h
@@ -34,6 +34,12 @@
 /* Handles a suspect told by a peer. */
 void BsPoison_OnMessage(BsPoison *poison, const BsMessage *message);
 
+/* Sends suspects to a peer whose digest says that it knows fewer. */
+void BsPoison_OnDigest(BsPoison *poison, const BsMessage *message);
+
+/* Returns the number of suspects known. */
+uint32_t BsPoison_Count(const BsPoison *poison);
+
 /* Drives timers. */
 void BsPoison_OnTick(BsPoison *poison);
 
--- a/src/query.c
+++ b/src/query.c
@@ -2,12 +2,21 @@
 #include "query.h"
 
 #include "entry.h"
+#include "explain.h"
+#include "keeper.h"
+#include "once.h"
+#include "poison.h"
+#include "run.h"
 #include "sheetstore.h"
+#include "stop.h"
+#include "ticket.h"
+#include "token.h"
 
 #include <jansson.h>
 #include <string.h>
 
 #define STATUS_OK 200
+#define STATUS_UNAUTHORIZED 401
 #define STATUS_NOT_FOUND 404
 #define STATUS_NOT_READY 503
 
@@ -31,7 +40,9 @@
 static bool
 S_is_ready(const BsCore *core)
 {
-    return BsCore_Sheet(core) != NULL && BsMembers_List(core->members) != NULL;
+    return BsCore_Sheet(core) != NULL &&
+           BsMembers_List(core->members) != NULL &&
+           !BsStop_IsActive(core->stop);
 }
 
 static GBytes *
@@ -67,7 +78,11 @@
     BsCounters_Set(core->counters, "list_revision",
                    BsMembers_Revision(core->members));
     BsCounters_Set(core->counters, "requests_open",
-                   BsEntry_Count(core->entry));
+                   BsEntry_Count(core->entry) + BsOnce_Count(core->once));
+    BsCounters_Set(core->counters, "records",
+                   BsKeeper_CountRecords(core->keeper));
+    BsCounters_Set(core->counters, "runs", BsRuns_Count(core->runs));
+    BsCounters_Set(core->counters, "suspects", BsPoison_Count(core->poison));
     BsCounters_Format(core->counters, out);
     *status = STATUS_OK;
     return g_string_free_to_bytes(out);
@@ -92,10 +107,39 @@
     return S_to_bytes(json_pack("{s:s, s:o}", "object", "list", "data", rows));
 }
 
+static GBytes *
+S_answer_ticket(BsCore *core, const BsQuery *query, uint32_t *status)
+{
+    const BsSheet *sheet = BsCore_Sheet(core);
+    char *account =
+        sheet == NULL || query->token == NULL
+            ? NULL
+            : BsToken_Resolve(sheet, core->config.secret, query->token);
+    char *ticket = account == NULL ? NULL : BsTicket_Issue(core, account);
+    json_t *body = NULL;
+    if (account == NULL) {
+        *status = STATUS_UNAUTHORIZED;
+        body = json_pack("{s:s}", "error",
+                         BsError_Describe(BS_ERR_UNAUTHORIZED)->name);
+    }
+    else if (ticket == NULL || BsStop_IsActive(core->stop)) {
+        *status = STATUS_NOT_READY;
+        body = json_pack("{s:s}", "error",
+                         BsError_Describe(BS_ERR_NOT_READY)->name);
+    }
+    else {
+        *status = STATUS_OK;
+        body = json_pack("{s:s, s:I}", "ticket", ticket, "valid_ms",
+                         (json_int_t)core->config.resend_window_ms);
+    }
+    g_free(ticket);
+    g_free(account);
+    return S_to_bytes(body);
+}
+
 static const BsQueryRow S_rows[] = {
-    {"ready", S_answer_ready},
-    {"status", S_answer_status},
-    {"metrics", S_answer_metrics},
+    {"ticket", S_answer_ticket}, {"ready", S_answer_ready},
+    {"status", S_answer_status}, {"metrics", S_answer_metrics},
     {"models", S_answer_models},
 };
 
@@ -103,6 +147,9 @@
 BsQuery_Handle(BsCore *core, const BsMessage *message)
 {
     const BsQuery *query = &message->u.query;
+    if (BsExplain_OnQuery(core->explain, message)) {
+        return;
+    }
     BsMessage *reply = BsMessage_Create(BS_QUERY_REPLY);
     reply->u.reply.query_id = g_strdup(query->query_id);
     for (size_t i = 0; i < G_N_ELEMENTS(S_rows); i++) {
