--- a/src/owner.c
+++ b/src/owner.c
@@ -286,7 +286,7 @@
 {
     const char *id = message->u.cancel.request_id;
     BsWork *work = id == NULL ? NULL : g_hash_table_lookup(owner->running, id);
-    if (BsRuns_OnCancel(owner->core->runs, message)) {
+    if (id != NULL && BsRuns_OnCancel(owner->core->runs, message)) {
         S_refuse_queued(owner, message);
     }
     if (work != NULL && work->request->u.request.idempotent) {
