--- a/src/entry.c
+++ b/src/entry.c
@@ -368,6 +368,7 @@
     if (answer->final && S_may_retry(entry, request, answer)) {
         g_hash_table_add(request->tried, g_strdup(request->child));
         BsCore_Count(entry->core, "retries", 1);
+        request->request->u.request.crashes += answer->crashed ? 1 : 0;
         BsMessage_Destroy(piece);
         S_forward(entry, request);
         return;
--- a/src/explain.c
+++ b/src/explain.c
@@ -156,6 +156,26 @@
     BsMessage_SetString(&story->upstream, answer->upstream);
 }
 
+void
+BsExplain_OnLate(BsExplain *explain, const BsMessage *message)
+{
+    const BsAnswer *answer = &message->u.answer;
+    BsStory *story =
+        answer->request_id == NULL
+            ? NULL
+            : g_hash_table_lookup(explain->stories, answer->request_id);
+    if (story == NULL || !answer->final || story->idempotent ||
+        story->outcome != BS_OUTCOME_UNKNOWN ||
+        g_strcmp0(story->keeper, message->from) != 0) {
+        return;
+    }
+    if (answer->outcome == BS_OUTCOME_RAN ||
+        answer->outcome == BS_OUTCOME_NOT_RUN) {
+        BsCore_Count(explain->core, "outcomes_settled_late", 1);
+        story->outcome = answer->outcome;
+    }
+}
+
 static const char *
 S_outcome_name(BsOutcome outcome)
 {
--- a/src/explain.h
+++ b/src/explain.h
@@ -23,6 +23,9 @@
 void BsExplain_OnEnd(BsExplain *explain, const char *request_id,
                      const BsAnswer *answer, const char *keeper);
 
+/* Takes over what a keeper tells of a request that ended in doubt. */
+void BsExplain_OnLate(BsExplain *explain, const BsMessage *message);
+
 /* Handles the queries "request" and "explain", whose answer may come later;
    returns false for other queries. */
 bool BsExplain_OnQuery(BsExplain *explain, const BsMessage *message);
--- a/src/keeperrun.c
+++ b/src/keeperrun.c
@@ -104,7 +104,9 @@
 {
     BsCore *core = keeper->core;
     BsCore_Count(core, "keys_unknown", 1);
+    GPtrArray *waiters = BsRecord_CopyWaiters(record);
     BsKeeper_FailWaiters(keeper, record, error, BS_OUTCOME_UNKNOWN);
+    record->in_doubt = waiters;
     record->error = error;
     BsRecords_Finish(keeper->records, record, BS_OUTCOME_UNKNOWN,
                      BsCore_NowMs(core) + core->config.resend_window_ms);
@@ -230,6 +232,7 @@
     record->error = last->error;
     BsRecords_Finish(keeper->records, record, outcome,
                      BsCore_NowMs(core) + core->config.resend_window_ms);
+    BsKeeper_SettleDoubt(keeper, record);
 }
 
 /* Handles an owner's word that it did not run RECORD and never will. */
--- a/src/keeperserve.c
+++ b/src/keeperserve.c
@@ -1,6 +1,10 @@
 /* keeperserve.c - answers to the hops that wait for a record. */
 #include "keeperstate.h"
 
+/* Number of the piece that settles a doubt; no entry that still waits for
+   pieces takes it for one of them. */
+#define LATE_SEQ (UINT64_MAX - 1)
+
 /* Time for which copies of a refused request are refused alike. */
 #define REFUSED_MS 1000
 
@@ -58,6 +62,20 @@
     g_ptr_array_set_size(record->waiters, 0);
 }
 
+void
+BsKeeper_SettleDoubt(BsKeeper *keeper, BsRecord *record)
+{
+    for (guint i = 0; record->in_doubt != NULL && i < record->in_doubt->len;
+         i++) {
+        BsWaiter *waiter = record->in_doubt->pdata[i];
+        waiter->next_seq = LATE_SEQ;
+        S_send_to_waiter(keeper, waiter,
+                         BsCore_CreateError(BS_ANSWER, waiter->request_id, 0,
+                                            record->error, record->outcome));
+    }
+    g_clear_pointer(&record->in_doubt, g_ptr_array_unref);
+}
+
 /* Tells the witness that RECORD did not run. */
 static void
 S_tell_witness(BsKeeper *keeper, const BsRecord *record)
@@ -88,6 +106,7 @@
     record->error = error;
     BsRecords_Finish(keeper->records, record, BS_OUTCOME_NOT_RUN,
                      now_ms + REFUSED_MS);
+    BsKeeper_SettleDoubt(keeper, record);
 }
 
 void
--- a/src/keeperstate.h
+++ b/src/keeperstate.h
@@ -31,6 +31,9 @@
 void BsKeeper_FailWaiters(BsKeeper *keeper, BsRecord *record,
                           BsErrorKind error, BsOutcome outcome);
 
+/* Tells the hops that were told unknown how RECORD ended. */
+void BsKeeper_SettleDoubt(BsKeeper *keeper, BsRecord *record);
+
 /* Tells all hops that RECORD did not run, and that it may be sent again. */
 void BsKeeper_Refuse(BsKeeper *keeper, BsRecord *record, BsErrorKind error);
 
--- a/src/once.c
+++ b/src/once.c
@@ -432,6 +432,7 @@
 {
     BsSent *sent = S_find(once, message->u.answer.request_id);
     if (sent == NULL) {
+        BsExplain_OnLate(once->core->explain, message);
         return false;
     }
     uint32_t attempt = message->u.answer.attempt;
--- a/src/owner.c
+++ b/src/owner.c
@@ -226,6 +226,19 @@
     S_dispatch_all(owner);
 }
 
+/* Tells the suspects how WORK ended. */
+static void
+S_judge_end(BsOwner *owner, const BsWork *work, const BsAnswer *last)
+{
+    const BsRequest *request = &work->request->u.request;
+    if (last->crashed) {
+        BsPoison_OnCrash(owner->core->poison, request);
+    }
+    else if (last->error == BS_ERR_NONE) {
+        BsPoison_OnFinish(owner->core->poison, request);
+    }
+}
+
 void
 BsOwner_OnUpstreamAnswer(BsOwner *owner, const BsMessage *message)
 {
@@ -237,6 +250,7 @@
     }
     S_answer(owner, work, BsMessage_Copy(message));
     if (message->u.answer.final) {
+        S_judge_end(owner, work, &message->u.answer);
         S_change_in_flight(owner, work->upstream, -1);
         g_hash_table_remove(owner->running, id);
         S_dispatch_all(owner);
--- a/src/record.c
+++ b/src/record.c
@@ -56,6 +56,9 @@
     BsReorder_Destroy(record->reorder);
     g_ptr_array_unref(record->pieces);
     g_ptr_array_unref(record->waiters);
+    if (record->in_doubt != NULL) {
+        g_ptr_array_unref(record->in_doubt);
+    }
     g_hash_table_destroy(record->tried);
     g_free(record);
 }
@@ -279,6 +282,20 @@
     return waiter;
 }
 
+GPtrArray *
+BsRecord_CopyWaiters(const BsRecord *record)
+{
+    GPtrArray *copies = g_ptr_array_new_with_free_func(S_destroy_waiter);
+    for (guint i = 0; i < record->waiters->len; i++) {
+        const BsWaiter *waiter = record->waiters->pdata[i];
+        BsWaiter *copy = g_memdup2(waiter, sizeof(*waiter));
+        copy->instance = g_strdup(waiter->instance);
+        copy->request_id = g_strdup(waiter->request_id);
+        g_ptr_array_add(copies, copy);
+    }
+    return copies;
+}
+
 GPtrArray *
 BsRecord_TakeWaiters(BsRecord *record)
 {
--- a/src/record.h
+++ b/src/record.h
@@ -35,9 +35,10 @@
     char *witness;      /* instance asked to witness, or NULL */
     BsMessage *request; /* BS_FORWARD, until the outcome is known */
     BsReorder *reorder;
-    GPtrArray *pieces;  /* BsMessage, in order */
-    GPtrArray *waiters; /* BsWaiter */
-    GHashTable *tried;  /* owners that gave it back */
+    GPtrArray *pieces;   /* BsMessage, in order */
+    GPtrArray *waiters;  /* BsWaiter */
+    GPtrArray *in_doubt; /* BsWaiter told unknown, or NULL */
+    GHashTable *tried;   /* owners that gave it back */
     uint64_t owner_incarnation;
     uint64_t keeper_incarnation;
     uint64_t forward_seq; /* of the forward to the owner */
@@ -115,6 +116,9 @@
 /* Adds a hop that waits for the answer of RECORD; returns it. */
 BsWaiter *BsRecord_AddWaiter(BsRecord *record, const BsMessage *forward);
 
+/* Returns copies of the waiters of RECORD; unref the result. */
+GPtrArray *BsRecord_CopyWaiters(const BsRecord *record);
+
 /* Takes the waiters out of RECORD; unref the result. */
 GPtrArray *BsRecord_TakeWaiters(BsRecord *record);
 
