--- a/src/core.h
+++ b/src/core.h
@@ -25,6 +25,11 @@
 typedef struct BsWitness BsWitness;
 typedef struct BsExplain BsExplain;
 typedef struct BsStop BsStop;
+typedef struct BsOrders BsOrders;
+typedef struct BsWatchers BsWatchers;
+typedef struct BsLink BsLink;
+typedef struct BsAccounts BsAccounts;
+typedef struct BsRetries BsRetries;
 
 struct BsCore {
     BsCoreConfig config; /* owns its strings */
@@ -39,6 +44,9 @@
     BsTenure *tenure;
     BsDigests *digests;
     BsPoison *poison;
+    BsLink *link;
+    BsAccounts *accounts;
+    BsRetries *retries;
     BsEntry *entry;
     BsKeeper *keeper;
     BsOwner *owner;
@@ -50,6 +58,8 @@
     BsStop *stop;
     uint64_t next_forward; /* number of the last forward sent */
     uint64_t next_ticket;  /* number of the last ticket issued */
+    BsOrders *orders;
+    BsWatchers *watchers;
     bool stepping;
 };
 
--- a/src/keeperrun.c
+++ b/src/keeperrun.c
@@ -139,6 +139,7 @@
     cancel->u.cancel.request_id = g_strdup(record->run_id);
     cancel->u.cancel.attempt = record->attempt;
     cancel->u.cancel.to_stage = BS_STAGE_OWNER;
+    cancel->u.cancel.from_stage = BS_STAGE_KEEPER;
     cancel->u.cancel.reason = BS_ERR_DEADLINE;
     BsCore_Send(keeper->core, record->owner, record->owner_incarnation,
                 cancel);
--- a/src/schema.c
+++ b/src/schema.c
@@ -68,6 +68,20 @@
 
 const BsSchema bs_schema_load = SCHEMA(BsLoad, S_load_fields, S_destroy_load);
 
+static const BsField S_pace_fields[] = {
+    FIELD(1, STRING, BsPace, generation),
+    FIELD(2, U32, BsPace, inter_token_us),
+};
+
+static void
+S_destroy_pace(void *object)
+{
+    BsSchema_Clear(&bs_schema_pace, object);
+    g_free(object);
+}
+
+const BsSchema bs_schema_pace = SCHEMA(BsPace, S_pace_fields, S_destroy_pace);
+
 static const BsField S_note_fields[] = {
     FIELD(1, STRING, BsNote, account),
     FIELD(2, STRING, BsNote, key),
@@ -113,6 +127,7 @@
     FIELD(1, STRING, BsLoss, name),
     FIELD(2, U64, BsLoss, incarnation),
     FIELD(3, I64, BsLoss, age_ms),
+    FIELD(4, BOOL, BsLoss, clean),
 };
 
 static void
@@ -189,10 +204,9 @@
     SCHEMA(BsAnswer, S_answer_fields, NULL);
 
 static const BsField S_cancel_fields[] = {
-    FIELD(1, STRING, BsCancel, request_id),
-    FIELD(2, U32, BsCancel, attempt),
-    FIELD(3, U32, BsCancel, to_stage),
-    FIELD(4, U32, BsCancel, reason),
+    FIELD(1, STRING, BsCancel, request_id), FIELD(2, U32, BsCancel, attempt),
+    FIELD(3, U32, BsCancel, to_stage),      FIELD(4, U32, BsCancel, reason),
+    FIELD(5, U32, BsCancel, from_stage),
 };
 
 static const BsSchema S_cancel_schema =
@@ -211,6 +225,7 @@
     FIELD(1, STRING, BsAccept, request_id),
     FIELD(2, U32, BsAccept, attempt),
     FIELD(3, U32, BsAccept, to_stage),
+    FIELD(4, BOOL, BsAccept, gone),
 };
 
 static const BsSchema S_accept_schema =
@@ -310,6 +325,7 @@
     LIST(3, BsDigest, loads, bs_schema_load),
     FIELD(4, U32, BsDigest, suspects),
     FIELD(5, BOOL, BsDigest, draining),
+    LIST(6, BsDigest, paces, bs_schema_pace),
 };
 
 static const BsSchema S_digest_schema =
@@ -320,12 +336,19 @@
     FIELD(2, I64, BsProbe, sent_ms),
     FIELD(3, U64, BsProbe, list_revision),
     FIELD(4, BOOL, BsProbe, denied),
+    FIELD(5, U64, BsProbe, sheet_revision),
+    FIELD(6, U64, BsProbe, settled_revision),
+    FIELD(7, I64, BsProbe, age_ms),
 };
 
 static const BsSchema S_probe_schema = SCHEMA(BsProbe, S_probe_fields, NULL);
 
 static const BsField S_collect_fields[] = {
     FIELD(1, U64, BsCollect, list_revision),
+    FIELD(2, U64, BsCollect, view_hash),
+    FIELD(3, U64, BsCollect, round),
+    FIELD(4, I64, BsCollect, age_ms),
+    LIST(5, BsCollect, losses, bs_schema_loss),
 };
 
 static const BsSchema S_collect_schema =
@@ -337,6 +360,11 @@
     LIST(3, BsCollected, notes, bs_schema_note),
     LIST(4, BsCollected, in_flight, bs_schema_in_flight),
     LIST(5, BsCollected, losses, bs_schema_loss),
+    FIELD(6, U64, BsCollected, view_hash),
+    FIELD(7, U64, BsCollected, round),
+    FIELD(8, I64, BsCollected, settled_ms),
+    FIELD(9, I64, BsCollected, known_ms),
+    FIELD(10, STRING, BsCollected, views),
 };
 
 static const BsSchema S_collected_schema =
@@ -393,6 +421,9 @@
     {BS_PEER_REPLY, "peer_reply", &S_query_reply_schema},
     {BS_HANDOVER, "handover", &S_collected_schema},
     {BS_HANDOVER_ACK, "handover_ack", &S_probe_schema},
+    {BS_LIST_PULL, "list_pull", &S_sheet_text_schema},
+    {BS_LIST_PUSH, "list_push", &S_list_schema},
+    {BS_CHECK, "check", &S_accept_schema},
 };
 
 static const BsKindRow *
--- a/src/stop.c
+++ b/src/stop.c
@@ -84,7 +84,7 @@
         stop->state = STOP_FINISHING;
         stop->until_ms = until_ms;
         BsCore_Log(stop->core, LOG_NOTICE, "stopping: no new work accepted");
-        BsOwner_Release(stop->core->owner);
+        BsOwner_Drain(stop->core->owner);
         return;
     }
     stop->until_ms = MIN(stop->until_ms, until_ms);
