--- a/tests/walk/once_walk.cc
+++ b/tests/walk/once_walk.cc
@@ -67,6 +67,7 @@
     Run(Counts *counts)
     {
         World_OnStep(world_, AfterStep, this);
+        World_SetTrace(world_, getenv("WALK_TRACE") != nullptr);
         World_Run(world_, 3000);
         int64_t end_ms = World_NowMs(world_) + kWalkMs;
         while (World_NowMs(world_) < end_ms && !failed_) {
@@ -108,9 +109,21 @@
         return from[Random(static_cast<int>(from.size()))];
     }
 
+    void
+    Note(const std::string &what, const std::string &name)
+    {
+        if (getenv("WALK_TRACE") != nullptr) {
+            printf("%7" G_GINT64_FORMAT " # %s %s\n",
+                   World_NowMs(world_) - 1000000, what.c_str(), name.c_str());
+        }
+    }
+
     void
     Fail(const std::string &what)
     {
+        if (failed_) {
+            return;
+        }
         printf("seed %u at %" G_GINT64_FORMAT " ms: %s\n", seed_,
                World_NowMs(world_) - 1000000, what.c_str());
         failed_ = true;
@@ -145,6 +158,8 @@
             World_AddUpstream(world_, &spec);
             services_.push_back(name);
         }
+        // Instances started later can't know that no key was sent before.
+        World_Config(world_)->fresh_fleet = false;
         World_PublishSheet(world_, 1, sheet, 0);
         World_PublishList(world_, 0);
         g_free(sheet);
@@ -285,6 +300,7 @@
     void
     SetListed(const std::string &name, bool listed)
     {
+        Note(listed ? "list" : "unlist", name);
         World_SetListed(world_, name.c_str(), listed ? BS_NODE_LIVE : 0);
         listed_[name] = listed;
     }
@@ -294,16 +310,19 @@
     {
         const std::string &name = Pick(names_);
         if (World_Core(world_, name.c_str()) == nullptr) {
+            Note("start", name);
             World_Restart(world_, name.c_str());
             SetListed(name, true);
             Publish();
         }
         else if (Random(3) == 0) {
+            Note("replace", name);
             World_Restart(world_, name.c_str());
             paused_[name] = false;
             stopping_.erase(name);
         }
         else {
+            Note("kill", name);
             World_Kill(world_, name.c_str());
             paused_[name] = false;
             stopping_.erase(name);
@@ -321,6 +340,7 @@
         if (World_Core(world_, name.c_str()) == nullptr) {
             return;
         }
+        Note(paused_[name] ? "wake" : "pause", name);
         if (paused_[name]) {
             World_Wake(world_, name.c_str());
         }
