--- a/src/attempt.c
+++ b/src/attempt.c
@@ -51,8 +51,7 @@
 static bool
 S_is_restartable(const BsEntryRequest *request)
 {
-    return S_wanted(request)->idempotent &&
-           (S_wanted(request)->stream || request->next_seq == 0);
+    return S_wanted(request)->stream || request->next_seq == 0;
 }
 
 static bool
@@ -82,10 +81,6 @@
 S_pick_child(BsEntry *entry, BsEntryRequest *request)
 {
     const BsRequest *wanted = S_wanted(request);
-    if (!wanted->idempotent) {
-        return BsMembers_KeeperOf(entry->core->members, wanted->account,
-                                  wanted->key);
-    }
     const char *child =
         BsChoice_PickOwner(entry->core, wanted, request->tried);
     if (child == NULL && request->retries > 0) {
@@ -193,6 +188,7 @@
     }
     request->maybe_ran =
         request->maybe_ran || answer->outcome != BS_OUTCOME_NOT_RUN;
+    request->request->u.request.crashes += answer->crashed ? 1 : 0;
     request->last_error = answer->error;
     request->retry_after_s = answer->retry_after_s;
     g_hash_table_add(request->tried, g_strdup(request->child));
@@ -212,9 +208,6 @@
 void
 BsEntry_OnLost(BsEntry *entry, BsEntryRequest *request)
 {
-    if (!S_wanted(request)->idempotent) {
-        return;
-    }
     BsCore_Count(entry->core, "attempts_lost", 1);
     BsEntry_CancelChild(entry, request, BS_ERR_PEER_LOST);
     g_hash_table_add(request->tried, g_strdup(request->child));
@@ -299,8 +292,7 @@
         }
         return;
     }
-    if (!S_wanted(request)->idempotent ||
-        g_strcmp0(request->child, entry->core->config.name) == 0) {
+    if (g_strcmp0(request->child, entry->core->config.name) == 0) {
         return;
     }
     if (S_is_lost(entry, request)) {
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -8,6 +8,7 @@
  */
 #include "ownerstate.h"
 
+#include "run.h"
 #include "sheet.h"
 #include "tenure.h"
 
@@ -70,6 +71,9 @@
     pool->running[work->rank]++;
     g_hash_table_insert(owner->dispatched, GUINT_TO_POINTER(work->dispatch),
                         work);
+    if (!request->idempotent) {
+        BsRuns_OnDispatch(owner->core->runs, work->request);
+    }
     BsCore_Count(owner->core, "dispatches", 1);
     BsCore_Count(owner->core, "prefill_tokens",
                  request->prompt_tokens - work->cached_tokens);
--- a/src/entry.c
+++ b/src/entry.c
@@ -3,8 +3,13 @@
 
 #include "account.h"
 #include "entrystate.h"
+#include "explain.h"
 #include "link.h"
+#include "once.h"
+#include "poison.h"
 #include "retry.h"
+#include "stop.h"
+#include "ticket.h"
 #include "work.h"
 
 /* Time beyond the deadline in which the owner's own answer may arrive. */
@@ -89,6 +94,8 @@
     answer->u.answer.seq = request->next_seq;
     answer->u.answer.retry_after_s =
         MAX(answer->u.answer.retry_after_s, request->retry_after_s);
+    BsExplain_OnEnd(entry->core->explain, S_id(request), &answer->u.answer,
+                    NULL);
     BsCore_Count(entry->core, "answers_error", 1);
     BsCore_Emit(entry->core, answer);
     S_forget(entry, request);
@@ -132,11 +139,15 @@
     const BsAccount *account = BsSheet_FindAccount(sheet, request->account);
     uint64_t percent = S_memory_percent(BsSheet_Data(sheet), tier->rank);
     uint64_t bytes = entry->body_bytes + S_body_bytes(request);
-    if (PERCENT * (uint64_t)BsEntry_Count(entry) >=
-            percent * config->request_limit ||
+    uint64_t held = BsEntry_Count(entry) + BsOnce_Count(entry->core->once);
+    if (PERCENT * held >= percent * config->request_limit ||
         PERCENT * bytes > percent * config->queue_bytes) {
         return BS_ERR_MEMORY_FULL;
     }
+    if (BsPoison_Judge(entry->core->poison, request) ==
+        BS_POISON_QUARANTINED) {
+        return BS_ERR_QUARANTINED;
+    }
     uint32_t tokens = request->prompt_tokens + request->output_tokens;
     return BsAccounts_Admit(entry->core->accounts, account, tokens)
                ? BS_ERR_NONE
@@ -166,7 +177,9 @@
     BsRequest *request = &forward->u.request;
     forward->kind = BS_FORWARD;
     BsCore_Count(entry->core, "requests", 1);
-    BsErrorKind error = BsEntry_Resolve(entry, request);
+    BsErrorKind error = BsStop_IsActive(entry->core->stop)
+                            ? BS_ERR_DRAINING
+                            : BsEntry_Resolve(entry, request);
     if (error == BS_ERR_NONE) {
         error = S_judge(entry, request);
     }
@@ -176,6 +189,11 @@
         return;
     }
     g_clear_pointer(&request->token, g_free);
+    if (!request->idempotent) {
+        BsOnce_Submit(entry->core->once, forward);
+        return;
+    }
+    BsExplain_OnStart(entry->core->explain, request);
     BsRetries_OnRequest(entry->core->retries);
     BsEntry_Forward(entry, S_admit(entry, forward));
 }
@@ -188,9 +206,7 @@
         return;
     }
     BsCore_Count(entry->core, "callers_gone", 1);
-    if (request->request->u.request.idempotent) {
-        BsEntry_CancelChild(entry, request, BS_ERR_CANCELLED);
-    }
+    BsEntry_CancelChild(entry, request, BS_ERR_CANCELLED);
     S_forget(entry, request);
 }
 
@@ -261,7 +277,14 @@
         BsLink_Charge(entry->core->link, wanted->tier,
                       g_bytes_get_size(answer->data));
     }
+    if (request->next_seq == 0) {
+        g_free(piece->u.answer.ticket);
+        piece->u.answer.ticket = BsTicket_Issue(entry->core, wanted->account);
+    }
     S_number(request, piece);
+    if (final) {
+        BsExplain_OnEnd(entry->core->explain, S_id(request), answer, NULL);
+    }
     BsCore_Emit(entry->core, piece);
     if (final) {
         BsCore_Count(entry->core, "answers_final", 1);
@@ -314,6 +337,18 @@
                  request->maybe_ran ? BS_OUTCOME_UNKNOWN : outcome);
 }
 
+void
+BsEntry_GiveUp(BsEntry *entry)
+{
+    GList *requests = g_hash_table_get_values(entry->requests);
+    for (GList *node = requests; node != NULL; node = node->next) {
+        BsEntryRequest *request = node->data;
+        BsEntry_CancelChild(entry, request, BS_ERR_DRAINING);
+        BsEntry_Fail(entry, request, BS_ERR_DRAINING, BS_OUTCOME_UNKNOWN);
+    }
+    g_list_free(requests);
+}
+
 void
 BsEntry_OnTick(BsEntry *entry)
 {
--- a/src/owner.c
+++ b/src/owner.c
@@ -3,6 +3,8 @@
 
 #include "ownerstate.h"
 #include "poison.h"
+#include "run.h"
+#include "stop.h"
 
 #include <string.h>
 
@@ -135,6 +137,9 @@
     answer->seq = work->next_seq++;
     answer->attempt = request->attempt;
     answer->to_stage = request->from_stage;
+    if (!request->idempotent) {
+        BsRuns_Keep(owner->core->runs, work->request, piece);
+    }
     BsCore_Send(owner->core, work->request->from,
                 work->request->from_incarnation, piece);
 }
@@ -283,6 +288,9 @@
     if (verdict == BS_POISON_QUARANTINED) {
         return BS_ERR_QUARANTINED;
     }
+    if (BsStop_IsActive(owner->core->stop)) {
+        return BS_ERR_DRAINING;
+    }
     work->alone = verdict == BS_POISON_SUSPECT;
     if (pool == NULL || pool->upstreams->len == 0) {
         return BS_ERR_NO_UPSTREAM;
@@ -303,10 +311,6 @@
     BsWork *work = BsWork_Create(message, S_rank(owner, request),
                                  BsCore_NowMs(owner->core));
     g_hash_table_insert(owner->works, work->id, work);
-    if (!request->idempotent) {
-        BsFences_Add(owner->fences, work->id, BsCore_NowMs(owner->core),
-                     owner->core->config.resend_window_ms);
-    }
     BsOwner_Review(owner);
     BsErrorKind error = S_judge(owner, work);
     if (error != BS_ERR_NONE) {
@@ -360,7 +364,7 @@
     if (answer->crashed) {
         BsPoison_OnCrash(owner->core->poison, request);
     }
-    else {
+    else if (answer->error == BS_ERR_NONE) {
         BsPoison_OnFinish(owner->core->poison, request);
     }
     if (answer->error != BS_ERR_NONE) {
@@ -411,24 +415,23 @@
     }
 }
 
-/* Tells the sender of a cancel that the request will never start here. */
-static void
-S_deny_start(BsOwner *owner, const BsMessage *cancel, const char *id)
+void
+BsOwner_Drain(BsOwner *owner)
 {
-    const BsCancel *wanted = &cancel->u.cancel;
-    if (BsFences_Has(owner->fences, id)) {
-        return;
-    }
-    BsFences_Add(owner->fences, id, BsCore_NowMs(owner->core),
-                 owner->core->config.resend_window_ms);
-    if (cancel->to_incarnation != owner->core->config.incarnation) {
-        return;
+    GList *works = g_hash_table_get_values(owner->works);
+    for (GList *node = works; node != NULL; node = node->next) {
+        BsWork *work = node->data;
+        if (work->upstream == NULL) {
+            BsOwner_GiveBack(owner, work, BS_ERR_DRAINING);
+        }
     }
-    BsMessage *answer =
-        BsCore_CreateError(BS_ANSWER, wanted->request_id, wanted->attempt,
-                           BS_ERR_CANCELLED, BS_OUTCOME_NOT_RUN);
-    answer->u.answer.to_stage = BS_STAGE_KEEPER;
-    BsCore_Send(owner->core, cancel->from, cancel->from_incarnation, answer);
+    g_list_free(works);
+}
+
+uint32_t
+BsOwner_Count(const BsOwner *owner)
+{
+    return g_hash_table_size(owner->works);
 }
 
 void
@@ -441,7 +444,8 @@
     char *id = g_strdup_printf("%s/%u", cancel->request_id, cancel->attempt);
     BsWork *work = g_hash_table_lookup(owner->works, id);
     if (work == NULL) {
-        S_deny_start(owner, message, id);
+        BsFences_Add(owner->fences, id, BsCore_NowMs(owner->core),
+                     owner->core->config.resend_window_ms);
     }
     else if (work->upstream == NULL) {
         BsOwner_GiveBack(owner, work, BS_ERR_CANCELLED);
