--- /dev/null
+++ b/src/cli_command.c
@@ -0,0 +1,139 @@
+/* cli_command.c - options and subcommands of boragespur. */
+#include "cli_command.h"
+
+#include "boragespur.h"
+
+#include <curl/curl.h>
+#include <stdio.h>
+#include <string.h>
+
+#define DEFAULT_ADMIN "127.0.0.1:7200"
+#define DEFAULT_CALLERS "127.0.0.1:7000"
+
+typedef struct {
+    const char *name;
+    int arguments;
+    int (*run)(const BsCommandOptions *options, const char *argument);
+} BsSubcommand;
+
+static int
+S_version(const BsCommandOptions *options, const char *argument)
+{
+    (void)argument;
+    if (options->json) {
+        puts("{\"version\":\"" BS_VERSION "\"}");
+    }
+    else {
+        puts("boragespur " BS_VERSION);
+    }
+    return BS_EXIT_OK;
+}
+
+static const BsSubcommand S_subcommands[] = {
+    {"check", 1, BsCommand_Check},   {"send", 1, BsCommand_Send},
+    {"status", 0, BsCommand_Status}, {"explain", 1, BsCommand_Explain},
+    {"drain", 0, BsCommand_Drain},   {"version", 0, S_version},
+};
+
+static const char S_summary[] =
+    "Commands:\n"
+    "  check FILE          check a settings file or a sheet\n"
+    "  send PATH           send a request and print answer and outcome\n"
+    "  status              print the status of an instance\n"
+    "  explain REQUEST-ID  print what became of a request and why\n"
+    "  drain               start a planned stop of an instance\n"
+    "  version             print the version\n"
+    "\n"
+    "Exit codes: 0 done, 1 negative answer, 2 wrong usage or settings.";
+
+static bool
+S_parse(int *argc, char ***argv, BsCommandOptions *options)
+{
+    GOptionEntry entries[] = {
+        {"admin", 'a', 0, G_OPTION_ARG_STRING, &options->admin,
+         "Admin address of an instance", "IP:PORT"},
+        {"callers", 'c', 0, G_OPTION_ARG_STRING, &options->callers,
+         "Callers' address or URL of an instance", "IP:PORT"},
+        {"token", 't', 0, G_OPTION_ARG_STRING, &options->token,
+         "Bearer token of the account", "TOKEN"},
+        {"key", 'k', 0, G_OPTION_ARG_STRING, &options->key, "Idempotency key",
+         "KEY"},
+        {"ticket", 0, 0, G_OPTION_ARG_STRING, &options->ticket, "Ticket",
+         "TICKET"},
+        {"tier", 0, 0, G_OPTION_ARG_STRING, &options->tier, "Tier asked for",
+         "TIER"},
+        {"method", 'X', 0, G_OPTION_ARG_STRING, &options->method,
+         "HTTP method; POST with --data, else GET", "METHOD"},
+        {"data", 'd', 0, G_OPTION_ARG_STRING, &options->data,
+         "Body of the request, or @FILE", "TEXT"},
+        {"deadline-ms", 0, 0, G_OPTION_ARG_INT64, &options->deadline_ms,
+         "Time the caller waits", "MS"},
+        {"json", 0, 0, G_OPTION_ARG_NONE, &options->json,
+         "Print one JSON document", NULL},
+        G_OPTION_ENTRY_NULL};
+    GError *error = NULL;
+    GOptionContext *context = g_option_context_new("COMMAND [ARGUMENT]");
+    g_option_context_add_main_entries(context, entries, NULL);
+    g_option_context_set_summary(context, S_summary);
+    bool parsed = g_option_context_parse(context, argc, argv, &error);
+    g_option_context_free(context);
+    if (!parsed) {
+        fprintf(stderr, "boragespur: %s; see boragespur --help\n",
+                error->message);
+        g_error_free(error);
+    }
+    return parsed;
+}
+
+static int
+S_run(int argc, char **argv, const BsCommandOptions *options)
+{
+    const char *name = argc > 1 ? argv[1] : "";
+    for (size_t i = 0; i < G_N_ELEMENTS(S_subcommands); i++) {
+        const BsSubcommand *command = &S_subcommands[i];
+        if (strcmp(name, command->name) == 0) {
+            if (argc - 2 != command->arguments) {
+                fprintf(stderr,
+                        "boragespur: %s takes %d argument(s); see "
+                        "boragespur --help\n",
+                        name, command->arguments);
+                return BS_EXIT_USAGE;
+            }
+            return command->run(options, argc > 2 ? argv[2] : NULL);
+        }
+    }
+    fprintf(stderr,
+            "boragespur: '%s' is no command; use check, send, status, "
+            "explain, drain or version\n",
+            name);
+    return BS_EXIT_USAGE;
+}
+
+static void
+S_clear(BsCommandOptions *options)
+{
+    g_free(options->admin);
+    g_free(options->callers);
+    g_free(options->token);
+    g_free(options->key);
+    g_free(options->ticket);
+    g_free(options->tier);
+    g_free(options->method);
+    g_free(options->data);
+}
+
+int
+BsCommand_Main(int argc, char **argv)
+{
+    BsCommandOptions options = {0};
+    options.admin = g_strdup(DEFAULT_ADMIN);
+    options.callers = g_strdup(DEFAULT_CALLERS);
+    int code = BS_EXIT_USAGE;
+    if (S_parse(&argc, &argv, &options)) {
+        curl_global_init(CURL_GLOBAL_DEFAULT);
+        code = S_run(argc, argv, &options);
+        curl_global_cleanup();
+    }
+    S_clear(&options);
+    return code;
+}
--- /dev/null
+++ b/src/cli_command.h
@@ -0,0 +1,49 @@
+/*
+ * cli_command.h - the boragespur command.
+ *
+ * Rules: exit code 0 means done, 1 a negative answer, 2 wrong usage or
+ * settings; --json prints one JSON document.
+ */
+#ifndef BS_CLI_COMMAND_H
+#define BS_CLI_COMMAND_H
+
+#include <glib.h>
+#include <stdbool.h>
+
+#define BS_EXIT_OK 0
+#define BS_EXIT_NEGATIVE 1
+#define BS_EXIT_USAGE 2
+
+/* Options shared by the subcommands. */
+typedef struct {
+    char *admin;   /* IP:port of an instance's admin address */
+    char *callers; /* IP:port of an instance's callers' address */
+    char *token;
+    char *key;
+    char *ticket;
+    char *tier;
+    char *method;
+    char *data;
+    gint64 deadline_ms;
+    gboolean json;
+} BsCommandOptions;
+
+/* Runs the command line; returns the exit code. */
+int BsCommand_Main(int argc, char **argv);
+
+/* Checks a settings file or a sheet. */
+int BsCommand_Check(const BsCommandOptions *options, const char *file);
+
+/* Sends a request to an instance and prints answer and outcome. */
+int BsCommand_Send(const BsCommandOptions *options, const char *path);
+
+/* Prints the status of an instance. */
+int BsCommand_Status(const BsCommandOptions *options, const char *argument);
+
+/* Prints what an instance knows of a request. */
+int BsCommand_Explain(const BsCommandOptions *options, const char *id);
+
+/* Starts a planned stop of an instance. */
+int BsCommand_Drain(const BsCommandOptions *options, const char *argument);
+
+#endif /* BS_CLI_COMMAND_H */
--- /dev/null
+++ b/src/cli_http.c
@@ -0,0 +1,90 @@
+/* cli_http.c - one HTTP exchange of the command. */
+#include "cli_http.h"
+
+#include <stdio.h>
+#include <string.h>
+#include <strings.h>
+
+typedef struct {
+    BsExchange *exchange;
+    FILE *echo;
+} BsSink;
+
+static size_t
+S_on_write(char *data, size_t unit, size_t count, void *context)
+{
+    BsSink *sink = context;
+    size_t size = unit * count;
+    g_string_append_len(sink->exchange->body, data, (gssize)size);
+    if (sink->echo != NULL) {
+        fwrite(data, 1, size, sink->echo);
+        fflush(sink->echo);
+    }
+    return size;
+}
+
+static void
+S_match(const char *line, size_t size, const char *name, char **slot)
+{
+    size_t length = strlen(name);
+    if (size > length && strncasecmp(line, name, length) == 0) {
+        g_free(*slot);
+        *slot = g_strstrip(g_strndup(line + length, size - length));
+    }
+}
+
+static size_t
+S_on_header(char *line, size_t unit, size_t count, void *context)
+{
+    BsSink *sink = context;
+    size_t size = unit * count;
+    S_match(line, size, "Boragespur-Request-Id:", &sink->exchange->request_id);
+    S_match(line, size, "Boragespur-Outcome:", &sink->exchange->outcome);
+    S_match(line, size, "Boragespur-Ticket:", &sink->exchange->ticket);
+    return size;
+}
+
+bool
+BsExchange_Run(BsExchange *exchange, const char *address, const char *method,
+               const char *path, struct curl_slist *headers, const char *body,
+               FILE *echo)
+{
+    BsSink sink = {exchange, echo};
+    bool has_scheme = strstr(address, "://") != NULL;
+    char *url =
+        g_strconcat(has_scheme ? "" : "http://", address, path, (char *)NULL);
+    CURL *easy = curl_easy_init();
+    memset(exchange, 0, sizeof(*exchange));
+    exchange->body = g_string_new(NULL);
+    curl_easy_setopt(easy, CURLOPT_URL, url);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, method);
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, S_on_write);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, &sink);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, S_on_header);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, &sink);
+    if (body != NULL) {
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, body);
+    }
+    CURLcode result = curl_easy_perform(easy);
+    curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &exchange->status);
+    if (result != CURLE_OK) {
+        fprintf(stderr,
+                "boragespur: %s: %s; check the address and that the "
+                "instance runs\n",
+                url, curl_easy_strerror(result));
+    }
+    curl_easy_cleanup(easy);
+    g_free(url);
+    return result == CURLE_OK;
+}
+
+void
+BsExchange_Clear(BsExchange *exchange)
+{
+    g_string_free(exchange->body, TRUE);
+    g_free(exchange->request_id);
+    g_free(exchange->outcome);
+    g_free(exchange->ticket);
+}
--- /dev/null
+++ b/src/d_admin.c
@@ -0,0 +1,256 @@
+/* d_admin.c - the operators' HTTP address. */
+#include "d_admin.h"
+
+#include "d_httpd.h"
+#include "d_reply.h"
+
+#include <string.h>
+
+#define CONNECTIONS_MAX 64
+#define HEADER_BYTES 16384
+#define EXPLAIN_PATH "/explain/"
+
+struct BsAdmin {
+    BsLoop *loop;
+    BsHttpd *httpd;
+    GHashTable *questions; /* query id to BsQuestion */
+    uint64_t next_id;
+};
+
+/* One request on the admin address. */
+typedef struct {
+    struct MHD_Connection *connection;
+    char *id;
+    bool metrics;
+    bool begun;
+    bool asked;
+    bool suspended;
+    uint32_t status; /* 0 until answered */
+    GBytes *body;
+} BsQuestion;
+
+/* A path and the query that answers it. */
+typedef struct {
+    const char *path;
+    const char *what;
+} BsAdminRoute;
+
+static const BsAdminRoute S_routes[] = {
+    {"/readyz", "ready"},
+    {"/metrics", "metrics"},
+    {"/status", "status"},
+};
+
+static void
+S_answer(BsQuestion *question, uint32_t status, const char *text)
+{
+    question->status = status;
+    question->body = g_bytes_new(text, strlen(text));
+}
+
+static void
+S_ask(BsAdmin *admin, BsQuestion *question, const char *what,
+      const char *argument)
+{
+    BsMessage *message = BsMessage_Create(BS_QUERY);
+    question->id =
+        g_strdup_printf("admin-%" G_GUINT64_FORMAT, (guint64)++admin->next_id);
+    question->metrics = strcmp(what, "metrics") == 0;
+    g_hash_table_insert(admin->questions, question->id, question);
+    message->u.query.query_id = g_strdup(question->id);
+    message->u.query.what = g_strdup(what);
+    message->u.query.argument = g_strdup(argument);
+    BsLoop_Post(admin->loop, message);
+}
+
+static void
+S_start_drain(BsAdmin *admin, BsQuestion *question)
+{
+    BsMessage *message = BsMessage_Create(BS_DRAIN);
+    message->u.drain.limit_ms = BsLoop_Settings(admin->loop)->drain_limit_ms;
+    BsLoop_Post(admin->loop, message);
+    S_answer(question, MHD_HTTP_ACCEPTED, "{\"draining\":true}");
+}
+
+static void
+S_route(BsAdmin *admin, BsQuestion *question, const char *method,
+        const char *path)
+{
+    question->asked = true;
+    if (strcmp(method, "POST") == 0 && strcmp(path, "/drain") == 0) {
+        S_start_drain(admin, question);
+        return;
+    }
+    if (strcmp(method, "GET") != 0) {
+        S_answer(question, MHD_HTTP_METHOD_NOT_ALLOWED,
+                 "{\"error\":\"use GET, or POST /drain\"}");
+        return;
+    }
+    if (strcmp(path, "/healthz") == 0) {
+        S_answer(question, MHD_HTTP_OK, "{\"alive\":true}");
+        return;
+    }
+    if (g_str_has_prefix(path, EXPLAIN_PATH)) {
+        S_ask(admin, question, "explain", path + strlen(EXPLAIN_PATH));
+        return;
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(S_routes); i++) {
+        if (strcmp(path, S_routes[i].path) == 0) {
+            S_ask(admin, question, S_routes[i].what, NULL);
+            return;
+        }
+    }
+    S_answer(question, MHD_HTTP_NOT_FOUND,
+             "{\"error\":\"use /healthz, /readyz, /metrics, /status, "
+             "/explain/ID or POST /drain\"}");
+}
+
+static enum MHD_Result
+S_respond(BsQuestion *question)
+{
+    gsize size;
+    const void *data = g_bytes_get_data(question->body, &size);
+    struct MHD_Response *response = MHD_create_response_from_buffer(
+        size, (void *)data, MHD_RESPMEM_MUST_COPY);
+    BsReply_AddHeader(response, "Content-Type",
+                      question->metrics ? "text/plain; version=0.0.4"
+                                        : "application/json");
+    enum MHD_Result result =
+        MHD_queue_response(question->connection, question->status, response);
+    MHD_destroy_response(response);
+    return result;
+}
+
+static enum MHD_Result
+S_on_access(void *context, struct MHD_Connection *connection, const char *url,
+            const char *method, const char *version, const char *data,
+            size_t *data_bytes, void **slot)
+{
+    BsAdmin *admin = context;
+    BsQuestion *question = *slot;
+    (void)version;
+    (void)data;
+    if (question == NULL) {
+        question = g_new0(BsQuestion, 1);
+        question->connection = connection;
+        *slot = question;
+        return MHD_YES;
+    }
+    if (*data_bytes > 0) {
+        *data_bytes = 0;
+        return MHD_YES;
+    }
+    if (!question->asked) {
+        S_route(admin, question, method, url);
+    }
+    if (question->status != 0) {
+        return S_respond(question);
+    }
+    question->suspended = true;
+    MHD_suspend_connection(connection);
+    return MHD_YES;
+}
+
+static void
+S_on_completed(void *context, struct MHD_Connection *connection, void **slot,
+               enum MHD_RequestTerminationCode code)
+{
+    BsAdmin *admin = context;
+    BsQuestion *question = *slot;
+    (void)connection;
+    (void)code;
+    if (question == NULL) {
+        return;
+    }
+    if (question->id != NULL) {
+        g_hash_table_remove(admin->questions, question->id);
+    }
+    g_bytes_unref(question->body);
+    g_free(question->id);
+    g_free(question);
+    *slot = NULL;
+}
+
+/* Adds the daemon's own counters to those of the core. */
+static GBytes *
+S_add_counters(const BsAdmin *admin, GBytes *body)
+{
+    gsize size = 0;
+    const char *data = body == NULL ? NULL : g_bytes_get_data(body, &size);
+    GString *text = g_string_new_len(data, (gssize)size);
+    BsLoop_FormatCounters(admin->loop, text);
+    return g_string_free_to_bytes(text);
+}
+
+static void
+S_resume(BsQuestion *question)
+{
+    if (question->suspended) {
+        question->suspended = false;
+        MHD_resume_connection(question->connection);
+    }
+}
+
+static void
+S_on_reply(const BsMessage *message, void *context)
+{
+    BsAdmin *admin = context;
+    const BsQueryReply *reply = &message->u.reply;
+    BsQuestion *question =
+        reply->query_id == NULL
+            ? NULL
+            : g_hash_table_lookup(admin->questions, reply->query_id);
+    if (question == NULL || question->status != 0) {
+        return;
+    }
+    question->status = reply->status;
+    question->body = question->metrics ? S_add_counters(admin, reply->body)
+                                       : g_bytes_ref(reply->body);
+    S_resume(question);
+}
+
+BsAdmin *
+BsAdmin_Create(BsLoop *loop, GError **error)
+{
+    BsAdmin *admin = g_new0(BsAdmin, 1);
+    admin->loop = loop;
+    admin->questions = g_hash_table_new(g_str_hash, g_str_equal);
+    BsHttpdConfig config = {
+        .address = BsLoop_Settings(loop)->admin,
+        .key = "admin",
+        .handle = S_on_access,
+        .completed = S_on_completed,
+        .context = admin,
+        .header_bytes = HEADER_BYTES,
+        .connections = CONNECTIONS_MAX,
+    };
+    admin->httpd = BsHttpd_Create(loop, &config, error);
+    if (admin->httpd == NULL) {
+        BsAdmin_Destroy(admin);
+        return NULL;
+    }
+    BsLoop_Handle(loop, BS_QUERY_REPLY, S_on_reply, admin);
+    return admin;
+}
+
+void
+BsAdmin_Destroy(BsAdmin *admin)
+{
+    if (admin == NULL) {
+        return;
+    }
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, admin->questions);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        BsQuestion *question = value;
+        if (question->status == 0) {
+            S_answer(question, MHD_HTTP_SERVICE_UNAVAILABLE,
+                     "{\"error\":\"the instance is stopping\"}");
+        }
+        S_resume(question);
+    }
+    BsHttpd_Destroy(admin->httpd);
+    g_hash_table_destroy(admin->questions);
+    g_free(admin);
+}
--- /dev/null
+++ b/src/d_call.c
@@ -0,0 +1,552 @@
+/* d_call.c - one request of a caller on its connection. */
+#include "d_call.h"
+
+#include "d_reply.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+
+/* Bytes of a refused body that are read and thrown away, so that a caller
+   that sends first and reads later sees the refusal. */
+#define DISCARD_MAX_BYTES (64 * 1024 * 1024)
+
+/* Bytes of an answer held back until its outcome is known. */
+#define HOLD_MAX_BYTES (1024 * 1024)
+
+/* Unsent bytes at which the flow is stopped and started again. */
+#define FLOW_HIGH_BYTES (256 * 1024)
+#define FLOW_LOW_BYTES (64 * 1024)
+
+#define BLOCK_BYTES 16384
+#define RECHECK_S 0.5
+
+typedef enum {
+    CALL_NEW = 0,
+    CALL_READING,
+    CALL_WAITING, /* for the head */
+    CALL_HEAD,    /* head known, response not queued */
+    CALL_SENDING
+} BsCallState;
+
+struct BsCall {
+    BsLoop *loop;
+    struct MHD_Connection *connection;
+    char *target;
+    const char *id;
+    GByteArray *body;
+    size_t received_bytes;
+    GByteArray *out;
+    size_t out_sent;
+    BsCallState state;
+    uint32_t status;
+    uint32_t outcome;
+    uint32_t retry_after_s;
+    char *content_type;
+    char *ticket;
+    ev_io input;
+    ev_timer recheck;
+    bool posted; /* the core knows it */
+    bool cancels;
+    bool stream;
+    bool events; /* the answer is an event stream */
+    bool final;
+    bool broken;
+    bool suspended;
+    bool paused;
+};
+
+BsCall *
+BsCall_Create(BsLoop *loop, const char *target)
+{
+    BsCall *call = g_new0(BsCall, 1);
+    call->loop = loop;
+    call->target = g_strdup(target);
+    call->body = g_byte_array_new();
+    call->out = g_byte_array_new();
+    return call;
+}
+
+void
+BsCall_Destroy(BsCall *call)
+{
+    g_byte_array_unref(call->body);
+    g_byte_array_unref(call->out);
+    g_free(call->target);
+    g_free(call->content_type);
+    g_free(call->ticket);
+    g_free(call);
+}
+
+void
+BsCall_Begin(BsCall *call, struct MHD_Connection *connection)
+{
+    call->connection = connection;
+    call->state = CALL_READING;
+}
+
+bool
+BsCall_IsBegun(const BsCall *call)
+{
+    return call->state != CALL_NEW;
+}
+
+bool
+BsCall_IsReading(const BsCall *call)
+{
+    return call->state == CALL_READING;
+}
+
+bool
+BsCall_AddBody(BsCall *call, const void *data, size_t size_bytes,
+               size_t limit_bytes)
+{
+    call->received_bytes += size_bytes;
+    if (call->received_bytes <= limit_bytes) {
+        g_byte_array_append(call->body, data, (guint)size_bytes);
+        return true;
+    }
+    if (call->state == CALL_READING) {
+        BsCall_RefuseTooLarge(call, limit_bytes);
+        g_byte_array_set_size(call->body, 0);
+    }
+    return call->received_bytes <= DISCARD_MAX_BYTES;
+}
+
+const void *
+BsCall_Body(const BsCall *call, size_t *size_bytes)
+{
+    *size_bytes = call->body->len;
+    return call->body->data;
+}
+
+const char *
+BsCall_Target(const BsCall *call)
+{
+    return call->target;
+}
+
+struct MHD_Connection *
+BsCall_Connection(const BsCall *call)
+{
+    return call->connection;
+}
+
+void
+BsCall_SetId(BsCall *call, const char *id)
+{
+    call->id = id;
+}
+
+const char *
+BsCall_Id(const BsCall *call)
+{
+    return call->id;
+}
+
+static void
+S_append_text(BsCall *call, const char *text)
+{
+    g_byte_array_append(call->out, (const guint8 *)text, (guint)strlen(text));
+}
+
+static void
+S_resume(BsCall *call)
+{
+    if (call->suspended) {
+        call->suspended = false;
+        MHD_resume_connection(call->connection);
+    }
+}
+
+/* Replaces the unsent answer by an error document. */
+static void
+S_set_error(BsCall *call, BsErrorKind error, const char *detail,
+            uint32_t outcome)
+{
+    char *text = BsReply_FormatError(error, detail, outcome, call->id);
+    g_byte_array_set_size(call->out, 0);
+    S_append_text(call, text);
+    BsMessage_SetString(&call->content_type, "application/json");
+    call->status = BsError_Describe(error)->http_status;
+    call->outcome = outcome;
+    call->final = true;
+    call->state = CALL_HEAD;
+    g_free(text);
+}
+
+void
+BsCall_Refuse(BsCall *call, BsErrorKind error, const char *detail)
+{
+    BsLoop_Count(call->loop, "caller_requests_refused", 1);
+    S_set_error(call, error, detail, BS_OUTCOME_NOT_RUN);
+}
+
+void
+BsCall_RefuseStatus(BsCall *call, uint32_t status, const char *detail)
+{
+    BsCall_Refuse(call, BS_ERR_BAD_REQUEST, detail);
+    call->status = status;
+}
+
+void
+BsCall_RefuseTooLarge(BsCall *call, size_t limit_bytes)
+{
+    char *detail = g_strdup_printf("the body is longer than %zu bytes "
+                                   "(limits.body_bytes)",
+                                   limit_bytes);
+    BsCall_Refuse(call, BS_ERR_TOO_LARGE, detail);
+    g_free(detail);
+}
+
+static void
+S_post_cancel(BsCall *call)
+{
+    BsMessage *message = BsMessage_Create(BS_CALLER_CANCEL);
+    message->u.cancel.request_id = g_strdup(call->id);
+    message->u.cancel.reason = BS_ERR_CANCELLED;
+    call->posted = false;
+    BsLoop_Count(call->loop, "callers_gone", 1);
+    BsLoop_Post(call->loop, message);
+}
+
+static void
+S_stop_watch(BsCall *call)
+{
+    ev_io_stop(BsLoop_Ev(call->loop), &call->input);
+    ev_timer_stop(BsLoop_Ev(call->loop), &call->recheck);
+}
+
+/* Returns whether the caller closed its side of the connection. */
+static bool
+S_has_left(const BsCall *call)
+{
+    struct tcp_info info;
+    socklen_t length = sizeof(info);
+    if (getsockopt(call->input.fd, IPPROTO_TCP, TCP_INFO, &info, &length) !=
+        0) {
+        return true;
+    }
+    return info.tcpi_state != TCP_ESTABLISHED;
+}
+
+static void
+S_check_caller(BsCall *call)
+{
+    if (call->final) {
+        S_stop_watch(call);
+        return;
+    }
+    if (!S_has_left(call)) {
+        ev_io_stop(BsLoop_Ev(call->loop), &call->input);
+        ev_timer_start(BsLoop_Ev(call->loop), &call->recheck);
+        return;
+    }
+    S_stop_watch(call);
+    S_post_cancel(call);
+    BsCall_Fail(call, BS_ERR_CANCELLED, BS_OUTCOME_UNKNOWN);
+}
+
+static void
+S_on_input(struct ev_loop *ev, ev_io *watcher, int events)
+{
+    (void)ev;
+    (void)events;
+    S_check_caller(watcher->data);
+}
+
+static void
+S_on_recheck(struct ev_loop *ev, ev_timer *watcher, int events)
+{
+    (void)ev;
+    (void)events;
+    S_check_caller(watcher->data);
+}
+
+/* Watches for the end of the caller's side while the server does not. */
+static void
+S_start_watch(BsCall *call)
+{
+    const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+        call->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    ev_io_init(&call->input, S_on_input, info->connect_fd, EV_READ);
+    call->input.data = call;
+    ev_timer_init(&call->recheck, S_on_recheck, RECHECK_S, RECHECK_S);
+    call->recheck.data = call;
+    ev_io_start(BsLoop_Ev(call->loop), &call->input);
+}
+
+void
+BsCall_Wait(BsCall *call, bool cancels, bool stream)
+{
+    call->state = CALL_WAITING;
+    call->posted = true;
+    call->cancels = cancels;
+    call->stream = stream;
+    if (cancels) {
+        S_start_watch(call);
+    }
+}
+
+static size_t
+S_unsent(const BsCall *call)
+{
+    return call->out->len - call->out_sent;
+}
+
+static void
+S_set_flow(BsCall *call, bool paused)
+{
+    BsMessage *message = BsMessage_Create(BS_CALLER_FLOW);
+    message->u.flow.request_id = g_strdup(call->id);
+    message->u.flow.paused = paused;
+    call->paused = paused;
+    BsLoop_Count(call->loop, paused ? "flow_paused" : "flow_resumed", 1);
+    BsLoop_Post(call->loop, message);
+}
+
+static void
+S_check_flow(BsCall *call)
+{
+    size_t unsent = S_unsent(call);
+    if (call->final || call->state != CALL_SENDING) {
+        return;
+    }
+    if (!call->paused && unsent > FLOW_HIGH_BYTES) {
+        S_set_flow(call, true);
+    }
+    else if (call->paused && unsent < FLOW_LOW_BYTES) {
+        S_set_flow(call, false);
+    }
+}
+
+/* Gives the server the next bytes of the body. */
+static ssize_t
+S_read_out(void *context, uint64_t position, char *buffer, size_t max)
+{
+    BsCall *call = context;
+    size_t size = MIN(S_unsent(call), max);
+    (void)position;
+    if (size == 0 && call->final) {
+        return call->broken ? MHD_CONTENT_READER_END_WITH_ERROR
+                            : MHD_CONTENT_READER_END_OF_STREAM;
+    }
+    if (size == 0) {
+        call->suspended = true;
+        MHD_suspend_connection(call->connection);
+        return 0;
+    }
+    memcpy(buffer, call->out->data + call->out_sent, size);
+    call->out_sent += size;
+    if (S_unsent(call) == 0) {
+        g_byte_array_set_size(call->out, 0);
+        call->out_sent = 0;
+    }
+    S_check_flow(call);
+    return (ssize_t)size;
+}
+
+static struct MHD_Response *
+S_create_response(BsCall *call)
+{
+    if (call->final) {
+        return MHD_create_response_from_buffer(call->out->len, call->out->data,
+                                               MHD_RESPMEM_MUST_COPY);
+    }
+    return MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, BLOCK_BYTES,
+                                             S_read_out, call, NULL);
+}
+
+static void
+S_add_headers(BsCall *call, struct MHD_Response *response)
+{
+    char number[16];
+    BsReply_AddHeader(response, "Content-Type", call->content_type);
+    BsReply_AddHeader(response, "Boragespur-Request-Id", call->id);
+    BsReply_AddHeader(response, "Boragespur-Ticket", call->ticket);
+    if (call->outcome != BS_OUTCOME_NONE) {
+        BsReply_AddHeader(response, "Boragespur-Outcome",
+                          BsReply_OutcomeName(call->outcome));
+    }
+    if (call->retry_after_s > 0) {
+        g_snprintf(number, sizeof(number), "%u", call->retry_after_s);
+        BsReply_AddHeader(response, "Retry-After", number);
+    }
+    if (call->events) {
+        BsReply_AddHeader(response, "Cache-Control", "no-store");
+    }
+}
+
+enum MHD_Result
+BsCall_SendHead(BsCall *call)
+{
+    if (call->state == CALL_WAITING) {
+        call->suspended = true;
+        MHD_suspend_connection(call->connection);
+        return MHD_YES;
+    }
+    if (call->state != CALL_HEAD) {
+        return MHD_YES;
+    }
+    struct MHD_Response *response = S_create_response(call);
+    S_add_headers(call, response);
+    call->state = CALL_SENDING;
+    enum MHD_Result result =
+        MHD_queue_response(call->connection, call->status, response);
+    MHD_destroy_response(response);
+    return result;
+}
+
+/* Ends an answer whose head is out already. */
+static void
+S_break(BsCall *call, BsErrorKind error, const char *detail, uint32_t outcome)
+{
+    call->final = true;
+    if (!call->events) {
+        call->broken = true;
+        return;
+    }
+    char *text = BsReply_FormatError(error, detail, outcome, call->id);
+    char *event = g_strdup_printf("event: error\ndata: %s\n\n", text);
+    S_append_text(call, event);
+    g_free(event);
+    g_free(text);
+}
+
+static void
+S_end_with_error(BsCall *call, BsErrorKind error, const char *detail,
+                 uint32_t outcome)
+{
+    if (call->state == CALL_WAITING) {
+        S_set_error(call, error, detail, outcome);
+    }
+    else if (!call->final) {
+        S_break(call, error, detail, outcome);
+    }
+}
+
+static void
+S_read_head(BsCall *call, const BsAnswer *answer)
+{
+    if (answer->content_type != NULL) {
+        BsMessage_SetString(&call->content_type, answer->content_type);
+        call->events =
+            g_str_has_prefix(answer->content_type, "text/event-stream");
+    }
+    if (answer->ticket != NULL) {
+        BsMessage_SetString(&call->ticket, answer->ticket);
+    }
+    if (answer->status != 0 && call->status == 0) {
+        call->status = answer->status;
+    }
+}
+
+/* Ends a complete answer. */
+static void
+S_finish(BsCall *call, const BsAnswer *answer)
+{
+    call->final = true;
+    if (call->state == CALL_WAITING) {
+        call->outcome = answer->outcome == BS_OUTCOME_NONE ? BS_OUTCOME_UNKNOWN
+                                                           : answer->outcome;
+        call->state = CALL_HEAD;
+    }
+}
+
+/* Sends the head early when the rest must not or cannot be waited for. */
+static void
+S_consider_head(BsCall *call)
+{
+    bool streamed = call->stream && call->events;
+    if (call->state == CALL_WAITING && call->status != 0 &&
+        (streamed || call->out->len > HOLD_MAX_BYTES)) {
+        call->outcome = BS_OUTCOME_RAN;
+        call->state = CALL_HEAD;
+    }
+}
+
+void
+BsCall_OnAnswer(BsCall *call, const BsAnswer *answer)
+{
+    if (call->final) {
+        return;
+    }
+    S_read_head(call, answer);
+    if (answer->final) {
+        call->posted = false;
+        call->retry_after_s = answer->retry_after_s;
+    }
+    if (answer->final && answer->error != BS_ERR_NONE) {
+        S_end_with_error(call, (BsErrorKind)answer->error, answer->detail,
+                         answer->outcome);
+        S_resume(call);
+        return;
+    }
+    if (answer->data != NULL) {
+        gsize size;
+        const guint8 *data = g_bytes_get_data(answer->data, &size);
+        g_byte_array_append(call->out, data, (guint)size);
+    }
+    if (answer->final) {
+        S_finish(call, answer);
+    }
+    else {
+        S_consider_head(call);
+    }
+    S_check_flow(call);
+    if (call->state != CALL_WAITING) {
+        S_resume(call);
+    }
+}
+
+void
+BsCall_OnReply(BsCall *call, const BsQueryReply *reply)
+{
+    gsize size = 0;
+    const guint8 *data =
+        reply->body == NULL ? NULL : g_bytes_get_data(reply->body, &size);
+    if (call->final) {
+        return;
+    }
+    g_byte_array_append(call->out, data, (guint)size);
+    BsMessage_SetString(&call->content_type, "application/json");
+    call->posted = false;
+    call->status = reply->status;
+    call->final = true;
+    call->state = CALL_HEAD;
+    S_resume(call);
+}
+
+void
+BsCall_Fail(BsCall *call, BsErrorKind error, BsOutcome outcome)
+{
+    if (!call->final) {
+        S_end_with_error(call, error, NULL, outcome);
+        S_resume(call);
+    }
+}
+
+void
+BsCall_Close(BsCall *call, bool complete)
+{
+    if (call->cancels) {
+        S_stop_watch(call);
+    }
+    if (call->posted && !complete) {
+        S_post_cancel(call);
+    }
+}
+
+void
+BsCall_Abandon(BsCall *call)
+{
+    call->posted = false;
+    if (call->cancels) {
+        S_stop_watch(call);
+    }
+    if (!call->final) {
+        S_end_with_error(call, BS_ERR_DRAINING, NULL, BS_OUTCOME_UNKNOWN);
+    }
+    S_resume(call);
+}
--- /dev/null
+++ b/src/d_callers.c
@@ -0,0 +1,291 @@
+/* d_callers.c - HTTP connections of callers. */
+#include "d_callers.h"
+
+#include "d_call.h"
+#include "d_httpd.h"
+#include "d_reply.h"
+#include "d_request.h"
+
+#include <string.h>
+
+/* Connections accepted beyond the limit, to be refused with an answer. */
+#define CONNECTIONS_SPARE 64
+
+struct BsCallers {
+    BsLoop *loop;
+    BsHttpd *httpd;
+    GHashTable *calls; /* request or query id to BsCall */
+    uint64_t next_id;
+    uint32_t connections;
+};
+
+static const char *
+S_get_header(void *context, const char *name)
+{
+    return MHD_lookup_connection_value(context, MHD_HEADER_KIND, name);
+}
+
+static char *
+S_make_id(BsCallers *callers)
+{
+    return g_strdup_printf("%s-%" G_GINT64_MODIFIER "x-%" G_GUINT64_FORMAT,
+                           BsLoop_Settings(callers->loop)->name,
+                           (guint64)BsLoop_Incarnation(callers->loop),
+                           (guint64)++callers->next_id);
+}
+
+/* Registers CALL under a new id; returns the id. */
+static const char *
+S_register(BsCallers *callers, BsCall *call)
+{
+    char *id = S_make_id(callers);
+    BsCall_SetId(call, id);
+    g_hash_table_insert(callers->calls, id, call);
+    return id;
+}
+
+static void
+S_start_request(BsCallers *callers, BsCall *call, const BsHttpRequest *http,
+                BsRouteKind route)
+{
+    GError *error = NULL;
+    BsMessage *message = BsHttpRequest_Translate(http, route, &error);
+    if (message == NULL) {
+        BsCall_Refuse(call, (BsErrorKind)error->code, error->message);
+        g_error_free(error);
+        return;
+    }
+    message->u.request.request_id = g_strdup(S_register(callers, call));
+    BsCall_Wait(call, message->u.request.service == NULL,
+                message->u.request.stream);
+    BsLoop_Post(callers->loop, message);
+}
+
+static void
+S_start_query(BsCallers *callers, BsCall *call, const BsHttpRequest *http,
+              BsRouteKind route)
+{
+    BsMessage *message = BsHttpRequest_Query(http, route);
+    message->u.query.query_id = g_strdup(S_register(callers, call));
+    BsCall_Wait(call, false, false);
+    BsLoop_Post(callers->loop, message);
+}
+
+/* Handles a request whose body has arrived. */
+static void
+S_start(BsCallers *callers, BsCall *call, const char *method)
+{
+    size_t size;
+    const void *body = BsCall_Body(call, &size);
+    BsHttpRequest http = {.method = method,
+                          .target = BsCall_Target(call),
+                          .header = S_get_header,
+                          .context = BsCall_Connection(call),
+                          .body = body,
+                          .body_bytes = size};
+    BsRouteKind route = BsHttpRequest_Route(method, http.target);
+    switch (route) {
+    case BS_ROUTE_MODEL:
+    case BS_ROUTE_SERVICE:
+        S_start_request(callers, call, &http, route);
+        break;
+    case BS_ROUTE_NONE:
+        BsCall_RefuseStatus(call, MHD_HTTP_NOT_FOUND,
+                            "no such path; see the list of paths in the "
+                            "manual");
+        break;
+    case BS_ROUTE_METHOD:
+        BsCall_RefuseStatus(call, MHD_HTTP_METHOD_NOT_ALLOWED,
+                            "this path does not take this method");
+        break;
+    default:
+        S_start_query(callers, call, &http, route);
+        break;
+    }
+}
+
+static bool
+S_is_declared_too_large(BsCallers *callers, struct MHD_Connection *connection)
+{
+    const char *text = S_get_header(connection, "Content-Length");
+    guint64 length;
+    return text != NULL &&
+           g_ascii_string_to_unsigned(text, 10, 0, G_MAXUINT64, &length,
+                                      NULL) &&
+           length > BsLoop_Settings(callers->loop)->limits.body_bytes;
+}
+
+/* Refuses before the body is read what no body can make right. */
+static bool
+S_refuse_early(BsCallers *callers, BsCall *call)
+{
+    const BsSettings *settings = BsLoop_Settings(callers->loop);
+    if (callers->connections > settings->limits.connections) {
+        BsLoop_Count(callers->loop, "connections_refused", 1);
+        BsCall_Refuse(call, BS_ERR_MEMORY_FULL,
+                      "limits.connections is reached on this instance");
+        return true;
+    }
+    if (S_is_declared_too_large(callers, BsCall_Connection(call))) {
+        BsCall_RefuseTooLarge(call, settings->limits.body_bytes);
+        return true;
+    }
+    return false;
+}
+
+static enum MHD_Result
+S_on_access(void *context, struct MHD_Connection *connection, const char *url,
+            const char *method, const char *version, const char *data,
+            size_t *data_bytes, void **slot)
+{
+    BsCallers *callers = context;
+    BsCall *call = *slot;
+    (void)url;
+    (void)version;
+    if (call == NULL) {
+        return MHD_NO;
+    }
+    if (!BsCall_IsBegun(call)) {
+        BsCall_Begin(call, connection);
+        return S_refuse_early(callers, call) ? BsCall_SendHead(call) : MHD_YES;
+    }
+    if (*data_bytes > 0) {
+        bool accepted =
+            BsCall_AddBody(call, data, *data_bytes,
+                           BsLoop_Settings(callers->loop)->limits.body_bytes);
+        *data_bytes = 0;
+        return accepted ? MHD_YES : MHD_NO;
+    }
+    if (BsCall_IsReading(call)) {
+        S_start(callers, call, method);
+    }
+    return BsCall_SendHead(call);
+}
+
+static void *
+S_on_uri(void *context, const char *uri, struct MHD_Connection *connection)
+{
+    BsCallers *callers = context;
+    (void)connection;
+    BsLoop_Count(callers->loop, "caller_requests", 1);
+    return BsCall_Create(callers->loop, uri);
+}
+
+static void
+S_on_completed(void *context, struct MHD_Connection *connection, void **slot,
+               enum MHD_RequestTerminationCode code)
+{
+    BsCallers *callers = context;
+    BsCall *call = *slot;
+    (void)connection;
+    if (call == NULL) {
+        return;
+    }
+    BsCall_Close(call, code == MHD_REQUEST_TERMINATED_COMPLETED_OK);
+    if (BsCall_Id(call) != NULL) {
+        g_hash_table_remove(callers->calls, BsCall_Id(call));
+    }
+    BsCall_Destroy(call);
+    *slot = NULL;
+}
+
+static void
+S_on_connection(void *context, struct MHD_Connection *connection, void **slot,
+                enum MHD_ConnectionNotificationCode code)
+{
+    BsCallers *callers = context;
+    (void)connection;
+    (void)slot;
+    if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+        callers->connections++;
+    }
+    else {
+        callers->connections--;
+    }
+    BsLoop_SetGauge(callers->loop, "caller_connections", callers->connections);
+}
+
+static void
+S_on_answer(const BsMessage *message, void *context)
+{
+    BsCallers *callers = context;
+    const char *id = message->u.answer.request_id;
+    BsCall *call = id == NULL ? NULL : g_hash_table_lookup(callers->calls, id);
+    if (call != NULL) {
+        BsCall_OnAnswer(call, &message->u.answer);
+    }
+}
+
+static void
+S_on_reply(const BsMessage *message, void *context)
+{
+    BsCallers *callers = context;
+    const char *id = message->u.reply.query_id;
+    BsCall *call = id == NULL ? NULL : g_hash_table_lookup(callers->calls, id);
+    if (call != NULL) {
+        BsCall_OnReply(call, &message->u.reply);
+    }
+}
+
+BsCallers *
+BsCallers_Create(BsLoop *loop, GError **error)
+{
+    const BsSettings *settings = BsLoop_Settings(loop);
+    BsCallers *callers = g_new0(BsCallers, 1);
+    callers->loop = loop;
+    callers->calls =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    BsHttpdConfig config = {
+        .address = settings->callers,
+        .key = "callers",
+        .handle = S_on_access,
+        .uri = S_on_uri,
+        .completed = S_on_completed,
+        .connected = S_on_connection,
+        .context = callers,
+        .header_bytes = settings->limits.header_bytes,
+        .connections = settings->limits.connections + CONNECTIONS_SPARE,
+    };
+    callers->httpd = BsHttpd_Create(loop, &config, error);
+    if (callers->httpd == NULL) {
+        BsCallers_Destroy(callers);
+        return NULL;
+    }
+    BsLoop_Handle(loop, BS_CALLER_ANSWER, S_on_answer, callers);
+    BsLoop_Handle(loop, BS_QUERY_REPLY, S_on_reply, callers);
+    return callers;
+}
+
+void
+BsCallers_Destroy(BsCallers *callers)
+{
+    if (callers == NULL) {
+        return;
+    }
+    GHashTableIter iter;
+    gpointer call;
+    g_hash_table_iter_init(&iter, callers->calls);
+    while (g_hash_table_iter_next(&iter, NULL, &call)) {
+        BsCall_Abandon(call);
+    }
+    BsHttpd_Destroy(callers->httpd);
+    g_hash_table_destroy(callers->calls);
+    g_free(callers);
+}
+
+uint32_t
+BsCallers_Count(const BsCallers *callers)
+{
+    return g_hash_table_size(callers->calls);
+}
+
+void
+BsCallers_FailAll(BsCallers *callers, BsErrorKind error)
+{
+    GHashTableIter iter;
+    gpointer call;
+    g_hash_table_iter_init(&iter, callers->calls);
+    while (g_hash_table_iter_next(&iter, NULL, &call)) {
+        BsCall_Fail(call, error, BS_OUTCOME_UNKNOWN);
+    }
+}
--- /dev/null
+++ b/src/d_httpd.h
@@ -0,0 +1,43 @@
+/*
+ * d_httpd.h - a libmicrohttpd server driven by the event loop.
+ *
+ * Rules: the server's epoll descriptor is watched by the loop; it never
+ * starts a thread and never blocks.
+ */
+#ifndef BS_D_HTTPD_H
+#define BS_D_HTTPD_H
+
+#include "d_loop.h"
+
+#include <microhttpd.h>
+
+typedef struct BsHttpd BsHttpd;
+
+/* How to create a server. */
+typedef struct {
+    const char *address; /* IP:port */
+    const char *key;     /* settings key of the address, for errors */
+    MHD_AccessHandlerCallback handle;
+    /* Creates the request's context; may be NULL. */
+    void *(*uri)(void *context, const char *uri,
+                 struct MHD_Connection *connection);
+    MHD_RequestCompletedCallback completed;
+    MHD_NotifyConnectionCallback connected; /* may be NULL */
+    void *context;
+    uint32_t header_bytes;
+    uint32_t connections;
+    bool tls;
+    void *certificate_callback; /* gnutls_certificate_retrieve_function2 */
+} BsHttpdConfig;
+
+/* Creates a listening server; NULL with ERROR set when it cannot listen. */
+BsHttpd *BsHttpd_Create(BsLoop *loop, const BsHttpdConfig *config,
+                        GError **error);
+
+/* Closes the server and its connections; NULL is allowed. */
+void BsHttpd_Destroy(BsHttpd *httpd);
+
+/* Stops accepting connections; open ones go on. */
+void BsHttpd_Quiesce(BsHttpd *httpd);
+
+#endif /* BS_D_HTTPD_H */
--- /dev/null
+++ b/src/d_peers.c
@@ -0,0 +1,278 @@
+/* d_peers.c - messages between instances over ZeroMQ. */
+#include "d_peers.h"
+
+#include "schema.h"
+
+#include <errno.h>
+#include <string.h>
+#include <zmq.h>
+
+#define HIGH_WATER_MESSAGES 10000
+#define MESSAGE_MAX_BYTES (INT64_C(16) * 1024 * 1024)
+#define RECONNECT_MS 20
+#define RECONNECT_MAX_MS 500
+#define CONNECT_TIMEOUT_MS 1000
+#define HANDSHAKE_MS 3000
+#define UNACKNOWLEDGED_MAX_MS 5000
+#define RECEIVE_BATCH 256
+#define KIND_LAST 127
+
+typedef struct {
+    char *address;
+    void *socket;
+} BsPeer;
+
+struct BsPeers {
+    BsLoop *loop;
+    void *context;
+    void *router;
+    GHashTable *peers; /* instance name to BsPeer */
+    ev_io io;
+    ev_prepare again; /* fed by hand when a batch was cut short */
+};
+
+static void
+S_destroy_peer(void *data)
+{
+    BsPeer *peer = data;
+    zmq_close(peer->socket);
+    g_free(peer->address);
+    g_free(peer);
+}
+
+static void
+S_set_int(void *socket, int option, int value)
+{
+    zmq_setsockopt(socket, option, &value, sizeof(value));
+}
+
+static void
+S_set_common(void *socket)
+{
+    int64_t max = MESSAGE_MAX_BYTES;
+    S_set_int(socket, ZMQ_LINGER, 0);
+    S_set_int(socket, ZMQ_SNDHWM, HIGH_WATER_MESSAGES);
+    S_set_int(socket, ZMQ_RCVHWM, HIGH_WATER_MESSAGES);
+    S_set_int(socket, ZMQ_HANDSHAKE_IVL, HANDSHAKE_MS);
+    S_set_int(socket, ZMQ_TCP_MAXRT, UNACKNOWLEDGED_MAX_MS);
+    S_set_int(socket, ZMQ_TCP_KEEPALIVE, 1);
+    S_set_int(socket, ZMQ_IPV6, 1);
+    zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &max, sizeof(max));
+}
+
+/* Creates a sending socket.  ZMQ_IMMEDIATE keeps messages from waiting for a
+   lost peer and reaching its replacement. */
+static BsPeer *
+S_connect(BsPeers *peers, const char *address)
+{
+    BsPeer *peer = g_new0(BsPeer, 1);
+    char *endpoint = g_strdup_printf("tcp://%s", address);
+    peer->address = g_strdup(address);
+    peer->socket = zmq_socket(peers->context, ZMQ_DEALER);
+    S_set_common(peer->socket);
+    S_set_int(peer->socket, ZMQ_IMMEDIATE, 1);
+    S_set_int(peer->socket, ZMQ_RECONNECT_IVL, RECONNECT_MS);
+    S_set_int(peer->socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
+    S_set_int(peer->socket, ZMQ_CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS);
+    if (zmq_connect(peer->socket, endpoint) != 0) {
+        BsLoop_Count(peers->loop, "peer_addresses_bad", 1);
+    }
+    g_free(endpoint);
+    return peer;
+}
+
+static void
+S_on_list(const BsMessage *message, void *context)
+{
+    BsPeers *peers = context;
+    const GPtrArray *entries = message->u.list.entries;
+    GHashTable *kept = peers->peers;
+    peers->peers =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, S_destroy_peer);
+    for (guint i = 0; entries != NULL && i < entries->len; i++) {
+        const BsListEntry *entry = entries->pdata[i];
+        if (entry->kind != BS_NODE_INSTANCE || entry->address == NULL ||
+            strcmp(entry->name, BsLoop_Settings(peers->loop)->name) == 0 ||
+            g_hash_table_contains(peers->peers, entry->name)) {
+            continue;
+        }
+        BsPeer *peer = g_hash_table_lookup(kept, entry->name);
+        if (peer != NULL && strcmp(peer->address, entry->address) == 0) {
+            gpointer key;
+            g_hash_table_steal_extended(kept, entry->name, &key, NULL);
+            g_free(key);
+        }
+        else {
+            peer = S_connect(peers, entry->address);
+        }
+        g_hash_table_insert(peers->peers, g_strdup(entry->name), peer);
+    }
+    g_hash_table_destroy(kept);
+}
+
+static void
+S_on_send(const BsMessage *message, void *context)
+{
+    BsPeers *peers = context;
+    BsPeer *peer = message->to == NULL
+                       ? NULL
+                       : g_hash_table_lookup(peers->peers, message->to);
+    if (peer == NULL) {
+        if (message->to != NULL && message->from != NULL &&
+            strcmp(message->from, BsLoop_Settings(peers->loop)->name) == 0) {
+            BsLoop_Count(peers->loop, "peer_sends_unknown_peer", 1);
+        }
+        return;
+    }
+    GBytes *bytes = BsMessage_Encode(message);
+    gsize size;
+    const void *data = g_bytes_get_data(bytes, &size);
+    if (zmq_send(peer->socket, data, size, ZMQ_DONTWAIT) < 0) {
+        BsLoop_Count(peers->loop, "peer_sends_dropped", 1);
+    }
+    else {
+        BsLoop_Count(peers->loop, "peer_bytes_sent", size);
+    }
+    g_bytes_unref(bytes);
+}
+
+static void
+S_take(BsPeers *peers, zmq_msg_t *frame)
+{
+    GError *error = NULL;
+    size_t size = zmq_msg_size(frame);
+    BsLoop_Count(peers->loop, "peer_bytes_received", size);
+    BsMessage *message = BsMessage_Decode(zmq_msg_data(frame), size, &error);
+    if (message == NULL) {
+        BsLoop_Count(peers->loop, "peer_messages_bad", 1);
+        g_error_free(error);
+        return;
+    }
+    if (!BsSchema_IsPeerKind(message->kind) || message->from == NULL) {
+        BsLoop_Count(peers->loop, "peer_messages_bad", 1);
+        BsMessage_Destroy(message);
+        return;
+    }
+    BsLoop_Post(peers->loop, message);
+}
+
+/* Receives one message; returns whether there was one.  The first frame is
+   the sender's routing id, the second the message; others are ignored. */
+static bool
+S_receive(BsPeers *peers)
+{
+    zmq_msg_t frame;
+    int index = 0;
+    bool more = true;
+    while (more) {
+        zmq_msg_init(&frame);
+        if (zmq_msg_recv(&frame, peers->router, ZMQ_DONTWAIT) < 0) {
+            zmq_msg_close(&frame);
+            return false;
+        }
+        more = zmq_msg_more(&frame) != 0;
+        if (index == 1) {
+            S_take(peers, &frame);
+        }
+        zmq_msg_close(&frame);
+        index++;
+    }
+    return true;
+}
+
+/* Receives until the socket is empty: its descriptor signals a change only
+   once.  A long batch gives the other tasks a turn. */
+static void
+S_drain(BsPeers *peers)
+{
+    for (int i = 0; i < RECEIVE_BATCH; i++) {
+        if (!S_receive(peers)) {
+            return;
+        }
+    }
+    ev_feed_event(BsLoop_Ev(peers->loop), &peers->again, EV_PREPARE);
+}
+
+static void
+S_on_io(struct ev_loop *ev, ev_io *watcher, int events)
+{
+    (void)ev;
+    (void)events;
+    S_drain(watcher->data);
+}
+
+static void
+S_on_again(struct ev_loop *ev, ev_prepare *watcher, int events)
+{
+    (void)ev;
+    (void)events;
+    S_drain(watcher->data);
+}
+
+static bool
+S_bind(BsPeers *peers, GError **error)
+{
+    const char *address = BsLoop_Settings(peers->loop)->peers;
+    char *endpoint = g_strdup_printf("tcp://%s", address);
+    int result = zmq_bind(peers->router, endpoint);
+    g_free(endpoint);
+    if (result == 0) {
+        return true;
+    }
+    g_set_error(error, BS_ERROR, BS_ERR_SETTINGS,
+                "peers: cannot listen on %s: %s; stop the program that uses "
+                "it or choose another port",
+                address, zmq_strerror(errno));
+    return false;
+}
+
+static void
+S_watch(BsPeers *peers)
+{
+    int fd;
+    size_t size = sizeof(fd);
+    zmq_getsockopt(peers->router, ZMQ_FD, &fd, &size);
+    ev_io_init(&peers->io, S_on_io, fd, EV_READ);
+    peers->io.data = peers;
+    ev_io_start(BsLoop_Ev(peers->loop), &peers->io);
+    ev_prepare_init(&peers->again, S_on_again);
+    peers->again.data = peers;
+    ev_feed_event(BsLoop_Ev(peers->loop), &peers->again, EV_PREPARE);
+}
+
+BsPeers *
+BsPeers_Create(BsLoop *loop, GError **error)
+{
+    BsPeers *peers = g_new0(BsPeers, 1);
+    peers->loop = loop;
+    peers->context = zmq_ctx_new();
+    peers->peers =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, S_destroy_peer);
+    peers->router = zmq_socket(peers->context, ZMQ_ROUTER);
+    S_set_common(peers->router);
+    if (!S_bind(peers, error)) {
+        BsPeers_Destroy(peers);
+        return NULL;
+    }
+    S_watch(peers);
+    BsLoop_Handle(loop, BS_PLATFORM_LIST, S_on_list, peers);
+    for (uint32_t kind = BS_FORWARD; kind <= KIND_LAST; kind++) {
+        if (BsSchema_IsPeerKind(kind)) {
+            BsLoop_Handle(loop, kind, S_on_send, peers);
+        }
+    }
+    return peers;
+}
+
+void
+BsPeers_Destroy(BsPeers *peers)
+{
+    if (peers == NULL) {
+        return;
+    }
+    ev_io_stop(BsLoop_Ev(peers->loop), &peers->io);
+    g_hash_table_destroy(peers->peers);
+    zmq_close(peers->router);
+    zmq_ctx_term(peers->context);
+    g_free(peers);
+}
--- /dev/null
+++ b/src/d_platform.c
@@ -0,0 +1,260 @@
+/* d_platform.c - reads and watches of the configuration service. */
+#include "d_platform.h"
+
+#include "d_curl.h"
+#include "d_listing.h"
+
+#include <string.h>
+#include <strings.h>
+#include <syslog.h>
+
+#define WAIT_MS 20000
+#define READ_TIMEOUT_MS 25000L
+#define CONNECT_TIMEOUT_MS 1000L
+#define RETRY_S 1.0
+#define PAUSE_S 0.05
+#define VALUE_MAX_BYTES (4 * 1024 * 1024)
+#define POOL_CONNECTIONS 4
+#define STATUS_OK 200
+#define STATUS_NOT_MODIFIED 304
+#define REVISION_HEADER "X-Revision:"
+
+typedef struct {
+    BsPlatform *platform;
+    const char *key;
+    CURL *easy;
+    GByteArray *value;
+    ev_timer timer;
+    uint64_t revision; /* last read */
+    uint64_t next_revision;
+    unsigned address; /* index into the settings' list */
+    bool wanted;
+    bool has_revision;
+    bool down;
+} BsKeyWatch;
+
+struct BsPlatform {
+    BsLoop *loop;
+    BsCurl *curl;
+    BsKeyWatch sheet;
+    BsKeyWatch list;
+};
+
+static void
+S_schedule(BsKeyWatch *watch, double delay_s)
+{
+    struct ev_loop *ev = BsLoop_Ev(watch->platform->loop);
+    ev_timer_stop(ev, &watch->timer);
+    if (watch->wanted) {
+        ev_timer_set(&watch->timer, delay_s, 0.0);
+        ev_timer_start(ev, &watch->timer);
+    }
+}
+
+static size_t
+S_on_write(char *data, size_t unit, size_t count, void *context)
+{
+    BsKeyWatch *watch = context;
+    size_t size = unit * count;
+    if (watch->value->len + size > VALUE_MAX_BYTES) {
+        return 0;
+    }
+    g_byte_array_append(watch->value, (const guint8 *)data, (guint)size);
+    return size;
+}
+
+static size_t
+S_on_header(char *line, size_t unit, size_t count, void *context)
+{
+    BsKeyWatch *watch = context;
+    size_t size = unit * count;
+    size_t length = strlen(REVISION_HEADER);
+    if (size > length && strncasecmp(line, REVISION_HEADER, length) == 0) {
+        char *text = g_strndup(line + length, size - length);
+        watch->next_revision = g_ascii_strtoull(text, NULL, 10);
+        g_free(text);
+    }
+    return size;
+}
+
+static void
+S_take_list(BsKeyWatch *watch)
+{
+    BsLoop *loop = watch->platform->loop;
+    GError *error = NULL;
+    BsMessage *message =
+        BsListing_Parse(watch->value->data, watch->value->len, &error);
+    if (message == NULL) {
+        BsLoop_Count(loop, "platform_lists_bad", 1);
+        BsLoop_Log(loop, LOG_ERR, "instance list ignored: %s", error->message);
+        g_error_free(error);
+        return;
+    }
+    BsLoop_Post(loop, message);
+}
+
+static void
+S_take_sheet(BsKeyWatch *watch)
+{
+    BsMessage *message = BsMessage_Create(BS_PLATFORM_SHEET);
+    message->u.sheet.revision = watch->next_revision;
+    message->u.sheet.text = g_bytes_new(watch->value->data, watch->value->len);
+    BsLoop_Post(watch->platform->loop, message);
+}
+
+static void
+S_take(BsKeyWatch *watch)
+{
+    watch->revision = watch->next_revision;
+    watch->has_revision = true;
+    if (watch == &watch->platform->list) {
+        S_take_list(watch);
+    }
+    else {
+        S_take_sheet(watch);
+    }
+}
+
+static void
+S_set_down(BsKeyWatch *watch, bool down, const char *reason)
+{
+    BsLoop *loop = watch->platform->loop;
+    if (down != watch->down) {
+        watch->down = down;
+        BsLoop_Log(loop, down ? LOG_WARNING : LOG_NOTICE,
+                   "configuration service: key %s %s%s", watch->key,
+                   down ? "cannot be read: " : "is read again",
+                   down ? reason : "");
+    }
+    if (down) {
+        BsLoop_Count(loop, "platform_reads_failed", 1);
+        BsLoop_Post(loop, BsMessage_Create(BS_PLATFORM_DOWN));
+    }
+}
+
+static void
+S_on_done(CURL *easy, CURLcode result, void *context)
+{
+    BsKeyWatch *watch = context;
+    char reason[64];
+    long status = 0;
+    curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+    curl_easy_cleanup(easy);
+    watch->easy = NULL;
+    if (result == CURLE_OK &&
+        (status == STATUS_OK || status == STATUS_NOT_MODIFIED)) {
+        S_set_down(watch, false, NULL);
+        if (status == STATUS_OK) {
+            S_take(watch);
+        }
+        S_schedule(watch, PAUSE_S);
+        return;
+    }
+    g_snprintf(reason, sizeof(reason), "%s %ld", curl_easy_strerror(result),
+               status);
+    S_set_down(watch, true, reason);
+    watch->address++;
+    watch->has_revision = false;
+    S_schedule(watch, RETRY_S);
+}
+
+static char *
+S_make_url(const BsKeyWatch *watch)
+{
+    const BsSettings *settings = BsLoop_Settings(watch->platform->loop);
+    const char *base =
+        settings->platform[watch->address % settings->platform_count];
+    if (!watch->has_revision) {
+        return g_strdup_printf("%s/v1/keys/%s", base, watch->key);
+    }
+    return g_strdup_printf(
+        "%s/v1/keys/%s?after=%" G_GUINT64_FORMAT "&wait_ms=%d", base,
+        watch->key, (guint64)watch->revision, WAIT_MS);
+}
+
+static void
+S_read(BsKeyWatch *watch)
+{
+    char *url = S_make_url(watch);
+    CURL *easy = curl_easy_init();
+    g_byte_array_set_size(watch->value, 0);
+    watch->easy = easy;
+    curl_easy_setopt(easy, CURLOPT_URL, url);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, READ_TIMEOUT_MS);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, S_on_write);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, watch);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, S_on_header);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, watch);
+    BsLoop_Count(watch->platform->loop, "platform_reads", 1);
+    BsCurl_Start(watch->platform->curl, easy, S_on_done, watch);
+    g_free(url);
+}
+
+static void
+S_on_timer(struct ev_loop *ev, ev_timer *watcher, int events)
+{
+    (void)ev;
+    (void)events;
+    S_read(watcher->data);
+}
+
+static void
+S_set_wanted(BsKeyWatch *watch, bool wanted)
+{
+    if (watch->wanted == wanted) {
+        return;
+    }
+    watch->wanted = wanted;
+    if (watch->easy != NULL) {
+        BsCurl_Cancel(watch->platform->curl, watch->easy);
+        watch->easy = NULL;
+    }
+    S_schedule(watch, 0.0);
+}
+
+static void
+S_on_watch(const BsMessage *message, void *context)
+{
+    BsPlatform *platform = context;
+    S_set_wanted(&platform->sheet, message->u.watch.sheet);
+    S_set_wanted(&platform->list, message->u.watch.list);
+}
+
+static void
+S_init_watch(BsPlatform *platform, BsKeyWatch *watch, const char *key)
+{
+    watch->platform = platform;
+    watch->key = key;
+    watch->value = g_byte_array_new();
+    ev_timer_init(&watch->timer, S_on_timer, 0.0, 0.0);
+    watch->timer.data = watch;
+    S_set_wanted(watch, true);
+}
+
+BsPlatform *
+BsPlatform_Create(BsLoop *loop)
+{
+    BsPlatform *platform = g_new0(BsPlatform, 1);
+    platform->loop = loop;
+    platform->curl = BsCurl_Create(loop, POOL_CONNECTIONS);
+    S_init_watch(platform, &platform->sheet, "sheet");
+    S_init_watch(platform, &platform->list, "instances");
+    BsLoop_Handle(loop, BS_PLATFORM_WATCH, S_on_watch, platform);
+    return platform;
+}
+
+void
+BsPlatform_Destroy(BsPlatform *platform)
+{
+    if (platform == NULL) {
+        return;
+    }
+    S_set_wanted(&platform->sheet, false);
+    S_set_wanted(&platform->list, false);
+    BsCurl_Destroy(platform->curl);
+    g_byte_array_unref(platform->sheet.value);
+    g_byte_array_unref(platform->list.value);
+    g_free(platform);
+}
--- /dev/null
+++ b/src/d_reply.c
@@ -0,0 +1,64 @@
+/* d_reply.c - error bodies and common headers of answers to callers. */
+#include "d_reply.h"
+
+#include <jansson.h>
+#include <string.h>
+
+const char *
+BsReply_OutcomeName(uint32_t outcome)
+{
+    switch (outcome) {
+    case BS_OUTCOME_RAN:
+        return "ran";
+    case BS_OUTCOME_NOT_RUN:
+        return "not-run";
+    default:
+        return "unknown";
+    }
+}
+
+char *
+BsReply_FormatError(BsErrorKind error, const char *detail, uint32_t outcome,
+                    const char *request_id)
+{
+    const BsErrorText *text = BsError_Describe(error);
+    char *message = detail == NULL
+                        ? g_strdup(text->message)
+                        : g_strdup_printf("%s: %s", text->message, detail);
+    char *valid = g_utf8_make_valid(message, -1);
+    json_t *json = json_pack(
+        "{s:{s:s, s:s, s:s, s:s, s:s?}}", "error", "type", text->name,
+        "message", valid, "remedy", text->remedy, "outcome",
+        BsReply_OutcomeName(outcome), "request_id", request_id);
+    char *dump = json_dumps(json, JSON_COMPACT);
+    char *copy = g_strdup(dump);
+    free(dump);
+    json_decref(json);
+    g_free(valid);
+    g_free(message);
+    return copy;
+}
+
+struct MHD_Response *
+BsReply_CreateJson(const char *text, size_t size_bytes)
+{
+    struct MHD_Response *response = MHD_create_response_from_buffer(
+        size_bytes, (void *)text, MHD_RESPMEM_MUST_COPY);
+    BsReply_AddHeader(response, "Content-Type", "application/json");
+    return response;
+}
+
+void
+BsReply_AddHeader(struct MHD_Response *response, const char *name,
+                  const char *value)
+{
+    if (value == NULL || value[0] == '\0') {
+        return;
+    }
+    for (const char *c = value; *c != '\0'; c++) {
+        if (g_ascii_iscntrl(*c)) {
+            return;
+        }
+    }
+    MHD_add_response_header(response, name, value);
+}
--- /dev/null
+++ b/src/d_reply.h
@@ -0,0 +1,25 @@
+/*
+ * d_reply.h - error bodies and common headers of answers to callers.
+ */
+#ifndef BS_D_REPLY_H
+#define BS_D_REPLY_H
+
+#include "boragespur.h"
+
+#include <microhttpd.h>
+
+/* Returns the name of OUTCOME as told to callers. */
+const char *BsReply_OutcomeName(uint32_t outcome);
+
+/* Returns the JSON text of an error; DETAIL and REQUEST_ID may be NULL. */
+char *BsReply_FormatError(BsErrorKind error, const char *detail,
+                          uint32_t outcome, const char *request_id);
+
+/* Creates a response that owns a copy of TEXT as JSON. */
+struct MHD_Response *BsReply_CreateJson(const char *text, size_t size_bytes);
+
+/* Adds the header NAME unless VALUE is NULL or holds control characters. */
+void BsReply_AddHeader(struct MHD_Response *response, const char *name,
+                       const char *value);
+
+#endif /* BS_D_REPLY_H */
--- /dev/null
+++ b/src/d_stop.c
@@ -0,0 +1,119 @@
+/* d_stop.c - planned stops. */
+#include "d_stop.h"
+
+#include <signal.h>
+#include <syslog.h>
+
+#define CHECK_S 0.05
+
+/* Time for the last answers to reach their callers. */
+#define FLUSH_MS 2000
+
+struct BsStop {
+    BsLoop *loop;
+    BsCallers *callers;
+    ev_signal term;
+    ev_signal interrupt;
+    ev_timer check;
+    int64_t flush_until_ms; /* 0 until nothing more is waited for */
+    bool draining;
+    bool drained;
+};
+
+static void
+S_flush(BsStop *stop)
+{
+    if (stop->flush_until_ms == 0) {
+        stop->flush_until_ms = BsLoop_NowMs(stop->loop) + FLUSH_MS;
+    }
+}
+
+static void
+S_on_check(struct ev_loop *ev, ev_timer *watcher, int events)
+{
+    (void)ev;
+    (void)events;
+    BsStop *stop = watcher->data;
+    bool answered = BsCallers_Count(stop->callers) == 0;
+    if (stop->drained) {
+        S_flush(stop);
+    }
+    if (stop->flush_until_ms != 0 &&
+        (answered || BsLoop_NowMs(stop->loop) >= stop->flush_until_ms)) {
+        BsLoop_Log(stop->loop, LOG_NOTICE, "stopped");
+        BsLoop_Stop(stop->loop);
+    }
+}
+
+static void
+S_on_drain(const BsMessage *message, void *context)
+{
+    BsStop *stop = context;
+    (void)message;
+    if (!stop->draining) {
+        stop->draining = true;
+        BsLoop_Log(stop->loop, LOG_NOTICE, "draining");
+        ev_timer_start(BsLoop_Ev(stop->loop), &stop->check);
+    }
+}
+
+static void
+S_on_drained(const BsMessage *message, void *context)
+{
+    BsStop *stop = context;
+    (void)message;
+    stop->drained = true;
+}
+
+static void
+S_on_signal(struct ev_loop *ev, ev_signal *watcher, int events)
+{
+    (void)ev;
+    (void)events;
+    BsStop *stop = watcher->data;
+    if (stop->draining) {
+        BsLoop_Log(stop->loop, LOG_WARNING,
+                   "second signal: waiting requests end as unknown");
+        BsCallers_FailAll(stop->callers, BS_ERR_DRAINING);
+        S_flush(stop);
+        return;
+    }
+    BsMessage *message = BsMessage_Create(BS_DRAIN);
+    message->u.drain.limit_ms = BsLoop_Settings(stop->loop)->drain_limit_ms;
+    BsLoop_Post(stop->loop, message);
+}
+
+static void
+S_watch_signal(BsStop *stop, ev_signal *watcher, int number)
+{
+    ev_signal_init(watcher, S_on_signal, number);
+    watcher->data = stop;
+    ev_signal_start(BsLoop_Ev(stop->loop), watcher);
+}
+
+BsStop *
+BsStop_Create(BsLoop *loop, BsCallers *callers)
+{
+    BsStop *stop = g_new0(BsStop, 1);
+    stop->loop = loop;
+    stop->callers = callers;
+    S_watch_signal(stop, &stop->term, SIGTERM);
+    S_watch_signal(stop, &stop->interrupt, SIGINT);
+    ev_timer_init(&stop->check, S_on_check, CHECK_S, CHECK_S);
+    stop->check.data = stop;
+    BsLoop_Handle(loop, BS_DRAIN, S_on_drain, stop);
+    BsLoop_Handle(loop, BS_DRAINED, S_on_drained, stop);
+    return stop;
+}
+
+void
+BsStop_Destroy(BsStop *stop)
+{
+    if (stop == NULL) {
+        return;
+    }
+    ev_signal_stop(BsLoop_Ev(stop->loop), &stop->term);
+    ev_signal_stop(BsLoop_Ev(stop->loop), &stop->interrupt);
+    ev_timer_stop(BsLoop_Ev(stop->loop), &stop->check);
+    g_free(stop);
+}
--- /dev/null
+++ b/src/d_stop.h
@@ -0,0 +1,22 @@
+/*
+ * d_stop.h - planned stops.
+ *
+ * Rules: the first signal or POST /drain asks the core to drain, and the
+ * process ends once the core has drained and every answer is out; the second
+ * signal ends every waiting request with an unknown outcome.
+ */
+#ifndef BS_D_STOP_H
+#define BS_D_STOP_H
+
+#include "d_callers.h"
+#include "d_upstreams.h"
+
+typedef struct BsStop BsStop;
+
+/* Watches for signals and for the core's BS_DRAINED. */
+BsStop *BsStop_Create(BsLoop *loop, BsCallers *callers);
+
+/* Frees STOP; NULL is allowed. */
+void BsStop_Destroy(BsStop *stop);
+
+#endif /* BS_D_STOP_H */
--- /dev/null
+++ b/src/settings.c
@@ -0,0 +1,223 @@
+/* settings.c - reading and checking the settings file. */
+#include "settings.h"
+
+#include <arpa/inet.h>
+#include <cyaml/cyaml.h>
+#include <string.h>
+
+#define STRING_MAX 1024
+#define PLATFORM_MAX 16
+#define ALLOWED_MAX 1000
+
+#define OPTIONAL CYAML_FLAG_OPTIONAL
+#define STRING(key, flags, owner, member)                                     \
+    CYAML_FIELD_STRING_PTR(key, CYAML_FLAG_POINTER | (flags), owner, member,  \
+                           1, STRING_MAX)
+#define UINT(key, owner, member) CYAML_FIELD_UINT(key, OPTIONAL, owner, member)
+#define BOOL(key, owner, member) CYAML_FIELD_BOOL(key, OPTIONAL, owner, member)
+#define MAPPING(key, flags, owner, member, fields)                            \
+    CYAML_FIELD_MAPPING_PTR(key, flags, owner, member, fields)
+
+static const cyaml_schema_value_t S_string_schema = {
+    CYAML_VALUE_STRING(CYAML_FLAG_POINTER, char, 1, STRING_MAX)};
+
+static const cyaml_schema_field_t S_curve_fields[] = {
+    STRING("public", CYAML_FLAG_DEFAULT, BsCurveSettings, public_key),
+    STRING("secret", CYAML_FLAG_DEFAULT, BsCurveSettings, secret_key),
+    CYAML_FIELD_SEQUENCE("allowed", CYAML_FLAG_POINTER | OPTIONAL,
+                         BsCurveSettings, allowed, &S_string_schema, 0,
+                         ALLOWED_MAX),
+    CYAML_FIELD_END};
+
+static const cyaml_schema_field_t S_tls_fields[] = {
+    STRING("certificate", CYAML_FLAG_DEFAULT, BsTlsSettings, certificate),
+    STRING("key", CYAML_FLAG_DEFAULT, BsTlsSettings, key), CYAML_FIELD_END};
+
+static const cyaml_schema_field_t S_limit_fields[] = {
+    UINT("header_bytes", BsLimitSettings, header_bytes),
+    UINT("body_bytes", BsLimitSettings, body_bytes),
+    UINT("connections", BsLimitSettings, connections),
+    UINT("requests", BsLimitSettings, requests),
+    UINT("queue_bytes", BsLimitSettings, queue_bytes),
+    UINT("records", BsLimitSettings, records),
+    CYAML_FIELD_END};
+
+static const cyaml_schema_field_t S_tracing_fields[] = {
+    STRING("url", CYAML_FLAG_DEFAULT, BsTracingSettings, url),
+    UINT("sample_percent", BsTracingSettings, sample_percent),
+    CYAML_FIELD_END};
+
+static const cyaml_schema_field_t S_fields[] = {
+    STRING("name", CYAML_FLAG_DEFAULT, BsSettings, name),
+    STRING("data_centre", CYAML_FLAG_DEFAULT, BsSettings, data_centre),
+    STRING("region", CYAML_FLAG_DEFAULT, BsSettings, region),
+    STRING("callers", CYAML_FLAG_DEFAULT, BsSettings, callers),
+    STRING("admin", CYAML_FLAG_DEFAULT, BsSettings, admin),
+    STRING("peers", CYAML_FLAG_DEFAULT, BsSettings, peers),
+    CYAML_FIELD_SEQUENCE("platform", CYAML_FLAG_POINTER, BsSettings, platform,
+                         &S_string_schema, 1, PLATFORM_MAX),
+    STRING("secret", OPTIONAL, BsSettings, secret),
+    STRING("secret_file", OPTIONAL, BsSettings, secret_file),
+    MAPPING("curve", OPTIONAL, BsSettings, curve, S_curve_fields),
+    MAPPING("tls", OPTIONAL, BsSettings, tls, S_tls_fields),
+    CYAML_FIELD_MAPPING("limits", OPTIONAL, BsSettings, limits,
+                        S_limit_fields),
+    MAPPING("tracing", OPTIONAL, BsSettings, tracing, S_tracing_fields),
+    STRING("policy", OPTIONAL, BsSettings, policy),
+    UINT("lease_ms", BsSettings, lease_ms),
+    UINT("list_lag_ms", BsSettings, list_lag_ms),
+    UINT("resend_window_ms", BsSettings, resend_window_ms),
+    UINT("digest_ms", BsSettings, digest_ms),
+    UINT("drain_limit_ms", BsSettings, drain_limit_ms),
+    BOOL("insecure", BsSettings, insecure),
+    BOOL("fresh_fleet", BsSettings, fresh_fleet),
+    CYAML_FIELD_END};
+
+static const cyaml_schema_value_t S_schema = {
+    CYAML_VALUE_MAPPING(CYAML_FLAG_POINTER, BsSettings, S_fields)};
+
+static void
+S_collect_log(cyaml_log_t level, void *context, const char *format,
+              va_list args)
+{
+    GString *report = context;
+    char *line = g_strdup_vprintf(format, args);
+    (void)level;
+    g_strstrip(line);
+    g_string_append_printf(report, "%s%s", report->len > 0 ? "; " : "", line);
+    g_free(line);
+}
+
+static cyaml_config_t
+S_make_config(GString *report)
+{
+    cyaml_config_t config = {
+        .log_fn = S_collect_log,
+        .log_ctx = report,
+        .mem_fn = cyaml_mem,
+        .log_level = CYAML_LOG_ERROR,
+        .flags = CYAML_CFG_DEFAULT,
+    };
+    return config;
+}
+
+static void
+S_default(uint32_t *value, uint32_t fallback)
+{
+    if (*value == 0) {
+        *value = fallback;
+    }
+}
+
+static void
+S_apply_defaults(BsSettings *settings)
+{
+    S_default(&settings->limits.header_bytes, 16384);
+    S_default(&settings->limits.body_bytes, 4194304);
+    S_default(&settings->limits.connections, 4096);
+    S_default(&settings->limits.requests, 20000);
+    S_default(&settings->limits.records, 100000);
+    S_default(&settings->lease_ms, 2000);
+    S_default(&settings->list_lag_ms, 10000);
+    S_default(&settings->resend_window_ms, 600000);
+    S_default(&settings->digest_ms, 1000);
+    S_default(&settings->drain_limit_ms, 30000);
+    if (settings->limits.queue_bytes == 0) {
+        settings->limits.queue_bytes = 67108864;
+    }
+}
+
+BsSettings *
+BsSettings_Load(const char *file, GError **error)
+{
+    GString *report = g_string_new(NULL);
+    cyaml_config_t config = S_make_config(report);
+    BsSettings *settings = NULL;
+    cyaml_err_t result = cyaml_load_file(
+        file, &config, &S_schema, (cyaml_data_t **)(void *)&settings, NULL);
+    if (result != CYAML_OK) {
+        g_set_error(error, BS_ERROR, BS_ERR_SETTINGS, "%s: %s", file,
+                    report->len > 0 ? report->str : cyaml_strerror(result));
+        g_string_free(report, TRUE);
+        return NULL;
+    }
+    g_string_free(report, TRUE);
+    S_apply_defaults(settings);
+    return settings;
+}
+
+void
+BsSettings_Destroy(BsSettings *settings)
+{
+    cyaml_config_t config = S_make_config(NULL);
+    if (settings != NULL) {
+        cyaml_free(&config, &S_schema, settings, 0);
+    }
+}
+
+void
+BsSettings_FillConfig(const BsSettings *settings, BsCoreConfig *config)
+{
+    BsCoreConfig_Init(config);
+    config->name = settings->name;
+    config->data_centre = settings->data_centre;
+    config->region = settings->region;
+    config->secret = settings->secret;
+    config->lease_ms = settings->lease_ms;
+    config->list_lag_ms = settings->list_lag_ms;
+    config->resend_window_ms = settings->resend_window_ms;
+    config->digest_ms = settings->digest_ms;
+    config->record_limit = settings->limits.records;
+    config->request_limit = settings->limits.requests;
+    config->queue_bytes = settings->limits.queue_bytes;
+    config->fresh_fleet = settings->fresh_fleet;
+}
+
+/* Splits IP:port; HOST is freed with g_free(). */
+static bool
+S_split(const char *text, char **host, uint16_t *port)
+{
+    const char *colon = strrchr(text, ':');
+    guint64 number;
+    if (colon == NULL || colon == text ||
+        !g_ascii_string_to_unsigned(colon + 1, 10, 1, UINT16_MAX, &number,
+                                    NULL)) {
+        return false;
+    }
+    size_t length = (size_t)(colon - text);
+    bool bracketed = text[0] == '[' && colon[-1] == ']';
+    *host =
+        bracketed ? g_strndup(text + 1, length - 2) : g_strndup(text, length);
+    *port = (uint16_t)number;
+    return true;
+}
+
+bool
+BsSettings_ParseAddress(const char *text, struct sockaddr_storage *address,
+                        socklen_t *length)
+{
+    struct sockaddr_in *ip4 = (struct sockaddr_in *)address;
+    struct sockaddr_in6 *ip6 = (struct sockaddr_in6 *)address;
+    char *host;
+    uint16_t port;
+    bool valid = true;
+    memset(address, 0, sizeof(*address));
+    if (!S_split(text, &host, &port)) {
+        return false;
+    }
+    if (inet_pton(AF_INET, host, &ip4->sin_addr) == 1) {
+        ip4->sin_family = AF_INET;
+        ip4->sin_port = htons(port);
+        *length = sizeof(*ip4);
+    }
+    else if (inet_pton(AF_INET6, host, &ip6->sin6_addr) == 1) {
+        ip6->sin6_family = AF_INET6;
+        ip6->sin6_port = htons(port);
+        *length = sizeof(*ip6);
+    }
+    else {
+        valid = false;
+    }
+    g_free(host);
+    return valid;
+}
--- /dev/null
+++ b/src/settings.h
@@ -0,0 +1,85 @@
+/*
+ * settings.h - the settings file of an instance.
+ *
+ * Rules: a file is accepted whole or refused with one line that names the
+ * file, the key, the allowed values and the remedy; settings never change
+ * while the instance runs.
+ */
+#ifndef BS_SETTINGS_H
+#define BS_SETTINGS_H
+
+#include "boragespur.h"
+
+#include <sys/socket.h>
+
+/* Keys of the peers' encrypted transport, Z85 text of 40 characters. */
+typedef struct {
+    char *public_key; /* shared by the fleet */
+    char *secret_key; /* shared by the fleet */
+    char **allowed;   /* public keys accepted besides PUBLIC_KEY */
+    unsigned allowed_count;
+} BsCurveSettings;
+
+/* Certificate and key files, PEM. */
+typedef struct {
+    char *certificate;
+    char *key;
+} BsTlsSettings;
+
+/* Bounds of what callers may make an instance hold. */
+typedef struct {
+    uint32_t header_bytes;
+    uint32_t body_bytes;
+    uint32_t connections;
+    uint32_t requests;
+    uint64_t queue_bytes;
+    uint32_t records;
+} BsLimitSettings;
+
+/* Export of trace spans. */
+typedef struct {
+    char *url;
+    uint32_t sample_percent;
+} BsTracingSettings;
+
+/* Settings of an instance. */
+typedef struct {
+    char *name;
+    char *data_centre;
+    char *region;
+    char *callers; /* IP:port */
+    char *admin;   /* IP:port */
+    char *peers;   /* IP:port */
+    char **platform;
+    unsigned platform_count;
+    char *secret;
+    char *secret_file;
+    BsCurveSettings *curve; /* NULL without encryption */
+    BsTlsSettings *tls;     /* NULL for plain HTTP */
+    BsLimitSettings limits;
+    BsTracingSettings *tracing; /* NULL without export */
+    char *policy;
+    uint32_t lease_ms;
+    uint32_t list_lag_ms;
+    uint32_t resend_window_ms;
+    uint32_t digest_ms;
+    uint32_t drain_limit_ms;
+    bool insecure;
+    bool fresh_fleet;
+} BsSettings;
+
+/* Reads FILE; NULL with BS_ERR_SETTINGS set when it is invalid. */
+BsSettings *BsSettings_Load(const char *file, GError **error);
+
+/* Frees SETTINGS; NULL is allowed. */
+void BsSettings_Destroy(BsSettings *settings);
+
+/* Fills CONFIG for a core; strings stay owned by SETTINGS. */
+void BsSettings_FillConfig(const BsSettings *settings, BsCoreConfig *config);
+
+/* Parses IP:port, with IPv6 in brackets; returns whether it is valid. */
+bool BsSettings_ParseAddress(const char *text,
+                             struct sockaddr_storage *address,
+                             socklen_t *length);
+
+#endif /* BS_SETTINGS_H */
