--- a/src/account.c
+++ b/src/account.c
@@ -55,18 +55,18 @@
 }
 
 static BsBucket *
-S_fill(BsAccounts *accounts, const BsAccount *account)
+S_fill(BsAccounts *accounts, const BsAccount *account, const char *name)
 {
     int64_t now_ms = BsCore_NowMs(accounts->core);
     double requests = S_share(accounts, account->requests_per_s);
     double tokens = S_share(accounts, account->tokens_per_s);
-    BsBucket *bucket = g_hash_table_lookup(accounts->buckets, account->name);
+    BsBucket *bucket = g_hash_table_lookup(accounts->buckets, name);
     if (bucket == NULL) {
         bucket = g_new0(BsBucket, 1);
         bucket->requests = S_burst(requests);
         bucket->tokens = S_burst(tokens);
         bucket->filled_ms = now_ms;
-        g_hash_table_insert(accounts->buckets, g_strdup(account->name),
+        g_hash_table_insert(accounts->buckets, g_strdup(name),
                             bucket);
     }
     double elapsed_s = (double)(now_ms - bucket->filled_ms) / MS_PER_S;
@@ -79,19 +79,20 @@
 
 bool
 BsAccounts_Admit(BsAccounts *accounts, const BsAccount *account,
-                 uint32_t tokens)
+                 const BsRequest *request)
 {
     if (account->requests_per_s == 0 && account->tokens_per_s == 0) {
         return true;
     }
-    BsBucket *bucket = S_fill(accounts, account);
+    BsBucket *bucket = S_fill(accounts, account, request->account);
     if ((account->requests_per_s > 0 && bucket->requests < 1.0) ||
         (account->tokens_per_s > 0 && bucket->tokens <= 0.0)) {
         BsCore_Count(accounts->core, "account_limited", 1);
         return false;
     }
     bucket->requests -= 1.0;
-    bucket->tokens -= tokens;
+    bucket->tokens -= request->prompt_tokens;
+    bucket->tokens -= request->output_tokens;
     return true;
 }
 
--- a/src/account.h
+++ b/src/account.h
@@ -20,10 +20,10 @@
 /* Frees ACCOUNTS; NULL is allowed. */
 void BsAccounts_Destroy(BsAccounts *accounts);
 
-/* Returns whether ACCOUNT may send a request of TOKENS now, and charges it
-   if so. */
+/* Returns whether REQUEST, of an account with the limits of ACCOUNT, may be
+   sent now, and charges it if so. */
 bool BsAccounts_Admit(BsAccounts *accounts, const BsAccount *account,
-                      uint32_t tokens);
+                      const BsRequest *request);
 
 /* Forgets accounts whose share is saved up in full. */
 void BsAccounts_OnTick(BsAccounts *accounts);
--- a/src/entry.c
+++ b/src/entry.c
@@ -137,8 +137,7 @@
         PERCENT * bytes > percent * config->queue_bytes) {
         return BS_ERR_MEMORY_FULL;
     }
-    uint32_t tokens = request->prompt_tokens + request->output_tokens;
-    return BsAccounts_Admit(entry->core->accounts, account, tokens)
+    return BsAccounts_Admit(entry->core->accounts, account, request)
                ? BS_ERR_NONE
                : BS_ERR_ACCOUNT_LIMIT;
 }
--- a/src/owner.c
+++ b/src/owner.c
@@ -370,6 +370,15 @@
     BsOwner_DispatchAll(owner);
 }
 
+/* Counts an upstream that turned cold. */
+static void
+S_count_cold(BsOwner *owner, const BsUpstream *upstream, BsWarmth before)
+{
+    if (before != BS_WARMTH_COLD && upstream->warmth == BS_WARMTH_COLD) {
+        BsCore_Count(owner->core, "upstreams_turned_cold", 1);
+    }
+}
+
 void
 BsOwner_OnUpstreamAnswer(BsOwner *owner, const BsMessage *message)
 {
@@ -385,8 +394,10 @@
         S_count_waste(owner, "redone",
                       work->cached_tokens - answer->cached_tokens);
     }
-    BsUpstream_OnPiece(work->upstream, work, answer,
-                       BsCore_NowMs(owner->core));
+    BsUpstream *upstream = work->upstream;
+    BsWarmth warmth = upstream->warmth;
+    BsUpstream_OnPiece(upstream, work, answer, BsCore_NowMs(owner->core));
+    S_count_cold(owner, upstream, warmth);
     if (BsWork_Request(work)->stream) {
         work->events += BsEvents_Count(answer->data);
     }
@@ -406,7 +417,9 @@
             : g_hash_table_lookup(owner->upstreams, report->upstream);
     BsCore_Count(owner->core, "reports", 1);
     if (upstream != NULL) {
+        BsWarmth warmth = upstream->warmth;
         BsUpstream_OnReport(upstream, report, BsCore_NowMs(owner->core));
+        S_count_cold(owner, upstream, warmth);
         BsOwner_DispatchAll(owner);
     }
 }
