make policy: goodput beside random, round robin, least outstanding

The baselines stand behind config.policy: every instance dispatches to every upstream at once, on reports a second old that it corrects by its own starts and ends.

--- a/Makefile
+++ b/Makefile
@@ -47,3 +47,9 @@
 # Prints the tables quoted in docs/CAPACITY.md.
 slopes: build
 	$(BUILD)/bin/slopes
+
+.PHONY: policy
+
+# Goodput of the policies; the tables quoted in docs/measurements.md.
+policy: build
+	$(BUILD)/bin/policy_bench
--- a/src/account.c
+++ b/src/account.c
@@ -66,8 +66,7 @@
         bucket->requests = S_burst(requests);
         bucket->tokens = S_burst(tokens);
         bucket->filled_ms = now_ms;
-        g_hash_table_insert(accounts->buckets, g_strdup(name),
-                            bucket);
+        g_hash_table_insert(accounts->buckets, g_strdup(name), bucket);
     }
     double elapsed_s = (double)(now_ms - bucket->filled_ms) / MS_PER_S;
     bucket->requests =
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -42,8 +42,9 @@
     }
 }
 
-static void
-S_dispatch(BsOwner *owner, BsPool *pool, BsWork *work, BsUpstream *upstream)
+void
+BsOwner_Dispatch(BsOwner *owner, BsPool *pool, BsWork *work,
+                 BsUpstream *upstream)
 {
     int64_t now_ms = BsCore_NowMs(owner->core);
     BsOwner_Dequeue(owner, work, true);
@@ -149,7 +150,7 @@
         upstream = BsOwner_Preempt(owner, pool, work);
     }
     if (upstream != NULL) {
-        S_dispatch(owner, pool, work, upstream);
+        BsOwner_Dispatch(owner, pool, work, upstream);
         return STEP_DONE;
     }
     if (S_should_ask_others(owner, pool, work)) {
--- a/src/owner.c
+++ b/src/owner.c
@@ -1,6 +1,7 @@
 /* owner.c - queues and dispatches work to owned upstreams. */
 #include "owner.h"
 
+#include "baseline.h"
 #include "ownerstate.h"
 #include "poison.h"
 
@@ -273,6 +274,24 @@
                work->deadline_ms;
 }
 
+/* Dispatches WORK at once, as a baseline policy does. */
+static void
+S_dispatch_baseline(BsOwner *owner, BsWork *work)
+{
+    BsCore *core = owner->core;
+    BsPool *pool = BsOwner_FindPool(owner, work->serves);
+    BsUpstream *upstream = pool == NULL
+                               ? NULL
+                               : BsBaseline_Pick(pool, core->config.policy,
+                                                 core->random, &owner->turn);
+    if (upstream == NULL) {
+        BsOwner_GiveBack(owner, work, BS_ERR_NO_UPSTREAM);
+        return;
+    }
+    BsOwner_Enqueue(owner, work);
+    BsOwner_Dispatch(owner, pool, work, upstream);
+}
+
 /* Returns why WORK is refused on arrival. */
 static BsErrorKind
 S_judge(BsOwner *owner, BsWork *work)
@@ -308,6 +327,10 @@
                      owner->core->config.resend_window_ms);
     }
     BsOwner_Review(owner);
+    if (owner->core->config.policy != BS_POLICY_AFFINITY) {
+        S_dispatch_baseline(owner, work);
+        return;
+    }
     BsErrorKind error = S_judge(owner, work);
     if (error != BS_ERR_NONE) {
         BsCore_Count(owner->core, "refused_on_arrival", 1);
--- a/src/ownership.c
+++ b/src/ownership.c
@@ -87,6 +87,9 @@
 static bool
 S_is_ours(const BsOwner *owner, const char *upstream)
 {
+    if (owner->core->config.policy != BS_POLICY_AFFINITY) {
+        return BsMembers_Find(owner->core->members, upstream) != NULL;
+    }
     const char *name = BsMembers_OwnerOf(owner->core->members, upstream);
     return g_strcmp0(name, owner->core->config.name) == 0;
 }
--- a/src/ownerstate.h
+++ b/src/ownerstate.h
@@ -22,6 +22,7 @@
     uint64_t queued_bytes;  /* bodies of queued work */
     uint32_t queued;        /* requests queued */
     uint32_t next_dispatch;
+    uint32_t turn;           /* of the round robin baseline */
     int64_t searched_ms;     /* last search for late work */
     uint64_t list_revision;  /* pools were built from */
     uint64_t sheet_revision; /* pools were built from */
@@ -61,6 +62,10 @@
 /* Returns whether any tier gives way to RANK. */
 bool BsOwner_IsPrivileged(const BsOwner *owner, uint32_t rank);
 
+/* Dispatches WORK, which is queued, to UPSTREAM. */
+void BsOwner_Dispatch(BsOwner *owner, BsPool *pool, BsWork *work,
+                      BsUpstream *upstream);
+
 /* Dispatches as much as fits. */
 void BsOwner_DispatchAll(BsOwner *owner);
 
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -401,6 +401,8 @@
     if (report->boot_id != NULL) {
         BsMessage_SetString(&upstream->boot_id, report->boot_id);
     }
+    upstream->reported = report->running + report->waiting;
+    upstream->own_when_reported = g_hash_table_size(upstream->running);
     if (report->loaded != NULL) {
         BsMessage_SetString(&upstream->loaded, report->loaded);
     }
--- a/src/upstream.h
+++ b/src/upstream.h
@@ -41,8 +41,10 @@
     int64_t foreign_ms;        /* in-flight work of the last owner told */
     uint32_t foreign_requests; /* in flight for the last owner */
     uint32_t foreign_tokens;
-    uint32_t slots;  /* published, never 0 */
-    uint32_t tokens; /* published, never 0 */
+    uint32_t reported;          /* running and waiting, last report */
+    uint32_t own_when_reported; /* running for this instance then */
+    uint32_t slots;             /* published, never 0 */
+    uint32_t tokens;            /* published, never 0 */
     uint32_t tokens_in_flight;
     uint32_t prefill_tokens; /* in flight without a first token */
     uint32_t failures;       /* in a row */
