--- a/tests/scenario/world.c
+++ b/tests/scenario/world.c
@@ -466,6 +466,9 @@
         node->watch_sheet = message->u.watch.sheet;
         node->watch_list = message->u.watch.list;
         break;
+    case BS_PLATFORM_LIST:
+        WorldPlatform_OnList(world, node, message);
+        break;
     case BS_QUERY_REPLY:
         S_keep_reply(world, &message->u.reply);
         break;
