Wait for an owner's tenure; count each predecessor's work once

With the real tenure, an owner that waits for its take-over gives queued work back as no_upstream. The entry allowed two such hand-backs and then told its caller no_upstream, cutting off a stream that another owner could have finished half a second later (scenario owner_lost, paused owner). Hand-backs of owners that cannot act are now bounded by the owners tried and then by a wait of 5 s; those for lack of room keep their bound of two.

In-flight work told by a predecessor is kept by its name, so that a repeated collect reply counts once (a sum was kept before). urgent_owner_changed: the new owner and the old one together stay within the upstream's limit; it failed (peak 3 of 2) before the hand-over of in-flight work.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -23,6 +23,10 @@
 /* Owners asked for work of a tier that no other yields to. */
 #define REDIRECTS_MAX 2
 
+/* Longest wait for an owner that may act, and between two tries. */
+#define OWNER_WAIT_MS 5000
+#define OWNER_WAIT_STEP_MS 250
+
 /* Time in which a forward is accepted. */
 #define ACCEPT_MS 300
 
@@ -109,6 +113,32 @@
                         wanted->prompt_tokens + wanted->output_tokens);
 }
 
+/* Ends a request that no owner takes, or tries all of them again later when
+   they only wait for their tenure or an upstream. */
+static void
+S_on_no_owner(BsEntry *entry, BsEntryRequest *request)
+{
+    int64_t now_ms = BsCore_NowMs(entry->core);
+    int64_t next_ms = now_ms + OWNER_WAIT_STEP_MS;
+    if (request->last_error == BS_ERR_NONE) {
+        request->last_error = BS_ERR_NO_UPSTREAM;
+        request->owner_wait_ms = INT64_MIN;
+    }
+    if (request->owner_wait_ms == 0) {
+        request->owner_wait_ms = now_ms;
+    }
+    if (request->last_error == BS_ERR_NO_UPSTREAM &&
+        next_ms < request->deadline_ms &&
+        next_ms < request->owner_wait_ms + OWNER_WAIT_MS) {
+        BsCore_Count(entry->core, "owner_waits", 1);
+        g_hash_table_remove_all(request->tried);
+        request->retry_ms = next_ms;
+        return;
+    }
+    BsEntry_Fail(entry, request, (BsErrorKind)request->last_error,
+                 S_outcome(request));
+}
+
 void
 BsEntry_Forward(BsEntry *entry, BsEntryRequest *request)
 {
@@ -116,10 +146,7 @@
     const char *child = S_pick_child(entry, request);
     request->retry_ms = 0;
     if (child == NULL) {
-        BsErrorKind error = request->last_error == BS_ERR_NONE
-                                ? BS_ERR_NO_UPSTREAM
-                                : (BsErrorKind)request->last_error;
-        BsEntry_Fail(entry, request, error, S_outcome(request));
+        S_on_no_owner(entry, request);
         return;
     }
     request->attempt++;
@@ -197,11 +224,13 @@
     request->retry_after_s = answer->retry_after_s;
     g_hash_table_add(request->tried, g_strdup(request->child));
     if (S_is_handed_back(entry, request, answer)) {
-        if (!S_is_privileged(entry, request) &&
+        bool full = answer->error == BS_ERR_OVERLOADED ||
+                    answer->error == BS_ERR_MEMORY_FULL;
+        if (full && !S_is_privileged(entry, request) &&
             request->redirects >= REDIRECTS_MAX) {
             return false;
         }
-        request->redirects++;
+        request->redirects += full;
         BsCore_Count(entry->core, "redirects", 1);
         BsEntry_Forward(entry, request);
         return true;
--- a/src/entrystate.h
+++ b/src/entrystate.h
@@ -20,9 +20,10 @@
     uint64_t body_bytes;
     int64_t deadline_ms; /* on this core's clock */
     int64_t forwarded_ms;
-    int64_t heard_ms; /* newest piece or proof that the child holds it */
-    int64_t retry_ms; /* next attempt, 0 when none waits */
-    int64_t gap_ms;   /* a piece is missing since, 0 when none is */
+    int64_t heard_ms;      /* newest piece or proof that the child holds it */
+    int64_t retry_ms;      /* next attempt, 0 when none waits */
+    int64_t owner_wait_ms; /* since when no owner could act, 0 when one did */
+    int64_t gap_ms;        /* a piece is missing since, 0 when none is */
     uint32_t attempt;
     uint32_t retries;
     uint32_t redirects;
--- a/src/ownership.c
+++ b/src/ownership.c
@@ -280,7 +280,7 @@
 BsOwner_OnInFlight(BsOwner *owner, const BsMessage *message)
 {
     const GPtrArray *list = message->u.collected.in_flight;
-    if (BsCore_Sheet(owner->core) == NULL) {
+    if (BsCore_Sheet(owner->core) == NULL || message->from == NULL) {
         return;
     }
     BsOwner_Review(owner);
@@ -293,12 +293,10 @@
         if (upstream == NULL || upstream->lost_ms != 0) {
             continue;
         }
-        upstream->foreign_ms = BsCore_NowMs(owner->core);
-        upstream->foreign_requests += told->requests;
-        upstream->foreign_tokens += told->tokens;
+        int64_t now_ms = BsCore_NowMs(owner->core);
+        BsUpstream_OnForeign(upstream, message->from, told, now_ms);
         if (!told->cold && upstream->warmth == BS_WARMTH_COLD) {
-            BsUpstream_Resume(upstream, BsOwner_ColdStart(owner),
-                              upstream->foreign_ms);
+            BsUpstream_Resume(upstream, BsOwner_ColdStart(owner), now_ms);
         }
         BsCore_Count(owner->core, "upstreams_inherited", 1);
     }
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -62,6 +62,8 @@
     upstream->name = g_strdup(entry->name);
     upstream->running = g_hash_table_new(g_direct_hash, g_direct_equal);
     upstream->prefixes = BsPrefixes_Create();
+    upstream->foreign =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     upstream->reachable = true;
     upstream->cold_ms = now_ms;
     BsUpstream_Update(upstream, entry, 0);
@@ -76,6 +78,7 @@
         return;
     }
     g_hash_table_destroy(upstream->running);
+    g_hash_table_destroy(upstream->foreign);
     BsPrefixes_Destroy(upstream->prefixes);
     g_free(upstream->name);
     g_free(upstream->generation);
@@ -118,6 +121,20 @@
     upstream->ramp_ms = now_ms - cold->ramp_ms / HALF;
 }
 
+void
+BsUpstream_OnForeign(BsUpstream *upstream, const char *instance,
+                     const BsInFlight *told, int64_t now_ms)
+{
+    BsInFlight *known = g_hash_table_lookup(upstream->foreign, instance);
+    if (known == NULL) {
+        known = g_new0(BsInFlight, 1);
+        g_hash_table_insert(upstream->foreign, g_strdup(instance), known);
+        upstream->foreign_ms = now_ms;
+    }
+    known->requests = told->requests;
+    known->tokens = told->tokens;
+}
+
 static uint32_t
 S_ramp(uint32_t from, uint32_t to, int64_t done_ms, uint32_t ramp_ms)
 {
@@ -159,9 +176,16 @@
         upstream->foreign_ms + (cold ? FOREIGN_COLD_MS : FOREIGN_WARM_MS);
     *requests = g_hash_table_size(upstream->running);
     *tokens = upstream->tokens_in_flight;
-    if (now_ms < end_ms) {
-        *requests += upstream->foreign_requests;
-        *tokens += upstream->foreign_tokens;
+    if (now_ms >= end_ms) {
+        return;
+    }
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, upstream->foreign);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const BsInFlight *told = value;
+        *requests += told->requests;
+        *tokens += told->tokens;
     }
 }
 
@@ -411,8 +435,7 @@
     upstream->reachable = report->reachable || contradicted;
     bool after_handover = now_ms - report->age_ms > upstream->foreign_ms;
     if (report->reachable && after_handover && report->running == 0) {
-        upstream->foreign_requests = 0;
-        upstream->foreign_tokens = 0;
+        g_hash_table_remove_all(upstream->foreign);
     }
 }
 
--- a/src/upstream.h
+++ b/src/upstream.h
@@ -31,16 +31,15 @@
     BsSpeed speed;
     BsWork *reserved; /* waits to run alone here, or NULL */
     BsWarmth warmth;
-    double limit;              /* adaptive, in requests */
-    int64_t changed_ms;        /* last change of the adaptive limit */
-    int64_t cold_ms;           /* became cold */
-    int64_t ramp_ms;           /* ramp began */
-    int64_t suspended_ms;      /* gets nothing before */
-    int64_t last_ms;           /* newest piece of any answer */
-    int64_t lost_ms;           /* another instance became its owner, or 0 */
-    int64_t foreign_ms;        /* in-flight work of the last owner told */
-    uint32_t foreign_requests; /* in flight for the last owner */
-    uint32_t foreign_tokens;
+    double limit;               /* adaptive, in requests */
+    int64_t changed_ms;         /* last change of the adaptive limit */
+    int64_t cold_ms;            /* became cold */
+    int64_t ramp_ms;            /* ramp began */
+    int64_t suspended_ms;       /* gets nothing before */
+    int64_t last_ms;            /* newest piece of any answer */
+    int64_t lost_ms;            /* another instance became its owner, or 0 */
+    GHashTable *foreign;        /* last owners to BsInFlight told */
+    int64_t foreign_ms;         /* first telling of the newest of them */
     uint32_t reported;          /* running and waiting, last report */
     uint32_t own_when_reported; /* running for this instance then */
     uint32_t slots;             /* published, never 0 */
@@ -73,6 +72,10 @@
 void BsUpstream_Resume(BsUpstream *upstream, const BsColdStart *cold,
                        int64_t now_ms);
 
+/* Takes what INSTANCE, an owner before, has in flight; repeats replace. */
+void BsUpstream_OnForeign(BsUpstream *upstream, const char *instance,
+                          const BsInFlight *told, int64_t now_ms);
+
 /* Sets the requests and tokens that may be in flight now. */
 void BsUpstream_Limit(const BsUpstream *upstream, const BsColdStart *cold,
                       int64_t now_ms, uint32_t *requests, uint32_t *tokens);
