--- a/src/choice.c
+++ b/src/choice.c
@@ -10,8 +10,7 @@
 
 /* Distances from this instance. */
 typedef enum {
-    DISTANCE_CENTRE = 0,
-    DISTANCE_REGION,
+    DISTANCE_REGION = 0,
     DISTANCE_REMOTE,
     DISTANCE_COUNT
 } BsDistance;
@@ -62,13 +61,7 @@
 static BsDistance
 S_distance(const BsCore *core, const char *owner)
 {
-    const BsListEntry *entry = BsMembers_Find(core->members, owner);
-    if (entry == NULL || g_strcmp0(entry->region, core->config.region) != 0) {
-        return DISTANCE_REMOTE;
-    }
-    return g_strcmp0(entry->data_centre, core->config.data_centre) == 0
-               ? DISTANCE_CENTRE
-               : DISTANCE_REGION;
+    return BsChoice_IsRemote(core, owner) ? DISTANCE_REMOTE : DISTANCE_REGION;
 }
 
 /* Adds OWNER to RANKING, or raises its weight. */
--- a/src/choice.h
+++ b/src/choice.h
@@ -2,10 +2,9 @@
  * choice.h - which owner a request is forwarded to.
  *
  * Rules: the same prompt prefix goes to the same upstream's owner, within a
- * bounded load; past that to the better of the next two by digest; the own
- * data centre first, then the region, then across the link within its byte
- * budget; when all are full, urgent work goes where work that yields to it
- * runs.
+ * bounded load; past that to the better of the next two by digest; owners of
+ * the own region first, then across the link within its byte budget; when all
+ * are full, urgent work goes where work that yields to it runs.
  */
 #ifndef BS_CHOICE_H
 #define BS_CHOICE_H
