--- a/src/entry.c
+++ b/src/entry.c
@@ -148,8 +148,7 @@
         BS_POISON_QUARANTINED) {
         return BS_ERR_QUARANTINED;
     }
-    uint32_t tokens = request->prompt_tokens + request->output_tokens;
-    return BsAccounts_Admit(entry->core->accounts, account, tokens)
+    return BsAccounts_Admit(entry->core->accounts, account, request)
                ? BS_ERR_NONE
                : BS_ERR_ACCOUNT_LIMIT;
 }
--- a/src/owner.c
+++ b/src/owner.c
@@ -1,6 +1,7 @@
 /* owner.c - queues and dispatches work to owned upstreams. */
 #include "owner.h"
 
+#include "baseline.h"
 #include "ownerstate.h"
 #include "poison.h"
 #include "run.h"
@@ -278,6 +279,24 @@
                work->deadline_ms;
 }
 
+/* Dispatches WORK at once, as a baseline policy does. */
+static void
+S_dispatch_baseline(BsOwner *owner, BsWork *work)
+{
+    BsCore *core = owner->core;
+    BsPool *pool = BsOwner_FindPool(owner, work->serves);
+    BsUpstream *upstream = pool == NULL
+                               ? NULL
+                               : BsBaseline_Pick(pool, core->config.policy,
+                                                 core->random, &owner->turn);
+    if (upstream == NULL) {
+        BsOwner_GiveBack(owner, work, BS_ERR_NO_UPSTREAM);
+        return;
+    }
+    BsOwner_Enqueue(owner, work);
+    BsOwner_Dispatch(owner, pool, work, upstream);
+}
+
 /* Returns why WORK is refused on arrival. */
 static BsErrorKind
 S_judge(BsOwner *owner, BsWork *work)
@@ -312,6 +331,10 @@
                                  BsCore_NowMs(owner->core));
     g_hash_table_insert(owner->works, work->id, work);
     BsOwner_Review(owner);
+    if (owner->core->config.policy != BS_POLICY_AFFINITY) {
+        S_dispatch_baseline(owner, work);
+        return;
+    }
     BsErrorKind error = S_judge(owner, work);
     if (error != BS_ERR_NONE) {
         BsCore_Count(owner->core, "refused_on_arrival", 1);
@@ -374,6 +397,15 @@
     BsOwner_DispatchAll(owner);
 }
 
+/* Counts an upstream that turned cold. */
+static void
+S_count_cold(BsOwner *owner, const BsUpstream *upstream, BsWarmth before)
+{
+    if (before != BS_WARMTH_COLD && upstream->warmth == BS_WARMTH_COLD) {
+        BsCore_Count(owner->core, "upstreams_turned_cold", 1);
+    }
+}
+
 void
 BsOwner_OnUpstreamAnswer(BsOwner *owner, const BsMessage *message)
 {
@@ -389,8 +421,10 @@
         S_count_waste(owner, "redone",
                       work->cached_tokens - answer->cached_tokens);
     }
-    BsUpstream_OnPiece(work->upstream, work, answer,
-                       BsCore_NowMs(owner->core));
+    BsUpstream *upstream = work->upstream;
+    BsWarmth warmth = upstream->warmth;
+    BsUpstream_OnPiece(upstream, work, answer, BsCore_NowMs(owner->core));
+    S_count_cold(owner, upstream, warmth);
     if (BsWork_Request(work)->stream) {
         work->events += BsEvents_Count(answer->data);
     }
@@ -410,7 +444,9 @@
             : g_hash_table_lookup(owner->upstreams, report->upstream);
     BsCore_Count(owner->core, "reports", 1);
     if (upstream != NULL) {
+        BsWarmth warmth = upstream->warmth;
         BsUpstream_OnReport(upstream, report, BsCore_NowMs(owner->core));
+        S_count_cold(owner, upstream, warmth);
         BsOwner_DispatchAll(owner);
     }
 }
