Driver for an end-to-end test: fleet, callers, faults and verdict

Six daemons before three engines and two services, bookings and completions sent again by callers that get no answer, and a fixed script of kills, freezes and planned stops. Counts and times are bounded; nothing asserts a time. What is true is taken from the services' own list of runs, whose clock is that of the driver, so that a run before or after a false not-run shows even when a later sending is told the truth.

Not run yet: it needs the daemon, so it is not registered with ctest.

--- /dev/null
+++ b/tests/e2e/faults.c
@@ -0,0 +1,190 @@
+/* faults.c - kills, freezes, planned stops and replacements, in order. */
+#include "faults.h"
+
+#include <signal.h>
+#include <stdio.h>
+
+#define STOP_LIMIT_MS 20000
+#define READY_LIMIT_MS 20000
+
+/* Step of the script. */
+typedef enum {
+    S_KILL,        /* SIGKILL */
+    S_FREEZE,      /* SIGSTOP */
+    S_THAW,        /* SIGCONT */
+    S_STOP,        /* SIGTERM; listed as leaving */
+    S_AWAIT_END,   /* the planned stop ends */
+    S_DELIST,      /* the list loses it */
+    S_RESTART,     /* a new process with the same name and addresses */
+    S_REPLACE,     /* a new process with another name and other addresses */
+    S_AWAIT_READY, /* the newest process serves */
+    S_LIST         /* the list has it again */
+} S_Action;
+
+typedef struct {
+    unsigned percent; /* of the jobs started */
+    S_Action action;
+    unsigned target; /* index of the instance */
+} S_Step;
+
+/* Instances 0 and 1 lie in n1, 2 and 3 in n2, 4 and 5 in s1. */
+static const S_Step S_script[] = {
+    {8, S_KILL, 1},     {12, S_DELIST, 1},      {20, S_RESTART, 1},
+    {22, S_LIST, 1},    {22, S_AWAIT_READY, 1}, {30, S_FREEZE, 3},
+    {34, S_DELIST, 3},  {55, S_THAW, 3},        {57, S_LIST, 3},
+    {62, S_STOP, 4},    {62, S_AWAIT_END, 4},   {63, S_DELIST, 4},
+    {64, S_REPLACE, 4}, {66, S_AWAIT_READY, 4}, {75, S_KILL, 0},
+    {75, S_STOP, 2},    {76, S_AWAIT_END, 2},   {79, S_DELIST, 0},
+    {79, S_DELIST, 2},  {82, S_RESTART, 0},     {82, S_REPLACE, 2},
+    {84, S_LIST, 0},    {84, S_AWAIT_READY, 0}, {84, S_AWAIT_READY, 2},
+};
+
+struct BsFaults {
+    BsFleet *fleet;
+    BsCallerLoad *load;
+    unsigned jobs;
+    unsigned next;
+    unsigned bad_stops;
+    int64_t since_ms;              /* when the next step came due, 0 before */
+    BsFleetInstance *instances[6]; /* the newest in each place */
+};
+
+BsFaults *
+BsFaults_Create(BsFleet *fleet, BsCallerLoad *load, unsigned jobs)
+{
+    BsFaults *faults = g_new0(BsFaults, 1);
+    faults->fleet = fleet;
+    faults->load = load;
+    faults->jobs = jobs;
+    for (unsigned i = 0; i < G_N_ELEMENTS(faults->instances); i++) {
+        faults->instances[i] = fleet->instances->pdata[i];
+    }
+    return faults;
+}
+
+void
+BsFaults_Destroy(BsFaults *faults)
+{
+    g_free(faults);
+}
+
+static void
+S_set_listed(BsFaults *faults, BsFleetInstance *instance, BsListed listed)
+{
+    instance->listed = listed;
+    BsFleet_Publish(faults->fleet);
+}
+
+static void
+S_replace(BsFaults *faults, unsigned target)
+{
+    const BsFleetInstance *old = faults->instances[target];
+    char *name = g_strdup_printf("%s-2", old->name);
+    faults->instances[target] =
+        BsFleet_AddInstance(faults->fleet, name, old->data_centre);
+    BsFleet_Start(faults->fleet, faults->instances[target], false);
+    BsFleet_Publish(faults->fleet);
+    g_free(name);
+}
+
+/* Returns whether the process has ended, or is given up on. */
+static bool
+S_await_end(BsFaults *faults, BsFleetInstance *instance, int64_t waited_ms)
+{
+    int code = BsProcess_Wait(&instance->process, 0);
+    if (code < 0 && waited_ms < STOP_LIMIT_MS) {
+        return false;
+    }
+    if (code != 0) {
+        fprintf(stderr, "planned stop of %s: exit code %d\n", instance->name,
+                code);
+        faults->bad_stops++;
+        BsCallerLoad_Disturb(faults->load, instance);
+        BsProcess_Kill(&instance->process);
+    }
+    return true;
+}
+
+static bool
+S_await_ready(const BsFleetInstance *instance, int64_t waited_ms)
+{
+    if (BsFleet_WaitReady(instance, 1)) {
+        return true;
+    }
+    if (waited_ms > READY_LIMIT_MS) {
+        fprintf(stderr, "%s did not become ready\n", instance->name);
+        return true;
+    }
+    return false;
+}
+
+/* Takes STEP; returns false when it has to be taken again. */
+static bool
+S_take(BsFaults *faults, const S_Step *step, int64_t waited_ms)
+{
+    BsFleetInstance *instance = faults->instances[step->target];
+    switch (step->action) {
+    case S_KILL:
+        BsCallerLoad_Disturb(faults->load, instance);
+        BsProcess_Kill(&instance->process);
+        return true;
+    case S_FREEZE:
+        BsCallerLoad_Disturb(faults->load, instance);
+        BsProcess_Signal(&instance->process, SIGSTOP);
+        return true;
+    case S_THAW:
+        BsCallerLoad_Disturb(faults->load, instance);
+        BsProcess_Signal(&instance->process, SIGCONT);
+        return true;
+    case S_STOP:
+        instance->stopping = true;
+        BsProcess_Signal(&instance->process, SIGTERM);
+        S_set_listed(faults, instance, BS_LISTED_LEAVING);
+        return true;
+    case S_AWAIT_END:
+        return S_await_end(faults, instance, waited_ms);
+    case S_DELIST:
+        S_set_listed(faults, instance, BS_LISTED_NOT);
+        return true;
+    case S_RESTART:
+        BsFleet_Start(faults->fleet, instance, false);
+        return true;
+    case S_REPLACE:
+        S_replace(faults, step->target);
+        return true;
+    case S_AWAIT_READY:
+        return S_await_ready(instance, waited_ms);
+    case S_LIST:
+        S_set_listed(faults, instance, BS_LISTED_LIVE);
+        return true;
+    }
+    return true;
+}
+
+bool
+BsFaults_Step(BsFaults *faults)
+{
+    if (faults->next >= G_N_ELEMENTS(S_script)) {
+        return false;
+    }
+    const S_Step *step = &S_script[faults->next];
+    int64_t now_ms = g_get_monotonic_time() / 1000;
+    if (BsCallerLoad_Started(faults->load) <
+        faults->jobs * step->percent / 100) {
+        return true;
+    }
+    if (faults->since_ms == 0) {
+        faults->since_ms = now_ms;
+    }
+    if (S_take(faults, step, now_ms - faults->since_ms)) {
+        faults->next++;
+        faults->since_ms = 0;
+    }
+    return true;
+}
+
+unsigned
+BsFaults_BadStops(const BsFaults *faults)
+{
+    return faults->bad_stops;
+}
--- /dev/null
+++ b/tests/e2e/verdict.h
@@ -0,0 +1,12 @@
+/* verdict.h - checks of what callers were told against what really ran. */
+#ifndef BS_VERDICT_H
+#define BS_VERDICT_H
+
+#include "load.h"
+
+/* Prints one line for each kind of count; returns whether all promises were
+   kept.  BAD_STOPS is the number of planned stops that failed. */
+bool BsVerdict_Print(const BsFleet *fleet, const BsCallerLoad *load,
+                     unsigned bad_stops);
+
+#endif /* BS_VERDICT_H */
