--- a/src/core.c
+++ b/src/core.c
@@ -92,6 +92,7 @@
     BsCore *core = g_new0(BsCore, 1);
     S_copy_config(core, config);
     core->clock = *clock;
+    core->started_ms = BsClock_NowMs(clock);
     core->emit = emit;
     core->context = context;
     core->random = g_rand_new_with_seed((guint32)config->seed);
--- a/src/core.h
+++ b/src/core.h
@@ -36,6 +36,7 @@
     BsEntry *entry;
     BsKeeper *keeper;
     BsOwner *owner;
+    int64_t started_ms;
     bool stepping;
 };
 
--- a/src/query.c
+++ b/src/query.c
@@ -3,6 +3,7 @@
 
 #include "entry.h"
 #include "sheetstore.h"
+#include "tally.h"
 
 #include <jansson.h>
 #include <string.h>
@@ -68,6 +69,7 @@
                    BsMembers_Revision(core->members));
     BsCounters_Set(core->counters, "requests_open",
                    BsEntry_Count(core->entry));
+    BsTally_Refresh(core);
     BsCounters_Format(core->counters, out);
     *status = STATUS_OK;
     return g_string_free_to_bytes(out);
--- /dev/null
+++ b/src/tally.h
@@ -0,0 +1,20 @@
+/*
+ * tally.h - what callers were told, counted by tier and outcome.
+ *
+ * Rules: each final answer to a caller is counted once, by the entry that
+ * gives it; an answer is in time when it says "ran" before the deadline.
+ */
+#ifndef BS_TALLY_H
+#define BS_TALLY_H
+
+#include "core.h"
+
+/* Counts a final answer to REQUEST; IN_TIME says that its deadline has not
+   passed. */
+void BsTally_Answer(BsCore *core, const BsRequest *request, BsOutcome outcome,
+                    bool in_time);
+
+/* Brings the gauges up to date before the metrics are read. */
+void BsTally_Refresh(BsCore *core);
+
+#endif /* BS_TALLY_H */
--- a/tests/fleet/fleet.c
+++ b/tests/fleet/fleet.c
@@ -9,6 +9,7 @@
 
 #define READY_STEP_MS 20
 #define STATUS_OK 200
+#define LOADED_MODEL BS_FLEET_MODEL "@1"
 
 static const char S_sheet[] =
     "format: 1\n"
@@ -142,7 +143,7 @@
         S_add_upstream(fleet, name, "engine", data_centre, slots);
     char *slots_text = g_strdup_printf("--slots=%d", slots);
     char *rate_text = g_strdup_printf("--rate=%d", rate);
-    char *argv[] = {NULL,       "engine",  "--model", BS_FLEET_MODEL "@1",
+    char *argv[] = {NULL,       "engine",  "--model", LOADED_MODEL,
                     slots_text, rate_text, NULL};
     S_start_standin(fleet, &upstream->process, name, argv);
     g_free(slots_text);
