--- a/tests/fleet/fleet.c
+++ b/tests/fleet/fleet.c
@@ -9,7 +9,6 @@
 
 #define READY_STEP_MS 20
 #define STATUS_OK 200
-#define LOADED_MODEL BS_FLEET_MODEL "@1"
 
 static const char S_sheet[] =
     "format: 1\n"
@@ -141,11 +140,12 @@
 {
     BsFleetUpstream *upstream =
         S_add_upstream(fleet, name, "engine", data_centre, slots);
+    char *model_text = g_strdup_printf("--model=%s@1", BS_FLEET_MODEL);
     char *slots_text = g_strdup_printf("--slots=%d", slots);
     char *rate_text = g_strdup_printf("--rate=%d", rate);
-    char *argv[] = {NULL,       "engine",  "--model", LOADED_MODEL,
-                    slots_text, rate_text, NULL};
+    char *argv[] = {NULL, "engine", model_text, slots_text, rate_text, NULL};
     S_start_standin(fleet, &upstream->process, name, argv);
+    g_free(model_text);
     g_free(slots_text);
     g_free(rate_text);
     return upstream;
