Bound the wait for readiness by the clock

A call that gets no answer takes its whole timeout, so counting calls did not bound the wait. Seen: 150 s without an end before an admin address that did not answer; now it ends at its limit.

--- a/tests/fleet/fleet.c
+++ b/tests/fleet/fleet.c
@@ -297,12 +297,14 @@
 bool
 BsFleet_WaitReady(const BsFleetInstance *instance, int limit_ms)
 {
-    for (int waited_ms = 0; waited_ms < limit_ms; waited_ms += READY_STEP_MS) {
+    int64_t until_us =
+        g_get_monotonic_time() + limit_ms * G_TIME_SPAN_MILLISECOND;
+    do {
         if (BsControl_Call("GET", instance->admin_port, "/readyz", NULL,
                            NULL) == STATUS_OK) {
             return true;
         }
         g_usleep(READY_STEP_MS * G_TIME_SPAN_MILLISECOND);
-    }
+    } while (g_get_monotonic_time() < until_us);
     return false;
 }
