--- a/src/boragespur.h
+++ b/src/boragespur.h
@@ -145,7 +145,7 @@
     BS_CALLER_FLOW,     /* flow */
     BS_UPSTREAM_ANSWER, /* answer */
     BS_UPSTREAM_REPORT, /* report */
-    BS_PLATFORM_LIST,   /* list */
+    BS_PLATFORM_LIST,   /* list; also to the host when a peer told it */
     BS_PLATFORM_SHEET,  /* sheet */
     BS_PLATFORM_DOWN,   /* no payload; a read of the service failed */
     BS_QUERY,           /* query */
@@ -182,7 +182,10 @@
     BS_PEER_QUERY,    /* query */
     BS_PEER_REPLY,    /* reply */
     BS_HANDOVER,      /* collected */
-    BS_HANDOVER_ACK   /* probe */
+    BS_HANDOVER_ACK,  /* probe */
+    BS_LIST_PULL,     /* sheet; REVISION wanted, BASE_REVISION held */
+    BS_LIST_PUSH,     /* list */
+    BS_CHECK          /* accept */
 } BsMessageKind;
 
 /* A request as it travels from caller to upstream. */
@@ -261,11 +264,13 @@
     bool paused;
 } BsFlow;
 
-/* Tells the sender of a forward that it was received. */
+/* Tells the sender of a forward that it was received, or asks whether a
+   forward is still held. */
 typedef struct {
     char *request_id;
     uint32_t attempt;
     uint32_t to_stage;
+    bool gone; /* answers a check: the request is not known here */
 } BsAccept;
 
 /* One entry of the platform's instance list. */
@@ -373,11 +378,18 @@
                                 waits, 0 when none */
 } BsLoad;
 
+/* Usual inter-token time of a hardware generation behind one owner. */
+typedef struct {
+    char *generation;
+    uint32_t inter_token_us;
+} BsPace;
+
 /* Periodic summary of an instance, sent to a few peers. */
 typedef struct {
     uint64_t sheet_revision;
     uint64_t list_revision;
     GPtrArray *loads;  /* of BsLoad */
+    GPtrArray *paces;  /* of BsPace */
     uint32_t suspects; /* number of suspects known */
     bool draining;
 } BsDigest;
@@ -387,7 +399,10 @@
     uint64_t seq;
     int64_t sent_ms; /* sender's clock */
     uint64_t list_revision;
-    bool denied; /* the replier's list does not hold the prober */
+    bool denied; /* the replier does not accept the prober's tenure */
+    uint64_t sheet_revision;
+    uint64_t settled_revision; /* list the prober last settled, 0 for none */
+    int64_t age_ms;            /* since the sender started */
 } BsProbe;
 
 /* What an instance knows of one non-idempotent request. */
@@ -419,11 +434,16 @@
     char *name;
     uint64_t incarnation;
     int64_t age_ms;
+    bool clean; /* what it knew was collected from the others */
 } BsLoss;
 
 /* Asks a peer what it knows of things the sender is now in charge of. */
 typedef struct {
     uint64_t list_revision;
+    uint64_t view_hash; /* of the instances in that list */
+    uint64_t round;     /* repeated in the answer */
+    int64_t age_ms;     /* since the sender started */
+    GPtrArray *losses;  /* of BsLoss; to be denied contact */
 } BsCollect;
 
 /* Answers a BsCollect; the sender acts on no older list afterwards. */
@@ -433,6 +453,11 @@
     GPtrArray *notes;     /* of BsNote */
     GPtrArray *in_flight; /* of BsInFlight */
     GPtrArray *losses;    /* of BsLoss */
+    uint64_t view_hash;   /* of the instances in that list */
+    uint64_t round;       /* copied from the BsCollect */
+    int64_t settled_ms;   /* since the replier first settled a list, or 0 */
+    int64_t known_ms;     /* how far back the replier's knowledge reaches */
+    char *views;          /* comma-separated revisions not yet settled */
 } BsCollected;
 
 /* A request suspected of crashing upstreams. */
