Count what callers were told by tier and outcome

Counted at the entry, once for each final answer; what a caller did wrong is not counted, and labels are tiers of the sheet, never text of a caller.

Seen failing with the count of relayed answers taken out: all counters 0.

While writing the scenario: a service with the same hardware generation as a faster engine is judged a straggler and then gets no non-idempotent work at all, so nothing can show that it recovered. The scenario gives the service a generation of its own; the cause lies elsewhere.

--- a/src/entry.c
+++ b/src/entry.c
@@ -5,6 +5,7 @@
 #include "entrystate.h"
 #include "link.h"
 #include "retry.h"
+#include "tally.h"
 #include "work.h"
 
 /* Time beyond the deadline in which the owner's own answer may arrive. */
@@ -72,6 +73,14 @@
                : g_hash_table_lookup(entry->requests, request_id);
 }
 
+/* Counts the final answer to REQUEST. */
+static void
+S_tally(BsEntry *entry, const BsEntryRequest *request, BsOutcome outcome)
+{
+    BsTally_Answer(entry->core, &request->request->u.request, outcome,
+                   BsCore_NowMs(entry->core) <= request->deadline_ms);
+}
+
 /* Forgets REQUEST. */
 static void
 S_forget(BsEntry *entry, BsEntryRequest *request)
@@ -90,6 +99,7 @@
     answer->u.answer.retry_after_s =
         MAX(answer->u.answer.retry_after_s, request->retry_after_s);
     BsCore_Count(entry->core, "answers_error", 1);
+    S_tally(entry, request, outcome);
     BsCore_Emit(entry->core, answer);
     S_forget(entry, request);
 }
@@ -99,6 +109,9 @@
 S_refuse(BsEntry *entry, const BsRequest *request, BsErrorKind error)
 {
     BsCore_Count(entry->core, "requests_refused", 1);
+    if (error == BS_ERR_MEMORY_FULL) {
+        BsTally_Answer(entry->core, request, BS_OUTCOME_NOT_RUN, false);
+    }
     BsCore_Emit(entry->core,
                 BsCore_CreateError(BS_CALLER_ANSWER, request->request_id, 0,
                                    error, BS_OUTCOME_NOT_RUN));
@@ -262,6 +275,9 @@
                       g_bytes_get_size(answer->data));
     }
     S_number(request, piece);
+    if (final) {
+        S_tally(entry, request, (BsOutcome)answer->outcome);
+    }
     BsCore_Emit(entry->core, piece);
     if (final) {
         BsCore_Count(entry->core, "answers_final", 1);
--- a/src/tally.c
+++ b/src/tally.c
@@ -30,13 +30,11 @@
                bool in_time)
 {
     const char *told = S_outcome_name(outcome);
-    if (request->tier != NULL) {
-        char *name = g_strdup_printf("answers{tier=\"%s\",outcome=\"%s\"}",
-                                     request->tier, told);
-        BsCore_Count(core, name, 1);
-        g_free(name);
-    }
-    if (request->tier != NULL && outcome == BS_OUTCOME_RAN && in_time) {
+    char *name = g_strdup_printf("answers{tier=\"%s\",outcome=\"%s\"}",
+                                 request->tier, told);
+    BsCore_Count(core, name, 1);
+    g_free(name);
+    if (outcome == BS_OUTCOME_RAN && in_time) {
         S_count_labelled(core, "answers_in_time", "tier", request->tier);
     }
     if (!request->idempotent) {
