--- a/src/core.h
+++ b/src/core.h
@@ -58,6 +58,7 @@
     BsStop *stop;
     uint64_t next_forward; /* number of the last forward sent */
     uint64_t next_ticket;  /* number of the last ticket issued */
+    int64_t started_ms;
     BsOrders *orders;
     BsWatchers *watchers;
     bool stepping;
--- a/src/query.c
+++ b/src/query.c
@@ -11,6 +11,7 @@
 #include "stop.h"
 #include "ticket.h"
 #include "token.h"
+#include "tally.h"
 
 #include <jansson.h>
 #include <string.h>
@@ -83,6 +84,7 @@
                    BsKeeper_CountRecords(core->keeper));
     BsCounters_Set(core->counters, "runs", BsRuns_Count(core->runs));
     BsCounters_Set(core->counters, "suspects", BsPoison_Count(core->poison));
+    BsTally_Refresh(core);
     BsCounters_Format(core->counters, out);
     *status = STATUS_OK;
     return g_string_free_to_bytes(out);
