--- a/src/entry.c
+++ b/src/entry.c
@@ -9,8 +9,8 @@
 #include "poison.h"
 #include "retry.h"
 #include "stop.h"
-#include "ticket.h"
 #include "tally.h"
+#include "ticket.h"
 #include "work.h"
 
 /* Time beyond the deadline in which the owner's own answer may arrive. */
--- a/src/query.c
+++ b/src/query.c
@@ -9,9 +9,9 @@
 #include "run.h"
 #include "sheetstore.h"
 #include "stop.h"
+#include "tally.h"
 #include "ticket.h"
 #include "token.h"
-#include "tally.h"
 
 #include <jansson.h>
 #include <string.h>
