Resume suspended connections by hand

The server without a thread of its own has no wake-up descriptor, so a resumed connection was only looked at when another event came: with strace the admin address was seen silent for seconds after the reply was there. Every resume now runs the server before the loop waits again.

--- a/src/d_call.c
+++ b/src/d_call.c
@@ -32,6 +32,7 @@
 
 struct BsCall {
     BsLoop *loop;
+    BsHttpd *httpd;
     struct MHD_Connection *connection;
     char *target;
     const char *id;
@@ -80,8 +81,9 @@
 }
 
 void
-BsCall_Begin(BsCall *call, struct MHD_Connection *connection)
+BsCall_Begin(BsCall *call, BsHttpd *httpd, struct MHD_Connection *connection)
 {
+    call->httpd = httpd;
     call->connection = connection;
     call->state = CALL_READING;
 }
@@ -156,7 +158,7 @@
 {
     if (call->suspended) {
         call->suspended = false;
-        MHD_resume_connection(call->connection);
+        BsHttpd_Resume(call->httpd, call->connection);
     }
 }
 
--- a/src/d_call.h
+++ b/src/d_call.h
@@ -9,9 +9,7 @@
 #ifndef BS_D_CALL_H
 #define BS_D_CALL_H
 
-#include "d_loop.h"
-
-#include <microhttpd.h>
+#include "d_httpd.h"
 
 typedef struct BsCall BsCall;
 
@@ -22,7 +20,8 @@
 void BsCall_Destroy(BsCall *call);
 
 /* Ties CALL to its connection, once the headers are known. */
-void BsCall_Begin(BsCall *call, struct MHD_Connection *connection);
+void BsCall_Begin(BsCall *call, BsHttpd *httpd,
+                  struct MHD_Connection *connection);
 
 /* Returns whether BsCall_Begin() was called. */
 bool BsCall_IsBegun(const BsCall *call);
--- a/src/d_callers.c
+++ b/src/d_callers.c
@@ -146,7 +146,7 @@
         return MHD_NO;
     }
     if (!BsCall_IsBegun(call)) {
-        BsCall_Begin(call, connection);
+        BsCall_Begin(call, callers->httpd, connection);
         return S_refuse_early(callers, call) ? BsCall_SendHead(call) : MHD_YES;
     }
     if (*data_bytes > 0) {
--- a/src/d_httpd.c
+++ b/src/d_httpd.c
@@ -18,6 +18,7 @@
     struct MHD_Daemon *daemon;
     ev_io io;
     ev_prepare prepare;
+    ev_prepare resumed; /* fed by hand; never started */
     ev_timer timer;
     int listen_fd; /* to be closed by us, or -1 */
 };
@@ -44,6 +45,14 @@
     S_run(watcher->data);
 }
 
+static void
+S_on_resumed(struct ev_loop *ev, ev_prepare *watcher, int events)
+{
+    (void)ev;
+    (void)events;
+    S_run(watcher->data);
+}
+
 /* Runs connections that need no event, then arms the timeout. */
 static void
 S_on_prepare(struct ev_loop *ev, ev_prepare *watcher, int events)
@@ -144,6 +153,8 @@
     ev_prepare_init(&httpd->prepare, S_on_prepare);
     httpd->prepare.data = httpd;
     ev_prepare_start(ev, &httpd->prepare);
+    ev_prepare_init(&httpd->resumed, S_on_resumed);
+    httpd->resumed.data = httpd;
     ev_timer_init(&httpd->timer, S_on_timer, 0.0, 0.0);
     httpd->timer.data = httpd;
 }
@@ -181,6 +192,7 @@
     struct ev_loop *ev = BsLoop_Ev(httpd->loop);
     ev_io_stop(ev, &httpd->io);
     ev_prepare_stop(ev, &httpd->prepare);
+    ev_clear_pending(ev, &httpd->resumed);
     ev_timer_stop(ev, &httpd->timer);
     MHD_stop_daemon(httpd->daemon);
     if (httpd->listen_fd >= 0) {
@@ -189,6 +201,13 @@
     g_free(httpd);
 }
 
+void
+BsHttpd_Resume(BsHttpd *httpd, struct MHD_Connection *connection)
+{
+    MHD_resume_connection(connection);
+    ev_feed_event(BsLoop_Ev(httpd->loop), &httpd->resumed, EV_PREPARE);
+}
+
 void
 BsHttpd_Quiesce(BsHttpd *httpd)
 {
