Planned stop with a limit; second signal ends requests as unknown

The core does not report BS_DRAINED yet, so the stop also ends when no caller waits; that condition goes once the core reports it. Seen end to end with three daemons and stand-ins: streamed and whole completion, a booking, the same booking again through another instance (one run), a lookup.

--- a/src/d_stop.c
+++ b/src/d_stop.c
@@ -9,12 +9,16 @@
 /* Time for the last answers to reach their callers. */
 #define FLUSH_MS 2000
 
+/* Time beyond the limit in which the core's own end may arrive. */
+#define LIMIT_GRACE_MS 1000
+
 struct BsStop {
     BsLoop *loop;
     BsCallers *callers;
     ev_signal term;
     ev_signal interrupt;
     ev_timer check;
+    int64_t limit_ms;       /* when the stop is forced */
     int64_t flush_until_ms; /* 0 until nothing more is waited for */
     bool draining;
     bool drained;
@@ -28,6 +32,18 @@
     }
 }
 
+/* Ends waiting requests as unknown. */
+static void
+S_give_up(BsStop *stop, const char *reason)
+{
+    if (stop->flush_until_ms == 0) {
+        BsLoop_Log(stop->loop, LOG_WARNING,
+                   "%s: waiting requests end as unknown", reason);
+        BsCallers_FailAll(stop->callers, BS_ERR_DRAINING);
+    }
+    S_flush(stop);
+}
+
 static void
 S_on_check(struct ev_loop *ev, ev_timer *watcher, int events)
 {
@@ -35,11 +51,15 @@
     (void)events;
     BsStop *stop = watcher->data;
     bool answered = BsCallers_Count(stop->callers) == 0;
-    if (stop->drained) {
+    int64_t now_ms = BsLoop_NowMs(stop->loop);
+    if (now_ms >= stop->limit_ms) {
+        S_give_up(stop, "the limit is over");
+    }
+    if (stop->drained || answered) {
         S_flush(stop);
     }
     if (stop->flush_until_ms != 0 &&
-        (answered || BsLoop_NowMs(stop->loop) >= stop->flush_until_ms)) {
+        (answered || now_ms >= stop->flush_until_ms)) {
         BsLoop_Log(stop->loop, LOG_NOTICE, "stopped");
         BsLoop_Stop(stop->loop);
     }
@@ -49,9 +69,10 @@
 S_on_drain(const BsMessage *message, void *context)
 {
     BsStop *stop = context;
-    (void)message;
     if (!stop->draining) {
         stop->draining = true;
+        stop->limit_ms = BsLoop_NowMs(stop->loop) + message->u.drain.limit_ms +
+                         LIMIT_GRACE_MS;
         BsLoop_Log(stop->loop, LOG_NOTICE, "draining");
         ev_timer_start(BsLoop_Ev(stop->loop), &stop->check);
     }
@@ -72,10 +93,7 @@
     (void)events;
     BsStop *stop = watcher->data;
     if (stop->draining) {
-        BsLoop_Log(stop->loop, LOG_WARNING,
-                   "second signal: waiting requests end as unknown");
-        BsCallers_FailAll(stop->callers, BS_ERR_DRAINING);
-        S_flush(stop);
+        S_give_up(stop, "second signal");
         return;
     }
     BsMessage *message = BsMessage_Create(BS_DRAIN);
