--- a/src/cli_http.c
+++ b/src/cli_http.c
@@ -54,7 +54,6 @@
     char *url =
         g_strconcat(has_scheme ? "" : "http://", address, path, (char *)NULL);
     CURL *easy = curl_easy_init();
-    memset(exchange, 0, sizeof(*exchange));
     exchange->body = g_string_new(NULL);
     curl_easy_setopt(easy, CURLOPT_URL, url);
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
--- a/src/cli_operate.c
+++ b/src/cli_operate.c
@@ -38,7 +38,7 @@
 static int
 S_ask(const BsCommandOptions *options, const char *method, const char *path)
 {
-    BsExchange exchange;
+    BsExchange exchange = {0};
     bool answered = BsExchange_Run(&exchange, options->admin, method, path,
                                    NULL, NULL, NULL);
     if (answered) {
--- a/src/cli_send.c
+++ b/src/cli_send.c
@@ -93,7 +93,7 @@
 BsCommand_Send(const BsCommandOptions *options, const char *path)
 {
     char *body = NULL;
-    BsExchange exchange;
+    BsExchange exchange = {0};
     if (!S_read_data(options, &body)) {
         return BS_EXIT_USAGE;
     }
--- a/src/d_daemon.c
+++ b/src/d_daemon.c
@@ -3,6 +3,7 @@
 
 #include "d_admin.h"
 #include "d_callers.h"
+#include "d_health.h"
 #include "d_peers.h"
 #include "d_platform.h"
 #include "d_stop.h"
@@ -19,6 +20,7 @@
     BsSettings *settings;
     BsLoop *loop;
     BsUpstreams *upstreams;
+    BsHealth *health;
     BsPeers *peers;
     BsCallers *callers;
     BsAdmin *admin;
@@ -34,6 +36,7 @@
     BsAdmin_Destroy(daemon->admin);
     BsCallers_Destroy(daemon->callers);
     BsPeers_Destroy(daemon->peers);
+    BsHealth_Destroy(daemon->health);
     BsUpstreams_Destroy(daemon->upstreams);
     BsLoop_Destroy(daemon->loop);
     BsSettings_Destroy(daemon->settings);
@@ -51,6 +54,7 @@
         return false;
     }
     daemon->upstreams = BsUpstreams_Create(daemon->loop);
+    daemon->health = BsHealth_Create(daemon->loop);
     daemon->peers = BsPeers_Create(daemon->loop, error);
     if (daemon->peers == NULL) {
         return false;
--- a/src/d_request.c
+++ b/src/d_request.c
@@ -140,8 +140,8 @@
 static bool
 S_read_headers(const BsHttpRequest *http, BsRequest *request, GError **error)
 {
-    uint64_t deadline_ms;
-    uint64_t skip_events;
+    uint64_t deadline_ms = 0;
+    uint64_t skip_events = 0;
     request->token = S_read_token(http);
     request->traceparent = S_read_traceparent(http);
     request->content_type = g_strdup(S_header(http, "Content-Type"));
