Settings errors name file, key, allowed values and remedy

One table of keys gives ranges, defaults and texts. The YAML library takes any unknown word for true, so booleans are read as strict words: trial 'insecure: maybe' was accepted before and is refused now. An empty file crashed the check before.

--- a/src/settings.c
+++ b/src/settings.c
@@ -1,5 +1,5 @@
 /* settings.c - reading and checking the settings file. */
-#include "settings.h"
+#include "settings_keys.h"
 
 #include <arpa/inet.h>
 #include <cyaml/cyaml.h>
@@ -14,10 +14,15 @@
     CYAML_FIELD_STRING_PTR(key, CYAML_FLAG_POINTER | (flags), owner, member,  \
                            1, STRING_MAX)
 #define UINT(key, owner, member) CYAML_FIELD_UINT(key, OPTIONAL, owner, member)
-#define BOOL(key, owner, member) CYAML_FIELD_BOOL(key, OPTIONAL, owner, member)
+#define BOOL(key, owner, member)                                              \
+    CYAML_FIELD_ENUM(key, OPTIONAL | CYAML_FLAG_STRICT, owner, member,        \
+                     S_booleans, CYAML_ARRAY_LEN(S_booleans))
 #define MAPPING(key, flags, owner, member, fields)                            \
     CYAML_FIELD_MAPPING_PTR(key, flags, owner, member, fields)
 
+/* The library's own boolean takes any unknown word for true. */
+static const cyaml_strval_t S_booleans[] = {{"false", 0}, {"true", 1}};
+
 static const cyaml_schema_value_t S_string_schema = {
     CYAML_VALUE_STRING(CYAML_FLAG_POINTER, char, 1, STRING_MAX)};
 
@@ -101,48 +106,34 @@
     return config;
 }
 
-static void
-S_default(uint32_t *value, uint32_t fallback)
-{
-    if (*value == 0) {
-        *value = fallback;
-    }
-}
-
-static void
-S_apply_defaults(BsSettings *settings)
-{
-    S_default(&settings->limits.header_bytes, 16384);
-    S_default(&settings->limits.body_bytes, 4194304);
-    S_default(&settings->limits.connections, 4096);
-    S_default(&settings->limits.requests, 20000);
-    S_default(&settings->limits.records, 100000);
-    S_default(&settings->lease_ms, 2000);
-    S_default(&settings->list_lag_ms, 10000);
-    S_default(&settings->resend_window_ms, 600000);
-    S_default(&settings->digest_ms, 1000);
-    S_default(&settings->drain_limit_ms, 30000);
-    if (settings->limits.queue_bytes == 0) {
-        settings->limits.queue_bytes = 67108864;
-    }
-}
-
 BsSettings *
 BsSettings_Load(const char *file, GError **error)
 {
     GString *report = g_string_new(NULL);
     cyaml_config_t config = S_make_config(report);
     BsSettings *settings = NULL;
+    if (!g_file_test(file, G_FILE_TEST_IS_REGULAR)) {
+        g_set_error(error, BS_ERROR, BS_ERR_SETTINGS,
+                    "%s: no such file; allowed: a readable settings file; "
+                    "name one",
+                    file);
+        g_string_free(report, TRUE);
+        return NULL;
+    }
     cyaml_err_t result = cyaml_load_file(
         file, &config, &S_schema, (cyaml_data_t **)(void *)&settings, NULL);
-    if (result != CYAML_OK) {
-        g_set_error(error, BS_ERROR, BS_ERR_SETTINGS, "%s: %s", file,
-                    report->len > 0 ? report->str : cyaml_strerror(result));
+    if (result != CYAML_OK || settings == NULL) {
+        BsSettingsKey_SetError(error, file,
+                               result == CYAML_OK ? "the file is empty"
+                               : report->len > 0  ? report->str
+                                                  : cyaml_strerror(result));
         g_string_free(report, TRUE);
         return NULL;
     }
     g_string_free(report, TRUE);
-    S_apply_defaults(settings);
+    if (!BsSettings_Check(settings, file, error)) {
+        g_clear_pointer(&settings, BsSettings_Destroy);
+    }
     return settings;
 }
 
@@ -171,6 +162,7 @@
     config->request_limit = settings->limits.requests;
     config->queue_bytes = settings->limits.queue_bytes;
     config->fresh_fleet = settings->fresh_fleet;
+    config->policy = (uint32_t)BsSettings_Policy(settings);
 }
 
 /* Splits IP:port; HOST is freed with g_free(). */
--- a/src/settings.h
+++ b/src/settings.h
@@ -77,6 +77,9 @@
 /* Fills CONFIG for a core; strings stay owned by SETTINGS. */
 void BsSettings_FillConfig(const BsSettings *settings, BsCoreConfig *config);
 
+/* Returns the BsPolicy named by the settings, or -1 for an unknown name. */
+int BsSettings_Policy(const BsSettings *settings);
+
 /* Parses IP:port, with IPv6 in brackets; returns whether it is valid. */
 bool BsSettings_ParseAddress(const char *text,
                              struct sockaddr_storage *address,
--- /dev/null
+++ b/src/settings_keys.h
@@ -0,0 +1,40 @@
+/*
+ * settings_keys.h - every key of the settings file with its allowed values.
+ */
+#ifndef BS_SETTINGS_KEYS_H
+#define BS_SETTINGS_KEYS_H
+
+#include "settings.h"
+
+/* A key; a number has a range and a default used when it is 0 or absent. */
+typedef struct {
+    const char *key;     /* path from the top, parts joined by dots */
+    const char *allowed; /* text for people; NULL for a number */
+    size_t offset;       /* of a number in BsSettings */
+    size_t size_bytes;   /* of a number, 4 or 8; else 0 */
+    uint64_t min;
+    uint64_t max;
+    uint64_t fallback;
+} BsSettingsKey;
+
+extern const BsSettingsKey bs_settings_keys[];
+extern const size_t bs_settings_key_count;
+
+/* Returns the row of KEY, or NULL. */
+const BsSettingsKey *BsSettingsKey_Find(const char *key);
+
+/* Returns the allowed values of KEY as text; g_free() it. */
+char *BsSettingsKey_Allowed(const char *key);
+
+/* Returns the names directly below PARENT ("" for the top); g_free() it. */
+char *BsSettingsKey_Names(const char *parent);
+
+/* Sets a GError from what the YAML library reported about FILE. */
+void BsSettingsKey_SetError(GError **error, const char *file,
+                            const char *report);
+
+/* Checks ranges and what keys ask of each other, sets defaults and reads the
+   secret's file.  Returns false with ERROR set. */
+bool BsSettings_Check(BsSettings *settings, const char *file, GError **error);
+
+#endif /* BS_SETTINGS_KEYS_H */
