--- a/src/d_daemon.c
+++ b/src/d_daemon.c
@@ -21,21 +21,21 @@
     BsLoop *loop;
     BsUpstreams *upstreams;
     BsHealth *health;
-    BsPeers *peers;
+    BsPeerSockets *peers;
     BsCallers *callers;
     BsAdmin *admin;
     BsPlatform *platform;
-    BsStop *stop;
+    BsStopSignals *stop;
 } BsDaemon;
 
 static void
 S_destroy(BsDaemon *daemon)
 {
-    BsStop_Destroy(daemon->stop);
+    BsStopSignals_Destroy(daemon->stop);
     BsPlatform_Destroy(daemon->platform);
     BsAdmin_Destroy(daemon->admin);
     BsCallers_Destroy(daemon->callers);
-    BsPeers_Destroy(daemon->peers);
+    BsPeerSockets_Destroy(daemon->peers);
     BsHealth_Destroy(daemon->health);
     BsUpstreams_Destroy(daemon->upstreams);
     BsLoop_Destroy(daemon->loop);
@@ -55,7 +55,7 @@
     }
     daemon->upstreams = BsUpstreams_Create(daemon->loop);
     daemon->health = BsHealth_Create(daemon->loop);
-    daemon->peers = BsPeers_Create(daemon->loop, error);
+    daemon->peers = BsPeerSockets_Create(daemon->loop, error);
     if (daemon->peers == NULL) {
         return false;
     }
@@ -68,7 +68,7 @@
         return false;
     }
     daemon->platform = BsPlatform_Create(daemon->loop);
-    daemon->stop = BsStop_Create(daemon->loop, daemon->callers);
+    daemon->stop = BsStopSignals_Create(daemon->loop, daemon->callers);
     return true;
 }
 
--- a/src/d_peers.c
+++ b/src/d_peers.c
@@ -1,6 +1,7 @@
 /* d_peers.c - messages between instances over ZeroMQ. */
 #include "d_peers.h"
 
+#include "d_zap.h"
 #include "schema.h"
 
 #include <errno.h>
@@ -22,10 +23,11 @@
     void *socket;
 } BsPeer;
 
-struct BsPeers {
+struct BsPeerSockets {
     BsLoop *loop;
     void *context;
     void *router;
+    BsZap *zap;        /* NULL without encryption */
     GHashTable *peers; /* instance name to BsPeer */
     ev_io io;
     ev_prepare again; /* fed by hand when a batch was cut short */
@@ -60,16 +62,31 @@
     zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &max, sizeof(max));
 }
 
+/* Sets the fleet's keys on a sending socket. */
+static void
+S_set_client_keys(void *socket, const BsCurveSettings *curve)
+{
+    zmq_setsockopt(socket, ZMQ_CURVE_SERVERKEY, curve->public_key,
+                   strlen(curve->public_key) + 1);
+    zmq_setsockopt(socket, ZMQ_CURVE_PUBLICKEY, curve->public_key,
+                   strlen(curve->public_key) + 1);
+    zmq_setsockopt(socket, ZMQ_CURVE_SECRETKEY, curve->secret_key,
+                   strlen(curve->secret_key) + 1);
+}
+
 /* Creates a sending socket.  ZMQ_IMMEDIATE keeps messages from waiting for a
    lost peer and reaching its replacement. */
 static BsPeer *
-S_connect(BsPeers *peers, const char *address)
+S_connect(BsPeerSockets *peers, const char *address)
 {
     BsPeer *peer = g_new0(BsPeer, 1);
     char *endpoint = g_strdup_printf("tcp://%s", address);
     peer->address = g_strdup(address);
     peer->socket = zmq_socket(peers->context, ZMQ_DEALER);
     S_set_common(peer->socket);
+    if (BsLoop_Settings(peers->loop)->curve != NULL) {
+        S_set_client_keys(peer->socket, BsLoop_Settings(peers->loop)->curve);
+    }
     S_set_int(peer->socket, ZMQ_IMMEDIATE, 1);
     S_set_int(peer->socket, ZMQ_RECONNECT_IVL, RECONNECT_MS);
     S_set_int(peer->socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
@@ -84,7 +101,7 @@
 static void
 S_on_list(const BsMessage *message, void *context)
 {
-    BsPeers *peers = context;
+    BsPeerSockets *peers = context;
     const GPtrArray *entries = message->u.list.entries;
     GHashTable *kept = peers->peers;
     peers->peers =
@@ -113,7 +130,7 @@
 static void
 S_on_send(const BsMessage *message, void *context)
 {
-    BsPeers *peers = context;
+    BsPeerSockets *peers = context;
     BsPeer *peer = message->to == NULL
                        ? NULL
                        : g_hash_table_lookup(peers->peers, message->to);
@@ -137,7 +154,7 @@
 }
 
 static void
-S_take(BsPeers *peers, zmq_msg_t *frame)
+S_take(BsPeerSockets *peers, zmq_msg_t *frame)
 {
     GError *error = NULL;
     size_t size = zmq_msg_size(frame);
@@ -148,7 +165,8 @@
         g_error_free(error);
         return;
     }
-    if (!BsSchema_IsPeerKind(message->kind) || message->from == NULL) {
+    if (!BsSchema_IsPeerKind(message->kind) || message->from == NULL ||
+        strcmp(message->from, BsLoop_Settings(peers->loop)->name) == 0) {
         BsLoop_Count(peers->loop, "peer_messages_bad", 1);
         BsMessage_Destroy(message);
         return;
@@ -159,7 +177,7 @@
 /* Receives one message; returns whether there was one.  The first frame is
    the sender's routing id, the second the message; others are ignored. */
 static bool
-S_receive(BsPeers *peers)
+S_receive(BsPeerSockets *peers)
 {
     zmq_msg_t frame;
     int index = 0;
@@ -183,7 +201,7 @@
 /* Receives until the socket is empty: its descriptor signals a change only
    once.  A long batch gives the other tasks a turn. */
 static void
-S_drain(BsPeers *peers)
+S_drain(BsPeerSockets *peers)
 {
     for (int i = 0; i < RECEIVE_BATCH; i++) {
         if (!S_receive(peers)) {
@@ -209,8 +227,26 @@
     S_drain(watcher->data);
 }
 
+/* Sets the fleet's keys on the receiving socket. */
+static bool
+S_protect(BsPeerSockets *peers, GError **error)
+{
+    const BsCurveSettings *curve = BsLoop_Settings(peers->loop)->curve;
+    if (curve == NULL) {
+        return true;
+    }
+    peers->zap = BsZap_Create(peers->loop, peers->context, error);
+    if (peers->zap == NULL) {
+        return false;
+    }
+    S_set_int(peers->router, ZMQ_CURVE_SERVER, 1);
+    zmq_setsockopt(peers->router, ZMQ_CURVE_SECRETKEY, curve->secret_key,
+                   strlen(curve->secret_key) + 1);
+    return true;
+}
+
 static bool
-S_bind(BsPeers *peers, GError **error)
+S_bind(BsPeerSockets *peers, GError **error)
 {
     const char *address = BsLoop_Settings(peers->loop)->peers;
     char *endpoint = g_strdup_printf("tcp://%s", address);
@@ -227,7 +263,7 @@
 }
 
 static void
-S_watch(BsPeers *peers)
+S_watch(BsPeerSockets *peers)
 {
     int fd;
     size_t size = sizeof(fd);
@@ -240,18 +276,18 @@
     ev_feed_event(BsLoop_Ev(peers->loop), &peers->again, EV_PREPARE);
 }
 
-BsPeers *
-BsPeers_Create(BsLoop *loop, GError **error)
+BsPeerSockets *
+BsPeerSockets_Create(BsLoop *loop, GError **error)
 {
-    BsPeers *peers = g_new0(BsPeers, 1);
+    BsPeerSockets *peers = g_new0(BsPeerSockets, 1);
     peers->loop = loop;
     peers->context = zmq_ctx_new();
     peers->peers =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, S_destroy_peer);
     peers->router = zmq_socket(peers->context, ZMQ_ROUTER);
     S_set_common(peers->router);
-    if (!S_bind(peers, error)) {
-        BsPeers_Destroy(peers);
+    if (!S_protect(peers, error) || !S_bind(peers, error)) {
+        BsPeerSockets_Destroy(peers);
         return NULL;
     }
     S_watch(peers);
@@ -265,14 +301,18 @@
 }
 
 void
-BsPeers_Destroy(BsPeers *peers)
+BsPeerSockets_Destroy(BsPeerSockets *peers)
 {
     if (peers == NULL) {
         return;
     }
-    ev_io_stop(BsLoop_Ev(peers->loop), &peers->io);
+    if (peers->io.data != NULL) {
+        ev_io_stop(BsLoop_Ev(peers->loop), &peers->io);
+        ev_clear_pending(BsLoop_Ev(peers->loop), &peers->again);
+    }
     g_hash_table_destroy(peers->peers);
     zmq_close(peers->router);
+    BsZap_Destroy(peers->zap);
     zmq_ctx_term(peers->context);
     g_free(peers);
 }
--- a/src/d_stop.c
+++ b/src/d_stop.c
@@ -9,10 +9,13 @@
 /* Time for the last answers to reach their callers. */
 #define FLUSH_MS 2000
 
+/* Limit of a stop that is asked for a second time. */
+#define HURRY_MS 1
+
 /* Time beyond the limit in which the core's own end may arrive. */
 #define LIMIT_GRACE_MS 1000
 
-struct BsStop {
+struct BsStopSignals {
     BsLoop *loop;
     BsCallers *callers;
     ev_signal term;
@@ -25,7 +28,7 @@
 };
 
 static void
-S_flush(BsStop *stop)
+S_flush(BsStopSignals *stop)
 {
     if (stop->flush_until_ms == 0) {
         stop->flush_until_ms = BsLoop_NowMs(stop->loop) + FLUSH_MS;
@@ -34,7 +37,7 @@
 
 /* Ends waiting requests as unknown. */
 static void
-S_give_up(BsStop *stop, const char *reason)
+S_give_up(BsStopSignals *stop, const char *reason)
 {
     if (stop->flush_until_ms == 0) {
         BsLoop_Log(stop->loop, LOG_WARNING,
@@ -49,13 +52,13 @@
 {
     (void)ev;
     (void)events;
-    BsStop *stop = watcher->data;
+    BsStopSignals *stop = watcher->data;
     bool answered = BsCallers_Count(stop->callers) == 0;
     int64_t now_ms = BsLoop_NowMs(stop->loop);
     if (now_ms >= stop->limit_ms) {
         S_give_up(stop, "the limit is over");
     }
-    if (stop->drained || answered) {
+    if (stop->drained) {
         S_flush(stop);
     }
     if (stop->flush_until_ms != 0 &&
@@ -68,20 +71,22 @@
 static void
 S_on_drain(const BsMessage *message, void *context)
 {
-    BsStop *stop = context;
+    BsStopSignals *stop = context;
+    int64_t limit_ms =
+        BsLoop_NowMs(stop->loop) + message->u.drain.limit_ms + LIMIT_GRACE_MS;
     if (!stop->draining) {
         stop->draining = true;
-        stop->limit_ms = BsLoop_NowMs(stop->loop) + message->u.drain.limit_ms +
-                         LIMIT_GRACE_MS;
+        stop->limit_ms = limit_ms;
         BsLoop_Log(stop->loop, LOG_NOTICE, "draining");
         ev_timer_start(BsLoop_Ev(stop->loop), &stop->check);
     }
+    stop->limit_ms = MIN(stop->limit_ms, limit_ms);
 }
 
 static void
 S_on_drained(const BsMessage *message, void *context)
 {
-    BsStop *stop = context;
+    BsStopSignals *stop = context;
     (void)message;
     stop->drained = true;
 }
@@ -91,28 +96,26 @@
 {
     (void)ev;
     (void)events;
-    BsStop *stop = watcher->data;
-    if (stop->draining) {
-        S_give_up(stop, "second signal");
-        return;
-    }
+    BsStopSignals *stop = watcher->data;
     BsMessage *message = BsMessage_Create(BS_DRAIN);
-    message->u.drain.limit_ms = BsLoop_Settings(stop->loop)->drain_limit_ms;
+    message->u.drain.limit_ms =
+        stop->draining ? HURRY_MS
+                       : BsLoop_Settings(stop->loop)->drain_limit_ms;
     BsLoop_Post(stop->loop, message);
 }
 
 static void
-S_watch_signal(BsStop *stop, ev_signal *watcher, int number)
+S_watch_signal(BsStopSignals *stop, ev_signal *watcher, int number)
 {
     ev_signal_init(watcher, S_on_signal, number);
     watcher->data = stop;
     ev_signal_start(BsLoop_Ev(stop->loop), watcher);
 }
 
-BsStop *
-BsStop_Create(BsLoop *loop, BsCallers *callers)
+BsStopSignals *
+BsStopSignals_Create(BsLoop *loop, BsCallers *callers)
 {
-    BsStop *stop = g_new0(BsStop, 1);
+    BsStopSignals *stop = g_new0(BsStopSignals, 1);
     stop->loop = loop;
     stop->callers = callers;
     S_watch_signal(stop, &stop->term, SIGTERM);
@@ -125,7 +128,7 @@
 }
 
 void
-BsStop_Destroy(BsStop *stop)
+BsStopSignals_Destroy(BsStopSignals *stop)
 {
     if (stop == NULL) {
         return;
--- a/src/d_stop.h
+++ b/src/d_stop.h
@@ -3,7 +3,7 @@
  *
  * Rules: the first signal or POST /drain asks the core to drain, and the
  * process ends once the core has drained and every answer is out; the second
- * signal ends every waiting request with an unknown outcome.
+ * signal shortens the limit to nothing, so that the core ends what is left.
  */
 #ifndef BS_D_STOP_H
 #define BS_D_STOP_H
@@ -11,12 +11,12 @@
 #include "d_callers.h"
 #include "d_upstreams.h"
 
-typedef struct BsStop BsStop;
+typedef struct BsStopSignals BsStopSignals;
 
 /* Watches for signals and for the core's BS_DRAINED. */
-BsStop *BsStop_Create(BsLoop *loop, BsCallers *callers);
+BsStopSignals *BsStopSignals_Create(BsLoop *loop, BsCallers *callers);
 
 /* Frees STOP; NULL is allowed. */
-void BsStop_Destroy(BsStop *stop);
+void BsStopSignals_Destroy(BsStopSignals *stop);
 
 #endif /* BS_D_STOP_H */
--- a/src/owner.c
+++ b/src/owner.c
@@ -1,8 +1,11 @@
 /* owner.c - queues and dispatches work to owned upstreams. */
 #include "owner.h"
 
+#include "baseline.h"
 #include "ownerstate.h"
 #include "poison.h"
+#include "run.h"
+#include "stop.h"
 
 #include <string.h>
 
@@ -135,6 +138,9 @@
     answer->seq = work->next_seq++;
     answer->attempt = request->attempt;
     answer->to_stage = request->from_stage;
+    if (!request->idempotent) {
+        BsRuns_Keep(owner->core->runs, work->request, piece);
+    }
     BsCore_Send(owner->core, work->request->from,
                 work->request->from_incarnation, piece);
 }
@@ -273,6 +279,24 @@
                work->deadline_ms;
 }
 
+/* Dispatches WORK at once, as a baseline policy does. */
+static void
+S_dispatch_baseline(BsOwner *owner, BsWork *work)
+{
+    BsCore *core = owner->core;
+    BsPool *pool = BsOwner_FindPool(owner, work->serves);
+    BsUpstream *upstream = pool == NULL
+                               ? NULL
+                               : BsBaseline_Pick(pool, core->config.policy,
+                                                 core->random, &owner->turn);
+    if (upstream == NULL) {
+        BsOwner_GiveBack(owner, work, BS_ERR_NO_UPSTREAM);
+        return;
+    }
+    BsOwner_Enqueue(owner, work);
+    BsOwner_Dispatch(owner, pool, work, upstream);
+}
+
 /* Returns why WORK is refused on arrival. */
 static BsErrorKind
 S_judge(BsOwner *owner, BsWork *work)
@@ -283,6 +307,9 @@
     if (verdict == BS_POISON_QUARANTINED) {
         return BS_ERR_QUARANTINED;
     }
+    if (BsStop_IsActive(owner->core->stop)) {
+        return BS_ERR_DRAINING;
+    }
     work->alone = verdict == BS_POISON_SUSPECT;
     if (pool == NULL || pool->upstreams->len == 0) {
         return BS_ERR_NO_UPSTREAM;
@@ -303,11 +330,11 @@
     BsWork *work = BsWork_Create(message, S_rank(owner, request),
                                  BsCore_NowMs(owner->core));
     g_hash_table_insert(owner->works, work->id, work);
-    if (!request->idempotent) {
-        BsFences_Add(owner->fences, work->id, BsCore_NowMs(owner->core),
-                     owner->core->config.resend_window_ms);
-    }
     BsOwner_Review(owner);
+    if (owner->core->config.policy != BS_POLICY_AFFINITY) {
+        S_dispatch_baseline(owner, work);
+        return;
+    }
     BsErrorKind error = S_judge(owner, work);
     if (error != BS_ERR_NONE) {
         BsCore_Count(owner->core, "refused_on_arrival", 1);
@@ -360,7 +387,7 @@
     if (answer->crashed) {
         BsPoison_OnCrash(owner->core->poison, request);
     }
-    else {
+    else if (answer->error == BS_ERR_NONE) {
         BsPoison_OnFinish(owner->core->poison, request);
     }
     if (answer->error != BS_ERR_NONE) {
@@ -370,6 +397,15 @@
     BsOwner_DispatchAll(owner);
 }
 
+/* Counts an upstream that turned cold. */
+static void
+S_count_cold(BsOwner *owner, const BsUpstream *upstream, BsWarmth before)
+{
+    if (before != BS_WARMTH_COLD && upstream->warmth == BS_WARMTH_COLD) {
+        BsCore_Count(owner->core, "upstreams_turned_cold", 1);
+    }
+}
+
 void
 BsOwner_OnUpstreamAnswer(BsOwner *owner, const BsMessage *message)
 {
@@ -385,8 +421,10 @@
         S_count_waste(owner, "redone",
                       work->cached_tokens - answer->cached_tokens);
     }
-    BsUpstream_OnPiece(work->upstream, work, answer,
-                       BsCore_NowMs(owner->core));
+    BsUpstream *upstream = work->upstream;
+    BsWarmth warmth = upstream->warmth;
+    BsUpstream_OnPiece(upstream, work, answer, BsCore_NowMs(owner->core));
+    S_count_cold(owner, upstream, warmth);
     if (BsWork_Request(work)->stream) {
         work->events += BsEvents_Count(answer->data);
     }
@@ -406,29 +444,30 @@
             : g_hash_table_lookup(owner->upstreams, report->upstream);
     BsCore_Count(owner->core, "reports", 1);
     if (upstream != NULL) {
+        BsWarmth warmth = upstream->warmth;
         BsUpstream_OnReport(upstream, report, BsCore_NowMs(owner->core));
+        S_count_cold(owner, upstream, warmth);
         BsOwner_DispatchAll(owner);
     }
 }
 
-/* Tells the sender of a cancel that the request will never start here. */
-static void
-S_deny_start(BsOwner *owner, const BsMessage *cancel, const char *id)
+void
+BsOwner_Drain(BsOwner *owner)
 {
-    const BsCancel *wanted = &cancel->u.cancel;
-    if (BsFences_Has(owner->fences, id)) {
-        return;
-    }
-    BsFences_Add(owner->fences, id, BsCore_NowMs(owner->core),
-                 owner->core->config.resend_window_ms);
-    if (cancel->to_incarnation != owner->core->config.incarnation) {
-        return;
+    GList *works = g_hash_table_get_values(owner->works);
+    for (GList *node = works; node != NULL; node = node->next) {
+        BsWork *work = node->data;
+        if (work->upstream == NULL) {
+            BsOwner_GiveBack(owner, work, BS_ERR_DRAINING);
+        }
     }
-    BsMessage *answer =
-        BsCore_CreateError(BS_ANSWER, wanted->request_id, wanted->attempt,
-                           BS_ERR_CANCELLED, BS_OUTCOME_NOT_RUN);
-    answer->u.answer.to_stage = BS_STAGE_KEEPER;
-    BsCore_Send(owner->core, cancel->from, cancel->from_incarnation, answer);
+    g_list_free(works);
+}
+
+uint32_t
+BsOwner_Count(const BsOwner *owner)
+{
+    return g_hash_table_size(owner->works);
 }
 
 void
@@ -441,7 +480,8 @@
     char *id = g_strdup_printf("%s/%u", cancel->request_id, cancel->attempt);
     BsWork *work = g_hash_table_lookup(owner->works, id);
     if (work == NULL) {
-        S_deny_start(owner, message, id);
+        BsFences_Add(owner->fences, id, BsCore_NowMs(owner->core),
+                     owner->core->config.resend_window_ms);
     }
     else if (work->upstream == NULL) {
         BsOwner_GiveBack(owner, work, BS_ERR_CANCELLED);
