--- a/src/d_stop.c
+++ b/src/d_stop.c
@@ -13,7 +13,7 @@
 #define HURRY_MS 1
 
 /* Time beyond the limit in which the core's own end may arrive. */
-#define LIMIT_GRACE_MS 1000
+#define LIMIT_GRACE_MS 6000
 
 struct BsStopSignals {
     BsLoop *loop;
@@ -77,7 +77,6 @@
     if (!stop->draining) {
         stop->draining = true;
         stop->limit_ms = limit_ms;
-        BsLoop_Log(stop->loop, LOG_NOTICE, "draining");
         ev_timer_start(BsLoop_Ev(stop->loop), &stop->check);
     }
     stop->limit_ms = MIN(stop->limit_ms, limit_ms);
