Contract tests on real sockets; an answer cut within its head is unknown

The hop table found that the library takes an end of file within the answer's head for a whole answer, so a crash there was told as ran with an empty body; now the head's empty line must have been read. A caller that closes with half a body is noticed by a timer, since the server can lose the end when it comes with data (seen: held for the whole idle timeout). Connections without progress are closed after 30 s instead of 120 s.

--- a/src/d_call.c
+++ b/src/d_call.c
@@ -56,6 +56,7 @@
     bool broken;
     bool suspended;
     bool paused;
+    bool left; /* the caller's side was closed at the last check */
 };
 
 BsCall *
@@ -80,14 +81,6 @@
     g_free(call);
 }
 
-void
-BsCall_Begin(BsCall *call, BsHttpd *httpd, struct MHD_Connection *connection)
-{
-    call->httpd = httpd;
-    call->connection = connection;
-    call->state = CALL_READING;
-}
-
 bool
 BsCall_IsBegun(const BsCall *call)
 {
@@ -233,6 +226,18 @@
     return info.tcpi_state != TCP_ESTABLISHED;
 }
 
+/* Ends a connection whose caller left with the body half sent: the server
+   can miss the end when it comes together with data. */
+static void
+S_check_reading(BsCall *call)
+{
+    bool left = S_has_left(call);
+    if (left && call->left) {
+        shutdown(call->input.fd, SHUT_RDWR);
+    }
+    call->left = left;
+}
+
 static void
 S_check_caller(BsCall *call)
 {
@@ -240,6 +245,10 @@
         S_stop_watch(call);
         return;
     }
+    if (call->state == CALL_READING) {
+        S_check_reading(call);
+        return;
+    }
     if (!S_has_left(call)) {
         ev_io_stop(BsLoop_Ev(call->loop), &call->input);
         ev_timer_start(BsLoop_Ev(call->loop), &call->recheck);
@@ -266,7 +275,8 @@
     S_check_caller(watcher->data);
 }
 
-/* Watches for the end of the caller's side while the server does not. */
+/* Watches for the end of the caller's side: by a timer while the body is
+   read, and later by the descriptor, which the server leaves alone then. */
 static void
 S_start_watch(BsCall *call)
 {
@@ -276,7 +286,16 @@
     call->input.data = call;
     ev_timer_init(&call->recheck, S_on_recheck, RECHECK_S, RECHECK_S);
     call->recheck.data = call;
-    ev_io_start(BsLoop_Ev(call->loop), &call->input);
+    ev_timer_start(BsLoop_Ev(call->loop), &call->recheck);
+}
+
+void
+BsCall_Begin(BsCall *call, BsHttpd *httpd, struct MHD_Connection *connection)
+{
+    call->httpd = httpd;
+    call->connection = connection;
+    call->state = CALL_READING;
+    S_start_watch(call);
 }
 
 void
@@ -287,7 +306,10 @@
     call->cancels = cancels;
     call->stream = stream;
     if (cancels) {
-        S_start_watch(call);
+        ev_io_start(BsLoop_Ev(call->loop), &call->input);
+    }
+    else {
+        ev_timer_stop(BsLoop_Ev(call->loop), &call->recheck);
     }
 }
 
@@ -532,7 +554,7 @@
 void
 BsCall_Close(BsCall *call, bool complete)
 {
-    if (call->cancels) {
+    if (call->state != CALL_NEW) {
         S_stop_watch(call);
     }
     if (call->posted && !complete) {
@@ -544,7 +566,7 @@
 BsCall_Abandon(BsCall *call)
 {
     call->posted = false;
-    if (call->cancels) {
+    if (call->state != CALL_NEW) {
         S_stop_watch(call);
     }
     if (!call->final) {
--- a/src/d_httpd.c
+++ b/src/d_httpd.c
@@ -9,7 +9,9 @@
 #include <unistd.h>
 
 #define LISTEN_BACKLOG 1024
-#define IDLE_TIMEOUT_S 120U
+/* A connection without progress, also one whose caller left before its
+   request was whole, is closed after this. */
+#define IDLE_TIMEOUT_S 30U
 #define RUNS_MAX 16
 #define MS_PER_S 1000.0
 
--- a/src/d_transfer.c
+++ b/src/d_transfer.c
@@ -35,6 +35,7 @@
     uint32_t sends; /* connections the request was sent on */
     long status;
     char error[CURL_ERROR_SIZE];
+    bool head_read; /* to its empty line */
     bool model;
     bool stream;    /* a stream was asked for */
     bool events;    /* the answer is a stream */
@@ -152,6 +153,10 @@
 {
     BsTransfer *transfer = context;
     size_t size = unit * count;
+    if (size <= 2) {
+        transfer->head_read = true;
+        return size;
+    }
     char *type = S_match_header(line, size, "Content-Type");
     char *started = S_match_header(line, size, "X-Request-Started");
     S_read_status(transfer);
@@ -236,6 +241,11 @@
         S_set_failure(answer, BS_ERR_UPSTREAM_REFUSED, BS_OUTCOME_NOT_RUN,
                       "the upstream refused before it started");
     }
+    else if (result == CURLE_OK && !transfer->head_read) {
+        S_set_failure(answer, BS_ERR_UPSTREAM_FAILED, BS_OUTCOME_UNKNOWN,
+                      "the answer ended within its head");
+        answer->crashed = true;
+    }
     else if (result != CURLE_OK) {
         S_set_failure(answer, BS_ERR_UPSTREAM_FAILED, BS_OUTCOME_UNKNOWN,
                       detail);
--- /dev/null
+++ b/tests/contract/input_test.cc
@@ -0,0 +1,252 @@
+// Bad input of a new user: never a crash, a hang or a leaked request.
+#include "harness.h"
+
+#include <csignal>
+#include <gtest/gtest.h>
+#include <random>
+
+namespace {
+
+struct InputCase {
+    const char *name;
+    const char *method;
+    const char *path;
+    std::string body;
+    std::vector<std::string> headers;
+    long status;
+    const char *detail; // part of the answer
+};
+
+const char kChat[] = "/v1/chat/completions";
+const char kGood[] = "{\"model\":\"m\",\"messages\":[]}";
+
+const InputCase kInputCases[] = {
+    {"EmptyBody", "POST", kChat, "", {}, 400, "the body is empty"},
+    {"TruncatedJson", "POST", kChat, "{\"model\":", {}, 400, "not JSON"},
+    {"NotAnObject", "POST", kChat, "[1]", {}, 400, "JSON object"},
+    {"NoModel", "POST", kChat, "{\"messages\":[]}", {}, 400, "model"},
+    {"ModelNotText", "POST", kChat, "{\"model\":7}", {}, 400, "model"},
+    {"NoMessages", "POST", kChat, "{\"model\":\"m\"}", {}, 400, "messages"},
+    {"BadStream",
+     "POST",
+     kChat,
+     "{\"model\":\"m\",\"messages\":[],\"stream\":1}",
+     {},
+     400,
+     "stream"},
+    {"BadMaxTokens",
+     "POST",
+     kChat,
+     "{\"model\":\"m\",\"messages\":[],\"max_tokens\":-1}",
+     {},
+     400,
+     "max_tokens"},
+    {"DeepJson", "POST", kChat, std::string(100000, '['), {}, 400, "not JSON"},
+    {"BinaryBody",
+     "POST",
+     kChat,
+     std::string("\0\xff\xfe\x01", 4),
+     {},
+     400,
+     "not JSON"},
+    {"TenMegabytes",
+     "POST",
+     kChat,
+     std::string(10 * 1024 * 1024, 'x'),
+     {},
+     413,
+     "limits.body_bytes"},
+    {"UnknownModel",
+     "POST",
+     kChat,
+     "{\"model\":\"q\",\"messages\":[]}",
+     {},
+     404,
+     "unknown_model"},
+    {"UnknownService",
+     "POST",
+     "/services/q/x",
+     "",
+     {},
+     404,
+     "unknown_service"},
+    {"NoService", "POST", "/services/", "", {}, 400, "/services/NAME"},
+    {"UnknownPath", "GET", "/v1/chat", "", {}, 404, "no such path"},
+    {"WrongMethod", "GET", kChat, "", {}, 405, "method"},
+    {"WrongMethodDelete", "DELETE", "/v1/models", "", {}, 405, "method"},
+    {"BadDeadline",
+     "POST",
+     kChat,
+     kGood,
+     {"Boragespur-Deadline-Ms: soon"},
+     400,
+     "Boragespur-Deadline-Ms"},
+    {"NegativeDeadline",
+     "POST",
+     kChat,
+     kGood,
+     {"Boragespur-Deadline-Ms: -1"},
+     400,
+     "Boragespur-Deadline-Ms"},
+    {"BadResume",
+     "POST",
+     kChat,
+     kGood,
+     {"Boragespur-Resume-Events: 1.5"},
+     400,
+     "Boragespur-Resume-Events"},
+    {"UnknownTier",
+     "POST",
+     kChat,
+     kGood,
+     {"Boragespur-Tier: best"},
+     400,
+     "unknown_tier"},
+    {"KeyWithSpaces",
+     "POST",
+     "/services/s/x",
+     "",
+     {"Idempotency-Key: a b"},
+     400,
+     "Idempotency-Key"},
+    {"LongKey",
+     "POST",
+     "/services/s/x",
+     "",
+     {"Idempotency-Key: " + std::string(256, 'k')},
+     400,
+     "Idempotency-Key"},
+    {"UnknownRequest", "GET", "/v1/requests/nothing", "", {}, 404, ""},
+};
+
+class Input : public testing::Test {
+  protected:
+    static void SetUpTestSuite()
+    {
+        daemon_ = new Daemon(FreePort(), FreePort());
+    }
+    static void TearDownTestSuite()
+    {
+        delete daemon_;
+    }
+    void TearDown() override
+    {
+        EXPECT_TRUE(daemon_->WaitMetric("requests_open", 0));
+        EXPECT_EQ(daemon_->Send("GET", "/v1/models", "").status, 200);
+    }
+    static Daemon *daemon_;
+};
+
+Daemon *Input::daemon_;
+
+TEST_F(Input, IsRefusedWithARemedy)
+{
+    for (const InputCase &input : kInputCases) {
+        SCOPED_TRACE(input.name);
+        Answer answer =
+            daemon_->Send(input.method, input.path, input.body, input.headers);
+        EXPECT_EQ(answer.status, input.status) << answer.body;
+        EXPECT_NE(answer.body.find(input.detail), std::string::npos)
+            << answer.body;
+        if (input.status != 404) {
+            EXPECT_EQ(answer.outcome, "not-run");
+            EXPECT_NE(answer.body.find("\"remedy\""), std::string::npos);
+        }
+    }
+}
+
+TEST_F(Input, UnknownTokenIsRefused)
+{
+    Socket caller(Connect(daemon_->callers()));
+    caller.Write("POST /services/s/x HTTP/1.1\r\nHost: x\r\nAuthorization: "
+                 "Bearer wrong\r\nConnection: close\r\n"
+                 "Content-Length: 0\r\n\r\n");
+    EXPECT_NE(caller.ReadAll().find("unauthorized"), std::string::npos);
+}
+
+TEST_F(Input, JunkOnEveryPortIsSurvived)
+{
+    std::mt19937 random(1);
+    for (int port : {daemon_->callers(), daemon_->admin(), daemon_->peers()}) {
+        for (int i = 0; i < 20; i++) {
+            std::string junk(1 + random() % 4096, '\0');
+            for (char &c : junk) {
+                c = static_cast<char>(random());
+            }
+            Socket socket(Connect(port));
+            socket.Write(junk);
+            socket.CloseWrite();
+        }
+    }
+}
+
+TEST_F(Input, HugeHeaderIsRefused)
+{
+    Socket caller(Connect(daemon_->callers()));
+    caller.Write("GET /v1/models HTTP/1.1\r\nHost: x\r\nX-Big: " +
+                 std::string(100000, 'h') + "\r\n\r\n");
+    EXPECT_NE(caller.ReadAll().find(" 431 "), std::string::npos);
+}
+
+TEST_F(Input, HalfClosedCallersAreAnswered)
+{
+    Socket caller(Connect(daemon_->callers()));
+    caller.Write("POST /services/q/x HTTP/1.1\r\nHost: x\r\nAuthorization: "
+                 "Bearer " +
+                 std::string(kToken) + "\r\nContent-Length: 0\r\n\r\n");
+    caller.CloseWrite();
+    EXPECT_NE(caller.ReadAll().find("unknown_service"), std::string::npos);
+}
+
+TEST_F(Input, HalfARequestIsNotHeld)
+{
+    Socket caller(Connect(daemon_->callers()));
+    caller.Write("POST /v1/completions HTTP/1.1\r\nHost: x\r\n"
+                 "Content-Length: 100\r\n\r\n{");
+    caller.CloseWrite();
+    EXPECT_TRUE(caller.WaitClosed());
+}
+
+TEST(Daemons, TwoOnOnePortNameTheKeyAndTheRemedy)
+{
+    Daemon daemon(FreePort(), FreePort());
+    std::string output;
+    EXPECT_EQ(RunProgram({BORAGESPURD, daemon.settings()}, &output), 2);
+    EXPECT_NE(output.find("cannot listen on 127.0.0.1:"), std::string::npos)
+        << output;
+    EXPECT_NE(output.find("choose another port"), std::string::npos);
+}
+
+TEST(Daemons, ConnectionsBeyondTheLimitAreTold)
+{
+    Daemon daemon(FreePort(), FreePort(), "limits: {connections: 2}\n");
+    Socket first(Connect(daemon.callers()));
+    Socket second(Connect(daemon.callers()));
+    EXPECT_TRUE(daemon.WaitMetric("caller_connections", 2));
+    Answer answer = daemon.Send("GET", "/v1/models", "");
+    EXPECT_EQ(answer.status, 503);
+    EXPECT_NE(answer.body.find("limits.connections"), std::string::npos);
+}
+
+TEST(Daemons, PlannedStopAnswersWhatRuns)
+{
+    Server service([](Socket &socket) {
+        socket.ReadMessage();
+        usleep(300000);
+        socket.Write("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone");
+    });
+    Daemon daemon(FreePort(), service.port());
+    Answer answer;
+    std::thread caller([&] {
+        answer =
+            daemon.Send("POST", "/services/s/x", "{}", {"Idempotency-Key: k"});
+    });
+    EXPECT_TRUE(daemon.WaitCount("upstream_transfers", 1));
+    daemon.Signal(SIGTERM);
+    caller.join();
+    EXPECT_EQ(answer.body, "done");
+    EXPECT_EQ(answer.outcome, "ran");
+    EXPECT_EQ(daemon.Wait(), 0);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/contract/upstream_test.cc
@@ -0,0 +1,267 @@
+// What callers are told for each way an upstream can fail.
+#include "harness.h"
+
+#include <atomic>
+#include <gtest/gtest.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace {
+
+std::string
+Http(const std::string &status, const std::string &headers,
+     const std::string &body)
+{
+    return "HTTP/1.1 " + status + "\r\n" + headers +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+           body;
+}
+
+// One hop failure: what the upstream does and what the caller must be told.
+struct HopCase {
+    const char *name;
+    std::function<void(Socket &)> act;
+    long status; // 0 for any from 500 up
+    const char *outcome;
+    const char *body; // part of the body
+};
+
+const HopCase kHopCases[] = {
+    {"ResetBeforeReading", [](Socket &socket) { socket.Reset(); }, 502,
+     "unknown", "upstream_failed"},
+    {"ResetAfterRequest",
+     [](Socket &socket) {
+         socket.ReadMessage();
+         socket.Reset();
+     },
+     502, "unknown", "upstream_failed"},
+    {"ClosedAfterRequest", [](Socket &socket) { socket.ReadMessage(); }, 502,
+     "unknown", "upstream_failed"},
+    {"NoAnswerUntilDeadline",
+     [](Socket &socket) {
+         socket.ReadMessage();
+         socket.WaitClosed();
+     },
+     0, "unknown", "\"outcome\":\"unknown\""},
+    {"HalfHead",
+     [](Socket &socket) {
+         socket.ReadMessage();
+         socket.Write("HTTP/1.1 200 OK\r\nContent-Le");
+     },
+     502, "unknown", "upstream_failed"},
+    {"HalfBody",
+     [](Socket &socket) {
+         socket.ReadMessage();
+         socket.Write("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf");
+     },
+     502, "unknown", "upstream_failed"},
+    {"HalfChunk",
+     [](Socket &socket) {
+         socket.ReadMessage();
+         socket.Write("HTTP/1.1 200 OK\r\nTransfer-Encoding: "
+                      "chunked\r\n\r\n4\r\nhalf\r\n");
+     },
+     502, "unknown", "upstream_failed"},
+    {"NotHttp",
+     [](Socket &socket) {
+         socket.ReadMessage();
+         socket.Write("what?\r\n\r\n");
+     },
+     502, "unknown", "upstream_failed"},
+    {"ErrorAfterRunning",
+     [](Socket &socket) {
+         socket.ReadMessage();
+         socket.Write(Http("500 Oops", "", "broken"));
+     },
+     500, "ran", "broken"},
+    {"UnavailableThatMayHaveRun",
+     [](Socket &socket) {
+         socket.ReadMessage();
+         socket.Write(Http("503 Busy", "", "busy"));
+     },
+     503, "ran", "busy"},
+    {"RefusedBeforeRunning",
+     [](Socket &socket) {
+         socket.ReadMessage();
+         socket.Write(Http("503 Busy", "X-Request-Started: no\r\n", ""));
+     },
+     0, "not-run", "\"outcome\":\"not-run\""},
+    {"LimitedBeforeRunning",
+     [](Socket &socket) {
+         socket.ReadMessage();
+         socket.Write(Http("429 Slow", "X-Request-Started: no\r\n", ""));
+     },
+     0, "not-run", "\"outcome\":\"not-run\""},
+    {"SlowHeadAndBody",
+     [](Socket &socket) {
+         socket.ReadMessage();
+         for (char c : Http("200 OK", "Content-Type: text/x\r\n", "whole")) {
+             socket.Write(std::string(1, c));
+             usleep(1000);
+         }
+     },
+     200, "ran", "whole"},
+};
+
+class Hop : public testing::TestWithParam<HopCase> {};
+
+TEST_P(Hop, TellsTheTruth)
+{
+    const HopCase &hop = GetParam();
+    std::atomic<int> runs{0};
+    Server service([&](Socket &socket) {
+        runs++;
+        hop.act(socket);
+    });
+    Daemon daemon(FreePort(), service.port());
+    Answer answer =
+        daemon.Send("POST", "/services/s/book", "{}",
+                    {"Idempotency-Key: k", "Boragespur-Deadline-Ms: 700"});
+    EXPECT_TRUE(answer.whole);
+    if (hop.status != 0) {
+        EXPECT_EQ(answer.status, hop.status) << answer.body;
+    }
+    EXPECT_GE(answer.status, 200);
+    EXPECT_EQ(answer.outcome, hop.outcome) << answer.body;
+    EXPECT_NE(answer.body.find(hop.body), std::string::npos) << answer.body;
+    if (answer.outcome != "not-run") {
+        EXPECT_EQ(runs, 1) << "dispatched more than once";
+    }
+    EXPECT_TRUE(daemon.WaitMetric("requests_open", 0));
+}
+
+INSTANTIATE_TEST_SUITE_P(Upstream, Hop, testing::ValuesIn(kHopCases),
+                         [](const auto &info) { return info.param.name; });
+
+TEST(Upstream, RefusedConnectionDidNotRun)
+{
+    Daemon daemon(FreePort(), FreePort());
+    Answer answer = daemon.Send("POST", "/services/s/book", "{}",
+                                {"Boragespur-Deadline-Ms: 700"});
+    EXPECT_GE(answer.status, 500);
+    EXPECT_EQ(answer.outcome, "not-run") << answer.body;
+}
+
+const char kEvent[] = "data: {\"n\":1}\n\n";
+const char kChat[] = "{\"model\":\"m\",\"stream\":true,"
+                     "\"messages\":[{\"role\":\"user\",\"content\":\"x\"}]}";
+const char kStreamHead[] = "HTTP/1.1 200 OK\r\nContent-Type: "
+                           "text/event-stream\r\nConnection: close\r\n\r\n";
+
+// Serves /health and gives completions to ACT.
+std::function<void(Socket &)>
+Engine(std::function<void(Socket &)> act)
+{
+    return [act](Socket &socket) {
+        for (;;) {
+            std::string request = socket.ReadMessage();
+            if (request.compare(0, 12, "GET /health ") != 0) {
+                if (!request.empty()) {
+                    act(socket);
+                }
+                return;
+            }
+            socket.Write(Http("200 OK", "",
+                              "{\"boot_id\":\"b\",\"loaded\":[{\"model\":"
+                              "\"m\",\"version\":\"1\"}]}"));
+        }
+    };
+}
+
+TEST(Stream, IsPassedOnWhole)
+{
+    std::string events;
+    for (int i = 0; i < 100; i++) {
+        events += "data: {\"n\":" + std::to_string(i) + "}\n\n";
+    }
+    events += "data: [DONE]\n\n";
+    Server engine(
+        Engine([&](Socket &socket) { socket.Write(kStreamHead + events); }));
+    Daemon daemon(engine.port(), FreePort());
+    Answer answer = daemon.Send("POST", "/v1/chat/completions", kChat);
+    EXPECT_TRUE(answer.whole);
+    EXPECT_EQ(answer.status, 200) << answer.body;
+    EXPECT_EQ(answer.outcome, "ran");
+    EXPECT_EQ(answer.body, events);
+}
+
+TEST(Stream, CutShortEndsWithAnErrorEvent)
+{
+    Server engine(Engine([](Socket &socket) {
+        socket.Write(std::string(kStreamHead) + kEvent);
+    }));
+    Daemon daemon(engine.port(), FreePort());
+    Answer answer = daemon.Send("POST", "/v1/chat/completions", kChat,
+                                {"Boragespur-Deadline-Ms: 3000"});
+    EXPECT_TRUE(answer.whole);
+    EXPECT_NE(answer.body.find("event: error\ndata: {\"error\""),
+              std::string::npos)
+        << answer.body;
+    EXPECT_EQ(answer.body.find("[DONE]"), std::string::npos);
+}
+
+TEST(Stream, LeavingCallerCancelsTheUpstream)
+{
+    std::atomic<bool> cancelled{false};
+    Server engine(Engine([&](Socket &socket) {
+        socket.Write(std::string(kStreamHead) + kEvent);
+        cancelled = socket.WaitClosed();
+    }));
+    Daemon daemon(engine.port(), FreePort());
+    {
+        Socket caller(Connect(daemon.callers()));
+        std::string body(kChat);
+        caller.Write("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
+                     "Authorization: Bearer " +
+                     std::string(kToken) + "\r\nContent-Length: " +
+                     std::to_string(body.size()) + "\r\n\r\n" + body);
+        char first;
+        EXPECT_EQ(recv(caller.fd(), &first, 1, 0), 1);
+    }
+    EXPECT_TRUE(daemon.WaitMetric("callers_gone", 1));
+    EXPECT_TRUE(daemon.WaitMetric("requests_open", 0));
+    EXPECT_TRUE(daemon.WaitCount("upstream_cancels", 1));
+    for (int i = 0; i < 6000 && !cancelled; i++) {
+        usleep(5000);
+    }
+    EXPECT_TRUE(cancelled);
+}
+
+TEST(Stream, SlowCallerHoldsTheUpstreamBack)
+{
+    constexpr size_t kMax = 256 * 1024 * 1024;
+    const std::string event = "data: " + std::string(4096, 'x') + "\n\n";
+    std::atomic<size_t> taken{0};
+    Server engine(Engine([&](Socket &socket) {
+        socket.Write(kStreamHead);
+        pollfd entry = {socket.fd(), POLLOUT, 0};
+        size_t sent = 0;
+        while (sent < kMax && poll(&entry, 1, 1000) == 1) {
+            if (!socket.Write(event)) {
+                return;
+            }
+            sent += event.size();
+        }
+        taken = sent;
+        socket.Write("data: [DONE]\n\n");
+    }));
+    Daemon daemon(engine.port(), FreePort());
+    Socket caller(Connect(daemon.callers()));
+    std::string body(kChat);
+    caller.Write("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
+                 "Connection: close\r\nAuthorization: Bearer " +
+                 std::string(kToken) + "\r\nContent-Length: " +
+                 std::to_string(body.size()) + "\r\n\r\n" + body);
+    EXPECT_TRUE(daemon.WaitCount("flow_paused", 1));
+    for (int i = 0; i < 6000 && taken == 0; i++) {
+        usleep(5000);
+    }
+    EXPECT_GT(taken, 0u);
+    EXPECT_LT(taken, kMax) << "the upstream was never held back";
+    std::string answer = caller.ReadAll();
+    EXPECT_GT(answer.size(), taken);
+    EXPECT_NE(answer.find("data: [DONE]"), std::string::npos);
+}
+
+} // namespace
