Trace spans at entry and upstream, exported as OTLP JSON

Spans wait in a bounded queue; what the collector does not take is dropped and counted. Keeper and owner spans wait for the core to emit them.

--- a/src/d_call.c
+++ b/src/d_call.c
@@ -1,12 +1,11 @@
 /* d_call.c - one request of a caller on its connection. */
 #include "d_call.h"
 
+#include "d_context.h"
+#include "d_presence.h"
 #include "d_reply.h"
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <string.h>
-#include <sys/socket.h>
 
 /* Bytes of a refused body that are read and thrown away, so that a caller
    that sends first and reads later sees the refusal. */
@@ -20,7 +19,6 @@
 #define FLOW_LOW_BYTES (64 * 1024)
 
 #define BLOCK_BYTES 16384
-#define RECHECK_S 0.5
 
 typedef enum {
     CALL_NEW = 0,
@@ -46,17 +44,15 @@
     uint32_t retry_after_s;
     char *content_type;
     char *ticket;
-    ev_io input;
-    ev_timer recheck;
+    BsPresence presence;
+    BsHop hop;
     bool posted; /* the core knows it */
-    bool cancels;
     bool stream;
     bool events; /* the answer is an event stream */
     bool final;
     bool broken;
     bool suspended;
     bool paused;
-    bool left; /* the caller's side was closed at the last check */
 };
 
 BsCall *
@@ -141,9 +137,10 @@
 }
 
 static void
-S_append_text(BsCall *call, const char *text)
+S_suspend(BsCall *call)
 {
-    g_byte_array_append(call->out, (const guint8 *)text, (guint)strlen(text));
+    call->suspended = true;
+    MHD_suspend_connection(call->connection);
 }
 
 static void
@@ -162,7 +159,7 @@
 {
     char *text = BsReply_FormatError(error, detail, outcome, call->id);
     g_byte_array_set_size(call->out, 0);
-    S_append_text(call, text);
+    g_byte_array_append(call->out, (const guint8 *)text, (guint)strlen(text));
     BsMessage_SetString(&call->content_type, "application/json");
     call->status = BsError_Describe(error)->http_status;
     call->outcome = outcome;
@@ -207,95 +204,32 @@
 }
 
 static void
-S_stop_watch(BsCall *call)
-{
-    ev_io_stop(BsLoop_Ev(call->loop), &call->input);
-    ev_timer_stop(BsLoop_Ev(call->loop), &call->recheck);
-}
-
-/* Returns whether the caller closed its side of the connection. */
-static bool
-S_has_left(const BsCall *call)
-{
-    struct tcp_info info;
-    socklen_t length = sizeof(info);
-    if (getsockopt(call->input.fd, IPPROTO_TCP, TCP_INFO, &info, &length) !=
-        0) {
-        return true;
-    }
-    return info.tcpi_state != TCP_ESTABLISHED;
-}
-
-/* Ends a connection whose caller left with the body half sent: the server
-   can miss the end when it comes together with data. */
-static void
-S_check_reading(BsCall *call)
+S_on_gone(void *context)
 {
-    bool left = S_has_left(call);
-    if (left && call->left) {
-        shutdown(call->input.fd, SHUT_RDWR);
-    }
-    call->left = left;
-}
-
-static void
-S_check_caller(BsCall *call)
-{
-    if (call->final) {
-        S_stop_watch(call);
-        return;
-    }
-    if (call->state == CALL_READING) {
-        S_check_reading(call);
-        return;
-    }
-    if (!S_has_left(call)) {
-        ev_io_stop(BsLoop_Ev(call->loop), &call->input);
-        ev_timer_start(BsLoop_Ev(call->loop), &call->recheck);
-        return;
+    BsCall *call = context;
+    if (!call->final) {
+        S_post_cancel(call);
+        BsCall_Fail(call, BS_ERR_CANCELLED, BS_OUTCOME_UNKNOWN);
     }
-    S_stop_watch(call);
-    S_post_cancel(call);
-    BsCall_Fail(call, BS_ERR_CANCELLED, BS_OUTCOME_UNKNOWN);
-}
-
-static void
-S_on_input(struct ev_loop *ev, ev_io *watcher, int events)
-{
-    (void)ev;
-    (void)events;
-    S_check_caller(watcher->data);
-}
-
-static void
-S_on_recheck(struct ev_loop *ev, ev_timer *watcher, int events)
-{
-    (void)ev;
-    (void)events;
-    S_check_caller(watcher->data);
-}
-
-/* Watches for the end of the caller's side: by a timer while the body is
-   read, and later by the descriptor, which the server leaves alone then. */
-static void
-S_start_watch(BsCall *call)
-{
-    const union MHD_ConnectionInfo *info = MHD_get_connection_info(
-        call->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-    ev_io_init(&call->input, S_on_input, info->connect_fd, EV_READ);
-    call->input.data = call;
-    ev_timer_init(&call->recheck, S_on_recheck, RECHECK_S, RECHECK_S);
-    call->recheck.data = call;
-    ev_timer_start(BsLoop_Ev(call->loop), &call->recheck);
 }
 
 void
 BsCall_Begin(BsCall *call, BsHttpd *httpd, struct MHD_Connection *connection)
 {
+    const union MHD_ConnectionInfo *info =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
     call->httpd = httpd;
     call->connection = connection;
     call->state = CALL_READING;
-    S_start_watch(call);
+    BsPresence_Start(&call->presence, BsLoop_Ev(call->loop), info->connect_fd,
+                     S_on_gone, call);
+}
+
+const char *
+BsCall_StartHop(BsCall *call, const char *parent)
+{
+    BsHop_Start(&call->hop, call->loop, parent);
+    return call->hop.traceparent;
 }
 
 void
@@ -303,13 +237,12 @@
 {
     call->state = CALL_WAITING;
     call->posted = true;
-    call->cancels = cancels;
     call->stream = stream;
     if (cancels) {
-        ev_io_start(BsLoop_Ev(call->loop), &call->input);
+        BsPresence_Await(&call->presence);
     }
     else {
-        ev_timer_stop(BsLoop_Ev(call->loop), &call->recheck);
+        BsPresence_Stop(&call->presence);
     }
 }
 
@@ -357,8 +290,7 @@
                             : MHD_CONTENT_READER_END_OF_STREAM;
     }
     if (size == 0) {
-        call->suspended = true;
-        MHD_suspend_connection(call->connection);
+        S_suspend(call);
         return 0;
     }
     memcpy(buffer, call->out->data + call->out_sent, size);
@@ -406,9 +338,7 @@
 BsCall_SendHead(BsCall *call)
 {
     if (call->state == CALL_WAITING) {
-        call->suspended = true;
-        MHD_suspend_connection(call->connection);
-        return MHD_YES;
+        S_suspend(call);
     }
     if (call->state != CALL_HEAD) {
         return MHD_YES;
@@ -433,7 +363,8 @@
     }
     char *text = BsReply_FormatError(error, detail, outcome, call->id);
     char *event = g_strdup_printf("event: error\ndata: %s\n\n", text);
-    S_append_text(call, event);
+    g_byte_array_append(call->out, (const guint8 *)event,
+                        (guint)strlen(event));
     g_free(event);
     g_free(text);
 }
@@ -554,9 +485,8 @@
 void
 BsCall_Close(BsCall *call, bool complete)
 {
-    if (call->state != CALL_NEW) {
-        S_stop_watch(call);
-    }
+    BsHop_End(&call->hop, call->loop, "entry", call->id);
+    BsPresence_Stop(&call->presence);
     if (call->posted && !complete) {
         S_post_cancel(call);
     }
@@ -566,9 +496,7 @@
 BsCall_Abandon(BsCall *call)
 {
     call->posted = false;
-    if (call->state != CALL_NEW) {
-        S_stop_watch(call);
-    }
+    BsPresence_Stop(&call->presence);
     if (!call->final) {
         S_end_with_error(call, BS_ERR_DRAINING, NULL, BS_OUTCOME_UNKNOWN);
     }
--- a/src/d_call.h
+++ b/src/d_call.h
@@ -58,6 +58,10 @@
 /* Refuses a body of more than LIMIT bytes. */
 void BsCall_RefuseTooLarge(BsCall *call, size_t limit_bytes);
 
+/* Starts the trace span of CALL under the context PARENT, which may be NULL;
+   returns its context. */
+const char *BsCall_StartHop(BsCall *call, const char *parent);
+
 /* Starts waiting for the core.  With CANCELS, a caller that closes its side
    is taken to be gone; with STREAM, pieces are passed on as they come. */
 void BsCall_Wait(BsCall *call, bool cancels, bool stream);
--- a/src/d_callers.c
+++ b/src/d_callers.c
@@ -56,6 +56,8 @@
         return;
     }
     message->u.request.request_id = g_strdup(S_register(callers, call));
+    BsMessage_SetString(&message->u.request.traceparent,
+                        BsCall_StartHop(call, message->u.request.traceparent));
     BsCall_Wait(call, message->u.request.service == NULL,
                 message->u.request.stream);
     BsLoop_Post(callers->loop, message);
--- a/src/d_daemon.c
+++ b/src/d_daemon.c
@@ -7,6 +7,7 @@
 #include "d_peers.h"
 #include "d_platform.h"
 #include "d_stop.h"
+#include "d_trace.h"
 #include "d_upstreams.h"
 
 #include <curl/curl.h>
@@ -19,6 +20,7 @@
 typedef struct {
     BsSettings *settings;
     BsLoop *loop;
+    BsTrace *trace;
     BsUpstreams *upstreams;
     BsHealth *health;
     BsPeerSockets *peers;
@@ -38,6 +40,7 @@
     BsPeerSockets_Destroy(daemon->peers);
     BsHealth_Destroy(daemon->health);
     BsUpstreams_Destroy(daemon->upstreams);
+    BsTrace_Destroy(daemon->trace);
     BsLoop_Destroy(daemon->loop);
     BsSettings_Destroy(daemon->settings);
 }
@@ -53,6 +56,7 @@
     if (daemon->loop == NULL) {
         return false;
     }
+    daemon->trace = BsTrace_Create(daemon->loop);
     daemon->upstreams = BsUpstreams_Create(daemon->loop);
     daemon->health = BsHealth_Create(daemon->loop);
     daemon->peers = BsPeerSockets_Create(daemon->loop, error);
--- a/src/d_loop.c
+++ b/src/d_loop.c
@@ -26,7 +26,6 @@
     ev_timer tick;
     ev_prepare wake; /* fed by hand; never started */
     uint64_t incarnation;
-    int64_t last_tick_ms;
 };
 
 static struct timespec
@@ -189,6 +188,13 @@
     ev_feed_event(loop->ev, &loop->wake, EV_PREPARE);
 }
 
+void
+BsLoop_Publish(BsLoop *loop, BsMessage *message)
+{
+    S_call_handlers(loop, message);
+    BsMessage_Destroy(message);
+}
+
 void
 BsLoop_Count(BsLoop *loop, const char *name, uint64_t amount)
 {
--- a/src/d_loop.h
+++ b/src/d_loop.h
@@ -47,6 +47,9 @@
 /* Gives MESSAGE to the core and to its handlers, and destroys it. */
 void BsLoop_Post(BsLoop *loop, BsMessage *message);
 
+/* Gives MESSAGE to its handlers but not to the core, and destroys it. */
+void BsLoop_Publish(BsLoop *loop, BsMessage *message);
+
 /* Adds AMOUNT to a counter of the daemon. */
 void BsLoop_Count(BsLoop *loop, const char *name, uint64_t amount);
 
--- /dev/null
+++ b/src/d_presence.c
@@ -0,0 +1,99 @@
+/* d_presence.c - whether the caller at the end of a connection left. */
+#include "d_presence.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#define RECHECK_S 0.5
+
+/* Returns whether the far side closed its half of the connection. */
+static bool
+S_has_left(const BsPresence *presence)
+{
+    struct tcp_info info;
+    socklen_t length = sizeof(info);
+    return getsockopt(presence->fd, IPPROTO_TCP, TCP_INFO, &info, &length) !=
+               0 ||
+           info.tcpi_state != TCP_ESTABLISHED;
+}
+
+/* Ends a connection whose caller was gone at two checks in a row. */
+static void
+S_check_reading(BsPresence *presence)
+{
+    bool left = S_has_left(presence);
+    if (left && presence->left) {
+        shutdown(presence->fd, SHUT_RDWR);
+    }
+    presence->left = left;
+}
+
+static void
+S_check(BsPresence *presence)
+{
+    if (presence->reading) {
+        S_check_reading(presence);
+    }
+    else if (S_has_left(presence)) {
+        BsPresence_Stop(presence);
+        presence->gone(presence->context);
+    }
+    else {
+        /* Unread data keeps the descriptor readable; look again later. */
+        ev_io_stop(presence->ev, &presence->input);
+        ev_timer_start(presence->ev, &presence->recheck);
+    }
+}
+
+static void
+S_on_input(struct ev_loop *ev, ev_io *watcher, int events)
+{
+    (void)ev;
+    (void)events;
+    S_check(watcher->data);
+}
+
+static void
+S_on_recheck(struct ev_loop *ev, ev_timer *watcher, int events)
+{
+    (void)ev;
+    (void)events;
+    S_check(watcher->data);
+}
+
+void
+BsPresence_Start(BsPresence *presence, struct ev_loop *ev, int fd,
+                 BsLoopFunc gone, void *context)
+{
+    memset(presence, 0, sizeof(*presence));
+    presence->ev = ev;
+    presence->fd = fd;
+    presence->gone = gone;
+    presence->context = context;
+    presence->reading = true;
+    presence->started = true;
+    ev_io_init(&presence->input, S_on_input, fd, EV_READ);
+    presence->input.data = presence;
+    ev_timer_init(&presence->recheck, S_on_recheck, RECHECK_S, RECHECK_S);
+    presence->recheck.data = presence;
+    ev_timer_start(ev, &presence->recheck);
+}
+
+void
+BsPresence_Await(BsPresence *presence)
+{
+    ev_timer_stop(presence->ev, &presence->recheck);
+    presence->reading = false;
+    ev_io_start(presence->ev, &presence->input);
+}
+
+void
+BsPresence_Stop(BsPresence *presence)
+{
+    if (presence->started) {
+        ev_io_stop(presence->ev, &presence->input);
+        ev_timer_stop(presence->ev, &presence->recheck);
+    }
+}
--- a/src/d_transfer.c
+++ b/src/d_transfer.c
@@ -1,6 +1,7 @@
 /* d_transfer.c - one request sent to an upstream. */
 #include "d_transfer.h"
 
+#include "d_context.h"
 #include "d_sse.h"
 #include "d_usage.h"
 
@@ -28,6 +29,7 @@
     GBytes *body;
     GByteArray *held; /* of an answer that is no stream */
     BsSse sse;
+    BsHop hop;
     uint64_t next_seq;
     uint32_t attempt;
     uint32_t cached_tokens;
@@ -309,7 +311,7 @@
                  request->content_type == NULL ? "application/json"
                                                : request->content_type);
     S_add_header(transfer, "Idempotency-Key", request->key);
-    S_add_header(transfer, "traceparent", request->traceparent);
+    S_add_header(transfer, "traceparent", transfer->hop.traceparent);
     S_add_header(transfer, "Boragespur-Request-Id", request->request_id);
     if (request->skip_events > 0) {
         g_snprintf(number, sizeof(number), "%u", request->skip_events);
@@ -386,6 +388,7 @@
     transfer->held = g_byte_array_new();
     BsSse_Init(&transfer->sse);
     transfer->easy = curl_easy_init();
+    BsHop_Start(&transfer->hop, loop, request->traceparent);
     S_set_options(transfer, request, address);
     S_set_headers(transfer, request);
     S_set_body(transfer, request);
@@ -399,6 +402,7 @@
     if (transfer->easy != NULL) {
         BsCurl_Cancel(transfer->curl, transfer->easy);
     }
+    BsHop_End(&transfer->hop, transfer->loop, "upstream", transfer->id);
     if (transfer->body != NULL) {
         g_bytes_unref(transfer->body);
     }
