Refuse peer messages that claim more elements than bytes

Random bytes on the peers' port made the unpacking library ask for 32 GiB (seen under AddressSanitizer: the contract test ended the daemon). Each array or map header is now checked against the bytes left, before anything is allocated; the test failed without the check.

--- a/src/codec.c
+++ b/src/codec.c
@@ -6,6 +6,7 @@
  * Fields with their zero value are left out; unknown tags are ignored.
  */
 #include "boragespur.h"
+#include "codecguard.h"
 #include "schema.h"
 
 #include <msgpack.h>
@@ -312,7 +313,8 @@
     BsMessage *message = NULL;
     size_t offset = 0;
     msgpack_unpacked_init(&unpacked);
-    if (msgpack_unpack_next(&unpacked, data, size_bytes, &offset) ==
+    if (BsCodecGuard_IsBounded(data, size_bytes) &&
+        msgpack_unpack_next(&unpacked, data, size_bytes, &offset) ==
             MSGPACK_UNPACK_SUCCESS &&
         offset == size_bytes) {
         message = S_unpack_message(&unpacked.data);
--- /dev/null
+++ b/src/codecguard.c
@@ -0,0 +1,98 @@
+/* codecguard.c - a look at wire bytes before they are unpacked. */
+#include "codecguard.h"
+
+#include <stdint.h>
+
+#define FIXMAP 0x80
+#define FIXARRAY 0x90
+#define FIXSTR 0xa0
+#define FIRST_ROW 0xc0
+#define FIRST_NEGATIVE 0xe0
+
+/* Layout of the types 0xc0 to 0xdf. */
+typedef struct {
+    uint8_t count_bytes; /* size of the count that follows, or 0 */
+    uint8_t fixed_bytes; /* bytes beside the count and the content */
+    uint8_t elements;    /* objects per count; 0 when it counts bytes */
+} BsTypeRow;
+
+static const BsTypeRow S_rows[] = {
+    {0, 0, 0},  {0, 0, 0},             /* nil, unused */
+    {0, 0, 0},  {0, 0, 0},             /* false, true */
+    {1, 0, 0},  {2, 0, 0}, {4, 0, 0},  /* bin */
+    {1, 1, 0},  {2, 1, 0}, {4, 1, 0},  /* ext */
+    {0, 4, 0},  {0, 8, 0},             /* float */
+    {0, 1, 0},  {0, 2, 0}, {0, 4, 0},  {0, 8, 0}, /* uint */
+    {0, 1, 0},  {0, 2, 0}, {0, 4, 0},  {0, 8, 0}, /* int */
+    {0, 2, 0},  {0, 3, 0}, {0, 5, 0},  {0, 9, 0}, /* fixext */
+    {0, 17, 0},                        /* fixext 16 */
+    {1, 0, 0},  {2, 0, 0}, {4, 0, 0},  /* str */
+    {2, 0, 1},  {4, 0, 1},             /* array */
+    {2, 0, 2},  {4, 0, 2},             /* map */
+};
+
+/* What follows the first byte of an object. */
+typedef struct {
+    uint64_t skip_bytes;
+    uint64_t elements;
+} BsClaim;
+
+static BsClaim
+S_read_short(uint8_t type)
+{
+    BsClaim claim = {0, 0};
+    if (type >= FIXSTR && type < FIRST_ROW) {
+        claim.skip_bytes = type - FIXSTR;
+    }
+    else if (type >= FIXARRAY && type < FIXSTR) {
+        claim.elements = type - FIXARRAY;
+    }
+    else if (type >= FIXMAP && type < FIXARRAY) {
+        claim.elements = 2U * (type - FIXMAP);
+    }
+    return claim;
+}
+
+static BsClaim
+S_read_long(const BsTypeRow *row, const uint8_t *bytes, size_t left)
+{
+    BsClaim claim = {(uint64_t)row->count_bytes + row->fixed_bytes, 0};
+    uint64_t count = 0;
+    for (size_t i = 0; i < row->count_bytes && i < left; i++) {
+        count = count << 8 | bytes[i];
+    }
+    if (row->elements > 0) {
+        claim.elements = count * row->elements;
+    }
+    else {
+        claim.skip_bytes += count;
+    }
+    return claim;
+}
+
+bool
+BsCodecGuard_IsBounded(const void *data, size_t size_bytes)
+{
+    const uint8_t *bytes = data;
+    size_t left = size_bytes;
+    uint64_t pending = 1;
+    while (pending > 0) {
+        if (pending > left) {
+            return false;
+        }
+        uint8_t type = *bytes++;
+        left--;
+        pending--;
+        BsClaim claim = type >= FIRST_ROW && type < FIRST_NEGATIVE
+                            ? S_read_long(&S_rows[type - FIRST_ROW], bytes,
+                                          left)
+                            : S_read_short(type);
+        if (claim.skip_bytes > left) {
+            return false;
+        }
+        bytes += claim.skip_bytes;
+        left -= claim.skip_bytes;
+        pending += claim.elements;
+    }
+    return left == 0;
+}
