TLS for callers, certificate replaced without a stop

The certificate is read again on SIGHUP and when a file changes; a pair that does not load or match leaves the old one in force.

--- a/src/codecguard.c
+++ b/src/codecguard.c
@@ -17,18 +17,18 @@
 } BsTypeRow;
 
 static const BsTypeRow S_rows[] = {
-    {0, 0, 0},  {0, 0, 0},             /* nil, unused */
-    {0, 0, 0},  {0, 0, 0},             /* false, true */
-    {1, 0, 0},  {2, 0, 0}, {4, 0, 0},  /* bin */
-    {1, 1, 0},  {2, 1, 0}, {4, 1, 0},  /* ext */
-    {0, 4, 0},  {0, 8, 0},             /* float */
-    {0, 1, 0},  {0, 2, 0}, {0, 4, 0},  {0, 8, 0}, /* uint */
-    {0, 1, 0},  {0, 2, 0}, {0, 4, 0},  {0, 8, 0}, /* int */
-    {0, 2, 0},  {0, 3, 0}, {0, 5, 0},  {0, 9, 0}, /* fixext */
-    {0, 17, 0},                        /* fixext 16 */
-    {1, 0, 0},  {2, 0, 0}, {4, 0, 0},  /* str */
-    {2, 0, 1},  {4, 0, 1},             /* array */
-    {2, 0, 2},  {4, 0, 2},             /* map */
+    {0, 0, 0},  {0, 0, 0},                       /* nil, unused */
+    {0, 0, 0},  {0, 0, 0},                       /* false, true */
+    {1, 0, 0},  {2, 0, 0}, {4, 0, 0},            /* bin */
+    {1, 1, 0},  {2, 1, 0}, {4, 1, 0},            /* ext */
+    {0, 4, 0},  {0, 8, 0},                       /* float */
+    {0, 1, 0},  {0, 2, 0}, {0, 4, 0}, {0, 8, 0}, /* uint */
+    {0, 1, 0},  {0, 2, 0}, {0, 4, 0}, {0, 8, 0}, /* int */
+    {0, 2, 0},  {0, 3, 0}, {0, 5, 0}, {0, 9, 0}, /* fixext */
+    {0, 17, 0},                                  /* fixext 16 */
+    {1, 0, 0},  {2, 0, 0}, {4, 0, 0},            /* str */
+    {2, 0, 1},  {4, 0, 1},                       /* array */
+    {2, 0, 2},  {4, 0, 2},                       /* map */
 };
 
 /* What follows the first byte of an object. */
@@ -83,10 +83,10 @@
         uint8_t type = *bytes++;
         left--;
         pending--;
-        BsClaim claim = type >= FIRST_ROW && type < FIRST_NEGATIVE
-                            ? S_read_long(&S_rows[type - FIRST_ROW], bytes,
-                                          left)
-                            : S_read_short(type);
+        BsClaim claim =
+            type >= FIRST_ROW && type < FIRST_NEGATIVE
+                ? S_read_long(&S_rows[type - FIRST_ROW], bytes, left)
+                : S_read_short(type);
         if (claim.skip_bytes > left) {
             return false;
         }
--- a/src/d_callers.c
+++ b/src/d_callers.c
@@ -5,6 +5,7 @@
 #include "d_httpd.h"
 #include "d_reply.h"
 #include "d_request.h"
+#include "d_tls.h"
 
 #include <string.h>
 
@@ -14,6 +15,7 @@
 struct BsCallers {
     BsLoop *loop;
     BsHttpd *httpd;
+    BsTls *tls;        /* NULL for plain HTTP */
     GHashTable *calls; /* request or query id to BsCall */
     uint64_t next_id;
     uint32_t connections;
@@ -237,6 +239,13 @@
     callers->loop = loop;
     callers->calls =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    if (settings->tls != NULL) {
+        callers->tls = BsTls_Create(loop, error);
+        if (callers->tls == NULL) {
+            BsCallers_Destroy(callers);
+            return NULL;
+        }
+    }
     BsHttpdConfig config = {
         .address = settings->callers,
         .key = "callers",
@@ -247,6 +256,8 @@
         .context = callers,
         .header_bytes = settings->limits.header_bytes,
         .connections = settings->limits.connections + CONNECTIONS_SPARE,
+        .tls = callers->tls != NULL,
+        .certificate_callback = BsTls_Callback(),
     };
     callers->httpd = BsHttpd_Create(loop, &config, error);
     if (callers->httpd == NULL) {
@@ -271,6 +282,7 @@
         BsCall_Abandon(call);
     }
     BsHttpd_Destroy(callers->httpd);
+    BsTls_Destroy(callers->tls);
     g_hash_table_destroy(callers->calls);
     g_free(callers);
 }
--- a/src/d_httpd.c
+++ b/src/d_httpd.c
@@ -132,8 +132,8 @@
         {MHD_OPTION_NOTIFY_CONNECTION, (intptr_t)config->connected,
          config->context},
         {MHD_OPTION_URI_LOG_CALLBACK, (intptr_t)config->uri, config->context},
-        {config->tls ? MHD_OPTION_HTTPS_CERT_CALLBACK : MHD_OPTION_END,
-         (intptr_t)config->certificate_callback, NULL},
+        {config->tls ? MHD_OPTION_HTTPS_CERT_CALLBACK : MHD_OPTION_END, 0,
+         config->certificate_callback},
         {MHD_OPTION_END, 0, NULL}};
     if (config->tls) {
         flags |= MHD_USE_TLS;
