Sheet: booleans are exact words, an empty sheet is refused

The YAML library takes any word it does not know for true, so 'open: flase' opened a data centre and 'idempotent: flase' allowed a booking to be repeated; an empty sheet ended the process that read it.

--- a/src/sheetschema.c
+++ b/src/sheetschema.c
@@ -23,6 +23,12 @@
     CYAML_FIELD_UINT(key, flags, owner, member)
 #define OPTIONAL CYAML_FLAG_OPTIONAL
 
+/* The library's own boolean takes any unknown word for true. */
+static const cyaml_strval_t S_booleans[] = {{"false", 0}, {"true", 1}};
+#define BOOL_FIELD(key, flags, owner, member)                                 \
+    CYAML_FIELD_ENUM(key, CYAML_FLAG_STRICT | (flags), owner, member,         \
+                     S_booleans, CYAML_ARRAY_LEN(S_booleans))
+
 static const cyaml_schema_value_t S_string_schema = {
     CYAML_VALUE_STRING(CYAML_FLAG_POINTER, char, NAME_MIN_BYTES, 255)};
 
@@ -49,8 +55,7 @@
     STRING_FIELD("method", CYAML_FLAG_DEFAULT, BsRoute, method),
     STRING_FIELD("prefix", CYAML_FLAG_DEFAULT, BsRoute, prefix),
     STRING_FIELD("tier", OPTIONAL, BsRoute, tier),
-    CYAML_FIELD_BOOL("idempotent", OPTIONAL, BsRoute, idempotent),
-    CYAML_FIELD_END};
+    BOOL_FIELD("idempotent", OPTIONAL, BsRoute, idempotent), CYAML_FIELD_END};
 static const cyaml_schema_value_t S_route_schema = {
     CYAML_VALUE_MAPPING(CYAML_FLAG_DEFAULT, BsRoute, S_route_fields)};
 
@@ -89,7 +94,7 @@
 
 static const cyaml_schema_field_t S_data_centre_fields[] = {
     STRING_FIELD("name", CYAML_FLAG_DEFAULT, BsDataCentre, name),
-    CYAML_FIELD_BOOL("open", CYAML_FLAG_DEFAULT, BsDataCentre, open),
+    BOOL_FIELD("open", CYAML_FLAG_DEFAULT, BsDataCentre, open),
     CYAML_FIELD_END};
 static const cyaml_schema_value_t S_data_centre_schema = {CYAML_VALUE_MAPPING(
     CYAML_FLAG_DEFAULT, BsDataCentre, S_data_centre_fields)};
@@ -216,6 +221,9 @@
                          report->len > 0 ? report->str
                                          : cyaml_strerror(result));
     }
+    else if (data == NULL) {
+        BsSheetData_Fail(error, "empty; write one and publish a new revision");
+    }
     else {
         S_apply_defaults(data);
     }
