--- a/src/d_stop.c
+++ b/src/d_stop.c
@@ -9,12 +9,19 @@
 /* Time for the last answers to reach their callers. */
 #define FLUSH_MS 2000
 
+/* Limit of a stop that is asked for a second time. */
+#define HURRY_MS 1
+
+/* Time beyond the limit in which the core's own end may arrive. */
+#define LIMIT_GRACE_MS 6000
+
 struct BsStopSignals {
     BsLoop *loop;
     BsCallers *callers;
     ev_signal term;
     ev_signal interrupt;
     ev_timer check;
+    int64_t limit_ms;       /* when the stop is forced */
     int64_t flush_until_ms; /* 0 until nothing more is waited for */
     bool draining;
     bool drained;
@@ -28,6 +35,18 @@
     }
 }
 
+/* Ends waiting requests as unknown. */
+static void
+S_give_up(BsStopSignals *stop, const char *reason)
+{
+    if (stop->flush_until_ms == 0) {
+        BsLoop_Log(stop->loop, LOG_WARNING,
+                   "%s: waiting requests end as unknown", reason);
+        BsCallers_FailAll(stop->callers, BS_ERR_DRAINING);
+    }
+    S_flush(stop);
+}
+
 static void
 S_on_check(struct ev_loop *ev, ev_timer *watcher, int events)
 {
@@ -35,11 +54,15 @@
     (void)events;
     BsStopSignals *stop = watcher->data;
     bool answered = BsCallers_Count(stop->callers) == 0;
+    int64_t now_ms = BsLoop_NowMs(stop->loop);
+    if (now_ms >= stop->limit_ms) {
+        S_give_up(stop, "the limit is over");
+    }
     if (stop->drained) {
         S_flush(stop);
     }
     if (stop->flush_until_ms != 0 &&
-        (answered || BsLoop_NowMs(stop->loop) >= stop->flush_until_ms)) {
+        (answered || now_ms >= stop->flush_until_ms)) {
         BsLoop_Log(stop->loop, LOG_NOTICE, "stopped");
         BsLoop_Stop(stop->loop);
     }
@@ -49,12 +72,14 @@
 S_on_drain(const BsMessage *message, void *context)
 {
     BsStopSignals *stop = context;
-    (void)message;
+    int64_t limit_ms =
+        BsLoop_NowMs(stop->loop) + message->u.drain.limit_ms + LIMIT_GRACE_MS;
     if (!stop->draining) {
         stop->draining = true;
-        BsLoop_Log(stop->loop, LOG_NOTICE, "draining");
+        stop->limit_ms = limit_ms;
         ev_timer_start(BsLoop_Ev(stop->loop), &stop->check);
     }
+    stop->limit_ms = MIN(stop->limit_ms, limit_ms);
 }
 
 static void
@@ -71,15 +96,10 @@
     (void)ev;
     (void)events;
     BsStopSignals *stop = watcher->data;
-    if (stop->draining) {
-        BsLoop_Log(stop->loop, LOG_WARNING,
-                   "second signal: waiting requests end as unknown");
-        BsCallers_FailAll(stop->callers, BS_ERR_DRAINING);
-        S_flush(stop);
-        return;
-    }
     BsMessage *message = BsMessage_Create(BS_DRAIN);
-    message->u.drain.limit_ms = BsLoop_Settings(stop->loop)->drain_limit_ms;
+    message->u.drain.limit_ms =
+        stop->draining ? HURRY_MS
+                       : BsLoop_Settings(stop->loop)->drain_limit_ms;
     BsLoop_Post(stop->loop, message);
 }
 
--- a/src/d_stop.h
+++ b/src/d_stop.h
@@ -3,7 +3,7 @@
  *
  * Rules: the first signal or POST /drain asks the core to drain, and the
  * process ends once the core has drained and every answer is out; the second
- * signal ends every waiting request with an unknown outcome.
+ * signal shortens the limit to nothing, so that the core ends what is left.
  */
 #ifndef BS_D_STOP_H
 #define BS_D_STOP_H
