--- a/src/view.c
+++ b/src/view.c
@@ -7,7 +7,14 @@
 #include <string.h>
 #include <xxhash.h>
 
+/* The lessors last asked for, since it is nearly always one holder. */
+typedef struct {
+    char *holder;
+    GPtrArray *lessors;
+} BsLessorCache;
+
 struct BsView {
+    BsLessorCache *cache;
     BsList list;
     GHashTable *index; /* name to BsListEntry */
     uint64_t hash;
@@ -41,6 +48,7 @@
 BsView_Create(const BsList *list)
 {
     BsView *view = g_new0(BsView, 1);
+    view->cache = g_new0(BsLessorCache, 1);
     view->list.revision = list->revision;
     view->list.entries = BsSchema_NewList(&bs_schema_list_entry);
     view->index = g_hash_table_new(g_str_hash, g_str_equal);
@@ -66,6 +74,9 @@
     if (view == NULL) {
         return;
     }
+    g_clear_pointer(&view->cache->lessors, g_ptr_array_unref);
+    g_free(view->cache->holder);
+    g_free(view->cache);
     g_hash_table_destroy(view->index);
     g_ptr_array_unref(view->list.entries);
     g_free(view);
@@ -139,13 +150,10 @@
     return last + 1;
 }
 
-GPtrArray *
-BsView_Lessors(const BsView *view, const char *holder, guint *needed)
+/* Returns a few live instances by rendezvous. */
+static GPtrArray *
+S_best(const BsView *view, const char *holder)
 {
-    if (view->live <= BS_VIEW_MAJORITY_MAX) {
-        *needed = view->live / 2 + 1;
-        return S_all_live(view);
-    }
     BsCandidate best[BS_VIEW_LESSORS];
     guint count = 0;
     char *thing = g_strconcat("lease\n", holder, NULL);
@@ -162,6 +170,19 @@
     for (guint i = 0; i < count; i++) {
         g_ptr_array_add(names, best[i].name);
     }
-    *needed = BS_VIEW_LESSORS_NEEDED;
     return names;
 }
+
+GPtrArray *
+BsView_Lessors(const BsView *view, const char *holder, guint *needed)
+{
+    bool majority = view->live <= BS_VIEW_MAJORITY_MAX;
+    BsLessorCache *cache = view->cache;
+    *needed = majority ? view->live / 2 + 1 : BS_VIEW_LESSORS_NEEDED;
+    if (g_strcmp0(cache->holder, holder) != 0) {
+        g_clear_pointer(&cache->lessors, g_ptr_array_unref);
+        cache->lessors = majority ? S_all_live(view) : S_best(view, holder);
+        BsMessage_SetString(&cache->holder, holder);
+    }
+    return g_ptr_array_ref(cache->lessors);
+}
