Engine orders: a reconcile loop by the owner, in waves, with fencing

Cause: nothing brought engines to the sheet's model versions.

Weighed: owners telling each other which engine loads (one more message and a lock to lose) against waves ranked by the list and timed from the sheet; the latter. A version change by itself stops work at every engine that has the old one, as the sheet rules at once, so a model may name next_version: it is loaded ahead beside the version in force and the switch has no gap. Fencing is (sheet revision, list revision) in one number; engines that ignore it are read back and corrected.

--- a/src/order.c
+++ b/src/order.c
@@ -1,43 +1,371 @@
 /* order.c - orders that bring engines to the sheet's model versions. */
 #include "order.h"
 
+#include "sheetstore.h"
+#include "tenure.h"
+
+#include <string.h>
+#include <syslog.h>
+
+/* Between two passes over the owned engines. */
+#define PASS_MS 500
+
+/* How long after an order reports still show the state before it. */
+#define SETTLE_MS 3000
+
+/* Load times after which an order that shows no effect is sent again. */
+#define LOADS_UNTIL_RETRY 3
+
+/* Largest share of a model's engines that load at once: one in this many. */
+#define SHARE_OF_ENGINES 4
+
+#define LOAD_PREFIX "load "
+#define FENCING_SHIFT 32
+#define FENCING_PART_MAX UINT32_MAX
+
+/* An engine that this instance has a report of. */
+typedef struct {
+    char *upstream;
+    char **loaded;       /* model@version; NULL when it does not say */
+    uint64_t fencing;    /* highest the engine has seen */
+    int64_t reported_ms; /* time the report describes */
+    bool reachable;
+    char *ordered; /* verb and item of the last order, or NULL */
+    int64_t ordered_ms;
+} BsEngine;
+
 struct BsOrders {
     BsCore *core;
+    GHashTable *engines; /* upstream name to BsEngine */
+    uint64_t sheet_revision;
+    int64_t sheet_ms; /* when that revision came into force here */
+    int64_t passed_ms;
+    bool logged_overflow;
 };
 
+static void
+S_destroy_engine(void *data)
+{
+    BsEngine *engine = data;
+    g_free(engine->upstream);
+    g_strfreev(engine->loaded);
+    g_free(engine->ordered);
+    g_free(engine);
+}
+
 BsOrders *
 BsOrders_Create(BsCore *core)
 {
     BsOrders *orders = g_new0(BsOrders, 1);
     orders->core = core;
+    orders->engines =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, S_destroy_engine);
     return orders;
 }
 
 void
 BsOrders_Destroy(BsOrders *orders)
 {
+    if (orders == NULL) {
+        return;
+    }
+    g_hash_table_destroy(orders->engines);
     g_free(orders);
 }
 
+/* ---------------------------------------------------------------------- */
+/* What engines report                                                     */
+/* ---------------------------------------------------------------------- */
+
+static bool
+S_has_loaded(const BsEngine *engine, const char *model, const char *version)
+{
+    if (version == NULL) {
+        return false;
+    }
+    char *item = g_strdup_printf("%s@%s", model, version);
+    bool loaded = g_strv_contains((const char *const *)engine->loaded, item);
+    g_free(item);
+    return loaded;
+}
+
+/* Returns the version part when ITEM is of MODEL, else NULL. */
+static const char *
+S_version_of(const char *item, const char *model)
+{
+    size_t length = strlen(model);
+    bool matches = strncmp(item, model, length) == 0 && item[length] == '@';
+    return matches ? item + length + 1 : NULL;
+}
+
 bool
 BsOrder_IsCurrent(const BsOrders *orders, const char *upstream,
                   const char *model)
 {
-    (void)orders;
-    (void)upstream;
-    (void)model;
-    return true;
+    const BsSheet *sheet = BsCore_Sheet(orders->core);
+    const BsModel *wanted =
+        sheet == NULL ? NULL : BsSheet_FindModel(sheet, model);
+    const BsEngine *engine = g_hash_table_lookup(orders->engines, upstream);
+    if (wanted == NULL || engine == NULL || engine->loaded == NULL) {
+        return true;
+    }
+    return S_has_loaded(engine, model, wanted->version);
+}
+
+/* Forgets an order to load whose effect is seen. */
+static void
+S_check_done(BsEngine *engine)
+{
+    if (engine->ordered == NULL || engine->loaded == NULL ||
+        !g_str_has_prefix(engine->ordered, LOAD_PREFIX)) {
+        return;
+    }
+    const char *item = engine->ordered + strlen(LOAD_PREFIX);
+    if (g_strv_contains((const char *const *)engine->loaded, item)) {
+        g_clear_pointer(&engine->ordered, g_free);
+    }
 }
 
 void
 BsOrders_OnReport(BsOrders *orders, const BsMessage *message)
 {
-    (void)orders;
-    (void)message;
+    const BsReport *report = &message->u.report;
+    int64_t now_ms = BsCore_NowMs(orders->core);
+    if (report->upstream == NULL) {
+        return;
+    }
+    BsEngine *engine = g_hash_table_lookup(orders->engines, report->upstream);
+    if (engine == NULL) {
+        engine = g_new0(BsEngine, 1);
+        engine->upstream = g_strdup(report->upstream);
+        g_hash_table_insert(orders->engines, engine->upstream, engine);
+    }
+    else if (now_ms - report->age_ms < engine->reported_ms) {
+        return; /* older than the one held */
+    }
+    g_strfreev(engine->loaded);
+    engine->loaded =
+        report->loaded == NULL ? NULL : g_strsplit(report->loaded, ",", -1);
+    S_check_done(engine);
+    engine->fencing = report->fencing;
+    engine->reachable = report->reachable;
+    engine->reported_ms = now_ms - report->age_ms;
+}
+
+/* ---------------------------------------------------------------------- */
+/* Staging                                                                 */
+/* ---------------------------------------------------------------------- */
+
+/* Returns the rank of ENTRY among the engines of MODEL, the same on every
+   instance with this list, and sets COUNT to their number. */
+static guint
+S_rank(const BsOrders *orders, const BsListEntry *entry, const char *model,
+       guint *count)
+{
+    const GPtrArray *upstreams =
+        BsMembers_Serving(orders->core->members, model);
+    uint64_t own = BsMembers_Weight(entry->name, model);
+    guint rank = 0;
+    *count = 0;
+    for (guint i = 0; upstreams != NULL && i < upstreams->len; i++) {
+        const BsListEntry *other = upstreams->pdata[i];
+        if (other->kind == BS_NODE_ENGINE) {
+            (*count)++;
+            rank += BsMembers_Weight(other->name, model) > own ? 1 : 0;
+        }
+    }
+    return rank;
+}
+
+/* Returns whether it is the turn of ENTRY to load MODEL: engines go in waves
+   after a sheet came into force, so that owners need not tell each other. */
+static bool
+S_is_turn(const BsOrders *orders, const BsListEntry *entry, const char *model)
+{
+    const BsOrderLimits *limits =
+        &BsSheet_Data(BsCore_Sheet(orders->core))->orders;
+    guint count;
+    guint rank = S_rank(orders, entry, model, &count);
+    guint share = MAX(count / SHARE_OF_ENGINES, 1);
+    guint wave = rank / MIN(share, limits->loads_at_once);
+    return BsCore_NowMs(orders->core) >=
+           orders->sheet_ms + (int64_t)wave * limits->load_ms;
+}
+
+/* ---------------------------------------------------------------------- */
+/* Ordering                                                                */
+/* ---------------------------------------------------------------------- */
+
+static uint64_t
+S_fencing(BsOrders *orders)
+{
+    uint64_t sheet = BsSheetStore_Revision(orders->core->sheets);
+    uint64_t list = BsMembers_Revision(orders->core->members);
+    if (sheet > FENCING_PART_MAX || list > FENCING_PART_MAX) {
+        if (!orders->logged_overflow) {
+            orders->logged_overflow = true;
+            BsCore_Log(orders->core, LOG_ERR,
+                       "no orders to engines: a revision exceeds %u; "
+                       "publish lower revision numbers",
+                       FENCING_PART_MAX);
+        }
+        return 0;
+    }
+    return sheet << FENCING_SHIFT | list;
+}
+
+/* Returns whether this instance may order UPSTREAM at this moment. */
+static bool
+S_may_order(const BsOrders *orders, const char *upstream)
+{
+    BsCore *core = orders->core;
+    return BsTenure_OfUpstream(core->tenure, upstream) == BS_TENURE_HELD &&
+           BsTenure_HasContact(core->tenure) &&
+           !BsSheetStore_IsBehind(core->sheets);
+}
+
+static void
+S_send(BsOrders *orders, BsEngine *engine, const char *verb, const char *model,
+       const char *version)
+{
+    BsCore *core = orders->core;
+    uint64_t fencing = S_fencing(orders);
+    if (fencing == 0 || !S_may_order(orders, engine->upstream)) {
+        BsCore_Count(core, "orders_withheld", 1);
+        return;
+    }
+    char *ordered = g_strdup_printf("%s %s@%s", verb, model, version);
+    if (g_strcmp0(ordered, engine->ordered) == 0) {
+        BsCore_Count(core, "orders_repeated", 1);
+    }
+    g_free(engine->ordered);
+    engine->ordered = ordered;
+    engine->ordered_ms = BsCore_NowMs(core);
+    BsMessage *message = BsMessage_Create(BS_UPSTREAM_ORDER);
+    message->u.order.upstream = g_strdup(engine->upstream);
+    message->u.order.verb = g_strdup(verb);
+    message->u.order.model = g_strdup(model);
+    message->u.order.version = g_strdup(version);
+    message->u.order.fencing = fencing;
+    BsCore_Count(core, "orders_sent", 1);
+    BsCore_Emit(core, message);
+}
+
+/* Returns whether the last order may still show its effect. */
+static bool
+S_is_pending(const BsOrders *orders, const BsEngine *engine)
+{
+    if (engine->ordered == NULL) {
+        return false;
+    }
+    if (engine->reported_ms < engine->ordered_ms + SETTLE_MS) {
+        return true;
+    }
+    uint32_t load_ms =
+        BsSheet_Data(BsCore_Sheet(orders->core))->orders.load_ms;
+    return g_str_has_prefix(engine->ordered, LOAD_PREFIX) &&
+           BsCore_NowMs(orders->core) <
+               engine->ordered_ms + (int64_t)LOADS_UNTIL_RETRY * load_ms;
+}
+
+/* Orders MODEL@VERSION loaded when it is missing; returns whether it is. */
+static bool
+S_load(BsOrders *orders, BsEngine *engine, const BsListEntry *entry,
+       const BsModel *model, const char *version)
+{
+    if (version == NULL || S_has_loaded(engine, model->name, version)) {
+        return false;
+    }
+    if (S_is_turn(orders, entry, model->name)) {
+        S_send(orders, engine, "load", model->name, version);
+    }
+    return true;
+}
+
+/* Orders one version unloaded that the sheet does not name. */
+static bool
+S_unload(BsOrders *orders, BsEngine *engine, const BsModel *model)
+{
+    for (char **item = engine->loaded; *item != NULL; item++) {
+        const char *version = S_version_of(*item, model->name);
+        if (version != NULL && strcmp(version, model->version) != 0 &&
+            g_strcmp0(version, model->next_version) != 0) {
+            S_send(orders, engine, "unload", model->name, version);
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Takes the first step for MODEL that is due; returns whether one was. */
+static bool
+S_step(BsOrders *orders, BsEngine *engine, const BsListEntry *entry,
+       const BsModel *model)
+{
+    return S_load(orders, engine, entry, model, model->version) ||
+           S_unload(orders, engine, model) ||
+           S_load(orders, engine, entry, model, model->next_version);
+}
+
+static void
+S_reconcile(BsOrders *orders, BsEngine *engine, const BsListEntry *entry)
+{
+    const BsSheet *sheet = BsCore_Sheet(orders->core);
+    if (!engine->reachable || engine->loaded == NULL ||
+        S_is_pending(orders, engine)) {
+        return;
+    }
+    char **names =
+        g_strsplit(entry->serves == NULL ? "" : entry->serves, ",", -1);
+    bool stepped = false;
+    for (char **name = names; *name != NULL && !stepped; name++) {
+        const BsModel *model = BsSheet_FindModel(sheet, *name);
+        stepped = model != NULL && S_step(orders, engine, entry, model);
+    }
+    g_strfreev(names);
+}
+
+/* Forgets what is known of engines that this instance does not own. */
+static gboolean
+S_is_foreign(gpointer name, gpointer value, gpointer context)
+{
+    const BsOrders *orders = context;
+    (void)value;
+    return BsMembers_Find(orders->core->members, name) == NULL ||
+           g_strcmp0(BsMembers_OwnerOf(orders->core->members, name),
+                     orders->core->config.name) != 0;
+}
+
+static void
+S_pass(BsOrders *orders)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_foreach_remove(orders->engines, S_is_foreign, orders);
+    g_hash_table_iter_init(&iter, orders->engines);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        BsEngine *engine = value;
+        const BsListEntry *entry =
+            BsMembers_Find(orders->core->members, engine->upstream);
+        if (entry->kind == BS_NODE_ENGINE && entry->state == BS_NODE_LIVE) {
+            S_reconcile(orders, engine, entry);
+        }
+    }
 }
 
 void
 BsOrders_OnTick(BsOrders *orders)
 {
-    (void)orders;
+    int64_t now_ms = BsCore_NowMs(orders->core);
+    uint64_t revision = BsSheetStore_Revision(orders->core->sheets);
+    if (BsCore_Sheet(orders->core) == NULL ||
+        now_ms < orders->passed_ms + PASS_MS) {
+        return;
+    }
+    orders->passed_ms = now_ms;
+    if (revision != orders->sheet_revision) {
+        orders->sheet_revision = revision;
+        orders->sheet_ms = now_ms;
+    }
+    S_pass(orders);
 }
--- a/src/sheet.h
+++ b/src/sheet.h
@@ -26,6 +26,7 @@
 typedef struct {
     char *name;
     char *version;
+    char *next_version;     /* loaded ahead beside VERSION, or NULL */
     uint32_t output_tokens; /* expected, when the caller sets no limit */
 } BsModel;
 
@@ -80,6 +81,12 @@
     uint32_t ramp_ms;  /* from cold to the full limit */
 } BsColdStart;
 
+/* Limits of orders to engines. */
+typedef struct {
+    uint32_t loads_at_once; /* engines of one model, in the whole fleet */
+    uint32_t load_ms;       /* how long a load takes */
+} BsOrderLimits;
+
 /* The configuration. */
 typedef struct {
     uint32_t format;
@@ -98,6 +105,7 @@
     BsDataCentre *data_centres;
     unsigned data_centres_count;
     BsColdStart cold_start;
+    BsOrderLimits orders;
     uint32_t link_bytes_per_s; /* between regions, each way, per fleet */
     uint32_t retry_percent;    /* retries per hundred requests */
 } BsSheetData;
--- a/src/sheetschema.c
+++ b/src/sheetschema.c
@@ -10,6 +10,8 @@
 #define DEFAULT_COLD_REQUESTS 2
 #define DEFAULT_COLD_TOKENS 4096
 #define DEFAULT_RAMP_MS 30000
+#define DEFAULT_LOADS_AT_ONCE 8
+#define DEFAULT_LOAD_MS 20000
 #define DEFAULT_LINK_BYTES_PER_S 3750000
 #define DEFAULT_RETRY_PERCENT 10
 #define DEFAULT_SERVICE_TIMEOUT_MS 10000
@@ -40,6 +42,7 @@
 static const cyaml_schema_field_t S_model_fields[] = {
     STRING_FIELD("name", CYAML_FLAG_DEFAULT, BsModel, name),
     STRING_FIELD("version", CYAML_FLAG_DEFAULT, BsModel, version),
+    STRING_FIELD("next_version", OPTIONAL, BsModel, next_version),
     UINT_FIELD("output_tokens", OPTIONAL, BsModel, output_tokens),
     CYAML_FIELD_END};
 static const cyaml_schema_value_t S_model_schema = {
@@ -99,6 +102,10 @@
     UINT_FIELD("tokens", OPTIONAL, BsColdStart, tokens),
     UINT_FIELD("ramp_ms", OPTIONAL, BsColdStart, ramp_ms), CYAML_FIELD_END};
 
+static const cyaml_schema_field_t S_order_fields[] = {
+    UINT_FIELD("loads_at_once", OPTIONAL, BsOrderLimits, loads_at_once),
+    UINT_FIELD("load_ms", OPTIONAL, BsOrderLimits, load_ms), CYAML_FIELD_END};
+
 static const cyaml_schema_field_t S_sheet_fields[] = {
     UINT_FIELD("format", CYAML_FLAG_DEFAULT, BsSheetData, format),
     CYAML_FIELD_SEQUENCE("tiers", CYAML_FLAG_POINTER, BsSheetData, tiers,
@@ -120,6 +127,8 @@
                          data_centres, &S_data_centre_schema, 1, LIST_MAX),
     CYAML_FIELD_MAPPING("cold_start", OPTIONAL, BsSheetData, cold_start,
                         S_cold_start_fields),
+    CYAML_FIELD_MAPPING("orders", OPTIONAL, BsSheetData, orders,
+                        S_order_fields),
     UINT_FIELD("link_bytes_per_s", OPTIONAL, BsSheetData, link_bytes_per_s),
     UINT_FIELD("retry_percent", OPTIONAL, BsSheetData, retry_percent),
     CYAML_FIELD_END};
@@ -183,6 +192,8 @@
     S_default_u32(&data->cold_start.requests, DEFAULT_COLD_REQUESTS);
     S_default_u32(&data->cold_start.tokens, DEFAULT_COLD_TOKENS);
     S_default_u32(&data->cold_start.ramp_ms, DEFAULT_RAMP_MS);
+    S_default_u32(&data->orders.loads_at_once, DEFAULT_LOADS_AT_ONCE);
+    S_default_u32(&data->orders.load_ms, DEFAULT_LOAD_MS);
     S_default_u32(&data->link_bytes_per_s, DEFAULT_LINK_BYTES_PER_S);
     S_default_u32(&data->retry_percent, DEFAULT_RETRY_PERCENT);
     for (unsigned i = 0; i < data->services_count; i++) {
