Tenure: scripted cases; the settled revision is that of the settling

Cause: a list with the same instances under a newer revision was taken as settled at that revision, so a peer that knew of a removal in between no longer denied (found on paper while writing the case of a skipped list).

--- a/src/collect.c
+++ b/src/collect.c
@@ -20,6 +20,7 @@
     GHashTable *answers; /* name to uint64_t incarnation */
     GPtrArray *replaced; /* BsLoss, of this round */
     uint64_t round;
+    uint64_t settled_revision; /* of the list when it was settled */
     int64_t started_ms;
     int64_t sent_ms;
     int64_t answered_ms;
@@ -90,7 +91,7 @@
 uint64_t
 BsCollects_SettledRevision(const BsCollects *collects)
 {
-    return collects->base ? BsView_Revision(collects->chain->pdata[0]) : 0;
+    return collects->base ? collects->settled_revision : 0;
 }
 
 int64_t
@@ -489,6 +490,7 @@
     BsLosses_Settle(collects->losses);
     collects->base = true;
     collects->settling = false;
+    collects->settled_revision = BsView_Revision(S_newest(collects));
     if (collects->first_settled_ms == 0) {
         collects->first_settled_ms = BsCore_NowMs(collects->core);
     }
