--- a/src/owner.h
+++ b/src/owner.h
@@ -58,6 +58,12 @@
 /* Takes the in-flight work told by a predecessor in a collect reply. */
 void BsOwner_OnInFlight(BsOwner *owner, const BsMessage *message);
 
+/* Gives all queued work back to its senders, for a planned stop. */
+void BsOwner_Drain(BsOwner *owner);
+
+/* Returns the number of requests queued and running. */
+uint32_t BsOwner_Count(const BsOwner *owner);
+
 /* Drives timers. */
 void BsOwner_OnTick(BsOwner *owner);
 
--- a/src/schema.c
+++ b/src/schema.c
@@ -204,10 +204,9 @@
     SCHEMA(BsAnswer, S_answer_fields, NULL);
 
 static const BsField S_cancel_fields[] = {
-    FIELD(1, STRING, BsCancel, request_id),
-    FIELD(2, U32, BsCancel, attempt),
-    FIELD(3, U32, BsCancel, to_stage),
-    FIELD(4, U32, BsCancel, reason),
+    FIELD(1, STRING, BsCancel, request_id), FIELD(2, U32, BsCancel, attempt),
+    FIELD(3, U32, BsCancel, to_stage),      FIELD(4, U32, BsCancel, reason),
+    FIELD(5, U32, BsCancel, from_stage),
 };
 
 static const BsSchema S_cancel_schema =
