Sheet: repeat a lost pull by timer; do not wait for a revision nobody names

Cause: at 10% loss a lost pull waited for the next probe, and a revision that died with its only holder would have been waited for for ever.

--- a/src/contact.c
+++ b/src/contact.c
@@ -10,7 +10,7 @@
 
 struct BsContact {
     BsCore *core;
-    GHashTable *peers;  /* name to BsPeer */
+    GHashTable *peers;  /* name to BsContactPeer */
     GHashTable *denied; /* set of uint64_t incarnations */
     BsReplacedFunc replaced;
     void *context;
@@ -22,7 +22,7 @@
 static void
 S_destroy_peer(void *data)
 {
-    BsPeer *peer = data;
+    BsContactPeer *peer = data;
     g_free(peer->name);
     g_free(peer);
 }
@@ -53,12 +53,12 @@
     g_free(contact);
 }
 
-BsPeer *
+BsContactPeer *
 BsContact_Peer(BsContact *contact, const char *name)
 {
-    BsPeer *peer = g_hash_table_lookup(contact->peers, name);
+    BsContactPeer *peer = g_hash_table_lookup(contact->peers, name);
     if (peer == NULL) {
-        peer = g_new0(BsPeer, 1);
+        peer = g_new0(BsContactPeer, 1);
         peer->name = g_strdup(name);
         g_hash_table_insert(contact->peers, peer->name, peer);
     }
@@ -80,7 +80,7 @@
 }
 
 static void
-S_replace(BsContact *contact, BsPeer *peer, uint64_t incarnation,
+S_replace(BsContact *contact, BsContactPeer *peer, uint64_t incarnation,
           int64_t started_ms)
 {
     uint64_t old = peer->incarnation;
@@ -100,7 +100,7 @@
         S_is_denied(contact, incarnation)) {
         return false;
     }
-    BsPeer *peer = BsContact_Peer(contact, message->from);
+    BsContactPeer *peer = BsContact_Peer(contact, message->from);
     int64_t started_ms = BsCore_NowMs(contact->core) - age_ms;
     if (peer->incarnation == 0) {
         peer->incarnation = incarnation;
@@ -203,7 +203,7 @@
     if (probe->list_revision > BsMembers_Revision(contact->core->members)) {
         return false; /* counts once this instance has that list */
     }
-    BsPeer *peer = BsContact_Peer(contact, message->from);
+    BsContactPeer *peer = BsContact_Peer(contact, message->from);
     int64_t sent_ms = contact->sent_ms[probe->seq % ROUNDS_MAX];
     if (peer->grant_incarnation != message->from_incarnation ||
         sent_ms > peer->grant_ms) {
@@ -219,7 +219,7 @@
     if (strcmp(name, contact->core->config.name) == 0) {
         return true;
     }
-    const BsPeer *peer = g_hash_table_lookup(contact->peers, name);
+    const BsContactPeer *peer = g_hash_table_lookup(contact->peers, name);
     if (peer == NULL || peer->grant_incarnation == 0 ||
         peer->grant_incarnation != peer->incarnation ||
         (counted && peer->grant_incarnation != peer->counted_incarnation)) {
--- a/src/contact.h
+++ b/src/contact.h
@@ -24,7 +24,7 @@
     int64_t grant_ms;             /* sending of the last granted probe */
     uint64_t grant_incarnation;
     uint64_t absent_revision; /* newest list without it as live */
-} BsPeer;
+} BsContactPeer;
 
 /* Called when INCARNATION of NAME turns out to be replaced. */
 typedef void (*BsReplacedFunc)(const char *name, uint64_t incarnation,
@@ -38,7 +38,7 @@
 void BsContact_Destroy(BsContact *contact);
 
 /* Returns the peer NAME, created when new. */
-BsPeer *BsContact_Peer(BsContact *contact, const char *name);
+BsContactPeer *BsContact_Peer(BsContact *contact, const char *name);
 
 /* Notes the sender of a message that carries its age; false when that
    incarnation was replaced. */
--- a/src/sheetstore.c
+++ b/src/sheetstore.c
@@ -18,6 +18,12 @@
 
 #define MS_PER_S 1000
 
+/* Pulls from one peer without an answer. */
+#define PULLS_MAX 5
+
+/* A revision that no peer has named for this long is not waited for. */
+#define SEEN_MS 5000
+
 /* A text under its revision. */
 typedef struct {
     uint64_t revision;
@@ -34,7 +40,10 @@
     int64_t accepted_ms;
     int64_t pulled_ms;
     uint64_t seen_revision; /* highest told by peers */
-    uint32_t seen_hash;
+    int64_t seen_ms;        /* when it was last told */
+    char *teller;           /* who told of a newer text */
+    uint64_t teller_incarnation;
+    uint32_t retries_left;     /* pulls from TELLER */
     uint64_t refused_revision; /* highest refused, to log it once */
     uint32_t refused_hash;
     uint64_t conflict_revision; /* highest with two texts, to log it once */
@@ -80,6 +89,7 @@
     BsSheet_Destroy(store->sheet);
     g_ptr_array_unref(store->versions);
     S_destroy_version(store->candidate);
+    g_free(store->teller);
     g_free(store);
 }
 
@@ -224,8 +234,9 @@
     }
     int64_t limit_ms =
         store->candidate_ms + FIRST_WAIT_LEASES * store->core->config.lease_ms;
-    bool asked = BsTenure_HasContact(store->core->tenure) &&
-                 store->seen_revision <= store->candidate->revision;
+    bool newest = !BsSheetStore_IsBehind(store) ||
+                  store->seen_revision <= store->candidate->revision;
+    bool asked = newest && BsTenure_HasContact(store->core->tenure);
     if (asked || BsCore_NowMs(store->core) >= limit_ms) {
         BsVersion *version = store->candidate;
         store->candidate = NULL;
@@ -237,38 +248,49 @@
 /* Between peers                                                           */
 /* ---------------------------------------------------------------------- */
 
+/* Pulls from the last teller, unless a pull was sent just now. */
 static void
-S_pull(BsSheetStore *store, const BsMessage *message)
+S_pull(BsSheetStore *store)
 {
+    int64_t now_ms = BsCore_NowMs(store->core);
+    if (store->retries_left == 0 ||
+        (store->pulled_ms != G_MININT64 &&
+         now_ms < store->pulled_ms + PULL_RETRY_MS)) {
+        return;
+    }
+    store->retries_left--;
+    store->pulled_ms = now_ms;
     BsMessage *pull = BsMessage_Create(BS_SHEET_PULL);
-    store->pulled_ms = BsCore_NowMs(store->core);
     pull->u.sheet.hash = BsSheetStore_Hash(store);
     pull->u.sheet.revision = BsSheetStore_Revision(store);
     if (!store->whole) {
         pull->u.sheet.base_revision = pull->u.sheet.revision;
     }
     BsCore_Count(store->core, "sheet_pulls", 1);
-    BsCore_Send(store->core, message->from, message->from_incarnation, pull);
+    BsCore_Send(store->core, store->teller, store->teller_incarnation, pull);
 }
 
 void
 BsSheetStore_OnRevision(BsSheetStore *store, const BsMessage *message,
                         uint64_t revision, uint32_t hash)
 {
-    if (revision > store->seen_revision) {
+    if (revision >= store->seen_revision) {
         store->seen_revision = revision;
+        store->seen_ms = BsCore_NowMs(store->core);
     }
-    if (S_is_newer(store, revision, hash) &&
-        (store->pulled_ms == G_MININT64 ||
-         BsCore_NowMs(store->core) >= store->pulled_ms + PULL_RETRY_MS)) {
-        S_pull(store, message);
+    if (S_is_newer(store, revision, hash)) {
+        BsMessage_SetString(&store->teller, message->from);
+        store->teller_incarnation = message->from_incarnation;
+        store->retries_left = PULLS_MAX;
+        S_pull(store);
     }
 }
 
 bool
 BsSheetStore_IsBehind(const BsSheetStore *store)
 {
-    return store->seen_revision > BsSheetStore_Revision(store);
+    return store->seen_revision > BsSheetStore_Revision(store) &&
+           BsCore_NowMs(store->core) < store->seen_ms + SEEN_MS;
 }
 
 static const BsVersion *
@@ -374,6 +396,9 @@
 BsSheetStore_OnTick(BsSheetStore *store)
 {
     S_check_candidate(store);
+    if (BsSheetStore_IsBehind(store)) {
+        S_pull(store);
+    }
     if (store->sheet != NULL) {
         int64_t age_ms = BsCore_NowMs(store->core) - store->accepted_ms;
         BsCounters_Set(store->core->counters, "sheet_age_seconds",
