--- a/src/once.c
+++ b/src/once.c
@@ -140,7 +140,8 @@
     if (valid) {
         g_free(request->key);
         request->key =
-            g_strconcat(TICKET_KEY, parts.nonce, "@", parts.keeper, NULL);
+            g_strdup_printf(TICKET_KEY "%s-%" G_GINT64_MODIFIER "x-%s",
+                            parts.keeper, parts.incarnation, parts.nonce);
     }
     BsTicketParts_Clear(&parts);
     return valid ? BS_ERR_NONE : BS_ERR_TICKET;
--- a/tests/walk/once_walk.cc
+++ b/tests/walk/once_walk.cc
@@ -63,8 +63,7 @@
         World_Destroy(world_);
     }
 
-    bool
-    Run(Counts *counts)
+    bool Run(Counts *counts)
     {
         World_OnStep(world_, AfterStep, this);
         World_SetTrace(world_, getenv("WALK_TRACE") != nullptr);
@@ -96,21 +95,17 @@
     std::map<std::string, int> runs_of_call_;
     int next_call_ = 0;
 
-    int
-    Random(int below)
+    int Random(int below)
     {
         return g_rand_int_range(World_Random(world_), 0, below);
     }
 
-    template <class T>
-    T &
-    Pick(std::vector<T> &from)
+    template <class T> T &Pick(std::vector<T> &from)
     {
         return from[Random(static_cast<int>(from.size()))];
     }
 
-    void
-    Note(const std::string &what, const std::string &name)
+    void Note(const std::string &what, const std::string &name)
     {
         if (getenv("WALK_TRACE") != nullptr) {
             printf("%7" G_GINT64_FORMAT " # %s %s\n",
@@ -118,8 +113,7 @@
         }
     }
 
-    void
-    Fail(const std::string &what)
+    void Fail(const std::string &what)
     {
         if (failed_) {
             return;
@@ -129,8 +123,7 @@
         failed_ = true;
     }
 
-    void
-    Build()
+    void Build()
     {
         static const char *const centres[][2] = {
             {"n1", "north"}, {"n2", "north"}, {"s1", "south"}};
@@ -167,8 +160,7 @@
 
     // --- callers ---
 
-    void
-    SendTo(size_t index, const std::string &instance)
+    void SendTo(size_t index, const std::string &instance)
     {
         Booking &booking = bookings_[index];
         std::string id = "r" + std::to_string(next_call_++);
@@ -183,8 +175,7 @@
         if (!booking.ticket.empty()) {
             request->ticket = g_strdup(booking.ticket.c_str());
         }
-        request->body =
-            g_bytes_new(booking.body.data(), booking.body.size());
+        request->body = g_bytes_new(booking.body.data(), booking.body.size());
         request->deadline_ms = kDeadlineMs;
         booking.sent.push_back(id);
         by_call_[id] = index;
@@ -192,8 +183,7 @@
     }
 
     // An instance the balancer would pick: running, though perhaps paused.
-    std::string
-    PickInstance()
+    std::string PickInstance()
     {
         for (int i = 0; i < 20; i++) {
             const std::string &name = Pick(names_);
@@ -204,8 +194,7 @@
         return names_[0];
     }
 
-    void
-    Book()
+    void Book()
     {
         if (bookings_.size() >= kBookingsMax) {
             return;
@@ -225,8 +214,7 @@
     }
 
     // A spare ticket of an earlier answer that no booking has used.
-    std::string
-    TakeTicket()
+    std::string TakeTicket()
     {
         const GPtrArray *calls = World_Calls(world_);
         for (guint i = calls->len; i > 0; i--) {
@@ -240,8 +228,7 @@
         return "";
     }
 
-    bool
-    IsSettled(const Booking &booking)
+    bool IsSettled(const Booking &booking)
     {
         for (const std::string &id : booking.sent) {
             const WorldCall *call = World_Call(world_, id.c_str());
@@ -252,8 +239,7 @@
         return false;
     }
 
-    void
-    Resend()
+    void Resend()
     {
         if (bookings_.empty()) {
             return;
@@ -264,8 +250,7 @@
         }
     }
 
-    void
-    LeaveOne()
+    void LeaveOne()
     {
         const GPtrArray *calls = World_Calls(world_);
         if (calls->len == 0) {
@@ -280,14 +265,12 @@
 
     // --- faults ---
 
-    bool
-    MayHarm(Fault fault, int one_in)
+    bool MayHarm(Fault fault, int one_in)
     {
         return (faults_ & fault) != 0 && Random(one_in) == 0;
     }
 
-    void
-    Publish()
+    void Publish()
     {
         if (Random(3) == 0) {
             World_PublishListTo(world_, Pick(names_).c_str());
@@ -297,16 +280,14 @@
         }
     }
 
-    void
-    SetListed(const std::string &name, bool listed)
+    void SetListed(const std::string &name, bool listed)
     {
         Note(listed ? "list" : "unlist", name);
         World_SetListed(world_, name.c_str(), listed ? BS_NODE_LIVE : 0);
         listed_[name] = listed;
     }
 
-    void
-    KillOrRestart()
+    void KillOrRestart()
     {
         const std::string &name = Pick(names_);
         if (World_Core(world_, name.c_str()) == nullptr) {
@@ -333,8 +314,7 @@
         }
     }
 
-    void
-    PauseOrWake()
+    void PauseOrWake()
     {
         const std::string &name = Pick(names_);
         if (World_Core(world_, name.c_str()) == nullptr) {
@@ -350,8 +330,7 @@
         paused_[name] = !paused_[name];
     }
 
-    void
-    ChangeList()
+    void ChangeList()
     {
         const std::string &name = Pick(names_);
         bool alive = World_Core(world_, name.c_str()) != nullptr;
@@ -359,8 +338,7 @@
         Publish();
     }
 
-    void
-    DrainOne()
+    void DrainOne()
     {
         const std::string &name = Pick(names_);
         if (World_Core(world_, name.c_str()) == nullptr || paused_[name] ||
@@ -376,8 +354,7 @@
     }
 
     // Ends the processes whose planned stop is complete.
-    void
-    ReapDrained()
+    void ReapDrained()
     {
         for (const std::string &name : names_) {
             if (stopping_.count(name) > 0 &&
@@ -390,16 +367,14 @@
         }
     }
 
-    void
-    ChangeNetwork()
+    void ChangeNetwork()
     {
         static const double shares[] = {0, 0, 0.02, 0.1};
         World_SetNetwork(world_, shares[Random(4)], shares[Random(4)] * 3,
                          Random(2) == 0 ? 0 : Random(3000));
     }
 
-    void
-    Act()
+    void Act()
     {
         ReapDrained();
         int dice = Random(10);
@@ -441,8 +416,7 @@
         }
     }
 
-    void
-    Settle()
+    void Settle()
     {
         World_Heal(world_);
         World_Release(world_);
@@ -461,15 +435,13 @@
 
     // --- checks ---
 
-    static void
-    AfterStep(World *world, void *context)
+    static void AfterStep(World *world, void *context)
     {
         (void)world;
         static_cast<Walk *>(context)->CheckRuns();
     }
 
-    void
-    CheckRuns()
+    void CheckRuns()
     {
         size_t total = 0;
         for (const std::string &name : services_) {
@@ -490,8 +462,7 @@
         }
     }
 
-    void
-    CheckRun(const WorldRun *run)
+    void CheckRun(const WorldRun *run)
     {
         if (++runs_of_key_[run->body] > 1) {
             Fail("double run of " + std::string(run->body));
@@ -503,8 +474,7 @@
         }
     }
 
-    void
-    CheckCall(const WorldCall *call, Counts *counts)
+    void CheckCall(const WorldCall *call, Counts *counts)
     {
         std::string id = call->id;
         counts->calls++;
@@ -536,22 +506,21 @@
         }
     }
 
-    void
-    CheckRan(const WorldCall *call, const Booking &booking, int runs)
+    void CheckRan(const WorldCall *call, const Booking &booking, int runs)
     {
         if (runs != 1) {
             Fail("told ran, but did not run: " + booking.key);
         }
         char *whole = World_ExpectedText(booking.body.c_str(), kPieces);
-        if (call->error == BS_ERR_NONE && strcmp(whole, call->text->str) != 0) {
+        if (call->error == BS_ERR_NONE &&
+            strcmp(whole, call->text->str) != 0) {
             Fail("wrong answer for " + booking.key + ": " + call->text->str);
         }
         g_free(whole);
     }
 
     // A booking whose every sending was told not-run must not have run.
-    void
-    CheckBooking(const Booking &booking)
+    void CheckBooking(const Booking &booking)
     {
         for (const std::string &id : booking.sent) {
             const WorldCall *call = World_Call(world_, id.c_str());
@@ -564,13 +533,11 @@
         }
     }
 
-    void
-    CheckEnd(Counts *counts)
+    void CheckEnd(Counts *counts)
     {
         const GPtrArray *calls = World_Calls(world_);
         for (guint i = 0; i < calls->len; i++) {
-            CheckCall(static_cast<const WorldCall *>(calls->pdata[i]),
-                      counts);
+            CheckCall(static_cast<const WorldCall *>(calls->pdata[i]), counts);
         }
         for (const Booking &booking : bookings_) {
             CheckBooking(booking);
@@ -583,9 +550,8 @@
 ParseFaults(const char *text)
 {
     static const std::map<std::string, unsigned> names = {
-        {"net", kNet}, {"pause", kPause}, {"kill", kKill},
-        {"list", kList}, {"cut", kCut},   {"mode", kMode},
-        {"drain", kDrain}, {"all", kAll}};
+        {"net", kNet}, {"pause", kPause}, {"kill", kKill},   {"list", kList},
+        {"cut", kCut}, {"mode", kMode},   {"drain", kDrain}, {"all", kAll}};
     unsigned faults = 0;
     char **words = g_strsplit(text, ",", -1);
     for (char **word = words; *word != nullptr; word++) {
