--- a/src/core.c
+++ b/src/core.c
@@ -500,6 +500,9 @@
     case BS_PLATFORM_DOWN:
         BsWatchers_OnDown(core->watchers);
         break;
+    case BS_WATCH_HANDOVER:
+        BsWatchers_OnHandover(core->watchers);
+        break;
     case BS_LIST_PULL:
         S_push_list(core, message);
         break;
@@ -537,6 +540,9 @@
         break;
     case BS_DIGEST:
         BsDigests_OnMessage(core->digests, message);
+        BsTenure_OnRevisions(core->tenure, message,
+                             message->u.digest.list_revision,
+                             message->u.digest.sheet_revision, 0);
         BsPoison_OnDigest(core->poison, message);
         break;
     case BS_SUSPECT:
