--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -169,6 +169,25 @@
     return STEP_BLOCKED;
 }
 
+/* Dispatches work for which an empty upstream is reserved, since nothing else
+   can start there before it. */
+static bool
+S_dispatch_reserved(BsOwner *owner, BsPool *pool)
+{
+    const BsColdStart *cold = BsOwner_ColdStart(owner);
+    int64_t now_ms = BsCore_NowMs(owner->core);
+    for (guint i = 0; i < pool->upstreams->len; i++) {
+        BsUpstream *upstream = pool->upstreams->pdata[i];
+        BsWork *work = upstream->reserved;
+        if (work != NULL && work->upstream == NULL &&
+            BsUpstream_Fits(upstream, work, cold, now_ms)) {
+            BsOwner_Dispatch(owner, pool, work, upstream);
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Returns whether TIER runs less than its guaranteed share. */
 static bool
 S_is_below_share(const BsPool *pool, const BsTier *tier, uint32_t limit)
@@ -216,7 +235,8 @@
     S_refresh_permits(owner);
     GList *pools = g_hash_table_get_values(owner->pools);
     for (GList *node = pools; node != NULL; node = node->next) {
-        while (S_dispatch_guaranteed(owner, node->data) ||
+        while (S_dispatch_reserved(owner, node->data) ||
+               S_dispatch_guaranteed(owner, node->data) ||
                S_dispatch_by_rank(owner, node->data)) {
         }
     }
--- a/src/entry.c
+++ b/src/entry.c
@@ -10,6 +10,7 @@
 #include "retry.h"
 #include "stop.h"
 #include "ticket.h"
+#include "witness.h"
 #include "work.h"
 
 /* Time beyond the deadline in which the owner's own answer may arrive. */
@@ -105,10 +106,16 @@
 static void
 S_refuse(BsEntry *entry, const BsRequest *request, BsErrorKind error)
 {
+    const BsNote *note =
+        request->account == NULL || request->key == NULL
+            ? NULL
+            : BsWitness_FindOther(entry->core->witness, request->account,
+                                  request->key, NULL, 0);
     BsCore_Count(entry->core, "requests_refused", 1);
     BsCore_Emit(entry->core,
-                BsCore_CreateError(BS_CALLER_ANSWER, request->request_id, 0,
-                                   error, BS_OUTCOME_NOT_RUN));
+                BsCore_CreateError(
+                    BS_CALLER_ANSWER, request->request_id, 0, error,
+                    note == NULL ? BS_OUTCOME_NOT_RUN : BS_OUTCOME_UNKNOWN));
 }
 
 static uint64_t
@@ -176,9 +183,10 @@
     BsRequest *request = &forward->u.request;
     forward->kind = BS_FORWARD;
     BsCore_Count(entry->core, "requests", 1);
-    BsErrorKind error = BsStop_IsActive(entry->core->stop)
-                            ? BS_ERR_DRAINING
-                            : BsEntry_Resolve(entry, request);
+    BsErrorKind error = BsEntry_Resolve(entry, request);
+    if (BsStop_IsActive(entry->core->stop)) {
+        error = BS_ERR_DRAINING;
+    }
     if (error == BS_ERR_NONE) {
         error = S_judge(entry, request);
     }
--- a/src/keeper.c
+++ b/src/keeper.c
@@ -3,6 +3,7 @@
 
 #include "choice.h"
 #include "keeperstate.h"
+#include "peer.h"
 #include "stop.h"
 #include "tenure.h"
 #include "ticket.h"
@@ -87,17 +88,27 @@
                 accept);
 }
 
+/* Returns whether the instance that may have run RECORD can be asked. */
+static bool
+S_is_kept_elsewhere(const BsKeeper *keeper, const BsRecord *record)
+{
+    const BsCore *core = keeper->core;
+    if (record->keeper == NULL || record->keeper_incarnation == 0 ||
+        strcmp(record->keeper, core->config.name) == 0) {
+        return false;
+    }
+    return BsMembers_Find(core->members, record->keeper) != NULL ||
+           BsPeers_Incarnation(core->peers, record->keeper,
+                               core->config.lease_ms, BsCore_NowMs(core)) ==
+               record->keeper_incarnation;
+}
+
 /* Tells the entry where the record of a fenced key is, or what is known. */
 static void
 S_reject_fenced(BsKeeper *keeper, const BsRecord *record,
                 const BsMessage *message)
 {
-    const BsMembers *members = keeper->core->members;
-    bool movable = record->keeper != NULL && !message->u.request.resume &&
-                   record->keeper_incarnation != 0 &&
-                   strcmp(record->keeper, keeper->core->config.name) != 0 &&
-                   BsMembers_Find(members, record->keeper) != NULL;
-    if (!movable) {
+    if (message->u.request.resume || !S_is_kept_elsewhere(keeper, record)) {
         BsKeeper_Reject(keeper, message,
                         record->outcome == BS_OUTCOME_RAN
                             ? BS_ERR_ANSWER_LOST
@@ -344,6 +355,19 @@
     return state == BS_TENURE_HELD && uncertain ? BS_TENURE_UNCERTAIN : state;
 }
 
+/* Returns whether a key without a record has certainly never run. */
+static bool
+S_is_new(BsKeeper *keeper, const BsRequest *request)
+{
+    const BsCoreConfig *config = &keeper->core->config;
+    return request->ticket != NULL ||
+           (request->prior_keeper == NULL &&
+            S_tenure(keeper, request) == BS_TENURE_HELD &&
+            BsWitness_FindOther(keeper->core->witness, request->account,
+                                request->key, config->name,
+                                config->incarnation) == NULL);
+}
+
 /* Decides about a forward whose key is not known here. */
 static void
 S_consider(BsKeeper *keeper, const BsMessage *message)
@@ -355,7 +379,9 @@
         return;
     }
     if (BsStop_IsActive(keeper->core->stop)) {
-        BsKeeper_Reject(keeper, message, BS_ERR_DRAINING, BS_OUTCOME_NOT_RUN);
+        BsKeeper_Reject(keeper, message, BS_ERR_DRAINING,
+                        S_is_new(keeper, request) ? BS_OUTCOME_NOT_RUN
+                                                  : BS_OUTCOME_UNKNOWN);
         return;
     }
     if (request->ticket != NULL) {
--- a/src/once.c
+++ b/src/once.c
@@ -219,11 +219,19 @@
                               sent->attempt, error, outcome));
 }
 
+/* Returns whether the caller chose the key, so that it may have sent the
+   request before. */
+static bool
+S_may_be_resend(const BsSent *sent)
+{
+    return strcmp(S_request(sent)->key, S_request(sent)->request_id) != 0;
+}
+
 /* Ends SENT, whose keeper may have run it but cannot be asked. */
 static void
 S_lose(BsOnce *once, BsSent *sent, BsErrorKind error)
 {
-    if (sent->incarnation == 0 && !sent->moved) {
+    if (sent->incarnation == 0 && !sent->moved && !S_may_be_resend(sent)) {
         S_fail(once, sent, error, BS_OUTCOME_NOT_RUN);
     }
     else if (sent->hint == BS_OUTCOME_RAN) {
@@ -298,7 +306,7 @@
     const char *keeper =
         BsMembers_KeeperOf(core->members, request->account, request->key);
     if (keeper == NULL) {
-        S_fail(once, sent, BS_ERR_NO_UPSTREAM, BS_OUTCOME_NOT_RUN);
+        S_lose(once, sent, BS_ERR_NO_UPSTREAM);
         return;
     }
     uint64_t incarnation =
@@ -399,6 +407,11 @@
         sent->retry_ms = BsCore_NowMs(once->core) + RETRY_MS;
         BsCore_Count(once->core, "keeper_retries", 1);
     }
+    else if (answer->error == BS_ERR_NOT_KEEPER) {
+        S_finish_note(once, sent, BS_OUTCOME_NOT_RUN);
+        sent->incarnation = 0;
+        S_lose(once, sent, BS_ERR_NOT_KEEPER);
+    }
     else if (sent->moved && answer->error == BS_ERR_KEY_UNCERTAIN) {
         S_lose(once, sent,
                S_request(sent)->ticket != NULL ? BS_ERR_TICKET
@@ -421,7 +434,7 @@
                                                : BS_ERR_PEER_LOST);
     }
     else if (sent->attempt >= ATTEMPTS_MAX) {
-        S_fail(once, sent, BS_ERR_INCARNATION, BS_OUTCOME_NOT_RUN);
+        S_lose(once, sent, BS_ERR_INCARNATION);
     }
     else {
         S_start_attempt(once, sent, message->from, message->from_incarnation);
--- a/src/owner.c
+++ b/src/owner.c
@@ -184,10 +184,24 @@
     BsCore_Emit(owner->core, cancel);
 }
 
+/* Frees the upstreams that WORK reserved while it waits. */
+static void
+S_unreserve(BsOwner *owner, const BsWork *work)
+{
+    const BsPool *pool = BsOwner_FindPool(owner, work->serves);
+    for (guint i = 0; pool != NULL && i < pool->upstreams->len; i++) {
+        BsUpstream *upstream = pool->upstreams->pdata[i];
+        if (upstream->reserved == work) {
+            upstream->reserved = NULL;
+        }
+    }
+}
+
 /* Forgets WORK, wherever it is. */
 static void
 S_forget(BsOwner *owner, BsWork *work)
 {
+    S_unreserve(owner, work);
     if (work->upstream != NULL) {
         BsOwner_Release(owner, work);
     }
--- a/tests/walk/once_walk.cc
+++ b/tests/walk/once_walk.cc
@@ -497,6 +497,9 @@
         }
         else if (call->outcome == BS_OUTCOME_NOT_RUN) {
             counts->not_run++;
+            if (!IsRefusedAtDoor(call) && RanBefore(booking, call->sent_ms)) {
+                Fail("told not-run though it had run: " + id);
+            }
         }
         else if (call->outcome == BS_OUTCOME_UNKNOWN) {
             counts->unknown++;
@@ -519,6 +522,31 @@
         g_free(whole);
     }
 
+    // Refusals of an entry concern that sending alone.
+    static bool
+    IsRefusedAtDoor(const WorldCall *call)
+    {
+        return call->error == BS_ERR_DRAINING ||
+               call->error == BS_ERR_MEMORY_FULL ||
+               call->error == BS_ERR_NOT_READY ||
+               call->error == BS_ERR_ACCOUNT_LIMIT;
+    }
+
+    bool
+    RanBefore(const Booking &booking, int64_t at_ms)
+    {
+        for (const std::string &name : services_) {
+            const GPtrArray *runs = World_Runs(world_, name.c_str());
+            for (guint i = 0; i < runs->len; i++) {
+                auto *run = static_cast<const WorldRun *>(runs->pdata[i]);
+                if (booking.body == run->body && run->at_ms < at_ms) {
+                    return true;
+                }
+            }
+        }
+        return false;
+    }
+
     // A booking whose every sending was told not-run must not have run.
     void CheckBooking(const Booking &booking)
     {
