Count work stopped at its deadline once

Cause: work stopped while it ran was taken out of the queue count a second time; the count wrapped and the owner refused everything from then on as memory_full.

--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -106,6 +106,7 @@
         S_reserve(pool, work);
     }
     BsOwner_Dequeue(owner, work, false);
+    work->waiting = true;
     owner->queued++;
     owner->queued_bytes += work->body_bytes;
     g_ptr_array_add(pool->aside, work);
--- a/src/owner.c
+++ b/src/owner.c
@@ -99,6 +99,7 @@
 {
     BsPool *pool = BsOwner_FindPool(owner, work->serves);
     work->queued_ms = BsCore_NowMs(owner->core);
+    work->waiting = true;
     owner->queued++;
     owner->queued_bytes += work->body_bytes;
     BsQueue_Push(pool->queue, work, S_weight(owner, work));
@@ -108,6 +109,7 @@
 BsOwner_Dequeue(BsOwner *owner, BsWork *work, bool dispatched)
 {
     BsPool *pool = BsOwner_FindPool(owner, work->serves);
+    work->waiting = false;
     owner->queued--;
     owner->queued_bytes -= work->body_bytes;
     if (work->queued != NULL) {
@@ -186,7 +188,7 @@
     if (work->upstream != NULL) {
         BsOwner_Release(owner, work);
     }
-    else if (work->queued_ms != 0) {
+    else if (work->waiting) {
         BsOwner_Dequeue(owner, work, false);
     }
     g_hash_table_remove(owner->works, work->id);
--- a/src/work.h
+++ b/src/work.h
@@ -35,6 +35,7 @@
     uint32_t prefill_ahead;  /* prefill under way at dispatch, own included */
     uint32_t events;         /* handed on */
     uint32_t output_tokens;  /* received from the last dispatch */
+    bool waiting;            /* queued or set aside */
     bool preempted;          /* gave way at least once */
     bool alone;              /* shares its upstream with nothing */
 } BsWork;
