--- a/src/choice.c
+++ b/src/choice.c
@@ -8,6 +8,9 @@
 /* Owners in the order of a prefix that are looked at in one distance. */
 #define CANDIDATES 3
 
+/* Wait that is worth keeping a request with its prefix. */
+#define SPILL_COST_MS 0
+
 /* Distances from this instance. */
 typedef enum {
     DISTANCE_REGION = 0,
@@ -129,8 +132,9 @@
         BsCandidate *row = &ranking->rows[i];
         const BsLoad *load = BsDigests_FindLoad(
             core->digests, row->name, BsRequest_Serves(request), NULL);
-        row->full = load != NULL &&
-                    (load->free_slots == 0 || load->free_tokens < tokens);
+        row->full =
+            load != NULL && (load->waiting > 0 || load->free_slots == 0 ||
+                             load->free_tokens < tokens);
         row->yielding = load == NULL || load->lowest_rank > rank;
         row->wait_ms = load == NULL ? 0 : load->oldest_wait_ms;
     }
@@ -170,16 +174,21 @@
     return NULL;
 }
 
-/* Returns the owner with the shortest wait; nearer ones win ties. */
+/* Returns the owner with the shortest wait; all but the first pay for the
+   prefix they lack. */
 static const char *
 S_pick_shortest(const BsRanking *rankings, guint count)
 {
     const BsCandidate *best = NULL;
+    int64_t best_ms = 0;
     for (guint distance = 0; distance < count; distance++) {
         for (guint i = 0; i < rankings[distance].count; i++) {
             const BsCandidate *row = &rankings[distance].rows[i];
-            if (best == NULL || row->wait_ms < best->wait_ms) {
+            bool first = i == 0 && distance == DISTANCE_REGION;
+            int64_t cost_ms = row->wait_ms + (first ? 0 : SPILL_COST_MS);
+            if (best == NULL || cost_ms < best_ms) {
                 best = row;
+                best_ms = cost_ms;
             }
         }
     }
--- a/src/pool.c
+++ b/src/pool.c
@@ -152,13 +152,19 @@
 BsPool_OnTick(BsPool *pool, int64_t now_ms)
 {
     int64_t elapsed_ms = now_ms - pool->measured_ms;
+    if (BsQueue_TokensUpTo(pool->queue, BS_RANK_MAX) == 0) {
+        pool->was_empty = true;
+    }
     if (elapsed_ms < MEASURE_MS) {
         return;
     }
     double rate = MS_PER_S * (double)pool->ended_tokens / (double)elapsed_ms;
     bool first = pool->tokens_per_s <= 0.0;
-    pool->tokens_per_s +=
-        (first ? 1.0 : MEASURE_WEIGHT) * (rate - pool->tokens_per_s);
+    if (!pool->was_empty || rate > pool->tokens_per_s) {
+        pool->tokens_per_s +=
+            (first ? 1.0 : MEASURE_WEIGHT) * (rate - pool->tokens_per_s);
+    }
+    pool->was_empty = false;
     pool->ended_tokens = 0;
     pool->measured_ms = now_ms;
 }
--- a/src/pool.h
+++ b/src/pool.h
@@ -21,6 +21,7 @@
     uint64_t ended_tokens;             /* since measured_ms */
     double tokens_per_s;               /* recent rate of ended work */
     int64_t measured_ms;
+    bool was_empty; /* nothing waited at some tick since then */
 } BsPool;
 
 /* Creates an empty pool. */
@@ -50,7 +51,8 @@
 uint32_t BsPool_Limit(const BsPool *pool, const BsColdStart *cold,
                       int64_t now_ms);
 
-/* Measures the rate of ended work. */
+/* Measures the rate of ended work; a pool that ran out of waiting work can
+   only show a higher one. */
 void BsPool_OnTick(BsPool *pool, int64_t now_ms);
 
 #endif /* BS_POOL_H */
