--- a/src/choice.c
+++ b/src/choice.c
@@ -8,8 +8,8 @@
 /* Owners in the order of a prefix that are looked at in one distance. */
 #define CANDIDATES 3
 
-/* Wait that is worth keeping a request with its prefix. */
-#define SPILL_COST_MS 0
+/* Share of its deadline that a request waits to stay with its prefix. */
+#define SPILL_SHARE 4
 
 /* Distances from this instance. */
 typedef enum {
@@ -174,10 +174,10 @@
     return NULL;
 }
 
-/* Returns the owner with the shortest wait; all but the first pay for the
-   prefix they lack. */
+/* Returns the owner with the shortest wait; all but the first pay SPILL_MS
+   for the prefix they lack. */
 static const char *
-S_pick_shortest(const BsRanking *rankings, guint count)
+S_pick_shortest(const BsRanking *rankings, guint count, int64_t spill_ms)
 {
     const BsCandidate *best = NULL;
     int64_t best_ms = 0;
@@ -185,7 +185,7 @@
         for (guint i = 0; i < rankings[distance].count; i++) {
             const BsCandidate *row = &rankings[distance].rows[i];
             bool first = i == 0 && distance == DISTANCE_REGION;
-            int64_t cost_ms = row->wait_ms + (first ? 0 : SPILL_COST_MS);
+            int64_t cost_ms = row->wait_ms + (first ? 0 : spill_ms);
             if (best == NULL || cost_ms < best_ms) {
                 best = row;
                 best_ms = cost_ms;
@@ -213,7 +213,9 @@
     if (BsSheet_IsYieldedTo(BsCore_Sheet(core), request->tier)) {
         owner = S_pick_yielding(rankings, count);
     }
-    return owner != NULL ? owner : S_pick_shortest(rankings, count);
+    return owner != NULL ? owner
+                         : S_pick_shortest(rankings, count,
+                                           request->deadline_ms / SPILL_SHARE);
 }
 
 const char *
