--- a/src/preempt.c
+++ b/src/preempt.c
@@ -11,7 +11,7 @@
 #include "sheet.h"
 
 /* Longest wait for room to come by itself. */
-#define PATIENCE_MS 200
+#define PATIENCE_MS 400
 
 /* Share of the time to spare that may be spent waiting. */
 #define PATIENCE_SHARE 8
