--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -8,6 +8,7 @@
  */
 #include "ownerstate.h"
 
+#include "run.h"
 #include "sheet.h"
 #include "tenure.h"
 
@@ -71,6 +72,9 @@
     pool->running[work->rank]++;
     g_hash_table_insert(owner->dispatched, GUINT_TO_POINTER(work->dispatch),
                         work);
+    if (!request->idempotent) {
+        BsRuns_OnDispatch(owner->core->runs, work->request);
+    }
     BsCore_Count(owner->core, "dispatches", 1);
     BsCore_Count(owner->core, "prefill_tokens",
                  request->prompt_tokens - work->cached_tokens);
--- a/src/owner.c
+++ b/src/owner.c
@@ -4,6 +4,8 @@
 #include "baseline.h"
 #include "ownerstate.h"
 #include "poison.h"
+#include "run.h"
+#include "stop.h"
 
 #include <string.h>
 
@@ -138,6 +140,9 @@
     answer->seq = work->next_seq++;
     answer->attempt = request->attempt;
     answer->to_stage = request->from_stage;
+    if (!request->idempotent) {
+        BsRuns_Keep(owner->core->runs, work->request, piece);
+    }
     BsCore_Send(owner->core, work->request->from,
                 work->request->from_incarnation, piece);
 }
@@ -304,6 +309,9 @@
     if (verdict == BS_POISON_QUARANTINED) {
         return BS_ERR_QUARANTINED;
     }
+    if (BsStop_IsActive(owner->core->stop)) {
+        return BS_ERR_DRAINING;
+    }
     work->alone = verdict == BS_POISON_SUSPECT;
     if (pool == NULL || pool->upstreams->len == 0) {
         return BS_ERR_NO_UPSTREAM;
@@ -324,10 +332,6 @@
     BsWork *work = BsWork_Create(message, S_rank(owner, request),
                                  BsCore_NowMs(owner->core));
     g_hash_table_insert(owner->works, work->id, work);
-    if (!request->idempotent) {
-        BsFences_Add(owner->fences, work->id, BsCore_NowMs(owner->core),
-                     owner->core->config.resend_window_ms);
-    }
     BsOwner_Review(owner);
     if (owner->core->config.policy != BS_POLICY_AFFINITY) {
         S_dispatch_baseline(owner, work);
@@ -385,7 +389,7 @@
     if (answer->crashed) {
         BsPoison_OnCrash(owner->core->poison, request);
     }
-    else {
+    else if (answer->error == BS_ERR_NONE) {
         BsPoison_OnFinish(owner->core->poison, request);
     }
     if (answer->error != BS_ERR_NONE) {
@@ -449,24 +453,23 @@
     }
 }
 
-/* Tells the sender of a cancel that the request will never start here. */
-static void
-S_deny_start(BsOwner *owner, const BsMessage *cancel, const char *id)
+void
+BsOwner_Drain(BsOwner *owner)
 {
-    const BsCancel *wanted = &cancel->u.cancel;
-    if (BsFences_Has(owner->fences, id)) {
-        return;
-    }
-    BsFences_Add(owner->fences, id, BsCore_NowMs(owner->core),
-                 owner->core->config.resend_window_ms);
-    if (cancel->to_incarnation != owner->core->config.incarnation) {
-        return;
+    GList *works = g_hash_table_get_values(owner->works);
+    for (GList *node = works; node != NULL; node = node->next) {
+        BsWork *work = node->data;
+        if (work->upstream == NULL) {
+            BsOwner_GiveBack(owner, work, BS_ERR_DRAINING);
+        }
     }
-    BsMessage *answer =
-        BsCore_CreateError(BS_ANSWER, wanted->request_id, wanted->attempt,
-                           BS_ERR_CANCELLED, BS_OUTCOME_NOT_RUN);
-    answer->u.answer.to_stage = BS_STAGE_KEEPER;
-    BsCore_Send(owner->core, cancel->from, cancel->from_incarnation, answer);
+    g_list_free(works);
+}
+
+uint32_t
+BsOwner_Count(const BsOwner *owner)
+{
+    return g_hash_table_size(owner->works);
 }
 
 void
@@ -479,7 +482,8 @@
     char *id = g_strdup_printf("%s/%u", cancel->request_id, cancel->attempt);
     BsWork *work = g_hash_table_lookup(owner->works, id);
     if (work == NULL) {
-        S_deny_start(owner, message, id);
+        BsFences_Add(owner->fences, id, BsCore_NowMs(owner->core),
+                     owner->core->config.resend_window_ms);
     }
     else if (work->upstream == NULL) {
         BsOwner_GiveBack(owner, work, BS_ERR_CANCELLED);
