--- a/src/core.h
+++ b/src/core.h
@@ -19,6 +19,12 @@
 typedef struct BsTenure BsTenure;
 typedef struct BsDigests BsDigests;
 typedef struct BsPoison BsPoison;
+typedef struct BsPeers BsPeers;
+typedef struct BsOnce BsOnce;
+typedef struct BsRuns BsRuns;
+typedef struct BsWitness BsWitness;
+typedef struct BsExplain BsExplain;
+typedef struct BsStop BsStop;
 typedef struct BsOrders BsOrders;
 typedef struct BsWatchers BsWatchers;
 typedef struct BsLink BsLink;
@@ -45,6 +51,14 @@
     BsKeeper *keeper;
     BsOwner *owner;
     int64_t started_ms;
+    BsPeers *peers;
+    BsOnce *once;
+    BsRuns *runs;
+    BsWitness *witness;
+    BsExplain *explain;
+    BsStop *stop;
+    uint64_t next_forward; /* number of the last forward sent */
+    uint64_t next_ticket;  /* number of the last ticket issued */
     BsOrders *orders;
     BsWatchers *watchers;
     bool stepping;
@@ -61,6 +75,9 @@
 void BsCore_Send(BsCore *core, const char *to, uint64_t incarnation,
                  BsMessage *message);
 
+/* Returns the number of the next forward, never 0. */
+uint64_t BsCore_NextForward(BsCore *core);
+
 /* Adds AMOUNT to a counter. */
 void BsCore_Count(BsCore *core, const char *name, uint64_t amount);
 
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -8,6 +8,7 @@
  */
 #include "ownerstate.h"
 
+#include "run.h"
 #include "sheet.h"
 #include "tenure.h"
 
@@ -42,8 +43,9 @@
     }
 }
 
-static void
-S_dispatch(BsOwner *owner, BsPool *pool, BsWork *work, BsUpstream *upstream)
+void
+BsOwner_Dispatch(BsOwner *owner, BsPool *pool, BsWork *work,
+                 BsUpstream *upstream)
 {
     int64_t now_ms = BsCore_NowMs(owner->core);
     BsOwner_Dequeue(owner, work, true);
@@ -70,6 +72,9 @@
     pool->running[work->rank]++;
     g_hash_table_insert(owner->dispatched, GUINT_TO_POINTER(work->dispatch),
                         work);
+    if (!request->idempotent) {
+        BsRuns_OnDispatch(owner->core->runs, work->request);
+    }
     BsCore_Count(owner->core, "dispatches", 1);
     BsCore_Count(owner->core, "prefill_tokens",
                  request->prompt_tokens - work->cached_tokens);
@@ -149,7 +154,7 @@
         upstream = BsOwner_Preempt(owner, pool, work);
     }
     if (upstream != NULL) {
-        S_dispatch(owner, pool, work, upstream);
+        BsOwner_Dispatch(owner, pool, work, upstream);
         return STEP_DONE;
     }
     if (S_should_ask_others(owner, pool, work)) {
--- a/src/resolve.c
+++ b/src/resolve.c
@@ -6,6 +6,7 @@
  * not.
  */
 #include "entrystate.h"
+#include "once.h"
 #include "token.h"
 
 /* Longest deadline a caller may ask for. */
@@ -101,8 +102,11 @@
     if (error != BS_ERR_NONE) {
         return error;
     }
-    if (!request->idempotent && request->key == NULL) {
-        request->key = g_strdup(request->request_id);
+    if (!request->idempotent) {
+        error = BsOnce_Prepare(entry->core->once, request);
+    }
+    if (error != BS_ERR_NONE) {
+        return error;
     }
     request->from_stage = BS_STAGE_ENTRY;
     request->stage = request->idempotent ? BS_STAGE_OWNER : BS_STAGE_KEEPER;
