--- a/src/d_admin.c
+++ b/src/d_admin.c
@@ -183,11 +183,11 @@
 }
 
 static void
-S_resume(BsQuestion *question)
+S_resume(BsAdmin *admin, BsQuestion *question)
 {
     if (question->suspended) {
         question->suspended = false;
-        MHD_resume_connection(question->connection);
+        BsHttpd_Resume(admin->httpd, question->connection);
     }
 }
 
@@ -206,7 +206,7 @@
     question->status = reply->status;
     question->body = question->metrics ? S_add_counters(admin, reply->body)
                                        : g_bytes_ref(reply->body);
-    S_resume(question);
+    S_resume(admin, question);
 }
 
 BsAdmin *
@@ -248,7 +248,7 @@
             S_answer(question, MHD_HTTP_SERVICE_UNAVAILABLE,
                      "{\"error\":\"the instance is stopping\"}");
         }
-        S_resume(question);
+        S_resume(admin, question);
     }
     BsHttpd_Destroy(admin->httpd);
     g_hash_table_destroy(admin->questions);
--- a/src/d_call.c
+++ b/src/d_call.c
@@ -32,6 +32,7 @@
 
 struct BsCall {
     BsLoop *loop;
+    BsHttpd *httpd;
     struct MHD_Connection *connection;
     char *target;
     const char *id;
@@ -58,10 +59,11 @@
 };
 
 BsCall *
-BsCall_Create(BsLoop *loop, const char *target)
+BsCall_Create(BsLoop *loop, BsHttpd *httpd, const char *target)
 {
     BsCall *call = g_new0(BsCall, 1);
     call->loop = loop;
+    call->httpd = httpd;
     call->target = g_strdup(target);
     call->body = g_byte_array_new();
     call->out = g_byte_array_new();
@@ -156,7 +158,7 @@
 {
     if (call->suspended) {
         call->suspended = false;
-        MHD_resume_connection(call->connection);
+        BsHttpd_Resume(call->httpd, call->connection);
     }
 }
 
--- a/src/d_call.h
+++ b/src/d_call.h
@@ -9,14 +9,12 @@
 #ifndef BS_D_CALL_H
 #define BS_D_CALL_H
 
-#include "d_loop.h"
-
-#include <microhttpd.h>
+#include "d_httpd.h"
 
 typedef struct BsCall BsCall;
 
-/* Creates a call for the path and query TARGET. */
-BsCall *BsCall_Create(BsLoop *loop, const char *target);
+/* Creates a call of HTTPD for the path and query TARGET. */
+BsCall *BsCall_Create(BsLoop *loop, BsHttpd *httpd, const char *target);
 
 /* Frees CALL, which must be closed. */
 void BsCall_Destroy(BsCall *call);
--- a/src/d_callers.c
+++ b/src/d_callers.c
@@ -168,7 +168,7 @@
     BsCallers *callers = context;
     (void)connection;
     BsLoop_Count(callers->loop, "caller_requests", 1);
-    return BsCall_Create(callers->loop, uri);
+    return BsCall_Create(callers->loop, callers->httpd, uri);
 }
 
 static void
--- a/src/d_httpd.c
+++ b/src/d_httpd.c
@@ -20,6 +20,7 @@
     ev_prepare prepare;
     ev_timer timer;
     int listen_fd; /* to be closed by us, or -1 */
+    bool resumed;  /* a connection was resumed and not served yet */
 };
 
 static void
@@ -52,6 +53,10 @@
     BsHttpd *httpd = watcher->data;
     MHD_UNSIGNED_LONG_LONG timeout_ms = 0;
     enum MHD_Result has_timeout = MHD_NO;
+    if (httpd->resumed) {
+        httpd->resumed = false;
+        S_run(httpd);
+    }
     for (int i = 0; i < RUNS_MAX; i++) {
         has_timeout = MHD_get_timeout(httpd->daemon, &timeout_ms);
         if (has_timeout != MHD_YES || timeout_ms > 0) {
@@ -189,6 +194,14 @@
     g_free(httpd);
 }
 
+void
+BsHttpd_Resume(BsHttpd *httpd, struct MHD_Connection *connection)
+{
+    MHD_resume_connection(connection);
+    httpd->resumed = true;
+    ev_feed_event(BsLoop_Ev(httpd->loop), &httpd->prepare, EV_PREPARE);
+}
+
 void
 BsHttpd_Quiesce(BsHttpd *httpd)
 {
--- a/src/d_httpd.h
+++ b/src/d_httpd.h
@@ -37,6 +37,10 @@
 /* Closes the server and its connections; NULL is allowed. */
 void BsHttpd_Destroy(BsHttpd *httpd);
 
+/* Resumes a suspended connection and has it served in this turn of the loop,
+   which the server does not do by itself. */
+void BsHttpd_Resume(BsHttpd *httpd, struct MHD_Connection *connection);
+
 /* Stops accepting connections; open ones go on. */
 void BsHttpd_Quiesce(BsHttpd *httpd);
 
