--- a/src/once.c
+++ b/src/once.c
@@ -5,6 +5,7 @@
 #include "peer.h"
 #include "reorder.h"
 #include "schema.h"
+#include "tally.h"
 #include "ticket.h"
 #include "witness.h"
 
@@ -198,6 +199,8 @@
         BsExplain_OnEnd(once->core->explain, S_request(sent)->request_id,
                         answer, sent->keeper);
         BsCore_Count(once->core, "answers_final", 1);
+        BsTally_Answer(once->core, S_request(sent), answer->outcome,
+                       BsCore_NowMs(once->core) <= sent->deadline_ms);
     }
     if (sent->gone) {
         BsMessage_Destroy(piece);
