--- a/Makefile
+++ b/Makefile
@@ -53,3 +53,18 @@
 # Goodput of the policies; the tables quoted in docs/measurements.md.
 policy: build
 	$(BUILD)/bin/policy_bench
+
+.PHONY: demo packages
+
+# Installs what the build needs; does nothing when all of it is there.
+packages:
+	@dpkg -s $$(cat .ci/packages) >/dev/null 2>&1 || { \
+		SUDO=$$([ "$$(id -u)" = 0 ] || echo sudo); \
+		$$SUDO apt-get update -q && \
+		$$SUDO apt-get install -y -q --no-install-recommends \
+			$$(cat .ci/packages); }
+
+# Starts a small fleet, sends four requests and says what was seen.
+demo: packages
+	$(MAKE) build
+	tests/demo/demo.sh $(BUILD)/bin
