boragespur evening: the owner's page from all instances

Each is asked for at most 3 s: a frozen one accepts a connection and never answers (seen with SIGSTOP: page after 3.0 s, exit code 3).

--- a/src/cli_command.c
+++ b/src/cli_command.c
@@ -32,7 +32,8 @@
 static const BsSubcommand S_subcommands[] = {
     {"check", 1, BsCommand_Check},   {"send", 1, BsCommand_Send},
     {"status", 0, BsCommand_Status}, {"explain", 1, BsCommand_Explain},
-    {"drain", 0, BsCommand_Drain},   {"version", 0, S_version},
+    {"drain", 0, BsCommand_Drain},   {"evening", 1, BsCommand_Evening},
+    {"version", 0, S_version},
 };
 
 static const char S_summary[] =
@@ -42,9 +43,12 @@
     "  status              print the status of an instance\n"
     "  explain REQUEST-ID  print what became of a request and why\n"
     "  drain               start a planned stop of an instance\n"
+    "  evening ADDRESS,... print the owner's page for the day from the\n"
+    "                      admin addresses of all instances\n"
     "  version             print the version\n"
     "\n"
-    "Exit codes: 0 done, 1 negative answer, 2 wrong usage or settings.";
+    "Exit codes: 0 done, 1 negative answer, 2 wrong usage or settings, 3 not\n"
+    "everything is known (evening).";
 
 static bool
 S_parse(int *argc, char ***argv, BsCommandOptions *options)
@@ -70,6 +74,10 @@
          "Time the caller waits", "MS"},
         {"json", 0, 0, G_OPTION_ARG_NONE, &options->json,
          "Print one JSON document", NULL},
+        {"platform", 0, 0, G_OPTION_ARG_STRING, &options->platform,
+         "Configuration service, to find instances not asked", "URL"},
+        {"html", 0, 0, G_OPTION_ARG_NONE, &options->html,
+         "Print the page as HTML", NULL},
         G_OPTION_ENTRY_NULL};
     GError *error = NULL;
     GOptionContext *context = g_option_context_new("COMMAND [ARGUMENT]");
@@ -104,7 +112,7 @@
     }
     fprintf(stderr,
             "boragespur: '%s' is no command; use check, send, status, "
-            "explain, drain or version\n",
+            "explain, drain, evening or version\n",
             name);
     return BS_EXIT_USAGE;
 }
@@ -113,6 +121,7 @@
 S_clear(BsCommandOptions *options)
 {
     g_free(options->admin);
+    g_free(options->platform);
     g_free(options->callers);
     g_free(options->token);
     g_free(options->key);
--- a/src/cli_command.h
+++ b/src/cli_command.h
@@ -25,7 +25,9 @@
     char *method;
     char *data;
     gint64 deadline_ms;
+    char *platform; /* address of the configuration service */
     gboolean json;
+    gboolean html;
 } BsCommandOptions;
 
 /* Runs the command line; returns the exit code. */
@@ -43,6 +45,10 @@
 /* Prints what an instance knows of a request. */
 int BsCommand_Explain(const BsCommandOptions *options, const char *id);
 
+/* Prints the owner's page for the day from the instances at ADDRESSES, admin
+   addresses separated by commas; 3 means that not everything is known. */
+int BsCommand_Evening(const BsCommandOptions *options, const char *addresses);
+
 /* Starts a planned stop of an instance. */
 int BsCommand_Drain(const BsCommandOptions *options, const char *argument);
 
--- /dev/null
+++ b/src/cli_evening.c
@@ -0,0 +1,124 @@
+/* cli_evening.c - boragespur evening: the owner's page for the day. */
+#include "cli_command.h"
+#include "cli_http.h"
+#include "evening.h"
+
+#include <jansson.h>
+#include <stdio.h>
+#include <string.h>
+
+#define STATUS_OK 200
+#define LATE_PERCENT 1
+
+/* A frozen instance accepts a connection and never answers. */
+#define ASK_LIMIT_MS 3000
+
+#define LIST_PATH "/v1/keys/instances"
+
+/* Returns the body of PATH at ADDRESS, or NULL; g_free() it. */
+static char *
+S_fetch(const char *address, const char *path)
+{
+    BsExchange exchange;
+    char *text = NULL;
+    if (BsExchange_RunWithin(&exchange, ASK_LIMIT_MS, address, "GET", path,
+                             NULL, NULL, NULL) &&
+        exchange.status == STATUS_OK) {
+        text = g_strdup(exchange.body->str);
+    }
+    BsExchange_Clear(&exchange);
+    return text;
+}
+
+/* Returns the name that the instance at ADDRESS gives itself, or NULL. */
+static char *
+S_fetch_name(const char *address)
+{
+    char *text = S_fetch(address, "/status");
+    json_t *json = text == NULL ? NULL : json_loads(text, 0, NULL);
+    char *name =
+        g_strdup(json_string_value(json_object_get(json, "instance")));
+    json_decref(json);
+    g_free(text);
+    return name;
+}
+
+/* Asks the instance at ADDRESS and adds its name to NAMES. */
+static void
+S_ask(BsEvening *evening, const char *address, GHashTable *names)
+{
+    char *name = S_fetch_name(address);
+    char *metrics = name == NULL ? NULL : S_fetch(address, "/metrics");
+    if (metrics == NULL) {
+        BsEvening_AddMissing(evening, name == NULL ? address : name,
+                             "it gave no answer");
+    }
+    else {
+        BsEvening_AddMetrics(evening, name, metrics);
+    }
+    if (name != NULL) {
+        g_hash_table_add(names, name);
+    }
+    g_free(metrics);
+}
+
+/* Names the instances of the platform's list that were not asked. */
+static void
+S_check_list(BsEvening *evening, const char *platform, GHashTable *names)
+{
+    char *text = S_fetch(platform, LIST_PATH);
+    json_t *list = text == NULL ? NULL : json_loads(text, 0, NULL);
+    const json_t *entry;
+    size_t index;
+    if (list == NULL) {
+        BsEvening_AddMissing(evening, "the instance list",
+                             "the configuration service gave none");
+    }
+    json_array_foreach(json_object_get(list, "entries"), index, entry)
+    {
+        const char *kind = json_string_value(json_object_get(entry, "kind"));
+        const char *name = json_string_value(json_object_get(entry, "name"));
+        if (name != NULL && g_strcmp0(kind, "instance") == 0 &&
+            !g_hash_table_contains(names, name)) {
+            BsEvening_AddMissing(evening, name,
+                                 "it is listed, but no address given here "
+                                 "is its own");
+        }
+    }
+    json_decref(list);
+    g_free(text);
+}
+
+static void
+S_print(const BsEvening *evening, bool html)
+{
+    GDateTime *now = g_date_time_new_now_local();
+    char *day = g_date_time_format(now, "%A, %-d %B %Y, %H:%M");
+    char *page = html ? BsEvening_FormatHtml(evening, day)
+                      : BsEvening_FormatText(evening, day);
+    fputs(page, stdout);
+    g_free(page);
+    g_free(day);
+    g_date_time_unref(now);
+}
+
+int
+BsCommand_Evening(const BsCommandOptions *options, const char *addresses)
+{
+    BsEvening *evening = BsEvening_Create(LATE_PERCENT);
+    GHashTable *names =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    char **list = g_strsplit(addresses, ",", -1);
+    for (char **address = list; *address != NULL; address++) {
+        S_ask(evening, g_strstrip(*address), names);
+    }
+    if (options->platform != NULL) {
+        S_check_list(evening, options->platform, names);
+    }
+    S_print(evening, options->html);
+    int code = (int)BsEvening_Verdict(evening);
+    g_strfreev(list);
+    g_hash_table_destroy(names);
+    BsEvening_Destroy(evening);
+    return code;
+}
--- a/src/cli_http.c
+++ b/src/cli_http.c
@@ -48,6 +48,15 @@
 BsExchange_Run(BsExchange *exchange, const char *address, const char *method,
                const char *path, struct curl_slist *headers, const char *body,
                FILE *echo)
+{
+    return BsExchange_RunWithin(exchange, 0, address, method, path, headers,
+                                body, echo);
+}
+
+bool
+BsExchange_RunWithin(BsExchange *exchange, long limit_ms, const char *address,
+                     const char *method, const char *path,
+                     struct curl_slist *headers, const char *body, FILE *echo)
 {
     BsSink sink = {exchange, echo};
     bool has_scheme = strstr(address, "://") != NULL;
@@ -58,6 +67,7 @@
     exchange->body = g_string_new(NULL);
     curl_easy_setopt(easy, CURLOPT_URL, url);
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, limit_ms);
     curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, method);
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, S_on_write);
