--- a/Makefile
+++ b/Makefile
@@ -68,3 +68,9 @@
 demo: packages
 	$(MAKE) build
 	tests/demo/demo.sh $(BUILD)/bin
+
+.PHONY: bench
+
+# Latency, rates, memory and step cost of one instance on loopback, as JSON.
+bench: build
+	$(BUILD)/bin/bench $(BUILD)/bin
--- /dev/null
+++ b/bench/main_bench.c
@@ -0,0 +1,259 @@
+/*
+ * main_bench.c - figures of one instance on loopback, as JSON.
+ *
+ * usage: bench BIN_DIRECTORY
+ * Figures through the daemon stand beside figures taken directly at the
+ * stand-in in the same run.  Aims are printed with them and never checked.
+ */
+#include "control.h"
+#include "corecost.h"
+#include "fleet.h"
+#include "httpload.h"
+
+#include <curl/curl.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#define READY_LIMIT_MS 20000
+#define WARM_UP_MS 4000
+#define LATENCY_MS 6000
+#define LATENCY_PER_S 500.0
+#define RATE_MS 4000
+#define RATE_CONNECTIONS 64
+#define EVENTS_MS 6000
+#define EVENT_STREAMS 80
+#define EVENT_RATE 100
+#define EVENTS_SETTLED_MS 2000
+#define MEMORY_MS 12000
+#define MEMORY_STREAMS 1000
+#define SLOW_RATE 2
+#define SLOTS 1200
+#define LOOKUP "/status/1"
+#define LOOKUP_THROUGH "/services/bookings" LOOKUP
+#define CHAT "/v1/chat/completions"
+
+/* Processor time and memory of the daemon while a load runs. */
+typedef struct {
+    int pid;
+    int64_t from_ms;  /* processor time is taken from here on */
+    int64_t began_ms; /* when it was first taken, 0 before */
+    int64_t ended_ms;
+    double began_cpu_s;
+    double ended_cpu_s;
+    uint64_t began_events;
+    uint64_t ended_events;
+    unsigned open_most;
+    long rss_kb_at_most;
+} S_Watch;
+
+static double
+S_cpu_s(int pid)
+{
+    unsigned long user = 0;
+    unsigned long system_time = 0;
+    char path[64];
+    g_snprintf(path, sizeof(path), "/proc/%d/stat", pid);
+    char *text = NULL;
+    if (g_file_get_contents(path, &text, NULL, NULL)) {
+        char **fields = g_strsplit(strrchr(text, ')') + 2, " ", -1);
+        user = strtoul(fields[11], NULL, 10);
+        system_time = strtoul(fields[12], NULL, 10);
+        g_strfreev(fields);
+    }
+    g_free(text);
+    return (double)(user + system_time) / (double)sysconf(_SC_CLK_TCK);
+}
+
+static long
+S_rss_kb(int pid)
+{
+    char path[64];
+    char *text = NULL;
+    long rss_kb = 0;
+    g_snprintf(path, sizeof(path), "/proc/%d/status", pid);
+    if (g_file_get_contents(path, &text, NULL, NULL)) {
+        const char *line = strstr(text, "VmRSS:");
+        rss_kb = line == NULL ? 0 : strtol(line + strlen("VmRSS:"), NULL, 10);
+    }
+    g_free(text);
+    return rss_kb;
+}
+
+static void
+S_sample(const BsHttpLoadResult *results, int64_t elapsed_ms, void *context)
+{
+    S_Watch *watch = context;
+    if (elapsed_ms < watch->from_ms) {
+        return;
+    }
+    if (watch->began_ms == 0) {
+        watch->began_ms = elapsed_ms;
+        watch->began_cpu_s = S_cpu_s(watch->pid);
+        watch->began_events = results[0].events;
+    }
+    watch->ended_ms = elapsed_ms;
+    watch->ended_cpu_s = S_cpu_s(watch->pid);
+    watch->ended_events = results[0].events;
+    if (results[0].open >= watch->open_most) {
+        watch->open_most = results[0].open;
+        watch->rss_kb_at_most = S_rss_kb(watch->pid);
+    }
+}
+
+static double
+S_seconds(const S_Watch *watch)
+{
+    return (double)MAX(watch->ended_ms - watch->began_ms, 1) / 1000.0;
+}
+
+static double
+S_cores(const S_Watch *watch)
+{
+    return (watch->ended_cpu_s - watch->began_cpu_s) / S_seconds(watch);
+}
+
+static json_t *
+S_bench_latency(const BsFleetInstance *instance,
+                const BsFleetUpstream *service)
+{
+    BsHttpLoadSpec specs[] = {
+        {instance->caller_port, LOOKUP_THROUGH, NULL, LATENCY_PER_S, 64},
+        {service->process.port, LOOKUP, NULL, LATENCY_PER_S, 64}};
+    BsHttpLoadResult results[2];
+    S_Watch watch = {.pid = (int)instance->process.pid, .from_ms = 1000};
+    BsHttpLoad_Run(specs, 2, LATENCY_MS, results, S_sample, &watch);
+    uint32_t through_50 = BsHttpLoadResult_Percentile(&results[0], 50);
+    uint32_t through_99 = BsHttpLoadResult_Percentile(&results[0], 99);
+    uint32_t direct_50 = BsHttpLoadResult_Percentile(&results[1], 50);
+    uint32_t direct_99 = BsHttpLoadResult_Percentile(&results[1], 99);
+    json_t *json = json_pack(
+        "{s:f, s:i, s:i, s:i, s:i, s:i, s:f, s:f, s:f, s:f}", "per_s",
+        LATENCY_PER_S, "errors", (int)results[0].errors, "through_p50_us",
+        (int)through_50, "through_p99_us", (int)through_99, "direct_p50_us",
+        (int)direct_50, "direct_p99_us", (int)direct_99, "added_p50_ms",
+        ((double)through_50 - direct_50) / 1000.0, "aim_added_p50_ms", 0.3,
+        "added_p99_ms", ((double)through_99 - direct_99) / 1000.0,
+        "aim_added_p99_ms", 2.0);
+    json_object_set_new(json, "cores", json_real(S_cores(&watch)));
+    BsHttpLoadResult_Clear(&results[0]);
+    BsHttpLoadResult_Clear(&results[1]);
+    return json;
+}
+
+static json_t *
+S_bench_rate(const BsFleetInstance *instance)
+{
+    BsHttpLoadSpec spec = {instance->caller_port, LOOKUP_THROUGH, NULL, 0.0,
+                           RATE_CONNECTIONS};
+    BsHttpLoadResult result;
+    S_Watch watch = {.pid = (int)instance->process.pid, .from_ms = 1000};
+    BsHttpLoad_Run(&spec, 1, RATE_MS, &result, S_sample, &watch);
+    json_t *json = json_pack("{s:f, s:i, s:i, s:f}", "requests_per_s",
+                             result.latencies_us->len * 1000.0 / RATE_MS,
+                             "connections", RATE_CONNECTIONS, "errors",
+                             (int)result.errors, "cores", S_cores(&watch));
+    BsHttpLoadResult_Clear(&result);
+    return json;
+}
+
+static char *
+S_chat_body(unsigned tokens)
+{
+    return g_strdup_printf("{\"model\":\"" BS_FLEET_MODEL
+                           "\",\"stream\":true,\"max_tokens\":%u,"
+                           "\"messages\":[{\"role\":\"user\",\"content\":"
+                           "\"bench\"}]}",
+                           tokens);
+}
+
+static json_t *
+S_bench_events(const BsFleetInstance *instance)
+{
+    char *body = S_chat_body(EVENT_RATE * EVENTS_MS / 1000);
+    BsHttpLoadSpec spec = {instance->caller_port, CHAT, body, 0.0,
+                           EVENT_STREAMS};
+    BsHttpLoadResult result;
+    S_Watch watch = {.pid = (int)instance->process.pid,
+                     .from_ms = EVENTS_SETTLED_MS};
+    BsHttpLoad_Run(&spec, 1, EVENTS_MS, &result, S_sample, &watch);
+    double per_s =
+        (double)(watch.ended_events - watch.began_events) / S_seconds(&watch);
+    double cores = S_cores(&watch);
+    json_t *json = json_pack(
+        "{s:f, s:i, s:i, s:f, s:f, s:f}", "events_per_s", per_s, "streams",
+        (int)watch.open_most, "errors", (int)result.errors, "cores", cores,
+        "cores_per_8000_events", per_s > 0.0 ? cores * 8000.0 / per_s : 0.0,
+        "aim_cores_per_8000_events", 0.25);
+    BsHttpLoadResult_Clear(&result);
+    g_free(body);
+    return json;
+}
+
+static json_t *
+S_bench_memory(const BsFleetInstance *instance)
+{
+    char *body = S_chat_body(SLOW_RATE * MEMORY_MS / 1000);
+    long idle_kb = S_rss_kb((int)instance->process.pid);
+    BsHttpLoadSpec spec = {instance->caller_port, CHAT, body, 0.0,
+                           MEMORY_STREAMS};
+    BsHttpLoadResult result;
+    S_Watch watch = {.pid = (int)instance->process.pid, .from_ms = 1000};
+    BsHttpLoad_Run(&spec, 1, MEMORY_MS, &result, S_sample, &watch);
+    json_t *json =
+        json_pack("{s:i, s:i, s:f, s:f, s:f, s:I}", "open_requests",
+                  (int)watch.open_most, "errors", (int)result.errors,
+                  "idle_mb", (double)idle_kb / 1024.0, "rss_mb",
+                  (double)watch.rss_kb_at_most / 1024.0, "aim_rss_mb", 64.0,
+                  "events", (json_int_t)result.events);
+    BsHttpLoadResult_Clear(&result);
+    g_free(body);
+    return json;
+}
+
+/* Starts one instance before a service and an engine of RATE. */
+static BsFleet *
+S_start(const char *bin, int rate)
+{
+    BsFleet *fleet = BsFleet_Create(bin);
+    BsFleet_AddService(fleet, "b1", "n1", 0);
+    BsFleet_AddEngine(fleet, "e1", "n1", SLOTS, rate);
+    BsFleetInstance *instance = BsFleet_AddInstance(fleet, "i0", "n1");
+    BsFleet_PublishSheet(fleet, BsFleet_DefaultSheet());
+    BsFleet_Publish(fleet);
+    BsFleet_Start(fleet, instance, true);
+    if (!BsFleet_WaitReady(instance, READY_LIMIT_MS)) {
+        g_error("the instance did not become ready; see %s", fleet->directory);
+    }
+    g_usleep(WARM_UP_MS * G_TIME_SPAN_MILLISECOND);
+    return fleet;
+}
+
+int
+main(int argc, char **argv)
+{
+    if (argc != 2) {
+        fprintf(stderr, "usage: bench BIN_DIRECTORY\n");
+        return 2;
+    }
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    json_t *report = json_object();
+    BsFleet *fleet = S_start(argv[1], EVENT_RATE);
+    const BsFleetInstance *instance = fleet->instances->pdata[0];
+    json_object_set_new(report, "latency",
+                        S_bench_latency(instance, fleet->upstreams->pdata[0]));
+    json_object_set_new(report, "rate", S_bench_rate(instance));
+    json_object_set_new(report, "events", S_bench_events(instance));
+    BsFleet_Destroy(fleet, false);
+    fleet = S_start(argv[1], SLOW_RATE);
+    json_object_set_new(report, "memory",
+                        S_bench_memory(fleet->instances->pdata[0]));
+    BsFleet_Destroy(fleet, false);
+    json_object_set_new(report, "core", BsCoreCost_Measure());
+    json_dumpf(report, stdout, JSON_INDENT(2) | JSON_REAL_PRECISION(4));
+    puts("");
+    json_decref(report);
+    curl_global_cleanup();
+    return 0;
+}
