--- a/src/boragespur.h
+++ b/src/boragespur.h
@@ -65,6 +65,7 @@
     BS_ERR_INCARNATION,   /* meant for another incarnation of the instance */
     BS_ERR_NOT_KEEPER,    /* another instance keeps the key */
     BS_ERR_KEY_MOVED,     /* the record is at the instance named */
+    BS_ERR_ANSWER_LOST,   /* it ran; its answer is not kept */
     BS_ERR_COUNT
 } BsErrorKind;
 
@@ -164,28 +165,29 @@
     BS_DRAINED,            /* no payload; the host may exit */
 
     /* Core to core. */
-    BS_FORWARD = 64,  /* request */
-    BS_ACCEPT,        /* accept */
-    BS_ANSWER,        /* answer */
-    BS_CANCEL,        /* cancel */
-    BS_FLOW,          /* flow */
-    BS_DIGEST,        /* digest */
-    BS_PROBE,         /* probe */
-    BS_PROBE_REPLY,   /* probe */
-    BS_COLLECT,       /* collect */
-    BS_COLLECT_REPLY, /* collected */
-    BS_WITNESS,       /* note */
-    BS_WITNESS_ACK,   /* note */
-    BS_SHEET_PULL,    /* sheet */
-    BS_SHEET_PUSH,    /* sheet */
-    BS_SUSPECT,       /* suspect */
-    BS_PEER_QUERY,    /* query */
-    BS_PEER_REPLY,    /* reply */
-    BS_HANDOVER,      /* collected */
-    BS_HANDOVER_ACK,  /* probe */
-    BS_LIST_PULL,     /* sheet; REVISION wanted, BASE_REVISION held */
-    BS_LIST_PUSH,     /* list */
-    BS_CHECK          /* accept */
+    BS_FORWARD = 64,   /* request */
+    BS_ACCEPT,         /* accept */
+    BS_ANSWER,         /* answer */
+    BS_CANCEL,         /* cancel */
+    BS_FLOW,           /* flow */
+    BS_DIGEST,         /* digest */
+    BS_PROBE,          /* probe */
+    BS_PROBE_REPLY,    /* probe */
+    BS_COLLECT,        /* collect */
+    BS_COLLECT_REPLY,  /* collected */
+    BS_WITNESS,        /* note */
+    BS_WITNESS_ACK,    /* note */
+    BS_SHEET_PULL,     /* sheet */
+    BS_SHEET_PUSH,     /* sheet */
+    BS_SUSPECT,        /* suspect */
+    BS_PEER_QUERY,     /* query */
+    BS_PEER_REPLY,     /* reply */
+    BS_HANDOVER,       /* collected */
+    BS_HANDOVER_ACK,   /* probe */
+    BS_LIST_PULL,      /* sheet; REVISION wanted, BASE_REVISION held */
+    BS_LIST_PUSH,      /* list */
+    BS_WATCH_HANDOVER, /* watch; the sender cannot read the service */
+    BS_CHECK           /* accept */
 } BsMessageKind;
 
 /* A request as it travels from caller to upstream. */
@@ -253,7 +255,8 @@
     char *request_id;
     uint32_t attempt;
     uint32_t to_stage;
-    uint32_t reason; /* BsErrorKind */
+    uint32_t reason;     /* BsErrorKind */
+    uint32_t from_stage; /* BsStage of the sender, when a keeper */
 } BsCancel;
 
 /* Stops or restarts the flow of an answer. */
@@ -298,6 +301,7 @@
     uint64_t revision;
     uint64_t base_revision; /* 0 when TEXT is whole */
     GBytes *text;
+    uint32_t hash; /* of the text held, or of the whole result */
 } BsSheetText;
 
 /* An upstream's report of its own state. */
@@ -403,6 +407,7 @@
     uint64_t sheet_revision;
     uint64_t settled_revision; /* list the prober last settled, 0 for none */
     int64_t age_ms;            /* since the sender started */
+    uint32_t sheet_hash;       /* of the text in force */
 } BsProbe;
 
 /* What an instance knows of one non-idempotent request. */
--- /dev/null
+++ b/src/d_stop.c
@@ -0,0 +1,139 @@
+/* d_stop.c - planned stops. */
+#include "d_stop.h"
+
+#include <signal.h>
+#include <syslog.h>
+
+#define CHECK_S 0.05
+
+/* Time for the last answers to reach their callers. */
+#define FLUSH_MS 2000
+
+/* Limit of a stop that is asked for a second time. */
+#define HURRY_MS 1
+
+/* Time beyond the limit in which the core's own end may arrive. */
+#define LIMIT_GRACE_MS 6000
+
+struct BsStopSignals {
+    BsLoop *loop;
+    BsCallers *callers;
+    ev_signal term;
+    ev_signal interrupt;
+    ev_timer check;
+    int64_t limit_ms;       /* when the stop is forced */
+    int64_t flush_until_ms; /* 0 until nothing more is waited for */
+    bool draining;
+    bool drained;
+};
+
+static void
+S_flush(BsStopSignals *stop)
+{
+    if (stop->flush_until_ms == 0) {
+        stop->flush_until_ms = BsLoop_NowMs(stop->loop) + FLUSH_MS;
+    }
+}
+
+/* Ends waiting requests as unknown. */
+static void
+S_give_up(BsStopSignals *stop, const char *reason)
+{
+    if (stop->flush_until_ms == 0) {
+        BsLoop_Log(stop->loop, LOG_WARNING,
+                   "%s: waiting requests end as unknown", reason);
+        BsCallers_FailAll(stop->callers, BS_ERR_DRAINING);
+    }
+    S_flush(stop);
+}
+
+static void
+S_on_check(struct ev_loop *ev, ev_timer *watcher, int events)
+{
+    (void)ev;
+    (void)events;
+    BsStopSignals *stop = watcher->data;
+    bool answered = BsCallers_Count(stop->callers) == 0;
+    int64_t now_ms = BsLoop_NowMs(stop->loop);
+    if (now_ms >= stop->limit_ms) {
+        S_give_up(stop, "the limit is over");
+    }
+    if (stop->drained) {
+        S_flush(stop);
+    }
+    if (stop->flush_until_ms != 0 &&
+        (answered || now_ms >= stop->flush_until_ms)) {
+        BsLoop_Log(stop->loop, LOG_NOTICE, "stopped");
+        BsLoop_Stop(stop->loop);
+    }
+}
+
+static void
+S_on_drain(const BsMessage *message, void *context)
+{
+    BsStopSignals *stop = context;
+    int64_t limit_ms =
+        BsLoop_NowMs(stop->loop) + message->u.drain.limit_ms + LIMIT_GRACE_MS;
+    if (!stop->draining) {
+        stop->draining = true;
+        stop->limit_ms = limit_ms;
+        ev_timer_start(BsLoop_Ev(stop->loop), &stop->check);
+    }
+    stop->limit_ms = MIN(stop->limit_ms, limit_ms);
+}
+
+static void
+S_on_drained(const BsMessage *message, void *context)
+{
+    BsStopSignals *stop = context;
+    (void)message;
+    stop->drained = true;
+}
+
+static void
+S_on_signal(struct ev_loop *ev, ev_signal *watcher, int events)
+{
+    (void)ev;
+    (void)events;
+    BsStopSignals *stop = watcher->data;
+    BsMessage *message = BsMessage_Create(BS_DRAIN);
+    message->u.drain.limit_ms =
+        stop->draining ? HURRY_MS
+                       : BsLoop_Settings(stop->loop)->drain_limit_ms;
+    BsLoop_Post(stop->loop, message);
+}
+
+static void
+S_watch_signal(BsStopSignals *stop, ev_signal *watcher, int number)
+{
+    ev_signal_init(watcher, S_on_signal, number);
+    watcher->data = stop;
+    ev_signal_start(BsLoop_Ev(stop->loop), watcher);
+}
+
+BsStopSignals *
+BsStopSignals_Create(BsLoop *loop, BsCallers *callers)
+{
+    BsStopSignals *stop = g_new0(BsStopSignals, 1);
+    stop->loop = loop;
+    stop->callers = callers;
+    S_watch_signal(stop, &stop->term, SIGTERM);
+    S_watch_signal(stop, &stop->interrupt, SIGINT);
+    ev_timer_init(&stop->check, S_on_check, CHECK_S, CHECK_S);
+    stop->check.data = stop;
+    BsLoop_Handle(loop, BS_DRAIN, S_on_drain, stop);
+    BsLoop_Handle(loop, BS_DRAINED, S_on_drained, stop);
+    return stop;
+}
+
+void
+BsStopSignals_Destroy(BsStopSignals *stop)
+{
+    if (stop == NULL) {
+        return;
+    }
+    ev_signal_stop(BsLoop_Ev(stop->loop), &stop->term);
+    ev_signal_stop(BsLoop_Ev(stop->loop), &stop->interrupt);
+    ev_timer_stop(BsLoop_Ev(stop->loop), &stop->check);
+    g_free(stop);
+}
--- a/tests/api/tenure_walk_test.cc
+++ b/tests/api/tenure_walk_test.cc
@@ -17,7 +17,9 @@
 constexpr int kInstances = 5;
 constexpr int kKeys = 6;
 constexpr int kMoves = 60;
-constexpr int kFixedSeeds = 12;
+// Seeds 3, 46 and 50 each showed a part of the rules that was taken out.
+constexpr uint32_t kFixedSeeds[] = {1, 2, 3,  4,  5,  6,  7,
+                                    8, 9, 10, 11, 12, 46, 50};
 constexpr uint32_t kWindowMs = 20000;
 
 const char *const kNames[kInstances] = {"a", "b", "c", "d", "e"};
@@ -223,19 +225,29 @@
     return walk.held;
 }
 
-TEST(TenureWalk, NeverTwoHolders)
+class TenureWalk : public ::testing::TestWithParam<uint32_t> {};
+
+TEST_P(TenureWalk, NeverTwoHolders)
+{
+    EXPECT_GT(RunWalk(GetParam()), 0u);
+}
+
+INSTANTIATE_TEST_SUITE_P(FixedSeeds, TenureWalk,
+                         ::testing::ValuesIn(kFixedSeeds));
+
+// More seeds: BS_SEEDS of them from BS_SEED on.
+TEST(TenureSoak, NeverTwoHolders)
 {
     const char *first = std::getenv("BS_SEED");
     const char *count = std::getenv("BS_SEEDS");
+    if (first == nullptr && count == nullptr) {
+        GTEST_SKIP() << "set BS_SEED or BS_SEEDS";
+    }
     uint32_t seed = first == nullptr ? 1 : std::strtoul(first, nullptr, 10);
-    uint32_t seeds =
-        count == nullptr ? kFixedSeeds : std::strtoul(count, nullptr, 10);
-    uint64_t held = 0;
-    std::printf("seeds %u to %u\n", seed, seed + seeds - 1);
-    for (uint32_t i = 0; i < seeds && !HasFailure(); i++) {
-        held += RunWalk(seed + i);
-    }
-    EXPECT_GT(held, 0u);
+    uint32_t seeds = count == nullptr ? 1 : std::strtoul(count, nullptr, 10);
+    for (uint32_t i = 0; i < seeds; i++) {
+        EXPECT_GT(RunWalk(seed + i), 0u);
+    }
 }
 
 } // namespace
