--- a/Makefile
+++ b/Makefile
@@ -44,7 +44,7 @@
 SEEDS ?= 500
 soak: build
 	BS_SEED=$(SEED) BS_SEEDS=$(SEEDS) \
-		$(BUILD)/bin/api_test --gtest_filter='*Walk*'
+		$(BUILD)/bin/api_test --gtest_filter='*Soak*'
 
 clean:
 	rm -rf $(BUILD) $(ASAN_BUILD)
