--- a/src/keeper.c
+++ b/src/keeper.c
@@ -376,8 +376,10 @@
 {
     const BsRequest *request = &message->u.request;
     if (request->resume) {
-        BsKeeper_Reject(keeper, message, BS_ERR_KEY_UNCERTAIN,
-                        BS_OUTCOME_UNKNOWN);
+        bool is_new = request->ticket == NULL && S_is_new(keeper, request);
+        BsKeeper_Reject(keeper, message,
+                        is_new ? BS_ERR_MEMORY_FULL : BS_ERR_KEY_UNCERTAIN,
+                        is_new ? BS_OUTCOME_NOT_RUN : BS_OUTCOME_UNKNOWN);
         return;
     }
     if (BsStop_IsActive(keeper->core->stop)) {
--- a/src/once.c
+++ b/src/once.c
@@ -289,9 +289,7 @@
         BsNote note;
         S_fill_note(sent, &note);
         if (!BsWitness_Add(once->core->witness, &note)) {
-            sent->incarnation = 0;
-            S_fail(once, sent, BS_ERR_MEMORY_FULL, BS_OUTCOME_NOT_RUN);
-            return;
+            sent->moved = true; /* asks for a record; starts nothing */
         }
     }
     S_send_forward(once, sent, 0);
--- a/tests/walk/once_loss.cc
+++ b/tests/walk/once_loss.cc
@@ -20,8 +20,7 @@
 constexpr int64_t kAfterMs = 20000;
 
 enum Kind { kPlain, kTicket, kResend, kKinds };
-const char *const kNames[kKinds] = {"new, plain key", "new, ticket",
-                                    "resent"};
+const char *const kNames[kKinds] = {"new, plain key", "new, ticket", "resent"};
 
 struct Sent {
     std::string id;
@@ -77,8 +76,7 @@
         World_Destroy(world_);
     }
 
-    void
-    Run(int64_t lag_ms, Totals *totals)
+    void Run(int64_t lag_ms, Totals *totals)
     {
         std::vector<std::string> tickets;
         for (int i = 0; i < kEarlier; i++) {
@@ -110,14 +108,12 @@
     World *world_;
     int victim_;
 
-    static std::string
-    Name(int index)
+    static std::string Name(int index)
     {
         return std::string(1, static_cast<char>('a' + index));
     }
 
-    std::string
-    AnyInstance(bool after)
+    std::string AnyInstance(bool after)
     {
         int index;
         do {
@@ -126,9 +122,8 @@
         return Name(index);
     }
 
-    void
-    Send(const std::string &id, const std::string &key,
-         const std::string &ticket, const std::string &instance)
+    void Send(const std::string &id, const std::string &key,
+              const std::string &ticket, const std::string &instance)
     {
         BsMessage *message = BsMessage_Create(BS_CALLER_REQUEST);
         BsRequest *request = &message->u.request;
@@ -147,9 +142,9 @@
 
     // A caller that holds an unused ticket of the dead instance asks for
     // another one, as its error says; that exchange is part of the sending.
-    void
-    SendAll(int number, int64_t at, const std::vector<std::string> &tickets,
-            std::vector<Sent> *sent)
+    void SendAll(int number, int64_t at,
+                 const std::vector<std::string> &tickets,
+                 std::vector<Sent> *sent)
     {
         std::string n = std::to_string(number);
         Send("plain" + n, "plain" + n, "", AnyInstance(true));
@@ -173,8 +168,7 @@
         sent->push_back({"ticket" + n, kTicket, at});
     }
 
-    void
-    Count(const Sent &each, Totals *totals)
+    void Count(const Sent &each, Totals *totals)
     {
         const WorldCall *call = World_Call(world_, each.id.c_str());
         totals->sent++;
@@ -210,8 +204,9 @@
         Loss loss(static_cast<uint32_t>(victim + 1), victim);
         loss.Run(lag_ms, totals);
     }
-    printf("one of %d instances killed, each in turn; list changed %" G_GINT64_FORMAT
-           " ms later; sent during the %" G_GINT64_FORMAT " ms after the kill\n",
+    printf("one of %d instances killed, each in turn; list changed "
+           "%" G_GINT64_FORMAT " ms later; sent during the %" G_GINT64_FORMAT
+           " ms after the kill\n",
            kInstances, lag_ms, kAfterMs);
     printf("| bookings | sent | ran | not-run | unknown | unknown, %% | "
            "unknown, sent after 5 s | last unknown sent at, ms | slowest, ms "
