--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 JOBS ?= $(shell nproc)
 C_FILES = $(shell git ls-files '*.c' '*.h' '*.cc')
 
-.PHONY: all build check test asan format format-check lint clean
+.PHONY: soak-once all build check test asan format format-check lint clean
 
 all: build
 
@@ -39,6 +39,15 @@
 # Formatter, linters, and every test with and without sanitizers.
 check: format-check lint test asan
 
+# The walk of bookings over many seeds, for each mix of faults.
+SOAK_SEEDS ?= 1 1000
+soak-once: build
+	set -e; for faults in net,pause,cut,mode kill,list,drain,cut \
+		kill,list,pause,net mode,kill,drain all; do \
+		echo "$$faults"; \
+		$(BUILD)/bin/once_walk --faults $$faults $(SOAK_SEEDS); \
+	done
+
 clean:
 	rm -rf $(BUILD) $(ASAN_BUILD)
 
