An heir uses what it remembers itself as entry or owner

Cause: of 7,200 resends after a loss 48 were unknown, 32 of them sent later than 5 s. A look at each showed that the heir was often the entry or the owner of the first sending and knew that it had run, but told only what others had noted.

--- a/src/keeper.c
+++ b/src/keeper.c
@@ -4,6 +4,7 @@
 #include "choice.h"
 #include "keeperstate.h"
 #include "peer.h"
+#include "run.h"
 #include "stop.h"
 #include "tenure.h"
 #include "ticket.h"
@@ -58,25 +59,6 @@
     return BsRecords_Count(keeper->records);
 }
 
-BsOutcome
-BsKeeper_Ask(BsKeeper *keeper, const char *request_id, const char *account,
-             const char *key)
-{
-    BsRecord *record = BsRecords_Find(keeper->records, account, key);
-    if (record == NULL) {
-        return BS_OUTCOME_NONE;
-    }
-    if (record->outcome == BS_OUTCOME_NOT_RUN) {
-        return g_strcmp0(record->run_id, request_id) == 0 ? BS_OUTCOME_NOT_RUN
-                                                          : BS_OUTCOME_NONE;
-    }
-    if (record->state == BS_RECORD_FINISHED && !record->complete) {
-        BsKeeper_Poll(keeper, record);
-    }
-    return record->outcome == BS_OUTCOME_NONE ? BS_OUTCOME_UNKNOWN
-                                              : record->outcome;
-}
-
 static void
 S_accept(BsKeeper *keeper, const BsMessage *message)
 {
@@ -103,11 +85,47 @@
                record->keeper_incarnation;
 }
 
+/* Adds what this instance knows as entry or owner to a fenced RECORD. */
+static void
+S_recall(BsKeeper *keeper, BsRecord *record)
+{
+    const BsCore *core = keeper->core;
+    if (!record->fenced || record->outcome == BS_OUTCOME_RAN) {
+        return;
+    }
+    if (BsWitness_HasRun(core->witness, record->account, record->key,
+                         record->body_hash) ||
+        BsRuns_HasRun(core->runs, record->account, record->key,
+                      record->body_hash)) {
+        record->outcome = BS_OUTCOME_RAN;
+    }
+}
+
+BsOutcome
+BsKeeper_Ask(BsKeeper *keeper, const char *request_id, const char *account,
+             const char *key)
+{
+    BsRecord *record = BsRecords_Find(keeper->records, account, key);
+    if (record == NULL) {
+        return BS_OUTCOME_NONE;
+    }
+    S_recall(keeper, record);
+    if (record->outcome == BS_OUTCOME_NOT_RUN) {
+        return g_strcmp0(record->run_id, request_id) == 0 ? BS_OUTCOME_NOT_RUN
+                                                          : BS_OUTCOME_NONE;
+    }
+    if (record->state == BS_RECORD_FINISHED && !record->complete) {
+        BsKeeper_Poll(keeper, record);
+    }
+    return record->outcome == BS_OUTCOME_NONE ? BS_OUTCOME_UNKNOWN
+                                              : record->outcome;
+}
+
 /* Tells the entry where the record of a fenced key is, or what is known. */
 static void
-S_reject_fenced(BsKeeper *keeper, const BsRecord *record,
-                const BsMessage *message)
+S_reject_fenced(BsKeeper *keeper, BsRecord *record, const BsMessage *message)
 {
+    S_recall(keeper, record);
     if (message->u.request.resume || !S_is_kept_elsewhere(keeper, record)) {
         BsKeeper_Reject(keeper, message,
                         record->outcome == BS_OUTCOME_RAN
--- a/src/run.c
+++ b/src/run.c
@@ -31,6 +31,7 @@
 struct BsRuns {
     BsCore *core;
     GHashTable *runs; /* keeper incarnation and run id to BsRun */
+    GHashTable *ran;  /* set of account, key and body hash that ran */
     uint64_t bytes;
     int64_t expired_ms;
 };
@@ -55,6 +56,7 @@
     runs->core = core;
     runs->runs =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, S_destroy_run);
+    runs->ran = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     return runs;
 }
 
@@ -64,6 +66,7 @@
     if (runs == NULL) {
         return;
     }
+    g_hash_table_destroy(runs->ran);
     g_hash_table_destroy(runs->runs);
     g_free(runs);
 }
@@ -231,8 +234,24 @@
     g_ptr_array_set_size(run->pieces, 0);
 }
 
+static char *
+S_name_work(const char *account, const char *key, const char *body_hash)
+{
+    return g_strdup_printf("%s\n%s\n%s", account, key, body_hash);
+}
+
+bool
+BsRuns_HasRun(const BsRuns *runs, const char *account, const char *key,
+              const char *body_hash)
+{
+    char *name = S_name_work(account, key, body_hash);
+    bool has = g_hash_table_contains(runs->ran, name);
+    g_free(name);
+    return has;
+}
+
 static void
-S_end(BsRun *run, const BsAnswer *last)
+S_end(BsRuns *runs, BsRun *run, const BsAnswer *last)
 {
     bool refused = last->outcome == BS_OUTCOME_NOT_RUN;
     run->state = refused ? RUN_REFUSED : RUN_ENDED;
@@ -241,6 +260,10 @@
         run->outcome =
             last->error == BS_ERR_NONE ? BS_OUTCOME_RAN : BS_OUTCOME_UNKNOWN;
     }
+    if (run->outcome == BS_OUTCOME_RAN) {
+        g_hash_table_add(runs->ran,
+                         S_name_work(run->account, run->key, run->body_hash));
+    }
 }
 
 void
@@ -254,7 +277,7 @@
     }
     run->changed_ms = BsCore_NowMs(runs->core);
     if (answer->final) {
-        S_end(run, answer);
+        S_end(runs, run, answer);
     }
     if (run->answer_lost) {
         return;
@@ -346,6 +369,9 @@
         int64_t age_ms = now_ms - run->changed_ms;
         bool ended = run->state == RUN_ENDED || run->state == RUN_REFUSED;
         if (ended && age_ms > config->resend_window_ms) {
+            char *name = S_name_work(run->account, run->key, run->body_hash);
+            g_hash_table_remove(runs->ran, name);
+            g_free(name);
             S_drop_answer(runs, run);
             g_hash_table_iter_remove(&iter);
         }
--- a/src/run.h
+++ b/src/run.h
@@ -34,6 +34,11 @@
    shall be taken out of the queue and refused. */
 bool BsRuns_OnCancel(BsRuns *runs, const BsMessage *message);
 
+/* Returns whether a run of KEY with the given body is known to have ended
+   here as ran. */
+bool BsRuns_HasRun(const BsRuns *runs, const char *account, const char *key,
+                   const char *body_hash);
+
 /* Appends a note of each run whose key INSTANCE now keeps. */
 void BsRuns_AppendNotes(const BsRuns *runs, const char *instance,
                         GPtrArray *notes);
--- a/src/witness.c
+++ b/src/witness.c
@@ -174,6 +174,21 @@
     return NULL;
 }
 
+bool
+BsWitness_HasRun(BsWitness *witness, const char *account, const char *key,
+                 const char *body_hash)
+{
+    GPtrArray *list = S_lookup(witness, account, key);
+    for (guint i = 0; list != NULL && i < list->len; i++) {
+        const BsNote *note = ((BsWitnessed *)list->pdata[i])->note;
+        if (note->outcome == BS_OUTCOME_RAN &&
+            g_strcmp0(note->body_hash, body_hash) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 S_append(const BsWitness *witness, const BsWitnessed *witnessed,
          GPtrArray *notes)
--- a/src/witness.h
+++ b/src/witness.h
@@ -30,6 +30,11 @@
                                   const char *key, const char *keeper,
                                   uint64_t incarnation);
 
+/* Returns whether a request of KEY with the given body is known to have
+   run. */
+bool BsWitness_HasRun(BsWitness *witness, const char *account, const char *key,
+                      const char *body_hash);
+
 /* Appends copies of the notes whose keeper is now INSTANCE. */
 void BsWitness_AppendNotes(BsWitness *witness, const char *instance,
                            GPtrArray *notes);
