--- a/src/explain.c
+++ b/src/explain.c
@@ -2,6 +2,7 @@
 #include "explain.h"
 
 #include "keeper.h"
+#include "story.h"
 #include "token.h"
 
 #include <jansson.h>
@@ -23,22 +24,6 @@
 #define KEY_PARTS 3
 #define WHAT_REQUEST "request"
 
-typedef struct {
-    char *id;
-    char *account;
-    char *key;
-    char *tier;
-    char *target; /* service or model */
-    char *keeper;
-    char *upstream;
-    int64_t start_ms;
-    int64_t end_ms; /* 0 while it runs */
-    uint64_t queued_ms;
-    BsOutcome outcome;
-    BsErrorKind error;
-    bool idempotent;
-} BsStory;
-
 /* A query that waits for other instances. */
 typedef struct {
     char *query_id;
@@ -57,20 +42,6 @@
     uint64_t next_query;
 };
 
-static void
-S_destroy_story(void *data)
-{
-    BsStory *story = data;
-    g_free(story->id);
-    g_free(story->account);
-    g_free(story->key);
-    g_free(story->tier);
-    g_free(story->target);
-    g_free(story->keeper);
-    g_free(story->upstream);
-    g_free(story);
-}
-
 static void
 S_destroy_pending(void *data)
 {
@@ -87,7 +58,7 @@
     BsExplain *explain = g_new0(BsExplain, 1);
     explain->core = core;
     explain->stories =
-        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, S_destroy_story);
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, BsStory_Destroy);
     explain->pending = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                              S_destroy_pending);
     g_queue_init(&explain->order);
@@ -124,15 +95,7 @@
     if (id == NULL || g_hash_table_contains(explain->stories, id)) {
         return;
     }
-    BsStory *story = g_new0(BsStory, 1);
-    story->id = g_strdup(id);
-    story->account = g_strdup(request->account);
-    story->key = g_strdup(request->key);
-    story->tier = g_strdup(request->tier);
-    story->target =
-        g_strdup(request->service != NULL ? request->service : request->model);
-    story->start_ms = BsCore_NowMs(explain->core);
-    story->idempotent = request->idempotent;
+    BsStory *story = BsStory_Create(request, BsCore_NowMs(explain->core));
     g_hash_table_insert(explain->stories, story->id, story);
     g_queue_push_tail(&explain->order, story);
     if (explain->order.length > explain->core->config.request_limit) {
@@ -176,68 +139,13 @@
     }
 }
 
-static const char *
-S_outcome_name(BsOutcome outcome)
-{
-    switch (outcome) {
-    case BS_OUTCOME_RAN:
-        return "ran";
-    case BS_OUTCOME_NOT_RUN:
-        return "not-run";
-    case BS_OUTCOME_UNKNOWN:
-        return "unknown";
-    default:
-        return "pending";
-    }
-}
-
-static GBytes *
-S_to_bytes(json_t *json)
-{
-    char *text = json_dumps(json, JSON_COMPACT | JSON_SORT_KEYS);
-    json_decref(json);
-    GBytes *bytes = g_bytes_new(text, strlen(text));
-    free(text);
-    return bytes;
-}
-
 static GBytes *
 S_error_body(BsErrorKind error)
 {
     const BsErrorText *text = BsError_Describe(error);
-    return S_to_bytes(json_pack("{s:s, s:s, s:s}", "error", text->name,
-                                "message", text->message, "remedy",
-                                text->remedy));
-}
-
-static GBytes *
-S_describe(const BsExplain *explain, const BsStory *story)
-{
-    const BsErrorText *error = BsError_Describe(story->error);
-    int64_t now_ms = BsCore_NowMs(explain->core);
-    int64_t end_ms = story->end_ms == 0 ? now_ms : story->end_ms;
-    json_t *body = json_pack(
-        "{s:s, s:s, s:s, s:b, s:I, s:I, s:I}", "request_id", story->id,
-        "state", story->end_ms == 0 ? "running" : "finished", "outcome",
-        S_outcome_name(story->outcome), "idempotent", story->idempotent,
-        "age_ms", (json_int_t)(now_ms - story->start_ms), "took_ms",
-        (json_int_t)(end_ms - story->start_ms), "queued_ms",
-        (json_int_t)story->queued_ms);
-    json_object_set_new(body, "entry",
-                        json_string(explain->core->config.name));
-    json_object_set_new(body, "target", json_string(story->target));
-    json_object_set_new(body, "tier", json_string(story->tier));
-    if (story->keeper != NULL) {
-        json_object_set_new(body, "keeper", json_string(story->keeper));
-    }
-    if (story->upstream != NULL) {
-        json_object_set_new(body, "upstream", json_string(story->upstream));
-    }
-    if (story->error != BS_ERR_NONE) {
-        json_object_set_new(body, "error", json_string(error->name));
-        json_object_set_new(body, "remedy", json_string(error->remedy));
-    }
-    return S_to_bytes(body);
+    return BsStory_ToBytes(json_pack("{s:s, s:s, s:s}", "error", text->name,
+                                     "message", text->message, "remedy",
+                                     text->remedy));
 }
 
 /* ---------------------------------------------------------------------- */
@@ -273,7 +181,8 @@
     S_reply(explain, pending->peer, pending->peer_incarnation,
             pending->query_id, story == NULL ? STATUS_NOT_FOUND : STATUS_OK,
             story == NULL ? S_error_body(BS_ERR_NOT_FOUND)
-                          : S_describe(explain, story));
+                          : BsStory_Describe(story, explain->core->config.name,
+                                             BsCore_NowMs(explain->core)));
 }
 
 static void
@@ -459,7 +368,7 @@
     g_strfreev(parts);
     S_reply(explain, message->from, message->from_incarnation, query->query_id,
             outcome == BS_OUTCOME_NONE ? STATUS_NOT_FOUND : STATUS_OK,
-            S_to_bytes(json_pack("{s:i}", "outcome", (int)outcome)));
+            BsStory_ToBytes(json_pack("{s:i}", "outcome", (int)outcome)));
 }
 
 static void
--- a/src/keeper.c
+++ b/src/keeper.c
@@ -15,12 +15,6 @@
 /* Longest wait for a take-over to end. */
 #define PARKED_MAX_MS 5000
 
-/* Instances asked to witness before a request is refused. */
-#define WITNESSES_MAX 3
-
-/* Witnesses asked within a lease. */
-#define WITNESSES_PER_LEASE 4
-
 /* Share of the memory for request bodies that kept answers may use. */
 #define ANSWER_SHARE 2
 
@@ -248,69 +242,6 @@
     return note != NULL;
 }
 
-typedef struct {
-    const char *name;
-    uint64_t weight;
-} BsCandidate;
-
-static gint
-S_compare_candidates(gconstpointer left, gconstpointer right)
-{
-    const BsCandidate *a = left;
-    const BsCandidate *b = right;
-    return a->weight == b->weight ? 0 : a->weight < b->weight ? 1 : -1;
-}
-
-/* Returns the candidate number INDEX to witness RECORD, or NULL. */
-static const char *
-S_pick_witness(BsKeeper *keeper, const BsRecord *record, uint32_t index)
-{
-    const BsList *list = BsMembers_List(keeper->core->members);
-    GArray *candidates = g_array_new(FALSE, FALSE, sizeof(BsCandidate));
-    for (guint i = 0; list != NULL && i < list->entries->len; i++) {
-        const BsListEntry *entry = list->entries->pdata[i];
-        if (entry->kind == BS_NODE_INSTANCE && entry->state == BS_NODE_LIVE &&
-            strcmp(entry->name, keeper->core->config.name) != 0) {
-            BsCandidate candidate = {
-                entry->name, BsMembers_Weight(entry->name, record->scope)};
-            g_array_append_val(candidates, candidate);
-        }
-    }
-    g_array_sort(candidates, S_compare_candidates);
-    const char *name =
-        candidates->len == 0
-            ? NULL
-            : g_array_index(candidates, BsCandidate, index % candidates->len)
-                  .name;
-    g_array_unref(candidates);
-    return name;
-}
-
-/* Asks the next instance to witness RECORD. */
-static void
-S_ask_witness(BsKeeper *keeper, BsRecord *record)
-{
-    const char *name = S_pick_witness(keeper, record, record->witnesses_asked);
-    if (name == NULL) {
-        BsKeeper_Dispatch(keeper, record);
-        return;
-    }
-    if (record->witnesses_asked++ >= WITNESSES_MAX) {
-        BsKeeper_Refuse(keeper, record, BS_ERR_PEER_LOST);
-        return;
-    }
-    const BsCoreConfig *config = &keeper->core->config;
-    BsMessage *ask = BsMessage_Create(BS_WITNESS);
-    BsNote *note =
-        BsRecord_CreateNote(record, config->name, config->incarnation, false);
-    note->state = BS_RECORD_SENT;
-    ask->u.note = *note;
-    g_free(note);
-    record->polled_ms = BsCore_NowMs(keeper->core);
-    BsMessage_SetString(&record->witness, name);
-    BsCore_Send(keeper->core, name, 0, ask);
-}
-
 /* Runs the key of MESSAGE for the first time. */
 static void
 S_begin(BsKeeper *keeper, const BsMessage *message)
@@ -328,7 +259,7 @@
     BsRecord *record = S_create_record(keeper, message, BS_RECORD_WITNESSING);
     if (request->ticket == NULL &&
         strcmp(message->from, keeper->core->config.name) == 0) {
-        S_ask_witness(keeper, record);
+        BsKeeper_AskWitness(keeper, record);
         return;
     }
     BsKeeper_Dispatch(keeper, record);
@@ -366,8 +297,8 @@
     record->parked_until_ms = MIN(parked_ms, record->deadline_ms);
 }
 
-static BsTenureState
-S_tenure(BsKeeper *keeper, const BsRequest *request)
+BsTenureState
+BsKeeper_Tenure(BsKeeper *keeper, const BsRequest *request)
 {
     BsTenureState state =
         BsTenure_OfKey(keeper->core->tenure, request->account, request->key);
@@ -382,7 +313,7 @@
     const BsCoreConfig *config = &keeper->core->config;
     return request->ticket != NULL ||
            (request->prior_keeper == NULL &&
-            S_tenure(keeper, request) == BS_TENURE_HELD &&
+            BsKeeper_Tenure(keeper, request) == BS_TENURE_HELD &&
             BsWitness_FindOther(keeper->core->witness, request->account,
                                 request->key, config->name,
                                 config->incarnation) == NULL);
@@ -410,7 +341,7 @@
         S_begin_ticket(keeper, message);
         return;
     }
-    switch (S_tenure(keeper, request)) {
+    switch (BsKeeper_Tenure(keeper, request)) {
     case BS_TENURE_HELD:
         S_begin(keeper, message);
         break;
@@ -452,24 +383,6 @@
     S_accept(keeper, message);
 }
 
-void
-BsKeeper_OnWitnessAck(BsKeeper *keeper, const BsMessage *message)
-{
-    const BsNote *note = &message->u.note;
-    BsRecord *record = BsRecords_FindRun(keeper->records, note->request_id);
-    if (record == NULL || record->state != BS_RECORD_WITNESSING ||
-        record->witness == NULL ||
-        note->keeper_incarnation != keeper->core->config.incarnation) {
-        return;
-    }
-    if (S_tenure(keeper, &record->request->u.request) != BS_TENURE_HELD) {
-        BsKeeper_Refuse(keeper, record, BS_ERR_NOT_KEEPER);
-        return;
-    }
-    BsMessage_SetString(&record->witness, message->from);
-    BsKeeper_Dispatch(keeper, record);
-}
-
 void
 BsKeeper_Redeliver(BsKeeper *keeper, BsMessage *forward, GPtrArray *waiters)
 {
@@ -509,7 +422,7 @@
 static void
 S_check_parked(BsKeeper *keeper, BsRecord *record)
 {
-    switch (S_tenure(keeper, &record->request->u.request)) {
+    switch (BsKeeper_Tenure(keeper, &record->request->u.request)) {
     case BS_TENURE_HELD:
         S_unpark(keeper, record);
         return;
@@ -531,21 +444,6 @@
     }
 }
 
-static void
-S_check_witness(BsKeeper *keeper, BsRecord *record)
-{
-    const BsCore *core = keeper->core;
-    int64_t now_ms = BsCore_NowMs(core);
-    if (now_ms >= record->deadline_ms) {
-        BsKeeper_Refuse(keeper, record, BS_ERR_DEADLINE);
-        return;
-    }
-    if (now_ms - record->polled_ms >=
-        core->config.lease_ms / WITNESSES_PER_LEASE) {
-        S_ask_witness(keeper, record);
-    }
-}
-
 void
 BsKeeper_OnTick(BsKeeper *keeper)
 {
@@ -558,7 +456,7 @@
             S_check_parked(keeper, record);
             break;
         case BS_RECORD_WITNESSING:
-            S_check_witness(keeper, record);
+            BsKeeper_CheckWitness(keeper, record);
             break;
         case BS_RECORD_DISPATCHED:
             BsKeeper_CheckRun(keeper, record);
--- a/src/keeperstate.h
+++ b/src/keeperstate.h
@@ -1,14 +1,16 @@
 /*
  * keeperstate.h - what the parts of the keeper share.
  *
- * Rules: keeper.c decides whether a key may run; keeperrun.c runs it at an
- * owner; keeperserve.c answers the hops that wait for it.
+ * Rules: keeper.c decides whether a key may run; keeperwitness.c makes a
+ * second instance know of it; keeperrun.c runs it at an owner; keeperserve.c
+ * answers the hops that wait for it; keepernote.c exchanges notes.
  */
 #ifndef BS_KEEPERSTATE_H
 #define BS_KEEPERSTATE_H
 
 #include "keeper.h"
 #include "record.h"
+#include "tenure.h"
 
 struct BsKeeper {
     BsCore *core;
@@ -44,6 +46,15 @@
 void BsKeeper_Redeliver(BsKeeper *keeper, BsMessage *forward,
                         GPtrArray *waiters);
 
+/* Returns the state of the key of REQUEST for this keeper. */
+BsTenureState BsKeeper_Tenure(BsKeeper *keeper, const BsRequest *request);
+
+/* Asks the next instance to witness RECORD. */
+void BsKeeper_AskWitness(BsKeeper *keeper, BsRecord *record);
+
+/* Asks another instance when the witness of RECORD stays silent. */
+void BsKeeper_CheckWitness(BsKeeper *keeper, BsRecord *record);
+
 /* Sends RECORD to an owner, or refuses it when there is none. */
 void BsKeeper_Dispatch(BsKeeper *keeper, BsRecord *record);
 
--- a/src/once.c
+++ b/src/once.c
@@ -3,8 +3,7 @@
 
 #include "explain.h"
 #include "peer.h"
-#include "reorder.h"
-#include "schema.h"
+#include "sent.h"
 #include "ticket.h"
 #include "witness.h"
 
@@ -26,50 +25,18 @@
 /* Polls of a silent keeper within a lease. */
 #define POLLS_PER_LEASE 4
 
-/* Prefix of the keys under which ticketed requests are recorded. */
-#define TICKET_KEY "ticket "
-
-typedef struct {
-    BsMessage *request; /* BS_FORWARD; the template of every attempt */
-    BsReorder *reorder;
-    char *keeper;         /* instance the request was forwarded to */
-    uint64_t incarnation; /* it was meant for; 0 while that is asked */
-    uint64_t forward_seq; /* number of the forward */
-    uint64_t next_seq;    /* of the next piece to the caller */
-    int64_t deadline_ms;
-    int64_t started_ms;
-    int64_t heard_ms;  /* from the keeper */
-    int64_t polled_ms; /* last message to the keeper */
-    int64_t retry_ms;  /* when to ask a keeper again, or 0 */
-    uint32_t attempt;
-    BsOutcome hint; /* outcome to tell if the keeper cannot be asked */
-    bool accepted;
-    bool moved; /* asks a keeper that may have run it before */
-    bool gone;  /* the caller went away */
-} BsSent;
-
 struct BsOnce {
     BsCore *core;
     GHashTable *requests; /* request id to BsSent */
 };
 
-static void
-S_destroy_sent(void *data)
-{
-    BsSent *sent = data;
-    BsMessage_Destroy(sent->request);
-    BsReorder_Destroy(sent->reorder);
-    g_free(sent->keeper);
-    g_free(sent);
-}
-
 BsOnce *
 BsOnce_Create(BsCore *core)
 {
     BsOnce *once = g_new0(BsOnce, 1);
     once->core = core;
     once->requests =
-        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, S_destroy_sent);
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, BsSent_Destroy);
     return once;
 }
 
@@ -89,12 +56,6 @@
     return g_hash_table_size(once->requests);
 }
 
-static const BsRequest *
-S_request(const BsSent *sent)
-{
-    return &sent->request->u.request;
-}
-
 static BsSent *
 S_find(const BsOnce *once, const char *request_id)
 {
@@ -103,70 +64,11 @@
                : g_hash_table_lookup(once->requests, request_id);
 }
 
-static char *
-S_hash(const BsRequest *request)
-{
-    GChecksum *checksum = g_checksum_new(G_CHECKSUM_SHA256);
-    const char *parts[] = {request->service, request->method, request->path};
-    for (size_t i = 0; i < G_N_ELEMENTS(parts); i++) {
-        const char *part = parts[i] == NULL ? "" : parts[i];
-        g_checksum_update(checksum, (const guchar *)part,
-                          (gssize)strlen(part) + 1);
-    }
-    if (request->body != NULL) {
-        gsize size;
-        const void *data = g_bytes_get_data(request->body, &size);
-        g_checksum_update(checksum, data, (gssize)size);
-    }
-    char *hash = g_strdup(g_checksum_get_string(checksum));
-    g_checksum_free(checksum);
-    return hash;
-}
-
-BsErrorKind
-BsOnce_Prepare(BsOnce *once, BsRequest *request)
-{
-    g_free(request->body_hash);
-    request->body_hash = S_hash(request);
-    if (request->ticket == NULL) {
-        if (request->key == NULL) {
-            request->key = g_strdup(request->request_id);
-        }
-        return BS_ERR_NONE;
-    }
-    BsTicketParts parts;
-    bool valid =
-        BsTicket_Read(once->core, request->ticket, request->account, &parts);
-    if (valid) {
-        g_free(request->key);
-        request->key =
-            g_strdup_printf(TICKET_KEY "%s-%" G_GINT64_MODIFIER "x-%s",
-                            parts.keeper, parts.incarnation, parts.nonce);
-    }
-    BsTicketParts_Clear(&parts);
-    return valid ? BS_ERR_NONE : BS_ERR_TICKET;
-}
-
-/* Fills NOTE with what SENT says; the strings stay with SENT. */
-static void
-S_fill_note(const BsSent *sent, BsNote *note)
-{
-    const BsRequest *request = S_request(sent);
-    memset(note, 0, sizeof(*note));
-    note->account = request->account;
-    note->key = request->key;
-    note->body_hash = request->body_hash;
-    note->request_id = request->request_id;
-    note->keeper = sent->keeper;
-    note->keeper_incarnation = sent->incarnation;
-    note->state = BS_RECORD_SENT;
-}
-
 static bool
 S_has_note(const BsSent *sent)
 {
     return sent->incarnation != 0 && !sent->moved &&
-           S_request(sent)->ticket == NULL;
+           BsSent_Request(sent)->ticket == NULL;
 }
 
 static void
@@ -174,7 +76,7 @@
 {
     if (S_has_note(sent)) {
         BsNote note;
-        S_fill_note(sent, &note);
+        BsSent_FillNote(sent, &note);
         BsWitness_Finish(once->core->witness, &note, outcome);
     }
 }
@@ -186,16 +88,17 @@
     BsAnswer *answer = &piece->u.answer;
     bool final = answer->final;
     piece->kind = BS_CALLER_ANSWER;
-    BsMessage_SetString(&answer->request_id, S_request(sent)->request_id);
+    BsMessage_SetString(&answer->request_id, BsSent_Request(sent)->request_id);
     answer->attempt = sent->attempt;
     if (sent->next_seq == 0) {
         g_free(answer->ticket);
-        answer->ticket = BsTicket_Issue(once->core, S_request(sent)->account);
+        answer->ticket =
+            BsTicket_Issue(once->core, BsSent_Request(sent)->account);
     }
     answer->seq = sent->next_seq++;
     if (final) {
         S_finish_note(once, sent, answer->outcome);
-        BsExplain_OnEnd(once->core->explain, S_request(sent)->request_id,
+        BsExplain_OnEnd(once->core->explain, BsSent_Request(sent)->request_id,
                         answer, sent->keeper);
         BsCore_Count(once->core, "answers_final", 1);
     }
@@ -206,7 +109,7 @@
         BsCore_Emit(once->core, piece);
     }
     if (final) {
-        g_hash_table_remove(once->requests, S_request(sent)->request_id);
+        g_hash_table_remove(once->requests, BsSent_Request(sent)->request_id);
     }
 }
 
@@ -215,23 +118,16 @@
 {
     BsCore_Count(once->core, "answers_error", 1);
     S_emit(once, sent,
-           BsCore_CreateError(BS_CALLER_ANSWER, S_request(sent)->request_id,
-                              sent->attempt, error, outcome));
-}
-
-/* Returns whether the caller chose the key, so that it may have sent the
-   request before. */
-static bool
-S_may_be_resend(const BsSent *sent)
-{
-    return strcmp(S_request(sent)->key, S_request(sent)->request_id) != 0;
+           BsCore_CreateError(BS_CALLER_ANSWER,
+                              BsSent_Request(sent)->request_id, sent->attempt,
+                              error, outcome));
 }
 
 /* Ends SENT, whose keeper may have run it but cannot be asked. */
 static void
 S_lose(BsOnce *once, BsSent *sent, BsErrorKind error)
 {
-    if (sent->incarnation == 0 && !sent->moved && !S_may_be_resend(sent)) {
+    if (sent->incarnation == 0 && !sent->moved && !BsSent_MayBeResend(sent)) {
         S_fail(once, sent, error, BS_OUTCOME_NOT_RUN);
     }
     else if (sent->hint == BS_OUTCOME_RAN) {
@@ -287,7 +183,7 @@
     sent->reorder = BsReorder_Create();
     if (S_has_note(sent)) {
         BsNote note;
-        S_fill_note(sent, &note);
+        BsSent_FillNote(sent, &note);
         if (!BsWitness_Add(once->core->witness, &note)) {
             sent->moved = true; /* asks for a record; starts nothing */
         }
@@ -300,7 +196,7 @@
 S_send(BsOnce *once, BsSent *sent)
 {
     const BsCore *core = once->core;
-    const BsRequest *request = S_request(sent);
+    const BsRequest *request = BsSent_Request(sent);
     const char *keeper =
         BsMembers_KeeperOf(core->members, request->account, request->key);
     if (keeper == NULL) {
@@ -320,7 +216,7 @@
 static void
 S_send_by_ticket(BsOnce *once, BsSent *sent)
 {
-    const BsRequest *request = S_request(sent);
+    const BsRequest *request = BsSent_Request(sent);
     const BsMembers *members = once->core->members;
     BsTicketParts parts;
     BsTicket_Read(once->core, request->ticket, request->account, &parts);
@@ -373,7 +269,7 @@
 S_may_retry(const BsOnce *once, const BsSent *sent, const BsAnswer *answer)
 {
     const BsCore *core = once->core;
-    const BsRequest *request = S_request(sent);
+    const BsRequest *request = BsSent_Request(sent);
     int64_t now_ms = BsCore_NowMs(core);
     if (answer->outcome != BS_OUTCOME_NOT_RUN || sent->next_seq > 0 ||
         sent->moved || request->ticket != NULL ||
@@ -412,8 +308,8 @@
     }
     else if (sent->moved && answer->error == BS_ERR_KEY_UNCERTAIN) {
         S_lose(once, sent,
-               S_request(sent)->ticket != NULL ? BS_ERR_TICKET
-                                               : BS_ERR_KEY_UNCERTAIN);
+               BsSent_Request(sent)->ticket != NULL ? BS_ERR_TICKET
+                                                    : BS_ERR_KEY_UNCERTAIN);
     }
     else {
         S_emit(once, sent, piece);
@@ -428,8 +324,8 @@
 {
     if (sent->incarnation != 0 || sent->retry_ms != 0) {
         S_lose(once, sent,
-               S_request(sent)->ticket != NULL ? BS_ERR_TICKET
-                                               : BS_ERR_PEER_LOST);
+               BsSent_Request(sent)->ticket != NULL ? BS_ERR_TICKET
+                                                    : BS_ERR_PEER_LOST);
     }
     else if (sent->attempt >= ATTEMPTS_MAX) {
         S_lose(once, sent, BS_ERR_INCARNATION);
@@ -524,8 +420,8 @@
     }
     if (now_ms - sent->heard_ms >= lease_ms) {
         S_lose(once, sent,
-               S_request(sent)->ticket != NULL ? BS_ERR_TICKET
-                                               : BS_ERR_PEER_LOST);
+               BsSent_Request(sent)->ticket != NULL ? BS_ERR_TICKET
+                                                    : BS_ERR_PEER_LOST);
         return;
     }
     if (now_ms - MAX(sent->heard_ms, sent->polled_ms) >=
--- a/src/once.h
+++ b/src/once.h
@@ -18,7 +18,7 @@
 void BsOnce_Destroy(BsOnce *once);
 
 /* Checks the ticket and key of REQUEST and sets its body hash. */
-BsErrorKind BsOnce_Prepare(BsOnce *once, BsRequest *request);
+BsErrorKind BsOnce_Prepare(const BsCore *core, BsRequest *request);
 
 /* Takes FORWARD, a BS_FORWARD with a resolved request. */
 void BsOnce_Submit(BsOnce *once, BsMessage *forward);
--- a/src/resolve.c
+++ b/src/resolve.c
@@ -103,7 +103,7 @@
         return error;
     }
     if (!request->idempotent) {
-        error = BsOnce_Prepare(entry->core->once, request);
+        error = BsOnce_Prepare(entry->core, request);
     }
     if (error != BS_ERR_NONE) {
         return error;
