--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 JOBS ?= $(shell nproc)
 C_FILES = $(shell git ls-files '*.c' '*.h' '*.cc')
 
-.PHONY: all build check test asan format format-check lint soak clean
+.PHONY: all build check test asan format format-check lint soak soak-once clean
 
 all: build
 
@@ -46,6 +46,15 @@
 	BS_SEED=$(SEED) BS_SEEDS=$(SEEDS) \
 		$(BUILD)/bin/api_test --gtest_filter='*Soak*'
 
+# The walk of bookings over many seeds, for each mix of faults.
+SOAK_SEEDS ?= 1 1000
+soak-once: build
+	set -e; for faults in net,pause,cut,mode kill,list,drain,cut \
+		kill,list,pause,net mode,kill,drain all; do \
+		echo "$$faults"; \
+		$(BUILD)/bin/once_walk --faults $$faults $(SOAK_SEEDS); \
+	done
+
 clean:
 	rm -rf $(BUILD) $(ASAN_BUILD)
 
