--- a/tests/contract/settings_test.cc
+++ b/tests/contract/settings_test.cc
@@ -1,10 +1,14 @@
 // Each kind of mistake in a settings file gives one line and exit code 2.
 #include "harness.h"
+extern "C" {
+#include "settings_keys.h"
+}
 
 #include <algorithm>
 #include <cstring>
 #include <fstream>
 #include <gtest/gtest.h>
+#include <sstream>
 #include <unistd.h>
 
 namespace {
@@ -96,6 +100,23 @@
     }
 }
 
+TEST_F(SettingsFile, ExamplesAreValidAndNameEveryKey)
+{
+    std::string output;
+    std::string file(EXAMPLES "/settings.yaml");
+    std::stringstream text;
+    text << std::ifstream(file).rdbuf();
+    EXPECT_EQ(RunProgram({BORAGESPUR, "check", file}, &output), 0) << output;
+    for (size_t i = 0; i < bs_settings_key_count; i++) {
+        std::string key(bs_settings_keys[i].key);
+        key = key.substr(key.find('.') + 1) + ":";
+        EXPECT_NE(text.str().find(key), std::string::npos) << key;
+    }
+    EXPECT_EQ(
+        RunProgram({BORAGESPUR, "check", EXAMPLES "/sheet.yaml"}, &output), 0)
+        << output;
+}
+
 TEST_F(SettingsFile, MissingAndEmptyFilesAreNamed)
 {
     std::string output;
