--- a/src/d_platform.c
+++ b/src/d_platform.c
@@ -12,7 +12,7 @@
 #define READ_TIMEOUT_MS 25000L
 #define CONNECT_TIMEOUT_MS 1000L
 #define RETRY_S 1.0
-#define PAUSE_S 0.05
+#define PAUSE_S 0.25
 #define VALUE_MAX_BYTES (4 * 1024 * 1024)
 #define POOL_CONNECTIONS 4
 #define STATUS_OK 200
@@ -31,6 +31,7 @@
     bool wanted;
     bool has_revision;
     bool down;
+    bool bad; /* the last value could not be used */
 } BsKeyWatch;
 
 struct BsPlatform {
@@ -77,7 +78,8 @@
     return size;
 }
 
-static void
+/* Takes a list; returns whether it could be used. */
+static bool
 S_take_list(BsKeyWatch *watch)
 {
     BsLoop *loop = watch->platform->loop;
@@ -86,11 +88,15 @@
         BsListing_Parse(watch->value->data, watch->value->len, &error);
     if (message == NULL) {
         BsLoop_Count(loop, "platform_lists_bad", 1);
-        BsLoop_Log(loop, LOG_ERR, "instance list ignored: %s", error->message);
+        if (!watch->bad) {
+            BsLoop_Log(loop, LOG_ERR, "instance list ignored: %s",
+                       error->message);
+        }
         g_error_free(error);
-        return;
+        return false;
     }
     BsLoop_Post(loop, message);
+    return true;
 }
 
 static void
@@ -108,7 +114,7 @@
     watch->revision = watch->next_revision;
     watch->has_revision = true;
     if (watch == &watch->platform->list) {
-        S_take_list(watch);
+        watch->bad = !S_take_list(watch);
     }
     else {
         S_take_sheet(watch);
@@ -147,7 +153,7 @@
         if (status == STATUS_OK) {
             S_take(watch);
         }
-        S_schedule(watch, PAUSE_S);
+        S_schedule(watch, watch->bad ? RETRY_S : PAUSE_S);
         return;
     }
     g_snprintf(reason, sizeof(reason), "%s %ld", curl_easy_strerror(result),
--- a/src/d_transfer.c
+++ b/src/d_transfer.c
@@ -307,9 +307,15 @@
 S_set_headers(BsTransfer *transfer, const BsRequest *request)
 {
     char number[16];
-    S_add_header(transfer, "Content-Type",
-                 request->content_type == NULL ? "application/json"
-                                               : request->content_type);
+    if (request->content_type != NULL || request->model != NULL) {
+        S_add_header(transfer, "Content-Type",
+                     request->content_type == NULL ? "application/json"
+                                                   : request->content_type);
+    }
+    else {
+        transfer->headers =
+            curl_slist_append(transfer->headers, "Content-Type:");
+    }
     S_add_header(transfer, "Idempotency-Key", request->key);
     S_add_header(transfer, "traceparent", transfer->hop.traceparent);
     S_add_header(transfer, "Boragespur-Request-Id", request->request_id);
