--- a/src/d_call.c
+++ b/src/d_call.c
@@ -317,17 +317,12 @@
 static void
 S_add_headers(BsCall *call, struct MHD_Response *response)
 {
-    char number[16];
     BsReply_AddHeader(response, "Content-Type", call->content_type);
     BsReply_AddHeader(response, "Boragespur-Request-Id", call->id);
     BsReply_AddHeader(response, "Boragespur-Ticket", call->ticket);
-    if (call->outcome != BS_OUTCOME_NONE) {
-        BsReply_AddHeader(response, "Boragespur-Outcome",
-                          BsReply_OutcomeName(call->outcome));
-    }
+    BsReply_AddOutcome(response, call->outcome);
     if (call->retry_after_s > 0) {
-        g_snprintf(number, sizeof(number), "%u", call->retry_after_s);
-        BsReply_AddHeader(response, "Retry-After", number);
+        BsReply_AddNumber(response, "Retry-After", call->retry_after_s);
     }
     if (call->events) {
         BsReply_AddHeader(response, "Cache-Control", "no-store");
--- a/src/d_reply.c
+++ b/src/d_reply.c
@@ -62,3 +62,21 @@
     }
     MHD_add_response_header(response, name, value);
 }
+
+void
+BsReply_AddNumber(struct MHD_Response *response, const char *name,
+                  uint32_t number)
+{
+    char text[16];
+    g_snprintf(text, sizeof(text), "%u", number);
+    BsReply_AddHeader(response, name, text);
+}
+
+void
+BsReply_AddOutcome(struct MHD_Response *response, uint32_t outcome)
+{
+    if (outcome != BS_OUTCOME_NONE) {
+        BsReply_AddHeader(response, "Boragespur-Outcome",
+                          BsReply_OutcomeName(outcome));
+    }
+}
--- a/src/d_reply.h
+++ b/src/d_reply.h
@@ -18,6 +18,13 @@
 /* Creates a response that owns a copy of TEXT as JSON. */
 struct MHD_Response *BsReply_CreateJson(const char *text, size_t size_bytes);
 
+/* Adds the header NAME with a number. */
+void BsReply_AddNumber(struct MHD_Response *response, const char *name,
+                       uint32_t number);
+
+/* Adds the outcome's header unless there is no outcome. */
+void BsReply_AddOutcome(struct MHD_Response *response, uint32_t outcome);
+
 /* Adds the header NAME unless VALUE is NULL or holds control characters. */
 void BsReply_AddHeader(struct MHD_Response *response, const char *name,
                        const char *value);
