--- a/tests/contract/upstream_test.cc
+++ b/tests/contract/upstream_test.cc
@@ -201,6 +201,47 @@
     EXPECT_EQ(answer.body.find("[DONE]"), std::string::npos);
 }
 
+TEST(Stream, ResumeOffsetReachesTheUpstream)
+{
+    std::atomic<bool> told{false};
+    Server engine([&](Socket &socket) {
+        std::string request = socket.ReadMessage();
+        if (request.compare(0, 12, "GET /health ") != 0) {
+            told = request.find("X-Resume-Events: 3\r\n") != std::string::npos;
+            socket.Write(std::string(kStreamHead) + "data: [DONE]\n\n");
+            return;
+        }
+        socket.Write(Http("200 OK", "Connection: close\r\n",
+                          "{\"boot_id\":\"b\",\"loaded\":[{\"model\":"
+                          "\"m\",\"version\":\"1\"}]}"));
+    });
+    Daemon daemon(engine.port(), FreePort());
+    Answer answer = daemon.Send("POST", "/v1/chat/completions", kChat,
+                                {"Boragespur-Resume-Events: 3"});
+    EXPECT_EQ(answer.body, "data: [DONE]\n\n");
+    EXPECT_TRUE(told);
+}
+
+// The HTTP library resends by itself on a kept connection that dies; each
+// sending must be one that the core decided.
+TEST(Upstream, NoRequestIsSentAgainUnseen)
+{
+    std::atomic<int> seen{0};
+    Server service([&](Socket &socket) {
+        while (!socket.ReadMessage().empty()) {
+            if (++seen == 2) {
+                return;
+            }
+            socket.Write(Http("200 OK", "", "x"));
+        }
+    });
+    Daemon daemon(FreePort(), service.port());
+    EXPECT_EQ(daemon.Send("GET", "/services/s/a", "").status, 200);
+    daemon.Send("GET", "/services/s/b", "");
+    EXPECT_GE(seen, 2);
+    EXPECT_EQ(daemon.Metric("upstream_transfers"), seen);
+}
+
 TEST(Stream, LeavingCallerCancelsTheUpstream)
 {
     std::atomic<bool> cancelled{false};
