--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 JOBS ?= $(shell nproc)
 C_FILES = $(shell git ls-files '*.c' '*.h' '*.cc')
 
-.PHONY: all build check test asan format format-check lint clean
+.PHONY: all build check test asan format format-check lint soak clean
 
 all: build
 
@@ -39,6 +39,13 @@
 # Formatter, linters, and every test with and without sanitizers.
 check: format-check lint test asan
 
+# The random walks with many more seeds; SEED and SEEDS choose them.
+SEED ?= 1000
+SEEDS ?= 500
+soak: build
+	BS_SEED=$(SEED) BS_SEEDS=$(SEEDS) \
+		$(BUILD)/bin/api_test --gtest_filter='*Walk*'
+
 clean:
 	rm -rf $(BUILD) $(ASAN_BUILD)
 
@@ -53,3 +60,24 @@
 # Goodput of the policies; the tables quoted in docs/measurements.md.
 policy: build
 	$(BUILD)/bin/policy_bench
+
+.PHONY: demo packages
+
+# Installs what the build needs; does nothing when all of it is there.
+packages:
+	@dpkg -s $$(cat .ci/packages) >/dev/null 2>&1 || { \
+		SUDO=$$([ "$$(id -u)" = 0 ] || echo sudo); \
+		$$SUDO apt-get update -q && \
+		$$SUDO apt-get install -y -q --no-install-recommends \
+			$$(cat .ci/packages); }
+
+# Starts a small fleet, sends four requests and says what was seen.
+demo: packages
+	$(MAKE) build
+	tests/demo/demo.sh $(BUILD)/bin
+
+.PHONY: bench
+
+# Latency, rates, memory and step cost of one instance on loopback, as JSON.
+bench: build
+	$(BUILD)/bin/bench $(BUILD)/bin
--- a/src/d_call.c
+++ b/src/d_call.c
@@ -56,10 +56,11 @@
 };
 
 BsCall *
-BsCall_Create(BsLoop *loop, const char *target)
+BsCall_Create(BsLoop *loop, BsHttpd *httpd, const char *target)
 {
     BsCall *call = g_new0(BsCall, 1);
     call->loop = loop;
+    call->httpd = httpd;
     call->target = g_strdup(target);
     call->body = g_byte_array_new();
     call->out = g_byte_array_new();
--- a/src/once.c
+++ b/src/once.c
@@ -5,6 +5,7 @@
 #include "peer.h"
 #include "reorder.h"
 #include "schema.h"
+#include "tally.h"
 #include "ticket.h"
 #include "witness.h"
 
@@ -140,7 +141,8 @@
     if (valid) {
         g_free(request->key);
         request->key =
-            g_strconcat(TICKET_KEY, parts.nonce, "@", parts.keeper, NULL);
+            g_strdup_printf(TICKET_KEY "%s-%" G_GINT64_MODIFIER "x-%s",
+                            parts.keeper, parts.incarnation, parts.nonce);
     }
     BsTicketParts_Clear(&parts);
     return valid ? BS_ERR_NONE : BS_ERR_TICKET;
@@ -197,6 +199,8 @@
         BsExplain_OnEnd(once->core->explain, S_request(sent)->request_id,
                         answer, sent->keeper);
         BsCore_Count(once->core, "answers_final", 1);
+        BsTally_Answer(once->core, S_request(sent), answer->outcome,
+                       BsCore_NowMs(once->core) <= sent->deadline_ms);
     }
     if (sent->gone) {
         BsMessage_Destroy(piece);
@@ -218,11 +222,19 @@
                               sent->attempt, error, outcome));
 }
 
+/* Returns whether the caller chose the key, so that it may have sent the
+   request before. */
+static bool
+S_may_be_resend(const BsSent *sent)
+{
+    return strcmp(S_request(sent)->key, S_request(sent)->request_id) != 0;
+}
+
 /* Ends SENT, whose keeper may have run it but cannot be asked. */
 static void
 S_lose(BsOnce *once, BsSent *sent, BsErrorKind error)
 {
-    if (sent->incarnation == 0 && !sent->moved) {
+    if (sent->incarnation == 0 && !sent->moved && !S_may_be_resend(sent)) {
         S_fail(once, sent, error, BS_OUTCOME_NOT_RUN);
     }
     else if (sent->hint == BS_OUTCOME_RAN) {
@@ -297,13 +309,13 @@
     const char *keeper =
         BsMembers_KeeperOf(core->members, request->account, request->key);
     if (keeper == NULL) {
-        S_fail(once, sent, BS_ERR_NO_UPSTREAM, BS_OUTCOME_NOT_RUN);
+        S_lose(once, sent, BS_ERR_NO_UPSTREAM);
         return;
     }
     uint64_t incarnation =
         strcmp(keeper, core->config.name) == 0
             ? core->config.incarnation
-            : BsPeers_Incarnation(core->peers, keeper, core->config.lease_ms,
+            : BsPeers_Incarnation(core->peers, keeper, BS_PEER_FRESH_MS,
                                   BsCore_NowMs(core));
     S_start_attempt(once, sent, keeper, incarnation);
 }
@@ -398,6 +410,11 @@
         sent->retry_ms = BsCore_NowMs(once->core) + RETRY_MS;
         BsCore_Count(once->core, "keeper_retries", 1);
     }
+    else if (answer->error == BS_ERR_NOT_KEEPER) {
+        S_finish_note(once, sent, BS_OUTCOME_NOT_RUN);
+        sent->incarnation = 0;
+        S_lose(once, sent, BS_ERR_NOT_KEEPER);
+    }
     else if (sent->moved && answer->error == BS_ERR_KEY_UNCERTAIN) {
         S_lose(once, sent,
                S_request(sent)->ticket != NULL ? BS_ERR_TICKET
@@ -420,7 +437,7 @@
                                                : BS_ERR_PEER_LOST);
     }
     else if (sent->attempt >= ATTEMPTS_MAX) {
-        S_fail(once, sent, BS_ERR_INCARNATION, BS_OUTCOME_NOT_RUN);
+        S_lose(once, sent, BS_ERR_INCARNATION);
     }
     else {
         S_start_attempt(once, sent, message->from, message->from_incarnation);
@@ -503,6 +520,13 @@
     if (strcmp(sent->keeper, once->core->config.name) == 0) {
         return;
     }
+    if (sent->incarnation == 0 && !sent->moved &&
+        now_ms - sent->started_ms < RETRY_MAX_MS) {
+        if (now_ms - sent->polled_ms >= lease_ms / POLLS_PER_LEASE) {
+            S_send(once, sent);
+        }
+        return;
+    }
     if (now_ms - sent->heard_ms >= lease_ms) {
         S_lose(once, sent,
                S_request(sent)->ticket != NULL ? BS_ERR_TICKET
