--- a/tests/api/order_test.cc
+++ b/tests/api/order_test.cc
@@ -189,7 +189,14 @@
         TearDown();
         SetUp();
         Start(false, "blade@1");
-        World_Pause(world, "b");
+        for (int i = 0; i < kEngines; i++) {
+            std::string name = EngineName(i);
+            if (Owner(name) == World_Core(world, "b")) {
+                World_SetLoaded(world, name.c_str(), "blade@0");
+            }
+        }
+        World_Pause(world, "b"); // its reports of blade@0 wait for it
+        World_Run(world, 4100);
         World_SetListed(world, "b", 0);
         World_PublishList(world, 0);
         Publish(2, "2", nullptr);
--- a/tests/api/sheet_spread_test.cc
+++ b/tests/api/sheet_spread_test.cc
@@ -236,7 +236,12 @@
     fleet.Publish(3);
     World_Run(fleet.world, 1000);
     for (int i = 0; i < 9; i++) {
+        // The service is read before a peer is heard.
+        World_Hold(fleet.world, 0, NameOf(i).c_str());
         World_Restart(fleet.world, NameOf(i).c_str());
+        World_Run(fleet.world, 150);
+        ASSERT_EQ(fleet.Revision(i), 0u);
+        World_Release(fleet.world);
         for (int step = 0; step < 100; step++) {
             World_Run(fleet.world, 50);
             uint64_t revision = fleet.Revision(i);
