--- a/tests/api/order_test.cc
+++ b/tests/api/order_test.cc
@@ -204,6 +204,9 @@
         World_Run(world, pause_ms);
         ASSERT_EQ(CountLoaded("blade@2"), kEngines);
         uint64_t sent = BsCore_Counter(World_Core(world, "b"), "orders_sent");
+        World_Cut(world, WORLD_PLATFORM,
+                  "b"); // it keeps its old list and sheet
+        World_Hold(world, 0, "b");
         World_Wake(world, "b");
         for (int step = 0; step < 200; step++) {
             World_Run(world, 50);
--- a/tests/api/sheet_spread_test.cc
+++ b/tests/api/sheet_spread_test.cc
@@ -274,14 +274,29 @@
     EXPECT_LE(fleet.MsUntilAll(2, 6000), 5000);
 }
 
+// Each half of the fleet reads another text first.
 TEST(Sheet, TwoTextsUnderOneRevisionEndAlike)
 {
     Fleet fleet(9);
-    fleet.PublishText(2, SheetText(20));
-    World_Run(fleet.world, 3000);
-    fleet.PublishText(9, "junk: ["); // makes the watchers read again
-    World_Run(fleet.world, 200);
-    fleet.PublishText(2, SheetText(21));
+    for (int half = 0; half < 2; half++) {
+        World_Heal(fleet.world);
+        for (int i = 0; i < 9; i++) {
+            for (int k = 0; k < 9; k++) {
+                if (i % 2 != k % 2) {
+                    World_Cut(fleet.world, NameOf(i).c_str(),
+                              NameOf(k).c_str());
+                }
+            }
+            if (i % 2 != half) {
+                World_Cut(fleet.world, WORLD_PLATFORM, NameOf(i).c_str());
+            }
+        }
+        fleet.PublishText(2, SheetText(20 + half));
+        World_Run(fleet.world, 3000);
+    }
+    ASSERT_NE(fleet.Version(0), fleet.Version(1));
+    World_Heal(fleet.world);
+    World_SetPlatformDown(fleet.world, true);
     World_Run(fleet.world, 5000);
     EXPECT_EQ(fleet.CountAt(2), 9);
     EXPECT_GT(fleet.Sum("sheet_conflicts"), 0u);
@@ -297,8 +312,13 @@
         World_Pause(fleet.world, "i3");
         fleet.Publish(2);
         World_Run(fleet.world, pause_ms);
+        World_Cut(fleet.world, WORLD_PLATFORM, "i3");
+        World_Hold(fleet.world, BS_SHEET_PUSH, "i3");
         World_Wake(fleet.world, "i3");
         for (int step = 0; step < 300; step++) {
+            if (step == 100) {
+                World_Release(fleet.world);
+            }
             World_Run(fleet.world, 10);
             BsCore *core = World_Core(fleet.world, "i3");
             if (BsTenure_HasContact(core->tenure)) {
