--- a/src/core.c
+++ b/src/core.c
@@ -7,6 +7,7 @@
 #include "explain.h"
 #include "keeper.h"
 #include "link.h"
+#include "lists.h"
 #include "once.h"
 #include "order.h"
 #include "owner.h"
@@ -258,53 +259,6 @@
     return message;
 }
 
-/* Tells the host of a list that came from a peer. */
-static void
-S_tell_list(BsCore *core)
-{
-    BsMessage *told = BsMessage_Create(BS_PLATFORM_LIST);
-    BsSchema_Copy(BsSchema_OfKind(BS_PLATFORM_LIST), &told->u,
-                  BsMembers_List(core->members));
-    BsCore_Emit(core, told);
-}
-
-static void
-S_accept_list(BsCore *core, const BsMessage *message)
-{
-    if (!BsMembers_Accept(core->members, &message->u.list)) {
-        BsCore_Count(core, "lists_ignored", 1);
-        if (message->kind == BS_LIST_PUSH) {
-            BsTenure_OnOldList(core->tenure, &message->u.list);
-        }
-        return;
-    }
-    if (message->kind == BS_LIST_PUSH) {
-        S_tell_list(core);
-    }
-    BsCore_Count(core, "lists_accepted", 1);
-    BsTenure_OnList(core->tenure);
-    BsWatchers_OnList(core->watchers);
-    BsOwner_OnList(core->owner);
-}
-
-/* Answers a pull with the list in force when it is newer, else with the
-   instances of the old list asked for. */
-static void
-S_push_list(BsCore *core, const BsMessage *message)
-{
-    const BsSheetText *pull = &message->u.sheet;
-    const BsList *list = BsMembers_List(core->members);
-    if (list == NULL || list->revision <= pull->base_revision) {
-        list = BsTenure_FindList(core->tenure, pull->revision);
-    }
-    if (message->from == NULL || list == NULL) {
-        return;
-    }
-    BsMessage *push = BsMessage_Create(BS_LIST_PUSH);
-    BsSchema_Copy(BsSchema_OfKind(BS_LIST_PUSH), &push->u, list);
-    BsCore_Send(core, message->from, message->from_incarnation, push);
-}
-
 static void
 S_deliver_answer(BsCore *core, const BsMessage *message)
 {
@@ -495,7 +449,7 @@
         break;
     case BS_PLATFORM_LIST:
     case BS_LIST_PUSH:
-        S_accept_list(core, message);
+        BsLists_OnList(core, message);
         break;
     case BS_PLATFORM_DOWN:
         BsWatchers_OnDown(core->watchers);
@@ -504,7 +458,7 @@
         BsWatchers_OnHandover(core->watchers);
         break;
     case BS_LIST_PULL:
-        S_push_list(core, message);
+        BsLists_OnPull(core, message);
         break;
     case BS_PLATFORM_SHEET:
     case BS_SHEET_PULL:
