--- a/src/owner.c
+++ b/src/owner.c
@@ -101,6 +101,7 @@
 {
     BsPool *pool = BsOwner_FindPool(owner, work->serves);
     work->queued_ms = BsCore_NowMs(owner->core);
+    work->waiting = true;
     owner->queued++;
     owner->queued_bytes += work->body_bytes;
     BsQueue_Push(pool->queue, work, S_weight(owner, work));
@@ -110,6 +111,7 @@
 BsOwner_Dequeue(BsOwner *owner, BsWork *work, bool dispatched)
 {
     BsPool *pool = BsOwner_FindPool(owner, work->serves);
+    work->waiting = false;
     owner->queued--;
     owner->queued_bytes -= work->body_bytes;
     if (work->queued != NULL) {
@@ -184,14 +186,28 @@
     BsCore_Emit(owner->core, cancel);
 }
 
+/* Frees the upstreams that WORK reserved while it waits. */
+static void
+S_unreserve(BsOwner *owner, const BsWork *work)
+{
+    const BsPool *pool = BsOwner_FindPool(owner, work->serves);
+    for (guint i = 0; pool != NULL && i < pool->upstreams->len; i++) {
+        BsUpstream *upstream = pool->upstreams->pdata[i];
+        if (upstream->reserved == work) {
+            upstream->reserved = NULL;
+        }
+    }
+}
+
 /* Forgets WORK, wherever it is. */
 static void
 S_forget(BsOwner *owner, BsWork *work)
 {
+    S_unreserve(owner, work);
     if (work->upstream != NULL) {
         BsOwner_Release(owner, work);
     }
-    else if (work->queued_ms != 0) {
+    else if (work->waiting) {
         BsOwner_Dequeue(owner, work, false);
     }
     g_hash_table_remove(owner->works, work->id);
