--- a/tests/api/order_test.cc
+++ b/tests/api/order_test.cc
@@ -189,7 +189,14 @@
         TearDown();
         SetUp();
         Start(false, "blade@1");
-        World_Pause(world, "b");
+        for (int i = 0; i < kEngines; i++) {
+            std::string name = EngineName(i);
+            if (Owner(name) == World_Core(world, "b")) {
+                World_SetLoaded(world, name.c_str(), "blade@0");
+            }
+        }
+        World_Pause(world, "b"); // its reports of blade@0 wait for it
+        World_Run(world, 4100);
         World_SetListed(world, "b", 0);
         World_PublishList(world, 0);
         Publish(2, "2", nullptr);
@@ -197,6 +204,9 @@
         World_Run(world, pause_ms);
         ASSERT_EQ(CountLoaded("blade@2"), kEngines);
         uint64_t sent = BsCore_Counter(World_Core(world, "b"), "orders_sent");
+        World_Cut(world, WORLD_PLATFORM,
+                  "b"); // it keeps its old list and sheet
+        World_Hold(world, 0, "b");
         World_Wake(world, "b");
         for (int step = 0; step < 200; step++) {
             World_Run(world, 50);
