--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -14,6 +14,9 @@
 
 #define PERCENT 100
 
+/* Times that work may be passed by for the sake of a cached prefix. */
+#define PASSED_MAX 8
+
 /* Time to spare at which urgent work is handed back for other owners. */
 #define ASK_OTHERS_SPARE_MS 1000
 
@@ -136,6 +139,40 @@
            !BsOwner_CouldPreempt(owner, pool, work);
 }
 
+/* What a search for cached prefixes looks at. */
+typedef struct {
+    const BsPool *pool;
+    const BsColdStart *cold;
+    int64_t now_ms;
+} BsSearch;
+
+static bool
+S_is_cached(const BsWork *work, const void *context)
+{
+    const BsSearch *search = context;
+    return !work->alone && search->now_ms < work->deadline_ms &&
+           BsPool_HasCached(search->pool, work, search->cold, search->now_ms);
+}
+
+/* Returns work near NEXT whose prefix is cached where there is room, or
+   NEXT itself. */
+static BsWork *
+S_prefer_cached(const BsOwner *owner, const BsPool *pool, BsWork *next)
+{
+    BsSearch search = {pool, BsOwner_ColdStart(owner),
+                       BsCore_NowMs(owner->core)};
+    if (next->passed >= PASSED_MAX) {
+        return next;
+    }
+    BsWork *near =
+        BsQueue_PeekNear(pool->queue, next->rank, S_is_cached, &search);
+    if (near == NULL || near == next || S_is_hopeless(owner, pool, near)) {
+        return next;
+    }
+    next->passed++;
+    return near;
+}
+
 static BsStep
 S_step(BsOwner *owner, BsPool *pool, uint32_t rank)
 {
@@ -151,6 +188,10 @@
         return STEP_DONE;
     }
     BsUpstream *upstream = BsPool_Pick(pool, work, cold, now_ms);
+    if (upstream != NULL && !work->alone) {
+        work = S_prefer_cached(owner, pool, work);
+        upstream = BsPool_Pick(pool, work, cold, now_ms);
+    }
     if (upstream == NULL) {
         upstream = BsOwner_Preempt(owner, pool, work);
     }
--- a/src/pool.c
+++ b/src/pool.c
@@ -94,6 +94,22 @@
     return use_nearest ? nearest : idlest;
 }
 
+bool
+BsPool_HasCached(const BsPool *pool, const BsWork *work,
+                 const BsColdStart *cold, int64_t now_ms)
+{
+    uint64_t prefix_hash = BsWork_Request(work)->prefix_hash;
+    for (guint i = 0; i < pool->upstreams->len; i++) {
+        const BsUpstream *upstream = pool->upstreams->pdata[i];
+        if (BsPrefixes_Find(upstream->prefixes, prefix_hash) > 0 &&
+            BsUpstream_HasLoaded(upstream, pool->version) &&
+            BsUpstream_Fits(upstream, work, cold, now_ms)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 bool
 BsPool_FitsEmpty(const BsPool *pool, const BsWork *work,
                  const BsColdStart *cold, int64_t now_ms)
--- a/src/pool.h
+++ b/src/pool.h
@@ -35,6 +35,10 @@
 BsUpstream *BsPool_Pick(const BsPool *pool, const BsWork *work,
                         const BsColdStart *cold, int64_t now_ms);
 
+/* Returns whether an upstream with room for WORK has its prefix cached. */
+bool BsPool_HasCached(const BsPool *pool, const BsWork *work,
+                      const BsColdStart *cold, int64_t now_ms);
+
 /* Returns whether some upstream could take WORK once nothing else runs. */
 bool BsPool_FitsEmpty(const BsPool *pool, const BsWork *work,
                       const BsColdStart *cold, int64_t now_ms);
--- a/src/queue.c
+++ b/src/queue.c
@@ -4,6 +4,10 @@
 /* Tokens an account of weight 1 may send in one round. */
 #define QUANTUM_TOKENS 2048
 
+/* Accounts, and requests of each, that are near the next work. */
+#define NEAR_SHARES 8
+#define NEAR_WORKS 4
+
 /* The work of one account in one tier. */
 typedef struct {
     char *account;
@@ -120,8 +124,10 @@
     tier->tokens -= work->cost_tokens;
     tier->count--;
     if (dispatched) {
+        bool alone = tier->round.length == 1;
         share->deficit_tokens -= work->cost_tokens;
-        share->deficit_tokens = MAX(share->deficit_tokens, 0);
+        share->deficit_tokens =
+            alone ? MAX(share->deficit_tokens, 0) : share->deficit_tokens;
     }
     if (g_sequence_is_empty(share->works)) {
         g_queue_remove(&tier->round, share);
@@ -175,3 +181,23 @@
         }
     }
 }
+
+BsWork *
+BsQueue_PeekNear(const BsQueue *queue, uint32_t rank,
+                 bool (*match)(const BsWork *, const void *),
+                 const void *context)
+{
+    GList *node = queue->tiers[rank].round.head;
+    for (int i = 0; i < NEAR_SHARES && node != NULL; i++, node = node->next) {
+        const BsShare *share = node->data;
+        GSequenceIter *at = g_sequence_get_begin_iter(share->works);
+        for (int k = 0; k < NEAR_WORKS && !g_sequence_iter_is_end(at);
+             k++, at = g_sequence_iter_next(at)) {
+            BsWork *work = g_sequence_get(at);
+            if (match(work, context)) {
+                return work;
+            }
+        }
+    }
+    return NULL;
+}
--- a/src/work.h
+++ b/src/work.h
@@ -29,6 +29,7 @@
     uint64_t body_bytes;     /* held while queued */
     uint32_t dispatch;       /* number of the last dispatch, 0 before */
     uint32_t rank;           /* of its tier */
+    uint32_t passed;         /* times other work went first for its prefix */
     uint32_t cost_tokens;    /* prompt and expected output */
     uint32_t charged_tokens; /* counted against the upstream's limit */
     uint32_t cached_tokens;  /* expected in the upstream's prefix cache */
