--- a/src/attempt.c
+++ b/src/attempt.c
@@ -33,8 +33,10 @@
 /* Silence of a child after which it is checked. */
 #define CHECK_MS 500
 
-/* Time without a piece after which the request itself is checked. */
-#define REQUEST_CHECK_MS 5000
+/* Time without a piece after which the request itself is checked, once its
+   answer began and before. */
+#define STARTED_CHECK_MS 5000
+#define WAITING_CHECK_MS 20000
 
 /* Time for which a missing piece may be late. */
 #define GAP_MS 1000
@@ -292,7 +294,9 @@
 {
     int64_t now_ms = BsCore_NowMs(entry->core);
     bool child_silent = now_ms - S_child_heard_ms(entry, request) > CHECK_MS;
-    bool request_silent = now_ms - request->heard_ms > REQUEST_CHECK_MS;
+    int64_t check_ms =
+        request->next_seq > 0 ? STARTED_CHECK_MS : WAITING_CHECK_MS;
+    bool request_silent = now_ms - request->heard_ms > check_ms;
     int64_t *last_ms = g_hash_table_lookup(entry->checks, request->child);
     if (last_ms == NULL) {
         last_ms = g_new0(int64_t, 1);
