--- a/tests/api/capacity_test.cc
+++ b/tests/api/capacity_test.cc
@@ -61,19 +61,19 @@
 {
     BsQueue *queue = BsQueue_Create();
     for (int i = 0; i < 200; i++) {
-        BsQueue_Push(queue, CreateWork("a", "long", 3, 10000, 1000), 1);
-        BsQueue_Push(queue, CreateWork("b", "short", 3, 100, 1000), 2);
+        BsQueue_Push(queue, CreateWork("a", "long", 3, 4000, 1000), 1);
+        BsQueue_Push(queue, CreateWork("b", "short", 3, 1000, 1000), 2);
     }
     double tokens[2] = {0, 0};
-    while (BsQueue_Count(queue, 3) > 250) {
+    while (tokens[0] + tokens[1] < 210000) {
         BsWork *work = BsQueue_Peek(queue, 3);
-        bool is_short = BsWork_Request(work)->prompt_tokens == 100;
+        bool is_short = BsWork_Request(work)->prompt_tokens == 1000;
         tokens[is_short] += work->cost_tokens;
         BsQueue_Remove(queue, work, true);
         BsWork_Destroy(work);
     }
-    // The short account has twice the weight; one long request may be ahead.
-    EXPECT_GE(tokens[1] + 2 * 10000, 2 * tokens[0] - 10000);
+    // Weight 2 to 1, within one long request and a quantum.
+    EXPECT_NEAR(tokens[1], 2 * tokens[0], 2 * 4000 + 2048);
     while (BsWork *work = BsQueue_Last(queue)) {
         BsQueue_Remove(queue, work, false);
         BsWork_Destroy(work);
