--- a/bench/policy_bench.c
+++ b/bench/policy_bench.c
@@ -10,6 +10,7 @@
  */
 #include "policy_engine.h"
 #include "policy_load.h"
+#include "schema.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -399,7 +400,7 @@
 {
     BsMessage *message = BsMessage_Create(BS_PLATFORM_LIST);
     message->u.list.revision = ++bench->list_revision;
-    message->u.list.entries = g_ptr_array_new();
+    message->u.list.entries = BsSchema_NewList(&bs_schema_list_entry);
     for (guint i = 0; i < INSTANCES; i++) {
         S_add_entry(message->u.list.entries, bench->nodes[i].name,
                     BS_NODE_INSTANCE, S_centre_of(i));
--- a/tests/api/capacity_test.cc
+++ b/tests/api/capacity_test.cc
@@ -5,6 +5,7 @@
 #include "link.h"
 #include "queue.h"
 #include "retry.h"
+#include "schema.h"
 #include "upstream.h"
 }
 
@@ -248,7 +249,7 @@
     {
         BsMessage *message = BsMessage_Create(BS_PLATFORM_LIST);
         message->u.list.revision = 1;
-        message->u.list.entries = g_ptr_array_new();
+        message->u.list.entries = BsSchema_NewList(&bs_schema_list_entry);
         for (const char *name : {"a", "b"}) {
             BsListEntry *entry = BsListEntry_Create();
             entry->name = g_strdup(name);
