--- a/src/d_callers.c
+++ b/src/d_callers.c
@@ -5,6 +5,7 @@
 #include "d_httpd.h"
 #include "d_reply.h"
 #include "d_request.h"
+#include "d_tls.h"
 
 #include <string.h>
 
@@ -14,6 +15,7 @@
 struct BsCallers {
     BsLoop *loop;
     BsHttpd *httpd;
+    BsTls *tls;        /* NULL for plain HTTP */
     GHashTable *calls; /* request or query id to BsCall */
     uint64_t next_id;
     uint32_t connections;
@@ -56,6 +58,8 @@
         return;
     }
     message->u.request.request_id = g_strdup(S_register(callers, call));
+    BsMessage_SetString(&message->u.request.traceparent,
+                        BsCall_StartHop(call, message->u.request.traceparent));
     BsCall_Wait(call, message->u.request.service == NULL,
                 message->u.request.stream);
     BsLoop_Post(callers->loop, message);
@@ -146,7 +150,7 @@
         return MHD_NO;
     }
     if (!BsCall_IsBegun(call)) {
-        BsCall_Begin(call, connection);
+        BsCall_Begin(call, callers->httpd, connection);
         return S_refuse_early(callers, call) ? BsCall_SendHead(call) : MHD_YES;
     }
     if (*data_bytes > 0) {
@@ -168,7 +172,7 @@
     BsCallers *callers = context;
     (void)connection;
     BsLoop_Count(callers->loop, "caller_requests", 1);
-    return BsCall_Create(callers->loop, uri);
+    return BsCall_Create(callers->loop, callers->httpd, uri);
 }
 
 static void
@@ -235,6 +239,13 @@
     callers->loop = loop;
     callers->calls =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    if (settings->tls != NULL) {
+        callers->tls = BsTls_Create(loop, error);
+        if (callers->tls == NULL) {
+            BsCallers_Destroy(callers);
+            return NULL;
+        }
+    }
     BsHttpdConfig config = {
         .address = settings->callers,
         .key = "callers",
@@ -245,6 +256,8 @@
         .context = callers,
         .header_bytes = settings->limits.header_bytes,
         .connections = settings->limits.connections + CONNECTIONS_SPARE,
+        .tls = callers->tls != NULL,
+        .certificate_callback = BsTls_Callback(),
     };
     callers->httpd = BsHttpd_Create(loop, &config, error);
     if (callers->httpd == NULL) {
@@ -269,6 +282,7 @@
         BsCall_Abandon(call);
     }
     BsHttpd_Destroy(callers->httpd);
+    BsTls_Destroy(callers->tls);
     g_hash_table_destroy(callers->calls);
     g_free(callers);
 }
--- a/src/entry.c
+++ b/src/entry.c
@@ -9,7 +9,9 @@
 #include "poison.h"
 #include "retry.h"
 #include "stop.h"
+#include "tally.h"
 #include "ticket.h"
+#include "witness.h"
 #include "work.h"
 
 /* Time beyond the deadline in which the owner's own answer may arrive. */
@@ -77,6 +79,14 @@
                : g_hash_table_lookup(entry->requests, request_id);
 }
 
+/* Counts the final answer to REQUEST. */
+static void
+S_tally(BsEntry *entry, const BsEntryRequest *request, BsOutcome outcome)
+{
+    BsTally_Answer(entry->core, &request->request->u.request, outcome,
+                   BsCore_NowMs(entry->core) <= request->deadline_ms);
+}
+
 /* Forgets REQUEST. */
 static void
 S_forget(BsEntry *entry, BsEntryRequest *request)
@@ -97,6 +107,7 @@
     BsExplain_OnEnd(entry->core->explain, S_id(request), &answer->u.answer,
                     NULL);
     BsCore_Count(entry->core, "answers_error", 1);
+    S_tally(entry, request, outcome);
     BsCore_Emit(entry->core, answer);
     S_forget(entry, request);
 }
@@ -105,10 +116,19 @@
 static void
 S_refuse(BsEntry *entry, const BsRequest *request, BsErrorKind error)
 {
+    const BsNote *note =
+        request->account == NULL || request->key == NULL
+            ? NULL
+            : BsWitness_FindOther(entry->core->witness, request->account,
+                                  request->key, NULL, 0);
     BsCore_Count(entry->core, "requests_refused", 1);
+    if (error == BS_ERR_MEMORY_FULL) {
+        BsTally_Answer(entry->core, request, BS_OUTCOME_NOT_RUN, false);
+    }
     BsCore_Emit(entry->core,
-                BsCore_CreateError(BS_CALLER_ANSWER, request->request_id, 0,
-                                   error, BS_OUTCOME_NOT_RUN));
+                BsCore_CreateError(
+                    BS_CALLER_ANSWER, request->request_id, 0, error,
+                    note == NULL ? BS_OUTCOME_NOT_RUN : BS_OUTCOME_UNKNOWN));
 }
 
 static uint64_t
@@ -176,9 +196,10 @@
     BsRequest *request = &forward->u.request;
     forward->kind = BS_FORWARD;
     BsCore_Count(entry->core, "requests", 1);
-    BsErrorKind error = BsStop_IsActive(entry->core->stop)
-                            ? BS_ERR_DRAINING
-                            : BsEntry_Resolve(entry, request);
+    BsErrorKind error = BsEntry_Resolve(entry, request);
+    if (BsStop_IsActive(entry->core->stop)) {
+        error = BS_ERR_DRAINING;
+    }
     if (error == BS_ERR_NONE) {
         error = S_judge(entry, request);
     }
@@ -283,6 +304,7 @@
     S_number(request, piece);
     if (final) {
         BsExplain_OnEnd(entry->core->explain, S_id(request), answer, NULL);
+        S_tally(entry, request, (BsOutcome)answer->outcome);
     }
     BsCore_Emit(entry->core, piece);
     if (final) {
--- a/src/query.c
+++ b/src/query.c
@@ -9,6 +9,7 @@
 #include "run.h"
 #include "sheetstore.h"
 #include "stop.h"
+#include "tally.h"
 #include "ticket.h"
 #include "token.h"
 
@@ -83,6 +84,7 @@
                    BsKeeper_CountRecords(core->keeper));
     BsCounters_Set(core->counters, "runs", BsRuns_Count(core->runs));
     BsCounters_Set(core->counters, "suspects", BsPoison_Count(core->poison));
+    BsTally_Refresh(core);
     BsCounters_Format(core->counters, out);
     *status = STATUS_OK;
     return g_string_free_to_bytes(out);
