Count work that one owner dispatched for two keepers

The owner's page can only say that nobody was charged twice if someone looks. An owner sees the same account and key dispatched for two keepers; it counts and logs that. It cannot see a second run at another owner's upstream.

Seen failing with the call taken out: 0 in place of 1.

--- a/src/run.c
+++ b/src/run.c
@@ -1,6 +1,10 @@
 /* run.c - non-idempotent runs that this owner was given. */
 #include "run.h"
 
+#include <syslog.h>
+
+#define DOUBLE_RUNS "double_runs_seen"
+
 /* Time between searches for expired runs. */
 #define EXPIRE_INTERVAL_MS 5000
 
@@ -26,19 +30,42 @@
     BsRunState state;
     BsOutcome outcome;
     bool answer_lost;
+    BsRuns *runs;
 } BsRun;
 
 struct BsRuns {
     BsCore *core;
-    GHashTable *runs; /* keeper incarnation and run id to BsRun */
+    GHashTable *runs;       /* keeper incarnation and run id to BsRun */
+    GHashTable *dispatched; /* account and key to the BsRun dispatched last */
     uint64_t bytes;
     int64_t expired_ms;
 };
 
+/* Returns what identifies the work of RUN whoever keeps it; g_free() it. */
+static char *
+S_scope(const BsRun *run)
+{
+    return run->account == NULL || run->key == NULL
+               ? NULL
+               : g_strdup_printf("%s\n%s", run->account, run->key);
+}
+
+static void
+S_forget_dispatch(BsRun *run)
+{
+    char *scope = S_scope(run);
+    if (scope != NULL &&
+        g_hash_table_lookup(run->runs->dispatched, scope) == run) {
+        g_hash_table_remove(run->runs->dispatched, scope);
+    }
+    g_free(scope);
+}
+
 static void
 S_destroy_run(void *data)
 {
     BsRun *run = data;
+    S_forget_dispatch(run);
     g_free(run->account);
     g_free(run->key);
     g_free(run->body_hash);
@@ -55,6 +82,9 @@
     runs->core = core;
     runs->runs =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, S_destroy_run);
+    runs->dispatched =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    BsCore_Count(core, DOUBLE_RUNS, 0);
     return runs;
 }
 
@@ -65,6 +95,7 @@
         return;
     }
     g_hash_table_destroy(runs->runs);
+    g_hash_table_destroy(runs->dispatched);
     g_free(runs);
 }
 
@@ -93,6 +124,7 @@
 S_add(BsRuns *runs, const BsMessage *message, const char *run_id)
 {
     BsRun *run = g_new0(BsRun, 1);
+    run->runs = runs;
     run->run_id = g_strdup(run_id);
     run->keeper = g_strdup(message->from);
     run->keeper_incarnation = message->from_incarnation;
@@ -211,6 +243,24 @@
     }
 }
 
+/* Counts a second run of work that another keeper had dispatched here. */
+static void
+S_watch_doubles(BsRuns *runs, BsRun *run)
+{
+    char *scope = S_scope(run);
+    if (scope == NULL) {
+        return;
+    }
+    const BsRun *prior = g_hash_table_lookup(runs->dispatched, scope);
+    if (prior != NULL && prior != run && prior->state != RUN_REFUSED) {
+        BsCore_Count(runs->core, DOUBLE_RUNS, 1);
+        BsCore_Log(runs->core, LOG_CRIT,
+                   "key %s of account %s ran twice: for %s and for %s",
+                   run->key, run->account, prior->keeper, run->keeper);
+    }
+    g_hash_table_insert(runs->dispatched, scope, run);
+}
+
 void
 BsRuns_OnDispatch(BsRuns *runs, const BsMessage *forward)
 {
@@ -219,6 +269,7 @@
     if (run != NULL) {
         run->state = RUN_DISPATCHED;
         run->changed_ms = BsCore_NowMs(runs->core);
+        S_watch_doubles(runs, run);
     }
 }
 
--- a/src/run.h
+++ b/src/run.h
@@ -4,7 +4,8 @@
  * Rules: a run of a keeper is given to an upstream at most once, whatever the
  * network repeats or delays; a run refused or cancelled before dispatch is
  * never dispatched afterwards; outcomes are kept for the resend window and
- * answers for a few leases, so that a keeper can ask again.
+ * answers for a few leases, so that a keeper can ask again.  The same work
+ * dispatched for two keepers is counted and logged, never hidden.
  */
 #ifndef BS_RUN_H
 #define BS_RUN_H
