--- a/bench/main_bench.c
+++ b/bench/main_bench.c
@@ -142,8 +142,21 @@
     return json;
 }
 
+/* Returns the requests a second that the stand-in alone answers. */
+static double
+S_direct_rate(const BsFleetUpstream *service)
+{
+    BsHttpLoadSpec spec = {service->process.port, LOOKUP, NULL, 0.0,
+                           RATE_CONNECTIONS};
+    BsHttpLoadResult result;
+    BsHttpLoad_Run(&spec, 1, RATE_MS, &result, NULL, NULL);
+    double per_s = result.latencies_us->len * 1000.0 / RATE_MS;
+    BsHttpLoadResult_Clear(&result);
+    return per_s;
+}
+
 static json_t *
-S_bench_rate(const BsFleetInstance *instance)
+S_bench_rate(const BsFleetInstance *instance, const BsFleetUpstream *service)
 {
     BsHttpLoadSpec spec = {instance->caller_port, LOOKUP_THROUGH, NULL, 0.0,
                            RATE_CONNECTIONS};
@@ -154,6 +167,8 @@
                              result.latencies_us->len * 1000.0 / RATE_MS,
                              "connections", RATE_CONNECTIONS, "errors",
                              (int)result.errors, "cores", S_cores(&watch));
+    json_object_set_new(json, "direct_requests_per_s",
+                        json_real(S_direct_rate(service)));
     BsHttpLoadResult_Clear(&result);
     return json;
 }
@@ -243,7 +258,8 @@
     const BsFleetInstance *instance = fleet->instances->pdata[0];
     json_object_set_new(report, "latency",
                         S_bench_latency(instance, fleet->upstreams->pdata[0]));
-    json_object_set_new(report, "rate", S_bench_rate(instance));
+    json_object_set_new(report, "rate",
+                        S_bench_rate(instance, fleet->upstreams->pdata[0]));
     json_object_set_new(report, "events", S_bench_events(instance));
     BsFleet_Destroy(fleet, false);
     fleet = S_start(argv[1], SLOW_RATE);
