--- a/src/cli_http.c
+++ b/src/cli_http.c
@@ -63,7 +63,6 @@
     char *url =
         g_strconcat(has_scheme ? "" : "http://", address, path, (char *)NULL);
     CURL *easy = curl_easy_init();
-    memset(exchange, 0, sizeof(*exchange));
     exchange->body = g_string_new(NULL);
     curl_easy_setopt(easy, CURLOPT_URL, url);
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
--- a/src/core.h
+++ b/src/core.h
@@ -50,7 +50,6 @@
     BsEntry *entry;
     BsKeeper *keeper;
     BsOwner *owner;
-    int64_t started_ms;
     BsPeers *peers;
     BsOnce *once;
     BsRuns *runs;
@@ -59,6 +58,7 @@
     BsStop *stop;
     uint64_t next_forward; /* number of the last forward sent */
     uint64_t next_ticket;  /* number of the last ticket issued */
+    int64_t started_ms;
     BsOrders *orders;
     BsWatchers *watchers;
     bool stepping;
--- a/src/d_daemon.c
+++ b/src/d_daemon.c
@@ -3,9 +3,11 @@
 
 #include "d_admin.h"
 #include "d_callers.h"
+#include "d_health.h"
 #include "d_peers.h"
 #include "d_platform.h"
 #include "d_stop.h"
+#include "d_trace.h"
 #include "d_upstreams.h"
 
 #include <curl/curl.h>
@@ -18,7 +20,9 @@
 typedef struct {
     BsSettings *settings;
     BsLoop *loop;
+    BsTrace *trace;
     BsUpstreams *upstreams;
+    BsHealth *health;
     BsPeerSockets *peers;
     BsCallers *callers;
     BsAdmin *admin;
@@ -34,7 +38,9 @@
     BsAdmin_Destroy(daemon->admin);
     BsCallers_Destroy(daemon->callers);
     BsPeerSockets_Destroy(daemon->peers);
+    BsHealth_Destroy(daemon->health);
     BsUpstreams_Destroy(daemon->upstreams);
+    BsTrace_Destroy(daemon->trace);
     BsLoop_Destroy(daemon->loop);
     BsSettings_Destroy(daemon->settings);
 }
@@ -50,7 +56,9 @@
     if (daemon->loop == NULL) {
         return false;
     }
+    daemon->trace = BsTrace_Create(daemon->loop);
     daemon->upstreams = BsUpstreams_Create(daemon->loop);
+    daemon->health = BsHealth_Create(daemon->loop);
     daemon->peers = BsPeerSockets_Create(daemon->loop, error);
     if (daemon->peers == NULL) {
         return false;
