--- a/src/run.c
+++ b/src/run.c
@@ -35,8 +35,8 @@
 
 struct BsRuns {
     BsCore *core;
-    GHashTable *runs; /* keeper incarnation and run id to BsRun */
-    GHashTable *ran;  /* set of account, key and body hash that ran */
+    GHashTable *runs;       /* keeper incarnation and run id to BsRun */
+    GHashTable *ran;        /* set of account, key and body hash that ran */
     GHashTable *dispatched; /* account and key to the BsRun dispatched last */
     uint64_t bytes;
     int64_t expired_ms;
