--- a/src/attempt.c
+++ b/src/attempt.c
@@ -157,7 +157,7 @@
     BsMessage *forward = BsMessage_Copy(request->request);
     forward->u.request.attempt = request->attempt;
     forward->u.request.deadline_ms = request->deadline_ms - now_ms;
-    forward->u.request.skip_events = request->events;
+    forward->u.request.skip_events += request->events;
     BsCore_Count(entry->core, "forwards", 1);
     BsCore_Send(entry->core, child, 0, forward);
 }
--- a/tests/contract/input_test.cc
+++ b/tests/contract/input_test.cc
@@ -155,6 +155,24 @@
     }
 }
 
+TEST_F(Input, LongBodyOfUndeclaredLengthIsRefused)
+{
+    const size_t size = 1024 * 1024;
+    Socket caller(Connect(daemon_->callers()));
+    caller.Write("POST /services/s/x HTTP/1.1\r\nHost: x\r\n"
+                 "Connection: close\r\nAuthorization: Bearer " +
+                 std::string(kToken) +
+                 "\r\nTransfer-Encoding: chunked"
+                 "\r\n\r\n");
+    for (int i = 0; i < 5; i++) {
+        caller.Write("100000\r\n" + std::string(size, 'x') + "\r\n");
+    }
+    caller.Write("0\r\n\r\n");
+    std::string answer = caller.ReadAll();
+    EXPECT_NE(answer.find(" 413 "), std::string::npos) << answer;
+    EXPECT_NE(answer.find("limits.body_bytes"), std::string::npos);
+}
+
 TEST_F(Input, UnknownTokenIsRefused)
 {
     Socket caller(Connect(daemon_->callers()));
--- a/tests/demo/demo.sh
+++ b/tests/demo/demo.sh
@@ -88,7 +88,7 @@
 peers: 127.0.0.1:$peers
 admin: 127.0.0.1:$admin
 platform: ["http://127.0.0.1:$PORT_OF_platform"]
-secret: demo
+secret: demo-secret-of-the-demo
 fresh_fleet: true
 SETTINGS
 }
