--- a/src/owner.c
+++ b/src/owner.c
@@ -245,56 +245,6 @@
     return tier == NULL ? UNKNOWN_RANK : tier->rank;
 }
 
-/* Returns the least urgent queued work of all pools. */
-static BsWork *
-S_find_last(const BsOwner *owner)
-{
-    BsWork *last = NULL;
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, owner->pools);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const BsPool *pool = value;
-        BsWork *work = BsQueue_Last(pool->queue);
-        if (work != NULL && (last == NULL || work->rank > last->rank)) {
-            last = work;
-        }
-    }
-    return last;
-}
-
-/* Makes room in the queue for WORK; less urgent work goes first. */
-static bool
-S_reserve_memory(BsOwner *owner, const BsWork *work)
-{
-    const BsCoreConfig *config = &owner->core->config;
-    while (owner->queued >= config->request_limit ||
-           owner->queued_bytes + work->body_bytes > config->queue_bytes) {
-        BsWork *last = S_find_last(owner);
-        if (last == NULL || last->rank <= work->rank) {
-            return false;
-        }
-        BsCore_Count(owner->core, "queue_evictions", 1);
-        BsOwner_GiveBack(owner, last, BS_ERR_MEMORY_FULL);
-    }
-    return true;
-}
-
-/* Returns whether WORK would wait here past its deadline. */
-static bool
-S_waits_too_long(const BsOwner *owner, const BsPool *pool, const BsWork *work)
-{
-    int64_t now_ms = BsCore_NowMs(owner->core);
-    if (BsOwner_IsPrivileged(owner, work->rank) &&
-        BsOwner_CouldPreempt(owner, pool, work)) {
-        return false;
-    }
-    int64_t wait_ms = BsPool_WaitMs(pool, work->rank);
-    return wait_ms > 0 &&
-           now_ms + wait_ms + BsPool_ExpectMs(pool, work, now_ms) >
-               work->deadline_ms;
-}
-
 /* Dispatches WORK at once, as a baseline policy does. */
 static void
 S_dispatch_baseline(BsOwner *owner, BsWork *work)
@@ -313,32 +263,6 @@
     BsOwner_Dispatch(owner, pool, work, upstream);
 }
 
-/* Returns why WORK is refused on arrival. */
-static BsErrorKind
-S_judge(BsOwner *owner, BsWork *work)
-{
-    const BsPool *pool = BsOwner_FindPool(owner, work->serves);
-    BsPoisonVerdict verdict =
-        BsPoison_Judge(owner->core->poison, BsWork_Request(work));
-    if (verdict == BS_POISON_QUARANTINED) {
-        return BS_ERR_QUARANTINED;
-    }
-    if (BsStop_IsActive(owner->core->stop)) {
-        return BS_ERR_DRAINING;
-    }
-    work->alone = verdict == BS_POISON_SUSPECT;
-    if (pool == NULL || pool->upstreams->len == 0) {
-        return BS_ERR_NO_UPSTREAM;
-    }
-    if (BsWork_Request(work)->deadline_ms <= 0) {
-        return BS_ERR_DEADLINE;
-    }
-    if (S_waits_too_long(owner, pool, work)) {
-        return BS_ERR_OVERLOADED;
-    }
-    return S_reserve_memory(owner, work) ? BS_ERR_NONE : BS_ERR_MEMORY_FULL;
-}
-
 static void
 S_take_forward(BsOwner *owner, const BsMessage *message)
 {
@@ -351,7 +275,7 @@
         S_dispatch_baseline(owner, work);
         return;
     }
-    BsErrorKind error = S_judge(owner, work);
+    BsErrorKind error = BsOwner_Admit(owner, work);
     if (error != BS_ERR_NONE) {
         BsCore_Count(owner->core, "refused_on_arrival", 1);
         BsOwner_GiveBack(owner, work, error);
--- a/src/ownerstate.h
+++ b/src/ownerstate.h
@@ -1,9 +1,9 @@
 /*
  * ownerstate.h - the state of the owner role, shared by its files.
  *
- * Rules: private to owner.c, ownership.c, dispatch.c,
- * preempt.c and upkeep.c; each work
- * is in the table by id from its arrival until its final answer.
+ * Rules: private to owner.c, admit.c, ownership.c, dispatch.c, preempt.c and
+ * upkeep.c; each work is in the table by id from its arrival until its final
+ * answer.
  */
 #ifndef BS_OWNERSTATE_H
 #define BS_OWNERSTATE_H
@@ -37,6 +37,9 @@
 /* Rebuilds pools when list or sheet changed; gives back what is left. */
 void BsOwner_Review(BsOwner *owner);
 
+/* Returns why WORK is refused on arrival, BS_ERR_NONE when it is not. */
+BsErrorKind BsOwner_Admit(BsOwner *owner, BsWork *work);
+
 /* Queues WORK. */
 void BsOwner_Enqueue(BsOwner *owner, BsWork *work);
 
