--- a/src/owner.c
+++ b/src/owner.c
@@ -5,7 +5,6 @@
 #include "ownerstate.h"
 #include "poison.h"
 #include "run.h"
-#include "stop.h"
 
 #include <string.h>
 
