A test for the keeper's own bound, and which test fails without which code

Cause: taking the bound of records out failed no test, since entries and owners with the same limit refused first.

--- a/tests/api/once_test.cc
+++ b/tests/api/once_test.cc
@@ -1,6 +1,7 @@
 // Tickets and bounds of non-idempotent requests, over several real cores.
 #include "world.h"
 extern "C" {
+#include "member.h"
 #include "peer.h"
 }
 
@@ -188,6 +189,44 @@
     EXPECT_EQ(ran, Runs());
 }
 
+// Entries and owners have room; the keeper of all these keys has not.
+TEST_F(OnceTest, KeeperRefusesNewKeysBeyondItsRecords)
+{
+    constexpr uint32_t kLimit = 50;
+    World_Config(world_)->record_limit = kLimit;
+    for (const char *name : {"b2", "b3"}) {
+        WorldUpstreamSpec spec = {};
+        spec.name = name;
+        spec.kind = BS_NODE_SERVICE;
+        spec.data_centre = name[1] == '2' ? "n2" : "s1";
+        spec.region = name[1] == '2' ? "north" : "south";
+        spec.serves = "bookings";
+        spec.slots = 8;
+        spec.first_ms = 5;
+        spec.pieces = 1;
+        World_AddUpstream(world_, &spec);
+    }
+    Build(5, 8);
+    int sent = 0;
+    for (int i = 0; sent < 80; i++) {
+        std::string key = "k" + std::to_string(i);
+        std::string thing = "vans\n" + key;
+        uint64_t weight = BsMembers_Weight("b", thing.c_str());
+        if (weight > BsMembers_Weight("a", thing.c_str()) &&
+            weight > BsMembers_Weight("c", thing.c_str())) {
+            Send(sent++ % 2 == 0 ? "a" : "c", key, key, "", "t-vans");
+            World_Run(world_, 100);
+        }
+    }
+    World_Run(world_, 2000);
+    char *metrics =
+        World_Query(world_, "b", "metrics", nullptr, nullptr, 1000);
+    g_free(metrics);
+    EXPECT_LE(BsCore_Counter(World_Core(world_, "b"), "records"), kLimit);
+    EXPECT_GT(BsCore_Counter(World_Core(world_, "b"), "record_table_full"),
+              0u);
+}
+
 TEST(PeersTest, AdmitsEachForwardOnceInAnyOrder)
 {
     BsPeers *peers = BsPeers_Create(1000);
