--- a/src/cli_evening.c
+++ b/src/cli_evening.c
@@ -19,7 +19,7 @@
 static char *
 S_fetch(const char *address, const char *path)
 {
-    BsExchange exchange;
+    BsExchange exchange = {0};
     char *text = NULL;
     if (BsExchange_RunWithin(&exchange, ASK_LIMIT_MS, address, "GET", path,
                              NULL, NULL, NULL) &&
