--- a/src/d_call.h
+++ b/src/d_call.h
@@ -9,20 +9,19 @@
 #ifndef BS_D_CALL_H
 #define BS_D_CALL_H
 
-#include "d_loop.h"
-
-#include <microhttpd.h>
+#include "d_httpd.h"
 
 typedef struct BsCall BsCall;
 
-/* Creates a call for the path and query TARGET. */
-BsCall *BsCall_Create(BsLoop *loop, const char *target);
+/* Creates a call of HTTPD for the path and query TARGET. */
+BsCall *BsCall_Create(BsLoop *loop, BsHttpd *httpd, const char *target);
 
 /* Frees CALL, which must be closed. */
 void BsCall_Destroy(BsCall *call);
 
 /* Ties CALL to its connection, once the headers are known. */
-void BsCall_Begin(BsCall *call, struct MHD_Connection *connection);
+void BsCall_Begin(BsCall *call, BsHttpd *httpd,
+                  struct MHD_Connection *connection);
 
 /* Returns whether BsCall_Begin() was called. */
 bool BsCall_IsBegun(const BsCall *call);
@@ -59,6 +58,10 @@
 /* Refuses a body of more than LIMIT bytes. */
 void BsCall_RefuseTooLarge(BsCall *call, size_t limit_bytes);
 
+/* Starts the trace span of CALL under the context PARENT, which may be NULL;
+   returns its context. */
+const char *BsCall_StartHop(BsCall *call, const char *parent);
+
 /* Starts waiting for the core.  With CANCELS, a caller that closes its side
    is taken to be gone; with STREAM, pieces are passed on as they come. */
 void BsCall_Wait(BsCall *call, bool cancels, bool stream);
--- a/src/d_peers.c
+++ b/src/d_peers.c
@@ -1,6 +1,7 @@
 /* d_peers.c - messages between instances over ZeroMQ. */
 #include "d_peers.h"
 
+#include "d_zap.h"
 #include "schema.h"
 
 #include <errno.h>
@@ -26,6 +27,7 @@
     BsLoop *loop;
     void *context;
     void *router;
+    BsZap *zap;        /* NULL without encryption */
     GHashTable *peers; /* instance name to BsPeer */
     ev_io io;
     ev_prepare again; /* fed by hand when a batch was cut short */
@@ -60,6 +62,18 @@
     zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &max, sizeof(max));
 }
 
+/* Sets the fleet's keys on a sending socket. */
+static void
+S_set_client_keys(void *socket, const BsCurveSettings *curve)
+{
+    zmq_setsockopt(socket, ZMQ_CURVE_SERVERKEY, curve->public_key,
+                   strlen(curve->public_key) + 1);
+    zmq_setsockopt(socket, ZMQ_CURVE_PUBLICKEY, curve->public_key,
+                   strlen(curve->public_key) + 1);
+    zmq_setsockopt(socket, ZMQ_CURVE_SECRETKEY, curve->secret_key,
+                   strlen(curve->secret_key) + 1);
+}
+
 /* Creates a sending socket.  ZMQ_IMMEDIATE keeps messages from waiting for a
    lost peer and reaching its replacement. */
 static BsPeer *
@@ -70,6 +84,9 @@
     peer->address = g_strdup(address);
     peer->socket = zmq_socket(peers->context, ZMQ_DEALER);
     S_set_common(peer->socket);
+    if (BsLoop_Settings(peers->loop)->curve != NULL) {
+        S_set_client_keys(peer->socket, BsLoop_Settings(peers->loop)->curve);
+    }
     S_set_int(peer->socket, ZMQ_IMMEDIATE, 1);
     S_set_int(peer->socket, ZMQ_RECONNECT_IVL, RECONNECT_MS);
     S_set_int(peer->socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
@@ -148,7 +165,8 @@
         g_error_free(error);
         return;
     }
-    if (!BsSchema_IsPeerKind(message->kind) || message->from == NULL) {
+    if (!BsSchema_IsPeerKind(message->kind) || message->from == NULL ||
+        strcmp(message->from, BsLoop_Settings(peers->loop)->name) == 0) {
         BsLoop_Count(peers->loop, "peer_messages_bad", 1);
         BsMessage_Destroy(message);
         return;
@@ -209,6 +227,24 @@
     S_drain(watcher->data);
 }
 
+/* Sets the fleet's keys on the receiving socket. */
+static bool
+S_protect(BsPeerSockets *peers, GError **error)
+{
+    const BsCurveSettings *curve = BsLoop_Settings(peers->loop)->curve;
+    if (curve == NULL) {
+        return true;
+    }
+    peers->zap = BsZap_Create(peers->loop, peers->context, error);
+    if (peers->zap == NULL) {
+        return false;
+    }
+    S_set_int(peers->router, ZMQ_CURVE_SERVER, 1);
+    zmq_setsockopt(peers->router, ZMQ_CURVE_SECRETKEY, curve->secret_key,
+                   strlen(curve->secret_key) + 1);
+    return true;
+}
+
 static bool
 S_bind(BsPeerSockets *peers, GError **error)
 {
@@ -250,7 +286,7 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, S_destroy_peer);
     peers->router = zmq_socket(peers->context, ZMQ_ROUTER);
     S_set_common(peers->router);
-    if (!S_bind(peers, error)) {
+    if (!S_protect(peers, error) || !S_bind(peers, error)) {
         BsPeerSockets_Destroy(peers);
         return NULL;
     }
@@ -270,9 +306,13 @@
     if (peers == NULL) {
         return;
     }
-    ev_io_stop(BsLoop_Ev(peers->loop), &peers->io);
+    if (peers->io.data != NULL) {
+        ev_io_stop(BsLoop_Ev(peers->loop), &peers->io);
+        ev_clear_pending(BsLoop_Ev(peers->loop), &peers->again);
+    }
     g_hash_table_destroy(peers->peers);
     zmq_close(peers->router);
+    BsZap_Destroy(peers->zap);
     zmq_ctx_term(peers->context);
     g_free(peers);
 }
--- a/src/entry.c
+++ b/src/entry.c
@@ -9,6 +9,7 @@
 #include "poison.h"
 #include "retry.h"
 #include "stop.h"
+#include "tally.h"
 #include "ticket.h"
 #include "witness.h"
 #include "work.h"
@@ -78,6 +79,14 @@
                : g_hash_table_lookup(entry->requests, request_id);
 }
 
+/* Counts the final answer to REQUEST. */
+static void
+S_tally(BsEntry *entry, const BsEntryRequest *request, BsOutcome outcome)
+{
+    BsTally_Answer(entry->core, &request->request->u.request, outcome,
+                   BsCore_NowMs(entry->core) <= request->deadline_ms);
+}
+
 /* Forgets REQUEST. */
 static void
 S_forget(BsEntry *entry, BsEntryRequest *request)
@@ -98,6 +107,7 @@
     BsExplain_OnEnd(entry->core->explain, S_id(request), &answer->u.answer,
                     NULL);
     BsCore_Count(entry->core, "answers_error", 1);
+    S_tally(entry, request, outcome);
     BsCore_Emit(entry->core, answer);
     S_forget(entry, request);
 }
@@ -112,6 +122,9 @@
             : BsWitness_FindOther(entry->core->witness, request->account,
                                   request->key, NULL, 0);
     BsCore_Count(entry->core, "requests_refused", 1);
+    if (error == BS_ERR_MEMORY_FULL) {
+        BsTally_Answer(entry->core, request, BS_OUTCOME_NOT_RUN, false);
+    }
     BsCore_Emit(entry->core,
                 BsCore_CreateError(
                     BS_CALLER_ANSWER, request->request_id, 0, error,
@@ -291,6 +304,7 @@
     S_number(request, piece);
     if (final) {
         BsExplain_OnEnd(entry->core->explain, S_id(request), answer, NULL);
+        S_tally(entry, request, (BsOutcome)answer->outcome);
     }
     BsCore_Emit(entry->core, piece);
     if (final) {
--- a/src/once.c
+++ b/src/once.c
@@ -4,6 +4,7 @@
 #include "explain.h"
 #include "peer.h"
 #include "sent.h"
+#include "tally.h"
 #include "ticket.h"
 #include "witness.h"
 
@@ -101,6 +102,8 @@
         BsExplain_OnEnd(once->core->explain, BsSent_Request(sent)->request_id,
                         answer, sent->keeper);
         BsCore_Count(once->core, "answers_final", 1);
+        BsTally_Answer(once->core, BsSent_Request(sent), answer->outcome,
+                       BsCore_NowMs(once->core) <= sent->deadline_ms);
     }
     if (sent->gone) {
         BsMessage_Destroy(piece);
