--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,8 @@
 C_FILES = $(shell git ls-files '*.c' '*.h' '*.cc')
 
 .PHONY: all build check test asan format format-check lint soak soak-once clean
+.PHONY: soak-once all build check test asan format format-check lint clean
+.PHONY: all build check test asan format format-check lint soak clean
 
 all: build
 
@@ -54,6 +56,12 @@
 		echo "$$faults"; \
 		$(BUILD)/bin/once_walk --faults $$faults $(SOAK_SEEDS); \
 	done
+# The random walks with many more seeds; SEED and SEEDS choose them.
+SEED ?= 1000
+SEEDS ?= 500
+soak: build
+	BS_SEED=$(SEED) BS_SEEDS=$(SEEDS) \
+		$(BUILD)/bin/api_test --gtest_filter='*Walk*'
 
 clean:
 	rm -rf $(BUILD) $(ASAN_BUILD)
