Refusals at the door tell unknown when the caller chose the key

Cause: a draining, full or unready entry told a resent booking not-run though its first sending had run; a caller would book again under a new key.

Ruled out: looking the key up among the entry's own witness notes, which does not know of sendings through other instances.

Also: services have no hardware generation, so a service is no longer taken for a straggler of the engines' (tally fails without it), and expired peers are searched once a second instead of at every tick.

--- a/src/entry.c
+++ b/src/entry.c
@@ -11,7 +11,6 @@
 #include "stop.h"
 #include "tally.h"
 #include "ticket.h"
-#include "witness.h"
 #include "work.h"
 
 /* Time beyond the deadline in which the owner's own answer may arrive. */
@@ -112,23 +111,30 @@
     S_forget(entry, request);
 }
 
+/* Returns whether an earlier sending of REQUEST may have run: the caller can
+   name it again, and it is not known to be idempotent. */
+static bool
+S_may_be_resend(const BsRequest *request)
+{
+    bool named = request->ticket != NULL ||
+                 (request->key != NULL &&
+                  g_strcmp0(request->key, request->request_id) != 0);
+    return named && request->service != NULL && !request->idempotent;
+}
+
 /* Refuses a request that was never admitted. */
 static void
 S_refuse(BsEntry *entry, const BsRequest *request, BsErrorKind error)
 {
-    const BsNote *note =
-        request->account == NULL || request->key == NULL
-            ? NULL
-            : BsWitness_FindOther(entry->core->witness, request->account,
-                                  request->key, NULL, 0);
+    BsOutcome outcome =
+        S_may_be_resend(request) ? BS_OUTCOME_UNKNOWN : BS_OUTCOME_NOT_RUN;
     BsCore_Count(entry->core, "requests_refused", 1);
     if (error == BS_ERR_MEMORY_FULL) {
-        BsTally_Answer(entry->core, request, BS_OUTCOME_NOT_RUN, false);
+        BsTally_Answer(entry->core, request, outcome, false);
     }
     BsCore_Emit(entry->core,
-                BsCore_CreateError(
-                    BS_CALLER_ANSWER, request->request_id, 0, error,
-                    note == NULL ? BS_OUTCOME_NOT_RUN : BS_OUTCOME_UNKNOWN));
+                BsCore_CreateError(BS_CALLER_ANSWER, request->request_id, 0,
+                                   error, outcome));
 }
 
 static uint64_t
--- a/src/peer.c
+++ b/src/peer.c
@@ -6,6 +6,10 @@
 /* Forwards of one sender that may overtake each other. */
 #define WINDOW_FORWARDS 4096
 #define WORD_BITS 64
+
+/* Between searches for expired peers. */
+#define EXPIRE_MS 1000
+
 #define WINDOW_WORDS (WINDOW_FORWARDS / WORD_BITS)
 
 typedef struct {
@@ -24,6 +28,7 @@
     GHashTable *peers;   /* name to BsPeer */
     GHashTable *windows; /* incarnation to BsWindow */
     int64_t keep_ms;
+    int64_t expired_ms; /* last search for expired ones */
 };
 
 BsPeers *
@@ -133,6 +138,10 @@
 {
     GHashTableIter iter;
     gpointer value;
+    if (now_ms - peers->expired_ms < EXPIRE_MS) {
+        return;
+    }
+    peers->expired_ms = now_ms;
     g_hash_table_iter_init(&iter, peers->windows);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const BsWindow *window = value;
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -100,7 +100,9 @@
     upstream->tokens =
         entry->tokens == 0 ? slots * DEFAULT_TOKENS_PER_SLOT : entry->tokens;
     upstream->limit = MIN(upstream->limit, slots);
-    BsMessage_SetString(&upstream->generation, entry->generation);
+    BsMessage_SetString(&upstream->generation, entry->kind == BS_NODE_ENGINE
+                                                   ? entry->generation
+                                                   : NULL);
 }
 
 void
--- a/src/upstream.h
+++ b/src/upstream.h
@@ -23,7 +23,7 @@
 
 struct BsUpstream {
     char *name;
-    char *generation;
+    char *generation;    /* of an engine; NULL for a service */
     char *boot_id;       /* last reported, or NULL */
     char *loaded;        /* last reported, or NULL */
     GHashTable *running; /* set of BsWork */
