--- a/src/entry.c
+++ b/src/entry.c
@@ -122,12 +122,13 @@
     return named && request->service != NULL && !request->idempotent;
 }
 
-/* Refuses a request that was never admitted. */
+/* Refuses a request that was never admitted.  A ticket that does not
+   authenticate was never accepted by any instance. */
 static void
 S_refuse(BsEntry *entry, const BsRequest *request, BsErrorKind error)
 {
-    BsOutcome outcome =
-        S_may_be_resend(request) ? BS_OUTCOME_UNKNOWN : BS_OUTCOME_NOT_RUN;
+    bool doubt = error != BS_ERR_TICKET && S_may_be_resend(request);
+    BsOutcome outcome = doubt ? BS_OUTCOME_UNKNOWN : BS_OUTCOME_NOT_RUN;
     BsCore_Count(entry->core, "requests_refused", 1);
     if (error == BS_ERR_MEMORY_FULL) {
         BsTally_Answer(entry->core, request, outcome, false);
