--- a/src/upstream.c
+++ b/src/upstream.c
@@ -31,10 +31,6 @@
 /* Pause after an upstream refused for lack of room. */
 #define REFUSED_SUSPEND_MS 100
 
-/* Time in which the last owner's work is taken to end. */
-#define FOREIGN_WARM_MS 15000
-#define FOREIGN_COLD_MS 60000
-
 /* Expected cache hits missed in a row that show a loss of warmth. */
 #define LOST_HITS_MIN 3
 
@@ -121,20 +117,6 @@
     upstream->ramp_ms = now_ms - cold->ramp_ms / HALF;
 }
 
-void
-BsUpstream_OnForeign(BsUpstream *upstream, const char *instance,
-                     const BsInFlight *told, int64_t now_ms)
-{
-    BsInFlight *known = g_hash_table_lookup(upstream->foreign, instance);
-    if (known == NULL) {
-        known = g_new0(BsInFlight, 1);
-        g_hash_table_insert(upstream->foreign, g_strdup(instance), known);
-        upstream->foreign_ms = now_ms;
-    }
-    known->requests = told->requests;
-    known->tokens = told->tokens;
-}
-
 static uint32_t
 S_ramp(uint32_t from, uint32_t to, int64_t done_ms, uint32_t ramp_ms)
 {
@@ -167,28 +149,6 @@
     }
 }
 
-void
-BsUpstream_InFlight(const BsUpstream *upstream, int64_t now_ms,
-                    uint32_t *requests, uint32_t *tokens)
-{
-    bool cold = upstream->warmth == BS_WARMTH_COLD;
-    int64_t end_ms =
-        upstream->foreign_ms + (cold ? FOREIGN_COLD_MS : FOREIGN_WARM_MS);
-    *requests = g_hash_table_size(upstream->running);
-    *tokens = upstream->tokens_in_flight;
-    if (now_ms >= end_ms) {
-        return;
-    }
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, upstream->foreign);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const BsInFlight *told = value;
-        *requests += told->requests;
-        *tokens += told->tokens;
-    }
-}
-
 static uint32_t
 S_cached(const BsUpstream *upstream, const BsRequest *request)
 {
