--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -158,6 +158,49 @@
     }
 }
 
+/* ---------------------------------------------------------------------- */
+/* Bytes of a sheet change                                                 */
+/* ---------------------------------------------------------------------- */
+
+static uint64_t
+S_sheet_bytes(const World *world)
+{
+    return World_PeerBytesOfKind(world, BS_SHEET_PULL) +
+           World_PeerBytesOfKind(world, BS_SHEET_PUSH);
+}
+
+static void
+S_change_row(uint32_t instances, uint32_t accounts)
+{
+    SlopesFleet fleet = S_fleet(instances);
+    fleet.accounts = accounts;
+    World *world = Slopes_CreateWorld(&fleet, SEED, SETTLE_MS);
+    uint64_t bytes = S_sheet_bytes(world);
+    int64_t cpu_us = Slopes_CpuUs();
+    int64_t took_ms = S_spread_ms(world, &fleet, 2);
+    cpu_us = Slopes_CpuUs() - cpu_us;
+    World_Run(world, SETTLE_MS);
+    printf("| %u | %u | %" G_GINT64_FORMAT " | %.0f | %.1f |\n", instances,
+           accounts, took_ms,
+           (double)(S_sheet_bytes(world) - bytes) / instances,
+           (double)cpu_us / MS_PER_S / instances);
+    World_Destroy(world);
+}
+
+static void
+S_changes(void)
+{
+    printf("\n### One changed line of a sheet\n\n"
+           "| instances | accounts listed | ms to all | bytes sent per "
+           "instance | ms of processor per instance |\n"
+           "| ---: | ---: | ---: | ---: | ---: |\n");
+    S_change_row(9, 5);
+    S_change_row(9, 1000);
+    S_change_row(40, 5);
+    S_change_row(40, 1000);
+    S_change_row(340, 5);
+}
+
 /* ---------------------------------------------------------------------- */
 /* Loss of one instance                                                    */
 /* ---------------------------------------------------------------------- */
@@ -276,6 +319,22 @@
     return message;
 }
 
+/* Bytes of the requests and answers themselves. */
+static uint64_t
+S_data_bytes(const World *world)
+{
+    return World_PeerBytesOfKind(world, BS_FORWARD) +
+           World_PeerBytesOfKind(world, BS_ANSWER);
+}
+
+/* Bytes that requests cause beside their own data. */
+static uint64_t
+S_request_control_bytes(const World *world)
+{
+    return World_PeerBytes(world) - S_data_bytes(world) -
+           S_control_bytes(world);
+}
+
 static uint32_t
 S_count_ran(World *world)
 {
@@ -296,8 +355,8 @@
     int64_t idle_us = Slopes_CpuUs();
     World_Run(world, REQUESTS * REQUEST_INTERVAL_MS);
     idle_us = Slopes_CpuUs() - idle_us;
-    uint64_t bytes = World_PeerBytes(world) - S_control_bytes(world);
-    uint64_t messages = World_PeerMessages(world);
+    uint64_t data = S_data_bytes(world);
+    uint64_t control = S_request_control_bytes(world);
     int64_t cpu_us = Slopes_CpuUs();
     for (uint32_t i = 0; i < REQUESTS; i++) {
         World_Send(world, Slopes_InstanceName(i % instances),
@@ -306,12 +365,11 @@
     }
     cpu_us = Slopes_CpuUs() - cpu_us;
     World_Run(world, SETTLE_MS);
-    printf("| %s | %u | %u | %.0f | %.1f | %.0f |\n",
+    printf("| %s | %u | %u | %.0f | %.0f | %.0f |\n",
            booking ? "booking" : "stream of 20 events", instances,
            S_count_ran(world), (double)(cpu_us - idle_us) / REQUESTS,
-           (double)(World_PeerMessages(world) - messages) / REQUESTS,
-           (double)(World_PeerBytes(world) - S_control_bytes(world) - bytes) /
-               REQUESTS);
+           (double)(S_data_bytes(world) - data) / REQUESTS,
+           (double)(S_request_control_bytes(world) - control) / REQUESTS);
     World_Destroy(world);
 }
 
@@ -319,8 +377,8 @@
 S_requests(void)
 {
     printf("\n### Requests: processor time over all hops, peer traffic\n\n"
-           "| kind | instances | ran of %d | us per request | messages per "
-           "request, with control | bytes per request |\n"
+           "| kind | instances | ran of %d | us per request | bytes of "
+           "forwards and answers | other bytes |\n"
            "| --- | ---: | ---: | ---: | ---: | ---: |\n",
            REQUESTS);
     S_request_row(9, false);
@@ -372,8 +430,9 @@
 }
 
 static const SlopesPart S_parts[] = {
-    {"steady", S_steady}, {"spread", S_spread},     {"loss", S_loss},
-    {"sheets", S_sheets}, {"requests", S_requests}, {"memory", S_memory},
+    {"steady", S_steady},   {"spread", S_spread}, {"loss", S_loss},
+    {"changes", S_changes}, {"sheets", S_sheets}, {"requests", S_requests},
+    {"memory", S_memory},
 };
 
 int
