--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -215,23 +215,33 @@
     return bytes;
 }
 
+/* Control bytes and processor time of SETTLE_MS. */
+static uint64_t
+S_settle(World *world, int64_t *cpu_us)
+{
+    uint64_t before = S_control_bytes(world);
+    *cpu_us = -Slopes_CpuUs();
+    World_Run(world, SETTLE_MS);
+    *cpu_us += Slopes_CpuUs();
+    return S_control_bytes(world) - before;
+}
+
 static void
 S_loss_row(uint32_t instances)
 {
     SlopesFleet fleet = S_fleet(instances);
     World *world = Slopes_CreateWorld(&fleet, SEED, SETTLE_MS);
-    uint64_t before = S_control_bytes(world);
-    World_Run(world, SETTLE_MS);
-    uint64_t idle = S_control_bytes(world) - before;
-    before = S_control_bytes(world);
+    int64_t idle_us;
+    int64_t lost_us;
+    uint64_t idle = S_settle(world, &idle_us);
     World_Kill(world, Slopes_InstanceName(1));
     World_SetListed(world, Slopes_InstanceName(1), 0);
     World_PublishList(world, 0);
-    World_Run(world, SETTLE_MS);
-    uint64_t lost = S_control_bytes(world) - before;
+    uint64_t lost = S_settle(world, &lost_us);
     double extra = (double)lost - (double)idle;
-    printf("| %u | %.0f | %.1f |\n", instances, extra / instances,
-           extra / instances / instances);
+    printf("| %u | %.0f | %.1f | %.1f |\n", instances, extra / instances,
+           extra / instances / instances,
+           (double)(lost_us - idle_us) / MS_PER_S / instances);
     World_Destroy(world);
 }
 
@@ -239,8 +249,8 @@
 S_loss(void)
 {
     printf("\n### Extra control bytes after the loss of one instance\n\n"
-           "| instances | bytes per instance | per instance and peer |\n"
-           "| ---: | ---: | ---: |\n");
+           "| instances | bytes per instance | per instance and peer | ms of "
+           "processor per instance |\n| ---: | ---: | ---: | ---: |\n");
     for (size_t i = 0; i < G_N_ELEMENTS(S_sizes); i++) {
         S_loss_row(S_sizes[i]);
     }
