A full connection table tells a keyed request unknown

Cause: as for refusals of the core at the door: an earlier sending through another instance may have run. The contract test checks both outcomes.

--- a/src/d_call.c
+++ b/src/d_call.c
@@ -169,11 +169,22 @@
     g_free(text);
 }
 
+static bool
+S_has_header(const BsCall *call, const char *name)
+{
+    return MHD_lookup_connection_value(call->connection, MHD_HEADER_KIND,
+                                       name) != NULL;
+}
+
 void
 BsCall_Refuse(BsCall *call, BsErrorKind error, const char *detail)
 {
+    bool may_be_resend = S_has_header(call, "Idempotency-Key") ||
+                         S_has_header(call, "Boragespur-Ticket");
+    bool doubt = error == BS_ERR_MEMORY_FULL && may_be_resend;
     BsLoop_Count(call->loop, "caller_requests_refused", 1);
-    S_set_error(call, error, detail, BS_OUTCOME_NOT_RUN);
+    S_set_error(call, error, detail,
+                doubt ? BS_OUTCOME_UNKNOWN : BS_OUTCOME_NOT_RUN);
 }
 
 void
--- a/tests/contract/input_test.cc
+++ b/tests/contract/input_test.cc
@@ -244,6 +244,12 @@
     Answer answer = daemon.Send("GET", "/v1/models", "");
     EXPECT_EQ(answer.status, 503);
     EXPECT_NE(answer.body.find("limits.connections"), std::string::npos);
+    EXPECT_NE(answer.body.find("\"not-run\""), std::string::npos);
+    // An earlier sending of a keyed request may have run.
+    answer =
+        daemon.Send("POST", "/services/s/x", "{}", {"Idempotency-Key: k"});
+    EXPECT_EQ(answer.status, 503);
+    EXPECT_NE(answer.body.find("\"unknown\""), std::string::npos);
 }
 
 TEST(Daemons, PlannedStopAnswersWhatRuns)
