Contract tests wait for events and own their ports; engine orders end in three counters

Orders: POST /v1/orders was there. A report without a loaded list was read as an empty one, so such an engine got orders; it is NULL now. Refusals (409) were counted together with failures; orders_failed is apart. The daemon's own orders_sent repeated the core's and is gone.

--- a/src/boragespur.h
+++ b/src/boragespur.h
@@ -307,7 +307,8 @@
 /* An upstream's report of its own state. */
 typedef struct {
     char *upstream;
-    char *loaded;     /* comma-separated model@version */
+    char *loaded;     /* comma-separated model@version, "" for none, NULL
+                         when the upstream does not say */
     char *boot_id;    /* changes when the upstream restarts */
     uint64_t fencing; /* highest fencing number it has seen */
     uint32_t age_ms;  /* how old the report is */
--- a/src/d_health.c
+++ b/src/d_health.c
@@ -14,6 +14,7 @@
 #define POOL_CONNECTIONS 32
 #define REPORT_MAX_BYTES (256 * 1024)
 #define STATUS_OK 200
+#define STATUS_CONFLICT 409
 
 struct BsHealth {
     BsLoop *loop;
@@ -199,6 +200,20 @@
     g_free(job);
 }
 
+/* Returns the counter for an order that ended with STATUS, 0 for none. */
+static const char *
+S_name_end(long status)
+{
+    switch (status) {
+    case STATUS_OK:
+        return "orders_taken";
+    case STATUS_CONFLICT:
+        return "orders_refused";
+    default:
+        return "orders_failed";
+    }
+}
+
 static void
 S_on_ordered(CURL *easy, CURLcode result, void *context)
 {
@@ -206,9 +221,8 @@
     long status = 0;
     curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
     curl_easy_cleanup(easy);
-    bool taken = result == CURLE_OK && status == STATUS_OK;
-    BsLoop_Count(job->health->loop, taken ? "orders_taken" : "orders_refused",
-                 1);
+    BsLoop_Count(job->health->loop,
+                 S_name_end(result == CURLE_OK ? status : 0), 1);
     BsEngine *engine = g_hash_table_lookup(job->health->engines, job->engine);
     if (engine != NULL) {
         S_poll(engine);
@@ -258,7 +272,6 @@
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, job->headers);
     curl_easy_setopt(easy, CURLOPT_POSTFIELDS, job->body);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, S_discard);
-    BsLoop_Count(health->loop, "orders_sent", 1);
     BsCurl_Start(health->curl, easy, S_on_ordered, job);
 }
 
--- a/src/d_report.c
+++ b/src/d_report.c
@@ -10,14 +10,19 @@
     return (uint32_t)CLAMP(number, 0, (json_int_t)UINT32_MAX);
 }
 
-/* Returns the loaded models as "model@version,...". */
+/* Returns the loaded models as "model@version,...", "" for none; NULL when the
+   engine does not say. */
 static char *
 S_read_loaded(const json_t *root)
 {
+    const json_t *rows = json_object_get(root, "loaded");
+    if (!json_is_array(rows)) {
+        return NULL;
+    }
     GString *text = g_string_new(NULL);
     size_t index;
     json_t *row;
-    json_array_foreach(json_object_get(root, "loaded"), index, row)
+    json_array_foreach(rows, index, row)
     {
         const char *model = json_string_value(json_object_get(row, "model"));
         const char *version =
--- a/tests/contract/harness.h
+++ b/tests/contract/harness.h
@@ -5,6 +5,7 @@
 #define BS_CONTRACT_HARNESS_H
 
 #include <atomic>
+#include <condition_variable>
 #include <functional>
 #include <map>
 #include <mutex>
@@ -74,7 +75,8 @@
     std::string body;
 };
 
-// Returns a port on which nothing listens.
+// Returns a port on which nothing listens, and that no other test gets and no
+// outgoing connection takes.
 int FreePort();
 
 // Connects to a loopback port.
@@ -111,11 +113,21 @@
     // Waits until the counter NAME has at least VALUE.
     bool WaitCount(const std::string &name, long value);
     long Metric(const std::string &name);
+    // Publishes the next revision of the sheet, with this version of m.
+    void PublishVersion(const std::string &version);
     void Signal(int number);
     // Waits for the end; returns the exit code, -1 when it was killed.
     int Wait();
 
   private:
+    void ServeKey(Socket &socket, const std::string &list);
+    // Waits for a revision of the sheet after this one, or for the end.
+    void WaitRevision(int revision);
+    std::mutex mutex_;
+    std::condition_variable published_;
+    std::string version_ = "1";
+    int revision_ = 1;
+    bool stopping_ = false;
     Server platform_;
     int callers_;
     int admin_;
--- a/tests/contract/secure_test.cc
+++ b/tests/contract/secure_test.cc
@@ -176,9 +176,12 @@
     Server collector([&](Socket &socket) {
         std::string body;
         while (!(body = socket.ReadMessage()).empty()) {
+            {
+                // Before the answer: it ends the wait of the test.
+                std::lock_guard<std::mutex> lock(mutex);
+                spans += body;
+            }
             socket.Write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
-            std::lock_guard<std::mutex> lock(mutex);
-            spans += body;
         }
     });
     Server service([&](Socket &socket) {
