A refused body is read to its end before the refusal is sent

Cause, inferred and not reproduced at will: a request whose declared length is over the limit was answered before its body was read; the server then closes with unread bytes, which resets the connection, and a caller that is still sending can lose the answer. Seen once in 24 runs as status 0 in place of 413 (Input.IsRefusedWithARemedy, TenMegabytes).

Now the refusal follows the body, but for callers that wait for leave to send (Expect) and for bodies of more than 64 MB. A refused body is not kept.

--- a/src/d_call.c
+++ b/src/d_call.c
@@ -7,10 +7,6 @@
 
 #include <string.h>
 
-/* Bytes of a refused body that are read and thrown away, so that a caller
-   that sends first and reads later sees the refusal. */
-#define DISCARD_MAX_BYTES (64 * 1024 * 1024)
-
 /* Bytes of an answer held back until its outcome is known. */
 #define HOLD_MAX_BYTES (1024 * 1024)
 
@@ -95,15 +91,14 @@
                size_t limit_bytes)
 {
     call->received_bytes += size_bytes;
-    if (call->received_bytes <= limit_bytes) {
+    if (call->state == CALL_READING && call->received_bytes <= limit_bytes) {
         g_byte_array_append(call->body, data, (guint)size_bytes);
-        return true;
     }
-    if (call->state == CALL_READING) {
+    else if (call->state == CALL_READING) {
         BsCall_RefuseTooLarge(call, limit_bytes);
         g_byte_array_set_size(call->body, 0);
     }
-    return call->received_bytes <= DISCARD_MAX_BYTES;
+    return call->received_bytes <= BS_CALL_DISCARD_MAX_BYTES;
 }
 
 const void *
--- a/src/d_call.h
+++ b/src/d_call.h
@@ -11,6 +11,10 @@
 
 #include "d_httpd.h"
 
+/* Bytes of a refused body that are read and thrown away, so that a caller
+   that sends first and reads later sees the refusal. */
+#define BS_CALL_DISCARD_MAX_BYTES (64 * 1024 * 1024)
+
 typedef struct BsCall BsCall;
 
 /* Creates a call of HTTPD for the path and query TARGET. */
--- a/src/d_callers.c
+++ b/src/d_callers.c
@@ -137,6 +137,20 @@
     return false;
 }
 
+/* Returns whether a refusal is sent before the body is read: when the caller
+   waits for leave to send it, or none can be read to its end. */
+static bool
+S_answers_early(const BsCall *call)
+{
+    const char *text = S_get_header(BsCall_Connection(call), "Content-Length");
+    guint64 length = 0;
+    bool declared =
+        text != NULL &&
+        g_ascii_string_to_unsigned(text, 10, 0, G_MAXUINT64, &length, NULL);
+    return S_get_header(BsCall_Connection(call), "Expect") != NULL ||
+           (declared && length > BS_CALL_DISCARD_MAX_BYTES);
+}
+
 static enum MHD_Result
 S_on_access(void *context, struct MHD_Connection *connection, const char *url,
             const char *method, const char *version, const char *data,
@@ -151,7 +165,9 @@
     }
     if (!BsCall_IsBegun(call)) {
         BsCall_Begin(call, callers->httpd, connection);
-        return S_refuse_early(callers, call) ? BsCall_SendHead(call) : MHD_YES;
+        bool refused = S_refuse_early(callers, call);
+        return refused && S_answers_early(call) ? BsCall_SendHead(call)
+                                                : MHD_YES;
     }
     if (*data_bytes > 0) {
         bool accepted =
