--- a/src/explain.c
+++ b/src/explain.c
@@ -1,8 +1,8 @@
 /* explain.c - what became of each request, for callers and operators. */
 #include "explain.h"
 
+#include "history.h"
 #include "keeper.h"
-#include "story.h"
 #include "token.h"
 
 #include <jansson.h>
@@ -29,16 +29,16 @@
     char *query_id;
     char *peer; /* instance that asked, or NULL for a local query */
     uint64_t peer_incarnation;
-    char *story_id; /* looked up at its keeper, or NULL */
+    char *asked_id; /* looked up at its keeper, or NULL */
     int64_t until_ms;
     uint32_t replies_due;
 } BsPending;
 
 struct BsExplain {
     BsCore *core;
-    GHashTable *stories; /* request id to BsStory */
-    GQueue order;        /* BsStory, oldest first */
-    GHashTable *pending; /* own query id to BsPending */
+    GHashTable *histories; /* request id to BsHistory */
+    GQueue order;          /* BsHistory, oldest first */
+    GHashTable *pending;   /* own query id to BsPending */
     uint64_t next_query;
 };
 
@@ -48,7 +48,7 @@
     BsPending *pending = data;
     g_free(pending->query_id);
     g_free(pending->peer);
-    g_free(pending->story_id);
+    g_free(pending->asked_id);
     g_free(pending);
 }
 
@@ -57,8 +57,8 @@
 {
     BsExplain *explain = g_new0(BsExplain, 1);
     explain->core = core;
-    explain->stories =
-        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, BsStory_Destroy);
+    explain->histories = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+                                               BsHistory_Destroy);
     explain->pending = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                              S_destroy_pending);
     g_queue_init(&explain->order);
@@ -72,7 +72,7 @@
         return;
     }
     g_queue_clear(&explain->order);
-    g_hash_table_destroy(explain->stories);
+    g_hash_table_destroy(explain->histories);
     g_hash_table_destroy(explain->pending);
     g_free(explain);
 }
@@ -84,20 +84,21 @@
 static void
 S_drop_oldest(BsExplain *explain)
 {
-    BsStory *story = g_queue_pop_head(&explain->order);
-    g_hash_table_remove(explain->stories, story->id);
+    BsHistory *history = g_queue_pop_head(&explain->order);
+    g_hash_table_remove(explain->histories, history->id);
 }
 
 void
 BsExplain_OnStart(BsExplain *explain, const BsRequest *request)
 {
     const char *id = request->request_id;
-    if (id == NULL || g_hash_table_contains(explain->stories, id)) {
+    if (id == NULL || g_hash_table_contains(explain->histories, id)) {
         return;
     }
-    BsStory *story = BsStory_Create(request, BsCore_NowMs(explain->core));
-    g_hash_table_insert(explain->stories, story->id, story);
-    g_queue_push_tail(&explain->order, story);
+    BsHistory *history =
+        BsHistory_Create(request, BsCore_NowMs(explain->core));
+    g_hash_table_insert(explain->histories, history->id, history);
+    g_queue_push_tail(&explain->order, history);
     if (explain->order.length > explain->core->config.request_limit) {
         S_drop_oldest(explain);
     }
@@ -107,35 +108,35 @@
 BsExplain_OnEnd(BsExplain *explain, const char *request_id,
                 const BsAnswer *answer, const char *keeper)
 {
-    BsStory *story = g_hash_table_lookup(explain->stories, request_id);
-    if (story == NULL) {
+    BsHistory *history = g_hash_table_lookup(explain->histories, request_id);
+    if (history == NULL) {
         return;
     }
-    story->end_ms = BsCore_NowMs(explain->core);
-    story->outcome = answer->outcome;
-    story->error = answer->error;
-    story->queued_ms = answer->queued_ms;
-    BsMessage_SetString(&story->keeper, keeper);
-    BsMessage_SetString(&story->upstream, answer->upstream);
+    history->end_ms = BsCore_NowMs(explain->core);
+    history->outcome = answer->outcome;
+    history->error = answer->error;
+    history->queued_ms = answer->queued_ms;
+    BsMessage_SetString(&history->keeper, keeper);
+    BsMessage_SetString(&history->upstream, answer->upstream);
 }
 
 void
 BsExplain_OnLate(BsExplain *explain, const BsMessage *message)
 {
     const BsAnswer *answer = &message->u.answer;
-    BsStory *story =
+    BsHistory *history =
         answer->request_id == NULL
             ? NULL
-            : g_hash_table_lookup(explain->stories, answer->request_id);
-    if (story == NULL || !answer->final || story->idempotent ||
-        story->outcome != BS_OUTCOME_UNKNOWN ||
-        g_strcmp0(story->keeper, message->from) != 0) {
+            : g_hash_table_lookup(explain->histories, answer->request_id);
+    if (history == NULL || !answer->final || history->idempotent ||
+        history->outcome != BS_OUTCOME_UNKNOWN ||
+        g_strcmp0(history->keeper, message->from) != 0) {
         return;
     }
     if (answer->outcome == BS_OUTCOME_RAN ||
         answer->outcome == BS_OUTCOME_NOT_RUN) {
         BsCore_Count(explain->core, "outcomes_settled_late", 1);
-        story->outcome = answer->outcome;
+        history->outcome = answer->outcome;
     }
 }
 
@@ -143,9 +144,9 @@
 S_error_body(BsErrorKind error)
 {
     const BsErrorText *text = BsError_Describe(error);
-    return BsStory_ToBytes(json_pack("{s:s, s:s, s:s}", "error", text->name,
-                                     "message", text->message, "remedy",
-                                     text->remedy));
+    return BsHistory_ToBytes(json_pack("{s:s, s:s, s:s}", "error", text->name,
+                                       "message", text->message, "remedy",
+                                       text->remedy));
 }
 
 /* ---------------------------------------------------------------------- */
@@ -174,15 +175,16 @@
 static void
 S_settle(BsExplain *explain, const BsPending *pending)
 {
-    const BsStory *story =
-        pending->story_id == NULL
+    const BsHistory *history =
+        pending->asked_id == NULL
             ? NULL
-            : g_hash_table_lookup(explain->stories, pending->story_id);
+            : g_hash_table_lookup(explain->histories, pending->asked_id);
     S_reply(explain, pending->peer, pending->peer_incarnation,
-            pending->query_id, story == NULL ? STATUS_NOT_FOUND : STATUS_OK,
-            story == NULL ? S_error_body(BS_ERR_NOT_FOUND)
-                          : BsStory_Describe(story, explain->core->config.name,
-                                             BsCore_NowMs(explain->core)));
+            pending->query_id, history == NULL ? STATUS_NOT_FOUND : STATUS_OK,
+            history == NULL
+                ? S_error_body(BS_ERR_NOT_FOUND)
+                : BsHistory_Describe(history, explain->core->config.name,
+                                     BsCore_NowMs(explain->core)));
 }
 
 static void
@@ -222,22 +224,22 @@
 
 /* Asks the keepers of STORY what became of it. */
 static void
-S_ask_keepers(BsExplain *explain, BsPending *pending, const BsStory *story)
+S_ask_keepers(BsExplain *explain, BsPending *pending, const BsHistory *history)
 {
-    const char *now =
-        BsMembers_KeeperOf(explain->core->members, story->account, story->key);
-    char *key =
-        g_strdup_printf("%s\n%s\n%s", story->id, story->account, story->key);
-    pending->story_id = g_strdup(story->id);
+    const char *now = BsMembers_KeeperOf(explain->core->members,
+                                         history->account, history->key);
+    char *key = g_strdup_printf("%s\n%s\n%s", history->id, history->account,
+                                history->key);
+    pending->asked_id = g_strdup(history->id);
     char *own_id = S_wait(explain, pending);
     if (own_id != NULL && now != NULL) {
         pending->replies_due++;
         S_ask(explain, own_id, now, WHAT_KEY, key, NULL);
     }
-    if (own_id != NULL && story->keeper != NULL &&
-        g_strcmp0(story->keeper, now) != 0) {
+    if (own_id != NULL && history->keeper != NULL &&
+        g_strcmp0(history->keeper, now) != 0) {
         pending->replies_due++;
-        S_ask(explain, own_id, story->keeper, WHAT_KEY, key, NULL);
+        S_ask(explain, own_id, history->keeper, WHAT_KEY, key, NULL);
     }
     g_free(key);
 }
@@ -310,21 +312,21 @@
 S_look_up(BsExplain *explain, BsPending *pending, const char *id,
           const char *account)
 {
-    const BsStory *story = g_hash_table_lookup(explain->stories, id);
-    if (story == NULL && pending->peer == NULL) {
+    const BsHistory *history = g_hash_table_lookup(explain->histories, id);
+    if (history == NULL && pending->peer == NULL) {
         S_ask_entries(explain, pending, id, account);
         return;
     }
-    if (story != NULL && !story->idempotent &&
-        (account == NULL || g_strcmp0(account, story->account) == 0) &&
-        story->outcome != BS_OUTCOME_RAN &&
-        story->outcome != BS_OUTCOME_NOT_RUN) {
-        S_ask_keepers(explain, pending, story);
+    if (history != NULL && !history->idempotent &&
+        (account == NULL || g_strcmp0(account, history->account) == 0) &&
+        history->outcome != BS_OUTCOME_RAN &&
+        history->outcome != BS_OUTCOME_NOT_RUN) {
+        S_ask_keepers(explain, pending, history);
         return;
     }
-    if (story != NULL &&
-        (account == NULL || g_strcmp0(account, story->account) == 0)) {
-        pending->story_id = g_strdup(id);
+    if (history != NULL &&
+        (account == NULL || g_strcmp0(account, history->account) == 0)) {
+        pending->asked_id = g_strdup(id);
     }
     S_settle(explain, pending);
     S_destroy_pending(pending);
@@ -368,7 +370,7 @@
     g_strfreev(parts);
     S_reply(explain, message->from, message->from_incarnation, query->query_id,
             outcome == BS_OUTCOME_NONE ? STATUS_NOT_FOUND : STATUS_OK,
-            BsStory_ToBytes(json_pack("{s:i}", "outcome", (int)outcome)));
+            BsHistory_ToBytes(json_pack("{s:i}", "outcome", (int)outcome)));
 }
 
 static void
@@ -387,18 +389,18 @@
               query->argument, query->account);
 }
 
-/* Takes over a certain outcome that a keeper told of a story. */
+/* Takes over a certain outcome that a keeper told of a history. */
 static void
-S_learn(BsStory *story, GBytes *body)
+S_learn(BsHistory *history, GBytes *body)
 {
     gsize size;
     const char *data = g_bytes_get_data(body, &size);
     json_t *json = json_loadb(data, size, 0, NULL);
     json_int_t outcome = json_integer_value(json_object_get(json, "outcome"));
     json_decref(json);
-    if (story->end_ms != 0 &&
+    if (history->end_ms != 0 &&
         (outcome == BS_OUTCOME_RAN || outcome == BS_OUTCOME_NOT_RUN)) {
-        story->outcome = (BsOutcome)outcome;
+        history->outcome = (BsOutcome)outcome;
     }
 }
 
@@ -415,14 +417,14 @@
     }
     pending->replies_due--;
     bool found = reply->status == STATUS_OK;
-    BsStory *story =
-        pending->story_id == NULL
+    BsHistory *history =
+        pending->asked_id == NULL
             ? NULL
-            : g_hash_table_lookup(explain->stories, pending->story_id);
-    if (found && story != NULL) {
-        S_learn(story, reply->body);
+            : g_hash_table_lookup(explain->histories, pending->asked_id);
+    if (found && history != NULL) {
+        S_learn(history, reply->body);
     }
-    if (found && pending->story_id == NULL) {
+    if (found && pending->asked_id == NULL) {
         S_reply(explain, pending->peer, pending->peer_incarnation,
                 pending->query_id, STATUS_OK, g_bytes_ref(reply->body));
     }
@@ -447,12 +449,12 @@
 }
 
 static void
-S_expire_stories(BsExplain *explain, int64_t now_ms)
+S_expire_histories(BsExplain *explain, int64_t now_ms)
 {
     int64_t oldest_ms = now_ms - explain->core->config.resend_window_ms;
-    const BsStory *story;
-    while ((story = g_queue_peek_head(&explain->order)) != NULL &&
-           story->start_ms < oldest_ms) {
+    const BsHistory *history;
+    while ((history = g_queue_peek_head(&explain->order)) != NULL &&
+           history->start_ms < oldest_ms) {
         S_drop_oldest(explain);
     }
 }
@@ -463,7 +465,7 @@
     int64_t now_ms = BsCore_NowMs(explain->core);
     GHashTableIter iter;
     gpointer value;
-    S_expire_stories(explain, now_ms);
+    S_expire_histories(explain, now_ms);
     g_hash_table_iter_init(&iter, explain->pending);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         BsPending *pending = value;
--- a/src/story.h
+++ b/src/history.h
@@ -1,10 +1,10 @@
 /*
- * story.h - what an entry remembers of one request.
+ * history.h - what an entry remembers of one request.
  *
  * Rules: private to the role in explain.c, which alone changes it.
  */
-#ifndef BS_STORY_H
-#define BS_STORY_H
+#ifndef BS_HISTORY_H
+#define BS_HISTORY_H
 
 #include "boragespur.h"
 
@@ -24,19 +24,19 @@
     BsOutcome outcome;
     BsErrorKind error;
     bool idempotent;
-} BsStory;
+} BsHistory;
 
-/* Creates the story of REQUEST, admitted at NOW_MS. */
-BsStory *BsStory_Create(const BsRequest *request, int64_t now_ms);
+/* Creates the history of REQUEST, admitted at NOW_MS. */
+BsHistory *BsHistory_Create(const BsRequest *request, int64_t now_ms);
 
-/* Frees DATA, a BsStory. */
-void BsStory_Destroy(void *data);
+/* Frees DATA, a BsHistory. */
+void BsHistory_Destroy(void *data);
 
 /* Returns STORY of the instance ENTRY as JSON; unref the result. */
-GBytes *BsStory_Describe(const BsStory *story, const char *entry,
-                         int64_t now_ms);
+GBytes *BsHistory_Describe(const BsHistory *history, const char *entry,
+                           int64_t now_ms);
 
 /* Returns JSON as bytes and drops the reference to it. */
-GBytes *BsStory_ToBytes(json_t *json);
+GBytes *BsHistory_ToBytes(json_t *json);
 
-#endif /* BS_STORY_H */
+#endif /* BS_HISTORY_H */
--- a/src/ownership.c
+++ b/src/ownership.c
@@ -41,7 +41,7 @@
         g_hash_table_insert(owner->upstreams, upstream->name, upstream);
     }
     else if ((open && !upstream->open) || upstream->lost_ms != 0) {
-        BsUpstream_Chill(upstream, now_ms);
+        BsUpstream_TurnCold(upstream, now_ms);
     }
     upstream->lost_ms = 0;
     upstream->open = open;
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -102,7 +102,7 @@
 }
 
 void
-BsUpstream_Chill(BsUpstream *upstream, int64_t now_ms)
+BsUpstream_TurnCold(BsUpstream *upstream, int64_t now_ms)
 {
     upstream->warmth = BS_WARMTH_COLD;
     upstream->cold_ms = now_ms;
@@ -305,7 +305,7 @@
     if (upstream->warmth == BS_WARMTH_WARM &&
         (BsSpeed_IsSuddenlySlow(&upstream->speed) ||
          upstream->lost_hits >= LOST_HITS_MIN)) {
-        BsUpstream_Chill(upstream, now_ms);
+        BsUpstream_TurnCold(upstream, now_ms);
     }
 }
 
@@ -333,7 +333,7 @@
         return;
     }
     if (answer->crashed || answer->error == BS_ERR_CONNECT) {
-        BsUpstream_Chill(upstream, now_ms);
+        BsUpstream_TurnCold(upstream, now_ms);
     }
     int64_t pause_ms = SUSPEND_MS << MIN(upstream->failures, 8);
     upstream->suspended_ms = now_ms + MIN(pause_ms, SUSPEND_MAX_MS);
@@ -382,7 +382,7 @@
 {
     if (report->boot_id != NULL && upstream->boot_id != NULL &&
         strcmp(report->boot_id, upstream->boot_id) != 0) {
-        BsUpstream_Chill(upstream, now_ms);
+        BsUpstream_TurnCold(upstream, now_ms);
     }
     if (report->boot_id != NULL) {
         BsMessage_SetString(&upstream->boot_id, report->boot_id);
--- a/src/upstream.h
+++ b/src/upstream.h
@@ -66,7 +66,7 @@
                        uint32_t concurrency);
 
 /* Makes UPSTREAM cold; its cache is taken as lost. */
-void BsUpstream_Chill(BsUpstream *upstream, int64_t now_ms);
+void BsUpstream_TurnCold(BsUpstream *upstream, int64_t now_ms);
 
 /* Starts UPSTREAM half way up the ramp: a predecessor knew it as warm. */
 void BsUpstream_Resume(BsUpstream *upstream, const BsColdStart *cold,
