Trace spans of keeper and owner

Cause: only entry and upstream told a span; the hops between them, where a request waits, could not be seen.

The core emits BS_SPAN for the time a keeper holds a record open and for the time an owner holds work; each hop puts its own context into the request, so the next hop is its child.

--- a/src/keeper.c
+++ b/src/keeper.c
@@ -200,7 +200,9 @@
     record->deadline_ms = now_ms + request->deadline_ms;
     record->heard_ms = now_ms;
     BsRecords_SetRun(keeper->records, record, request->request_id);
-    BsRecords_SetRequest(keeper->records, record, BsMessage_Copy(message));
+    BsMessage *forward = BsMessage_Copy(message);
+    BsSpanScope_Begin(&record->span, keeper->core, &forward->u.request);
+    BsRecords_SetRequest(keeper->records, record, forward);
     BsRecord_AddWaiter(record, message);
     return record;
 }
--- a/src/keeperrun.c
+++ b/src/keeperrun.c
@@ -113,8 +113,8 @@
     BsKeeper_FailWaiters(keeper, record, error, BS_OUTCOME_UNKNOWN);
     record->in_doubt = waiters;
     record->error = error;
-    BsRecords_Finish(keeper->records, record, BS_OUTCOME_UNKNOWN,
-                     BsCore_NowMs(core) + core->config.resend_window_ms);
+    BsKeeper_Finish(keeper, record, BS_OUTCOME_UNKNOWN,
+                    BsCore_NowMs(core) + core->config.resend_window_ms);
 }
 
 void
@@ -254,8 +254,8 @@
         BsCore_Count(core, "keys_settled_late", 1);
     }
     record->error = last->error;
-    BsRecords_Finish(keeper->records, record, outcome,
-                     BsCore_NowMs(core) + core->config.resend_window_ms);
+    BsKeeper_Finish(keeper, record, outcome,
+                    BsCore_NowMs(core) + core->config.resend_window_ms);
     BsKeeper_SettleDoubt(keeper, record);
 }
 
--- a/src/keeperserve.c
+++ b/src/keeperserve.c
@@ -96,6 +96,14 @@
     BsCore_Send(keeper->core, record->witness, 0, told);
 }
 
+void
+BsKeeper_Finish(BsKeeper *keeper, BsRecord *record, BsOutcome outcome,
+                int64_t expires_ms)
+{
+    BsSpanScope_End(&record->span, keeper->core, "keeper", record->run_id);
+    BsRecords_Finish(keeper->records, record, outcome, expires_ms);
+}
+
 void
 BsKeeper_Refuse(BsKeeper *keeper, BsRecord *record, BsErrorKind error)
 {
@@ -104,8 +112,7 @@
     S_tell_witness(keeper, record);
     BsKeeper_FailWaiters(keeper, record, error, BS_OUTCOME_NOT_RUN);
     record->error = error;
-    BsRecords_Finish(keeper->records, record, BS_OUTCOME_NOT_RUN,
-                     now_ms + REFUSED_MS);
+    BsKeeper_Finish(keeper, record, BS_OUTCOME_NOT_RUN, now_ms + REFUSED_MS);
     BsKeeper_SettleDoubt(keeper, record);
 }
 
@@ -116,7 +123,7 @@
     BsOutcome outcome = record->outcome == BS_OUTCOME_NONE ? BS_OUTCOME_UNKNOWN
                                                            : record->outcome;
     BsCore_Count(core, "keys_fenced", 1);
-    BsRecords_Finish(keeper->records, record, outcome,
-                     BsCore_NowMs(core) + core->config.resend_window_ms);
+    BsKeeper_Finish(keeper, record, outcome,
+                    BsCore_NowMs(core) + core->config.resend_window_ms);
     record->fenced = true;
 }
--- a/src/keeperstate.h
+++ b/src/keeperstate.h
@@ -61,6 +61,10 @@
 /* Gives up waiting for the owner; a late answer is still recorded. */
 void BsKeeper_LoseRun(BsKeeper *keeper, BsRecord *record, BsErrorKind error);
 
+/* Ends RECORD with OUTCOME; it is kept until EXPIRES_MS. */
+void BsKeeper_Finish(BsKeeper *keeper, BsRecord *record, BsOutcome outcome,
+                     int64_t expires_ms);
+
 /* Asks the owner of RECORD for what is missing. */
 void BsKeeper_Poll(BsKeeper *keeper, BsRecord *record);
 
--- a/src/owner.c
+++ b/src/owner.c
@@ -136,6 +136,10 @@
         g_clear_pointer(&answer->content_type, g_free);
         answer->status = 0;
     }
+    if (answer->final) {
+        BsSpanScope_End(&work->span, owner->core, "owner",
+                        request->request_id);
+    }
     answer->seq = work->next_seq++;
     answer->attempt = request->attempt;
     answer->to_stage = request->from_stage;
@@ -268,6 +272,7 @@
     const BsRequest *request = &message->u.request;
     BsWork *work = BsWork_Create(message, S_rank(owner, request),
                                  BsCore_NowMs(owner->core));
+    BsSpanScope_Begin(&work->span, owner->core, &work->request->u.request);
     g_hash_table_insert(owner->works, work->id, work);
     BsOwner_Review(owner);
     if (owner->core->config.policy != BS_POLICY_AFFINITY) {
--- a/src/record.c
+++ b/src/record.c
@@ -53,6 +53,7 @@
     g_free(record->keeper);
     g_free(record->witness);
     BsMessage_Destroy(record->request);
+    BsSpanScope_Clear(&record->span);
     BsReorder_Destroy(record->reorder);
     g_ptr_array_unref(record->pieces);
     g_ptr_array_unref(record->waiters);
--- a/src/record.h
+++ b/src/record.h
@@ -11,6 +11,7 @@
 
 #include "core.h"
 #include "reorder.h"
+#include "span.h"
 
 /* Largest answer kept for later callers, in bytes. */
 #define BS_RECORD_ANSWER_MAX_BYTES (1024 * 1024)
@@ -34,6 +35,7 @@
     char *keeper;       /* other instance that may have run it, or NULL */
     char *witness;      /* instance asked to witness, or NULL */
     BsMessage *request; /* BS_FORWARD, until the outcome is known */
+    BsSpanScope span;
     BsReorder *reorder;
     GPtrArray *pieces;   /* BsMessage, in order */
     GPtrArray *waiters;  /* BsWaiter */
--- a/src/work.c
+++ b/src/work.c
@@ -56,6 +56,7 @@
         return;
     }
     BsMessage_Destroy(work->request);
+    BsSpanScope_Clear(&work->span);
     g_free(work->id);
     g_free(work);
 }
--- a/src/work.h
+++ b/src/work.h
@@ -9,12 +9,13 @@
 #ifndef BS_WORK_H
 #define BS_WORK_H
 
-#include "boragespur.h"
+#include "span.h"
 
 typedef struct BsUpstream BsUpstream;
 
 typedef struct {
-    BsMessage *request;    /* BS_FORWARD as received */
+    BsMessage *request; /* BS_FORWARD as received */
+    BsSpanScope span;
     char *id;              /* request id and attempt */
     const char *serves;    /* model or service it asks for */
     BsUpstream *upstream;  /* where it runs, or NULL */
--- a/tests/contract/secure_test.cc
+++ b/tests/contract/secure_test.cc
@@ -192,13 +192,15 @@
     Daemon daemon(FreePort(), service.port(),
                   "tracing: {url: \"http://127.0.0.1:" +
                       std::to_string(collector.port()) + "/v1/traces\"}\n");
-    daemon.Send("GET", "/services/s/x", "",
+    daemon.Send("POST", "/services/s/x", "{}",
                 {"traceparent: 00-" + trace + "-bbbbbbbbbbbbbbbb-01"});
-    EXPECT_TRUE(daemon.WaitCount("trace_spans_sent", 2));
+    EXPECT_TRUE(daemon.WaitCount("trace_spans_sent", 4));
     std::lock_guard<std::mutex> lock(mutex);
     EXPECT_NE(request.find("traceparent: 00-" + trace), std::string::npos);
     for (const std::string &part :
          {"\"traceId\":\"" + trace, std::string("\"name\":\"entry\""),
+          std::string("\"name\":\"keeper\""),
+          std::string("\"name\":\"owner\""),
           std::string("\"name\":\"upstream\""),
           std::string("\"parentSpanId\":\"bbbbbbbbbbbbbbbb\"")}) {
         EXPECT_NE(spans.find(part), std::string::npos) << part;
