--- a/bench/slopes_breaks.c
+++ b/bench/slopes_breaks.c
@@ -12,6 +12,18 @@
 #define STEP_MS 100
 #define RACK_INSTANCES 17
 
+static bool
+S_owns(World *world, const char *instance, const char *upstream)
+{
+    const BsCore *core = World_Core(world, instance);
+    if (core == NULL) {
+        return false;
+    }
+    const char *owner = BsMembers_OwnerOf(core->members, upstream);
+    return g_strcmp0(owner, instance) == 0 &&
+           BsTenure_OfUpstream(core->tenure, upstream) == BS_TENURE_HELD;
+}
+
 /* Returns how many upstreams have an instance that may own them. */
 static uint32_t
 S_count_owned(World *world, const SlopesFleet *fleet)
@@ -22,13 +34,7 @@
         bool held = false;
         g_snprintf(upstream, sizeof(upstream), "u%03u", i);
         for (uint32_t k = 0; k < fleet->instances && !held; k++) {
-            BsCore *core = World_Core(world, Slopes_InstanceName(k));
-            const char *owner =
-                core == NULL ? NULL
-                             : BsMembers_OwnerOf(core->members, upstream);
-            held =
-                g_strcmp0(owner, Slopes_InstanceName(k)) == 0 &&
-                BsTenure_OfUpstream(core->tenure, upstream) == BS_TENURE_HELD;
+            held = S_owns(world, Slopes_InstanceName(k), upstream);
         }
         owned += held ? 1 : 0;
     }
