--- /dev/null
+++ b/src/gatesettings.c
@@ -0,0 +1,261 @@
+/* gatesettings.c - the settings file of a gateway. */
+#include "gatesettings.h"
+
+#include "settings_keys.h"
+
+#include <cyaml/cyaml.h>
+#include <string.h>
+
+#define STRING_MAX 1024
+#define DATA_CENTRES_MAX 64
+#define SEEDS_MAX 16
+
+#define REQUIRED CYAML_FLAG_DEFAULT
+#define STRING(key, owner, member)                                            \
+    CYAML_FIELD_STRING_PTR(key, CYAML_FLAG_POINTER, owner, member, 1,         \
+                           STRING_MAX)
+
+static const cyaml_schema_field_t S_data_centre_fields[] = {
+    STRING("name", BsGateDataCentre, name),
+    STRING("region", BsGateDataCentre, region), CYAML_FIELD_END};
+
+static const cyaml_schema_value_t S_data_centre_schema = {CYAML_VALUE_MAPPING(
+    CYAML_FLAG_DEFAULT, BsGateDataCentre, S_data_centre_fields)};
+
+static const cyaml_schema_value_t S_string_schema = {
+    CYAML_VALUE_STRING(CYAML_FLAG_POINTER, char, 1, STRING_MAX)};
+
+static const cyaml_schema_field_t S_machine_fields[] = {
+    CYAML_FIELD_UINT("memory_mb", REQUIRED, BsGateMachine, memory_mb),
+    CYAML_FIELD_UINT("descriptors", REQUIRED, BsGateMachine, descriptors),
+    CYAML_FIELD_END};
+
+static const cyaml_schema_field_t S_bounds_fields[] = {
+    CYAML_FIELD_UINT("drain_ms", REQUIRED, BsGateBounds, drain_ms),
+    CYAML_FIELD_UINT("grace_s", REQUIRED, BsGateBounds, grace_s),
+    CYAML_FIELD_FLOAT("retry_ratio", REQUIRED, BsGateBounds, retry_ratio),
+    CYAML_FIELD_UINT("retry_slack", REQUIRED, BsGateBounds, retry_slack),
+    CYAML_FIELD_UINT("retry_window_s", REQUIRED, BsGateBounds, retry_window_s),
+    CYAML_FIELD_END};
+
+static const cyaml_schema_field_t S_fields[] = {
+    STRING("name", BsGateSettings, name),
+    STRING("data_centre", BsGateSettings, data_centre),
+    STRING("region", BsGateSettings, region),
+    CYAML_FIELD_SEQUENCE("data_centres", CYAML_FLAG_POINTER, BsGateSettings,
+                         data_centres, &S_data_centre_schema, 1,
+                         DATA_CENTRES_MAX),
+    STRING("callers", BsGateSettings, callers),
+    STRING("ready", BsGateSettings, ready),
+    STRING("admin", BsGateSettings, admin),
+    STRING("peers", BsGateSettings, peers),
+    CYAML_FIELD_SEQUENCE("seeds", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
+                         BsGateSettings, seeds, &S_string_schema, 0,
+                         SEEDS_MAX),
+    STRING("store", BsGateSettings, store),
+    CYAML_FIELD_MAPPING("machine", REQUIRED, BsGateSettings, machine,
+                        S_machine_fields),
+    CYAML_FIELD_MAPPING("bounds", REQUIRED, BsGateSettings, bounds,
+                        S_bounds_fields),
+    CYAML_FIELD_END};
+
+static const cyaml_schema_value_t S_schema = {
+    CYAML_VALUE_MAPPING(CYAML_FLAG_POINTER, BsGateSettings, S_fields)};
+
+#define TEXT(name, text)                                                      \
+    {                                                                         \
+        name, text, 0, 0, 0, 0, 0                                             \
+    }
+#define NAME_TEXT "1 to 1024 characters"
+#define ADDRESS_TEXT "IPv4:port"
+#define WHOLE_TEXT "a whole number of 0 or more"
+
+static const BsSettingsKey S_rows[] = {
+    TEXT("name", NAME_TEXT),
+    TEXT("data_centre", "one of data_centres"),
+    TEXT("region", "the region of data_centre"),
+    TEXT("data_centres", "a list of 1 to 64 items with name and region"),
+    TEXT("data_centres.name", NAME_TEXT),
+    TEXT("data_centres.region", NAME_TEXT),
+    TEXT("callers", ADDRESS_TEXT),
+    TEXT("ready", ADDRESS_TEXT),
+    TEXT("admin", ADDRESS_TEXT),
+    TEXT("peers", ADDRESS_TEXT),
+    TEXT("seeds", "a list of up to 16 " ADDRESS_TEXT),
+    TEXT("store", ADDRESS_TEXT),
+    TEXT("machine", "the keys memory_mb and descriptors"),
+    TEXT("machine.memory_mb", "16 or more"),
+    TEXT("machine.descriptors", "64 or more"),
+    TEXT("bounds", "the keys drain_ms, grace_s, retry_ratio, retry_slack and "
+                   "retry_window_s"),
+    TEXT("bounds.drain_ms", WHOLE_TEXT),
+    TEXT("bounds.grace_s", "a whole number of 1 or more"),
+    TEXT("bounds.retry_ratio", "a number from 0 to 1"),
+    TEXT("bounds.retry_slack", WHOLE_TEXT),
+    TEXT("bounds.retry_window_s", "a whole number of 1 or more"),
+};
+
+static const BsSettingsKeys S_keys = {S_rows, G_N_ELEMENTS(S_rows)};
+
+static void
+S_collect_log(cyaml_log_t level, void *context, const char *format,
+              va_list args)
+{
+    GString *report = context;
+    char *line = g_strdup_vprintf(format, args);
+    (void)level;
+    g_strstrip(line);
+    g_string_append_printf(report, "%s%s", report->len > 0 ? "; " : "", line);
+    g_free(line);
+}
+
+static cyaml_config_t
+S_make_config(GString *report)
+{
+    cyaml_config_t config = {
+        .log_fn = S_collect_log,
+        .log_ctx = report,
+        .mem_fn = cyaml_mem,
+        .log_level = CYAML_LOG_ERROR,
+        .flags = CYAML_CFG_IGNORE_UNKNOWN_KEYS,
+    };
+    return config;
+}
+
+static bool
+S_fail(GError **error, const char *file, const char *key, const char *value)
+{
+    char *allowed = BsSettingsKey_Allowed(&S_keys, key);
+    g_set_error(error, BS_ERROR, BS_ERR_SETTINGS,
+                "%s: %s: '%s' is not valid; allowed: %s; correct it", file,
+                key, value, allowed);
+    g_free(allowed);
+    return false;
+}
+
+static bool
+S_check_address(const char *file, const char *key, const char *value,
+                GError **error)
+{
+    struct sockaddr_in address;
+    return BsGateSettings_ParseAddress(value, &address) ||
+           S_fail(error, file, key, value);
+}
+
+static bool
+S_check_number(const char *file, const char *key, double value, double min,
+               double max, GError **error)
+{
+    if (value >= min && value <= max) {
+        return true;
+    }
+    char text[G_ASCII_DTOSTR_BUF_SIZE];
+    return S_fail(error, file, key, g_ascii_dtostr(text, sizeof(text), value));
+}
+
+static bool
+S_check_addresses(const BsGateSettings *settings, const char *file,
+                  GError **error)
+{
+    for (unsigned i = 0; i < settings->seeds_count; i++) {
+        if (!S_check_address(file, "seeds", settings->seeds[i], error)) {
+            return false;
+        }
+    }
+    return S_check_address(file, "callers", settings->callers, error) &&
+           S_check_address(file, "ready", settings->ready, error) &&
+           S_check_address(file, "admin", settings->admin, error) &&
+           S_check_address(file, "peers", settings->peers, error) &&
+           S_check_address(file, "store", settings->store, error);
+}
+
+static bool
+S_check(const BsGateSettings *settings, const char *file, GError **error)
+{
+    const BsGateBounds *bounds = &settings->bounds;
+    const char *region =
+        BsGateSettings_Region(settings, settings->data_centre);
+    if (region == NULL) {
+        return S_fail(error, file, "data_centre", settings->data_centre);
+    }
+    if (strcmp(region, settings->region) != 0) {
+        return S_fail(error, file, "region", settings->region);
+    }
+    return S_check_addresses(settings, file, error) &&
+           S_check_number(file, "machine.memory_mb",
+                          settings->machine.memory_mb, 16, UINT32_MAX,
+                          error) &&
+           S_check_number(file, "machine.descriptors",
+                          settings->machine.descriptors, 64, UINT32_MAX,
+                          error) &&
+           S_check_number(file, "bounds.grace_s", bounds->grace_s, 1,
+                          UINT32_MAX, error) &&
+           S_check_number(file, "bounds.retry_ratio", bounds->retry_ratio, 0,
+                          1, error) &&
+           S_check_number(file, "bounds.retry_window_s",
+                          bounds->retry_window_s, 1, UINT32_MAX, error);
+}
+
+BsGateSettings *
+BsGateSettings_Load(const char *file, GError **error)
+{
+    GString *report = g_string_new(NULL);
+    cyaml_config_t config = S_make_config(report);
+    BsGateSettings *settings = NULL;
+    if (!g_file_test(file, G_FILE_TEST_IS_REGULAR)) {
+        g_set_error(error, BS_ERROR, BS_ERR_SETTINGS,
+                    "%s: no such file; allowed: a readable settings file; "
+                    "name one",
+                    file);
+        g_string_free(report, TRUE);
+        return NULL;
+    }
+    cyaml_err_t result = cyaml_load_file(
+        file, &config, &S_schema, (cyaml_data_t **)(void *)&settings, NULL);
+    if (result != CYAML_OK || settings == NULL) {
+        BsSettingsKey_SetError(&S_keys, error, file,
+                               result == CYAML_OK ? "the file is empty"
+                               : report->len > 0  ? report->str
+                                                  : cyaml_strerror(result));
+    }
+    else if (!S_check(settings, file, error)) {
+        g_clear_pointer(&settings, BsGateSettings_Destroy);
+    }
+    g_string_free(report, TRUE);
+    return settings;
+}
+
+void
+BsGateSettings_Destroy(BsGateSettings *settings)
+{
+    GString *report = g_string_new(NULL);
+    cyaml_config_t config = S_make_config(report);
+    if (settings != NULL) {
+        cyaml_free(&config, &S_schema, settings, 0);
+    }
+    g_string_free(report, TRUE);
+}
+
+const char *
+BsGateSettings_Region(const BsGateSettings *settings, const char *data_centre)
+{
+    for (unsigned i = 0; i < settings->data_centres_count; i++) {
+        if (strcmp(settings->data_centres[i].name, data_centre) == 0) {
+            return settings->data_centres[i].region;
+        }
+    }
+    return NULL;
+}
+
+bool
+BsGateSettings_ParseAddress(const char *text, struct sockaddr_in *address)
+{
+    struct sockaddr_storage storage;
+    socklen_t length;
+    if (!BsSettings_ParseAddress(text, &storage, &length) ||
+        storage.ss_family != AF_INET) {
+        return false;
+    }
+    memcpy(address, &storage, sizeof(*address));
+    return true;
+}
--- /dev/null
+++ b/src/gw_answer.c
@@ -0,0 +1,125 @@
+/* gw_answer.c - what a caller is given of an upstream's answer. */
+#include "gw_relayparts.h"
+
+/* Plain answers up to this size are kept until they are whole, so that a
+   request which may repeat can be sent again when its answer is cut off. */
+#define KEEP_MAX_BYTES 65536
+
+/* Unsent bytes at which reading from the upstream pauses. */
+#define PENDING_MAX_BYTES (256 * 1024)
+
+static bool
+S_is_event_stream(const BsRelay *relay, uint32_t status)
+{
+    return relay->route->kind == BS_ROUTE_STREAM && status >= 200 &&
+           status < 300;
+}
+
+void
+BsAnswer_Begin(BsRelay *relay, const BsHttpHead *head)
+{
+    BsRelayAnswer *answer = &relay->answer;
+    if (answer->started) {
+        return; /* a resumed stream goes on under its first head */
+    }
+    BsAnswer_Clear(relay);
+    answer->status = head->status;
+    answer->headers = g_string_new(NULL);
+    answer->body = g_string_new(NULL);
+    answer->length_bytes = head->length_bytes;
+    relay->gate->wire->copy_answer(head, answer->headers);
+    if (S_is_event_stream(relay, head->status)) {
+        answer->events = BsSseParts_Create();
+        answer->streamed = true;
+    }
+}
+
+static void
+S_start(BsRelay *relay)
+{
+    BsRelayAnswer *answer = &relay->answer;
+    /* A stream may be put together from several runs, and a body without a
+       declared length must not look complete when it is cut off. */
+    int64_t length_bytes = answer->events != NULL ? -1 : answer->length_bytes;
+    answer->started = true;
+    BsInbound_StartAnswer(relay->inbound, answer->status, answer->headers->str,
+                          length_bytes);
+}
+
+/* Gives the caller what is kept. */
+static void
+S_pass_on(BsRelay *relay)
+{
+    BsRelayAnswer *answer = &relay->answer;
+    if (relay->inbound == NULL || answer->body->len == 0) {
+        return;
+    }
+    if (!answer->started) {
+        S_start(relay);
+    }
+    BsInbound_SendBody(relay->inbound, answer->body->str, answer->body->len);
+    g_string_truncate(answer->body, 0);
+    if (relay->call != NULL &&
+        BsInbound_PendingBytes(relay->inbound) > PENDING_MAX_BYTES) {
+        BsOutbound_SetReading(relay->call, false);
+    }
+}
+
+unsigned
+BsAnswer_Take(BsRelay *relay, const char *data, size_t size_bytes)
+{
+    BsRelayAnswer *answer = &relay->answer;
+    if (answer->events != NULL) {
+        unsigned events =
+            BsSseParts_Feed(answer->events, data, size_bytes, answer->body);
+        S_pass_on(relay);
+        return events;
+    }
+    g_string_append_len(answer->body, data, (gssize)size_bytes);
+    if (answer->body->len > KEEP_MAX_BYTES) {
+        answer->streamed = true;
+    }
+    if (answer->streamed) {
+        S_pass_on(relay);
+    }
+    return 0;
+}
+
+void
+BsAnswer_End(BsRelay *relay)
+{
+    BsRelayAnswer *answer = &relay->answer;
+    if (relay->inbound == NULL) {
+        return;
+    }
+    if (answer->events != NULL) {
+        BsSseParts_TakeRest(answer->events, answer->body);
+    }
+    if (!answer->started && !answer->streamed) {
+        BsInbound_Answer(relay->inbound, answer->status, answer->headers->str,
+                         answer->body->str, answer->body->len);
+        relay->inbound = NULL;
+        return;
+    }
+    if (!answer->started) {
+        S_start(relay);
+    }
+    S_pass_on(relay);
+    BsInbound_EndAnswer(relay->inbound);
+    relay->inbound = NULL;
+}
+
+void
+BsAnswer_Clear(BsRelay *relay)
+{
+    BsRelayAnswer *answer = &relay->answer;
+    if (answer->headers != NULL) {
+        g_string_free(answer->headers, TRUE);
+        g_string_free(answer->body, TRUE);
+    }
+    BsSseParts_Destroy(answer->events);
+    answer->headers = NULL;
+    answer->body = NULL;
+    answer->events = NULL;
+    answer->streamed = false;
+}
--- /dev/null
+++ b/src/gw_attempt.c
@@ -0,0 +1,400 @@
+/* gw_attempt.c - sending a request to an upstream, and what comes of it. */
+#include "gw_relayparts.h"
+
+#include <string.h>
+
+/* Time to a new connection.  It spans a round trip between regions several
+   times; an upstream that is dark is given up before a lost first packet
+   would be sent again. */
+#define CONNECT_TIMEOUT_MS 300
+
+/* Oldest idle connection used for a request that must not run twice: if the
+   upstream closes it at that moment, the request's end stays unknown. */
+#define REUSE_UNSAFE_MS 1000
+
+/* Oldest idle connection used for others; its own limit binds. */
+#define REUSE_MS 60000
+
+/* Silence at which a request that may repeat is tried elsewhere. */
+#define SILENCE_MIN_MS 300
+
+/* Pause between events at which a stream that may be resumed goes on at
+   another upstream: above a preempted run's pause. */
+#define STREAM_SILENCE_MS 1000
+
+/* Callers leave a stream after a pause of two seconds, four objectives or
+   eight allowed pauses, whichever is longest. */
+#define STREAM_LEFT_MS 2000
+#define STREAM_LEFT_TARGETS 4
+#define STREAM_LEFT_GAPS 8
+
+/* Messages sent for one request at most, refused ones too. */
+#define SENDS_MAX 4
+
+static bool
+S_may_repeat(const BsRelay *relay)
+{
+    return BsCatalogRoute_MayRepeat(relay->route);
+}
+
+void
+BsAttempt_FillQuery(const BsRelay *relay, BsTargetQuery *query)
+{
+    memset(query, 0, sizeof(*query));
+    query->service = relay->service;
+    query->route = relay->route;
+    query->account = relay->account;
+    query->excluded = (const char *const *)relay->excluded;
+    query->excluded_count = relay->excluded_count;
+    query->session = relay->session;
+    query->prompt_tokens = relay->info.prompt_tokens;
+    query->output_tokens = relay->info.output_tokens;
+}
+
+static void
+S_exclude(BsRelay *relay, const char *id)
+{
+    if (relay->excluded_count < BS_RELAY_EXCLUDED_MAX) {
+        relay->excluded[relay->excluded_count++] = g_strdup(id);
+    }
+}
+
+/* Tells the table how the attempt ended, and forgets the attempt. */
+static void
+S_close(BsRelay *relay, BsTargetEnd end)
+{
+    BsGate *gate = relay->gate;
+    int64_t now_ms = BsClock_NowMs(gate->clock);
+    double pace_ms = 0;
+    if (relay->events > 1) {
+        pace_ms = (double)(relay->heard_ms - relay->first_event_ms) /
+                  (relay->events - 1);
+    }
+    else if (relay->events == 0 && relay->sent_ms > 0) {
+        pace_ms = (double)(now_ms - relay->sent_ms);
+    }
+    BsTargets_Ended(
+        gate->targets, relay->target, end,
+        relay->route->kind == BS_ROUTE_STREAM && relay->events <= 1 ? 0
+                                                                    : pace_ms,
+        relay->prefill_told ? 0 : relay->info.prompt_tokens, now_ms);
+    relay->target = NULL;
+    relay->call = NULL;
+    relay->sent_ms = 0;
+    gate->places_changed = true;
+    gate->loads_changed = true;
+}
+
+void
+BsAttempt_Abandon(BsRelay *relay, BsTargetEnd end)
+{
+    if (relay->target == NULL) {
+        return;
+    }
+    relay->may_have_run |= relay->sent_ms > 0 && !relay->refused;
+    BsOutbound_Cancel(relay->call);
+    S_close(relay, end);
+}
+
+/* -------------------------------------------------------------- failures --
+ */
+
+/* Ends the request after a failure that cannot be mended. */
+static void
+S_give_up(BsRelay *relay, const char *cause)
+{
+    if (relay->may_have_run) {
+        BsRelay_Refuse(relay, 502, cause, 0);
+    }
+    else {
+        BsRelay_Refuse(relay, 503, cause, 1);
+    }
+}
+
+/* Looks for another place, or ends the request. */
+static void
+S_try_again(BsRelay *relay, const char *cause)
+{
+    BsGate *gate = relay->gate;
+    int64_t now_ms = BsClock_NowMs(gate->clock);
+    /* A message that arrives anywhere after the first draws on the budget. */
+    bool allowed = relay->sends == 0 ||
+                   (relay->sends < SENDS_MAX &&
+                    BsRetryBudget_Take(gate->retries, relay->service->name,
+                                       gate->instances, now_ms));
+    if (!allowed || relay->excluded_count >= BS_RELAY_EXCLUDED_MAX) {
+        S_give_up(relay, cause);
+        return;
+    }
+    BsCounters_Add(gate->counters, "retries_total", 1);
+    BsRelay_Log(relay, BS_EVENT_DETAIL, "retry", cause);
+    BsRelay_Place(relay);
+}
+
+/* The attempt ended without an answer that could be passed on. */
+static void
+S_on_failure(BsRelay *relay, BsTargetEnd end, const char *cause)
+{
+    bool may_go_on =
+        S_may_repeat(relay) && relay->attempts < relay->route->attempts_max;
+    char *failed = g_strdup(relay->target->id);
+    BsRelay_Log(relay, BS_EVENT_FAILURE, "attempt_failed", cause);
+    S_close(relay, end);
+    S_exclude(relay, failed);
+    g_free(failed);
+    if (relay->inbound == NULL) {
+        BsRelay_Finish(relay, "caller_gone");
+        return;
+    }
+    if (relay->answer.events != NULL) {
+        BsSseParts_DropRest(relay->answer.events);
+    }
+    if (may_go_on) {
+        S_try_again(relay, cause);
+    }
+    else {
+        S_give_up(relay, cause);
+    }
+}
+
+/* The message did not leave, or the upstream says it has not run. */
+static void
+S_on_not_run(BsRelay *relay, BsTargetEnd end, const char *cause)
+{
+    char *failed = g_strdup(relay->target->id);
+    BsRelay_Log(relay, BS_EVENT_DETAIL, "attempt_not_run", cause);
+    S_close(relay, end);
+    if (end != BS_TARGET_REFUSED) {
+        S_exclude(relay, failed);
+    }
+    g_free(failed);
+    if (relay->inbound == NULL) {
+        BsRelay_Finish(relay, "caller_gone");
+        return;
+    }
+    S_try_again(relay, cause);
+}
+
+/* --------------------------------------------------------------- answers --
+ */
+
+static void
+S_on_sent(void *context)
+{
+    BsRelay *relay = context;
+    relay->sent_ms = BsClock_NowMs(relay->gate->clock);
+    relay->heard_ms = relay->sent_ms;
+    relay->sends++;
+    relay->attempts++;
+    BsRelay_Schedule(relay);
+}
+
+/* Returns whether the answer belongs to the request and could be the
+   upstream's own. */
+static bool
+S_is_plausible(const BsRelay *relay, const BsHttpHead *head,
+               const BsAnswerInfo *info)
+{
+    if (info->request_id != NULL && strcmp(info->request_id, relay->id) != 0) {
+        return false;
+    }
+    bool success = head->status >= 200 && head->status < 300;
+    bool named = info->request_id != NULL || relay->id[0] == '\0';
+    return !success || (info->is_signed && named);
+}
+
+/* Ends the attempt at once; nothing of its answer may be used. */
+static void
+S_reject_answer(BsRelay *relay, const char *cause)
+{
+    BsOutbound_Cancel(relay->call);
+    relay->may_have_run = true;
+    S_on_failure(relay, BS_TARGET_BROKE, cause);
+}
+
+static void
+S_on_head(const BsHttpHead *head, void *context)
+{
+    BsRelay *relay = context;
+    BsGate *gate = relay->gate;
+    BsAnswerInfo info;
+    gate->wire->read_answer(head, &info);
+    relay->heard_ms = BsClock_NowMs(gate->clock);
+    if (info.cold_ms > 0) {
+        BsTargets_SetCold(relay->target, info.cold_ms, relay->heard_ms);
+    }
+    if (info.refused) {
+        relay->refused = true;
+        relay->judged =
+            info.misdirected ? BS_TARGET_MISDIRECTED : BS_TARGET_REFUSED;
+        return;
+    }
+    if (!S_is_plausible(relay, head, &info)) {
+        S_reject_answer(relay, "answer_of_another_request");
+        return;
+    }
+    bool success = head->status >= 200 && head->status < 300;
+    if (relay->answer.started && !success) {
+        S_reject_answer(relay, "resume_failed");
+        return;
+    }
+    relay->judged = head->status >= 500 ? BS_TARGET_ERROR : BS_TARGET_GOOD;
+    BsAnswer_Begin(relay, head);
+}
+
+static void
+S_on_body(const char *data, size_t size_bytes, void *context)
+{
+    BsRelay *relay = context;
+    if (relay->refused) {
+        return;
+    }
+    relay->heard_ms = BsClock_NowMs(relay->gate->clock);
+    unsigned events = BsAnswer_Take(relay, data, size_bytes);
+    if (events > 0 && relay->events == 0) {
+        relay->first_event_ms = relay->heard_ms;
+        relay->prefill_told = true;
+        BsTargets_Started(relay->target, relay->info.prompt_tokens);
+    }
+    relay->events += events;
+}
+
+/* A whole answer came that was made by running the request. */
+static void
+S_on_answer(BsRelay *relay)
+{
+    bool failed = relay->judged == BS_TARGET_ERROR;
+    int64_t now_ms = BsClock_NowMs(relay->gate->clock);
+    bool again = failed && S_may_repeat(relay) && !relay->answer.started &&
+                 relay->attempts < relay->route->attempts_max &&
+                 relay->sends < SENDS_MAX && relay->inbound != NULL &&
+                 BsRetryBudget_Take(relay->gate->retries, relay->service->name,
+                                    relay->gate->instances, now_ms);
+    if (again) {
+        S_exclude(relay, relay->target->id);
+        S_close(relay, BS_TARGET_ERROR);
+        BsCounters_Add(relay->gate->counters, "retries_total", 1);
+        BsRelay_Log(relay, BS_EVENT_DETAIL, "retry", "upstream_error");
+        BsRelay_Place(relay);
+        return;
+    }
+    BsRelay_Log(relay, failed ? BS_EVENT_FAILURE : BS_EVENT_DETAIL, "answered",
+                failed ? "upstream_error" : NULL);
+    S_close(relay, relay->judged);
+    BsAnswer_End(relay);
+    BsRelay_Finish(relay, failed ? "upstream_error" : "answered");
+}
+
+static void
+S_on_end(BsOutboundEnd end, void *context)
+{
+    BsRelay *relay = context;
+    relay->call = NULL;
+    if (end == BS_OUTBOUND_UNSENT) {
+        S_on_not_run(relay, BS_TARGET_UNREACHED, "not_connected");
+    }
+    else if (relay->refused) {
+        /* The head alone is the promise, however its body ended. */
+        relay->attempts--;
+        S_on_not_run(relay, relay->judged,
+                     relay->judged == BS_TARGET_REFUSED ? "upstream_full"
+                                                        : "misdirected");
+    }
+    else if (end == BS_OUTBOUND_DONE) {
+        relay->may_have_run = true;
+        S_on_answer(relay);
+    }
+    else {
+        relay->may_have_run = true;
+        S_on_failure(relay, BS_TARGET_BROKE,
+                     end == BS_OUTBOUND_BROKEN      ? "broke_before_answer"
+                     : end == BS_OUTBOUND_TRUNCATED ? "answer_cut_off"
+                                                    : "answer_garbled");
+    }
+}
+
+static const BsOutboundEvents S_call_events = {
+    .on_sent = S_on_sent,
+    .on_head = S_on_head,
+    .on_body = S_on_body,
+    .on_end = S_on_end,
+};
+
+/* --------------------------------------------------------------- sending --
+ */
+
+static GString *
+S_message(const BsRelay *relay, const BsTarget *target, int64_t now_ms)
+{
+    BsSendInfo info = {
+        .upstream = target->id,
+        .account = relay->account == NULL ? NULL : relay->account->name,
+        .deadline_ms = relay->expires_ms - now_ms,
+        .last_event = relay->answer.started && relay->answer.events != NULL
+                          ? BsSseParts_LastId(relay->answer.events)
+                          : -1,
+        .body_bytes = relay->body->len,
+    };
+    GString *message = g_string_sized_new(1024 + relay->body->len);
+    relay->gate->wire->write_request(relay->head, &info, message);
+    g_string_append_len(message, relay->body->str, (gssize)relay->body->len);
+    return message;
+}
+
+void
+BsAttempt_Start(BsRelay *relay, BsTarget *target)
+{
+    BsGate *gate = relay->gate;
+    int64_t now_ms = BsClock_NowMs(gate->clock);
+    BsTargetQuery query;
+    BsAttempt_FillQuery(relay, &query);
+    BsOutboundRequest request = {
+        .address = target->address,
+        .owner = target->id,
+        .message = S_message(relay, target, now_ms),
+        .reuse_idle_ms = S_may_repeat(relay) ? REUSE_MS : REUSE_UNSAFE_MS,
+        .connect_timeout_ms = CONNECT_TIMEOUT_MS,
+        .no_body = strcmp(relay->head->method, "HEAD") == 0,
+    };
+    relay->target = target;
+    relay->sent_ms = 0;
+    relay->events = 0;
+    relay->prefill_told = false;
+    relay->refused = false;
+    relay->judged = BS_TARGET_GOOD;
+    BsTargets_Sent(gate->targets, target, &query, now_ms);
+    gate->loads_changed = true;
+    relay->call =
+        BsOutbound_Start(gate->pool, &request, &S_call_events, relay);
+    BsRelay_Log(relay, BS_EVENT_DETAIL, "sent", NULL);
+    BsRelay_Schedule(relay);
+}
+
+int64_t
+BsAttempt_PatienceMs(const BsRelay *relay)
+{
+    const BsCatalogRoute *route = relay->route;
+    if (relay->target == NULL || relay->sent_ms == 0) {
+        return INT64_MAX;
+    }
+    bool may_go_on =
+        S_may_repeat(relay) && relay->attempts < route->attempts_max;
+    if (route->kind == BS_ROUTE_STREAM && relay->events > 0) {
+        int64_t left_ms =
+            MAX(STREAM_LEFT_MS, MAX(STREAM_LEFT_TARGETS * route->target_ms,
+                                    STREAM_LEFT_GAPS * route->gap_ms));
+        return relay->heard_ms + (may_go_on ? STREAM_SILENCE_MS : left_ms);
+    }
+    if (!may_go_on) {
+        return INT64_MAX;
+    }
+    return relay->sent_ms + MAX(SILENCE_MIN_MS, route->target_ms);
+}
+
+void
+BsAttempt_OnSilence(BsRelay *relay)
+{
+    BsOutbound_Cancel(relay->call);
+    relay->may_have_run = true;
+    S_on_failure(relay, BS_TARGET_BROKE, "silent");
+}
--- /dev/null
+++ b/src/gw_gate.h
@@ -0,0 +1,47 @@
+/*
+ * gw_gate.h - what the tasks of a gateway share.
+ *
+ * Rules: one thread, one loop.  Decisions are made by the modules named here,
+ * which know nothing of each other; the relay asks them and carries out what
+ * they say.
+ */
+#ifndef BS_GW_GATE_H
+#define BS_GW_GATE_H
+
+#include "catalog.h"
+#include "counter.h"
+#include "eventlog.h"
+#include "gatesettings.h"
+#include "gw_inbound.h"
+#include "gw_outbound.h"
+#include "line.h"
+#include "quota.h"
+#include "targets.h"
+#include "wire.h"
+
+#include <ev.h>
+
+/* The shared parts; all set before the first request. */
+typedef struct {
+    struct ev_loop *loop;
+    const BsClock *clock;
+    const BsGateSettings *settings;
+    const BsWire *wire;
+    BsEventLog *log;
+    BsCounters *counters;
+    BsOutboundPool *pool;
+    BsInboundServer *callers;
+    BsTargets *targets;
+    BsQuotas *quotas;
+    BsRetryBudget *retries;
+    BsLine *line;
+    GRand *random;
+    BsCatalog *catalog;    /* in force; NULL until one is known */
+    unsigned instances;    /* of the fleet, this one too */
+    uint64_t next_request; /* number of the next request, for the log */
+    bool places_changed;   /* waiting requests may find a place */
+    bool loads_changed;    /* peers are to hear of our requests */
+    bool stopping;
+} BsGate;
+
+#endif /* BS_GW_GATE_H */
--- /dev/null
+++ b/src/gw_gateway.c
@@ -0,0 +1,573 @@
+/* gw_gateway.c - the gateway: its parts, its signals and its end. */
+#include "gw_gateway.h"
+
+#include "gw_gate.h"
+#include "gw_relay.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/random.h>
+#include <time.h>
+#include <unistd.h>
+
+#define EXIT_USAGE 2
+
+/* How often beliefs are checked against the clock. */
+#define TICK_S 0.02
+
+/* How often targets that are gone are dropped. */
+#define PRUNE_MS 1000
+
+/* An entry that lapsed while the store was away is back this long after its
+   return, when its upstream lives. */
+#define LAPSE_MS 2000
+
+/* Part of the memory that bodies of requests may hold, as a divisor. */
+#define BODY_MEMORY_DIVISOR 5
+
+/* Descriptors kept from callers: for upstreams, peers, the store, files. */
+#define DESCRIPTORS_KEPT 600
+
+/* A stop first waits until the balancer has seen two failed checks, a second
+   apart, then closes connections that are idle. */
+#define STOP_IDLE_AFTER_MS 1200
+#define STOP_MIN_MS 2600
+#define STOP_IDLE_MS 150
+
+/* Left of the grace period for the process to end in. */
+#define STOP_MARGIN_MS 700
+
+#define MEBIBYTE (1024ULL * 1024)
+#define MS_PER_S 1000
+
+static const BsCatalogLimits S_default_limits = {
+    .header_bytes = 16384,
+    .body_bytes = 4 * 1024 * 1024,
+    .header_timeout_ms = 3000,
+    .idle_timeout_ms = 15000,
+};
+
+typedef struct {
+    BsGate gate;
+    BsGateSettings *settings;
+    const char *settings_file;
+    const BsPlatformAdapter *adapter;
+    void *link;
+    BsReplica *replica;
+    BsInboundServer *ready;
+    BsInboundServer *admin;
+    ev_prepare turn;
+    ev_timer tick;
+    ev_signal terminate;
+    ev_signal interrupt;
+    ev_signal hangup;
+    int64_t stop_ms;
+    int64_t pruned_ms;
+} BsGateway;
+
+/* Counts time while the machine is suspended, too: what was believed before
+   is old afterwards. */
+static struct timespec
+S_now(void *context)
+{
+    (void)context;
+    struct timespec now;
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return now;
+}
+
+static const BsClock S_clock = {S_now, NULL};
+
+static int64_t
+S_now_ms(void)
+{
+    return BsClock_NowMs(&S_clock);
+}
+
+/* -------------------------------------------------------------- platform --
+ */
+
+static BsInboundLimits
+S_inbound_limits(const BsGateway *gateway, const BsCatalogLimits *limits)
+{
+    const BsGateMachine *machine = &gateway->settings->machine;
+    uint32_t kept = MIN(DESCRIPTORS_KEPT, machine->descriptors / 2);
+    BsInboundLimits result = {
+        .header_bytes = limits->header_bytes,
+        .body_bytes = limits->body_bytes,
+        .header_timeout_ms = limits->header_timeout_ms,
+        .idle_timeout_ms = limits->idle_timeout_ms,
+        .held_bytes = machine->memory_mb * MEBIBYTE / BODY_MEMORY_DIVISOR,
+        .connections = machine->descriptors - kept,
+    };
+    return result;
+}
+
+static void
+S_on_catalog(BsCatalog *catalog, void *context)
+{
+    BsGateway *gateway = context;
+    BsGate *gate = &gateway->gate;
+    uint64_t version = BsCatalog_Version(catalog);
+    if (gate->catalog != NULL && version <= BsCatalog_Version(gate->catalog)) {
+        BsCatalog_Unref(catalog);
+        return;
+    }
+    BsCatalog_Unref(gate->catalog);
+    gate->catalog = catalog;
+    BsInboundLimits limits =
+        S_inbound_limits(gateway, BsCatalog_Limits(catalog));
+    BsInboundServer_SetLimits(gate->callers, &limits);
+    BsCounters_Set(gate->counters, "catalog_version", version);
+    if (BsEventLog_Begin(gate->log, BS_EVENT_STATE, "catalog_in_force")) {
+        BsEventLog_Number(gate->log, "version", (int64_t)version);
+        BsEventLog_End(gate->log);
+    }
+}
+
+static void
+S_on_upstream(const BsTargetEntry *listed, void *context)
+{
+    BsGateway *gateway = context;
+    BsGate *gate = &gateway->gate;
+    BsTargetEntry entry = *listed;
+    entry.region = BsGateSettings_Region(gateway->settings, entry.data_centre);
+    const BsTarget *before = BsTargets_Find(gate->targets, entry.id);
+    bool was_draining = before != NULL && before->draining;
+    bool is_new = BsTargets_Put(gate->targets, &entry, S_now_ms());
+    gate->places_changed = true;
+    if ((is_new || was_draining != entry.draining) &&
+        BsEventLog_Begin(gate->log, BS_EVENT_STATE, "upstream_listed")) {
+        BsEventLog_Text(gate->log, "upstream", entry.id);
+        BsEventLog_Text(gate->log, "service", entry.service);
+        BsEventLog_Text(gate->log, "data_centre", entry.data_centre);
+        BsEventLog_Text(gate->log, "state",
+                        entry.draining ? "draining" : "ready");
+        BsEventLog_Number(gate->log, "cold_ms", entry.cold_ms);
+        BsEventLog_End(gate->log);
+    }
+}
+
+static void
+S_on_upstream_gone(const char *id, void *context)
+{
+    BsGateway *gateway = context;
+    BsGate *gate = &gateway->gate;
+    BsPlatformStatus status = gateway->adapter->status(gateway->link);
+    int64_t now_ms = S_now_ms();
+    bool disturbed = now_ms - status.failed_ms < LAPSE_MS;
+    if (!BsTargets_Remove(gate->targets, id, disturbed ? LAPSE_MS : 0,
+                          now_ms)) {
+        return;
+    }
+    if (BsEventLog_Begin(gate->log, BS_EVENT_STATE, "upstream_gone")) {
+        BsEventLog_Text(gate->log, "upstream", id);
+        BsEventLog_Number(gate->log, "kept_ms", disturbed ? LAPSE_MS : 0);
+        BsEventLog_End(gate->log);
+    }
+}
+
+static void
+S_on_closed(const char *data_centre, bool closed, void *context)
+{
+    BsGateway *gateway = context;
+    BsGate *gate = &gateway->gate;
+    BsTargets_SetClosed(gate->targets, data_centre, closed);
+    gate->places_changed = true;
+    if (BsEventLog_Begin(gate->log, BS_EVENT_STATE,
+                         closed ? "data_centre_closed" : "data_centre_open")) {
+        BsEventLog_Text(gate->log, "data_centre", data_centre);
+        BsEventLog_End(gate->log);
+    }
+}
+
+static void
+S_on_broken(const char *key, const char *reason, unsigned count, void *context)
+{
+    BsGate *gate = &((BsGateway *)context)->gate;
+    BsCounters_Add(gate->counters, "broken_items_total", count);
+    if (BsEventLog_Begin(gate->log, BS_EVENT_FAILURE, "item_broken")) {
+        BsEventLog_Text(gate->log, "key", key);
+        BsEventLog_Text(gate->log, "cause", reason);
+        BsEventLog_End(gate->log);
+    }
+}
+
+static const BsPlatformEvents S_platform_events = {
+    .on_catalog = S_on_catalog,
+    .on_upstream = S_on_upstream,
+    .on_upstream_gone = S_on_upstream_gone,
+    .on_closed = S_on_closed,
+    .on_broken = S_on_broken,
+};
+
+static void
+S_on_item(const BsItem *item, void *context)
+{
+    BsGateway *gateway = context;
+    gateway->adapter->decode(item, &S_platform_events, gateway);
+}
+
+static void
+S_on_link(bool up, const char *reason, void *context)
+{
+    BsGate *gate = &((BsGateway *)context)->gate;
+    BsCounters_Set(gate->counters, "store_up", up);
+    if (BsEventLog_Begin(gate->log, BS_EVENT_STATE,
+                         up ? "store_regained" : "store_lost")) {
+        BsEventLog_Text(gate->log, "cause", reason);
+        BsEventLog_End(gate->log);
+    }
+}
+
+/* ----------------------------------------------------------------- pages --
+ */
+
+static bool
+S_is_ready(const BsGateway *gateway)
+{
+    const BsGate *gate = &gateway->gate;
+    return !gate->stopping && gate->catalog != NULL &&
+           BsTargets_Listed(gate->targets) > 0;
+}
+
+static void
+S_on_ready_request(BsInbound *inbound, const BsHttpHead *head,
+                   const GString *body, void *context)
+{
+    (void)head;
+    (void)body;
+    BsInbound_Answer(inbound, S_is_ready(context) ? 200 : 503, NULL, "", 0);
+}
+
+static void
+S_set_gauges(BsGateway *gateway)
+{
+    BsGate *gate = &gateway->gate;
+    const BsOutboundStats *stats = BsOutboundPool_Stats(gate->pool);
+    BsPlatformStatus status = gateway->adapter->status(gateway->link);
+    BsCounters *counters = gate->counters;
+    BsCounters_Set(counters, "waiting", BsLine_Length(gate->line));
+    BsCounters_Set(counters, "upstreams", BsTargets_Listed(gate->targets));
+    BsCounters_Set(counters, "connections",
+                   BsInboundServer_Connections(gate->callers));
+    BsCounters_Set(counters, "upstream_connections_opened", stats->opened);
+    BsCounters_Set(counters, "upstream_connections_reused", stats->reused);
+    BsCounters_Set(counters, "store_calls", status.calls);
+    BsCounters_Set(counters, "store_failures", status.failures);
+    BsCounters_Set(counters, "log_lines_dropped",
+                   BsEventLog_Dropped(gate->log));
+}
+
+static void
+S_on_admin_request(BsInbound *inbound, const BsHttpHead *head,
+                   const GString *body, void *context)
+{
+    (void)body;
+    BsGateway *gateway = context;
+    if (strcmp(head->target, "/metrics") != 0) {
+        BsInbound_Answer(inbound, 404, NULL, "", 0);
+        return;
+    }
+    GString *text = g_string_new(NULL);
+    S_set_gauges(gateway);
+    BsCounters_Format(gateway->gate.counters, text);
+    BsInbound_Answer(inbound, 200, "Content-Type: text/plain\r\n", text->str,
+                     text->len);
+    g_string_free(text, TRUE);
+}
+
+static void
+S_on_page_gone(BsInbound *inbound, void *context)
+{
+    (void)inbound;
+    (void)context;
+}
+
+static const BsInboundApp S_ready_app = {
+    .on_request = S_on_ready_request,
+    .on_gone = S_on_page_gone,
+};
+
+static const BsInboundApp S_admin_app = {
+    .on_request = S_on_admin_request,
+    .on_gone = S_on_page_gone,
+};
+
+/* ------------------------------------------------------------------ turns --
+ */
+
+static void
+S_on_turn(struct ev_loop *loop, ev_prepare *watcher, int events)
+{
+    (void)loop;
+    (void)events;
+    BsGateway *gateway = watcher->data;
+    BsGate *gate = &gateway->gate;
+    if (gate->places_changed) {
+        gate->places_changed = false;
+        BsRelay_ServeLine(gate);
+    }
+    BsEventLog_Flush(gate->log);
+}
+
+static void
+S_check_stop(BsGateway *gateway, int64_t now_ms)
+{
+    BsGate *gate = &gateway->gate;
+    int64_t passed_ms = now_ms - gateway->stop_ms;
+    int64_t limit_ms =
+        (int64_t)gateway->settings->bounds.grace_s * MS_PER_S - STOP_MARGIN_MS;
+    if (passed_ms >= STOP_IDLE_AFTER_MS) {
+        BsInboundServer_CloseIdle(gate->callers, STOP_IDLE_MS);
+    }
+    bool idle = BsInboundServer_Requests(gate->callers) == 0 &&
+                BsInboundServer_Connections(gate->callers) == 0;
+    if ((idle && passed_ms >= STOP_MIN_MS) || passed_ms >= limit_ms) {
+        ev_break(gate->loop, EVBREAK_ALL);
+    }
+}
+
+static void
+S_on_tick(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    (void)loop;
+    (void)events;
+    BsGateway *gateway = watcher->data;
+    int64_t now_ms = S_now_ms();
+    if (BsLine_Length(gateway->gate.line) > 0) {
+        gateway->gate.places_changed = true; /* pauses may have ended */
+    }
+    if (now_ms - gateway->pruned_ms >= PRUNE_MS) {
+        gateway->pruned_ms = now_ms;
+        BsTargets_Prune(gateway->gate.targets, now_ms);
+    }
+    if (gateway->gate.stopping) {
+        S_check_stop(gateway, now_ms);
+    }
+}
+
+static void
+S_on_terminate(struct ev_loop *loop, ev_signal *watcher, int events)
+{
+    (void)loop;
+    (void)events;
+    BsGateway *gateway = watcher->data;
+    BsGate *gate = &gateway->gate;
+    if (gate->stopping) {
+        return;
+    }
+    gate->stopping = true;
+    gateway->stop_ms = S_now_ms();
+    BsInboundServer_StartDrain(gate->callers);
+    if (BsEventLog_Begin(gate->log, BS_EVENT_STATE, "stopping")) {
+        BsEventLog_Number(gate->log, "requests",
+                          BsInboundServer_Requests(gate->callers));
+        BsEventLog_End(gate->log);
+    }
+}
+
+static void
+S_on_hangup(struct ev_loop *loop, ev_signal *watcher, int events)
+{
+    (void)loop;
+    (void)events;
+    BsGateway *gateway = watcher->data;
+    BsGate *gate = &gateway->gate;
+    GError *error = NULL;
+    BsGateSettings *settings =
+        BsGateSettings_Load(gateway->settings_file, &error);
+    if (BsEventLog_Begin(gate->log, BS_EVENT_STATE, "reload")) {
+        BsEventLog_Text(gate->log, "outcome",
+                        settings == NULL ? "kept the old settings"
+                                         : "settings are valid");
+        BsEventLog_Text(gate->log, "cause",
+                        error == NULL ? NULL : error->message);
+        BsEventLog_End(gate->log);
+    }
+    g_clear_error(&error);
+    BsGateSettings_Destroy(settings);
+}
+
+/* ------------------------------------------------------------------ start --
+ */
+
+static BsInboundServer *
+S_listen(BsGateway *gateway, const char *text, const BsInboundApp *app,
+         void *context, GError **error)
+{
+    struct sockaddr_in address;
+    BsInboundLimits limits = S_inbound_limits(gateway, &S_default_limits);
+    BsGateSettings_ParseAddress(text, &address);
+    return BsInboundServer_Create(gateway->gate.loop, &S_clock, &address, app,
+                                  context, &limits, error);
+}
+
+static uint32_t
+S_random(void)
+{
+    uint32_t value = 0;
+    if (getrandom(&value, sizeof(value), 0) != sizeof(value)) {
+        value = (uint32_t)getpid();
+    }
+    return value;
+}
+
+static void
+S_create_parts(BsGateway *gateway)
+{
+    BsGate *gate = &gateway->gate;
+    const BsGateSettings *settings = gateway->settings;
+    const BsGateBounds *bounds = &settings->bounds;
+    gate->loop = ev_loop_new(EVBACKEND_EPOLL);
+    gate->clock = &S_clock;
+    gate->settings = settings;
+    gate->wire = gateway->adapter->wire;
+    gate->log = BsEventLog_Create(STDOUT_FILENO, settings->name, &S_clock);
+    gate->counters = BsCounters_Create();
+    gate->pool = BsOutboundPool_Create(gate->loop, &S_clock);
+    gate->targets = BsTargets_Create(settings->data_centre, settings->region);
+    gate->quotas = BsQuotas_Create();
+    gate->retries =
+        BsRetryBudget_Create(bounds->retry_ratio, bounds->retry_slack,
+                             (int64_t)bounds->retry_window_s * MS_PER_S);
+    gate->line = BsLine_Create();
+    gate->random = g_rand_new_with_seed(S_random());
+    gate->instances = MAX(settings->seeds_count, 1);
+}
+
+static bool
+S_open(BsGateway *gateway, GError **error)
+{
+    BsGate *gate = &gateway->gate;
+    const BsGateSettings *settings = gateway->settings;
+    gate->callers =
+        S_listen(gateway, settings->callers, &bs_relay_app, gate, error);
+    if (gate->callers == NULL) {
+        return false;
+    }
+    gateway->ready =
+        S_listen(gateway, settings->ready, &S_ready_app, gateway, error);
+    if (gateway->ready == NULL) {
+        return false;
+    }
+    gateway->admin =
+        S_listen(gateway, settings->admin, &S_admin_app, gateway, error);
+    return gateway->admin != NULL;
+}
+
+static void
+S_start_signal(BsGateway *gateway, ev_signal *watcher, int number,
+               void (*func)(struct ev_loop *, ev_signal *, int))
+{
+    ev_signal_init(watcher, func, number);
+    watcher->data = gateway;
+    ev_signal_start(gateway->gate.loop, watcher);
+}
+
+static void
+S_start(BsGateway *gateway)
+{
+    struct ev_loop *loop = gateway->gate.loop;
+    ev_prepare_init(&gateway->turn, S_on_turn);
+    gateway->turn.data = gateway;
+    ev_prepare_start(loop, &gateway->turn);
+    ev_timer_init(&gateway->tick, S_on_tick, TICK_S, TICK_S);
+    gateway->tick.data = gateway;
+    ev_timer_start(loop, &gateway->tick);
+    S_start_signal(gateway, &gateway->terminate, SIGTERM, S_on_terminate);
+    S_start_signal(gateway, &gateway->interrupt, SIGINT, S_on_terminate);
+    S_start_signal(gateway, &gateway->hangup, SIGHUP, S_on_hangup);
+    gateway->replica = BsReplica_Create(S_on_item, gateway);
+    gateway->link = gateway->adapter->connect(
+        loop, &S_clock, gateway->settings, gateway->replica, S_random(),
+        S_on_link, gateway);
+}
+
+static void
+S_destroy(BsGateway *gateway)
+{
+    BsGate *gate = &gateway->gate;
+    gateway->adapter->disconnect(gateway->link);
+    BsReplica_Destroy(gateway->replica);
+    BsInboundServer_Destroy(gateway->admin);
+    BsInboundServer_Destroy(gateway->ready);
+    BsInboundServer_Destroy(gate->callers);
+    BsOutboundPool_Destroy(gate->pool);
+    BsTargets_Destroy(gate->targets);
+    BsQuotas_Destroy(gate->quotas);
+    BsRetryBudget_Destroy(gate->retries);
+    BsLine_Destroy(gate->line);
+    BsCatalog_Unref(gate->catalog);
+    BsCounters_Destroy(gate->counters);
+    BsEventLog_Destroy(gate->log);
+    g_rand_free(gate->random);
+    ev_loop_destroy(gate->loop);
+    BsGateSettings_Destroy(gateway->settings);
+}
+
+static void
+S_log_start(BsGateway *gateway, const char *event)
+{
+    BsEventLog *log = gateway->gate.log;
+    if (BsEventLog_Begin(log, BS_EVENT_STATE, event)) {
+        BsEventLog_Text(log, "version", BS_VERSION);
+        BsEventLog_Text(log, "callers", gateway->settings->callers);
+        BsEventLog_Text(log, "data_centre", gateway->settings->data_centre);
+        BsEventLog_End(log);
+    }
+}
+
+static int
+S_run(const char *file, const BsPlatformAdapter *adapter)
+{
+    BsGateway gateway = {.adapter = adapter, .settings_file = file};
+    GError *error = NULL;
+    gateway.settings = BsGateSettings_Load(file, &error);
+    if (gateway.settings != NULL) {
+        S_create_parts(&gateway);
+        if (S_open(&gateway, &error)) {
+            S_start(&gateway);
+            S_log_start(&gateway, "started");
+            ev_run(gateway.gate.loop, 0);
+            S_log_start(&gateway, "stopped");
+            S_destroy(&gateway);
+            return 0;
+        }
+    }
+    fprintf(stderr, "boragespur-gateway: %s\n", error->message);
+    g_error_free(error);
+    return EXIT_USAGE;
+}
+
+int
+BsGateway_Main(int argc, char **argv, const BsPlatformAdapter *adapter)
+{
+    gboolean version = FALSE;
+    GOptionEntry entries[] = {{"version", 0, 0, G_OPTION_ARG_NONE, &version,
+                               "Print the version", NULL},
+                              G_OPTION_ENTRY_NULL};
+    GError *error = NULL;
+    GOptionContext *context = g_option_context_new("SETTINGS - run a gateway");
+    g_option_context_add_main_entries(context, entries, NULL);
+    bool parsed = g_option_context_parse(context, &argc, &argv, &error);
+    g_option_context_free(context);
+    if (!parsed) {
+        fprintf(stderr, "boragespur-gateway: %s; see --help\n",
+                error->message);
+        g_error_free(error);
+        return EXIT_USAGE;
+    }
+    if (version) {
+        puts("boragespur-gateway " BS_VERSION);
+        return 0;
+    }
+    if (argc != 2) {
+        fputs("boragespur-gateway: name one settings file; see --help\n",
+              stderr);
+        return EXIT_USAGE;
+    }
+    signal(SIGPIPE, SIG_IGN);
+    return S_run(argv[1], adapter);
+}
--- /dev/null
+++ b/src/gw_inbound.c
@@ -0,0 +1,653 @@
+/* gw_inbound.c - connections of callers and what is answered on them. */
+#include "gw_inbound.h"
+
+#include "gw_stream.h"
+
+#include <errno.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* Connections that may wait to be accepted. */
+#define LISTEN_BACKLOG 1024
+
+/* Connections accepted in a row before other events have their turn. */
+#define ACCEPTS_AT_ONCE 16
+
+/* Pause in accepting when descriptors run out. */
+#define ACCEPT_PAUSE_S 0.05
+
+/* How often timeouts of connections are looked at. */
+#define SWEEP_S 0.2
+
+/* Bytes that may be sent ahead of the next request. */
+#define AHEAD_MAX_BYTES 65536
+
+/* Time for a caller to take the end of a last answer. */
+#define CLOSE_LIMIT_S 2.0
+
+/* What a body may always hold, whatever other connections hold. */
+#define BODY_FREE_BYTES 65536
+
+#define MS_PER_S 1000
+
+typedef enum { STATE_IDLE, STATE_READING, STATE_ANSWERING } BsInboundState;
+
+struct BsInbound {
+    BsInboundServer *server;
+    BsStream *stream;
+    BsHttpReader *reader;
+    const BsHttpHead *head; /* owned by the reader */
+    GString *body;
+    GString *ahead; /* read behind the current request */
+    void *user;
+    BsInboundState state;
+    int64_t started_ms; /* of the request */
+    int64_t active_ms;  /* last byte read, or end of the last answer */
+    bool close_after;
+    bool chunked;
+    bool head_sent;
+    bool head_only; /* answer to a HEAD request */
+};
+
+struct BsInboundServer {
+    struct ev_loop *loop;
+    const BsClock *clock;
+    const BsInboundApp *app;
+    void *context;
+    BsInboundLimits limits;
+    ev_io accept_watcher;
+    ev_timer pause_timer;
+    ev_timer sweep_timer;
+    GHashTable *connections; /* set of BsInbound */
+    uint64_t held_bytes;
+    unsigned requests;
+    int fd;
+    bool draining;
+    bool listening;
+};
+
+static int64_t
+S_now_ms(const BsInboundServer *server)
+{
+    return BsClock_NowMs(server->clock);
+}
+
+static const char *
+S_reason(uint32_t status)
+{
+    switch (status) {
+    case 200:
+        return "OK";
+    case 400:
+        return "Bad Request";
+    case 401:
+        return "Unauthorized";
+    case 404:
+        return "Not Found";
+    case 408:
+        return "Request Timeout";
+    case 413:
+        return "Content Too Large";
+    case 429:
+        return "Too Many Requests";
+    case 431:
+        return "Request Header Fields Too Large";
+    case 500:
+        return "Internal Server Error";
+    case 502:
+        return "Bad Gateway";
+    case 503:
+        return "Service Unavailable";
+    case 504:
+        return "Gateway Timeout";
+    default:
+        return "Answer";
+    }
+}
+
+/* --------------------------------------------------------- connections -- */
+
+static void
+S_release_body(BsInbound *inbound)
+{
+    inbound->server->held_bytes -= inbound->body->len;
+    g_string_free(inbound->body, TRUE);
+    inbound->body = g_string_new(NULL);
+}
+
+/* Frees all but the stream, which the caller has dealt with. */
+static void
+S_free(BsInbound *inbound)
+{
+    BsInboundServer *server = inbound->server;
+    if (inbound->state == STATE_ANSWERING) {
+        server->requests--;
+    }
+    S_release_body(inbound);
+    g_hash_table_remove(server->connections, inbound);
+    g_string_free(inbound->body, TRUE);
+    g_string_free(inbound->ahead, TRUE);
+    BsHttpReader_Destroy(inbound->reader);
+    g_free(inbound);
+}
+
+static void
+S_destroy(BsInbound *inbound)
+{
+    BsStream_Destroy(inbound->stream);
+    S_free(inbound);
+}
+
+static void
+S_close_when_sent(BsInbound *inbound)
+{
+    BsStream_CloseWhenSent(inbound->stream, CLOSE_LIMIT_S);
+    S_free(inbound);
+}
+
+static void
+S_set_limits(BsInbound *inbound)
+{
+    const BsInboundLimits *limits = &inbound->server->limits;
+    BsHttpReader_SetLimits(inbound->reader, limits->header_bytes,
+                           limits->body_bytes);
+}
+
+/* --------------------------------------------------------------- reading --
+ */
+
+static void
+S_on_head(const BsHttpHead *head, void *context)
+{
+    BsInbound *inbound = context;
+    inbound->head = head;
+    const char *expect = BsHttpHead_Find(head, "Expect");
+    if (expect != NULL && g_ascii_strcasecmp(expect, "100-continue") == 0) {
+        static const char interim[] = "HTTP/1.1 100 Continue\r\n\r\n";
+        BsStream_Write(inbound->stream, interim, strlen(interim));
+    }
+}
+
+static void
+S_on_body(const char *data, size_t size_bytes, void *context)
+{
+    BsInbound *inbound = context;
+    g_string_append_len(inbound->body, data, (gssize)size_bytes);
+    inbound->server->held_bytes += size_bytes;
+}
+
+static const BsHttpEvents S_reader_events = {
+    .on_head = S_on_head,
+    .on_body = S_on_body,
+};
+
+/* Answers a request that was not read to its end, and closes. */
+static void
+S_refuse(BsInbound *inbound, uint32_t status, const char *headers)
+{
+    BsInboundServer *server = inbound->server;
+    if (server->app->on_refused != NULL) {
+        server->app->on_refused(status, server->context);
+    }
+    inbound->state = STATE_ANSWERING;
+    server->requests++;
+    inbound->close_after = true;
+    BsInbound_Answer(inbound, status, headers, "", 0);
+}
+
+static uint32_t
+S_fault_status(BsHttpFault fault)
+{
+    switch (fault) {
+    case BS_HTTP_HEAD_TOO_LARGE:
+        return 431;
+    case BS_HTTP_BODY_TOO_LARGE:
+        return 413;
+    default:
+        return 400;
+    }
+}
+
+static bool
+S_holds_too_much(const BsInbound *inbound)
+{
+    const BsInboundServer *server = inbound->server;
+    return inbound->body->len > BODY_FREE_BYTES &&
+           server->held_bytes > server->limits.held_bytes;
+}
+
+static void
+S_start_request(BsInbound *inbound)
+{
+    BsInboundServer *server = inbound->server;
+    inbound->state = STATE_ANSWERING;
+    inbound->head_sent = false;
+    inbound->head_only = strcmp(inbound->head->method, "HEAD") == 0;
+    inbound->close_after = !inbound->head->keep_alive;
+    server->requests++;
+    server->app->on_request(inbound, inbound->head, inbound->body,
+                            server->context);
+}
+
+/* Reads DATA as far as one request goes; the rest is kept for later.
+   INBOUND may be freed by it. */
+static void
+S_read(BsInbound *inbound, const char *data, size_t size_bytes)
+{
+    if (inbound->state == STATE_IDLE && size_bytes > 0) {
+        inbound->state = STATE_READING;
+        inbound->started_ms = S_now_ms(inbound->server);
+        S_set_limits(inbound);
+    }
+    size_t taken = BsHttpReader_Feed(inbound->reader, data, size_bytes);
+    BsHttpFault fault = BsHttpReader_Fault(inbound->reader);
+    if (fault != BS_HTTP_OK) {
+        S_refuse(inbound, S_fault_status(fault), NULL);
+        return;
+    }
+    if (S_holds_too_much(inbound)) {
+        S_refuse(inbound, 503, "Retry-After: 1\r\n");
+        return;
+    }
+    if (BsHttpReader_IsComplete(inbound->reader)) {
+        g_string_append_len(inbound->ahead, data + taken,
+                            (gssize)(size_bytes - taken));
+        S_start_request(inbound);
+    }
+}
+
+static void
+S_on_data(const char *data, size_t size_bytes, void *context)
+{
+    BsInbound *inbound = context;
+    inbound->active_ms = S_now_ms(inbound->server);
+    if (inbound->state != STATE_ANSWERING) {
+        S_read(inbound, data, size_bytes);
+        return;
+    }
+    g_string_append_len(inbound->ahead, data, (gssize)size_bytes);
+    if (inbound->ahead->len > AHEAD_MAX_BYTES) {
+        BsStream_SetReading(inbound->stream, false);
+    }
+}
+
+static void
+S_on_end(int error_number, void *context)
+{
+    (void)error_number;
+    BsInbound *inbound = context;
+    BsInboundServer *server = inbound->server;
+    if (inbound->state == STATE_ANSWERING) {
+        server->app->on_gone(inbound, server->context);
+    }
+    S_destroy(inbound);
+}
+
+static void
+S_on_drained(void *context)
+{
+    BsInbound *inbound = context;
+    BsInboundServer *server = inbound->server;
+    if (inbound->state == STATE_ANSWERING && server->app->on_drained != NULL) {
+        server->app->on_drained(inbound, server->context);
+    }
+}
+
+static const BsStreamEvents S_stream_events = {
+    .on_data = S_on_data,
+    .on_drained = S_on_drained,
+    .on_end = S_on_end,
+};
+
+/* --------------------------------------------------------------- answers --
+ */
+
+static void
+S_write_head(BsInbound *inbound, uint32_t status, const char *headers,
+             int64_t length_bytes)
+{
+    BsInboundServer *server = inbound->server;
+    GString *text = g_string_new(NULL);
+    if (server->draining) {
+        inbound->close_after = true;
+    }
+    g_string_append_printf(text, "HTTP/1.1 %u %s\r\n%s", status,
+                           S_reason(status), headers == NULL ? "" : headers);
+    if (length_bytes >= 0) {
+        g_string_append_printf(
+            text, "Content-Length: %" G_GINT64_FORMAT "\r\n", length_bytes);
+    }
+    else {
+        g_string_append(text, "Transfer-Encoding: chunked\r\n");
+    }
+    if (inbound->close_after) {
+        g_string_append(text, "Connection: close\r\n\r\n");
+    }
+    else {
+        g_string_append_printf(text, "Keep-Alive: timeout=%u\r\n\r\n",
+                               server->limits.idle_timeout_ms / MS_PER_S);
+    }
+    inbound->chunked = length_bytes < 0;
+    inbound->head_sent = true;
+    BsStream_Write(inbound->stream, text->str, text->len);
+    g_string_free(text, TRUE);
+}
+
+void
+BsInbound_StartAnswer(BsInbound *inbound, uint32_t status, const char *headers,
+                      int64_t length_bytes)
+{
+    S_write_head(inbound, status, headers, length_bytes);
+}
+
+void
+BsInbound_SendBody(BsInbound *inbound, const char *data, size_t size_bytes)
+{
+    if (size_bytes == 0 || inbound->head_only) {
+        return;
+    }
+    if (!inbound->chunked) {
+        BsStream_Write(inbound->stream, data, size_bytes);
+        return;
+    }
+    GString *chunk = g_string_sized_new(size_bytes + 16);
+    g_string_append_printf(chunk, "%zx\r\n", size_bytes);
+    g_string_append_len(chunk, data, (gssize)size_bytes);
+    g_string_append(chunk, "\r\n");
+    BsStream_Write(inbound->stream, chunk->str, chunk->len);
+    g_string_free(chunk, TRUE);
+}
+
+/* Starts with the bytes that came behind the last request.  INBOUND may be
+   freed by it. */
+static void
+S_read_ahead(BsInbound *inbound)
+{
+    if (inbound->ahead->len == 0) {
+        return;
+    }
+    GString *ahead = inbound->ahead;
+    inbound->ahead = g_string_new(NULL);
+    S_read(inbound, ahead->str, ahead->len);
+    g_string_free(ahead, TRUE);
+}
+
+void
+BsInbound_EndAnswer(BsInbound *inbound)
+{
+    if (inbound->chunked && !inbound->head_only) {
+        BsStream_Write(inbound->stream, "0\r\n\r\n", 5);
+    }
+    if (inbound->close_after) {
+        S_close_when_sent(inbound);
+        return;
+    }
+    inbound->server->requests--;
+    inbound->state = STATE_IDLE;
+    inbound->user = NULL;
+    inbound->head = NULL;
+    inbound->active_ms = S_now_ms(inbound->server);
+    S_release_body(inbound);
+    BsHttpReader_Reset(inbound->reader);
+    BsStream_SetReading(inbound->stream, true);
+    S_read_ahead(inbound);
+}
+
+void
+BsInbound_Answer(BsInbound *inbound, uint32_t status, const char *headers,
+                 const char *body, size_t size_bytes)
+{
+    S_write_head(inbound, status, headers, (int64_t)size_bytes);
+    BsInbound_SendBody(inbound, body, size_bytes);
+    BsInbound_EndAnswer(inbound);
+}
+
+void
+BsInbound_Break(BsInbound *inbound)
+{
+    BsStream_Abort(inbound->stream);
+    S_free(inbound);
+}
+
+size_t
+BsInbound_PendingBytes(const BsInbound *inbound)
+{
+    return BsStream_PendingBytes(inbound->stream);
+}
+
+void
+BsInbound_SetUser(BsInbound *inbound, void *user)
+{
+    inbound->user = user;
+}
+
+void *
+BsInbound_User(const BsInbound *inbound)
+{
+    return inbound->user;
+}
+
+int64_t
+BsInbound_StartedMs(const BsInbound *inbound)
+{
+    return inbound->started_ms;
+}
+
+/* ---------------------------------------------------------------- server --
+ */
+
+static void
+S_add_connection(BsInboundServer *server, int fd)
+{
+    BsInbound *inbound = g_new0(BsInbound, 1);
+    inbound->server = server;
+    inbound->body = g_string_new(NULL);
+    inbound->ahead = g_string_new(NULL);
+    inbound->active_ms = S_now_ms(server);
+    inbound->reader = BsHttpReader_Create(BS_HTTP_REQUEST, &S_reader_events,
+                                          inbound, server->limits.header_bytes,
+                                          server->limits.body_bytes);
+    g_hash_table_add(server->connections, inbound);
+    inbound->stream =
+        BsStream_Adopt(server->loop, fd, &S_stream_events, inbound);
+}
+
+static void
+S_pause_accepting(BsInboundServer *server)
+{
+    ev_io_stop(server->loop, &server->accept_watcher);
+    ev_timer_set(&server->pause_timer, ACCEPT_PAUSE_S, 0);
+    ev_timer_start(server->loop, &server->pause_timer);
+}
+
+static void
+S_on_pause_end(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    (void)events;
+    BsInboundServer *server = watcher->data;
+    if (server->listening) {
+        ev_io_start(loop, &server->accept_watcher);
+    }
+}
+
+static void
+S_on_accept(struct ev_loop *loop, ev_io *watcher, int events)
+{
+    (void)loop;
+    (void)events;
+    BsInboundServer *server = watcher->data;
+    for (int i = 0; i < ACCEPTS_AT_ONCE; i++) {
+        if (g_hash_table_size(server->connections) >=
+            server->limits.connections) {
+            S_pause_accepting(server);
+            return;
+        }
+        int fd = accept4(server->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (fd < 0 && (errno == EMFILE || errno == ENFILE)) {
+            S_pause_accepting(server);
+            return;
+        }
+        if (fd < 0) {
+            return;
+        }
+        S_add_connection(server, fd);
+    }
+}
+
+/* Ends a connection whose caller was too slow.  INBOUND may be freed. */
+static void
+S_check_timeout(BsInbound *inbound, int64_t now_ms)
+{
+    const BsInboundLimits *limits = &inbound->server->limits;
+    if (inbound->state == STATE_IDLE &&
+        now_ms - inbound->active_ms > limits->idle_timeout_ms) {
+        S_close_when_sent(inbound);
+        return;
+    }
+    if (inbound->state != STATE_READING) {
+        return;
+    }
+    bool late = inbound->head == NULL
+                    ? now_ms - inbound->started_ms > limits->header_timeout_ms
+                    : now_ms - inbound->active_ms > limits->idle_timeout_ms;
+    if (late) {
+        S_refuse(inbound, 408, NULL);
+    }
+}
+
+static void
+S_on_sweep(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    (void)loop;
+    (void)events;
+    BsInboundServer *server = watcher->data;
+    int64_t now_ms = S_now_ms(server);
+    GList *connections = g_hash_table_get_keys(server->connections);
+    for (GList *node = connections; node != NULL; node = node->next) {
+        S_check_timeout(node->data, now_ms);
+    }
+    g_list_free(connections);
+}
+
+static int
+S_listen(const struct sockaddr_in *address, GError **error)
+{
+    int on = 1;
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd >= 0) {
+        setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    }
+    if (fd < 0 ||
+        bind(fd, (const struct sockaddr *)address, sizeof(*address)) != 0 ||
+        listen(fd, LISTEN_BACKLOG) != 0) {
+        g_set_error(error, BS_ERROR, BS_ERR_SETTINGS,
+                    "cannot listen on port %u: %s; name a free address of "
+                    "this machine",
+                    ntohs(address->sin_port), g_strerror(errno));
+        if (fd >= 0) {
+            close(fd);
+        }
+        return -1;
+    }
+    return fd;
+}
+
+BsInboundServer *
+BsInboundServer_Create(struct ev_loop *loop, const BsClock *clock,
+                       const struct sockaddr_in *address,
+                       const BsInboundApp *app, void *context,
+                       const BsInboundLimits *limits, GError **error)
+{
+    int fd = S_listen(address, error);
+    if (fd < 0) {
+        return NULL;
+    }
+    BsInboundServer *server = g_new0(BsInboundServer, 1);
+    server->loop = loop;
+    server->clock = clock;
+    server->app = app;
+    server->context = context;
+    server->limits = *limits;
+    server->fd = fd;
+    server->listening = true;
+    server->connections = g_hash_table_new(NULL, NULL);
+    ev_io_init(&server->accept_watcher, S_on_accept, fd, EV_READ);
+    ev_timer_init(&server->pause_timer, S_on_pause_end, ACCEPT_PAUSE_S, 0);
+    ev_timer_init(&server->sweep_timer, S_on_sweep, SWEEP_S, SWEEP_S);
+    server->accept_watcher.data = server;
+    server->pause_timer.data = server;
+    server->sweep_timer.data = server;
+    ev_io_start(loop, &server->accept_watcher);
+    ev_timer_start(loop, &server->sweep_timer);
+    return server;
+}
+
+void
+BsInboundServer_StopListening(BsInboundServer *server)
+{
+    if (!server->listening) {
+        return;
+    }
+    server->listening = false;
+    ev_io_stop(server->loop, &server->accept_watcher);
+    ev_timer_stop(server->loop, &server->pause_timer);
+    close(server->fd);
+}
+
+void
+BsInboundServer_Destroy(BsInboundServer *server)
+{
+    if (server == NULL) {
+        return;
+    }
+    GList *connections = g_hash_table_get_keys(server->connections);
+    for (GList *node = connections; node != NULL; node = node->next) {
+        S_destroy(node->data);
+    }
+    g_list_free(connections);
+    BsInboundServer_StopListening(server);
+    ev_timer_stop(server->loop, &server->sweep_timer);
+    g_hash_table_destroy(server->connections);
+    g_free(server);
+}
+
+void
+BsInboundServer_SetLimits(BsInboundServer *server,
+                          const BsInboundLimits *limits)
+{
+    server->limits = *limits;
+}
+
+void
+BsInboundServer_StartDrain(BsInboundServer *server)
+{
+    server->draining = true;
+}
+
+void
+BsInboundServer_CloseIdle(BsInboundServer *server, int64_t idle_ms)
+{
+    int64_t now_ms = S_now_ms(server);
+    GList *connections = g_hash_table_get_keys(server->connections);
+    for (GList *node = connections; node != NULL; node = node->next) {
+        BsInbound *inbound = node->data;
+        if (inbound->state == STATE_IDLE &&
+            now_ms - inbound->active_ms >= idle_ms) {
+            S_close_when_sent(inbound);
+        }
+    }
+    g_list_free(connections);
+}
+
+unsigned
+BsInboundServer_Connections(const BsInboundServer *server)
+{
+    return g_hash_table_size(server->connections);
+}
+
+unsigned
+BsInboundServer_Requests(const BsInboundServer *server)
+{
+    return server->requests;
+}
--- /dev/null
+++ b/src/gw_relay.c
@@ -0,0 +1,400 @@
+/* gw_relay.c - one caller's request from its arrival to its answer. */
+#include "gw_relay.h"
+
+#include "gw_relayparts.h"
+
+#include <string.h>
+
+/* Longest time a request may take when neither its caller nor its route names
+   one. */
+#define EXPIRES_DEFAULT_MS 30000
+
+/* Part of the objective that a request may wait for a place; the rest is
+   needed to run it. */
+#define WAIT_PART 0.75
+
+/* Time to come back that is told when no place is expected sooner. */
+#define RETRY_MIN_MS 300
+#define RETRY_SPREAD_MS 700
+
+#define MS_PER_S 1000.0
+
+/* ------------------------------------------------------------------- log --
+ */
+
+void
+BsRelay_Log(BsRelay *relay, BsEventClass event_class, const char *event,
+            const char *cause)
+{
+    BsGate *gate = relay->gate;
+    if (!BsEventLog_Begin(gate->log, event_class, event)) {
+        return;
+    }
+    int64_t now_ms = BsClock_NowMs(gate->clock);
+    BsEventLog_Text(gate->log, "request", relay->id);
+    BsEventLog_Text(gate->log, "cause", cause);
+    if (relay->route != NULL) {
+        BsEventLog_Text(gate->log, "route", relay->route->name);
+        BsEventLog_Number(gate->log, "catalog",
+                          (int64_t)BsCatalog_Version(relay->catalog));
+    }
+    if (relay->account != NULL) {
+        BsEventLog_Text(gate->log, "account", relay->account->name);
+    }
+    if (relay->target != NULL) {
+        BsEventLog_Text(gate->log, "upstream", relay->target->id);
+        BsEventLog_Number(gate->log, "own", relay->target->own);
+        BsEventLog_Number(gate->log, "others", relay->target->others);
+    }
+    BsEventLog_Number(gate->log, "age_ms", now_ms - relay->arrived_ms);
+    BsEventLog_Number(gate->log, "attempts", relay->attempts);
+    BsEventLog_End(gate->log);
+}
+
+static void
+S_count(BsRelay *relay, const char *outcome)
+{
+    char *name = g_strdup_printf(
+        "requests_total{route=\"%s\",outcome=\"%s\"}",
+        relay->route == NULL ? "" : relay->route->name, outcome);
+    BsCounters_Add(relay->gate->counters, name, 1);
+    g_free(name);
+}
+
+/* ------------------------------------------------------------------- end --
+ */
+
+static void
+S_free(BsRelay *relay)
+{
+    ev_timer_stop(relay->gate->loop, &relay->timer);
+    BsLine_Remove(relay->gate->line, relay->waiting);
+    BsAnswer_Clear(relay);
+    for (size_t i = 0; i < relay->excluded_count; i++) {
+        g_free(relay->excluded[i]);
+    }
+    g_array_free(relay->info.parts, TRUE);
+    BsCatalog_Unref(relay->catalog);
+    g_free(relay->id);
+    g_free(relay);
+}
+
+void
+BsRelay_Finish(BsRelay *relay, const char *outcome)
+{
+    S_count(relay, outcome);
+    S_free(relay);
+}
+
+/* Gives back what the account paid for a request that did not run. */
+static void
+S_give_back(BsRelay *relay)
+{
+    if (relay->account != NULL && relay->cost > 0 && !relay->may_have_run) {
+        BsQuotas_GiveBack(relay->gate->quotas, relay->account, relay->cost);
+    }
+}
+
+void
+BsRelay_Refuse(BsRelay *relay, uint32_t status, const char *cause,
+               int64_t retry_ms)
+{
+    GString *headers = g_string_new(NULL);
+    BsAttempt_Abandon(relay, BS_TARGET_ABANDONED);
+    BsRelay_Log(relay, BS_EVENT_FAILURE, "refused", cause);
+    S_give_back(relay);
+    if (relay->id[0] != '\0') {
+        relay->gate->wire->write_request_id(relay->id, headers);
+    }
+    if (retry_ms > 0) {
+        int64_t spread_ms =
+            g_rand_int_range(relay->gate->random, 0, RETRY_SPREAD_MS);
+        double retry_s =
+            (double)(MAX(retry_ms, RETRY_MIN_MS) + spread_ms) / MS_PER_S;
+        char text[G_ASCII_DTOSTR_BUF_SIZE];
+        g_ascii_formatd(text, sizeof(text), "%.2f", retry_s);
+        g_string_append_printf(headers, "Retry-After: %s\r\n", text);
+    }
+    if (relay->inbound != NULL && relay->answer.started) {
+        BsInbound_Break(relay->inbound);
+    }
+    else if (relay->inbound != NULL) {
+        BsInbound_Answer(relay->inbound, status, headers->str, "", 0);
+    }
+    g_string_free(headers, TRUE);
+    BsRelay_Finish(relay, cause);
+}
+
+/* ---------------------------------------------------------------- timers --
+ */
+
+static void
+S_on_timer(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    (void)loop;
+    (void)events;
+    BsRelay *relay = watcher->data;
+    int64_t now_ms = BsClock_NowMs(relay->gate->clock);
+    if (now_ms >= relay->expires_ms) {
+        bool ran = relay->may_have_run || relay->sent_ms > 0;
+        relay->may_have_run = ran;
+        BsRelay_Refuse(relay, ran ? 504 : 503, "expired", ran ? 0 : 1);
+    }
+    else if (relay->waiting != NULL && now_ms >= relay->gives_up_ms) {
+        BsRelay_Refuse(relay, relay->may_have_run ? 502 : 503, "no_place",
+                       relay->may_have_run ? 0 : 1);
+    }
+    else if (now_ms >= BsAttempt_PatienceMs(relay)) {
+        BsAttempt_OnSilence(relay);
+    }
+    else {
+        BsRelay_Schedule(relay);
+    }
+}
+
+void
+BsRelay_Schedule(BsRelay *relay)
+{
+    struct ev_loop *loop = relay->gate->loop;
+    int64_t now_ms = BsClock_NowMs(relay->gate->clock);
+    int64_t next_ms = MIN(relay->expires_ms, BsAttempt_PatienceMs(relay));
+    if (relay->waiting != NULL) {
+        next_ms = MIN(next_ms, relay->gives_up_ms);
+    }
+    ev_timer_stop(loop, &relay->timer);
+    ev_timer_set(&relay->timer, (double)MAX(next_ms - now_ms, 1) / MS_PER_S,
+                 0);
+    ev_timer_start(loop, &relay->timer);
+}
+
+/* --------------------------------------------------------------- waiting --
+ */
+
+static void
+S_wait(BsRelay *relay)
+{
+    BsLinePlace place = {
+        .account_rank = relay->account != NULL && relay->account->has_rank
+                            ? relay->account->rank
+                            : 0,
+        .route_rank = relay->route->rank,
+        .since_ms = relay->arrived_ms,
+        .in_time_ms = relay->arrived_ms + relay->route->target_ms,
+    };
+    relay->waiting = BsLine_Add(relay->gate->line, &place, relay);
+    BsRelay_Log(relay, BS_EVENT_DETAIL, "waits", NULL);
+    BsRelay_Schedule(relay);
+}
+
+void
+BsRelay_Place(BsRelay *relay)
+{
+    BsGate *gate = relay->gate;
+    BsTargetQuery query;
+    BsTargetVerdict verdict;
+    BsAttempt_FillQuery(relay, &query);
+    BsTarget *target = BsTargets_Choose(gate->targets, &query,
+                                        BsClock_NowMs(gate->clock), &verdict);
+    if (target != NULL) {
+        BsAttempt_Start(relay, target);
+    }
+    else if (verdict == BS_TARGET_NONE) {
+        BsRelay_Refuse(relay, relay->may_have_run ? 502 : 503, "no_upstream",
+                       relay->may_have_run ? 0 : 1);
+    }
+    else {
+        S_wait(relay);
+    }
+}
+
+void
+BsRelay_ServeLine(BsGate *gate)
+{
+    if (BsLine_Length(gate->line) == 0) {
+        return;
+    }
+    int64_t now_ms = BsClock_NowMs(gate->clock);
+    GPtrArray *order = BsLine_Order(gate->line, now_ms);
+    for (guint i = 0; i < order->len; i++) {
+        BsRelay *relay = order->pdata[i];
+        BsTargetQuery query;
+        BsTargetVerdict verdict;
+        BsAttempt_FillQuery(relay, &query);
+        BsTarget *target =
+            BsTargets_Choose(gate->targets, &query, now_ms, &verdict);
+        if (target != NULL) {
+            BsLine_Remove(gate->line, relay->waiting);
+            relay->waiting = NULL;
+            BsAttempt_Start(relay, target);
+        }
+    }
+    g_ptr_array_free(order, TRUE);
+}
+
+/* --------------------------------------------------------------- arrival --
+ */
+
+static BsRelay *
+S_create(BsGate *gate, BsInbound *inbound, const BsHttpHead *head,
+         const GString *body)
+{
+    BsRelay *relay = g_new0(BsRelay, 1);
+    relay->gate = gate;
+    relay->inbound = inbound;
+    relay->head = head;
+    relay->body = body;
+    relay->info.parts = g_array_new(FALSE, FALSE, sizeof(BsPromptPart));
+    gate->wire->read_request(head, &relay->info);
+    relay->id = g_strdup(relay->info.id == NULL ? "" : relay->info.id);
+    relay->arrived_ms = BsInbound_StartedMs(inbound);
+    relay->expires_ms = relay->arrived_ms + EXPIRES_DEFAULT_MS;
+    ev_timer_init(&relay->timer, S_on_timer, 0, 0);
+    relay->timer.data = relay;
+    BsInbound_SetUser(inbound, relay);
+    return relay;
+}
+
+static uint64_t
+S_session(const BsRelay *relay)
+{
+    guint count = relay->info.parts->len;
+    if (count == 0) {
+        return 0;
+    }
+    return g_array_index(relay->info.parts, BsPromptPart, count - 1).hash;
+}
+
+/* Sets what follows from the route; returns whether it leads anywhere. */
+static bool
+S_set_route(BsRelay *relay, const BsCatalogRoute *route)
+{
+    uint64_t seed = BsTargets_Hash(relay->id);
+    int64_t allowed_ms = route->timeout_ms;
+    relay->route = route;
+    relay->service = BsCatalog_FindService(
+        relay->catalog, BsCatalogRoute_PickService(route, seed));
+    if (relay->info.deadline_ms >= 0) {
+        allowed_ms = MIN(allowed_ms, relay->info.deadline_ms);
+    }
+    relay->expires_ms = relay->arrived_ms + allowed_ms;
+    relay->gives_up_ms =
+        MIN(relay->expires_ms,
+            relay->arrived_ms + (int64_t)(WAIT_PART * route->target_ms));
+    relay->session = S_session(relay);
+    return relay->service != NULL;
+}
+
+/* Takes the request's cost from its account; returns whether it may. */
+static bool
+S_take_quota(BsRelay *relay, int64_t *wait_ms)
+{
+    if (relay->account == NULL) {
+        return true;
+    }
+    uint64_t tokens =
+        (uint64_t)relay->info.prompt_tokens + relay->info.output_tokens;
+    uint64_t cost =
+        BsQuotas_Cost(relay->account, relay->info.has_tokens, tokens);
+    *wait_ms = BsQuotas_Take(relay->gate->quotas, relay->account, cost,
+                             BsClock_NowMs(relay->gate->clock));
+    relay->cost = *wait_ms == 0 ? cost : 0;
+    return *wait_ms == 0;
+}
+
+/* Decides what becomes of a new request. */
+static void
+S_admit(BsRelay *relay)
+{
+    BsGate *gate = relay->gate;
+    int64_t wait_ms = 0;
+    if (gate->catalog == NULL) {
+        BsRelay_Refuse(relay, 503, "no_catalog", 1);
+        return;
+    }
+    relay->catalog = BsCatalog_Ref(gate->catalog);
+    const BsCatalogRoute *route = BsCatalog_FindRoute(
+        relay->catalog, relay->head->host, relay->head->target);
+    if (route == NULL) {
+        BsRelay_Refuse(relay, 404, "no_route", 0);
+        return;
+    }
+    if (!route->public) {
+        relay->account =
+            relay->info.key == NULL
+                ? NULL
+                : BsCatalog_FindKey(relay->catalog, relay->info.key);
+        if (relay->account == NULL) {
+            relay->route = route;
+            BsRelay_Refuse(relay, 401, "unknown_key", 0);
+            return;
+        }
+    }
+    if (!S_set_route(relay, route)) {
+        BsRelay_Refuse(relay, 503, "no_service", 1);
+        return;
+    }
+    if (!S_take_quota(relay, &wait_ms)) {
+        BsRelay_Refuse(relay, 429, "account_limit", wait_ms);
+        return;
+    }
+    BsRetryBudget_AddRequest(gate->retries, relay->service->name,
+                             BsClock_NowMs(gate->clock));
+    BsRelay_Place(relay);
+}
+
+static void
+S_on_request(BsInbound *inbound, const BsHttpHead *head, const GString *body,
+             void *context)
+{
+    S_admit(S_create(context, inbound, head, body));
+}
+
+/* The caller left.  What may repeat, or is a stream, is cancelled; a request
+   that must not be lost runs on. */
+static void
+S_on_gone(BsInbound *inbound, void *context)
+{
+    (void)context;
+    BsRelay *relay = BsInbound_User(inbound);
+    if (relay == NULL) {
+        return; /* refused before it was read */
+    }
+    relay->inbound = NULL;
+    relay->head = NULL;
+    relay->body = NULL;
+    if (relay->target != NULL && relay->sent_ms > 0 &&
+        relay->route->kind == BS_ROUTE_UNSAFE) {
+        return;
+    }
+    BsAttempt_Abandon(relay, BS_TARGET_ABANDONED);
+    BsRelay_Log(relay, BS_EVENT_DETAIL, "cancelled", "caller_gone");
+    S_give_back(relay);
+    BsRelay_Finish(relay, "caller_gone");
+}
+
+static void
+S_on_drained(BsInbound *inbound, void *context)
+{
+    (void)context;
+    BsRelay *relay = BsInbound_User(inbound);
+    if (relay != NULL && relay->call != NULL) {
+        BsOutbound_SetReading(relay->call, true);
+    }
+}
+
+static void
+S_on_refused(uint32_t status, void *context)
+{
+    BsGate *gate = context;
+    char *name =
+        g_strdup_printf("refused_at_door_total{status=\"%u\"}", status);
+    BsCounters_Add(gate->counters, name, 1);
+    g_free(name);
+}
+
+const BsInboundApp bs_relay_app = {
+    .on_request = S_on_request,
+    .on_gone = S_on_gone,
+    .on_drained = S_on_drained,
+    .on_refused = S_on_refused,
+};
--- /dev/null
+++ b/src/gw_stream.c
@@ -0,0 +1,312 @@
+/* gw_stream.c - a non-blocking TCP connection with buffered writes. */
+#include "gw_stream.h"
+
+#include <errno.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* Bytes read from a socket at a time: a whole prompt of usual size. */
+#define READ_BYTES 32768
+
+/* Sent bytes are cut off the buffer's front once they are this many. */
+#define COMPACT_BYTES 65536
+
+/* Unacknowledged data for this long means that the path is cut.  It lies
+   above any pause of a live link and below the requests' time limits. */
+#define USER_TIMEOUT_MS 4000
+
+struct BsStream {
+    struct ev_loop *loop;
+    const BsStreamEvents *events;
+    void *context;
+    ev_io read_watcher;
+    ev_io write_watcher;
+    ev_timer close_timer;
+    GString *out;
+    size_t out_at; /* sent bytes at the front of OUT */
+    int fd;
+    unsigned depth; /* nested events */
+    bool connecting;
+    bool closing; /* only sends what is buffered */
+    bool dead;
+};
+
+static void
+S_free(BsStream *stream)
+{
+    g_string_free(stream->out, TRUE);
+    g_free(stream);
+}
+
+static void
+S_shut(BsStream *stream)
+{
+    if (stream->dead) {
+        return;
+    }
+    stream->dead = true;
+    ev_io_stop(stream->loop, &stream->read_watcher);
+    ev_io_stop(stream->loop, &stream->write_watcher);
+    ev_timer_stop(stream->loop, &stream->close_timer);
+    close(stream->fd);
+}
+
+void
+BsStream_Destroy(BsStream *stream)
+{
+    if (stream == NULL) {
+        return;
+    }
+    S_shut(stream);
+    if (stream->depth == 0) {
+        S_free(stream);
+    }
+}
+
+static void
+S_enter(BsStream *stream)
+{
+    stream->depth++;
+}
+
+static void
+S_leave(BsStream *stream)
+{
+    stream->depth--;
+    if (stream->dead && stream->depth == 0) {
+        S_free(stream);
+    }
+}
+
+static void
+S_end(BsStream *stream, int error_number)
+{
+    if (stream->closing) {
+        S_shut(stream);
+        return;
+    }
+    ev_io_stop(stream->loop, &stream->read_watcher);
+    ev_io_stop(stream->loop, &stream->write_watcher);
+    stream->events->on_end(error_number, stream->context);
+}
+
+/* Sends what it can.  Returns whether the connection still stands. */
+static bool
+S_flush(BsStream *stream)
+{
+    while (stream->out_at < stream->out->len) {
+        ssize_t sent = send(stream->fd, stream->out->str + stream->out_at,
+                            stream->out->len - stream->out_at, MSG_NOSIGNAL);
+        if (sent < 0 && errno == EINTR) {
+            continue;
+        }
+        if (sent < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+            break;
+        }
+        if (sent < 0) {
+            return false;
+        }
+        stream->out_at += (size_t)sent;
+    }
+    if (stream->out_at == stream->out->len) {
+        g_string_truncate(stream->out, 0);
+        stream->out_at = 0;
+    }
+    else if (stream->out_at > COMPACT_BYTES) {
+        g_string_erase(stream->out, 0, (gssize)stream->out_at);
+        stream->out_at = 0;
+    }
+    return true;
+}
+
+static void
+S_on_sent(BsStream *stream)
+{
+    ev_io_stop(stream->loop, &stream->write_watcher);
+    if (stream->closing) {
+        shutdown(stream->fd, SHUT_WR);
+    }
+    else if (stream->events->on_drained != NULL) {
+        stream->events->on_drained(stream->context);
+    }
+}
+
+static void
+S_on_writable(struct ev_loop *loop, ev_io *watcher, int events)
+{
+    (void)loop;
+    (void)events;
+    BsStream *stream = watcher->data;
+    S_enter(stream);
+    int error_number = 0;
+    socklen_t length = sizeof(error_number);
+    if (stream->connecting) {
+        getsockopt(stream->fd, SOL_SOCKET, SO_ERROR, &error_number, &length);
+        stream->connecting = false;
+        if (error_number == 0) {
+            ev_io_start(stream->loop, &stream->read_watcher);
+            if (stream->events->on_connected != NULL) {
+                stream->events->on_connected(stream->context);
+            }
+        }
+    }
+    if (stream->dead) {
+        S_leave(stream);
+        return;
+    }
+    if (error_number == 0 && !S_flush(stream)) {
+        error_number = errno;
+    }
+    if (error_number != 0) {
+        S_end(stream, error_number);
+    }
+    else if (stream->out->len == 0) {
+        S_on_sent(stream);
+    }
+    S_leave(stream);
+}
+
+static void
+S_on_readable(struct ev_loop *loop, ev_io *watcher, int events)
+{
+    (void)loop;
+    (void)events;
+    static char buffer[READ_BYTES];
+    BsStream *stream = watcher->data;
+    ssize_t size = recv(stream->fd, buffer, sizeof(buffer), 0);
+    if (size < 0 &&
+        (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) {
+        return;
+    }
+    S_enter(stream);
+    if (size > 0 && !stream->closing) {
+        stream->events->on_data(buffer, (size_t)size, stream->context);
+    }
+    else if (size <= 0) {
+        S_end(stream, size < 0 ? errno : 0);
+    }
+    S_leave(stream);
+}
+
+static void
+S_on_close_limit(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    (void)loop;
+    (void)events;
+    BsStream_Destroy(watcher->data);
+}
+
+static BsStream *
+S_create(struct ev_loop *loop, int fd, const BsStreamEvents *events,
+         void *context)
+{
+    BsStream *stream = g_new0(BsStream, 1);
+    int on = 1;
+    int timeout_ms = USER_TIMEOUT_MS;
+    stream->loop = loop;
+    stream->fd = fd;
+    stream->events = events;
+    stream->context = context;
+    stream->out = g_string_new(NULL);
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
+               sizeof(timeout_ms));
+    ev_io_init(&stream->read_watcher, S_on_readable, fd, EV_READ);
+    ev_io_init(&stream->write_watcher, S_on_writable, fd, EV_WRITE);
+    ev_timer_init(&stream->close_timer, S_on_close_limit, 1, 0);
+    stream->read_watcher.data = stream;
+    stream->write_watcher.data = stream;
+    stream->close_timer.data = stream;
+    return stream;
+}
+
+BsStream *
+BsStream_Connect(struct ev_loop *loop, const struct sockaddr_in *address,
+                 const BsStreamEvents *events, void *context)
+{
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd < 0) {
+        return NULL;
+    }
+    if (connect(fd, (const struct sockaddr *)address, sizeof(*address)) != 0 &&
+        errno != EINPROGRESS) {
+        close(fd);
+        return NULL;
+    }
+    BsStream *stream = S_create(loop, fd, events, context);
+    stream->connecting = true;
+    ev_io_start(loop, &stream->write_watcher);
+    return stream;
+}
+
+BsStream *
+BsStream_Adopt(struct ev_loop *loop, int fd, const BsStreamEvents *events,
+               void *context)
+{
+    BsStream *stream = S_create(loop, fd, events, context);
+    ev_io_start(loop, &stream->read_watcher);
+    return stream;
+}
+
+void
+BsStream_CloseWhenSent(BsStream *stream, double limit_s)
+{
+    stream->closing = true;
+    ev_io_start(stream->loop, &stream->read_watcher);
+    ev_timer_set(&stream->close_timer, limit_s, 0);
+    ev_timer_start(stream->loop, &stream->close_timer);
+    if (stream->out->len == 0 && !stream->connecting) {
+        S_on_sent(stream);
+    }
+}
+
+void
+BsStream_Abort(BsStream *stream)
+{
+    struct linger linger = {.l_onoff = 1, .l_linger = 0};
+    setsockopt(stream->fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+    BsStream_Destroy(stream);
+}
+
+void
+BsStream_Write(BsStream *stream, const char *data, size_t size_bytes)
+{
+    g_string_append_len(stream->out, data, (gssize)size_bytes);
+    if (stream->connecting || ev_is_active(&stream->write_watcher)) {
+        return;
+    }
+    /* A failed send is reported by the watcher, never from this call. */
+    if (!S_flush(stream) || stream->out->len > 0) {
+        ev_io_start(stream->loop, &stream->write_watcher);
+    }
+}
+
+size_t
+BsStream_PendingBytes(const BsStream *stream)
+{
+    return stream->out->len - stream->out_at;
+}
+
+bool
+BsStream_IsQuiet(const BsStream *stream)
+{
+    char byte;
+    ssize_t size = recv(stream->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void
+BsStream_SetReading(BsStream *stream, bool reading)
+{
+    if (stream->connecting) {
+        return;
+    }
+    if (reading) {
+        ev_io_start(stream->loop, &stream->read_watcher);
+    }
+    else {
+        ev_io_stop(stream->loop, &stream->read_watcher);
+    }
+}
--- /dev/null
+++ b/src/http1.c
@@ -0,0 +1,578 @@
+/* http1.c - HTTP/1.1 messages read strictly and piecemeal. */
+#include "http1.h"
+
+#include <http_parser.h>
+#include <string.h>
+
+#define HEAD_END "\r\n\r\n"
+#define HEAD_END_BYTES 4
+#define STATUS_OK_MIN 200
+
+struct BsHttpReader {
+    BsHttpKind kind;
+    const BsHttpEvents *events;
+    void *context;
+    size_t head_max_bytes;
+    uint64_t body_max_bytes;
+    GString *raw; /* the head so far */
+    BsHttpHead *head;
+    http_parser parser;
+    uint64_t body_bytes;
+    BsHttpFault fault;
+    bool complete;
+    bool no_body;
+};
+
+/* -------------------------------------------------------------- heads -- */
+
+static bool
+S_is_token_char(char c)
+{
+    return g_ascii_isalnum(c) || (c != '\0' && strchr("!#$%&'*+-.^_`|~", c));
+}
+
+static bool
+S_is_token(const char *text, size_t size_bytes)
+{
+    for (size_t i = 0; i < size_bytes; i++) {
+        if (!S_is_token_char(text[i])) {
+            return false;
+        }
+    }
+    return size_bytes > 0;
+}
+
+/* Control characters but the tab have no place in a header's value. */
+static bool
+S_is_value(const char *text, size_t size_bytes)
+{
+    for (size_t i = 0; i < size_bytes; i++) {
+        unsigned char c = (unsigned char)text[i];
+        if ((c < ' ' && c != '\t') || c == 0x7f) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+S_clear_header(gpointer data)
+{
+    BsHttpHeader *header = data;
+    g_free(header->name);
+    g_free(header->value);
+}
+
+void
+BsHttpHead_Destroy(BsHttpHead *head)
+{
+    if (head == NULL) {
+        return;
+    }
+    g_free(head->method);
+    g_free(head->target);
+    g_free(head->host);
+    g_free(head->authority);
+    g_array_free(head->headers, TRUE);
+    g_free(head);
+}
+
+const char *
+BsHttpHead_Find(const BsHttpHead *head, const char *name)
+{
+    for (guint i = 0; i < head->headers->len; i++) {
+        BsHttpHeader *header = &g_array_index(head->headers, BsHttpHeader, i);
+        if (g_ascii_strcasecmp(header->name, name) == 0) {
+            return header->value;
+        }
+    }
+    return NULL;
+}
+
+static unsigned
+S_count(const BsHttpHead *head, const char *name)
+{
+    unsigned count = 0;
+    for (guint i = 0; i < head->headers->len; i++) {
+        BsHttpHeader *header = &g_array_index(head->headers, BsHttpHeader, i);
+        count += g_ascii_strcasecmp(header->name, name) == 0;
+    }
+    return count;
+}
+
+bool
+BsHttp_ListHolds(const char *list, const char *token)
+{
+    size_t length = strlen(token);
+    while (list != NULL && *list != '\0') {
+        list += strspn(list, " \t,");
+        size_t word = strcspn(list, " \t,;");
+        if (word == length && g_ascii_strncasecmp(list, token, word) == 0) {
+            return true;
+        }
+        list += word;
+        list += strcspn(list, ",");
+    }
+    return false;
+}
+
+bool
+BsHttpHead_IsHopByHop(const BsHttpHead *head, const char *name)
+{
+    static const char *const names[] = {"Connection",
+                                        "Keep-Alive",
+                                        "Proxy-Connection",
+                                        "TE",
+                                        "Trailer",
+                                        "Transfer-Encoding",
+                                        "Upgrade",
+                                        "Expect",
+                                        "Proxy-Authenticate",
+                                        "Proxy-Authorization"};
+    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+        if (g_ascii_strcasecmp(names[i], name) == 0) {
+            return true;
+        }
+    }
+    for (guint i = 0; i < head->headers->len; i++) {
+        BsHttpHeader *header = &g_array_index(head->headers, BsHttpHeader, i);
+        if (g_ascii_strcasecmp(header->name, "Connection") == 0 &&
+            BsHttp_ListHolds(header->value, name)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+int64_t
+BsHttpHead_KeepAliveS(const BsHttpHead *head)
+{
+    const char *value = BsHttpHead_Find(head, "Keep-Alive");
+    const char *timeout = value == NULL ? NULL : strstr(value, "timeout=");
+    if (timeout == NULL) {
+        return -1;
+    }
+    return g_ascii_strtoll(timeout + strlen("timeout="), NULL, 10);
+}
+
+/* Adds the header LINE; returns whether it is well formed. */
+static bool
+S_add_header(BsHttpHead *head, const char *line, size_t size_bytes)
+{
+    const char *colon = memchr(line, ':', size_bytes);
+    if (colon == NULL || !S_is_token(line, (size_t)(colon - line))) {
+        return false;
+    }
+    const char *value = colon + 1;
+    size_t value_bytes = size_bytes - (size_t)(value - line);
+    if (!S_is_value(value, value_bytes)) {
+        return false;
+    }
+    BsHttpHeader header = {
+        g_strndup(line, (gsize)(colon - line)),
+        g_strstrip(g_strndup(value, value_bytes)),
+    };
+    g_array_append_val(head->headers, header);
+    return true;
+}
+
+static bool
+S_is_target(const char *text, size_t size_bytes)
+{
+    for (size_t i = 0; i < size_bytes; i++) {
+        unsigned char c = (unsigned char)text[i];
+        if (c <= ' ' || c >= 0x7f) {
+            return false;
+        }
+    }
+    return size_bytes > 0;
+}
+
+/* Splits an absolute-form target into authority and origin form. */
+static bool
+S_set_target(BsHttpHead *head, const char *target, size_t size_bytes)
+{
+    static const char scheme[] = "http://";
+    size_t scheme_bytes = strlen(scheme);
+    if (target[0] == '/' || (size_bytes == 1 && target[0] == '*')) {
+        head->target = g_strndup(target, size_bytes);
+        return true;
+    }
+    if (size_bytes <= scheme_bytes ||
+        g_ascii_strncasecmp(target, scheme, scheme_bytes) != 0) {
+        return false;
+    }
+    char *rest = g_strndup(target + scheme_bytes, size_bytes - scheme_bytes);
+    size_t authority = strcspn(rest, "/?");
+    head->authority = g_strndup(rest, authority);
+    head->target = rest[authority] == '/'
+                       ? g_strdup(rest + authority)
+                       : g_strconcat("/", rest + authority, NULL);
+    g_free(rest);
+    return authority > 0;
+}
+
+static bool
+S_parse_request_line(BsHttpHead *head, const char *line, size_t size_bytes)
+{
+    const char *first = memchr(line, ' ', size_bytes);
+    if (first == NULL || !S_is_token(line, (size_t)(first - line))) {
+        return false;
+    }
+    const char *target = first + 1;
+    size_t left = size_bytes - (size_t)(target - line);
+    const char *second = memchr(target, ' ', left);
+    if (second == NULL || !S_is_target(target, (size_t)(second - target))) {
+        return false;
+    }
+    const char *version = second + 1;
+    size_t version_bytes = size_bytes - (size_t)(version - line);
+    if (version_bytes != strlen("HTTP/1.1") ||
+        (memcmp(version, "HTTP/1.1", version_bytes) != 0 &&
+         memcmp(version, "HTTP/1.0", version_bytes) != 0)) {
+        return false;
+    }
+    head->method = g_strndup(line, (gsize)(first - line));
+    head->keep_alive = version[version_bytes - 1] == '1';
+    return S_set_target(head, target, (size_t)(second - target));
+}
+
+static bool
+S_parse_status_line(BsHttpHead *head, const char *line, size_t size_bytes)
+{
+    static const size_t status_at = 9; /* behind "HTTP/1.1 " */
+    if (size_bytes < status_at + 3 || memcmp(line, "HTTP/1.", 7) != 0 ||
+        line[8] != ' ') {
+        return false;
+    }
+    for (size_t i = status_at; i < status_at + 3; i++) {
+        if (!g_ascii_isdigit(line[i])) {
+            return false;
+        }
+        head->status = head->status * 10 + (uint32_t)(line[i] - '0');
+    }
+    head->keep_alive = line[7] == '1';
+    return size_bytes == status_at + 3 || line[status_at + 3] == ' ';
+}
+
+/* Sets the framing; returns whether it can be read in one way only. */
+static bool
+S_set_framing(BsHttpHead *head, BsHttpKind kind)
+{
+    const char *length = BsHttpHead_Find(head, "Content-Length");
+    const char *coding = BsHttpHead_Find(head, "Transfer-Encoding");
+    unsigned lengths = S_count(head, "Content-Length");
+    unsigned codings = S_count(head, "Transfer-Encoding");
+    if (lengths > 1 || codings > 1 || (lengths > 0 && codings > 0)) {
+        return false;
+    }
+    head->length_bytes = -1;
+    if (coding != NULL) {
+        head->chunked = true;
+        return g_ascii_strcasecmp(coding, "chunked") == 0;
+    }
+    if (length != NULL) {
+        guint64 value = 0;
+        if (!g_ascii_string_to_unsigned(length, 10, 0, INT64_MAX, &value,
+                                        NULL)) {
+            return false;
+        }
+        head->length_bytes = (int64_t)value;
+    }
+    else if (kind == BS_HTTP_REQUEST) {
+        head->length_bytes = 0;
+    }
+    return true;
+}
+
+/* Sets the host; returns whether there is exactly one. */
+static bool
+S_set_host(BsHttpHead *head)
+{
+    if (S_count(head, "Host") != 1) {
+        return false;
+    }
+    if (head->authority == NULL) {
+        head->authority = g_strdup(BsHttpHead_Find(head, "Host"));
+    }
+    const char *text = head->authority;
+    size_t length =
+        text[0] == '[' ? strcspn(text, "]") + 1 : strcspn(text, ":");
+    if (strpbrk(text, " \t,/@") != NULL || length == 0 ||
+        length > strlen(text)) {
+        return false;
+    }
+    head->host = g_ascii_strdown(text, (gssize)length);
+    return true;
+}
+
+static void
+S_set_keep_alive(BsHttpHead *head)
+{
+    for (guint i = 0; i < head->headers->len; i++) {
+        BsHttpHeader *header = &g_array_index(head->headers, BsHttpHeader, i);
+        if (g_ascii_strcasecmp(header->name, "Connection") != 0) {
+            continue;
+        }
+        if (BsHttp_ListHolds(header->value, "close")) {
+            head->keep_alive = false;
+            return;
+        }
+        if (BsHttp_ListHolds(header->value, "keep-alive")) {
+            head->keep_alive = true;
+        }
+    }
+}
+
+/* Splits TEXT into lines that end with CR LF; returns whether all do. */
+static bool
+S_parse_lines(BsHttpHead *head, BsHttpKind kind, const char *text,
+              size_t size_bytes)
+{
+    bool first = true;
+    while (size_bytes > 2) {
+        const char *end = memchr(text, '\n', size_bytes);
+        if (end == NULL || end == text || end[-1] != '\r') {
+            return false;
+        }
+        size_t line_bytes = (size_t)(end - text) - 1;
+        bool good = !first ? S_add_header(head, text, line_bytes)
+                    : kind == BS_HTTP_REQUEST
+                        ? S_parse_request_line(head, text, line_bytes)
+                        : S_parse_status_line(head, text, line_bytes);
+        if (!good) {
+            return false;
+        }
+        first = false;
+        size_bytes -= line_bytes + 2;
+        text = end + 1;
+    }
+    return !first && size_bytes == 2;
+}
+
+BsHttpHead *
+BsHttpHead_Parse(BsHttpKind kind, const char *text, size_t size_bytes,
+                 BsHttpFault *fault)
+{
+    BsHttpHead *head = g_new0(BsHttpHead, 1);
+    head->headers = g_array_new(FALSE, FALSE, sizeof(BsHttpHeader));
+    g_array_set_clear_func(head->headers, S_clear_header);
+    bool good = S_parse_lines(head, kind, text, size_bytes) &&
+                S_set_framing(head, kind) &&
+                (kind == BS_HTTP_ANSWER || S_set_host(head));
+    if (!good) {
+        *fault = BS_HTTP_MALFORMED;
+        BsHttpHead_Destroy(head);
+        return NULL;
+    }
+    S_set_keep_alive(head);
+    *fault = BS_HTTP_OK;
+    return head;
+}
+
+/* ------------------------------------------------------------- reader -- */
+
+static int
+S_on_body(http_parser *parser, const char *data, size_t size_bytes)
+{
+    BsHttpReader *reader = parser->data;
+    reader->body_bytes += size_bytes;
+    if (reader->body_max_bytes > 0 &&
+        reader->body_bytes > reader->body_max_bytes) {
+        reader->fault = BS_HTTP_BODY_TOO_LARGE;
+        return 1;
+    }
+    if (reader->events->on_body != NULL) {
+        reader->events->on_body(data, size_bytes, reader->context);
+    }
+    return 0;
+}
+
+static int
+S_on_complete(http_parser *parser)
+{
+    BsHttpReader *reader = parser->data;
+    reader->complete = true;
+    http_parser_pause(parser, 1);
+    return 0;
+}
+
+static int
+S_on_headers_complete(http_parser *parser)
+{
+    BsHttpReader *reader = parser->data;
+    return reader->no_body ? 1 : 0; /* 1: no body follows */
+}
+
+static const http_parser_settings S_parser_settings = {
+    .on_headers_complete = S_on_headers_complete,
+    .on_body = S_on_body,
+    .on_message_complete = S_on_complete,
+};
+
+BsHttpReader *
+BsHttpReader_Create(BsHttpKind kind, const BsHttpEvents *events, void *context,
+                    size_t head_max_bytes, uint64_t body_max_bytes)
+{
+    BsHttpReader *reader = g_new0(BsHttpReader, 1);
+    reader->kind = kind;
+    reader->events = events;
+    reader->context = context;
+    reader->raw = g_string_new(NULL);
+    BsHttpReader_SetLimits(reader, head_max_bytes, body_max_bytes);
+    BsHttpReader_Reset(reader);
+    return reader;
+}
+
+void
+BsHttpReader_Destroy(BsHttpReader *reader)
+{
+    if (reader == NULL) {
+        return;
+    }
+    BsHttpHead_Destroy(reader->head);
+    g_string_free(reader->raw, TRUE);
+    g_free(reader);
+}
+
+void
+BsHttpReader_SetLimits(BsHttpReader *reader, size_t head_max_bytes,
+                       uint64_t body_max_bytes)
+{
+    reader->head_max_bytes = head_max_bytes;
+    reader->body_max_bytes = body_max_bytes;
+}
+
+void
+BsHttpReader_Reset(BsHttpReader *reader)
+{
+    BsHttpHead_Destroy(reader->head);
+    reader->head = NULL;
+    g_string_truncate(reader->raw, 0);
+    http_parser_init(&reader->parser, reader->kind == BS_HTTP_REQUEST
+                                          ? HTTP_REQUEST
+                                          : HTTP_RESPONSE);
+    reader->parser.data = reader;
+    reader->body_bytes = 0;
+    reader->fault = BS_HTTP_OK;
+    reader->complete = false;
+    reader->no_body = false;
+}
+
+void
+BsHttpReader_ExpectNoBody(BsHttpReader *reader)
+{
+    reader->no_body = true;
+}
+
+/* Passes bytes of the message to the parser.  Returns those it took. */
+static size_t
+S_parse(BsHttpReader *reader, const char *data, size_t size_bytes)
+{
+    size_t taken = http_parser_execute(&reader->parser, &S_parser_settings,
+                                       data, size_bytes);
+    enum http_errno error = HTTP_PARSER_ERRNO(&reader->parser);
+    if (reader->fault == BS_HTTP_OK && error != HPE_OK &&
+        error != HPE_PAUSED) {
+        reader->fault = BS_HTTP_MALFORMED;
+    }
+    return taken;
+}
+
+/* Reads the collected head.  An interim answer is skipped. */
+static void
+S_take_head(BsHttpReader *reader)
+{
+    reader->head = BsHttpHead_Parse(reader->kind, reader->raw->str,
+                                    reader->raw->len, &reader->fault);
+    if (reader->head == NULL) {
+        return;
+    }
+    bool interim =
+        reader->kind == BS_HTTP_ANSWER && reader->head->status < STATUS_OK_MIN;
+    if (interim) {
+        bool no_body = reader->no_body;
+        BsHttpReader_Reset(reader);
+        reader->no_body = no_body;
+        return;
+    }
+    if (reader->body_max_bytes > 0 && reader->head->length_bytes > 0 &&
+        (uint64_t)reader->head->length_bytes > reader->body_max_bytes) {
+        reader->fault = BS_HTTP_BODY_TOO_LARGE;
+        return;
+    }
+    if (reader->events->on_head != NULL) {
+        reader->events->on_head(reader->head, reader->context);
+    }
+    S_parse(reader, reader->raw->str, reader->raw->len);
+}
+
+/* Adds bytes up to the head's end; returns those taken. */
+static size_t
+S_collect_head(BsHttpReader *reader, const char *data, size_t size_bytes)
+{
+    size_t before = reader->raw->len;
+    size_t room = reader->head_max_bytes - MIN(before, reader->head_max_bytes);
+    size_t taken = MIN(size_bytes, room);
+    g_string_append_len(reader->raw, data, (gssize)taken);
+    size_t from = before < HEAD_END_BYTES ? 0 : before - HEAD_END_BYTES + 1;
+    char *end = g_strstr_len(reader->raw->str + from,
+                             (gssize)(reader->raw->len - from), HEAD_END);
+    if (end == NULL) {
+        if (memchr(reader->raw->str, '\0', reader->raw->len) != NULL) {
+            reader->fault = BS_HTTP_MALFORMED;
+        }
+        else if (reader->raw->len >= reader->head_max_bytes) {
+            reader->fault = BS_HTTP_HEAD_TOO_LARGE;
+        }
+        return taken;
+    }
+    size_t head_bytes = (size_t)(end - reader->raw->str) + HEAD_END_BYTES;
+    g_string_truncate(reader->raw, head_bytes);
+    S_take_head(reader);
+    return head_bytes - before;
+}
+
+size_t
+BsHttpReader_Feed(BsHttpReader *reader, const char *data, size_t size_bytes)
+{
+    size_t taken = 0;
+    while (taken < size_bytes && reader->fault == BS_HTTP_OK &&
+           !reader->complete) {
+        const char *at = data + taken;
+        size_t left = size_bytes - taken;
+        taken += reader->head == NULL ? S_collect_head(reader, at, left)
+                                      : S_parse(reader, at, left);
+    }
+    return taken;
+}
+
+bool
+BsHttpReader_Finish(BsHttpReader *reader)
+{
+    if (reader->complete) {
+        return true;
+    }
+    if (reader->head != NULL && reader->fault == BS_HTTP_OK) {
+        http_parser_execute(&reader->parser, &S_parser_settings, NULL, 0);
+    }
+    return reader->complete;
+}
+
+bool
+BsHttpReader_IsComplete(const BsHttpReader *reader)
+{
+    return reader->complete;
+}
+
+bool
+BsHttpReader_HasStarted(const BsHttpReader *reader)
+{
+    return reader->raw->len > 0;
+}
+
+BsHttpFault
+BsHttpReader_Fault(const BsHttpReader *reader)
+{
+    return reader->fault;
+}
--- /dev/null
+++ b/src/line.c
@@ -0,0 +1,100 @@
+/* line.c - the order in which waiting requests are served. */
+#include "line.h"
+
+struct BsLineEntry {
+    BsLinePlace place;
+    void *request;
+    guint index; /* in the line's array */
+};
+
+struct BsLine {
+    GPtrArray *entries; /* BsLineEntry, in no order */
+};
+
+BsLine *
+BsLine_Create(void)
+{
+    BsLine *line = g_new0(BsLine, 1);
+    line->entries = g_ptr_array_new();
+    return line;
+}
+
+void
+BsLine_Destroy(BsLine *line)
+{
+    if (line == NULL) {
+        return;
+    }
+    g_ptr_array_free(line->entries, TRUE);
+    g_free(line);
+}
+
+BsLineEntry *
+BsLine_Add(BsLine *line, const BsLinePlace *place, void *request)
+{
+    BsLineEntry *entry = g_new0(BsLineEntry, 1);
+    entry->place = *place;
+    entry->request = request;
+    entry->index = line->entries->len;
+    g_ptr_array_add(line->entries, entry);
+    return entry;
+}
+
+void
+BsLine_Remove(BsLine *line, BsLineEntry *entry)
+{
+    if (entry == NULL) {
+        return;
+    }
+    g_ptr_array_remove_index_fast(line->entries, entry->index);
+    if (entry->index < line->entries->len) {
+        ((BsLineEntry *)line->entries->pdata[entry->index])->index =
+            entry->index;
+    }
+    g_free(entry);
+}
+
+unsigned
+BsLine_Length(const BsLine *line)
+{
+    return line->entries->len;
+}
+
+static int
+S_compare(int64_t a, int64_t b)
+{
+    return (a > b) - (a < b);
+}
+
+static gint
+S_compare_entries(gconstpointer a, gconstpointer b, gpointer data)
+{
+    const BsLinePlace *left = &(*(BsLineEntry *const *)a)->place;
+    const BsLinePlace *right = &(*(BsLineEntry *const *)b)->place;
+    int64_t now_ms = *(const int64_t *)data;
+    int order = S_compare(left->account_rank, right->account_rank);
+    if (order == 0) {
+        order = S_compare(left->route_rank, right->route_rank);
+    }
+    if (order == 0) {
+        order = (left->in_time_ms < now_ms) - (right->in_time_ms < now_ms);
+    }
+    if (order == 0) {
+        order = S_compare(left->since_ms, right->since_ms);
+    }
+    return order;
+}
+
+GPtrArray *
+BsLine_Order(const BsLine *line, int64_t now_ms)
+{
+    GPtrArray *order = g_ptr_array_sized_new(line->entries->len);
+    for (guint i = 0; i < line->entries->len; i++) {
+        g_ptr_array_add(order, line->entries->pdata[i]);
+    }
+    g_ptr_array_sort_with_data(order, S_compare_entries, &now_ms);
+    for (guint i = 0; i < order->len; i++) {
+        order->pdata[i] = ((BsLineEntry *)order->pdata[i])->request;
+    }
+    return order;
+}
--- /dev/null
+++ b/src/quota.c
@@ -0,0 +1,294 @@
+/* quota.c - limits that bind the sum over all instances. */
+#include "quota.h"
+
+#include "targets.h"
+
+#include <math.h>
+#include <string.h>
+
+/* Longest time to come back that is told to a caller over its limit. */
+#define WAIT_MAX_MS 10000
+
+/* Part of the fleet's retry budget that instances use, as requests and
+   repeats are counted in windows that slide. */
+#define RETRY_USED 0.7
+
+/* Repeats that a window's end lets through; what the oldest span held. */
+#define RETRY_SPANS 4
+
+#define MS_PER_S 1000.0
+
+typedef struct {
+    char *name;
+    uint64_t hash;
+    double level;
+    int64_t filled_ms; /* 0 until the first use */
+    uint64_t own_used;
+    uint64_t peers_unseen; /* told by peers, not yet taken from LEVEL */
+} BsQuotaBucket;
+
+typedef struct {
+    uint64_t incarnation;
+    GHashTable *used; /* account hash to uint64_t */
+} BsQuotaPeer;
+
+struct BsQuotas {
+    GHashTable *buckets; /* account name to BsQuotaBucket */
+    GHashTable *peers;   /* number to BsQuotaPeer */
+    double share;
+};
+
+static void
+S_destroy_bucket(gpointer data)
+{
+    BsQuotaBucket *bucket = data;
+    g_free(bucket->name);
+    g_free(bucket);
+}
+
+static void
+S_destroy_peer(gpointer data)
+{
+    BsQuotaPeer *peer = data;
+    g_hash_table_destroy(peer->used);
+    g_free(peer);
+}
+
+BsQuotas *
+BsQuotas_Create(void)
+{
+    BsQuotas *quotas = g_new0(BsQuotas, 1);
+    quotas->buckets =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, S_destroy_bucket);
+    quotas->peers = g_hash_table_new_full(NULL, NULL, NULL, S_destroy_peer);
+    quotas->share = 1.0;
+    return quotas;
+}
+
+void
+BsQuotas_Destroy(BsQuotas *quotas)
+{
+    if (quotas == NULL) {
+        return;
+    }
+    g_hash_table_destroy(quotas->buckets);
+    g_hash_table_destroy(quotas->peers);
+    g_free(quotas);
+}
+
+void
+BsQuotas_SetShare(BsQuotas *quotas, double share)
+{
+    quotas->share = share;
+}
+
+uint64_t
+BsQuotas_Cost(const BsCatalogAccount *account, bool has_tokens,
+              uint64_t tokens)
+{
+    if (!account->counts_tokens) {
+        return 1;
+    }
+    return has_tokens ? tokens : account->plain_tokens;
+}
+
+static BsQuotaBucket *
+S_find_or_add(BsQuotas *quotas, const char *name)
+{
+    BsQuotaBucket *bucket = g_hash_table_lookup(quotas->buckets, name);
+    if (bucket == NULL) {
+        bucket = g_new0(BsQuotaBucket, 1);
+        bucket->name = g_strdup(name);
+        bucket->hash = BsTargets_Hash(name);
+        g_hash_table_insert(quotas->buckets, bucket->name, bucket);
+    }
+    return bucket;
+}
+
+/* Refills BUCKET and takes off what the peers used meanwhile. */
+static void
+S_refill(const BsQuotas *quotas, BsQuotaBucket *bucket,
+         const BsCatalogAccount *account, int64_t now_ms)
+{
+    double burst = account->burst * quotas->share;
+    if (bucket->filled_ms == 0) {
+        bucket->level = burst;
+        bucket->filled_ms = now_ms;
+    }
+    double passed_s = (double)(now_ms - bucket->filled_ms) / MS_PER_S;
+    bucket->filled_ms = now_ms;
+    bucket->level += passed_s * account->per_s * quotas->share;
+    bucket->level -= (double)bucket->peers_unseen;
+    bucket->peers_unseen = 0;
+    /* The largest debt is one burst: older overuse is not held against the
+       account for longer than that takes to refill. */
+    bucket->level = CLAMP(bucket->level, -MAX(account->burst, 1.0), burst);
+}
+
+int64_t
+BsQuotas_Take(BsQuotas *quotas, const BsCatalogAccount *account, uint64_t cost,
+              int64_t now_ms)
+{
+    BsQuotaBucket *bucket = S_find_or_add(quotas, account->name);
+    if (account->per_s > 0) {
+        S_refill(quotas, bucket, account, now_ms);
+        if (bucket->level <= 0) {
+            double wait_s = -bucket->level / (account->per_s * quotas->share);
+            return (int64_t)CLAMP(wait_s * MS_PER_S, 1, WAIT_MAX_MS);
+        }
+        bucket->level -= (double)cost;
+    }
+    bucket->own_used += cost;
+    return 0;
+}
+
+void
+BsQuotas_GiveBack(BsQuotas *quotas, const BsCatalogAccount *account,
+                  uint64_t cost)
+{
+    BsQuotaBucket *bucket = S_find_or_add(quotas, account->name);
+    bucket->level += (double)cost;
+    bucket->own_used -= MIN(bucket->own_used, cost);
+}
+
+static BsQuotaBucket *
+S_find_hash(const BsQuotas *quotas, uint64_t hash)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, quotas->buckets);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        if (((BsQuotaBucket *)value)->hash == hash) {
+            return value;
+        }
+    }
+    return NULL;
+}
+
+void
+BsQuotas_SetPeer(BsQuotas *quotas, uint32_t peer, uint64_t incarnation,
+                 const GArray *uses)
+{
+    BsQuotaPeer *held =
+        g_hash_table_lookup(quotas->peers, GUINT_TO_POINTER(peer));
+    bool known = held != NULL && held->incarnation == incarnation;
+    if (!known) {
+        held = g_new0(BsQuotaPeer, 1);
+        held->incarnation = incarnation;
+        held->used =
+            g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+        g_hash_table_insert(quotas->peers, GUINT_TO_POINTER(peer), held);
+    }
+    for (guint i = 0; i < uses->len; i++) {
+        const BsQuotaUse *use = &g_array_index(uses, BsQuotaUse, i);
+        uint64_t *before = g_hash_table_lookup(held->used, &use->hash);
+        BsQuotaBucket *bucket = S_find_hash(quotas, use->hash);
+        /* What a peer used before we first heard it lies in the past. */
+        if (known && bucket != NULL && use->used > (before ? *before : 0)) {
+            bucket->peers_unseen += use->used - (before ? *before : 0);
+        }
+        g_hash_table_replace(held->used,
+                             g_memdup2(&use->hash, sizeof(use->hash)),
+                             g_memdup2(&use->used, sizeof(use->used)));
+    }
+}
+
+void
+BsQuotas_AppendUses(const BsQuotas *quotas, GArray *uses)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, quotas->buckets);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const BsQuotaBucket *bucket = value;
+        BsQuotaUse use = {bucket->hash, bucket->own_used};
+        g_array_append_val(uses, use);
+    }
+}
+
+/* --------------------------------------------------------------- repeats --
+ */
+
+typedef struct {
+    uint64_t requests[RETRY_SPANS];
+    uint64_t repeats[RETRY_SPANS];
+    int64_t span; /* number of the newest span */
+} BsRetryCounts;
+
+struct BsRetryBudget {
+    double ratio;
+    double slack;
+    int64_t span_ms;
+    GHashTable *services; /* name to BsRetryCounts */
+};
+
+BsRetryBudget *
+BsRetryBudget_Create(double ratio, double slack, int64_t window_ms)
+{
+    BsRetryBudget *budget = g_new0(BsRetryBudget, 1);
+    budget->ratio = ratio;
+    budget->slack = slack;
+    /* The spans kept cover at least a whole window at any moment. */
+    budget->span_ms = MAX(1, window_ms / (RETRY_SPANS - 1));
+    budget->services =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    return budget;
+}
+
+void
+BsRetryBudget_Destroy(BsRetryBudget *budget)
+{
+    if (budget == NULL) {
+        return;
+    }
+    g_hash_table_destroy(budget->services);
+    g_free(budget);
+}
+
+/* Returns the counts of SERVICE with spans that have passed cleared. */
+static BsRetryCounts *
+S_counts(BsRetryBudget *budget, const char *service, int64_t now_ms)
+{
+    BsRetryCounts *counts = g_hash_table_lookup(budget->services, service);
+    if (counts == NULL) {
+        counts = g_new0(BsRetryCounts, 1);
+        g_hash_table_insert(budget->services, g_strdup(service), counts);
+    }
+    int64_t span = now_ms / budget->span_ms;
+    int64_t passed = MIN(span - counts->span, RETRY_SPANS);
+    for (int64_t i = 0; i < passed; i++) {
+        size_t at = (size_t)((span - i) % RETRY_SPANS);
+        counts->requests[at] = 0;
+        counts->repeats[at] = 0;
+    }
+    counts->span = MAX(counts->span, span);
+    return counts;
+}
+
+void
+BsRetryBudget_AddRequest(BsRetryBudget *budget, const char *service,
+                         int64_t now_ms)
+{
+    BsRetryCounts *counts = S_counts(budget, service, now_ms);
+    counts->requests[counts->span % RETRY_SPANS]++;
+}
+
+bool
+BsRetryBudget_Take(BsRetryBudget *budget, const char *service,
+                   unsigned instances, int64_t now_ms)
+{
+    BsRetryCounts *counts = S_counts(budget, service, now_ms);
+    uint64_t requests = 0;
+    uint64_t repeats = 0;
+    for (size_t i = 0; i < RETRY_SPANS; i++) {
+        requests += counts->requests[i];
+        repeats += counts->repeats[i];
+    }
+    double allowed = RETRY_USED * (budget->ratio * (double)requests +
+                                   budget->slack / MAX(instances, 1));
+    if ((double)repeats + 1 > allowed) {
+        return false;
+    }
+    counts->repeats[counts->span % RETRY_SPANS]++;
+    return true;
+}
--- /dev/null
+++ b/src/replica.c
@@ -0,0 +1,178 @@
+/* replica.c - an instance's copy of the items that the platform publishes. */
+#include "replica.h"
+
+#include <string.h>
+
+/* Removed items kept, so that a late change cannot bring one back.  Far more
+   than are removed within the age of any message. */
+#define REMOVED_MAX 4096
+
+struct BsReplica {
+    GHashTable *items;    /* key to BsItem */
+    GHashTable *complete; /* prefix to uint64_t */
+    BsReplicaFunc on_change;
+    void *context;
+    uint64_t newest;
+    unsigned removed;
+};
+
+static void
+S_destroy_item(gpointer data)
+{
+    BsItem *item = data;
+    g_free(item->key);
+    if (item->value != NULL) {
+        g_bytes_unref(item->value);
+    }
+    g_free(item);
+}
+
+BsReplica *
+BsReplica_Create(BsReplicaFunc on_change, void *context)
+{
+    BsReplica *replica = g_new0(BsReplica, 1);
+    replica->items =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, S_destroy_item);
+    replica->complete =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    replica->on_change = on_change;
+    replica->context = context;
+    return replica;
+}
+
+void
+BsReplica_Destroy(BsReplica *replica)
+{
+    if (replica == NULL) {
+        return;
+    }
+    g_hash_table_destroy(replica->items);
+    g_hash_table_destroy(replica->complete);
+    g_free(replica);
+}
+
+/* Drops the older half of the removed items. */
+static void
+S_prune(BsReplica *replica)
+{
+    GHashTableIter iter;
+    gpointer value;
+    uint64_t below = replica->newest > REMOVED_MAX / 2
+                         ? replica->newest - REMOVED_MAX / 2
+                         : 0;
+    g_hash_table_iter_init(&iter, replica->items);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        BsItem *item = value;
+        if (item->value == NULL && item->revision < below) {
+            g_hash_table_iter_remove(&iter);
+            replica->removed--;
+        }
+    }
+}
+
+bool
+BsReplica_Apply(BsReplica *replica, const char *key, GBytes *value,
+                uint64_t revision)
+{
+    BsItem *held = g_hash_table_lookup(replica->items, key);
+    if (held != NULL && held->revision >= revision) {
+        return false;
+    }
+    bool was_removed = held != NULL && held->value == NULL;
+    BsItem *item = g_new0(BsItem, 1);
+    item->key = g_strdup(key);
+    item->value = value == NULL ? NULL : g_bytes_ref(value);
+    item->revision = revision;
+    g_hash_table_replace(replica->items, item->key, item);
+    replica->newest = MAX(replica->newest, revision);
+    replica->removed += value == NULL;
+    replica->removed -= was_removed;
+    replica->on_change(item, replica->context);
+    if (replica->removed > REMOVED_MAX) {
+        S_prune(replica);
+    }
+    return true;
+}
+
+void
+BsReplica_Retain(BsReplica *replica, const char *prefix, GHashTable *keys,
+                 uint64_t revision)
+{
+    GPtrArray *lost = g_ptr_array_new_with_free_func(g_free);
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, replica->items);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const BsItem *item = value;
+        if (item->value != NULL && item->revision < revision &&
+            g_str_has_prefix(item->key, prefix) &&
+            !g_hash_table_contains(keys, item->key)) {
+            g_ptr_array_add(lost, g_strdup(item->key));
+        }
+    }
+    for (guint i = 0; i < lost->len; i++) {
+        BsReplica_Apply(replica, lost->pdata[i], NULL, revision);
+    }
+    g_ptr_array_free(lost, TRUE);
+}
+
+void
+BsReplica_SetComplete(BsReplica *replica, const char *prefix,
+                      uint64_t revision)
+{
+    uint64_t *held = g_hash_table_lookup(replica->complete, prefix);
+    if (held == NULL) {
+        held = g_new0(uint64_t, 1);
+        g_hash_table_insert(replica->complete, g_strdup(prefix), held);
+    }
+    *held = MAX(*held, revision);
+    replica->newest = MAX(replica->newest, revision);
+}
+
+uint64_t
+BsReplica_Complete(const BsReplica *replica, const char *prefix)
+{
+    const uint64_t *held = g_hash_table_lookup(replica->complete, prefix);
+    return held == NULL ? 0 : *held;
+}
+
+uint64_t
+BsReplica_Newest(const BsReplica *replica)
+{
+    return replica->newest;
+}
+
+static gint
+S_compare_revisions(gconstpointer a, gconstpointer b)
+{
+    const BsItem *left = *(BsItem *const *)a;
+    const BsItem *right = *(BsItem *const *)b;
+    return (left->revision > right->revision) -
+           (left->revision < right->revision);
+}
+
+void
+BsReplica_EachSince(const BsReplica *replica, uint64_t revision,
+                    BsReplicaFunc func, void *context)
+{
+    GPtrArray *found = g_ptr_array_new();
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, replica->items);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        if (((BsItem *)value)->revision > revision) {
+            g_ptr_array_add(found, value);
+        }
+    }
+    g_ptr_array_sort(found, S_compare_revisions);
+    for (guint i = 0; i < found->len; i++) {
+        func(found->pdata[i], context);
+    }
+    g_ptr_array_free(found, TRUE);
+}
+
+const BsItem *
+BsReplica_Find(const BsReplica *replica, const char *key)
+{
+    return g_hash_table_lookup(replica->items, key);
+}
--- /dev/null
+++ b/src/replica.h
@@ -0,0 +1,57 @@
+/*
+ * replica.h - an instance's copy of the items that the platform publishes.
+ *
+ * Rules: the platform numbers every change with one growing revision; of an
+ * item the highest revision wins, wherever it was heard of, so a stale read
+ * never takes a change back.  Removals are kept as items without a value.
+ */
+#ifndef BS_REPLICA_H
+#define BS_REPLICA_H
+
+#include "boragespur.h"
+
+/* An item; VALUE is NULL when it was removed. */
+typedef struct {
+    char *key;
+    GBytes *value;
+    uint64_t revision;
+} BsItem;
+
+typedef struct BsReplica BsReplica;
+
+/* Receives an item that replaced what was held before. */
+typedef void (*BsReplicaFunc)(const BsItem *item, void *context);
+
+/* Creates an empty replica that reports changes to ON_CHANGE. */
+BsReplica *BsReplica_Create(BsReplicaFunc on_change, void *context);
+
+/* Frees REPLICA; NULL is allowed. */
+void BsReplica_Destroy(BsReplica *replica);
+
+/* Takes in a change; returns whether it was newer than what is held. */
+bool BsReplica_Apply(BsReplica *replica, const char *key, GBytes *value,
+                     uint64_t revision);
+
+/* Removes the items below PREFIX that are not among KEYS (a set of char *)
+   and not newer than REVISION, as a full read at that revision shows. */
+void BsReplica_Retain(BsReplica *replica, const char *prefix, GHashTable *keys,
+                      uint64_t revision);
+
+/* Notes that all changes below PREFIX up to REVISION are held. */
+void BsReplica_SetComplete(BsReplica *replica, const char *prefix,
+                           uint64_t revision);
+
+/* Returns the revision up to which all below PREFIX is held; 0: nothing. */
+uint64_t BsReplica_Complete(const BsReplica *replica, const char *prefix);
+
+/* Returns the newest revision of any item held. */
+uint64_t BsReplica_Newest(const BsReplica *replica);
+
+/* Calls FUNC for each item newer than REVISION, oldest first. */
+void BsReplica_EachSince(const BsReplica *replica, uint64_t revision,
+                         BsReplicaFunc func, void *context);
+
+/* Returns the item of KEY, or NULL. */
+const BsItem *BsReplica_Find(const BsReplica *replica, const char *key);
+
+#endif /* BS_REPLICA_H */
--- a/src/settings.c
+++ b/src/settings.c
@@ -123,7 +123,7 @@
     cyaml_err_t result = cyaml_load_file(
         file, &config, &S_schema, (cyaml_data_t **)(void *)&settings, NULL);
     if (result != CYAML_OK || settings == NULL) {
-        BsSettingsKey_SetError(error, file,
+        BsSettingsKey_SetError(&bs_settings_keys, error, file,
                                result == CYAML_OK ? "the file is empty"
                                : report->len > 0  ? report->str
                                                   : cyaml_strerror(result));
--- a/src/settings_check.c
+++ b/src/settings_check.c
@@ -36,7 +36,7 @@
 static bool
 S_refuse(GError **error, const char *file, const char *key, const char *value)
 {
-    char *allowed = BsSettingsKey_Allowed(key);
+    char *allowed = BsSettingsKey_Allowed(&bs_settings_keys, key);
     g_set_error(error, BS_ERROR, BS_ERR_SETTINGS,
                 "%s: %s: '%s' is not allowed; allowed: %s; correct it", file,
                 key, value, allowed);
@@ -71,8 +71,8 @@
 static bool
 S_check_numbers(BsSettings *settings, const char *file, GError **error)
 {
-    for (size_t i = 0; i < bs_settings_key_count; i++) {
-        const BsSettingsKey *row = &bs_settings_keys[i];
+    for (size_t i = 0; i < bs_settings_keys.count; i++) {
+        const BsSettingsKey *row = &bs_settings_keys.rows[i];
         if (row->size_bytes > 0 &&
             !S_check_number(settings, row, file, error)) {
             return false;
--- a/src/settings_keys.c
+++ b/src/settings_keys.c
@@ -20,7 +20,7 @@
 #define MEBIBYTE (UINT64_C(1024) * 1024)
 #define DAY_MS UINT64_C(86400000)
 
-const BsSettingsKey bs_settings_keys[] = {
+static const BsSettingsKey S_rows[] = {
     TEXT("name", NAME_TEXT),
     TEXT("data_centre", NAME_TEXT),
     TEXT("region", NAME_TEXT),
@@ -59,23 +59,23 @@
     TEXT("tracing.url", "an http:// or https:// URL"),
     TEXT("tracing.sample_percent", "1 to 100"),
 };
-const size_t bs_settings_key_count = G_N_ELEMENTS(bs_settings_keys);
+const BsSettingsKeys bs_settings_keys = {S_rows, G_N_ELEMENTS(S_rows)};
 
 const BsSettingsKey *
-BsSettingsKey_Find(const char *key)
+BsSettingsKey_Find(const BsSettingsKeys *keys, const char *key)
 {
-    for (size_t i = 0; i < bs_settings_key_count; i++) {
-        if (strcmp(bs_settings_keys[i].key, key) == 0) {
-            return &bs_settings_keys[i];
+    for (size_t i = 0; i < keys->count; i++) {
+        if (strcmp(keys->rows[i].key, key) == 0) {
+            return &keys->rows[i];
         }
     }
     return NULL;
 }
 
 char *
-BsSettingsKey_Allowed(const char *key)
+BsSettingsKey_Allowed(const BsSettingsKeys *keys, const char *key)
 {
-    const BsSettingsKey *row = BsSettingsKey_Find(key);
+    const BsSettingsKey *row = BsSettingsKey_Find(keys, key);
     if (row == NULL) {
         return g_strdup("see the manual");
     }
@@ -89,12 +89,12 @@
 }
 
 char *
-BsSettingsKey_Names(const char *parent)
+BsSettingsKey_Names(const BsSettingsKeys *keys, const char *parent)
 {
     GString *names = g_string_new(NULL);
     size_t length = strlen(parent);
-    for (size_t i = 0; i < bs_settings_key_count; i++) {
-        const char *key = bs_settings_keys[i].key;
+    for (size_t i = 0; i < keys->count; i++) {
+        const char *key = keys->rows[i].key;
         if (length > 0 &&
             (strncmp(key, parent, length) != 0 || key[length] != '.')) {
             continue;
@@ -164,11 +164,11 @@
 }
 
 static void
-S_set_unknown(GError **error, const char *file, const char *report,
-              const char *name)
+S_set_unknown(const BsSettingsKeys *keys, GError **error, const char *file,
+              const char *report, const char *name)
 {
     char *parent = S_find_parent(report);
-    char *names = BsSettingsKey_Names(parent);
+    char *names = BsSettingsKey_Names(keys, parent);
     char *key = S_join(parent, name);
     g_set_error(error, BS_ERROR, BS_ERR_SETTINGS,
                 "%s: %s: unknown key; allowed here: %s; correct or remove it",
@@ -179,12 +179,12 @@
 }
 
 static void
-S_set_missing(GError **error, const char *file, const char *report,
-              const char *name)
+S_set_missing(const BsSettingsKeys *keys, GError **error, const char *file,
+              const char *report, const char *name)
 {
     char *parent = S_find_parent(report);
     char *key = S_join(parent, name);
-    char *allowed = BsSettingsKey_Allowed(key);
+    char *allowed = BsSettingsKey_Allowed(keys, key);
     g_set_error(error, BS_ERROR, BS_ERR_SETTINGS,
                 "%s: %s: missing; allowed: %s; add it", file, key, allowed);
     g_free(allowed);
@@ -193,7 +193,8 @@
 }
 
 static void
-S_set_invalid(GError **error, const char *file, const char *report)
+S_set_invalid(const BsSettingsKeys *keys, GError **error, const char *file,
+              const char *report)
 {
     const char *text = g_str_has_prefix(report, "Load: ")
                            ? report + strlen("Load: ")
@@ -203,7 +204,7 @@
     char *line = S_cut(report, "(line: ");
     char *number =
         line == NULL ? g_strdup("1") : g_strndup(line, strcspn(line, ",)"));
-    char *allowed = BsSettingsKey_Allowed(key);
+    char *allowed = BsSettingsKey_Allowed(keys, key);
     g_set_error(error, BS_ERROR, BS_ERR_SETTINGS,
                 "%s: %s: near line %s: %s; allowed: %s; correct it", file,
                 key[0] == '\0' ? "the file" : key, number, what, allowed);
@@ -215,18 +216,19 @@
 }
 
 void
-BsSettingsKey_SetError(GError **error, const char *file, const char *report)
+BsSettingsKey_SetError(const BsSettingsKeys *keys, GError **error,
+                       const char *file, const char *report)
 {
     char *unknown = S_cut(report, "Unexpected key: ");
     char *missing = S_cut(report, "Missing required mapping field: ");
     if (unknown != NULL) {
-        S_set_unknown(error, file, report, unknown);
+        S_set_unknown(keys, error, file, report, unknown);
     }
     else if (missing != NULL) {
-        S_set_missing(error, file, report, missing);
+        S_set_missing(keys, error, file, report, missing);
     }
     else {
-        S_set_invalid(error, file, report);
+        S_set_invalid(keys, error, file, report);
     }
     g_free(unknown);
     g_free(missing);
--- a/src/settings_keys.h
+++ b/src/settings_keys.h
@@ -17,21 +17,28 @@
     uint64_t fallback;
 } BsSettingsKey;
 
-extern const BsSettingsKey bs_settings_keys[];
-extern const size_t bs_settings_key_count;
+/* All keys of one kind of settings file. */
+typedef struct {
+    const BsSettingsKey *rows;
+    size_t count;
+} BsSettingsKeys;
+
+/* The keys of an instance's settings. */
+extern const BsSettingsKeys bs_settings_keys;
 
 /* Returns the row of KEY, or NULL. */
-const BsSettingsKey *BsSettingsKey_Find(const char *key);
+const BsSettingsKey *BsSettingsKey_Find(const BsSettingsKeys *keys,
+                                        const char *key);
 
 /* Returns the allowed values of KEY as text; g_free() it. */
-char *BsSettingsKey_Allowed(const char *key);
+char *BsSettingsKey_Allowed(const BsSettingsKeys *keys, const char *key);
 
 /* Returns the names directly below PARENT ("" for the top); g_free() it. */
-char *BsSettingsKey_Names(const char *parent);
+char *BsSettingsKey_Names(const BsSettingsKeys *keys, const char *parent);
 
 /* Sets a GError from what the YAML library reported about FILE. */
-void BsSettingsKey_SetError(GError **error, const char *file,
-                            const char *report);
+void BsSettingsKey_SetError(const BsSettingsKeys *keys, GError **error,
+                            const char *file, const char *report);
 
 /* Checks ranges and what keys ask of each other, sets defaults and reads the
    secret's file.  Returns false with ERROR set. */
--- /dev/null
+++ b/src/sseparts.c
@@ -0,0 +1,102 @@
+/* sseparts.c - an event stream cut into whole events. */
+#include "sseparts.h"
+
+#include <string.h>
+
+struct BsSseParts {
+    GString *rest;
+    int64_t last_id;
+};
+
+BsSseParts *
+BsSseParts_Create(void)
+{
+    BsSseParts *parts = g_new0(BsSseParts, 1);
+    parts->rest = g_string_new(NULL);
+    parts->last_id = -1;
+    return parts;
+}
+
+void
+BsSseParts_Destroy(BsSseParts *parts)
+{
+    if (parts == NULL) {
+        return;
+    }
+    g_string_free(parts->rest, TRUE);
+    g_free(parts);
+}
+
+/* Returns the length of the event at the front of TEXT with the empty line
+   that ends it, or 0 when it is not whole. */
+static size_t
+S_event_bytes(const char *text, size_t size_bytes)
+{
+    for (size_t i = 0; i + 1 < size_bytes; i++) {
+        if (text[i] != '\n') {
+            continue;
+        }
+        if (text[i + 1] == '\n') {
+            return i + 2;
+        }
+        if (text[i + 1] == '\r' && i + 2 < size_bytes && text[i + 2] == '\n') {
+            return i + 3;
+        }
+    }
+    return 0;
+}
+
+/* Remembers the id that the event names in a line of its own. */
+static void
+S_read_id(BsSseParts *parts, const char *event, size_t size_bytes)
+{
+    static const char field[] = "id:";
+    const char *end = event + size_bytes;
+    while (event < end) {
+        const char *line_end = memchr(event, '\n', (size_t)(end - event));
+        size_t length = (size_t)((line_end == NULL ? end : line_end) - event);
+        if (length > strlen(field) &&
+            memcmp(event, field, strlen(field)) == 0) {
+            parts->last_id = g_ascii_strtoll(event + strlen(field), NULL, 10);
+        }
+        event += length + 1;
+    }
+}
+
+unsigned
+BsSseParts_Feed(BsSseParts *parts, const char *data, size_t size_bytes,
+                GString *out)
+{
+    unsigned count = 0;
+    size_t taken = 0;
+    size_t bytes;
+    g_string_append_len(parts->rest, data, (gssize)size_bytes);
+    while ((bytes = S_event_bytes(parts->rest->str + taken,
+                                  parts->rest->len - taken)) > 0) {
+        S_read_id(parts, parts->rest->str + taken, bytes);
+        taken += bytes;
+        count++;
+    }
+    g_string_append_len(out, parts->rest->str, (gssize)taken);
+    g_string_erase(parts->rest, 0, (gssize)taken);
+    return count;
+}
+
+void
+BsSseParts_TakeRest(BsSseParts *parts, GString *out)
+{
+    g_string_append_len(out, parts->rest->str, (gssize)parts->rest->len);
+    g_string_truncate(parts->rest, 0);
+}
+
+void
+BsSseParts_DropRest(BsSseParts *parts)
+{
+    g_string_truncate(parts->rest, 0);
+}
+
+int64_t
+BsSseParts_LastId(const BsSseParts *parts)
+{
+    return parts->last_id;
+}
--- /dev/null
+++ b/src/targets.c
@@ -0,0 +1,740 @@
+/* targets.c - the upstreams an instance may send to, and the choice of one. */
+#include "targets.h"
+
+#include <math.h>
+#include <string.h>
+#include <xxhash.h>
+
+/* Pause after a first failure in a row; each further one doubles it.  A
+   restart takes some seconds, so later tries may be rarer. */
+#define RETRY_FIRST_MS 300
+#define RETRY_MAX_MS 2400
+
+/* Pause after a refusal: about one request's run. */
+#define REFUSED_PAUSE_MS 60
+
+/* Weight of the newest sample in the recent error ratio and pace. */
+#define ERROR_WEIGHT 0.08
+#define PACE_WEIGHT 0.15
+
+/* Error ratio above the service's best that is taken for chance. */
+#define ERROR_TOLERATED 0.12
+
+/* Cost of a certain error, in the unit of the choice. */
+#define ERROR_COST_MS 1500.0
+
+/* Typical engine: only the relation of the two matters for the choice.  From
+   the engines' sheets: a step of some 5 ms, some 45 prompt tokens a ms. */
+#define STEP_MS 5.0
+#define PREFILL_TOKENS_PER_MS 45.0
+
+/* Typical time of a plain request, in the same unit. */
+#define PLAIN_MS 40.0
+
+/* Cost of sending a request over a link; a round trip and its price. */
+#define OTHER_DATA_CENTRE_COST_MS 8.0
+#define OTHER_REGION_COST_MS 60.0
+
+/* Cost of a cold target, so that it comes last. */
+#define COLD_COST_MS 400.0
+
+/* Part of the cold limit that is used, as counts of peers come late. */
+#define COLD_USED 0.8
+
+/* Burst of a cold target, in seconds of its rate. */
+#define COLD_BURST_S 0.25
+
+#define MS_PER_S 1000.0
+
+typedef struct {
+    GArray *loads; /* BsTargetLoad */
+} BsTargetPeer;
+
+struct BsTargets {
+    GHashTable *by_id;    /* id to BsTarget */
+    GHashTable *by_hash;  /* uint64_t to BsTarget, not owned */
+    GHashTable *services; /* name to GPtrArray of BsTarget, not owned */
+    GHashTable *closed;   /* set of data centres */
+    GHashTable *peers;    /* number to BsTargetPeer */
+    char *data_centre;
+    char *region;
+    double share;
+};
+
+uint64_t
+BsTargets_Hash(const char *id)
+{
+    return XXH3_64bits(id, strlen(id));
+}
+
+static void
+S_destroy_target(gpointer data)
+{
+    BsTarget *target = data;
+    g_free(target->id);
+    g_free(target->service);
+    g_free(target->data_centre);
+    g_free(target->region);
+    g_free(target);
+}
+
+static void
+S_destroy_list(gpointer data)
+{
+    g_ptr_array_free(data, TRUE);
+}
+
+static void
+S_destroy_peer(gpointer data)
+{
+    BsTargetPeer *peer = data;
+    g_array_free(peer->loads, TRUE);
+    g_free(peer);
+}
+
+BsTargets *
+BsTargets_Create(const char *data_centre, const char *region)
+{
+    BsTargets *targets = g_new0(BsTargets, 1);
+    targets->by_id =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, S_destroy_target);
+    targets->by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
+    targets->services =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, S_destroy_list);
+    targets->closed =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    targets->peers = g_hash_table_new_full(NULL, NULL, NULL, S_destroy_peer);
+    targets->data_centre = g_strdup(data_centre);
+    targets->region = g_strdup(region);
+    targets->share = 1.0;
+    return targets;
+}
+
+void
+BsTargets_Destroy(BsTargets *targets)
+{
+    if (targets == NULL) {
+        return;
+    }
+    g_hash_table_destroy(targets->peers);
+    g_hash_table_destroy(targets->closed);
+    g_hash_table_destroy(targets->services);
+    g_hash_table_destroy(targets->by_hash);
+    g_hash_table_destroy(targets->by_id);
+    g_free(targets->data_centre);
+    g_free(targets->region);
+    g_free(targets);
+}
+
+/* --------------------------------------------------------------- listing --
+ */
+
+static GPtrArray *
+S_service_list(BsTargets *targets, const char *service)
+{
+    GPtrArray *list = g_hash_table_lookup(targets->services, service);
+    if (list == NULL) {
+        list = g_ptr_array_new();
+        g_hash_table_insert(targets->services, g_strdup(service), list);
+    }
+    return list;
+}
+
+static void
+S_set_text(char **field, const char *text)
+{
+    if (g_strcmp0(*field, text) != 0) {
+        g_free(*field);
+        *field = g_strdup(text);
+    }
+}
+
+/* Returns the requests that the peers told for the upstream HASH. */
+static uint32_t
+S_peer_load(const BsTargets *targets, uint64_t hash)
+{
+    uint32_t load = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, targets->peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const GArray *loads = ((BsTargetPeer *)value)->loads;
+        for (guint i = 0; i < loads->len; i++) {
+            const BsTargetLoad *told = &g_array_index(loads, BsTargetLoad, i);
+            load += told->hash == hash ? told->in_flight : 0;
+        }
+    }
+    return load;
+}
+
+static BsTarget *
+S_add(BsTargets *targets, const BsTargetEntry *entry)
+{
+    BsTarget *target = g_new0(BsTarget, 1);
+    target->id = g_strdup(entry->id);
+    target->service = g_strdup(entry->service);
+    target->hash = BsTargets_Hash(entry->id);
+    target->gone_at_ms = INT64_MAX;
+    target->others = S_peer_load(targets, target->hash);
+    g_hash_table_insert(targets->by_id, target->id, target);
+    g_hash_table_insert(targets->by_hash, &target->hash, target);
+    g_ptr_array_add(S_service_list(targets, entry->service), target);
+    return target;
+}
+
+static void
+S_move_service(BsTargets *targets, BsTarget *target, const char *service)
+{
+    if (strcmp(target->service, service) == 0) {
+        return;
+    }
+    g_ptr_array_remove(S_service_list(targets, target->service), target);
+    S_set_text(&target->service, service);
+    g_ptr_array_add(S_service_list(targets, service), target);
+}
+
+/* Forgets what was learned of an earlier start. */
+static void
+S_forget(BsTarget *target)
+{
+    target->failures = 0;
+    target->retry_at_ms = 0;
+    target->error_ratio = 0;
+    target->pace_ms = 0;
+    target->cold_level = 0;
+}
+
+/* Returns whether ENTRY was written before what is known of TARGET. */
+static bool
+S_is_outdated(const BsTarget *target, const BsTargetEntry *entry)
+{
+    return entry->born_ms < target->born_ms ||
+           (entry->born_ms == target->born_ms &&
+            entry->sequence < target->sequence);
+}
+
+bool
+BsTargets_Put(BsTargets *targets, const BsTargetEntry *entry, int64_t now_ms)
+{
+    BsTarget *target = BsTargets_Find(targets, entry->id);
+    bool is_new = target == NULL;
+    if (is_new) {
+        target = S_add(targets, entry);
+    }
+    else if (S_is_outdated(target, entry)) {
+        return false;
+    }
+    if (target->born_ms != entry->born_ms || target->gone_at_ms < now_ms) {
+        S_forget(target);
+    }
+    S_move_service(targets, target, entry->service);
+    S_set_text(&target->data_centre, entry->data_centre);
+    S_set_text(&target->region, entry->region);
+    target->address = entry->address;
+    target->slots = entry->slots;
+    target->born_ms = entry->born_ms;
+    target->sequence = entry->sequence;
+    target->draining = entry->draining;
+    target->gone_at_ms = INT64_MAX;
+    BsTargets_SetCold(target, entry->cold_ms, now_ms);
+    return is_new;
+}
+
+bool
+BsTargets_Remove(BsTargets *targets, const char *id, int64_t keep_ms,
+                 int64_t now_ms)
+{
+    BsTarget *target = BsTargets_Find(targets, id);
+    if (target == NULL || target->gone_at_ms != INT64_MAX) {
+        return false;
+    }
+    target->gone_at_ms = now_ms + keep_ms;
+    return true;
+}
+
+void
+BsTargets_SetClosed(BsTargets *targets, const char *data_centre, bool closed)
+{
+    if (closed) {
+        g_hash_table_add(targets->closed, g_strdup(data_centre));
+    }
+    else {
+        g_hash_table_remove(targets->closed, data_centre);
+    }
+}
+
+BsTarget *
+BsTargets_Find(const BsTargets *targets, const char *id)
+{
+    return g_hash_table_lookup(targets->by_id, id);
+}
+
+unsigned
+BsTargets_Listed(const BsTargets *targets)
+{
+    unsigned listed = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, targets->by_id);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        listed += ((BsTarget *)value)->gone_at_ms == INT64_MAX;
+    }
+    return listed;
+}
+
+void
+BsTargets_SetShare(BsTargets *targets, double share)
+{
+    targets->share = share;
+}
+
+/* ------------------------------------------------------------------ cold --
+ */
+
+static bool
+S_is_cold(const BsTarget *target, int64_t now_ms)
+{
+    return target->cold_until_ms > now_ms;
+}
+
+void
+BsTargets_SetCold(BsTarget *target, int64_t cold_ms, int64_t now_ms)
+{
+    if (cold_ms <= 0) {
+        target->cold_until_ms = MIN(target->cold_until_ms, now_ms);
+        return;
+    }
+    if (!S_is_cold(target, now_ms)) {
+        target->cold_filled_ms = now_ms;
+        target->cold_level = 1;
+    }
+    target->cold_until_ms = now_ms + cold_ms;
+}
+
+/* Returns whether a cold target may get one more request now. */
+static bool
+S_bears_cold(const BsTargets *targets, BsTarget *target,
+             const BsCatalogService *service, int64_t now_ms)
+{
+    if (service->cold_per_s <= 0) {
+        return true;
+    }
+    double per_s = service->cold_per_s * COLD_USED * targets->share;
+    double most = MAX(1.0, per_s * COLD_BURST_S);
+    double passed_s = (double)(now_ms - target->cold_filled_ms) / MS_PER_S;
+    target->cold_level = MIN(most, target->cold_level + passed_s * per_s);
+    target->cold_filled_ms = now_ms;
+    return target->cold_level >= 1;
+}
+
+/* ---------------------------------------------------------------- choice --
+ */
+
+static bool
+S_is_excluded(const BsTargetQuery *query, const char *id)
+{
+    for (size_t i = 0; i < query->excluded_count; i++) {
+        if (strcmp(query->excluded[i], id) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Returns whether the target may get new work by what the operators and the
+   platform say. */
+static bool
+S_is_open(const BsTargets *targets, const BsTarget *target,
+          const BsTargetQuery *query, int64_t now_ms)
+{
+    return !target->draining && target->gone_at_ms > now_ms &&
+           target->region != NULL &&
+           !g_hash_table_contains(targets->closed, target->data_centre) &&
+           !S_is_excluded(query, target->id) &&
+           BsCatalog_AllowsRegion(query->route, query->account,
+                                  target->region);
+}
+
+static uint32_t
+S_load(const BsTarget *target)
+{
+    return target->own + target->others;
+}
+
+/* Returns the time of an event or answer relative to the service's usual
+   one. */
+static double
+S_pace(const BsTarget *target, double usual_ms)
+{
+    if (target->pace_ms <= 0 || usual_ms <= 0) {
+        return 1.0;
+    }
+    return CLAMP(target->pace_ms / usual_ms, 0.2, 5.0);
+}
+
+typedef struct {
+    double usual_pace_ms;
+    double best_error;
+    const BsTarget *home; /* where the session's prompt is likely kept */
+} BsTargetContext;
+
+/* Returns the rendezvous weight of TARGET for SESSION. */
+static uint64_t
+S_weight(const BsTarget *target, uint64_t session)
+{
+    uint64_t pair[2] = {target->hash, session};
+    return XXH3_64bits(pair, sizeof(pair));
+}
+
+static BsTargetContext
+S_survey(const BsTargets *targets, const GPtrArray *list,
+         const BsTargetQuery *query, int64_t now_ms)
+{
+    BsTargetContext context = {0, 1.0, NULL};
+    uint64_t best_weight = 0;
+    unsigned paced = 0;
+    for (guint i = 0; i < list->len; i++) {
+        const BsTarget *target = list->pdata[i];
+        if (!S_is_open(targets, target, query, now_ms)) {
+            continue;
+        }
+        context.best_error = MIN(context.best_error, target->error_ratio);
+        if (target->pace_ms > 0) {
+            context.usual_pace_ms += target->pace_ms;
+            paced++;
+        }
+        uint64_t weight = S_weight(target, query->session);
+        if (query->session != 0 && weight >= best_weight) {
+            best_weight = weight;
+            context.home = target;
+        }
+    }
+    if (paced > 0) {
+        context.usual_pace_ms /= paced;
+    }
+    return context;
+}
+
+/* Returns what the request costs at TARGET; lower is better. */
+static double
+S_cost(const BsTargets *targets, const BsTarget *target,
+       const BsTargetQuery *query, const BsTargetContext *context,
+       int64_t now_ms)
+{
+    double pace = S_pace(target, context->usual_pace_ms);
+    double error = target->error_ratio - context->best_error;
+    double cost;
+    if (query->service->engine) {
+        double own = target == context->home ? 0 : query->prompt_tokens;
+        double waiting = (double)target->own_waiting_tokens;
+        cost = pace * ((own + waiting) / PREFILL_TOKENS_PER_MS +
+                       STEP_MS * query->output_tokens / 4);
+        cost += pace * STEP_MS * 4 * S_load(target);
+    }
+    else {
+        cost = pace * PLAIN_MS * (1.0 + (double)S_load(target));
+    }
+    if (error > ERROR_TOLERATED) {
+        cost += (error - ERROR_TOLERATED) * ERROR_COST_MS;
+    }
+    if (strcmp(target->region, targets->region) != 0) {
+        cost += OTHER_REGION_COST_MS;
+    }
+    else if (strcmp(target->data_centre, targets->data_centre) != 0) {
+        cost += OTHER_DATA_CENTRE_COST_MS;
+    }
+    if (S_is_cold(target, now_ms)) {
+        cost += COLD_COST_MS;
+    }
+    return cost;
+}
+
+/* Returns whether TARGET is believed to answer.  One that failed is tried
+   again with a single request once its pause is over. */
+static bool
+S_is_believed(const BsTarget *target, int64_t now_ms)
+{
+    if (target->failures == 0) {
+        return target->retry_at_ms <= now_ms;
+    }
+    return target->retry_at_ms <= now_ms && target->own == 0;
+}
+
+/* Adds what stands in the way of TARGET to VERDICT: the least hopeless of all
+   targets counts. */
+static bool
+S_is_free(const BsTargets *targets, BsTarget *target,
+          const BsTargetQuery *query, int64_t now_ms, BsTargetVerdict *verdict)
+{
+    if (!S_is_open(targets, target, query, now_ms)) {
+        return false;
+    }
+    if (!S_is_believed(target, now_ms)) {
+        if (target->failures == 0) {
+            *verdict = MIN(*verdict, BS_TARGET_BUSY);
+        }
+        return false;
+    }
+    if (S_load(target) >= target->slots) {
+        *verdict = MIN(*verdict, BS_TARGET_BUSY);
+        return false;
+    }
+    if (S_is_cold(target, now_ms) &&
+        !S_bears_cold(targets, target, query->service, now_ms)) {
+        *verdict = MIN(*verdict, BS_TARGET_COLD);
+        return false;
+    }
+    return true;
+}
+
+BsTarget *
+BsTargets_Choose(BsTargets *targets, const BsTargetQuery *query,
+                 int64_t now_ms, BsTargetVerdict *verdict)
+{
+    const GPtrArray *list =
+        g_hash_table_lookup(targets->services, query->service->name);
+    BsTarget *best = NULL;
+    double best_cost = HUGE_VAL;
+    *verdict = BS_TARGET_NONE;
+    if (list == NULL) {
+        return NULL;
+    }
+    BsTargetContext context = S_survey(targets, list, query, now_ms);
+    for (guint i = 0; i < list->len; i++) {
+        BsTarget *target = list->pdata[i];
+        if (!S_is_free(targets, target, query, now_ms, verdict)) {
+            continue;
+        }
+        double cost = S_cost(targets, target, query, &context, now_ms);
+        if (cost < best_cost) {
+            best = target;
+            best_cost = cost;
+        }
+    }
+    if (best != NULL) {
+        *verdict = BS_TARGET_CHOSEN;
+    }
+    return best;
+}
+
+double
+BsTargets_Occupancy(const BsTargets *targets, const char *service,
+                    int64_t now_ms, uint32_t *places)
+{
+    const GPtrArray *list = g_hash_table_lookup(targets->services, service);
+    uint32_t taken = 0;
+    *places = 0;
+    for (guint i = 0; list != NULL && i < list->len; i++) {
+        const BsTarget *target = list->pdata[i];
+        if (target->draining || target->gone_at_ms <= now_ms ||
+            g_hash_table_contains(targets->closed, target->data_centre)) {
+            continue;
+        }
+        *places += target->slots;
+        taken += MIN(target->slots, S_load(target));
+    }
+    return *places == 0 ? 1.0 : (double)taken / *places;
+}
+
+/* ------------------------------------------------------------ experience --
+ */
+
+void
+BsTargets_Sent(BsTargets *targets, BsTarget *target,
+               const BsTargetQuery *query, int64_t now_ms)
+{
+    (void)targets;
+    target->own++;
+    target->own_waiting_tokens += query->prompt_tokens;
+    if (S_is_cold(target, now_ms)) {
+        target->cold_sent++;
+        target->cold_level -= 1;
+    }
+}
+
+void
+BsTargets_Started(BsTarget *target, uint32_t prompt_tokens)
+{
+    target->own_waiting_tokens -=
+        MIN(target->own_waiting_tokens, prompt_tokens);
+}
+
+static void
+S_note_failure(BsTarget *target, int64_t now_ms)
+{
+    uint32_t doublings = MIN(target->failures, 8);
+    int64_t pause_ms = MIN((int64_t)RETRY_FIRST_MS << doublings, RETRY_MAX_MS);
+    /* Requests that were under way together fail together: one failure. */
+    if (target->failures == 0 || target->retry_at_ms <= now_ms) {
+        target->failures++;
+        target->retry_at_ms = now_ms + pause_ms;
+    }
+    target->failed_at_ms = now_ms;
+}
+
+static void
+S_note_error(BsTarget *target, double error)
+{
+    target->error_ratio += ERROR_WEIGHT * (error - target->error_ratio);
+}
+
+static void
+S_note_pace(BsTarget *target, double pace_ms)
+{
+    if (pace_ms <= 0) {
+        return;
+    }
+    target->pace_ms =
+        target->pace_ms <= 0
+            ? pace_ms
+            : target->pace_ms + PACE_WEIGHT * (pace_ms - target->pace_ms);
+}
+
+/* Drops a target that is off the list and has no request of ours. */
+static void
+S_drop_if_gone(BsTargets *targets, BsTarget *target, int64_t now_ms)
+{
+    if (target->gone_at_ms > now_ms || target->own > 0) {
+        return;
+    }
+    g_ptr_array_remove(S_service_list(targets, target->service), target);
+    g_hash_table_remove(targets->by_hash, &target->hash);
+    g_hash_table_remove(targets->by_id, target->id);
+}
+
+void
+BsTargets_Ended(BsTargets *targets, BsTarget *target, BsTargetEnd end,
+                double pace_ms, uint32_t prompt_tokens, int64_t now_ms)
+{
+    target->own -= target->own > 0;
+    BsTargets_Started(target, prompt_tokens);
+    switch (end) {
+    case BS_TARGET_GOOD:
+        target->failures = 0;
+        S_note_error(target, 0);
+        S_note_pace(target, pace_ms);
+        break;
+    case BS_TARGET_ERROR:
+        target->failures = 0;
+        S_note_error(target, 1);
+        break;
+    case BS_TARGET_REFUSED:
+        target->retry_at_ms =
+            MAX(target->retry_at_ms, now_ms + REFUSED_PAUSE_MS);
+        break;
+    case BS_TARGET_MISDIRECTED:
+    case BS_TARGET_UNREACHED:
+    case BS_TARGET_BROKE:
+        S_note_error(target, 1);
+        S_note_failure(target, now_ms);
+        break;
+    case BS_TARGET_ABANDONED:
+        break;
+    }
+    S_drop_if_gone(targets, target, now_ms);
+}
+
+void
+BsTargets_Prune(BsTargets *targets, int64_t now_ms)
+{
+    GList *all = g_hash_table_get_values(targets->by_id);
+    for (GList *node = all; node != NULL; node = node->next) {
+        S_drop_if_gone(targets, node->data, now_ms);
+    }
+    g_list_free(all);
+}
+
+/* ----------------------------------------------------------------- peers --
+ */
+
+static BsTarget *
+S_by_hash(const BsTargets *targets, uint64_t hash)
+{
+    return g_hash_table_lookup(targets->by_hash, &hash);
+}
+
+static void
+S_subtract(BsTargets *targets, const BsTargetPeer *peer)
+{
+    for (guint i = 0; i < peer->loads->len; i++) {
+        const BsTargetLoad *load =
+            &g_array_index(peer->loads, BsTargetLoad, i);
+        BsTarget *target = S_by_hash(targets, load->hash);
+        if (target != NULL) {
+            target->others -= MIN(target->others, load->in_flight);
+        }
+    }
+}
+
+static uint32_t
+S_cold_sent(const GArray *loads, uint64_t hash)
+{
+    for (guint i = 0; i < loads->len; i++) {
+        const BsTargetLoad *load = &g_array_index(loads, BsTargetLoad, i);
+        if (load->hash == hash) {
+            return load->cold_sent;
+        }
+    }
+    return 0;
+}
+
+static void
+S_add_load(BsTargets *targets, const BsTargetPeer *before,
+           const BsTargetLoad *load, int64_t now_ms)
+{
+    BsTarget *target = S_by_hash(targets, load->hash);
+    if (target == NULL) {
+        return;
+    }
+    target->others += load->in_flight;
+    uint32_t known = S_cold_sent(before->loads, load->hash);
+    if (S_is_cold(target, now_ms) && load->cold_sent > known) {
+        target->cold_level -= load->cold_sent - known;
+    }
+}
+
+void
+BsTargets_SetPeer(BsTargets *targets, uint32_t peer, const GArray *loads,
+                  int64_t now_ms)
+{
+    BsTargetPeer *held =
+        g_hash_table_lookup(targets->peers, GUINT_TO_POINTER(peer));
+    if (held == NULL) {
+        held = g_new0(BsTargetPeer, 1);
+        held->loads = g_array_new(FALSE, FALSE, sizeof(BsTargetLoad));
+        g_hash_table_insert(targets->peers, GUINT_TO_POINTER(peer), held);
+    }
+    S_subtract(targets, held);
+    for (guint i = 0; i < loads->len; i++) {
+        S_add_load(targets, held, &g_array_index(loads, BsTargetLoad, i),
+                   now_ms);
+    }
+    g_array_set_size(held->loads, 0);
+    g_array_append_vals(held->loads, loads->data, loads->len);
+}
+
+void
+BsTargets_DropPeer(BsTargets *targets, uint32_t peer)
+{
+    BsTargetPeer *held =
+        g_hash_table_lookup(targets->peers, GUINT_TO_POINTER(peer));
+    if (held != NULL) {
+        S_subtract(targets, held);
+        g_hash_table_remove(targets->peers, GUINT_TO_POINTER(peer));
+    }
+}
+
+void
+BsTargets_AppendLoads(const BsTargets *targets, GArray *loads)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, targets->by_id);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const BsTarget *target = value;
+        if (target->own > 0 || target->cold_sent > 0) {
+            BsTargetLoad load = {target->hash, target->own, target->cold_sent};
+            g_array_append_val(loads, load);
+        }
+    }
+}
--- a/tests/contract/settings_test.cc
+++ b/tests/contract/settings_test.cc
@@ -107,8 +107,8 @@
     std::stringstream text;
     text << std::ifstream(file).rdbuf();
     EXPECT_EQ(RunProgram({BORAGESPUR, "check", file}, &output), 0) << output;
-    for (size_t i = 0; i < bs_settings_key_count; i++) {
-        std::string key(bs_settings_keys[i].key);
+    for (size_t i = 0; i < bs_settings_keys.count; i++) {
+        std::string key(bs_settings_keys.rows[i].key);
         key = key.substr(key.find('.') + 1) + ":";
         EXPECT_NE(text.str().find(key), std::string::npos) << key;
     }
