Gateway: instances tell each other their requests, quota use and items

gossip: an instance's whole state in one datagram (in flight by upstream, use by account, newest revision, some members), within milliseconds to its own data centre. Lost reports are mended by the next; silent members are dropped from the counts at once and from shared limits after a minute. Items that the store does not give are fetched from a peer over TCP. UDP rather than ZeroMQ: state must not wait in a queue until it is old.

Ruled out: keeping a longer queue at the upstreams (they admit in order of arrival, so rank would be lost there).

--- /dev/null
+++ b/src/gossip.h
@@ -0,0 +1,108 @@
+/*
+ * gossip.h - what instances tell each other, and who they are.
+ *
+ * Rules: a report holds an instance's whole state, so a lost one is mended by
+ * the next and an old one is passed over by its sequence.  Members are found
+ * through seeds and through the members that others name; nobody keeps a
+ * complete list, and nothing here needs one.  A member that is silent counts
+ * as silent, not as gone: its share of common limits stays its own until it
+ * has been away for long.
+ */
+#ifndef BS_GOSSIP_H
+#define BS_GOSSIP_H
+
+#include "quota.h"
+#include "targets.h"
+
+/* Largest report; stays below a datagram that links carry whole. */
+#define BS_GOSSIP_MAX_BYTES 1400
+
+/* State of an instance, as it tells it. */
+typedef struct {
+    uint64_t incarnation; /* grows with each start of the instance */
+    uint64_t sequence;    /* of the report, within the incarnation */
+    uint64_t revision;    /* newest published item it knows */
+    uint64_t catalog;     /* version in force; 0: none */
+    uint32_t data_centre; /* hash of the name */
+    bool stopping;
+    GArray *loads;   /* BsTargetLoad */
+    GArray *uses;    /* BsQuotaUse */
+    GArray *members; /* uint32_t; some addresses it heard lately */
+} BsGossipReport;
+
+/* A member, as the table knows it. */
+typedef struct {
+    uint32_t address; /* IPv4, host order */
+    uint64_t incarnation;
+    uint64_t sequence;
+    uint64_t revision;
+    uint32_t data_centre;
+    int64_t heard_ms;   /* last report; INT64_MIN / 2 before the first */
+    int64_t learned_ms; /* when it was first named */
+    int64_t sent_ms;    /* our last report to it */
+    bool seed;
+    bool stopping;
+} BsGossipMember;
+
+typedef struct BsGossip BsGossip;
+
+/* Fills REPORT with empty lists, or frees them. */
+void BsGossipReport_Init(BsGossipReport *report);
+void BsGossipReport_Clear(BsGossipReport *report);
+
+/* Appends the encoded REPORT to OUT, leaving out members and loads that do
+   not fit. */
+void BsGossipReport_Encode(const BsGossipReport *report, GString *out);
+
+/* Decodes into the initialized REPORT; returns whether it is valid. */
+bool BsGossipReport_Decode(const char *data, size_t size_bytes,
+                           BsGossipReport *report);
+
+/* Creates the table of an instance at ADDRESS in DATA_CENTRE (a hash), which
+   started at NOW_MS. */
+BsGossip *BsGossip_Create(uint32_t address, uint32_t data_centre,
+                          int64_t now_ms);
+
+/* Frees GOSSIP; NULL is allowed. */
+void BsGossip_Destroy(BsGossip *gossip);
+
+/* Names a member that may exist. */
+void BsGossip_AddSeed(BsGossip *gossip, uint32_t address, int64_t now_ms);
+
+/* Takes in a report from ADDRESS.  Returns the member, or NULL when the
+   report is older than what is known. */
+const BsGossipMember *BsGossip_Take(BsGossip *gossip, uint32_t address,
+                                    const BsGossipReport *report,
+                                    int64_t now_ms);
+
+/* Returns the addresses (uint32_t) to report to now: all that are due.  When
+   CHANGED is set, news is to be told.  Free with g_array_unref(). */
+GArray *BsGossip_Due(BsGossip *gossip, bool changed, int64_t now_ms);
+
+/* Appends up to COUNT addresses heard lately, in varying choice. */
+void BsGossip_AppendMembers(const BsGossip *gossip, GRand *random,
+                            unsigned count, int64_t now_ms, GArray *out);
+
+/* Calls FUNC for each member that fell silent since the last call. */
+void BsGossip_EachSilent(BsGossip *gossip, int64_t now_ms,
+                         void (*func)(const BsGossipMember *member,
+                                      void *context),
+                         void *context);
+
+/* Returns a member heard lately that knows a newer revision than REVISION, or
+   NULL. */
+const BsGossipMember *BsGossip_Newer(const BsGossip *gossip, uint64_t revision,
+                                     int64_t now_ms);
+
+/* Returns how many instances the fleet has, this one too: those heard within
+   a minute. */
+unsigned BsGossip_Known(const BsGossip *gossip, int64_t now_ms);
+
+/* Returns how many instances are heard now, this one too. */
+unsigned BsGossip_Heard(const BsGossip *gossip, int64_t now_ms);
+
+/* Returns the part of a common limit that this instance may use: 1 while all
+   are heard. */
+double BsGossip_Share(const BsGossip *gossip, int64_t now_ms);
+
+#endif /* BS_GOSSIP_H */
--- a/src/gw_gateway.c
+++ b/src/gw_gateway.c
@@ -2,6 +2,7 @@
 #include "gw_gateway.h"
 
 #include "gw_gate.h"
+#include "gw_gossip.h"
 #include "gw_relay.h"
 
 #include <signal.h>
@@ -13,8 +14,8 @@
 
 #define EXIT_USAGE 2
 
-/* How often beliefs are checked against the clock. */
-#define TICK_S 0.02
+/* How often news for peers and beliefs are checked against the clock. */
+#define TICK_S 0.005
 
 /* How often targets that are gone are dropped. */
 #define PRUNE_MS 1000
@@ -55,6 +56,7 @@
     const BsPlatformAdapter *adapter;
     void *link;
     BsReplica *replica;
+    BsGossipTask *gossip;
     BsInboundServer *ready;
     BsInboundServer *admin;
     ev_prepare turn;
@@ -309,6 +311,10 @@
         gate->places_changed = false;
         BsRelay_ServeLine(gate);
     }
+    if (gate->loads_changed) {
+        gate->loads_changed = false;
+        BsGossipTask_Tell(gateway->gossip, true);
+    }
     BsEventLog_Flush(gate->log);
 }
 
@@ -336,6 +342,8 @@
     (void)events;
     BsGateway *gateway = watcher->data;
     int64_t now_ms = S_now_ms();
+    BsGossipTask_Tick(gateway->gossip,
+                      gateway->adapter->status(gateway->link).up);
     if (BsLine_Length(gateway->gate.line) > 0) {
         gateway->gate.places_changed = true; /* pauses may have ended */
     }
@@ -454,7 +462,12 @@
     }
     gateway->admin =
         S_listen(gateway, settings->admin, &S_admin_app, gateway, error);
-    return gateway->admin != NULL;
+    if (gateway->admin == NULL) {
+        return false;
+    }
+    gateway->replica = BsReplica_Create(S_on_item, gateway);
+    gateway->gossip = BsGossipTask_Create(gate, gateway->replica, error);
+    return gateway->gossip != NULL;
 }
 
 static void
@@ -479,7 +492,6 @@
     S_start_signal(gateway, &gateway->terminate, SIGTERM, S_on_terminate);
     S_start_signal(gateway, &gateway->interrupt, SIGINT, S_on_terminate);
     S_start_signal(gateway, &gateway->hangup, SIGHUP, S_on_hangup);
-    gateway->replica = BsReplica_Create(S_on_item, gateway);
     gateway->link = gateway->adapter->connect(
         loop, &S_clock, gateway->settings, gateway->replica, S_random(),
         S_on_link, gateway);
@@ -490,6 +502,7 @@
 {
     BsGate *gate = &gateway->gate;
     gateway->adapter->disconnect(gateway->link);
+    BsGossipTask_Destroy(gateway->gossip);
     BsReplica_Destroy(gateway->replica);
     BsInboundServer_Destroy(gateway->admin);
     BsInboundServer_Destroy(gateway->ready);
--- a/src/replica.c
+++ b/src/replica.c
@@ -116,30 +116,47 @@
     g_ptr_array_free(lost, TRUE);
 }
 
+void
+BsReplica_AddPrefix(BsReplica *replica, const char *prefix)
+{
+    if (!g_hash_table_contains(replica->complete, prefix)) {
+        g_hash_table_insert(replica->complete, g_strdup(prefix),
+                            g_new0(uint64_t, 1));
+    }
+}
+
 void
 BsReplica_SetComplete(BsReplica *replica, const char *prefix,
                       uint64_t revision)
 {
+    BsReplica_AddPrefix(replica, prefix);
     uint64_t *held = g_hash_table_lookup(replica->complete, prefix);
-    if (held == NULL) {
-        held = g_new0(uint64_t, 1);
-        g_hash_table_insert(replica->complete, g_strdup(prefix), held);
-    }
     *held = MAX(*held, revision);
-    replica->newest = MAX(replica->newest, revision);
 }
 
-uint64_t
-BsReplica_Complete(const BsReplica *replica, const char *prefix)
+void
+BsReplica_SetAllComplete(BsReplica *replica, uint64_t revision)
 {
-    const uint64_t *held = g_hash_table_lookup(replica->complete, prefix);
-    return held == NULL ? 0 : *held;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, replica->complete);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        uint64_t *held = value;
+        *held = MAX(*held, revision);
+    }
 }
 
 uint64_t
-BsReplica_Newest(const BsReplica *replica)
+BsReplica_Complete(const BsReplica *replica)
 {
-    return replica->newest;
+    uint64_t least = UINT64_MAX;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, replica->complete);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        least = MIN(least, *(uint64_t *)value);
+    }
+    return least == UINT64_MAX ? 0 : least;
 }
 
 static gint
--- a/src/replica.h
+++ b/src/replica.h
@@ -41,11 +41,15 @@
 void BsReplica_SetComplete(BsReplica *replica, const char *prefix,
                            uint64_t revision);
 
-/* Returns the revision up to which all below PREFIX is held; 0: nothing. */
-uint64_t BsReplica_Complete(const BsReplica *replica, const char *prefix);
+/* Names a prefix of which nothing is held yet. */
+void BsReplica_AddPrefix(BsReplica *replica, const char *prefix);
 
-/* Returns the newest revision of any item held. */
-uint64_t BsReplica_Newest(const BsReplica *replica);
+/* Notes that all changes below every prefix up to REVISION are held. */
+void BsReplica_SetAllComplete(BsReplica *replica, uint64_t revision);
+
+/* Returns the revision up to which all below every prefix is held; 0: not
+   even a first full read. */
+uint64_t BsReplica_Complete(const BsReplica *replica);
 
 /* Calls FUNC for each item newer than REVISION, oldest first. */
 void BsReplica_EachSince(const BsReplica *replica, uint64_t revision,
