A stop refuses new requests once the balancer has turned away

Ruled out: closing the listening socket (callers would see resets).

From 2.9 s after SIGTERM a request is answered 503 with Retry-After, as it has not run and may not be finished here.

--- a/src/gw_gate.h
+++ b/src/gw_gate.h
@@ -41,7 +41,8 @@
     uint64_t next_request; /* number of the next request, for the log */
     bool places_changed;   /* waiting requests may find a place */
     bool loads_changed;    /* peers are to hear of our requests */
-    bool stopping;
+    bool stopping;         /* SIGTERM came; what arrives is still served */
+    bool refusing;         /* too late for new requests to be finished */
 } BsGate;
 
 #endif /* BS_GW_GATE_H */
--- a/src/gw_gateway.c
+++ b/src/gw_gateway.c
@@ -34,6 +34,11 @@
    apart, then closes connections that are idle. */
 #define STOP_IDLE_AFTER_MS 1200
 #define STOP_MIN_MS 2600
+
+/* From then on new requests are refused: the balancer has turned away, and a
+   long stream would be cut off at the end of the grace period. */
+#define STOP_REFUSE_MS 2900
+
 #define STOP_IDLE_MS 150
 
 /* Left of the grace period for the process to end in. */
@@ -325,6 +330,7 @@
     int64_t passed_ms = now_ms - gateway->stop_ms;
     int64_t limit_ms =
         (int64_t)gateway->settings->bounds.grace_s * MS_PER_S - STOP_MARGIN_MS;
+    gate->refusing = passed_ms >= STOP_REFUSE_MS;
     if (passed_ms >= STOP_IDLE_AFTER_MS) {
         BsInboundServer_CloseIdle(gate->callers, STOP_IDLE_MS);
     }
--- a/src/gw_relay.c
+++ b/src/gw_relay.c
@@ -307,8 +307,9 @@
 {
     BsGate *gate = relay->gate;
     int64_t wait_ms = 0;
-    if (gate->catalog == NULL) {
-        BsRelay_Refuse(relay, 503, "no_catalog", 1);
+    if (gate->catalog == NULL || gate->refusing) {
+        BsRelay_Refuse(relay, 503, gate->refusing ? "stopping" : "no_catalog",
+                       1);
         return;
     }
     relay->catalog = BsCatalog_Ref(gate->catalog);
