--- a/src/gw_attempt.c
+++ b/src/gw_attempt.c
@@ -203,6 +203,14 @@
     return !success || (info->is_signed && named);
 }
 
+/* Returns whether callers take STATUS for the promise that the request has not
+   run, which only the gateway and a refusing upstream may give. */
+static bool
+S_is_promise(uint32_t status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 /* Ends the attempt at once; nothing of its answer may be used. */
 static void
 S_reject_answer(BsRelay *relay, const char *cause)
@@ -233,6 +241,10 @@
         S_reject_answer(relay, "answer_of_another_request");
         return;
     }
+    if (S_is_promise(head->status)) {
+        S_reject_answer(relay, "false_promise");
+        return;
+    }
     bool success = head->status >= 200 && head->status < 300;
     if (relay->answer.started && !success) {
         S_reject_answer(relay, "resume_failed");
--- a/src/gw_gateway.c
+++ b/src/gw_gateway.c
@@ -255,6 +255,9 @@
     const BsOutboundStats *stats = BsOutboundPool_Stats(gate->pool);
     BsPlatformStatus status = gateway->adapter->status(gateway->link);
     BsCounters *counters = gate->counters;
+    BsCounters_Set(counters, "instances", gate->instances);
+    BsCounters_Set(counters, "places_taken_by_peers",
+                   BsTargets_PeerLoad(gate->targets));
     BsCounters_Set(counters, "waiting", BsLine_Length(gate->line));
     BsCounters_Set(counters, "upstreams", BsTargets_Listed(gate->targets));
     BsCounters_Set(counters, "connections",
--- a/src/targets.c
+++ b/src/targets.c
@@ -718,6 +718,19 @@
     }
 }
 
+uint32_t
+BsTargets_PeerLoad(const BsTargets *targets)
+{
+    uint32_t load = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, targets->by_id);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        load += ((BsTarget *)value)->others;
+    }
+    return load;
+}
+
 void
 BsTargets_AppendLoads(const BsTargets *targets, GArray *loads)
 {
--- a/src/targets.h
+++ b/src/targets.h
@@ -167,6 +167,9 @@
 /* Forgets what PEER told. */
 void BsTargets_DropPeer(BsTargets *targets, uint32_t peer);
 
+/* Returns the requests of all peers together. */
+uint32_t BsTargets_PeerLoad(const BsTargets *targets);
+
 /* Appends our own requests as BsTargetLoad. */
 void BsTargets_AppendLoads(const BsTargets *targets, GArray *loads);
 
