--- a/src/gatesettings.c
+++ b/src/gatesettings.c
@@ -36,6 +36,8 @@
     CYAML_FIELD_FLOAT("retry_ratio", REQUIRED, BsGateBounds, retry_ratio),
     CYAML_FIELD_UINT("retry_slack", REQUIRED, BsGateBounds, retry_slack),
     CYAML_FIELD_UINT("retry_window_s", REQUIRED, BsGateBounds, retry_window_s),
+    CYAML_FIELD_FLOAT("quota_over", REQUIRED, BsGateBounds, quota_over),
+    CYAML_FIELD_UINT("quota_slack", REQUIRED, BsGateBounds, quota_slack),
     CYAML_FIELD_END};
 
 static const cyaml_schema_field_t S_fields[] = {
@@ -86,13 +88,15 @@
     TEXT("machine", "the keys memory_mb and descriptors"),
     TEXT("machine.memory_mb", "16 or more"),
     TEXT("machine.descriptors", "64 or more"),
-    TEXT("bounds", "the keys drain_ms, grace_s, retry_ratio, retry_slack and "
-                   "retry_window_s"),
+    TEXT("bounds", "the keys drain_ms, grace_s, retry_ratio, retry_slack, "
+                   "retry_window_s, quota_over and quota_slack"),
     TEXT("bounds.drain_ms", WHOLE_TEXT),
     TEXT("bounds.grace_s", "a whole number of 1 or more"),
     TEXT("bounds.retry_ratio", "a number from 0 to 1"),
     TEXT("bounds.retry_slack", WHOLE_TEXT),
     TEXT("bounds.retry_window_s", "a whole number of 1 or more"),
+    TEXT("bounds.quota_over", "a number from 0 to 10"),
+    TEXT("bounds.quota_slack", WHOLE_TEXT),
 };
 
 static const BsSettingsKeys S_keys = {S_rows, G_N_ELEMENTS(S_rows)};
@@ -193,7 +197,9 @@
            S_check_number(file, "bounds.retry_ratio", bounds->retry_ratio, 0,
                           1, error) &&
            S_check_number(file, "bounds.retry_window_s",
-                          bounds->retry_window_s, 1, UINT32_MAX, error);
+                          bounds->retry_window_s, 1, UINT32_MAX, error) &&
+           S_check_number(file, "bounds.quota_over", bounds->quota_over, 0, 10,
+                          error);
 }
 
 BsGateSettings *
--- a/src/gatesettings.h
+++ b/src/gatesettings.h
@@ -31,6 +31,8 @@
     double retry_ratio;      /* repeats to requests, all instances */
     uint32_t retry_slack;    /* repeats allowed besides, all instances */
     uint32_t retry_window_s; /* span over which both are counted */
+    double quota_over;       /* part of its limit an account may go over it */
+    uint32_t quota_slack;    /* and what besides, in units of the limit */
 } BsGateBounds;
 
 /* Settings of a gateway. */
--- a/src/gw_gateway.c
+++ b/src/gw_gateway.c
@@ -448,7 +448,7 @@
     gate->counters = BsCounters_Create();
     gate->pool = BsOutboundPool_Create(gate->loop, &S_clock);
     gate->targets = BsTargets_Create(settings->data_centre, settings->region);
-    gate->quotas = BsQuotas_Create();
+    gate->quotas = BsQuotas_Create(bounds->quota_over, bounds->quota_slack);
     gate->retries =
         BsRetryBudget_Create(bounds->retry_ratio, bounds->retry_slack,
                              (int64_t)bounds->retry_window_s * MS_PER_S);
--- a/src/gw_relay.c
+++ b/src/gw_relay.c
@@ -17,6 +17,10 @@
 #define RETRY_MIN_MS 300
 #define RETRY_SPREAD_MS 700
 
+/* Share of places taken below which an account may go over its limit: what is
+   left takes in a burst of the others. */
+#define ROOM_OCCUPANCY 0.7
+
 #define MS_PER_S 1000.0
 
 /* ------------------------------------------------------------------- log --
@@ -284,6 +288,17 @@
     return relay->service != NULL;
 }
 
+/* Returns whether a request more takes nothing from those that wait. */
+static bool
+S_has_room(const BsRelay *relay)
+{
+    uint32_t places;
+    return BsLine_Length(relay->gate->line) == 0 &&
+           BsTargets_Occupancy(relay->gate->targets, relay->service->name,
+                               BsClock_NowMs(relay->gate->clock),
+                               &places) < ROOM_OCCUPANCY;
+}
+
 /* Takes the request's cost from its account; returns whether it may. */
 static bool
 S_take_quota(BsRelay *relay, int64_t *wait_ms)
@@ -295,12 +310,32 @@
         (uint64_t)relay->info.prompt_tokens + relay->info.output_tokens;
     uint64_t cost =
         BsQuotas_Cost(relay->account, relay->info.has_tokens, tokens);
-    *wait_ms = BsQuotas_Take(relay->gate->quotas, relay->account, cost,
-                             BsClock_NowMs(relay->gate->clock));
+    *wait_ms =
+        BsQuotas_Take(relay->gate->quotas, relay->account, cost,
+                      S_has_room(relay), BsClock_NowMs(relay->gate->clock));
     relay->cost = *wait_ms == 0 ? cost : 0;
     return *wait_ms == 0;
 }
 
+/* Tells what an account's refusal was decided on. */
+static void
+S_log_quota(const BsRelay *relay)
+{
+    BsGate *gate = relay->gate;
+    const BsCatalogAccount *account = relay->account;
+    if (BsEventLog_Begin(gate->log, BS_EVENT_DETAIL, "over_limit")) {
+        BsEventLog_Text(gate->log, "request", relay->id);
+        BsEventLog_Text(gate->log, "account", account->name);
+        BsEventLog_Number(gate->log, "left",
+                          BsQuotas_Left(gate->quotas, account));
+        BsEventLog_Number(gate->log, "per_s", (int64_t)account->per_s);
+        BsEventLog_Number(gate->log, "burst", (int64_t)account->burst);
+        BsEventLog_Number(gate->log, "share_percent",
+                          (int64_t)(BsQuotas_Share(gate->quotas) * 100));
+        BsEventLog_End(gate->log);
+    }
+}
+
 /* Decides what becomes of a new request. */
 static void
 S_admit(BsRelay *relay)
@@ -335,6 +370,7 @@
         return;
     }
     if (!S_take_quota(relay, &wait_ms)) {
+        S_log_quota(relay);
         BsRelay_Refuse(relay, 429, "account_limit", wait_ms);
         return;
     }
--- a/src/quota.c
+++ b/src/quota.c
@@ -9,6 +9,10 @@
 /* Longest time to come back that is told to a caller over its limit. */
 #define WAIT_MAX_MS 10000
 
+/* Part of the tolerance that is used: reports of peers come late, and the last
+   request admitted may be a large one. */
+#define TOLERANCE_USED 0.5
+
 /* Part of the fleet's retry budget that instances use, as requests and
    repeats are counted in windows that slide. */
 #define RETRY_USED 0.7
@@ -21,7 +25,8 @@
 typedef struct {
     char *name;
     uint64_t hash;
-    double level;
+    double level;     /* within the limit */
+    double tolerated; /* within the tolerance */
     int64_t filled_ms;
     bool used; /* LEVEL and FILLED_MS are set */
     uint64_t own_used;
@@ -36,6 +41,8 @@
 struct BsQuotas {
     GHashTable *buckets; /* account name to BsQuotaBucket */
     GHashTable *peers;   /* number to BsQuotaPeer */
+    double over;         /* part of the tolerance that is used */
+    double slack;        /* the same, in units */
     double share;
 };
 
@@ -56,9 +63,11 @@
 }
 
 BsQuotas *
-BsQuotas_Create(void)
+BsQuotas_Create(double over, double slack)
 {
     BsQuotas *quotas = g_new0(BsQuotas, 1);
+    quotas->over = over * TOLERANCE_USED;
+    quotas->slack = slack * TOLERANCE_USED;
     quotas->buckets =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, S_destroy_bucket);
     quotas->peers = g_hash_table_new_full(NULL, NULL, NULL, S_destroy_peer);
@@ -106,50 +115,80 @@
     return bucket;
 }
 
+static double
+S_refill_one(double level, double passed_s, double per_s, double burst,
+             double used)
+{
+    level = level + passed_s * per_s - used;
+    /* The largest debt is one burst: older overuse is not held against the
+       account for longer than that takes to refill. */
+    return CLAMP(level, -MAX(burst, 1.0), burst);
+}
+
 /* Refills BUCKET and takes off what the peers used meanwhile. */
 static void
 S_refill(const BsQuotas *quotas, BsQuotaBucket *bucket,
          const BsCatalogAccount *account, int64_t now_ms)
 {
+    double per_s = account->per_s * quotas->share;
     double burst = account->burst * quotas->share;
+    double over = 1.0 + quotas->over;
+    double most = burst * over + quotas->slack * quotas->share;
     if (!bucket->used) {
         bucket->used = true;
         bucket->level = burst;
+        bucket->tolerated = most;
         bucket->filled_ms = now_ms;
     }
     double passed_s = (double)(now_ms - bucket->filled_ms) / MS_PER_S;
+    double used = (double)bucket->peers_unseen;
     bucket->filled_ms = now_ms;
-    bucket->level += passed_s * account->per_s * quotas->share;
-    bucket->level -= (double)bucket->peers_unseen;
     bucket->peers_unseen = 0;
-    /* The largest debt is one burst: older overuse is not held against the
-       account for longer than that takes to refill. */
-    bucket->level = CLAMP(bucket->level, -MAX(account->burst, 1.0), burst);
+    bucket->level = S_refill_one(bucket->level, passed_s, per_s, burst, used);
+    bucket->tolerated =
+        S_refill_one(bucket->tolerated, passed_s, per_s * over, most, used);
 }
 
 int64_t
 BsQuotas_Take(BsQuotas *quotas, const BsCatalogAccount *account, uint64_t cost,
-              int64_t now_ms)
+              bool tolerant, int64_t now_ms)
 {
     BsQuotaBucket *bucket = S_find_or_add(quotas, account->name);
     if (account->per_s > 0) {
         S_refill(quotas, bucket, account, now_ms);
-        if (bucket->level <= 0) {
-            double wait_s = -bucket->level / (account->per_s * quotas->share);
+        bool admitted =
+            bucket->tolerated > 0 && (tolerant || bucket->level > 0);
+        if (!admitted) {
+            double per_s = account->per_s * quotas->share;
+            double wait_s = -bucket->level / per_s;
             return (int64_t)CLAMP(wait_s * MS_PER_S, 1, WAIT_MAX_MS);
         }
         bucket->level -= (double)cost;
+        bucket->tolerated -= (double)cost;
     }
     bucket->own_used += cost;
     return 0;
 }
 
+int64_t
+BsQuotas_Left(BsQuotas *quotas, const BsCatalogAccount *account)
+{
+    return (int64_t)S_find_or_add(quotas, account->name)->level;
+}
+
+double
+BsQuotas_Share(const BsQuotas *quotas)
+{
+    return quotas->share;
+}
+
 void
 BsQuotas_GiveBack(BsQuotas *quotas, const BsCatalogAccount *account,
                   uint64_t cost)
 {
     BsQuotaBucket *bucket = S_find_or_add(quotas, account->name);
     bucket->level += (double)cost;
+    bucket->tolerated += (double)cost;
     bucket->own_used -= MIN(bucket->own_used, cost);
 }
 
--- a/src/quota.h
+++ b/src/quota.h
@@ -5,6 +5,8 @@
  * what all of them used, as they tell each other.  While peers are silent an
  * instance uses only its share of the rate.  A request is admitted while the
  * bucket is not empty, so what is allowed is never refused for its size.
+ * While places are free, an account may use a part of the tolerance that the
+ * operators grant over its limit; that takes nothing from anyone.
  * Repeats have a budget of each instance's own, far below the fleet's bound.
  */
 #ifndef BS_QUOTA_H
@@ -20,7 +22,9 @@
 
 typedef struct BsQuotas BsQuotas;
 
-BsQuotas *BsQuotas_Create(void);
+/* Creates limits with a tolerance of OVER times an account's limit plus SLACK
+   in each of the operators' windows. */
+BsQuotas *BsQuotas_Create(double over, double slack);
 
 /* Frees QUOTAS; NULL is allowed. */
 void BsQuotas_Destroy(BsQuotas *quotas);
@@ -32,10 +36,16 @@
 uint64_t BsQuotas_Cost(const BsCatalogAccount *account, bool has_tokens,
                        uint64_t tokens);
 
-/* Takes COST from the bucket of ACCOUNT.  Returns 0 when it is admitted, else
-   the milliseconds until it may be. */
+/* Takes COST from the bucket of ACCOUNT; TOLERANT says that places are free.
+   Returns 0 when it is admitted, else the milliseconds until it may be. */
 int64_t BsQuotas_Take(BsQuotas *quotas, const BsCatalogAccount *account,
-                      uint64_t cost, int64_t now_ms);
+                      uint64_t cost, bool tolerant, int64_t now_ms);
+
+/* Returns what is left in the bucket of ACCOUNT; below 0 after overuse. */
+int64_t BsQuotas_Left(BsQuotas *quotas, const BsCatalogAccount *account);
+
+/* Returns the part of every limit that this instance may use. */
+double BsQuotas_Share(const BsQuotas *quotas);
 
 /* Gives back what a request that did not run had taken. */
 void BsQuotas_GiveBack(BsQuotas *quotas, const BsCatalogAccount *account,
--- a/tests/gate/gatescript.c
+++ b/tests/gate/gatescript.c
@@ -92,7 +92,7 @@
     script->account = BsCatalogAccount_Create();
     script->account->name = g_strdup("acme");
     script->account->counts_tokens = true;
-    script->quotas = BsQuotas_Create();
+    script->quotas = BsQuotas_Create(0.2, 1000);
     script->retries = BsRetryBudget_Create(0.2, 50, 10000);
     script->line = BsLine_Create();
     script->waiting =
--- a/tests/gate/gatescript_limits.c
+++ b/tests/gate/gatescript_limits.c
@@ -14,8 +14,8 @@
     return true;
 }
 
-/* take COST [times=N]: how many were admitted, and the wait of the first
-   that was not */
+/* take COST [times=N] [tolerant]: how many were admitted, and the wait of the
+   first that was not */
 static bool
 S_take(GateScript *script, char **arguments)
 {
@@ -28,6 +28,7 @@
     int64_t wait_ms = 0;
     for (int64_t i = 0; i < times; i++) {
         int64_t wait = BsQuotas_Take(script->quotas, script->account, cost,
+                                     GateScript_Flag(arguments, "tolerant"),
                                      script->now_ms);
         admitted += wait == 0;
         wait_ms = wait_ms == 0 ? wait : wait_ms;
