A fault soak of the gateway: real processes, faults from outside them

Stand-ins of store, upstreams and callers in one process, a loopback proxy that delays, resets, silences or cuts one way, signals that pause, kill, stop and restart gateways, changes that overlap; ten promises checked from what callers and upstreams see.

--- /dev/null
+++ b/tests/soak/main_soak.c
@@ -0,0 +1,429 @@
+/*
+ * main_soak.c - the fault soak: draws faults from a seed and plays them.
+ *
+ * gatesoak GATEWAY DIRECTORY SEED [--seconds N] [--gateways N] [--runners N]
+ * [--rate N] [--verbose]; exits with 1 when a promise was broken.
+ */
+#include "soak.h"
+
+#include <arpa/inet.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+/* A gateway or the store is settled this long after its last fault. */
+#define SETTLED_MS 4000
+
+/* Faults end this long before the run does, so that recovery shows. */
+#define CALM_S 6.0
+
+/* Pause between two faults, so that they come in series and overlap. */
+#define FAULT_MIN_MS 100
+#define FAULT_MAX_MS 900
+
+typedef struct {
+    Soak soak;
+    ev_timer next;
+    ev_timer calm;
+    ev_timer end;
+    struct ev_loop *loop;
+} SoakMain;
+
+static gint S_seconds = 20;
+static gint S_gateways = 4;
+static gint S_runners = 6;
+static gint S_rate = 60;
+static gboolean S_verbose;
+
+static struct timespec
+S_now(void *context)
+{
+    (void)context;
+    struct timespec now;
+    clock_gettime(CLOCK_MONOTONIC, &now);
+    return now;
+}
+
+static const BsClock S_clock = {S_now, NULL};
+
+int64_t
+Soak_NowMs(const Soak *soak)
+{
+    return BsClock_NowMs(soak->clock);
+}
+
+int
+Soak_Pick(Soak *soak, int low, int high)
+{
+    return g_rand_int_range(soak->random, low, high + 1);
+}
+
+SoakRequest *
+Soak_Find(Soak *soak, const char *id)
+{
+    return g_hash_table_lookup(soak->requests, id);
+}
+
+bool
+Soak_IsSettled(const Soak *soak, unsigned gateway)
+{
+    int64_t now_ms = Soak_NowMs(soak);
+    return now_ms - soak->store_fault_ms > SETTLED_MS &&
+           now_ms - SoakFleet_FaultMs(gateway) > SETTLED_MS;
+}
+
+void
+Soak_Address(const Soak *soak, unsigned host, uint16_t port,
+             struct sockaddr_in *address)
+{
+    memset(address, 0, sizeof(*address));
+    address->sin_family = AF_INET;
+    address->sin_port = htons(port);
+    address->sin_addr.s_addr = htonl(soak->base + host);
+}
+
+void
+Soak_Violation(Soak *soak, const char *promise, const char *format, ...)
+{
+    va_list args;
+    va_start(args, format);
+    char *text = g_strdup_vprintf(format, args);
+    va_end(args);
+    soak->violations++;
+    printf("BROKEN %s: %s\n", promise, text);
+    g_free(text);
+}
+
+void
+Soak_Say(Soak *soak, const char *format, ...)
+{
+    if (!soak->verbose) {
+        return;
+    }
+    va_list args;
+    va_start(args, format);
+    char *text = g_strdup_vprintf(format, args);
+    va_end(args);
+    printf("%8" G_GINT64_FORMAT " %s\n", Soak_NowMs(soak) % 1000000, text);
+    g_free(text);
+}
+
+/* ----------------------------------------------------------- what changes --
+ */
+
+/* Publishes the next configuration: keys from KEYS_FROM on are valid. */
+static void
+S_publish(Soak *soak)
+{
+    static const struct {
+        const char *name;
+        const char *type;
+        const char *extra;
+    } routes[] = {
+        {"look", "safe", "\"max-attempts\":2"},
+        {"book", "unsafe", "\"max-attempts\":1"},
+        {"chat", "streaming", "\"max-attempts\":2,\"resumable\":true"},
+        {"once", "streaming", "\"max-attempts\":1"}};
+    GString *text = g_string_new(NULL);
+    g_string_append_printf(text, "{\"version\":%u,\"routes\":[",
+                           ++soak->config_version);
+    for (size_t i = 0; i < G_N_ELEMENTS(routes); i++) {
+        g_string_append_printf(
+            text,
+            "%s{\"name\":\"%s\",\"host\":\"shop.example\",\"prefix\":"
+            "\"/%s/\",\"route-type\":\"%s\",\"timeout-ms\":3000,"
+            "\"target-latency-ms\":400,\"gap-aim-ms\":200,\"priority\":%zu,"
+            "\"service\":\"desk\",%s}",
+            i == 0 ? "" : ",", routes[i].name, routes[i].name, routes[i].type,
+            i, routes[i].extra);
+    }
+    g_string_append(text, "],\"services\":[{\"name\":\"desk\",\"health-path\":"
+                          "\"/h\",\"cold-start-s\":1.5,\"cold-per-s\":10}],"
+                          "\"limits\":{\"idle-timeout-ms\":15000},"
+                          "\"tenants\":[{\"name\":\"acme\",\"api-keys\":[");
+    for (unsigned i = 0; i < 3; i++) {
+        g_string_append_printf(text, "%s\"key-%u\"", i == 0 ? "" : ",",
+                               soak->keys_from + i);
+    }
+    g_string_append(text, "],\"unit\":\"token_stream\",\"plain-tokens\":10,"
+                          "\"rate-per-s\":0,\"burst\":0}]}");
+    SoakStore_Put(soak->store, "op/config", text->str);
+    g_string_free(text, TRUE);
+}
+
+/* ---------------------------------------------------------------- faults --
+ */
+
+static SoakRunner *
+S_pick_runner(Soak *soak)
+{
+    return soak->runners[Soak_Pick(soak, 0, (int)soak->runner_count - 1)];
+}
+
+static unsigned
+S_pick_gateway(Soak *soak)
+{
+    return (unsigned)Soak_Pick(soak, 0, (int)soak->gateway_count - 1);
+}
+
+static void
+S_signal(Soak *soak, int number, const char *name)
+{
+    unsigned gateway = S_pick_gateway(soak);
+    int down_ms = Soak_Pick(soak, 50, 3000);
+    Soak_Say(soak, "gateway %u gets %s, %d ms", gateway, name, down_ms);
+    SoakFleet_Signal(soak, gateway, number, down_ms);
+}
+
+static void
+S_harm_path(Soak *soak)
+{
+    SoakProxyMode mode = (SoakProxyMode)Soak_Pick(soak, 0, 4);
+    Soak_Say(soak, "a path to an upstream: mode %d", mode);
+    SoakProxy_SetMode(SoakRunner_Proxy(S_pick_runner(soak)), mode);
+}
+
+static void
+S_harm_store_path(Soak *soak)
+{
+    unsigned gateway = S_pick_gateway(soak);
+    SoakProxyMode mode = (SoakProxyMode)Soak_Pick(soak, 0, 4);
+    Soak_Say(soak, "gateway %u's path to the store: mode %d", gateway, mode);
+    SoakFleet_SetStorePath(soak, gateway, mode);
+}
+
+static void
+S_set_store_mode(Soak *soak, SoakStoreMode mode)
+{
+    Soak_Say(soak, "store: mode %d", mode);
+    soak->store_fault_ms = Soak_NowMs(soak);
+    SoakStore_SetMode(soak->store, mode);
+}
+
+static void
+S_move_runner(Soak *soak)
+{
+    static const char *const states[] = {"ready", "draining", NULL};
+    SoakRunner *runner = S_pick_runner(soak);
+    const char *state = states[Soak_Pick(soak, 0, 2)];
+    Soak_Say(soak, "an upstream is listed as %s",
+             state == NULL ? "gone" : state);
+    SoakRunner_List(runner, state, 0);
+}
+
+static void
+S_take_keys(Soak *soak)
+{
+    soak->keys_from++;
+    soak->keys_taken_ms = Soak_NowMs(soak);
+    Soak_Say(soak, "keys below %u are taken away", soak->keys_from);
+    S_publish(soak);
+}
+
+static void
+S_close_or_open(Soak *soak, bool closed)
+{
+    Soak_Say(soak, "data centre d1 %s", closed ? "closes" : "opens");
+    if (closed && soak->closed_ms == 0) {
+        soak->closed_ms = Soak_NowMs(soak);
+    }
+    if (!closed) {
+        soak->closed_ms = 0;
+    }
+    SoakStore_Put(soak->store, "op/evacuate/d1", closed ? "{}" : NULL);
+}
+
+static void
+S_inject(Soak *soak)
+{
+    switch (Soak_Pick(soak, 0, 15)) {
+    case 0:
+        S_signal(soak, SIGKILL, "SIGKILL");
+        break;
+    case 1:
+        S_signal(soak, SIGSTOP, "SIGSTOP");
+        break;
+    case 2:
+        S_signal(soak, SIGTERM, "SIGTERM");
+        break;
+    case 3:
+        S_signal(soak, SIGHUP, "SIGHUP");
+        break;
+    case 4:
+    case 5:
+        Soak_Say(soak, "an upstream crashes");
+        SoakRunner_Crash(S_pick_runner(soak), Soak_Pick(soak, 100, 3000));
+        break;
+    case 6:
+    case 7:
+        S_harm_path(soak);
+        break;
+    case 8:
+        S_harm_store_path(soak);
+        break;
+    case 9:
+        S_set_store_mode(soak, (SoakStoreMode)Soak_Pick(soak, 0, 3));
+        break;
+    case 10:
+    case 11:
+        S_move_runner(soak);
+        break;
+    case 12:
+        S_take_keys(soak);
+        break;
+    case 13:
+        S_close_or_open(soak, Soak_Pick(soak, 0, 1) == 0);
+        break;
+    case 14:
+        Soak_Say(soak, "the store forgets its history");
+        SoakStore_Compact(soak->store);
+        break;
+    default:
+        SoakRunner_SetErrors(S_pick_runner(soak), Soak_Pick(soak, 0, 40));
+        break;
+    }
+}
+
+static void
+S_on_next(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    (void)events;
+    SoakMain *run = watcher->data;
+    S_inject(&run->soak);
+    int pause_ms = Soak_Pick(&run->soak, FAULT_MIN_MS, FAULT_MAX_MS);
+    ev_timer_set(&run->next, pause_ms / 1000.0, 0);
+    ev_timer_start(loop, &run->next);
+}
+
+/* Ends all faults; what follows must recover. */
+static void
+S_on_calm(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    (void)events;
+    SoakMain *run = watcher->data;
+    Soak *soak = &run->soak;
+    ev_timer_stop(loop, &run->next);
+    Soak_Say(soak, "all faults end");
+    SoakStore_SetMode(soak->store, SOAK_SERVES);
+    soak->store_fault_ms = Soak_NowMs(soak);
+    S_close_or_open(soak, false);
+    for (unsigned i = 0; i < soak->runner_count; i++) {
+        SoakProxy_SetMode(SoakRunner_Proxy(soak->runners[i]), SOAK_PASS);
+        SoakRunner_SetErrors(soak->runners[i], 0);
+        SoakRunner_List(soak->runners[i], "ready", 0);
+    }
+    for (unsigned i = 0; i < soak->gateway_count; i++) {
+        SoakFleet_SetStorePath(soak, i, SOAK_PASS);
+    }
+    soak->calm = true;
+}
+
+static void
+S_on_end(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    (void)watcher;
+    (void)events;
+    ev_break(loop, EVBREAK_ALL);
+}
+
+/* -------------------------------------------------------------------- run --
+ */
+
+static void
+S_start_timer(SoakMain *run, ev_timer *timer, double after_s,
+              void (*func)(struct ev_loop *, ev_timer *, int))
+{
+    ev_timer_init(timer, func, after_s, 0);
+    timer->data = run;
+    ev_timer_start(run->loop, timer);
+}
+
+static void
+S_create(SoakMain *run, unsigned seed)
+{
+    Soak *soak = &run->soak;
+    struct sockaddr_in address;
+    run->loop = ev_default_loop(EVBACKEND_EPOLL);
+    soak->loop = run->loop;
+    soak->clock = &S_clock;
+    soak->random = g_rand_new_with_seed(seed);
+    soak->verbose = S_verbose;
+    /* Runs beside each other get loopback addresses of their own. */
+    soak->base = (127U << 24) + ((10U + seed % 200) << 16);
+    soak->gateway_count = (unsigned)CLAMP(S_gateways, 1, SOAK_GATEWAYS_MAX);
+    soak->runner_count = (unsigned)CLAMP(S_runners, 1, SOAK_RUNNERS_MAX);
+    soak->requests =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+    soak->store_fault_ms = Soak_NowMs(soak);
+    Soak_Address(soak, 100, 19999, &address);
+    soak->store = SoakStore_Create(soak, &address);
+    S_publish(soak);
+    for (unsigned i = 0; i < soak->runner_count; i++) {
+        soak->runners[i] = SoakRunner_Create(soak, i);
+    }
+}
+
+static void
+S_destroy(SoakMain *run)
+{
+    Soak *soak = &run->soak;
+    for (unsigned i = 0; i < soak->runner_count; i++) {
+        SoakRunner_Destroy(soak->runners[i]);
+    }
+    SoakStore_Destroy(soak->store);
+    g_hash_table_destroy(soak->requests);
+    g_rand_free(soak->random);
+}
+
+static unsigned
+S_run(const char *program, const char *directory, unsigned seed)
+{
+    SoakMain run = {0};
+    Soak *soak = &run.soak;
+    S_create(&run, seed);
+    SoakFleet_Start(soak, program, directory);
+    SoakCallers_Start(soak, 1, S_rate);
+    S_start_timer(&run, &run.next, 1.0, S_on_next);
+    S_start_timer(&run, &run.calm, S_seconds - CALM_S, S_on_calm);
+    S_start_timer(&run, &run.end, S_seconds, S_on_end);
+    ev_run(run.loop, 0);
+    SoakCallers_Stop(soak);
+    SoakFleet_Stop(soak);
+    if (soak->answered_late == 0) {
+        Soak_Violation(soak, "service", "nothing was answered in the end");
+    }
+    printf("seed %u: %u requests, %u answered, %u of them at the end, %u "
+           "broken\n",
+           seed, g_hash_table_size(soak->requests), soak->answered_good,
+           soak->answered_late, soak->violations);
+    unsigned violations = soak->violations;
+    S_destroy(&run);
+    return violations;
+}
+
+int
+main(int argc, char **argv)
+{
+    GOptionEntry entries[] = {
+        {"seconds", 0, 0, G_OPTION_ARG_INT, &S_seconds, "Length", "N"},
+        {"gateways", 0, 0, G_OPTION_ARG_INT, &S_gateways, "Gateways", "N"},
+        {"runners", 0, 0, G_OPTION_ARG_INT, &S_runners, "Upstreams", "N"},
+        {"rate", 0, 0, G_OPTION_ARG_INT, &S_rate, "Requests a second", "N"},
+        {"verbose", 0, 0, G_OPTION_ARG_NONE, &S_verbose, "Tell faults", NULL},
+        G_OPTION_ENTRY_NULL};
+    GOptionContext *context =
+        g_option_context_new("GATEWAY DIRECTORY SEED - play faults");
+    g_option_context_add_main_entries(context, entries, NULL);
+    bool parsed = g_option_context_parse(context, &argc, &argv, NULL);
+    g_option_context_free(context);
+    if (!parsed || argc != 4) {
+        fputs("gatesoak: name the gateway, a directory and a seed\n", stderr);
+        return 2;
+    }
+    setvbuf(stdout, NULL, _IOLBF, 0);
+    signal(SIGPIPE, SIG_IGN);
+    unsigned seed = (unsigned)strtoul(argv[3], NULL, 10);
+    return S_run(argv[1], argv[2], seed) > 0 ? 1 : 0;
+}
--- /dev/null
+++ b/tests/soak/soak.h
@@ -0,0 +1,167 @@
+/*
+ * soak.h - the fault soak: stand-ins around real gateways, and their checks.
+ *
+ * Everything but the gateways runs in one process and one loop.  A soak ends
+ * only processes that it started, by their ids.
+ */
+#ifndef SOAK_H
+#define SOAK_H
+
+#include "gw_inbound.h"
+#include "gw_outbound.h"
+
+#include <ev.h>
+#include <netinet/in.h>
+#include <sys/types.h>
+
+#define SOAK_GATEWAYS_MAX 64
+#define SOAK_RUNNERS_MAX 128
+
+typedef struct Soak Soak;
+typedef struct SoakStore SoakStore;
+typedef struct SoakRunner SoakRunner;
+typedef struct SoakProxy SoakProxy;
+
+/* What a proxy does with the bytes of its connections. */
+typedef enum {
+    SOAK_PASS,
+    SOAK_DELAY,  /* passes them on late */
+    SOAK_RESET,  /* resets connections, old and new */
+    SOAK_SILENT, /* keeps connections and passes nothing */
+    SOAK_ONE_WAY /* passes only what comes from the gateway */
+} SoakProxyMode;
+
+/* Kinds of request. */
+typedef enum { SOAK_SAFE, SOAK_UNSAFE, SOAK_STREAM, SOAK_ONCE } SoakKind;
+
+/* A request of a caller, and what became of it. */
+typedef struct {
+    char id[24];
+    SoakKind kind;
+    unsigned key;  /* number of the API key */
+    unsigned runs; /* upstreams that began it */
+    int status;    /* of the answer; 0: none */
+    bool answered;
+    bool promised; /* answered 429 or 503 */
+    int64_t sent_ms;
+    unsigned gateway;
+} SoakRequest;
+
+/* The whole run. */
+struct Soak {
+    struct ev_loop *loop;
+    const BsClock *clock;
+    GRand *random;
+    uint32_t base; /* address of the first gateway, host order */
+    unsigned number;
+    unsigned gateway_count;
+    unsigned runner_count;
+    SoakStore *store;
+    SoakRunner *runners[SOAK_RUNNERS_MAX];
+    GHashTable *requests; /* id to SoakRequest */
+    unsigned config_version;
+    unsigned keys_from; /* keys below this number were taken away */
+    int64_t keys_taken_ms;
+    int64_t closed_ms;      /* since when data centre d1 is closed; 0: open */
+    int64_t store_fault_ms; /* last moment of a fault at the store */
+    unsigned violations;
+    unsigned answered_good;
+    unsigned answered_late; /* since all faults ended */
+    bool calm;
+    bool verbose;
+};
+
+int64_t Soak_NowMs(const Soak *soak);
+
+/* Notes that a promise was broken. */
+void Soak_Violation(Soak *soak, const char *promise, const char *format, ...)
+    G_GNUC_PRINTF(3, 4);
+
+/* Writes a line about a fault when the run is verbose. */
+void Soak_Say(Soak *soak, const char *format, ...) G_GNUC_PRINTF(2, 3);
+
+/* Returns the request ID, or NULL. */
+SoakRequest *Soak_Find(Soak *soak, const char *id);
+
+/* Returns whether the store, and the gateway NUMBER, had no fault lately. */
+bool Soak_IsSettled(const Soak *soak, unsigned gateway);
+
+/* Returns a random number from LOW to HIGH. */
+int Soak_Pick(Soak *soak, int low, int high);
+
+/* ----------------------------------------------------------------- store --
+ */
+
+/* What the store does with calls. */
+typedef enum { SOAK_SERVES, SOAK_REFUSES, SOAK_BUSY, SOAK_MUTE } SoakStoreMode;
+
+SoakStore *SoakStore_Create(Soak *soak, const struct sockaddr_in *address);
+void SoakStore_Destroy(SoakStore *store);
+void SoakStore_SetMode(SoakStore *store, SoakStoreMode mode);
+
+/* Writes an item; VALUE is NULL to remove it. */
+void SoakStore_Put(SoakStore *store, const char *key, const char *value);
+
+/* Forgets the history. */
+void SoakStore_Compact(SoakStore *store);
+
+/* ---------------------------------------------------------------- runner --
+ */
+
+SoakRunner *SoakRunner_Create(Soak *soak, unsigned number);
+void SoakRunner_Destroy(SoakRunner *runner);
+
+/* Lists it in the store as ready, draining or (NULL) not at all. */
+void SoakRunner_List(SoakRunner *runner, const char *state, int cold_ms);
+
+/* Loses all connections and what runs, and is away for AWAY_MS. */
+void SoakRunner_Crash(SoakRunner *runner, int away_ms);
+
+/* Fails PERCENT of its requests. */
+void SoakRunner_SetErrors(SoakRunner *runner, int percent);
+
+SoakProxy *SoakRunner_Proxy(SoakRunner *runner);
+
+/* ----------------------------------------------------------------- proxy --
+ */
+
+/* Passes connections at LISTEN on to TARGET. */
+SoakProxy *SoakProxy_Create(Soak *soak, const struct sockaddr_in *listen,
+                            const struct sockaddr_in *target);
+void SoakProxy_Destroy(SoakProxy *proxy);
+void SoakProxy_SetMode(SoakProxy *proxy, SoakProxyMode mode);
+
+/* --------------------------------------------------------------- gateway --
+ */
+
+/* Starts the gateways, and their callers. */
+void SoakFleet_Start(Soak *soak, const char *program, const char *directory);
+
+/* Kills and waits for all that still run. */
+void SoakFleet_Stop(Soak *soak);
+
+/* Returns when the gateway last had a fault. */
+int64_t SoakFleet_FaultMs(unsigned gateway);
+
+/* Sends NUMBER a signal: SIGKILL and SIGTERM are followed by a restart after
+   DOWN_MS, SIGSTOP by SIGCONT. */
+void SoakFleet_Signal(Soak *soak, unsigned gateway, int number, int down_ms);
+
+/* Sets the mode of the gateway's way to the store. */
+void SoakFleet_SetStorePath(Soak *soak, unsigned gateway, SoakProxyMode mode);
+
+/* Returns whether the gateway is in a planned stop without another fault. */
+bool SoakFleet_IsStopping(unsigned gateway);
+
+/* --------------------------------------------------------------- callers --
+ */
+
+/* Starts COUNT callers that send RATE requests a second together. */
+void SoakCallers_Start(Soak *soak, unsigned count, double rate);
+void SoakCallers_Stop(Soak *soak);
+
+/* Fills ADDRESS with 127.0.0.0/8 at offset HOST of the run, and PORT. */
+void Soak_Address(const Soak *soak, unsigned host, uint16_t port,
+                  struct sockaddr_in *address);
+
+#endif /* SOAK_H */
--- /dev/null
+++ b/tests/soak/soak_callers.c
@@ -0,0 +1,251 @@
+/* soak_callers.c - callers that keep connections and check every answer. */
+#include "soak.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define DEADLINE_MS 3000
+#define EVENTS 6
+
+/* A request may be unanswered this long past its deadline at most. */
+#define LATE_MS 1500
+
+typedef struct {
+    Soak *soak;
+    SoakRequest *request;
+    BsOutbound *call;
+    GString *body;
+    char *signature;
+    bool mismatched;
+    bool stopping; /* the gateway was in a planned stop when it was sent */
+    ev_timer limit;
+} Call;
+
+static BsOutboundPool *S_pool;
+static ev_timer S_timer;
+static unsigned S_serial;
+static GHashTable *S_calls; /* set of Call */
+
+static void
+S_free_call(gpointer data)
+{
+    Call *call = data;
+    ev_timer_stop(call->soak->loop, &call->limit);
+    BsOutbound_Cancel(call->call);
+    g_string_free(call->body, TRUE);
+    g_free(call->signature);
+    g_free(call);
+}
+
+static bool
+S_is_stream(const SoakRequest *request)
+{
+    return request->kind == SOAK_STREAM || request->kind == SOAK_ONCE;
+}
+
+static GString *
+S_expected_body(const SoakRequest *request)
+{
+    GString *body = g_string_new(NULL);
+    if (!S_is_stream(request)) {
+        g_string_append_printf(body, "body of %s", request->id);
+        return body;
+    }
+    for (int i = 0; i < EVENTS; i++) {
+        g_string_append_printf(body, "id: %d\ndata: %s\n\n", i, request->id);
+    }
+    return body;
+}
+
+/* Checks a whole answer. */
+static void
+S_check_answer(Call *call)
+{
+    Soak *soak = call->soak;
+    SoakRequest *request = call->request;
+    request->answered = true;
+    if (request->status == 429 || request->status == 503) {
+        request->promised = true;
+        bool once = request->kind == SOAK_UNSAFE || request->kind == SOAK_ONCE;
+        if (once && request->runs > 0) {
+            Soak_Violation(soak, "not run", "%s was answered %d and has run",
+                           request->id, request->status);
+        }
+        return;
+    }
+    if (request->status != 200) {
+        return;
+    }
+    GString *expected = S_expected_body(request);
+    char *signature = g_strdup_printf("sig-%s", request->id);
+    if (call->mismatched || g_strcmp0(call->signature, signature) != 0 ||
+        !g_string_equal(call->body, expected)) {
+        Soak_Violation(soak, S_is_stream(request) ? "order" : "whole",
+                       "%s got %s: %.200s", request->id,
+                       call->signature == NULL ? "no signature"
+                                               : call->signature,
+                       call->body->str);
+    }
+    soak->answered_good++;
+    soak->answered_late += soak->calm;
+    g_free(signature);
+    g_string_free(expected, TRUE);
+}
+
+/* A request that ended without an answer, although its gateway only stopped
+   as planned and nothing else was at fault. */
+static void
+S_check_cut(Call *call, BsOutboundEnd end)
+{
+    Soak *soak = call->soak;
+    SoakRequest *request = call->request;
+    bool blameless = call->stopping &&
+                     SoakFleet_IsStopping(request->gateway) && soak->calm &&
+                     request->runs > 0 && !S_is_stream(request);
+    if (blameless && end != BS_OUTBOUND_UNSENT) {
+        Soak_Violation(soak, "stop", "%s ended without an answer",
+                       request->id);
+    }
+}
+
+static void
+S_on_head(const BsHttpHead *head, void *context)
+{
+    Call *call = context;
+    const char *id = BsHttpHead_Find(head, "Request-Id");
+    call->request->status = (int)head->status;
+    call->signature = g_strdup(BsHttpHead_Find(head, "Response-Signature"));
+    call->mismatched = id == NULL || strcmp(id, call->request->id) != 0;
+}
+
+static void
+S_on_body(const char *data, size_t size_bytes, void *context)
+{
+    g_string_append_len(((Call *)context)->body, data, (gssize)size_bytes);
+}
+
+static void
+S_on_end(BsOutboundEnd end, void *context)
+{
+    Call *call = context;
+    call->call = NULL;
+    if (end == BS_OUTBOUND_DONE) {
+        S_check_answer(call);
+    }
+    else {
+        S_check_cut(call, end);
+    }
+    g_hash_table_remove(S_calls, call);
+}
+
+static const BsOutboundEvents S_events = {
+    .on_head = S_on_head,
+    .on_body = S_on_body,
+    .on_end = S_on_end,
+};
+
+/* The caller gives up; a settled gateway must have answered by now. */
+static void
+S_on_limit(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    (void)loop;
+    (void)events;
+    Call *call = watcher->data;
+    const SoakRequest *request = call->request;
+    if (Soak_IsSettled(call->soak, request->gateway) &&
+        !SoakFleet_IsStopping(request->gateway)) {
+        Soak_Violation(call->soak, "service", "%s was not answered in time",
+                       request->id);
+    }
+    g_hash_table_remove(S_calls, call);
+}
+
+static const char *
+S_path(SoakKind kind)
+{
+    static const char *const paths[] = {"look", "book", "chat", "once"};
+    return paths[kind];
+}
+
+static GString *
+S_message(const SoakRequest *request)
+{
+    GString *text = g_string_new(NULL);
+    g_string_append_printf(
+        text,
+        "POST /%s/x HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: %s\r\n"
+        "Deadline-Ms: %d\r\nApi-Key: key-%u\r\nToken-Usage: 50,10\r\n"
+        "Content-Length: 4\r\n\r\nbody",
+        S_path(request->kind), request->id, DEADLINE_MS, request->key);
+    return text;
+}
+
+static SoakRequest *
+S_create_request(Soak *soak)
+{
+    SoakRequest *request = g_new0(SoakRequest, 1);
+    snprintf(request->id, sizeof(request->id), "r%u", ++S_serial);
+    request->kind = (SoakKind)Soak_Pick(soak, 0, 3);
+    /* Some callers go on with a key that was taken away. */
+    unsigned oldest = soak->keys_from > 1 ? soak->keys_from - 1 : 0;
+    request->key =
+        (unsigned)Soak_Pick(soak, (int)oldest, (int)soak->keys_from + 2);
+    request->gateway =
+        (unsigned)Soak_Pick(soak, 0, (int)soak->gateway_count - 1);
+    request->sent_ms = Soak_NowMs(soak);
+    g_hash_table_insert(soak->requests, request->id, request);
+    return request;
+}
+
+static void
+S_send(Soak *soak)
+{
+    SoakRequest *request = S_create_request(soak);
+    Call *call = g_new0(Call, 1);
+    char owner[16];
+    snprintf(owner, sizeof(owner), "gw-%u", request->gateway);
+    BsOutboundRequest outbound = {
+        .owner = owner,
+        .message = S_message(request),
+        .reuse_idle_ms = 60000,
+        .connect_timeout_ms = 1000,
+    };
+    Soak_Address(soak, request->gateway, 8000, &outbound.address);
+    call->soak = soak;
+    call->request = request;
+    call->body = g_string_new(NULL);
+    call->stopping = SoakFleet_IsStopping(request->gateway);
+    call->call = BsOutbound_Start(S_pool, &outbound, &S_events, call);
+    ev_timer_init(&call->limit, S_on_limit, (DEADLINE_MS + LATE_MS) / 1000.0,
+                  0);
+    call->limit.data = call;
+    ev_timer_start(soak->loop, &call->limit);
+    g_hash_table_add(S_calls, call);
+}
+
+static void
+S_on_timer(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    (void)loop;
+    (void)events;
+    S_send(watcher->data);
+}
+
+void
+SoakCallers_Start(Soak *soak, unsigned count, double rate)
+{
+    (void)count;
+    S_pool = BsOutboundPool_Create(soak->loop, soak->clock);
+    S_calls = g_hash_table_new_full(NULL, NULL, S_free_call, NULL);
+    ev_timer_init(&S_timer, S_on_timer, 0, 1 / rate);
+    S_timer.data = soak;
+    ev_timer_start(soak->loop, &S_timer);
+}
+
+void
+SoakCallers_Stop(Soak *soak)
+{
+    ev_timer_stop(soak->loop, &S_timer);
+    g_hash_table_destroy(S_calls);
+    BsOutboundPool_Destroy(S_pool);
+}
--- /dev/null
+++ b/tests/soak/soak_fleet.c
@@ -0,0 +1,234 @@
+/* soak_fleet.c - the gateways: real processes and signals to them. */
+#include "soak.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#define GRACE_MS 8000
+#define RESTART_MS 100
+
+typedef struct {
+    Soak *soak;
+    unsigned number;
+    pid_t pid; /* 0 while it is down */
+    char *settings;
+    SoakProxy *store_path;
+    ev_child child;
+    ev_timer start; /* restart, or end of a pause */
+    ev_timer grace; /* SIGKILL after SIGTERM */
+    int64_t fault_ms;
+    int64_t term_ms; /* 0 unless it stops as planned */
+    bool paused;
+    bool ending; /* of the whole soak */
+} Gateway;
+
+static Gateway S_gateways[SOAK_GATEWAYS_MAX];
+static const char *S_program;
+static const char *S_directory;
+
+static void
+S_write_settings(Gateway *gateway)
+{
+    Soak *soak = gateway->soak;
+    char host[INET_ADDRSTRLEN];
+    char store[INET_ADDRSTRLEN];
+    char seed[INET_ADDRSTRLEN];
+    struct sockaddr_in address;
+    Soak_Address(soak, gateway->number, 0, &address);
+    inet_ntop(AF_INET, &address.sin_addr, host, sizeof(host));
+    Soak_Address(soak, 102, 0, &address);
+    inet_ntop(AF_INET, &address.sin_addr, store, sizeof(store));
+    Soak_Address(soak, 0, 0, &address);
+    inet_ntop(AF_INET, &address.sin_addr, seed, sizeof(seed));
+    char *text = g_strdup_printf(
+        "name: gw-%u\ndata_centre: d%u\nregion: r\ndata_centres:\n"
+        "  - { name: d0, region: r }\n  - { name: d1, region: r }\n"
+        "callers: \"%s:8000\"\nready: \"%s:8001\"\nadmin: \"%s:8002\"\n"
+        "peers: \"%s:8003\"\nseeds: [ \"%s:1\" ]\nstore: \"%s:%u\"\n"
+        "machine: { memory_mb: 110, descriptors: 800 }\n"
+        "bounds: { drain_ms: 2500, grace_s: %d, retry_ratio: 0.2, "
+        "retry_slack: 58, retry_window_s: 10, quota_over: 0.25, "
+        "quota_slack: 0 }\n",
+        gateway->number, gateway->number % 2, host, host, host, host, seed,
+        store, 30000 + gateway->number, GRACE_MS / 1000);
+    if (!g_file_set_contents(gateway->settings, text, -1, NULL)) {
+        g_error("%s: cannot be written", gateway->settings);
+    }
+    g_free(text);
+}
+
+static void
+S_exec(const Gateway *gateway)
+{
+    char *log = g_strdup_printf("%s/gw-%u.log", S_directory, gateway->number);
+    int fd = open(log, O_WRONLY | O_CREAT | O_APPEND, 0600);
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    dup2(fd, STDOUT_FILENO);
+    execl(S_program, S_program, gateway->settings, (char *)NULL);
+    _exit(127);
+}
+
+static void S_on_child(struct ev_loop *loop, ev_child *watcher, int events);
+
+static void
+S_start(Gateway *gateway)
+{
+    gateway->pid = fork();
+    if (gateway->pid == 0) {
+        S_exec(gateway);
+    }
+    gateway->term_ms = 0;
+    gateway->paused = false;
+    ev_child_init(&gateway->child, S_on_child, gateway->pid, 0);
+    gateway->child.data = gateway;
+    ev_child_start(gateway->soak->loop, &gateway->child);
+}
+
+static void
+S_on_child(struct ev_loop *loop, ev_child *watcher, int events)
+{
+    (void)events;
+    Gateway *gateway = watcher->data;
+    Soak *soak = gateway->soak;
+    ev_child_stop(loop, watcher);
+    ev_timer_stop(loop, &gateway->grace);
+    int status = watcher->rstatus;
+    bool crashed = (WIFSIGNALED(status) && WTERMSIG(status) != SIGKILL) ||
+                   (WIFEXITED(status) && WEXITSTATUS(status) != 0);
+    if (crashed && !gateway->ending) {
+        Soak_Violation(soak, "service", "gateway %u ended with status %x",
+                       gateway->number, (unsigned)status);
+    }
+    gateway->pid = 0;
+    gateway->fault_ms = Soak_NowMs(soak);
+    if (!gateway->ending && !ev_is_active(&gateway->start)) {
+        ev_timer_set(&gateway->start, RESTART_MS / 1000.0, 0);
+        ev_timer_start(loop, &gateway->start);
+    }
+}
+
+static void
+S_on_start(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    (void)loop;
+    (void)events;
+    Gateway *gateway = watcher->data;
+    if (gateway->pid == 0) {
+        S_start(gateway);
+    }
+    else if (gateway->paused) {
+        kill(gateway->pid, SIGCONT);
+        gateway->paused = false;
+    }
+    gateway->fault_ms = Soak_NowMs(gateway->soak);
+}
+
+static void
+S_on_grace(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    (void)loop;
+    (void)events;
+    Gateway *gateway = watcher->data;
+    if (gateway->pid > 0) {
+        Soak_Violation(gateway->soak, "stop", "gateway %u outlived its grace",
+                       gateway->number);
+        kill(gateway->pid, SIGKILL);
+    }
+}
+
+static void
+S_create(Soak *soak, unsigned number)
+{
+    Gateway *gateway = &S_gateways[number];
+    struct sockaddr_in listen_address;
+    struct sockaddr_in target;
+    memset(gateway, 0, sizeof(*gateway));
+    gateway->soak = soak;
+    gateway->number = number;
+    gateway->fault_ms = Soak_NowMs(soak);
+    gateway->settings = g_strdup_printf("%s/gw-%u.yaml", S_directory, number);
+    Soak_Address(soak, 102, (uint16_t)(30000 + number), &listen_address);
+    Soak_Address(soak, 100, 19999, &target);
+    gateway->store_path = SoakProxy_Create(soak, &listen_address, &target);
+    ev_timer_init(&gateway->start, S_on_start, 0, 0);
+    ev_timer_init(&gateway->grace, S_on_grace, GRACE_MS / 1000.0, 0);
+    gateway->start.data = gateway;
+    gateway->grace.data = gateway;
+    S_write_settings(gateway);
+    S_start(gateway);
+}
+
+void
+SoakFleet_Start(Soak *soak, const char *program, const char *directory)
+{
+    S_program = program;
+    S_directory = directory;
+    for (unsigned i = 0; i < soak->gateway_count; i++) {
+        S_create(soak, i);
+    }
+}
+
+void
+SoakFleet_Stop(Soak *soak)
+{
+    for (unsigned i = 0; i < soak->gateway_count; i++) {
+        Gateway *gateway = &S_gateways[i];
+        gateway->ending = true;
+        ev_timer_stop(soak->loop, &gateway->start);
+        ev_timer_stop(soak->loop, &gateway->grace);
+        ev_child_stop(soak->loop, &gateway->child);
+        if (gateway->pid > 0) {
+            kill(gateway->pid, SIGKILL);
+            waitpid(gateway->pid, NULL, 0);
+        }
+        SoakProxy_Destroy(gateway->store_path);
+        g_free(gateway->settings);
+    }
+}
+
+int64_t
+SoakFleet_FaultMs(unsigned gateway)
+{
+    return S_gateways[gateway].fault_ms;
+}
+
+bool
+SoakFleet_IsStopping(unsigned gateway)
+{
+    const Gateway *self = &S_gateways[gateway];
+    return self->term_ms > 0 && self->fault_ms < self->term_ms;
+}
+
+void
+SoakFleet_Signal(Soak *soak, unsigned number, int signal_number, int down_ms)
+{
+    Gateway *gateway = &S_gateways[number];
+    if (gateway->pid == 0 || gateway->paused || gateway->term_ms > 0) {
+        return;
+    }
+    if (signal_number == SIGTERM) {
+        gateway->term_ms = Soak_NowMs(soak);
+        ev_timer_start(soak->loop, &gateway->grace);
+    }
+    else if (signal_number != SIGHUP) {
+        gateway->fault_ms = Soak_NowMs(soak);
+        ev_timer_set(&gateway->start, down_ms / 1000.0, 0);
+        ev_timer_start(soak->loop, &gateway->start);
+    }
+    gateway->paused = signal_number == SIGSTOP;
+    kill(gateway->pid, signal_number);
+}
+
+void
+SoakFleet_SetStorePath(Soak *soak, unsigned number, SoakProxyMode mode)
+{
+    S_gateways[number].fault_ms = Soak_NowMs(soak);
+    SoakProxy_SetMode(S_gateways[number].store_path, mode);
+}
--- /dev/null
+++ b/tests/soak/soak_runner.c
@@ -0,0 +1,405 @@
+/* soak_runner.c - stand-in of an upstream: slots, a queue, runs on record. */
+#include "soak.h"
+
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define SLOTS 4
+#define QUEUE 6
+#define RUN_MIN_MS 10
+#define RUN_MAX_MS 120
+#define EVENTS 6
+#define EVENT_MS 25
+
+/* Bounds of the deployment that the soak describes; see soak_fleet.c. */
+#define DRAIN_MS 2500
+#define CLOSED_MS 5000
+#define KEYS_MS 2500
+#define COLD_PER_S 10
+#define COLD_ALLOWED (COLD_PER_S * 1.5 + 5)
+
+typedef struct {
+    SoakRunner *runner;
+    BsInbound *inbound; /* NULL once the gateway is gone */
+    SoakRequest *request;
+    char *id;
+    unsigned next_event; /* of a stream */
+    bool running;
+    bool stream;
+    bool fails;
+    ev_timer timer;
+} Run;
+
+struct SoakRunner {
+    Soak *soak;
+    unsigned number;
+    unsigned incarnation;
+    unsigned sequence;
+    char id[32];
+    struct sockaddr_in address; /* of the proxy, as listed */
+    SoakProxy *proxy;
+    BsInboundServer *server;
+    GPtrArray *runs; /* Run, in order of arrival */
+    unsigned running;
+    int errors_percent;
+    int64_t leaving_ms; /* since when it is listed as leaving; 0: not */
+    int64_t cold_until_ms;
+    GArray *cold_arrivals; /* int64_t */
+    ev_timer back;
+    bool away;
+};
+
+static void S_start_runs(SoakRunner *runner);
+
+static void
+S_free_run(gpointer data)
+{
+    Run *run = data;
+    ev_timer_stop(run->runner->soak->loop, &run->timer);
+    g_free(run->id);
+    g_free(run);
+}
+
+static GString *
+S_head(const Run *run)
+{
+    GString *head = g_string_new(NULL);
+    g_string_append_printf(head,
+                           "Request-Id: %s\r\nResponse-Signature: sig-%s\r\n",
+                           run->id, run->id);
+    return head;
+}
+
+/* Ends the run and frees it. */
+static void
+S_end_run(Run *run)
+{
+    SoakRunner *runner = run->runner;
+    runner->running -= run->running;
+    g_ptr_array_remove(runner->runs, run);
+    S_start_runs(runner);
+}
+
+static void
+S_answer(Run *run)
+{
+    GString *head = S_head(run);
+    char *body = g_strdup_printf("body of %s", run->id);
+    if (run->inbound != NULL) {
+        BsInbound_Answer(run->inbound, run->fails ? 500 : 200, head->str, body,
+                         strlen(body));
+    }
+    g_free(body);
+    g_string_free(head, TRUE);
+    S_end_run(run);
+}
+
+static void
+S_send_event(Run *run)
+{
+    char *event =
+        g_strdup_printf("id: %u\ndata: %s\n\n", run->next_event, run->id);
+    if (run->inbound != NULL) {
+        BsInbound_SendBody(run->inbound, event, strlen(event));
+    }
+    g_free(event);
+    run->next_event++;
+    if (run->next_event < EVENTS) {
+        ev_timer_set(&run->timer, EVENT_MS / 1000.0, 0);
+        ev_timer_start(run->runner->soak->loop, &run->timer);
+        return;
+    }
+    if (run->inbound != NULL) {
+        BsInbound_EndAnswer(run->inbound);
+    }
+    S_end_run(run);
+}
+
+static void
+S_on_run_timer(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    (void)loop;
+    (void)events;
+    Run *run = watcher->data;
+    if (!run->stream || run->fails) {
+        S_answer(run);
+        return;
+    }
+    S_send_event(run);
+}
+
+/* Begins a run: from here on the request has run. */
+static void
+S_begin(Run *run)
+{
+    SoakRunner *runner = run->runner;
+    Soak *soak = runner->soak;
+    SoakRequest *request = run->request;
+    run->running = true;
+    runner->running++;
+    request->runs++;
+    bool once = request->kind == SOAK_UNSAFE || request->kind == SOAK_ONCE;
+    if (once && request->runs > 1) {
+        Soak_Violation(soak, "once", "%s ran %u times", run->id,
+                       request->runs);
+    }
+    if (once && request->promised) {
+        Soak_Violation(soak, "not run", "%s ran after it was answered %d",
+                       run->id, request->status);
+    }
+    run->fails = Soak_Pick(soak, 1, 100) <= runner->errors_percent;
+    if (run->stream && !run->fails && run->inbound != NULL) {
+        GString *head = S_head(run);
+        BsInbound_StartAnswer(run->inbound, 200, head->str, -1);
+        g_string_free(head, TRUE);
+    }
+    int run_ms = Soak_Pick(soak, RUN_MIN_MS, RUN_MAX_MS);
+    ev_timer_set(&run->timer, run_ms / 1000.0, 0);
+    ev_timer_start(soak->loop, &run->timer);
+}
+
+static void
+S_start_runs(SoakRunner *runner)
+{
+    for (guint i = 0; i < runner->runs->len && runner->running < SLOTS; i++) {
+        Run *run = runner->runs->pdata[i];
+        if (!run->running) {
+            S_begin(run);
+        }
+    }
+}
+
+/* --------------------------------------------------------------- arrivals --
+ */
+
+static void
+S_check_cold(SoakRunner *runner, int64_t now_ms)
+{
+    if (now_ms >= runner->cold_until_ms) {
+        return;
+    }
+    g_array_append_val(runner->cold_arrivals, now_ms);
+    while (g_array_index(runner->cold_arrivals, int64_t, 0) <= now_ms - 1000) {
+        g_array_remove_index(runner->cold_arrivals, 0);
+    }
+    if (runner->cold_arrivals->len > COLD_ALLOWED) {
+        Soak_Violation(runner->soak, "cold", "%s got %u in a second",
+                       runner->id, runner->cold_arrivals->len);
+    }
+}
+
+/* Checks the promises that bind from a time on. */
+static void
+S_check_arrival(SoakRunner *runner, const SoakRequest *request)
+{
+    Soak *soak = runner->soak;
+    int64_t now_ms = Soak_NowMs(soak);
+    S_check_cold(runner, now_ms);
+    /* Bounds with a time bind what was taken from its caller after it. */
+    if (!Soak_IsSettled(soak, request->gateway)) {
+        return;
+    }
+    int64_t sent_ms = request->sent_ms;
+    if (runner->leaving_ms > 0 && sent_ms > runner->leaving_ms + DRAIN_MS) {
+        Soak_Violation(soak, "drain", "%s reached %s %d ms after it left",
+                       request->id, runner->id,
+                       (int)(now_ms - runner->leaving_ms));
+    }
+    if (runner->number % 2 == 1 && soak->closed_ms > 0 &&
+        sent_ms > soak->closed_ms + CLOSED_MS) {
+        Soak_Violation(soak, "closed", "%s reached %s in a closed data centre",
+                       request->id, runner->id);
+    }
+    if (request->key < soak->keys_from &&
+        sent_ms > soak->keys_taken_ms + KEYS_MS) {
+        Soak_Violation(soak, "keys", "%s ran with a key taken away",
+                       request->id);
+    }
+}
+
+static void
+S_refuse(BsInbound *inbound)
+{
+    BsInbound_Answer(inbound, 503, "Not-Executed: 1\r\n", "", 0);
+}
+
+static void
+S_on_request(BsInbound *inbound, const BsHttpHead *head, const GString *body,
+             void *context)
+{
+    SoakRunner *runner = context;
+    const char *id = BsHttpHead_Find(head, "Request-Id");
+    const char *expected = BsHttpHead_Find(head, "Expect-Instance");
+    const char *last = BsHttpHead_Find(head, "Last-Event-Id");
+    SoakRequest *request = id == NULL ? NULL : Soak_Find(runner->soak, id);
+    (void)body;
+    if (request == NULL) {
+        Soak_Violation(runner->soak, "whole", "a request that nobody sent");
+        BsInbound_Answer(inbound, 400, "Not-Executed: 1\r\n", "", 0);
+        return;
+    }
+    if (expected == NULL || strcmp(expected, runner->id) != 0) {
+        BsInbound_Answer(inbound, 421, NULL, "", 0);
+        return;
+    }
+    S_check_arrival(runner, request);
+    if (runner->runs->len >= SLOTS + QUEUE) {
+        S_refuse(inbound);
+        return;
+    }
+    Run *run = g_new0(Run, 1);
+    run->runner = runner;
+    run->inbound = inbound;
+    run->request = request;
+    run->id = g_strdup(id);
+    run->stream = request->kind == SOAK_STREAM || request->kind == SOAK_ONCE;
+    run->next_event = last == NULL ? 0 : (unsigned)atoi(last) + 1;
+    ev_timer_init(&run->timer, S_on_run_timer, 0, 0);
+    run->timer.data = run;
+    BsInbound_SetUser(inbound, run);
+    g_ptr_array_add(runner->runs, run);
+    S_start_runs(runner);
+}
+
+static void
+S_on_gone(BsInbound *inbound, void *context)
+{
+    SoakRunner *runner = context;
+    Run *run = BsInbound_User(inbound);
+    if (run == NULL) {
+        return;
+    }
+    /* Most upstreams drop what its caller has left. */
+    run->inbound = NULL;
+    if (!run->running || run->request->kind != SOAK_UNSAFE) {
+        runner->running -= run->running;
+        g_ptr_array_remove(runner->runs, run);
+        S_start_runs(runner);
+    }
+}
+
+static const BsInboundApp S_app = {
+    .on_request = S_on_request,
+    .on_gone = S_on_gone,
+};
+
+/* ------------------------------------------------------------------- life --
+ */
+
+static void
+S_open(SoakRunner *runner)
+{
+    BsInboundLimits limits = {16384, 1 << 20, 5000, 20000, 1 << 24, 1000};
+    GError *error = NULL;
+    struct sockaddr_in address;
+    Soak_Address(runner->soak, 100, (uint16_t)(20000 + runner->number),
+                 &address);
+    runner->server =
+        BsInboundServer_Create(runner->soak->loop, runner->soak->clock,
+                               &address, &S_app, runner, &limits, &error);
+    if (runner->server == NULL) {
+        g_error("runner: %s", error->message);
+    }
+}
+
+void
+SoakRunner_List(SoakRunner *runner, const char *state, int cold_ms)
+{
+    Soak *soak = runner->soak;
+    int64_t now_ms = Soak_NowMs(soak);
+    char *key = g_strdup_printf("servers/%s", runner->id);
+    char host[INET_ADDRSTRLEN];
+    inet_ntop(AF_INET, &runner->address.sin_addr, host, sizeof(host));
+    char *value =
+        state == NULL
+            ? NULL
+            : g_strdup_printf(
+                  "{\"service\":\"desk\",\"address\":\"%s:%u\",\"zone\":"
+                  "\"d%u\",\"slots\":%d,\"state\":\"%s\",\"sequence\":%u,"
+                  "\"born\":%u,\"cold-remaining-ms\":%d}",
+                  host, ntohs(runner->address.sin_port), runner->number % 2,
+                  SLOTS, state, ++runner->sequence, runner->incarnation,
+                  cold_ms);
+    bool ready = state != NULL && strcmp(state, "ready") == 0;
+    runner->leaving_ms = ready                    ? 0
+                         : runner->leaving_ms > 0 ? runner->leaving_ms
+                                                  : now_ms;
+    runner->cold_until_ms = ready ? now_ms + cold_ms : 0;
+    SoakStore_Put(soak->store, key, value);
+    g_free(value);
+    g_free(key);
+}
+
+static void
+S_on_back(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    (void)loop;
+    (void)events;
+    SoakRunner *runner = watcher->data;
+    runner->away = false;
+    runner->incarnation++;
+    runner->sequence = 0;
+    S_open(runner);
+    SoakRunner_List(runner, "ready", 1500);
+}
+
+void
+SoakRunner_Crash(SoakRunner *runner, int away_ms)
+{
+    if (runner->away) {
+        return;
+    }
+    runner->away = true;
+    BsInboundServer_Destroy(runner->server);
+    runner->server = NULL;
+    g_ptr_array_set_size(runner->runs, 0);
+    runner->running = 0;
+    ev_timer_set(&runner->back, away_ms / 1000.0, 0);
+    ev_timer_start(runner->soak->loop, &runner->back);
+}
+
+SoakRunner *
+SoakRunner_Create(Soak *soak, unsigned number)
+{
+    SoakRunner *runner = g_new0(SoakRunner, 1);
+    struct sockaddr_in target;
+    runner->soak = soak;
+    runner->number = number;
+    runner->incarnation = 1;
+    snprintf(runner->id, sizeof(runner->id), "i-%u", number);
+    runner->runs = g_ptr_array_new_with_free_func(S_free_run);
+    runner->cold_arrivals = g_array_new(FALSE, FALSE, sizeof(int64_t));
+    ev_timer_init(&runner->back, S_on_back, 0, 0);
+    runner->back.data = runner;
+    Soak_Address(soak, 100, (uint16_t)(20000 + number), &target);
+    Soak_Address(soak, 101, (uint16_t)(20000 + number), &runner->address);
+    S_open(runner);
+    runner->proxy = SoakProxy_Create(soak, &runner->address, &target);
+    SoakRunner_List(runner, "ready", 0);
+    return runner;
+}
+
+void
+SoakRunner_Destroy(SoakRunner *runner)
+{
+    ev_timer_stop(runner->soak->loop, &runner->back);
+    SoakProxy_Destroy(runner->proxy);
+    BsInboundServer_Destroy(runner->server);
+    g_ptr_array_free(runner->runs, TRUE);
+    g_array_unref(runner->cold_arrivals);
+    g_free(runner);
+}
+
+void
+SoakRunner_SetErrors(SoakRunner *runner, int percent)
+{
+    runner->errors_percent = percent;
+}
+
+SoakProxy *
+SoakRunner_Proxy(SoakRunner *runner)
+{
+    return runner->proxy;
+}
