Large fleets: the own data centre first, others with care

Counts of other data centres are some 480 ms old there, and all instances chose the same cheapest upstream by them.

--- a/src/gossip.c
+++ b/src/gossip.c
@@ -398,6 +398,12 @@
     return FAR_PAUSE_MS + over * FAR_PAUSE_PER_MEMBER_MS;
 }
 
+int64_t
+BsGossip_FarAgeMs(const BsGossip *gossip, int64_t now_ms)
+{
+    return S_far_pause_ms(S_count_far(gossip, now_ms));
+}
+
 /* Returns whether a report to the entry is due. */
 static bool
 S_is_due(const BsGossip *gossip, const BsGossipEntry *entry, unsigned near,
--- a/src/gossip.h
+++ b/src/gossip.h
@@ -105,6 +105,9 @@
 const BsGossipMember *BsGossip_Newer(const BsGossip *gossip, uint64_t revision,
                                      uint64_t newest, int64_t now_ms);
 
+/* Returns how old counts of other data centres' instances get. */
+int64_t BsGossip_FarAgeMs(const BsGossip *gossip, int64_t now_ms);
+
 /* Appends the instances heard now, this one too, as BsTargetSender. */
 void BsGossip_AppendSenders(const BsGossip *gossip, int64_t now_ms,
                             GArray *senders);
--- a/src/gw_gossip.c
+++ b/src/gw_gossip.c
@@ -361,6 +361,8 @@
     gate->instances = BsGossip_Known(task->gossip, now_ms);
     BsTargets_SetShare(gate->targets, share);
     BsQuotas_SetShare(gate->quotas, share);
+    BsTargets_SetFarAge(gate->targets,
+                        BsGossip_FarAgeMs(task->gossip, now_ms));
     S_set_senders(task, now_ms);
     BsGossipTask_Tell(task, false);
     S_choose_reading(task, store_up, now_ms);
--- a/src/targets.c
+++ b/src/targets.c
@@ -35,6 +35,21 @@
 #define OTHER_DATA_CENTRE_COST_MS 8.0
 #define OTHER_REGION_COST_MS 60.0
 
+/* Counts of other data centres older than this do not tell which of their
+   upstreams has a place: all that look at them see the same ones. */
+#define FAR_FRESH_MS 50
+
+/* Places that must seem free at such an upstream, and requests of ours that it
+   may have at a time. */
+#define FAR_FREE_PLACES 2
+#define FAR_OWN_MAX 1
+
+/* Cost of such an upstream: it comes after all whose load is known. */
+#define GUESSED_COST_MS 100000.0
+
+/* Cost added by chance there, so that not all choose the same one. */
+#define FAR_SPREAD_MS 200
+
 /* Cost of a cold target, so that it comes last. */
 #define COLD_COST_MS 400.0
 
@@ -66,6 +81,7 @@
     char *data_centre;
     char *region;
     double share;
+    int64_t far_age_ms;
     uint32_t address;
     GArray *senders; /* BsTargetSender; empty while alone */
 };
@@ -516,6 +532,38 @@
     return cost;
 }
 
+void
+BsTargets_SetFarAge(BsTargets *targets, int64_t age_ms)
+{
+    targets->far_age_ms = age_ms;
+}
+
+/* Returns whether what is known of the load of TARGET is old. */
+static bool
+S_is_guessed(const BsTargets *targets, const BsTarget *target)
+{
+    return targets->far_age_ms > FAR_FRESH_MS &&
+           strcmp(target->data_centre, targets->data_centre) != 0;
+}
+
+static bool
+S_has_place(const BsTargets *targets, const BsTarget *target)
+{
+    if (S_is_guessed(targets, target)) {
+        return S_load(target) + FAR_FREE_PLACES <= target->slots &&
+               target->own < FAR_OWN_MAX;
+    }
+    return S_load(target) < target->slots;
+}
+
+/* Returns a cost that differs by instance, target and time. */
+static double
+S_chance(const BsTargets *targets, const BsTarget *target, int64_t now_ms)
+{
+    uint64_t parts[3] = {target->hash, targets->address, (uint64_t)now_ms};
+    return (double)(XXH3_64bits(parts, sizeof(parts)) % FAR_SPREAD_MS);
+}
+
 /* Returns whether TARGET is believed to answer.  One that failed is tried
    again with a single request once its pause is over. */
 static bool
@@ -536,7 +584,7 @@
     if (!S_is_open(targets, target, query, now_ms)) {
         return false;
     }
-    if (!S_is_believed(target, now_ms) || S_load(target) >= target->slots) {
+    if (!S_is_believed(target, now_ms) || !S_has_place(targets, target)) {
         *verdict = MIN(*verdict, BS_TARGET_BUSY);
         return false;
     }
@@ -567,6 +615,9 @@
             continue;
         }
         double cost = S_cost(targets, target, query, &context, now_ms);
+        if (S_is_guessed(targets, target)) {
+            cost += GUESSED_COST_MS + S_chance(targets, target, now_ms);
+        }
         if (cost < best_cost) {
             best = target;
             best_cost = cost;
--- a/src/targets.h
+++ b/src/targets.h
@@ -145,6 +145,9 @@
 void BsTargets_SetSenders(BsTargets *targets, uint32_t address,
                           const GArray *senders);
 
+/* Sets how old the counts of other data centres' instances are. */
+void BsTargets_SetFarAge(BsTargets *targets, int64_t age_ms);
+
 /* Chooses the target for QUERY, or NULL with VERDICT set. */
 BsTarget *BsTargets_Choose(BsTargets *targets, const BsTargetQuery *query,
                            int64_t now_ms, BsTargetVerdict *verdict);
--- a/tests/gate/gatescript_targets.c
+++ b/tests/gate/gatescript_targets.c
@@ -262,6 +262,15 @@
     return true;
 }
 
+/* far-age MS: how old the counts of other data centres are */
+static bool
+S_far_age(GateScript *script, char **arguments)
+{
+    BsTargets_SetFarAge(script->targets,
+                        g_ascii_strtoll(arguments[0], NULL, 10));
+    return true;
+}
+
 static bool
 S_prune(GateScript *script, char **arguments)
 {
@@ -271,10 +280,10 @@
 }
 
 const GateScriptCommand gate_script_target_commands[] = {
-    {"list", S_list},     {"unlist", S_unlist},   {"close", S_close},
-    {"open", S_open},     {"service", S_service}, {"regions", S_regions},
-    {"choose", S_choose}, {"send", S_send},       {"end", S_end},
-    {"peer", S_peer},     {"silent", S_silent},   {"share", S_share},
-    {"show", S_show},     {"prune", S_prune},     {"senders", S_senders},
-    {NULL, NULL},
+    {"list", S_list},       {"unlist", S_unlist},   {"close", S_close},
+    {"open", S_open},       {"service", S_service}, {"regions", S_regions},
+    {"choose", S_choose},   {"send", S_send},       {"end", S_end},
+    {"peer", S_peer},       {"silent", S_silent},   {"share", S_share},
+    {"show", S_show},       {"prune", S_prune},     {"senders", S_senders},
+    {"far-age", S_far_age}, {NULL, NULL},
 };
