Explaining a failure: stories from logs, histograms, causes by name

ID tells what the gateways' logs say of a request, with the changes that bear on it, what its cause means and where to look. Metrics gain histograms of duration, wait and first event. A paused upstream is a line of its own.

--- a/src/cli_command.c
+++ b/src/cli_command.c
@@ -41,7 +41,9 @@
     "  check FILE          check a settings file or a sheet\n"
     "  send PATH           send a request and print answer and outcome\n"
     "  status              print the status of an instance\n"
-    "  explain REQUEST-ID  print what became of a request and why\n"
+    "  explain REQUEST-ID  print what became of a request and why; with "
+    "--log\n"
+    "                      from the logs of gateways\n"
     "  drain               start a planned stop of an instance\n"
     "  evening ADDRESS,... print the owner's page for the day from the\n"
     "                      admin addresses of all instances\n"
@@ -72,6 +74,8 @@
          "Body of the request, or @FILE", "TEXT"},
         {"deadline-ms", 0, 0, G_OPTION_ARG_INT64, &options->deadline_ms,
          "Time the caller waits", "MS"},
+        {"log", 'l', 0, G_OPTION_ARG_STRING, &options->log,
+         "Log files of gateways, '-' for standard input", "FILE,..."},
         {"json", 0, 0, G_OPTION_ARG_NONE, &options->json,
          "Print one JSON document", NULL},
         {"platform", 0, 0, G_OPTION_ARG_STRING, &options->platform,
@@ -122,6 +126,7 @@
 {
     g_free(options->admin);
     g_free(options->platform);
+    g_free(options->log);
     g_free(options->callers);
     g_free(options->token);
     g_free(options->key);
--- a/src/cli_command.h
+++ b/src/cli_command.h
@@ -26,6 +26,7 @@
     char *data;
     gint64 deadline_ms;
     char *platform; /* address of the configuration service */
+    char *log;      /* log files of gateways, "-" for standard input */
     gboolean json;
     gboolean html;
 } BsCommandOptions;
@@ -42,7 +43,8 @@
 /* Prints the status of an instance. */
 int BsCommand_Status(const BsCommandOptions *options, const char *argument);
 
-/* Prints what an instance knows of a request. */
+/* Prints what an instance knows of a request, or with log files what they tell
+   of it. */
 int BsCommand_Explain(const BsCommandOptions *options, const char *id);
 
 /* Prints the owner's page for the day from the instances at ADDRESSES, admin
--- a/src/cli_operate.c
+++ b/src/cli_operate.c
@@ -1,9 +1,12 @@
 /* cli_operate.c - boragespur status, explain and drain. */
 #include "cli_command.h"
 #include "cli_http.h"
+#include "logstory.h"
 
+#include <errno.h>
 #include <jansson.h>
 #include <stdio.h>
+#include <string.h>
 
 #define STATUS_ERROR 300
 
@@ -56,9 +59,55 @@
     return S_ask(options, "GET", "/status");
 }
 
+/* Adds the lines of FILE to STORY; returns whether it could be read. */
+static bool
+S_add_log(BsLogStory *story, const char *file)
+{
+    bool standard = strcmp(file, "-") == 0;
+    FILE *stream = standard ? stdin : fopen(file, "r");
+    char *line = NULL;
+    size_t size = 0;
+    if (stream == NULL) {
+        fprintf(stderr, "boragespur: %s: %s; name log files of gateways\n",
+                file, strerror(errno));
+        return false;
+    }
+    while (getline(&line, &size, stream) >= 0) {
+        BsLogStory_AddLine(story, line);
+    }
+    free(line);
+    if (!standard) {
+        fclose(stream);
+    }
+    return true;
+}
+
+static int
+S_explain_logs(const char *files, const char *id)
+{
+    BsLogStory *story = BsLogStory_Create(id);
+    char **names = g_strsplit(files, ",", -1);
+    GString *text = g_string_new(NULL);
+    int code = BS_EXIT_OK;
+    for (char **name = names; *name != NULL && code == BS_EXIT_OK; name++) {
+        code = S_add_log(story, *name) ? BS_EXIT_OK : BS_EXIT_USAGE;
+    }
+    if (code == BS_EXIT_OK) {
+        code = BsLogStory_Format(story, text) ? BS_EXIT_OK : BS_EXIT_NEGATIVE;
+        fputs(text->str, stdout);
+    }
+    g_string_free(text, TRUE);
+    g_strfreev(names);
+    BsLogStory_Destroy(story);
+    return code;
+}
+
 int
 BsCommand_Explain(const BsCommandOptions *options, const char *id)
 {
+    if (options->log != NULL) {
+        return S_explain_logs(options->log, id);
+    }
     char *escaped = g_uri_escape_string(id, NULL, FALSE);
     char *path = g_strconcat("/explain/", escaped, (char *)NULL);
     int code = S_ask(options, "GET", path);
--- a/src/eventlog.c
+++ b/src/eventlog.c
@@ -16,14 +16,15 @@
    11 requests a second; failures of all of them and the steps of some fit. */
 static const uint32_t S_lines_per_span[BS_EVENT_CLASSES] = {
     [BS_EVENT_STATE] = 50,
-    [BS_EVENT_FAILURE] = 40,
-    [BS_EVENT_DETAIL] = 20,
+    [BS_EVENT_FAILURE] = 80,
+    [BS_EVENT_DETAIL] = 60,
 };
 
 struct BsEventLog {
     int fd;
     char *instance;
     const BsClock *clock;
+    const BsClock *wall;
     GString *buffer;
     int64_t span_start_ms;
     uint32_t lines[BS_EVENT_CLASSES];
@@ -32,7 +33,8 @@
 };
 
 BsEventLog *
-BsEventLog_Create(int fd, const char *instance, const BsClock *clock)
+BsEventLog_Create(int fd, const char *instance, const BsClock *clock,
+                  const BsClock *wall)
 {
     BsEventLog *log = g_new0(BsEventLog, 1);
     int flags = fcntl(fd, F_GETFL);
@@ -42,6 +44,7 @@
     log->fd = fd;
     log->instance = g_strdup(instance);
     log->clock = clock;
+    log->wall = wall;
     log->buffer = g_string_new(NULL);
     return log;
 }
@@ -105,8 +108,10 @@
 S_start_line(BsEventLog *log, const char *event, int64_t now_ms)
 {
     g_string_append_printf(log->buffer,
-                           "{\"ms\":%" G_GINT64_FORMAT ",\"event\":\"%s\"",
-                           now_ms, event);
+                           "{\"ms\":%" G_GINT64_FORMAT
+                           ",\"wall_ms\":%" G_GINT64_FORMAT
+                           ",\"event\":\"%s\"",
+                           now_ms, BsClock_NowMs(log->wall), event);
     BsEventLog_Text(log, "instance", log->instance);
 }
 
--- a/src/eventlog.h
+++ b/src/eventlog.h
@@ -22,9 +22,10 @@
 typedef struct BsEventLog BsEventLog;
 
 /* Creates a log that writes to FD, which is made non-blocking, and names the
-   process INSTANCE in every line. */
+   process INSTANCE in every line.  Lines carry the time of CLOCK, which does
+   not jump, and of the WALL clock. */
 BsEventLog *BsEventLog_Create(int fd, const char *instance,
-                              const BsClock *clock);
+                              const BsClock *clock, const BsClock *wall);
 
 /* Writes what it can and frees; NULL is allowed. */
 void BsEventLog_Destroy(BsEventLog *log);
--- a/src/gossip.c
+++ b/src/gossip.c
@@ -70,8 +70,7 @@
     GHashTable *entries; /* address to BsGossipEntry */
 };
 
-/* --------------------------------------------------------------- reports --
- */
+/* ----------------------------------------------------------- reports -- */
 
 void
 BsGossipReport_Init(BsGossipReport *report)
@@ -259,8 +258,7 @@
     return valid;
 }
 
-/* --------------------------------------------------------------- members --
- */
+/* ----------------------------------------------------------- members -- */
 
 BsGossip *
 BsGossip_Create(uint32_t address, uint32_t data_centre, int64_t now_ms)
--- a/src/gw_attempt.c
+++ b/src/gw_attempt.c
@@ -59,25 +59,47 @@
     }
 }
 
+/* Tells that the upstream UPSTREAM gets nothing for a while. */
+static void
+S_log_pause(BsGate *gate, const char *upstream, int64_t pause_ms)
+{
+    BsCounters_Add(gate->counters, "upstream_pauses_total", 1);
+    if (BsEventLog_Begin(gate->log, BS_EVENT_STATE, "upstream_paused")) {
+        BsEventLog_Text(gate->log, "upstream", upstream);
+        BsEventLog_Number(gate->log, "pause_ms", pause_ms);
+        BsEventLog_End(gate->log);
+    }
+}
+
+/* Returns the time that an event or the whole answer took; 0: unknown. */
+static double
+S_pace_ms(const BsRelay *relay, int64_t now_ms)
+{
+    if (relay->events > 1) {
+        return (double)(relay->heard_ms - relay->first_event_ms) /
+               (relay->events - 1);
+    }
+    if (relay->route->kind == BS_ROUTE_STREAM || relay->sent_ms == 0) {
+        return 0;
+    }
+    return (double)(now_ms - relay->sent_ms);
+}
+
 /* Tells the table how the attempt ended, and forgets the attempt. */
 static void
 S_close(BsRelay *relay, BsTargetEnd end)
 {
     BsGate *gate = relay->gate;
     int64_t now_ms = BsClock_NowMs(gate->clock);
-    double pace_ms = 0;
-    if (relay->events > 1) {
-        pace_ms = (double)(relay->heard_ms - relay->first_event_ms) /
-                  (relay->events - 1);
-    }
-    else if (relay->events == 0 && relay->sent_ms > 0) {
-        pace_ms = (double)(now_ms - relay->sent_ms);
+    char *upstream = g_strdup(relay->target->id);
+    uint32_t unread = relay->prefill_told ? 0 : relay->info.prompt_tokens;
+    int64_t pause_ms =
+        BsTargets_Ended(gate->targets, relay->target, end,
+                        S_pace_ms(relay, now_ms), unread, now_ms);
+    if (pause_ms > 0) {
+        S_log_pause(gate, upstream, pause_ms);
     }
-    BsTargets_Ended(
-        gate->targets, relay->target, end,
-        relay->route->kind == BS_ROUTE_STREAM && relay->events <= 1 ? 0
-                                                                    : pace_ms,
-        relay->prefill_told ? 0 : relay->info.prompt_tokens, now_ms);
+    g_free(upstream);
     relay->target = NULL;
     relay->call = NULL;
     relay->sent_ms = 0;
@@ -96,8 +118,7 @@
     S_close(relay, end);
 }
 
-/* -------------------------------------------------------------- failures --
- */
+/* ---------------------------------------------------------- failures -- */
 
 /* Ends the request after a failure that cannot be mended. */
 static void
@@ -175,8 +196,7 @@
     S_try_again(relay, cause);
 }
 
-/* --------------------------------------------------------------- answers --
- */
+/* ----------------------------------------------------------- answers -- */
 
 static void
 S_on_sent(void *context)
@@ -184,6 +204,10 @@
     BsRelay *relay = context;
     relay->sent_ms = BsClock_NowMs(relay->gate->clock);
     relay->heard_ms = relay->sent_ms;
+    if (relay->sends == 0) {
+        BsHistogram_Observe(relay->gate->waits, relay->route->name,
+                            relay->sent_ms - relay->arrived_ms);
+    }
     relay->sends++;
     relay->attempts++;
     BsRelay_Schedule(relay);
@@ -265,6 +289,8 @@
     unsigned events = BsAnswer_Take(relay, data, size_bytes);
     if (events > 0 && relay->events == 0) {
         relay->first_event_ms = relay->heard_ms;
+        BsHistogram_Observe(relay->gate->first_events, relay->route->name,
+                            relay->heard_ms - relay->sent_ms);
         relay->prefill_told = true;
         BsTargets_Started(relay->target, relay->info.prompt_tokens);
     }
@@ -332,8 +358,7 @@
     .on_end = S_on_end,
 };
 
-/* --------------------------------------------------------------- sending --
- */
+/* ----------------------------------------------------------- sending -- */
 
 static GString *
 S_message(const BsRelay *relay, const BsTarget *target, int64_t now_ms)
--- a/src/gw_gate.h
+++ b/src/gw_gate.h
@@ -14,6 +14,7 @@
 #include "gatesettings.h"
 #include "gw_inbound.h"
 #include "gw_outbound.h"
+#include "histogram.h"
 #include "line.h"
 #include "quota.h"
 #include "targets.h"
@@ -29,6 +30,9 @@
     const BsWire *wire;
     BsEventLog *log;
     BsCounters *counters;
+    BsHistogram *durations;    /* by route */
+    BsHistogram *waits;        /* by route */
+    BsHistogram *first_events; /* by route */
     BsOutboundPool *pool;
     BsInboundServer *callers;
     BsTargets *targets;
--- a/src/gw_gateway.c
+++ b/src/gw_gateway.c
@@ -86,14 +86,25 @@
 
 static const BsClock S_clock = {S_now, NULL};
 
+static struct timespec
+S_wall_now(void *context)
+{
+    (void)context;
+    struct timespec now;
+    clock_gettime(CLOCK_REALTIME, &now);
+    return now;
+}
+
+/* Read for the log only: it may jump. */
+static const BsClock S_wall_clock = {S_wall_now, NULL};
+
 static int64_t
 S_now_ms(void)
 {
     return BsClock_NowMs(&S_clock);
 }
 
-/* -------------------------------------------------------------- platform --
- */
+/* ---------------------------------------------------------- platform -- */
 
 static BsInboundLimits
 S_inbound_limits(const BsGateway *gateway, const BsCatalogLimits *limits)
@@ -230,8 +241,7 @@
     }
 }
 
-/* ----------------------------------------------------------------- pages --
- */
+/* ------------------------------------------------------------- pages -- */
 
 static bool
 S_is_ready(const BsGateway *gateway)
@@ -285,6 +295,9 @@
     GString *text = g_string_new(NULL);
     S_set_gauges(gateway);
     BsCounters_Format(gateway->gate.counters, text);
+    BsHistogram_Format(gateway->gate.durations, text);
+    BsHistogram_Format(gateway->gate.waits, text);
+    BsHistogram_Format(gateway->gate.first_events, text);
     BsInbound_Answer(inbound, 200, "Content-Type: text/plain\r\n", text->str,
                      text->len);
     g_string_free(text, TRUE);
@@ -307,8 +320,7 @@
     .on_gone = S_on_page_gone,
 };
 
-/* ----------------------------------------------------------------- turns --
- */
+/* ------------------------------------------------------------- turns -- */
 
 static void
 S_on_turn(struct ev_loop *loop, ev_prepare *watcher, int events)
@@ -410,8 +422,7 @@
     BsGateSettings_Destroy(settings);
 }
 
-/* ----------------------------------------------------------------- start --
- */
+/* ------------------------------------------------------------- start -- */
 
 static BsInboundServer *
 S_listen(BsGateway *gateway, const char *text, const BsInboundApp *app,
@@ -444,8 +455,15 @@
     gate->clock = &S_clock;
     gate->settings = settings;
     gate->wire = gateway->adapter->wire;
-    gate->log = BsEventLog_Create(STDOUT_FILENO, settings->name, &S_clock);
+    gate->log = BsEventLog_Create(STDOUT_FILENO, settings->name, &S_clock,
+                                  &S_wall_clock);
     gate->counters = BsCounters_Create();
+    gate->durations = BsHistogram_Create(
+        "request_duration", "From a request's arrival to its end", "route");
+    gate->waits = BsHistogram_Create(
+        "request_wait", "From a request's arrival to its first send", "route");
+    gate->first_events = BsHistogram_Create(
+        "first_event", "From a send to the answer's first event", "route");
     gate->pool = BsOutboundPool_Create(gate->loop, &S_clock);
     gate->targets = BsTargets_Create(settings->data_centre, settings->region);
     gate->quotas = BsQuotas_Create(bounds->quota_over, bounds->quota_slack);
@@ -526,6 +544,9 @@
     BsLine_Destroy(gate->line);
     BsCatalog_Unref(gate->catalog);
     BsCounters_Destroy(gate->counters);
+    BsHistogram_Destroy(gate->durations);
+    BsHistogram_Destroy(gate->waits);
+    BsHistogram_Destroy(gate->first_events);
     BsEventLog_Destroy(gate->log);
     g_rand_free(gate->random);
     ev_loop_destroy(gate->loop);
--- a/src/gw_gossip.c
+++ b/src/gw_gossip.c
@@ -61,8 +61,7 @@
     int64_t behind_ms; /* since when others know more; 0: they do not */
 };
 
-/* --------------------------------------------------------------- telling --
- */
+/* ----------------------------------------------------------- telling -- */
 
 static void
 S_fill(BsGossipTask *task, BsGossipReport *report, int64_t now_ms)
@@ -116,8 +115,7 @@
     g_array_unref(due);
 }
 
-/* ------------------------------------------------------------- listening --
- */
+/* --------------------------------------------------------- listening -- */
 
 static void
 S_take(BsGossipTask *task, const char *data, size_t size_bytes,
@@ -158,8 +156,7 @@
     }
 }
 
-/* ----------------------------------------------------------------- items --
- */
+/* ------------------------------------------------------------- items -- */
 
 static void
 S_on_request(BsInbound *inbound, const BsHttpHead *head, const GString *body,
@@ -321,8 +318,7 @@
     }
 }
 
-/* ------------------------------------------------------------------ tick --
- */
+/* -------------------------------------------------------------- tick -- */
 
 static void
 S_on_silent(const BsGossipMember *member, void *context)
@@ -376,8 +372,7 @@
     return BsGossip_StoreFailedMs(task->gossip);
 }
 
-/* ----------------------------------------------------------------- start --
- */
+/* ------------------------------------------------------------- start -- */
 
 static bool
 S_open(BsGossipTask *task, const struct sockaddr_in *address, GError **error)
--- a/src/gw_inbound.c
+++ b/src/gw_inbound.c
@@ -106,7 +106,7 @@
     }
 }
 
-/* --------------------------------------------------------- connections -- */
+/* ------------------------------------------------------- connections -- */
 
 static void
 S_release_body(BsInbound *inbound)
@@ -154,8 +154,7 @@
                            limits->body_bytes);
 }
 
-/* --------------------------------------------------------------- reading --
- */
+/* ----------------------------------------------------------- reading -- */
 
 static void
 S_on_head(const BsHttpHead *head, void *context)
@@ -300,8 +299,7 @@
     .on_end = S_on_end,
 };
 
-/* --------------------------------------------------------------- answers --
- */
+/* ----------------------------------------------------------- answers -- */
 
 static void
 S_write_head(BsInbound *inbound, uint32_t status, const char *headers,
@@ -434,8 +432,7 @@
     return inbound->started_ms;
 }
 
-/* ---------------------------------------------------------------- server --
- */
+/* ------------------------------------------------------------ server -- */
 
 static void
 S_add_connection(BsInboundServer *server, int fd)
--- a/src/gw_outbound.c
+++ b/src/gw_outbound.c
@@ -66,8 +66,7 @@
     g_free(connection);
 }
 
-/* ------------------------------------------------------------------ idle --
- */
+/* -------------------------------------------------------------- idle -- */
 
 static void
 S_remove_idle(BsOutboundConnection *connection)
@@ -154,8 +153,7 @@
     return NULL;
 }
 
-/* ------------------------------------------------------------------ ends --
- */
+/* -------------------------------------------------------------- ends -- */
 
 static void
 S_free_call(gpointer data)
@@ -236,8 +234,7 @@
     S_drop_connection(call);
 }
 
-/* --------------------------------------------------------------- answers --
- */
+/* ----------------------------------------------------------- answers -- */
 
 static void
 S_on_head(const BsHttpHead *head, void *context)
@@ -311,8 +308,7 @@
     }
 }
 
-/* ----------------------------------------------------------- connections --
- */
+/* ------------------------------------------------------- connections -- */
 
 static void
 S_on_data(const char *data, size_t size_bytes, void *context)
@@ -396,8 +392,7 @@
     }
 }
 
-/* ----------------------------------------------------------------- calls --
- */
+/* ------------------------------------------------------------- calls -- */
 
 static void
 S_connect(BsOutbound *call, const BsOutboundRequest *request)
@@ -475,8 +470,7 @@
     return call->reused;
 }
 
-/* ------------------------------------------------------------------ pool --
- */
+/* -------------------------------------------------------------- pool -- */
 
 BsOutboundPool *
 BsOutboundPool_Create(struct ev_loop *loop, const BsClock *clock)
--- a/src/gw_relay.c
+++ b/src/gw_relay.c
@@ -23,8 +23,7 @@
 
 #define MS_PER_S 1000.0
 
-/* ------------------------------------------------------------------- log --
- */
+/* --------------------------------------------------------------- log -- */
 
 void
 BsRelay_Log(BsRelay *relay, BsEventClass event_class, const char *event,
@@ -63,10 +62,14 @@
         relay->route == NULL ? "" : relay->route->name, outcome);
     BsCounters_Add(relay->gate->counters, name, 1);
     g_free(name);
+    if (relay->route != NULL) {
+        BsHistogram_Observe(relay->gate->durations, relay->route->name,
+                            BsClock_NowMs(relay->gate->clock) -
+                                relay->arrived_ms);
+    }
 }
 
-/* ------------------------------------------------------------------- end --
- */
+/* --------------------------------------------------------------- end -- */
 
 static void
 S_free(BsRelay *relay)
@@ -129,8 +132,7 @@
     BsRelay_Finish(relay, cause);
 }
 
-/* ---------------------------------------------------------------- timers --
- */
+/* ------------------------------------------------------------ timers -- */
 
 static void
 S_on_timer(struct ev_loop *loop, ev_timer *watcher, int events)
@@ -171,8 +173,7 @@
     ev_timer_start(loop, &relay->timer);
 }
 
-/* --------------------------------------------------------------- waiting --
- */
+/* ----------------------------------------------------------- waiting -- */
 
 static void
 S_wait(BsRelay *relay)
@@ -235,8 +236,7 @@
     g_ptr_array_free(order, TRUE);
 }
 
-/* --------------------------------------------------------------- arrival --
- */
+/* ----------------------------------------------------------- arrival -- */
 
 static BsRelay *
 S_create(BsGate *gate, BsInbound *inbound, const BsHttpHead *head,
--- a/src/http1.c
+++ b/src/http1.c
@@ -34,7 +34,7 @@
     bool no_body;
 };
 
-/* -------------------------------------------------------------- heads -- */
+/* ------------------------------------------------------------- heads -- */
 
 static bool
 S_is_token_char(char c)
@@ -381,7 +381,7 @@
     return head;
 }
 
-/* ------------------------------------------------------------- reader -- */
+/* ------------------------------------------------------------ reader -- */
 
 static int
 S_on_body(http_parser *parser, const char *data, size_t size_bytes)
--- /dev/null
+++ b/src/logstory.c
@@ -0,0 +1,276 @@
+/* logstory.c - the story of one request, from the logs of gateways. */
+#include "logstory.h"
+
+#include <jansson.h>
+#include <string.h>
+
+/* Lines of an instance kept as context before the request's first one. */
+#define CONTEXT_MAX 400
+
+/* How long before the request's end a change may bear on it. */
+#define CONTEXT_MS 8000
+
+const BsLogCause bs_log_causes[] = {
+    {"no_place", "no upstream had a place within the time it could wait",
+     "metrics: waiting, request_wait_seconds; lines upstream_paused and "
+     "upstream_gone before it"},
+    {"no_upstream", "no upstream of its service was listed, open and allowed",
+     "lines upstream_gone, data_centre_closed; the route's allowed regions"},
+    {"account_limit", "its account had used up its limit",
+     "line over_limit of the same request: left, per_s, burst and the share "
+     "that the instance could use"},
+    {"unknown_key", "its key was in no account of the version in force",
+     "the version in 'catalog' against the newest one; lines "
+     "catalog_in_force, store_lost and changes_heard_from before it"},
+    {"no_route", "no route of the version in force matched host and path",
+     "the version in 'catalog' against the newest one; lines "
+     "catalog_in_force, store_lost and changes_heard_from before it"},
+    {"no_catalog", "the instance had no configuration yet",
+     "lines started, store_lost and changes_heard_from"},
+    {"no_service", "the route's service was not in the configuration",
+     "the configuration itself"},
+    {"stopping", "the instance was at the end of a planned stop",
+     "line stopping; callers come back to another instance"},
+    {"expired", "its time ran out",
+     "line sent: whether, where and when; "
+     "metrics: request_duration_seconds"},
+    {"not_connected", "the upstream took no connection",
+     "line upstream_paused; other requests to the same upstream"},
+    {"upstream_full", "the upstream was full and did not run it",
+     "'own' and 'others' in its sent line: how many requests were counted "
+     "there, and how old the counts were"},
+    {"misdirected", "another upstream had the address",
+     "lines upstream_gone and upstream_listed"},
+    {"broke_before_answer", "the upstream broke off before it answered",
+     "line upstream_paused; other requests to the same upstream"},
+    {"answer_cut_off", "the upstream broke off in its answer",
+     "line upstream_paused; other requests to the same upstream"},
+    {"answer_garbled", "the upstream sent what is no answer",
+     "other requests to the same upstream"},
+    {"answer_of_another_request",
+     "the upstream's answer was not one to this request",
+     "other requests to the same upstream"},
+    {"false_promise",
+     "the upstream sent a status that callers take for 'not run', but did "
+     "not say so",
+     "other requests to the same upstream"},
+    {"resume_failed", "no upstream could go on with the broken stream",
+     "the attempts before it"},
+    {"silent", "the upstream said nothing for too long",
+     "line upstream_paused; other requests to the same upstream"},
+    {"upstream_error", "the upstream ran it and failed",
+     "the upstream's own log"},
+    {"caller_gone", "its caller left", "age_ms: how long it had waited"},
+    {NULL, NULL, NULL},
+};
+
+/* Events that change what an instance believes, told when they come before a
+   failure. */
+static const char *const S_state_events[] = {
+    "catalog_in_force", "upstream_gone",      "upstream_listed",
+    "upstream_paused",  "data_centre_closed", "data_centre_open",
+    "store_lost",       "store_regained",     "changes_heard_from",
+    "peer_silent",      "stopping",           "started"};
+
+struct BsLogStory {
+    char *id;
+    GPtrArray *lines;   /* json_t naming the request */
+    GPtrArray *context; /* json_t of state events, the newest of each file */
+    unsigned unreadable;
+};
+
+static void
+S_unref(gpointer data)
+{
+    json_decref(data);
+}
+
+BsLogStory *
+BsLogStory_Create(const char *id)
+{
+    BsLogStory *story = g_new0(BsLogStory, 1);
+    story->id = g_strdup(id);
+    story->lines = g_ptr_array_new_with_free_func(S_unref);
+    story->context = g_ptr_array_new_with_free_func(S_unref);
+    return story;
+}
+
+void
+BsLogStory_Destroy(BsLogStory *story)
+{
+    if (story == NULL) {
+        return;
+    }
+    g_ptr_array_free(story->lines, TRUE);
+    g_ptr_array_free(story->context, TRUE);
+    g_free(story->id);
+    g_free(story);
+}
+
+static const char *
+S_text(const json_t *line, const char *name)
+{
+    const char *text = json_string_value(json_object_get(line, name));
+    return text == NULL ? "" : text;
+}
+
+static int64_t
+S_ms(const json_t *line)
+{
+    return json_integer_value(json_object_get(line, "ms"));
+}
+
+static bool
+S_is_state_event(const json_t *line)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(S_state_events); i++) {
+        if (strcmp(S_text(line, "event"), S_state_events[i]) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void
+BsLogStory_AddLine(BsLogStory *story, const char *text)
+{
+    /* Tools may put a time or a name before the object. */
+    const char *start = strchr(text, '{');
+    json_t *line = start == NULL ? NULL : json_loads(start, 0, NULL);
+    if (!json_is_object(line)) {
+        story->unreadable += text[0] != '\0';
+        json_decref(line);
+        return;
+    }
+    if (strcmp(S_text(line, "request"), story->id) == 0) {
+        g_ptr_array_add(story->lines, line);
+    }
+    else if (S_is_state_event(line)) {
+        g_ptr_array_add(story->context, line);
+        if (story->context->len > CONTEXT_MAX * 100) {
+            g_ptr_array_remove_range(story->context, 0, CONTEXT_MAX);
+        }
+    }
+    else {
+        json_decref(line);
+    }
+}
+
+/* Appends the members of LINE but those that stand elsewhere. */
+static void
+S_append_members(const json_t *line, GString *out)
+{
+    static const char *const elsewhere[] = {"ms",      "event",   "instance",
+                                            "request", "wall_ms", NULL};
+    const char *name;
+    json_t *value;
+    json_object_foreach((json_t *)line, name, value)
+    {
+        if (g_strv_contains(elsewhere, name)) {
+            continue;
+        }
+        char *text = json_dumps(value, JSON_ENCODE_ANY);
+        g_string_append_printf(out, " %s=%s", name,
+                               json_is_string(value) ? json_string_value(value)
+                                                     : text);
+        free(text);
+    }
+}
+
+static void
+S_append_line(const json_t *line, int64_t start_ms, const char *mark,
+              GString *out)
+{
+    g_string_append_printf(out, "%s%+7" G_GINT64_FORMAT " ms  %s  %s", mark,
+                           S_ms(line) - start_ms, S_text(line, "instance"),
+                           S_text(line, "event"));
+    S_append_members(line, out);
+    g_string_append_c(out, '\n');
+}
+
+/* Returns whether a change bears on the request: the same instance, not long
+   before, and where both name an upstream the same one. */
+static bool
+S_bears_on(const BsLogStory *story, const json_t *change)
+{
+    const json_t *last = story->lines->pdata[story->lines->len - 1];
+    if (strcmp(S_text(change, "instance"), S_text(last, "instance")) != 0 ||
+        S_ms(change) > S_ms(last) || S_ms(change) < S_ms(last) - CONTEXT_MS) {
+        return false;
+    }
+    const char *upstream = S_text(change, "upstream");
+    if (upstream[0] == '\0') {
+        return true;
+    }
+    bool named = false;
+    for (guint i = 0; i < story->lines->len; i++) {
+        const char *own = S_text(story->lines->pdata[i], "upstream");
+        named |= own[0] != '\0';
+        if (strcmp(own, upstream) == 0) {
+            return true;
+        }
+    }
+    return !named;
+}
+
+/* Returns the cause that decided the request's end: the last one told. */
+static const char *
+S_last_cause(const BsLogStory *story)
+{
+    for (guint i = story->lines->len; i > 0; i--) {
+        const char *cause = S_text(story->lines->pdata[i - 1], "cause");
+        if (cause[0] != '\0') {
+            return cause;
+        }
+    }
+    return "";
+}
+
+static void
+S_append_meaning(const BsLogStory *story, GString *out)
+{
+    const char *cause = S_last_cause(story);
+    const json_t *last = story->lines->pdata[story->lines->len - 1];
+    if (cause[0] == '\0') {
+        g_string_append_printf(out, "It ended as: %s.\n",
+                               S_text(last, "event"));
+        return;
+    }
+    for (const BsLogCause *row = bs_log_causes; row->cause != NULL; row++) {
+        if (strcmp(row->cause, cause) == 0) {
+            g_string_append_printf(out, "Cause %s: %s.\nLook at: %s.\n", cause,
+                                   row->meaning, row->look_at);
+            return;
+        }
+    }
+    g_string_append_printf(out, "Cause %s.\n", cause);
+}
+
+bool
+BsLogStory_Format(BsLogStory *story, GString *out)
+{
+    if (story->unreadable > 0) {
+        g_string_append_printf(out, "%u lines were no JSON objects.\n",
+                               story->unreadable);
+    }
+    if (story->lines->len == 0) {
+        g_string_append_printf(
+            out,
+            "No line names %s.  Its lines may have been left out (see "
+            "log_lines_dropped), or its caller reached another instance.\n",
+            story->id);
+        return false;
+    }
+    int64_t start_ms = S_ms(story->lines->pdata[0]);
+    g_string_append_printf(out, "Request %s\n", story->id);
+    for (guint i = 0; i < story->context->len; i++) {
+        if (S_bears_on(story, story->context->pdata[i])) {
+            S_append_line(story->context->pdata[i], start_ms, "  . ", out);
+        }
+    }
+    for (guint i = 0; i < story->lines->len; i++) {
+        S_append_line(story->lines->pdata[i], start_ms, "    ", out);
+    }
+    S_append_meaning(story, out);
+    return true;
+}
--- a/src/quota.c
+++ b/src/quota.c
@@ -247,8 +247,7 @@
     }
 }
 
-/* --------------------------------------------------------------- repeats --
- */
+/* ----------------------------------------------------------- repeats -- */
 
 typedef struct {
     uint64_t requests[RETRY_SPANS];
--- a/src/targets.c
+++ b/src/targets.c
@@ -153,8 +153,7 @@
     g_free(targets);
 }
 
-/* --------------------------------------------------------------- listing --
- */
+/* ----------------------------------------------------------- listing -- */
 
 static GPtrArray *
 S_service_list(BsTargets *targets, const char *service)
@@ -315,8 +314,7 @@
     targets->share = share;
 }
 
-/* ------------------------------------------------------------------ cold --
- */
+/* -------------------------------------------------------------- cold -- */
 
 static bool
 S_is_cold(const BsTarget *target, int64_t now_ms)
@@ -410,8 +408,7 @@
     return target->cold_level >= 1;
 }
 
-/* ---------------------------------------------------------------- choice --
- */
+/* ------------------------------------------------------------ choice -- */
 
 static bool
 S_is_excluded(const BsTargetQuery *query, const char *id)
@@ -648,8 +645,7 @@
     return *places == 0 ? 1.0 : (double)taken / *places;
 }
 
-/* ------------------------------------------------------------ experience --
- */
+/* -------------------------------------------------------- experience -- */
 
 void
 BsTargets_Sent(BsTargets *targets, BsTarget *target,
@@ -671,17 +667,20 @@
         MIN(target->own_waiting_tokens, prompt_tokens);
 }
 
-static void
+/* Returns the pause that begins; 0 when one is under way. */
+static int64_t
 S_note_failure(BsTarget *target, int64_t now_ms)
 {
     uint32_t doublings = MIN(target->failures, 8);
     int64_t pause_ms = MIN((int64_t)RETRY_FIRST_MS << doublings, RETRY_MAX_MS);
     /* Requests that were under way together fail together: one failure. */
-    if (target->failures == 0 || target->retry_at_ms <= now_ms) {
-        target->failures++;
-        target->retry_at_ms = now_ms + pause_ms;
-    }
     target->failed_at_ms = now_ms;
+    if (target->failures > 0 && target->retry_at_ms > now_ms) {
+        return 0;
+    }
+    target->failures++;
+    target->retry_at_ms = now_ms + pause_ms;
+    return pause_ms;
 }
 
 static void
@@ -714,10 +713,11 @@
     g_hash_table_remove(targets->by_id, target->id);
 }
 
-void
+int64_t
 BsTargets_Ended(BsTargets *targets, BsTarget *target, BsTargetEnd end,
                 double pace_ms, uint32_t prompt_tokens, int64_t now_ms)
 {
+    int64_t pause_ms = 0;
     target->own -= target->own > 0;
     BsTargets_Started(target, prompt_tokens);
     switch (end) {
@@ -738,12 +738,13 @@
     case BS_TARGET_UNREACHED:
     case BS_TARGET_BROKE:
         S_note_error(target, 1);
-        S_note_failure(target, now_ms);
+        pause_ms = S_note_failure(target, now_ms);
         break;
     case BS_TARGET_ABANDONED:
         break;
     }
     S_drop_if_gone(targets, target, now_ms);
+    return pause_ms;
 }
 
 void
@@ -756,8 +757,7 @@
     g_list_free(all);
 }
 
-/* ----------------------------------------------------------------- peers --
- */
+/* ------------------------------------------------------------- peers -- */
 
 static BsTarget *
 S_by_hash(const BsTargets *targets, uint64_t hash)
--- a/src/targets.h
+++ b/src/targets.h
@@ -167,9 +167,11 @@
 
 /* Notes the end of a request.  PACE_MS is the time that an event or the whole
    answer took, 0 when unknown.  A request without a first event still counts
-   its PROMPT_TOKENS; pass 0 after BsTargets_Started(). */
-void BsTargets_Ended(BsTargets *targets, BsTarget *target, BsTargetEnd end,
-                     double pace_ms, uint32_t prompt_tokens, int64_t now_ms);
+   its PROMPT_TOKENS; pass 0 after BsTargets_Started().  TARGET may be freed.
+   Returns for how long it gets nothing because of this end; 0: it goes on. */
+int64_t BsTargets_Ended(BsTargets *targets, BsTarget *target, BsTargetEnd end,
+                        double pace_ms, uint32_t prompt_tokens,
+                        int64_t now_ms);
 
 /* Notes that TARGET says it stays cold for COLD_MS. */
 void BsTargets_SetCold(BsTarget *target, int64_t cold_ms, int64_t now_ms);
--- a/tests/gate/gate_harness.h
+++ b/tests/gate/gate_harness.h
@@ -165,6 +165,10 @@
     {
         return settings_;
     }
+    const std::string &LogFile() const
+    {
+        return log_;
+    }
 
   private:
     int ConnectTo(int port);
