--- a/src/gw_gateway.c
+++ b/src/gw_gateway.c
@@ -41,6 +41,9 @@
 
 #define STOP_IDLE_MS 150
 
+/* From then on connections that still come are no reason to stay. */
+#define STOP_LEAVE_MS 3500
+
 /* Left of the grace period for the process to end in. */
 #define STOP_MARGIN_MS 700
 
@@ -352,7 +355,8 @@
         BsInboundServer_CloseIdle(gate->callers, STOP_IDLE_MS);
     }
     bool idle = BsInboundServer_Requests(gate->callers) == 0 &&
-                BsInboundServer_Connections(gate->callers) == 0;
+                (BsInboundServer_Connections(gate->callers) == 0 ||
+                 passed_ms >= STOP_LEAVE_MS);
     if ((idle && passed_ms >= STOP_MIN_MS) || passed_ms >= limit_ms) {
         ev_break(gate->loop, EVBREAK_ALL);
     }
--- a/src/targets.c
+++ b/src/targets.c
@@ -63,6 +63,10 @@
    second. */
 #define COLD_SENDERS 0.2
 
+/* Time in which the listing of a restarted target arrives: a pause of the
+   store's reader, the way through a peer, and the restart itself. */
+#define COLD_EXPECTED_MS 1500
+
 /* Burst of a cold target, in seconds of its rate. */
 #define COLD_BURST_S 0.25
 
@@ -262,6 +266,7 @@
     target->sequence = entry->sequence;
     target->draining = entry->draining;
     target->gone_at_ms = INT64_MAX;
+    /* What the entry says goes before what was expected. */
     BsTargets_SetCold(target, entry->cold_ms, now_ms);
     return is_new;
 }
@@ -683,6 +688,16 @@
     return pause_ms;
 }
 
+/* A target that takes no connections is down, and cold when it is back; the
+   platform tells so only later. */
+static void
+S_expect_cold(BsTarget *target, int64_t now_ms)
+{
+    if (target->cold_until_ms < now_ms + COLD_EXPECTED_MS) {
+        BsTargets_SetCold(target, COLD_EXPECTED_MS, now_ms);
+    }
+}
+
 static void
 S_note_error(BsTarget *target, double error)
 {
@@ -734,8 +749,12 @@
         target->retry_at_ms =
             MAX(target->retry_at_ms, now_ms + REFUSED_PAUSE_MS);
         break;
-    case BS_TARGET_MISDIRECTED:
     case BS_TARGET_UNREACHED:
+        S_expect_cold(target, now_ms);
+        S_note_error(target, 1);
+        pause_ms = S_note_failure(target, now_ms);
+        break;
+    case BS_TARGET_MISDIRECTED:
     case BS_TARGET_BROKE:
         S_note_error(target, 1);
         pause_ms = S_note_failure(target, now_ms);
--- a/tests/soak/main_soak.c
+++ b/tests/soak/main_soak.c
@@ -70,7 +70,7 @@
 Soak_IsSettled(const Soak *soak, unsigned gateway)
 {
     int64_t now_ms = Soak_NowMs(soak);
-    return now_ms - soak->store_fault_ms > SETTLED_MS &&
+    return !soak->store_harmed && now_ms - soak->store_fault_ms > SETTLED_MS &&
            now_ms - SoakFleet_FaultMs(gateway) > SETTLED_MS;
 }
 
@@ -199,6 +199,7 @@
 {
     Soak_Say(soak, "store: mode %d", mode);
     soak->store_fault_ms = Soak_NowMs(soak);
+    soak->store_harmed = mode != SOAK_SERVES;
     SoakStore_SetMode(soak->store, mode);
 }
 
@@ -306,8 +307,7 @@
     Soak *soak = &run->soak;
     ev_timer_stop(loop, &run->next);
     Soak_Say(soak, "all faults end");
-    SoakStore_SetMode(soak->store, SOAK_SERVES);
-    soak->store_fault_ms = Soak_NowMs(soak);
+    S_set_store_mode(soak, SOAK_SERVES);
     S_close_or_open(soak, false);
     for (unsigned i = 0; i < soak->runner_count; i++) {
         SoakProxy_SetMode(SoakRunner_Proxy(soak->runners[i]), SOAK_PASS);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -63,7 +63,8 @@
     unsigned keys_from; /* keys below this number were taken away */
     int64_t keys_taken_ms;
     int64_t closed_ms;      /* since when data centre d1 is closed; 0: open */
-    int64_t store_fault_ms; /* last moment of a fault at the store */
+    int64_t store_fault_ms; /* last change of the store's mode */
+    bool store_harmed;
     unsigned violations;
     unsigned answered_good;
     unsigned answered_late; /* since all faults ended */
@@ -140,7 +141,7 @@
 /* Kills and waits for all that still run. */
 void SoakFleet_Stop(Soak *soak);
 
-/* Returns when the gateway last had a fault. */
+/* Returns when the gateway last had a fault; now, while one lasts. */
 int64_t SoakFleet_FaultMs(unsigned gateway);
 
 /* Sends NUMBER a signal: SIGKILL and SIGTERM are followed by a restart after
--- a/tests/soak/soak_fleet.c
+++ b/tests/soak/soak_fleet.c
@@ -20,6 +20,7 @@
     pid_t pid; /* 0 while it is down */
     char *settings;
     SoakProxy *store_path;
+    SoakProxyMode store_mode;
     ev_child child;
     ev_timer start; /* restart, or end of a pause */
     ev_timer grace; /* SIGKILL after SIGTERM */
@@ -158,7 +159,7 @@
     Soak_Address(soak, 100, 19999, &target);
     gateway->store_path = SoakProxy_Create(soak, &listen_address, &target);
     ev_timer_init(&gateway->start, S_on_start, 0, 0);
-    ev_timer_init(&gateway->grace, S_on_grace, GRACE_MS / 1000.0, 0);
+    ev_timer_init(&gateway->grace, S_on_grace, 0, 0);
     gateway->start.data = gateway;
     gateway->grace.data = gateway;
     S_write_settings(gateway);
@@ -194,9 +195,13 @@
 }
 
 int64_t
-SoakFleet_FaultMs(unsigned gateway)
+SoakFleet_FaultMs(unsigned number)
 {
-    return S_gateways[gateway].fault_ms;
+    const Gateway *gateway = &S_gateways[number];
+    /* A fault that lasts is a fault now. */
+    bool harmed = gateway->pid == 0 || gateway->paused ||
+                  gateway->store_mode != SOAK_PASS;
+    return harmed ? Soak_NowMs(gateway->soak) : gateway->fault_ms;
 }
 
 bool
@@ -215,6 +220,7 @@
     }
     if (signal_number == SIGTERM) {
         gateway->term_ms = Soak_NowMs(soak);
+        ev_timer_set(&gateway->grace, GRACE_MS / 1000.0, 0);
         ev_timer_start(soak->loop, &gateway->grace);
     }
     else if (signal_number != SIGHUP) {
@@ -230,5 +236,6 @@
 SoakFleet_SetStorePath(Soak *soak, unsigned number, SoakProxyMode mode)
 {
     S_gateways[number].fault_ms = Soak_NowMs(soak);
+    S_gateways[number].store_mode = mode;
     SoakProxy_SetMode(S_gateways[number].store_path, mode);
 }
--- a/tests/soak/soak_proxy.c
+++ b/tests/soak/soak_proxy.c
@@ -81,7 +81,10 @@
     SoakProxy *proxy = way->pair->proxy;
     g_string_append_len(way->bytes, data, (gssize)size_bytes);
     if (proxy->mode == SOAK_DELAY) {
-        ev_timer_start(proxy->soak->loop, &way->timer);
+        if (!ev_is_active(&way->timer)) {
+            ev_timer_set(&way->timer, DELAY_S, 0);
+            ev_timer_start(proxy->soak->loop, &way->timer);
+        }
         return;
     }
     S_pass(way);
@@ -127,7 +130,7 @@
         pair->ways[i].pair = pair;
         pair->ways[i].bytes = g_string_new(NULL);
         pair->ways[i].forward = i == 0;
-        ev_timer_init(&pair->ways[i].timer, S_on_late, DELAY_S, 0);
+        ev_timer_init(&pair->ways[i].timer, S_on_late, 0, 0);
         pair->ways[i].timer.data = &pair->ways[i];
     }
     g_hash_table_add(proxy->pairs, pair);
