Places of other data centres are shared among those that look at them

Up to 75 instances each sent one to the same free place before they heard of each other. What seems free in a data centre is now divided by the instances that may look, per age of their counts; one whose own data centre has nothing may take five times as much.

--- a/src/targets.c
+++ b/src/targets.c
@@ -44,25 +44,26 @@
 #define FAR_FREE_PLACES 2
 #define FAR_OWN_MAX 1
 
-/* Cost of such an upstream: it comes after all whose load is known. */
-#define GUESSED_COST_MS 100000.0
-
 /* Cost added by chance there, so that not all choose the same one. */
 #define FAR_SPREAD_MS 200
 
+/* Part of an instance whose own data centre has no upstream: its neighbours
+   need places elsewhere, too, and the others do not. */
+#define FAR_NEEDY_PART 5.0
+
 /* Cost of a cold target, so that it comes last. */
 #define COLD_COST_MS 400.0
 
 /* Part of the cold limit that is used, as counts of peers come late. */
 #define COLD_USED 0.8
 
-/* How long peers are told of a cold spell that is over. */
-#define COLD_TOLD_MS 2000
-
 /* Instances that may send to a cold target, as a part of its requests a
    second. */
 #define COLD_SENDERS 0.2
 
+/* How long peers are told of a cold spell that is over. */
+#define COLD_TOLD_MS 2000
+
 /* Time in which the listing of a restarted target arrives: a pause of the
    store's reader, the way through a peer, and the restart itself. */
 #define COLD_EXPECTED_MS 1500
@@ -76,6 +77,13 @@
     GArray *loads; /* BsTargetLoad */
 } BsTargetPeer;
 
+/* What this instance may send to another data centre whose load is guessed. */
+typedef struct {
+    double level; /* requests */
+    int64_t filled_ms;
+    uint32_t free; /* places that seem free there, while choosing */
+} BsTargetAllowance;
+
 struct BsTargets {
     GHashTable *by_id;    /* id to BsTarget */
     GHashTable *by_hash;  /* uint64_t to BsTarget, not owned */
@@ -86,6 +94,7 @@
     char *region;
     double share;
     int64_t far_age_ms;
+    GHashTable *allowances; /* data centre to BsTargetAllowance */
     uint32_t address;
     GArray *senders; /* BsTargetSender; empty while alone */
 };
@@ -136,6 +145,8 @@
     targets->data_centre = g_strdup(data_centre);
     targets->region = g_strdup(region);
     targets->share = 1.0;
+    targets->allowances =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     targets->senders = g_array_new(FALSE, FALSE, sizeof(BsTargetSender));
     return targets;
 }
@@ -147,6 +158,7 @@
         return;
     }
     g_array_unref(targets->senders);
+    g_hash_table_destroy(targets->allowances);
     g_hash_table_destroy(targets->peers);
     g_hash_table_destroy(targets->closed);
     g_hash_table_destroy(targets->services);
@@ -558,6 +570,68 @@
     return S_load(target) < target->slots;
 }
 
+static BsTargetAllowance *
+S_allowance(BsTargets *targets, const char *data_centre)
+{
+    BsTargetAllowance *allowance =
+        g_hash_table_lookup(targets->allowances, data_centre);
+    if (allowance == NULL) {
+        allowance = g_new0(BsTargetAllowance, 1);
+        g_hash_table_insert(targets->allowances, g_strdup(data_centre),
+                            allowance);
+    }
+    return allowance;
+}
+
+/* Counts the places that seem free in each other data centre. */
+static void
+S_count_free(BsTargets *targets, const GPtrArray *list,
+             const BsTargetQuery *query, int64_t now_ms)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, targets->allowances);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        ((BsTargetAllowance *)value)->free = 0;
+    }
+    for (guint i = 0; i < list->len; i++) {
+        const BsTarget *target = list->pdata[i];
+        if (S_is_guessed(targets, target) && target->failures == 0 &&
+            S_is_open(targets, target, query, now_ms)) {
+            S_allowance(targets, target->data_centre)->free +=
+                target->slots - MIN(target->slots, S_load(target));
+        }
+    }
+}
+
+/* Shares the places that seem free elsewhere among all instances that may look
+   at them before they hear of each other. */
+static void
+S_fill_allowances(BsTargets *targets, const GPtrArray *list,
+                  const BsTargetQuery *query, bool needy, int64_t now_ms)
+{
+    double takers = MAX(targets->senders->len, 1);
+    GHashTableIter iter;
+    gpointer value;
+    S_count_free(targets, list, query, now_ms);
+    g_hash_table_iter_init(&iter, targets->allowances);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        BsTargetAllowance *allowance = value;
+        double ages = (double)(now_ms - allowance->filled_ms) /
+                      (double)targets->far_age_ms;
+        double share = allowance->free * (needy ? FAR_NEEDY_PART : 1) / takers;
+        allowance->level = MIN(allowance->level + ages * share, MAX(share, 1));
+        allowance->filled_ms = now_ms;
+    }
+}
+
+/* Returns whether one more request may go to the data centre of TARGET. */
+static bool
+S_is_allowed(BsTargets *targets, const BsTarget *target)
+{
+    return S_allowance(targets, target->data_centre)->level >= 1;
+}
+
 /* Returns a cost that differs by instance, target and time. */
 static double
 S_chance(const BsTargets *targets, const BsTarget *target, int64_t now_ms)
@@ -598,33 +672,53 @@
     return true;
 }
 
-BsTarget *
-BsTargets_Choose(BsTargets *targets, const BsTargetQuery *query,
-                 int64_t now_ms, BsTargetVerdict *verdict)
+/* Returns the cheapest free target, with known (GUESSED false) or guessed
+   load. */
+static BsTarget *
+S_cheapest(BsTargets *targets, const GPtrArray *list,
+           const BsTargetQuery *query, const BsTargetContext *context,
+           bool guessed, int64_t now_ms, BsTargetVerdict *verdict)
 {
-    const GPtrArray *list =
-        g_hash_table_lookup(targets->services, query->service->name);
     BsTarget *best = NULL;
     double best_cost = HUGE_VAL;
-    *verdict = BS_TARGET_NONE;
-    if (list == NULL) {
-        return NULL;
-    }
-    BsTargetContext context = S_survey(targets, list, query, now_ms);
     for (guint i = 0; i < list->len; i++) {
         BsTarget *target = list->pdata[i];
-        if (!S_is_free(targets, target, query, now_ms, verdict)) {
+        if (S_is_guessed(targets, target) != guessed ||
+            !S_is_free(targets, target, query, now_ms, verdict) ||
+            (guessed && !S_is_allowed(targets, target))) {
             continue;
         }
-        double cost = S_cost(targets, target, query, &context, now_ms);
-        if (S_is_guessed(targets, target)) {
-            cost += GUESSED_COST_MS + S_chance(targets, target, now_ms);
+        double cost = S_cost(targets, target, query, context, now_ms);
+        if (guessed) {
+            cost += S_chance(targets, target, now_ms);
         }
         if (cost < best_cost) {
             best = target;
             best_cost = cost;
         }
     }
+    return best;
+}
+
+BsTarget *
+BsTargets_Choose(BsTargets *targets, const BsTargetQuery *query,
+                 int64_t now_ms, BsTargetVerdict *verdict)
+{
+    const GPtrArray *list =
+        g_hash_table_lookup(targets->services, query->service->name);
+    *verdict = BS_TARGET_NONE;
+    if (list == NULL) {
+        return NULL;
+    }
+    BsTargetContext context = S_survey(targets, list, query, now_ms);
+    BsTarget *best =
+        S_cheapest(targets, list, query, &context, false, now_ms, verdict);
+    if (best == NULL && targets->far_age_ms > FAR_FRESH_MS) {
+        bool needy = *verdict == BS_TARGET_NONE;
+        S_fill_allowances(targets, list, query, needy, now_ms);
+        best =
+            S_cheapest(targets, list, query, &context, true, now_ms, verdict);
+    }
     if (best != NULL) {
         *verdict = BS_TARGET_CHOSEN;
     }
@@ -656,7 +750,9 @@
 BsTargets_Sent(BsTargets *targets, BsTarget *target,
                const BsTargetQuery *query, int64_t now_ms)
 {
-    (void)targets;
+    if (S_is_guessed(targets, target)) {
+        S_allowance(targets, target->data_centre)->level -= 1;
+    }
     target->own++;
     target->own_waiting_tokens += query->prompt_tokens;
     if (S_is_cold(target, now_ms)) {
