--- a/src/targets.c
+++ b/src/targets.c
@@ -64,10 +64,6 @@
 /* How long peers are told of a cold spell that is over. */
 #define COLD_TOLD_MS 2000
 
-/* Time in which the listing of a restarted target arrives: a pause of the
-   store's reader, the way through a peer, and the restart itself. */
-#define COLD_EXPECTED_MS 1500
-
 /* Burst of a cold target, in seconds of its rate. */
 #define COLD_BURST_S 0.25
 
@@ -244,6 +240,7 @@
     target->error_ratio = 0;
     target->pace_ms = 0;
     target->cold_level = 0;
+    target->was_down = false;
 }
 
 /* Returns whether ENTRY was written before what is known of TARGET. */
@@ -278,7 +275,6 @@
     target->sequence = entry->sequence;
     target->draining = entry->draining;
     target->gone_at_ms = INT64_MAX;
-    /* What the entry says goes before what was expected. */
     BsTargets_SetCold(target, entry->cold_ms, now_ms);
     return is_new;
 }
@@ -754,6 +750,7 @@
         S_allowance(targets, target->data_centre)->level -= 1;
     }
     target->own++;
+    target->cold_ms = query->service->cold_ms;
     target->own_waiting_tokens += query->prompt_tokens;
     if (S_is_cold(target, now_ms)) {
         target->cold_sent++;
@@ -784,13 +781,14 @@
     return pause_ms;
 }
 
-/* A target that takes no connections is down, and cold when it is back; the
-   platform tells so only later. */
+/* A target that took no connections was down, and is cold when it is back; the
+   platform may tell so late, or not while its store is away. */
 static void
-S_expect_cold(BsTarget *target, int64_t now_ms)
+S_note_return(BsTarget *target, int64_t now_ms)
 {
-    if (target->cold_until_ms < now_ms + COLD_EXPECTED_MS) {
-        BsTargets_SetCold(target, COLD_EXPECTED_MS, now_ms);
+    if (target->was_down) {
+        target->was_down = false;
+        BsTargets_SetCold(target, target->cold_ms, now_ms);
     }
 }
 
@@ -833,11 +831,13 @@
     BsTargets_Started(target, prompt_tokens);
     switch (end) {
     case BS_TARGET_GOOD:
+        S_note_return(target, now_ms);
         target->failures = 0;
         S_note_error(target, 0);
         S_note_pace(target, pace_ms);
         break;
     case BS_TARGET_ERROR:
+        S_note_return(target, now_ms);
         target->failures = 0;
         S_note_error(target, 1);
         break;
@@ -846,11 +846,17 @@
             MAX(target->retry_at_ms, now_ms + REFUSED_PAUSE_MS);
         break;
     case BS_TARGET_UNREACHED:
-        S_expect_cold(target, now_ms);
+        target->was_down = true;
         S_note_error(target, 1);
         pause_ms = S_note_failure(target, now_ms);
         break;
     case BS_TARGET_MISDIRECTED:
+        /* It is not at its address; off the list, it is gone. */
+        target->gone_at_ms =
+            target->gone_at_ms == INT64_MAX ? INT64_MAX : now_ms;
+        S_note_error(target, 1);
+        pause_ms = S_note_failure(target, now_ms);
+        break;
     case BS_TARGET_BROKE:
         S_note_error(target, 1);
         pause_ms = S_note_failure(target, now_ms);
--- a/src/targets.h
+++ b/src/targets.h
@@ -41,6 +41,8 @@
     int64_t born_ms;
     int64_t sequence;
     int64_t cold_until_ms;
+    int64_t cold_ms;    /* how long a start of it takes to full speed */
+    bool was_down;      /* took no connection since it last answered */
     int64_t gone_at_ms; /* removed from the list but still in use until then;
                            INT64_MAX when listed */
     bool draining;
--- a/tests/gate/gatescript_targets.c
+++ b/tests/gate/gatescript_targets.c
@@ -54,11 +54,13 @@
     return true;
 }
 
-/* service engine cold-per-s=N */
+/* service engine cold-per-s=N cold-ms=MS */
 static bool
 S_service(GateScript *script, char **arguments)
 {
     script->service->engine = GateScript_Flag(arguments, "engine");
+    script->service->cold_ms =
+        (uint32_t)GateScript_Number(arguments, "cold-ms", 0);
     script->service->cold_per_s =
         (double)GateScript_Number(arguments, "cold-per-s", 0);
     return true;
