--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 	$(if $(KNOWN_RED),-E '^($(KNOWN_RED))$$')
 
 .PHONY: all build check test asan format format-check lint soak soak-once \
-	clean slopes policy demo packages bench
+	clean slopes policy demo packages bench faults faults-regressions
 
 all: build
 
@@ -53,6 +53,20 @@
 	BS_SEED=$(SEED) BS_SEEDS=$(SEEDS) \
 		$(BUILD)/bin/api_test --gtest_filter='*Soak*'
 
+# The gateway's fault soak: SEED and COUNT choose the seeds, FAULTS more
+# options (see tests/soak/README.md).
+COUNT ?= 1
+FAULTS ?=
+faults: build
+	tests/soak/soak.sh $(BUILD)/bin $(SEED) $(COUNT) $(FAULTS)
+
+# Every seed that ever failed.
+faults-regressions: build
+	set -e; for seed in $$(sed -n 's/^\([0-9][0-9]*\).*/\1/p' \
+		tests/soak/regressions.txt); do \
+		tests/soak/soak.sh $(BUILD)/bin $$seed 1; \
+	done
+
 # The walk of bookings over many seeds, for each mix of faults.
 SOAK_SEEDS ?= 1 1000
 soak-once: build
--- a/src/cli_check.c
+++ b/src/cli_check.c
@@ -1,6 +1,7 @@
 /* cli_check.c - boragespur check. */
 #include "cli_command.h"
 
+#include "gatesettings.h"
 #include "settings.h"
 #include "sheet.h"
 
@@ -16,6 +17,23 @@
                                 G_REGEX_MULTILINE, 0);
 }
 
+/* Returns whether TEXT is the settings of a gateway: only those name a store.
+ */
+static bool
+S_is_gateway(const char *text)
+{
+    return g_regex_match_simple("^(store|data_centres|bounds)\\s*:", text,
+                                G_REGEX_MULTILINE, 0);
+}
+
+static bool
+S_check_gateway(const char *file, GError **error)
+{
+    BsGateSettings *settings = BsGateSettings_Load(file, error);
+    BsGateSettings_Destroy(settings);
+    return settings != NULL;
+}
+
 static bool
 S_check_sheet(const char *file, const char *text, size_t size, GError **error)
 {
@@ -62,11 +80,17 @@
     GError *error = NULL;
     char *text = NULL;
     gsize size = 0;
-    bool sheet =
-        g_file_get_contents(file, &text, &size, NULL) && S_is_sheet(text);
-    bool valid = sheet ? S_check_sheet(file, text, size, &error)
-                       : S_check_settings(file, &error);
-    S_print(options, file, sheet ? "sheet" : "settings", error);
+    bool readable = g_file_get_contents(file, &text, &size, NULL);
+    bool sheet = readable && S_is_sheet(text);
+    bool gateway = readable && !sheet && S_is_gateway(text);
+    bool valid = sheet     ? S_check_sheet(file, text, size, &error)
+                 : gateway ? S_check_gateway(file, &error)
+                           : S_check_settings(file, &error);
+    S_print(options, file,
+            sheet     ? "sheet"
+            : gateway ? "gateway settings"
+                      : "settings",
+            error);
     g_clear_error(&error);
     g_free(text);
     return valid ? BS_EXIT_OK : BS_EXIT_USAGE;
--- /dev/null
+++ b/tests/gate/settings_test.cc
@@ -0,0 +1,93 @@
+// A gateway's settings: what is refused, and that one line names the remedy.
+#include "harness.h"
+
+#include <algorithm>
+#include <fstream>
+#include <gtest/gtest.h>
+#include <string>
+#include <unistd.h>
+
+namespace {
+
+const char kGood[] = "name: gw\n"
+                     "data_centre: z1\n"
+                     "region: north\n"
+                     "data_centres:\n"
+                     "  - { name: z1, region: north }\n"
+                     "callers: \"127.0.0.1:1\"\n"
+                     "ready: \"127.0.0.1:2\"\n"
+                     "admin: \"127.0.0.1:3\"\n"
+                     "peers: \"127.0.0.1:4\"\n"
+                     "seeds:\n"
+                     "  - \"127.0.0.1:5\"\n"
+                     "store: \"127.0.0.1:6\"\n"
+                     "machine: { memory_mb: 110, descriptors: 4100 }\n"
+                     "bounds:\n"
+                     "  drain_ms: 2500\n"
+                     "  grace_s: 8\n"
+                     "  retry_ratio: 0.2\n"
+                     "  retry_slack: 58\n"
+                     "  retry_window_s: 10\n"
+                     "  quota_over: 0.25\n"
+                     "  quota_slack: 110000\n";
+
+struct SettingsCase {
+    const char *name;
+    const char *from; // replaced in kGood
+    const char *to;
+    const char *tells; // "" when the file is valid
+};
+
+const SettingsCase kCases[] = {
+    {"Good", "", "", ""},
+    {"UnknownKeyIsIgnored", "name: gw\n", "name: gw\nshape: round\n", ""},
+    {"NoSeeds", "seeds:\n  - \"127.0.0.1:5\"\n", "", ""},
+    {"EmptySeeds", "seeds:\n  - \"127.0.0.1:5\"\n", "seeds: [ ]\n", ""},
+    {"MissingName", "name: gw\n", "", "name"},
+    {"MissingStore", "store: \"127.0.0.1:6\"\n", "", "store"},
+    {"BadAddress", "127.0.0.1:1\"", "somewhere\"", "callers"},
+    {"BadPort", "127.0.0.1:2\"", "127.0.0.1:99999\"", "ready"},
+    {"BadSeed", "127.0.0.1:5", "seed", "seeds"},
+    {"UnknownDataCentre", "data_centre: z1", "data_centre: z9", "data_centre"},
+    {"OtherRegion", "region: north\ndata", "region: south\ndata", "region"},
+    {"TextForNumber", "grace_s: 8", "grace_s: long", "bounds.grace_s"},
+    {"NoGrace", "grace_s: 8", "grace_s: 0", "bounds.grace_s"},
+    {"LargeRatio", "retry_ratio: 0.2", "retry_ratio: 7", "bounds.retry_ratio"},
+    {"LittleMemory", "memory_mb: 110", "memory_mb: 1", "machine.memory_mb"},
+    {"MissingBound", "  drain_ms: 2500\n", "", "drain_ms"},
+};
+
+class GateSettings : public testing::TestWithParam<SettingsCase> {};
+
+TEST_P(GateSettings, AreCheckedWithARemedy)
+{
+    const SettingsCase &row = GetParam();
+    std::string text(kGood);
+    std::string from(row.from);
+    if (!from.empty()) {
+        ASSERT_NE(text.find(from), std::string::npos);
+        text.replace(text.find(from), from.size(), row.to);
+    }
+    char path[] = "/tmp/gate-settings-XXXXXX";
+    close(mkstemp(path));
+    std::ofstream(path) << text;
+    std::string output;
+    int code = RunProgram({BORAGESPUR, "check", path}, &output);
+    unlink(path);
+    bool valid = std::string(row.tells).empty();
+    EXPECT_EQ(code, valid ? 0 : 2) << output;
+    EXPECT_EQ(std::count(output.begin(), output.end(), '\n'), 1) << output;
+    EXPECT_NE(output.find(valid ? "valid gateway settings" : row.tells),
+              std::string::npos)
+        << output;
+    if (!valid) {
+        EXPECT_NE(output.find("allowed: "), std::string::npos) << output;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Files, GateSettings, testing::ValuesIn(kCases),
+                         [](const auto &info) {
+                             return std::string(info.param.name);
+                         });
+
+} // namespace
