Requests in line are judged by when they must be sent; callers come back later

predict: the first event's time, learned by service from prompt length, names the moment by which a request must be sent; later ones stand behind those that can still be in time. Time to come back: as long as the overload has lasted, at most a third of what the caller has. Ruled out: refusing as soon as the objective cannot be met (a late answer is still of use, and places may be free).

--- a/src/gw_attempt.c
+++ b/src/gw_attempt.c
@@ -291,6 +291,9 @@
         relay->first_event_ms = relay->heard_ms;
         BsHistogram_Observe(relay->gate->first_events, relay->route->name,
                             relay->heard_ms - relay->sent_ms);
+        BsPredictors_Observe(relay->gate->predictors, relay->service->name,
+                             relay->info.prompt_tokens,
+                             relay->heard_ms - relay->sent_ms);
         relay->prefill_told = true;
         BsTargets_Started(relay->target, relay->info.prompt_tokens);
     }
--- a/src/gw_gate.h
+++ b/src/gw_gate.h
@@ -16,6 +16,7 @@
 #include "gw_outbound.h"
 #include "histogram.h"
 #include "line.h"
+#include "predict.h"
 #include "quota.h"
 #include "targets.h"
 #include "wire.h"
@@ -39,6 +40,8 @@
     BsQuotas *quotas;
     BsRetryBudget *retries;
     BsLine *line;
+    BsPredictors *predictors;
+    BsOverload overload;
     GRand *random;
     BsCatalog *catalog;    /* in force; NULL until one is known */
     unsigned instances;    /* of the fleet, this one too */
--- a/src/gw_gateway.c
+++ b/src/gw_gateway.c
@@ -475,6 +475,7 @@
         BsRetryBudget_Create(bounds->retry_ratio, bounds->retry_slack,
                              (int64_t)bounds->retry_window_s * MS_PER_S);
     gate->line = BsLine_Create();
+    gate->predictors = BsPredictors_Create();
     gate->random = g_rand_new_with_seed(S_random());
     gate->instances = MAX(settings->seeds_count, 1);
 }
@@ -546,6 +547,7 @@
     BsQuotas_Destroy(gate->quotas);
     BsRetryBudget_Destroy(gate->retries);
     BsLine_Destroy(gate->line);
+    BsPredictors_Destroy(gate->predictors);
     BsCatalog_Unref(gate->catalog);
     BsCounters_Destroy(gate->counters);
     BsHistogram_Destroy(gate->durations);
--- a/src/gw_relay.c
+++ b/src/gw_relay.c
@@ -15,7 +15,9 @@
 
 /* Time to come back that is told when no place is expected sooner. */
 #define RETRY_MIN_MS 300
-#define RETRY_SPREAD_MS 700
+
+/* Part by which that time varies, so that callers do not come back in step. */
+#define RETRY_SPREAD 0.5
 
 /* Share of places taken below which an account may go over its limit: what is
    left takes in a burst of the others. */
@@ -114,10 +116,10 @@
         relay->gate->wire->write_request_id(relay->id, headers);
     }
     if (retry_ms > 0) {
-        int64_t spread_ms =
-            g_rand_int_range(relay->gate->random, 0, RETRY_SPREAD_MS);
+        double spread =
+            g_rand_double_range(relay->gate->random, 1, 1 + RETRY_SPREAD);
         double retry_s =
-            (double)(MAX(retry_ms, RETRY_MIN_MS) + spread_ms) / MS_PER_S;
+            (double)MAX(retry_ms, RETRY_MIN_MS) * spread / MS_PER_S;
         char text[G_ASCII_DTOSTR_BUF_SIZE];
         g_ascii_formatd(text, sizeof(text), "%.2f", retry_s);
         g_string_append_printf(headers, "Retry-After: %s\r\n", text);
@@ -147,8 +149,10 @@
         BsRelay_Refuse(relay, ran ? 504 : 503, "expired", ran ? 0 : 1);
     }
     else if (relay->waiting != NULL && now_ms >= relay->gives_up_ms) {
+        int64_t return_ms = BsOverload_Refuse(
+            &relay->gate->overload, relay->expires_ms - now_ms, now_ms);
         BsRelay_Refuse(relay, relay->may_have_run ? 502 : 503, "no_place",
-                       relay->may_have_run ? 0 : 1);
+                       relay->may_have_run ? 0 : return_ms);
     }
     else if (now_ms >= BsAttempt_PatienceMs(relay)) {
         BsAttempt_OnSilence(relay);
@@ -175,6 +179,16 @@
 
 /* ----------------------------------------------------------- waiting -- */
 
+/* Returns until when the request must be sent to meet its objective. */
+static int64_t
+S_in_time_ms(const BsRelay *relay)
+{
+    int64_t first_ms =
+        BsPredictors_FirstMs(relay->gate->predictors, relay->service->name,
+                             relay->info.prompt_tokens);
+    return relay->arrived_ms + relay->route->target_ms - first_ms;
+}
+
 static void
 S_wait(BsRelay *relay)
 {
@@ -184,7 +198,7 @@
                             : 0,
         .route_rank = relay->route->rank,
         .since_ms = relay->arrived_ms,
-        .in_time_ms = relay->arrived_ms + relay->route->target_ms,
+        .in_time_ms = S_in_time_ms(relay),
     };
     relay->waiting = BsLine_Add(relay->gate->line, &place, relay);
     BsRelay_Log(relay, BS_EVENT_DETAIL, "waits", NULL);
--- /dev/null
+++ b/src/predict.c
@@ -0,0 +1,118 @@
+/* predict.c - how long an upstream takes to the first event of an answer. */
+#include "predict.h"
+
+#include <math.h>
+
+/* What a sample weighs after the next one came: some 200 count. */
+#define FORGET 0.995
+
+/* Samples before a prediction is made. */
+#define SAMPLES_MIN 8.0
+
+/* Mean deviations added to the mean: most answers begin by then. */
+#define DEVIATIONS 1.0
+#define DEVIATION_WEIGHT 0.05
+
+/* Refusals further apart than this do not belong to one overload. */
+#define OVERLOAD_GAP_MS 1000
+
+/* Times to come back: a place is free again after about a request's run; and
+   callers wait for a third of their time at most. */
+#define RETURN_MIN_MS 300
+#define RETURN_PART 3
+
+typedef struct {
+    double weight; /* of all samples */
+    double x;      /* sums, with x the tokens and y the milliseconds */
+    double y;
+    double xx;
+    double xy;
+    double deviation_ms;
+} BsPredictor;
+
+struct BsPredictors {
+    GHashTable *services; /* name to BsPredictor */
+};
+
+BsPredictors *
+BsPredictors_Create(void)
+{
+    BsPredictors *predictors = g_new0(BsPredictors, 1);
+    predictors->services =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    return predictors;
+}
+
+void
+BsPredictors_Destroy(BsPredictors *predictors)
+{
+    if (predictors != NULL) {
+        g_hash_table_destroy(predictors->services);
+        g_free(predictors);
+    }
+}
+
+/* Returns the mean time for a prompt of TOKENS. */
+static double
+S_mean_ms(const BsPredictor *self, double tokens)
+{
+    double mean_x = self->x / self->weight;
+    double mean_y = self->y / self->weight;
+    double spread = self->xx / self->weight - mean_x * mean_x;
+    double slope = 0;
+    if (spread > 1) {
+        slope = (self->xy / self->weight - mean_x * mean_y) / spread;
+    }
+    /* A longer prompt never takes less; the slope of a few samples may. */
+    slope = MAX(slope, 0);
+    return MAX(0, mean_y + slope * (tokens - mean_x));
+}
+
+void
+BsPredictors_Observe(BsPredictors *predictors, const char *service,
+                     uint32_t prompt_tokens, int64_t first_ms)
+{
+    BsPredictor *self = g_hash_table_lookup(predictors->services, service);
+    double x = prompt_tokens;
+    double y = (double)first_ms;
+    if (self == NULL) {
+        self = g_new0(BsPredictor, 1);
+        g_hash_table_insert(predictors->services, g_strdup(service), self);
+    }
+    if (self->weight >= 1) {
+        double miss_ms = fabs(y - S_mean_ms(self, x));
+        self->deviation_ms +=
+            DEVIATION_WEIGHT * (miss_ms - self->deviation_ms);
+    }
+    self->weight = self->weight * FORGET + 1;
+    self->x = self->x * FORGET + x;
+    self->y = self->y * FORGET + y;
+    self->xx = self->xx * FORGET + x * x;
+    self->xy = self->xy * FORGET + x * y;
+}
+
+int64_t
+BsPredictors_FirstMs(const BsPredictors *predictors, const char *service,
+                     uint32_t prompt_tokens)
+{
+    const BsPredictor *self =
+        g_hash_table_lookup(predictors->services, service);
+    if (self == NULL || self->weight < SAMPLES_MIN) {
+        return 0;
+    }
+    return (int64_t)(S_mean_ms(self, prompt_tokens) +
+                     DEVIATIONS * self->deviation_ms);
+}
+
+int64_t
+BsOverload_Refuse(BsOverload *overload, int64_t left_ms, int64_t now_ms)
+{
+    if (overload->last_ms == 0 ||
+        now_ms - overload->last_ms > OVERLOAD_GAP_MS) {
+        overload->since_ms = now_ms;
+    }
+    overload->last_ms = now_ms;
+    int64_t lasted_ms = now_ms - overload->since_ms;
+    int64_t most_ms = MAX(left_ms / RETURN_PART, RETURN_MIN_MS);
+    return CLAMP(lasted_ms, RETURN_MIN_MS, most_ms);
+}
--- /dev/null
+++ b/tests/gate/predict_test.cc
@@ -0,0 +1,77 @@
+// Predictions of the first event, and times to come back.
+#include <gtest/gtest.h>
+
+extern "C" {
+#include "predict.h"
+}
+
+namespace {
+
+class Predict : public testing::Test {
+  protected:
+    Predict() : predictors_(BsPredictors_Create())
+    {
+    }
+    ~Predict() override
+    {
+        BsPredictors_Destroy(predictors_);
+    }
+    BsPredictors *predictors_;
+};
+
+TEST_F(Predict, NothingSeenPredictsNothing)
+{
+    EXPECT_EQ(BsPredictors_FirstMs(predictors_, "desk", 1000), 0);
+    BsPredictors_Observe(predictors_, "desk", 1000, 70);
+    EXPECT_EQ(BsPredictors_FirstMs(predictors_, "desk", 1000), 0);
+}
+
+// Long prompts beside short ones: each is predicted by its own length.
+TEST_F(Predict, LongPromptsTakeLonger)
+{
+    for (int i = 0; i < 300; i++) {
+        uint32_t tokens = 200 + (uint32_t)(i * 37 % 4000);
+        BsPredictors_Observe(predictors_, "desk", tokens, 50 + tokens / 50);
+    }
+    EXPECT_NEAR((double)BsPredictors_FirstMs(predictors_, "desk", 500), 60, 5);
+    EXPECT_NEAR((double)BsPredictors_FirstMs(predictors_, "desk", 8000), 210,
+                8);
+    EXPECT_EQ(BsPredictors_FirstMs(predictors_, "other", 500), 0);
+}
+
+// Engines that slow down: old samples are forgotten.
+TEST_F(Predict, FollowsASlowdown)
+{
+    for (int i = 0; i < 300; i++) {
+        BsPredictors_Observe(predictors_, "desk", 1000, 60);
+    }
+    for (int i = 0; i < 1200; i++) {
+        BsPredictors_Observe(predictors_, "desk", 1000, 240);
+    }
+    EXPECT_NEAR((double)BsPredictors_FirstMs(predictors_, "desk", 1000), 240,
+                15);
+}
+
+TEST_F(Predict, NoisyAnswersArePredictedLater)
+{
+    for (int i = 0; i < 400; i++) {
+        BsPredictors_Observe(predictors_, "desk", 1000, i % 2 ? 50 : 250);
+    }
+    EXPECT_GT(BsPredictors_FirstMs(predictors_, "desk", 1000), 220);
+}
+
+// A noon burst: the longer it has lasted, the later callers come back, up to a
+// third of the time they have.
+TEST(Overload, TimesToComeBackGrowWithIt)
+{
+    BsOverload overload = {};
+    EXPECT_EQ(BsOverload_Refuse(&overload, 15000, 10000), 300);
+    EXPECT_EQ(BsOverload_Refuse(&overload, 15000, 10600), 600);
+    EXPECT_EQ(BsOverload_Refuse(&overload, 15000, 11200), 1200);
+    EXPECT_EQ(BsOverload_Refuse(&overload, 3000, 11900), 1000);
+    EXPECT_EQ(BsOverload_Refuse(&overload, 600, 11900), 300);
+    // It is over: the next one begins anew.
+    EXPECT_EQ(BsOverload_Refuse(&overload, 15000, 20000), 300);
+}
+
+} // namespace
