--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -130,6 +130,9 @@
 SoakProxy *SoakProxy_Create(Soak *soak, const struct sockaddr_in *listen,
                             const struct sockaddr_in *target);
 void SoakProxy_Destroy(SoakProxy *proxy);
+
+/* Refuses connections, as an upstream that is down does, or takes them. */
+void SoakProxy_SetListening(SoakProxy *proxy, bool listening);
 void SoakProxy_SetMode(SoakProxy *proxy, SoakProxyMode mode);
 
 /* --------------------------------------------------------------- gateway --
--- a/tests/soak/soak_proxy.c
+++ b/tests/soak/soak_proxy.c
@@ -27,6 +27,7 @@
 
 struct SoakProxy {
     Soak *soak;
+    struct sockaddr_in listen;
     struct sockaddr_in target;
     SoakProxyMode mode;
     int fd;
@@ -142,33 +143,49 @@
     }
 }
 
-SoakProxy *
-SoakProxy_Create(Soak *soak, const struct sockaddr_in *listen_address,
-                 const struct sockaddr_in *target)
+void
+SoakProxy_SetListening(SoakProxy *proxy, bool listening)
 {
-    SoakProxy *proxy = g_new0(SoakProxy, 1);
     int on = 1;
-    proxy->soak = soak;
-    proxy->target = *target;
-    proxy->pairs = g_hash_table_new_full(NULL, NULL, S_free_pair, NULL);
+    if (!listening) {
+        ev_io_stop(proxy->soak->loop, &proxy->accept);
+        close(proxy->fd);
+        proxy->fd = -1;
+        g_hash_table_remove_all(proxy->pairs);
+        return;
+    }
     proxy->fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     setsockopt(proxy->fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-    if (bind(proxy->fd, (const struct sockaddr *)listen_address,
-             sizeof(*listen_address)) != 0 ||
+    if (bind(proxy->fd, (const struct sockaddr *)&proxy->listen,
+             sizeof(proxy->listen)) != 0 ||
         listen(proxy->fd, 256) != 0) {
         g_error("proxy: cannot listen; is another soak running?");
     }
     ev_io_init(&proxy->accept, S_on_accept, proxy->fd, EV_READ);
     proxy->accept.data = proxy;
-    ev_io_start(soak->loop, &proxy->accept);
+    ev_io_start(proxy->soak->loop, &proxy->accept);
+}
+
+SoakProxy *
+SoakProxy_Create(Soak *soak, const struct sockaddr_in *listen_address,
+                 const struct sockaddr_in *target)
+{
+    SoakProxy *proxy = g_new0(SoakProxy, 1);
+    proxy->soak = soak;
+    proxy->listen = *listen_address;
+    proxy->target = *target;
+    proxy->pairs = g_hash_table_new_full(NULL, NULL, S_free_pair, NULL);
+    SoakProxy_SetListening(proxy, true);
     return proxy;
 }
 
 void
 SoakProxy_Destroy(SoakProxy *proxy)
 {
-    ev_io_stop(proxy->soak->loop, &proxy->accept);
-    close(proxy->fd);
+    if (proxy->fd >= 0) {
+        ev_io_stop(proxy->soak->loop, &proxy->accept);
+        close(proxy->fd);
+    }
     g_hash_table_destroy(proxy->pairs);
     g_free(proxy);
 }
--- a/tests/soak/soak_runner.c
+++ b/tests/soak/soak_runner.c
@@ -342,6 +342,7 @@
     runner->incarnation++;
     runner->sequence = 0;
     S_open(runner);
+    SoakProxy_SetListening(runner->proxy, true);
     SoakRunner_List(runner, "ready", 1500);
 }
 
@@ -354,6 +355,7 @@
     runner->away = true;
     BsInboundServer_Destroy(runner->server);
     runner->server = NULL;
+    SoakProxy_SetListening(runner->proxy, false);
     g_ptr_array_set_size(runner->runs, 0);
     runner->running = 0;
     ev_timer_set(&runner->back, away_ms / 1000.0, 0);
