--- a/src/gw_attempt.c
+++ b/src/gw_attempt.c
@@ -18,6 +18,9 @@
 /* Silence at which a request that may repeat is tried elsewhere. */
 #define SILENCE_MIN_MS 300
 
+/* The same, in multiples, where the upstream answers others meanwhile. */
+#define ALIVE_FACTOR 2
+
 /* Pause between events at which a stream that may be resumed goes on at
    another upstream: above a preempted run's pause. */
 #define STREAM_SILENCE_MS 1000
@@ -252,6 +255,7 @@
     BsAnswerInfo info;
     gate->wire->read_answer(head, &info);
     relay->heard_ms = BsClock_NowMs(gate->clock);
+    BsTargets_Heard(relay->target, relay->heard_ms);
     if (info.cold_ms > 0) {
         BsTargets_SetCold(relay->target, info.cold_ms, relay->heard_ms);
     }
@@ -286,6 +290,7 @@
         return;
     }
     relay->heard_ms = BsClock_NowMs(relay->gate->clock);
+    BsTargets_Heard(relay->target, relay->heard_ms);
     unsigned events = BsAnswer_Take(relay, data, size_bytes);
     if (events > 0 && relay->events == 0) {
         relay->first_event_ms = relay->heard_ms;
@@ -300,18 +305,45 @@
     relay->events += events;
 }
 
+/* Returns whether another upstream has a place for the request now. */
+static bool
+S_has_other(BsRelay *relay)
+{
+    BsTargetQuery query;
+    BsTargetVerdict verdict;
+    if (relay->excluded_count >= BS_RELAY_EXCLUDED_MAX) {
+        return false;
+    }
+    size_t count = relay->excluded_count;
+    relay->excluded[relay->excluded_count++] = relay->target->id;
+    BsAttempt_FillQuery(relay, &query);
+    const BsTarget *other =
+        BsTargets_Choose(relay->gate->targets, &query,
+                         BsClock_NowMs(relay->gate->clock), &verdict);
+    relay->excluded_count = count;
+    return other != NULL;
+}
+
+/* Returns whether the upstream's own failure is to be tried elsewhere instead
+   of being passed on. */
+static bool
+S_tries_after_error(BsRelay *relay)
+{
+    return S_may_repeat(relay) && !relay->answer.started &&
+           relay->attempts < relay->route->attempts_max &&
+           relay->sends < SENDS_MAX && relay->inbound != NULL &&
+           S_has_other(relay) &&
+           BsRetryBudget_Take(relay->gate->retries, relay->service->name,
+                              relay->gate->instances,
+                              BsClock_NowMs(relay->gate->clock));
+}
+
 /* A whole answer came that was made by running the request. */
 static void
 S_on_answer(BsRelay *relay)
 {
     bool failed = relay->judged == BS_TARGET_ERROR;
-    int64_t now_ms = BsClock_NowMs(relay->gate->clock);
-    bool again = failed && S_may_repeat(relay) && !relay->answer.started &&
-                 relay->attempts < relay->route->attempts_max &&
-                 relay->sends < SENDS_MAX && relay->inbound != NULL &&
-                 BsRetryBudget_Take(relay->gate->retries, relay->service->name,
-                                    relay->gate->instances, now_ms);
-    if (again) {
+    if (failed && S_tries_after_error(relay)) {
         S_exclude(relay, relay->target->id);
         S_close(relay, BS_TARGET_ERROR);
         BsCounters_Add(relay->gate->counters, "retries_total", 1);
@@ -410,6 +442,14 @@
     BsRelay_Schedule(relay);
 }
 
+/* Returns whether the upstream has said something since the request was sent
+   to it: it is slow, or full, but there. */
+static bool
+S_answers_others(const BsRelay *relay)
+{
+    return relay->target->heard_ms > relay->sent_ms;
+}
+
 int64_t
 BsAttempt_PatienceMs(const BsRelay *relay)
 {
@@ -428,13 +468,17 @@
     if (!may_go_on) {
         return INT64_MAX;
     }
-    return relay->sent_ms + MAX(SILENCE_MIN_MS, route->target_ms);
+    int64_t silence_ms = MAX(SILENCE_MIN_MS, route->target_ms);
+    return relay->sent_ms +
+           (S_answers_others(relay) ? ALIVE_FACTOR * silence_ms : silence_ms);
 }
 
 void
 BsAttempt_OnSilence(BsRelay *relay)
 {
+    BsTargetEnd end =
+        S_answers_others(relay) ? BS_TARGET_ERROR : BS_TARGET_BROKE;
     BsOutbound_Cancel(relay->call);
     relay->may_have_run = true;
-    S_on_failure(relay, BS_TARGET_BROKE, "silent");
+    S_on_failure(relay, end, "silent");
 }
--- a/src/targets.c
+++ b/src/targets.c
@@ -758,6 +758,12 @@
     }
 }
 
+void
+BsTargets_Heard(BsTarget *target, int64_t now_ms)
+{
+    target->heard_ms = now_ms;
+}
+
 void
 BsTargets_Started(BsTarget *target, uint32_t prompt_tokens)
 {
--- a/src/targets.h
+++ b/src/targets.h
@@ -55,6 +55,7 @@
     uint32_t failures;    /* in a row */
     int64_t retry_at_ms;  /* no work before, after failures */
     int64_t failed_at_ms; /* last failure */
+    int64_t heard_ms;     /* last byte of any answer */
     double error_ratio;   /* of recent answers */
     double pace_ms;       /* recent time an event or answer takes; 0: none */
 } BsTarget;
@@ -163,6 +164,9 @@
 void BsTargets_Sent(BsTargets *targets, BsTarget *target,
                     const BsTargetQuery *query, int64_t now_ms);
 
+/* Notes that TARGET sent something. */
+void BsTargets_Heard(BsTarget *target, int64_t now_ms);
+
 /* Notes the first event or byte of the answer to a request of
    PROMPT_TOKENS. */
 void BsTargets_Started(BsTarget *target, uint32_t prompt_tokens);
--- a/tests/gate/gateway_test.cc
+++ b/tests/gate/gateway_test.cc
@@ -240,6 +240,39 @@
     EXPECT_NE(answer.find("\r\n\r\nfailed"), std::string::npos);
 }
 
+TEST_F(GatewayTest, AFailureIsPassedOnWhereNoOtherUpstreamIsLeft)
+{
+    Start({[](Socket &socket, const Got &got) {
+        return socket.Write(SignedAnswer(got, "failed", 500));
+    }});
+    std::string answer = gateway_->Ask(Call("/look/1", "a"));
+    EXPECT_EQ(StatusOf(answer), 500);
+    EXPECT_NE(answer.find("Response-Signature: sig-a"), std::string::npos);
+}
+
+// Long prompts beside short ones: an upstream that answers others is slow, not
+// silent, and keeps its places.
+TEST_F(GatewayTest, ASlowAnswerDoesNotPauseAnUpstreamThatAnswersOthers)
+{
+    Start({[](Socket &socket, const Got &got) {
+        if (got.text.find("/look/slow") != std::string::npos) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(800));
+        }
+        return Answers(socket, got);
+    }});
+    std::unique_ptr<Socket> caller = gateway_->Open();
+    caller->Write(Call("/look/slow", "slow"));
+    ASSERT_TRUE(runners_[0]->WaitCount(1));
+    for (int i = 0; i < 10; i++) {
+        std::string id = "n" + std::to_string(i);
+        EXPECT_TRUE(IsHealthy(gateway_->Ask(Call("/look/1", id)), id));
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    }
+    EXPECT_TRUE(IsHealthy(caller->ReadMessage(), "slow"));
+    EXPECT_EQ(gateway_->Metrics().find("upstream_pauses_total"),
+              std::string::npos);
+}
+
 TEST_F(GatewayTest, AnUpstreamThatIsGoneIsNotSentTo)
 {
     int closed = FreePort();
