--- a/src/gw_relay.c
+++ b/src/gw_relay.c
@@ -248,8 +248,7 @@
         return;
     }
     int64_t now_ms = BsClock_NowMs(gate->clock);
-    GPtrArray *order = BsLine_Order(
-        gate->line, BsOverload_Lasts(&gate->overload, now_ms), now_ms);
+    GPtrArray *order = BsLine_Order(gate->line, now_ms);
     for (guint i = 0; i < order->len; i++) {
         BsRelay *relay = order->pdata[i];
         BsTargetQuery query;
--- a/src/line.c
+++ b/src/line.c
@@ -60,12 +60,6 @@
     return line->entries->len;
 }
 
-/* What the order depends on beside the entries. */
-typedef struct {
-    int64_t now_ms;
-    bool overloaded;
-} BsLineState;
-
 static int
 S_compare(int64_t a, int64_t b)
 {
@@ -77,33 +71,28 @@
 {
     const BsLinePlace *left = &(*(BsLineEntry *const *)a)->place;
     const BsLinePlace *right = &(*(BsLineEntry *const *)b)->place;
-    const BsLineState *state = data;
-    bool left_late = left->in_time_ms < state->now_ms;
-    bool right_late = right->in_time_ms < state->now_ms;
+    int64_t now_ms = *(const int64_t *)data;
     int order = S_compare(left->account_rank, right->account_rank);
     if (order == 0) {
         order = S_compare(left->route_rank, right->route_rank);
     }
     if (order == 0) {
-        order = left_late - right_late;
+        order = (left->in_time_ms < now_ms) - (right->in_time_ms < now_ms);
     }
     if (order == 0) {
         order = S_compare(left->since_ms, right->since_ms);
-        bool newest_first = state->overloaded && !left_late;
-        order = newest_first ? -order : order;
     }
     return order;
 }
 
 GPtrArray *
-BsLine_Order(const BsLine *line, bool overloaded, int64_t now_ms)
+BsLine_Order(const BsLine *line, int64_t now_ms)
 {
-    BsLineState state = {now_ms, overloaded};
     GPtrArray *order = g_ptr_array_sized_new(line->entries->len);
     for (guint i = 0; i < line->entries->len; i++) {
         g_ptr_array_add(order, line->entries->pdata[i]);
     }
-    g_ptr_array_sort_with_data(order, S_compare_entries, &state);
+    g_ptr_array_sort_with_data(order, S_compare_entries, &now_ms);
     for (guint i = 0; i < order->len; i++) {
         order->pdata[i] = ((BsLineEntry *)order->pdata[i])->request;
     }
--- a/src/line.h
+++ b/src/line.h
@@ -3,10 +3,7 @@
  *
  * Rules: a more urgent request goes first: by the rank of its account, then
  * that of its route.  Among equals, those that can still meet their objective
- * go before those that cannot, and the one that waits longest goes first.  In
- * an overload, when some must be refused anyway, the newest of those that can
- * still be in time goes first: served from the other end, each would have used
- * up most of its time in line.
+ * go before those that cannot, and the one that waits longest goes first.
  */
 #ifndef BS_LINE_H
 #define BS_LINE_H
@@ -39,7 +36,7 @@
 unsigned BsLine_Length(const BsLine *line);
 
 /* Returns the waiting requests in the order to be served at NOW_MS; free the
-   array with g_ptr_array_free().  OVERLOADED says that some are refused. */
-GPtrArray *BsLine_Order(const BsLine *line, bool overloaded, int64_t now_ms);
+   array with g_ptr_array_free(). */
+GPtrArray *BsLine_Order(const BsLine *line, int64_t now_ms);
 
 #endif /* BS_LINE_H */
--- a/tests/gate/gatescript_limits.c
+++ b/tests/gate/gatescript_limits.c
@@ -120,13 +120,11 @@
     return g_hash_table_remove(script->waiting, arguments[0]);
 }
 
-/* order [overloaded] */
 static bool
 S_order(GateScript *script, char **arguments)
 {
-    GPtrArray *order =
-        BsLine_Order(script->line, GateScript_Flag(arguments, "overloaded"),
-                     script->now_ms);
+    (void)arguments;
+    GPtrArray *order = BsLine_Order(script->line, script->now_ms);
     GString *text = g_string_new(NULL);
     for (guint i = 0; i < order->len; i++) {
         g_string_append_printf(text, " %s", (char *)order->pdata[i]);
