--- a/src/gw_gateway.c
+++ b/src/gw_gateway.c
@@ -9,6 +9,7 @@
 #include <stdio.h>
 #include <string.h>
 #include <sys/random.h>
+#include <sys/stat.h>
 #include <time.h>
 #include <unistd.h>
 
@@ -17,7 +18,8 @@
 /* How often news for peers and beliefs are checked against the clock. */
 #define TICK_S 0.005
 
-/* How often targets that are gone are dropped. */
+/* How often targets that are gone are dropped, and the settings file is looked
+   at: it may change without a signal. */
 #define PRUNE_MS 1000
 
 /* An entry that lapsed while the store was away is back this long after its
@@ -72,6 +74,7 @@
     ev_signal terminate;
     ev_signal interrupt;
     ev_signal hangup;
+    struct timespec read_at; /* change of the settings file that was read */
     int64_t stop_ms;
     int64_t pruned_ms;
 } BsGateway;
@@ -362,6 +365,9 @@
     }
 }
 
+static bool S_settings_changed(BsGateway *gateway);
+static void S_reload(BsGateway *gateway);
+
 static void
 S_on_tick(struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -378,6 +384,9 @@
     if (now_ms - gateway->pruned_ms >= PRUNE_MS) {
         gateway->pruned_ms = now_ms;
         BsTargets_Prune(gateway->gate.targets, now_ms);
+        if (S_settings_changed(gateway)) {
+            S_reload(gateway);
+        }
     }
     if (gateway->gate.stopping) {
         S_check_stop(gateway, now_ms);
@@ -405,25 +414,83 @@
 }
 
 static void
-S_on_hangup(struct ev_loop *loop, ev_signal *watcher, int events)
+S_log_reload(BsGateway *gateway, const char *outcome, const char *cause)
+{
+    BsEventLog *log = gateway->gate.log;
+    if (BsEventLog_Begin(log, BS_EVENT_STATE, "reload")) {
+        BsEventLog_Text(log, "outcome", outcome);
+        BsEventLog_Text(log, "cause", cause);
+        BsEventLog_End(log);
+    }
+}
+
+/* Returns whether the addresses are those that are in use. */
+static bool
+S_keeps_addresses(const BsGateSettings *old, const BsGateSettings *new)
+{
+    return strcmp(old->callers, new->callers) == 0 &&
+           strcmp(old->ready, new->ready) == 0 &&
+           strcmp(old->admin, new->admin) == 0 &&
+           strcmp(old->peers, new->peers) == 0 &&
+           strcmp(old->store, new->store) == 0;
+}
+
+static void
+S_apply_bounds(BsGate *gate, const BsGateBounds *bounds)
+{
+    BsRetryBudget_SetBounds(gate->retries, bounds->retry_ratio,
+                            bounds->retry_slack,
+                            (int64_t)bounds->retry_window_s * MS_PER_S);
+    BsQuotas_SetTolerance(gate->quotas, bounds->quota_over,
+                          bounds->quota_slack);
+}
+
+/* Reads the settings again.  What can change while the process runs does;
+   invalid settings change nothing. */
+static void
+S_reload(BsGateway *gateway)
 {
-    (void)loop;
-    (void)events;
-    BsGateway *gateway = watcher->data;
-    BsGate *gate = &gateway->gate;
     GError *error = NULL;
     BsGateSettings *settings =
         BsGateSettings_Load(gateway->settings_file, &error);
-    if (BsEventLog_Begin(gate->log, BS_EVENT_STATE, "reload")) {
-        BsEventLog_Text(gate->log, "outcome",
-                        settings == NULL ? "kept the old settings"
-                                         : "settings are valid");
-        BsEventLog_Text(gate->log, "cause",
-                        error == NULL ? NULL : error->message);
-        BsEventLog_End(gate->log);
+    if (settings == NULL) {
+        S_log_reload(gateway, "kept the old settings", error->message);
+        g_error_free(error);
+        return;
     }
-    g_clear_error(&error);
-    BsGateSettings_Destroy(settings);
+    S_log_reload(gateway, "in force",
+                 S_keeps_addresses(gateway->settings, settings)
+                     ? NULL
+                     : "addresses changed; restart to use them");
+    BsGateSettings_Destroy(gateway->settings);
+    gateway->settings = settings;
+    gateway->gate.settings = settings;
+    S_apply_bounds(&gateway->gate, &settings->bounds);
+    BsGossipTask_AddSeeds(gateway->gossip);
+}
+
+/* Returns whether the settings file is another one than was read last. */
+static bool
+S_settings_changed(BsGateway *gateway)
+{
+    struct stat status;
+    if (stat(gateway->settings_file, &status) != 0) {
+        return false; /* it is being replaced; what was read stays */
+    }
+    bool changed = status.st_mtim.tv_sec != gateway->read_at.tv_sec ||
+                   status.st_mtim.tv_nsec != gateway->read_at.tv_nsec;
+    gateway->read_at = status.st_mtim;
+    return changed;
+}
+
+static void
+S_on_hangup(struct ev_loop *loop, ev_signal *watcher, int events)
+{
+    (void)loop;
+    (void)events;
+    BsGateway *gateway = watcher->data;
+    S_settings_changed(gateway);
+    S_reload(gateway);
 }
 
 /* ------------------------------------------------------------- start -- */
@@ -578,6 +645,7 @@
     GError *error = NULL;
     gateway.settings = BsGateSettings_Load(file, &error);
     if (gateway.settings != NULL) {
+        S_settings_changed(&gateway);
         S_create_parts(&gateway);
         if (S_open(&gateway, &error)) {
             S_start(&gateway);
--- a/src/gw_gossip.c
+++ b/src/gw_gossip.c
@@ -399,10 +399,11 @@
     return task->server != NULL;
 }
 
-static void
-S_add_seeds(BsGossipTask *task, int64_t now_ms)
+void
+BsGossipTask_AddSeeds(BsGossipTask *task)
 {
     const BsGateSettings *settings = task->gate->settings;
+    int64_t now_ms = BsClock_NowMs(task->gate->clock);
     for (unsigned i = 0; i < settings->seeds_count; i++) {
         struct sockaddr_in seed;
         BsGateSettings_ParseAddress(settings->seeds[i], &seed);
@@ -443,7 +444,7 @@
         BsGossipTask_Destroy(task);
         return NULL;
     }
-    S_add_seeds(task, now_ms);
+    BsGossipTask_AddSeeds(task);
     ev_io_init(&task->readable, S_on_readable, task->fd, EV_READ);
     task->readable.data = task;
     ev_io_start(gate->loop, &task->readable);
--- a/src/gw_gossip.h
+++ b/src/gw_gossip.h
@@ -22,6 +22,9 @@
 /* Frees TASK; NULL is allowed. */
 void BsGossipTask_Destroy(BsGossipTask *task);
 
+/* Adds the seeds of the gate's settings, which may be new. */
+void BsGossipTask_AddSeeds(BsGossipTask *task);
+
 /* Sends what is due; CHANGED says that there is news. */
 void BsGossipTask_Tell(BsGossipTask *task, bool changed);
 
--- a/src/quota.c
+++ b/src/quota.c
@@ -66,8 +66,7 @@
 BsQuotas_Create(double over, double slack)
 {
     BsQuotas *quotas = g_new0(BsQuotas, 1);
-    quotas->over = over * TOLERANCE_USED;
-    quotas->slack = slack * TOLERANCE_USED;
+    BsQuotas_SetTolerance(quotas, over, slack);
     quotas->buckets =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, S_destroy_bucket);
     quotas->peers = g_hash_table_new_full(NULL, NULL, NULL, S_destroy_peer);
@@ -75,6 +74,13 @@
     return quotas;
 }
 
+void
+BsQuotas_SetTolerance(BsQuotas *quotas, double over, double slack)
+{
+    quotas->over = over * TOLERANCE_USED;
+    quotas->slack = slack * TOLERANCE_USED;
+}
+
 void
 BsQuotas_Destroy(BsQuotas *quotas)
 {
@@ -266,13 +272,20 @@
 BsRetryBudget_Create(double ratio, double slack, int64_t window_ms)
 {
     BsRetryBudget *budget = g_new0(BsRetryBudget, 1);
+    BsRetryBudget_SetBounds(budget, ratio, slack, window_ms);
+    budget->services =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    return budget;
+}
+
+void
+BsRetryBudget_SetBounds(BsRetryBudget *budget, double ratio, double slack,
+                        int64_t window_ms)
+{
     budget->ratio = ratio;
     budget->slack = slack;
     /* The spans kept cover at least a whole window at any moment. */
     budget->span_ms = MAX(1, window_ms / (RETRY_SPANS - 1));
-    budget->services =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    return budget;
 }
 
 void
--- a/src/quota.h
+++ b/src/quota.h
@@ -26,6 +26,9 @@
    in each of the operators' windows. */
 BsQuotas *BsQuotas_Create(double over, double slack);
 
+/* Changes the tolerance. */
+void BsQuotas_SetTolerance(BsQuotas *quotas, double over, double slack);
+
 /* Frees QUOTAS; NULL is allowed. */
 void BsQuotas_Destroy(BsQuotas *quotas);
 
@@ -66,6 +69,10 @@
 BsRetryBudget *BsRetryBudget_Create(double ratio, double slack,
                                     int64_t window_ms);
 
+/* Changes the bounds; what was counted stays. */
+void BsRetryBudget_SetBounds(BsRetryBudget *budget, double ratio, double slack,
+                             int64_t window_ms);
+
 /* Frees BUDGET; NULL is allowed. */
 void BsRetryBudget_Destroy(BsRetryBudget *budget);
 
--- a/tests/gate/gate_harness.cc
+++ b/tests/gate/gate_harness.cc
@@ -567,6 +567,18 @@
     return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
 }
 
+void
+Gateway::ReplaceSettings(const std::string &from, const std::string &to)
+{
+    std::ifstream file(settings_);
+    std::stringstream text;
+    text << file.rdbuf();
+    std::string changed = text.str();
+    changed.replace(changed.find(from), from.size(), to);
+    std::ofstream(settings_ + ".new") << changed;
+    rename((settings_ + ".new").c_str(), settings_.c_str());
+}
+
 std::string
 Gateway::Log()
 {
--- a/tests/gate/gate_harness.h
+++ b/tests/gate/gate_harness.h
@@ -165,6 +165,8 @@
     {
         return settings_;
     }
+    // Replaces FROM by TO in the settings file.
+    void ReplaceSettings(const std::string &from, const std::string &to);
     const std::string &LogFile() const
     {
         return log_;
--- a/tests/gate/gateway_test.cc
+++ b/tests/gate/gateway_test.cc
@@ -746,6 +746,23 @@
     go = true;
 }
 
+TEST_F(GatewayTest, SettingsAreReadAgainWithAndWithoutASignal)
+{
+    Start({Answers});
+    gateway_->ReplaceSettings("retry_ratio: 0.2", "retry_ratio: 0.1");
+    EXPECT_TRUE(Eventually([&] {
+        return gateway_->Log().find("\"outcome\":\"in force\"") !=
+               std::string::npos;
+    }));
+    gateway_->ReplaceSettings("retry_ratio: 0.1", "retry_ratio: 9");
+    gateway_->Signal(SIGHUP);
+    EXPECT_TRUE(Eventually([&] {
+        return gateway_->Log().find("bounds.retry_ratio: '9' is not valid") !=
+               std::string::npos;
+    }));
+    EXPECT_EQ(StatusOf(gateway_->Ask(Call("/look/1", "a"))), 200);
+}
+
 // What an engineer does with the id of a failed request: docs/OPERATIONS.md.
 struct StoryCase {
     const char *name;
