In an overload a request that can only be late makes room; one reader a data centre

While others are refused, a request that could only be late is refused at once and told when to come back. One instance reads for a data centre, and a started one reads for itself for 1 s rather than 3.

--- a/src/gossip.c
+++ b/src/gossip.c
@@ -48,11 +48,9 @@
 #define ALONE_MS 10000
 #define ALONE_INSTANCES 8
 
-/* Instances of a data centre that read the store for all of it; a large one
-   has a second, so that a lost one is not missed. */
+/* Instances of a data centre that read the store for all of it.  A lost one is
+   replaced once it is silent, far sooner than a change must be in force. */
 #define READERS 1
-#define READERS_OF_MANY 2
-#define MANY_INSTANCES 8
 
 #define NEVER_MS (INT64_MIN / 2)
 
@@ -573,7 +571,6 @@
 bool
 BsGossip_IsReader(const BsGossip *gossip, int64_t now_ms)
 {
-    unsigned instances = 1;
     unsigned before = 0;
     unsigned reading = 0;
     uint32_t rank = S_reader_rank(gossip->address);
@@ -590,14 +587,13 @@
         if (!BsGossip_IsNear(gossip, member)) {
             continue;
         }
-        instances++;
         before += member->reading != BS_GOSSIP_FAILS && !member->stopping &&
                   S_reader_rank(member->address) < rank;
     }
     if (reading == 0) {
         return true; /* nobody has an answer: everyone tries */
     }
-    return before < (instances < MANY_INSTANCES ? READERS : READERS_OF_MANY);
+    return before < READERS;
 }
 
 int64_t
--- a/src/gw_gossip.c
+++ b/src/gw_gossip.c
@@ -26,7 +26,7 @@
 #define FETCH_CONNECT_MS 400
 
 /* A started instance reads the store itself until it knows its peers. */
-#define READ_FIRST_MS 3000
+#define READ_FIRST_MS 1000
 
 #define ITEMS_PATH "/items?after="
 
--- a/src/gw_relay.c
+++ b/src/gw_relay.c
@@ -13,6 +13,10 @@
    needed to run it. */
 #define WAIT_PART 0.75
 
+/* The least part in an overload: about the time in which some place is free.
+ */
+#define OVERLOAD_WAIT_PART 0.125
+
 /* Time to come back that is told when no place is expected sooner. */
 #define RETRY_MIN_MS 300
 
@@ -204,6 +208,20 @@
     return relay->arrived_ms + relay->route->target_ms - first_ms;
 }
 
+/* While others are refused, a request that could only be late makes room, and
+   its caller is told when to come back. */
+static void
+S_limit_wait(BsRelay *relay, int64_t in_time_ms)
+{
+    int64_t now_ms = BsClock_NowMs(relay->gate->clock);
+    int64_t least_ms =
+        now_ms + (int64_t)(OVERLOAD_WAIT_PART * relay->route->target_ms);
+    if (BsOverload_Lasts(&relay->gate->overload, now_ms)) {
+        relay->gives_up_ms =
+            MIN(relay->gives_up_ms, MAX(in_time_ms, least_ms));
+    }
+}
+
 static void
 S_wait(BsRelay *relay)
 {
@@ -215,6 +233,7 @@
         .since_ms = relay->arrived_ms,
         .in_time_ms = S_in_time_ms(relay),
     };
+    S_limit_wait(relay, place.in_time_ms);
     relay->waiting = BsLine_Add(relay->gate->line, &place, relay);
     BsRelay_Log(relay, BS_EVENT_DETAIL, "waits", NULL);
     BsRelay_Schedule(relay);
--- a/src/predict.c
+++ b/src/predict.c
@@ -104,11 +104,17 @@
                      DEVIATIONS * self->deviation_ms);
 }
 
+bool
+BsOverload_Lasts(const BsOverload *overload, int64_t now_ms)
+{
+    return overload->last_ms != 0 &&
+           now_ms - overload->last_ms <= OVERLOAD_GAP_MS;
+}
+
 int64_t
 BsOverload_Refuse(BsOverload *overload, int64_t left_ms, int64_t now_ms)
 {
-    if (overload->last_ms == 0 ||
-        now_ms - overload->last_ms > OVERLOAD_GAP_MS) {
+    if (!BsOverload_Lasts(overload, now_ms)) {
         overload->since_ms = now_ms;
     }
     overload->last_ms = now_ms;
--- a/src/predict.h
+++ b/src/predict.h
@@ -32,6 +32,9 @@
     int64_t last_ms;
 } BsOverload;
 
+/* Returns whether requests were refused lately. */
+bool BsOverload_Lasts(const BsOverload *overload, int64_t now_ms);
+
 /* Notes a refusal at NOW_MS, and returns when its caller should come back, in
    milliseconds, when it has LEFT_MS: an overload that has lasted for some time
    lasts about as long again. */
