--- a/src/gw_gateway.c
+++ b/src/gw_gateway.c
@@ -365,34 +365,6 @@
     }
 }
 
-static bool S_settings_changed(BsGateway *gateway);
-static void S_reload(BsGateway *gateway);
-
-static void
-S_on_tick(struct ev_loop *loop, ev_timer *watcher, int events)
-{
-    (void)loop;
-    (void)events;
-    BsGateway *gateway = watcher->data;
-    int64_t now_ms = S_now_ms();
-    bool reads = BsGossipTask_Tick(gateway->gossip,
-                                   gateway->adapter->status(gateway->link).up);
-    gateway->adapter->set_reading(gateway->link, reads);
-    if (BsLine_Length(gateway->gate.line) > 0) {
-        gateway->gate.places_changed = true; /* pauses may have ended */
-    }
-    if (now_ms - gateway->pruned_ms >= PRUNE_MS) {
-        gateway->pruned_ms = now_ms;
-        BsTargets_Prune(gateway->gate.targets, now_ms);
-        if (S_settings_changed(gateway)) {
-            S_reload(gateway);
-        }
-    }
-    if (gateway->gate.stopping) {
-        S_check_stop(gateway, now_ms);
-    }
-}
-
 static void
 S_on_terminate(struct ev_loop *loop, ev_signal *watcher, int events)
 {
@@ -483,6 +455,31 @@
     return changed;
 }
 
+static void
+S_on_tick(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    (void)loop;
+    (void)events;
+    BsGateway *gateway = watcher->data;
+    int64_t now_ms = S_now_ms();
+    bool reads = BsGossipTask_Tick(gateway->gossip,
+                                   gateway->adapter->status(gateway->link).up);
+    gateway->adapter->set_reading(gateway->link, reads);
+    if (BsLine_Length(gateway->gate.line) > 0) {
+        gateway->gate.places_changed = true; /* pauses may have ended */
+    }
+    if (now_ms - gateway->pruned_ms >= PRUNE_MS) {
+        gateway->pruned_ms = now_ms;
+        BsTargets_Prune(gateway->gate.targets, now_ms);
+        if (S_settings_changed(gateway)) {
+            S_reload(gateway);
+        }
+    }
+    if (gateway->gate.stopping) {
+        S_check_stop(gateway, now_ms);
+    }
+}
+
 static void
 S_on_hangup(struct ev_loop *loop, ev_signal *watcher, int events)
 {
--- a/src/gw_inbound.c
+++ b/src/gw_inbound.c
@@ -568,7 +568,7 @@
     server->limits = *limits;
     server->fd = fd;
     server->listening = true;
-    server->connections = g_hash_table_new(NULL, NULL);
+    server->connections = g_hash_table_new(g_direct_hash, g_direct_equal);
     ev_io_init(&server->accept_watcher, S_on_accept, fd, EV_READ);
     ev_timer_init(&server->pause_timer, S_on_pause_end, ACCEPT_PAUSE_S, 0);
     ev_timer_init(&server->sweep_timer, S_on_sweep, SWEEP_S, SWEEP_S);
--- a/src/targets.c
+++ b/src/targets.c
@@ -625,7 +625,9 @@
 static bool
 S_is_allowed(BsTargets *targets, const BsTarget *target)
 {
-    return S_allowance(targets, target->data_centre)->level >= 1;
+    const BsTargetAllowance *allowance =
+        S_allowance(targets, target->data_centre);
+    return allowance->level >= 1;
 }
 
 /* Returns a cost that differs by instance, target and time. */
@@ -780,6 +782,9 @@
     /* Requests that were under way together fail together: one failure. */
     target->failed_at_ms = now_ms;
     if (target->failures > 0 && target->retry_at_ms > now_ms) {
+        /* Several requests that break together: it crashed, and may be back
+           before anyone has seen it refuse a connection. */
+        target->was_down = true;
         return 0;
     }
     target->failures++;
