--- a/src/gw_inbound.c
+++ b/src/gw_inbound.c
@@ -480,7 +480,10 @@
             S_pause_accepting(server);
             return;
         }
-        int fd = accept4(server->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        struct sockaddr_in from;
+        socklen_t length = sizeof(from);
+        int fd = accept4(server->fd, (struct sockaddr *)&from, &length,
+                         SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (fd < 0 && (errno == EMFILE || errno == ENFILE)) {
             S_pause_accepting(server);
             return;
