--- a/src/d_callers.c
+++ b/src/d_callers.c
@@ -293,8 +293,7 @@
         .header_bytes = settings->limits.header_bytes,
         .connections = settings->limits.connections + CONNECTIONS_SPARE,
         .screened = true,
-        .certificate_callback =
-            callers->tls != NULL ? BsTls_Callback() : NULL,
+        .certificate_callback = callers->tls != NULL ? BsTls_Callback() : NULL,
     };
     callers->httpd = BsHttpd_Create(loop, &config, error);
     if (callers->httpd == NULL) {
--- a/src/d_screen.c
+++ b/src/d_screen.c
@@ -414,9 +414,8 @@
     if (config->certificate_callback != NULL &&
         gnutls_certificate_allocate_credentials(&screen->credentials) == 0) {
         gnutls_certificate_set_retrieve_function2(
-            screen->credentials,
-            (gnutls_certificate_retrieve_function2 *)
-                config->certificate_callback);
+            screen->credentials, (gnutls_certificate_retrieve_function2 *)
+                                     config->certificate_callback);
     }
     ev_io_init(&screen->accepting, S_on_accepting, config->listen_fd, EV_READ);
     screen->accepting.data = screen;
