Less urgent work yields under pressure; waiting time without the prompt's size

Each instance orders only its own line, so a freed place goes to whoever sees it.

Change: yield.c holds a part of the less urgent requests back, down to a fifth, while more urgent ones of this instance wait more than 0.15 of their objective and more than nine tenths of the places are taken. The waiting time follows the usual first event of the service, not the request's own. Log lines tell the prompt's tokens.

--- a/src/gw_attempt.c
+++ b/src/gw_attempt.c
@@ -210,6 +210,7 @@
     if (relay->sends == 0) {
         BsHistogram_Observe(relay->gate->waits, relay->route->name,
                             relay->sent_ms - relay->arrived_ms);
+        BsRelay_NoteWait(relay, relay->sent_ms - relay->arrived_ms);
     }
     relay->sends++;
     relay->attempts++;
--- a/src/gw_gate.h
+++ b/src/gw_gate.h
@@ -20,6 +20,7 @@
 #include "quota.h"
 #include "targets.h"
 #include "wire.h"
+#include "yield.h"
 
 #include <ev.h>
 
@@ -41,6 +42,7 @@
     BsRetryBudget *retries;
     BsLine *line;
     BsPredictors *predictors;
+    BsYields *yields;
     BsOverload overload;
     GRand *random;
     BsCatalog *catalog;    /* in force; NULL until one is known */
--- a/src/gw_gateway.c
+++ b/src/gw_gateway.c
@@ -540,6 +540,7 @@
                              (int64_t)bounds->retry_window_s * MS_PER_S);
     gate->line = BsLine_Create();
     gate->predictors = BsPredictors_Create();
+    gate->yields = BsYields_Create();
     gate->random = g_rand_new_with_seed(S_random());
     gate->instances = MAX(settings->seeds_count, 1);
 }
@@ -612,6 +613,7 @@
     BsRetryBudget_Destroy(gate->retries);
     BsLine_Destroy(gate->line);
     BsPredictors_Destroy(gate->predictors);
+    BsYields_Destroy(gate->yields);
     BsCatalog_Unref(gate->catalog);
     BsCounters_Destroy(gate->counters);
     BsHistogram_Destroy(gate->durations);
--- a/src/gw_relay.c
+++ b/src/gw_relay.c
@@ -27,6 +27,10 @@
    left takes in a burst of the others. */
 #define ROOM_OCCUPANCY 0.7
 
+/* Share of places taken above which less urgent work leaves the rest to more
+   urgent work: some must be free for what arrives before the next ends. */
+#define YIELD_OCCUPANCY 0.9
+
 #define MS_PER_S 1000.0
 
 /* --------------------------------------------------------------- log -- */
@@ -56,6 +60,10 @@
     int64_t now_ms = BsClock_NowMs(gate->clock);
     BsEventLog_Text(gate->log, "request", relay->id);
     BsEventLog_Text(gate->log, "cause", cause);
+    if (relay->info.has_tokens) {
+        BsEventLog_Number(gate->log, "prompt_tokens",
+                          relay->info.prompt_tokens);
+    }
     if (relay->route != NULL) {
         BsEventLog_Text(gate->log, "route", relay->route->name);
         BsEventLog_Number(gate->log, "catalog",
@@ -170,6 +178,7 @@
     else if (relay->waiting != NULL && now_ms >= relay->gives_up_ms) {
         int64_t return_ms = BsOverload_Refuse(
             &relay->gate->overload, relay->expires_ms - now_ms, now_ms);
+        BsRelay_NoteWait(relay, relay->route->target_ms);
         BsRelay_Refuse(relay, relay->may_have_run ? 502 : 503, "no_place",
                        relay->may_have_run ? 0 : return_ms);
     }
@@ -203,11 +212,60 @@
 S_in_time_ms(const BsRelay *relay)
 {
     int64_t first_ms =
-        BsPredictors_FirstMs(relay->gate->predictors, relay->service->name,
-                             relay->info.prompt_tokens);
+        BsPredictors_TypicalMs(relay->gate->predictors, relay->service->name);
     return relay->arrived_ms + relay->route->target_ms - first_ms;
 }
 
+static uint32_t
+S_account_rank(const BsRelay *relay)
+{
+    bool has_rank = relay->account != NULL && relay->account->has_rank;
+    return has_rank ? relay->account->rank : 0;
+}
+
+static BsYieldRank
+S_yield_rank(const BsRelay *relay)
+{
+    BsYieldRank rank = {.account = S_account_rank(relay),
+                        .route = relay->route->rank};
+    return rank;
+}
+
+void
+BsRelay_NoteWait(const BsRelay *relay, int64_t waited_ms)
+{
+    BsYields_NoteWait(relay->gate->yields, relay->service->name,
+                      S_yield_rank(relay), waited_ms, relay->route->target_ms,
+                      BsClock_NowMs(relay->gate->clock));
+}
+
+/* Returns whether the request leaves free places to more urgent ones. */
+static bool
+S_yields(const BsRelay *relay)
+{
+    int64_t now_ms = BsClock_NowMs(relay->gate->clock);
+    uint32_t places;
+    double part = BsYields_Part(relay->gate->yields, relay->service->name,
+                                S_yield_rank(relay), now_ms);
+    return relay->yield_draw >= part &&
+           BsTargets_Occupancy(relay->gate->targets, relay->service->name,
+                               now_ms, &places) > YIELD_OCCUPANCY;
+}
+
+/* Chooses a target for the request, as BsTargets_Choose(). */
+static BsTarget *
+S_choose(BsRelay *relay, BsTargetVerdict *verdict)
+{
+    BsTargetQuery query;
+    if (S_yields(relay)) {
+        *verdict = BS_TARGET_BUSY;
+        return NULL;
+    }
+    BsAttempt_FillQuery(relay, &query);
+    return BsTargets_Choose(relay->gate->targets, &query,
+                            BsClock_NowMs(relay->gate->clock), verdict);
+}
+
 /* While others are refused, a request that could only be late makes room, and
    its caller is told when to come back. */
 static void
@@ -226,9 +284,7 @@
 S_wait(BsRelay *relay)
 {
     BsLinePlace place = {
-        .account_rank = relay->account != NULL && relay->account->has_rank
-                            ? relay->account->rank
-                            : 0,
+        .account_rank = S_account_rank(relay),
         .route_rank = relay->route->rank,
         .since_ms = relay->arrived_ms,
         .in_time_ms = S_in_time_ms(relay),
@@ -242,12 +298,8 @@
 void
 BsRelay_Place(BsRelay *relay)
 {
-    BsGate *gate = relay->gate;
-    BsTargetQuery query;
     BsTargetVerdict verdict;
-    BsAttempt_FillQuery(relay, &query);
-    BsTarget *target = BsTargets_Choose(gate->targets, &query,
-                                        BsClock_NowMs(gate->clock), &verdict);
+    BsTarget *target = S_choose(relay, &verdict);
     if (target != NULL) {
         BsAttempt_Start(relay, target);
     }
@@ -270,11 +322,8 @@
     GPtrArray *order = BsLine_Order(gate->line, now_ms);
     for (guint i = 0; i < order->len; i++) {
         BsRelay *relay = order->pdata[i];
-        BsTargetQuery query;
         BsTargetVerdict verdict;
-        BsAttempt_FillQuery(relay, &query);
-        BsTarget *target =
-            BsTargets_Choose(gate->targets, &query, now_ms, &verdict);
+        BsTarget *target = S_choose(relay, &verdict);
         if (target != NULL) {
             BsLine_Remove(gate->line, relay->waiting);
             relay->waiting = NULL;
@@ -300,6 +349,7 @@
     relay->id = g_strdup(relay->info.id == NULL ? "" : relay->info.id);
     relay->arrived_ms = BsInbound_StartedMs(inbound);
     relay->expires_ms = relay->arrived_ms + EXPIRES_DEFAULT_MS;
+    relay->yield_draw = g_rand_double(gate->random);
     ev_timer_init(&relay->timer, S_on_timer, 0, 0);
     relay->timer.data = relay;
     BsInbound_SetUser(inbound, relay);
--- a/src/gw_relayparts.h
+++ b/src/gw_relayparts.h
@@ -40,6 +40,7 @@
     int64_t arrived_ms;
     int64_t expires_ms;   /* gets its answer by then */
     int64_t gives_up_ms;  /* waits for a place until then */
+    double yield_draw;    /* 0 to 1; may start when the part is above it */
     BsLineEntry *waiting; /* NULL unless it waits for a place */
     ev_timer timer;
     /* The current attempt. */
@@ -67,6 +68,9 @@
 /* Looks for a place now; else waits, or refuses. */
 void BsRelay_Place(BsRelay *relay);
 
+/* Notes for less urgent requests that this one has waited WAITED_MS. */
+void BsRelay_NoteWait(const BsRelay *relay, int64_t waited_ms);
+
 /* Sets the timer to what comes next. */
 void BsRelay_Schedule(BsRelay *relay);
 
--- a/src/predict.c
+++ b/src/predict.c
@@ -104,6 +104,17 @@
                      DEVIATIONS * self->deviation_ms);
 }
 
+int64_t
+BsPredictors_TypicalMs(const BsPredictors *predictors, const char *service)
+{
+    const BsPredictor *self =
+        g_hash_table_lookup(predictors->services, service);
+    if (self == NULL || self->weight < SAMPLES_MIN) {
+        return 0;
+    }
+    return (int64_t)(self->y / self->weight + DEVIATIONS * self->deviation_ms);
+}
+
 bool
 BsOverload_Lasts(const BsOverload *overload, int64_t now_ms)
 {
--- a/src/predict.h
+++ b/src/predict.h
@@ -26,6 +26,10 @@
 int64_t BsPredictors_FirstMs(const BsPredictors *predictors,
                              const char *service, uint32_t prompt_tokens);
 
+/* Returns the same for a prompt of the length that is usual at SERVICE. */
+int64_t BsPredictors_TypicalMs(const BsPredictors *predictors,
+                               const char *service);
+
 /* How long refusals for lack of places have lasted. */
 typedef struct {
     int64_t since_ms; /* first of them; valid while LAST_MS is recent */
--- a/tests/gate/predict_test.cc
+++ b/tests/gate/predict_test.cc
@@ -39,6 +39,20 @@
     EXPECT_EQ(BsPredictors_FirstMs(predictors_, "other", 500), 0);
 }
 
+// Long prompts beside short ones: one of usual length says how long a request
+// may wait, so that long prompts are not refused sooner than short ones.
+TEST_F(Predict, UsualLengthDoesNotDependOnTheRequest)
+{
+    EXPECT_EQ(BsPredictors_TypicalMs(predictors_, "desk"), 0);
+    for (int i = 0; i < 300; i++) {
+        uint32_t tokens = i % 10 == 0 ? 8000 : 500;
+        BsPredictors_Observe(predictors_, "desk", tokens, 50 + tokens / 50);
+    }
+    int64_t usual_ms = BsPredictors_TypicalMs(predictors_, "desk");
+    EXPECT_GT(usual_ms, BsPredictors_FirstMs(predictors_, "desk", 500));
+    EXPECT_LT(usual_ms, BsPredictors_FirstMs(predictors_, "desk", 8000));
+}
+
 // Engines that slow down: old samples are forgotten.
 TEST_F(Predict, FollowsASlowdown)
 {
--- /dev/null
+++ b/tests/gate/yield_test.cc
@@ -0,0 +1,105 @@
+// Less urgent work beside urgent work that waits.
+#include <gtest/gtest.h>
+
+extern "C" {
+#include "yield.h"
+}
+
+namespace {
+
+const BsYieldRank kUrgent = {0, 0};
+const BsYieldRank kMiddle = {0, 1};
+const BsYieldRank kRoutine = {0, 2};
+const int64_t kObjectiveMs = 500;
+const int64_t kLongWaitMs = 200;
+const int64_t kStartMs = 10000;
+
+class Yield : public testing::Test {
+  protected:
+    Yield() : yields_(BsYields_Create())
+    {
+    }
+    ~Yield() override
+    {
+        BsYields_Destroy(yields_);
+    }
+    double Part(BsYieldRank rank, int64_t now_ms)
+    {
+        return BsYields_Part(yields_, "desk", rank, now_ms);
+    }
+    // Requests of RANK wait from FROM_MS to TO_MS; asks for the part of the
+    // routine ones meanwhile, as a gateway does.
+    void Press(BsYieldRank rank, int64_t from_ms, int64_t to_ms)
+    {
+        for (int64_t now_ms = from_ms; now_ms <= to_ms; now_ms += 100) {
+            BsYields_NoteWait(yields_, "desk", rank, kLongWaitMs, kObjectiveMs,
+                              now_ms);
+            Part(kRoutine, now_ms);
+            Part(kMiddle, now_ms);
+        }
+    }
+    BsYields *yields_;
+};
+
+TEST_F(Yield, CalmDaysHoldNothingBack)
+{
+    for (int64_t now_ms = kStartMs; now_ms < kStartMs + 5000; now_ms += 50) {
+        BsYields_NoteWait(yields_, "desk", kUrgent, 10, kObjectiveMs, now_ms);
+        EXPECT_EQ(Part(kRoutine, now_ms), 1);
+    }
+}
+
+// A noon burst: long routine answers leave the places to urgent requests, but
+// for a floor that always goes on.
+TEST_F(Yield, NoonBurstKeepsPlacesForUrgentRequests)
+{
+    EXPECT_EQ(Part(kRoutine, kStartMs), 1);
+    Press(kUrgent, kStartMs, kStartMs + 500);
+    EXPECT_LT(Part(kRoutine, kStartMs + 500), 0.6);
+    Press(kUrgent, kStartMs + 500, kStartMs + 9000);
+    EXPECT_GT(Part(kRoutine, kStartMs + 9000), 0.1);
+    EXPECT_LT(Part(kRoutine, kStartMs + 9000), 0.3);
+    // The urgent ones themselves hold nothing back.
+    EXPECT_EQ(Part(kUrgent, kStartMs + 9000), 1);
+}
+
+// It is over: the routine ones come back by and by, not all at once.
+TEST_F(Yield, GrowsBackAfterTheBurst)
+{
+    Press(kUrgent, kStartMs, kStartMs + 3000);
+    double before = Part(kRoutine, kStartMs + 3000);
+    for (int64_t now_ms = kStartMs + 3100; now_ms <= kStartMs + 4600;
+         now_ms += 100) {
+        Part(kRoutine, now_ms);
+    }
+    double halfway = Part(kRoutine, kStartMs + 4600);
+    EXPECT_GT(halfway, before);
+    EXPECT_LT(halfway, 1);
+    for (int64_t now_ms = kStartMs + 4700; now_ms <= kStartMs + 9000;
+         now_ms += 100) {
+        Part(kRoutine, now_ms);
+    }
+    EXPECT_EQ(Part(kRoutine, kStartMs + 9000), 1);
+}
+
+// Waiting routine requests hold back no one above them.
+TEST_F(Yield, RoutineWaitsPressNobodyAbove)
+{
+    Press(kRoutine, kStartMs, kStartMs + 3000);
+    EXPECT_EQ(Part(kMiddle, kStartMs + 3000), 1);
+    EXPECT_EQ(Part(kRoutine, kStartMs + 3000), 1);
+}
+
+// The rank of the account goes before that of the route.
+TEST_F(Yield, AccountRankGoesFirst)
+{
+    const BsYieldRank urgent_account = {0, 2};
+    const BsYieldRank other_account = {1, 0};
+    Part(other_account, kStartMs);
+    Press(urgent_account, kStartMs, kStartMs + 3000);
+    EXPECT_LT(Part(other_account, kStartMs + 3000), 0.3);
+    EXPECT_EQ(
+        BsYields_Part(yields_, "bookings", other_account, kStartMs + 3000), 1);
+}
+
+} // namespace
