--- a/src/gw_attempt.c
+++ b/src/gw_attempt.c
@@ -1,4 +1,5 @@
 /* gw_attempt.c - sending a request to an upstream, and what comes of it. */
+#include "daycount.h"
 #include "gw_relayparts.h"
 
 #include <string.h>
@@ -212,6 +213,9 @@
                             relay->sent_ms - relay->arrived_ms);
         BsRelay_NoteWait(relay, relay->sent_ms - relay->arrived_ms);
     }
+    if (relay->may_have_run && !S_may_repeat(relay)) {
+        BsDayCount_DoubleRun(relay->gate->counters);
+    }
     relay->sends++;
     relay->attempts++;
     BsRelay_Schedule(relay);
@@ -355,6 +359,7 @@
     BsRelay_Log(relay, failed ? BS_EVENT_FAILURE : BS_EVENT_DETAIL, "answered",
                 failed ? "upstream_error" : NULL);
     S_close(relay, relay->judged);
+    relay->answered = true;
     BsAnswer_End(relay);
     BsRelay_Finish(relay, failed ? "upstream_error" : "answered");
 }
--- a/src/gw_gateway.c
+++ b/src/gw_gateway.c
@@ -1,10 +1,12 @@
 /* gw_gateway.c - the gateway: its parts, its signals and its end. */
 #include "gw_gateway.h"
 
+#include "daycount.h"
 #include "gw_gate.h"
 #include "gw_gossip.h"
 #include "gw_relay.h"
 
+#include <jansson.h>
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
@@ -75,6 +77,7 @@
     ev_signal interrupt;
     ev_signal hangup;
     struct timespec read_at; /* change of the settings file that was read */
+    int64_t started_ms;
     int64_t stop_ms;
     int64_t pruned_ms;
 } BsGateway;
@@ -273,6 +276,10 @@
     const BsOutboundStats *stats = BsOutboundPool_Stats(gate->pool);
     BsPlatformStatus status = gateway->adapter->status(gateway->link);
     BsCounters *counters = gate->counters;
+    BsCounters_Set(
+        counters, "uptime_s",
+        (uint64_t)(BsClock_NowMs(gate->clock) - gateway->started_ms) /
+            MS_PER_S);
     BsCounters_Set(counters, "instances", gate->instances);
     BsCounters_Set(counters, "places_taken_by_peers",
                    BsTargets_PeerLoad(gate->targets));
@@ -288,12 +295,28 @@
                    BsEventLog_Dropped(gate->log));
 }
 
+/* Tells who answers, for the evening page. */
+static void
+S_answer_status(const BsGateway *gateway, BsInbound *inbound)
+{
+    json_t *json = json_pack("{s:s}", "instance", gateway->settings->name);
+    char *text = json_dumps(json, JSON_COMPACT);
+    BsInbound_Answer(inbound, 200, "Content-Type: application/json\r\n", text,
+                     strlen(text));
+    free(text);
+    json_decref(json);
+}
+
 static void
 S_on_admin_request(BsInbound *inbound, const BsHttpHead *head,
                    const GString *body, void *context)
 {
     (void)body;
     BsGateway *gateway = context;
+    if (strcmp(head->target, "/status") == 0) {
+        S_answer_status(gateway, inbound);
+        return;
+    }
     if (strcmp(head->target, "/metrics") != 0) {
         BsInbound_Answer(inbound, 404, NULL, "", 0);
         return;
@@ -526,6 +549,8 @@
     gate->log = BsEventLog_Create(STDOUT_FILENO, settings->name, &S_clock,
                                   &S_wall_clock);
     gate->counters = BsCounters_Create();
+    BsDayCount_Start(gate->counters);
+    gateway->started_ms = BsClock_NowMs(&S_clock);
     gate->durations = BsHistogram_Create(
         "request_duration", "From a request's arrival to its end", "route");
     gate->waits = BsHistogram_Create(
--- a/src/gw_relay.c
+++ b/src/gw_relay.c
@@ -1,6 +1,7 @@
 /* gw_relay.c - one caller's request from its arrival to its answer. */
 #include "gw_relay.h"
 
+#include "daycount.h"
 #include "gw_relayparts.h"
 
 #include <string.h>
@@ -115,10 +116,36 @@
     g_free(relay);
 }
 
+static bool
+S_is_in_time(const BsRelay *relay)
+{
+    int64_t answered_ms = relay->route->kind == BS_ROUTE_STREAM
+                              ? relay->first_event_ms
+                              : BsClock_NowMs(relay->gate->clock);
+    return answered_ms - relay->arrived_ms <= relay->route->target_ms;
+}
+
+/* Counts for the evening page what the caller was told. */
+static void
+S_count_day(const BsRelay *relay)
+{
+    if (relay->service == NULL ||
+        (relay->inbound == NULL && !relay->answered)) {
+        return; /* led nowhere, or its caller left before an answer */
+    }
+    BsDayOutcome outcome = relay->answered       ? BS_DAY_RAN
+                           : relay->may_have_run ? BS_DAY_UNKNOWN
+                                                 : BS_DAY_NOT_RUN;
+    BsDayCount_Answer(relay->gate->counters, relay->route->rank,
+                      relay->route->kind == BS_ROUTE_UNSAFE, outcome,
+                      relay->answered && S_is_in_time(relay));
+}
+
 void
 BsRelay_Finish(BsRelay *relay, const char *outcome)
 {
     S_count(relay, outcome);
+    S_count_day(relay);
     S_free(relay);
 }
 
--- a/src/gw_relayparts.h
+++ b/src/gw_relayparts.h
@@ -60,6 +60,7 @@
     uint32_t attempts; /* messages that left and were not refused */
     uint32_t sends;    /* messages that left */
     bool may_have_run;
+    bool answered; /* with a whole answer of an upstream that ran it */
 } BsRelay;
 
 /* ------------------------------------------------------------- gw_relay.c --
--- a/tests/gate/gate_harness.h
+++ b/tests/gate/gate_harness.h
@@ -150,6 +150,11 @@
     bool Ready();
     bool WaitReady(bool ready = true);
     std::string Metrics();
+    // The address of the metrics, as operators name it.
+    std::string admin() const
+    {
+        return ip_ + ":" + std::to_string(admin_);
+    }
     // Waits until the metrics hold LINE.
     bool WaitMetric(const std::string &line);
     void Signal(int number);
--- a/tests/gate/gateway_test.cc
+++ b/tests/gate/gateway_test.cc
@@ -832,6 +832,49 @@
     }
 }
 
+// The owner's page is written from the metrics of gateways, too.
+TEST_F(GatewayTest, TheEveningPageTellsOfTheDay)
+{
+    std::string page;
+    Start({Answers});
+    gateway_->Ask(Call("/look/1", "a"));
+    gateway_->Ask(Call("/book/1", "b"));
+    EXPECT_EQ(RunProgram({BORAGESPUR, "evening", gateway_->admin()}, &page), 0)
+        << page;
+    for (const char *line :
+         {"Today went well.", "1 answers said that it landed",
+          "No instance saw a booking or charge run twice.",
+          " has counted for 0 h 0 min."}) {
+        EXPECT_NE(page.find(line), std::string::npos) << line << page;
+    }
+}
+
+TEST_F(GatewayTest, TheEveningPageTellsOfUnknownBookings)
+{
+    std::string page;
+    Start({[](Socket &, const Got &) { return false; }});
+    gateway_->Ask(Call("/book/1", "b"));
+    EXPECT_EQ(RunProgram({BORAGESPUR, "evening", gateway_->admin()}, &page), 1)
+        << page;
+    EXPECT_NE(page.find("1 answers about bookings or charges"),
+              std::string::npos)
+        << page;
+}
+
+// One that cannot be asked is named, and nothing is claimed for it.
+TEST_F(GatewayTest, TheEveningPageNamesWhoCouldNotBeAsked)
+{
+    std::string page;
+    Start({Refuses});
+    gateway_->Ask(Call("/book/1", "b"));
+    RunProgram({BORAGESPUR, "evening", gateway_->admin() + ",127.0.0.1:1"},
+               &page);
+    EXPECT_NE(page.find("127.0.0.1:1 could not be asked"), std::string::npos)
+        << page;
+    EXPECT_NE(page.find("1 said that it did not run"), std::string::npos)
+        << page;
+}
+
 TEST_F(GatewayTest, ABadSettingsFileEndsTheProcessWithOneLine)
 {
     gateway_ = std::make_unique<Gateway>(store_.port());
