Under pressure less urgent work leaves two places of each upstream

Cause: held back by chance alone, less urgent requests still filled each upstream to its last place, so urgent ones arrived at full batches, and those held back were refused while nine tenths were taken.

--- a/src/gw_relay.c
+++ b/src/gw_relay.c
@@ -28,9 +28,10 @@
    left takes in a burst of the others. */
 #define ROOM_OCCUPANCY 0.7
 
-/* Share of places taken above which less urgent work leaves the rest to more
-   urgent work: some must be free for what arrives before the next ends. */
-#define YIELD_OCCUPANCY 0.9
+/* Places of an upstream that less urgent work leaves to more urgent work: it
+   finds one at once, and with a third of the batch free its prompt is read
+   soon. */
+#define YIELD_PLACES 2
 
 #define MS_PER_S 1000.0
 
@@ -266,17 +267,15 @@
                       BsClock_NowMs(relay->gate->clock));
 }
 
-/* Returns whether the request leaves free places to more urgent ones. */
-static bool
-S_yields(const BsRelay *relay)
+/* Returns how many places of an upstream the request leaves to more urgent
+   ones. */
+static uint32_t
+S_places_left(const BsRelay *relay)
 {
-    int64_t now_ms = BsClock_NowMs(relay->gate->clock);
-    uint32_t places;
-    double part = BsYields_Part(relay->gate->yields, relay->service->name,
-                                S_yield_rank(relay), now_ms);
-    return relay->yield_draw >= part &&
-           BsTargets_Occupancy(relay->gate->targets, relay->service->name,
-                               now_ms, &places) > YIELD_OCCUPANCY;
+    double part =
+        BsYields_Part(relay->gate->yields, relay->service->name,
+                      S_yield_rank(relay), BsClock_NowMs(relay->gate->clock));
+    return relay->yield_draw >= part ? YIELD_PLACES : 0;
 }
 
 /* Chooses a target for the request, as BsTargets_Choose(). */
@@ -284,11 +283,8 @@
 S_choose(BsRelay *relay, BsTargetVerdict *verdict)
 {
     BsTargetQuery query;
-    if (S_yields(relay)) {
-        *verdict = BS_TARGET_BUSY;
-        return NULL;
-    }
     BsAttempt_FillQuery(relay, &query);
+    query.places_left = S_places_left(relay);
     return BsTargets_Choose(relay->gate->targets, &query,
                             BsClock_NowMs(relay->gate->clock), verdict);
 }
--- a/src/targetchoice.c
+++ b/src/targetchoice.c
@@ -169,13 +169,17 @@
 }
 
 static bool
-S_has_place(const BsTargets *targets, const BsTarget *target)
+S_has_place(const BsTargets *targets, const BsTarget *target,
+            const BsTargetQuery *query)
 {
+    uint32_t wanted = query->places_left + 1;
     if (BsTargets_IsGuessed(targets, target)) {
-        return BsTarget_Load(target) + FAR_FREE_PLACES <= target->slots &&
-               target->own < FAR_OWN_MAX;
+        wanted = MAX(wanted, FAR_FREE_PLACES);
+        if (target->own >= FAR_OWN_MAX) {
+            return false;
+        }
     }
-    return BsTarget_Load(target) < target->slots;
+    return BsTarget_Load(target) + wanted <= target->slots;
 }
 
 static BsTargetAllowance *
@@ -280,7 +284,8 @@
     if (!S_is_open(targets, target, query, now_ms)) {
         return false;
     }
-    if (!S_is_believed(target, now_ms) || !S_has_place(targets, target)) {
+    if (!S_is_believed(target, now_ms) ||
+        !S_has_place(targets, target, query)) {
         *verdict = MIN(*verdict, BS_TARGET_BUSY);
         return false;
     }
--- a/src/yield.c
+++ b/src/yield.c
@@ -17,7 +17,7 @@
 #define RISE_MS 3000.0
 
 /* The part that always goes on. */
-#define FLOOR 0.2
+#define FLOOR 0.1
 
 /* Pause after which nothing is known of the time between. */
 #define STALE_MS 10000
--- a/tests/gate/gatescript_targets.c
+++ b/tests/gate/gatescript_targets.c
@@ -88,6 +88,7 @@
     query->session = session == NULL ? 0 : BsTargets_Hash(session);
     query->prompt_tokens = (uint32_t)GateScript_Number(arguments, "prompt", 0);
     query->output_tokens = (uint32_t)GateScript_Number(arguments, "out", 0);
+    query->places_left = (uint32_t)GateScript_Number(arguments, "left", 0);
     query->excluded = (const char *const *)excluded;
     query->excluded_count = excluded == NULL ? 0 : g_strv_length(excluded);
 }
