A new reader of the store trusts no idle connection

Cause: the instance that reads the store for its data centre kept its connection for as long as it lived. One that takes over after seconds sent its first watch on a connection from its start; after an outage without a word that connection is dead, and the watch takes its whole time, 2.5 s, before another is tried.

--- a/tests/gate/gate_harness.cc
+++ b/tests/gate/gate_harness.cc
@@ -204,15 +204,24 @@
                 "],\"current-rev\":" + std::to_string(revision_) + "}");
 }
 
+// Idle time after which a connection is forgotten on its way.
+const std::chrono::milliseconds kStoreIdle(1000);
+
 void
 Store::Serve(Socket &socket)
 {
+    auto answered = std::chrono::steady_clock::now();
     for (;;) {
         std::string call = socket.ReadMessage();
         if (call.empty()) {
             return;
         }
         calls_++;
+        if (std::chrono::steady_clock::now() - answered > kStoreIdle) {
+            stale_calls_++;
+            socket.WaitClosed();
+            return;
+        }
         std::string target = call.substr(4, call.find(' ', 4) - 4);
         std::string answer =
             target.find("kv-range") != std::string::npos
@@ -244,6 +253,7 @@
         if (!socket.Write(answer)) {
             return;
         }
+        answered = std::chrono::steady_clock::now();
     }
 }
 
--- a/tests/gate/gate_harness.h
+++ b/tests/gate/gate_harness.h
@@ -49,6 +49,12 @@
     {
         return ranges_;
     }
+    // Calls on connections that were idle for a second: a firewall between
+    // has forgotten these, so nobody answers.
+    int stale_calls() const
+    {
+        return stale_calls_;
+    }
 
   private:
     struct Item {
@@ -70,6 +76,7 @@
     bool stopping_ = false;
     std::atomic<int> calls_{0};
     std::atomic<int> ranges_{0};
+    std::atomic<int> stale_calls_{0};
     std::unique_ptr<Server> server_;
 };
 
--- a/tests/gate/gateway_test.cc
+++ b/tests/gate/gateway_test.cc
@@ -730,6 +730,29 @@
         [&] { return StatusOf(cut.Ask(Call("/look/1", "b"))) == 503; }));
 }
 
+// One gateway reads the store for both.  Once it is lost, the other goes on
+// with a connection of its own; that of its start may be long forgotten.
+TEST_F(GatewayTest, ANewReaderTrustsNoIdleConnectionToTheStore)
+{
+    Start({Answers});
+    Gateway other(store_.port(), "127.0.0.2", gateway_->peers_port(),
+                  {"127.0.0.1"});
+    const char *idle = "\"source\":\"others\"";
+    Gateway *readers[] = {gateway_.get(), &other};
+    ASSERT_TRUE(other.WaitReady());
+    ASSERT_TRUE(Eventually([&] {
+        return (readers[0]->Log().find(idle) != std::string::npos) !=
+               (readers[1]->Log().find(idle) != std::string::npos);
+    }));
+    bool first = readers[0]->Log().find(idle) == std::string::npos;
+    std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+    readers[first ? 0 : 1]->Signal(SIGKILL);
+    store_.Put("op/config", Config(7));
+    EXPECT_TRUE(
+        readers[first ? 1 : 0]->WaitMetric("boragespur_catalog_version 7"));
+    EXPECT_EQ(store_.stale_calls(), 0);
+}
+
 TEST_F(GatewayTest, PlacesTakenThroughAPeerCount)
 {
     std::atomic<bool> go{false};
