What a data centre tells the others is bounded for all of it

Change: beyond 20 members of the own data centre the pause between far reports grows with them; a silent member is tried no more often than it would be told if heard. Test LargeFleet.LeavesLinksBetweenRegionsFree: 7.2 and 20 MB/s before, 1.7 after, 2 allowed.

Fleets of 89 change only in how often silent members are tried (0.7 s, was 0.4 s).

Ruled out: size of the fetched items (half a MB), the guard of the codec, the store's read limit (641 calls).

--- a/src/gossip.c
+++ b/src/gossip.c
@@ -28,6 +28,11 @@
 #define FAR_FREE_MEMBERS 16
 #define FAR_PAUSE_PER_MEMBER_MS 8
 
+/* Members of the own data centre up to which that holds.  Beyond, the pause
+   grows with them, too: what a data centre sends to others together stays
+   under 2 MB/s, a quarter of the narrowest link between regions. */
+#define NEAR_FREE_MEMBERS 20
+
 /* Longest pause while there is no news. */
 #define NEAR_BEAT_MS 150
 #define FAR_BEAT_MS 200
@@ -331,12 +336,23 @@
     return count;
 }
 
+/* Returns PAUSE_MS between reports to other data centres, made longer in a
+   large data centre. */
+static int64_t
+S_scale_far_ms(const BsGossip *gossip, unsigned far, int64_t pause_ms)
+{
+    unsigned near = g_hash_table_size(gossip->entries) - far;
+    return pause_ms * MAX(near, NEAR_FREE_MEMBERS) / NEAR_FREE_MEMBERS;
+}
+
 static int64_t
 S_beat_ms(const BsGossip *gossip, const BsGossipMember *member, unsigned far)
 {
     return BsGossip_IsNear(gossip, member)
                ? NEAR_BEAT_MS
-               : MAX(FAR_BEAT_MS, (int64_t)far * FAR_BEAT_PER_MEMBER_MS);
+               : MAX(FAR_BEAT_MS,
+                     S_scale_far_ms(gossip, far,
+                                    (int64_t)far * FAR_BEAT_PER_MEMBER_MS));
 }
 
 static bool
@@ -388,16 +404,28 @@
 }
 
 static int64_t
-S_far_pause_ms(unsigned far)
+S_far_pause_ms(const BsGossip *gossip, unsigned far)
 {
     int64_t over = far > FAR_FREE_MEMBERS ? far - FAR_FREE_MEMBERS : 0;
-    return FAR_PAUSE_MS + over * FAR_PAUSE_PER_MEMBER_MS;
+    return S_scale_far_ms(gossip, far,
+                          FAR_PAUSE_MS + over * FAR_PAUSE_PER_MEMBER_MS);
 }
 
 int64_t
 BsGossip_FarAgeMs(const BsGossip *gossip, int64_t now_ms)
 {
-    return S_far_pause_ms(S_count_far(gossip, now_ms));
+    return S_far_pause_ms(gossip, S_count_far(gossip, now_ms));
+}
+
+/* Returns the pause between reports to a member that is not heard: never less
+   than if all were heard, as reports that are lost on a full link must not
+   fill it further. */
+static int64_t
+S_try_ms(const BsGossip *gossip, unsigned far)
+{
+    int64_t members = g_hash_table_size(gossip->entries);
+    return MAX(TRY_MS,
+               S_scale_far_ms(gossip, far, members * FAR_BEAT_PER_MEMBER_MS));
 }
 
 /* Returns whether a report to the entry is due. */
@@ -408,12 +436,12 @@
     const BsGossipMember *member = &entry->member;
     int64_t passed_ms = now_ms - member->sent_ms;
     if (!S_is_heard(gossip, member, far, now_ms)) {
-        return passed_ms >= TRY_MS;
+        return passed_ms >= S_try_ms(gossip, far);
     }
     bool is_near = BsGossip_IsNear(gossip, member);
     int64_t pause_ms =
         is_near ? MAX(NEAR_PAUSE_MS, (int64_t)near * NEAR_PAUSE_PER_MEMBER_MS)
-                : S_far_pause_ms(far);
+                : S_far_pause_ms(gossip, far);
     return (entry->dirty && passed_ms >= pause_ms) ||
            passed_ms >= S_beat_ms(gossip, member, far);
 }
--- a/tests/gate/modules_test.cc
+++ b/tests/gate/modules_test.cc
@@ -229,6 +229,48 @@
     g_string_free(data, TRUE);
 }
 
+// A large fleet on a narrow link between its regions: what a data centre sends
+// to the others stays under 2 MB/s, heard or not.  Reports have half a KiB.
+class LargeFleet : public testing::TestWithParam<bool> {};
+
+TEST_P(LargeFleet, LeavesLinksBetweenRegionsFree)
+{
+    const unsigned near = 99;
+    const unsigned far = 200;
+    const int64_t seconds = 20;
+    const unsigned report_bytes = 512;
+    const unsigned limit_bytes_per_s = 2 * 1000 * 1000;
+    BsGossip *gossip = BsGossip_Create(1, 7, 0);
+    BsGossipReport report;
+    BsGossipReport_Init(&report);
+    unsigned sent = 0;
+    for (int64_t now_ms = 0; now_ms < seconds * 1000; now_ms += 50) {
+        // All are heard each second; the far ones only where the link works.
+        for (uint32_t i = 0; now_ms % 1000 == 0 && i < near + far; i++) {
+            report.sequence++;
+            report.data_centre = i < near ? 7 : 8;
+            if (i < near || GetParam() || now_ms == 0) {
+                BsGossip_Take(gossip, 100 + i, &report, now_ms);
+            }
+        }
+        GArray *due = BsGossip_Due(gossip, true, now_ms);
+        for (guint i = 0; i < due->len; i++) {
+            sent += g_array_index(due, uint32_t, i) >= 100 + near;
+        }
+        g_array_unref(due);
+    }
+    EXPECT_GT(sent, 0U);
+    EXPECT_LT(sent / seconds * (near + 1) * report_bytes, limit_bytes_per_s);
+    BsGossipReport_Clear(&report);
+    BsGossip_Destroy(gossip);
+}
+
+INSTANTIATE_TEST_SUITE_P(Link, LargeFleet, testing::Bool(),
+                         [](const auto &info) {
+                             return std::string(info.param ? "Works"
+                                                           : "LosesReports");
+                         });
+
 // ----------------------------------------------------------- sse parts --
 
 TEST(SseParts, OnlyWholeEventsLeave)
