--- a/src/targetchoice.c
+++ b/src/targetchoice.c
@@ -39,6 +39,10 @@
    need places elsewhere, too, and the others do not. */
 #define FAR_NEEDY_PART 5.0
 
+/* A target leaves at most one place in so many to others: the smallest leave
+   none, or the less urgent would never get one there. */
+#define SLOTS_PER_PLACE_LEFT 3
+
 /* Cost of a cold target, so that it comes last. */
 #define COLD_COST_MS 400.0
 
@@ -172,7 +176,9 @@
 S_has_place(const BsTargets *targets, const BsTarget *target,
             const BsTargetQuery *query)
 {
-    uint32_t wanted = query->places_left + 1;
+    uint32_t left =
+        MIN(query->places_left, target->slots / SLOTS_PER_PLACE_LEFT);
+    uint32_t wanted = left + 1;
     if (BsTargets_IsGuessed(targets, target)) {
         wanted = MAX(wanted, FAR_FREE_PLACES);
         if (target->own >= FAR_OWN_MAX) {
--- a/src/targets.h
+++ b/src/targets.h
@@ -70,7 +70,7 @@
     uint64_t session; /* hash of the last part of the prompt; 0: none */
     uint32_t prompt_tokens;
     uint32_t output_tokens;
-    uint32_t places_left; /* must stay free at the target for others */
+    uint32_t places_left; /* to stay free for others, of a third at most */
 } BsTargetQuery;
 
 /* Why no target was chosen. */
