A start is no failure of the store

Cause: an instance that had not heard from the store yet told its peers that the store fails it. For 2 s each then kept what left the list, as after an outage. While instances are restarted in turn that is so all the time.

Not changed: what leaves in an outage is kept for 2 s, as its lapse cannot be told from its leave.

Test Gossip.AStartIsNoFailureOfTheStore (the decision is a function now).

--- a/src/gw_gossip.h
+++ b/src/gw_gossip.h
@@ -10,6 +10,7 @@
 
 #include "gossip.h"
 #include "gw_gate.h"
+#include "gw_platform.h"
 #include "replica.h"
 
 typedef struct BsGossipTask BsGossipTask;
@@ -29,9 +30,9 @@
 void BsGossipTask_Tell(BsGossipTask *task, bool changed);
 
 /* Looks after silent members, shares of limits, and items that others know;
-   STORE_UP says whether the store answers.  Returns whether this instance is
+   STORE is what is known of the store.  Returns whether this instance is
    to read the store.  Call it often. */
-bool BsGossipTask_Tick(BsGossipTask *task, bool store_up);
+bool BsGossipTask_Tick(BsGossipTask *task, const BsPlatformStatus *store);
 
 /* Returns when another instance last said that the store does not answer. */
 int64_t BsGossipTask_StoreFailedMs(const BsGossipTask *task);
