--- a/src/gw_gossip.c
+++ b/src/gw_gossip.c
@@ -50,7 +50,8 @@
     uint64_t incarnation;
     uint64_t sequence;
     uint32_t data_centre;
-    bool chosen; /* to read the store */
+    bool chosen;       /* to read the store */
+    int64_t chosen_ms; /* since when, while it is */
     BsGossipReading reading;
     uint64_t told_newest;  /* of the items, when it last changed */
     int64_t read_until_ms; /* reads the store in any case */
@@ -309,10 +310,14 @@
         task->told_newest = newest;
         task->gate->loads_changed = true;
     }
+    bool was_chosen = task->chosen;
     task->chosen = now_ms < task->read_until_ms ||
                    BsGossip_IsReader(task->gossip, now_ms);
-    BsGossipReading reading =
-        BsGossip_Reading(task->chosen, store->up, store->failures > 0);
+    if (task->chosen && !was_chosen) {
+        task->chosen_ms = now_ms;
+    }
+    BsGossipReading reading = BsGossip_Reading(
+        task->chosen, store->up, store->failed_ms >= task->chosen_ms);
     if (reading != task->reading) {
         task->reading = reading;
         S_log_reading(task);
