Reverted: starts and old failures told as no failure of the store

Cause as far as traced: an instance that starts told "idle" instead of "fails", so the reader in force stepped back for one that does not read yet.

--- a/src/gossip.c
+++ b/src/gossip.c
@@ -596,18 +596,6 @@
     return address * UINT32_C(2654435761);
 }
 
-BsGossipReading
-BsGossip_Reading(bool chosen, bool up, bool failed)
-{
-    if (!chosen) {
-        return BS_GOSSIP_IDLE;
-    }
-    if (up) {
-        return BS_GOSSIP_READS;
-    }
-    return failed ? BS_GOSSIP_FAILS : BS_GOSSIP_IDLE;
-}
-
 bool
 BsGossip_IsReader(const BsGossip *gossip, int64_t now_ms)
 {
--- a/src/gossip.h
+++ b/src/gossip.h
@@ -69,12 +69,6 @@
 bool BsGossipReport_Decode(const char *data, size_t size_bytes,
                            BsGossipReport *report);
 
-/* Returns what an instance tells of its reading.  CHOSEN: it is to read the
-   store; UP: the last call was answered; FAILED: a call has failed since it
-   was chosen.  One that failed in an outage before knows nothing of now: until
-   its first call has ended it tells neither. */
-BsGossipReading BsGossip_Reading(bool chosen, bool up, bool failed);
-
 /* Creates the table of an instance at ADDRESS in DATA_CENTRE (a hash), which
    started at NOW_MS. */
 BsGossip *BsGossip_Create(uint32_t address, uint32_t data_centre,
--- a/src/gw_gateway.c
+++ b/src/gw_gateway.c
@@ -485,8 +485,8 @@
     (void)events;
     BsGateway *gateway = watcher->data;
     int64_t now_ms = S_now_ms();
-    BsPlatformStatus store = gateway->adapter->status(gateway->link);
-    bool reads = BsGossipTask_Tick(gateway->gossip, &store);
+    bool reads = BsGossipTask_Tick(gateway->gossip,
+                                   gateway->adapter->status(gateway->link).up);
     gateway->adapter->set_reading(gateway->link, reads);
     if (BsLine_Length(gateway->gate.line) > 0) {
         gateway->gate.places_changed = true; /* pauses may have ended */
--- a/src/gw_gossip.c
+++ b/src/gw_gossip.c
@@ -50,8 +50,6 @@
     uint64_t incarnation;
     uint64_t sequence;
     uint32_t data_centre;
-    bool chosen;       /* to read the store */
-    int64_t chosen_ms; /* since when, while it is */
     BsGossipReading reading;
     uint64_t told_newest;  /* of the items, when it last changed */
     int64_t read_until_ms; /* reads the store in any case */
@@ -302,22 +300,18 @@
 
 /* Decides whether to read the store for the others of the data centre. */
 static void
-S_choose_reading(BsGossipTask *task, const BsPlatformStatus *store,
-                 int64_t now_ms)
+S_choose_reading(BsGossipTask *task, bool store_up, int64_t now_ms)
 {
     uint64_t newest = BsReplica_Newest(task->replica);
     if (newest != task->told_newest) {
         task->told_newest = newest;
         task->gate->loads_changed = true;
     }
-    bool was_chosen = task->chosen;
-    task->chosen = now_ms < task->read_until_ms ||
-                   BsGossip_IsReader(task->gossip, now_ms);
-    if (task->chosen && !was_chosen) {
-        task->chosen_ms = now_ms;
-    }
-    BsGossipReading reading = BsGossip_Reading(
-        task->chosen, store->up, store->failed_ms >= task->chosen_ms);
+    bool reads = now_ms < task->read_until_ms ||
+                 BsGossip_IsReader(task->gossip, now_ms);
+    BsGossipReading reading = !reads     ? BS_GOSSIP_IDLE
+                              : store_up ? BS_GOSSIP_READS
+                                         : BS_GOSSIP_FAILS;
     if (reading != task->reading) {
         task->reading = reading;
         S_log_reading(task);
@@ -354,7 +348,7 @@
 }
 
 bool
-BsGossipTask_Tick(BsGossipTask *task, const BsPlatformStatus *store)
+BsGossipTask_Tick(BsGossipTask *task, bool store_up)
 {
     BsGate *gate = task->gate;
     int64_t now_ms = BsClock_NowMs(gate->clock);
@@ -367,9 +361,9 @@
                         BsGossip_FarAgeMs(task->gossip, now_ms));
     S_set_senders(task, now_ms);
     BsGossipTask_Tell(task, false);
-    S_choose_reading(task, store, now_ms);
+    S_choose_reading(task, store_up, now_ms);
     S_catch_up(task, now_ms);
-    return task->chosen;
+    return task->reading != BS_GOSSIP_IDLE;
 }
 
 int64_t
--- a/src/gw_gossip.h
+++ b/src/gw_gossip.h
@@ -10,7 +10,6 @@
 
 #include "gossip.h"
 #include "gw_gate.h"
-#include "gw_platform.h"
 #include "replica.h"
 
 typedef struct BsGossipTask BsGossipTask;
@@ -30,9 +29,9 @@
 void BsGossipTask_Tell(BsGossipTask *task, bool changed);
 
 /* Looks after silent members, shares of limits, and items that others know;
-   STORE is what is known of the store.  Returns whether this instance is
+   STORE_UP says whether the store answers.  Returns whether this instance is
    to read the store.  Call it often. */
-bool BsGossipTask_Tick(BsGossipTask *task, const BsPlatformStatus *store);
+bool BsGossipTask_Tick(BsGossipTask *task, bool store_up);
 
 /* Returns when another instance last said that the store does not answer. */
 int64_t BsGossipTask_StoreFailedMs(const BsGossipTask *task);
--- a/tests/gate/modules_test.cc
+++ b/tests/gate/modules_test.cc
@@ -167,17 +167,6 @@
 
 // -------------------------------------------------------------- gossip --
 
-// An instance that starts has not heard from the store yet.  That is no sign
-// that the store is away: its peers would keep what leaves the list meanwhile.
-TEST(Gossip, AStartIsNoFailureOfTheStore)
-{
-    EXPECT_EQ(BsGossip_Reading(true, false, false), BS_GOSSIP_IDLE);
-    EXPECT_EQ(BsGossip_Reading(true, false, true), BS_GOSSIP_FAILS);
-    EXPECT_EQ(BsGossip_Reading(true, true, true), BS_GOSSIP_READS);
-    EXPECT_EQ(BsGossip_Reading(false, true, false), BS_GOSSIP_IDLE);
-    EXPECT_EQ(BsGossip_Reading(false, false, true), BS_GOSSIP_IDLE);
-}
-
 TEST(GossipReport, SurvivesTheWire)
 {
     BsGossipReport sent;
