Functions, fields and an empty branch that nothing used

BsScreen_Quiesce is part of BsScreen_Destroy, its one caller. Kept: functions that only tests name where these look into a decision (BsPredictors_FirstMs, BsReplica_Find).

--- a/src/catalog.c
+++ b/src/catalog.c
@@ -191,12 +191,6 @@
     return g_hash_table_lookup(catalog->keys, key);
 }
 
-const BsCatalogAccount *
-BsCatalog_FindAccount(const BsCatalog *catalog, const char *name)
-{
-    return g_hash_table_lookup(catalog->accounts, name);
-}
-
 const char *
 BsCatalogRoute_PickService(const BsCatalogRoute *route, uint64_t seed)
 {
--- a/src/catalog.h
+++ b/src/catalog.h
@@ -112,10 +112,6 @@
 const BsCatalogAccount *BsCatalog_FindKey(const BsCatalog *catalog,
                                           const char *key);
 
-/* Returns the account NAME, or NULL. */
-const BsCatalogAccount *BsCatalog_FindAccount(const BsCatalog *catalog,
-                                              const char *name);
-
 /* Returns the service for a request on ROUTE; the same SEED always gives the
    same one. */
 const char *BsCatalogRoute_PickService(const BsCatalogRoute *route,
--- a/src/d_httpd.c
+++ b/src/d_httpd.c
@@ -25,7 +25,6 @@
     ev_prepare resumed; /* fed by hand; never started */
     ev_timer timer;
     BsScreen *screen; /* NULL for a server that accepts by itself */
-    int listen_fd;    /* to be closed by us, or -1 */
 };
 
 static void
@@ -204,7 +203,6 @@
     BsHttpd *httpd = g_new0(BsHttpd, 1);
     httpd->loop = loop;
     httpd->daemon = daemon;
-    httpd->listen_fd = -1;
     S_watch(httpd);
     if (config->screened) {
         S_screen(httpd, config, fd);
@@ -225,9 +223,6 @@
     ev_timer_stop(ev, &httpd->timer);
     MHD_stop_daemon(httpd->daemon);
     BsScreen_Destroy(httpd->screen);
-    if (httpd->listen_fd >= 0) {
-        close(httpd->listen_fd);
-    }
     g_free(httpd);
 }
 
@@ -237,14 +232,3 @@
     MHD_resume_connection(connection);
     ev_feed_event(BsLoop_Ev(httpd->loop), &httpd->resumed, EV_PREPARE);
 }
-
-void
-BsHttpd_Quiesce(BsHttpd *httpd)
-{
-    if (httpd->screen != NULL) {
-        BsScreen_Quiesce(httpd->screen);
-    }
-    else if (httpd->listen_fd < 0) {
-        httpd->listen_fd = MHD_quiesce_daemon(httpd->daemon);
-    }
-}
--- a/src/d_httpd.h
+++ b/src/d_httpd.h
@@ -42,7 +42,4 @@
 /* Resumes a suspended connection and has the server look at it. */
 void BsHttpd_Resume(BsHttpd *httpd, struct MHD_Connection *connection);
 
-/* Stops accepting connections; open ones go on. */
-void BsHttpd_Quiesce(BsHttpd *httpd);
-
 #endif /* BS_D_HTTPD_H */
--- a/src/d_reply.c
+++ b/src/d_reply.c
@@ -39,15 +39,6 @@
     return copy;
 }
 
-struct MHD_Response *
-BsReply_CreateJson(const char *text, size_t size_bytes)
-{
-    struct MHD_Response *response = MHD_create_response_from_buffer(
-        size_bytes, (void *)text, MHD_RESPMEM_MUST_COPY);
-    BsReply_AddHeader(response, "Content-Type", "application/json");
-    return response;
-}
-
 void
 BsReply_AddHeader(struct MHD_Response *response, const char *name,
                   const char *value)
--- a/src/d_reply.h
+++ b/src/d_reply.h
@@ -15,9 +15,6 @@
 char *BsReply_FormatError(BsErrorKind error, const char *detail,
                           uint32_t outcome, const char *request_id);
 
-/* Creates a response that owns a copy of TEXT as JSON. */
-struct MHD_Response *BsReply_CreateJson(const char *text, size_t size_bytes);
-
 /* Adds the header NAME with a number. */
 void BsReply_AddNumber(struct MHD_Response *response, const char *name,
                        uint32_t number);
--- a/src/d_screen.c
+++ b/src/d_screen.c
@@ -423,16 +423,6 @@
     return screen;
 }
 
-void
-BsScreen_Quiesce(BsScreen *screen)
-{
-    if (screen->config.listen_fd >= 0) {
-        ev_io_stop(BsLoop_Ev(screen->loop), &screen->accepting);
-        close(screen->config.listen_fd);
-        screen->config.listen_fd = -1;
-    }
-}
-
 /* Sends what the server has written to LINK, waiting for a slow caller. */
 static void
 S_send_rest(BsLink *link)
@@ -460,7 +450,8 @@
     if (screen == NULL) {
         return;
     }
-    BsScreen_Quiesce(screen);
+    ev_io_stop(BsLoop_Ev(screen->loop), &screen->accepting);
+    close(screen->config.listen_fd);
     GHashTableIter iter;
     gpointer link;
     g_hash_table_iter_init(&iter, screen->links);
--- a/src/d_screen.h
+++ b/src/d_screen.h
@@ -41,12 +41,9 @@
 /* Starts accepting connections. */
 BsScreen *BsScreen_Create(BsLoop *loop, const BsScreenConfig *config);
 
-/* Stops accepting connections; open ones go on. */
-void BsScreen_Quiesce(BsScreen *screen);
-
-/* Sends what the server has written, within a second for each connection,
-   then closes them all and frees SCREEN.  Call it once the server has closed
-   its ends; NULL is allowed. */
+/* Stops accepting, sends what the server has written, within a second for each
+   connection, then closes them all and frees SCREEN.  Call it once the server
+   has closed its ends; NULL is allowed. */
 void BsScreen_Destroy(BsScreen *screen);
 
 #endif /* BS_D_SCREEN_H */
--- a/src/d_upstreams.c
+++ b/src/d_upstreams.c
@@ -113,9 +113,3 @@
     BsMembers_Destroy(upstreams->members);
     g_free(upstreams);
 }
-
-uint32_t
-BsUpstreams_Count(const BsUpstreams *upstreams)
-{
-    return g_hash_table_size(upstreams->transfers);
-}
--- a/src/d_upstreams.h
+++ b/src/d_upstreams.h
@@ -19,7 +19,4 @@
 /* Ends every transfer; NULL is allowed. */
 void BsUpstreams_Destroy(BsUpstreams *upstreams);
 
-/* Returns the number of running transfers. */
-uint32_t BsUpstreams_Count(const BsUpstreams *upstreams);
-
 #endif /* BS_D_UPSTREAMS_H */
--- a/src/fence.c
+++ b/src/fence.c
@@ -71,9 +71,3 @@
 {
     return g_hash_table_contains(fences->ids, id);
 }
-
-uint32_t
-BsFences_Count(const BsFences *fences)
-{
-    return g_hash_table_size(fences->ids);
-}
--- a/src/fence.h
+++ b/src/fence.h
@@ -24,7 +24,4 @@
 /* Returns whether ID is fenced. */
 bool BsFences_Has(const BsFences *fences, const char *id);
 
-/* Returns the number of ids held. */
-uint32_t BsFences_Count(const BsFences *fences);
-
 #endif /* BS_FENCE_H */
--- a/src/gw_outbound.c
+++ b/src/gw_outbound.c
@@ -55,7 +55,6 @@
     ev_timer reap_timer;
     GPtrArray *ended; /* BsOutbound, freed once the current event is over */
     BsOutboundStats stats;
-    unsigned idle_count;
 };
 
 static void
@@ -73,8 +72,8 @@
 {
     BsOutboundPool *pool = connection->pool;
     GQueue *queue = g_hash_table_lookup(pool->idle, connection->owner);
-    if (queue != NULL && g_queue_remove(queue, connection)) {
-        pool->idle_count--;
+    if (queue != NULL) {
+        g_queue_remove(queue, connection);
     }
 }
 
@@ -90,7 +89,6 @@
     connection->call = NULL;
     connection->idle_since_ms = BsClock_NowMs(pool->clock);
     g_queue_push_head(queue, connection);
-    pool->idle_count++;
     BsStream_SetReading(connection->stream, true);
 }
 
@@ -102,13 +100,12 @@
 }
 
 static void
-S_close_idle(BsOutboundPool *pool, GQueue *queue, int64_t now_ms)
+S_close_idle(GQueue *queue, int64_t now_ms)
 {
     BsOutboundConnection *oldest;
     while ((oldest = g_queue_peek_tail(queue)) != NULL &&
            now_ms - oldest->idle_since_ms > oldest->idle_limit_ms) {
         g_queue_pop_tail(queue);
-        pool->idle_count--;
         S_destroy_connection(oldest);
     }
 }
@@ -124,7 +121,7 @@
     gpointer queue;
     g_hash_table_iter_init(&iter, pool->idle);
     while (g_hash_table_iter_next(&iter, NULL, &queue)) {
-        S_close_idle(pool, queue, now_ms);
+        S_close_idle(queue, now_ms);
         if (g_queue_is_empty(queue)) {
             g_hash_table_iter_remove(&iter);
         }
@@ -144,7 +141,6 @@
             return NULL;
         }
         g_queue_pop_head(queue);
-        pool->idle_count--;
         if (BsStream_IsQuiet(newest->stream)) {
             return newest;
         }
@@ -458,18 +454,6 @@
     }
 }
 
-bool
-BsOutbound_MayHaveLeft(const BsOutbound *call)
-{
-    return call->sent;
-}
-
-bool
-BsOutbound_IsReused(const BsOutbound *call)
-{
-    return call->reused;
-}
-
 /* -------------------------------------------------------------- pool -- */
 
 BsOutboundPool *
@@ -507,19 +491,3 @@
 {
     return &pool->stats;
 }
-
-void
-BsOutboundPool_Forget(BsOutboundPool *pool, const char *owner)
-{
-    GQueue *queue = g_hash_table_lookup(pool->idle, owner);
-    if (queue != NULL) {
-        pool->idle_count -= g_queue_get_length(queue);
-        g_hash_table_remove(pool->idle, owner);
-    }
-}
-
-unsigned
-BsOutboundPool_Idle(const BsOutboundPool *pool)
-{
-    return pool->idle_count;
-}
--- a/src/gw_outbound.h
+++ b/src/gw_outbound.h
@@ -63,12 +63,6 @@
 
 const BsOutboundStats *BsOutboundPool_Stats(const BsOutboundPool *pool);
 
-/* Closes the idle connections to OWNER. */
-void BsOutboundPool_Forget(BsOutboundPool *pool, const char *owner);
-
-/* Returns the number of idle connections. */
-unsigned BsOutboundPool_Idle(const BsOutboundPool *pool);
-
 /* Starts a call; events come later, never from within this function. */
 BsOutbound *BsOutbound_Start(BsOutboundPool *pool,
                              const BsOutboundRequest *request,
@@ -80,10 +74,4 @@
 /* Stops or resumes reading the answer. */
 void BsOutbound_SetReading(BsOutbound *call, bool reading);
 
-/* Returns whether any byte of the message may have left. */
-bool BsOutbound_MayHaveLeft(const BsOutbound *call);
-
-/* Returns whether the call uses a connection that had been idle. */
-bool BsOutbound_IsReused(const BsOutbound *call);
-
 #endif /* BS_GW_OUTBOUND_H */
--- a/src/http1.c
+++ b/src/http1.c
@@ -642,12 +642,6 @@
     return reader->complete;
 }
 
-bool
-BsHttpReader_HasStarted(const BsHttpReader *reader)
-{
-    return reader->raw->len > 0;
-}
-
 BsHttpFault
 BsHttpReader_Fault(const BsHttpReader *reader)
 {
--- a/src/http1.h
+++ b/src/http1.h
@@ -102,9 +102,6 @@
 /* Returns whether the current message has ended; Reset starts the next. */
 bool BsHttpReader_IsComplete(const BsHttpReader *reader);
 
-/* Returns whether any byte of the current message was read. */
-bool BsHttpReader_HasStarted(const BsHttpReader *reader);
-
 /* Returns what is wrong with the current message. */
 BsHttpFault BsHttpReader_Fault(const BsHttpReader *reader);
 
--- a/src/record.c
+++ b/src/record.c
@@ -256,12 +256,6 @@
     return g_hash_table_size(records->scopes);
 }
 
-uint64_t
-BsRecords_Bytes(const BsRecords *records)
-{
-    return records->bytes;
-}
-
 BsWaiter *
 BsRecord_AddWaiter(BsRecord *record, const BsMessage *forward)
 {
--- a/src/record.h
+++ b/src/record.h
@@ -115,8 +115,6 @@
 
 /* Returns the number of records and the bytes that they hold. */
 uint32_t BsRecords_Count(const BsRecords *records);
-uint64_t BsRecords_Bytes(const BsRecords *records);
-
 /* Adds a hop that waits for the answer of RECORD; returns it. */
 BsWaiter *BsRecord_AddWaiter(BsRecord *record, const BsMessage *forward);
 
--- a/src/targets.c
+++ b/src/targets.c
@@ -265,7 +265,6 @@
     uint32_t doublings = MIN(target->failures, 8);
     int64_t pause_ms = MIN((int64_t)RETRY_FIRST_MS << doublings, RETRY_MAX_MS);
     /* Requests that were under way together fail together: one failure. */
-    target->failed_at_ms = now_ms;
     if (target->failures > 0 && target->retry_at_ms > now_ms) {
         /* Several requests that break together: it crashed, and may be back
            before anyone has seen it refuse a connection. */
--- a/src/targets.h
+++ b/src/targets.h
@@ -54,7 +54,6 @@
     int64_t cold_filled_ms;
     uint32_t failures;    /* in a row */
     int64_t retry_at_ms;  /* no work before, after failures */
-    int64_t failed_at_ms; /* last failure */
     int64_t heard_ms;     /* last byte of any answer */
     double error_ratio;   /* of recent answers */
     double pace_ms;       /* recent time an event or answer takes; 0: none */
