What libcyaml says of a file is collected in one place

settings.c, gatesettings.c and sheetschema.c each had the same two functions, the sheet's with a limit and without the line that only announces the place. Now all three have that one.

--- a/src/gatesettings.c
+++ b/src/gatesettings.c
@@ -2,8 +2,8 @@
 #include "gatesettings.h"
 
 #include "settings_keys.h"
+#include "yamlreport.h"
 
-#include <cyaml/cyaml.h>
 #include <string.h>
 
 #define STRING_MAX 1024
@@ -101,31 +101,6 @@
 
 static const BsSettingsKeys S_keys = {S_rows, G_N_ELEMENTS(S_rows)};
 
-static void
-S_collect_log(cyaml_log_t level, void *context, const char *format,
-              va_list args)
-{
-    GString *report = context;
-    char *line = g_strdup_vprintf(format, args);
-    (void)level;
-    g_strstrip(line);
-    g_string_append_printf(report, "%s%s", report->len > 0 ? "; " : "", line);
-    g_free(line);
-}
-
-static cyaml_config_t
-S_make_config(GString *report)
-{
-    cyaml_config_t config = {
-        .log_fn = S_collect_log,
-        .log_ctx = report,
-        .mem_fn = cyaml_mem,
-        .log_level = CYAML_LOG_ERROR,
-        .flags = CYAML_CFG_IGNORE_UNKNOWN_KEYS,
-    };
-    return config;
-}
-
 static bool
 S_fail(GError **error, const char *file, const char *key, const char *value)
 {
@@ -206,7 +181,8 @@
 BsGateSettings_Load(const char *file, GError **error)
 {
     GString *report = g_string_new(NULL);
-    cyaml_config_t config = S_make_config(report);
+    cyaml_config_t config =
+        BsYamlReport_Config(report, CYAML_CFG_IGNORE_UNKNOWN_KEYS);
     BsGateSettings *settings = NULL;
     if (!g_file_test(file, G_FILE_TEST_IS_REGULAR)) {
         g_set_error(error, BS_ERROR, BS_ERR_SETTINGS,
@@ -235,7 +211,8 @@
 BsGateSettings_Destroy(BsGateSettings *settings)
 {
     GString *report = g_string_new(NULL);
-    cyaml_config_t config = S_make_config(report);
+    cyaml_config_t config =
+        BsYamlReport_Config(report, CYAML_CFG_IGNORE_UNKNOWN_KEYS);
     if (settings != NULL) {
         cyaml_free(&config, &S_schema, settings, 0);
     }
--- a/src/settings.c
+++ b/src/settings.c
@@ -1,8 +1,8 @@
 /* settings.c - reading and checking the settings file. */
 #include "settings_keys.h"
+#include "yamlreport.h"
 
 #include <arpa/inet.h>
-#include <cyaml/cyaml.h>
 #include <string.h>
 
 #define STRING_MAX 1024
@@ -81,36 +81,11 @@
 static const cyaml_schema_value_t S_schema = {
     CYAML_VALUE_MAPPING(CYAML_FLAG_POINTER, BsSettings, S_fields)};
 
-static void
-S_collect_log(cyaml_log_t level, void *context, const char *format,
-              va_list args)
-{
-    GString *report = context;
-    char *line = g_strdup_vprintf(format, args);
-    (void)level;
-    g_strstrip(line);
-    g_string_append_printf(report, "%s%s", report->len > 0 ? "; " : "", line);
-    g_free(line);
-}
-
-static cyaml_config_t
-S_make_config(GString *report)
-{
-    cyaml_config_t config = {
-        .log_fn = S_collect_log,
-        .log_ctx = report,
-        .mem_fn = cyaml_mem,
-        .log_level = CYAML_LOG_ERROR,
-        .flags = CYAML_CFG_DEFAULT,
-    };
-    return config;
-}
-
 BsSettings *
 BsSettings_Load(const char *file, GError **error)
 {
     GString *report = g_string_new(NULL);
-    cyaml_config_t config = S_make_config(report);
+    cyaml_config_t config = BsYamlReport_Config(report, CYAML_CFG_DEFAULT);
     BsSettings *settings = NULL;
     if (!g_file_test(file, G_FILE_TEST_IS_REGULAR)) {
         g_set_error(error, BS_ERROR, BS_ERR_SETTINGS,
@@ -140,7 +115,7 @@
 void
 BsSettings_Destroy(BsSettings *settings)
 {
-    cyaml_config_t config = S_make_config(NULL);
+    cyaml_config_t config = BsYamlReport_Config(NULL, CYAML_CFG_DEFAULT);
     if (settings != NULL) {
         cyaml_free(&config, &S_schema, settings, 0);
     }
--- a/src/sheetschema.c
+++ b/src/sheetschema.c
@@ -1,7 +1,7 @@
 /* sheetschema.c - the YAML schema of a sheet. */
 #include "sheetdata.h"
+#include "yamlreport.h"
 
-#include <cyaml/cyaml.h>
 #include <string.h>
 
 #define NAME_MIN_BYTES 1
@@ -140,37 +140,6 @@
 static const cyaml_schema_value_t S_sheet_schema = {
     CYAML_VALUE_MAPPING(CYAML_FLAG_POINTER, BsSheetData, S_sheet_fields)};
 
-/* Collects the first two lines of libcyaml's report: error and place. */
-static void
-S_collect_log(cyaml_log_t level, void *context, const char *format,
-              va_list args)
-{
-    GString *report = context;
-    if (level < CYAML_LOG_ERROR || report->len > 400) {
-        return;
-    }
-    char *line = g_strdup_vprintf(format, args);
-    g_strstrip(line);
-    if (!g_str_has_prefix(line, "Load: Backtrace")) {
-        g_string_append_printf(report, "%s%s", report->len > 0 ? "; " : "",
-                               line);
-    }
-    g_free(line);
-}
-
-static cyaml_config_t
-S_make_config(GString *report)
-{
-    cyaml_config_t config = {
-        .log_fn = S_collect_log,
-        .log_ctx = report,
-        .mem_fn = cyaml_mem,
-        .log_level = CYAML_LOG_ERROR,
-        .flags = CYAML_CFG_DEFAULT,
-    };
-    return config;
-}
-
 bool
 BsSheetData_Fail(GError **error, const char *format, ...)
 {
@@ -222,7 +191,7 @@
 BsSheetData_Load(const char *text, size_t size_bytes, GError **error)
 {
     GString *report = g_string_new(NULL);
-    cyaml_config_t config = S_make_config(report);
+    cyaml_config_t config = BsYamlReport_Config(report, CYAML_CFG_DEFAULT);
     cyaml_data_t *data = NULL;
     cyaml_err_t result =
         cyaml_load_data((const uint8_t *)text, size_bytes, &config,
@@ -245,6 +214,6 @@
 void
 BsSheetData_Free(BsSheetData *data)
 {
-    cyaml_config_t config = S_make_config(NULL);
+    cyaml_config_t config = BsYamlReport_Config(NULL, CYAML_CFG_DEFAULT);
     cyaml_free(&config, &S_sheet_schema, data, 0);
 }
--- /dev/null
+++ b/src/yamlreport.c
@@ -0,0 +1,36 @@
+/* yamlreport.c - what libcyaml says of a file that it cannot load. */
+#include "yamlreport.h"
+
+/* Lines after these bytes only repeat where in the file it is. */
+#define REPORT_MAX_BYTES 400
+
+/* Collects the first lines: the error and its place. */
+static void
+S_collect_log(cyaml_log_t level, void *context, const char *format,
+              va_list args)
+{
+    GString *report = context;
+    if (level < CYAML_LOG_ERROR || report->len > REPORT_MAX_BYTES) {
+        return;
+    }
+    char *line = g_strdup_vprintf(format, args);
+    g_strstrip(line);
+    if (!g_str_has_prefix(line, "Load: Backtrace")) {
+        g_string_append_printf(report, "%s%s", report->len > 0 ? "; " : "",
+                               line);
+    }
+    g_free(line);
+}
+
+cyaml_config_t
+BsYamlReport_Config(GString *report, cyaml_cfg_flags_t flags)
+{
+    cyaml_config_t config = {
+        .log_fn = S_collect_log,
+        .log_ctx = report,
+        .mem_fn = cyaml_mem,
+        .log_level = CYAML_LOG_ERROR,
+        .flags = flags,
+    };
+    return config;
+}
