--- a/src/gw_gateway.c
+++ b/src/gw_gateway.c
@@ -2,11 +2,9 @@
 #include "gw_gateway.h"
 
 #include "daycount.h"
-#include "gw_gate.h"
-#include "gw_gossip.h"
+#include "gw_gatewayparts.h"
 #include "gw_relay.h"
 
-#include <jansson.h>
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
@@ -24,16 +22,6 @@
    at: it may change without a signal. */
 #define PRUNE_MS 1000
 
-/* An entry that lapsed while the store was away is back this long after its
-   return, when its upstream lives. */
-#define LAPSE_MS 2000
-
-/* Part of the memory that bodies of requests may hold, as a divisor. */
-#define BODY_MEMORY_DIVISOR 5
-
-/* Descriptors kept from callers: for upstreams, peers, the store, files. */
-#define DESCRIPTORS_KEPT 600
-
 /* A stop first waits until the balancer has seen two failed checks, a second
    apart, then closes connections that are idle. */
 #define STOP_IDLE_AFTER_MS 1200
@@ -51,7 +39,6 @@
 /* Left of the grace period for the process to end in. */
 #define STOP_MARGIN_MS 700
 
-#define MEBIBYTE (1024ULL * 1024)
 #define MS_PER_S 1000
 
 static const BsCatalogLimits S_default_limits = {
@@ -61,27 +48,6 @@
     .idle_timeout_ms = 15000,
 };
 
-typedef struct {
-    BsGate gate;
-    BsGateSettings *settings;
-    const char *settings_file;
-    const BsPlatformAdapter *adapter;
-    void *link;
-    BsReplica *replica;
-    BsGossipTask *gossip;
-    BsInboundServer *ready;
-    BsInboundServer *admin;
-    ev_prepare turn;
-    ev_timer tick;
-    ev_signal terminate;
-    ev_signal interrupt;
-    ev_signal hangup;
-    struct timespec read_at; /* change of the settings file that was read */
-    int64_t started_ms;
-    int64_t stop_ms;
-    int64_t pruned_ms;
-} BsGateway;
-
 /* Counts time while the machine is suspended, too: what was believed before
    is old afterwards. */
 static struct timespec
@@ -113,242 +79,6 @@
     return BsClock_NowMs(&S_clock);
 }
 
-/* ---------------------------------------------------------- platform -- */
-
-static BsInboundLimits
-S_inbound_limits(const BsGateway *gateway, const BsCatalogLimits *limits)
-{
-    const BsGateMachine *machine = &gateway->settings->machine;
-    uint32_t kept = MIN(DESCRIPTORS_KEPT, machine->descriptors / 2);
-    BsInboundLimits result = {
-        .header_bytes = limits->header_bytes,
-        .body_bytes = limits->body_bytes,
-        .header_timeout_ms = limits->header_timeout_ms,
-        .idle_timeout_ms = limits->idle_timeout_ms,
-        .held_bytes = machine->memory_mb * MEBIBYTE / BODY_MEMORY_DIVISOR,
-        .connections = machine->descriptors - kept,
-    };
-    return result;
-}
-
-static void
-S_on_catalog(BsCatalog *catalog, void *context)
-{
-    BsGateway *gateway = context;
-    BsGate *gate = &gateway->gate;
-    uint64_t version = BsCatalog_Version(catalog);
-    if (gate->catalog != NULL && version <= BsCatalog_Version(gate->catalog)) {
-        BsCatalog_Unref(catalog);
-        return;
-    }
-    BsCatalog_Unref(gate->catalog);
-    gate->catalog = catalog;
-    BsInboundLimits limits =
-        S_inbound_limits(gateway, BsCatalog_Limits(catalog));
-    BsInboundServer_SetLimits(gate->callers, &limits);
-    BsCounters_Set(gate->counters, "catalog_version", version);
-    if (BsEventLog_Begin(gate->log, BS_EVENT_STATE, "catalog_in_force")) {
-        BsEventLog_Number(gate->log, "version", (int64_t)version);
-        BsEventLog_End(gate->log);
-    }
-}
-
-static void
-S_on_upstream(const BsTargetEntry *listed, void *context)
-{
-    BsGateway *gateway = context;
-    BsGate *gate = &gateway->gate;
-    BsTargetEntry entry = *listed;
-    entry.region = BsGateSettings_Region(gateway->settings, entry.data_centre);
-    const BsTarget *before = BsTargets_Find(gate->targets, entry.id);
-    bool was_draining = before != NULL && before->draining;
-    bool is_new = BsTargets_Put(gate->targets, &entry, S_now_ms());
-    gate->places_changed = true;
-    if ((is_new || was_draining != entry.draining) &&
-        BsEventLog_Begin(gate->log, BS_EVENT_STATE, "upstream_listed")) {
-        BsEventLog_Text(gate->log, "upstream", entry.id);
-        BsEventLog_Text(gate->log, "service", entry.service);
-        BsEventLog_Text(gate->log, "data_centre", entry.data_centre);
-        BsEventLog_Text(gate->log, "state",
-                        entry.draining ? "draining" : "ready");
-        BsEventLog_Number(gate->log, "cold_ms", entry.cold_ms);
-        BsEventLog_End(gate->log);
-    }
-}
-
-static void
-S_on_upstream_gone(const char *id, void *context)
-{
-    BsGateway *gateway = context;
-    BsGate *gate = &gateway->gate;
-    BsPlatformStatus status = gateway->adapter->status(gateway->link);
-    int64_t now_ms = S_now_ms();
-    int64_t failed_ms =
-        MAX(status.failed_ms, BsGossipTask_StoreFailedMs(gateway->gossip));
-    bool disturbed = now_ms - failed_ms < LAPSE_MS;
-    if (!BsTargets_Remove(gate->targets, id, disturbed ? LAPSE_MS : 0,
-                          now_ms)) {
-        return;
-    }
-    if (BsEventLog_Begin(gate->log, BS_EVENT_STATE, "upstream_gone")) {
-        BsEventLog_Text(gate->log, "upstream", id);
-        BsEventLog_Number(gate->log, "kept_ms", disturbed ? LAPSE_MS : 0);
-        BsEventLog_End(gate->log);
-    }
-}
-
-static void
-S_on_closed(const char *data_centre, bool closed, void *context)
-{
-    BsGateway *gateway = context;
-    BsGate *gate = &gateway->gate;
-    BsTargets_SetClosed(gate->targets, data_centre, closed);
-    gate->places_changed = true;
-    if (BsEventLog_Begin(gate->log, BS_EVENT_STATE,
-                         closed ? "data_centre_closed" : "data_centre_open")) {
-        BsEventLog_Text(gate->log, "data_centre", data_centre);
-        BsEventLog_End(gate->log);
-    }
-}
-
-static void
-S_on_broken(const char *key, const char *reason, unsigned count, void *context)
-{
-    BsGate *gate = &((BsGateway *)context)->gate;
-    BsCounters_Add(gate->counters, "broken_items_total", count);
-    if (BsEventLog_Begin(gate->log, BS_EVENT_FAILURE, "item_broken")) {
-        BsEventLog_Text(gate->log, "key", key);
-        BsEventLog_Text(gate->log, "cause", reason);
-        BsEventLog_End(gate->log);
-    }
-}
-
-static const BsPlatformEvents S_platform_events = {
-    .on_catalog = S_on_catalog,
-    .on_upstream = S_on_upstream,
-    .on_upstream_gone = S_on_upstream_gone,
-    .on_closed = S_on_closed,
-    .on_broken = S_on_broken,
-};
-
-static void
-S_on_item(const BsItem *item, void *context)
-{
-    BsGateway *gateway = context;
-    gateway->adapter->decode(item, &S_platform_events, gateway);
-}
-
-static void
-S_on_link(bool up, const char *reason, void *context)
-{
-    BsGate *gate = &((BsGateway *)context)->gate;
-    BsCounters_Set(gate->counters, "store_up", up);
-    if (BsEventLog_Begin(gate->log, BS_EVENT_STATE,
-                         up ? "store_regained" : "store_lost")) {
-        BsEventLog_Text(gate->log, "cause", reason);
-        BsEventLog_End(gate->log);
-    }
-}
-
-/* ------------------------------------------------------------- pages -- */
-
-static bool
-S_is_ready(const BsGateway *gateway)
-{
-    const BsGate *gate = &gateway->gate;
-    return !gate->stopping && gate->catalog != NULL &&
-           BsTargets_Listed(gate->targets) > 0;
-}
-
-static void
-S_on_ready_request(BsInbound *inbound, const BsHttpHead *head,
-                   const GString *body, void *context)
-{
-    (void)head;
-    (void)body;
-    BsInbound_Answer(inbound, S_is_ready(context) ? 200 : 503, NULL, "", 0);
-}
-
-static void
-S_set_gauges(BsGateway *gateway)
-{
-    BsGate *gate = &gateway->gate;
-    const BsOutboundStats *stats = BsOutboundPool_Stats(gate->pool);
-    BsPlatformStatus status = gateway->adapter->status(gateway->link);
-    BsCounters *counters = gate->counters;
-    BsCounters_Set(
-        counters, "uptime_s",
-        (uint64_t)(BsClock_NowMs(gate->clock) - gateway->started_ms) /
-            MS_PER_S);
-    BsCounters_Set(counters, "instances", gate->instances);
-    BsCounters_Set(counters, "places_taken_by_peers",
-                   BsTargets_PeerLoad(gate->targets));
-    BsCounters_Set(counters, "waiting", BsLine_Length(gate->line));
-    BsCounters_Set(counters, "upstreams", BsTargets_Listed(gate->targets));
-    BsCounters_Set(counters, "connections",
-                   BsInboundServer_Connections(gate->callers));
-    BsCounters_Set(counters, "upstream_connections_opened", stats->opened);
-    BsCounters_Set(counters, "upstream_connections_reused", stats->reused);
-    BsCounters_Set(counters, "store_calls", status.calls);
-    BsCounters_Set(counters, "store_failures", status.failures);
-    BsCounters_Set(counters, "log_lines_dropped",
-                   BsEventLog_Dropped(gate->log));
-}
-
-/* Tells who answers, for the evening page. */
-static void
-S_answer_status(const BsGateway *gateway, BsInbound *inbound)
-{
-    json_t *json = json_pack("{s:s}", "instance", gateway->settings->name);
-    char *text = json_dumps(json, JSON_COMPACT);
-    BsInbound_Answer(inbound, 200, "Content-Type: application/json\r\n", text,
-                     strlen(text));
-    free(text);
-    json_decref(json);
-}
-
-static void
-S_on_admin_request(BsInbound *inbound, const BsHttpHead *head,
-                   const GString *body, void *context)
-{
-    (void)body;
-    BsGateway *gateway = context;
-    if (strcmp(head->target, "/status") == 0) {
-        S_answer_status(gateway, inbound);
-        return;
-    }
-    if (strcmp(head->target, "/metrics") != 0) {
-        BsInbound_Answer(inbound, 404, NULL, "", 0);
-        return;
-    }
-    GString *text = g_string_new(NULL);
-    S_set_gauges(gateway);
-    BsCounters_Format(gateway->gate.counters, text);
-    BsHistogram_Format(gateway->gate.durations, text);
-    BsHistogram_Format(gateway->gate.waits, text);
-    BsHistogram_Format(gateway->gate.first_events, text);
-    BsInbound_Answer(inbound, 200, "Content-Type: text/plain\r\n", text->str,
-                     text->len);
-    g_string_free(text, TRUE);
-}
-
-static void
-S_on_page_gone(BsInbound *inbound, void *context)
-{
-    (void)inbound;
-    (void)context;
-}
-
-static const BsInboundApp S_ready_app = {
-    .on_request = S_on_ready_request,
-    .on_gone = S_on_page_gone,
-};
-
-static const BsInboundApp S_admin_app = {
-    .on_request = S_on_admin_request,
-    .on_gone = S_on_page_gone,
-};
-
 /* ------------------------------------------------------------- turns -- */
 
 static void
@@ -520,7 +250,8 @@
          void *context, GError **error)
 {
     struct sockaddr_in address;
-    BsInboundLimits limits = S_inbound_limits(gateway, &S_default_limits);
+    BsInboundLimits limits =
+        BsGateway_InboundLimits(gateway, &S_default_limits);
     BsGateSettings_ParseAddress(text, &address);
     return BsInboundServer_Create(gateway->gate.loop, &S_clock, &address, app,
                                   context, &limits, error);
@@ -581,16 +312,16 @@
         return false;
     }
     gateway->ready =
-        S_listen(gateway, settings->ready, &S_ready_app, gateway, error);
+        S_listen(gateway, settings->ready, &bs_ready_app, gateway, error);
     if (gateway->ready == NULL) {
         return false;
     }
     gateway->admin =
-        S_listen(gateway, settings->admin, &S_admin_app, gateway, error);
+        S_listen(gateway, settings->admin, &bs_admin_app, gateway, error);
     if (gateway->admin == NULL) {
         return false;
     }
-    gateway->replica = BsReplica_Create(S_on_item, gateway);
+    gateway->replica = BsReplica_Create(BsGateway_OnItem, gateway);
     gateway->gossip = BsGossipTask_Create(gate, gateway->replica, error);
     return gateway->gossip != NULL;
 }
@@ -619,7 +350,7 @@
     S_start_signal(gateway, &gateway->hangup, SIGHUP, S_on_hangup);
     gateway->link = gateway->adapter->connect(
         loop, &S_clock, gateway->settings, gateway->replica, S_random(),
-        S_on_link, gateway);
+        BsGateway_OnLink, gateway);
 }
 
 static void
--- /dev/null
+++ b/src/gw_pages.c
@@ -0,0 +1,104 @@
+/* gw_pages.c - pages for balancers and operators. */
+#include "gw_gatewayparts.h"
+
+#include <jansson.h>
+#include <string.h>
+
+#define MS_PER_S 1000
+
+static bool
+S_is_ready(const BsGateway *gateway)
+{
+    const BsGate *gate = &gateway->gate;
+    return !gate->stopping && gate->catalog != NULL &&
+           BsTargets_Listed(gate->targets) > 0;
+}
+
+static void
+S_on_ready_request(BsInbound *inbound, const BsHttpHead *head,
+                   const GString *body, void *context)
+{
+    (void)head;
+    (void)body;
+    BsInbound_Answer(inbound, S_is_ready(context) ? 200 : 503, NULL, "", 0);
+}
+
+static void
+S_set_gauges(BsGateway *gateway)
+{
+    BsGate *gate = &gateway->gate;
+    const BsOutboundStats *stats = BsOutboundPool_Stats(gate->pool);
+    BsPlatformStatus status = gateway->adapter->status(gateway->link);
+    BsCounters *counters = gate->counters;
+    BsCounters_Set(
+        counters, "uptime_s",
+        (uint64_t)(BsClock_NowMs(gate->clock) - gateway->started_ms) /
+            MS_PER_S);
+    BsCounters_Set(counters, "instances", gate->instances);
+    BsCounters_Set(counters, "places_taken_by_peers",
+                   BsTargets_PeerLoad(gate->targets));
+    BsCounters_Set(counters, "waiting", BsLine_Length(gate->line));
+    BsCounters_Set(counters, "upstreams", BsTargets_Listed(gate->targets));
+    BsCounters_Set(counters, "connections",
+                   BsInboundServer_Connections(gate->callers));
+    BsCounters_Set(counters, "upstream_connections_opened", stats->opened);
+    BsCounters_Set(counters, "upstream_connections_reused", stats->reused);
+    BsCounters_Set(counters, "store_calls", status.calls);
+    BsCounters_Set(counters, "store_failures", status.failures);
+    BsCounters_Set(counters, "log_lines_dropped",
+                   BsEventLog_Dropped(gate->log));
+}
+
+/* Tells who answers, for the evening page. */
+static void
+S_answer_status(const BsGateway *gateway, BsInbound *inbound)
+{
+    json_t *json = json_pack("{s:s}", "instance", gateway->settings->name);
+    char *text = json_dumps(json, JSON_COMPACT);
+    BsInbound_Answer(inbound, 200, "Content-Type: application/json\r\n", text,
+                     strlen(text));
+    free(text);
+    json_decref(json);
+}
+
+static void
+S_on_admin_request(BsInbound *inbound, const BsHttpHead *head,
+                   const GString *body, void *context)
+{
+    (void)body;
+    BsGateway *gateway = context;
+    if (strcmp(head->target, "/status") == 0) {
+        S_answer_status(gateway, inbound);
+        return;
+    }
+    if (strcmp(head->target, "/metrics") != 0) {
+        BsInbound_Answer(inbound, 404, NULL, "", 0);
+        return;
+    }
+    GString *text = g_string_new(NULL);
+    S_set_gauges(gateway);
+    BsCounters_Format(gateway->gate.counters, text);
+    BsHistogram_Format(gateway->gate.durations, text);
+    BsHistogram_Format(gateway->gate.waits, text);
+    BsHistogram_Format(gateway->gate.first_events, text);
+    BsInbound_Answer(inbound, 200, "Content-Type: text/plain\r\n", text->str,
+                     text->len);
+    g_string_free(text, TRUE);
+}
+
+static void
+S_on_page_gone(BsInbound *inbound, void *context)
+{
+    (void)inbound;
+    (void)context;
+}
+
+const BsInboundApp bs_ready_app = {
+    .on_request = S_on_ready_request,
+    .on_gone = S_on_page_gone,
+};
+
+const BsInboundApp bs_admin_app = {
+    .on_request = S_on_admin_request,
+    .on_gone = S_on_page_gone,
+};
--- /dev/null
+++ b/src/gw_published.c
@@ -0,0 +1,153 @@
+/* gw_published.c - what the platform publishes, taken into use. */
+#include "gw_gatewayparts.h"
+
+#include <string.h>
+
+/* An entry that lapsed while the store was away is back this long after its
+   return, when its upstream lives. */
+#define LAPSE_MS 2000
+
+/* Part of the memory that bodies of requests may hold, as a divisor. */
+#define BODY_MEMORY_DIVISOR 5
+
+/* Descriptors kept from callers: for upstreams, peers, the store, files. */
+#define DESCRIPTORS_KEPT 600
+
+#define MEBIBYTE (1024ULL * 1024)
+
+BsInboundLimits
+BsGateway_InboundLimits(const BsGateway *gateway,
+                        const BsCatalogLimits *limits)
+{
+    const BsGateMachine *machine = &gateway->settings->machine;
+    uint32_t kept = MIN(DESCRIPTORS_KEPT, machine->descriptors / 2);
+    BsInboundLimits result = {
+        .header_bytes = limits->header_bytes,
+        .body_bytes = limits->body_bytes,
+        .header_timeout_ms = limits->header_timeout_ms,
+        .idle_timeout_ms = limits->idle_timeout_ms,
+        .held_bytes = machine->memory_mb * MEBIBYTE / BODY_MEMORY_DIVISOR,
+        .connections = machine->descriptors - kept,
+    };
+    return result;
+}
+
+static void
+S_on_catalog(BsCatalog *catalog, void *context)
+{
+    BsGateway *gateway = context;
+    BsGate *gate = &gateway->gate;
+    uint64_t version = BsCatalog_Version(catalog);
+    if (gate->catalog != NULL && version <= BsCatalog_Version(gate->catalog)) {
+        BsCatalog_Unref(catalog);
+        return;
+    }
+    BsCatalog_Unref(gate->catalog);
+    gate->catalog = catalog;
+    BsInboundLimits limits =
+        BsGateway_InboundLimits(gateway, BsCatalog_Limits(catalog));
+    BsInboundServer_SetLimits(gate->callers, &limits);
+    BsCounters_Set(gate->counters, "catalog_version", version);
+    if (BsEventLog_Begin(gate->log, BS_EVENT_STATE, "catalog_in_force")) {
+        BsEventLog_Number(gate->log, "version", (int64_t)version);
+        BsEventLog_End(gate->log);
+    }
+}
+
+static void
+S_on_upstream(const BsTargetEntry *listed, void *context)
+{
+    BsGateway *gateway = context;
+    BsGate *gate = &gateway->gate;
+    BsTargetEntry entry = *listed;
+    entry.region = BsGateSettings_Region(gateway->settings, entry.data_centre);
+    const BsTarget *before = BsTargets_Find(gate->targets, entry.id);
+    bool was_draining = before != NULL && before->draining;
+    bool is_new =
+        BsTargets_Put(gate->targets, &entry, BsClock_NowMs(gate->clock));
+    gate->places_changed = true;
+    if ((is_new || was_draining != entry.draining) &&
+        BsEventLog_Begin(gate->log, BS_EVENT_STATE, "upstream_listed")) {
+        BsEventLog_Text(gate->log, "upstream", entry.id);
+        BsEventLog_Text(gate->log, "service", entry.service);
+        BsEventLog_Text(gate->log, "data_centre", entry.data_centre);
+        BsEventLog_Text(gate->log, "state",
+                        entry.draining ? "draining" : "ready");
+        BsEventLog_Number(gate->log, "cold_ms", entry.cold_ms);
+        BsEventLog_End(gate->log);
+    }
+}
+
+static void
+S_on_upstream_gone(const char *id, void *context)
+{
+    BsGateway *gateway = context;
+    BsGate *gate = &gateway->gate;
+    BsPlatformStatus status = gateway->adapter->status(gateway->link);
+    int64_t now_ms = BsClock_NowMs(gate->clock);
+    int64_t failed_ms =
+        MAX(status.failed_ms, BsGossipTask_StoreFailedMs(gateway->gossip));
+    bool disturbed = now_ms - failed_ms < LAPSE_MS;
+    if (!BsTargets_Remove(gate->targets, id, disturbed ? LAPSE_MS : 0,
+                          now_ms)) {
+        return;
+    }
+    if (BsEventLog_Begin(gate->log, BS_EVENT_STATE, "upstream_gone")) {
+        BsEventLog_Text(gate->log, "upstream", id);
+        BsEventLog_Number(gate->log, "kept_ms", disturbed ? LAPSE_MS : 0);
+        BsEventLog_End(gate->log);
+    }
+}
+
+static void
+S_on_closed(const char *data_centre, bool closed, void *context)
+{
+    BsGateway *gateway = context;
+    BsGate *gate = &gateway->gate;
+    BsTargets_SetClosed(gate->targets, data_centre, closed);
+    gate->places_changed = true;
+    if (BsEventLog_Begin(gate->log, BS_EVENT_STATE,
+                         closed ? "data_centre_closed" : "data_centre_open")) {
+        BsEventLog_Text(gate->log, "data_centre", data_centre);
+        BsEventLog_End(gate->log);
+    }
+}
+
+static void
+S_on_broken(const char *key, const char *reason, unsigned count, void *context)
+{
+    BsGate *gate = &((BsGateway *)context)->gate;
+    BsCounters_Add(gate->counters, "broken_items_total", count);
+    if (BsEventLog_Begin(gate->log, BS_EVENT_FAILURE, "item_broken")) {
+        BsEventLog_Text(gate->log, "key", key);
+        BsEventLog_Text(gate->log, "cause", reason);
+        BsEventLog_End(gate->log);
+    }
+}
+
+static const BsPlatformEvents S_platform_events = {
+    .on_catalog = S_on_catalog,
+    .on_upstream = S_on_upstream,
+    .on_upstream_gone = S_on_upstream_gone,
+    .on_closed = S_on_closed,
+    .on_broken = S_on_broken,
+};
+
+void
+BsGateway_OnItem(const BsItem *item, void *context)
+{
+    BsGateway *gateway = context;
+    gateway->adapter->decode(item, &S_platform_events, gateway);
+}
+
+void
+BsGateway_OnLink(bool up, const char *reason, void *context)
+{
+    BsGate *gate = &((BsGateway *)context)->gate;
+    BsCounters_Set(gate->counters, "store_up", up);
+    if (BsEventLog_Begin(gate->log, BS_EVENT_STATE,
+                         up ? "store_regained" : "store_lost")) {
+        BsEventLog_Text(gate->log, "cause", reason);
+        BsEventLog_End(gate->log);
+    }
+}
