--- a/src/targets.h
+++ b/src/targets.h
@@ -52,11 +52,11 @@
     uint32_t cold_sent;          /* our requests sent while it was cold */
     double cold_level;           /* requests it may still get now while cold */
     int64_t cold_filled_ms;
-    uint32_t failures;    /* in a row */
-    int64_t retry_at_ms;  /* no work before, after failures */
-    int64_t heard_ms;     /* last byte of any answer */
-    double error_ratio;   /* of recent answers */
-    double pace_ms;       /* recent time an event or answer takes; 0: none */
+    uint32_t failures;   /* in a row */
+    int64_t retry_at_ms; /* no work before, after failures */
+    int64_t heard_ms;    /* last byte of any answer */
+    double error_ratio;  /* of recent answers */
+    double pace_ms;      /* recent time an event or answer takes; 0: none */
 } BsTarget;
 
 /* What is to be sent. */
