Silence ends an attempt only where another upstream could be tried

Cause: StoreTest.LosesAnAnswer failed once beside load with 502 where 200 was due: the only upstream answered late, the attempt was cancelled as silent, and the request, with nowhere else to go, was given up. A late answer is better than none. Now a silent attempt asks first what there is elsewhere; with no other upstream at all it waits another period. Ruled out: the store's client (its own time-out had not run).

--- a/src/gw_attempt.c
+++ b/src/gw_attempt.c
@@ -41,6 +41,13 @@
     return BsCatalogRoute_MayRepeat(relay->route);
 }
 
+/* Returns whether the request may be tried elsewhere after this attempt. */
+static bool
+S_may_go_on(const BsRelay *relay)
+{
+    return S_may_repeat(relay) && relay->attempts < relay->route->attempts_max;
+}
+
 void
 BsAttempt_FillQuery(const BsRelay *relay, BsTargetQuery *query)
 {
@@ -160,8 +167,7 @@
 static void
 S_on_failure(BsRelay *relay, BsTargetEnd end, const char *cause)
 {
-    bool may_go_on =
-        S_may_repeat(relay) && relay->attempts < relay->route->attempts_max;
+    bool may_go_on = S_may_go_on(relay);
     char *failed = g_strdup(relay->target->id);
     BsRelay_Log(relay, BS_EVENT_FAILURE, "attempt_failed", cause);
     S_close(relay, end);
@@ -310,23 +316,23 @@
     relay->events += events;
 }
 
-/* Returns whether another upstream has a place for the request now. */
-static bool
-S_has_other(BsRelay *relay)
+/* Returns what there is for the request beside its upstream: CHOSEN when
+   another has a place now. */
+static BsTargetVerdict
+S_look_elsewhere(BsRelay *relay)
 {
     BsTargetQuery query;
     BsTargetVerdict verdict;
     if (relay->excluded_count >= BS_RELAY_EXCLUDED_MAX) {
-        return false;
+        return BS_TARGET_NONE;
     }
     size_t count = relay->excluded_count;
     relay->excluded[relay->excluded_count++] = relay->target->id;
     BsAttempt_FillQuery(relay, &query);
-    const BsTarget *other =
-        BsTargets_Choose(relay->gate->targets, &query,
-                         BsClock_NowMs(relay->gate->clock), &verdict);
+    BsTargets_Choose(relay->gate->targets, &query,
+                     BsClock_NowMs(relay->gate->clock), &verdict);
     relay->excluded_count = count;
-    return other != NULL;
+    return verdict;
 }
 
 /* Returns whether the upstream's own failure is to be tried elsewhere instead
@@ -337,7 +343,7 @@
     return S_may_repeat(relay) && !relay->answer.started &&
            relay->attempts < relay->route->attempts_max &&
            relay->sends < SENDS_MAX && relay->inbound != NULL &&
-           S_has_other(relay) &&
+           S_look_elsewhere(relay) == BS_TARGET_CHOSEN &&
            BsRetryBudget_Take(relay->gate->retries, relay->service->name,
                               relay->gate->instances,
                               BsClock_NowMs(relay->gate->clock));
@@ -436,6 +442,7 @@
     };
     relay->target = target;
     relay->sent_ms = 0;
+    relay->patient_ms = 0;
     relay->events = 0;
     relay->prefill_told = false;
     relay->refused = false;
@@ -463,19 +470,20 @@
     if (relay->target == NULL || relay->sent_ms == 0) {
         return INT64_MAX;
     }
-    bool may_go_on =
-        S_may_repeat(relay) && relay->attempts < route->attempts_max;
+    bool may_go_on = S_may_go_on(relay);
     if (route->kind == BS_ROUTE_STREAM && relay->events > 0) {
         int64_t left_ms =
             MAX(STREAM_LEFT_MS, MAX(STREAM_LEFT_TARGETS * route->target_ms,
                                     STREAM_LEFT_GAPS * route->gap_ms));
-        return relay->heard_ms + (may_go_on ? STREAM_SILENCE_MS : left_ms);
+        return may_go_on ? MAX(relay->heard_ms, relay->patient_ms) +
+                               STREAM_SILENCE_MS
+                         : relay->heard_ms + left_ms;
     }
     if (!may_go_on) {
         return INT64_MAX;
     }
     int64_t silence_ms = MAX(SILENCE_MIN_MS, route->target_ms);
-    return relay->sent_ms +
+    return MAX(relay->sent_ms, relay->patient_ms) +
            (S_answers_others(relay) ? ALIVE_FACTOR * silence_ms : silence_ms);
 }
 
@@ -484,6 +492,12 @@
 {
     BsTargetEnd end =
         S_answers_others(relay) ? BS_TARGET_ERROR : BS_TARGET_BROKE;
+    if (S_may_go_on(relay) && S_look_elsewhere(relay) == BS_TARGET_NONE) {
+        /* There is nowhere else to go: a late answer is better than none. */
+        relay->patient_ms = BsClock_NowMs(relay->gate->clock);
+        BsRelay_Schedule(relay);
+        return;
+    }
     BsOutbound_Cancel(relay->call);
     relay->may_have_run = true;
     S_on_failure(relay, end, "silent");
--- a/src/gw_relayparts.h
+++ b/src/gw_relayparts.h
@@ -46,8 +46,9 @@
     /* The current attempt. */
     BsTarget *target; /* NULL between attempts */
     BsOutbound *call;
-    int64_t sent_ms;  /* 0 until the message left */
-    int64_t heard_ms; /* last byte of the answer, or SENT_MS */
+    int64_t sent_ms;    /* 0 until the message left */
+    int64_t heard_ms;   /* last byte of the answer, or SENT_MS */
+    int64_t patient_ms; /* silence counts from here, too; 0: it does not */
     int64_t first_event_ms;
     uint32_t events;    /* seen in this attempt */
     bool prefill_told;  /* BsTargets_Started() was called */
--- a/tests/gate/gateway_test.cc
+++ b/tests/gate/gateway_test.cc
@@ -509,6 +509,17 @@
     EXPECT_TRUE(IsHealthy(gateway_->Ask(Call("/look/1", "a")), "a"));
 }
 
+// With nowhere else to go, a slow answer is better than none.
+TEST_F(GatewayTest, ASlowUpstreamIsWaitedForWhereItIsTheOnlyOne)
+{
+    Start({[](Socket &socket, const Got &got) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1200));
+        return Answers(socket, got);
+    }});
+    EXPECT_TRUE(IsHealthy(gateway_->Ask(Call("/look/1", "a")), "a"));
+    EXPECT_EQ(runners_[0]->count(), 1);
+}
+
 TEST_F(GatewayTest, DrainingRemovedAndClosedUpstreamsGetNothingNew)
 {
     Start({Answers, Answers});
