The gateway's contracts in three files by what they are about

Now gateway_fixture.h (the store, gateway and upstreams around a test), gateway_test.cc (callers and upstreams), gateway_fleet_test.cc (platform, peers, operators) and gateway_story_test.cc (logs, metrics, evening page).

--- /dev/null
+++ b/tests/gate/gateway_fixture.h
@@ -0,0 +1,68 @@
+// A store, one gateway and scripted upstreams around it, for the contracts of
+// the running gateway.
+#ifndef GATEWAY_FIXTURE_H
+#define GATEWAY_FIXTURE_H
+
+#include "gate_harness.h"
+
+#include <gtest/gtest.h>
+
+// A store, a gateway and upstreams that are listed in order.
+class GatewayTest : public testing::Test {
+  protected:
+    void Start(std::vector<Runner::Script> scripts)
+    {
+        store_.Put("op/config", Config(1));
+        for (size_t i = 0; i < scripts.size(); i++) {
+            runners_.push_back(std::make_unique<Runner>(scripts[i]));
+            store_.Put("servers/" + Name(i),
+                       Listed("desk", runners_[i]->port()));
+        }
+        gateway_ = std::make_unique<Gateway>(store_.port());
+        ASSERT_TRUE(gateway_->WaitReady());
+        ASSERT_TRUE(gateway_->WaitMetric("boragespur_upstreams " +
+                                         std::to_string(scripts.size())));
+    }
+    static std::string Name(size_t index)
+    {
+        return "i-" + std::to_string(index);
+    }
+    int Arrivals()
+    {
+        int sum = 0;
+        for (auto &runner : runners_) {
+            sum += runner->count();
+        }
+        return sum;
+    }
+
+    Store store_;
+    std::vector<std::unique_ptr<Runner>> runners_;
+    std::unique_ptr<Gateway> gateway_;
+};
+
+// Answers as a sound upstream does.
+inline bool
+Answers(Socket &socket, const Got &got)
+{
+    return socket.Write(SignedAnswer(got, "body of " + got.id));
+}
+
+// Refuses as a full upstream does.
+inline bool
+Refuses(Socket &socket, const Got &)
+{
+    return socket.Write("HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n"
+                        "Content-Length: 0\r\n\r\n");
+}
+
+// Returns whether ANSWER is the whole one of Answers() to the request ID.
+inline bool
+IsHealthy(const std::string &answer, const std::string &id)
+{
+    return StatusOf(answer) == 200 &&
+           answer.find("Response-Signature: sig-" + id) != std::string::npos &&
+           answer.find("\r\n\r\nbody of " + id) != std::string::npos;
+}
+
+#endif // GATEWAY_FIXTURE_H
--- /dev/null
+++ b/tests/gate/gateway_fleet_test.cc
@@ -0,0 +1,256 @@
+// Contracts of a gateway with the platform, its peers and its operators, on
+// real sockets.
+#include "gateway_fixture.h"
+
+#include <algorithm>
+#include <chrono>
+#include <csignal>
+#include <thread>
+
+namespace {
+
+TEST_F(GatewayTest, DrainingRemovedAndClosedUpstreamsGetNothingNew)
+{
+    Start({Answers, Answers});
+    std::string other = Listed("desk", runners_[1]->port());
+    store_.Put("servers/i-0", Listed("desk", runners_[0]->port(), "z1",
+                                     "draining", ",\"sequence\":5"));
+    ASSERT_TRUE(Eventually([&] {
+        return gateway_->Log().find("draining") != std::string::npos;
+    }));
+    int before = runners_[0]->count();
+    for (int i = 0; i < 5; i++) {
+        gateway_->Ask(Call("/look/1", "a" + std::to_string(i)));
+    }
+    EXPECT_EQ(runners_[0]->count(), before);
+    store_.Remove("servers/i-1");
+    ASSERT_TRUE(gateway_->WaitMetric("boragespur_upstreams 1"));
+    EXPECT_EQ(StatusOf(gateway_->Ask(Call("/look/1", "b"))), 503);
+    store_.Put("servers/i-1", other);
+    ASSERT_TRUE(gateway_->WaitMetric("boragespur_upstreams 2"));
+    EXPECT_EQ(StatusOf(gateway_->Ask(Call("/look/1", "c"))), 200);
+    store_.Put("op/evacuate/z1", "{}");
+    ASSERT_TRUE(Eventually(
+        [&] { return StatusOf(gateway_->Ask(Call("/look/1", "d"))) == 503; }));
+    store_.Remove("op/evacuate/z1");
+    ASSERT_TRUE(Eventually(
+        [&] { return StatusOf(gateway_->Ask(Call("/look/1", "e"))) == 200; }));
+}
+
+TEST_F(GatewayTest, HomesBindWhereARequestRuns)
+{
+    Start({Answers});
+    EXPECT_EQ(StatusOf(gateway_->Ask(Call("/north/1", "a"))), 200);
+    store_.Put("servers/i-0", Listed("desk", runners_[0]->port(), "s1"));
+    ASSERT_TRUE(Eventually([&] {
+        return StatusOf(gateway_->Ask(Call("/north/1", "b"))) == 503;
+    }));
+    EXPECT_EQ(StatusOf(gateway_->Ask(Call("/look/1", "c"))), 200);
+}
+
+TEST_F(GatewayTest, BrokenEntriesAreSkippedAlone)
+{
+    Start({Answers});
+    store_.Put("servers/broken", "\xff\xfe");
+    store_.Put("servers/odd", "{\"service\":5}");
+    store_.Put("op/other", "?");
+    store_.Put("op/config", "not a configuration");
+    ASSERT_TRUE(gateway_->WaitMetric("boragespur_broken_items_total 3"));
+    EXPECT_EQ(StatusOf(gateway_->Ask(Call("/look/1", "a"))), 200);
+}
+
+TEST_F(GatewayTest, AVersionInForceNeverGoesDown)
+{
+    Start({Answers});
+    auto ask = [&](int version) {
+        std::string call = Call("/look/1", "a");
+        call.replace(call.find("Api-Key: key"), 12,
+                     "Api-Key: key-" + std::to_string(version));
+        return StatusOf(gateway_->Ask(call));
+    };
+    store_.Put("op/config", Config(5));
+    ASSERT_TRUE(gateway_->WaitMetric("boragespur_catalog_version 5"));
+    EXPECT_EQ(ask(5), 200);
+    EXPECT_EQ(ask(1), 401);
+    store_.Put("op/config", Config(4));
+    store_.Put("op/evacuate/z2", "{}");
+    ASSERT_TRUE(Eventually([&] {
+        return gateway_->Log().find("data_centre_closed") != std::string::npos;
+    }));
+    EXPECT_EQ(ask(4), 401);
+    EXPECT_EQ(ask(5), 200);
+}
+
+struct StoreCase {
+    const char *name;
+    StoreMode mode;
+};
+
+class StoreTest : public GatewayTest,
+                  public testing::WithParamInterface<StoreCase> {};
+
+TEST_P(StoreTest, ServesOnWithoutTheStoreAndCatchesUpAfterwards)
+{
+    Start({Answers});
+    store_.SetMode(GetParam().mode);
+    if (GetParam().mode != StoreMode::kLoseOne) {
+        ASSERT_TRUE(gateway_->WaitMetric("boragespur_store_up 0"));
+    }
+    EXPECT_EQ(StatusOf(gateway_->Ask(Call("/look/1", "a"))), 200);
+    EXPECT_TRUE(gateway_->Ready());
+    store_.Put("op/config", Config(9));
+    store_.SetMode(StoreMode::kServe);
+    EXPECT_TRUE(gateway_->WaitMetric("boragespur_catalog_version 9"));
+    EXPECT_TRUE(gateway_->WaitMetric("boragespur_store_up 1"));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Modes, StoreTest,
+    testing::Values(StoreCase{"Refuses", StoreMode::kRefuse},
+                    StoreCase{"Busy", StoreMode::kBusy},
+                    StoreCase{"Resets", StoreMode::kReset},
+                    StoreCase{"Silent", StoreMode::kSilent},
+                    StoreCase{"LosesAnAnswer", StoreMode::kLoseOne}),
+    [](const auto &info) { return std::string(info.param.name); });
+
+TEST_F(GatewayTest, ForgottenHistoryIsReadAnew)
+{
+    Start({Answers, Answers});
+    int before = store_.ranges();
+    store_.Remove("servers/i-1");
+    store_.Compact();
+    EXPECT_TRUE(gateway_->WaitMetric("boragespur_upstreams 1"));
+    EXPECT_TRUE(Eventually([&] { return store_.ranges() > before; }));
+}
+
+TEST_F(GatewayTest, CallsToTheStoreArePaced)
+{
+    Start({Answers});
+    int before = store_.calls();
+    for (int i = 0; i < 200; i++) {
+        store_.Put("servers/i-0",
+                   Listed("desk", runners_[0]->port(), "z1", "ready",
+                          ",\"sequence\":" + std::to_string(i)));
+        std::this_thread::sleep_for(std::chrono::milliseconds(2));
+    }
+    EXPECT_LT(store_.calls() - before, 50);
+}
+
+TEST_F(GatewayTest, APlannedStopFinishesWhatRuns)
+{
+    std::atomic<bool> go{false};
+    Start({[&go](Socket &socket, const Got &got) {
+        Eventually([&] { return go.load(); });
+        return Answers(socket, got);
+    }});
+    std::unique_ptr<Socket> caller = gateway_->Open();
+    caller->Write(Call("/book/1", "a"));
+    ASSERT_TRUE(runners_[0]->WaitCount(1));
+    gateway_->Signal(SIGTERM);
+    EXPECT_TRUE(gateway_->WaitReady(false));
+    // What arrives while the balancer has not turned away yet is served.
+    std::unique_ptr<Socket> late = gateway_->Open();
+    late->Write(Call("/book/1", "b"));
+    ASSERT_TRUE(runners_[0]->WaitCount(2));
+    go = true;
+    std::string answer = caller->ReadMessage();
+    EXPECT_TRUE(IsHealthy(answer, "a"));
+    EXPECT_NE(answer.find("Connection: close"), std::string::npos);
+    EXPECT_TRUE(IsHealthy(late->ReadMessage(), "b"));
+    EXPECT_EQ(gateway_->Wait(), 0);
+    EXPECT_NE(gateway_->Log().find("\"event\":\"stopped\""),
+              std::string::npos);
+}
+
+TEST_F(GatewayTest, AnInstanceWithoutTheStoreLearnsFromItsPeers)
+{
+    Start({Answers});
+    Store dead;
+    dead.SetMode(StoreMode::kSilent);
+    Gateway cut(dead.port(), "127.0.0.2", gateway_->peers_port(),
+                {"127.0.0.1"});
+    EXPECT_TRUE(cut.WaitReady());
+    EXPECT_TRUE(IsHealthy(cut.Ask(Call("/look/1", "a")), "a"));
+    store_.Put("op/config", Config(3));
+    EXPECT_TRUE(cut.WaitMetric("boragespur_catalog_version 3"));
+    store_.Put("servers/i-0", Listed("desk", runners_[0]->port(), "z1",
+                                     "draining", ",\"sequence\":5"));
+    EXPECT_TRUE(Eventually(
+        [&] { return StatusOf(cut.Ask(Call("/look/1", "b"))) == 503; }));
+}
+
+// One gateway reads the store for both.  Once it is lost, the other goes on
+// with a connection of its own; that of its start may be long forgotten.
+TEST_F(GatewayTest, ANewReaderTrustsNoIdleConnectionToTheStore)
+{
+    Start({Answers});
+    Gateway other(store_.port(), "127.0.0.2", gateway_->peers_port(),
+                  {"127.0.0.1"});
+    const char *idle = "\"source\":\"others\"";
+    Gateway *readers[] = {gateway_.get(), &other};
+    ASSERT_TRUE(other.WaitReady());
+    ASSERT_TRUE(Eventually([&] {
+        return (readers[0]->Log().find(idle) != std::string::npos) !=
+               (readers[1]->Log().find(idle) != std::string::npos);
+    }));
+    bool first = readers[0]->Log().find(idle) == std::string::npos;
+    std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+    readers[first ? 0 : 1]->Signal(SIGKILL);
+    store_.Put("op/config", Config(7));
+    EXPECT_TRUE(
+        readers[first ? 1 : 0]->WaitMetric("boragespur_catalog_version 7"));
+    EXPECT_EQ(store_.stale_calls(), 0);
+}
+
+TEST_F(GatewayTest, PlacesTakenThroughAPeerCount)
+{
+    std::atomic<bool> go{false};
+    Start({[&go](Socket &socket, const Got &got) {
+        Eventually([&] { return go.load(); });
+        return Answers(socket, got);
+    }});
+    Gateway second(store_.port(), "127.0.0.2", gateway_->peers_port(),
+                   {"127.0.0.1"});
+    ASSERT_TRUE(second.WaitReady());
+    ASSERT_TRUE(second.WaitMetric("boragespur_instances 2"));
+    std::vector<std::unique_ptr<Socket>> callers;
+    for (int i = 0; i < 6; i++) {
+        // Not repeated elsewhere, so they stay until they are let go.
+        callers.push_back(gateway_->Open());
+        callers.back()->Write(Call("/book/1", "n" + std::to_string(i)));
+    }
+    ASSERT_TRUE(runners_[0]->WaitCount(6));
+    ASSERT_TRUE(second.WaitMetric("boragespur_places_taken_by_peers 6"));
+    EXPECT_EQ(StatusOf(second.Ask(Call("/look/1", "late"))), 503);
+    EXPECT_EQ(runners_[0]->count(), 6);
+    go = true;
+}
+
+TEST_F(GatewayTest, SettingsAreReadAgainWithAndWithoutASignal)
+{
+    Start({Answers});
+    gateway_->ReplaceSettings("retry_ratio: 0.2", "retry_ratio: 0.1");
+    EXPECT_TRUE(Eventually([&] {
+        return gateway_->Log().find("\"outcome\":\"in force\"") !=
+               std::string::npos;
+    }));
+    gateway_->ReplaceSettings("retry_ratio: 0.1", "retry_ratio: 9");
+    gateway_->Signal(SIGHUP);
+    EXPECT_TRUE(Eventually([&] {
+        return gateway_->Log().find("bounds.retry_ratio: '9' is not valid") !=
+               std::string::npos;
+    }));
+    EXPECT_EQ(StatusOf(gateway_->Ask(Call("/look/1", "a"))), 200);
+}
+
+TEST_F(GatewayTest, ABadSettingsFileEndsTheProcessWithOneLine)
+{
+    gateway_ = std::make_unique<Gateway>(store_.port());
+    std::string output;
+    EXPECT_EQ(RunProgram({BORAGESPUR_GATEWAY, "/nonexistent.yaml"}, &output),
+              2);
+    EXPECT_NE(output.find("name one"), std::string::npos);
+    EXPECT_EQ(std::count(output.begin(), output.end(), '\n'), 1);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/gate/gateway_story_test.cc
@@ -0,0 +1,110 @@
+// Logs, metrics and the evening page lead from what callers saw to its cause.
+#include "gateway_fixture.h"
+
+namespace {
+
+// What an engineer does with the id of a failed request: docs/OPERATIONS.md.
+struct StoryCase {
+    const char *name;
+    const char *path;
+    Runner::Script script;
+    int status;
+    const char *tells; // in the story
+};
+
+class StoryTest : public GatewayTest,
+                  public testing::WithParamInterface<StoryCase> {};
+
+TEST_P(StoryTest, LogsLeadFromARequestToItsCause)
+{
+    const StoryCase &row = GetParam();
+    Start({row.script});
+    EXPECT_EQ(StatusOf(gateway_->Ask(Call(row.path, "lost-one"))), row.status);
+    std::string story;
+    ASSERT_TRUE(Eventually([&] {
+        RunProgram(
+            {BORAGESPUR, "explain", "--log", gateway_->LogFile(), "lost-one"},
+            &story);
+        return story.find(row.tells) != std::string::npos;
+    })) << story;
+    EXPECT_NE(story.find("Look at:"), std::string::npos) << story;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Failures, StoryTest,
+    testing::Values(StoryCase{"RefusedUnderLoad", "/book/1", Refuses, 503,
+                              "Cause upstream_full:"},
+                    StoryCase{"BrokenUpstream", "/book/1",
+                              [](Socket &, const Got &) { return false; }, 502,
+                              "Cause broke_before_answer:"},
+                    StoryCase{"StaleConfiguration", "/newer/1", Answers, 404,
+                              "Cause no_route:"},
+                    StoryCase{"SlowUpstream", "/brief/1",
+                              [](Socket &socket, const Got &) {
+                                  socket.WaitClosed();
+                                  return false;
+                              },
+                              504, "Cause expired:"}),
+    [](const auto &info) { return std::string(info.param.name); });
+
+TEST_F(GatewayTest, MetricsHaveCountersAndHistograms)
+{
+    Start({Answers});
+    gateway_->Ask(Call("/look/1", "a"));
+    std::string text = gateway_->Metrics();
+    for (const char *line :
+         {"# TYPE boragespur_requests_total counter\n",
+          "boragespur_requests_total{route=\"look\",outcome=\"answered\"} "
+          "1\n",
+          "# TYPE boragespur_request_duration_seconds histogram\n",
+          "boragespur_request_duration_seconds_bucket{route=\"look\",le=\""
+          "+Inf\"} 1\n",
+          "boragespur_request_wait_seconds_count{route=\"look\"} 1\n"}) {
+        EXPECT_NE(text.find(line), std::string::npos) << line << text;
+    }
+}
+
+// The owner's page is written from the metrics of gateways, too.
+TEST_F(GatewayTest, TheEveningPageTellsOfTheDay)
+{
+    std::string page;
+    Start({Answers});
+    gateway_->Ask(Call("/look/1", "a"));
+    gateway_->Ask(Call("/book/1", "b"));
+    EXPECT_EQ(RunProgram({BORAGESPUR, "evening", gateway_->admin()}, &page), 0)
+        << page;
+    for (const char *line :
+         {"Today went well.", "1 answers said that it landed",
+          "No instance saw a booking or charge run twice.",
+          " has counted for 0 h 0 min."}) {
+        EXPECT_NE(page.find(line), std::string::npos) << line << page;
+    }
+}
+
+TEST_F(GatewayTest, TheEveningPageTellsOfUnknownBookings)
+{
+    std::string page;
+    Start({[](Socket &, const Got &) { return false; }});
+    gateway_->Ask(Call("/book/1", "b"));
+    EXPECT_EQ(RunProgram({BORAGESPUR, "evening", gateway_->admin()}, &page), 1)
+        << page;
+    EXPECT_NE(page.find("1 answers about bookings or charges"),
+              std::string::npos)
+        << page;
+}
+
+// One that cannot be asked is named, and nothing is claimed for it.
+TEST_F(GatewayTest, TheEveningPageNamesWhoCouldNotBeAsked)
+{
+    std::string page;
+    Start({Refuses});
+    gateway_->Ask(Call("/book/1", "b"));
+    RunProgram({BORAGESPUR, "evening", gateway_->admin() + ",127.0.0.1:1"},
+               &page);
+    EXPECT_NE(page.find("127.0.0.1:1 could not be asked"), std::string::npos)
+        << page;
+    EXPECT_NE(page.find("1 said that it did not run"), std::string::npos)
+        << page;
+}
+
+} // namespace
