The log of a stream tells its longest pause

Cause: a stream that begins in time and then stands still is late for its caller; 'answered' told the wait and the first event only, so a slow stream could not be told from a good one. 'gap_ms' is the longest pause between two events. The first event's bookkeeping is a function of its own now.

--- a/src/gw_attempt.c
+++ b/src/gw_attempt.c
@@ -293,6 +293,38 @@
     BsAnswer_Begin(relay, head);
 }
 
+/* Notes the first event of the answer, for the choice of upstreams and for
+   what the next requests are told. */
+static void
+S_note_first_event(BsRelay *relay)
+{
+    BsGate *gate = relay->gate;
+    int64_t first_ms = relay->heard_ms - relay->sent_ms;
+    relay->first_event_ms = relay->heard_ms;
+    BsHistogram_Observe(gate->first_events, relay->route->name, first_ms);
+    BsPredictors_Observe(gate->predictors, relay->service->name,
+                         relay->info.prompt_tokens, first_ms);
+    relay->prefill_told = true;
+    BsTargets_Started(relay->target, relay->info.prompt_tokens);
+}
+
+static void
+S_note_events(BsRelay *relay, unsigned events)
+{
+    if (events == 0) {
+        return;
+    }
+    if (relay->events == 0) {
+        S_note_first_event(relay);
+    }
+    else {
+        relay->gap_ms =
+            MAX(relay->gap_ms, relay->heard_ms - relay->last_event_ms);
+    }
+    relay->last_event_ms = relay->heard_ms;
+    relay->events += events;
+}
+
 static void
 S_on_body(const char *data, size_t size_bytes, void *context)
 {
@@ -302,18 +334,7 @@
     }
     relay->heard_ms = BsClock_NowMs(relay->gate->clock);
     BsTargets_Heard(relay->target, relay->heard_ms);
-    unsigned events = BsAnswer_Take(relay, data, size_bytes);
-    if (events > 0 && relay->events == 0) {
-        relay->first_event_ms = relay->heard_ms;
-        BsHistogram_Observe(relay->gate->first_events, relay->route->name,
-                            relay->heard_ms - relay->sent_ms);
-        BsPredictors_Observe(relay->gate->predictors, relay->service->name,
-                             relay->info.prompt_tokens,
-                             relay->heard_ms - relay->sent_ms);
-        relay->prefill_told = true;
-        BsTargets_Started(relay->target, relay->info.prompt_tokens);
-    }
-    relay->events += events;
+    S_note_events(relay, BsAnswer_Take(relay, data, size_bytes));
 }
 
 /* Returns what there is for the request beside its upstream: CHOSEN when
@@ -444,6 +465,7 @@
     relay->sent_ms = 0;
     relay->patient_ms = 0;
     relay->events = 0;
+    relay->gap_ms = 0;
     relay->prefill_told = false;
     relay->refused = false;
     relay->judged = BS_TARGET_GOOD;
--- a/src/gw_relay.c
+++ b/src/gw_relay.c
@@ -37,7 +37,8 @@
 
 /* --------------------------------------------------------------- log -- */
 
-/* Tells how long the request waited for its send, and for its first event. */
+/* Tells how long the request waited for its send and for its first event, and
+   the longest pause between two events. */
 static void
 S_log_times(const BsRelay *relay)
 {
@@ -49,6 +50,9 @@
         BsEventLog_Number(log, "first_ms",
                           relay->first_event_ms - relay->sent_ms);
     }
+    if (relay->events > 1) {
+        BsEventLog_Number(log, "gap_ms", relay->gap_ms);
+    }
 }
 
 void
--- a/tests/gate/gateway_fixture.h
+++ b/tests/gate/gateway_fixture.h
@@ -7,6 +7,19 @@
 
 #include <gtest/gtest.h>
 
+// Reads from SOCKET until its text holds MARK or it ends.
+inline std::string
+ReadUntil(Socket &socket, const std::string &mark)
+{
+    std::string text;
+    char byte;
+    while (text.find(mark) == std::string::npos &&
+           read(socket.fd(), &byte, 1) == 1) {
+        text.push_back(byte);
+    }
+    return text;
+}
+
 // A store, a gateway and upstreams that are listed in order.
 class GatewayTest : public testing::Test {
   protected:
--- a/tests/gate/gateway_story_test.cc
+++ b/tests/gate/gateway_story_test.cc
@@ -1,6 +1,9 @@
 // Logs, metrics and the evening page lead from what callers saw to its cause.
 #include "gateway_fixture.h"
 
+#include <chrono>
+#include <thread>
+
 namespace {
 
 // What an engineer does with the id of a failed request: docs/OPERATIONS.md.
@@ -47,6 +50,27 @@
                               504, "Cause expired:"}),
     [](const auto &info) { return std::string(info.param.name); });
 
+// A stream that began in time and then stood still is late for its caller.
+TEST_F(GatewayTest, TheLogTellsOfTheLongestPauseInAStream)
+{
+    const int pause_ms = 300;
+    const std::string mark = "\"gap_ms\":";
+    Start({[pause_ms](Socket &socket, const Got &got) {
+        socket.Write(StreamHead(got) + Chunk(Event(0)) + Chunk(Event(1)));
+        std::this_thread::sleep_for(std::chrono::milliseconds(pause_ms));
+        return socket.Write(Chunk(Event(2)) + Chunk(Event(3)) + LastChunk());
+    }});
+    std::unique_ptr<Socket> caller = gateway_->Open();
+    caller->Write(Call("/chat/1", "a"));
+    ReadUntil(*caller, "0\r\n\r\n");
+    std::string log;
+    ASSERT_TRUE(Eventually([&] {
+        log = gateway_->Log();
+        return log.find(mark) != std::string::npos;
+    })) << log;
+    EXPECT_GE(std::stoi(log.substr(log.find(mark) + mark.size())), pause_ms);
+}
+
 TEST_F(GatewayTest, MetricsHaveCountersAndHistograms)
 {
     Start({Answers});
--- a/tests/gate/gateway_test.cc
+++ b/tests/gate/gateway_test.cc
@@ -7,19 +7,6 @@
 
 namespace {
 
-// Reads from SOCKET until its text holds MARK or it ends.
-std::string
-ReadUntil(Socket &socket, const std::string &mark)
-{
-    std::string text;
-    char byte;
-    while (text.find(mark) == std::string::npos &&
-           read(socket.fd(), &byte, 1) == 1) {
-        text.push_back(byte);
-    }
-    return text;
-}
-
 TEST_F(GatewayTest, AnswersOfUpstreamsGoToTheirCallers)
 {
     Start({Answers});
