--- a/src/gw_relayparts.h
+++ b/src/gw_relayparts.h
@@ -51,7 +51,7 @@
     int64_t patient_ms; /* silence counts from here, too; 0: it does not */
     int64_t first_event_ms;
     int64_t last_event_ms;
-    int64_t gap_ms; /* longest pause between two events */
+    int64_t gap_ms;     /* longest pause between two events */
     uint32_t events;    /* seen in this attempt */
     bool prefill_told;  /* BsTargets_Started() was called */
     bool refused;       /* the upstream says it will not run it */
