Removals that an instance never saw are handed on, too

Ruled out: late readers and the time for which upstreams are kept (lapse.c): the instances had not learned of it at all. Change: a replica tells from which revision on it holds every removal (a full read, or dropped removals, raise it); who has read less gets all that is there, marked so, and drops the rest. Tests: AStartedInstanceHandsOnWhatItNeverSawRemoved and DroppedRemovalsAreHandedOn fail before and with the marking taken out.

--- a/src/itemcodec.c
+++ b/src/itemcodec.c
@@ -11,6 +11,10 @@
    is compressed, else 0. */
 #define ITEM_FIELDS 4
 
+/* A message is the revision up to which all items are held, the items, and
+   whether these are all that are there. */
+#define MESSAGE_FIELDS 3
+
 /* Values from this size on are compressed.  A configuration of a thousand
    routes takes a third of a second on the slowest links, and a reader hands
    it to all of its data centre. */
@@ -82,14 +86,16 @@
 {
     msgpack_packer packer;
     GPtrArray *items = g_ptr_array_new();
-    BsReplica_EachSince(replica, after, S_collect, items);
+    bool all = after < BsReplica_RemovalsSince(replica);
+    BsReplica_EachSince(replica, all ? 0 : after, S_collect, items);
     msgpack_packer_init(&packer, out, S_write);
-    msgpack_pack_array(&packer, 2);
+    msgpack_pack_array(&packer, MESSAGE_FIELDS);
     msgpack_pack_uint64(&packer, BsReplica_Complete(replica));
     msgpack_pack_array(&packer, items->len);
     for (guint i = 0; i < items->len; i++) {
         S_pack_item(&packer, items->pdata[i]);
     }
+    msgpack_pack_uint64(&packer, all);
     g_ptr_array_free(items, TRUE);
 }
 
@@ -112,9 +118,11 @@
 static bool
 S_is_valid(const msgpack_object *root)
 {
-    if (root->type != MSGPACK_OBJECT_ARRAY || root->via.array.size != 2 ||
+    if (root->type != MSGPACK_OBJECT_ARRAY ||
+        root->via.array.size != MESSAGE_FIELDS ||
         root->via.array.ptr[0].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
-        root->via.array.ptr[1].type != MSGPACK_OBJECT_ARRAY) {
+        root->via.array.ptr[1].type != MSGPACK_OBJECT_ARRAY ||
+        root->via.array.ptr[2].type != MSGPACK_OBJECT_POSITIVE_INTEGER) {
         return false;
     }
     const msgpack_object_array *items = &root->via.array.ptr[1].via.array;
@@ -165,6 +173,40 @@
     return true;
 }
 
+/* Removes what is held up to REVISION and is not among ITEMS. */
+static void
+S_remove_others(const msgpack_object_array *items, uint64_t revision,
+                BsReplica *replica)
+{
+    GHashTable *keys =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    for (uint32_t i = 0; i < items->size; i++) {
+        const msgpack_object_str *key =
+            &items->ptr[i].via.array.ptr[0].via.str;
+        g_hash_table_add(keys, g_strndup(key->ptr, key->size));
+    }
+    BsReplica_Retain(replica, "", keys, revision);
+    g_hash_table_destroy(keys);
+}
+
+/* Applies the valid message ROOT; returns whether all of it could be read. */
+static bool
+S_apply(const msgpack_object *root, BsReplica *replica)
+{
+    const msgpack_object *fields = root->via.array.ptr;
+    const msgpack_object_array *items = &fields[1].via.array;
+    for (uint32_t i = 0; i < items->size; i++) {
+        if (!S_apply_item(items->ptr[i].via.array.ptr, replica)) {
+            return false;
+        }
+    }
+    if (fields[2].via.u64 != 0) {
+        S_remove_others(items, fields[0].via.u64, replica);
+    }
+    BsReplica_SetAllComplete(replica, fields[0].via.u64);
+    return true;
+}
+
 bool
 BsItemCodec_Apply(const char *data, size_t size_bytes, BsReplica *replica)
 {
@@ -176,17 +218,8 @@
     msgpack_unpacked_init(&unpacked);
     bool valid = msgpack_unpack_next(&unpacked, data, size_bytes, &offset) ==
                      MSGPACK_UNPACK_SUCCESS &&
-                 S_is_valid(&unpacked.data);
-    if (valid) {
-        const msgpack_object *root = unpacked.data.via.array.ptr;
-        for (uint32_t i = 0; valid && i < root[1].via.array.size; i++) {
-            valid =
-                S_apply_item(root[1].via.array.ptr[i].via.array.ptr, replica);
-        }
-        if (valid) {
-            BsReplica_SetAllComplete(replica, root[0].via.u64);
-        }
-    }
+                 S_is_valid(&unpacked.data) &&
+                 S_apply(&unpacked.data, replica);
     msgpack_unpacked_destroy(&unpacked);
     return valid;
 }
--- a/src/replica.c
+++ b/src/replica.c
@@ -13,6 +13,7 @@
     BsReplicaFunc on_change;
     void *context;
     uint64_t newest;
+    uint64_t removals_since; /* all removals after this are held */
     unsigned removed;
 };
 
@@ -63,6 +64,7 @@
     uint64_t below = replica->newest > REMOVED_MAX / 2
                          ? replica->newest - REMOVED_MAX / 2
                          : 0;
+    replica->removals_since = MAX(replica->removals_since, below);
     g_hash_table_iter_init(&iter, replica->items);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         BsItem *item = value;
@@ -117,6 +119,7 @@
         BsReplica_Apply(replica, lost->pdata[i], NULL, revision);
     }
     g_ptr_array_free(lost, TRUE);
+    replica->removals_since = MAX(replica->removals_since, revision);
 }
 
 void
@@ -162,6 +165,12 @@
     return least == UINT64_MAX ? 0 : least;
 }
 
+uint64_t
+BsReplica_RemovalsSince(const BsReplica *replica)
+{
+    return replica->removals_since;
+}
+
 uint64_t
 BsReplica_Newest(const BsReplica *replica)
 {
--- a/src/replica.h
+++ b/src/replica.h
@@ -3,7 +3,9 @@
  *
  * Rules: the platform numbers every change with one growing revision; of an
  * item the highest revision wins, wherever it was heard of, so a stale read
- * never takes a change back.  Removals are kept as items without a value.
+ * never takes a change back.  Removals are kept as items without a value, but
+ * not all: a full read shows what is there, not what was removed before it.
+ * BsReplica_RemovalsSince() tells from where on they are complete.
  */
 #ifndef BS_REPLICA_H
 #define BS_REPLICA_H
@@ -52,6 +54,10 @@
    even a first full read. */
 uint64_t BsReplica_Complete(const BsReplica *replica);
 
+/* Returns the revision after which every removal is held.  Whoever knows less
+   must be given all that is there, not only what changed. */
+uint64_t BsReplica_RemovalsSince(const BsReplica *replica);
+
 /* Returns the newest revision of any item held. */
 uint64_t BsReplica_Newest(const BsReplica *replica);
 
--- a/tests/gate/modules_test.cc
+++ b/tests/gate/modules_test.cc
@@ -126,6 +126,77 @@
     g_string_free(data, TRUE);
 }
 
+// Reads REPLICA in full, as at a start: what is there at REVISION.
+void
+ReadInFull(Replica &replica, const std::vector<std::string> &present,
+           uint64_t revision)
+{
+    GHashTable *keys = g_hash_table_new(g_str_hash, g_str_equal);
+    for (const std::string &key : present) {
+        replica.Put(key.c_str(), "x", 1);
+        g_hash_table_add(keys, const_cast<char *>(key.c_str()));
+    }
+    BsReplica_Retain(replica.get(), "", keys, revision);
+    BsReplica_SetAllComplete(replica.get(), revision);
+    g_hash_table_destroy(keys);
+}
+
+void
+HandOn(Replica &from, Replica &to)
+{
+    GString *data = g_string_new(nullptr);
+    BsItemCodec_Encode(from.get(), BsReplica_Complete(to.get()), data);
+    EXPECT_TRUE(BsItemCodec_Apply(data->str, data->len, to.get()));
+    g_string_free(data, TRUE);
+}
+
+// It has read what is there, and knows of no removal before.
+TEST(ItemCodec, AStartedInstanceHandsOnWhatItNeverSawRemoved)
+{
+    Replica to;
+    ReadInFull(to, {"a/gone", "a/kept"}, 5);
+    Replica started;
+    ReadInFull(started, {"a/kept"}, 9);
+    HandOn(started, to);
+    EXPECT_EQ(BsReplica_Complete(to.get()), 9U);
+    EXPECT_EQ(BsReplica_Find(to.get(), "a/gone")->value, nullptr);
+    EXPECT_NE(BsReplica_Find(to.get(), "a/kept")->value, nullptr);
+    // The next one learns it from the one that was told.
+    Replica third;
+    ReadInFull(third, {"a/gone", "a/kept"}, 7);
+    HandOn(to, third);
+    EXPECT_EQ(BsReplica_Find(third.get(), "a/gone")->value, nullptr);
+}
+
+// Single items may be newer than all that is held up to a revision.
+TEST(ItemCodec, WhatIsNewerThanTheWholeListIsNotRemovedByIt)
+{
+    Replica to;
+    ReadInFull(to, {"a/kept"}, 5);
+    to.Put("a/newer", "x", 12);
+    Replica started;
+    ReadInFull(started, {"a/kept"}, 9);
+    HandOn(started, to);
+    EXPECT_NE(BsReplica_Find(to.get(), "a/newer")->value, nullptr);
+}
+
+// Removals that were dropped to save memory count as never seen.
+TEST(ItemCodec, DroppedRemovalsAreHandedOn)
+{
+    Replica from;
+    Replica to;
+    ReadInFull(from, {"a/gone", "a/kept"}, 5);
+    ReadInFull(to, {"a/gone", "a/kept"}, 5);
+    from.Put("a/gone", nullptr, 6);
+    for (uint64_t revision = 7; revision < 10007; revision++) {
+        std::string key = "b/" + std::to_string(revision);
+        from.Put(key.c_str(), nullptr, revision);
+    }
+    BsReplica_SetAllComplete(from.get(), 10006);
+    HandOn(from, to);
+    EXPECT_EQ(BsReplica_Find(to.get(), "a/gone")->value, nullptr);
+}
+
 TEST(ItemCodec, LargeValuesTravelCompressed)
 {
     Replica from;
