What an upstream has begun or broken waits for a place; slow is not left for a line

Ruled out: pauses between events as the cause of late streams (over 250 ms in under 1 in 100; 'gap_ms'). Change: linewait.c decides until when a request waits: a new one as before; one that was sent before gets its time once more, as nothing true can be told to its caller that would help it; one whose caller has a part of the answer waits until the caller would leave, and goes before its equals. A silent attempt is ended only where another upstream has a place now, or this one is silent to all; it is looked at again after 100 ms.

--- a/src/gw_attempt.c
+++ b/src/gw_attempt.c
@@ -22,6 +22,9 @@
 /* The same, in multiples, where the upstream answers others meanwhile. */
 #define ALIVE_FACTOR 2
 
+/* A silent attempt without another place is looked at again after this. */
+#define SILENCE_LOOK_MS 100
+
 /* Pause between events at which a stream that may be resumed goes on at
    another upstream: above a preempted run's pause. */
 #define STREAM_SILENCE_MS 1000
@@ -485,6 +488,13 @@
     return relay->target->heard_ms > relay->sent_ms;
 }
 
+int64_t
+BsAttempt_LeftMs(const BsCatalogRoute *route)
+{
+    return MAX(STREAM_LEFT_MS, MAX(STREAM_LEFT_TARGETS * route->target_ms,
+                                   STREAM_LEFT_GAPS * route->gap_ms));
+}
+
 int64_t
 BsAttempt_PatienceMs(const BsRelay *relay)
 {
@@ -494,19 +504,31 @@
     }
     bool may_go_on = S_may_go_on(relay);
     if (route->kind == BS_ROUTE_STREAM && relay->events > 0) {
-        int64_t left_ms =
-            MAX(STREAM_LEFT_MS, MAX(STREAM_LEFT_TARGETS * route->target_ms,
-                                    STREAM_LEFT_GAPS * route->gap_ms));
-        return may_go_on ? MAX(relay->heard_ms, relay->patient_ms) +
-                               STREAM_SILENCE_MS
+        int64_t left_ms = BsAttempt_LeftMs(route);
+        return may_go_on ? MAX(relay->patient_ms,
+                               relay->heard_ms + STREAM_SILENCE_MS)
                          : relay->heard_ms + left_ms;
     }
     if (!may_go_on) {
         return INT64_MAX;
     }
     int64_t silence_ms = MAX(SILENCE_MIN_MS, route->target_ms);
-    return MAX(relay->sent_ms, relay->patient_ms) +
-           (S_answers_others(relay) ? ALIVE_FACTOR * silence_ms : silence_ms);
+    int64_t factor = S_answers_others(relay) ? ALIVE_FACTOR : 1;
+    return MAX(relay->patient_ms, relay->sent_ms + factor * silence_ms);
+}
+
+/* Returns whether to wait on for a silent upstream: where no other has a
+   place, a late answer is better than none.  One that is silent to all is
+   left, but for the only one. */
+static bool
+S_waits_on(BsRelay *relay)
+{
+    if (!S_may_go_on(relay)) {
+        return false;
+    }
+    BsTargetVerdict verdict = S_look_elsewhere(relay);
+    return verdict == BS_TARGET_NONE ||
+           (verdict != BS_TARGET_CHOSEN && S_answers_others(relay));
 }
 
 void
@@ -514,9 +536,9 @@
 {
     BsTargetEnd end =
         S_answers_others(relay) ? BS_TARGET_ERROR : BS_TARGET_BROKE;
-    if (S_may_go_on(relay) && S_look_elsewhere(relay) == BS_TARGET_NONE) {
-        /* There is nowhere else to go: a late answer is better than none. */
-        relay->patient_ms = BsClock_NowMs(relay->gate->clock);
+    if (S_waits_on(relay)) {
+        relay->patient_ms =
+            BsClock_NowMs(relay->gate->clock) + SILENCE_LOOK_MS;
         BsRelay_Schedule(relay);
         return;
     }
--- a/src/gw_relay.c
+++ b/src/gw_relay.c
@@ -3,6 +3,7 @@
 
 #include "daycount.h"
 #include "gw_relayparts.h"
+#include "linewait.h"
 
 #include <string.h>
 
@@ -10,14 +11,6 @@
    one. */
 #define EXPIRES_DEFAULT_MS 30000
 
-/* Part of the objective that a request may wait for a place; the rest is
-   needed to run it. */
-#define WAIT_PART 0.75
-
-/* The least part in an overload: about the time in which some place is free.
- */
-#define OVERLOAD_WAIT_PART 0.125
-
 /* Time to come back that is told when no place is expected sooner. */
 #define RETRY_MIN_MS 300
 
@@ -272,10 +265,13 @@
 }
 
 /* Returns how many places of an upstream the request leaves to more urgent
-   ones. */
+   ones: none once its caller has a part of the answer. */
 static uint32_t
 S_places_left(const BsRelay *relay)
 {
+    if (relay->answer.started) {
+        return 0;
+    }
     double part =
         BsYields_Part(relay->gate->yields, relay->service->name,
                       S_yield_rank(relay), BsClock_NowMs(relay->gate->clock));
@@ -293,30 +289,35 @@
                             BsClock_NowMs(relay->gate->clock), verdict);
 }
 
-/* While others are refused, a request that could only be late makes room, and
-   its caller is told when to come back. */
-static void
-S_limit_wait(BsRelay *relay, int64_t in_time_ms)
+/* Returns until when the request waits for a place. */
+static int64_t
+S_waits_until_ms(const BsRelay *relay, int64_t now_ms)
 {
-    int64_t now_ms = BsClock_NowMs(relay->gate->clock);
-    int64_t least_ms =
-        now_ms + (int64_t)(OVERLOAD_WAIT_PART * relay->route->target_ms);
-    if (BsOverload_Lasts(&relay->gate->overload, now_ms)) {
-        relay->gives_up_ms =
-            MIN(relay->gives_up_ms, MAX(in_time_ms, least_ms));
-    }
+    BsLineWait wait = {
+        .arrived_ms = relay->arrived_ms,
+        .expires_ms = relay->expires_ms,
+        .objective_ms = relay->route->target_ms,
+        .in_time_ms = S_in_time_ms(relay),
+        .leaves_ms = relay->last_event_ms + BsAttempt_LeftMs(relay->route),
+        .overload = BsOverload_Lasts(&relay->gate->overload, now_ms),
+        .sent = relay->may_have_run,
+        .begun = relay->answer.started,
+    };
+    return BsLineWait_UntilMs(&wait, now_ms);
 }
 
 static void
 S_wait(BsRelay *relay)
 {
+    int64_t now_ms = BsClock_NowMs(relay->gate->clock);
     BsLinePlace place = {
         .account_rank = S_account_rank(relay),
         .route_rank = relay->route->rank,
         .since_ms = relay->arrived_ms,
         .in_time_ms = S_in_time_ms(relay),
+        .begun = relay->answer.started,
     };
-    S_limit_wait(relay, place.in_time_ms);
+    relay->gives_up_ms = S_waits_until_ms(relay, now_ms);
     relay->waiting = BsLine_Add(relay->gate->line, &place, relay);
     BsRelay_Log(relay, BS_EVENT_DETAIL, "waits", NULL);
     BsRelay_Schedule(relay);
@@ -406,9 +407,6 @@
         allowed_ms = MIN(allowed_ms, relay->info.deadline_ms);
     }
     relay->expires_ms = relay->arrived_ms + allowed_ms;
-    relay->gives_up_ms =
-        MIN(relay->expires_ms,
-            relay->arrived_ms + (int64_t)(WAIT_PART * route->target_ms));
     relay->session = S_session(relay);
     return relay->service != NULL;
 }
--- a/src/gw_relayparts.h
+++ b/src/gw_relayparts.h
@@ -39,7 +39,7 @@
     uint64_t cost;    /* taken from the account's quota */
     int64_t arrived_ms;
     int64_t expires_ms;   /* gets its answer by then */
-    int64_t gives_up_ms;  /* waits for a place until then */
+    int64_t gives_up_ms;  /* while it waits for a place: until then */
     double yield_draw;    /* 0 to 1; may start when the part is above it */
     BsLineEntry *waiting; /* NULL unless it waits for a place */
     ev_timer timer;
@@ -48,14 +48,14 @@
     BsOutbound *call;
     int64_t sent_ms;    /* 0 until the message left */
     int64_t heard_ms;   /* last byte of the answer, or SENT_MS */
-    int64_t patient_ms; /* silence counts from here, too; 0: it does not */
+    int64_t patient_ms; /* silence is no reason to end it before; 0: it is */
     int64_t first_event_ms;
-    int64_t last_event_ms;
-    int64_t gap_ms;     /* longest pause between two events */
-    uint32_t events;    /* seen in this attempt */
-    bool prefill_told;  /* BsTargets_Started() was called */
-    bool refused;       /* the upstream says it will not run it */
-    BsTargetEnd judged; /* set by what the answer's head shows */
+    int64_t last_event_ms; /* of any attempt; 0 before the first */
+    int64_t gap_ms;        /* longest pause between two events */
+    uint32_t events;       /* seen in this attempt */
+    bool prefill_told;     /* BsTargets_Started() was called */
+    bool refused;          /* the upstream says it will not run it */
+    BsTargetEnd judged;    /* set by what the answer's head shows */
     /* All attempts. */
     BsRelayAnswer answer;
     char *excluded[BS_RELAY_EXCLUDED_MAX];
@@ -102,6 +102,9 @@
 /* Ends the current attempt, if any, as END. */
 void BsAttempt_Abandon(BsRelay *relay, BsTargetEnd end);
 
+/* Returns after how long a pause the callers of ROUTE leave a stream. */
+int64_t BsAttempt_LeftMs(const BsCatalogRoute *route);
+
 /* Returns when the attempt is to be checked for silence; INT64_MAX: never. */
 int64_t BsAttempt_PatienceMs(const BsRelay *relay);
 
--- a/src/line.c
+++ b/src/line.c
@@ -76,6 +76,9 @@
     if (order == 0) {
         order = S_compare(left->route_rank, right->route_rank);
     }
+    if (order == 0) {
+        order = right->begun - left->begun;
+    }
     if (order == 0) {
         order = (left->in_time_ms < now_ms) - (right->in_time_ms < now_ms);
     }
--- a/src/line.h
+++ b/src/line.h
@@ -2,8 +2,9 @@
  * line.h - the order in which waiting requests are served.
  *
  * Rules: a more urgent request goes first: by the rank of its account, then
- * that of its route.  Among equals, those that can still meet their objective
- * go before those that cannot, and the one that waits longest goes first.
+ * that of its route.  Among equals, those whose caller already has a part of
+ * the answer go first, then those that can still meet their objective, and
+ * the one that waits longest goes before the others.
  */
 #ifndef BS_LINE_H
 #define BS_LINE_H
@@ -16,6 +17,7 @@
     uint32_t route_rank;   /* 0 is the most urgent */
     int64_t since_ms;      /* when its caller started to wait */
     int64_t in_time_ms;    /* served by then, it meets its objective */
+    bool begun;            /* its caller has a part of the answer */
 } BsLinePlace;
 
 typedef struct BsLine BsLine;
--- /dev/null
+++ b/src/linewait.c
@@ -0,0 +1,44 @@
+/* linewait.c - until when a request waits in line for a place. */
+#include "linewait.h"
+
+/* Part of the objective that a request may wait for a place; the rest is
+   needed to run it. */
+#define WAIT_PART 0.75
+
+/* The least part in an overload: about the time in which some place is free.
+ */
+#define OVERLOAD_WAIT_PART 0.125
+
+static int64_t
+S_part_ms(const BsLineWait *wait, double part)
+{
+    return (int64_t)(part * (double)wait->objective_ms);
+}
+
+/* While others are refused, a request that could only be late makes room. */
+static int64_t
+S_new_until_ms(const BsLineWait *wait, int64_t now_ms)
+{
+    int64_t until_ms = wait->arrived_ms + S_part_ms(wait, WAIT_PART);
+    if (wait->overload) {
+        int64_t least_ms = now_ms + S_part_ms(wait, OVERLOAD_WAIT_PART);
+        until_ms = MIN(until_ms, MAX(wait->in_time_ms, least_ms));
+    }
+    return until_ms;
+}
+
+int64_t
+BsLineWait_UntilMs(const BsLineWait *wait, int64_t now_ms)
+{
+    int64_t until_ms;
+    if (wait->begun) {
+        until_ms = wait->leaves_ms;
+    }
+    else if (wait->sent) {
+        until_ms = now_ms + S_part_ms(wait, WAIT_PART);
+    }
+    else {
+        until_ms = S_new_until_ms(wait, now_ms);
+    }
+    return MAX(now_ms, MIN(until_ms, wait->expires_ms));
+}
--- a/tests/gate/gatescript_limits.c
+++ b/tests/gate/gatescript_limits.c
@@ -106,6 +106,7 @@
         (uint32_t)GateScript_Number(arguments, "route", 0),
         GateScript_Number(arguments, "since", script->now_ms),
         GateScript_Number(arguments, "in-time", INT64_MAX),
+        false,
     };
     g_hash_table_insert(script->waiting, name,
                         BsLine_Add(script->line, &place, name));
--- a/tests/gate/gateway_test.cc
+++ b/tests/gate/gateway_test.cc
@@ -358,6 +358,82 @@
     EXPECT_EQ(runs, 2);
 }
 
+// A later entry of an upstream that runs one request at a time.
+std::string
+WithOneSlot(int port)
+{
+    std::string entry = Listed("desk", port, "z1", "ready", ",\"sequence\":5");
+    const std::string slots = "\"slots\":6";
+    return entry.replace(entry.find(slots), slots.size(), "\"slots\":1");
+}
+
+// All places are taken at the moment at which a stream breaks.
+TEST_F(GatewayTest, ABrokenStreamWaitsForAPlaceElsewhere)
+{
+    std::atomic<bool> go{false};
+    std::atomic<int> runs{0};
+    auto script = [&](Socket &socket, const Got &got) {
+        if (got.Header("Last-Event-Id") == "0") {
+            return socket.Write(StreamHead(got) + Chunk(Event(1)) +
+                                LastChunk());
+        }
+        if (got.id == "a") {
+            socket.Write(StreamHead(got) + Chunk(Event(0)));
+            Eventually([&] { return runs == 1; });
+            return false;
+        }
+        runs++;
+        Eventually([&] { return go.load(); });
+        return Answers(socket, got);
+    };
+    Start({script});
+    store_.Put("servers/i-0", WithOneSlot(runners_[0]->port()));
+    std::unique_ptr<Socket> caller = gateway_->Open();
+    caller->Write(Call("/chat/1", "a", "Connection: close\r\n"));
+    ReadUntil(*caller, "piece 0\n\n");
+    runners_.push_back(std::make_unique<Runner>(script));
+    store_.Put("servers/i-1", WithOneSlot(runners_[1]->port()));
+    ASSERT_TRUE(gateway_->WaitMetric("boragespur_upstreams 2"));
+    std::unique_ptr<Socket> other = gateway_->Open();
+    other->Write(Call("/book/1", "b"));
+    ASSERT_TRUE(runners_[1]->WaitCount(1));
+    // Longer than a new request would wait for a place.
+    std::this_thread::sleep_for(std::chrono::milliseconds(600));
+    go = true;
+    std::string rest = caller->ReadAll();
+    EXPECT_NE(rest.find("piece 1"), std::string::npos) << rest;
+    EXPECT_EQ(rest.substr(rest.size() - std::min<size_t>(rest.size(), 5)),
+              "0\r\n\r\n");
+}
+
+// A loaded upstream that answers others is not left for the line.
+TEST_F(GatewayTest, ASlowUpstreamIsWaitedForWhileTheOthersAreFull)
+{
+    Start({[](Socket &socket, const Got &got) {
+        if (got.id == "a") {
+            std::this_thread::sleep_for(std::chrono::milliseconds(1600));
+        }
+        return Answers(socket, got);
+    }});
+    runners_.push_back(
+        std::make_unique<Runner>([](Socket &socket, const Got &got) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(2500));
+            return Answers(socket, got);
+        }));
+    std::unique_ptr<Socket> slow = gateway_->Open();
+    slow->Write(Call("/look/1", "a", "Connection: close\r\n"));
+    ASSERT_TRUE(runners_[0]->WaitCount(1));
+    EXPECT_TRUE(IsHealthy(gateway_->Ask(Call("/look/1", "c")), "c"));
+    store_.Put("servers/i-1", WithOneSlot(runners_[1]->port()));
+    ASSERT_TRUE(gateway_->WaitMetric("boragespur_upstreams 2"));
+    store_.Put("servers/i-0", WithOneSlot(runners_[0]->port()));
+    std::unique_ptr<Socket> busy = gateway_->Open();
+    busy->Write(Call("/book/1", "b"));
+    ASSERT_TRUE(runners_[1]->WaitCount(1));
+    EXPECT_TRUE(IsHealthy(slow->ReadAll(), "a"));
+    EXPECT_EQ(runners_[0]->count(), 2);
+}
+
 TEST_F(GatewayTest, ACutStreamThatMayNotRepeatDoesNotLookComplete)
 {
     Start({[](Socket &socket, const Got &got) {
