A request that breaks its upstreams is stopped by all instances together

Requests that ended well, and unsafe ones, which no caller repeats, are not counted. Ruled out: marking by content instead of id: a hot prompt would be stopped by three crashes that it has no part in.

--- a/src/gossipreport.c
+++ b/src/gossipreport.c
@@ -7,7 +7,7 @@
 #include <string.h>
 
 #define GOSSIP_VERSION 1
-#define REPORT_ITEMS 11
+#define REPORT_ITEMS 12
 
 /* The first item holds the version and, in this bit, whether the instance
    stops. */
@@ -21,6 +21,7 @@
 #define LOAD_BYTES 19
 #define USE_BYTES 18
 #define MEMBER_BYTES 5
+#define CRASHER_BYTES 14
 
 void
 BsGossipReport_Init(BsGossipReport *report)
@@ -29,6 +30,7 @@
     report->loads = g_array_new(FALSE, FALSE, sizeof(BsTargetLoad));
     report->uses = g_array_new(FALSE, FALSE, sizeof(BsQuotaUse));
     report->members = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+    report->crashers = g_array_new(FALSE, FALSE, sizeof(BsCrasher));
 }
 
 void
@@ -37,6 +39,7 @@
     g_array_unref(report->loads);
     g_array_unref(report->uses);
     g_array_unref(report->members);
+    g_array_unref(report->crashers);
 }
 
 /* Returns how many items of SIZE_BYTES fit into ROOM, and takes them off. */
@@ -52,6 +55,7 @@
 S_pack_lists(msgpack_packer *packer, const BsGossipReport *report)
 {
     size_t room = BS_GOSSIP_MAX_BYTES - FIXED_BYTES;
+    guint crashers = S_fit(report->crashers, CRASHER_BYTES, &room);
     guint uses = S_fit(report->uses, USE_BYTES, &room);
     guint loads = S_fit(report->loads, LOAD_BYTES, &room);
     guint members = S_fit(report->members, MEMBER_BYTES, &room);
@@ -74,6 +78,13 @@
         msgpack_pack_uint32(packer,
                             g_array_index(report->members, uint32_t, i));
     }
+    msgpack_pack_array(packer, (size_t)crashers * 2);
+    for (guint i = 0; i < crashers; i++) {
+        const BsCrasher *crasher =
+            &g_array_index(report->crashers, BsCrasher, i);
+        msgpack_pack_uint64(packer, crasher->hash);
+        msgpack_pack_uint32(packer, crasher->breaks);
+    }
 }
 
 static int
@@ -158,6 +169,14 @@
         uint32_t address = (uint32_t)NUMBER(numbers, i);
         g_array_append_val(report->members, address);
     }
+    if (!S_numbers(&items[3], numbers)) {
+        return false;
+    }
+    for (guint i = 0; i + 1 < numbers->len; i += 2) {
+        BsCrasher crasher = {NUMBER(numbers, i),
+                             (uint32_t)NUMBER(numbers, i + 1)};
+        g_array_append_val(report->crashers, crasher);
+    }
     return true;
 }
 
--- a/src/gossipreport.h
+++ b/src/gossipreport.h
@@ -6,6 +6,7 @@
 #ifndef BS_GOSSIPREPORT_H
 #define BS_GOSSIPREPORT_H
 
+#include "crasher.h"
 #include "quota.h"
 #include "targets.h"
 
@@ -29,9 +30,10 @@
     BsGossipReading reading;
     uint32_t data_centre; /* hash of the name */
     bool stopping;
-    GArray *loads;   /* BsTargetLoad */
-    GArray *uses;    /* BsQuotaUse */
-    GArray *members; /* uint32_t; some addresses it heard lately */
+    GArray *loads;    /* BsTargetLoad */
+    GArray *uses;     /* BsQuotaUse */
+    GArray *members;  /* uint32_t; some addresses it heard lately */
+    GArray *crashers; /* BsCrasher */
 } BsGossipReport;
 
 /* Fills REPORT with empty lists, or frees them. */
--- a/src/gw_attempt.c
+++ b/src/gw_attempt.c
@@ -170,7 +170,8 @@
 static void
 S_on_failure(BsRelay *relay, BsTargetEnd end, const char *cause)
 {
-    bool may_go_on = S_may_go_on(relay);
+    bool stopped = BsRelay_IsStopped(relay);
+    bool may_go_on = S_may_go_on(relay) && !stopped;
     char *failed = g_strdup(relay->target->id);
     BsRelay_Log(relay, BS_EVENT_FAILURE, "attempt_failed", cause);
     S_close(relay, end);
@@ -187,7 +188,7 @@
         S_try_again(relay, cause);
     }
     else {
-        S_give_up(relay, cause);
+        S_give_up(relay, stopped ? "breaks_upstreams" : cause);
     }
 }
 
@@ -415,6 +416,8 @@
     }
     else {
         relay->may_have_run = true;
+        relay->breaks +=
+            end == BS_OUTBOUND_BROKEN || end == BS_OUTBOUND_TRUNCATED;
         S_on_failure(relay, BS_TARGET_BROKE,
                      end == BS_OUTBOUND_BROKEN      ? "broke_before_answer"
                      : end == BS_OUTBOUND_TRUNCATED ? "answer_cut_off"
--- a/src/gw_gate.h
+++ b/src/gw_gate.h
@@ -10,6 +10,7 @@
 
 #include "catalog.h"
 #include "counter.h"
+#include "crasher.h"
 #include "eventlog.h"
 #include "gatesettings.h"
 #include "gw_inbound.h"
@@ -45,6 +46,7 @@
     BsPredictors *predictors;
     BsYields *yields;
     BsLapses *lapses;
+    BsCrashers *crashers;
     BsOverload overload;
     GRand *random;
     BsCatalog *catalog;    /* in force; NULL until one is known */
--- a/src/gw_gateway.c
+++ b/src/gw_gateway.c
@@ -298,6 +298,7 @@
     gate->predictors = BsPredictors_Create();
     gate->yields = BsYields_Create();
     gate->lapses = BsLapses_Create();
+    gate->crashers = BsCrashers_Create();
     gate->random = g_rand_new_with_seed(S_random());
     gate->instances = MAX(settings->seeds_count, 1);
 }
@@ -372,6 +373,7 @@
     BsPredictors_Destroy(gate->predictors);
     BsYields_Destroy(gate->yields);
     BsLapses_Destroy(gate->lapses);
+    BsCrashers_Destroy(gate->crashers);
     BsCatalog_Unref(gate->catalog);
     BsCounters_Destroy(gate->counters);
     BsHistogram_Destroy(gate->durations);
--- a/src/gw_gossip.c
+++ b/src/gw_gossip.c
@@ -78,6 +78,7 @@
     report->stopping = gate->stopping;
     BsTargets_AppendLoads(gate->targets, now_ms, report->loads);
     BsQuotas_AppendUses(gate->quotas, report->uses);
+    BsCrashers_Append(gate->crashers, now_ms, report->crashers);
     BsGossip_AppendMembers(task->gossip, gate->random, MEMBERS_TOLD, now_ms,
                            report->members);
 }
@@ -133,6 +134,7 @@
         BsTargets_SetPeer(gate->targets, address, report.loads, now_ms);
         BsQuotas_SetPeer(gate->quotas, address, report.incarnation,
                          report.uses);
+        BsCrashers_SetPeer(gate->crashers, address, report.crashers, now_ms);
         gate->places_changed = true;
     }
     BsGossipReport_Clear(&report);
--- a/src/gw_pages.c
+++ b/src/gw_pages.c
@@ -39,6 +39,7 @@
                    BsTargets_PeerLoad(gate->targets));
     BsCounters_Set(counters, "waiting", BsLine_Length(gate->line));
     BsCounters_Set(counters, "upstreams", BsTargets_Listed(gate->targets));
+    BsCounters_Set(counters, "crashers", BsCrashers_Count(gate->crashers));
     BsCounters_Set(counters, "connections",
                    BsInboundServer_Connections(gate->callers));
     BsCounters_Set(counters, "upstream_connections_opened", stats->opened);
--- a/src/gw_relay.c
+++ b/src/gw_relay.c
@@ -139,9 +139,40 @@
                       relay->answered && S_is_in_time(relay));
 }
 
+static uint64_t
+S_crasher_hash(const BsRelay *relay)
+{
+    return BsCrashers_Hash(
+        relay->account == NULL ? NULL : relay->account->name, relay->id);
+}
+
+bool
+BsRelay_IsStopped(const BsRelay *relay)
+{
+    const BsGate *gate = relay->gate;
+    uint32_t before = 0;
+    if (relay->id[0] != '\0') {
+        before = BsCrashers_Breaks(gate->crashers, S_crasher_hash(relay),
+                                   BsClock_NowMs(gate->clock));
+    }
+    return BsCrashers_IsStopped(before + relay->breaks);
+}
+
+/* Its caller may send it again, to any instance: all are to know. */
+static void
+S_note_breaks(const BsRelay *relay)
+{
+    if (relay->breaks > 0 && !relay->answered && relay->id[0] != '\0' &&
+        BsCatalogRoute_MayRepeat(relay->route)) {
+        BsCrashers_Note(relay->gate->crashers, S_crasher_hash(relay),
+                        relay->breaks, BsClock_NowMs(relay->gate->clock));
+    }
+}
+
 void
 BsRelay_Finish(BsRelay *relay, const char *outcome)
 {
+    S_note_breaks(relay);
     S_count(relay, outcome);
     S_count_day(relay);
     S_free(relay);
@@ -497,6 +528,11 @@
         BsRelay_Refuse(relay, 429, "account_limit", wait_ms);
         return;
     }
+    if (BsRelay_IsStopped(relay)) {
+        relay->may_have_run = true;
+        BsRelay_Refuse(relay, 502, "breaks_upstreams", 0);
+        return;
+    }
     BsRetryBudget_AddRequest(gate->retries, relay->service->name,
                              BsClock_NowMs(gate->clock));
     BsRelay_Place(relay);
--- a/tests/gate/gateway_test.cc
+++ b/tests/gate/gateway_test.cc
@@ -423,6 +423,8 @@
     std::unique_ptr<Socket> slow = gateway_->Open();
     slow->Write(Call("/look/1", "a", "Connection: close\r\n"));
     ASSERT_TRUE(runners_[0]->WaitCount(1));
+    // Later than the first was sent, on a clock of whole milliseconds.
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
     EXPECT_TRUE(IsHealthy(gateway_->Ask(Call("/look/1", "c")), "c"));
     store_.Put("servers/i-1", WithOneSlot(runners_[1]->port()));
     ASSERT_TRUE(gateway_->WaitMetric("boragespur_upstreams 2"));
--- a/tests/gate/modules_test.cc
+++ b/tests/gate/modules_test.cc
@@ -256,6 +256,8 @@
     g_array_append_val(sent.loads, load);
     g_array_append_val(sent.uses, use);
     g_array_append_val(sent.members, member);
+    BsCrasher crasher = {UINT64_MAX - 1, 3};
+    g_array_append_val(sent.crashers, crasher);
     BsGossipReport_Encode(&sent, data);
     ASSERT_TRUE(BsGossipReport_Decode(data->str, data->len, &got));
     EXPECT_EQ(got.incarnation, sent.incarnation);
@@ -263,6 +265,9 @@
     EXPECT_EQ(got.data_centre, sent.data_centre);
     EXPECT_TRUE(got.stopping);
     ASSERT_EQ(got.loads->len, 1U);
+    ASSERT_EQ(got.crashers->len, 1U);
+    EXPECT_EQ(g_array_index(got.crashers, BsCrasher, 0).hash, crasher.hash);
+    EXPECT_EQ(g_array_index(got.crashers, BsCrasher, 0).breaks, 3U);
     EXPECT_EQ(g_array_index(got.loads, BsTargetLoad, 0).cold_sent, 6U);
     ASSERT_EQ(got.uses->len, 1U);
     EXPECT_EQ(g_array_index(got.uses, BsQuotaUse, 0).used, 8U);
