A peer's late answer does not bring back what was removed

A started instance asks its peers and the store at once. Where the store's full list came first and a peer's older list after it, an entry removed in between was new to the instance, as it holds no removal for it: it was listed again, called part of all up to the store's revision, and handed on. Change: what a peer tells is passed over where the instance holds all up to a later revision and has no such item. Full reads of the store still heal everything. Test AStaleListDoesNotBringBackWhatWasRemoved fails before.

--- a/src/itemcodec.c
+++ b/src/itemcodec.c
@@ -153,9 +153,20 @@
     return g_bytes_new_take(value, size);
 }
 
-/* Applies an item; returns whether it could be unpacked. */
+/* Returns whether the item KEY of REVISION was removed since, though no
+   removal is held: all up to COMPLETE is, and it is not there. */
 static bool
-S_apply_item(const msgpack_object *fields, BsReplica *replica)
+S_is_stale(const BsReplica *replica, uint64_t complete, const char *key,
+           uint64_t revision)
+{
+    return revision <= complete && BsReplica_Find(replica, key) == NULL;
+}
+
+/* Applies an item to REPLICA, which holds all up to COMPLETE; returns whether
+   it could be unpacked. */
+static bool
+S_apply_item(const msgpack_object *fields, uint64_t complete,
+             BsReplica *replica)
 {
     GBytes *value = NULL;
     if (fields[1].type == MSGPACK_OBJECT_BIN) {
@@ -165,7 +176,9 @@
         }
     }
     char *key = g_strndup(fields[0].via.str.ptr, fields[0].via.str.size);
-    BsReplica_Apply(replica, key, value, fields[2].via.u64);
+    if (!S_is_stale(replica, complete, key, fields[2].via.u64)) {
+        BsReplica_Apply(replica, key, value, fields[2].via.u64);
+    }
     if (value != NULL) {
         g_bytes_unref(value);
     }
@@ -195,8 +208,9 @@
 {
     const msgpack_object *fields = root->via.array.ptr;
     const msgpack_object_array *items = &fields[1].via.array;
+    uint64_t complete = BsReplica_Complete(replica);
     for (uint32_t i = 0; i < items->size; i++) {
-        if (!S_apply_item(items->ptr[i].via.array.ptr, replica)) {
+        if (!S_apply_item(items->ptr[i].via.array.ptr, complete, replica)) {
             return false;
         }
     }
--- a/tests/gate/modules_test.cc
+++ b/tests/gate/modules_test.cc
@@ -168,6 +168,22 @@
     EXPECT_EQ(BsReplica_Find(third.get(), "a/gone")->value, nullptr);
 }
 
+// A started instance asks a peer and the store; the peer's answer, which was
+// made before a removal, comes last.
+TEST(ItemCodec, AStaleListDoesNotBringBackWhatWasRemoved)
+{
+    Replica peer;
+    ReadInFull(peer, {"a/gone", "a/kept"}, 5);
+    GString *stale = g_string_new(nullptr);
+    BsItemCodec_Encode(peer.get(), 0, stale);
+    Replica started;
+    ReadInFull(started, {"a/kept"}, 9);
+    EXPECT_TRUE(BsItemCodec_Apply(stale->str, stale->len, started.get()));
+    EXPECT_EQ(BsReplica_Find(started.get(), "a/gone"), nullptr);
+    EXPECT_EQ(BsReplica_Complete(started.get()), 9U);
+    g_string_free(stale, TRUE);
+}
+
 // Single items may be newer than all that is held up to a revision.
 TEST(ItemCodec, WhatIsNewerThanTheWholeListIsNotRemovedByIt)
 {
