Tests for the yielding of places in the gateway and for a stop beside a slow caller

Flags that scripts of upstreams wait for are members of the fixture now: as locals they were gone while the last scripts still looked at them (a test could take 20 s more).

--- a/tests/contract/input_test.cc
+++ b/tests/contract/input_test.cc
@@ -1,6 +1,7 @@
 // Bad input of a new user: never a crash, a hang or a leaked request.
 #include "harness.h"
 
+#include <algorithm>
 #include <csignal>
 #include <gtest/gtest.h>
 #include <random>
@@ -353,4 +354,33 @@
     EXPECT_EQ(daemon.Wait(), 0);
 }
 
+// The answer is made, but its caller has read nothing of it yet.
+TEST(Daemons, PlannedStopDeliversToASlowCaller)
+{
+    const std::string body(6 * 1024 * 1024, 'x');
+    Server service([&body](Socket &socket) {
+        socket.ReadMessage();
+        socket.Write("HTTP/1.1 200 OK\r\nContent-Length: " +
+                     std::to_string(body.size()) + "\r\n\r\n" + body);
+    });
+    Daemon daemon(FreePort(), service.port());
+    Socket caller(Connect(daemon.callers()));
+    caller.Write("POST /services/s/x HTTP/1.1\r\nHost: x\r\nAuthorization: "
+                 "Bearer " +
+                 std::string(kToken) +
+                 "\r\nIdempotency-Key: k\r\nConnection: close\r\n"
+                 "Content-Length: 2\r\n\r\n{}");
+    ASSERT_TRUE(daemon.WaitCount("upstream_transfers", 1));
+    daemon.Signal(SIGTERM);
+    usleep(500000);
+    std::string answer = caller.ReadAll();
+    size_t at = answer.find("\r\n\r\n");
+    ASSERT_NE(at, std::string::npos);
+    // In chunks: all of the body and the last, empty one.
+    EXPECT_EQ(std::count(answer.begin() + (long)at, answer.end(), 'x'),
+              (long)body.size());
+    EXPECT_EQ(answer.substr(answer.size() - 5), "0\r\n\r\n");
+    EXPECT_EQ(daemon.Wait(), 0);
+}
+
 } // namespace
--- a/tests/gate/gateway_fixture.h
+++ b/tests/gate/gateway_fixture.h
@@ -49,6 +49,9 @@
         return sum;
     }
 
+    // What scripts wait for; they may look at it until the upstreams end.
+    std::atomic<bool> go_{false};
+    std::atomic<int> kept_{0};
     Store store_;
     std::vector<std::unique_ptr<Runner>> runners_;
     std::unique_ptr<Gateway> gateway_;
--- a/tests/gate/gateway_fleet_test.cc
+++ b/tests/gate/gateway_fleet_test.cc
@@ -145,9 +145,8 @@
 
 TEST_F(GatewayTest, APlannedStopFinishesWhatRuns)
 {
-    std::atomic<bool> go{false};
-    Start({[&go](Socket &socket, const Got &got) {
-        Eventually([&] { return go.load(); });
+    Start({[this](Socket &socket, const Got &got) {
+        Eventually([&] { return go_.load(); });
         return Answers(socket, got);
     }});
     std::unique_ptr<Socket> caller = gateway_->Open();
@@ -159,7 +158,7 @@
     std::unique_ptr<Socket> late = gateway_->Open();
     late->Write(Call("/book/1", "b"));
     ASSERT_TRUE(runners_[0]->WaitCount(2));
-    go = true;
+    go_ = true;
     std::string answer = caller->ReadMessage();
     EXPECT_TRUE(IsHealthy(answer, "a"));
     EXPECT_NE(answer.find("Connection: close"), std::string::npos);
@@ -283,9 +282,8 @@
 
 TEST_F(GatewayTest, PlacesTakenThroughAPeerCount)
 {
-    std::atomic<bool> go{false};
-    Start({[&go](Socket &socket, const Got &got) {
-        Eventually([&] { return go.load(); });
+    Start({[this](Socket &socket, const Got &got) {
+        Eventually([&] { return go_.load(); });
         return Answers(socket, got);
     }});
     Gateway second(store_.port(), "127.0.0.2", gateway_->peers_port(),
@@ -302,7 +300,7 @@
     ASSERT_TRUE(second.WaitMetric("boragespur_places_taken_by_peers 6"));
     EXPECT_EQ(StatusOf(second.Ask(Call("/look/1", "late"))), 503);
     EXPECT_EQ(runners_[0]->count(), 6);
-    go = true;
+    go_ = true;
 }
 
 TEST_F(GatewayTest, SettingsAreReadAgainWithAndWithoutASignal)
--- a/tests/gate/gateway_test.cc
+++ b/tests/gate/gateway_test.cc
@@ -186,10 +186,9 @@
 // is answered after it, and well before twice as long.
 TEST_F(GatewayTest, ASlowAnswerDoesNotPauseAnUpstreamThatAnswersOthers)
 {
-    std::atomic<bool> go{false};
-    Start({[&go](Socket &socket, const Got &got) {
+    Start({[this](Socket &socket, const Got &got) {
         if (got.text.find("/calm/slow") != std::string::npos) {
-            Eventually([&] { return go.load(); });
+            Eventually([&] { return go_.load(); });
         }
         return Answers(socket, got);
     }});
@@ -204,7 +203,7 @@
         EXPECT_TRUE(IsHealthy(gateway_->Ask(Call("/calm/1", id)), id));
         std::this_thread::sleep_for(std::chrono::milliseconds(50));
     }
-    go = true;
+    go_ = true;
     EXPECT_TRUE(IsHealthy(caller->ReadMessage(), "slow"));
     EXPECT_EQ(gateway_->Metrics().find("upstream_pauses_total"),
               std::string::npos);
@@ -314,17 +313,16 @@
 
 TEST_F(GatewayTest, EventsAreForwardedAsTheyArrive)
 {
-    std::atomic<bool> go{false};
-    Start({[&go](Socket &socket, const Got &got) {
+    Start({[this](Socket &socket, const Got &got) {
         socket.Write(StreamHead(got) + Chunk(Event(0)));
-        Eventually([&] { return go.load(); });
+        Eventually([&] { return go_.load(); });
         return socket.Write(Chunk(Event(1)) + LastChunk());
     }});
     std::unique_ptr<Socket> caller = gateway_->Open();
     caller->Write(Call("/chat/1", "a"));
     EXPECT_NE(ReadUntil(*caller, "piece 0\n\n").find("sig-a"),
               std::string::npos);
-    go = true;
+    go_ = true;
     EXPECT_NE(ReadUntil(*caller, "0\r\n\r\n").find("piece 1"),
               std::string::npos);
 }
@@ -370,7 +368,6 @@
 // All places are taken at the moment at which a stream breaks.
 TEST_F(GatewayTest, ABrokenStreamWaitsForAPlaceElsewhere)
 {
-    std::atomic<bool> go{false};
     std::atomic<int> runs{0};
     auto script = [&](Socket &socket, const Got &got) {
         if (got.Header("Last-Event-Id") == "0") {
@@ -383,7 +380,7 @@
             return false;
         }
         runs++;
-        Eventually([&] { return go.load(); });
+        Eventually([&] { return go_.load(); });
         return Answers(socket, got);
     };
     Start({script});
@@ -399,7 +396,7 @@
     ASSERT_TRUE(runners_[1]->WaitCount(1));
     // Longer than a new request would wait for a place.
     std::this_thread::sleep_for(std::chrono::milliseconds(600));
-    go = true;
+    go_ = true;
     std::string rest = caller->ReadAll();
     EXPECT_NE(rest.find("piece 1"), std::string::npos) << rest;
     EXPECT_EQ(rest.substr(rest.size() - std::min<size_t>(rest.size(), 5)),
@@ -436,6 +433,52 @@
     EXPECT_EQ(runners_[0]->count(), 2);
 }
 
+// Urgent requests wait; when a place is free again, it is left to the next of
+// them.
+TEST_F(GatewayTest, LessUrgentWorkLeavesPlacesWhileUrgentWorkWaits)
+{
+    kept_ = 6;
+    Start({[this](Socket &socket, const Got &got) {
+        int number = got.id.compare(0, 4, "hold") == 0 ? got.id[4] - '0' : 9;
+        Eventually([&] { return number >= kept_; });
+        return Answers(socket, got);
+    }});
+    store_.Put("op/config",
+               Config(2, ",{\"name\":\"low\",\"host\":\"shop.example\","
+                         "\"prefix\":\"/low/\",\"route-type\":\"safe\","
+                         "\"target-latency-ms\":500,\"priority\":5,"
+                         "\"service\":\"desk\",\"max-attempts\":1,"
+                         "\"timeout-ms\":4000}"));
+    ASSERT_TRUE(gateway_->WaitMetric("boragespur_catalog_version 2"));
+    std::vector<std::unique_ptr<Socket>> callers;
+    auto send = [&](const std::string &path, const std::string &id) {
+        callers.push_back(gateway_->Open());
+        callers.back()->Write(Call(path, id, "Connection: close\r\n"));
+    };
+    for (int i = 0; i < 6; i++) {
+        send("/book/1", "hold" + std::to_string(i));
+    }
+    ASSERT_TRUE(runners_[0]->WaitCount(6));
+    for (int i = 0; i < 8; i++) {
+        send("/look/1", "urgent" + std::to_string(i));
+        send("/low/1", "less" + std::to_string(i));
+        std::this_thread::sleep_for(std::chrono::milliseconds(150));
+    }
+    kept_ = 5;
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    EXPECT_EQ(StatusOf(gateway_->Ask(Call("/look/1", "urgent"))), 200);
+    callers.clear();
+    for (int i = 0; i < 12; i++) {
+        send("/low/1", "later" + std::to_string(i));
+    }
+    int refused = 0;
+    for (auto &caller : callers) {
+        refused += StatusOf(caller->ReadAll()) == 503;
+    }
+    EXPECT_GT(refused, 0);
+    kept_ = 0;
+}
+
 TEST_F(GatewayTest, ACutStreamThatMayNotRepeatDoesNotLookComplete)
 {
     Start({[](Socket &socket, const Got &got) {
@@ -474,10 +517,9 @@
 
 TEST_F(GatewayTest, AnUnsafeRequestRunsOnWithoutItsCaller)
 {
-    std::atomic<bool> go{false};
     std::atomic<bool> written{false};
     Start({[&](Socket &socket, const Got &got) {
-        Eventually([&] { return go.load(); });
+        Eventually([&] { return go_.load(); });
         std::this_thread::sleep_for(std::chrono::milliseconds(100));
         written = Answers(socket, got);
         return written.load();
@@ -486,7 +528,7 @@
     caller->Write(Call("/book/1", "a"));
     ASSERT_TRUE(runners_[0]->WaitCount(1));
     caller.reset();
-    go = true;
+    go_ = true;
     ASSERT_TRUE(Eventually([&] { return written.load(); }));
     // The connection was not given up: the next request uses it.
     EXPECT_TRUE(IsHealthy(gateway_->Ask(Call("/book/1", "b")), "b"));
