Reverted in part: a silent attempt ends also where all others are full

Tried in: an upstream that is silent to a request but answers others was waited for while no other had a place. Cause of the loss: an upstream that is silent to one request for twice its objective has often lost it (answer_lost, hangs); waiting keeps a place taken that is empty, and the answer could only be late. Kept: with no other upstream at all it is waited for.

--- a/src/gw_attempt.c
+++ b/src/gw_attempt.c
@@ -520,18 +520,13 @@
     return MAX(relay->patient_ms, relay->sent_ms + factor * silence_ms);
 }
 
-/* Returns whether to wait on for a silent upstream: where no other has a
-   place, a late answer is better than none.  One that is silent to all is
-   left, but for the only one. */
+/* Returns whether to wait on for a silent upstream: where there is no other, a
+   late answer is better than none.  Where others are only full it is left all
+   the same: its answer may be lost, and its place is then empty. */
 static bool
 S_waits_on(BsRelay *relay)
 {
-    if (!S_may_go_on(relay)) {
-        return false;
-    }
-    BsTargetVerdict verdict = S_look_elsewhere(relay);
-    return verdict == BS_TARGET_NONE ||
-           (verdict != BS_TARGET_CHOSEN && S_answers_others(relay));
+    return S_may_go_on(relay) && S_look_elsewhere(relay) == BS_TARGET_NONE;
 }
 
 void
