--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,8 @@
 	$(if $(KNOWN_RED),-E '^($(KNOWN_RED))$$')
 
 .PHONY: all build check test asan format format-check lint soak soak-once \
-	clean slopes policy demo packages bench faults faults-regressions
+	clean slopes policy demo packages bench faults faults-regressions \
+	load
 
 all: build
 
@@ -67,6 +68,15 @@
 		tests/soak/soak.sh $(BUILD)/bin $$seed 1; \
 	done
 
+# Load without faults on gateways before stand-ins, on loopback: LOAD_RATE
+# requests a second for LOAD_SECONDS; LOAD names more options of gatesoak.
+LOAD_RATE ?= 200
+LOAD_SECONDS ?= 10
+LOAD ?=
+load: build
+	tests/soak/load.sh $(BUILD)/bin --seconds $(LOAD_SECONDS) \
+		--rate $(LOAD_RATE) $(LOAD)
+
 # The walk of bookings over many seeds, for each mix of faults.
 SOAK_SEEDS ?= 1 1000
 soak-once: build
@@ -99,6 +109,7 @@
 demo: packages
 	$(MAKE) build
 	tests/demo/demo.sh $(BUILD)/bin
+	tests/demo/gateway.sh $(BUILD)/bin
 
 # Latency, rates, memory and step cost of one instance on loopback, as JSON.
 bench: build
--- a/tests/soak/main_soak.c
+++ b/tests/soak/main_soak.c
@@ -2,7 +2,8 @@
  * main_soak.c - the fault soak: draws faults from a seed and plays them.
  *
  * gatesoak GATEWAY DIRECTORY SEED [--seconds N] [--gateways N] [--runners N]
- * [--rate N] [--verbose]; exits with 1 when a promise was broken.
+ * [--rate N] [--calm] [--verbose]; exits with 1 when a promise was broken.
+ * With --calm nothing fails, and what callers saw is printed as a table.
  */
 #include "soak.h"
 
@@ -19,6 +20,9 @@
 /* Faults end this long before the run does, so that recovery shows. */
 #define CALM_S 6.0
 
+/* Time for the last answers of a run without faults. */
+#define REST_S 2.0
+
 /* Pause between two faults, so that they come in series and overlap. */
 #define FAULT_MIN_MS 100
 #define FAULT_MAX_MS 900
@@ -35,6 +39,7 @@
 static gint S_gateways = 4;
 static gint S_runners = 6;
 static gint S_rate = 60;
+static gboolean S_calm;
 static gboolean S_verbose;
 
 static struct timespec
@@ -320,6 +325,15 @@
     soak->calm = true;
 }
 
+/* Sends no more; what is under way may end. */
+static void
+S_on_rest(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    (void)loop;
+    (void)events;
+    SoakCallers_Rest(&((SoakMain *)watcher->data)->soak);
+}
+
 static void
 S_on_end(struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -385,9 +399,15 @@
     S_create(&run, seed);
     SoakFleet_Start(soak, program, directory);
     SoakCallers_Start(soak, 1, S_rate);
-    S_start_timer(&run, &run.next, 1.0, S_on_next);
-    S_start_timer(&run, &run.calm, S_seconds - CALM_S, S_on_calm);
-    S_start_timer(&run, &run.end, S_seconds, S_on_end);
+    soak->calm = S_calm;
+    if (S_calm) {
+        S_start_timer(&run, &run.calm, S_seconds, S_on_rest);
+    }
+    else {
+        S_start_timer(&run, &run.next, 1.0, S_on_next);
+        S_start_timer(&run, &run.calm, S_seconds - CALM_S, S_on_calm);
+    }
+    S_start_timer(&run, &run.end, S_seconds + (S_calm ? REST_S : 0), S_on_end);
     ev_run(run.loop, 0);
     SoakCallers_Stop(soak);
     SoakFleet_Stop(soak);
@@ -398,6 +418,9 @@
            "broken\n",
            seed, g_hash_table_size(soak->requests), soak->answered_good,
            soak->answered_late, soak->violations);
+    if (S_calm) {
+        SoakLoad_Print(soak);
+    }
     unsigned violations = soak->violations;
     S_destroy(&run);
     return violations;
@@ -411,6 +434,7 @@
         {"gateways", 0, 0, G_OPTION_ARG_INT, &S_gateways, "Gateways", "N"},
         {"runners", 0, 0, G_OPTION_ARG_INT, &S_runners, "Upstreams", "N"},
         {"rate", 0, 0, G_OPTION_ARG_INT, &S_rate, "Requests a second", "N"},
+        {"calm", 0, 0, G_OPTION_ARG_NONE, &S_calm, "No faults; a table", NULL},
         {"verbose", 0, 0, G_OPTION_ARG_NONE, &S_verbose, "Tell faults", NULL},
         G_OPTION_ENTRY_NULL};
     GOptionContext *context =
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -44,6 +44,7 @@
     bool answered;
     bool promised; /* answered 429 or 503 */
     int64_t sent_ms;
+    int64_t answered_ms; /* end of the whole answer; 0: none */
     unsigned gateway;
 } SoakRequest;
 
@@ -162,8 +163,19 @@
 
 /* Starts COUNT callers that send RATE requests a second together. */
 void SoakCallers_Start(Soak *soak, unsigned count, double rate);
+
+/* Sends no more, and waits on for answers. */
+void SoakCallers_Rest(Soak *soak);
+
+/* Ends all calls and frees what callers hold. */
 void SoakCallers_Stop(Soak *soak);
 
+/* ------------------------------------------------------------------ load --
+ */
+
+/* Prints what callers saw, by route: counts, and times of whole answers. */
+void SoakLoad_Print(const Soak *soak);
+
 /* Fills ADDRESS with 127.0.0.0/8 at offset HOST of the run, and PORT. */
 void Soak_Address(const Soak *soak, unsigned host, uint16_t port,
                   struct sockaddr_in *address);
--- a/tests/soak/soak_callers.c
+++ b/tests/soak/soak_callers.c
@@ -64,6 +64,7 @@
     Soak *soak = call->soak;
     SoakRequest *request = call->request;
     request->answered = true;
+    request->answered_ms = Soak_NowMs(soak);
     if (request->status == 429 || request->status == 503) {
         request->promised = true;
         bool once = request->kind == SOAK_UNSAFE || request->kind == SOAK_ONCE;
@@ -242,6 +243,12 @@
     ev_timer_start(soak->loop, &S_timer);
 }
 
+void
+SoakCallers_Rest(Soak *soak)
+{
+    ev_timer_stop(soak->loop, &S_timer);
+}
+
 void
 SoakCallers_Stop(Soak *soak)
 {
--- /dev/null
+++ b/tests/soak/soak_load.c
@@ -0,0 +1,76 @@
+/* soak_load.c - what callers saw of a run without faults. */
+#include "soak.h"
+
+#include <stdio.h>
+
+#define KINDS 4
+
+typedef struct {
+    unsigned sent;
+    unsigned good;
+    unsigned refused;
+    GArray *times_ms; /* int64_t; of whole answers */
+} LoadRow;
+
+static gint
+S_compare(gconstpointer a, gconstpointer b)
+{
+    int64_t left = *(const int64_t *)a;
+    int64_t right = *(const int64_t *)b;
+    return (left > right) - (left < right);
+}
+
+/* Returns the time that PART of the sorted TIMES do not exceed; -1: none. */
+static long
+S_quantile(const GArray *times, double part)
+{
+    if (times->len == 0) {
+        return -1;
+    }
+    guint index = (guint)(part * (times->len - 1));
+    return (long)g_array_index(times, int64_t, index);
+}
+
+static void
+S_add(LoadRow *row, const SoakRequest *request)
+{
+    row->sent++;
+    if (request->status == 200 && request->answered) {
+        int64_t took_ms = request->answered_ms - request->sent_ms;
+        row->good++;
+        g_array_append_val(row->times_ms, took_ms);
+    }
+    row->refused += request->status == 429 || request->status == 503;
+}
+
+static void
+S_print(const char *name, LoadRow *row)
+{
+    g_array_sort(row->times_ms, S_compare);
+    printf("%-8s %7u %9u %8u %7u %7ld %7ld %7ld\n", name, row->sent, row->good,
+           row->refused, row->sent - row->good - row->refused,
+           S_quantile(row->times_ms, 0.5), S_quantile(row->times_ms, 0.9),
+           S_quantile(row->times_ms, 0.99));
+}
+
+void
+SoakLoad_Print(const Soak *soak)
+{
+    static const char *const names[KINDS] = {"look", "book", "chat", "once"};
+    LoadRow rows[KINDS] = {0};
+    GHashTableIter iter;
+    gpointer request;
+    for (unsigned i = 0; i < KINDS; i++) {
+        rows[i].times_ms = g_array_new(FALSE, FALSE, sizeof(int64_t));
+    }
+    g_hash_table_iter_init(&iter, soak->requests);
+    while (g_hash_table_iter_next(&iter, NULL, &request)) {
+        S_add(&rows[((SoakRequest *)request)->kind], request);
+    }
+    printf("route       sent  answered  refused   other  p50 ms  p90 ms  "
+           "p99 ms\n");
+    for (unsigned i = 0; i < KINDS; i++) {
+        S_print(names[i], &rows[i]);
+        g_array_unref(rows[i].times_ms);
+    }
+}
