A test of the bound on held bodies, and a gauge of them

BodiesBeyondTheMemoryAreRefusedAndTheOthersServed fills it with twelve bodies that are not whole, sees the thirteenth refused with 503 and Retry-After, a small request served, and the twelve served once they are whole. New gauge 'body_bytes_held'.

--- a/src/gw_inbound.c
+++ b/src/gw_inbound.c
@@ -646,6 +646,12 @@
     return g_hash_table_size(server->connections);
 }
 
+uint64_t
+BsInboundServer_HeldBytes(const BsInboundServer *server)
+{
+    return server->held_bytes;
+}
+
 unsigned
 BsInboundServer_Requests(const BsInboundServer *server)
 {
--- a/src/gw_inbound.h
+++ b/src/gw_inbound.h
@@ -66,6 +66,9 @@
 
 /* Returns the number of open connections, or of unanswered requests. */
 unsigned BsInboundServer_Connections(const BsInboundServer *server);
+
+/* Returns how many bytes of requests' bodies are held. */
+uint64_t BsInboundServer_HeldBytes(const BsInboundServer *server);
 unsigned BsInboundServer_Requests(const BsInboundServer *server);
 
 /* Keeps a pointer of the owner's with the current request. */
--- a/src/gw_pages.c
+++ b/src/gw_pages.c
@@ -42,6 +42,8 @@
     BsCounters_Set(counters, "crashers", BsCrashers_Count(gate->crashers));
     BsCounters_Set(counters, "connections",
                    BsInboundServer_Connections(gate->callers));
+    BsCounters_Set(counters, "body_bytes_held",
+                   BsInboundServer_HeldBytes(gate->callers));
     BsCounters_Set(counters, "upstream_connections_opened", stats->opened);
     BsCounters_Set(counters, "upstream_connections_reused", stats->reused);
     BsCounters_Set(counters, "store_calls", status.calls);
--- a/tests/gate/gateway_test.cc
+++ b/tests/gate/gateway_test.cc
@@ -583,6 +583,39 @@
     EXPECT_EQ(runners_[0]->count(), 0);
 }
 
+// A fifth of the machine's 110 MB may hold bodies: twelve of these.
+TEST_F(GatewayTest, BodiesBeyondTheMemoryAreRefusedAndTheOthersServed)
+{
+    const size_t length = 1900000;
+    const int fitting = 12;
+    const std::string most(length - 1, 'x');
+    Start({Answers});
+    std::vector<std::unique_ptr<Socket>> callers;
+    auto send = [&](int number) {
+        std::string call = Call("/look/1", "body" + std::to_string(number), "",
+                                std::string(length, 'x'));
+        callers.push_back(gateway_->Open());
+        callers.back()->Write(call.substr(0, call.size() - 1));
+    };
+    for (int i = 0; i < fitting; i++) {
+        send(i);
+    }
+    ASSERT_TRUE(gateway_->WaitMetric("boragespur_body_bytes_held " +
+                                     std::to_string(fitting * (length - 1))));
+    send(fitting);
+    std::string refused = callers.back()->ReadAll();
+    EXPECT_EQ(StatusOf(refused), 503);
+    EXPECT_NE(refused.find("Retry-After: "), std::string::npos);
+    EXPECT_TRUE(IsHealthy(gateway_->Ask(Call("/look/1", "small")), "small"));
+    EXPECT_EQ(runners_[0]->count(), 1);
+    for (int i = 0; i < fitting; i++) {
+        callers[(size_t)i]->Write("x");
+        EXPECT_TRUE(IsHealthy(callers[(size_t)i]->ReadMessage(),
+                              "body" + std::to_string(i)));
+    }
+    EXPECT_TRUE(gateway_->WaitMetric("boragespur_body_bytes_held 0"));
+}
+
 TEST_F(GatewayTest, ASlowHeadIsGivenUp)
 {
     Start({Answers});
