In an overload a request that failed at an upstream makes room like the others

Cause: with its whole time once more, a request that could only be late took places from others that could be in time, at this instance and at its neighbours. Test InAnOverloadItMakesRoomAfterAFailureToo.

--- a/src/linewait.c
+++ b/src/linewait.c
@@ -17,9 +17,10 @@
 
 /* While others are refused, a request that could only be late makes room. */
 static int64_t
-S_new_until_ms(const BsLineWait *wait, int64_t now_ms)
+S_unbegun_until_ms(const BsLineWait *wait, int64_t now_ms)
 {
-    int64_t until_ms = wait->arrived_ms + S_part_ms(wait, WAIT_PART);
+    int64_t since_ms = wait->sent ? now_ms : wait->arrived_ms;
+    int64_t until_ms = since_ms + S_part_ms(wait, WAIT_PART);
     if (wait->overload) {
         int64_t least_ms = now_ms + S_part_ms(wait, OVERLOAD_WAIT_PART);
         until_ms = MIN(until_ms, MAX(wait->in_time_ms, least_ms));
@@ -30,15 +31,7 @@
 int64_t
 BsLineWait_UntilMs(const BsLineWait *wait, int64_t now_ms)
 {
-    int64_t until_ms;
-    if (wait->begun) {
-        until_ms = wait->leaves_ms;
-    }
-    else if (wait->sent) {
-        until_ms = now_ms + S_part_ms(wait, WAIT_PART);
-    }
-    else {
-        until_ms = S_new_until_ms(wait, now_ms);
-    }
+    int64_t until_ms =
+        wait->begun ? wait->leaves_ms : S_unbegun_until_ms(wait, now_ms);
     return MAX(now_ms, MIN(until_ms, wait->expires_ms));
 }
--- a/src/linewait.h
+++ b/src/linewait.h
@@ -1,12 +1,11 @@
 /*
  * linewait.h - until when a request waits in line for a place.
  *
- * Rules: a new request waits as long as it can still meet its objective, and
- * makes room at once for others when it cannot; its caller is told that it has
- * not run, and when to come back.  One that went to an upstream before cannot
- * be told so: it gets the same time once more.  A caller that has a part of
- * its answer gains nothing by an early end: its request waits until the caller
- * would leave.
+ * Rules: a request waits for a part of its objective; one that went to an
+ * upstream before, whose caller cannot be told that it has not run, gets the
+ * same time once more.  In an overload, whatever could only be late makes
+ * room.  A caller that has a part of its answer gains nothing by an early end:
+ * its request waits until the caller would leave.
  */
 #ifndef BS_LINEWAIT_H
 #define BS_LINEWAIT_H
--- a/tests/gate/linewait_test.cc
+++ b/tests/gate/linewait_test.cc
@@ -43,10 +43,19 @@
 {
     BsLineWait wait = Case();
     wait.sent = true;
-    wait.overload = true;
     EXPECT_EQ(BsLineWait_UntilMs(&wait, kArrivedMs + 2000), kArrivedMs + 2450);
 }
 
+// Served late it would take the place of one that can be in time, here or at
+// another instance.
+TEST(LineWait, InAnOverloadItMakesRoomAfterAFailureToo)
+{
+    BsLineWait wait = Case();
+    wait.sent = true;
+    wait.overload = true;
+    EXPECT_EQ(BsLineWait_UntilMs(&wait, kArrivedMs + 2000), kArrivedMs + 2075);
+}
+
 TEST(LineWait, ABegunAnswerIsNotGivenUpBeforeItsCallerLeaves)
 {
     BsLineWait wait = Case();
