No late answer, of the store either, brings back what was removed

Cause, found by thinking through: a watch's or a full read's slow answer has the same effect as a peer's: meanwhile a peer's list has brought all up to a later revision, without the item and without a removal of it, and the late answer lists it again for good. Change: every item is applied as of the revision that its source had come to; one that is not held, and older than what is held completely, is taken only from a source that has come as far. The check moves from itemcodec.c to replica.c, for all sources. Test ALateAnswerDoesNotBringBackWhatWasRemoved fails with the check taken out, as does AStaleListDoesNotBringBackWhatWasRemoved.

--- a/src/itemcodec.c
+++ b/src/itemcodec.c
@@ -153,20 +153,10 @@
     return g_bytes_new_take(value, size);
 }
 
-/* Returns whether the item KEY of REVISION was removed since, though no
-   removal is held: all up to COMPLETE is, and it is not there. */
+/* Applies an item as of the revision AS_OF; returns whether it could be
+   unpacked. */
 static bool
-S_is_stale(const BsReplica *replica, uint64_t complete, const char *key,
-           uint64_t revision)
-{
-    return revision <= complete && BsReplica_Find(replica, key) == NULL;
-}
-
-/* Applies an item to REPLICA, which holds all up to COMPLETE; returns whether
-   it could be unpacked. */
-static bool
-S_apply_item(const msgpack_object *fields, uint64_t complete,
-             BsReplica *replica)
+S_apply_item(const msgpack_object *fields, uint64_t as_of, BsReplica *replica)
 {
     GBytes *value = NULL;
     if (fields[1].type == MSGPACK_OBJECT_BIN) {
@@ -176,9 +166,7 @@
         }
     }
     char *key = g_strndup(fields[0].via.str.ptr, fields[0].via.str.size);
-    if (!S_is_stale(replica, complete, key, fields[2].via.u64)) {
-        BsReplica_Apply(replica, key, value, fields[2].via.u64);
-    }
+    BsReplica_Apply(replica, key, value, fields[2].via.u64, as_of);
     if (value != NULL) {
         g_bytes_unref(value);
     }
@@ -208,16 +196,16 @@
 {
     const msgpack_object *fields = root->via.array.ptr;
     const msgpack_object_array *items = &fields[1].via.array;
-    uint64_t complete = BsReplica_Complete(replica);
+    uint64_t as_of = fields[0].via.u64;
     for (uint32_t i = 0; i < items->size; i++) {
-        if (!S_apply_item(items->ptr[i].via.array.ptr, complete, replica)) {
+        if (!S_apply_item(items->ptr[i].via.array.ptr, as_of, replica)) {
             return false;
         }
     }
     if (fields[2].via.u64 != 0) {
-        S_remove_others(items, fields[0].via.u64, replica);
+        S_remove_others(items, as_of, replica);
     }
-    BsReplica_SetAllComplete(replica, fields[0].via.u64);
+    BsReplica_SetAllComplete(replica, as_of);
     return true;
 }
 
--- a/src/replica.c
+++ b/src/replica.c
@@ -75,12 +75,24 @@
     }
 }
 
+/* Returns whether an item that is not held, of REVISION, was removed since:
+   all up to a later revision than the source's AS_OF is held, and it is not
+   there.
+ */
+static bool
+S_is_removed(const BsReplica *replica, uint64_t revision, uint64_t as_of)
+{
+    uint64_t complete = BsReplica_Complete(replica);
+    return revision <= complete && as_of < complete;
+}
+
 bool
 BsReplica_Apply(BsReplica *replica, const char *key, GBytes *value,
-                uint64_t revision)
+                uint64_t revision, uint64_t as_of)
 {
     BsItem *held = g_hash_table_lookup(replica->items, key);
-    if (held != NULL && held->revision >= revision) {
+    if (held == NULL ? S_is_removed(replica, revision, as_of)
+                     : held->revision >= revision) {
         return false;
     }
     bool was_removed = held != NULL && held->value == NULL;
@@ -116,7 +128,7 @@
         }
     }
     for (guint i = 0; i < lost->len; i++) {
-        BsReplica_Apply(replica, lost->pdata[i], NULL, revision);
+        BsReplica_Apply(replica, lost->pdata[i], NULL, revision, revision);
     }
     g_ptr_array_free(lost, TRUE);
     replica->removals_since = MAX(replica->removals_since, revision);
--- a/src/replica.h
+++ b/src/replica.h
@@ -31,9 +31,11 @@
 /* Frees REPLICA; NULL is allowed. */
 void BsReplica_Destroy(BsReplica *replica);
 
-/* Takes in a change; returns whether it was newer than what is held. */
+/* Takes in an item as a source shows it that had come as far as AS_OF. Returns
+   whether it was news: newer than what is held, and not one that was removed
+   since, of which no removal is held. */
 bool BsReplica_Apply(BsReplica *replica, const char *key, GBytes *value,
-                     uint64_t revision);
+                     uint64_t revision, uint64_t as_of);
 
 /* Removes the items below PREFIX that are not among KEYS (a set of char *)
    and not newer than REVISION, as a full read at that revision shows. */
--- a/tests/gate/modules_test.cc
+++ b/tests/gate/modules_test.cc
@@ -48,12 +48,13 @@
     {
         BsReplica_Destroy(replica_);
     }
-    bool Put(const char *key, const char *value, uint64_t revision)
+    bool Put(const char *key, const char *value, uint64_t revision,
+             uint64_t as_of = UINT64_MAX)
     {
         GBytes *bytes = value == nullptr
                             ? nullptr
                             : g_bytes_new(value, std::string(value).size());
-        bool taken = BsReplica_Apply(replica_, key, bytes, revision);
+        bool taken = BsReplica_Apply(replica_, key, bytes, revision, as_of);
         if (bytes != nullptr) {
             g_bytes_unref(bytes);
         }
@@ -98,6 +99,18 @@
     EXPECT_NE(BsReplica_Find(replica.get(), "b/other")->value, nullptr);
 }
 
+// The store answers slowly; meanwhile a peer has told of all up to revision 9.
+TEST(Replica, ALateAnswerDoesNotBringBackWhatWasRemoved)
+{
+    Replica replica;
+    BsReplica_SetAllComplete(replica.get(), 9);
+    EXPECT_FALSE(replica.Put("a/gone", "x", 4, 6));
+    EXPECT_EQ(BsReplica_Find(replica.get(), "a/gone"), nullptr);
+    // A source that has come as far heals what was missed.
+    EXPECT_TRUE(replica.Put("a/missed", "x", 4, 9));
+    EXPECT_TRUE(replica.Put("a/new", "x", 10, 10));
+}
+
 TEST(Replica, IsCompleteOnlyWhenEveryPrefixIs)
 {
     Replica replica;
