--- a/src/crasher.h
+++ b/src/crasher.h
@@ -27,7 +27,7 @@
 
 BsCrashers *BsCrashers_Create(void);
 
-/* Frees SUSPECTS; NULL is allowed. */
+/* Frees CRASHERS; NULL is allowed. */
 void BsCrashers_Destroy(BsCrashers *crashers);
 
 /* Returns the hash that names the request ID of ACCOUNT between instances;
