A test of a log that nobody reads

The gateway's log goes to a pipe of one page that is not read, then closed: 220 requests are answered, the lines left out are counted, and a planned stop ends with 0.

--- a/tests/gate/gate_harness.cc
+++ b/tests/gate/gate_harness.cc
@@ -454,7 +454,7 @@
 // ----------------------------------------------------------------- gateway --
 
 Gateway::Gateway(int store_port, const std::string &ip, int peers_port,
-                 const std::vector<std::string> &seeds)
+                 const std::vector<std::string> &seeds, LogTo log_to)
     : ip_(ip), callers_(FreePort()), ready_(FreePort()), admin_(FreePort()),
       peers_port_(peers_port == 0 ? FreePort() : peers_port)
 {
@@ -483,6 +483,11 @@
             "retry_slack: 58, retry_window_s: 10, quota_over: 0, "
             "quota_slack: 0 }\n";
     file.close();
+    if (log_to == LogTo::kUnreadPipe) {
+        mkfifo(log_.c_str(), 0600);
+        log_reader_ = open(log_.c_str(), O_RDONLY | O_NONBLOCK | O_CLOEXEC);
+        fcntl(log_reader_, F_SETPIPE_SZ, 1);
+    }
     std::vector<char *> argv = {const_cast<char *>(BORAGESPUR_GATEWAY),
                                 const_cast<char *>(settings_.c_str()),
                                 nullptr};
@@ -500,11 +505,21 @@
         kill(pid_, SIGKILL);
         waitpid(pid_, nullptr, 0);
     }
+    CloseLog();
     unlink(settings_.c_str());
     unlink(log_.c_str());
     rmdir(directory_.c_str());
 }
 
+void
+Gateway::CloseLog()
+{
+    if (log_reader_ >= 0) {
+        close(log_reader_);
+        log_reader_ = -1;
+    }
+}
+
 int
 Gateway::ConnectTo(int port)
 {
--- a/tests/gate/gate_harness.h
+++ b/tests/gate/gate_harness.h
@@ -144,12 +144,19 @@
                  const std::string &extra = "", const std::string &body = "",
                  const std::string &method = "POST");
 
+// Where a gateway's log goes.
+enum class LogTo {
+    kFile,
+    kUnreadPipe, // one that holds a page, and that nobody reads
+};
+
 // A gateway on the address IP with the given store and seeds.
 class Gateway {
   public:
     explicit Gateway(int store_port, const std::string &ip = "127.0.0.1",
                      int peers_port = 0,
-                     const std::vector<std::string> &seeds = {});
+                     const std::vector<std::string> &seeds = {},
+                     LogTo log_to = LogTo::kFile);
     ~Gateway();
     // Connects to the callers' address.
     std::unique_ptr<Socket> Open();
@@ -169,6 +176,8 @@
     void Signal(int number);
     // Waits for the end; returns the exit code, -1 when it was killed.
     int Wait();
+    // Closes the reading end of its log's pipe.
+    void CloseLog();
     // What it has written to its log.
     std::string Log();
     int peers_port() const
@@ -196,6 +205,7 @@
     std::string directory_;
     std::string settings_;
     std::string log_;
+    int log_reader_ = -1;
     pid_t pid_ = -1;
 };
 
--- a/tests/gate/gateway_story_test.cc
+++ b/tests/gate/gateway_story_test.cc
@@ -2,6 +2,7 @@
 #include "gateway_fixture.h"
 
 #include <chrono>
+#include <csignal>
 #include <thread>
 
 namespace {
@@ -50,6 +51,28 @@
                               504, "Cause expired:"}),
     [](const auto &info) { return std::string(info.param.name); });
 
+// The log's reader stops, then goes away; callers do not notice.
+TEST_F(GatewayTest, ALogThatNobodyReadsCostsLinesNotTime)
+{
+    Start({Answers});
+    Gateway unread(store_.port(), "127.0.0.2", 0, {}, LogTo::kUnreadPipe);
+    ASSERT_TRUE(unread.WaitReady());
+    auto ask = [&](const std::string &id) {
+        return IsHealthy(unread.Ask(Call("/look/1", id)), id);
+    };
+    for (int i = 0; i < 200; i++) {
+        ASSERT_TRUE(ask("full" + std::to_string(i)));
+    }
+    EXPECT_EQ(unread.Metrics().find("boragespur_log_lines_dropped 0\n"),
+              std::string::npos);
+    unread.CloseLog();
+    for (int i = 0; i < 20; i++) {
+        ASSERT_TRUE(ask("closed" + std::to_string(i)));
+    }
+    unread.Signal(SIGTERM);
+    EXPECT_EQ(unread.Wait(), 0);
+}
+
 // A stream that began in time and then stood still is late for its caller.
 TEST_F(GatewayTest, TheLogTellsOfTheLongestPauseInAStream)
 {
