Answers on connections that close by themselves are sent before a process ends

A stream that is to close once it has sent its bytes has no owner any more; at the end of the process it was neither freed nor, worse, waited for: the last bytes of an answer to a slow caller could be lost in a planned stop. Change: gw_stream.c knows the streams that close by themselves. A gateway's stop waits for their bytes (within its grace); boragespurd sends them, at most 1 s each, as it already did for connections that were still open; both free them.

--- a/src/d_screen.c
+++ b/src/d_screen.c
@@ -459,6 +459,7 @@
         S_send_rest(link);
     }
     g_hash_table_unref(screen->links);
+    BsStream_EndClosing(LAST_SEND_S);
     if (screen->credentials != NULL) {
         gnutls_certificate_free_credentials(screen->credentials);
     }
--- a/src/gw_gateway.c
+++ b/src/gw_gateway.c
@@ -4,6 +4,7 @@
 #include "daycount.h"
 #include "gw_gatewayparts.h"
 #include "gw_relay.h"
+#include "gw_stream.h"
 
 #include <signal.h>
 #include <stdio.h>
@@ -111,6 +112,7 @@
         BsInboundServer_CloseIdle(gate->callers, STOP_IDLE_MS);
     }
     bool idle = BsInboundServer_Requests(gate->callers) == 0 &&
+                BsStream_ClosingBytes() == 0 &&
                 (BsInboundServer_Connections(gate->callers) == 0 ||
                  passed_ms >= STOP_LEAVE_MS);
     if ((idle && passed_ms >= STOP_MIN_MS) || passed_ms >= limit_ms) {
@@ -365,6 +367,7 @@
     BsInboundServer_Destroy(gateway->admin);
     BsInboundServer_Destroy(gateway->ready);
     BsInboundServer_Destroy(gate->callers);
+    BsStream_EndClosing(0);
     BsOutboundPool_Destroy(gate->pool);
     BsTargets_Destroy(gate->targets);
     BsQuotas_Destroy(gate->quotas);
--- a/src/gw_stream.c
+++ b/src/gw_stream.c
@@ -2,6 +2,7 @@
 #include "gw_stream.h"
 
 #include <errno.h>
+#include <fcntl.h>
 #include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -34,9 +35,16 @@
     bool dead;
 };
 
+/* Streams that close by themselves: they have no owner any more.  Each process
+   has one loop. */
+static GQueue S_closing = G_QUEUE_INIT;
+
 static void
 S_free(BsStream *stream)
 {
+    if (stream->closing) {
+        g_queue_remove(&S_closing, stream);
+    }
     g_string_free(stream->out, TRUE);
     g_free(stream);
 }
@@ -255,6 +263,7 @@
 BsStream_CloseWhenSent(BsStream *stream, double limit_s)
 {
     stream->closing = true;
+    g_queue_push_tail(&S_closing, stream);
     ev_io_start(stream->loop, &stream->read_watcher);
     ev_timer_set(&stream->close_timer, limit_s, 0);
     ev_timer_start(stream->loop, &stream->close_timer);
@@ -263,6 +272,47 @@
     }
 }
 
+size_t
+BsStream_ClosingBytes(void)
+{
+    size_t bytes = 0;
+    for (GList *item = S_closing.head; item != NULL; item = item->next) {
+        bytes += BsStream_PendingBytes(item->data);
+    }
+    return bytes;
+}
+
+/* Sends what STREAM holds, waiting for its peer. */
+static void
+S_send_waiting(BsStream *stream, unsigned limit_s)
+{
+    const struct timeval limit = {.tv_sec = limit_s};
+    int flags = fcntl(stream->fd, F_GETFL);
+    fcntl(stream->fd, F_SETFL, flags & ~O_NONBLOCK);
+    setsockopt(stream->fd, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof(limit));
+    while (stream->out_at < stream->out->len) {
+        ssize_t size = send(stream->fd, stream->out->str + stream->out_at,
+                            stream->out->len - stream->out_at, MSG_NOSIGNAL);
+        if (size <= 0) {
+            return; /* the peer is gone, or too slow */
+        }
+        stream->out_at += (size_t)size;
+    }
+}
+
+void
+BsStream_EndClosing(unsigned limit_s)
+{
+    BsStream *stream;
+    while ((stream = g_queue_peek_head(&S_closing)) != NULL) {
+        if (limit_s > 0 && !stream->connecting && !stream->dead) {
+            S_send_waiting(stream, limit_s);
+        }
+        stream->depth = 0;
+        BsStream_Destroy(stream);
+    }
+}
+
 void
 BsStream_Abort(BsStream *stream)
 {
--- a/src/gw_stream.h
+++ b/src/gw_stream.h
@@ -41,6 +41,14 @@
    more.  What is not sent within LIMIT_S seconds is dropped. */
 void BsStream_CloseWhenSent(BsStream *stream, double limit_s);
 
+/* Returns how many bytes streams have not sent yet that close by themselves.
+ */
+size_t BsStream_ClosingBytes(void);
+
+/* Frees the streams that close by themselves, at the end of the process.  What
+   they have not sent is sent first, within LIMIT_S seconds for each. */
+void BsStream_EndClosing(unsigned limit_s);
+
 /* Closes with a reset, so that the peer sees the message end early. */
 void BsStream_Abort(BsStream *stream);
 
