Short requests use a place elsewhere several times between two reports

What seems free elsewhere is shared among all instances once per age of the counts (some 300 ms); but a booking takes 60 ms, so a place was used once where five fit. Ruled out: homes (as many refusals with and without), pauses (none there after 20 s). Change: for plain services the share counts the turns that a place takes within the age of the counts, by the time that answers take; engines as before.

--- a/src/targetchoice.c
+++ b/src/targetchoice.c
@@ -222,13 +222,28 @@
     }
 }
 
+/* Returns how many requests a place takes one after the other before its count
+   is told elsewhere: plain ones are short. */
+static double
+S_turns(const BsTargets *targets, const BsTargetQuery *query,
+        const BsTargetContext *context)
+{
+    if (query->service->engine) {
+        return 1;
+    }
+    double each_ms = MAX(context->usual_pace_ms, PLAIN_MS);
+    return MAX((double)targets->far_age_ms / each_ms, 1);
+}
+
 /* Shares the places that seem free elsewhere among all instances that may look
    at them before they hear of each other. */
 static void
 S_fill_allowances(BsTargets *targets, const GPtrArray *list,
-                  const BsTargetQuery *query, bool needy, int64_t now_ms)
+                  const BsTargetQuery *query, const BsTargetContext *context,
+                  bool needy, int64_t now_ms)
 {
     double takers = MAX(targets->senders->len, 1);
+    double turns = S_turns(targets, query, context);
     GHashTableIter iter;
     gpointer value;
     S_count_free(targets, list, query, now_ms);
@@ -237,7 +252,8 @@
         BsTargetAllowance *allowance = value;
         double ages = (double)(now_ms - allowance->filled_ms) /
                       (double)targets->far_age_ms;
-        double share = allowance->free * (needy ? FAR_NEEDY_PART : 1) / takers;
+        double share =
+            allowance->free * turns * (needy ? FAR_NEEDY_PART : 1) / takers;
         allowance->level = MIN(allowance->level + ages * share, MAX(share, 1));
         allowance->filled_ms = now_ms;
     }
@@ -346,7 +362,7 @@
         S_cheapest(targets, list, query, &context, false, now_ms, verdict);
     if (best == NULL && targets->far_age_ms > FAR_FRESH_MS) {
         bool needy = *verdict == BS_TARGET_NONE;
-        S_fill_allowances(targets, list, query, needy, now_ms);
+        S_fill_allowances(targets, list, query, &context, needy, now_ms);
         best =
             S_cheapest(targets, list, query, &context, true, now_ms, verdict);
     }
