One way to unpack a bounded object

Cause: reports of the gossip, items and peer messages each checked the bounds of their bytes, unpacked them and looked at the result; two of the three passed over bytes behind the object. BsCodecGuard_Unpack() does all of it, and refuses trailing bytes for all three. linewait.h says what 'sent' means (an upstream may have run it).

--- a/src/codec.c
+++ b/src/codec.c
@@ -311,12 +311,7 @@
 {
     msgpack_unpacked unpacked;
     BsMessage *message = NULL;
-    size_t offset = 0;
-    msgpack_unpacked_init(&unpacked);
-    if (BsCodecGuard_IsBounded(data, size_bytes) &&
-        msgpack_unpack_next(&unpacked, data, size_bytes, &offset) ==
-            MSGPACK_UNPACK_SUCCESS &&
-        offset == size_bytes) {
+    if (BsCodecGuard_Unpack(data, size_bytes, &unpacked)) {
         message = S_unpack_message(&unpacked.data);
     }
     msgpack_unpacked_destroy(&unpacked);
--- a/src/codecguard.c
+++ b/src/codecguard.c
@@ -96,3 +96,15 @@
     }
     return left == 0;
 }
+
+bool
+BsCodecGuard_Unpack(const void *data, size_t size_bytes,
+                    msgpack_unpacked *unpacked)
+{
+    size_t offset = 0;
+    msgpack_unpacked_init(unpacked);
+    return BsCodecGuard_IsBounded(data, size_bytes) &&
+           msgpack_unpack_next(unpacked, data, size_bytes, &offset) ==
+               MSGPACK_UNPACK_SUCCESS &&
+           offset == size_bytes;
+}
--- a/src/gossipreport.c
+++ b/src/gossipreport.c
@@ -216,13 +216,7 @@
                       BsGossipReport *report)
 {
     msgpack_unpacked unpacked;
-    size_t offset = 0;
-    if (!BsCodecGuard_IsBounded(data, size_bytes)) {
-        return false;
-    }
-    msgpack_unpacked_init(&unpacked);
-    bool valid = msgpack_unpack_next(&unpacked, data, size_bytes, &offset) ==
-                     MSGPACK_UNPACK_SUCCESS &&
+    bool valid = BsCodecGuard_Unpack(data, size_bytes, &unpacked) &&
                  S_read(&unpacked.data, report);
     msgpack_unpacked_destroy(&unpacked);
     return valid;
--- a/src/itemcodec.c
+++ b/src/itemcodec.c
@@ -213,13 +213,7 @@
 BsItemCodec_Apply(const char *data, size_t size_bytes, BsReplica *replica)
 {
     msgpack_unpacked unpacked;
-    size_t offset = 0;
-    if (!BsCodecGuard_IsBounded(data, size_bytes)) {
-        return false;
-    }
-    msgpack_unpacked_init(&unpacked);
-    bool valid = msgpack_unpack_next(&unpacked, data, size_bytes, &offset) ==
-                     MSGPACK_UNPACK_SUCCESS &&
+    bool valid = BsCodecGuard_Unpack(data, size_bytes, &unpacked) &&
                  S_is_valid(&unpacked.data) &&
                  S_apply(&unpacked.data, replica);
     msgpack_unpacked_destroy(&unpacked);
--- a/src/linewait.h
+++ b/src/linewait.h
@@ -1,9 +1,9 @@
 /*
  * linewait.h - until when a request waits in line for a place.
  *
- * Rules: a request waits for a part of its objective; one that went to an
- * upstream before, whose caller cannot be told that it has not run, gets the
- * same time once more.  In an overload, whatever could only be late makes
+ * Rules: a request waits for a part of its objective; one that an upstream may
+ * have run, so that its caller cannot be told otherwise, gets the same time
+ * once more.  In an overload, whatever could only be late makes
  * room.  A caller that has a part of its answer gains nothing by an early end:
  * its request waits until the caller would leave.
  */
@@ -20,7 +20,7 @@
     int64_t in_time_ms;   /* sent by then, it meets its objective */
     int64_t leaves_ms;    /* when the caller of a begun answer leaves */
     bool overload;        /* others were refused lately */
-    bool sent;            /* it went to an upstream before */
+    bool sent;            /* an upstream may have run it */
     bool begun;           /* its caller has a part of the answer */
 } BsLineWait;
 
