The last bytes of a stopping daemon take one way, and tests need them

Change: what the server has written is taken over, the connection closes by itself like any other, and BsStream_EndClosing() sends the rest; the screen's own loop and its copy of the caller's descriptor are gone. Not covered: that a gateway's stop waits for such bytes (its limit of 2 s makes a test depend on time).

--- a/src/d_screen.c
+++ b/src/d_screen.c
@@ -48,7 +48,6 @@
     BsStream *caller;
     BsStream *server;
     int server_fd; /* owned by SERVER */
-    int caller_fd; /* owned by CALLER */
     gnutls_session_t tls;
     GString *sealed; /* bytes of TLS records not read yet */
     BsHttpReader *reader;
@@ -300,17 +299,24 @@
     }
 }
 
-/* The server closed: the caller gets what is left, then the end. */
+/* Ends the caller's connection behind what is written to it. */
 static void
-S_on_server_end(int error_number, void *context)
+S_close_caller(BsLink *link)
 {
-    BsLink *link = context;
-    (void)error_number;
     if (link->tls != NULL && !link->handshaking) {
         gnutls_bye(link->tls, GNUTLS_SHUT_WR);
     }
     BsStream_CloseWhenSent(link->caller, CLOSE_LIMIT_S);
     link->caller = NULL;
+}
+
+/* The server closed: the caller gets what is left, then the end. */
+static void
+S_on_server_end(int error_number, void *context)
+{
+    BsLink *link = context;
+    (void)error_number;
+    S_close_caller(link);
     S_drop(link);
 }
 
@@ -350,7 +356,6 @@
     struct ev_loop *ev = BsLoop_Ev(screen->loop);
     BsLink *link = g_new0(BsLink, 1);
     link->screen = screen;
-    link->caller_fd = caller_fd;
     link->server_fd = server_fd;
     link->sealed = g_string_new(NULL);
     link->held = g_string_new(NULL);
@@ -423,25 +428,17 @@
     return screen;
 }
 
-/* Sends what the server has written to LINK, waiting for a slow caller. */
+/* Takes what the server has written to LINK as the last for its caller. */
 static void
-S_send_rest(BsLink *link)
+S_take_rest(BsLink *link)
 {
     char buffer[RECORD_BYTES];
-    const struct timeval limit = {.tv_sec = LAST_SEND_S};
     ssize_t size = recv(link->server_fd, buffer, sizeof(buffer), 0);
-    int flags = fcntl(link->caller_fd, F_GETFL);
-    fcntl(link->caller_fd, F_SETFL, flags & ~O_NONBLOCK);
-    setsockopt(link->caller_fd, SOL_SOCKET, SO_SNDTIMEO, &limit,
-               sizeof(limit));
     while (size > 0) {
         S_write_caller(link, buffer, (size_t)size);
         size = recv(link->server_fd, buffer, sizeof(buffer), 0);
     }
-    if (link->tls != NULL && !link->handshaking) {
-        gnutls_bye(link->tls, GNUTLS_SHUT_WR);
-    }
-    BsStream_Write(link->caller, "", 0);
+    S_close_caller(link);
 }
 
 void
@@ -456,7 +453,7 @@
     gpointer link;
     g_hash_table_iter_init(&iter, screen->links);
     while (g_hash_table_iter_next(&iter, &link, NULL)) {
-        S_send_rest(link);
+        S_take_rest(link);
     }
     g_hash_table_unref(screen->links);
     BsStream_EndClosing(LAST_SEND_S);
--- a/tests/contract/harness.cc
+++ b/tests/contract/harness.cc
@@ -320,6 +320,17 @@
     return fd;
 }
 
+int
+ConnectWithLittleRoom(int port)
+{
+    const int room_bytes = 4096;
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &room_bytes, sizeof(room_bytes));
+    sockaddr_in address = Loopback(port);
+    connect(fd, reinterpret_cast<sockaddr *>(&address), sizeof(address));
+    return fd;
+}
+
 Daemon::Daemon(int engine_port, int service_port, const std::string &extra)
     : platform_([=, this](Socket &socket) {
           ServeKey(socket, "{\"revision\":1,\"entries\":[" +
--- a/tests/contract/harness.h
+++ b/tests/contract/harness.h
@@ -82,6 +82,9 @@
 // Connects to a loopback port.
 int Connect(int port);
 
+// Connects to a loopback port with a receive buffer of a few KiB.
+int ConnectWithLittleRoom(int port);
+
 // A daemon in front of one model engine and one service at the given ports.
 class Daemon {
   public:
