Upstreams that leave or ask for a pause say so in their answers

Cause: an upstream that leaves without saying so in the list, or while the store is away, went on getting work until its entry was gone; one that refused with a time to come back was tried again after 60 ms. An upstream that sent interim answers without end held its caller until the route's limit. Change: Server-Leaving and Retry-After of a 503 become facts of the target (leaving until its next start, also across a removal; quiet until a time, cut at ten minutes). At most 16 interim answers are skipped. Ruled out: endless heads, chunks, extensions and trailers ended before, too; each has a row now.

--- a/src/gw_attempt.c
+++ b/src/gw_attempt.c
@@ -262,6 +262,53 @@
     S_on_failure(relay, BS_TARGET_BROKE, cause);
 }
 
+/* Tells that the upstream's answer asked for no more work; QUIET_MS is -1 when
+   that is because it leaves. */
+static void
+S_log_wish(BsRelay *relay, int64_t quiet_ms)
+{
+    BsGate *gate = relay->gate;
+    BsCounters_Add(gate->counters,
+                   quiet_ms < 0 ? "upstream_wishes_total{wish=\"leaving\"}"
+                                : "upstream_wishes_total{wish=\"quiet\"}",
+                   1);
+    if (BsEventLog_Begin(gate->log, BS_EVENT_STATE,
+                         quiet_ms < 0 ? "upstream_leaving"
+                                      : "upstream_quiet")) {
+        BsEventLog_Text(gate->log, "upstream", relay->target->id);
+        BsEventLog_Text(gate->log, "request", relay->id);
+        if (quiet_ms >= 0) {
+            BsEventLog_Number(gate->log, "pause_ms", quiet_ms);
+        }
+        BsEventLog_End(gate->log);
+    }
+}
+
+/* Takes in what the answer says of its upstream, whatever becomes of the
+   request. */
+static void
+S_note_upstream(BsRelay *relay, const BsAnswerInfo *info)
+{
+    BsGate *gate = relay->gate;
+    if (info->cold_ms > 0) {
+        BsTargets_SetCold(relay->target, info->cold_ms, relay->heard_ms);
+    }
+    bool other =
+        info->request_id != NULL && strcmp(info->request_id, relay->id) != 0;
+    if (info->misdirected || other) {
+        return; /* it may speak of another upstream */
+    }
+    if (info->leaving && !relay->target->leaving) {
+        BsTargets_SetLeaving(gate->targets, relay->target);
+        S_log_wish(relay, -1);
+        gate->places_changed = true;
+    }
+    if (info->quiet_ms > 0) {
+        BsTargets_SetQuiet(relay->target, info->quiet_ms, relay->heard_ms);
+        S_log_wish(relay, info->quiet_ms);
+    }
+}
+
 static void
 S_on_head(const BsHttpHead *head, void *context)
 {
@@ -271,9 +318,7 @@
     gate->wire->read_answer(head, &info);
     relay->heard_ms = BsClock_NowMs(gate->clock);
     BsTargets_Heard(relay->target, relay->heard_ms);
-    if (info.cold_ms > 0) {
-        BsTargets_SetCold(relay->target, info.cold_ms, relay->heard_ms);
-    }
+    S_note_upstream(relay, &info);
     if (info.refused) {
         relay->refused = true;
         relay->judged =
--- a/src/http1.c
+++ b/src/http1.c
@@ -8,6 +8,10 @@
 #define HEAD_END_BYTES 4
 #define STATUS_OK_MIN 200
 
+/* Interim answers before the final one at most: an upstream may send them
+   without end. */
+#define INTERIM_MAX 16
+
 /* Where a reader is in a body sent in chunks. */
 typedef enum {
     CHUNK_SIZE,      /* in the digits of a size */
@@ -32,6 +36,7 @@
     BsHttpFault fault;
     bool complete;
     bool no_body;
+    unsigned interims; /* interim answers skipped since the last reset */
 };
 
 /* ------------------------------------------------------------- heads -- */
@@ -471,6 +476,21 @@
     reader->fault = BS_HTTP_OK;
     reader->complete = false;
     reader->no_body = false;
+    reader->interims = 0;
+}
+
+/* Makes ready for the answer behind an interim one. */
+static void
+S_skip_interim(BsHttpReader *reader)
+{
+    bool no_body = reader->no_body;
+    unsigned interims = reader->interims + 1;
+    BsHttpReader_Reset(reader);
+    reader->no_body = no_body;
+    reader->interims = interims;
+    if (interims > INTERIM_MAX) {
+        reader->fault = BS_HTTP_MALFORMED;
+    }
 }
 
 void
@@ -568,9 +588,7 @@
     bool interim =
         reader->kind == BS_HTTP_ANSWER && reader->head->status < STATUS_OK_MIN;
     if (interim) {
-        bool no_body = reader->no_body;
-        BsHttpReader_Reset(reader);
-        reader->no_body = no_body;
+        S_skip_interim(reader);
         return;
     }
     if (reader->body_max_bytes > 0 && reader->head->length_bytes > 0 &&
--- a/src/targetchoice.c
+++ b/src/targetchoice.c
@@ -63,7 +63,7 @@
 S_is_open(const BsTargets *targets, const BsTarget *target,
           const BsTargetQuery *query, int64_t now_ms)
 {
-    return !target->draining && target->gone_at_ms > now_ms &&
+    return !BsTarget_IsLeaving(target) && target->gone_at_ms > now_ms &&
            target->region != NULL &&
            !g_hash_table_contains(targets->closed, target->data_centre) &&
            !S_is_excluded(query, target->id) &&
@@ -291,6 +291,9 @@
 static bool
 S_is_believed(const BsTarget *target, int64_t now_ms)
 {
+    if (target->quiet_until_ms > now_ms) {
+        return false;
+    }
     if (target->failures == 0) {
         return target->retry_at_ms <= now_ms;
     }
@@ -381,7 +384,7 @@
     *places = 0;
     for (guint i = 0; list != NULL && i < list->len; i++) {
         const BsTarget *target = list->pdata[i];
-        if (target->draining || target->gone_at_ms <= now_ms ||
+        if (BsTarget_IsLeaving(target) || target->gone_at_ms <= now_ms ||
             g_hash_table_contains(targets->closed, target->data_centre)) {
             continue;
         }
--- a/src/targets.c
+++ b/src/targets.c
@@ -16,6 +16,10 @@
 #define ERROR_WEIGHT 0.08
 #define PACE_WEIGHT 0.15
 
+/* Upstreams remembered as leaving at most; beyond, those that are off the list
+   are forgotten. */
+#define LEFT_MAX 4096
+
 uint64_t
 BsTargets_Hash(const char *id)
 {
@@ -59,6 +63,8 @@
     targets->closed =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     targets->peers = g_hash_table_new_full(NULL, NULL, NULL, S_destroy_peer);
+    targets->left =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     targets->data_centre = g_strdup(data_centre);
     targets->region = g_strdup(region);
     targets->share = 1.0;
@@ -76,6 +82,7 @@
     }
     g_array_unref(targets->senders);
     g_hash_table_destroy(targets->allowances);
+    g_hash_table_destroy(targets->left);
     g_hash_table_destroy(targets->peers);
     g_hash_table_destroy(targets->closed);
     g_hash_table_destroy(targets->services);
@@ -85,6 +92,7 @@
     g_free(targets->region);
     g_free(targets);
 }
+
 /* ----------------------------------------------------------- listing -- */
 
 static GPtrArray *
@@ -107,6 +115,15 @@
     }
 }
 
+/* Returns whether the upstream of ENTRY said, since its start, that it
+   leaves. */
+static bool
+S_has_left(const BsTargets *targets, const BsTargetEntry *entry)
+{
+    const int64_t *born_ms = g_hash_table_lookup(targets->left, entry->id);
+    return born_ms != NULL && entry->born_ms <= *born_ms;
+}
+
 static BsTarget *
 S_add(BsTargets *targets, const BsTargetEntry *entry)
 {
@@ -115,6 +132,7 @@
     target->service = g_strdup(entry->service);
     target->hash = BsTargets_Hash(entry->id);
     target->gone_at_ms = INT64_MAX;
+    target->leaving = S_has_left(targets, entry);
     BsTargets_AddPeerLoads(targets, target);
     g_hash_table_insert(targets->by_id, target->id, target);
     g_hash_table_insert(targets->by_hash, &target->hash, target);
@@ -143,6 +161,7 @@
     target->pace_ms = 0;
     target->cold_level = 0;
     target->was_down = false;
+    target->quiet_until_ms = 0;
 }
 
 /* Returns whether ENTRY was written before what is known of TARGET. */
@@ -176,6 +195,7 @@
     target->born_ms = entry->born_ms;
     target->sequence = entry->sequence;
     target->draining = entry->draining;
+    target->leaving = S_has_left(targets, entry);
     target->gone_at_ms = INT64_MAX;
     BsTargets_SetCold(target, entry->cold_ms, now_ms);
     return is_new;
@@ -193,6 +213,35 @@
     return true;
 }
 
+static gboolean
+S_is_unlisted(gpointer id, gpointer born_ms, gpointer targets)
+{
+    (void)born_ms;
+    return BsTargets_Find(targets, id) == NULL;
+}
+
+void
+BsTargets_SetLeaving(BsTargets *targets, BsTarget *target)
+{
+    if (target->leaving) {
+        return;
+    }
+    if (g_hash_table_size(targets->left) >= LEFT_MAX) {
+        g_hash_table_foreach_remove(targets->left, S_is_unlisted, targets);
+    }
+    int64_t *born_ms = g_new(int64_t, 1);
+    *born_ms = target->born_ms;
+    g_hash_table_replace(targets->left, g_strdup(target->id), born_ms);
+    target->leaving = true;
+}
+
+void
+BsTargets_SetQuiet(BsTarget *target, int64_t quiet_ms, int64_t now_ms)
+{
+    int64_t until_ms = now_ms + MIN(quiet_ms, BS_TARGET_QUIET_MAX_MS);
+    target->quiet_until_ms = MAX(target->quiet_until_ms, until_ms);
+}
+
 void
 BsTargets_SetClosed(BsTargets *targets, const char *data_centre, bool closed)
 {
--- a/src/targets.h
+++ b/src/targets.h
@@ -15,6 +15,10 @@
 
 #include <netinet/in.h>
 
+/* Longest time for which an upstream may ask for nothing: beyond it, its word
+   is taken for a mistake. */
+#define BS_TARGET_QUIET_MAX_MS 600000
+
 /* An upstream as the platform lists it. */
 typedef struct {
     const char *id;
@@ -46,17 +50,19 @@
     int64_t gone_at_ms; /* removed from the list but still in use until then;
                            INT64_MAX when listed */
     bool draining;
-    uint32_t own;                /* our requests there */
-    uint32_t others;             /* the peers' requests there */
+    bool leaving;    /* an answer of it said so; until its next start */
+    uint32_t own;    /* our requests there */
+    uint32_t others; /* the peers' requests there */
     uint64_t own_waiting_tokens; /* prompts of ours without a first event */
     uint32_t cold_sent;          /* our requests sent while it was cold */
     double cold_level;           /* requests it may still get now while cold */
     int64_t cold_filled_ms;
-    uint32_t failures;   /* in a row */
-    int64_t retry_at_ms; /* no work before, after failures */
-    int64_t heard_ms;    /* last byte of any answer */
-    double error_ratio;  /* of recent answers */
-    double pace_ms;      /* recent time an event or answer takes; 0: none */
+    uint32_t failures;      /* in a row */
+    int64_t retry_at_ms;    /* no work before, after failures */
+    int64_t quiet_until_ms; /* no work before, as it asked for */
+    int64_t heard_ms;       /* last byte of any answer */
+    double error_ratio;     /* of recent answers */
+    double pace_ms;         /* recent time an event or answer takes; 0: none */
 } BsTarget;
 
 /* What is to be sent. */
@@ -182,6 +188,15 @@
 /* Notes that TARGET says it stays cold for COLD_MS. */
 void BsTargets_SetCold(BsTarget *target, int64_t cold_ms, int64_t now_ms);
 
+/* Notes that TARGET says it is leaving.  It gets nothing new until it has
+   started again, also when the list says otherwise. */
+void BsTargets_SetLeaving(BsTargets *targets, BsTarget *target);
+
+/* Notes that TARGET wants nothing from this instance for QUIET_MS, which is
+   cut to BS_TARGET_QUIET_MAX_MS; a shorter time than before changes
+   nothing. */
+void BsTargets_SetQuiet(BsTarget *target, int64_t quiet_ms, int64_t now_ms);
+
 /* Replaces what PEER told of its requests; LOADS holds BsTargetLoad. */
 void BsTargets_SetPeer(BsTargets *targets, uint32_t peer, const GArray *loads,
                        int64_t now_ms);
--- a/src/targets_private.h
+++ b/src/targets_private.h
@@ -25,6 +25,8 @@
     GHashTable *services; /* name to GPtrArray of BsTarget, not owned */
     GHashTable *closed;   /* set of data centres */
     GHashTable *peers;    /* number to BsTargetPeer */
+    GHashTable *left;     /* id to start (int64_t) of those that said they
+                             leave */
     char *data_centre;
     char *region;
     double share;
@@ -41,6 +43,13 @@
     return target->own + target->others;
 }
 
+/* Returns whether TARGET stops soon, by the list or by its own answers. */
+static inline bool
+BsTarget_IsLeaving(const BsTarget *target)
+{
+    return target->draining || target->leaving;
+}
+
 static inline bool
 BsTarget_IsCold(const BsTarget *target, int64_t now_ms)
 {
--- a/src/wire.h
+++ b/src/wire.h
@@ -46,6 +46,9 @@
     bool is_signed;         /* made by running the request */
     bool refused;           /* the request has not run there and will not */
     bool misdirected;       /* another upstream has the address */
+    bool leaving;           /* it stops soon and wants nothing new */
+    int64_t quiet_ms; /* it wants nothing from this instance for so long; -1:
+                         not told */
 } BsAnswerInfo;
 
 /* Spelling of heads; every member is set. */
--- a/tests/gate/gate_harness.h
+++ b/tests/gate/gate_harness.h
@@ -180,6 +180,10 @@
     void CloseLog();
     // What it has written to its log.
     std::string Log();
+    pid_t pid() const
+    {
+        return pid_;
+    }
     int peers_port() const
     {
         return peers_port_;
--- a/tests/gate/gatescript_targets.c
+++ b/tests/gate/gatescript_targets.c
@@ -274,6 +274,31 @@
     return true;
 }
 
+/* leaving ID: an answer of it says that it leaves */
+static bool
+S_leaving(GateScript *script, char **arguments)
+{
+    BsTarget *target = BsTargets_Find(script->targets, arguments[0]);
+    if (target == NULL) {
+        return false;
+    }
+    BsTargets_SetLeaving(script->targets, target);
+    return true;
+}
+
+/* quiet ID MS: an answer of it asks for nothing for so long */
+static bool
+S_quiet(GateScript *script, char **arguments)
+{
+    BsTarget *target = BsTargets_Find(script->targets, arguments[0]);
+    if (target == NULL || arguments[1] == NULL) {
+        return false;
+    }
+    BsTargets_SetQuiet(target, g_ascii_strtoll(arguments[1], NULL, 10),
+                       script->now_ms);
+    return true;
+}
+
 static bool
 S_prune(GateScript *script, char **arguments)
 {
@@ -288,5 +313,6 @@
     {"choose", S_choose},   {"send", S_send},       {"end", S_end},
     {"peer", S_peer},       {"silent", S_silent},   {"share", S_share},
     {"show", S_show},       {"prune", S_prune},     {"senders", S_senders},
-    {"far-age", S_far_age}, {NULL, NULL},
+    {"far-age", S_far_age}, {"leaving", S_leaving}, {"quiet", S_quiet},
+    {NULL, NULL},
 };
--- /dev/null
+++ b/tests/gate/gateway_upstreams_test.cc
@@ -0,0 +1,230 @@
+// What upstreams in trouble send, and what they ask for: leaving, pauses, and
+// bytes that never end.
+#include "gateway_fixture.h"
+
+#include <chrono>
+#include <fstream>
+#include <thread>
+
+namespace {
+
+// A signed answer with HEADERS besides.
+std::string
+With(const std::string &headers, const std::string &answer)
+{
+    std::string text = answer;
+    return text.insert(text.find("\r\n") + 2, headers);
+}
+
+const char kLeaving[] = "Server-Leaving: 1\r\n";
+
+// Ways in which an upstream says that it leaves.
+struct LeavingCase {
+    const char *name;
+    const char *path;
+    const char *answer; // "" for a signed one with status STATUS
+    int status;
+};
+
+const LeavingCase kLeavingCases[] = {
+    {"Success", "/book/1", "", 200},
+    {"Failure", "/book/1", "", 500},
+    {"Refusal", "/book/1",
+     "HTTP/1.1 503 X\r\nServer-Leaving: 1\r\nNot-Executed: 1\r\n"
+     "Content-Length: 0\r\n\r\n",
+     503},
+};
+
+class LeavingTest : public GatewayTest,
+                    public testing::WithParamInterface<LeavingCase> {};
+
+// The list says nothing of it, and the store does not answer any more.
+TEST_P(LeavingTest, AnUpstreamThatSaysItLeavesGetsNothingNew)
+{
+    const LeavingCase &row = GetParam();
+    std::atomic<bool> leaves{true};
+    auto leaving = [&](Socket &socket, const Got &got) {
+        if (!leaves) {
+            return Answers(socket, got);
+        }
+        return socket.Write(
+            row.answer[0] != '\0'
+                ? row.answer
+                : With(kLeaving, SignedAnswer(got, "x", row.status)));
+    };
+    Start({leaving, Answers});
+    store_.SetMode(StoreMode::kSilent);
+    for (int i = 0; i < 40 && runners_[0]->count() == 0; i++) {
+        gateway_->Ask(Call(row.path, "n" + std::to_string(i)));
+    }
+    ASSERT_EQ(runners_[0]->count(), 1);
+    ASSERT_TRUE(gateway_->WaitMetric(
+        "boragespur_upstream_wishes_total{wish=\"leaving\"} 1"));
+    for (int i = 0; i < 20; i++) {
+        std::string id = "m" + std::to_string(i);
+        EXPECT_TRUE(IsHealthy(gateway_->Ask(Call(row.path, id)), id));
+    }
+    EXPECT_EQ(runners_[0]->count(), 1);
+    // Its next start is another matter.
+    leaves = false;
+    store_.SetMode(StoreMode::kServe);
+    store_.Put("servers/i-0", Listed("desk", runners_[0]->port(), "z1",
+                                     "ready", ",\"born\":1790000000000"));
+    EXPECT_TRUE(Eventually([&] {
+        gateway_->Ask(Call("/book/1", "again"));
+        return runners_[0]->count() > 1;
+    }));
+}
+
+INSTANTIATE_TEST_SUITE_P(Answers, LeavingTest,
+                         testing::ValuesIn(kLeavingCases),
+                         [](const auto &info) { return info.param.name; });
+
+// Its caller left before the answer came.
+TEST_F(GatewayTest, AnUpstreamsWishIsHeardWithoutACaller)
+{
+    Start({[this](Socket &socket, const Got &got) {
+        Eventually([&] { return go_.load(); });
+        return socket.Write(With(kLeaving, SignedAnswer(got, "x")));
+    }});
+    std::unique_ptr<Socket> caller = gateway_->Open();
+    caller->Write(Call("/book/1", "a"));
+    ASSERT_TRUE(runners_[0]->WaitCount(1));
+    caller.reset();
+    go_ = true;
+    ASSERT_TRUE(gateway_->WaitMetric(
+        "boragespur_upstream_wishes_total{wish=\"leaving\"} 1"));
+    EXPECT_EQ(StatusOf(gateway_->Ask(Call("/book/1", "b"))), 503);
+    EXPECT_EQ(runners_[0]->count(), 1);
+}
+
+TEST_F(GatewayTest, AnUpstreamThatAsksForAPauseGetsNothing)
+{
+    Start({[](Socket &socket, const Got &) {
+               return socket.Write(
+                   "HTTP/1.1 503 X\r\nNot-Executed: 1\r\nRetry-After: 60\r\n"
+                   "Content-Length: 0\r\n\r\n");
+           },
+           Answers});
+    for (int i = 0; i < 60; i++) {
+        std::string id = "n" + std::to_string(i);
+        EXPECT_TRUE(IsHealthy(gateway_->Ask(Call("/book/1", id)), id));
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    EXPECT_EQ(runners_[0]->count(), 1);
+}
+
+// All upstreams ask for a pause: the caller is told when to come back.
+TEST_F(GatewayTest, APoolThatAsksForAPauseIsNotGone)
+{
+    Start({[](Socket &socket, const Got &) {
+        return socket.Write(
+            "HTTP/1.1 503 X\r\nNot-Executed: 1\r\nRetry-After: 60\r\n"
+            "Content-Length: 0\r\n\r\n");
+    }});
+    gateway_->Ask(Call("/book/1", "a"));
+    std::string answer = gateway_->Ask(Call("/book/1", "b"));
+    EXPECT_EQ(StatusOf(answer), 503);
+    EXPECT_NE(answer.find("Retry-After: "), std::string::npos);
+    EXPECT_NE(gateway_->Log().find("no_place"), std::string::npos);
+    EXPECT_EQ(runners_[0]->count(), 1);
+}
+
+// Bytes that come until the reader closes.
+struct EndlessCase {
+    const char *name;
+    const char *first; // ID is replaced
+    const char *again;
+};
+
+const EndlessCase kEndlessCases[] = {
+    {"Garbage", "", "\x01\x02garbage without a line's end"},
+    {"Lines", "", "no answer at all\r\n"},
+    {"Headers", "HTTP/1.1 200 OK\r\n", "X-Filler: filler\r\n"},
+    {"HeaderName", "HTTP/1.1 200 OK\r\n", "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"},
+    {"Interim", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+    {"UnsignedBody", "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\n\r\n",
+     "bytes that are no answer"},
+    {"BadChunks",
+     "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nResponse-Signature: s\r\n"
+     "Transfer-Encoding: chunked\r\n\r\n",
+     "bytes that are no chunk"},
+    {"ChunkExtension",
+     "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nResponse-Signature: s\r\n"
+     "Transfer-Encoding: chunked\r\n\r\n1;",
+     "eeeeeeeeeeeeeeeeeeeeeeee"},
+    {"Trailers",
+     "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nResponse-Signature: s\r\n"
+     "Transfer-Encoding: chunked\r\n\r\n0\r\n",
+     "X-Filler: filler\r\n"},
+};
+
+class EndlessTest : public GatewayTest,
+                    public testing::WithParamInterface<EndlessCase> {};
+
+// Resident memory of the process PID, in KiB.
+long
+ResidentKib(pid_t pid)
+{
+    std::ifstream status("/proc/" + std::to_string(pid) + "/status");
+    std::string word;
+    long kib = 0;
+    while (status >> word) {
+        if (word == "VmRSS:") {
+            status >> kib;
+        }
+    }
+    return kib;
+}
+
+TEST_P(EndlessTest, TheConnectionIsClosedAndTheCallerAnswered)
+{
+    std::atomic<int> ended{0};
+    auto script = [&](Socket &socket, const Got &got) {
+        std::string first = GetParam().first;
+        size_t at = first.find("ID\r\n");
+        if (at != std::string::npos) {
+            first.replace(at, 2, got.id);
+        }
+        std::string again;
+        while (again.size() < 4096) {
+            again += GetParam().again;
+        }
+        bool open = socket.Write(first);
+        while (open && !go_) {
+            open = socket.Write(again);
+        }
+        ended++;
+        return false;
+    };
+    Start({script});
+    std::string answer = gateway_->Ask(Call("/book/1", "a"));
+    EXPECT_EQ(answer.find("0\r\n\r\n"), std::string::npos);
+    EXPECT_TRUE(StatusOf(answer) == 502 ||
+                (StatusOf(answer) == 200 &&
+                 answer.find("chunked") != std::string::npos))
+        << answer.substr(0, 200);
+    EXPECT_TRUE(Eventually([&] { return ended == 1; }));
+    go_ = true;
+    EXPECT_LT(ResidentKib(gateway_->pid()), 64 * 1024);
+}
+
+INSTANTIATE_TEST_SUITE_P(Bytes, EndlessTest, testing::ValuesIn(kEndlessCases),
+                         [](const auto &info) { return info.param.name; });
+
+// One byte now and then neither counts as an answer nor keeps the caller.
+TEST_F(GatewayTest, AHeadThatTricklesIsGivenUpAtTheRoutesLimit)
+{
+    Start({[this](Socket &socket, const Got &) {
+        bool open = socket.Write("HTTP/1.1 200 OK\r\nX-Slow: ");
+        while (open && !go_) {
+            open = socket.Write("a");
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        }
+        return false;
+    }});
+    EXPECT_EQ(StatusOf(gateway_->Ask(Call("/brief/1", "a"))), 504);
+    go_ = true;
+}
+
+} // namespace
--- a/tests/gate/platform_test.cc
+++ b/tests/gate/platform_test.cc
@@ -273,4 +273,56 @@
     }
 }
 
+// Times that an upstream names with a refusal.
+TEST(Heads, PausesThatUpstreamsAskFor)
+{
+    struct Row {
+        const char *status;
+        const char *headers;
+        int64_t quiet_ms;
+    };
+    const Row rows[] = {
+        {"503", "Retry-After: 2\r\n", 2000},
+        {"503", "Retry-After: 0.25\r\n", 250},
+        {"503", "Retry-After: 0\r\n", 0},
+        {"503", "Retry-After: -1\r\n", -1},
+        {"503", "Retry-After: 1e300\r\n", 2147483647000},
+        {"503", "Retry-After: nan\r\n", -1},
+        {"503", "Retry-After: soon\r\n", -1},
+        {"503", "Retry-After: 1 s\r\n", -1},
+        {"503", "Retry-After:\r\n", -1},
+        {"503", "Retry-After: 3\r\nRetry-After: 9\r\n", 3000},
+        {"503", "", -1},
+        {"429", "Retry-After: 2\r\n", -1},
+        {"200", "Retry-After: 2\r\n", -1},
+    };
+    for (const Row &row : rows) {
+        Head head(BS_HTTP_ANSWER, std::string("HTTP/1.1 ") + row.status +
+                                      " X\r\n" + row.headers + "\r\n");
+        BsAnswerInfo info;
+        p_heads_wire.read_answer(head.head, &info);
+        EXPECT_EQ(info.quiet_ms, row.quiet_ms) << row.status << row.headers;
+    }
+}
+
+TEST(Heads, LeavingIsSaidByOneValueOnly)
+{
+    const std::pair<const char *, bool> rows[] = {
+        {"Server-Leaving: 1\r\n", true},
+        {"server-leaving:1\r\n", true},
+        {"Server-Leaving: 0\r\n", false},
+        {"Server-Leaving: yes\r\n", false},
+        {"", false},
+    };
+    for (const auto &row : rows) {
+        for (const char *status : {"200", "500", "503"}) {
+            Head head(BS_HTTP_ANSWER, std::string("HTTP/1.1 ") + status +
+                                          " X\r\n" + row.first + "\r\n");
+            BsAnswerInfo info;
+            p_heads_wire.read_answer(head.head, &info);
+            EXPECT_EQ(info.leaving, row.second) << status << row.first;
+        }
+    }
+}
+
 } // namespace
