--- /dev/null
+++ b/src/fleetpart.h
@@ -0,0 +1,77 @@
+/*
+ * fleetpart.h - an instance's part in the fleet: who is there, what the others
+ * do, and what they are told, as datagrams.
+ *
+ * In a small fleet every instance tells every other one (gossip.h).  In a
+ * large one it tells the hub of its data centre, and hears the sums of all
+ * others from it (hub.h, fleetview.h); it may be that hub itself.
+ *
+ * Rules: state only, so that a lost datagram is mended by the next; nothing
+ * here waits, reads a clock or touches a socket.
+ */
+#ifndef BS_FLEETPART_H
+#define BS_FLEETPART_H
+
+#include "gossip.h"
+
+/* Largest datagram. */
+#define BS_FLEET_MAX_BYTES (BS_GOSSIP_MAX_BYTES + 8)
+
+/* What the others do, where a hub tells it. */
+typedef struct {
+    const GArray *loads;    /* BsTargetLoad: what changed */
+    const GArray *uses;     /* BsQuotaUse: totals that grow */
+    uint64_t incarnation;   /* the totals begin anew with another one */
+    const GArray *crashers; /* BsSummaryCrasher */
+} BsFleetNews;
+
+/* What the fleet asks of its owner and tells it; every member is set. */
+typedef struct {
+    /* Fills in what this instance knows (revisions, reading, stopping) and,
+       when WORK, what it does: loads, uses, crashers. */
+    void (*fill)(BsGossipReport *report, bool work, int64_t now_ms,
+                 void *context);
+    void (*send)(uint32_t address, const char *data, size_t size_bytes,
+                 void *context);
+    /* A member told its state itself. */
+    void (*on_peer)(uint32_t address, const BsGossipReport *report,
+                    int64_t now_ms, void *context);
+    void (*on_silent)(const BsGossipMember *member, void *context);
+    /* What peers told themselves does not count any more: a hub tells. */
+    void (*on_hubs_used)(void *context);
+    void (*on_news)(const BsFleetNews *news, int64_t now_ms, void *context);
+    /* Items up to NEWEST are known to some instance. */
+    void (*on_newest)(uint64_t newest, int64_t now_ms, void *context);
+    /* Another instance is the hub; 0: none. */
+    void (*on_hub)(uint32_t address, void *context);
+} BsFleetEvents;
+
+typedef struct BsFleetPart BsFleetPart;
+
+/* Creates the part of an instance as BsGossip_Create().  INCARNATION grows
+   with each start of it. */
+BsFleetPart *BsFleetPart_Create(uint32_t address, uint32_t data_centre,
+                                uint32_t weight, uint64_t incarnation,
+                                uint32_t seed, const BsFleetEvents *events,
+                                void *context, int64_t now_ms);
+
+/* Frees FLEET; NULL is allowed. */
+void BsFleetPart_Destroy(BsFleetPart *fleet);
+
+/* Returns the table of members. */
+BsGossip *BsFleetPart_Gossip(const BsFleetPart *fleet);
+
+/* Takes in a datagram; returns whether it can be read. */
+bool BsFleetPart_Receive(BsFleetPart *fleet, uint32_t address,
+                         const char *data, size_t size_bytes, int64_t now_ms);
+
+/* Sends what is due; CHANGED says that there is news. */
+void BsFleetPart_Tell(BsFleetPart *fleet, bool changed, int64_t now_ms);
+
+/* Does what time brings: call it after each BsFleetPart_PauseMs(). */
+void BsFleetPart_Tick(BsFleetPart *fleet, int64_t now_ms);
+
+/* Returns how long after a tick the next one is due. */
+int64_t BsFleetPart_PauseMs(const BsFleetPart *fleet, int64_t now_ms);
+
+#endif /* BS_FLEETPART_H */
--- /dev/null
+++ b/src/fleetview.c
@@ -0,0 +1,202 @@
+/* fleetview.c - what the other instances do, from a hub's sums. */
+#include "fleetview.h"
+
+/* Own reports remembered: those of half a second and more. */
+#define REPORTS 64
+
+/* Added to what the others used, as sums since a hub's start may be below what
+   this instance used since its own. */
+#define USE_BASE (UINT64_C(1) << 40)
+
+/* Time after which a count that is not named any more is dropped.  Hubs name
+   each within a second or two. */
+#define UNNAMED_MS 8000
+
+/* Our part of the sums, as one report told it. */
+typedef struct {
+    uint64_t sequence;
+    GArray *loads; /* BsTargetLoad */
+    GArray *uses;  /* BsQuotaUse */
+} BsFleetOwn;
+
+/* Requests of all at an upstream, as told. */
+typedef struct {
+    BsTargetLoad total;
+    int64_t named_ms;
+} BsFleetTotal;
+
+struct BsFleetView {
+    BsFleetOwn own[REPORTS]; /* by sequence, in a ring */
+    const BsFleetOwn *taken; /* the one that the hub took; may be NULL */
+    GHashTable *totals;      /* hash to BsFleetTotal */
+};
+
+static void
+S_clear_own(BsFleetOwn *own)
+{
+    if (own->loads != NULL) {
+        g_array_unref(own->loads);
+        g_array_unref(own->uses);
+    }
+}
+
+BsFleetView *
+BsFleetView_Create(void)
+{
+    BsFleetView *view = g_new0(BsFleetView, 1);
+    view->totals = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+    return view;
+}
+
+void
+BsFleetView_Destroy(BsFleetView *view)
+{
+    if (view == NULL) {
+        return;
+    }
+    for (size_t i = 0; i < REPORTS; i++) {
+        S_clear_own(&view->own[i]);
+    }
+    g_hash_table_destroy(view->totals);
+    g_free(view);
+}
+
+void
+BsFleetView_NoteOwn(BsFleetView *view, const BsGossipReport *report)
+{
+    BsFleetOwn *own = &view->own[report->sequence % REPORTS];
+    if (own == view->taken) {
+        view->taken = NULL; /* the hub is silent for long */
+    }
+    S_clear_own(own);
+    own->sequence = report->sequence;
+    own->loads = g_array_copy(report->loads);
+    own->uses = g_array_copy(report->uses);
+}
+
+/* Returns our part as of report ACK, or NULL when it is not remembered. */
+static const BsFleetOwn *
+S_own(const BsFleetView *view, uint64_t ack)
+{
+    const BsFleetOwn *own = &view->own[ack % REPORTS];
+    return ack > 0 && own->sequence == ack && own->loads != NULL ? own : NULL;
+}
+
+static BsTargetLoad
+S_own_load(const BsFleetOwn *own, uint32_t hash)
+{
+    for (guint i = 0; own != NULL && i < own->loads->len; i++) {
+        BsTargetLoad load = g_array_index(own->loads, BsTargetLoad, i);
+        if ((uint32_t)load.hash == hash) {
+            return load;
+        }
+    }
+    return (BsTargetLoad){hash, 0, 0};
+}
+
+static uint64_t
+S_own_use(const BsFleetOwn *own, uint64_t hash)
+{
+    for (guint i = 0; own != NULL && i < own->uses->len; i++) {
+        const BsQuotaUse *use = &g_array_index(own->uses, BsQuotaUse, i);
+        if (use->hash == hash) {
+            return use->used;
+        }
+    }
+    return 0;
+}
+
+/* Appends what the others have at the upstream HASH. */
+static void
+S_append_others(const BsFleetView *view, uint32_t hash, GArray *loads)
+{
+    const BsFleetTotal *total =
+        g_hash_table_lookup(view->totals, GUINT_TO_POINTER(hash));
+    if (total == NULL) {
+        return;
+    }
+    BsTargetLoad own = S_own_load(view->taken, hash);
+    BsTargetLoad others = {
+        hash,
+        total->total.in_flight - MIN(total->total.in_flight, own.in_flight),
+        total->total.cold_sent - MIN(total->total.cold_sent, own.cold_sent)};
+    g_array_append_val(loads, others);
+}
+
+static void
+S_append_own_changes(const BsFleetView *view, const BsFleetOwn *own,
+                     GArray *loads)
+{
+    for (guint i = 0; own != NULL && i < own->loads->len; i++) {
+        const BsTargetLoad *load = &g_array_index(own->loads, BsTargetLoad, i);
+        S_append_others(view, (uint32_t)load->hash, loads);
+    }
+}
+
+static void
+S_set_totals(BsFleetView *view, const GArray *loads, int64_t now_ms)
+{
+    for (guint i = 0; i < loads->len; i++) {
+        const BsTargetLoad *load = &g_array_index(loads, BsTargetLoad, i);
+        gpointer key = GUINT_TO_POINTER((uint32_t)load->hash);
+        BsFleetTotal *total = g_hash_table_lookup(view->totals, key);
+        if (total == NULL) {
+            total = g_new0(BsFleetTotal, 1);
+            g_hash_table_insert(view->totals, key, total);
+        }
+        total->total = *load;
+        total->named_ms = now_ms;
+    }
+}
+
+void
+BsFleetView_Take(BsFleetView *view, const BsSummary *summary, uint64_t ack,
+                 int64_t now_ms, GArray *loads, GArray *uses)
+{
+    const BsFleetOwn *before = view->taken;
+    S_set_totals(view, summary->loads, now_ms);
+    view->taken = S_own(view, ack);
+    if (view->taken != before) {
+        S_append_own_changes(view, before, loads);
+        S_append_own_changes(view, view->taken, loads);
+    }
+    for (guint i = 0; i < summary->loads->len; i++) {
+        const BsTargetLoad *load =
+            &g_array_index(summary->loads, BsTargetLoad, i);
+        S_append_others(view, (uint32_t)load->hash, loads);
+    }
+    for (guint i = 0; view->taken != NULL && i < summary->uses->len; i++) {
+        BsQuotaUse use = g_array_index(summary->uses, BsQuotaUse, i);
+        use.used += USE_BASE - S_own_use(view->taken, use.hash);
+        g_array_append_val(uses, use);
+    }
+}
+
+static void
+S_drop(BsFleetView *view, int64_t before_ms, GArray *loads)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, view->totals);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const BsFleetTotal *total = value;
+        if (total->named_ms < before_ms) {
+            BsTargetLoad none = {total->total.hash, 0, 0};
+            g_array_append_val(loads, none);
+            g_hash_table_iter_remove(&iter);
+        }
+    }
+}
+
+void
+BsFleetView_Expire(BsFleetView *view, int64_t now_ms, GArray *loads)
+{
+    S_drop(view, now_ms - UNNAMED_MS, loads);
+}
+
+void
+BsFleetView_Reset(BsFleetView *view, GArray *loads)
+{
+    S_drop(view, INT64_MAX, loads);
+    view->taken = NULL;
+}
--- a/src/gossip.c
+++ b/src/gossip.c
@@ -1,5 +1,5 @@
 /* gossip.c - what instances tell each other, and who they are. */
-#include "gossip.h"
+#include "gossip_private.h"
 
 /* Pause between two reports to a member while there is news.  A request runs
    for 50 ms and more, so counts of this age are as good as fresh; the pause
@@ -26,11 +26,15 @@
 #define SILENT_BEATS 4
 #define SILENT_MIN_MS 800
 
-/* Pause between tries to reach a member that does not answer. */
-#define TRY_MS 400
+/* What a hub said of the fleet's size holds this long, then this instance
+   counts itself alone. */
+#define FLEET_OLD_MS 1500
 
-/* A member that was silent this long is gone; seeds are always tried. */
-#define FORGET_MS 60000
+/* Usual age of what a hub tells of other data centres. */
+#define HUB_AGE_MS 45
+
+/* Members up to which everyone reports to everyone. */
+#define MESH_MEMBERS 24
 
 /* While nobody was heard yet, for this long the fleet is taken for larger than
    it may be, as a restarted instance knows nothing of its peers' use. */
@@ -41,30 +45,19 @@
    replaced once it is silent, far sooner than a change must be in force. */
 #define READERS 1
 
-#define NEVER_MS (INT64_MIN / 2)
-
-typedef struct {
-    BsGossipMember member;
-    bool dirty;  /* news waits for it */
-    bool silent; /* told to the owner */
-} BsGossipEntry;
-
-struct BsGossip {
-    uint32_t address;
-    uint32_t data_centre;
-    int64_t started_ms;
-    int64_t store_failed_ms;
-    GHashTable *entries; /* address to BsGossipEntry */
-};
-
 BsGossip *
-BsGossip_Create(uint32_t address, uint32_t data_centre, int64_t now_ms)
+BsGossip_Create(uint32_t address, uint32_t data_centre, uint32_t weight,
+                int64_t now_ms)
 {
     BsGossip *gossip = g_new0(BsGossip, 1);
     gossip->address = address;
     gossip->data_centre = data_centre;
+    gossip->weight = weight;
     gossip->started_ms = now_ms;
-    gossip->store_failed_ms = NEVER_MS;
+    gossip->store_failed_ms = BS_GOSSIP_NEVER_MS;
+    gossip->fleet_told_ms = BS_GOSSIP_NEVER_MS;
+    gossip->served_ms = BS_GOSSIP_NEVER_MS;
+    gossip->fleet_ms = BS_GOSSIP_NEVER_MS;
     gossip->entries = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     return gossip;
 }
@@ -78,23 +71,27 @@
     }
 }
 
-static BsGossipEntry *
-S_find(const BsGossip *gossip, uint32_t address)
+BsGossipEntry *
+BsGossip_Find(const BsGossip *gossip, uint32_t address)
 {
     return g_hash_table_lookup(gossip->entries, GUINT_TO_POINTER(address));
 }
 
-/* Returns the entry of ADDRESS, a new one when it was never named. */
-static BsGossipEntry *
-S_learn(BsGossip *gossip, uint32_t address, int64_t now_ms)
+BsGossipEntry *
+BsGossip_Learn(BsGossip *gossip, uint32_t address, int64_t now_ms)
 {
-    BsGossipEntry *entry = S_find(gossip, address);
+    BsGossipEntry *entry = BsGossip_Find(gossip, address);
     if (entry == NULL) {
         entry = g_new0(BsGossipEntry, 1);
         entry->member.address = address;
-        entry->member.heard_ms = NEVER_MS;
-        entry->member.sent_ms = NEVER_MS;
+        entry->member.heard_ms = BS_GOSSIP_NEVER_MS;
+        entry->member.sent_ms = BS_GOSSIP_NEVER_MS;
         entry->member.learned_ms = now_ms;
+        entry->direct_ms = BS_GOSSIP_NEVER_MS;
+        entry->since_ms = now_ms;
+        entry->summary_ms = BS_GOSSIP_NEVER_MS;
+        entry->served_ms = BS_GOSSIP_NEVER_MS;
+        entry->summed_ms = BS_GOSSIP_NEVER_MS;
         entry->silent = true;
         g_hash_table_insert(gossip->entries, GUINT_TO_POINTER(address), entry);
     }
@@ -105,7 +102,7 @@
 BsGossip_AddSeed(BsGossip *gossip, uint32_t address, int64_t now_ms)
 {
     if (address != gossip->address) {
-        S_learn(gossip, address, now_ms)->member.seed = true;
+        BsGossip_Learn(gossip, address, now_ms)->member.seed = true;
     }
 }
 
@@ -125,7 +122,7 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const BsGossipMember *member = &((BsGossipEntry *)value)->member;
         count += !BsGossip_IsNear(gossip, member) &&
-                 now_ms - member->heard_ms < FORGET_MS;
+                 now_ms - member->heard_ms < BS_GOSSIP_FORGET_MS;
     }
     return count;
 }
@@ -154,10 +151,29 @@
            int64_t now_ms)
 {
     int64_t limit_ms =
-        MAX(SILENT_MIN_MS, SILENT_BEATS * S_beat_ms(gossip, member, far));
+        BsGossip_UsesHubs(gossip, now_ms)
+            ? BS_GOSSIP_HUB_SILENT_MS
+            : MAX(SILENT_MIN_MS,
+                  SILENT_BEATS * S_beat_ms(gossip, member, far));
     return now_ms - member->heard_ms < limit_ms;
 }
 
+bool
+BsGossip_IsHeard(const BsGossip *gossip, const BsGossipMember *member,
+                 int64_t now_ms)
+{
+    return S_is_heard(gossip, member, 0, now_ms);
+}
+
+bool
+BsGossip_UsesHubs(const BsGossip *gossip, int64_t now_ms)
+{
+    uint32_t told = now_ms - gossip->fleet_told_ms < BS_GOSSIP_FORGET_MS
+                        ? gossip->fleet_told
+                        : 0;
+    return MAX(told, g_hash_table_size(gossip->entries) + 1) > MESH_MEMBERS;
+}
+
 /* A walk over the members that are heard at a time. */
 typedef struct {
     const BsGossip *gossip;
@@ -190,14 +206,38 @@
     return NULL;
 }
 
+/* Notes what a member says of its own state, in a report or a summary. */
+static void
+S_note_state(BsGossipEntry *entry, uint64_t incarnation, uint32_t age_ms,
+             int64_t now_ms)
+{
+    BsGossipMember *member = &entry->member;
+    member->incarnation = incarnation;
+    entry->since_ms = now_ms - age_ms;
+    member->heard_ms = now_ms;
+    entry->direct_ms = now_ms;
+    entry->silent = false;
+}
+
+/* Takes in how large the fleet is, as another instance sees it. */
+static void
+S_note_fleet(BsGossip *gossip, uint32_t fleet, int64_t now_ms)
+{
+    bool old = now_ms - gossip->fleet_told_ms >= BS_GOSSIP_FORGET_MS;
+    if (old || fleet >= gossip->fleet_told) {
+        gossip->fleet_told = fleet;
+        gossip->fleet_told_ms = now_ms;
+    }
+}
+
 const BsGossipMember *
 BsGossip_Take(BsGossip *gossip, uint32_t address, const BsGossipReport *report,
-              int64_t now_ms)
+              BsGossipWish wish, int64_t now_ms)
 {
     if (address == gossip->address) {
         return NULL;
     }
-    BsGossipEntry *entry = S_learn(gossip, address, now_ms);
+    BsGossipEntry *entry = BsGossip_Learn(gossip, address, now_ms);
     BsGossipMember *member = &entry->member;
     bool same = report->incarnation == member->incarnation;
     /* An earlier start is heard again only when a clock was set back between
@@ -208,7 +248,7 @@
     if (older) {
         return NULL;
     }
-    member->incarnation = report->incarnation;
+    S_note_state(entry, report->incarnation, report->age_ms, now_ms);
     member->sequence = report->sequence;
     member->revision = report->revision;
     member->newest = report->newest;
@@ -217,18 +257,106 @@
         gossip->store_failed_ms = now_ms;
     }
     member->data_centre = report->data_centre;
+    member->weight = report->weight;
     member->stopping = report->stopping;
-    member->heard_ms = now_ms;
-    entry->silent = false;
+    if (wish == BS_GOSSIP_SERVE) {
+        entry->served_ms = now_ms;
+        gossip->served_ms = now_ms;
+    }
+    entry->asks |= wish == BS_GOSSIP_ASK;
+    S_note_fleet(gossip, report->fleet, now_ms);
     for (guint i = 0; i < report->members->len; i++) {
-        uint32_t named = g_array_index(report->members, uint32_t, i);
-        if (named != gossip->address) {
-            S_learn(gossip, named, now_ms);
-        }
+        BsGossip_TakeNamed(
+            gossip, &g_array_index(report->members, BsGossipNamed, i), now_ms);
     }
     return member;
 }
 
+void
+BsGossip_TakeNamed(BsGossip *gossip, const BsGossipNamed *named,
+                   int64_t now_ms)
+{
+    if (named->address == gossip->address) {
+        return;
+    }
+    BsGossipEntry *entry = BsGossip_Learn(gossip, named->address, now_ms);
+    BsGossipMember *member = &entry->member;
+    member->data_centre = named->data_centre;
+    member->weight = named->weight;
+    if (!BsGossip_UsesHubs(gossip, now_ms) || !named->heard) {
+        return;
+    }
+    member->heard_ms = now_ms;
+    entry->silent = false;
+    if (BsGossip_IsDirect(entry, now_ms)) {
+        return; /* what it says itself is newer */
+    }
+    entry->since_ms = now_ms - named->age_ms;
+    member->reading = named->reading;
+    member->stopping = named->stopping;
+    member->revision = MAX(member->revision, named->revision);
+    member->newest = MAX(member->newest, named->newest);
+}
+
+bool
+BsGossip_IsDirect(const BsGossipEntry *entry, int64_t now_ms)
+{
+    return now_ms - entry->direct_ms < BS_GOSSIP_HUB_SILENT_MS;
+}
+
+BsGossipNamed
+BsGossip_Name(const BsGossipEntry *entry, int64_t now_ms)
+{
+    const BsGossipMember *member = &entry->member;
+    BsGossipNamed named = {
+        .address = member->address,
+        .data_centre = member->data_centre,
+        .weight = member->weight,
+        .heard = BsGossip_IsDirect(entry, now_ms),
+        .age_ms =
+            (uint32_t)CLAMP(now_ms - entry->since_ms, 0, BS_GOSSIP_AGE_MAX_MS),
+        .stopping = member->stopping,
+        .reading = member->reading,
+        .revision = member->revision,
+        .newest = member->newest,
+    };
+    return named;
+}
+
+bool
+BsGossip_TakeSummary(BsGossip *gossip, uint32_t address,
+                     const BsSummary *summary, int64_t now_ms)
+{
+    if (address == gossip->address) {
+        return false;
+    }
+    BsGossipEntry *entry = BsGossip_Learn(gossip, address, now_ms);
+    BsGossipMember *member = &entry->member;
+    bool is_new = member->incarnation != summary->incarnation ||
+                  now_ms - entry->summary_ms > BS_GOSSIP_HUB_SILENT_MS;
+    S_note_state(entry, summary->incarnation, summary->age_ms, now_ms);
+    if (is_new || summary->newest >= member->newest) {
+        member->revision = summary->revision;
+        member->newest = summary->newest;
+        member->reading = summary->reading;
+    }
+    member->data_centre = summary->data_centre;
+    member->weight = summary->weight;
+    member->stopping = summary->stopping;
+    entry->summary_ms = now_ms;
+    if (summary->store_failed_ms >= 0) {
+        gossip->store_failed_ms =
+            MAX(gossip->store_failed_ms, now_ms - summary->store_failed_ms);
+    }
+    S_note_fleet(gossip, summary->known, now_ms);
+    for (guint i = 0; i < summary->members->len; i++) {
+        BsGossip_TakeNamed(gossip,
+                           &g_array_index(summary->members, BsGossipNamed, i),
+                           now_ms);
+    }
+    return !summary->far && address == gossip->hub;
+}
+
 static int64_t
 S_far_pause_ms(const BsGossip *gossip, unsigned far)
 {
@@ -240,6 +368,9 @@
 int64_t
 BsGossip_FarAgeMs(const BsGossip *gossip, int64_t now_ms)
 {
+    if (BsGossip_UsesHubs(gossip, now_ms)) {
+        return HUB_AGE_MS;
+    }
     return S_far_pause_ms(gossip, S_count_far(gossip, now_ms));
 }
 
@@ -250,7 +381,7 @@
 S_try_ms(const BsGossip *gossip, unsigned far)
 {
     int64_t members = g_hash_table_size(gossip->entries);
-    return MAX(TRY_MS,
+    return MAX(BS_GOSSIP_TRY_MS,
                S_scale_far_ms(gossip, far, members * FAR_BEAT_PER_MEMBER_MS));
 }
 
@@ -277,14 +408,28 @@
 S_is_forgotten(const BsGossipEntry *entry, int64_t now_ms)
 {
     const BsGossipMember *member = &entry->member;
-    return !member->seed && now_ms - member->heard_ms > FORGET_MS &&
-           now_ms - member->learned_ms > FORGET_MS;
+    return !member->seed && now_ms - member->heard_ms > BS_GOSSIP_FORGET_MS &&
+           now_ms - member->learned_ms > BS_GOSSIP_FORGET_MS;
 }
 
-GArray *
-BsGossip_Due(BsGossip *gossip, bool changed, int64_t now_ms)
+/* Drops members that are gone for good. */
+static void
+S_forget_gone(BsGossip *gossip, int64_t now_ms)
 {
-    GArray *due = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, gossip->entries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        if (S_is_forgotten(value, now_ms)) {
+            g_hash_table_iter_remove(&iter);
+        }
+    }
+}
+
+static GArray *
+S_due_to_all(BsGossip *gossip, bool changed, int64_t now_ms)
+{
+    GArray *due = g_array_new(FALSE, FALSE, sizeof(BsGossipReceiver));
     unsigned far = S_count_far(gossip, now_ms);
     unsigned near = g_hash_table_size(gossip->entries) - far;
     GHashTableIter iter;
@@ -292,13 +437,13 @@
     g_hash_table_iter_init(&iter, gossip->entries);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         BsGossipEntry *entry = value;
-        if (S_is_forgotten(entry, now_ms)) {
-            g_hash_table_iter_remove(&iter);
-            continue;
-        }
         entry->dirty |= changed;
         if (S_is_due(gossip, entry, near, far, now_ms)) {
-            g_array_append_val(due, entry->member.address);
+            bool heard = S_is_heard(gossip, &entry->member, far, now_ms);
+            BsGossipReceiver receiver = {.address = entry->member.address,
+                                         .wish = heard ? BS_GOSSIP_TELL
+                                                       : BS_GOSSIP_ASK};
+            g_array_append_val(due, receiver);
             entry->member.sent_ms = now_ms;
             entry->dirty = false;
         }
@@ -306,21 +451,36 @@
     return due;
 }
 
+GArray *
+BsGossip_Due(BsGossip *gossip, bool changed, int64_t now_ms)
+{
+    S_forget_gone(gossip, now_ms);
+    return BsGossip_UsesHubs(gossip, now_ms)
+               ? BsGossip_DueWithHubs(gossip, changed, now_ms)
+               : S_due_to_all(gossip, changed, now_ms);
+}
+
 void
 BsGossip_AppendMembers(const BsGossip *gossip, GRand *random, unsigned count,
                        int64_t now_ms, GArray *out)
 {
-    GArray *heard = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+    GArray *heard = g_array_new(FALSE, FALSE, sizeof(BsGossipNamed));
     BsGossipWalk walk = S_walk(gossip, now_ms);
     const BsGossipMember *member;
+    if (BsGossip_UsesHubs(gossip, now_ms)) {
+        BsGossip_AppendHubs(gossip, now_ms, out);
+        count -= MIN(count, out->len);
+    }
     while ((member = S_next(&walk)) != NULL) {
-        g_array_append_val(heard, member->address);
+        BsGossipNamed named =
+            BsGossip_Name(BsGossip_Find(gossip, member->address), now_ms);
+        g_array_append_val(heard, named);
     }
     guint start =
         heard->len == 0 ? 0 : g_rand_int_range(random, 0, (gint32)heard->len);
     for (guint i = 0; i < MIN(count, heard->len); i++) {
         guint at = (start + i) % heard->len;
-        g_array_append_val(out, g_array_index(heard, uint32_t, at));
+        g_array_append_val(out, g_array_index(heard, BsGossipNamed, at));
     }
     g_array_unref(heard);
 }
@@ -402,20 +562,25 @@
     return best;
 }
 
-/* Returns the rank of an instance among the possible readers. */
+/* Multiplicative hashing, so that neighbours do not rank in a row. */
 static uint32_t
-S_reader_rank(uint32_t address)
+S_rank(uint32_t address)
 {
-    /* Multiplicative hashing, so that neighbours do not rank in a row. */
     return address * UINT32_C(2654435761);
 }
 
+bool
+BsGossip_IsHeavier(uint32_t a, uint32_t a_weight, uint32_t b,
+                   uint32_t b_weight)
+{
+    return a_weight != b_weight ? a_weight > b_weight : S_rank(a) < S_rank(b);
+}
+
 bool
 BsGossip_IsReader(const BsGossip *gossip, int64_t now_ms)
 {
     unsigned before = 0;
     unsigned reading = 0;
-    uint32_t rank = S_reader_rank(gossip->address);
     BsGossipWalk walk = S_walk(gossip, now_ms);
     const BsGossipMember *member;
     while ((member = S_next(&walk)) != NULL) {
@@ -424,7 +589,8 @@
             continue;
         }
         before += member->reading != BS_GOSSIP_FAILS && !member->stopping &&
-                  S_reader_rank(member->address) < rank;
+                  BsGossip_IsHeavier(member->address, member->weight,
+                                     gossip->address, gossip->weight);
     }
     if (reading == 0) {
         return true; /* nobody has an answer: everyone tries */
@@ -438,9 +604,51 @@
     return gossip->store_failed_ms;
 }
 
+/* Counts the instances that were heard within LIMIT_MS, this one too; of the
+   own data centre only when NEAR. */
+static unsigned
+S_count(const BsGossip *gossip, bool near, int64_t limit_ms, int64_t now_ms)
+{
+    unsigned count = 1;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, gossip->entries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const BsGossipMember *member = &((BsGossipEntry *)value)->member;
+        count += now_ms - member->heard_ms < limit_ms &&
+                 (!near || BsGossip_IsNear(gossip, member));
+    }
+    return count;
+}
+
+void
+BsGossip_SetFleet(BsGossip *gossip, uint32_t heard, uint32_t known,
+                  int64_t now_ms)
+{
+    gossip->fleet_heard = heard;
+    gossip->fleet_known = known;
+    gossip->fleet_ms = now_ms;
+}
+
+unsigned
+BsGossip_NearHeard(const BsGossip *gossip, int64_t now_ms)
+{
+    return S_count(gossip, true, BS_GOSSIP_HUB_SILENT_MS, now_ms);
+}
+
+unsigned
+BsGossip_NearKnown(const BsGossip *gossip, int64_t now_ms)
+{
+    return S_count(gossip, true, BS_GOSSIP_FORGET_MS, now_ms);
+}
+
 unsigned
 BsGossip_Heard(const BsGossip *gossip, int64_t now_ms)
 {
+    if (BsGossip_UsesHubs(gossip, now_ms)) {
+        bool told = now_ms - gossip->fleet_ms < FLEET_OLD_MS;
+        return told ? MAX(gossip->fleet_heard, 1) : 1;
+    }
     BsGossipWalk walk = S_walk(gossip, now_ms);
     unsigned count = 1;
     while (S_next(&walk) != NULL) {
@@ -449,26 +657,23 @@
     return count;
 }
 
-/* Returns how many instances were heard within the time after which one is
-   gone. */
-static unsigned
-S_count_known(const BsGossip *gossip, int64_t now_ms)
+unsigned
+BsGossip_Counted(const BsGossip *gossip, int64_t now_ms)
 {
-    unsigned count = 1;
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, gossip->entries);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const BsGossipMember *member = &((BsGossipEntry *)value)->member;
-        count += now_ms - member->heard_ms < FORGET_MS;
-    }
-    return count;
+    bool told = BsGossip_UsesHubs(gossip, now_ms) &&
+                now_ms - gossip->fleet_ms < BS_GOSSIP_FORGET_MS;
+    return told ? gossip->fleet_known
+                : S_count(gossip, false, BS_GOSSIP_FORGET_MS, now_ms);
 }
 
 unsigned
 BsGossip_Known(const BsGossip *gossip, int64_t now_ms)
 {
-    unsigned known = S_count_known(gossip, now_ms);
+    unsigned known = BsGossip_Counted(gossip, now_ms);
+    if (BsGossip_UsesHubs(gossip, now_ms)) {
+        bool told = now_ms - gossip->fleet_told_ms < BS_GOSSIP_FORGET_MS;
+        return MAX(known, told ? gossip->fleet_told : MESH_MEMBERS);
+    }
     bool alone = known == 1 && g_hash_table_size(gossip->entries) > 0 &&
                  now_ms - gossip->started_ms < ALONE_MS;
     return alone ? ALONE_INSTANCES : known;
@@ -477,6 +682,6 @@
 double
 BsGossip_Share(const BsGossip *gossip, int64_t now_ms)
 {
-    return (double)BsGossip_Heard(gossip, now_ms) /
-           BsGossip_Known(gossip, now_ms);
+    unsigned known = BsGossip_Known(gossip, now_ms);
+    return (double)MIN(BsGossip_Heard(gossip, now_ms), known) / known;
 }
--- /dev/null
+++ b/src/gossiphub.c
@@ -0,0 +1,430 @@
+/* gossiphub.c - hubs of a large fleet: who they are, and who reports when. */
+#include "gossip_private.h"
+
+/* Pause between two reports to a hub while there is news, and without. */
+#define REPORT_PAUSE_MS 10
+#define REPORT_BEAT_MS 250
+
+/* A hub whose summaries stay out this long is replaced, and not taken again
+   for a while. */
+#define LOST_MS 400
+#define AVOID_MS 2000
+
+/* An instance that started less than this ago ranks behind the others: as a
+   hub it would know too little. */
+#define YOUNG_MS 2000
+
+/* Instances that start within this time start together. */
+#define TOGETHER_MS 1500
+
+/* Hubs that an instance reports to: one serves it, the others can take over.
+ */
+#define HUBS 2
+
+/* Pause between two summaries to hubs and members that are not heard. */
+#define LOST_TRY_MS 500
+
+/* A report that was asked for summaries is served this long. */
+#define SERVED_MS 1000
+
+/* The first hubs of a data centre; unused places are NULL. */
+typedef struct {
+    uint32_t data_centre;
+    const BsGossipEntry *hubs[HUBS];
+} BsGossipHubs;
+
+/* Returns whether an instance that started at SINCE_MS is young while others
+   are not: at the start of the fleet, all are. */
+static bool
+S_is_young(const BsGossip *gossip, int64_t since_ms, int64_t now_ms)
+{
+    return now_ms - since_ms < YOUNG_MS &&
+           since_ms - gossip->started_ms > TOGETHER_MS;
+}
+
+/* Returns whether A comes before B as a hub. */
+static bool
+S_is_before(const BsGossip *gossip, const BsGossipEntry *a,
+            const BsGossipEntry *b, int64_t now_ms)
+{
+    bool young_a = S_is_young(gossip, a->since_ms, now_ms);
+    bool young_b = S_is_young(gossip, b->since_ms, now_ms);
+    if (young_a != young_b) {
+        return young_b;
+    }
+    return BsGossip_IsHeavier(a->member.address, a->member.weight,
+                              b->member.address, b->member.weight);
+}
+
+static void
+S_insert(const BsGossip *gossip, BsGossipHubs *hubs,
+         const BsGossipEntry *entry, int64_t now_ms)
+{
+    for (size_t i = 0; i < HUBS; i++) {
+        if (hubs->hubs[i] == NULL ||
+            S_is_before(gossip, entry, hubs->hubs[i], now_ms)) {
+            const BsGossipEntry *next = hubs->hubs[i];
+            hubs->hubs[i] = entry;
+            entry = next;
+            if (entry == NULL) {
+                return;
+            }
+        }
+    }
+}
+
+/* Returns whether the entry may be a hub now. */
+static bool
+S_may_be_hub(const BsGossip *gossip, const BsGossipEntry *entry,
+             int64_t now_ms)
+{
+    const BsGossipMember *member = &entry->member;
+    return member->data_centre != 0 && !member->stopping &&
+           now_ms >= entry->avoid_until_ms &&
+           BsGossip_IsHeard(gossip, member, now_ms);
+}
+
+/* Returns the first hubs of each data centre (BsGossipHubs), this instance
+   left out. */
+static GArray *
+S_hubs(const BsGossip *gossip, int64_t now_ms)
+{
+    GArray *all = g_array_new(FALSE, TRUE, sizeof(BsGossipHubs));
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, gossip->entries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const BsGossipEntry *entry = value;
+        if (!S_may_be_hub(gossip, entry, now_ms)) {
+            continue;
+        }
+        guint at = 0;
+        while (at < all->len &&
+               g_array_index(all, BsGossipHubs, at).data_centre !=
+                   entry->member.data_centre) {
+            at++;
+        }
+        if (at == all->len) {
+            BsGossipHubs hubs = {.data_centre = entry->member.data_centre};
+            g_array_append_val(all, hubs);
+        }
+        S_insert(gossip, &g_array_index(all, BsGossipHubs, at), entry, now_ms);
+    }
+    return all;
+}
+
+/* Fills HUBS with those of the own data centre, this instance left out. */
+static void
+S_near_hubs(const BsGossip *gossip, BsGossipHubs *hubs, int64_t now_ms)
+{
+    GHashTableIter iter;
+    gpointer value;
+    *hubs = (BsGossipHubs){.data_centre = gossip->data_centre};
+    g_hash_table_iter_init(&iter, gossip->entries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const BsGossipEntry *entry = value;
+        if (BsGossip_IsNear(gossip, &entry->member) &&
+            S_may_be_hub(gossip, entry, now_ms)) {
+            S_insert(gossip, hubs, entry, now_ms);
+        }
+    }
+}
+
+/* ------------------------------------------------------------ choice -- */
+
+/* Gives up a hub that does not answer. */
+static void
+S_check_hub(BsGossip *gossip, int64_t now_ms)
+{
+    BsGossipEntry *hub = BsGossip_Find(gossip, gossip->hub);
+    if (hub != NULL && now_ms - gossip->hub_since_ms > LOST_MS &&
+        now_ms - hub->summary_ms > LOST_MS) {
+        hub->avoid_until_ms = now_ms + AVOID_MS;
+    }
+}
+
+/* Returns the hub to use: this instance when it comes before all others. */
+static uint32_t
+S_best_hub(const BsGossip *gossip, int64_t now_ms)
+{
+    BsGossipHubs near;
+    S_near_hubs(gossip, &near, now_ms);
+    const BsGossipEntry *first = near.hubs[0];
+    if (first == NULL) {
+        return gossip->address;
+    }
+    BsGossipEntry self = {
+        .member = {.address = gossip->address, .weight = gossip->weight},
+        .since_ms = gossip->started_ms};
+    bool young = now_ms - gossip->started_ms < YOUNG_MS &&
+                 gossip->started_ms - first->since_ms > TOGETHER_MS;
+    return !young && S_is_before(gossip, &self, first, now_ms)
+               ? gossip->address
+               : first->member.address;
+}
+
+bool
+BsGossip_ChooseHub(BsGossip *gossip, int64_t now_ms)
+{
+    if (!BsGossip_UsesHubs(gossip, now_ms)) {
+        gossip->hub = 0;
+        return false;
+    }
+    S_check_hub(gossip, now_ms);
+    uint32_t best = S_best_hub(gossip, now_ms);
+    if (best == gossip->hub) {
+        return false;
+    }
+    gossip->hub = best;
+    gossip->hub_since_ms = now_ms;
+    BsGossipEntry *entry = BsGossip_Find(gossip, best);
+    if (entry != NULL) {
+        entry->member.sent_ms = BS_GOSSIP_NEVER_MS; /* a report is due */
+    }
+    return true;
+}
+
+uint32_t
+BsGossip_Hub(const BsGossip *gossip)
+{
+    return gossip->hub;
+}
+
+bool
+BsGossip_HearsHub(const BsGossip *gossip, int64_t now_ms)
+{
+    const BsGossipEntry *hub = BsGossip_Find(gossip, gossip->hub);
+    return hub == NULL ? gossip->hub == gossip->address
+                       : now_ms - hub->summary_ms < BS_GOSSIP_HUB_SILENT_MS;
+}
+
+bool
+BsGossip_Serves(const BsGossip *gossip, int64_t now_ms)
+{
+    return gossip->hub == gossip->address ||
+           now_ms - gossip->served_ms < SERVED_MS;
+}
+
+/* ----------------------------------------------------------- reports -- */
+
+static void
+S_append(GArray *due, BsGossipEntry *entry, BsGossipWish wish, int64_t now_ms)
+{
+    BsGossipReceiver receiver = {.address = entry->member.address,
+                                 .wish = wish};
+    g_array_append_val(due, receiver);
+    entry->member.sent_ms = now_ms;
+    entry->dirty = false;
+}
+
+/* Appends the hubs of the own data centre that a report is due to. */
+static void
+S_append_hubs_due(BsGossip *gossip, bool changed, GArray *due, int64_t now_ms)
+{
+    BsGossipHubs near;
+    S_near_hubs(gossip, &near, now_ms);
+    for (size_t i = 0; i < HUBS && near.hubs[i] != NULL; i++) {
+        BsGossipEntry *entry =
+            BsGossip_Find(gossip, near.hubs[i]->member.address);
+        int64_t passed_ms = now_ms - entry->member.sent_ms;
+        entry->dirty |= changed;
+        if ((entry->dirty && passed_ms >= REPORT_PAUSE_MS) ||
+            passed_ms >= REPORT_BEAT_MS) {
+            bool serves = entry->member.address == gossip->hub;
+            S_append(due, entry, serves ? BS_GOSSIP_SERVE : BS_GOSSIP_TELL,
+                     now_ms);
+        }
+    }
+}
+
+/* Appends whom to ask for hubs, and who asked. */
+static void
+S_append_asks_due(BsGossip *gossip, GArray *due, int64_t now_ms)
+{
+    bool alone = gossip->hub == gossip->address;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, gossip->entries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        BsGossipEntry *entry = value;
+        int64_t passed_ms = now_ms - entry->member.sent_ms;
+        if (passed_ms < BS_GOSSIP_TRY_MS) {
+            continue;
+        }
+        bool lost_seed = entry->member.seed &&
+                         !BsGossip_IsHeard(gossip, &entry->member, now_ms);
+        if (entry->asks) {
+            entry->asks = false;
+            S_append(due, entry, BS_GOSSIP_TELL, now_ms);
+        }
+        else if (lost_seed && alone) {
+            S_append(due, entry, BS_GOSSIP_ASK, now_ms);
+        }
+    }
+}
+
+GArray *
+BsGossip_DueWithHubs(BsGossip *gossip, bool changed, int64_t now_ms)
+{
+    GArray *due = g_array_new(FALSE, FALSE, sizeof(BsGossipReceiver));
+    S_append_hubs_due(gossip, changed, due, now_ms);
+    S_append_asks_due(gossip, due, now_ms);
+    return due;
+}
+
+bool
+BsGossip_HasPending(const BsGossip *gossip)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, gossip->entries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        if (((const BsGossipEntry *)value)->dirty) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* --------------------------------------------------------- summaries -- */
+
+static void
+S_append_summed(GArray *out, BsGossipEntry *entry, int64_t now_ms)
+{
+    BsGossipReceiver receiver = {.address = entry->member.address,
+                                 .taken = entry->member.sequence};
+    g_array_append_val(out, receiver);
+    entry->summed_ms = now_ms;
+}
+
+/* Appends the instances of the own data centre that asked for summaries, and
+   at times those that fell silent, which may have forgotten us. */
+static void
+S_append_near(BsGossip *gossip, GArray *out, int64_t now_ms)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, gossip->entries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        BsGossipEntry *entry = value;
+        bool served = now_ms - entry->served_ms < SERVED_MS;
+        bool lost = gossip->hub == gossip->address &&
+                    BsGossip_IsNear(gossip, &entry->member) &&
+                    now_ms - entry->summed_ms >= LOST_TRY_MS;
+        if (served || lost) {
+            S_append_summed(out, entry, now_ms);
+        }
+    }
+}
+
+static bool
+S_sums(const BsGossipEntry *entry, int64_t now_ms)
+{
+    return now_ms - entry->summary_ms < BS_GOSSIP_HUB_SILENT_MS;
+}
+
+/* Appends the hubs of a data centre that send summaries; while none is heard,
+   those that may be hubs. */
+static void
+S_append_hubs_of(BsGossip *gossip, const BsGossipHubs *hubs, GArray *out,
+                 int64_t now_ms)
+{
+    bool summed = false;
+    for (size_t n = 0; n < HUBS && hubs->hubs[n] != NULL; n++) {
+        summed |= S_sums(hubs->hubs[n], now_ms);
+    }
+    for (size_t n = 0; n < HUBS && hubs->hubs[n] != NULL; n++) {
+        if (!summed || S_sums(hubs->hubs[n], now_ms)) {
+            S_append_summed(
+                out, BsGossip_Find(gossip, hubs->hubs[n]->member.address),
+                now_ms);
+        }
+    }
+}
+
+/* Appends, at times, those who were hubs and are not heard any more. */
+static void
+S_append_lost_hubs(BsGossip *gossip, GArray *out, int64_t now_ms)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, gossip->entries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        BsGossipEntry *entry = value;
+        bool was_hub =
+            entry->member.seed || entry->summary_ms != BS_GOSSIP_NEVER_MS;
+        if (was_hub && !BsGossip_IsNear(gossip, &entry->member) &&
+            !BsGossip_IsHeard(gossip, &entry->member, now_ms) &&
+            now_ms - entry->summed_ms >= LOST_TRY_MS) {
+            S_append_summed(out, entry, now_ms);
+        }
+    }
+}
+
+static void
+S_append_far(BsGossip *gossip, GArray *out, int64_t now_ms)
+{
+    GArray *all = S_hubs(gossip, now_ms);
+    for (guint i = 0; i < all->len; i++) {
+        const BsGossipHubs *hubs = &g_array_index(all, BsGossipHubs, i);
+        if (hubs->data_centre != gossip->data_centre) {
+            S_append_hubs_of(gossip, hubs, out, now_ms);
+        }
+    }
+    g_array_unref(all);
+    S_append_lost_hubs(gossip, out, now_ms);
+}
+
+GArray *
+BsGossip_SummaryReceivers(BsGossip *gossip, bool far, int64_t now_ms)
+{
+    GArray *out = g_array_new(FALSE, FALSE, sizeof(BsGossipReceiver));
+    if (!far) {
+        S_append_near(gossip, out, now_ms);
+    }
+    else if (gossip->hub == gossip->address &&
+             (now_ms - gossip->served_ms < SERVED_MS ||
+              now_ms - gossip->started_ms > YOUNG_MS)) {
+        S_append_far(gossip, out, now_ms);
+    }
+    return out;
+}
+
+/* ------------------------------------------------------------- names -- */
+
+void
+BsGossip_AppendHubs(const BsGossip *gossip, int64_t now_ms, GArray *out)
+{
+    GArray *all = S_hubs(gossip, now_ms);
+    for (guint i = 0; i < all->len; i++) {
+        const BsGossipHubs *hubs = &g_array_index(all, BsGossipHubs, i);
+        for (size_t n = 0; n < HUBS && hubs->hubs[n] != NULL; n++) {
+            BsGossipNamed named = BsGossip_Name(hubs->hubs[n], now_ms);
+            g_array_append_val(out, named);
+        }
+    }
+    g_array_unref(all);
+}
+
+unsigned
+BsGossip_AppendRoster(const BsGossip *gossip, unsigned first, unsigned count,
+                      int64_t now_ms, GArray *out)
+{
+    unsigned at = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, gossip->entries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const BsGossipEntry *entry = value;
+        if (!BsGossip_IsNear(gossip, &entry->member) ||
+            now_ms - entry->member.heard_ms > BS_GOSSIP_FORGET_MS) {
+            continue;
+        }
+        if (at >= first && at < first + count) {
+            BsGossipNamed named = BsGossip_Name(entry, now_ms);
+            g_array_append_val(out, named);
+        }
+        at++;
+    }
+    return at > first + count ? first + count : 0;
+}
--- a/src/gossipreport.h
+++ b/src/gossipreport.h
@@ -13,6 +13,9 @@
 /* Largest report; stays below a datagram that links carry whole. */
 #define BS_GOSSIP_MAX_BYTES 1400
 
+/* Longest time since an instance's start that is told. */
+#define BS_GOSSIP_AGE_MAX_MS 60000
+
 /* Whether an instance reads the platform's store itself. */
 typedef enum {
     BS_GOSSIP_IDLE = 0, /* it hears of changes from others */
@@ -20,6 +23,19 @@
     BS_GOSSIP_FAILS /* it reads, and the store does not answer it */
 } BsGossipReading;
 
+/* A member, as one instance names it to another. */
+typedef struct {
+    uint32_t address;
+    uint32_t data_centre; /* hash of the name */
+    uint32_t weight;      /* see BsGossipReport */
+    bool heard;           /* the one that names it hears it */
+    uint32_t age_ms;      /* since its start, BS_GOSSIP_AGE_MAX_MS at most */
+    bool stopping;
+    BsGossipReading reading;
+    uint64_t revision;
+    uint64_t newest;
+} BsGossipNamed;
+
 /* State of an instance, as it tells it. */
 typedef struct {
     uint64_t incarnation; /* grows with each start of the instance */
@@ -29,10 +45,13 @@
     uint64_t catalog;     /* version in force; 0: none */
     BsGossipReading reading;
     uint32_t data_centre; /* hash of the name */
+    uint32_t weight; /* what it can carry beside its callers: memory, MB */
+    uint32_t age_ms; /* since its start, BS_GOSSIP_AGE_MAX_MS at most */
+    uint32_t fleet;  /* instances of the fleet that it knows of */
     bool stopping;
     GArray *loads;    /* BsTargetLoad */
     GArray *uses;     /* BsQuotaUse */
-    GArray *members;  /* uint32_t; some addresses it heard lately */
+    GArray *members;  /* BsGossipNamed; some that it heard lately */
     GArray *crashers; /* BsCrasher */
 } BsGossipReport;
 
--- a/src/gw_attempt.c
+++ b/src/gw_attempt.c
@@ -262,24 +262,33 @@
     S_on_failure(relay, BS_TARGET_BROKE, cause);
 }
 
-/* Tells that the upstream's answer asked for no more work; QUIET_MS is -1 when
-   that is because it leaves. */
+/* The upstream's answer says that it leaves. */
 static void
-S_log_wish(BsRelay *relay, int64_t quiet_ms)
+S_note_leaving(BsRelay *relay)
 {
     BsGate *gate = relay->gate;
-    BsCounters_Add(gate->counters,
-                   quiet_ms < 0 ? "upstream_wishes_total{wish=\"leaving\"}"
-                                : "upstream_wishes_total{wish=\"quiet\"}",
+    BsTargets_SetLeaving(gate->targets, relay->target);
+    gate->places_changed = true;
+    BsCounters_Add(gate->counters, "upstream_wishes_total{wish=\"leaving\"}",
                    1);
-    if (BsEventLog_Begin(gate->log, BS_EVENT_STATE,
-                         quiet_ms < 0 ? "upstream_leaving"
-                                      : "upstream_quiet")) {
+    if (BsEventLog_Begin(gate->log, BS_EVENT_STATE, "upstream_leaving")) {
         BsEventLog_Text(gate->log, "upstream", relay->target->id);
         BsEventLog_Text(gate->log, "request", relay->id);
-        if (quiet_ms >= 0) {
-            BsEventLog_Number(gate->log, "pause_ms", quiet_ms);
-        }
+        BsEventLog_End(gate->log);
+    }
+}
+
+/* The upstream refused, and wants nothing for QUIET_MS. */
+static void
+S_note_quiet(BsRelay *relay, int64_t quiet_ms)
+{
+    BsGate *gate = relay->gate;
+    BsTargets_SetQuiet(relay->target, quiet_ms, relay->heard_ms);
+    BsCounters_Add(gate->counters, "upstream_wishes_total{wish=\"quiet\"}", 1);
+    if (BsEventLog_Begin(gate->log, BS_EVENT_STATE, "upstream_quiet")) {
+        BsEventLog_Text(gate->log, "upstream", relay->target->id);
+        BsEventLog_Text(gate->log, "request", relay->id);
+        BsEventLog_Number(gate->log, "pause_ms", quiet_ms);
         BsEventLog_End(gate->log);
     }
 }
@@ -289,7 +298,6 @@
 static void
 S_note_upstream(BsRelay *relay, const BsAnswerInfo *info)
 {
-    BsGate *gate = relay->gate;
     if (info->cold_ms > 0) {
         BsTargets_SetCold(relay->target, info->cold_ms, relay->heard_ms);
     }
@@ -299,13 +307,10 @@
         return; /* it may speak of another upstream */
     }
     if (info->leaving && !relay->target->leaving) {
-        BsTargets_SetLeaving(gate->targets, relay->target);
-        S_log_wish(relay, -1);
-        gate->places_changed = true;
+        S_note_leaving(relay);
     }
     if (info->quiet_ms > 0) {
-        BsTargets_SetQuiet(relay->target, info->quiet_ms, relay->heard_ms);
-        S_log_wish(relay, info->quiet_ms);
+        S_note_quiet(relay, info->quiet_ms);
     }
 }
 
--- a/src/gw_gateway.c
+++ b/src/gw_gateway.c
@@ -16,8 +16,8 @@
 
 #define EXIT_USAGE 2
 
-/* How often news for peers and beliefs are checked against the clock. */
-#define TICK_S 0.005
+/* Longest pause between two ticks while requests wait. */
+#define WAITING_TICK_MS 20
 
 /* How often targets that are gone are dropped, and the settings file is looked
    at: it may change without a signal. */
@@ -82,6 +82,30 @@
 
 /* ------------------------------------------------------------- turns -- */
 
+/* Waits for the next tick: soon while requests wait, as pauses of upstreams
+   may end. */
+static void
+S_schedule_tick(BsGateway *gateway)
+{
+    int64_t pause_ms = BsGossipTask_PauseMs(gateway->gossip);
+    if (BsLine_Length(gateway->gate.line) > 0) {
+        pause_ms = MIN(pause_ms, WAITING_TICK_MS);
+    }
+    ev_timer_set(&gateway->tick, (double)pause_ms / MS_PER_S, 0);
+    ev_timer_start(gateway->gate.loop, &gateway->tick);
+}
+
+/* Brings the next tick forward when news waits for it. */
+static void
+S_hasten_tick(BsGateway *gateway)
+{
+    double left_s = ev_timer_remaining(gateway->gate.loop, &gateway->tick);
+    if ((double)BsGossipTask_PauseMs(gateway->gossip) / MS_PER_S < left_s) {
+        ev_timer_stop(gateway->gate.loop, &gateway->tick);
+        S_schedule_tick(gateway);
+    }
+}
+
 static void
 S_on_turn(struct ev_loop *loop, ev_prepare *watcher, int events)
 {
@@ -96,6 +120,7 @@
     if (gate->loads_changed) {
         gate->loads_changed = false;
         BsGossipTask_Tell(gateway->gossip, true);
+        S_hasten_tick(gateway);
     }
     BsEventLog_Flush(gate->log);
 }
@@ -233,6 +258,7 @@
     if (gateway->gate.stopping) {
         S_check_stop(gateway, now_ms);
     }
+    S_schedule_tick(gateway);
 }
 
 static void
@@ -346,7 +372,7 @@
     ev_prepare_init(&gateway->turn, S_on_turn);
     gateway->turn.data = gateway;
     ev_prepare_start(loop, &gateway->turn);
-    ev_timer_init(&gateway->tick, S_on_tick, TICK_S, TICK_S);
+    ev_timer_init(&gateway->tick, S_on_tick, 0, 0);
     gateway->tick.data = gateway;
     ev_timer_start(loop, &gateway->tick);
     S_start_signal(gateway, &gateway->terminate, SIGTERM, S_on_terminate);
--- a/src/gw_gossip.c
+++ b/src/gw_gossip.c
@@ -1,6 +1,7 @@
 /* gw_gossip.c - the sockets on which instances talk to each other. */
 #include "gw_gossip.h"
 
+#include "fleetpart.h"
 #include "gw_inbound.h"
 #include "itemcodec.h"
 
@@ -14,9 +15,6 @@
 /* Datagrams read in a row before other events have their turn. */
 #define READS_AT_ONCE 64
 
-/* Addresses named in a report: all of a small fleet, a part of a large one. */
-#define MEMBERS_TOLD 12
-
 /* While the store answers, its changes arrive by themselves this soon. */
 #define BEHIND_MS 900
 
@@ -25,6 +23,16 @@
 #define FETCH_TIMEOUT_S 1.5
 #define FETCH_CONNECT_MS 400
 
+/* Time over which the instances of a large data centre spread their fetches of
+   what its hub knows. */
+#define FETCH_SPREAD_MS 250
+
+/* Number under which the limits know what hubs tell; no address. */
+#define HUB_PEER 0
+
+/* Pause between two looks at who may send to cold upstreams. */
+#define SENDERS_PAUSE_MS 100
+
 /* A started instance reads the store itself until it knows its peers. */
 #define READ_FIRST_MS 1000
 
@@ -41,15 +49,13 @@
 struct BsGossipTask {
     BsGate *gate;
     BsReplica *replica;
-    BsGossip *gossip;
+    BsFleetPart *fleet;
+    BsGossip *gossip; /* the fleet's */
     BsInboundServer *server;
     uint32_t address;
     uint16_t port;
     int fd;
     ev_io readable;
-    uint64_t incarnation;
-    uint64_t sequence;
-    uint32_t data_centre;
     BsGossipReading reading;
     uint64_t told_newest;  /* of the items, when it last changed */
     int64_t read_until_ms; /* reads the store in any case */
@@ -58,39 +64,40 @@
     uint32_t fetch_status;
     ev_timer fetch_timer;
     int64_t fetched_ms;
-    int64_t behind_ms; /* since when others know more; 0: they do not */
+    int64_t behind_ms;  /* since when others know more; 0: they do not */
+    int64_t senders_ms; /* when the senders were last told */
+    uint32_t turn_ms;   /* own part of the time over which fetches spread */
 };
 
 /* ----------------------------------------------------------- telling -- */
 
 static void
-S_fill(BsGossipTask *task, BsGossipReport *report, int64_t now_ms)
+S_fill(BsGossipReport *report, bool work, int64_t now_ms, void *context)
 {
+    BsGossipTask *task = context;
     BsGate *gate = task->gate;
-    report->incarnation = task->incarnation;
-    report->sequence = ++task->sequence;
     report->revision = BsReplica_Complete(task->replica);
     report->newest = BsReplica_Newest(task->replica);
     report->reading = task->reading;
     report->catalog =
         gate->catalog == NULL ? 0 : BsCatalog_Version(gate->catalog);
-    report->data_centre = task->data_centre;
     report->stopping = gate->stopping;
-    BsTargets_AppendLoads(gate->targets, now_ms, report->loads);
-    BsQuotas_AppendUses(gate->quotas, report->uses);
-    BsCrashers_Append(gate->crashers, now_ms, report->crashers);
-    BsGossip_AppendMembers(task->gossip, gate->random, MEMBERS_TOLD, now_ms,
-                           report->members);
+    if (work) {
+        BsTargets_AppendLoads(gate->targets, now_ms, report->loads);
+        BsQuotas_AppendUses(gate->quotas, report->uses);
+        BsCrashers_Append(gate->crashers, now_ms, report->crashers);
+    }
 }
 
 static void
-S_send(BsGossipTask *task, uint32_t address, const GString *data)
+S_send(uint32_t address, const char *data, size_t size_bytes, void *context)
 {
+    BsGossipTask *task = context;
     struct sockaddr_in to = {.sin_family = AF_INET,
                              .sin_port = htons(task->port)};
     to.sin_addr.s_addr = htonl(address);
-    /* A full or failing socket loses the report; the next one mends it. */
-    if (sendto(task->fd, data->str, data->len, MSG_DONTWAIT | MSG_NOSIGNAL,
+    /* A full or failing socket loses the datagram; the next one mends it. */
+    if (sendto(task->fd, data, size_bytes, MSG_DONTWAIT | MSG_NOSIGNAL,
                (const struct sockaddr *)&to, sizeof(to)) < 0) {
         BsCounters_Add(task->gate->counters, "gossip_send_errors_total", 1);
     }
@@ -99,45 +106,71 @@
 void
 BsGossipTask_Tell(BsGossipTask *task, bool changed)
 {
-    int64_t now_ms = BsClock_NowMs(task->gate->clock);
-    GArray *due = BsGossip_Due(task->gossip, changed, now_ms);
-    if (due->len > 0) {
-        BsGossipReport report;
-        GString *data = g_string_sized_new(BS_GOSSIP_MAX_BYTES);
-        BsGossipReport_Init(&report);
-        S_fill(task, &report, now_ms);
-        BsGossipReport_Encode(&report, data);
-        for (guint i = 0; i < due->len; i++) {
-            S_send(task, g_array_index(due, uint32_t, i), data);
-        }
-        BsGossipReport_Clear(&report);
-        g_string_free(data, TRUE);
-    }
-    g_array_unref(due);
+    BsFleetPart_Tell(task->fleet, changed, BsClock_NowMs(task->gate->clock));
 }
 
 /* --------------------------------------------------------- listening -- */
 
 static void
-S_take(BsGossipTask *task, const char *data, size_t size_bytes,
-       uint32_t address)
+S_on_peer(uint32_t address, const BsGossipReport *report, int64_t now_ms,
+          void *context)
 {
+    BsGate *gate = ((BsGossipTask *)context)->gate;
+    BsTargets_SetPeer(gate->targets, address, report->loads, now_ms);
+    BsQuotas_SetPeer(gate->quotas, address, report->incarnation, report->uses);
+    BsCrashers_SetPeer(gate->crashers, address, report->crashers, now_ms);
+    gate->places_changed = true;
+}
+
+static void
+S_on_news(const BsFleetNews *news, int64_t now_ms, void *context)
+{
+    BsGossipTask *task = context;
     BsGate *gate = task->gate;
-    BsGossipReport report;
-    int64_t now_ms = BsClock_NowMs(gate->clock);
-    BsGossipReport_Init(&report);
-    if (!BsGossipReport_Decode(data, size_bytes, &report)) {
-        BsCounters_Add(gate->counters, "gossip_broken_total", 1);
+    BsTargets_SetFleet(gate->targets, news->loads, now_ms);
+    BsQuotas_SetPeer(gate->quotas, HUB_PEER, news->incarnation, news->uses);
+    for (guint i = 0; news->crashers != NULL && i < news->crashers->len; i++) {
+        const BsSummaryCrasher *told =
+            &g_array_index(news->crashers, BsSummaryCrasher, i);
+        GArray *one = g_array_new(FALSE, FALSE, sizeof(BsCrasher));
+        g_array_append_val(one, told->crasher);
+        if (told->origin != task->address) {
+            BsCrashers_SetPeer(gate->crashers, told->origin, one, now_ms);
+        }
+        g_array_unref(one);
     }
-    else if (BsGossip_Take(task->gossip, address, &report, now_ms) != NULL) {
-        BsLapses_NoteRevision(gate->lapses, report.newest, now_ms);
-        BsTargets_SetPeer(gate->targets, address, report.loads, now_ms);
-        BsQuotas_SetPeer(gate->quotas, address, report.incarnation,
-                         report.uses);
-        BsCrashers_SetPeer(gate->crashers, address, report.crashers, now_ms);
-        gate->places_changed = true;
+    gate->places_changed |= news->loads->len > 0;
+}
+
+static void
+S_on_newest(uint64_t newest, int64_t now_ms, void *context)
+{
+    BsGate *gate = ((BsGossipTask *)context)->gate;
+    BsLapses_NoteRevision(gate->lapses, newest, now_ms);
+}
+
+static void
+S_on_hubs_used(void *context)
+{
+    BsGate *gate = ((BsGossipTask *)context)->gate;
+    BsTargets_DropPeers(gate->targets);
+    gate->places_changed = true;
+}
+
+static void
+S_on_hub(uint32_t address, void *context)
+{
+    BsGossipTask *task = context;
+    BsEventLog *log = task->gate->log;
+    struct in_addr hub = {.s_addr = htonl(address)};
+    char text[INET_ADDRSTRLEN];
+    BsCounters_Add(task->gate->counters, "hub_changes_total", 1);
+    if (BsEventLog_Begin(log, BS_EVENT_STATE, "hub_chosen")) {
+        inet_ntop(AF_INET, &hub, text, sizeof(text));
+        BsEventLog_Text(log, "peer",
+                        address == task->address ? "this instance" : text);
+        BsEventLog_End(log);
     }
-    BsGossipReport_Clear(&report);
 }
 
 static void
@@ -146,7 +179,7 @@
     (void)loop;
     (void)events;
     BsGossipTask *task = watcher->data;
-    char buffer[BS_GOSSIP_MAX_BYTES + 1];
+    char buffer[BS_FLEET_MAX_BYTES + 1];
     for (int i = 0; i < READS_AT_ONCE; i++) {
         struct sockaddr_in from = {0};
         socklen_t length = sizeof(from);
@@ -155,7 +188,11 @@
         if (size < 0) {
             return;
         }
-        S_take(task, buffer, (size_t)size, ntohl(from.sin_addr.s_addr));
+        if (!BsFleetPart_Receive(task->fleet, ntohl(from.sin_addr.s_addr),
+                                 buffer, (size_t)size,
+                                 BsClock_NowMs(task->gate->clock))) {
+            BsCounters_Add(task->gate->counters, "gossip_broken_total", 1);
+        }
     }
 }
 
@@ -281,7 +318,10 @@
     }
     bool others_tell = task->reading != BS_GOSSIP_READS &&
                        BsGossip_IsNear(task->gossip, newer);
-    bool needed = others_tell || now_ms - task->behind_ms > BEHIND_MS;
+    int64_t turn_ms =
+        BsGossip_UsesHubs(task->gossip, now_ms) ? task->turn_ms : 0;
+    int64_t after_ms = others_tell ? turn_ms : BEHIND_MS;
+    bool needed = now_ms - task->behind_ms >= after_ms;
     if (needed && task->fetch == NULL &&
         now_ms - task->fetched_ms >= FETCH_PAUSE_MS) {
         S_start_fetch(task, newer, now_ms);
@@ -350,25 +390,42 @@
     g_array_unref(senders);
 }
 
-bool
-BsGossipTask_Tick(BsGossipTask *task, bool store_up)
+/* Tells the limits how much of the fleet is heard. */
+static void
+S_set_shares(BsGossipTask *task, int64_t now_ms)
 {
     BsGate *gate = task->gate;
-    int64_t now_ms = BsClock_NowMs(gate->clock);
-    BsGossip_EachSilent(task->gossip, now_ms, S_on_silent, task);
     double share = BsGossip_Share(task->gossip, now_ms);
     gate->instances = BsGossip_Known(task->gossip, now_ms);
     BsTargets_SetShare(gate->targets, share);
     BsQuotas_SetShare(gate->quotas, share);
     BsTargets_SetFarAge(gate->targets,
                         BsGossip_FarAgeMs(task->gossip, now_ms));
-    S_set_senders(task, now_ms);
-    BsGossipTask_Tell(task, false);
+    bool due = now_ms - task->senders_ms >= SENDERS_PAUSE_MS ||
+               !BsGossip_UsesHubs(task->gossip, now_ms);
+    if (due) {
+        task->senders_ms = now_ms;
+        S_set_senders(task, now_ms);
+    }
+}
+
+bool
+BsGossipTask_Tick(BsGossipTask *task, bool store_up)
+{
+    int64_t now_ms = BsClock_NowMs(task->gate->clock);
+    BsFleetPart_Tick(task->fleet, now_ms);
+    S_set_shares(task, now_ms);
     S_choose_reading(task, store_up, now_ms);
     S_catch_up(task, now_ms);
     return task->reading != BS_GOSSIP_IDLE;
 }
 
+int64_t
+BsGossipTask_PauseMs(const BsGossipTask *task)
+{
+    return BsFleetPart_PauseMs(task->fleet, BsClock_NowMs(task->gate->clock));
+}
+
 int64_t
 BsGossipTask_StoreFailedMs(const BsGossipTask *task)
 {
@@ -414,6 +471,17 @@
     }
 }
 
+static const BsFleetEvents S_fleet_events = {
+    .fill = S_fill,
+    .send = S_send,
+    .on_peer = S_on_peer,
+    .on_silent = S_on_silent,
+    .on_hubs_used = S_on_hubs_used,
+    .on_news = S_on_news,
+    .on_newest = S_on_newest,
+    .on_hub = S_on_hub,
+};
+
 /* Returns a number that is larger at each start of the instance, as far as
    its wall clock keeps growing. */
 static uint64_t
@@ -436,11 +504,15 @@
     task->replica = replica;
     task->address = ntohl(address.sin_addr.s_addr);
     task->port = ntohs(address.sin_port);
-    task->incarnation = S_incarnation();
     task->read_until_ms = now_ms + READ_FIRST_MS;
-    task->data_centre = (uint32_t)BsTargets_Hash(gate->settings->data_centre);
     task->fetched = g_string_new(NULL);
-    task->gossip = BsGossip_Create(task->address, task->data_centre, now_ms);
+    task->turn_ms =
+        (uint32_t)g_rand_int_range(gate->random, 0, FETCH_SPREAD_MS);
+    task->fleet = BsFleetPart_Create(
+        task->address, (uint32_t)BsTargets_Hash(gate->settings->data_centre),
+        gate->settings->machine.memory_mb, S_incarnation(),
+        g_rand_int(gate->random), &S_fleet_events, task, now_ms);
+    task->gossip = BsFleetPart_Gossip(task->fleet);
     ev_timer_init(&task->fetch_timer, S_on_fetch_timeout, 1, 0);
     task->fetch_timer.data = task;
     if (!S_open(task, &address, error)) {
@@ -469,7 +541,7 @@
         close(task->fd);
     }
     BsInboundServer_Destroy(task->server);
-    BsGossip_Destroy(task->gossip);
+    BsFleetPart_Destroy(task->fleet);
     g_string_free(task->fetched, TRUE);
     g_free(task);
 }
--- a/src/gw_gossip.h
+++ b/src/gw_gossip.h
@@ -33,6 +33,9 @@
    to read the store.  Call it often. */
 bool BsGossipTask_Tick(BsGossipTask *task, bool store_up);
 
+/* Returns how long after a tick the next one is due. */
+int64_t BsGossipTask_PauseMs(const BsGossipTask *task);
+
 /* Returns when another instance last said that the store does not answer. */
 int64_t BsGossipTask_StoreFailedMs(const BsGossipTask *task);
 
--- /dev/null
+++ b/src/hub.c
@@ -0,0 +1,468 @@
+/* hub.c - the sums that a hub keeps of what many instances tell it. */
+#include "hub.h"
+
+/* A source that was silent this long does not count any more. */
+#define SILENT_MS 1000
+
+/* Another hub of a data centre is heard once the one before was silent this
+   long. */
+#define SUCCEED_MS 300
+
+/* A data centre that was silent this long is gone. */
+#define FORGET_MS 60000
+
+/* Near summaries that tell a change; when one of them is lost, its turn mends
+   it. */
+#define REPEATS 1
+
+/* Unchanged sums in a near summary: all come in turns. */
+#define TURN_SUMS 20
+#define TURN_USES 6
+
+/* Near summaries until the sum of an upstream without requests is dropped. */
+#define DROP_AFTER 1000
+
+/* Where the sums of accounts begin, so that they stay above 0 when an instance
+   gives back what a request had taken. */
+#define USE_BASE (INT64_C(1) << 30)
+
+/* Crashers passed on at most. */
+#define CRASHERS_MAX 16
+
+/* What an instance, or a data centre by its hub, told last. */
+typedef struct {
+    uint32_t address;
+    uint64_t incarnation;
+    uint64_t sequence;
+    int64_t heard_ms;
+    bool silent;
+    GArray *loads;    /* BsTargetLoad */
+    GArray *crashers; /* BsSummaryCrasher */
+    GHashTable *uses; /* account hash to uint64_t, last told */
+    uint32_t heard;   /* of a data centre */
+    uint32_t known;
+} BsHubSource;
+
+/* Requests at an upstream. */
+typedef struct {
+    uint32_t hash;
+    uint32_t near;
+    uint32_t near_cold;
+    uint32_t far;
+    uint32_t far_cold;
+    uint64_t changed; /* sequence of the near summary after the change */
+} BsHubSum;
+
+/* What an account used since the hub's start, above USE_BASE. */
+typedef struct {
+    uint64_t hash;
+    int64_t near;
+    int64_t far;
+    uint64_t changed;
+} BsHubUse;
+
+struct BsHub {
+    GHashTable *members; /* address to BsHubSource */
+    GHashTable *far;     /* data centre to BsHubSource */
+    GHashTable *sums;    /* hash to BsHubSum */
+    GHashTable *uses;    /* account hash to BsHubUse, not owned */
+    GPtrArray *order;    /* BsHubSum, in the order of turns, not owned */
+    GPtrArray *accounts; /* BsHubUse */
+    guint turn;          /* next of ORDER */
+    guint use_turn;      /* next of ACCOUNTS */
+    uint64_t next;       /* sequence of the next near summary */
+    bool news;           /* for a near summary */
+    bool near_news;      /* for a far one */
+};
+
+static void
+S_destroy_source(gpointer data)
+{
+    BsHubSource *source = data;
+    g_array_unref(source->loads);
+    g_array_unref(source->crashers);
+    g_hash_table_destroy(source->uses);
+    g_free(source);
+}
+
+BsHub *
+BsHub_Create(void)
+{
+    BsHub *hub = g_new0(BsHub, 1);
+    hub->members = g_hash_table_new_full(NULL, NULL, NULL, S_destroy_source);
+    hub->far = g_hash_table_new_full(NULL, NULL, NULL, S_destroy_source);
+    hub->sums = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+    hub->uses = g_hash_table_new(g_int64_hash, g_int64_equal);
+    hub->order = g_ptr_array_new();
+    hub->accounts = g_ptr_array_new_with_free_func(g_free);
+    hub->next = 1;
+    return hub;
+}
+
+void
+BsHub_Destroy(BsHub *hub)
+{
+    if (hub == NULL) {
+        return;
+    }
+    g_hash_table_destroy(hub->members);
+    g_hash_table_destroy(hub->far);
+    g_ptr_array_unref(hub->order);
+    g_hash_table_destroy(hub->sums);
+    g_hash_table_destroy(hub->uses);
+    g_ptr_array_unref(hub->accounts);
+    g_free(hub);
+}
+
+/* ------------------------------------------------------------ counts -- */
+
+static BsHubSum *
+S_changed_sum(BsHub *hub, uint64_t hash, bool far)
+{
+    uint32_t key = (uint32_t)hash;
+    BsHubSum *sum = g_hash_table_lookup(hub->sums, GUINT_TO_POINTER(key));
+    if (sum == NULL) {
+        sum = g_new0(BsHubSum, 1);
+        sum->hash = key;
+        g_hash_table_insert(hub->sums, GUINT_TO_POINTER(key), sum);
+        g_ptr_array_add(hub->order, sum);
+    }
+    sum->changed = hub->next;
+    hub->news = true;
+    hub->near_news |= !far;
+    return sum;
+}
+
+static void
+S_subtract(BsHub *hub, const BsHubSource *source, bool far)
+{
+    for (guint i = 0; i < source->loads->len; i++) {
+        const BsTargetLoad *load =
+            &g_array_index(source->loads, BsTargetLoad, i);
+        BsHubSum *sum = S_changed_sum(hub, load->hash, far);
+        uint32_t *count = far ? &sum->far : &sum->near;
+        uint32_t *cold = far ? &sum->far_cold : &sum->near_cold;
+        *count -= MIN(*count, load->in_flight);
+        *cold -= MIN(*cold, load->cold_sent);
+    }
+}
+
+static void
+S_add(BsHub *hub, const BsHubSource *source, bool far)
+{
+    for (guint i = 0; i < source->loads->len; i++) {
+        const BsTargetLoad *load =
+            &g_array_index(source->loads, BsTargetLoad, i);
+        BsHubSum *sum = S_changed_sum(hub, load->hash, far);
+        *(far ? &sum->far : &sum->near) += load->in_flight;
+        *(far ? &sum->far_cold : &sum->near_cold) += load->cold_sent;
+    }
+}
+
+static BsHubUse *
+S_use(BsHub *hub, uint64_t hash)
+{
+    BsHubUse *use = g_hash_table_lookup(hub->uses, &hash);
+    if (use == NULL) {
+        use = g_new0(BsHubUse, 1);
+        use->hash = hash;
+        use->near = USE_BASE;
+        g_hash_table_insert(hub->uses, &use->hash, use);
+        g_ptr_array_add(hub->accounts, use);
+    }
+    return use;
+}
+
+/* Adds what accounts used since SOURCE told last.  What it used before it was
+   first heard lies in the past. */
+static void
+S_take_uses(BsHub *hub, BsHubSource *source, const GArray *uses, bool far,
+            bool known)
+{
+    for (guint i = 0; i < uses->len; i++) {
+        const BsQuotaUse *told = &g_array_index(uses, BsQuotaUse, i);
+        const uint64_t *before =
+            g_hash_table_lookup(source->uses, &told->hash);
+        uint64_t from = before != NULL ? *before : known ? 0 : told->used;
+        if (told->used != from) {
+            BsHubUse *use = S_use(hub, told->hash);
+            *(far ? &use->far : &use->near) += (int64_t)(told->used - from);
+            use->changed = hub->next;
+        }
+        g_hash_table_replace(source->uses,
+                             g_memdup2(&told->hash, sizeof(told->hash)),
+                             g_memdup2(&told->used, sizeof(told->used)));
+    }
+}
+
+/* ----------------------------------------------------------- sources -- */
+
+static BsHubSource *
+S_source(GHashTable *sources, uint32_t key)
+{
+    BsHubSource *source = g_hash_table_lookup(sources, GUINT_TO_POINTER(key));
+    if (source == NULL) {
+        source = g_new0(BsHubSource, 1);
+        source->loads = g_array_new(FALSE, FALSE, sizeof(BsTargetLoad));
+        source->crashers = g_array_new(FALSE, FALSE, sizeof(BsSummaryCrasher));
+        source->uses =
+            g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+        source->silent = true;
+        g_hash_table_insert(sources, GUINT_TO_POINTER(key), source);
+    }
+    return source;
+}
+
+/* Replaces what SOURCE told by LOADS and USES, told by ADDRESS. */
+static void
+S_replace(BsHub *hub, BsHubSource *source, uint32_t address,
+          uint64_t incarnation, const GArray *loads, const GArray *uses,
+          bool far, int64_t now_ms)
+{
+    bool known =
+        source->address == address && source->incarnation == incarnation;
+    if (!known) {
+        g_hash_table_remove_all(source->uses);
+    }
+    source->address = address;
+    source->incarnation = incarnation;
+    source->heard_ms = now_ms;
+    source->silent = false;
+    S_subtract(hub, source, far);
+    g_array_set_size(source->loads, 0);
+    g_array_append_vals(source->loads, loads->data, loads->len);
+    S_add(hub, source, far);
+    S_take_uses(hub, source, uses, far, known);
+}
+
+void
+BsHub_TakeMember(BsHub *hub, uint32_t address, const BsGossipReport *report,
+                 int64_t now_ms)
+{
+    BsHubSource *source = S_source(hub->members, address);
+    S_replace(hub, source, address, report->incarnation, report->loads,
+              report->uses, false, now_ms);
+    g_array_set_size(source->crashers, 0);
+    for (guint i = 0; i < report->crashers->len; i++) {
+        BsSummaryCrasher told = {
+            address, g_array_index(report->crashers, BsCrasher, i)};
+        g_array_append_val(source->crashers, told);
+    }
+}
+
+bool
+BsHub_TakeFar(BsHub *hub, uint32_t address, const BsSummary *summary,
+              int64_t now_ms)
+{
+    BsHubSource *source = S_source(hub->far, summary->data_centre);
+    bool same = source->address == address;
+    if ((same && source->incarnation == summary->incarnation &&
+         summary->sequence <= source->sequence) ||
+        (!same && !source->silent && now_ms - source->heard_ms < SUCCEED_MS)) {
+        return false;
+    }
+    S_replace(hub, source, address, summary->incarnation, summary->loads,
+              summary->uses, true, now_ms);
+    source->sequence = summary->sequence;
+    source->heard = summary->heard;
+    source->known = summary->known;
+    g_array_set_size(source->crashers, 0);
+    g_array_append_vals(source->crashers, summary->crashers->data,
+                        summary->crashers->len);
+    return true;
+}
+
+static void
+S_expire(BsHub *hub, GHashTable *sources, bool far, int64_t now_ms)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, sources);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        BsHubSource *source = value;
+        int64_t silent_ms = now_ms - source->heard_ms;
+        if (silent_ms > FORGET_MS) {
+            g_hash_table_iter_remove(&iter);
+        }
+        else if (!source->silent && silent_ms > SILENT_MS) {
+            source->silent = true;
+            S_subtract(hub, source, far);
+            g_array_set_size(source->loads, 0);
+        }
+    }
+}
+
+void
+BsHub_Expire(BsHub *hub, int64_t now_ms)
+{
+    S_expire(hub, hub->members, false, now_ms);
+    S_expire(hub, hub->far, true, now_ms);
+}
+
+/* --------------------------------------------------------- summaries -- */
+
+bool
+BsHub_HasNews(const BsHub *hub)
+{
+    return hub->news;
+}
+
+bool
+BsHub_HasNearNews(const BsHub *hub)
+{
+    return hub->near_news;
+}
+
+static void
+S_append_near(const BsHubSum *sum, BsSummary *summary)
+{
+    BsTargetLoad load = {sum->hash, sum->near + sum->far,
+                         sum->near_cold + sum->far_cold};
+    g_array_append_val(summary->loads, load);
+}
+
+static bool
+S_is_empty(const BsHubSum *sum)
+{
+    return sum->near + sum->far + sum->near_cold + sum->far_cold == 0;
+}
+
+/* Returns whether a change is to be told in summary SEQUENCE. */
+static bool
+S_is_fresh(uint64_t changed, uint64_t sequence)
+{
+    return changed + REPEATS > sequence;
+}
+
+/* Drops sums that have been empty for long; receivers have dropped them. */
+static void
+S_drop_empty(BsHub *hub, uint64_t sequence)
+{
+    for (guint i = hub->order->len; i > 0; i--) {
+        BsHubSum *sum = hub->order->pdata[i - 1];
+        if (S_is_empty(sum) && sum->changed + DROP_AFTER < sequence) {
+            g_ptr_array_remove_index_fast(hub->order, i - 1);
+            g_hash_table_remove(hub->sums, GUINT_TO_POINTER(sum->hash));
+        }
+    }
+}
+
+static void
+S_fill_loads(BsHub *hub, uint64_t sequence, BsSummary *summary)
+{
+    for (guint i = 0; i < hub->order->len; i++) {
+        const BsHubSum *sum = hub->order->pdata[i];
+        if (S_is_fresh(sum->changed, sequence)) {
+            S_append_near(sum, summary);
+        }
+    }
+    for (guint i = 0; i < MIN(TURN_SUMS, hub->order->len); i++) {
+        hub->turn = (hub->turn + 1) % hub->order->len;
+        const BsHubSum *sum = hub->order->pdata[hub->turn];
+        if (!S_is_fresh(sum->changed, sequence)) {
+            S_append_near(sum, summary);
+        }
+    }
+}
+
+static void
+S_append_use(const BsHubUse *use, bool far, GArray *uses)
+{
+    int64_t used = use->near + (far ? 0 : use->far);
+    BsQuotaUse told = {use->hash, (uint64_t)MAX(used, 0)};
+    g_array_append_val(uses, told);
+}
+
+static void
+S_fill_uses(BsHub *hub, uint64_t sequence, BsSummary *summary)
+{
+    for (guint i = 0; i < hub->accounts->len; i++) {
+        const BsHubUse *use = hub->accounts->pdata[i];
+        if (S_is_fresh(use->changed, sequence)) {
+            S_append_use(use, false, summary->uses);
+        }
+    }
+    for (guint i = 0; i < MIN(TURN_USES, hub->accounts->len); i++) {
+        hub->use_turn = (hub->use_turn + 1) % hub->accounts->len;
+        const BsHubUse *use = hub->accounts->pdata[hub->use_turn];
+        if (!S_is_fresh(use->changed, sequence)) {
+            S_append_use(use, false, summary->uses);
+        }
+    }
+}
+
+static void
+S_fill_crashers(GHashTable *sources, BsSummary *summary)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, sources);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const BsHubSource *source = value;
+        guint room = CRASHERS_MAX - MIN(CRASHERS_MAX, summary->crashers->len);
+        g_array_append_vals(summary->crashers, source->crashers->data,
+                            MIN(room, source->crashers->len));
+    }
+}
+
+void
+BsHub_FillNear(BsHub *hub, uint64_t sequence, BsSummary *summary,
+               int64_t now_ms)
+{
+    BsHub_Expire(hub, now_ms);
+    if (sequence % DROP_AFTER == 0) {
+        S_drop_empty(hub, sequence);
+    }
+    S_fill_loads(hub, sequence, summary);
+    S_fill_uses(hub, sequence, summary);
+    S_fill_crashers(hub->members, summary);
+    S_fill_crashers(hub->far, summary);
+    hub->next = sequence + 1;
+    hub->news = false;
+}
+
+void
+BsHub_FillFar(BsHub *hub, uint64_t sequence, BsSummary *summary)
+{
+    hub->near_news = false;
+    for (guint i = 0; i < hub->order->len; i++) {
+        const BsHubSum *sum = hub->order->pdata[i];
+        BsTargetLoad load = {sum->hash, sum->near, sum->near_cold};
+        if (load.in_flight + load.cold_sent > 0) {
+            g_array_append_val(summary->loads, load);
+        }
+    }
+    /* Another account is the first each time, as not all may fit. */
+    guint count = hub->accounts->len;
+    for (guint i = 0; i < count; i++) {
+        const BsHubUse *use = hub->accounts->pdata[(sequence + i) % count];
+        S_append_use(use, true, summary->uses);
+    }
+    S_fill_crashers(hub->members, summary);
+}
+
+static uint32_t
+S_far_count(const BsHub *hub, bool heard)
+{
+    uint32_t count = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, hub->far);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const BsHubSource *source = value;
+        count += !heard ? source->known : source->silent ? 0 : source->heard;
+    }
+    return count;
+}
+
+uint32_t
+BsHub_FarHeard(const BsHub *hub)
+{
+    return S_far_count(hub, true);
+}
+
+uint32_t
+BsHub_FarKnown(const BsHub *hub)
+{
+    return S_far_count(hub, false);
+}
--- /dev/null
+++ b/src/reportcodec.c
@@ -0,0 +1,168 @@
+/* reportcodec.c - lists that reports and summaries have in common, encoded. */
+#include "reportcodec.h"
+
+#define NUMBER(numbers, index) g_array_index(numbers, uint64_t, index)
+
+/* Numbers that stand for a member, and their encoded size at most. */
+#define MEMBER_NUMBERS 7
+#define MEMBER_BYTES 37
+
+/* Bits of a member's flags. */
+#define FLAG_HEARD 1
+#define FLAG_STOPPING 2
+#define FLAG_READING_SHIFT 2
+#define FLAG_READING_BITS 3
+
+int
+BsReportCodec_Write(void *data, const char *bytes, size_t size_bytes)
+{
+    g_string_append_len(data, bytes, (gssize)size_bytes);
+    return 0;
+}
+
+guint
+BsReportCodec_Fit(const GArray *items, size_t size_bytes, size_t *room)
+{
+    guint count = (guint)MIN(items->len, *room / size_bytes);
+    *room -= count * size_bytes;
+    return count;
+}
+
+void
+BsReportCodec_PackLoads(msgpack_packer *packer, const GArray *loads,
+                        size_t item_bytes, size_t *room)
+{
+    guint count = BsReportCodec_Fit(loads, item_bytes, room);
+    msgpack_pack_array(packer, (size_t)count * 3);
+    for (guint i = 0; i < count; i++) {
+        const BsTargetLoad *load = &g_array_index(loads, BsTargetLoad, i);
+        msgpack_pack_uint64(packer, load->hash);
+        msgpack_pack_uint32(packer, load->in_flight);
+        msgpack_pack_uint32(packer, load->cold_sent);
+    }
+}
+
+void
+BsReportCodec_PackUses(msgpack_packer *packer, const GArray *uses,
+                       size_t item_bytes, size_t *room)
+{
+    guint count = BsReportCodec_Fit(uses, item_bytes, room);
+    msgpack_pack_array(packer, (size_t)count * 2);
+    for (guint i = 0; i < count; i++) {
+        const BsQuotaUse *use = &g_array_index(uses, BsQuotaUse, i);
+        msgpack_pack_uint64(packer, use->hash);
+        msgpack_pack_uint64(packer, use->used);
+    }
+}
+
+static uint32_t
+S_flags(const BsGossipNamed *member)
+{
+    return (member->heard ? FLAG_HEARD : 0U) |
+           (member->stopping ? FLAG_STOPPING : 0U) |
+           ((uint32_t)member->reading << FLAG_READING_SHIFT);
+}
+
+void
+BsReportCodec_PackMembers(msgpack_packer *packer, const GArray *members,
+                          size_t *room)
+{
+    guint count = BsReportCodec_Fit(members, MEMBER_BYTES, room);
+    msgpack_pack_array(packer, (size_t)count * MEMBER_NUMBERS);
+    for (guint i = 0; i < count; i++) {
+        const BsGossipNamed *member =
+            &g_array_index(members, BsGossipNamed, i);
+        msgpack_pack_uint32(packer, member->address);
+        msgpack_pack_uint32(packer, member->data_centre);
+        msgpack_pack_uint32(packer, member->weight);
+        msgpack_pack_uint32(packer, S_flags(member));
+        msgpack_pack_uint64(packer, member->revision);
+        msgpack_pack_uint64(packer, member->newest);
+        msgpack_pack_uint32(packer, member->age_ms);
+    }
+}
+
+bool
+BsReportCodec_U64(const msgpack_object *object, uint64_t *value)
+{
+    if (object->type != MSGPACK_OBJECT_POSITIVE_INTEGER) {
+        return false;
+    }
+    *value = object->via.u64;
+    return true;
+}
+
+bool
+BsReportCodec_Numbers(const msgpack_object *object, GArray *numbers)
+{
+    g_array_set_size(numbers, 0);
+    if (object->type != MSGPACK_OBJECT_ARRAY) {
+        return false;
+    }
+    for (uint32_t i = 0; i < object->via.array.size; i++) {
+        uint64_t value;
+        if (!BsReportCodec_U64(&object->via.array.ptr[i], &value)) {
+            return false;
+        }
+        g_array_append_val(numbers, value);
+    }
+    return true;
+}
+
+bool
+BsReportCodec_ReadLoads(const msgpack_object *object, GArray *numbers,
+                        GArray *loads)
+{
+    if (!BsReportCodec_Numbers(object, numbers)) {
+        return false;
+    }
+    for (guint i = 0; i + 2 < numbers->len; i += 3) {
+        BsTargetLoad load = {NUMBER(numbers, i),
+                             (uint32_t)NUMBER(numbers, i + 1),
+                             (uint32_t)NUMBER(numbers, i + 2)};
+        g_array_append_val(loads, load);
+    }
+    return true;
+}
+
+bool
+BsReportCodec_ReadUses(const msgpack_object *object, GArray *numbers,
+                       GArray *uses)
+{
+    if (!BsReportCodec_Numbers(object, numbers)) {
+        return false;
+    }
+    for (guint i = 0; i + 1 < numbers->len; i += 2) {
+        BsQuotaUse use = {NUMBER(numbers, i), NUMBER(numbers, i + 1)};
+        g_array_append_val(uses, use);
+    }
+    return true;
+}
+
+bool
+BsReportCodec_ReadMembers(const msgpack_object *object, GArray *numbers,
+                          GArray *members)
+{
+    if (!BsReportCodec_Numbers(object, numbers)) {
+        return false;
+    }
+    for (guint i = 0; i + MEMBER_NUMBERS <= numbers->len;
+         i += MEMBER_NUMBERS) {
+        uint64_t flags = NUMBER(numbers, i + 3);
+        uint64_t reading = (flags >> FLAG_READING_SHIFT) & FLAG_READING_BITS;
+        BsGossipNamed member = {
+            .address = (uint32_t)NUMBER(numbers, i),
+            .data_centre = (uint32_t)NUMBER(numbers, i + 1),
+            .weight = (uint32_t)NUMBER(numbers, i + 2),
+            .heard = (flags & FLAG_HEARD) != 0,
+            .stopping = (flags & FLAG_STOPPING) != 0,
+            .reading = (BsGossipReading)MIN(reading, BS_GOSSIP_FAILS),
+            .revision = NUMBER(numbers, i + 4),
+            .newest = NUMBER(numbers, i + 5),
+            .age_ms =
+                (uint32_t)MIN(NUMBER(numbers, i + 6), BS_GOSSIP_AGE_MAX_MS),
+        };
+        g_array_append_val(members, member);
+    }
+    return true;
+}
--- /dev/null
+++ b/src/summary.c
@@ -0,0 +1,154 @@
+/* summary.c - what a hub tells of many instances together, its encoding. */
+#include "summary.h"
+
+#include "codecguard.h"
+#include "reportcodec.h"
+
+#include <string.h>
+
+#define SUMMARY_VERSION 3
+#define SUMMARY_ITEMS 16
+
+/* Bits beside the version in the first item. */
+#define VERSION_BITS 255
+#define STOPPING_BIT 256
+#define FAR_BIT 512
+
+/* Bytes that the fixed part and the list heads take at most. */
+#define FIXED_BYTES 120
+
+/* Encoded sizes of a load, a use and a crasher at most. */
+#define LOAD_BYTES 15
+#define USE_BYTES 18
+#define CRASHER_BYTES 19
+
+void
+BsSummary_Init(BsSummary *summary)
+{
+    memset(summary, 0, sizeof(*summary));
+    summary->store_failed_ms = -1;
+    summary->loads = g_array_new(FALSE, FALSE, sizeof(BsTargetLoad));
+    summary->uses = g_array_new(FALSE, FALSE, sizeof(BsQuotaUse));
+    summary->members = g_array_new(FALSE, FALSE, sizeof(BsGossipNamed));
+    summary->crashers = g_array_new(FALSE, FALSE, sizeof(BsSummaryCrasher));
+}
+
+void
+BsSummary_Clear(BsSummary *summary)
+{
+    g_array_unref(summary->loads);
+    g_array_unref(summary->uses);
+    g_array_unref(summary->members);
+    g_array_unref(summary->crashers);
+}
+
+static void
+S_pack_crashers(msgpack_packer *packer, const GArray *crashers, size_t *room)
+{
+    guint count = BsReportCodec_Fit(crashers, CRASHER_BYTES, room);
+    msgpack_pack_array(packer, (size_t)count * 3);
+    for (guint i = 0; i < count; i++) {
+        const BsSummaryCrasher *told =
+            &g_array_index(crashers, BsSummaryCrasher, i);
+        msgpack_pack_uint32(packer, told->origin);
+        msgpack_pack_uint64(packer, told->crasher.hash);
+        msgpack_pack_uint32(packer, told->crasher.breaks);
+    }
+}
+
+void
+BsSummary_Encode(const BsSummary *summary, GString *out)
+{
+    msgpack_packer packer;
+    size_t room = BS_GOSSIP_MAX_BYTES - FIXED_BYTES;
+    msgpack_packer_init(&packer, out, BsReportCodec_Write);
+    msgpack_pack_array(&packer, SUMMARY_ITEMS);
+    msgpack_pack_uint32(&packer, SUMMARY_VERSION |
+                                     (summary->stopping ? STOPPING_BIT : 0) |
+                                     (summary->far ? FAR_BIT : 0));
+    msgpack_pack_uint64(&packer, summary->incarnation);
+    msgpack_pack_uint64(&packer, summary->sequence);
+    msgpack_pack_uint32(&packer, summary->data_centre);
+    msgpack_pack_uint32(&packer, (uint32_t)summary->reading);
+    msgpack_pack_uint64(&packer, summary->revision);
+    msgpack_pack_uint64(&packer, summary->newest);
+    msgpack_pack_uint64(&packer, (uint64_t)(summary->store_failed_ms + 1));
+    msgpack_pack_uint32(&packer, summary->heard);
+    msgpack_pack_uint32(&packer, summary->known);
+    msgpack_pack_uint32(&packer, summary->weight);
+    msgpack_pack_uint32(&packer, summary->age_ms);
+    S_pack_crashers(&packer, summary->crashers, &room);
+    BsReportCodec_PackMembers(&packer, summary->members, &room);
+    BsReportCodec_PackLoads(&packer, summary->loads, LOAD_BYTES, &room);
+    BsReportCodec_PackUses(&packer, summary->uses, USE_BYTES, &room);
+}
+
+static bool
+S_read_crashers(const msgpack_object *object, GArray *numbers,
+                GArray *crashers)
+{
+    if (!BsReportCodec_Numbers(object, numbers)) {
+        return false;
+    }
+    for (guint i = 0; i + 2 < numbers->len; i += 3) {
+        BsSummaryCrasher told = {
+            (uint32_t)g_array_index(numbers, uint64_t, i),
+            {g_array_index(numbers, uint64_t, i + 1),
+             (uint32_t)g_array_index(numbers, uint64_t, i + 2)}};
+        g_array_append_val(crashers, told);
+    }
+    return true;
+}
+
+static bool
+S_read(const msgpack_object *root, BsSummary *summary)
+{
+    uint64_t fixed[SUMMARY_ITEMS];
+    const size_t lists = 4;
+    const size_t numbers_count = SUMMARY_ITEMS - lists;
+    if (root->type != MSGPACK_OBJECT_ARRAY ||
+        root->via.array.size < SUMMARY_ITEMS) {
+        return false;
+    }
+    const msgpack_object *items = root->via.array.ptr;
+    for (size_t i = 0; i < numbers_count; i++) {
+        if (!BsReportCodec_U64(&items[i], &fixed[i])) {
+            return false;
+        }
+    }
+    if ((fixed[0] & VERSION_BITS) != SUMMARY_VERSION ||
+        fixed[4] > BS_GOSSIP_FAILS) {
+        return false;
+    }
+    summary->stopping = (fixed[0] & STOPPING_BIT) != 0;
+    summary->far = (fixed[0] & FAR_BIT) != 0;
+    summary->incarnation = fixed[1];
+    summary->sequence = fixed[2];
+    summary->data_centre = (uint32_t)fixed[3];
+    summary->reading = (BsGossipReading)fixed[4];
+    summary->revision = fixed[5];
+    summary->newest = fixed[6];
+    summary->store_failed_ms = (int64_t)MIN(fixed[7], INT32_MAX) - 1;
+    summary->heard = (uint32_t)fixed[8];
+    summary->known = (uint32_t)fixed[9];
+    summary->weight = (uint32_t)fixed[10];
+    summary->age_ms = (uint32_t)MIN(fixed[11], BS_GOSSIP_AGE_MAX_MS);
+    GArray *numbers = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    bool valid =
+        S_read_crashers(&items[12], numbers, summary->crashers) &&
+        BsReportCodec_ReadMembers(&items[13], numbers, summary->members) &&
+        BsReportCodec_ReadLoads(&items[14], numbers, summary->loads) &&
+        BsReportCodec_ReadUses(&items[15], numbers, summary->uses);
+    g_array_unref(numbers);
+    return valid;
+}
+
+bool
+BsSummary_Decode(const char *data, size_t size_bytes, BsSummary *summary)
+{
+    msgpack_unpacked unpacked;
+    bool valid = BsCodecGuard_Unpack(data, size_bytes, &unpacked) &&
+                 S_read(&unpacked.data, summary);
+    msgpack_unpacked_destroy(&unpacked);
+    return valid;
+}
--- a/src/targetcold.c
+++ b/src/targetcold.c
@@ -1,7 +1,6 @@
 /* targetcold.c - how much a cold upstream may get. */
 #include "targets_private.h"
 
-#include <string.h>
 #include <xxhash.h>
 
 /* Part of the cold limit that is used, as counts of peers come late. */
@@ -39,8 +38,8 @@
     g_array_append_vals(targets->senders, senders->data, senders->len);
 }
 
-/* Returns how many instances, of data centre DATA_CENTRE or (0) of all, come
-   before this one in the order of senders to TARGET; FOUND counts all. */
+/* Returns how many instances of data centre DATA_CENTRE come before this one
+ * in the order of senders to TARGET; FOUND counts all. */
 static unsigned
 S_senders_before(const BsTargets *targets, const BsTarget *target,
                  uint32_t data_centre, unsigned *found)
@@ -52,7 +51,7 @@
     for (guint i = 0; i < targets->senders->len; i++) {
         const BsTargetSender *sender =
             &g_array_index(targets->senders, BsTargetSender, i);
-        if (data_centre != 0 && sender->data_centre != data_centre) {
+        if (sender->data_centre != data_centre) {
             continue;
         }
         uint64_t pair[2] = {target->hash, sender->address};
@@ -62,6 +61,26 @@
     return before;
 }
 
+/* Returns the data centre that stands in for that of TARGET, of which no
+   instance is heard: the same one for all that hear the same ones. */
+static uint32_t
+S_stand_in(const BsTargets *targets, const BsTarget *target)
+{
+    uint32_t best = 0;
+    uint64_t best_rank = 0;
+    for (guint i = 0; i < targets->senders->len; i++) {
+        uint32_t data_centre =
+            g_array_index(targets->senders, BsTargetSender, i).data_centre;
+        uint64_t pair[2] = {target->hash, data_centre};
+        uint64_t rank = XXH3_64bits(pair, sizeof(pair));
+        if (best == 0 || rank < best_rank) {
+            best = data_centre;
+            best_rank = rank;
+        }
+    }
+    return best;
+}
+
 /* Returns whether this instance is one of the few that send to the cold
    TARGET: requests that several send in the same moment cannot be counted in
    time, so there must be fewer senders than the limit bears.  Those of its
@@ -74,13 +93,15 @@
     uint32_t near = (uint32_t)BsTargets_Hash(target->data_centre);
     unsigned found;
     unsigned before = S_senders_before(targets, target, near, &found);
-    if (found == 0) {
-        before = S_senders_before(targets, target, 0, &found);
+    if (targets->senders->len == 0) {
+        return true; /* alone */
     }
-    else if (strcmp(target->data_centre, targets->data_centre) != 0) {
-        return false;
+    if (found == 0) {
+        near = S_stand_in(targets, target);
+        before = S_senders_before(targets, target, near, &found);
     }
-    return before < senders;
+    return near == (uint32_t)BsTargets_Hash(targets->data_centre) &&
+           before < senders;
 }
 
 bool
--- a/src/targetpeers.c
+++ b/src/targetpeers.c
@@ -17,12 +17,16 @@
             target->others += told->hash == target->hash ? told->in_flight : 0;
         }
     }
+    const BsTargetLoad *fleet = g_hash_table_lookup(
+        targets->fleet, GUINT_TO_POINTER((uint32_t)target->hash));
+    target->others += fleet == NULL ? 0 : fleet->in_flight;
 }
 
 static BsTarget *
 S_by_hash(const BsTargets *targets, uint64_t hash)
 {
-    return g_hash_table_lookup(targets->by_hash, &hash);
+    return g_hash_table_lookup(targets->by_hash,
+                               GUINT_TO_POINTER((uint32_t)hash));
 }
 
 static void
@@ -96,6 +100,48 @@
     }
 }
 
+void
+BsTargets_DropPeers(BsTargets *targets)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, targets->peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        S_subtract(targets, value);
+        g_hash_table_iter_remove(&iter);
+    }
+}
+
+static void
+S_set_fleet(BsTargets *targets, const BsTargetLoad *load, int64_t now_ms)
+{
+    gpointer key = GUINT_TO_POINTER((uint32_t)load->hash);
+    BsTargetLoad *held = g_hash_table_lookup(targets->fleet, key);
+    if (held == NULL) {
+        held = g_new0(BsTargetLoad, 1);
+        held->cold_sent = load->cold_sent; /* what was sent before is past */
+        g_hash_table_insert(targets->fleet, key, held);
+    }
+    BsTarget *target = S_by_hash(targets, load->hash);
+    if (target != NULL) {
+        target->others -= MIN(target->others, held->in_flight);
+        target->others += load->in_flight;
+        if (BsTarget_IsCold(target, now_ms) &&
+            load->cold_sent > held->cold_sent) {
+            target->cold_level -= load->cold_sent - held->cold_sent;
+        }
+    }
+    *held = *load;
+}
+
+void
+BsTargets_SetFleet(BsTargets *targets, const GArray *loads, int64_t now_ms)
+{
+    for (guint i = 0; i < loads->len; i++) {
+        S_set_fleet(targets, &g_array_index(loads, BsTargetLoad, i), now_ms);
+    }
+}
+
 uint32_t
 BsTargets_PeerLoad(const BsTargets *targets)
 {
--- a/src/targets.c
+++ b/src/targets.c
@@ -57,12 +57,13 @@
     BsTargets *targets = g_new0(BsTargets, 1);
     targets->by_id =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, S_destroy_target);
-    targets->by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
+    targets->by_hash = g_hash_table_new(NULL, NULL);
     targets->services =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, S_destroy_list);
     targets->closed =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     targets->peers = g_hash_table_new_full(NULL, NULL, NULL, S_destroy_peer);
+    targets->fleet = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     targets->left =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     targets->data_centre = g_strdup(data_centre);
@@ -83,6 +84,7 @@
     g_array_unref(targets->senders);
     g_hash_table_destroy(targets->allowances);
     g_hash_table_destroy(targets->left);
+    g_hash_table_destroy(targets->fleet);
     g_hash_table_destroy(targets->peers);
     g_hash_table_destroy(targets->closed);
     g_hash_table_destroy(targets->services);
@@ -135,7 +137,8 @@
     target->leaving = S_has_left(targets, entry);
     BsTargets_AddPeerLoads(targets, target);
     g_hash_table_insert(targets->by_id, target->id, target);
-    g_hash_table_insert(targets->by_hash, &target->hash, target);
+    g_hash_table_insert(targets->by_hash,
+                        GUINT_TO_POINTER((uint32_t)target->hash), target);
     g_ptr_array_add(S_service_list(targets, entry->service), target);
     return target;
 }
@@ -362,7 +365,8 @@
         return;
     }
     g_ptr_array_remove(S_service_list(targets, target->service), target);
-    g_hash_table_remove(targets->by_hash, &target->hash);
+    g_hash_table_remove(targets->by_hash,
+                        GUINT_TO_POINTER((uint32_t)target->hash));
     g_hash_table_remove(targets->by_id, target->id);
 }
 
--- a/src/targets.h
+++ b/src/targets.h
@@ -204,6 +204,14 @@
 /* Forgets what PEER told. */
 void BsTargets_DropPeer(BsTargets *targets, uint32_t peer);
 
+/* Forgets what all peers told. */
+void BsTargets_DropPeers(BsTargets *targets);
+
+/* Sets what the rest of the fleet has at upstreams, as a hub tells it: LOADS
+   holds BsTargetLoad of those that changed, hashes cut to 32 bits. */
+void BsTargets_SetFleet(BsTargets *targets, const GArray *loads,
+                        int64_t now_ms);
+
 /* Returns the requests of all peers together. */
 uint32_t BsTargets_PeerLoad(const BsTargets *targets);
 
--- a/src/targets_private.h
+++ b/src/targets_private.h
@@ -21,10 +21,11 @@
 
 struct BsTargets {
     GHashTable *by_id;    /* id to BsTarget */
-    GHashTable *by_hash;  /* uint64_t to BsTarget, not owned */
+    GHashTable *by_hash;  /* lower half of a hash to BsTarget, not owned */
     GHashTable *services; /* name to GPtrArray of BsTarget, not owned */
     GHashTable *closed;   /* set of data centres */
     GHashTable *peers;    /* number to BsTargetPeer */
+    GHashTable *fleet;    /* lower half of a hash to BsTargetLoad */
     GHashTable *left;     /* id to start (int64_t) of those that said they
                              leave */
     char *data_centre;
--- a/tests/gate/gateway_fleet_test.cc
+++ b/tests/gate/gateway_fleet_test.cc
@@ -11,7 +11,7 @@
 #include <unistd.h>
 
 extern "C" {
-#include "gossipreport.h"
+#include "fleetpart.h"
 }
 
 namespace {
@@ -197,6 +197,8 @@
     report.newest = revision;
     report.reading = BS_GOSSIP_READS;
     GString *data = g_string_new(nullptr);
+    g_string_set_size(data, BS_FLEET_MAX_BYTES - BS_GOSSIP_MAX_BYTES);
+    memset(data->str, 0, data->len); // a plain report
     BsGossipReport_Encode(&report, data);
     BsGossipReport_Clear(&report);
     sockaddr_in from = {};
