One look in vain is enough for waiting requests that want the same places

Cause: with 246 upstreams a choice walks all of them, and each change of a count let every waiting request choose again; the walk compared names of data centres and looked up closed ones for each upstream. Change: linepass.c remembers within a look through the line which kinds of requests found nothing; targets know whether they are near, in the own region and closed. Tests: linepass_test.cc (load pattern: a long line in an overload).

--- a/src/gw_relay.c
+++ b/src/gw_relay.c
@@ -3,6 +3,7 @@
 
 #include "daycount.h"
 #include "gw_relayparts.h"
+#include "linepass.h"
 #include "linewait.h"
 
 #include <string.h>
@@ -309,13 +310,14 @@
     return relay->yield_draw >= part ? YIELD_PLACES : 0;
 }
 
-/* Chooses a target for the request, as BsTargets_Choose(). */
+/* Chooses a target for the request, which leaves PLACES_LEFT to others, as
+   BsTargets_Choose(). */
 static BsTarget *
-S_choose(BsRelay *relay, BsTargetVerdict *verdict)
+S_choose(BsRelay *relay, uint32_t places_left, BsTargetVerdict *verdict)
 {
     BsTargetQuery query;
     BsAttempt_FillQuery(relay, &query);
-    query.places_left = S_places_left(relay);
+    query.places_left = places_left;
     return BsTargets_Choose(relay->gate->targets, &query,
                             BsClock_NowMs(relay->gate->clock), verdict);
 }
@@ -358,7 +360,7 @@
 BsRelay_Place(BsRelay *relay)
 {
     BsTargetVerdict verdict;
-    BsTarget *target = S_choose(relay, &verdict);
+    BsTarget *target = S_choose(relay, S_places_left(relay), &verdict);
     if (target != NULL) {
         BsAttempt_Start(relay, target);
     }
@@ -371,23 +373,42 @@
     }
 }
 
+/* Sends a waiting request when there is a place for it. */
+static void
+S_serve(BsRelay *relay, BsLinePass *pass)
+{
+    BsTargetVerdict verdict;
+    BsLinePassKind kind = {
+        .route = relay->route,
+        .service = relay->service,
+        .account = relay->account,
+        .places_left = S_places_left(relay),
+        .excludes = relay->excluded_count > 0,
+    };
+    if (!BsLinePass_MayFind(pass, &kind)) {
+        return;
+    }
+    BsTarget *target = S_choose(relay, kind.places_left, &verdict);
+    if (target == NULL) {
+        BsLinePass_NoteNone(pass, &kind);
+        return;
+    }
+    BsLine_Remove(relay->gate->line, relay->waiting);
+    relay->waiting = NULL;
+    BsAttempt_Start(relay, target);
+}
+
 void
 BsRelay_ServeLine(BsGate *gate)
 {
     if (BsLine_Length(gate->line) == 0) {
         return;
     }
-    int64_t now_ms = BsClock_NowMs(gate->clock);
-    GPtrArray *order = BsLine_Order(gate->line, now_ms);
+    BsLinePass pass;
+    BsLinePass_Begin(&pass);
+    GPtrArray *order = BsLine_Order(gate->line, BsClock_NowMs(gate->clock));
     for (guint i = 0; i < order->len; i++) {
-        BsRelay *relay = order->pdata[i];
-        BsTargetVerdict verdict;
-        BsTarget *target = S_choose(relay, &verdict);
-        if (target != NULL) {
-            BsLine_Remove(gate->line, relay->waiting);
-            relay->waiting = NULL;
-            BsAttempt_Start(relay, target);
-        }
+        S_serve(order->pdata[i], &pass);
     }
     g_ptr_array_free(order, TRUE);
 }
--- /dev/null
+++ b/src/linepass.c
@@ -0,0 +1,43 @@
+/* linepass.c - what one look through the line of waiting requests learned. */
+#include "linepass.h"
+
+void
+BsLinePass_Begin(BsLinePass *pass)
+{
+    pass->count = 0;
+}
+
+/* Returns whether the account narrows down what the route allows. */
+static bool
+S_narrows(const BsCatalogAccount *account)
+{
+    return account != NULL && account->regions->len > 0;
+}
+
+/* Returns whether KIND may use no place that FAILED may not use. */
+static bool
+S_is_within(const BsLinePassKind *kind, const BsLinePassKind *failed)
+{
+    return kind->route == failed->route && kind->service == failed->service &&
+           kind->places_left >= failed->places_left &&
+           (!S_narrows(failed->account) || kind->account == failed->account);
+}
+
+bool
+BsLinePass_MayFind(const BsLinePass *pass, const BsLinePassKind *kind)
+{
+    for (unsigned i = 0; i < pass->count; i++) {
+        if (S_is_within(kind, &pass->failed[i])) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void
+BsLinePass_NoteNone(BsLinePass *pass, const BsLinePassKind *kind)
+{
+    if (!kind->excludes && pass->count < BS_LINEPASS_KINDS) {
+        pass->failed[pass->count++] = *kind;
+    }
+}
--- a/src/targetchoice.c
+++ b/src/targetchoice.c
@@ -60,12 +60,10 @@
 /* Returns whether the target may get new work by what the operators and the
    platform say. */
 static bool
-S_is_open(const BsTargets *targets, const BsTarget *target,
-          const BsTargetQuery *query, int64_t now_ms)
+S_is_open(const BsTarget *target, const BsTargetQuery *query, int64_t now_ms)
 {
     return !BsTarget_IsLeaving(target) && target->gone_at_ms > now_ms &&
-           target->region != NULL &&
-           !g_hash_table_contains(targets->closed, target->data_centre) &&
+           target->region != NULL && !target->closed &&
            !S_is_excluded(query, target->id) &&
            BsCatalog_AllowsRegion(query->route, query->account,
                                   target->region);
@@ -97,15 +95,14 @@
 }
 
 static BsTargetContext
-S_survey(const BsTargets *targets, const GPtrArray *list,
-         const BsTargetQuery *query, int64_t now_ms)
+S_survey(const GPtrArray *list, const BsTargetQuery *query, int64_t now_ms)
 {
     BsTargetContext context = {0, 1.0, NULL};
     uint64_t best_weight = 0;
     unsigned paced = 0;
     for (guint i = 0; i < list->len; i++) {
         const BsTarget *target = list->pdata[i];
-        if (!S_is_open(targets, target, query, now_ms)) {
+        if (!S_is_open(target, query, now_ms)) {
             continue;
         }
         context.best_error = MIN(context.best_error, target->error_ratio);
@@ -127,9 +124,8 @@
 
 /* Returns what the request costs at TARGET; lower is better. */
 static double
-S_cost(const BsTargets *targets, const BsTarget *target,
-       const BsTargetQuery *query, const BsTargetContext *context,
-       int64_t now_ms)
+S_cost(const BsTarget *target, const BsTargetQuery *query,
+       const BsTargetContext *context, int64_t now_ms)
 {
     double pace = S_pace(target, context->usual_pace_ms);
     double error = target->error_ratio - context->best_error;
@@ -147,10 +143,10 @@
     if (error > ERROR_TOLERATED) {
         cost += (error - ERROR_TOLERATED) * ERROR_COST_MS;
     }
-    if (strcmp(target->region, targets->region) != 0) {
+    if (!target->home) {
         cost += OTHER_REGION_COST_MS;
     }
-    else if (strcmp(target->data_centre, targets->data_centre) != 0) {
+    else if (!target->near) {
         cost += OTHER_DATA_CENTRE_COST_MS;
     }
     if (BsTarget_IsCold(target, now_ms)) {
@@ -168,8 +164,7 @@
 bool
 BsTargets_IsGuessed(const BsTargets *targets, const BsTarget *target)
 {
-    return targets->far_age_ms > FAR_FRESH_MS &&
-           strcmp(target->data_centre, targets->data_centre) != 0;
+    return targets->far_age_ms > FAR_FRESH_MS && !target->near;
 }
 
 static bool
@@ -215,7 +210,7 @@
     for (guint i = 0; i < list->len; i++) {
         const BsTarget *target = list->pdata[i];
         if (BsTargets_IsGuessed(targets, target) && target->failures == 0 &&
-            S_is_open(targets, target, query, now_ms)) {
+            S_is_open(target, query, now_ms)) {
             S_allowance(targets, target->data_centre)->free +=
                 target->slots - MIN(target->slots, BsTarget_Load(target));
         }
@@ -306,7 +301,7 @@
 S_is_free(const BsTargets *targets, BsTarget *target,
           const BsTargetQuery *query, int64_t now_ms, BsTargetVerdict *verdict)
 {
-    if (!S_is_open(targets, target, query, now_ms)) {
+    if (!S_is_open(target, query, now_ms)) {
         return false;
     }
     if (!S_is_believed(target, now_ms) ||
@@ -338,7 +333,7 @@
             (guessed && !S_is_allowed(targets, target))) {
             continue;
         }
-        double cost = S_cost(targets, target, query, context, now_ms);
+        double cost = S_cost(target, query, context, now_ms);
         if (guessed) {
             cost += S_chance(targets, target, now_ms);
         }
@@ -360,7 +355,7 @@
     if (list == NULL) {
         return NULL;
     }
-    BsTargetContext context = S_survey(targets, list, query, now_ms);
+    BsTargetContext context = S_survey(list, query, now_ms);
     BsTarget *best =
         S_cheapest(targets, list, query, &context, false, now_ms, verdict);
     if (best == NULL && targets->far_age_ms > FAR_FRESH_MS) {
@@ -385,7 +380,7 @@
     for (guint i = 0; list != NULL && i < list->len; i++) {
         const BsTarget *target = list->pdata[i];
         if (BsTarget_IsLeaving(target) || target->gone_at_ms <= now_ms ||
-            g_hash_table_contains(targets->closed, target->data_centre)) {
+            target->closed) {
             continue;
         }
         *places += target->slots;
--- a/src/targets.c
+++ b/src/targets.c
@@ -193,6 +193,10 @@
     S_move_service(targets, target, entry->service);
     S_set_text(&target->data_centre, entry->data_centre);
     S_set_text(&target->region, entry->region);
+    target->near = strcmp(target->data_centre, targets->data_centre) == 0;
+    target->home = g_strcmp0(target->region, targets->region) == 0;
+    target->closed =
+        g_hash_table_contains(targets->closed, target->data_centre);
     target->address = entry->address;
     target->slots = entry->slots;
     target->born_ms = entry->born_ms;
@@ -248,12 +252,21 @@
 void
 BsTargets_SetClosed(BsTargets *targets, const char *data_centre, bool closed)
 {
+    GHashTableIter iter;
+    gpointer value;
     if (closed) {
         g_hash_table_add(targets->closed, g_strdup(data_centre));
     }
     else {
         g_hash_table_remove(targets->closed, data_centre);
     }
+    g_hash_table_iter_init(&iter, targets->by_id);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        BsTarget *target = value;
+        if (strcmp(target->data_centre, data_centre) == 0) {
+            target->closed = closed;
+        }
+    }
 }
 
 BsTarget *
--- a/src/targets.h
+++ b/src/targets.h
@@ -49,6 +49,9 @@
     bool was_down;      /* took no connection since it last answered */
     int64_t gone_at_ms; /* removed from the list but still in use until then;
                            INT64_MAX when listed */
+    bool near;          /* in the own data centre */
+    bool home;          /* in the own region */
+    bool closed;        /* its data centre takes no new work */
     bool draining;
     bool leaving;    /* an answer of it said so; until its next start */
     uint32_t own;    /* our requests there */
--- /dev/null
+++ b/tests/gate/linepass_test.cc
@@ -0,0 +1,104 @@
+// A long line in an overload: one look in vain is enough for all that could
+// only use the same places.
+#include <gtest/gtest.h>
+
+extern "C" {
+#include "linepass.h"
+}
+
+namespace {
+
+class LinePassTest : public testing::Test {
+  protected:
+    LinePassTest()
+    {
+        BsLinePass_Begin(&pass_);
+        route_ = BsCatalogRoute_Create();
+        other_ = BsCatalogRoute_Create();
+        free_.regions = g_ptr_array_new();
+        bound_.regions = g_ptr_array_new();
+        also_bound_.regions = g_ptr_array_new();
+        g_ptr_array_add(bound_.regions, route_);
+        g_ptr_array_add(also_bound_.regions, route_);
+    }
+    ~LinePassTest() override
+    {
+        BsCatalogRoute_Destroy(route_);
+        BsCatalogRoute_Destroy(other_);
+        g_ptr_array_unref(free_.regions);
+        g_ptr_array_unref(bound_.regions);
+        g_ptr_array_unref(also_bound_.regions);
+    }
+    bool MayFind(const BsCatalogRoute *route, const BsCatalogAccount *account,
+                 uint32_t left, bool excludes = false)
+    {
+        BsLinePassKind kind = {route, &service_, account, left, excludes};
+        return BsLinePass_MayFind(&pass_, &kind);
+    }
+    void None(const BsCatalogRoute *route, const BsCatalogAccount *account,
+              uint32_t left, bool excludes = false)
+    {
+        BsLinePassKind kind = {route, &service_, account, left, excludes};
+        BsLinePass_NoteNone(&pass_, &kind);
+    }
+    BsLinePass pass_;
+    BsCatalogRoute *route_;
+    BsCatalogRoute *other_;
+    BsCatalogService service_ = {};
+    BsCatalogService second_ = {};
+    BsCatalogAccount free_ = {};
+    BsCatalogAccount bound_ = {};
+    BsCatalogAccount also_bound_ = {};
+};
+
+TEST_F(LinePassTest, LongLineInAnOverload)
+{
+    EXPECT_TRUE(MayFind(route_, &free_, 0));
+    None(route_, &free_, 0);
+    for (int i = 0; i < 1000; i++) {
+        EXPECT_FALSE(MayFind(route_, &free_, 0));
+    }
+    EXPECT_FALSE(MayFind(route_, &free_, 2));
+    EXPECT_FALSE(MayFind(route_, &bound_, 0));
+    EXPECT_FALSE(MayFind(route_, nullptr, 0, true));
+    EXPECT_TRUE(MayFind(other_, &free_, 0));
+}
+
+TEST_F(LinePassTest, WhoLeavesFewerPlacesLooksItself)
+{
+    None(route_, &free_, 2);
+    EXPECT_FALSE(MayFind(route_, &free_, 2));
+    EXPECT_TRUE(MayFind(route_, &free_, 0));
+}
+
+TEST_F(LinePassTest, ABoundAccountSaysNothingOfOthers)
+{
+    None(route_, &bound_, 0);
+    EXPECT_FALSE(MayFind(route_, &bound_, 0));
+    EXPECT_TRUE(MayFind(route_, &also_bound_, 0));
+    EXPECT_TRUE(MayFind(route_, &free_, 0));
+}
+
+TEST_F(LinePassTest, OneThatExcludesUpstreamsSaysNothingOfOthers)
+{
+    None(route_, &free_, 0, true);
+    EXPECT_TRUE(MayFind(route_, &free_, 0));
+}
+
+TEST_F(LinePassTest, ARouteToTwoServicesIsTwoKinds)
+{
+    None(route_, &free_, 0);
+    BsLinePassKind kind = {route_, &second_, &free_, 0, false};
+    EXPECT_TRUE(BsLinePass_MayFind(&pass_, &kind));
+}
+
+TEST_F(LinePassTest, MoreKindsThanRemembered)
+{
+    for (uint32_t left = 100; left > 0; left--) {
+        None(route_, &free_, left);
+    }
+    EXPECT_TRUE(MayFind(route_, &free_, 1));
+    EXPECT_FALSE(MayFind(route_, &free_, 100));
+}
+
+} // namespace
