A herd of choices on the same sums spreads, shown without a network

Cause: of equal upstreams in its sample an instance took the first in the list. Change: chance decides among equals. Tests: herd_test.cc names the load patterns (burst on an idle fleet, the only idle upstream, the last place, a session).

--- a/src/targetchoice.c
+++ b/src/targetchoice.c
@@ -40,6 +40,9 @@
    time, so that not all take the best one. */
 #define SAMPLE_ONE_IN 8
 
+/* Part of the cost by chance that decides among equals there. */
+#define SAMPLE_TIE_PART 50
+
 /* Part of an instance whose own data centre has no upstream: its neighbours
    need places elsewhere, too, and the others do not. */
 #define FAR_NEEDY_PART 5.0
@@ -351,20 +354,23 @@
            const BsTargetQuery *query, const BsTargetContext *context,
            BsTargetLook look, int64_t now_ms, BsTargetVerdict *verdict)
 {
-    bool guessed = look == LOOK_GUESSED;
+
     BsTarget *best = NULL;
     double best_cost = HUGE_VAL;
     for (guint i = 0; i < list->len; i++) {
         BsTarget *target = list->pdata[i];
         if (!S_is_looked_at(targets, target, context, look, now_ms) ||
             !S_is_free(targets, target, query, now_ms, verdict) ||
-            (guessed && !S_is_allowed(targets, target))) {
+            (look == LOOK_GUESSED && !S_is_allowed(targets, target))) {
             continue;
         }
         double cost = S_cost(target, query, context, now_ms);
-        if (guessed) {
+        if (look == LOOK_GUESSED) {
             cost += S_chance(targets, target, now_ms);
         }
+        else if (look == LOOK_SAMPLE) {
+            cost += S_chance(targets, target, now_ms) / SAMPLE_TIE_PART;
+        }
         if (cost < best_cost) {
             best = target;
             best_cost = cost;
--- /dev/null
+++ b/tests/gate/herd_test.cc
@@ -0,0 +1,143 @@
+// Many instances choose at the same moment by the same sums of a hub: the load
+// patterns of a large fleet in a burst, without a network.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "targets.h"
+}
+
+namespace {
+
+class HerdTest : public testing::Test {
+  protected:
+    static constexpr unsigned kInstances = 49;
+    static constexpr unsigned kUpstreams = 40;
+    static constexpr uint32_t kSlots = 4;
+
+    HerdTest()
+    {
+        service_.name = g_strdup("desk");
+        service_.engine = true;
+        route_ = BsCatalogRoute_Create();
+        for (unsigned i = 0; i < kInstances; i++) {
+            instances_.push_back(BsTargets_Create("n1", "north"));
+            GArray *senders =
+                g_array_new(FALSE, FALSE, sizeof(BsTargetSender));
+            BsTargets_SetSenders(instances_.back(), 100 + i, senders);
+            g_array_unref(senders);
+            for (unsigned n = 0; n < kUpstreams; n++) {
+                List(instances_.back(), n);
+            }
+        }
+    }
+    ~HerdTest() override
+    {
+        for (BsTargets *instance : instances_) {
+            BsTargets_Destroy(instance);
+        }
+        BsCatalogRoute_Destroy(route_);
+        g_free(service_.name);
+    }
+    static std::string Id(unsigned number)
+    {
+        return "e" + std::to_string(number);
+    }
+    static void List(BsTargets *targets, unsigned number)
+    {
+        std::string id = Id(number);
+        BsTargetEntry entry = {};
+        entry.id = id.c_str();
+        entry.service = "desk";
+        entry.data_centre = "n1";
+        entry.region = "north";
+        entry.slots = kSlots;
+        BsTargets_Put(targets, &entry, 0);
+    }
+    // The hub tells all that upstream NUMBER has IN_FLIGHT requests.
+    void Tell(unsigned number, uint32_t in_flight)
+    {
+        GArray *loads = g_array_new(FALSE, FALSE, sizeof(BsTargetLoad));
+        BsTargetLoad load = {(uint32_t)BsTargets_Hash(Id(number).c_str()),
+                             in_flight, 0};
+        g_array_append_val(loads, load);
+        for (BsTargets *instance : instances_) {
+            BsTargets_SetFleet(instance, loads, 0);
+        }
+        g_array_unref(loads);
+    }
+    // Each instance sends one request of SESSION (0: none) at NOW_MS.
+    std::map<std::string, unsigned> SendOneEach(uint64_t session,
+                                                int64_t now_ms)
+    {
+        std::map<std::string, unsigned> sent;
+        for (BsTargets *instance : instances_) {
+            BsTargetQuery query = {};
+            BsTargetVerdict verdict;
+            query.service = &service_;
+            query.route = route_;
+            query.prompt_tokens = 2000;
+            query.output_tokens = 50;
+            query.session = session;
+            BsTarget *target =
+                BsTargets_Choose(instance, &query, now_ms, &verdict);
+            sent[target == nullptr ? "" : target->id]++;
+        }
+        return sent;
+    }
+    static unsigned Most(const std::map<std::string, unsigned> &sent)
+    {
+        unsigned most = 0;
+        for (const auto &upstream : sent) {
+            most = std::max(most, upstream.second);
+        }
+        return most;
+    }
+    BsCatalogService service_ = {};
+    BsCatalogRoute *route_;
+    std::vector<BsTargets *> instances_;
+};
+
+// All upstreams are alike and idle.
+TEST_F(HerdTest, ABurstOnAnIdleFleetSpreads)
+{
+    Tell(0, 0);
+    for (int64_t now_ms = 0; now_ms < 10; now_ms++) {
+        EXPECT_LE(Most(SendOneEach(0, now_ms)), 2 * kSlots) << now_ms;
+    }
+}
+
+// One upstream is idle, the others have one place left: without a sample all
+// would take the idle one.
+TEST_F(HerdTest, TheOnlyIdleUpstreamIsNotTakenByAll)
+{
+    for (unsigned n = 1; n < kUpstreams; n++) {
+        Tell(n, kSlots - 1);
+    }
+    for (int64_t now_ms = 0; now_ms < 10; now_ms++) {
+        EXPECT_LE(SendOneEach(0, now_ms)["e0"], 3 * kSlots) << now_ms;
+    }
+}
+
+// Few places are left: who finds none in its sample looks at all.
+TEST_F(HerdTest, TheLastPlaceIsFoundByAll)
+{
+    for (unsigned n = 1; n < kUpstreams; n++) {
+        Tell(n, kSlots);
+    }
+    EXPECT_EQ(SendOneEach(0, 0)["e0"], kInstances);
+}
+
+// A session goes where its prompt is kept, from every instance.
+TEST_F(HerdTest, ASessionKeepsItsUpstream)
+{
+    Tell(0, 0);
+    EXPECT_EQ(Most(SendOneEach(4711, 0)), kInstances);
+}
+
+} // namespace
