A stopping hub hands over before it ends

Cause: a hub that stops lost its members' reports at once, as they leave a stopping one, but went on telling the other data centres its sums; for up to a second they counted only its own requests. Change: a stopping instance takes another one for its hub, and hubs of other data centres take the next one's sums at once. Test: FleetTest.AStoppingHubHandsOver; it fails without the hand-over.

--- a/src/fleetpart.c
+++ b/src/fleetpart.c
@@ -161,6 +161,9 @@
     report->age_ms = S_age_ms(fleet, now_ms);
     report->fleet = BsGossip_Counted(fleet->gossip, now_ms);
     fleet->events->fill(report, true, now_ms, fleet->context);
+    if (report->stopping) {
+        BsGossip_SetStopping(fleet->gossip);
+    }
     BsGossip_AppendMembers(fleet->gossip, fleet->random, MEMBERS_TOLD, now_ms,
                            report->members);
 }
--- a/src/gossip.h
+++ b/src/gossip.h
@@ -80,6 +80,10 @@
 /* Chooses the hub again.  Returns whether it is another one than before. */
 bool BsGossip_ChooseHub(BsGossip *gossip, int64_t now_ms);
 
+/* Notes that this instance stops, so that it is no hub any more where another
+   one can be. */
+void BsGossip_SetStopping(BsGossip *gossip);
+
 /* Returns the address of the hub in use, this instance's own when it is the
    hub; 0 when there is none. */
 uint32_t BsGossip_Hub(const BsGossip *gossip);
--- a/src/gossip_private.h
+++ b/src/gossip_private.h
@@ -36,6 +36,7 @@
     uint32_t data_centre;
     uint32_t weight;
     int64_t started_ms;
+    bool stopping;
     int64_t store_failed_ms;
     GHashTable *entries; /* address to BsGossipEntry */
     uint32_t fleet_told; /* size of the fleet, as others said */
--- a/src/gossiphub.c
+++ b/src/gossiphub.c
@@ -153,6 +153,9 @@
     if (first == NULL) {
         return gossip->address;
     }
+    if (gossip->stopping) {
+        return first->member.address;
+    }
     BsGossipEntry self = {
         .member = {.address = gossip->address, .weight = gossip->weight},
         .since_ms = gossip->started_ms};
@@ -184,6 +187,12 @@
     return true;
 }
 
+void
+BsGossip_SetStopping(BsGossip *gossip)
+{
+    gossip->stopping = true;
+}
+
 uint32_t
 BsGossip_Hub(const BsGossip *gossip)
 {
--- a/src/hub.c
+++ b/src/hub.c
@@ -37,6 +37,7 @@
     uint64_t sequence;
     int64_t heard_ms;
     bool silent;
+    bool stopping;     /* another one takes over */
     GHashTable *loads; /* lower half of a hash to BsTargetLoad */
     GArray *crashers;  /* BsSummaryCrasher */
     GHashTable *uses;  /* account hash to uint64_t, last told */
@@ -305,12 +306,15 @@
     bool same = source->address == address;
     if ((same && source->incarnation == summary->incarnation &&
          summary->sequence <= source->sequence) ||
-        (!same && !source->silent && now_ms - source->heard_ms < SUCCEED_MS)) {
+        (!same && !source->silent && !source->stopping &&
+         now_ms - source->heard_ms < SUCCEED_MS) ||
+        (!same && summary->stopping && !source->silent)) {
         return false;
     }
     S_replace(hub, source, address, summary->incarnation, summary->loads,
               summary->uses, true, now_ms);
     source->sequence = summary->sequence;
+    source->stopping = summary->stopping;
     source->heard = summary->heard;
     source->known = summary->known;
     if (summary->uses->len > 0) {
--- a/tests/gate/fleet_test.cc
+++ b/tests/gate/fleet_test.cc
@@ -34,6 +34,7 @@
     uint32_t weight = 88;
     BsFleetPart *fleet = nullptr;
     bool alive = true;
+    bool stopping = false;
     int64_t next_tick_ms = 0;
     std::map<uint64_t, uint32_t> own;
     std::map<uint32_t, uint32_t> others; // by the lower half of the hash
@@ -97,6 +98,7 @@
     Node *node = static_cast<Node *>(context);
     report->revision = 5;
     report->newest = 5;
+    report->stopping = node->stopping;
     if (!work) {
         return;
     }
@@ -228,6 +230,7 @@
         BsGossip_AddSeed(BsFleetPart_Gossip(node->fleet), seed, now_ms);
     }
     node->alive = true;
+    node->stopping = false;
     node->next_tick_ms = now_ms + (int64_t)(random() % 20);
 }
 
@@ -519,6 +522,35 @@
     EXPECT_EQ(Heard(hub), 90U);
 }
 
+// A planned stop: the next hub serves before the old one ends, and the other
+// data centres never lose the sums.
+TEST_F(FleetTest, AStoppingHubHandsOver)
+{
+    Build(3, 30);
+    Load(4000, 500);
+    Node *hub = HubOf(1);
+    ASSERT_NE(hub, nullptr);
+    hub->stopping = true;
+    int64_t off = 0;
+    int64_t looks = 0;
+    for (int i = 0; i < 60; i++) {
+        Load(50, 500);
+        const Node *far = world_.nodes[40].get();
+        for (uint64_t n = 0; n < kUpstreams; n++) {
+            int64_t truth = world_.Truth(Upstream(n), far);
+            off += std::abs(truth - (int64_t)world_.Seen(far, Upstream(n)));
+            looks += truth;
+        }
+    }
+    EXPECT_LT((double)off / (double)looks, 0.25);
+    ASSERT_NE(HubOf(1), nullptr);
+    EXPECT_NE(HubOf(1), hub);
+    EXPECT_EQ(Hubs(), 3);
+    hub->alive = false;
+    world_.Run(3000);
+    ExpectTruth("after the stop");
+}
+
 TEST_F(FleetTest, BothHubsOfADataCentreAreLost)
 {
     Build(3, 30);
