Callers refused by a pool that asks for a pause are told when it ends

Cause: the time to come back followed the overload at this instance, which says nothing of upstreams that asked for nothing. Test: gate_quiet (quiet-for), GatewayTest.APoolThatAsksForAPauseIsNotGone with the time told; it was about one second before.

--- a/src/gw_relay.c
+++ b/src/gw_relay.c
@@ -220,6 +220,18 @@
 
 /* ------------------------------------------------------------ timers -- */
 
+/* Returns when the caller of a request that found no place is to come back. */
+static int64_t
+S_return_ms(const BsRelay *relay, int64_t now_ms)
+{
+    BsTargetQuery query;
+    BsAttempt_FillQuery(relay, &query);
+    int64_t quiet_ms = BsTargets_QuietMs(relay->gate->targets, &query, now_ms);
+    int64_t return_ms = BsOverload_Refuse(&relay->gate->overload,
+                                          relay->expires_ms - now_ms, now_ms);
+    return MAX(return_ms, quiet_ms);
+}
+
 static void
 S_on_timer(struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -233,8 +245,7 @@
         BsRelay_Refuse(relay, ran ? 504 : 503, "expired", ran ? 0 : 1);
     }
     else if (relay->waiting != NULL && now_ms >= relay->gives_up_ms) {
-        int64_t return_ms = BsOverload_Refuse(
-            &relay->gate->overload, relay->expires_ms - now_ms, now_ms);
+        int64_t return_ms = S_return_ms(relay, now_ms);
         BsRelay_NoteWait(relay, relay->route->target_ms);
         BsRelay_Refuse(relay, relay->may_have_run ? 502 : 503, "no_place",
                        relay->may_have_run ? 0 : return_ms);
--- a/src/targetchoice.c
+++ b/src/targetchoice.c
@@ -411,6 +411,22 @@
     return best;
 }
 
+int64_t
+BsTargets_QuietMs(const BsTargets *targets, const BsTargetQuery *query,
+                  int64_t now_ms)
+{
+    const GPtrArray *list =
+        g_hash_table_lookup(targets->services, query->service->name);
+    int64_t until_ms = INT64_MAX;
+    for (guint i = 0; list != NULL && i < list->len; i++) {
+        const BsTarget *target = list->pdata[i];
+        if (S_is_open(target, query, now_ms)) {
+            until_ms = MIN(until_ms, target->quiet_until_ms);
+        }
+    }
+    return until_ms == INT64_MAX ? 0 : MAX(until_ms - now_ms, 0);
+}
+
 double
 BsTargets_Occupancy(const BsTargets *targets, const char *service,
                     int64_t now_ms, uint32_t *places)
--- a/src/targets.h
+++ b/src/targets.h
@@ -164,6 +164,11 @@
 BsTarget *BsTargets_Choose(BsTargets *targets, const BsTargetQuery *query,
                            int64_t now_ms, BsTargetVerdict *verdict);
 
+/* Returns how long all targets that QUERY allows want nothing from this
+   instance; 0 when one of them takes work or there is none. */
+int64_t BsTargets_QuietMs(const BsTargets *targets, const BsTargetQuery *query,
+                          int64_t now_ms);
+
 /* Returns the share of places that are taken at SERVICE, 0 to 1, and the
    number of places in PLACES. */
 double BsTargets_Occupancy(const BsTargets *targets, const char *service,
--- a/tests/gate/gatescript_targets.c
+++ b/tests/gate/gatescript_targets.c
@@ -299,6 +299,18 @@
     return true;
 }
 
+/* quiet-for: how long all upstreams want nothing */
+static bool
+S_quiet_for(GateScript *script, char **arguments)
+{
+    BsTargetQuery query;
+    S_fill_query(script, arguments, &query, NULL);
+    GateScript_Print(
+        script, "quiet for %" G_GINT64_FORMAT " ms",
+        BsTargets_QuietMs(script->targets, &query, script->now_ms));
+    return true;
+}
+
 static bool
 S_prune(GateScript *script, char **arguments)
 {
@@ -308,11 +320,11 @@
 }
 
 const GateScriptCommand gate_script_target_commands[] = {
-    {"list", S_list},       {"unlist", S_unlist},   {"close", S_close},
-    {"open", S_open},       {"service", S_service}, {"regions", S_regions},
-    {"choose", S_choose},   {"send", S_send},       {"end", S_end},
-    {"peer", S_peer},       {"silent", S_silent},   {"share", S_share},
-    {"show", S_show},       {"prune", S_prune},     {"senders", S_senders},
-    {"far-age", S_far_age}, {"leaving", S_leaving}, {"quiet", S_quiet},
-    {NULL, NULL},
+    {"list", S_list},           {"unlist", S_unlist},   {"close", S_close},
+    {"open", S_open},           {"service", S_service}, {"regions", S_regions},
+    {"choose", S_choose},       {"send", S_send},       {"end", S_end},
+    {"peer", S_peer},           {"silent", S_silent},   {"share", S_share},
+    {"show", S_show},           {"prune", S_prune},     {"senders", S_senders},
+    {"far-age", S_far_age},     {"leaving", S_leaving}, {"quiet", S_quiet},
+    {"quiet-for", S_quiet_for}, {NULL, NULL},
 };
--- a/tests/gate/gateway_upstreams_test.cc
+++ b/tests/gate/gateway_upstreams_test.cc
@@ -3,6 +3,7 @@
 #include "gateway_fixture.h"
 
 #include <chrono>
+#include <cstring>
 #include <fstream>
 #include <thread>
 
@@ -125,7 +126,9 @@
     gateway_->Ask(Call("/book/1", "a"));
     std::string answer = gateway_->Ask(Call("/book/1", "b"));
     EXPECT_EQ(StatusOf(answer), 503);
-    EXPECT_NE(answer.find("Retry-After: "), std::string::npos);
+    size_t at = answer.find("Retry-After: ");
+    ASSERT_NE(at, std::string::npos);
+    EXPECT_GT(atof(answer.c_str() + at + strlen("Retry-After: ")), 55);
     EXPECT_NE(gateway_->Log().find("no_place"), std::string::npos);
     EXPECT_EQ(runners_[0]->count(), 1);
 }
