What a hub says of accounts counts by its growth, and what was given back is back

Log lines over_limit show debts of exactly one burst: a hub's sum of an account that was seen for the first time was taken for use. Besides, of what a request that did not run gave back, peers noted only that the total was smaller, so it counted twice when it was used again. Change: sums have a function of their own, in which the first one lies in the past; totals may shrink.

--- a/src/fleetpart.c
+++ b/src/fleetpart.c
@@ -186,8 +186,7 @@
 static bool
 S_is_own_due(const BsFleetPart *fleet, int64_t now_ms)
 {
-    return BsGossip_Serves(fleet->gossip, now_ms) &&
-           (fleet->own_dirty || now_ms - fleet->own_ms >= OWN_BEAT_MS);
+    return fleet->own_dirty || now_ms - fleet->own_ms >= OWN_BEAT_MS;
 }
 
 void
@@ -195,15 +194,15 @@
 {
     GArray *due = BsGossip_Due(fleet->gossip, changed, now_ms);
     fleet->own_dirty |= changed;
-    bool own = fleet->uses_hubs && S_is_own_due(fleet, now_ms);
-    if (due->len > 0 || own) {
+    bool serves = fleet->uses_hubs && BsGossip_Serves(fleet->gossip, now_ms);
+    if (due->len > 0 || (serves && S_is_own_due(fleet, now_ms))) {
         BsGossipReport report;
         BsGossipReport_Init(&report);
         S_fill_report(fleet, &report, now_ms);
         if (fleet->uses_hubs) {
             BsFleetView_NoteOwn(fleet->view, &report);
         }
-        if (own) {
+        if (serves) {
             BsHub_TakeMember(fleet->hub, fleet->address, &report, now_ms);
             fleet->own_dirty = false;
             fleet->own_ms = now_ms;
--- a/src/gw_gossip.c
+++ b/src/gw_gossip.c
@@ -27,9 +27,6 @@
    what its hub knows. */
 #define FETCH_SPREAD_MS 250
 
-/* Number under which the limits know what hubs tell; no address. */
-#define HUB_PEER 0
-
 /* Pause between two looks at who may send to cold upstreams. */
 #define SENDERS_PAUSE_MS 100
 
@@ -128,7 +125,7 @@
     BsGossipTask *task = context;
     BsGate *gate = task->gate;
     BsTargets_SetFleet(gate->targets, news->loads, now_ms);
-    BsQuotas_SetPeer(gate->quotas, HUB_PEER, news->incarnation, news->uses);
+    BsQuotas_SetFleet(gate->quotas, news->incarnation, news->uses);
     for (guint i = 0; news->crashers != NULL && i < news->crashers->len; i++) {
         const BsSummaryCrasher *told =
             &g_array_index(news->crashers, BsSummaryCrasher, i);
--- a/src/quota.c
+++ b/src/quota.c
@@ -20,6 +20,9 @@
 /* Repeats that a window's end lets through; what the oldest span held. */
 #define RETRY_SPANS 4
 
+/* Number of the rest of the fleet among the peers; no address. */
+#define FLEET_PEER 0
+
 #define MS_PER_S 1000.0
 
 typedef struct {
@@ -30,7 +33,8 @@
     int64_t filled_ms;
     bool used; /* LEVEL and FILLED_MS are set */
     uint64_t own_used;
-    uint64_t peers_unseen; /* told by peers, not yet taken from LEVEL */
+    int64_t peers_unseen; /* told by peers, not yet taken from LEVEL; below 0
+                             when they gave back */
 } BsQuotaBucket;
 
 typedef struct {
@@ -212,31 +216,65 @@
     return NULL;
 }
 
-void
-BsQuotas_SetPeer(BsQuotas *quotas, uint32_t peer, uint64_t incarnation,
-                 const GArray *uses)
+/* Returns what PEER told, forgetting what an earlier start of it did; KNOWN
+   says whether it told something since this start. */
+static BsQuotaPeer *
+S_peer(BsQuotas *quotas, uint32_t peer, uint64_t incarnation, bool *known)
 {
     BsQuotaPeer *held =
         g_hash_table_lookup(quotas->peers, GUINT_TO_POINTER(peer));
-    bool known = held != NULL && held->incarnation == incarnation;
-    if (!known) {
+    *known = held != NULL && held->incarnation == incarnation;
+    if (!*known) {
         held = g_new0(BsQuotaPeer, 1);
         held->incarnation = incarnation;
         held->used =
             g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
         g_hash_table_insert(quotas->peers, GUINT_TO_POINTER(peer), held);
     }
+    return held;
+}
+
+/* Takes in the total USE that PEER told, which grew from BEFORE. */
+static void
+S_grow(const BsQuotas *quotas, BsQuotaPeer *peer, const BsQuotaUse *use,
+       uint64_t before)
+{
+    BsQuotaBucket *bucket = S_find_hash(quotas, use->hash);
+    if (bucket != NULL) {
+        /* A total shrinks when a request that did not run is given back. */
+        bucket->peers_unseen += (int64_t)(use->used - before);
+    }
+    g_hash_table_replace(peer->used, g_memdup2(&use->hash, sizeof(use->hash)),
+                         g_memdup2(&use->used, sizeof(use->used)));
+}
+
+void
+BsQuotas_SetPeer(BsQuotas *quotas, uint32_t peer, uint64_t incarnation,
+                 const GArray *uses)
+{
+    bool known;
+    BsQuotaPeer *held = S_peer(quotas, peer, incarnation, &known);
     for (guint i = 0; i < uses->len; i++) {
         const BsQuotaUse *use = &g_array_index(uses, BsQuotaUse, i);
-        uint64_t *before = g_hash_table_lookup(held->used, &use->hash);
-        BsQuotaBucket *bucket = S_find_hash(quotas, use->hash);
+        const uint64_t *before = g_hash_table_lookup(held->used, &use->hash);
         /* What a peer used before we first heard it lies in the past. */
-        if (known && bucket != NULL && use->used > (before ? *before : 0)) {
-            bucket->peers_unseen += use->used - (before ? *before : 0);
-        }
-        g_hash_table_replace(held->used,
-                             g_memdup2(&use->hash, sizeof(use->hash)),
-                             g_memdup2(&use->used, sizeof(use->used)));
+        S_grow(quotas, held, use,
+               !known           ? use->used
+               : before != NULL ? *before
+                                : 0);
+    }
+}
+
+void
+BsQuotas_SetFleet(BsQuotas *quotas, uint64_t incarnation, const GArray *uses)
+{
+    bool known;
+    BsQuotaPeer *held = S_peer(quotas, FLEET_PEER, incarnation, &known);
+    for (guint i = 0; i < uses->len; i++) {
+        const BsQuotaUse *use = &g_array_index(uses, BsQuotaUse, i);
+        const uint64_t *before = g_hash_table_lookup(held->used, &use->hash);
+        /* Only the growth of a hub's sums means something. */
+        S_grow(quotas, held, use, before != NULL ? *before : use->used);
     }
 }
 
--- a/src/quota.h
+++ b/src/quota.h
@@ -59,6 +59,11 @@
 void BsQuotas_SetPeer(BsQuotas *quotas, uint32_t peer, uint64_t incarnation,
                       const GArray *uses);
 
+/* Takes in what the rest of the fleet used, as a hub tells it: totals of which
+   only the growth counts, beginning anew with another INCARNATION. */
+void BsQuotas_SetFleet(BsQuotas *quotas, uint64_t incarnation,
+                       const GArray *uses);
+
 /* Appends our own use as BsQuotaUse. */
 void BsQuotas_AppendUses(const BsQuotas *quotas, GArray *uses);
 
--- a/tests/gate/gatescript_limits.c
+++ b/tests/gate/gatescript_limits.c
@@ -66,6 +66,24 @@
     return true;
 }
 
+/* fleet-used TOTAL incarnation=N: a hub's sum */
+static bool
+S_fleet_used(GateScript *script, char **arguments)
+{
+    if (arguments[0] == NULL) {
+        return false;
+    }
+    GArray *uses = g_array_new(FALSE, FALSE, sizeof(BsQuotaUse));
+    BsQuotaUse use = {BsTargets_Hash(script->account->name),
+                      g_ascii_strtoull(arguments[0], NULL, 10)};
+    g_array_append_val(uses, use);
+    BsQuotas_SetFleet(script->quotas,
+                      (uint64_t)GateScript_Number(arguments, "incarnation", 1),
+                      uses);
+    g_array_unref(uses);
+    return true;
+}
+
 /* requests N: new requests for the service */
 static bool
 S_requests(GateScript *script, char **arguments)
@@ -244,6 +262,7 @@
     {"take", S_take},
     {"give-back", S_give_back},
     {"used", S_used},
+    {"fleet-used", S_fleet_used},
     {"requests", S_requests},
     {"repeats", S_repeats},
     {"wait", S_wait},
