Single bytes keep no stream alive, events without end are cut, slow callers are not blamed

Cause: looked for, as operators of similar systems met it. A stream was taken for alive by any byte, so one that stalled in an event and sent a byte now and then lasted until its route's limit; an event without end was kept in memory whole and searched from its start with each piece; and a stream whose caller read slowly counted as silent. Change: progress is whole events; one of over 256 KiB ends the attempt; while the caller is slow, and a while after, the upstream is not silent.

--- a/src/gw_answer.c
+++ b/src/gw_answer.c
@@ -62,6 +62,7 @@
     if (relay->call != NULL &&
         BsInbound_PendingBytes(relay->inbound) > PENDING_MAX_BYTES) {
         BsOutbound_SetReading(relay->call, false);
+        relay->paused = true;
     }
 }
 
--- a/src/gw_attempt.c
+++ b/src/gw_attempt.c
@@ -389,6 +389,10 @@
     relay->heard_ms = BsClock_NowMs(relay->gate->clock);
     BsTargets_Heard(relay->target, relay->heard_ms);
     S_note_events(relay, BsAnswer_Take(relay, data, size_bytes));
+    if (relay->answer.events != NULL &&
+        BsSseParts_RestBytes(relay->answer.events) > BS_SSE_EVENT_MAX_BYTES) {
+        S_reject_answer(relay, "event_too_large");
+    }
 }
 
 /* Returns what there is for the request beside its upstream: CHOSEN when
@@ -523,6 +527,8 @@
     relay->events = 0;
     relay->gap_ms = 0;
     relay->prefill_told = false;
+    relay->paused = false;
+    relay->resumed_ms = 0;
     relay->refused = false;
     relay->judged = BS_TARGET_GOOD;
     BsTargets_Sent(gate->targets, target, &query, now_ms);
@@ -556,11 +562,14 @@
         return INT64_MAX;
     }
     bool may_go_on = S_may_go_on(relay);
+    if (relay->paused) {
+        return INT64_MAX; /* its caller is slow, not the upstream */
+    }
     if (route->kind == BS_ROUTE_STREAM && relay->events > 0) {
-        int64_t left_ms = BsAttempt_LeftMs(route);
-        return may_go_on ? MAX(relay->patient_ms,
-                               relay->heard_ms + STREAM_SILENCE_MS)
-                         : relay->heard_ms + left_ms;
+        /* Single bytes are no progress. */
+        int64_t since_ms = MAX(relay->last_event_ms, relay->resumed_ms);
+        return may_go_on ? MAX(relay->patient_ms, since_ms + STREAM_SILENCE_MS)
+                         : since_ms + BsAttempt_LeftMs(route);
     }
     if (!may_go_on) {
         return INT64_MAX;
--- a/src/gw_relay.c
+++ b/src/gw_relay.c
@@ -607,6 +607,9 @@
     BsRelay *relay = BsInbound_User(inbound);
     if (relay != NULL && relay->call != NULL) {
         BsOutbound_SetReading(relay->call, true);
+        relay->paused = false;
+        relay->resumed_ms = BsClock_NowMs(relay->gate->clock);
+        BsRelay_Schedule(relay);
     }
 }
 
--- a/src/gw_relayparts.h
+++ b/src/gw_relayparts.h
@@ -51,6 +51,8 @@
     int64_t patient_ms; /* silence is no reason to end it before; 0: it is */
     int64_t first_event_ms;
     int64_t last_event_ms; /* of any attempt; 0 before the first */
+    int64_t resumed_ms;    /* reading went on after the caller was slow */
+    bool paused;           /* the caller is slow: the answer is not read */
     int64_t gap_ms;        /* longest pause between two events */
     uint32_t events;       /* seen in this attempt */
     bool prefill_told;     /* BsTargets_Started() was called */
--- a/src/sseparts.c
+++ b/src/sseparts.c
@@ -95,6 +95,12 @@
     g_string_truncate(parts->rest, 0);
 }
 
+size_t
+BsSseParts_RestBytes(const BsSseParts *parts)
+{
+    return parts->rest->len;
+}
+
 int64_t
 BsSseParts_LastId(const BsSseParts *parts)
 {
--- a/src/sseparts.h
+++ b/src/sseparts.h
@@ -29,4 +29,10 @@
 /* Returns the id of the last whole event, or -1. */
 int64_t BsSseParts_LastId(const BsSseParts *parts);
 
+/* Longest event that is waited for; what is longer is no event stream. */
+#define BS_SSE_EVENT_MAX_BYTES (256 * 1024)
+
+/* Returns how many bytes of an event that is not whole are held. */
+size_t BsSseParts_RestBytes(const BsSseParts *parts);
+
 #endif /* BS_SSEPARTS_H */
--- a/tests/gate/gateway_upstreams_test.cc
+++ b/tests/gate/gateway_upstreams_test.cc
@@ -156,6 +156,10 @@
      "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nResponse-Signature: s\r\n"
      "Transfer-Encoding: chunked\r\n\r\n1;",
      "eeeeeeeeeeeeeeeeeeeeeeee"},
+    {"EventWithoutEnd",
+     "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nResponse-Signature: s\r\n"
+     "Content-Type: text/event-stream\r\n\r\n",
+     "data: a line of an event that has no end\n"},
     {"Trailers",
      "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nResponse-Signature: s\r\n"
      "Transfer-Encoding: chunked\r\n\r\n0\r\n",
@@ -201,7 +205,10 @@
         return false;
     };
     Start({script});
-    std::string answer = gateway_->Ask(Call("/book/1", "a"));
+    const char *path = strcmp(GetParam().name, "EventWithoutEnd") == 0
+                           ? "/once/1"
+                           : "/book/1";
+    std::string answer = gateway_->Ask(Call(path, "a"));
     EXPECT_EQ(answer.find("0\r\n\r\n"), std::string::npos);
     EXPECT_TRUE(StatusOf(answer) == 502 ||
                 (StatusOf(answer) == 200 &&
@@ -230,4 +237,75 @@
     go_ = true;
 }
 
+// A stream that stalls in the middle of an event and sends a byte now and then
+// is no progress: one that may be resumed goes on elsewhere.
+TEST_F(GatewayTest, AStreamOfSingleBytesGoesOnElsewhere)
+{
+    auto script = [this](Socket &socket, const Got &got) {
+        if (got.Header("Last-Event-Id") == "0") {
+            return socket.Write(StreamHead(got) + Chunk(Event(1)) +
+                                LastChunk());
+        }
+        bool open = socket.Write(StreamHead(got) + Chunk(Event(0)));
+        while (open && !go_) {
+            open = socket.Write(Chunk("x"));
+            std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        }
+        return false;
+    };
+    Start({script, script});
+    std::unique_ptr<Socket> caller = gateway_->Open();
+    caller->Write(Call("/chat/1", "a", "Connection: close\r\n"));
+    std::string answer = caller->ReadAll();
+    go_ = true;
+    EXPECT_NE(answer.find("piece 1"), std::string::npos) << answer;
+    EXPECT_EQ(answer.find("x\r\n"), std::string::npos) << answer;
+}
+
+// One that may not be resumed ends, and does not look complete.
+TEST_F(GatewayTest, AStreamOfSingleBytesEnds)
+{
+    std::atomic<bool> closed{false};
+    Start({[&](Socket &socket, const Got &got) {
+        bool open = socket.Write(StreamHead(got) + Chunk(Event(0)));
+        while (open && !go_) {
+            open = socket.Write(Chunk("x"));
+            std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        }
+        closed = true;
+        return false;
+    }});
+    std::unique_ptr<Socket> caller = gateway_->Open();
+    caller->Write(Call("/once/1", "a", "Connection: close\r\n"));
+    std::string answer = caller->ReadAll();
+    EXPECT_EQ(answer.find("0\r\n\r\n"), std::string::npos);
+    EXPECT_TRUE(Eventually([&] { return closed.load(); }));
+    EXPECT_FALSE(go_);
+    go_ = true;
+}
+
+// The caller reads nothing for longer than any pause of a stream: the upstream
+// is not to blame.
+TEST_F(GatewayTest, ASoundStreamIsNotCutForASlowCaller)
+{
+    const int events = 40;
+    const std::string filler(64 * 1024, 'f');
+    auto script = [&](Socket &socket, const Got &got) {
+        bool open = socket.Write(StreamHead(got));
+        for (int i = 0; i < events && open; i++) {
+            open = socket.Write(Chunk("id: " + std::to_string(i) +
+                                      "\ndata: " + filler + "\n\n"));
+        }
+        return open && socket.Write(LastChunk());
+    };
+    Start({script, script});
+    std::unique_ptr<Socket> caller = gateway_->Open();
+    caller->Write(Call("/chat/1", "a", "Connection: close\r\n"));
+    std::this_thread::sleep_for(std::chrono::milliseconds(2500));
+    std::string answer = caller->ReadAll();
+    EXPECT_NE(answer.find("id: 39"), std::string::npos);
+    EXPECT_EQ(answer.substr(answer.size() - 5), "0\r\n\r\n");
+    EXPECT_EQ(Arrivals(), 1);
+}
+
 } // namespace
