--- a/src/fleetpart.c
+++ b/src/fleetpart.c
@@ -69,7 +69,6 @@
     int64_t far_ms;
     int64_t uses_ms;
     int64_t roster_ms;
-    unsigned roster_next;
     int64_t silence_ms;
 };
 
@@ -431,22 +430,21 @@
 {
     GArray *receivers =
         BsGossip_SummaryReceivers(fleet->gossip, false, now_ms);
-    fleet->roster_next = 0;
+    unsigned next = 0;
     do {
         BsSummary summary;
         BsSummary_Init(&summary);
         S_fill_head(fleet, &summary, false, now_ms);
         summary.sequence = fleet->summary_sequence;
-        if (fleet->roster_next == 0) {
+        if (next == 0) {
             BsGossip_AppendMembers(fleet->gossip, fleet->random, MEMBERS_TOLD,
                                    now_ms, summary.members);
         }
-        fleet->roster_next =
-            BsGossip_AppendRoster(fleet->gossip, fleet->roster_next,
-                                  ROSTER_MEMBERS, now_ms, summary.members);
+        next = BsGossip_AppendRoster(fleet->gossip, next, ROSTER_MEMBERS,
+                                     now_ms, summary.members);
         S_send_summary(fleet, &summary, receivers);
         BsSummary_Clear(&summary);
-    } while (fleet->roster_next != 0);
+    } while (next != 0);
     g_array_unref(receivers);
     fleet->roster_ms = now_ms;
 }
--- a/src/gossip.c
+++ b/src/gossip.c
@@ -1,30 +1,19 @@
 /* gossip.c - what instances tell each other, and who they are. */
 #include "gossip_private.h"
 
-/* Pause between two reports to a member while there is news.  A request runs
-   for 50 ms and more, so counts of this age are as good as fresh; the pause
-   grows with the number of members, which bounds the reports a second. */
+/* Pause between two reports to a member of a small fleet while there is news.
+   A request runs for 50 ms and more, so counts of this age are as good as
+   fresh. */
 #define NEAR_PAUSE_MS 4
 #define FAR_PAUSE_MS 8
 #define NEAR_PAUSE_PER_MEMBER_MS 1
 
-/* Members of other data centres that cost no more pause than one. */
-#define FAR_FREE_MEMBERS 16
-#define FAR_PAUSE_PER_MEMBER_MS 8
-
-/* Members of the own data centre up to which that holds.  Beyond, the pause
-   grows with them, too: what a data centre sends to others together stays
-   under 2 MB/s, a quarter of the narrowest link between regions. */
-#define NEAR_FREE_MEMBERS 20
-
 /* Longest pause while there is no news. */
 #define NEAR_BEAT_MS 150
 #define FAR_BEAT_MS 200
-#define FAR_BEAT_PER_MEMBER_MS 8
 
-/* A member is silent after this many of its longest pauses. */
-#define SILENT_BEATS 4
-#define SILENT_MIN_MS 800
+/* A member is silent after this time: four of its longest pauses. */
+#define SILENT_MS 800
 
 /* What a hub said of the fleet's size holds this long, then this instance
    counts itself alone. */
@@ -41,10 +30,6 @@
 #define ALONE_MS 10000
 #define ALONE_INSTANCES 8
 
-/* Instances of a data centre that read the store for all of it.  A lost one is
-   replaced once it is silent, far sooner than a change must be in force. */
-#define READERS 1
-
 BsGossip *
 BsGossip_Create(uint32_t address, uint32_t data_centre, uint32_t weight,
                 int64_t now_ms)
@@ -112,57 +97,14 @@
     return member->data_centre == gossip->data_centre;
 }
 
-static unsigned
-S_count_far(const BsGossip *gossip, int64_t now_ms)
-{
-    unsigned count = 0;
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, gossip->entries);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const BsGossipMember *member = &((BsGossipEntry *)value)->member;
-        count += !BsGossip_IsNear(gossip, member) &&
-                 now_ms - member->heard_ms < BS_GOSSIP_FORGET_MS;
-    }
-    return count;
-}
-
-/* Returns PAUSE_MS between reports to other data centres, made longer in a
-   large data centre. */
-static int64_t
-S_scale_far_ms(const BsGossip *gossip, unsigned far, int64_t pause_ms)
-{
-    unsigned near = g_hash_table_size(gossip->entries) - far;
-    return pause_ms * MAX(near, NEAR_FREE_MEMBERS) / NEAR_FREE_MEMBERS;
-}
-
-static int64_t
-S_beat_ms(const BsGossip *gossip, const BsGossipMember *member, unsigned far)
-{
-    return BsGossip_IsNear(gossip, member)
-               ? NEAR_BEAT_MS
-               : MAX(FAR_BEAT_MS,
-                     S_scale_far_ms(gossip, far,
-                                    (int64_t)far * FAR_BEAT_PER_MEMBER_MS));
-}
-
-static bool
-S_is_heard(const BsGossip *gossip, const BsGossipMember *member, unsigned far,
-           int64_t now_ms)
-{
-    int64_t limit_ms =
-        BsGossip_UsesHubs(gossip, now_ms)
-            ? BS_GOSSIP_HUB_SILENT_MS
-            : MAX(SILENT_MIN_MS,
-                  SILENT_BEATS * S_beat_ms(gossip, member, far));
-    return now_ms - member->heard_ms < limit_ms;
-}
-
 bool
 BsGossip_IsHeard(const BsGossip *gossip, const BsGossipMember *member,
                  int64_t now_ms)
 {
-    return S_is_heard(gossip, member, 0, now_ms);
+    int64_t limit_ms = BsGossip_UsesHubs(gossip, now_ms)
+                           ? BS_GOSSIP_HUB_SILENT_MS
+                           : SILENT_MS;
+    return now_ms - member->heard_ms < limit_ms;
 }
 
 bool
@@ -174,32 +116,21 @@
     return MAX(told, g_hash_table_size(gossip->entries) + 1) > MESH_MEMBERS;
 }
 
-/* A walk over the members that are heard at a time. */
-typedef struct {
-    const BsGossip *gossip;
-    int64_t now_ms;
-    unsigned far; /* members of other data centres */
-    GHashTableIter iter;
-} BsGossipWalk;
-
-static BsGossipWalk
-S_walk(const BsGossip *gossip, int64_t now_ms)
+BsGossipWalk
+BsGossip_Walk(const BsGossip *gossip, int64_t now_ms)
 {
-    BsGossipWalk walk = {.gossip = gossip,
-                         .now_ms = now_ms,
-                         .far = S_count_far(gossip, now_ms)};
+    BsGossipWalk walk = {.gossip = gossip, .now_ms = now_ms};
     g_hash_table_iter_init(&walk.iter, gossip->entries);
     return walk;
 }
 
-/* Returns the next member that is heard, or NULL. */
-static const BsGossipMember *
-S_next(BsGossipWalk *walk)
+const BsGossipMember *
+BsGossip_Next(BsGossipWalk *walk)
 {
     gpointer value;
     while (g_hash_table_iter_next(&walk->iter, NULL, &value)) {
         const BsGossipMember *member = &((BsGossipEntry *)value)->member;
-        if (S_is_heard(walk->gossip, member, walk->far, walk->now_ms)) {
+        if (BsGossip_IsHeard(walk->gossip, member, walk->now_ms)) {
             return member;
         }
     }
@@ -244,7 +175,7 @@
        the two; late datagrams do not come after that long. */
     bool older = same ? report->sequence <= member->sequence
                       : report->incarnation < member->incarnation &&
-                            now_ms - member->heard_ms < SILENT_MIN_MS;
+                            now_ms - member->heard_ms < SILENT_MS;
     if (older) {
         return NULL;
     }
@@ -357,50 +288,42 @@
     return !summary->far && address == gossip->hub;
 }
 
-static int64_t
-S_far_pause_ms(const BsGossip *gossip, unsigned far)
-{
-    int64_t over = far > FAR_FREE_MEMBERS ? far - FAR_FREE_MEMBERS : 0;
-    return S_scale_far_ms(gossip, far,
-                          FAR_PAUSE_MS + over * FAR_PAUSE_PER_MEMBER_MS);
-}
-
 int64_t
 BsGossip_FarAgeMs(const BsGossip *gossip, int64_t now_ms)
 {
-    if (BsGossip_UsesHubs(gossip, now_ms)) {
-        return HUB_AGE_MS;
-    }
-    return S_far_pause_ms(gossip, S_count_far(gossip, now_ms));
+    return BsGossip_UsesHubs(gossip, now_ms) ? HUB_AGE_MS : FAR_PAUSE_MS;
 }
 
-/* Returns the pause between reports to a member that is not heard: never less
-   than if all were heard, as reports that are lost on a full link must not
-   fill it further. */
-static int64_t
-S_try_ms(const BsGossip *gossip, unsigned far)
+static unsigned
+S_count_near(const BsGossip *gossip)
 {
-    int64_t members = g_hash_table_size(gossip->entries);
-    return MAX(BS_GOSSIP_TRY_MS,
-               S_scale_far_ms(gossip, far, members * FAR_BEAT_PER_MEMBER_MS));
+    unsigned count = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, gossip->entries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        count += BsGossip_IsNear(gossip, &((BsGossipEntry *)value)->member);
+    }
+    return count;
 }
 
-/* Returns whether a report to the entry is due. */
+/* Returns whether a report to the entry is due; NEAR members are of the own
+   data centre. */
 static bool
 S_is_due(const BsGossip *gossip, const BsGossipEntry *entry, unsigned near,
-         unsigned far, int64_t now_ms)
+         int64_t now_ms)
 {
     const BsGossipMember *member = &entry->member;
     int64_t passed_ms = now_ms - member->sent_ms;
-    if (!S_is_heard(gossip, member, far, now_ms)) {
-        return passed_ms >= S_try_ms(gossip, far);
+    if (!BsGossip_IsHeard(gossip, member, now_ms)) {
+        return passed_ms >= BS_GOSSIP_TRY_MS;
+    }
+    if (!BsGossip_IsNear(gossip, member)) {
+        return passed_ms >= (entry->dirty ? FAR_PAUSE_MS : FAR_BEAT_MS);
     }
-    bool is_near = BsGossip_IsNear(gossip, member);
     int64_t pause_ms =
-        is_near ? MAX(NEAR_PAUSE_MS, (int64_t)near * NEAR_PAUSE_PER_MEMBER_MS)
-                : S_far_pause_ms(gossip, far);
-    return (entry->dirty && passed_ms >= pause_ms) ||
-           passed_ms >= S_beat_ms(gossip, member, far);
+        MAX(NEAR_PAUSE_MS, (int64_t)near * NEAR_PAUSE_PER_MEMBER_MS);
+    return passed_ms >= (entry->dirty ? pause_ms : NEAR_BEAT_MS);
 }
 
 /* Returns whether the entry's member is gone for good. */
@@ -430,16 +353,15 @@
 S_due_to_all(BsGossip *gossip, bool changed, int64_t now_ms)
 {
     GArray *due = g_array_new(FALSE, FALSE, sizeof(BsGossipReceiver));
-    unsigned far = S_count_far(gossip, now_ms);
-    unsigned near = g_hash_table_size(gossip->entries) - far;
+    unsigned near = S_count_near(gossip);
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, gossip->entries);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         BsGossipEntry *entry = value;
         entry->dirty |= changed;
-        if (S_is_due(gossip, entry, near, far, now_ms)) {
-            bool heard = S_is_heard(gossip, &entry->member, far, now_ms);
+        if (S_is_due(gossip, entry, near, now_ms)) {
+            bool heard = BsGossip_IsHeard(gossip, &entry->member, now_ms);
             BsGossipReceiver receiver = {.address = entry->member.address,
                                          .wish = heard ? BS_GOSSIP_TELL
                                                        : BS_GOSSIP_ASK};
@@ -465,13 +387,13 @@
                        int64_t now_ms, GArray *out)
 {
     GArray *heard = g_array_new(FALSE, FALSE, sizeof(BsGossipNamed));
-    BsGossipWalk walk = S_walk(gossip, now_ms);
+    BsGossipWalk walk = BsGossip_Walk(gossip, now_ms);
     const BsGossipMember *member;
     if (BsGossip_UsesHubs(gossip, now_ms)) {
         BsGossip_AppendHubs(gossip, now_ms, out);
         count -= MIN(count, out->len);
     }
-    while ((member = S_next(&walk)) != NULL) {
+    while ((member = BsGossip_Next(&walk)) != NULL) {
         BsGossipNamed named =
             BsGossip_Name(BsGossip_Find(gossip, member->address), now_ms);
         g_array_append_val(heard, named);
@@ -489,10 +411,10 @@
 BsGossip_AppendSenders(const BsGossip *gossip, int64_t now_ms, GArray *senders)
 {
     BsTargetSender self = {gossip->address, gossip->data_centre};
-    BsGossipWalk walk = S_walk(gossip, now_ms);
+    BsGossipWalk walk = BsGossip_Walk(gossip, now_ms);
     const BsGossipMember *member;
     g_array_append_val(senders, self);
-    while ((member = S_next(&walk)) != NULL) {
+    while ((member = BsGossip_Next(&walk)) != NULL) {
         BsTargetSender sender = {member->address, member->data_centre};
         if (!member->stopping) {
             g_array_append_val(senders, sender);
@@ -505,99 +427,19 @@
                     void (*func)(const BsGossipMember *, void *),
                     void *context)
 {
-    unsigned far = S_count_far(gossip, now_ms);
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, gossip->entries);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         BsGossipEntry *entry = value;
         if (!entry->silent &&
-            !S_is_heard(gossip, &entry->member, far, now_ms)) {
+            !BsGossip_IsHeard(gossip, &entry->member, now_ms)) {
             entry->silent = true;
             func(&entry->member, context);
         }
     }
 }
 
-/* Returns a number that orders the members differently for each instance. */
-static uint32_t
-S_pair_rank(const BsGossip *gossip, const BsGossipMember *member)
-{
-    /* Multiplicative hashing, so that neighbours do not rank in a row. */
-    return (member->address ^ (gossip->address << 16)) * UINT32_C(2654435761);
-}
-
-/* Returns whether A is a better source of items than B. */
-static bool
-S_is_better_source(const BsGossip *gossip, const BsGossipMember *a,
-                   const BsGossipMember *b)
-{
-    if (b == NULL) {
-        return true;
-    }
-    bool near_a = BsGossip_IsNear(gossip, a);
-    bool near_b = BsGossip_IsNear(gossip, b);
-    if (near_a != near_b) {
-        return near_a;
-    }
-    /* Holders of the same items share the work of handing them on. */
-    return a->newest != b->newest
-               ? a->newest > b->newest
-               : S_pair_rank(gossip, a) < S_pair_rank(gossip, b);
-}
-
-const BsGossipMember *
-BsGossip_Newer(const BsGossip *gossip, uint64_t revision, uint64_t newest,
-               int64_t now_ms)
-{
-    const BsGossipMember *best = NULL;
-    BsGossipWalk walk = S_walk(gossip, now_ms);
-    const BsGossipMember *member;
-    while ((member = S_next(&walk)) != NULL) {
-        if ((member->revision > revision || member->newest > newest) &&
-            S_is_better_source(gossip, member, best)) {
-            best = member;
-        }
-    }
-    return best;
-}
-
-/* Multiplicative hashing, so that neighbours do not rank in a row. */
-static uint32_t
-S_rank(uint32_t address)
-{
-    return address * UINT32_C(2654435761);
-}
-
-bool
-BsGossip_IsHeavier(uint32_t a, uint32_t a_weight, uint32_t b,
-                   uint32_t b_weight)
-{
-    return a_weight != b_weight ? a_weight > b_weight : S_rank(a) < S_rank(b);
-}
-
-bool
-BsGossip_IsReader(const BsGossip *gossip, int64_t now_ms)
-{
-    unsigned before = 0;
-    unsigned reading = 0;
-    BsGossipWalk walk = S_walk(gossip, now_ms);
-    const BsGossipMember *member;
-    while ((member = S_next(&walk)) != NULL) {
-        reading += member->reading == BS_GOSSIP_READS;
-        if (!BsGossip_IsNear(gossip, member)) {
-            continue;
-        }
-        before += member->reading != BS_GOSSIP_FAILS && !member->stopping &&
-                  BsGossip_IsHeavier(member->address, member->weight,
-                                     gossip->address, gossip->weight);
-    }
-    if (reading == 0) {
-        return true; /* nobody has an answer: everyone tries */
-    }
-    return before < READERS;
-}
-
 int64_t
 BsGossip_StoreFailedMs(const BsGossip *gossip)
 {
@@ -649,9 +491,9 @@
         bool told = now_ms - gossip->fleet_ms < FLEET_OLD_MS;
         return told ? MAX(gossip->fleet_heard, 1) : 1;
     }
-    BsGossipWalk walk = S_walk(gossip, now_ms);
+    BsGossipWalk walk = BsGossip_Walk(gossip, now_ms);
     unsigned count = 1;
-    while (S_next(&walk) != NULL) {
+    while (BsGossip_Next(&walk) != NULL) {
         count++;
     }
     return count;
--- a/src/gossip_private.h
+++ b/src/gossip_private.h
@@ -1,6 +1,7 @@
 /*
  * gossip_private.h - the table of members, shared by its parts: gossip.c (who
- * is there and what they told) and gossiphub.c (hubs of a large fleet).
+ * is there and what they told), gossipsource.c (who reads the store) and
+ * gossiphub.c (hubs of a large fleet).
  */
 #ifndef BS_GOSSIP_PRIVATE_H
 #define BS_GOSSIP_PRIVATE_H
@@ -72,6 +73,18 @@
 bool BsGossip_IsHeard(const BsGossip *gossip, const BsGossipMember *member,
                       int64_t now_ms);
 
+/* A walk over the members that are heard at a time. */
+typedef struct {
+    const BsGossip *gossip;
+    int64_t now_ms;
+    GHashTableIter iter;
+} BsGossipWalk;
+
+BsGossipWalk BsGossip_Walk(const BsGossip *gossip, int64_t now_ms);
+
+/* Returns the next member that is heard, or NULL. */
+const BsGossipMember *BsGossip_Next(BsGossipWalk *walk);
+
 /* Returns whether the instance A, of weight A_WEIGHT, comes before B as a hub
    and as a reader of the store. */
 bool BsGossip_IsHeavier(uint32_t a, uint32_t a_weight, uint32_t b,
--- /dev/null
+++ b/src/gossipsource.c
@@ -0,0 +1,85 @@
+/* gossipsource.c - who reads the store, and from whom the others have it. */
+#include "gossip_private.h"
+
+/* Instances of a data centre that read the store for all of it.  A lost one is
+   replaced once it is silent, far sooner than a change must be in force. */
+#define READERS 1
+
+/* Returns a number that orders the members differently for each instance. */
+static uint32_t
+S_pair_rank(const BsGossip *gossip, const BsGossipMember *member)
+{
+    /* Multiplicative hashing, so that neighbours do not rank in a row. */
+    return (member->address ^ (gossip->address << 16)) * UINT32_C(2654435761);
+}
+
+/* Returns whether A is a better source of items than B. */
+static bool
+S_is_better_source(const BsGossip *gossip, const BsGossipMember *a,
+                   const BsGossipMember *b)
+{
+    if (b == NULL) {
+        return true;
+    }
+    bool near_a = BsGossip_IsNear(gossip, a);
+    bool near_b = BsGossip_IsNear(gossip, b);
+    if (near_a != near_b) {
+        return near_a;
+    }
+    /* Holders of the same items share the work of handing them on. */
+    return a->newest != b->newest
+               ? a->newest > b->newest
+               : S_pair_rank(gossip, a) < S_pair_rank(gossip, b);
+}
+
+const BsGossipMember *
+BsGossip_Newer(const BsGossip *gossip, uint64_t revision, uint64_t newest,
+               int64_t now_ms)
+{
+    const BsGossipMember *best = NULL;
+    BsGossipWalk walk = BsGossip_Walk(gossip, now_ms);
+    const BsGossipMember *member;
+    while ((member = BsGossip_Next(&walk)) != NULL) {
+        if ((member->revision > revision || member->newest > newest) &&
+            S_is_better_source(gossip, member, best)) {
+            best = member;
+        }
+    }
+    return best;
+}
+
+/* Multiplicative hashing, so that neighbours do not rank in a row. */
+static uint32_t
+S_rank(uint32_t address)
+{
+    return address * UINT32_C(2654435761);
+}
+
+bool
+BsGossip_IsHeavier(uint32_t a, uint32_t a_weight, uint32_t b,
+                   uint32_t b_weight)
+{
+    return a_weight != b_weight ? a_weight > b_weight : S_rank(a) < S_rank(b);
+}
+
+bool
+BsGossip_IsReader(const BsGossip *gossip, int64_t now_ms)
+{
+    unsigned before = 0;
+    unsigned reading = 0;
+    BsGossipWalk walk = BsGossip_Walk(gossip, now_ms);
+    const BsGossipMember *member;
+    while ((member = BsGossip_Next(&walk)) != NULL) {
+        reading += member->reading == BS_GOSSIP_READS;
+        if (!BsGossip_IsNear(gossip, member)) {
+            continue;
+        }
+        before += member->reading != BS_GOSSIP_FAILS && !member->stopping &&
+                  BsGossip_IsHeavier(member->address, member->weight,
+                                     gossip->address, gossip->weight);
+    }
+    if (reading == 0) {
+        return true; /* nobody has an answer: everyone tries */
+    }
+    return before < READERS;
+}
