A summary that was overtaken on its way is passed over

Cause: read in the diff: a near summary that came late would set older sums. Test: Summary.AnOvertakenOneIsPassedOver; it fails without the change.

--- a/src/gossip.c
+++ b/src/gossip.c
@@ -265,6 +265,10 @@
     BsGossipMember *member = &entry->member;
     bool is_new = member->incarnation != summary->incarnation ||
                   now_ms - entry->summary_ms > BS_GOSSIP_HUB_SILENT_MS;
+    if (!is_new && summary->sequence < entry->summary_sequence) {
+        return false; /* it came late */
+    }
+    entry->summary_sequence = summary->sequence;
     S_note_state(entry, summary->incarnation, summary->age_ms, now_ms);
     if (is_new || summary->newest >= member->newest) {
         member->revision = summary->revision;
--- a/src/gossip_private.h
+++ b/src/gossip_private.h
@@ -21,15 +21,16 @@
 
 typedef struct {
     BsGossipMember member;
-    bool dirty;             /* news waits for it */
-    bool silent;            /* told to the owner */
-    bool asks;              /* it asked for hubs, and was not answered yet */
-    int64_t direct_ms;      /* heard from itself, not from others */
-    int64_t since_ms;       /* its last start */
-    int64_t summary_ms;     /* its last summary */
-    int64_t served_ms;      /* it last asked us for summaries */
-    int64_t summed_ms;      /* our last summary to it */
-    int64_t avoid_until_ms; /* it is not taken for a hub before */
+    bool dirty;         /* news waits for it */
+    bool silent;        /* told to the owner */
+    bool asks;          /* it asked for hubs, and was not answered yet */
+    int64_t direct_ms;  /* heard from itself, not from others */
+    int64_t since_ms;   /* its last start */
+    int64_t summary_ms; /* its last summary */
+    uint64_t summary_sequence; /* of its last summary */
+    int64_t served_ms;         /* it last asked us for summaries */
+    int64_t summed_ms;         /* our last summary to it */
+    int64_t avoid_until_ms;    /* it is not taken for a hub before */
 } BsGossipEntry;
 
 struct BsGossip {
--- a/tests/gate/fleet_test.cc
+++ b/tests/gate/fleet_test.cc
@@ -705,6 +705,30 @@
     ExpectTruth("small");
 }
 
+// A datagram that was overtaken says nothing new.
+TEST(Summary, AnOvertakenOneIsPassedOver)
+{
+    BsGossip *gossip = BsGossip_Create(1, 7, 1, 0);
+    BsSummary summary;
+    BsSummary_Init(&summary);
+    summary.incarnation = 5;
+    summary.data_centre = 7;
+    summary.weight = 100;
+    summary.known = 100;
+    summary.sequence = 10;
+    BsGossip_TakeSummary(gossip, 2, &summary, 10);
+    BsGossip_ChooseHub(gossip, 10);
+    EXPECT_EQ(BsGossip_Hub(gossip), 2U);
+    EXPECT_TRUE(BsGossip_TakeSummary(gossip, 2, &summary, 20));
+    summary.sequence = 9;
+    EXPECT_FALSE(BsGossip_TakeSummary(gossip, 2, &summary, 30));
+    summary.incarnation = 6;
+    summary.sequence = 1;
+    EXPECT_TRUE(BsGossip_TakeSummary(gossip, 2, &summary, 40));
+    BsSummary_Clear(&summary);
+    BsGossip_Destroy(gossip);
+}
+
 TEST(Summary, SurvivesTheWire)
 {
     BsSummary sent;
