--- a/src/fleetview.c
+++ b/src/fleetview.c
@@ -154,8 +154,12 @@
                  int64_t now_ms, GArray *loads, GArray *uses)
 {
     const BsFleetOwn *before = view->taken;
+    const BsFleetOwn *own = S_own(view, ack);
     S_set_totals(view, summary->loads, now_ms);
-    view->taken = S_own(view, ack);
+    /* Without loads it says nothing of what our report changed in them. */
+    if (summary->loads->len > 0) {
+        view->taken = own;
+    }
     if (view->taken != before) {
         S_append_own_changes(view, before, loads);
         S_append_own_changes(view, view->taken, loads);
@@ -165,9 +169,9 @@
             &g_array_index(summary->loads, BsTargetLoad, i);
         S_append_others(view, (uint32_t)load->hash, loads);
     }
-    for (guint i = 0; view->taken != NULL && i < summary->uses->len; i++) {
+    for (guint i = 0; own != NULL && i < summary->uses->len; i++) {
         BsQuotaUse use = g_array_index(summary->uses, BsQuotaUse, i);
-        use.used += USE_BASE - S_own_use(view->taken, use.hash);
+        use.used += USE_BASE - S_own_use(own, use.hash);
         g_array_append_val(uses, use);
     }
 }
--- a/tests/gate/fleet_test.cc
+++ b/tests/gate/fleet_test.cc
@@ -15,6 +15,7 @@
 
 extern "C" {
 #include "fleetpart.h"
+#include "fleetview.h"
 }
 
 namespace {
@@ -705,6 +706,41 @@
     ExpectTruth("small");
 }
 
+// A hub took our newest report, but its summary is of uses or members only:
+// the sums that we hold do not contain that report.
+TEST(FleetView, OwnPartIsTakenOffSumsThatContainIt)
+{
+    BsFleetView *view = BsFleetView_Create();
+    BsGossipReport report;
+    BsSummary summary;
+    GArray *loads = g_array_new(FALSE, FALSE, sizeof(BsTargetLoad));
+    GArray *uses = g_array_new(FALSE, FALSE, sizeof(BsQuotaUse));
+    BsGossipReport_Init(&report);
+    BsSummary_Init(&summary);
+    BsTargetLoad own = {9, 1, 0};
+    BsTargetLoad total = {9, 3, 0};
+    report.sequence = 1;
+    g_array_append_val(report.loads, own);
+    BsFleetView_NoteOwn(view, &report);
+    g_array_append_val(summary.loads, total);
+    BsFleetView_Take(view, &summary, 1, 0, loads, uses);
+    ASSERT_GT(loads->len, 0U);
+    EXPECT_EQ(g_array_index(loads, BsTargetLoad, loads->len - 1).in_flight,
+              2U);
+    report.sequence = 2;
+    g_array_index(report.loads, BsTargetLoad, 0).in_flight = 3;
+    BsFleetView_NoteOwn(view, &report);
+    g_array_set_size(summary.loads, 0);
+    g_array_set_size(loads, 0);
+    BsFleetView_Take(view, &summary, 2, 10, loads, uses);
+    EXPECT_EQ(loads->len, 0U);
+    BsGossipReport_Clear(&report);
+    BsSummary_Clear(&summary);
+    g_array_unref(loads);
+    g_array_unref(uses);
+    BsFleetView_Destroy(view);
+}
+
 // A datagram that was overtaken says nothing new.
 TEST(Summary, AnOvertakenOneIsPassedOver)
 {
