An instance looks only at its sample of upstreams

Change: no second look; who finds none waits for the next look, at another part. The part grows where a data centre has few upstreams. Kept, as the herd on the last place is real (HerdTest.TheLastPlacesAreNotTakenByAll in place of TheLastPlaceIsFoundByAll, which asked for that herd).

--- a/src/targetchoice.c
+++ b/src/targetchoice.c
@@ -36,9 +36,11 @@
 #define FAR_SPREAD_MS 200
 
 /* In a large fleet many instances choose by the same sums before they hear of
-   each other: each looks at one in so many upstreams first, another part each
-   time, so that not all take the best one. */
-#define SAMPLE_ONE_IN 8
+   each other, so each looks at a part of the upstreams, another one each time:
+   not all take the best one, nor the last place.  About so many of the own
+   data centre are looked at, one in SAMPLE_ONE_IN_MAX at least. */
+#define SAMPLE_NEAR 5
+#define SAMPLE_ONE_IN_MAX 8
 
 /* Part of the cost by chance that decides among equals there. */
 #define SAMPLE_TIE_PART 50
@@ -92,6 +94,8 @@
     double usual_pace_ms;
     double best_error;
     const BsTarget *home; /* where the session's prompt is likely kept */
+    uint32_t open;        /* targets that may get new work */
+    uint32_t near;        /* those of the own data centre */
 } BsTargetContext;
 
 /* Returns the rendezvous weight of TARGET for SESSION. */
@@ -105,7 +109,7 @@
 static BsTargetContext
 S_survey(const GPtrArray *list, const BsTargetQuery *query, int64_t now_ms)
 {
-    BsTargetContext context = {0, 1.0, NULL};
+    BsTargetContext context = {0, 1.0, NULL, 0, 0};
     uint64_t best_weight = 0;
     unsigned paced = 0;
     for (guint i = 0; i < list->len; i++) {
@@ -113,6 +117,8 @@
         if (!S_is_open(target, query, now_ms)) {
             continue;
         }
+        context.open++;
+        context.near += target->near;
         context.best_error = MIN(context.best_error, target->error_ratio);
         if (target->pace_ms > 0) {
             context.usual_pace_ms += target->pace_ms;
@@ -345,7 +351,8 @@
         return true;
     }
     uint64_t parts[3] = {target->hash, targets->address, (uint64_t)now_ms};
-    return XXH3_64bits(parts, sizeof(parts)) % SAMPLE_ONE_IN == 0;
+    uint64_t one_in = CLAMP(context->near / SAMPLE_NEAR, 1, SAMPLE_ONE_IN_MAX);
+    return XXH3_64bits(parts, sizeof(parts)) % one_in == 0;
 }
 
 /* Returns the cheapest free target of those that LOOK names. */
@@ -354,7 +361,6 @@
            const BsTargetQuery *query, const BsTargetContext *context,
            BsTargetLook look, int64_t now_ms, BsTargetVerdict *verdict)
 {
-
     BsTarget *best = NULL;
     double best_cost = HUGE_VAL;
     for (guint i = 0; i < list->len; i++) {
@@ -390,14 +396,12 @@
         return NULL;
     }
     BsTargetContext context = S_survey(list, query, now_ms);
-    BsTarget *best = NULL;
-    if (targets->summed) {
-        best = S_cheapest(targets, list, query, &context, LOOK_SAMPLE, now_ms,
-                          verdict);
-    }
-    if (best == NULL) {
-        best = S_cheapest(targets, list, query, &context, LOOK_KNOWN, now_ms,
-                          verdict);
+    BsTarget *best = S_cheapest(targets, list, query, &context,
+                                targets->summed ? LOOK_SAMPLE : LOOK_KNOWN,
+                                now_ms, verdict);
+    if (targets->summed && context.open > 0) {
+        /* Those that were not looked at may have a place soon. */
+        *verdict = MIN(*verdict, BS_TARGET_BUSY);
     }
     if (best == NULL && targets->far_age_ms > FAR_FRESH_MS) {
         bool needy = *verdict == BS_TARGET_NONE;
