Places elsewhere are shared out among the whole fleet, by hubs' sums, too

Change: they are guesses again, shared out among all instances of the fleet; before, the share was computed on those whose addresses are known.

--- a/src/gossip.c
+++ b/src/gossip.c
@@ -20,7 +20,7 @@
 #define FLEET_OLD_MS 1500
 
 /* Usual age of what a hub tells of other data centres. */
-#define HUB_AGE_MS 45
+#define HUB_AGE_MS 60
 
 /* Members up to which everyone reports to everyone. */
 #define MESH_MEMBERS 24
--- a/src/gw_gossip.c
+++ b/src/gw_gossip.c
@@ -395,6 +395,7 @@
     double share = BsGossip_Share(task->gossip, now_ms);
     gate->instances = BsGossip_Known(task->gossip, now_ms);
     BsTargets_SetShare(gate->targets, share);
+    BsTargets_SetInstances(gate->targets, gate->instances);
     BsQuotas_SetShare(gate->quotas, share);
     BsTargets_SetFarAge(gate->targets,
                         BsGossip_FarAgeMs(task->gossip, now_ms));
--- a/src/targetchoice.c
+++ b/src/targetchoice.c
@@ -169,6 +169,12 @@
     return cost;
 }
 
+void
+BsTargets_SetInstances(BsTargets *targets, unsigned instances)
+{
+    targets->instances = instances;
+}
+
 void
 BsTargets_SetFarAge(BsTargets *targets, int64_t age_ms)
 {
@@ -251,7 +257,7 @@
                   const BsTargetQuery *query, const BsTargetContext *context,
                   bool needy, int64_t now_ms)
 {
-    double takers = MAX(targets->senders->len, 1);
+    double takers = MAX(MAX(targets->senders->len, targets->instances), 1);
     double turns = S_turns(targets, query, context);
     GHashTableIter iter;
     gpointer value;
--- a/src/targets.h
+++ b/src/targets.h
@@ -157,6 +157,9 @@
 void BsTargets_SetSenders(BsTargets *targets, uint32_t address,
                           const GArray *senders);
 
+/* Sets how many instances the fleet has, this one too. */
+void BsTargets_SetInstances(BsTargets *targets, unsigned instances);
+
 /* Sets how old the counts of other data centres' instances are. */
 void BsTargets_SetFarAge(BsTargets *targets, int64_t age_ms);
 
--- a/src/targets_private.h
+++ b/src/targets_private.h
@@ -32,6 +32,7 @@
     char *region;
     double share;
     int64_t far_age_ms;
+    unsigned instances; /* of the fleet; 0: not told */
     bool summed; /* loads are a hub's sums, the same for many instances */
     GHashTable *allowances; /* data centre to BsTargetAllowance */
     uint32_t address;
