Failures in the log name the content of the request, and what is known of it

No logic is changed. Test: FailuresOfTheSameContentAreToldApartFromOthers. Its first form read the attempt_failed lines and failed, as the only upstream was paused at the third request; it reads the refusals now.

--- a/src/crasher.c
+++ b/src/crasher.c
@@ -66,6 +66,14 @@
     return XXH3_64bits_withSeed(id, strlen(id), seed);
 }
 
+uint64_t
+BsCrashers_Content(const char *account, const char *target, const char *body,
+                   size_t size_bytes)
+{
+    return XXH3_64bits_withSeed(body, size_bytes,
+                                BsCrashers_Hash(account, target));
+}
+
 static bool
 S_is_old(const BsCrasherEntry *entry, int64_t now_ms)
 {
--- a/src/crasher.h
+++ b/src/crasher.h
@@ -34,6 +34,11 @@
    ACCOUNT may be NULL. */
 uint64_t BsCrashers_Hash(const char *account, const char *id);
 
+/* Returns the hash of what a request asks for, the same for all attempts of
+   its caller: ACCOUNT, which may be NULL, the path TARGET and the body. */
+uint64_t BsCrashers_Content(const char *account, const char *target,
+                            const char *body, size_t size_bytes);
+
 /* Notes that upstreams broke off BREAKS times while they ran the request HASH,
    which this instance has now given up. */
 void BsCrashers_Note(BsCrashers *crashers, uint64_t hash, uint32_t breaks,
--- a/src/gw_relay.c
+++ b/src/gw_relay.c
@@ -27,6 +27,9 @@
    soon. */
 #define YIELD_PLACES 2
 
+/* Hexadecimal digits of a content hash in the log. */
+#define CONTENT_DIGITS 16
+
 #define MS_PER_S 1000.0
 
 /* --------------------------------------------------------------- log -- */
@@ -49,6 +52,42 @@
     }
 }
 
+static uint64_t
+S_crasher_hash(const BsRelay *relay)
+{
+    return BsCrashers_Hash(
+        relay->account == NULL ? NULL : relay->account->name, relay->id);
+}
+
+/* Returns how many upstreams are known to have broken off while they ran the
+   request, in this attempt of its caller and in others. */
+static uint32_t
+S_breaks(const BsRelay *relay)
+{
+    const BsGate *gate = relay->gate;
+    uint32_t before = 0;
+    if (relay->id[0] != '\0') {
+        before = BsCrashers_Breaks(gate->crashers, S_crasher_hash(relay),
+                                   BsClock_NowMs(gate->clock));
+    }
+    return before + relay->breaks;
+}
+
+/* Tells what leads from a failure to others of the same content. */
+static void
+S_log_content(const BsRelay *relay)
+{
+    BsEventLog *log = relay->gate->log;
+    char content[CONTENT_DIGITS + 1];
+    g_snprintf(content, sizeof(content), "%016" G_GINT64_MODIFIER "x",
+               relay->content);
+    BsEventLog_Text(log, "content", content);
+    BsEventLog_Number(log, "breaks", S_breaks(relay));
+    if (relay->target != NULL) {
+        BsEventLog_Number(log, "born_ms", relay->target->born_ms);
+    }
+}
+
 void
 BsRelay_Log(BsRelay *relay, BsEventClass event_class, const char *event,
             const char *cause)
@@ -78,6 +117,9 @@
         BsEventLog_Number(gate->log, "others", relay->target->others);
         S_log_times(relay);
     }
+    if (event_class == BS_EVENT_FAILURE && relay->service != NULL) {
+        S_log_content(relay);
+    }
     BsEventLog_Number(gate->log, "age_ms", now_ms - relay->arrived_ms);
     BsEventLog_Number(gate->log, "attempts", relay->attempts);
     BsEventLog_End(gate->log);
@@ -140,23 +182,10 @@
                       relay->answered && S_is_in_time(relay));
 }
 
-static uint64_t
-S_crasher_hash(const BsRelay *relay)
-{
-    return BsCrashers_Hash(
-        relay->account == NULL ? NULL : relay->account->name, relay->id);
-}
-
 bool
 BsRelay_IsStopped(const BsRelay *relay)
 {
-    const BsGate *gate = relay->gate;
-    uint32_t before = 0;
-    if (relay->id[0] != '\0') {
-        before = BsCrashers_Breaks(gate->crashers, S_crasher_hash(relay),
-                                   BsClock_NowMs(gate->clock));
-    }
-    return BsCrashers_IsStopped(before + relay->breaks);
+    return BsCrashers_IsStopped(S_breaks(relay));
 }
 
 /* Its caller may send it again, to any instance: all are to know. */
@@ -470,6 +499,9 @@
         allowed_ms = MIN(allowed_ms, relay->info.deadline_ms);
     }
     relay->expires_ms = relay->arrived_ms + allowed_ms;
+    relay->content = BsCrashers_Content(
+        relay->account == NULL ? NULL : relay->account->name,
+        relay->head->target, relay->body->str, relay->body->len);
     relay->session = S_session(relay);
     return relay->service != NULL;
 }
--- a/src/gw_relayparts.h
+++ b/src/gw_relayparts.h
@@ -35,6 +35,7 @@
     const BsCatalogRoute *route;
     const BsCatalogAccount *account; /* NULL on public routes */
     const BsCatalogService *service;
+    uint64_t content; /* BsCrashers_Content() */
     uint64_t session; /* hash of the prompt's last part; 0: none */
     uint64_t cost;    /* taken from the account's quota */
     int64_t arrived_ms;
--- a/tests/gate/gateway_story_test.cc
+++ b/tests/gate/gateway_story_test.cc
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <csignal>
+#include <sstream>
 #include <thread>
 
 namespace {
@@ -51,6 +52,43 @@
                               504, "Cause expired:"}),
     [](const auto &info) { return std::string(info.param.name); });
 
+// Returns the values of the text FIELD in the lines of LOG that name EVENT.
+std::vector<std::string>
+ValuesOf(const std::string &log, const std::string &event,
+         const std::string &field)
+{
+    std::vector<std::string> values;
+    std::string mark = "\"" + field + "\":\"";
+    std::istringstream lines(log);
+    for (std::string line; std::getline(lines, line);) {
+        size_t at = line.find(mark);
+        if (line.find("\"" + event + "\"") != std::string::npos &&
+            at != std::string::npos) {
+            at += mark.size();
+            values.push_back(line.substr(at, line.find('"', at) - at));
+        }
+    }
+    return values;
+}
+
+// A caller's attempts have ids of their own: only the content is the same.
+TEST_F(GatewayTest, FailuresOfTheSameContentAreToldApartFromOthers)
+{
+    Start({[](Socket &, const Got &) { return false; }});
+    gateway_->Ask(Call("/book/1", "first", "", "flour"));
+    gateway_->Ask(Call("/book/1", "again", "", "flour"));
+    gateway_->Ask(Call("/book/1", "third", "", "rye"));
+    gateway_->Ask(Call("/book/2", "fourth", "", "flour"));
+    std::vector<std::string> contents;
+    ASSERT_TRUE(Eventually([&] {
+        contents = ValuesOf(gateway_->Log(), "refused", "content");
+        return contents.size() == 4;
+    })) << gateway_->Log();
+    EXPECT_EQ(contents[0], contents[1]);
+    EXPECT_NE(contents[0], contents[2]);
+    EXPECT_NE(contents[0], contents[3]);
+}
+
 // The log's reader stops, then goes away; callers do not notice.
 TEST_F(GatewayTest, ALogThatNobodyReadsCostsLinesNotTime)
 {
