A request that crashes upstreams reaches them under new ids: failing test

gateway_crash_test, on real sockets with three instances, repeats the same path, account and body with another id each time. The first three also wait for a gauge, crashers_stopped, that does not exist yet.

--- /dev/null
+++ b/tests/gate/gateway_crash_test.cc
@@ -0,0 +1,155 @@
+// A request that crashes each upstream which runs it comes again: same path,
+// account and body, at any instance, with an id of its own each time.
+#include "gateway_fixture.h"
+
+#include <csignal>
+
+namespace {
+
+const char kDeadly[] = "deadly body";
+const int kUpstreams = 8;
+const int kStopBreaks = 3;
+
+// Breaks off under the deadly body and answers everything else.
+bool
+Crashes(Socket &socket, const Got &got)
+{
+    return got.body() != kDeadly && Answers(socket, got);
+}
+
+class CrashTest : public GatewayTest {
+  protected:
+    // Starts upstreams with SCRIPT and three instances that know each other.
+    void StartThree(const Runner::Script &script = Crashes)
+    {
+        Start(std::vector<Runner::Script>(kUpstreams, script));
+        instances_.push_back(gateway_.get());
+        second_ = Join("127.0.0.2");
+        third_ = Join("127.0.0.3");
+        for (Gateway *instance : instances_) {
+            ASSERT_TRUE(instance->WaitMetric("boragespur_instances 3"));
+        }
+    }
+    // Starts one more instance on IP.
+    std::unique_ptr<Gateway> Join(const std::string &ip)
+    {
+        auto joined = std::make_unique<Gateway>(
+            store_.port(), ip, gateway_->peers_port(),
+            std::vector<std::string>{"127.0.0.1", "127.0.0.2"});
+        EXPECT_TRUE(joined->WaitReady());
+        EXPECT_TRUE(joined->WaitMetric("boragespur_upstreams " +
+                                       std::to_string(kUpstreams)));
+        instances_.push_back(joined.get());
+        return joined;
+    }
+    // Sends the deadly body, each time with another id.
+    int AskDeadly(Gateway &instance, const std::string &path)
+    {
+        std::string id = "deadly-" + std::to_string(++asked_);
+        return StatusOf(instance.Ask(Call(path, id, "", kDeadly)));
+    }
+    // Waits until INSTANCE knows of COUNT contents that are not sent any more.
+    static bool WaitStopped(Gateway &instance, int count)
+    {
+        return instance.WaitMetric("boragespur_crashers_stopped " +
+                                   std::to_string(count));
+    }
+    // Sends it to each instance in turn until upstreams broke often enough.
+    void BreakUpstreams(const std::string &path)
+    {
+        for (size_t i = 0; Arrivals() < kStopBreaks; i++) {
+            ASSERT_LT(i, (size_t)kStopBreaks) << "it is not sent";
+            EXPECT_EQ(AskDeadly(*instances_[i], path), 502);
+        }
+        for (Gateway *instance : instances_) {
+            EXPECT_TRUE(WaitStopped(*instance, 1));
+        }
+    }
+
+    std::vector<Gateway *> instances_;
+    std::unique_ptr<Gateway> second_;
+    std::unique_ptr<Gateway> third_;
+    int asked_ = 0;
+};
+
+// Guards against repeats of a crashing request that reach upstreams because
+// each has a new id.
+TEST_F(CrashTest, RepeatsWithNewIdsAreStoppedAtAllInstances)
+{
+    StartThree();
+    BreakUpstreams("/look/1");
+    int broken = Arrivals();
+    EXPECT_LE(broken, kStopBreaks + 1);
+    for (Gateway *instance : instances_) {
+        EXPECT_EQ(AskDeadly(*instance, "/look/1"), 502);
+        EXPECT_NE(instance->Log().find("breaks_upstreams"), std::string::npos);
+        EXPECT_TRUE(IsHealthy(
+            instance->Ask(Call("/look/1", "fine", "", "fine body")), "fine"));
+    }
+    EXPECT_EQ(Arrivals(), broken + 3);
+}
+
+// Guards against the same on routes whose requests may run once only: their
+// callers send them again, too.
+TEST_F(CrashTest, RequestsThatMayRunOnceAreCounted)
+{
+    StartThree();
+    BreakUpstreams("/book/1");
+    EXPECT_EQ(Arrivals(), kStopBreaks);
+    for (Gateway *instance : instances_) {
+        EXPECT_EQ(AskDeadly(*instance, "/book/1"), 502);
+    }
+    EXPECT_EQ(Arrivals(), kStopBreaks);
+}
+
+// Guards against an instance that starts later and sends it on, once the one
+// that had counted is gone.
+TEST_F(CrashTest, AStartedInstanceLearnsWhatIsStopped)
+{
+    StartThree();
+    BreakUpstreams("/look/1");
+    int broken = Arrivals();
+    gateway_->Signal(SIGKILL);
+    gateway_->Wait();
+    std::unique_ptr<Gateway> fourth = Join("127.0.0.4");
+    EXPECT_TRUE(WaitStopped(*fourth, 1));
+    EXPECT_EQ(AskDeadly(*fourth, "/look/1"), 502);
+    EXPECT_EQ(Arrivals(), broken);
+}
+
+// Guards against a repeat that waits for a place while the others break their
+// upstreams, and is sent after them.
+TEST_F(CrashTest, AWaitingRepeatIsNotSent)
+{
+    const int places = 6;
+    auto holds = [this](Socket &socket, const Got &got) {
+        Eventually([&] { return go_.load(); });
+        return Crashes(socket, got);
+    };
+    Start({holds, holds, holds});
+    std::vector<std::unique_ptr<Socket>> callers;
+    auto send = [&](const std::string &id, const std::string &path,
+                    const std::string &body) {
+        callers.push_back(gateway_->Open());
+        callers.back()->Write(Call(path, id, "", body));
+    };
+    for (int i = 1; i <= kStopBreaks; i++) {
+        send("deadly-" + std::to_string(i), "/book/1", kDeadly);
+        ASSERT_TRUE(Eventually([&] { return Arrivals() == i; }));
+    }
+    for (auto &runner : runners_) {
+        ASSERT_EQ(runner->count(), 1); // each has one of them
+    }
+    for (int i = kStopBreaks; i < kStopBreaks * places; i++) {
+        send("held-" + std::to_string(i), "/book/1", "held");
+    }
+    ASSERT_TRUE(
+        Eventually([&] { return Arrivals() == kStopBreaks * places; }));
+    send("waits", "/book/1", kDeadly);
+    ASSERT_TRUE(gateway_->WaitMetric("boragespur_waiting 1"));
+    go_ = true;
+    EXPECT_EQ(StatusOf(callers.back()->ReadMessage()), 502);
+    EXPECT_EQ(Arrivals(), kStopBreaks * places);
+}
+
+} // namespace
