--- a/src/crasher.c
+++ b/src/crasher.c
@@ -1,50 +1,52 @@
-/* crasher.c - requests that break the upstreams which run them. */
+/* crasher.c - requests that crash the upstreams which run them. */
 #include "crasher.h"
 
 #include <string.h>
 #include <xxhash.h>
 
-/* Breaks at which a request is not sent any more: two may be faults of other
-   causes that hit it twice. */
-#define STOP_BREAKS 3
+/* Time after the last break in which a content is stopped. */
+#define STOP_MS (10 * 60 * 1000)
 
-/* What was counted is forgotten after this time without another break.  The
-   longest deadlines of callers are 15 seconds. */
-#define FORGET_MS 20000
+/* Time after the last break in which it is remembered: at its next break it is
+   stopped at once. */
+#define FORGET_MS (2 * STOP_MS)
 
-/* The counter of this instance itself among those of its peers. */
-#define OWN 0
+/* A stop is not told any more this long before its end, so that instances do
+   not learn it from each other without end. */
+#define TELL_UNTIL_MS (STOP_MS - 30 * 1000)
 
-typedef struct {
-    uint32_t counter; /* address of the instance that counted, or OWN */
-    uint32_t breaks;
-} BsCrasherCount;
+/* Time in which a change is told in each report. */
+#define NEWS_MS 2000
+
+/* Contents known at most. */
+#define ENTRIES_MAX 4096
 
-/* A request that was given up after breaks. */
 typedef struct {
-    uint64_t hash;
-    GArray *counts; /* of BsCrasherCount */
-    int64_t last_ms;
+    BsCrasher crasher; /* without its age */
+    int64_t last_ms;   /* of the last break */
+    int64_t changed_ms;
+    GQueue *queue; /* that holds LINK */
+    GList link;
 } BsCrasherEntry;
 
 struct BsCrashers {
-    GHashTable *entries; /* hash to BsCrasherEntry */
+    GHashTable *entries; /* content to BsCrasherEntry */
+    GQueue news;         /* changed lately, told in turns */
+    GQueue stopped;      /* told in turns, too */
+    GQueue rest;         /* in the order in which they came here */
 };
 
-static void
-S_destroy_entry(gpointer data)
-{
-    BsCrasherEntry *entry = data;
-    g_array_unref(entry->counts);
-    g_free(entry);
-}
+/* ----------------------------------------------------------- entries -- */
 
 BsCrashers *
 BsCrashers_Create(void)
 {
     BsCrashers *crashers = g_new0(BsCrashers, 1);
-    crashers->entries = g_hash_table_new_full(g_int64_hash, g_int64_equal,
-                                              NULL, S_destroy_entry);
+    crashers->entries =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    g_queue_init(&crashers->news);
+    g_queue_init(&crashers->stopped);
+    g_queue_init(&crashers->rest);
     return crashers;
 }
 
@@ -59,169 +61,301 @@
 }
 
 uint64_t
-BsCrashers_Hash(const char *account, const char *id)
+BsCrashers_Content(const char *account, const char *target, const char *body,
+                   size_t size_bytes)
 {
     XXH64_hash_t seed =
         account == NULL ? 0 : XXH3_64bits(account, strlen(account));
-    return XXH3_64bits_withSeed(id, strlen(id), seed);
+    seed = XXH3_64bits_withSeed(target, strlen(target), seed);
+    return XXH3_64bits_withSeed(body, size_bytes, seed);
 }
 
-uint64_t
-BsCrashers_Content(const char *account, const char *target, const char *body,
-                   size_t size_bytes)
+uint32_t
+BsCrashers_Upstream(const char *id, int64_t born_ms)
 {
-    return XXH3_64bits_withSeed(body, size_bytes,
-                                BsCrashers_Hash(account, target));
+    return (uint32_t)XXH3_64bits_withSeed(id, strlen(id),
+                                          (XXH64_hash_t)born_ms);
 }
 
-static bool
-S_is_old(const BsCrasherEntry *entry, int64_t now_ms)
+static BsCrasherEntry *
+S_find(const BsCrashers *crashers, uint64_t content)
 {
-    return now_ms - entry->last_ms > FORGET_MS;
+    return g_hash_table_lookup(crashers->entries, &content);
 }
 
-static gboolean
-S_is_old_entry(gpointer key, gpointer value, gpointer now_ms)
+static void
+S_move(BsCrasherEntry *entry, GQueue *queue)
 {
-    (void)key;
-    return S_is_old(value, *(const int64_t *)now_ms);
+    g_queue_unlink(entry->queue, &entry->link);
+    g_queue_push_tail_link(queue, &entry->link);
+    entry->queue = queue;
 }
 
-/* Returns the entry of HASH, a new one when there is none. */
-static BsCrasherEntry *
-S_entry(BsCrashers *crashers, uint64_t hash, int64_t now_ms)
+static void
+S_drop(BsCrashers *crashers, BsCrasherEntry *entry)
 {
-    BsCrasherEntry *entry = g_hash_table_lookup(crashers->entries, &hash);
-    if (entry == NULL) {
-        g_hash_table_foreach_remove(crashers->entries, S_is_old_entry,
-                                    &now_ms);
-        entry = g_new0(BsCrasherEntry, 1);
-        entry->hash = hash;
-        entry->counts = g_array_new(FALSE, FALSE, sizeof(BsCrasherCount));
-        entry->last_ms = now_ms;
-        g_hash_table_insert(crashers->entries, &entry->hash, entry);
+    g_queue_unlink(entry->queue, &entry->link);
+    g_hash_table_remove(crashers->entries, &entry->crasher.content);
+}
+
+/* Drops the oldest of the rest while they are to be forgotten. */
+static void
+S_drop_old(BsCrashers *crashers, int64_t now_ms)
+{
+    BsCrasherEntry *oldest;
+    while ((oldest = g_queue_peek_head(&crashers->rest)) != NULL &&
+           now_ms - oldest->last_ms > FORGET_MS) {
+        S_drop(crashers, oldest);
+    }
+}
+
+/* Makes room for one entry more. */
+static void
+S_make_room(BsCrashers *crashers, int64_t now_ms)
+{
+    S_drop_old(crashers, now_ms);
+    if (g_hash_table_size(crashers->entries) < ENTRIES_MAX) {
+        return;
     }
+    GQueue *queue = crashers->rest.length > 0   ? &crashers->rest
+                    : crashers->news.length > 0 ? &crashers->news
+                                                : &crashers->stopped;
+    S_drop(crashers, g_queue_peek_head(queue));
+}
+
+/* Has ENTRY told to the others. */
+static void
+S_note_change(BsCrashers *crashers, BsCrasherEntry *entry, int64_t now_ms)
+{
+    entry->changed_ms = now_ms;
+    S_move(entry, &crashers->news);
+}
+
+static BsCrasherEntry *
+S_add(BsCrashers *crashers, uint64_t content, int64_t now_ms)
+{
+    S_make_room(crashers, now_ms);
+    BsCrasherEntry *entry = g_new0(BsCrasherEntry, 1);
+    entry->crasher.content = content;
+    entry->changed_ms = now_ms;
+    entry->last_ms = now_ms;
+    entry->link.data = entry;
+    entry->queue = &crashers->news;
+    g_queue_push_tail_link(entry->queue, &entry->link);
+    g_hash_table_insert(crashers->entries, &entry->crasher.content, entry);
     return entry;
 }
 
-/* Returns the count of COUNTER, or NULL. */
-static BsCrasherCount *
-S_find_count(const BsCrasherEntry *entry, uint32_t counter)
+static bool
+S_is_stopped(const BsCrasherEntry *entry, int64_t now_ms)
+{
+    return entry->crasher.breaks == BS_CRASHER_BREAKS_MAX &&
+           now_ms - entry->last_ms <= STOP_MS;
+}
+
+/* -------------------------------------------------------------- sets -- */
+
+static bool
+S_holds(const BsCrasher *crasher, uint32_t upstream)
 {
-    for (guint i = 0; i < entry->counts->len; i++) {
-        BsCrasherCount *count =
-            &g_array_index(entry->counts, BsCrasherCount, i);
-        if (count->counter == counter) {
-            return count;
+    for (uint32_t i = 0; i < crasher->breaks; i++) {
+        if (crasher->upstreams[i] == upstream) {
+            return true;
         }
     }
-    return NULL;
+    return false;
 }
 
-/* Returns the count of COUNTER, a new one of 0 when there is none. */
-static BsCrasherCount *
-S_count(BsCrasherEntry *entry, uint32_t counter)
+/* Adds UPSTREAM to the set; a full set keeps the lowest, so that all instances
+   come to the same one. */
+static void
+S_insert(BsCrasher *crasher, uint32_t upstream)
 {
-    BsCrasherCount *count = S_find_count(entry, counter);
-    if (count != NULL) {
-        return count;
+    if (S_holds(crasher, upstream)) {
+        return;
+    }
+    uint32_t at = MIN(crasher->breaks, BS_CRASHER_BREAKS_MAX - 1);
+    if (crasher->breaks == BS_CRASHER_BREAKS_MAX &&
+        crasher->upstreams[at] < upstream) {
+        return;
     }
-    BsCrasherCount fresh = {counter, 0};
-    g_array_append_val(entry->counts, fresh);
-    return &g_array_index(entry->counts, BsCrasherCount,
-                          entry->counts->len - 1);
+    for (; at > 0 && crasher->upstreams[at - 1] > upstream; at--) {
+        crasher->upstreams[at] = crasher->upstreams[at - 1];
+    }
+    crasher->upstreams[at] = upstream;
+    crasher->breaks = MIN(crasher->breaks + 1, BS_CRASHER_BREAKS_MAX);
 }
 
-void
-BsCrashers_Note(BsCrashers *crashers, uint64_t hash, uint32_t breaks,
-                int64_t now_ms)
+static bool
+S_equals(const BsCrasher *a, const BsCrasher *b)
 {
-    BsCrasherEntry *entry = S_entry(crashers, hash, now_ms);
-    S_count(entry, OWN)->breaks += breaks;
-    entry->last_ms = now_ms;
+    return a->generation == b->generation && a->breaks == b->breaks &&
+           memcmp(a->upstreams, b->upstreams,
+                  a->breaks * sizeof(a->upstreams[0])) == 0;
 }
 
-void
-BsCrashers_SetPeer(BsCrashers *crashers, uint32_t address, const GArray *told,
-                   int64_t now_ms)
-{
-    guint length = MIN(told->len, BS_CRASHERS_TOLD_MAX);
-    for (guint i = 0; i < length; i++) {
-        const BsCrasher *crasher = &g_array_index(told, BsCrasher, i);
-        BsCrasherEntry *entry = S_entry(crashers, crasher->hash, now_ms);
-        BsCrasherCount *count = S_count(entry, address);
-        if (crasher->breaks > count->breaks) {
-            count->breaks = crasher->breaks;
-            entry->last_ms = now_ms;
+/* Returns the set of both; the one of a later generation counts alone. */
+static BsCrasher
+S_union(const BsCrasher *a, const BsCrasher *b)
+{
+    BsCrasher both = a->generation >= b->generation ? *a : *b;
+    if (a->generation == b->generation) {
+        for (uint32_t i = 0; i < b->breaks; i++) {
+            S_insert(&both, b->upstreams[i]);
         }
     }
+    return both;
 }
 
-static gint
-S_compare_last(gconstpointer a, gconstpointer b)
+/* ------------------------------------------------------------- notes -- */
+
+/* Makes room for one break in the set of a content that was let through. */
+static void
+S_begin_generation(BsCrasher *crasher, uint32_t breaks)
 {
-    const BsCrasherEntry *first = *(const BsCrasherEntry *const *)a;
-    const BsCrasherEntry *second = *(const BsCrasherEntry *const *)b;
-    return (first->last_ms < second->last_ms) -
-           (first->last_ms > second->last_ms);
+    crasher->generation++;
+    crasher->breaks = breaks;
 }
 
-/* Returns the entries with a count of ours, the latest first. */
-static GPtrArray *
-S_own_entries(const BsCrashers *crashers, int64_t now_ms)
+bool
+BsCrashers_NoteBreak(BsCrashers *crashers, uint64_t content, uint32_t upstream,
+                     int64_t sent_ms, int64_t now_ms)
 {
-    GPtrArray *own = g_ptr_array_new();
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, crashers->entries);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        if (!S_is_old(value, now_ms) && S_find_count(value, OWN) != NULL) {
-            g_ptr_array_add(own, value);
-        }
+    BsCrasherEntry *entry = S_find(crashers, content);
+    if (entry == NULL) {
+        entry = S_add(crashers, content, now_ms);
+    }
+    BsCrasher *crasher = &entry->crasher;
+    bool was_stopped = S_is_stopped(entry, now_ms);
+    if (crasher->breaks == BS_CRASHER_BREAKS_MAX && !was_stopped) {
+        S_begin_generation(crasher, BS_CRASHER_BREAKS_MAX - 1);
     }
-    g_ptr_array_sort(own, S_compare_last);
-    return own;
+    /* It took a request after it had broken off, so it has started again. */
+    while (sent_ms > entry->last_ms && S_holds(crasher, upstream)) {
+        upstream++;
+    }
+    S_insert(crasher, upstream);
+    entry->last_ms = now_ms;
+    S_note_change(crashers, entry, now_ms);
+    return !was_stopped && S_is_stopped(entry, now_ms);
 }
 
 void
-BsCrashers_Append(const BsCrashers *crashers, int64_t now_ms, GArray *told)
+BsCrashers_NoteGood(BsCrashers *crashers, uint64_t content, int64_t now_ms)
 {
-    if (g_hash_table_size(crashers->entries) == 0) {
-        return;
+    BsCrasherEntry *entry = S_find(crashers, content);
+    if (entry != NULL && entry->crasher.breaks > 0) {
+        S_begin_generation(&entry->crasher, 0);
+        S_note_change(crashers, entry, now_ms);
     }
-    GPtrArray *own = S_own_entries(crashers, now_ms);
-    guint length = MIN(own->len, BS_CRASHERS_TOLD_MAX);
-    for (guint i = 0; i < length; i++) {
-        const BsCrasherEntry *entry = own->pdata[i];
-        BsCrasher crasher = {entry->hash, S_find_count(entry, OWN)->breaks};
-        g_array_append_val(told, crasher);
+}
+
+static void
+S_merge(BsCrashers *crashers, const BsCrasher *told, int64_t now_ms)
+{
+    int64_t told_ms = now_ms - told->age_ms;
+    BsCrasherEntry *entry = S_find(crashers, told->content);
+    if (entry == NULL && told->breaks == 0) {
+        return; /* nothing to take back here */
+    }
+    if (entry == NULL) {
+        entry = S_add(crashers, told->content, now_ms);
+        entry->last_ms = told_ms;
+    }
+    BsCrasher both = S_union(&entry->crasher, told);
+    if (!S_equals(&both, &entry->crasher)) {
+        entry->crasher = both;
+        entry->last_ms = MAX(entry->last_ms, told_ms);
+        S_note_change(crashers, entry, now_ms);
+    }
+    else if (!S_equals(&both, told)) {
+        S_note_change(crashers, entry, now_ms); /* the other one is behind */
     }
-    g_ptr_array_free(own, TRUE);
 }
 
-uint32_t
-BsCrashers_Breaks(const BsCrashers *crashers, uint64_t hash, int64_t now_ms)
+void
+BsCrashers_Merge(BsCrashers *crashers, const GArray *told, int64_t now_ms)
 {
-    const BsCrasherEntry *entry =
-        g_hash_table_lookup(crashers->entries, &hash);
-    uint32_t breaks = 0;
-    if (entry == NULL || S_is_old(entry, now_ms)) {
-        return 0;
+    for (guint i = 0; i < told->len; i++) {
+        S_merge(crashers, &g_array_index(told, BsCrasher, i), now_ms);
     }
-    for (guint i = 0; i < entry->counts->len; i++) {
-        breaks += g_array_index(entry->counts, BsCrasherCount, i).breaks;
+}
+
+/* ----------------------------------------------------------- telling -- */
+
+static void
+S_append(const BsCrasherEntry *entry, int64_t now_ms, GArray *told)
+{
+    BsCrasher crasher = entry->crasher;
+    crasher.age_ms = (uint32_t)CLAMP(now_ms - entry->last_ms, 0, UINT32_MAX);
+    g_array_append_val(told, crasher);
+}
+
+/* Returns the queue in which ENTRY belongs now. */
+static GQueue *
+S_home(BsCrashers *crashers, const BsCrasherEntry *entry, int64_t now_ms)
+{
+    if (now_ms - entry->changed_ms <= NEWS_MS) {
+        return &crashers->news;
     }
-    return breaks;
+    bool is_told = entry->crasher.breaks == BS_CRASHER_BREAKS_MAX &&
+                   now_ms - entry->last_ms <= TELL_UNTIL_MS;
+    return is_told ? &crashers->stopped : &crashers->rest;
 }
 
-unsigned
-BsCrashers_Count(const BsCrashers *crashers)
+/* Appends the next of QUEUE, and moves those that belong elsewhere. */
+static void
+S_append_turn(BsCrashers *crashers, GQueue *queue, int64_t now_ms,
+              GArray *told)
 {
-    return g_hash_table_size(crashers->entries);
+    for (guint left = queue->length;
+         left > 0 && told->len < BS_CRASHERS_TOLD_MAX; left--) {
+        BsCrasherEntry *entry = g_queue_peek_head(queue);
+        GQueue *home = S_home(crashers, entry, now_ms);
+        if (home == queue) {
+            S_append(entry, now_ms, told);
+        }
+        S_move(entry, home);
+    }
+}
+
+void
+BsCrashers_Append(BsCrashers *crashers, int64_t now_ms, GArray *told)
+{
+    S_append_turn(crashers, &crashers->news, now_ms, told);
+    S_append_turn(crashers, &crashers->stopped, now_ms, told);
+    S_drop_old(crashers, now_ms);
+}
+
+/* ----------------------------------------------------------- answers -- */
+
+uint32_t
+BsCrashers_Breaks(const BsCrashers *crashers, uint64_t content)
+{
+    const BsCrasherEntry *entry = S_find(crashers, content);
+    return entry == NULL ? 0 : entry->crasher.breaks;
 }
 
 bool
-BsCrashers_IsStopped(uint32_t breaks)
+BsCrashers_IsStopped(const BsCrashers *crashers, uint64_t content,
+                     int64_t now_ms)
+{
+    const BsCrasherEntry *entry = S_find(crashers, content);
+    return entry != NULL && S_is_stopped(entry, now_ms);
+}
+
+BsCrasherCounts
+BsCrashers_Count(const BsCrashers *crashers, int64_t now_ms)
 {
-    return breaks >= STOP_BREAKS;
+    BsCrasherCounts counts = {0};
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, crashers->entries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const BsCrasherEntry *entry = value;
+        counts.contents++;
+        counts.breaks += entry->crasher.breaks;
+        counts.stopped += S_is_stopped(entry, now_ms);
+    }
+    return counts;
 }
--- a/src/crasher.h
+++ b/src/crasher.h
@@ -1,67 +1,93 @@
 /*
- * crasher.h - requests that break the upstreams which run them.
+ * crasher.h - requests that crash the upstreams which run them.
  *
- * A request that crashes its upstream is sent again, by us or by its caller to
- * any instance, and crashes the next one.  Each instance notes the requests
- * that it gave up after upstreams broke off while they ran them; the counts of
- * all instances together decide that such a request is not sent any more.
+ * Such a request is sent again, by us or by its caller to any instance, and
+ * crashes the next upstream.  It is known by its content, as each attempt of a
+ * caller has an id of its own.  Instances tell each other which starts of
+ * upstreams broke off under a content; from three of them on it is not sent
+ * any more.
  *
- * Rules: a single break may be any fault, so only several stop a request; what
- * was counted is forgotten after a while, longer than callers try again.
+ * Rules: what instances tell is merged as sets, so that order, repeats and
+ * detours do not matter.  A content that ran to its end has no part in the
+ * breaks before: its set becomes empty, in a new generation that replaces the
+ * older ones everywhere.  A stopped content is let through after ten minutes;
+ * one break more stops it again.  Memory is bounded; the oldest contents that
+ * are not stopped are forgotten first.
  */
 #ifndef BS_CRASHER_H
 #define BS_CRASHER_H
 
 #include "boragespur.h"
 
-/* How often upstreams broke off while they ran a request. */
+/* Starts of upstreams that broke off at which a content is stopped: fewer may
+   be faults of other causes. */
+#define BS_CRASHER_BREAKS_MAX 3
+
+/* What is known of a content. */
 typedef struct {
-    uint64_t hash; /* BsCrashers_Hash() */
-    uint32_t breaks;
+    uint64_t content;    /* BsCrashers_Content() */
+    uint32_t generation; /* grows when the counting begins anew */
+    uint32_t age_ms;     /* since the last break */
+    uint32_t breaks;     /* used of UPSTREAMS */
+    uint32_t upstreams[BS_CRASHER_BREAKS_MAX]; /* BsCrashers_Upstream(),
+                                                  ascending */
 } BsCrasher;
 
-/* Most crashers that an instance tells others. */
+/* Most crashers that are told at once. */
 #define BS_CRASHERS_TOLD_MAX 8
 
 typedef struct BsCrashers BsCrashers;
 
+/* Creates an empty table; free it with BsCrashers_Destroy(). */
 BsCrashers *BsCrashers_Create(void);
 
 /* Frees CRASHERS; NULL is allowed. */
 void BsCrashers_Destroy(BsCrashers *crashers);
 
-/* Returns the hash that names the request ID of ACCOUNT between instances;
-   ACCOUNT may be NULL. */
-uint64_t BsCrashers_Hash(const char *account, const char *id);
-
 /* Returns the hash of what a request asks for, the same for all attempts of
    its caller: ACCOUNT, which may be NULL, the path TARGET and the body. */
 uint64_t BsCrashers_Content(const char *account, const char *target,
                             const char *body, size_t size_bytes);
 
-/* Notes that upstreams broke off BREAKS times while they ran the request HASH,
-   which this instance has now given up. */
-void BsCrashers_Note(BsCrashers *crashers, uint64_t hash, uint32_t breaks,
-                     int64_t now_ms);
+/* Returns the hash that names the start of the upstream ID at BORN_MS (Unix
+   time; 0 when not told). */
+uint32_t BsCrashers_Upstream(const char *id, int64_t born_ms);
+
+/* Notes that UPSTREAM broke off while it ran CONTENT, sent to it at SENT_MS.
+   Copies that were sent before the last break count as broken by that one if
+   they ran at the same upstream.  Returns whether the content is stopped by
+   this break. */
+bool BsCrashers_NoteBreak(BsCrashers *crashers, uint64_t content,
+                          uint32_t upstream, int64_t sent_ms, int64_t now_ms);
 
-/* Takes in what the instance at ADDRESS counted; TOLD holds BsCrasher. */
-void BsCrashers_SetPeer(BsCrashers *crashers, uint32_t address,
-                        const GArray *told, int64_t now_ms);
+/* Notes that an upstream ran CONTENT to its end. */
+void BsCrashers_NoteGood(BsCrashers *crashers, uint64_t content,
+                         int64_t now_ms);
 
-/* Appends what this instance counted, as BsCrasher; at most
-   BS_CRASHERS_TOLD_MAX, the latest. */
-void BsCrashers_Append(const BsCrashers *crashers, int64_t now_ms,
-                       GArray *told);
+/* Takes in what an instance told; TOLD holds BsCrasher. */
+void BsCrashers_Merge(BsCrashers *crashers, const GArray *told,
+                      int64_t now_ms);
 
-/* Returns how often upstreams broke off while they ran the request HASH, as
-   far as it is known. */
-uint32_t BsCrashers_Breaks(const BsCrashers *crashers, uint64_t hash,
-                           int64_t now_ms);
+/* Appends what others are to know as BsCrasher, BS_CRASHERS_TOLD_MAX at most:
+   what changed lately and, in turns, all that is stopped. */
+void BsCrashers_Append(BsCrashers *crashers, int64_t now_ms, GArray *told);
 
-/* Returns how many requests are noted, here or by peers. */
-unsigned BsCrashers_Count(const BsCrashers *crashers);
+/* Returns how many upstreams broke off under CONTENT, as far as it is known;
+   BS_CRASHER_BREAKS_MAX at most. */
+uint32_t BsCrashers_Breaks(const BsCrashers *crashers, uint64_t content);
+
+/* Returns whether CONTENT is not to be sent. */
+bool BsCrashers_IsStopped(const BsCrashers *crashers, uint64_t content,
+                          int64_t now_ms);
+
+/* How much is known here. */
+typedef struct {
+    uint32_t contents;
+    uint32_t breaks; /* starts of upstreams that broke off under them */
+    uint32_t stopped;
+} BsCrasherCounts;
 
-/* Returns whether a request is not to be sent any more after BREAKS. */
-bool BsCrashers_IsStopped(uint32_t breaks);
+/* Returns how much is known; goes through all of it. */
+BsCrasherCounts BsCrashers_Count(const BsCrashers *crashers, int64_t now_ms);
 
 #endif /* BS_CRASHER_H */
--- a/src/fleetpart.c
+++ b/src/fleetpart.c
@@ -160,6 +160,7 @@
     report->age_ms = S_age_ms(fleet, now_ms);
     report->fleet = BsGossip_Counted(fleet->gossip, now_ms);
     fleet->events->fill(report, true, now_ms, fleet->context);
+    fleet->events->fill_crashers(report->crashers, now_ms, fleet->context);
     if (report->stopping) {
         BsGossip_SetStopping(fleet->gossip);
     }
@@ -222,7 +223,6 @@
         .loads = loads,
         .uses = uses,
         .incarnation = summary == NULL ? 0 : summary->incarnation,
-        .crashers = summary == NULL ? NULL : summary->crashers,
     };
     fleet->events->on_news(&news, now_ms, fleet->context);
 }
@@ -270,6 +270,7 @@
         bool used =
             BsGossip_TakeSummary(fleet->gossip, address, &summary, now_ms);
         fleet->events->on_newest(summary.newest, now_ms, fleet->context);
+        fleet->events->on_crashers(summary.crashers, now_ms, fleet->context);
         if (summary.far && summary.data_centre != fleet->data_centre) {
             BsHub_TakeFar(fleet->hub, address, &summary, now_ms);
         }
@@ -291,6 +292,7 @@
         return;
     }
     fleet->events->on_newest(report->newest, now_ms, fleet->context);
+    fleet->events->on_crashers(report->crashers, now_ms, fleet->context);
     if (!fleet->uses_hubs) {
         fleet->events->on_peer(address, report, now_ms, fleet->context);
     }
@@ -416,6 +418,7 @@
     S_fill_head(fleet, &summary, far, now_ms);
     summary.sequence = far ? ++fleet->far_sequence : fleet->summary_sequence;
     BsHub_FillUses(fleet->hub, far, &summary);
+    fleet->events->fill_crashers(summary.crashers, now_ms, fleet->context);
     S_send_summary(fleet, &summary, receivers);
     if (!far && BsGossip_Hub(fleet->gossip) == fleet->address) {
         S_use_summary(fleet, &summary, fleet->sequence, now_ms);
--- a/src/fleetpart.h
+++ b/src/fleetpart.h
@@ -19,18 +19,21 @@
 
 /* What the others do, where a hub tells it. */
 typedef struct {
-    const GArray *loads;    /* BsTargetLoad: what changed */
-    const GArray *uses;     /* BsQuotaUse: totals that grow */
-    uint64_t incarnation;   /* the totals begin anew with another one */
-    const GArray *crashers; /* BsSummaryCrasher */
+    const GArray *loads;  /* BsTargetLoad: what changed */
+    const GArray *uses;   /* BsQuotaUse: totals that grow */
+    uint64_t incarnation; /* the totals begin anew with another one */
 } BsFleetNews;
 
 /* What the fleet asks of its owner and tells it; every member is set. */
 typedef struct {
     /* Fills in what this instance knows (revisions, reading, stopping) and,
-       when WORK, what it does: loads, uses, crashers. */
+       when WORK, what it does: loads, uses. */
     void (*fill)(BsGossipReport *report, bool work, int64_t now_ms,
                  void *context);
+    /* Appends the BsCrasher that others are to know. */
+    void (*fill_crashers)(GArray *crashers, int64_t now_ms, void *context);
+    /* A member told CRASHERS (BsCrasher), its own or others'. */
+    void (*on_crashers)(const GArray *crashers, int64_t now_ms, void *context);
     void (*send)(uint32_t address, const char *data, size_t size_bytes,
                  void *context);
     /* A member told its state itself. */
--- a/src/gossipreport.c
+++ b/src/gossipreport.c
@@ -6,7 +6,7 @@
 
 #include <string.h>
 
-#define GOSSIP_VERSION 2
+#define GOSSIP_VERSION 3
 #define REPORT_ITEMS 15
 
 /* The first item holds the version and, in this bit, whether the instance
@@ -17,9 +17,6 @@
 /* Bytes that the fixed part and the list heads of a report take at most. */
 #define FIXED_BYTES 112
 
-/* Encoded size of a crasher at most. */
-#define CRASHER_BYTES 14
-
 void
 BsGossipReport_Init(BsGossipReport *report)
 {
@@ -39,23 +36,11 @@
     g_array_unref(report->crashers);
 }
 
-static void
-S_pack_crashers(msgpack_packer *packer, const GArray *crashers, size_t *room)
-{
-    guint count = BsReportCodec_Fit(crashers, CRASHER_BYTES, room);
-    msgpack_pack_array(packer, (size_t)count * 2);
-    for (guint i = 0; i < count; i++) {
-        const BsCrasher *crasher = &g_array_index(crashers, BsCrasher, i);
-        msgpack_pack_uint64(packer, crasher->hash);
-        msgpack_pack_uint32(packer, crasher->breaks);
-    }
-}
-
 static void
 S_pack_lists(msgpack_packer *packer, const BsGossipReport *report)
 {
     size_t room = BS_GOSSIP_MAX_BYTES - FIXED_BYTES;
-    S_pack_crashers(packer, report->crashers, &room);
+    BsReportCodec_PackCrashers(packer, report->crashers, &room);
     BsReportCodec_PackUses(packer, report->uses, &room);
     BsReportCodec_PackLoads(packer, report->loads, &room);
     BsReportCodec_PackMembers(packer, report->members, &room);
@@ -82,27 +67,11 @@
     S_pack_lists(&packer, report);
 }
 
-static bool
-S_read_crashers(const msgpack_object *object, GArray *numbers,
-                GArray *crashers)
-{
-    if (!BsReportCodec_Numbers(object, numbers)) {
-        return false;
-    }
-    for (guint i = 0; i + 1 < numbers->len; i += 2) {
-        BsCrasher crasher = {
-            g_array_index(numbers, uint64_t, i),
-            (uint32_t)g_array_index(numbers, uint64_t, i + 1)};
-        g_array_append_val(crashers, crasher);
-    }
-    return true;
-}
-
 static bool
 S_read_lists(const msgpack_object *items, GArray *numbers,
              BsGossipReport *report)
 {
-    return S_read_crashers(&items[0], numbers, report->crashers) &&
+    return BsReportCodec_ReadCrashers(&items[0], numbers, report->crashers) &&
            BsReportCodec_ReadUses(&items[1], numbers, report->uses) &&
            BsReportCodec_ReadLoads(&items[2], numbers, report->loads) &&
            BsReportCodec_ReadMembers(&items[3], numbers, report->members);
--- a/src/gw_attempt.c
+++ b/src/gw_attempt.c
@@ -444,11 +444,29 @@
     BsRelay_Log(relay, failed ? BS_EVENT_FAILURE : BS_EVENT_DETAIL, "answered",
                 failed ? "upstream_error" : NULL);
     S_close(relay, relay->judged);
+    if (!failed) {
+        BsCrashers_NoteGood(relay->gate->crashers, relay->content,
+                            BsClock_NowMs(relay->gate->clock));
+    }
     relay->answered = true;
     BsAnswer_End(relay);
     BsRelay_Finish(relay, failed ? "upstream_error" : "answered");
 }
 
+/* The upstream broke off while it ran the request: all instances are to know,
+   whatever becomes of this attempt. */
+static void
+S_note_break(const BsRelay *relay)
+{
+    BsGate *gate = relay->gate;
+    uint32_t upstream =
+        BsCrashers_Upstream(relay->target->id, relay->target->born_ms);
+    if (BsCrashers_NoteBreak(gate->crashers, relay->content, upstream,
+                             relay->sent_ms, BsClock_NowMs(gate->clock))) {
+        BsCounters_Add(gate->counters, "crashers_stopped_total", 1);
+    }
+}
+
 static void
 S_on_end(BsOutboundEnd end, void *context)
 {
@@ -470,8 +488,9 @@
     }
     else {
         relay->may_have_run = true;
-        relay->breaks +=
-            end == BS_OUTBOUND_BROKEN || end == BS_OUTBOUND_TRUNCATED;
+        if (end == BS_OUTBOUND_BROKEN || end == BS_OUTBOUND_TRUNCATED) {
+            S_note_break(relay);
+        }
         S_on_failure(relay, BS_TARGET_BROKE,
                      end == BS_OUTBOUND_BROKEN      ? "broke_before_answer"
                      : end == BS_OUTBOUND_TRUNCATED ? "answer_cut_off"
--- a/src/gw_gossip.c
+++ b/src/gw_gossip.c
@@ -82,10 +82,16 @@
     if (work) {
         BsTargets_AppendLoads(gate->targets, now_ms, report->loads);
         BsQuotas_AppendUses(gate->quotas, report->uses);
-        BsCrashers_Append(gate->crashers, now_ms, report->crashers);
     }
 }
 
+static void
+S_fill_crashers(GArray *crashers, int64_t now_ms, void *context)
+{
+    BsGate *gate = ((BsGossipTask *)context)->gate;
+    BsCrashers_Append(gate->crashers, now_ms, crashers);
+}
+
 static void
 S_send(uint32_t address, const char *data, size_t size_bytes, void *context)
 {
@@ -115,7 +121,6 @@
     BsGate *gate = ((BsGossipTask *)context)->gate;
     BsTargets_SetPeer(gate->targets, address, report->loads, now_ms);
     BsQuotas_SetPeer(gate->quotas, address, report->incarnation, report->uses);
-    BsCrashers_SetPeer(gate->crashers, address, report->crashers, now_ms);
     gate->places_changed = true;
 }
 
@@ -126,19 +131,16 @@
     BsGate *gate = task->gate;
     BsTargets_SetFleet(gate->targets, news->loads, now_ms);
     BsQuotas_SetFleet(gate->quotas, news->incarnation, news->uses);
-    for (guint i = 0; news->crashers != NULL && i < news->crashers->len; i++) {
-        const BsSummaryCrasher *told =
-            &g_array_index(news->crashers, BsSummaryCrasher, i);
-        GArray *one = g_array_new(FALSE, FALSE, sizeof(BsCrasher));
-        g_array_append_val(one, told->crasher);
-        if (told->origin != task->address) {
-            BsCrashers_SetPeer(gate->crashers, told->origin, one, now_ms);
-        }
-        g_array_unref(one);
-    }
     gate->places_changed |= news->loads->len > 0;
 }
 
+static void
+S_on_crashers(const GArray *crashers, int64_t now_ms, void *context)
+{
+    BsGate *gate = ((BsGossipTask *)context)->gate;
+    BsCrashers_Merge(gate->crashers, crashers, now_ms);
+}
+
 static void
 S_on_newest(uint64_t newest, int64_t now_ms, void *context)
 {
@@ -471,6 +473,8 @@
 
 static const BsFleetEvents S_fleet_events = {
     .fill = S_fill,
+    .fill_crashers = S_fill_crashers,
+    .on_crashers = S_on_crashers,
     .send = S_send,
     .on_peer = S_on_peer,
     .on_silent = S_on_silent,
--- a/src/gw_pages.c
+++ b/src/gw_pages.c
@@ -30,6 +30,8 @@
     const BsOutboundStats *stats = BsOutboundPool_Stats(gate->pool);
     BsPlatformStatus status = gateway->adapter->status(gateway->link);
     BsCounters *counters = gate->counters;
+    BsCrasherCounts crashers =
+        BsCrashers_Count(gate->crashers, BsClock_NowMs(gate->clock));
     BsCounters_Set(
         counters, "uptime_s",
         (uint64_t)(BsClock_NowMs(gate->clock) - gateway->started_ms) /
@@ -39,7 +41,9 @@
                    BsTargets_PeerLoad(gate->targets));
     BsCounters_Set(counters, "waiting", BsLine_Length(gate->line));
     BsCounters_Set(counters, "upstreams", BsTargets_Listed(gate->targets));
-    BsCounters_Set(counters, "crashers", BsCrashers_Count(gate->crashers));
+    BsCounters_Set(counters, "crashers", crashers.contents);
+    BsCounters_Set(counters, "crasher_breaks", crashers.breaks);
+    BsCounters_Set(counters, "crashers_stopped", crashers.stopped);
     BsCounters_Set(counters, "connections",
                    BsInboundServer_Connections(gate->callers));
     BsCounters_Set(counters, "body_bytes_held",
--- a/src/gw_relay.c
+++ b/src/gw_relay.c
@@ -52,27 +52,6 @@
     }
 }
 
-static uint64_t
-S_crasher_hash(const BsRelay *relay)
-{
-    return BsCrashers_Hash(
-        relay->account == NULL ? NULL : relay->account->name, relay->id);
-}
-
-/* Returns how many upstreams are known to have broken off while they ran the
-   request, in this attempt of its caller and in others. */
-static uint32_t
-S_breaks(const BsRelay *relay)
-{
-    const BsGate *gate = relay->gate;
-    uint32_t before = 0;
-    if (relay->id[0] != '\0') {
-        before = BsCrashers_Breaks(gate->crashers, S_crasher_hash(relay),
-                                   BsClock_NowMs(gate->clock));
-    }
-    return before + relay->breaks;
-}
-
 /* Tells what leads from a failure to others of the same content. */
 static void
 S_log_content(const BsRelay *relay)
@@ -82,7 +61,9 @@
     g_snprintf(content, sizeof(content), "%016" G_GINT64_MODIFIER "x",
                relay->content);
     BsEventLog_Text(log, "content", content);
-    BsEventLog_Number(log, "breaks", S_breaks(relay));
+    BsEventLog_Number(
+        log, "breaks",
+        BsCrashers_Breaks(relay->gate->crashers, relay->content));
     if (relay->target != NULL) {
         BsEventLog_Number(log, "born_ms", relay->target->born_ms);
     }
@@ -185,24 +166,14 @@
 bool
 BsRelay_IsStopped(const BsRelay *relay)
 {
-    return BsCrashers_IsStopped(S_breaks(relay));
-}
-
-/* Its caller may send it again, to any instance: all are to know. */
-static void
-S_note_breaks(const BsRelay *relay)
-{
-    if (relay->breaks > 0 && !relay->answered && relay->id[0] != '\0' &&
-        BsCatalogRoute_MayRepeat(relay->route)) {
-        BsCrashers_Note(relay->gate->crashers, S_crasher_hash(relay),
-                        relay->breaks, BsClock_NowMs(relay->gate->clock));
-    }
+    const BsGate *gate = relay->gate;
+    return BsCrashers_IsStopped(gate->crashers, relay->content,
+                                BsClock_NowMs(gate->clock));
 }
 
 void
 BsRelay_Finish(BsRelay *relay, const char *outcome)
 {
-    S_note_breaks(relay);
     S_count(relay, outcome);
     S_count_day(relay);
     S_free(relay);
@@ -396,10 +367,25 @@
     BsRelay_Schedule(relay);
 }
 
+/* Refuses a request whose content is not sent any more.  Other attempts of its
+   caller have run, so it is not told that it has not. */
+static void
+S_refuse_stopped(BsRelay *relay)
+{
+    S_give_back(relay);
+    relay->cost = 0;
+    relay->may_have_run = true;
+    BsRelay_Refuse(relay, 502, "breaks_upstreams", 0);
+}
+
 void
 BsRelay_Place(BsRelay *relay)
 {
     BsTargetVerdict verdict;
+    if (BsRelay_IsStopped(relay)) {
+        S_refuse_stopped(relay);
+        return;
+    }
     BsTarget *target = S_choose(relay, S_places_left(relay), &verdict);
     if (target != NULL) {
         BsAttempt_Start(relay, target);
@@ -418,6 +404,10 @@
 S_serve(BsRelay *relay, BsLinePass *pass)
 {
     BsTargetVerdict verdict;
+    if (BsRelay_IsStopped(relay)) {
+        S_refuse_stopped(relay);
+        return;
+    }
     BsLinePassKind kind = {
         .route = relay->route,
         .service = relay->service,
@@ -592,11 +582,6 @@
         BsRelay_Refuse(relay, 429, "account_limit", wait_ms);
         return;
     }
-    if (BsRelay_IsStopped(relay)) {
-        relay->may_have_run = true;
-        BsRelay_Refuse(relay, 502, "breaks_upstreams", 0);
-        return;
-    }
     BsRetryBudget_AddRequest(gate->retries, relay->service->name,
                              BsClock_NowMs(gate->clock));
     BsRelay_Place(relay);
--- a/src/gw_relayparts.h
+++ b/src/gw_relayparts.h
@@ -65,7 +65,6 @@
     size_t excluded_count;
     uint32_t attempts; /* messages that left and were not refused */
     uint32_t sends;    /* messages that left */
-    uint32_t breaks;   /* upstreams that broke off while they ran it */
     bool may_have_run;
     bool answered; /* with a whole answer of an upstream that ran it */
 } BsRelay;
@@ -87,8 +86,8 @@
 void BsRelay_Refuse(BsRelay *relay, uint32_t status, const char *cause,
                     int64_t retry_ms);
 
-/* Returns whether the request has broken too many upstreams, here and at other
-   instances, to be sent once more. */
+/* Returns whether the content of the request has broken too many upstreams,
+   here and at other instances, to be sent once more. */
 bool BsRelay_IsStopped(const BsRelay *relay);
 
 /* Frees the request after its answer has ended. */
--- a/src/hub.c
+++ b/src/hub.c
@@ -27,9 +27,6 @@
    gives back what a request had taken. */
 #define USE_BASE (INT64_C(1) << 30)
 
-/* Crashers passed on at most. */
-#define CRASHERS_MAX 16
-
 /* What an instance, or a data centre by its hub, told last. */
 typedef struct {
     uint32_t address;
@@ -39,7 +36,6 @@
     bool silent;
     bool stopping;     /* another one takes over */
     GHashTable *loads; /* lower half of a hash to BsTargetLoad */
-    GArray *crashers;  /* BsSummaryCrasher */
     GHashTable *uses;  /* account hash to uint64_t, last told */
     uint32_t heard;    /* of a data centre */
     uint32_t known;
@@ -86,7 +82,6 @@
 {
     BsHubSource *source = data;
     g_hash_table_destroy(source->loads);
-    g_array_unref(source->crashers);
     g_hash_table_destroy(source->uses);
     g_free(source);
 }
@@ -254,7 +249,6 @@
     if (source == NULL) {
         source = g_new0(BsHubSource, 1);
         source->loads = g_hash_table_new_full(NULL, NULL, NULL, g_free);
-        source->crashers = g_array_new(FALSE, FALSE, sizeof(BsSummaryCrasher));
         source->uses =
             g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
         source->silent = true;
@@ -290,12 +284,6 @@
     BsHubSource *source = S_source(hub->members, address);
     S_replace(hub, source, address, report->incarnation, report->loads,
               report->uses, false, now_ms);
-    g_array_set_size(source->crashers, 0);
-    for (guint i = 0; i < report->crashers->len; i++) {
-        BsSummaryCrasher told = {
-            address, g_array_index(report->crashers, BsCrasher, i)};
-        g_array_append_val(source->crashers, told);
-    }
 }
 
 bool
@@ -317,11 +305,6 @@
     source->stopping = summary->stopping;
     source->heard = summary->heard;
     source->known = summary->known;
-    if (summary->uses->len > 0) {
-        g_array_set_size(source->crashers, 0);
-        g_array_append_vals(source->crashers, summary->crashers->data,
-                            summary->crashers->len);
-    }
     return true;
 }
 
@@ -433,20 +416,6 @@
     return left;
 }
 
-static void
-S_fill_crashers(GHashTable *sources, BsSummary *summary)
-{
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, sources);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const BsHubSource *source = value;
-        guint room = CRASHERS_MAX - MIN(CRASHERS_MAX, summary->crashers->len);
-        g_array_append_vals(summary->crashers, source->crashers->data,
-                            MIN(room, source->crashers->len));
-    }
-}
-
 void
 BsHub_FillUses(BsHub *hub, bool far, BsSummary *summary)
 {
@@ -458,11 +427,7 @@
                            (uint64_t)(use->near + (far ? 0 : use->far))};
         g_array_append_val(summary->uses, told);
     }
-    S_fill_crashers(hub->members, summary);
     hub->use_news = false;
-    if (!far) {
-        S_fill_crashers(hub->far, summary);
-    }
 }
 
 void
--- a/src/hub.h
+++ b/src/hub.h
@@ -53,7 +53,7 @@
 /* The same for a far summary. */
 void BsHub_FillFar(BsHub *hub, BsSummary *summary);
 
-/* Fills in uses of accounts and crashers of a near or far summary. */
+/* Fills in uses of accounts of a near or far summary. */
 void BsHub_FillUses(BsHub *hub, bool far, BsSummary *summary);
 
 /* Returns how many instances of other data centres are heard and known. */
--- a/src/logstory.c
+++ b/src/logstory.c
@@ -47,7 +47,7 @@
      "line upstream_paused; other requests to the same upstream"},
     {"breaks_upstreams",
      "several upstreams broke off while they ran it; it is not sent any more",
-     "lines attempt_failed of the same id at all instances"},
+     "lines attempt_failed with the same content, of any id and instance"},
     {"answer_garbled", "the upstream sent what is no answer",
      "other requests to the same upstream"},
     {"answer_of_another_request",
--- a/src/reportcodec.c
+++ b/src/reportcodec.c
@@ -7,6 +7,11 @@
 #define MEMBER_NUMBERS 7
 #define MEMBER_BYTES 37
 
+/* Numbers that stand for a crasher without its upstreams, and the encoded size
+   of one at most. */
+#define CRASHER_NUMBERS 4
+#define CRASHER_BYTES (20 + 5 * BS_CRASHER_BREAKS_MAX)
+
 /* Bits of a member's flags. */
 #define FLAG_HEARD 1
 #define FLAG_STOPPING 2
@@ -91,6 +96,35 @@
     }
 }
 
+/* Returns how many numbers the first COUNT of CRASHERS take. */
+static size_t
+S_crasher_numbers(const GArray *crashers, guint count)
+{
+    size_t numbers = (size_t)count * CRASHER_NUMBERS;
+    for (guint i = 0; i < count; i++) {
+        numbers += g_array_index(crashers, BsCrasher, i).breaks;
+    }
+    return numbers;
+}
+
+void
+BsReportCodec_PackCrashers(msgpack_packer *packer, const GArray *crashers,
+                           size_t *room)
+{
+    guint count = BsReportCodec_Fit(crashers, CRASHER_BYTES, room);
+    msgpack_pack_array(packer, S_crasher_numbers(crashers, count));
+    for (guint i = 0; i < count; i++) {
+        const BsCrasher *crasher = &g_array_index(crashers, BsCrasher, i);
+        msgpack_pack_uint64(packer, crasher->content);
+        msgpack_pack_uint32(packer, crasher->generation);
+        msgpack_pack_uint32(packer, crasher->age_ms);
+        msgpack_pack_uint32(packer, crasher->breaks);
+        for (uint32_t j = 0; j < crasher->breaks; j++) {
+            msgpack_pack_uint32(packer, crasher->upstreams[j]);
+        }
+    }
+}
+
 static uint32_t
 S_flags(const BsGossipNamed *member)
 {
@@ -175,6 +209,51 @@
     return true;
 }
 
+/* Reads the upstreams of CRASHER from AT on; returns whether they are as they
+   are packed. */
+static bool
+S_read_upstreams(const GArray *numbers, guint at, BsCrasher *crasher)
+{
+    if (crasher->breaks > BS_CRASHER_BREAKS_MAX ||
+        crasher->breaks > numbers->len - at) {
+        return false;
+    }
+    for (uint32_t i = 0; i < crasher->breaks; i++) {
+        crasher->upstreams[i] = (uint32_t)NUMBER(numbers, at + i);
+        if (i > 0 && crasher->upstreams[i] <= crasher->upstreams[i - 1]) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool
+BsReportCodec_ReadCrashers(const msgpack_object *object, GArray *numbers,
+                           GArray *crashers)
+{
+    if (!BsReportCodec_Numbers(object, numbers)) {
+        return false;
+    }
+    guint at = 0;
+    while (at < numbers->len) {
+        if (numbers->len - at < CRASHER_NUMBERS) {
+            return false;
+        }
+        BsCrasher crasher = {
+            .content = NUMBER(numbers, at),
+            .generation = (uint32_t)NUMBER(numbers, at + 1),
+            .age_ms = (uint32_t)NUMBER(numbers, at + 2),
+            .breaks = (uint32_t)MIN(NUMBER(numbers, at + 3), UINT32_MAX),
+        };
+        if (!S_read_upstreams(numbers, at + CRASHER_NUMBERS, &crasher)) {
+            return false;
+        }
+        g_array_append_val(crashers, crasher);
+        at += CRASHER_NUMBERS + crasher.breaks;
+    }
+    return true;
+}
+
 bool
 BsReportCodec_ReadMembers(const msgpack_object *object, GArray *numbers,
                           GArray *members)
--- a/src/reportcodec.h
+++ b/src/reportcodec.h
@@ -20,6 +20,8 @@
                              size_t *room);
 void BsReportCodec_PackUses(msgpack_packer *packer, const GArray *uses,
                             size_t *room);
+void BsReportCodec_PackCrashers(msgpack_packer *packer, const GArray *crashers,
+                                size_t *room);
 void BsReportCodec_PackMembers(msgpack_packer *packer, const GArray *members,
                                size_t *room);
 
@@ -36,6 +38,8 @@
                              GArray *loads);
 bool BsReportCodec_ReadUses(const msgpack_object *object, GArray *numbers,
                             GArray *uses);
+bool BsReportCodec_ReadCrashers(const msgpack_object *object, GArray *numbers,
+                                GArray *crashers);
 bool BsReportCodec_ReadMembers(const msgpack_object *object, GArray *numbers,
                                GArray *members);
 
--- a/src/summary.c
+++ b/src/summary.c
@@ -6,7 +6,7 @@
 
 #include <string.h>
 
-#define SUMMARY_VERSION 3
+#define SUMMARY_VERSION 4
 #define SUMMARY_ITEMS 16
 
 /* Bits beside the version in the first item. */
@@ -17,9 +17,6 @@
 /* Bytes that the fixed part and the list heads take at most. */
 #define FIXED_BYTES 120
 
-/* Encoded size of a crasher at most. */
-#define CRASHER_BYTES 19
-
 void
 BsSummary_Init(BsSummary *summary)
 {
@@ -28,7 +25,7 @@
     summary->loads = g_array_new(FALSE, FALSE, sizeof(BsTargetLoad));
     summary->uses = g_array_new(FALSE, FALSE, sizeof(BsQuotaUse));
     summary->members = g_array_new(FALSE, FALSE, sizeof(BsGossipNamed));
-    summary->crashers = g_array_new(FALSE, FALSE, sizeof(BsSummaryCrasher));
+    summary->crashers = g_array_new(FALSE, FALSE, sizeof(BsCrasher));
 }
 
 void
@@ -40,20 +37,6 @@
     g_array_unref(summary->crashers);
 }
 
-static void
-S_pack_crashers(msgpack_packer *packer, const GArray *crashers, size_t *room)
-{
-    guint count = BsReportCodec_Fit(crashers, CRASHER_BYTES, room);
-    msgpack_pack_array(packer, (size_t)count * 3);
-    for (guint i = 0; i < count; i++) {
-        const BsSummaryCrasher *told =
-            &g_array_index(crashers, BsSummaryCrasher, i);
-        msgpack_pack_uint32(packer, told->origin);
-        msgpack_pack_uint64(packer, told->crasher.hash);
-        msgpack_pack_uint32(packer, told->crasher.breaks);
-    }
-}
-
 void
 BsSummary_Encode(const BsSummary *summary, GString *out)
 {
@@ -75,29 +58,12 @@
     msgpack_pack_uint32(&packer, summary->known);
     msgpack_pack_uint32(&packer, summary->weight);
     msgpack_pack_uint32(&packer, summary->age_ms);
-    S_pack_crashers(&packer, summary->crashers, &room);
+    BsReportCodec_PackCrashers(&packer, summary->crashers, &room);
     BsReportCodec_PackMembers(&packer, summary->members, &room);
     BsReportCodec_PackLoads(&packer, summary->loads, &room);
     BsReportCodec_PackUses(&packer, summary->uses, &room);
 }
 
-static bool
-S_read_crashers(const msgpack_object *object, GArray *numbers,
-                GArray *crashers)
-{
-    if (!BsReportCodec_Numbers(object, numbers)) {
-        return false;
-    }
-    for (guint i = 0; i + 2 < numbers->len; i += 3) {
-        BsSummaryCrasher told = {
-            (uint32_t)g_array_index(numbers, uint64_t, i),
-            {g_array_index(numbers, uint64_t, i + 1),
-             (uint32_t)g_array_index(numbers, uint64_t, i + 2)}};
-        g_array_append_val(crashers, told);
-    }
-    return true;
-}
-
 static bool
 S_read(const msgpack_object *root, BsSummary *summary)
 {
@@ -133,7 +99,7 @@
     summary->age_ms = (uint32_t)MIN(fixed[11], BS_GOSSIP_AGE_MAX_MS);
     GArray *numbers = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     bool valid =
-        S_read_crashers(&items[12], numbers, summary->crashers) &&
+        BsReportCodec_ReadCrashers(&items[12], numbers, summary->crashers) &&
         BsReportCodec_ReadMembers(&items[13], numbers, summary->members) &&
         BsReportCodec_ReadLoads(&items[14], numbers, summary->loads) &&
         BsReportCodec_ReadUses(&items[15], numbers, summary->uses);
--- a/src/summary.h
+++ b/src/summary.h
@@ -10,15 +10,8 @@
 #ifndef BS_SUMMARY_H
 #define BS_SUMMARY_H
 
-#include "crasher.h"
 #include "gossipreport.h"
 
-/* A count of breaks, as the instance at ORIGIN told it. */
-typedef struct {
-    uint32_t origin;
-    BsCrasher crasher;
-} BsSummaryCrasher;
-
 typedef struct {
     uint64_t incarnation; /* of the hub */
     uint64_t sequence;    /* of the summary, within the incarnation */
@@ -37,7 +30,7 @@
     GArray *loads;           /* BsTargetLoad, hashes cut to 32 bits */
     GArray *uses;            /* BsQuotaUse */
     GArray *members;         /* BsGossipNamed */
-    GArray *crashers;        /* BsSummaryCrasher */
+    GArray *crashers;        /* BsCrasher */
 } BsSummary;
 
 /* Fills SUMMARY with empty lists, or frees them. */
--- a/tests/gate/crasher_test.cc
+++ b/tests/gate/crasher_test.cc
@@ -1,6 +1,12 @@
-// Requests that break upstreams, counted by all instances together.
+// Contents that crash upstreams, counted by all instances together.
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <memory>
+#include <random>
+#include <set>
+#include <vector>
+
 extern "C" {
 #include "crasher.h"
 }
@@ -8,95 +14,328 @@
 namespace {
 
 const int64_t kStartMs = 100000;
-const int64_t kLongMs = 60000;
+const int64_t kSecondMs = 1000;
+const int64_t kMinuteMs = 60000;
+// How long a stop lasts without another break.
+const int64_t kStopMs = 10 * kMinuteMs;
+const uint64_t kContent = 7;
 
-class Crashers : public testing::Test {
-  protected:
-    Crashers() : crashers_(BsCrashers_Create())
+// The table of one instance.
+class Table {
+  public:
+    Table() : crashers_(BsCrashers_Create())
     {
     }
-    ~Crashers() override
+    ~Table()
     {
         BsCrashers_Destroy(crashers_);
     }
-    uint32_t Breaks(uint64_t hash, int64_t now_ms = kStartMs)
+    Table(const Table &) = delete;
+    Table &operator=(const Table &) = delete;
+    bool Break(uint32_t upstream, int64_t now_ms = kStartMs,
+               uint64_t content = kContent)
     {
-        return BsCrashers_Breaks(crashers_, hash, now_ms);
+        return BsCrashers_NoteBreak(crashers_, content, upstream, now_ms - 1,
+                                    now_ms);
     }
-    void Tell(uint32_t peer, uint64_t hash, uint32_t breaks,
-              int64_t now_ms = kStartMs)
+    void Good(int64_t now_ms = kStartMs)
+    {
+        BsCrashers_NoteGood(crashers_, kContent, now_ms);
+    }
+    bool IsStopped(int64_t now_ms = kStartMs, uint64_t content = kContent)
+    {
+        return BsCrashers_IsStopped(crashers_, content, now_ms);
+    }
+    uint32_t Breaks(uint64_t content = kContent)
+    {
+        return BsCrashers_Breaks(crashers_, content);
+    }
+    uint32_t Count()
+    {
+        return BsCrashers_Count(crashers_, kStartMs).contents;
+    }
+    std::vector<BsCrasher> Told(int64_t now_ms = kStartMs)
     {
         GArray *told = g_array_new(FALSE, FALSE, sizeof(BsCrasher));
-        BsCrasher crasher = {hash, breaks};
-        g_array_append_val(told, crasher);
-        BsCrashers_SetPeer(crashers_, peer, told, now_ms);
+        BsCrashers_Append(crashers_, now_ms, told);
+        const BsCrasher *first = &g_array_index(told, BsCrasher, 0);
+        std::vector<BsCrasher> crashers(first, first + told->len);
         g_array_unref(told);
+        return crashers;
     }
-    std::vector<uint64_t> Told(int64_t now_ms = kStartMs)
+    void Hear(const std::vector<BsCrasher> &crashers,
+              int64_t now_ms = kStartMs)
     {
-        std::vector<uint64_t> hashes;
         GArray *told = g_array_new(FALSE, FALSE, sizeof(BsCrasher));
-        BsCrashers_Append(crashers_, now_ms, told);
-        for (guint i = 0; i < told->len; i++) {
-            hashes.push_back(g_array_index(told, BsCrasher, i).hash);
+        for (const BsCrasher &crasher : crashers) {
+            g_array_append_val(told, crasher);
         }
+        BsCrashers_Merge(crashers_, told, now_ms);
         g_array_unref(told);
-        return hashes;
+    }
+    void Tell(Table &other, int64_t now_ms = kStartMs)
+    {
+        other.Hear(Told(now_ms), now_ms);
     }
 
+  private:
     BsCrashers *crashers_;
 };
 
-TEST_F(Crashers, SeveralBreaksStopARequest)
+TEST(Crashers, AContentIsKnownByAccountPathAndBody)
+{
+    auto content = [](const char *account, const char *path,
+                      const std::string &body) {
+        return BsCrashers_Content(account, path, body.data(), body.size());
+    };
+    uint64_t one = content("acme", "/a", "body");
+    EXPECT_EQ(one, content("acme", "/a", "body"));
+    EXPECT_NE(one, content("other", "/a", "body"));
+    EXPECT_NE(one, content(nullptr, "/a", "body"));
+    EXPECT_NE(one, content("acme", "/b", "body"));
+    EXPECT_NE(one, content("acme", "/a", "Body"));
+    EXPECT_NE(content("acme", "/a", ""), content("acme", "/b", ""));
+}
+
+TEST(Crashers, ThreeBrokenUpstreamsStopAContent)
+{
+    Table table;
+    EXPECT_FALSE(table.Break(1));
+    EXPECT_FALSE(table.Break(2));
+    EXPECT_FALSE(table.IsStopped());
+    EXPECT_TRUE(table.Break(3));
+    EXPECT_TRUE(table.IsStopped());
+    EXPECT_FALSE(table.Break(4)); // was stopped before
+    EXPECT_FALSE(table.IsStopped(kStartMs, kContent + 1));
+}
+
+// Guards against a content that many ask for, stopped by the crash of the one
+// upstream that had it.
+TEST(Crashers, OneCrashUnderManyCopiesCountsOnce)
+{
+    Table here;
+    Table there;
+    for (int copy = 0; copy < 6; copy++) {
+        here.Break(1);
+        there.Break(1);
+    }
+    there.Tell(here);
+    EXPECT_EQ(here.Breaks(), 1U);
+}
+
+// Guards against breaks that are not counted while the list of upstreams lags
+// behind their starts.
+TEST(Crashers, AnUpstreamThatIsBackCountsOnceMore)
+{
+    Table table;
+    table.Break(1);
+    table.Break(1, kStartMs + 5 * kSecondMs);
+    table.Break(1, kStartMs + 10 * kSecondMs);
+    EXPECT_TRUE(table.IsStopped(kStartMs + 10 * kSecondMs));
+}
+
+TEST(Crashers, BreaksAtDifferentInstancesAreJoined)
+{
+    Table tables[3];
+    for (uint32_t i = 0; i < 3; i++) {
+        tables[i].Break(i);
+    }
+    for (Table &from : tables) {
+        for (Table &to : tables) {
+            from.Tell(to);
+        }
+    }
+    for (Table &table : tables) {
+        EXPECT_TRUE(table.IsStopped());
+    }
+}
+
+// Guards against a content that comes again after pauses longer than what was
+// remembered of it.
+TEST(Crashers, BreaksAMinuteApartAreCounted)
 {
-    EXPECT_FALSE(BsCrashers_IsStopped(0));
-    EXPECT_FALSE(BsCrashers_IsStopped(2));
-    EXPECT_TRUE(BsCrashers_IsStopped(3));
+    Table table;
+    table.Break(1);
+    table.Break(2, kStartMs + kMinuteMs);
+    table.Break(3, kStartMs + 2 * kMinuteMs);
+    EXPECT_TRUE(table.IsStopped(kStartMs + 2 * kMinuteMs));
+    EXPECT_TRUE(table.IsStopped(kStartMs + 8 * kMinuteMs));
+}
+
+TEST(Crashers, OneBreakAfterAStopHasEndedStopsAgain)
+{
+    Table table;
+    for (uint32_t upstream = 1; upstream <= 3; upstream++) {
+        table.Break(upstream);
+    }
+    int64_t later_ms = kStartMs + kStopMs + 1;
+    EXPECT_FALSE(table.IsStopped(later_ms));
+    EXPECT_TRUE(table.Break(9, later_ms));
+    EXPECT_TRUE(table.IsStopped(later_ms));
+    Table peer;
+    table.Tell(peer, later_ms);
+    EXPECT_TRUE(peer.IsStopped(later_ms));
 }
 
-TEST_F(Crashers, CountsOfAllInstancesAreAdded)
+// Guards against innocent contents that stay stopped: several upstreams lost
+// power under them, and they run well elsewhere.
+TEST(Crashers, AContentThatRanToItsEndIsClearedEverywhere)
 {
-    BsCrashers_Note(crashers_, 7, 2, kStartMs);
-    Tell(1, 7, 1);
-    Tell(2, 7, 1);
-    Tell(2, 7, 1); // the same report again
-    EXPECT_EQ(Breaks(7), 4U);
-    EXPECT_EQ(Breaks(8), 0U);
+    Table broken;
+    Table good;
+    for (uint32_t upstream = 1; upstream <= 3; upstream++) {
+        broken.Break(upstream);
+    }
+    std::vector<BsCrasher> stale = broken.Told();
+    broken.Tell(good);
+    ASSERT_TRUE(good.IsStopped());
+    good.Good();
+    good.Tell(broken);
+    EXPECT_FALSE(broken.IsStopped());
+    EXPECT_EQ(broken.Breaks(), 0U);
+    broken.Hear(stale); // late, and from before
+    good.Hear(stale);
+    EXPECT_FALSE(broken.IsStopped());
+    EXPECT_FALSE(good.IsStopped());
+    broken.Break(4);
+    EXPECT_EQ(broken.Breaks(), 1U);
 }
 
-TEST_F(Crashers, OnlyWhatWasSeenHereIsTold)
+TEST(Crashers, OneThatLagsBehindIsToldAgain)
 {
-    Tell(1, 7, 2);
-    EXPECT_TRUE(Told().empty());
-    BsCrashers_Note(crashers_, 7, 1, kStartMs);
-    EXPECT_EQ(Told(), std::vector<uint64_t>{7});
+    Table ahead;
+    Table behind;
+    for (uint32_t upstream = 1; upstream <= 3; upstream++) {
+        ahead.Break(upstream);
+        behind.Break(upstream);
+    }
+    ahead.Good();
+    int64_t later_ms = kStartMs + kMinuteMs; // no longer news
+    ahead.Told(later_ms);
+    behind.Tell(ahead, later_ms);
+    ahead.Tell(behind, later_ms);
+    EXPECT_FALSE(behind.IsStopped(later_ms));
 }
 
-TEST_F(Crashers, TheLatestAreToldAndNoMoreThanFit)
+// Guards against changes that are never told since others came after them.
+TEST(Crashers, AllChangesAreToldInTurns)
 {
-    for (uint64_t hash = 1; hash <= 100; hash++) {
-        BsCrashers_Note(crashers_, hash, 1, kStartMs + (int64_t)hash);
+    const uint64_t contents = 40;
+    Table table;
+    std::set<uint64_t> told;
+    for (uint64_t content = 1; content <= contents; content++) {
+        table.Break(1, kStartMs, content);
+    }
+    for (uint64_t i = 0; i * BS_CRASHERS_TOLD_MAX < contents; i++) {
+        std::vector<BsCrasher> report = table.Told();
+        EXPECT_LE(report.size(), (size_t)BS_CRASHERS_TOLD_MAX);
+        for (const BsCrasher &crasher : report) {
+            told.insert(crasher.content);
+        }
     }
-    std::vector<uint64_t> told = Told(kStartMs + 100);
-    ASSERT_EQ(told.size(), (size_t)BS_CRASHERS_TOLD_MAX);
-    EXPECT_EQ(told.front(), 100U);
-    EXPECT_EQ(told.back(), 100U - BS_CRASHERS_TOLD_MAX + 1);
+    EXPECT_EQ(told.size(), contents);
 }
 
-TEST_F(Crashers, TheyAreForgottenAfterAWhile)
+// Guards against a started instance that sends what others have stopped, once
+// the one that counted is gone.
+TEST(Crashers, AStopIsToldByThoseWhoHeardOfIt)
 {
-    BsCrashers_Note(crashers_, 7, 3, kStartMs);
-    EXPECT_EQ(Breaks(7, kStartMs + kLongMs), 0U);
-    EXPECT_TRUE(Told(kStartMs + kLongMs).empty());
-    BsCrashers_Note(crashers_, 8, 1, kStartMs + kLongMs);
-    EXPECT_EQ(BsCrashers_Count(crashers_), 1U);
+    Table counted;
+    Table heard;
+    Table started;
+    for (uint32_t upstream = 1; upstream <= 3; upstream++) {
+        counted.Break(upstream);
+    }
+    counted.Tell(heard);
+    int64_t later_ms = kStartMs + kMinuteMs;
+    heard.Told(later_ms);
+    heard.Tell(started, later_ms);
+    EXPECT_TRUE(started.IsStopped(later_ms));
+    EXPECT_FALSE(started.IsStopped(kStartMs + kStopMs + 1));
 }
 
-TEST_F(Crashers, AccountsAreApart)
+// Guards against a stop that instances learn from each other without end.
+TEST(Crashers, AStopEndsThoughInstancesTellEachOther)
 {
-    EXPECT_NE(BsCrashers_Hash("a", "id"), BsCrashers_Hash("b", "id"));
-    EXPECT_NE(BsCrashers_Hash("a", "id"), BsCrashers_Hash(nullptr, "id"));
-    EXPECT_EQ(BsCrashers_Hash("a", "id"), BsCrashers_Hash("a", "id"));
+    const int64_t delay_ms = 50;
+    Table tables[2];
+    for (uint32_t upstream = 1; upstream <= 3; upstream++) {
+        tables[0].Break(upstream);
+    }
+    int64_t now_ms = kStartMs;
+    for (; now_ms < kStartMs + kStopMs + kSecondMs; now_ms += kSecondMs) {
+        for (int from = 0; from < 2; from++) {
+            std::vector<BsCrasher> told = tables[from].Told(now_ms);
+            tables[1 - from].Hear(told, now_ms + delay_ms);
+        }
+    }
+    EXPECT_FALSE(tables[0].IsStopped(now_ms));
+    EXPECT_FALSE(tables[1].IsStopped(now_ms));
+}
+
+TEST(Crashers, WhatIsRememberedIsBoundedAndStopsAreKept)
+{
+    Table table;
+    for (uint32_t upstream = 1; upstream <= 3; upstream++) {
+        table.Break(upstream);
+    }
+    for (uint64_t i = 0; i < 10000; i++) {
+        int64_t now_ms = kStartMs + (int64_t)i * 100;
+        table.Break(1, now_ms, 1000 + i);
+        table.Told(now_ms);
+    }
+    EXPECT_EQ(table.Count(), 4096U);
+    EXPECT_EQ(table.Breaks(), 3U);
+    EXPECT_EQ(table.Breaks(1000), 0U); // the oldest went first
+}
+
+TEST(Crashers, ContentsAreForgotten)
+{
+    Table table;
+    table.Break(1);
+    int64_t later_ms = kStartMs + 2 * kStopMs + kSecondMs;
+    table.Told(later_ms);
+    table.Told(later_ms);
+    EXPECT_EQ(table.Count(), 0U);
+}
+
+// Instances break upstreams, run contents well, and tell each other late, out
+// of order and twice; some reports are lost.  In the end all know the same.
+TEST(Crashers, AllInstancesComeToTheSameWhateverTheOrder)
+{
+    for (unsigned seed = 1; seed <= 50; seed++) {
+        std::mt19937 random(seed);
+        Table tables[4];
+        std::vector<std::vector<BsCrasher>> on_the_way;
+        int64_t now_ms = kStartMs;
+        for (int step = 0; step < 200; step++) {
+            Table &table = tables[random() % 4];
+            now_ms += 10;
+            if (random() % 10 == 0) {
+                table.Break(random() % 8, now_ms);
+            }
+            else if (random() % 30 == 0) {
+                table.Good(now_ms);
+            }
+            on_the_way.push_back(table.Told(now_ms));
+            std::shuffle(on_the_way.begin(), on_the_way.end(), random);
+            tables[random() % 4].Hear(on_the_way.back(), now_ms);
+            if (random() % 2 == 0) {
+                on_the_way.pop_back();
+            }
+        }
+        for (int round = 0; round < 4; round++) {
+            for (Table &from : tables) {
+                for (Table &to : tables) {
+                    from.Tell(to, now_ms);
+                }
+            }
+        }
+        for (Table &table : tables) {
+            EXPECT_EQ(table.Breaks(), tables[0].Breaks()) << "seed " << seed;
+            EXPECT_EQ(table.IsStopped(now_ms), tables[0].IsStopped(now_ms));
+        }
+    }
 }
 
 } // namespace
--- a/tests/gate/fleet_test.cc
+++ b/tests/gate/fleet_test.cc
@@ -49,6 +49,7 @@
     uint64_t far_bytes = 0;
     uint64_t got = 0;
     uint64_t got_bytes = 0;
+    BsCrashers *crashers = nullptr;
 };
 
 struct Datagram {
@@ -65,6 +66,7 @@
     {
         for (auto &node : nodes) {
             BsFleetPart_Destroy(node->fleet);
+            BsCrashers_Destroy(node->crashers);
         }
     }
     Node *Find(uint32_t address)
@@ -113,6 +115,19 @@
     g_array_append_val(report->uses, use);
 }
 
+void
+FillCrashers(GArray *crashers, int64_t now_ms, void *context)
+{
+    BsCrashers_Append(static_cast<Node *>(context)->crashers, now_ms,
+                      crashers);
+}
+
+void
+OnCrashers(const GArray *crashers, int64_t now_ms, void *context)
+{
+    BsCrashers_Merge(static_cast<Node *>(context)->crashers, crashers, now_ms);
+}
+
 void
 Send(uint32_t address, const char *data, size_t size_bytes, void *context)
 {
@@ -198,8 +213,9 @@
                a - kPort);
 }
 
-const BsFleetEvents kEvents = {Fill,       Send,   OnPeer,   OnSilent,
-                               OnHubsUsed, OnNews, OnNewest, OnHub};
+const BsFleetEvents kEvents = {Fill,     FillCrashers, OnCrashers, Send,
+                               OnPeer,   OnSilent,     OnHubsUsed, OnNews,
+                               OnNewest, OnHub};
 
 void
 World::Add(uint32_t data_centre, uint32_t weight)
@@ -217,6 +233,8 @@
 World::Start(Node *node)
 {
     BsFleetPart_Destroy(node->fleet);
+    BsCrashers_Destroy(node->crashers);
+    node->crashers = BsCrashers_Create();
     node->own.clear();
     node->others.clear();
     node->peers.clear();
@@ -308,6 +326,11 @@
     }
 }
 
+struct FleetSize {
+    uint32_t data_centres;
+    uint32_t each;
+};
+
 class FleetTest : public testing::Test {
   protected:
     // DATA_CENTRES of EACH instances, the first three of them heavy, and seeds
@@ -787,7 +810,7 @@
     sent.known = 50;
     BsTargetLoad load = {0xffffffff, 5, 6};
     BsQuotaUse use = {UINT64_MAX, 9};
-    BsSummaryCrasher crasher = {UINT32_MAX, {UINT64_MAX, 3}};
+    BsCrasher crasher = {UINT64_MAX, 2, 9, 1, {UINT32_MAX}};
     BsGossipNamed named = {};
     named.stopping = true;
     g_array_append_val(sent.loads, load);
@@ -811,8 +834,12 @@
     EXPECT_EQ(got.known, 50U);
     EXPECT_EQ(g_array_index(got.loads, BsTargetLoad, 0).cold_sent, 6U);
     EXPECT_EQ(g_array_index(got.uses, BsQuotaUse, 0).used, 9U);
-    EXPECT_EQ(g_array_index(got.crashers, BsSummaryCrasher, 0).origin,
-              UINT32_MAX);
+    const BsCrasher &told = g_array_index(got.crashers, BsCrasher, 0);
+    EXPECT_EQ(told.content, UINT64_MAX);
+    EXPECT_EQ(told.generation, 2U);
+    EXPECT_EQ(told.age_ms, 9U);
+    ASSERT_EQ(told.breaks, 1U);
+    EXPECT_EQ(told.upstreams[0], UINT32_MAX);
     EXPECT_TRUE(g_array_index(got.members, BsGossipNamed, 0).stopping);
     for (size_t size = 0; size < data->len; size++) {
         BsSummary cut;
@@ -825,6 +852,58 @@
     g_string_free(data, TRUE);
 }
 
+// Guards against a crashing request that is sent on in a part of the fleet:
+// how long after its third crash is it stopped everywhere?
+class CrashingRequest : public FleetTest,
+                        public testing::WithParamInterface<FleetSize> {};
+
+TEST_P(CrashingRequest, IsStoppedEverywhereInTime)
+{
+    const int64_t target_ms = 4000; // stable-window-ms of the rule
+    const uint64_t content = 7;
+    Build(GetParam().data_centres, GetParam().each);
+    Load(3000, 2.0 * (double)world_.nodes.size());
+    world_.loss = 0.05;
+    size_t step = world_.nodes.size() / BS_CRASHER_BREAKS_MAX;
+    for (uint32_t i = 0; i < BS_CRASHER_BREAKS_MAX; i++) {
+        Node *node = world_.nodes[i * step].get();
+        BsCrashers_NoteBreak(node->crashers, content, i, world_.now_ms,
+                             world_.now_ms);
+        world_.Change(node, i, 0);
+    }
+    auto missing = [&] {
+        return std::count_if(world_.nodes.begin(), world_.nodes.end(),
+                             [&](const auto &node) {
+                                 return !BsCrashers_IsStopped(
+                                     node->crashers, content, world_.now_ms);
+                             });
+    };
+    int64_t began_ms = world_.now_ms;
+    while (missing() > 0 && world_.now_ms - began_ms < target_ms) {
+        world_.Run(10);
+    }
+    EXPECT_EQ(missing(), 0);
+    RecordProperty("stopped_after_ms", (int)(world_.now_ms - began_ms));
+    world_.Run(target_ms); // no longer news
+    for (uint32_t i = 0; i < BS_CRASHER_BREAKS_MAX; i++) {
+        world_.nodes[i * step]->alive = false;
+    }
+    Node *started = world_.nodes[1].get();
+    world_.Start(started);
+    world_.Run(target_ms);
+    EXPECT_TRUE(
+        BsCrashers_IsStopped(started->crashers, content, world_.now_ms));
+}
+
+INSTANTIATE_TEST_SUITE_P(Sizes, CrashingRequest,
+                         testing::Values(FleetSize{3, 2}, FleetSize{3, 7},
+                                         FleetSize{6, 15}, FleetSize{6, 49}),
+                         [](const auto &info) {
+                             return "InstancesIn" +
+                                    std::to_string(info.param.data_centres) +
+                                    "Times" + std::to_string(info.param.each);
+                         });
+
 TEST(Summary, StaysWithinADatagram)
 {
     BsSummary summary;
--- a/tests/gate/gateway_crash_test.cc
+++ b/tests/gate/gateway_crash_test.cc
@@ -82,7 +82,10 @@
     EXPECT_LE(broken, kStopBreaks + 1);
     for (Gateway *instance : instances_) {
         EXPECT_EQ(AskDeadly(*instance, "/look/1"), 502);
-        EXPECT_NE(instance->Log().find("breaks_upstreams"), std::string::npos);
+        EXPECT_TRUE(Eventually([&] {
+            return instance->Log().find("breaks_upstreams") !=
+                   std::string::npos;
+        }));
         EXPECT_TRUE(IsHealthy(
             instance->Ask(Call("/look/1", "fine", "", "fine body")), "fine"));
     }
@@ -123,7 +126,8 @@
 {
     const int places = 6;
     auto holds = [this](Socket &socket, const Got &got) {
-        Eventually([&] { return go_.load(); });
+        bool deadly = got.body() == kDeadly;
+        Eventually([&] { return deadly ? go_.load() : kept_ > 0; });
         return Crashes(socket, got);
     };
     Start({holds, holds, holds});
@@ -150,6 +154,12 @@
     go_ = true;
     EXPECT_EQ(StatusOf(callers.back()->ReadMessage()), 502);
     EXPECT_EQ(Arrivals(), kStopBreaks * places);
+    callers.pop_back();
+    kept_ = 1;
+    for (auto &caller : callers) {
+        caller->ReadMessage();
+    }
+    EXPECT_EQ(Arrivals(), kStopBreaks * places);
 }
 
 } // namespace
--- a/tests/gate/gateway_fleet_test.cc
+++ b/tests/gate/gateway_fleet_test.cc
@@ -263,7 +263,7 @@
 TEST_F(GatewayTest, ARequestThatBreaksUpstreamsIsStoppedInTheWholeFleet)
 {
     auto script = [](Socket &socket, const Got &got) {
-        return got.id == "fine" && Answers(socket, got);
+        return got.body() == "fine" && Answers(socket, got);
     };
     Start({script, script, script, script, script});
     Gateway second(store_.port(), "127.0.0.2", gateway_->peers_port(),
@@ -273,13 +273,14 @@
     ASSERT_TRUE(gateway_->WaitMetric("boragespur_instances 2"));
     EXPECT_EQ(StatusOf(gateway_->Ask(Call("/look/1", "bad"))), 502);
     EXPECT_EQ(Arrivals(), 2);
-    ASSERT_TRUE(second.WaitMetric("boragespur_crashers 1"));
+    ASSERT_TRUE(second.WaitMetric("boragespur_crasher_breaks 2"));
     EXPECT_EQ(StatusOf(second.Ask(Call("/look/1", "bad"))), 502);
     EXPECT_EQ(Arrivals(), 3);
     EXPECT_EQ(StatusOf(second.Ask(Call("/look/1", "bad"))), 502);
     EXPECT_EQ(Arrivals(), 3);
     EXPECT_NE(second.Log().find("breaks_upstreams"), std::string::npos);
-    EXPECT_TRUE(IsHealthy(second.Ask(Call("/look/1", "fine")), "fine"));
+    EXPECT_TRUE(
+        IsHealthy(second.Ask(Call("/look/1", "fine", "", "fine")), "fine"));
 }
 
 TEST_F(GatewayTest, PlacesTakenThroughAPeerCount)
--- a/tests/gate/modules_test.cc
+++ b/tests/gate/modules_test.cc
@@ -296,7 +296,7 @@
     g_array_append_val(sent.loads, load);
     g_array_append_val(sent.uses, use);
     g_array_append_val(sent.members, member);
-    BsCrasher crasher = {UINT64_MAX - 1, 3};
+    BsCrasher crasher = {UINT64_MAX - 1, 4, 5, 2, {6, UINT32_MAX}};
     g_array_append_val(sent.crashers, crasher);
     BsGossipReport_Encode(&sent, data);
     ASSERT_TRUE(BsGossipReport_Decode(data->str, data->len, &got));
@@ -306,8 +306,13 @@
     EXPECT_TRUE(got.stopping);
     ASSERT_EQ(got.loads->len, 1U);
     ASSERT_EQ(got.crashers->len, 1U);
-    EXPECT_EQ(g_array_index(got.crashers, BsCrasher, 0).hash, crasher.hash);
-    EXPECT_EQ(g_array_index(got.crashers, BsCrasher, 0).breaks, 3U);
+    const BsCrasher &told = g_array_index(got.crashers, BsCrasher, 0);
+    EXPECT_EQ(told.content, crasher.content);
+    EXPECT_EQ(told.generation, 4U);
+    EXPECT_EQ(told.age_ms, 5U);
+    ASSERT_EQ(told.breaks, 2U);
+    EXPECT_EQ(told.upstreams[0], 6U);
+    EXPECT_EQ(told.upstreams[1], UINT32_MAX);
     EXPECT_EQ(g_array_index(got.loads, BsTargetLoad, 0).cold_sent, 6U);
     ASSERT_EQ(got.uses->len, 1U);
     EXPECT_EQ(g_array_index(got.uses, BsQuotaUse, 0).used, 8U);
