A content that upstreams broke under is tried once after half a minute

Cause: three upstreams that lose power at once break a content that has no part in it; when no copy of it runs elsewhere, nothing clears it, and its callers were refused for ten minutes. Change: the instance that saw the last break lets one request through after 30 s; a run to its end clears the content everywhere, a break leaves it stopped for the rest. Only one instance does, so a request that does crash upstreams costs one more (two, when two saw a last break at the same moment; three are allowed). Ruled out: a short stop at all instances (each would send one before it hears of the others'); no count of breaks while several upstreams break at once (a storm of crashing requests would look the same).

--- a/src/crasher.c
+++ b/src/crasher.c
@@ -7,6 +7,9 @@
 /* Time after the last break in which a content is stopped. */
 #define STOP_MS (10 * 60 * 1000)
 
+/* Time after the last break at which one request is let through. */
+#define TRIAL_MS (30 * 1000)
+
 /* Time after the last break in which it is remembered: at its next break it is
    stopped at once. */
 #define FORGET_MS (2 * STOP_MS)
@@ -25,7 +28,8 @@
     BsCrasher crasher; /* without its age */
     int64_t last_ms;   /* of the last break */
     int64_t changed_ms;
-    GQueue *queue; /* that holds LINK */
+    bool has_trial; /* this instance may let one request through */
+    GQueue *queue;  /* that holds LINK */
     GList link;
 } BsCrasherEntry;
 
@@ -153,6 +157,12 @@
            now_ms - entry->last_ms <= STOP_MS;
 }
 
+static bool
+S_is_trial_due(const BsCrasherEntry *entry, int64_t now_ms)
+{
+    return entry->has_trial && now_ms - entry->last_ms >= TRIAL_MS;
+}
+
 /* -------------------------------------------------------------- sets -- */
 
 static bool
@@ -209,12 +219,13 @@
 
 /* ------------------------------------------------------------- notes -- */
 
-/* Makes room for one break in the set of a content that was let through. */
+/* Begins a generation that keeps the first BREAKS of the set. */
 static void
-S_begin_generation(BsCrasher *crasher, uint32_t breaks)
+S_begin_generation(BsCrasherEntry *entry, uint32_t breaks)
 {
-    crasher->generation++;
-    crasher->breaks = breaks;
+    entry->crasher.generation++;
+    entry->crasher.breaks = breaks;
+    entry->has_trial = false;
 }
 
 bool
@@ -228,7 +239,7 @@
     BsCrasher *crasher = &entry->crasher;
     bool was_stopped = S_is_stopped(entry, now_ms);
     if (crasher->breaks == BS_CRASHER_BREAKS_MAX && !was_stopped) {
-        S_begin_generation(crasher, BS_CRASHER_BREAKS_MAX - 1);
+        S_begin_generation(entry, BS_CRASHER_BREAKS_MAX - 1);
     }
     /* It took a request after it had broken off, so it has started again. */
     while (sent_ms > entry->last_ms && S_holds(crasher, upstream)) {
@@ -237,7 +248,18 @@
     S_insert(crasher, upstream);
     entry->last_ms = now_ms;
     S_note_change(crashers, entry, now_ms);
-    return !was_stopped && S_is_stopped(entry, now_ms);
+    bool stops = !was_stopped && S_is_stopped(entry, now_ms);
+    entry->has_trial |= stops;
+    return stops;
+}
+
+void
+BsCrashers_NoteSent(BsCrashers *crashers, uint64_t content, int64_t now_ms)
+{
+    BsCrasherEntry *entry = S_find(crashers, content);
+    if (entry != NULL && S_is_trial_due(entry, now_ms)) {
+        entry->has_trial = false;
+    }
 }
 
 void
@@ -245,7 +267,7 @@
 {
     BsCrasherEntry *entry = S_find(crashers, content);
     if (entry != NULL && entry->crasher.breaks > 0) {
-        S_begin_generation(&entry->crasher, 0);
+        S_begin_generation(entry, 0);
         S_note_change(crashers, entry, now_ms);
     }
 }
@@ -264,6 +286,7 @@
     }
     BsCrasher both = S_union(&entry->crasher, told);
     if (!S_equals(&both, &entry->crasher)) {
+        entry->has_trial &= both.generation == entry->crasher.generation;
         entry->crasher = both;
         entry->last_ms = MAX(entry->last_ms, told_ms);
         S_note_change(crashers, entry, now_ms);
@@ -341,7 +364,8 @@
                      int64_t now_ms)
 {
     const BsCrasherEntry *entry = S_find(crashers, content);
-    return entry != NULL && S_is_stopped(entry, now_ms);
+    return entry != NULL && S_is_stopped(entry, now_ms) &&
+           !S_is_trial_due(entry, now_ms);
 }
 
 BsCrasherCounts
--- a/src/crasher.h
+++ b/src/crasher.h
@@ -10,9 +10,11 @@
  * Rules: what instances tell is merged as sets, so that order, repeats and
  * detours do not matter.  A content that ran to its end has no part in the
  * breaks before: its set becomes empty, in a new generation that replaces the
- * older ones everywhere.  A stopped content is let through after ten minutes;
- * one break more stops it again.  Memory is bounded; the oldest contents that
- * are not stopped are forgotten first.
+ * older ones everywhere.  So that one which upstreams broke under for another
+ * cause is not refused for long, the instance that saw the last break lets one
+ * request through after half a minute.  A stop ends after ten minutes; then
+ * one break stops the content again.  Memory is bounded; the oldest contents
+ * that are not stopped are forgotten first.
  */
 #ifndef BS_CRASHER_H
 #define BS_CRASHER_H
@@ -60,6 +62,10 @@
 bool BsCrashers_NoteBreak(BsCrashers *crashers, uint64_t content,
                           uint32_t upstream, int64_t sent_ms, int64_t now_ms);
 
+/* Notes that a request with CONTENT is sent to an upstream. */
+void BsCrashers_NoteSent(BsCrashers *crashers, uint64_t content,
+                         int64_t now_ms);
+
 /* Notes that an upstream ran CONTENT to its end. */
 void BsCrashers_NoteGood(BsCrashers *crashers, uint64_t content,
                          int64_t now_ms);
@@ -76,7 +82,7 @@
    BS_CRASHER_BREAKS_MAX at most. */
 uint32_t BsCrashers_Breaks(const BsCrashers *crashers, uint64_t content);
 
-/* Returns whether CONTENT is not to be sent. */
+/* Returns whether CONTENT is not to be sent now. */
 bool BsCrashers_IsStopped(const BsCrashers *crashers, uint64_t content,
                           int64_t now_ms);
 
--- a/src/gw_attempt.c
+++ b/src/gw_attempt.c
@@ -551,6 +551,7 @@
     relay->refused = false;
     relay->judged = BS_TARGET_GOOD;
     BsTargets_Sent(gate->targets, target, &query, now_ms);
+    BsCrashers_NoteSent(gate->crashers, relay->content, now_ms);
     gate->loads_changed = true;
     relay->call =
         BsOutbound_Start(gate->pool, &request, &S_call_events, relay);
--- a/tests/gate/crasher_test.cc
+++ b/tests/gate/crasher_test.cc
@@ -38,6 +38,10 @@
         return BsCrashers_NoteBreak(crashers_, content, upstream, now_ms - 1,
                                     now_ms);
     }
+    void Sent(int64_t now_ms)
+    {
+        BsCrashers_NoteSent(crashers_, kContent, now_ms);
+    }
     void Good(int64_t now_ms = kStartMs)
     {
         BsCrashers_NoteGood(crashers_, kContent, now_ms);
@@ -159,6 +163,7 @@
     table.Break(2, kStartMs + kMinuteMs);
     table.Break(3, kStartMs + 2 * kMinuteMs);
     EXPECT_TRUE(table.IsStopped(kStartMs + 2 * kMinuteMs));
+    table.Sent(kStartMs + 3 * kMinuteMs); // the only one let through
     EXPECT_TRUE(table.IsStopped(kStartMs + 8 * kMinuteMs));
 }
 
@@ -177,6 +182,43 @@
     EXPECT_TRUE(peer.IsStopped(later_ms));
 }
 
+// Guards against an innocent content that is refused for long, as all of its
+// upstreams lost power at once and nobody ran it since.
+TEST(Crashers, OneRequestIsLetThroughWhereTheLastBreakWasSeen)
+{
+    const int64_t trial_ms = kStartMs + kMinuteMs / 2;
+    Table heard;
+    Table saw;
+    heard.Break(1);
+    heard.Break(2);
+    heard.Tell(saw);
+    ASSERT_TRUE(saw.Break(3));
+    saw.Tell(heard);
+    EXPECT_TRUE(saw.IsStopped(trial_ms - 1));
+    EXPECT_FALSE(saw.IsStopped(trial_ms));
+    EXPECT_TRUE(heard.IsStopped(trial_ms));
+    saw.Sent(trial_ms);
+    EXPECT_TRUE(saw.IsStopped(trial_ms)); // one is under way
+    EXPECT_FALSE(saw.Break(4, trial_ms + 1));
+    EXPECT_TRUE(saw.IsStopped(trial_ms + kMinuteMs));
+    EXPECT_TRUE(heard.IsStopped(trial_ms + kMinuteMs));
+}
+
+TEST(Crashers, ATrialThatEndsWellClears)
+{
+    const int64_t trial_ms = kStartMs + kMinuteMs / 2;
+    Table table;
+    for (uint32_t upstream = 1; upstream <= 3; upstream++) {
+        table.Break(upstream);
+    }
+    table.Sent(kStartMs + 1); // of before: no trial yet
+    EXPECT_FALSE(table.IsStopped(trial_ms));
+    table.Sent(trial_ms);
+    table.Good(trial_ms + 1);
+    EXPECT_FALSE(table.IsStopped(trial_ms + 1));
+    EXPECT_EQ(table.Breaks(), 0U);
+}
+
 // Guards against innocent contents that stay stopped: several upstreams lost
 // power under them, and they run well elsewhere.
 TEST(Crashers, AContentThatRanToItsEndIsClearedEverywhere)
