The soak sends a request that crashes upstreams, and asks that it is stopped

A stand-in upstream that begins the request loses all it runs and is back after 1 to 3 s. The request comes again every 0.7 s with another id, to any gateway. Promise 'deadly': later than 4 s after the third crash no more than three arrive, by gateways that ran for 4 s, as long as one that can know is left. Promise 'service' asks for an answer to each kind of request at the end: all of a kind have one content, so one that stays stopped breaks it. The draws of other faults are as before: deadly requests have a generator of their own.

--- a/tests/soak/main_soak.c
+++ b/tests/soak/main_soak.c
@@ -2,7 +2,8 @@
  * main_soak.c - the fault soak: draws faults from a seed and plays them.
  *
  * gatesoak GATEWAY DIRECTORY SEED [--seconds N] [--gateways N] [--runners N]
- * [--rate N] [--calm] [--verbose]; exits with 1 when a promise was broken.
+ * [--rate N] [--deadly MS] [--calm] [--verbose]; exits with 1 when a promise
+ * was broken.  --deadly sets the pause between requests that crash upstreams.
  * With --calm nothing fails, and what callers saw is printed as a table.
  */
 #include "soak.h"
@@ -27,6 +28,9 @@
 #define FAULT_MIN_MS 100
 #define FAULT_MAX_MS 900
 
+/* Pause between two requests that crash upstreams, in a run with faults. */
+#define DEADLY_PAUSE_MS 700
+
 typedef struct {
     Soak soak;
     ev_timer next;
@@ -39,6 +43,7 @@
 static gint S_gateways = 4;
 static gint S_runners = 6;
 static gint S_rate = 60;
+static gint S_deadly = -1;
 static gboolean S_calm;
 static gboolean S_verbose;
 
@@ -363,6 +368,8 @@
     soak->loop = run->loop;
     soak->clock = &S_clock;
     soak->random = g_rand_new_with_seed(seed);
+    soak->deadly_random = g_rand_new_with_seed(seed);
+    soak->deadly_ms = S_deadly >= 0 ? S_deadly : S_calm ? 0 : DEADLY_PAUSE_MS;
     soak->verbose = S_verbose;
     /* Runs beside each other get loopback addresses of their own. */
     soak->base = (127U << 24) + ((10U + seed % 200) << 16);
@@ -389,6 +396,23 @@
     SoakStore_Destroy(soak->store);
     g_hash_table_destroy(soak->requests);
     g_rand_free(soak->random);
+    g_rand_free(soak->deadly_random);
+}
+
+/* Checks that each kind of request is answered again once all faults are over;
+   returns how many were. */
+static unsigned
+S_check_service(Soak *soak)
+{
+    unsigned sum = 0;
+    for (int kind = 0; kind < SOAK_KINDS; kind++) {
+        sum += soak->answered_late[kind];
+        if (soak->answered_late[kind] == 0) {
+            Soak_Violation(soak, "service", "no %s was answered in the end",
+                           SoakLoad_Name(kind));
+        }
+    }
+    return sum;
 }
 
 static unsigned
@@ -399,6 +423,9 @@
     S_create(&run, seed);
     SoakFleet_Start(soak, program, directory);
     SoakCallers_Start(soak, 1, S_rate);
+    if (soak->deadly_ms > 0) {
+        SoakCallers_StartDeadly(soak);
+    }
     soak->calm = S_calm;
     if (S_calm) {
         S_start_timer(&run, &run.calm, S_seconds, S_on_rest);
@@ -411,13 +438,11 @@
     ev_run(run.loop, 0);
     SoakCallers_Stop(soak);
     SoakFleet_Stop(soak);
-    if (soak->answered_late == 0) {
-        Soak_Violation(soak, "service", "nothing was answered in the end");
-    }
+    unsigned answered_late = S_check_service(soak);
     printf("seed %u: %u requests, %u answered, %u of them at the end, %u "
-           "broken\n",
+           "broken; %u upstreams crashed under a deadly request\n",
            seed, g_hash_table_size(soak->requests), soak->answered_good,
-           soak->answered_late, soak->violations);
+           answered_late, soak->violations, soak->deadly_runs);
     if (S_calm) {
         SoakLoad_Print(soak);
     }
@@ -434,6 +459,8 @@
         {"gateways", 0, 0, G_OPTION_ARG_INT, &S_gateways, "Gateways", "N"},
         {"runners", 0, 0, G_OPTION_ARG_INT, &S_runners, "Upstreams", "N"},
         {"rate", 0, 0, G_OPTION_ARG_INT, &S_rate, "Requests a second", "N"},
+        {"deadly", 0, 0, G_OPTION_ARG_INT, &S_deadly,
+         "Pause between requests that crash upstreams; 0: none", "MS"},
         {"calm", 0, 0, G_OPTION_ARG_NONE, &S_calm, "No faults; a table", NULL},
         {"verbose", 0, 0, G_OPTION_ARG_NONE, &S_verbose, "Tell faults", NULL},
         G_OPTION_ENTRY_NULL};
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -34,10 +34,13 @@
 /* Kinds of request. */
 typedef enum { SOAK_SAFE, SOAK_UNSAFE, SOAK_STREAM, SOAK_ONCE } SoakKind;
 
+#define SOAK_KINDS 4
+
 /* A request of a caller, and what became of it. */
 typedef struct {
     char id[24];
     SoakKind kind;
+    bool deadly;   /* crashes each upstream that begins it */
     unsigned key;  /* number of the API key */
     unsigned runs; /* upstreams that began it */
     int status;    /* of the answer; 0: none */
@@ -66,9 +69,15 @@
     int64_t closed_ms;      /* since when data centre d1 is closed; 0: open */
     int64_t store_fault_ms; /* last change of the store's mode */
     bool store_harmed;
+    GRand *deadly_random;    /* of its own, so that other draws stay */
+    int64_t deadly_ms;       /* between two deadly requests; 0: none */
+    unsigned deadly_crashes; /* since a gateway was last there to know */
+    int64_t deadly_third_ms; /* of the third of them */
+    unsigned deadly_late;    /* deadly requests that arrived long after it */
+    unsigned deadly_runs;
     unsigned violations;
     unsigned answered_good;
-    unsigned answered_late; /* since all faults ended */
+    unsigned answered_late[SOAK_KINDS]; /* since all faults ended */
     bool calm;
     bool verbose;
 };
@@ -145,6 +154,14 @@
 /* Kills and waits for all that still run. */
 void SoakFleet_Stop(Soak *soak);
 
+/* Returns how long the gateway has run since its start or its last pause; 0
+   while it is down, paused or stopping. */
+int64_t SoakFleet_RunsMs(unsigned gateway);
+
+/* Returns whether a gateway has run long enough to know what the others
+   know. */
+bool SoakFleet_HasWitness(const Soak *soak);
+
 /* Returns when the gateway last had a fault; now, while one lasts. */
 int64_t SoakFleet_FaultMs(unsigned gateway);
 
@@ -164,6 +181,10 @@
 /* Starts COUNT callers that send RATE requests a second together. */
 void SoakCallers_Start(Soak *soak, unsigned count, double rate);
 
+/* Sends a request that crashes upstreams every so often: the same account,
+   path and body with another id, to any gateway. */
+void SoakCallers_StartDeadly(Soak *soak);
+
 /* Sends no more, and waits on for answers. */
 void SoakCallers_Rest(Soak *soak);
 
@@ -173,6 +194,9 @@
 /* ------------------------------------------------------------------ load --
  */
 
+/* Returns the name of a kind of request, which is that of its route. */
+const char *SoakLoad_Name(SoakKind kind);
+
 /* Prints what callers saw, by route: counts, and times of whole answers. */
 void SoakLoad_Print(const Soak *soak);
 
--- a/tests/soak/soak_callers.c
+++ b/tests/soak/soak_callers.c
@@ -23,6 +23,7 @@
 
 static BsOutboundPool *S_pool;
 static ev_timer S_timer;
+static ev_timer S_deadly_timer;
 static unsigned S_serial;
 static GHashTable *S_calls; /* set of Call */
 
@@ -88,7 +89,7 @@
                        call->body->str);
     }
     soak->answered_good++;
-    soak->answered_late += soak->calm;
+    soak->answered_late[request->kind] += soak->calm;
     g_free(signature);
     g_string_free(expected, TRUE);
 }
@@ -161,13 +162,6 @@
     g_hash_table_remove(S_calls, call);
 }
 
-static const char *
-S_path(SoakKind kind)
-{
-    static const char *const paths[] = {"look", "book", "chat", "once"};
-    return paths[kind];
-}
-
 static GString *
 S_message(const SoakRequest *request)
 {
@@ -176,8 +170,9 @@
         text,
         "POST /%s/x HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: %s\r\n"
         "Deadline-Ms: %d\r\nApi-Key: key-%u\r\nToken-Usage: 50,10\r\n"
-        "Content-Length: 4\r\n\r\nbody",
-        S_path(request->kind), request->id, DEADLINE_MS, request->key);
+        "Content-Length: 4\r\n\r\n%s",
+        SoakLoad_Name(request->kind), request->id, DEADLINE_MS, request->key,
+        request->deadly ? "dies" : "body");
     return text;
 }
 
@@ -198,10 +193,25 @@
     return request;
 }
 
+/* Creates a request that crashes upstreams, with a key in force. */
+static SoakRequest *
+S_create_deadly(Soak *soak)
+{
+    SoakRequest *request = g_new0(SoakRequest, 1);
+    snprintf(request->id, sizeof(request->id), "d%u", ++S_serial);
+    request->deadly = true;
+    request->kind = SOAK_SAFE;
+    request->key = soak->keys_from + 1;
+    request->gateway = (unsigned)g_rand_int_range(soak->deadly_random, 0,
+                                                  (gint32)soak->gateway_count);
+    request->sent_ms = Soak_NowMs(soak);
+    g_hash_table_insert(soak->requests, request->id, request);
+    return request;
+}
+
 static void
-S_send(Soak *soak)
+S_send(Soak *soak, SoakRequest *request)
 {
-    SoakRequest *request = S_create_request(soak);
     Call *call = g_new0(Call, 1);
     char owner[16];
     snprintf(owner, sizeof(owner), "gw-%u", request->gateway);
@@ -229,7 +239,17 @@
 {
     (void)loop;
     (void)events;
-    S_send(watcher->data);
+    Soak *soak = watcher->data;
+    S_send(soak, S_create_request(soak));
+}
+
+static void
+S_on_deadly_timer(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    (void)loop;
+    (void)events;
+    Soak *soak = watcher->data;
+    S_send(soak, S_create_deadly(soak));
 }
 
 void
@@ -243,16 +263,26 @@
     ev_timer_start(soak->loop, &S_timer);
 }
 
+void
+SoakCallers_StartDeadly(Soak *soak)
+{
+    double pause_s = (double)soak->deadly_ms / 1000.0;
+    ev_timer_init(&S_deadly_timer, S_on_deadly_timer, pause_s, pause_s);
+    S_deadly_timer.data = soak;
+    ev_timer_start(soak->loop, &S_deadly_timer);
+}
+
 void
 SoakCallers_Rest(Soak *soak)
 {
     ev_timer_stop(soak->loop, &S_timer);
+    ev_timer_stop(soak->loop, &S_deadly_timer);
 }
 
 void
 SoakCallers_Stop(Soak *soak)
 {
-    ev_timer_stop(soak->loop, &S_timer);
+    SoakCallers_Rest(soak);
     g_hash_table_destroy(S_calls);
     BsOutboundPool_Destroy(S_pool);
 }
--- a/tests/soak/soak_fleet.c
+++ b/tests/soak/soak_fleet.c
@@ -14,6 +14,11 @@
 #define GRACE_MS 8000
 #define RESTART_MS 100
 
+/* A gateway knows what the others know this long after its start. */
+#define WITNESS_MS 1500
+
+#define SEEDS_MAX 3U
+
 typedef struct {
     Soak *soak;
     unsigned number;
@@ -25,7 +30,8 @@
     ev_timer start; /* restart, or end of a pause */
     ev_timer grace; /* SIGKILL after SIGTERM */
     int64_t fault_ms;
-    int64_t term_ms; /* 0 unless it stops as planned */
+    int64_t runs_from_ms; /* last start or end of a pause */
+    int64_t term_ms;      /* 0 unless it stops as planned */
     bool paused;
     bool ending; /* of the whole soak */
 } Gateway;
@@ -41,27 +47,32 @@
     char host[INET_ADDRSTRLEN];
     char store[INET_ADDRSTRLEN];
     char seed[INET_ADDRSTRLEN];
+    GString *seeds = g_string_new(NULL);
     struct sockaddr_in address;
     Soak_Address(soak, gateway->number, 0, &address);
     inet_ntop(AF_INET, &address.sin_addr, host, sizeof(host));
     Soak_Address(soak, 102, 0, &address);
     inet_ntop(AF_INET, &address.sin_addr, store, sizeof(store));
-    Soak_Address(soak, 0, 0, &address);
-    inet_ntop(AF_INET, &address.sin_addr, seed, sizeof(seed));
+    for (unsigned i = 0; i < MIN(SEEDS_MAX, soak->gateway_count); i++) {
+        Soak_Address(soak, i, 0, &address);
+        inet_ntop(AF_INET, &address.sin_addr, seed, sizeof(seed));
+        g_string_append_printf(seeds, "%s\"%s:1\"", i == 0 ? "" : ", ", seed);
+    }
     char *text = g_strdup_printf(
         "name: gw-%u\ndata_centre: d%u\nregion: r\ndata_centres:\n"
         "  - { name: d0, region: r }\n  - { name: d1, region: r }\n"
         "callers: \"%s:8000\"\nready: \"%s:8001\"\nadmin: \"%s:8002\"\n"
-        "peers: \"%s:8003\"\nseeds: [ \"%s:1\" ]\nstore: \"%s:%u\"\n"
+        "peers: \"%s:8003\"\nseeds: [ %s ]\nstore: \"%s:%u\"\n"
         "machine: { memory_mb: 110, descriptors: 800 }\n"
         "bounds: { drain_ms: 2500, grace_s: %d, retry_ratio: 0.2, "
         "retry_slack: 58, retry_window_s: 10, quota_over: 0.25, "
         "quota_slack: 0 }\n",
-        gateway->number, gateway->number % 2, host, host, host, host, seed,
-        store, 30000 + gateway->number, GRACE_MS / 1000);
+        gateway->number, gateway->number % 2, host, host, host, host,
+        seeds->str, store, 30000 + gateway->number, GRACE_MS / 1000);
     if (!g_file_set_contents(gateway->settings, text, -1, NULL)) {
         g_error("%s: cannot be written", gateway->settings);
     }
+    g_string_free(seeds, TRUE);
     g_free(text);
 }
 
@@ -87,6 +98,7 @@
     }
     gateway->term_ms = 0;
     gateway->paused = false;
+    gateway->runs_from_ms = Soak_NowMs(gateway->soak);
     ev_child_init(&gateway->child, S_on_child, gateway->pid, 0);
     gateway->child.data = gateway;
     ev_child_start(gateway->soak->loop, &gateway->child);
@@ -127,6 +139,7 @@
     else if (gateway->paused) {
         kill(gateway->pid, SIGCONT);
         gateway->paused = false;
+        gateway->runs_from_ms = Soak_NowMs(gateway->soak);
     }
     gateway->fault_ms = Soak_NowMs(gateway->soak);
 }
@@ -204,6 +217,25 @@
     return harmed ? Soak_NowMs(gateway->soak) : gateway->fault_ms;
 }
 
+int64_t
+SoakFleet_RunsMs(unsigned number)
+{
+    const Gateway *gateway = &S_gateways[number];
+    bool runs = gateway->pid > 0 && !gateway->paused && gateway->term_ms == 0;
+    return runs ? Soak_NowMs(gateway->soak) - gateway->runs_from_ms : 0;
+}
+
+bool
+SoakFleet_HasWitness(const Soak *soak)
+{
+    for (unsigned i = 0; i < soak->gateway_count; i++) {
+        if (SoakFleet_RunsMs(i) > WITNESS_MS) {
+            return true;
+        }
+    }
+    return false;
+}
+
 bool
 SoakFleet_IsStopping(unsigned gateway)
 {
--- a/tests/soak/soak_load.c
+++ b/tests/soak/soak_load.c
@@ -3,7 +3,11 @@
 
 #include <stdio.h>
 
-#define KINDS 4
+#define KINDS (SOAK_KINDS + 1)
+#define DEADLY SOAK_KINDS
+
+static const char *const S_names[KINDS] = {"look", "book", "chat", "once",
+                                           "deadly"};
 
 typedef struct {
     unsigned sent;
@@ -53,24 +57,30 @@
            S_quantile(row->times_ms, 0.99));
 }
 
+const char *
+SoakLoad_Name(SoakKind kind)
+{
+    return S_names[kind];
+}
+
 void
 SoakLoad_Print(const Soak *soak)
 {
-    static const char *const names[KINDS] = {"look", "book", "chat", "once"};
     LoadRow rows[KINDS] = {0};
     GHashTableIter iter;
-    gpointer request;
+    gpointer value;
     for (unsigned i = 0; i < KINDS; i++) {
         rows[i].times_ms = g_array_new(FALSE, FALSE, sizeof(int64_t));
     }
     g_hash_table_iter_init(&iter, soak->requests);
-    while (g_hash_table_iter_next(&iter, NULL, &request)) {
-        S_add(&rows[((SoakRequest *)request)->kind], request);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const SoakRequest *request = value;
+        S_add(&rows[request->deadly ? DEADLY : request->kind], request);
     }
     printf("route       sent  answered  refused   other  p50 ms  p90 ms  "
            "p99 ms\n");
     for (unsigned i = 0; i < KINDS; i++) {
-        S_print(names[i], &rows[i]);
+        S_print(S_names[i], &rows[i]);
         g_array_unref(rows[i].times_ms);
     }
 }
--- a/tests/soak/soak_runner.c
+++ b/tests/soak/soak_runner.c
@@ -20,6 +20,15 @@
 #define COLD_PER_S 10
 #define COLD_ALLOWED (COLD_PER_S * 1.5 + 5)
 
+/* A request that has crashed DEADLY_CRASHES upstreams reaches no more than
+   DEADLY_LATE_MAX later than DEADLY_MS after it; an upstream that crashes
+   under one is back after some seconds. */
+#define DEADLY_CRASHES 3
+#define DEADLY_LATE_MAX 3
+#define DEADLY_MS 4000
+#define DEADLY_AWAY_MIN_MS 1000
+#define DEADLY_AWAY_MAX_MS 3000
+
 typedef struct {
     SoakRunner *runner;
     BsInbound *inbound; /* NULL once the gateway is gone */
@@ -117,12 +126,32 @@
     S_end_run(run);
 }
 
+/* A deadly request takes its upstream with it. */
+static void
+S_die(SoakRunner *runner)
+{
+    Soak *soak = runner->soak;
+    int away_ms = g_rand_int_range(soak->deadly_random, DEADLY_AWAY_MIN_MS,
+                                   DEADLY_AWAY_MAX_MS);
+    soak->deadly_runs++;
+    soak->deadly_crashes++;
+    if (soak->deadly_crashes == DEADLY_CRASHES) {
+        soak->deadly_third_ms = Soak_NowMs(soak);
+    }
+    Soak_Say(soak, "%s crashes under a deadly request", runner->id);
+    SoakRunner_Crash(runner, away_ms);
+}
+
 static void
 S_on_run_timer(struct ev_loop *loop, ev_timer *watcher, int events)
 {
     (void)loop;
     (void)events;
     Run *run = watcher->data;
+    if (run->request->deadly) {
+        S_die(run->runner);
+        return;
+    }
     if (!run->stream || run->fails) {
         S_answer(run);
         return;
@@ -190,6 +219,29 @@
     }
 }
 
+/* Checks that a deadly request is stopped.  What no gateway is left to know is
+   counted anew. */
+static void
+S_check_deadly(Soak *soak, const SoakRequest *request)
+{
+    int64_t now_ms = Soak_NowMs(soak);
+    if (!SoakFleet_HasWitness(soak)) {
+        soak->deadly_crashes = 0;
+        soak->deadly_late = 0;
+    }
+    if (soak->deadly_crashes < DEADLY_CRASHES ||
+        now_ms - soak->deadly_third_ms <= DEADLY_MS ||
+        SoakFleet_RunsMs(request->gateway) <= DEADLY_MS) {
+        return;
+    }
+    soak->deadly_late++;
+    if (soak->deadly_late > DEADLY_LATE_MAX) {
+        Soak_Violation(soak, "deadly",
+                       "%s arrived %d ms after the third crash", request->id,
+                       (int)(now_ms - soak->deadly_third_ms));
+    }
+}
+
 /* Checks the promises that bind from a time on. */
 static void
 S_check_arrival(SoakRunner *runner, const SoakRequest *request)
@@ -197,6 +249,9 @@
     Soak *soak = runner->soak;
     int64_t now_ms = Soak_NowMs(soak);
     S_check_cold(runner, now_ms);
+    if (request->deadly) {
+        S_check_deadly(soak, request);
+    }
     /* Bounds with a time bind what was taken from its caller after it. */
     if (!Soak_IsSettled(soak, request->gateway)) {
         return;
