A request whose upstreams go dark under it is counted once the list shows it

Cause: only a broken connection counted. An upstream that ends without a word leaves its requests silent; they are given up, at the end of their time or for another upstream, and what they had run under was forgotten by then. Change: what is given up unfinished is remembered for 10 s, 256 at most. It counts as broken once the platform's list drops that start of the upstream or names a later one, unless the upstream had said that it leaves. Ruled out: counting silence itself (a cut path to a sound upstream is silent, too). Tests: CrashTest.UpstreamsThatEndWithoutAWordCount failed before (no break is counted within 20 s); SilenceCountsOnceTheUpstreamHasEnded, SilenceOfAnUpstreamThatLivesOnSays- Nothing, SilenceIsRememberedWithinBounds. crashers_stopped_total is kept by the module now, so that it holds these stops, too.

--- a/src/crasher.c
+++ b/src/crasher.c
@@ -21,6 +21,12 @@
 /* Time in which a change is told in each report. */
 #define NEWS_MS 2000
 
+/* Time in which the list tells that a silent upstream has ended. */
+#define SILENCE_MS 10000
+
+/* Silent ends remembered at most. */
+#define SILENCES_MAX 256
+
 /* Contents known at most. */
 #define ENTRIES_MAX 4096
 
@@ -33,11 +39,23 @@
     GList link;
 } BsCrasherEntry;
 
+/* A request given up while its upstream ran it. */
+typedef struct {
+    uint64_t content;
+    uint32_t upstream;
+    int64_t sent_ms;
+    int64_t given_up_ms;
+    bool pending; /* may still count */
+} BsCrasherSilence;
+
 struct BsCrashers {
     GHashTable *entries; /* content to BsCrasherEntry */
     GQueue news;         /* changed lately, told in turns */
     GQueue stopped;      /* told in turns, too */
     GQueue rest;         /* in the order in which they came here */
+    BsCrasherSilence silences[SILENCES_MAX]; /* a ring */
+    uint32_t next_silence;
+    uint64_t stops; /* by breaks seen here */
 };
 
 /* ----------------------------------------------------------- entries -- */
@@ -250,9 +268,39 @@
     S_note_change(crashers, entry, now_ms);
     bool stops = !was_stopped && S_is_stopped(entry, now_ms);
     entry->has_trial |= stops;
+    crashers->stops += stops;
     return stops;
 }
 
+void
+BsCrashers_NoteSilence(BsCrashers *crashers, uint64_t content,
+                       uint32_t upstream, int64_t sent_ms, int64_t now_ms)
+{
+    BsCrasherSilence *silence = &crashers->silences[crashers->next_silence];
+    crashers->next_silence = (crashers->next_silence + 1) % SILENCES_MAX;
+    silence->content = content;
+    silence->upstream = upstream;
+    silence->sent_ms = sent_ms;
+    silence->given_up_ms = now_ms;
+    silence->pending = true;
+}
+
+void
+BsCrashers_NoteEnded(BsCrashers *crashers, uint32_t upstream, int64_t now_ms)
+{
+    for (uint32_t i = 0; i < SILENCES_MAX; i++) {
+        BsCrasherSilence *silence = &crashers->silences[i];
+        if (!silence->pending || silence->upstream != upstream) {
+            continue;
+        }
+        silence->pending = false;
+        if (now_ms - silence->given_up_ms <= SILENCE_MS) {
+            BsCrashers_NoteBreak(crashers, silence->content, upstream,
+                                 silence->sent_ms, now_ms);
+        }
+    }
+}
+
 void
 BsCrashers_NoteSent(BsCrashers *crashers, uint64_t content, int64_t now_ms)
 {
@@ -371,7 +419,7 @@
 BsCrasherCounts
 BsCrashers_Count(const BsCrashers *crashers, int64_t now_ms)
 {
-    BsCrasherCounts counts = {0};
+    BsCrasherCounts counts = {.stops = crashers->stops};
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, crashers->entries);
--- a/src/crasher.h
+++ b/src/crasher.h
@@ -7,6 +7,9 @@
  * upstreams broke off under a content; from three of them on it is not sent
  * any more.
  *
+ * An upstream may also end without a word, and only the platform's list tells:
+ * what was given up there shortly before counts as broken.
+ *
  * Rules: what instances tell is merged as sets, so that order, repeats and
  * detours do not matter.  A content that ran to its end has no part in the
  * breaks before: its set becomes empty, in a new generation that replaces the
@@ -62,6 +65,17 @@
 bool BsCrashers_NoteBreak(BsCrashers *crashers, uint64_t content,
                           uint32_t upstream, int64_t sent_ms, int64_t now_ms);
 
+/* Notes that UPSTREAM had not ended a request with CONTENT, sent to it at
+   SENT_MS, when this instance gave that up.  It counts as a break when
+   BsCrashers_NoteEnded() follows soon. */
+void BsCrashers_NoteSilence(BsCrashers *crashers, uint64_t content,
+                            uint32_t upstream, int64_t sent_ms,
+                            int64_t now_ms);
+
+/* Notes that UPSTREAM has ended, unplanned. */
+void BsCrashers_NoteEnded(BsCrashers *crashers, uint32_t upstream,
+                          int64_t now_ms);
+
 /* Notes that a request with CONTENT is sent to an upstream. */
 void BsCrashers_NoteSent(BsCrashers *crashers, uint64_t content,
                          int64_t now_ms);
@@ -91,6 +105,7 @@
     uint32_t contents;
     uint32_t breaks; /* starts of upstreams that broke off under them */
     uint32_t stopped;
+    uint64_t stops; /* by breaks seen here, since the start */
 } BsCrasherCounts;
 
 /* Returns how much is known; goes through all of it. */
--- a/src/gw_attempt.c
+++ b/src/gw_attempt.c
@@ -121,13 +121,38 @@
     gate->loads_changed = true;
 }
 
+static uint32_t
+S_upstream(const BsRelay *relay)
+{
+    return BsCrashers_Upstream(relay->target->id, relay->target->born_ms);
+}
+
+/* The request is given up while its upstream runs it, for all that is known:
+   the upstream may be dark. */
+static void
+S_note_silence(const BsRelay *relay)
+{
+    const BsTarget *target = relay->target;
+    BsCrashers *crashers = relay->gate->crashers;
+    int64_t now_ms = BsClock_NowMs(relay->gate->clock);
+    bool unlisted = target->gone_at_ms != INT64_MAX;
+    BsCrashers_NoteSilence(crashers, relay->content, S_upstream(relay),
+                           relay->sent_ms, now_ms);
+    if (unlisted && !target->draining && !target->leaving) {
+        BsCrashers_NoteEnded(crashers, S_upstream(relay), now_ms);
+    }
+}
+
 void
 BsAttempt_Abandon(BsRelay *relay, BsTargetEnd end)
 {
     if (relay->target == NULL) {
         return;
     }
-    relay->may_have_run |= relay->sent_ms > 0 && !relay->refused;
+    if (relay->sent_ms > 0 && !relay->refused) {
+        relay->may_have_run = true;
+        S_note_silence(relay);
+    }
     BsOutbound_Cancel(relay->call);
     S_close(relay, end);
 }
@@ -459,12 +484,8 @@
 S_note_break(const BsRelay *relay)
 {
     BsGate *gate = relay->gate;
-    uint32_t upstream =
-        BsCrashers_Upstream(relay->target->id, relay->target->born_ms);
-    if (BsCrashers_NoteBreak(gate->crashers, relay->content, upstream,
-                             relay->sent_ms, BsClock_NowMs(gate->clock))) {
-        BsCounters_Add(gate->counters, "crashers_stopped_total", 1);
-    }
+    BsCrashers_NoteBreak(gate->crashers, relay->content, S_upstream(relay),
+                         relay->sent_ms, BsClock_NowMs(gate->clock));
 }
 
 static void
@@ -621,5 +642,6 @@
     }
     BsOutbound_Cancel(relay->call);
     relay->may_have_run = true;
+    S_note_silence(relay);
     S_on_failure(relay, end, "silent");
 }
--- a/src/gw_pages.c
+++ b/src/gw_pages.c
@@ -44,6 +44,7 @@
     BsCounters_Set(counters, "crashers", crashers.contents);
     BsCounters_Set(counters, "crasher_breaks", crashers.breaks);
     BsCounters_Set(counters, "crashers_stopped", crashers.stopped);
+    BsCounters_Set(counters, "crashers_stopped_total", crashers.stops);
     BsCounters_Set(counters, "connections",
                    BsInboundServer_Connections(gate->callers));
     BsCounters_Set(counters, "body_bytes_held",
--- a/src/gw_published.c
+++ b/src/gw_published.c
@@ -50,6 +50,17 @@
     }
 }
 
+/* Tells that the start of TARGET known so far has ended, unless as planned. */
+static void
+S_note_ended(const BsGate *gate, const BsTarget *target)
+{
+    if (!target->draining && !target->leaving) {
+        BsCrashers_NoteEnded(gate->crashers,
+                             BsCrashers_Upstream(target->id, target->born_ms),
+                             BsClock_NowMs(gate->clock));
+    }
+}
+
 static void
 S_on_upstream(const BsTargetEntry *listed, void *context)
 {
@@ -59,6 +70,10 @@
     entry.region = BsGateSettings_Region(gateway->settings, entry.data_centre);
     const BsTarget *before = BsTargets_Find(gate->targets, entry.id);
     bool was_draining = before != NULL && before->draining;
+    if (before != NULL && before->born_ms > 0 &&
+        entry.born_ms > before->born_ms) {
+        S_note_ended(gate, before);
+    }
     bool is_new =
         BsTargets_Put(gate->targets, &entry, BsClock_NowMs(gate->clock));
     gate->places_changed = true;
@@ -88,6 +103,7 @@
     if (!BsTargets_Remove(gate->targets, id, kept_ms, now_ms)) {
         return;
     }
+    S_note_ended(gate, BsTargets_Find(gate->targets, id));
     if (BsEventLog_Begin(gate->log, BS_EVENT_STATE, "upstream_gone")) {
         BsEventLog_Text(gate->log, "upstream", id);
         BsEventLog_Number(gate->log, "kept_ms", kept_ms);
--- a/tests/gate/crasher_test.cc
+++ b/tests/gate/crasher_test.cc
@@ -38,6 +38,15 @@
         return BsCrashers_NoteBreak(crashers_, content, upstream, now_ms - 1,
                                     now_ms);
     }
+    void Silent(uint32_t upstream, uint64_t content = kContent)
+    {
+        BsCrashers_NoteSilence(crashers_, content, upstream, kStartMs - 1,
+                               kStartMs);
+    }
+    void Ended(uint32_t upstream, int64_t now_ms)
+    {
+        BsCrashers_NoteEnded(crashers_, upstream, now_ms);
+    }
     void Sent(int64_t now_ms)
     {
         BsCrashers_NoteSent(crashers_, kContent, now_ms);
@@ -138,6 +147,40 @@
     EXPECT_TRUE(table.IsStopped(kStartMs + 10 * kSecondMs));
 }
 
+// Guards against upstreams that crash without a word: only the list tells.
+TEST(Crashers, SilenceCountsOnceTheUpstreamHasEnded)
+{
+    Table table;
+    for (uint32_t upstream = 1; upstream <= 3; upstream++) {
+        table.Silent(upstream);
+        EXPECT_EQ(table.Breaks(), upstream - 1);
+        table.Ended(upstream, kStartMs + 5 * kSecondMs);
+        EXPECT_EQ(table.Breaks(), upstream);
+    }
+    EXPECT_TRUE(table.IsStopped(kStartMs + 5 * kSecondMs));
+}
+
+TEST(Crashers, SilenceOfAnUpstreamThatLivesOnSaysNothing)
+{
+    Table table;
+    table.Silent(1);
+    table.Ended(2, kStartMs + 5 * kSecondMs);
+    table.Ended(1, kStartMs + kMinuteMs); // for another cause
+    EXPECT_EQ(table.Breaks(), 0U);
+}
+
+TEST(Crashers, SilenceIsRememberedWithinBounds)
+{
+    Table table;
+    for (uint64_t content = 0; content < 1000; content++) {
+        table.Silent(1, content);
+    }
+    table.Ended(1, kStartMs);
+    EXPECT_EQ(table.Count(), 256U);
+    EXPECT_EQ(table.Breaks(999), 1U);
+    EXPECT_EQ(table.Breaks(0), 0U);
+}
+
 TEST(Crashers, BreaksAtDifferentInstancesAreJoined)
 {
     Table tables[3];
--- a/tests/gate/gateway_crash_test.cc
+++ b/tests/gate/gateway_crash_test.cc
@@ -120,6 +120,34 @@
     EXPECT_EQ(Arrivals(), broken);
 }
 
+// Guards against a request whose upstreams go dark under it: no connection
+// breaks, and only the list tells that they have ended.
+TEST_F(CrashTest, UpstreamsThatEndWithoutAWordCount)
+{
+    auto goes_dark = [](Socket &socket, const Got &got) {
+        if (got.body() == kDeadly) {
+            socket.WaitClosed();
+            return false;
+        }
+        return Answers(socket, got);
+    };
+    Start(std::vector<Runner::Script>(kStopBreaks + 1, goes_dark));
+    std::vector<int> before(runners_.size());
+    for (int breaks = 1; breaks <= kStopBreaks; breaks++) {
+        EXPECT_EQ(AskDeadly(*gateway_, "/brief/1"), 504);
+        for (size_t i = 0; i < runners_.size(); i++) {
+            if (runners_[i]->count() != before[i]) {
+                before[i] = runners_[i]->count();
+                store_.Remove("servers/" + Name(i));
+            }
+        }
+        ASSERT_TRUE(gateway_->WaitMetric("boragespur_crasher_breaks " +
+                                         std::to_string(breaks)));
+    }
+    EXPECT_EQ(AskDeadly(*gateway_, "/brief/1"), 502);
+    EXPECT_EQ(Arrivals(), kStopBreaks);
+}
+
 // Guards against a repeat that waits for a place while the others break their
 // upstreams, and is sent after them.
 TEST_F(CrashTest, AWaitingRepeatIsNotSent)
