What is stopped is told beside many changes

Cause: changes were told first and filled each report while upstreams kept crashing under other contents, so an instance that started meanwhile did not learn what was stopped. Change: six of the eight contents in a report are changes at most. Tests: Crashers.StopsAreToldBesideManyChanges failed before.

--- a/src/crasher.c
+++ b/src/crasher.c
@@ -18,8 +18,10 @@
    not learn it from each other without end. */
 #define TELL_UNTIL_MS (STOP_MS - 30 * 1000)
 
-/* Time in which a change is told in each report. */
+/* Time in which a change is told, and how many are at once at most: the rest
+   of a report is for what is stopped. */
 #define NEWS_MS 2000
+#define NEWS_TOLD_MAX (BS_CRASHERS_TOLD_MAX - 2)
 
 /* Time in which the list tells that a silent upstream has ended. */
 #define SILENCE_MS 10000
@@ -374,13 +376,14 @@
     return is_told ? &crashers->stopped : &crashers->rest;
 }
 
-/* Appends the next of QUEUE, and moves those that belong elsewhere. */
+/* Appends the next of QUEUE until TOLD has LENGTH_MAX, and moves those that
+   belong elsewhere. */
 static void
-S_append_turn(BsCrashers *crashers, GQueue *queue, int64_t now_ms,
-              GArray *told)
+S_append_turn(BsCrashers *crashers, GQueue *queue, guint length_max,
+              int64_t now_ms, GArray *told)
 {
-    for (guint left = queue->length;
-         left > 0 && told->len < BS_CRASHERS_TOLD_MAX; left--) {
+    for (guint left = queue->length; left > 0 && told->len < length_max;
+         left--) {
         BsCrasherEntry *entry = g_queue_peek_head(queue);
         GQueue *home = S_home(crashers, entry, now_ms);
         if (home == queue) {
@@ -393,8 +396,9 @@
 void
 BsCrashers_Append(BsCrashers *crashers, int64_t now_ms, GArray *told)
 {
-    S_append_turn(crashers, &crashers->news, now_ms, told);
-    S_append_turn(crashers, &crashers->stopped, now_ms, told);
+    S_append_turn(crashers, &crashers->news, NEWS_TOLD_MAX, now_ms, told);
+    S_append_turn(crashers, &crashers->stopped, BS_CRASHERS_TOLD_MAX, now_ms,
+                  told);
     S_drop_old(crashers, now_ms);
 }
 
