explain takes a content for an id, and shows all failed tries with it

Cause: a caller's repeats have ids of their own, so no command led from a refusal with the cause breaks_upstreams to the tries that broke their upstreams. Test: AContentLeadsToAllAttemptsOfACaller failed before (no line names it).

--- a/src/logstory.c
+++ b/src/logstory.c
@@ -145,7 +145,8 @@
         json_decref(line);
         return;
     }
-    if (strcmp(S_text(line, "request"), story->id) == 0) {
+    if (strcmp(S_text(line, "request"), story->id) == 0 ||
+        strcmp(S_text(line, "content"), story->id) == 0) {
         g_ptr_array_add(story->lines, line);
     }
     else if (S_is_state_event(line)) {
@@ -159,17 +160,19 @@
     }
 }
 
-/* Appends the members of LINE but those that stand elsewhere. */
+/* Appends the members of LINE but those that stand elsewhere: the id of the
+   story stands in its title. */
 static void
-S_append_members(const json_t *line, GString *out)
+S_append_members(const BsLogStory *story, const json_t *line, GString *out)
 {
-    static const char *const elsewhere[] = {"ms",      "event",   "instance",
-                                            "request", "wall_ms", NULL};
+    static const char *const elsewhere[] = {"ms", "event", "instance",
+                                            "wall_ms", NULL};
     const char *name;
     json_t *value;
     json_object_foreach((json_t *)line, name, value)
     {
-        if (g_strv_contains(elsewhere, name)) {
+        if (g_strv_contains(elsewhere, name) ||
+            g_strcmp0(json_string_value(value), story->id) == 0) {
             continue;
         }
         char *text = json_dumps(value, JSON_ENCODE_ANY);
@@ -181,13 +184,14 @@
 }
 
 static void
-S_append_line(const json_t *line, int64_t start_ms, const char *mark,
+S_append_line(const BsLogStory *story, const json_t *line, const char *mark,
               GString *out)
 {
+    int64_t start_ms = S_ms(story->lines->pdata[0]);
     g_string_append_printf(out, "%s%+7" G_GINT64_FORMAT " ms  %s  %s", mark,
                            S_ms(line) - start_ms, S_text(line, "instance"),
                            S_text(line, "event"));
-    S_append_members(line, out);
+    S_append_members(story, line, out);
     g_string_append_c(out, '\n');
 }
 
@@ -264,15 +268,14 @@
             story->id);
         return false;
     }
-    int64_t start_ms = S_ms(story->lines->pdata[0]);
     g_string_append_printf(out, "Request %s\n", story->id);
     for (guint i = 0; i < story->context->len; i++) {
         if (S_bears_on(story, story->context->pdata[i])) {
-            S_append_line(story->context->pdata[i], start_ms, "  . ", out);
+            S_append_line(story, story->context->pdata[i], "  . ", out);
         }
     }
     for (guint i = 0; i < story->lines->len; i++) {
-        S_append_line(story->lines->pdata[i], start_ms, "    ", out);
+        S_append_line(story, story->lines->pdata[i], "    ", out);
     }
     S_append_meaning(story, out);
     return true;
--- a/src/logstory.h
+++ b/src/logstory.h
@@ -23,7 +23,8 @@
 
 typedef struct BsLogStory BsLogStory;
 
-/* Creates an empty story of the request ID. */
+/* Creates an empty story of the request ID, or of all requests with the
+   content ID. */
 BsLogStory *BsLogStory_Create(const char *id);
 
 /* Frees STORY; NULL is allowed. */
--- a/tests/gate/gateway_story_test.cc
+++ b/tests/gate/gateway_story_test.cc
@@ -89,6 +89,28 @@
     EXPECT_NE(contents[0], contents[3]);
 }
 
+// From a refused request to the attempts, under other ids, that broke their
+// upstreams.
+TEST_F(GatewayTest, AContentLeadsToAllAttemptsOfACaller)
+{
+    Start({[](Socket &, const Got &) { return false; }});
+    gateway_->Ask(Call("/book/1", "first", "", "flour"));
+    gateway_->Ask(Call("/book/1", "again", "", "flour"));
+    gateway_->Ask(Call("/book/1", "third", "", "rye"));
+    std::vector<std::string> contents;
+    ASSERT_TRUE(Eventually([&] {
+        contents = ValuesOf(gateway_->Log(), "refused", "content");
+        return contents.size() == 3;
+    }));
+    std::string story;
+    RunProgram(
+        {BORAGESPUR, "explain", "--log", gateway_->LogFile(), contents[0]},
+        &story);
+    EXPECT_NE(story.find("request=first"), std::string::npos) << story;
+    EXPECT_NE(story.find("request=again"), std::string::npos) << story;
+    EXPECT_EQ(story.find("request=third"), std::string::npos) << story;
+}
+
 // The log's reader stops, then goes away; callers do not notice.
 TEST_F(GatewayTest, ALogThatNobodyReadsCostsLinesNotTime)
 {
