A content that ran to its end a short time ago is not to blame for breaks

Cause: three upstreams broke off under chats within 1.1 s of the last whole answer, in three faults of other causes; all places were taken, so no chat ran in between to clear it, and once stopped none could for half a minute. Change: an instance remembers 1,024 contents that ran to their end; for ten seconds breaks under them do not count here, and what others counted is taken back. A request that crashes what runs it never runs to its end. Ruled out: a shorter stop or more trials (each costs an upstream when it is to blame).

--- a/src/crasher.c
+++ b/src/crasher.c
@@ -29,6 +29,11 @@
 /* Silent ends remembered at most. */
 #define SILENCES_MAX 256
 
+/* Time in which a content that ran to its end is not to blame for breaks, and
+   how many such contents are remembered. */
+#define GOOD_MS 10000
+#define GOODS_MAX 1024
+
 /* Contents known at most. */
 #define ENTRIES_MAX 4096
 
@@ -50,6 +55,12 @@
     bool pending; /* may still count */
 } BsCrasherSilence;
 
+/* A content that ran to its end. */
+typedef struct {
+    uint64_t content;
+    int64_t ended_ms; /* 0: none */
+} BsCrasherGood;
+
 struct BsCrashers {
     GHashTable *entries; /* content to BsCrasherEntry */
     GQueue news;         /* changed lately, told in turns */
@@ -57,7 +68,8 @@
     GQueue rest;         /* in the order in which they came here */
     BsCrasherSilence silences[SILENCES_MAX]; /* a ring */
     uint32_t next_silence;
-    uint64_t stops; /* by breaks seen here */
+    BsCrasherGood goods[GOODS_MAX]; /* by the content's lowest bits */
+    uint64_t stops;                 /* by breaks seen here */
 };
 
 /* ----------------------------------------------------------- entries -- */
@@ -248,10 +260,31 @@
     entry->has_trial = false;
 }
 
+static bool
+S_ran_lately(const BsCrashers *crashers, uint64_t content, int64_t now_ms)
+{
+    const BsCrasherGood *good = &crashers->goods[content % GOODS_MAX];
+    return good->ended_ms > 0 && good->content == content &&
+           now_ms - good->ended_ms <= GOOD_MS;
+}
+
+/* Takes back all breaks under the content of ENTRY, everywhere. */
+static void
+S_clear(BsCrashers *crashers, BsCrasherEntry *entry, int64_t now_ms)
+{
+    if (entry->crasher.breaks > 0) {
+        S_begin_generation(entry, 0);
+        S_note_change(crashers, entry, now_ms);
+    }
+}
+
 bool
 BsCrashers_NoteBreak(BsCrashers *crashers, uint64_t content, uint32_t upstream,
                      int64_t sent_ms, int64_t now_ms)
 {
+    if (S_ran_lately(crashers, content, now_ms)) {
+        return false;
+    }
     BsCrasherEntry *entry = S_find(crashers, content);
     if (entry == NULL) {
         entry = S_add(crashers, content, now_ms);
@@ -315,10 +348,12 @@
 void
 BsCrashers_NoteGood(BsCrashers *crashers, uint64_t content, int64_t now_ms)
 {
+    BsCrasherGood *good = &crashers->goods[content % GOODS_MAX];
     BsCrasherEntry *entry = S_find(crashers, content);
-    if (entry != NULL && entry->crasher.breaks > 0) {
-        S_begin_generation(entry, 0);
-        S_note_change(crashers, entry, now_ms);
+    good->content = content;
+    good->ended_ms = now_ms;
+    if (entry != NULL) {
+        S_clear(crashers, entry, now_ms);
     }
 }
 
@@ -344,6 +379,9 @@
     else if (!S_equals(&both, told)) {
         S_note_change(crashers, entry, now_ms); /* the other one is behind */
     }
+    if (S_ran_lately(crashers, told->content, now_ms)) {
+        S_clear(crashers, entry, now_ms);
+    }
 }
 
 void
--- a/src/crasher.h
+++ b/src/crasher.h
@@ -13,11 +13,12 @@
  * Rules: what instances tell is merged as sets, so that order, repeats and
  * detours do not matter.  A content that ran to its end has no part in the
  * breaks before: its set becomes empty, in a new generation that replaces the
- * older ones everywhere.  So that one which upstreams broke under for another
- * cause is not refused for long, the instance that saw the last break lets one
- * request through after half a minute.  A stop ends after ten minutes; then
- * one break stops the content again.  Memory is bounded; the oldest contents
- * that are not stopped are forgotten first.
+ * older ones everywhere.  Breaks in the seconds after it do not count either.
+ * So that one which upstreams broke under for another cause is not refused for
+ * long, the instance that saw the last break lets one request through after
+ * half a minute.  A stop ends after ten minutes; then one break stops the
+ * content again.  Memory is bounded; the oldest contents that are not stopped
+ * are forgotten first.
  */
 #ifndef BS_CRASHER_H
 #define BS_CRASHER_H
@@ -59,6 +60,7 @@
 uint32_t BsCrashers_Upstream(const char *id, int64_t born_ms);
 
 /* Notes that UPSTREAM broke off while it ran CONTENT, sent to it at SENT_MS.
+   Nothing is counted when the content ran to its end here a short time ago.
    Copies that were sent before the last break count as broken by that one if
    they ran at the same upstream.  Returns whether the content is stopped by
    this break. */
--- a/tests/gate/crasher_test.cc
+++ b/tests/gate/crasher_test.cc
@@ -283,7 +283,36 @@
     EXPECT_FALSE(broken.IsStopped());
     EXPECT_FALSE(good.IsStopped());
     broken.Break(4);
-    EXPECT_EQ(broken.Breaks(), 1U);
+    EXPECT_EQ(broken.Breaks(), 1U); // the run was not its own
+}
+
+// Guards against a content that many ask for, refused to all of them:
+// upstreams crash around it, and there is no place for it in between.
+TEST(Crashers, AContentThatRanLatelyIsNotToBlame)
+{
+    Table good;
+    Table broken;
+    good.Good();
+    for (uint32_t upstream = 1; upstream <= 3; upstream++) {
+        EXPECT_FALSE(good.Break(upstream, kStartMs + kSecondMs));
+        broken.Break(upstream, kStartMs + kSecondMs);
+    }
+    EXPECT_EQ(good.Breaks(), 0U);
+    ASSERT_TRUE(broken.IsStopped(kStartMs + kSecondMs));
+    broken.Tell(good, kStartMs + kSecondMs);
+    EXPECT_FALSE(good.IsStopped(kStartMs + kSecondMs));
+    good.Tell(broken, kStartMs + kSecondMs);
+    EXPECT_FALSE(broken.IsStopped(kStartMs + kSecondMs));
+}
+
+TEST(Crashers, WhatRanLongAgoIsCountedAgain)
+{
+    Table table;
+    table.Good();
+    for (uint32_t upstream = 1; upstream <= 3; upstream++) {
+        table.Break(upstream, kStartMs + kMinuteMs);
+    }
+    EXPECT_TRUE(table.IsStopped(kStartMs + kMinuteMs));
 }
 
 TEST(Crashers, OneThatLagsBehindIsToldAgain)
