A break returns nothing; a stopped request's cost is given back in one step

Found on reading the change again. The return value of BsCrashers_NoteBreak() was used by tests only; they go by the counter of stops that operators see. relay->cost = 0 said again what may_have_run says. Crashers.* and CrashTest.* pass; no expectation changed.

--- a/src/crasher.c
+++ b/src/crasher.c
@@ -278,12 +278,12 @@
     }
 }
 
-bool
+void
 BsCrashers_NoteBreak(BsCrashers *crashers, uint64_t content, uint32_t upstream,
                      int64_t sent_ms, int64_t now_ms)
 {
     if (S_ran_lately(crashers, content, now_ms)) {
-        return false;
+        return;
     }
     BsCrasherEntry *entry = S_find(crashers, content);
     if (entry == NULL) {
@@ -301,10 +301,10 @@
     S_insert(crasher, upstream);
     entry->last_ms = now_ms;
     S_note_change(crashers, entry, now_ms);
-    bool stops = !was_stopped && S_is_stopped(entry, now_ms);
-    entry->has_trial |= stops;
-    crashers->stops += stops;
-    return stops;
+    if (!was_stopped && S_is_stopped(entry, now_ms)) {
+        entry->has_trial = true;
+        crashers->stops++;
+    }
 }
 
 void
--- a/src/crasher.h
+++ b/src/crasher.h
@@ -62,9 +62,8 @@
 /* Notes that UPSTREAM broke off while it ran CONTENT, sent to it at SENT_MS.
    Nothing is counted when the content ran to its end here a short time ago.
    Copies that were sent before the last break count as broken by that one if
-   they ran at the same upstream.  Returns whether the content is stopped by
-   this break. */
-bool BsCrashers_NoteBreak(BsCrashers *crashers, uint64_t content,
+   they ran at the same upstream. */
+void BsCrashers_NoteBreak(BsCrashers *crashers, uint64_t content,
                           uint32_t upstream, int64_t sent_ms, int64_t now_ms);
 
 /* Notes that UPSTREAM had not ended a request with CONTENT, sent to it at
--- a/src/gw_relay.c
+++ b/src/gw_relay.c
@@ -373,7 +373,6 @@
 S_refuse_stopped(BsRelay *relay)
 {
     S_give_back(relay);
-    relay->cost = 0;
     relay->may_have_run = true;
     BsRelay_Refuse(relay, 502, "breaks_upstreams", 0);
 }
--- a/tests/gate/crasher_test.cc
+++ b/tests/gate/crasher_test.cc
@@ -32,11 +32,13 @@
     }
     Table(const Table &) = delete;
     Table &operator=(const Table &) = delete;
+    // Returns whether this break stopped the content.
     bool Break(uint32_t upstream, int64_t now_ms = kStartMs,
                uint64_t content = kContent)
     {
-        return BsCrashers_NoteBreak(crashers_, content, upstream, now_ms - 1,
-                                    now_ms);
+        uint64_t before = BsCrashers_Count(crashers_, now_ms).stops;
+        BsCrashers_NoteBreak(crashers_, content, upstream, now_ms - 1, now_ms);
+        return BsCrashers_Count(crashers_, now_ms).stops > before;
     }
     void Silent(uint32_t upstream, uint64_t content = kContent)
     {
