Upstreams are counted for a request only when its account is over its limit

Found on reading the change again: each request with an account looked at all upstreams of its service, to know whether there is room beyond the limit, also when it was within. Change: the limit is asked first; only a refusal leads to the look. A refusal takes nothing, so the answers are the same.

--- a/src/gw_relay.c
+++ b/src/gw_relay.c
@@ -517,9 +517,14 @@
         (uint64_t)relay->info.prompt_tokens + relay->info.output_tokens;
     uint64_t cost =
         BsQuotas_Cost(relay->account, relay->info.has_tokens, tokens);
-    *wait_ms =
-        BsQuotas_Take(relay->gate->quotas, relay->account, cost,
-                      S_has_room(relay), BsClock_NowMs(relay->gate->clock));
+    int64_t now_ms = BsClock_NowMs(relay->gate->clock);
+    BsQuotas *quotas = relay->gate->quotas;
+    *wait_ms = BsQuotas_Take(quotas, relay->account, cost, false, now_ms);
+    /* Whether there is room is asked only then: it takes a look at each
+       upstream of the service. */
+    if (*wait_ms > 0 && S_has_room(relay)) {
+        *wait_ms = BsQuotas_Take(quotas, relay->account, cost, true, now_ms);
+    }
     relay->cost = *wait_ms == 0 ? cost : 0;
     return *wait_ms == 0;
 }
