Members that are gone for good are looked for once a second

Found on reading the change again: each tick and each report walked over all members to drop those silent for a minute. Change: once a second is enough for that; nothing else goes by the moment.

--- a/src/gossip.c
+++ b/src/gossip.c
@@ -12,6 +12,9 @@
 #define NEAR_BEAT_MS 150
 #define FAR_BEAT_MS 200
 
+/* Pause between two looks for members that are gone for good. */
+#define FORGET_PAUSE_MS 1000
+
 /* A member is silent after this time: four of its longest pauses. */
 #define SILENT_MS 800
 
@@ -380,7 +383,10 @@
 GArray *
 BsGossip_Due(BsGossip *gossip, bool changed, int64_t now_ms)
 {
-    S_forget_gone(gossip, now_ms);
+    if (now_ms - gossip->forgot_ms >= FORGET_PAUSE_MS) {
+        gossip->forgot_ms = now_ms;
+        S_forget_gone(gossip, now_ms);
+    }
     return BsGossip_UsesHubs(gossip, now_ms)
                ? BsGossip_DueWithHubs(gossip, changed, now_ms)
                : S_due_to_all(gossip, changed, now_ms);
--- a/src/gossip_private.h
+++ b/src/gossip_private.h
@@ -40,6 +40,7 @@
     int64_t started_ms;
     bool stopping;
     int64_t store_failed_ms;
+    int64_t forgot_ms;   /* last look for members that are gone for good */
     GHashTable *entries; /* address to BsGossipEntry */
     uint32_t fleet_told; /* size of the fleet, as others said */
     int64_t fleet_told_ms;
