--- a/tests/gate/gateway_crash_test.cc
+++ b/tests/gate/gateway_crash_test.cc
@@ -179,6 +179,145 @@
     EXPECT_EQ(Arrivals(), kStopBreaks);
 }
 
+// How an upstream that is silent to a request ends, and what is counted then.
+struct SilentCase {
+    const char *name;
+    const char *path;
+    bool listed;   // while its request is given up
+    bool drains;   // says that it leaves before it is off the list
+    bool restarts; // is listed again with a later start instead
+    int breaks;
+};
+
+const SilentCase kSilentCases[] = {
+    {"GivenUpBeforeItsEnd", "/brief/1", true, false, false, 1},
+    {"GivenUpAfterItsEnd", "/book/1", false, false, false, 1},
+    {"TriedElsewhere", "/look/1", true, false, false, 1},
+    {"StartedAgain", "/brief/1", true, false, true, 1},
+    {"PlannedEnd", "/brief/1", true, true, false, 0},
+};
+
+class SilentTest : public CrashTest,
+                   public testing::WithParamInterface<SilentCase> {
+  protected:
+    void Put(const std::string &state, int born, int sequence)
+    {
+        store_.Put("servers/" + Name(0),
+                   Listed("desk", runners_[0]->port(), "z1", state,
+                          ",\"born\":" + std::to_string(born) +
+                              ",\"sequence\":" + std::to_string(sequence)));
+    }
+    void End()
+    {
+        const SilentCase &row = GetParam();
+        if (row.drains) {
+            Put("draining", 1, 3);
+            ASSERT_TRUE(Eventually([&] {
+                return gateway_->Log().find("draining") != std::string::npos;
+            }));
+        }
+        if (row.restarts) {
+            Put("ready", 2, 1);
+        }
+        else {
+            store_.Remove("servers/" + Name(0));
+        }
+    }
+};
+
+// Guards against silent upstreams that are not counted, or are when their end
+// was planned.
+TEST_P(SilentTest, SilenceCountsWhenTheUpstreamEnds)
+{
+    const SilentCase &row = GetParam();
+    auto silent = [](Socket &socket, const Got &got) {
+        if (got.body() == kDeadly) {
+            socket.WaitClosed();
+            return false;
+        }
+        return Answers(socket, got);
+    };
+    Start({silent});
+    Put("ready", 1, 2);
+    std::unique_ptr<Socket> caller = gateway_->Open();
+    caller->Write(Call(row.path, "deadly", "", kDeadly));
+    ASSERT_TRUE(runners_[0]->WaitCount(1));
+    if (!row.listed) {
+        End();
+        ASSERT_TRUE(gateway_->WaitMetric("boragespur_upstreams 0"));
+    }
+    if (row.path == std::string("/look/1")) {
+        // Another upstream has a place, so the silent one is left.
+        runners_.push_back(std::make_unique<Runner>(silent));
+        store_.Put("servers/" + Name(1), Listed("desk", runners_[1]->port()));
+    }
+    caller->ReadMessage();
+    if (row.listed) {
+        End();
+    }
+    if (row.breaks > 0) {
+        EXPECT_TRUE(gateway_->WaitMetric("boragespur_crasher_breaks 1"));
+        return;
+    }
+    ASSERT_TRUE(gateway_->WaitMetric("boragespur_upstreams 0"));
+    EXPECT_TRUE(gateway_->WaitMetric("boragespur_crasher_breaks 0"));
+}
+
+INSTANTIATE_TEST_SUITE_P(Ends, SilentTest, testing::ValuesIn(kSilentCases),
+                         [](const auto &info) {
+                             return std::string(info.param.name);
+                         });
+
+// Guards against an innocent content that stays counted, or is counted again,
+// although it ran well a moment ago.
+TEST_F(CrashTest, AContentThatRunsWellIsCleared)
+{
+    auto breaks_at_times = [this](Socket &socket, const Got &got) {
+        return go_ && Answers(socket, got);
+    };
+    Start({breaks_at_times, breaks_at_times, breaks_at_times});
+    EXPECT_EQ(AskDeadly(*gateway_, "/look/1"), 502);
+    ASSERT_TRUE(gateway_->WaitMetric("boragespur_crasher_breaks 2"));
+    go_ = true;
+    EXPECT_EQ(AskDeadly(*gateway_, "/look/1"), 200);
+    EXPECT_TRUE(gateway_->WaitMetric("boragespur_crasher_breaks 0"));
+    go_ = false;
+    EXPECT_EQ(AskDeadly(*gateway_, "/look/1"), 502);
+    EXPECT_TRUE(gateway_->WaitMetric("boragespur_crasher_breaks 0"));
+}
+
+// Guards against a content that is sent again and again once its trial is due.
+TEST_F(CrashTest, OneTrialIsLetThroughAfterAWhile)
+{
+    const int trial_s = 30;
+    auto crashes_later = [this](Socket &socket, const Got &got) {
+        Eventually([&] { return kept_ == 0 || go_.load(); });
+        return Crashes(socket, got);
+    };
+    Start(std::vector<Runner::Script>(kUpstreams, crashes_later));
+    while (Arrivals() < kStopBreaks) {
+        EXPECT_EQ(AskDeadly(*gateway_, "/book/1"), 502);
+    }
+    ASSERT_TRUE(WaitStopped(*gateway_, 1));
+    int before = Arrivals();
+    std::this_thread::sleep_for(std::chrono::seconds(trial_s));
+    kept_ = 1; // the trial is under way until it may go on
+    std::unique_ptr<Socket> trial;
+    ASSERT_TRUE(Eventually([&] {
+        trial = gateway_->Open();
+        trial->Write(Call("/book/1", "trial", "", kDeadly));
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        return Arrivals() > before;
+    }));
+    for (int i = 0; i < 5; i++) {
+        EXPECT_EQ(AskDeadly(*gateway_, "/book/1"), 502);
+    }
+    go_ = true;
+    EXPECT_EQ(StatusOf(trial->ReadMessage()), 502);
+    EXPECT_EQ(AskDeadly(*gateway_, "/book/1"), 502);
+    EXPECT_EQ(Arrivals(), before + 1);
+}
+
 // Guards against a repeat that waits for a place while the others break their
 // upstreams, and is sent after them.
 TEST_F(CrashTest, AWaitingRepeatIsNotSent)
--- a/tests/gate/gateway_upstreams_test.cc
+++ b/tests/gate/gateway_upstreams_test.cc
@@ -81,6 +81,34 @@
                          testing::ValuesIn(kLeavingCases),
                          [](const auto &info) { return info.param.name; });
 
+// Guards against an upstream that gets nothing more because of what another
+// one, or an answer to another request, said.
+TEST_F(GatewayTest, AWishInAnAnswerOfAnotherIsNotBelieved)
+{
+    std::atomic<int> answered{0};
+    Start({[&](Socket &socket, const Got &got) {
+        Got other = got;
+        other.id = "another";
+        switch (answered++) {
+        case 0: // the address has gone to another upstream
+            return socket.Write("HTTP/1.1 421 X\r\nServer-Leaving: 1\r\n"
+                                "Content-Length: 0\r\n\r\n");
+        case 1: // late, and of another request
+            socket.Write(With(kLeaving, SignedAnswer(other, "x")));
+            return false;
+        default:
+            return Answers(socket, got);
+        }
+    }});
+    for (int i = 0; i < 2; i++) {
+        gateway_->Ask(Call("/book/1", "n" + std::to_string(i)));
+    }
+    EXPECT_TRUE(Eventually([&] {
+        return StatusOf(gateway_->Ask(Call("/book/1", "fine"))) == 200;
+    }));
+    EXPECT_EQ(gateway_->Metrics().find("wish=\"leaving\""), std::string::npos);
+}
+
 // Its caller left before the answer came.
 TEST_F(GatewayTest, AnUpstreamsWishIsHeardWithoutACaller)
 {
