--- /dev/null
+++ b/tests/gate/fleet_world.cc
@@ -0,0 +1,233 @@
+// A large fleet on a logical clock and a simulated network.
+#include "fleet_world.h"
+
+namespace {
+
+void
+Fill(BsGossipReport *report, bool work, int64_t, void *context)
+{
+    Node *node = static_cast<Node *>(context);
+    report->revision = 5;
+    report->newest = 5;
+    report->stopping = node->stopping;
+    if (!work) {
+        return;
+    }
+    for (const auto &load : node->own) {
+        if (load.second > 0) {
+            BsTargetLoad told = {load.first, load.second, 0};
+            g_array_append_val(report->loads, told);
+        }
+    }
+    BsQuotaUse use = {kAccount, node->used};
+    g_array_append_val(report->uses, use);
+}
+
+void
+FillCrashers(GArray *crashers, int64_t now_ms, void *context)
+{
+    BsCrashers_Append(static_cast<Node *>(context)->crashers, now_ms,
+                      crashers);
+}
+
+void
+OnCrashers(const GArray *crashers, int64_t now_ms, void *context)
+{
+    BsCrashers_Merge(static_cast<Node *>(context)->crashers, crashers, now_ms);
+}
+
+void
+Send(uint32_t address, const char *data, size_t size_bytes, void *context)
+{
+    Node *node = static_cast<Node *>(context);
+    World *world = node->world;
+    Node *to = world->Find(address);
+    node->sent++;
+    node->sent_bytes += size_bytes;
+    if (to == nullptr) {
+        return;
+    }
+    bool far = to->data_centre != node->data_centre;
+    node->far_bytes += far ? size_bytes : 0;
+    std::uniform_real_distribution<double> chance(0, 1);
+    bool is_cut =
+        world->cut.count(address) + world->cut.count(node->address) > 0 ||
+        (far && world->cut_data_centres.count(to->data_centre) +
+                        world->cut_data_centres.count(node->data_centre) >
+                    0);
+    if (is_cut || chance(world->random) < world->loss) {
+        return;
+    }
+    world->wire.insert(
+        {world->now_ms + (far ? kFarMs : kNearMs),
+         {node->address, address, std::string(data, size_bytes)}});
+}
+
+void
+OnPeer(uint32_t address, const BsGossipReport *report, int64_t, void *context)
+{
+    Node *node = static_cast<Node *>(context);
+    auto &told = node->peers[address];
+    told.clear();
+    for (guint i = 0; i < report->loads->len; i++) {
+        const BsTargetLoad &load =
+            g_array_index(report->loads, BsTargetLoad, i);
+        told[load.hash] = load.in_flight;
+    }
+}
+
+void
+OnSilent(const BsGossipMember *member, void *context)
+{
+    static_cast<Node *>(context)->peers.erase(member->address);
+}
+
+void
+OnHubsUsed(void *context)
+{
+    static_cast<Node *>(context)->peers.clear();
+}
+
+void
+OnNews(const BsFleetNews *news, int64_t, void *context)
+{
+    Node *node = static_cast<Node *>(context);
+    for (guint i = 0; i < news->loads->len; i++) {
+        const BsTargetLoad &load = g_array_index(news->loads, BsTargetLoad, i);
+        node->others[(uint32_t)load.hash] = load.in_flight;
+    }
+    for (guint i = 0; i < news->uses->len; i++) {
+        uint64_t used = g_array_index(news->uses, BsQuotaUse, i).used;
+        if (node->told_incarnation == news->incarnation &&
+            used > node->told_used) {
+            node->others_used += used - node->told_used;
+        }
+        node->told_used = used;
+        node->told_incarnation = news->incarnation;
+    }
+}
+
+void
+OnNewest(uint64_t, int64_t, void *)
+{
+}
+
+void
+OnHub(uint32_t, void *)
+{
+}
+
+const BsFleetEvents kEvents = {Fill,     FillCrashers, OnCrashers, Send,
+                               OnPeer,   OnSilent,     OnHubsUsed, OnNews,
+                               OnNewest, OnHub};
+
+} // namespace
+
+void
+World::Add(uint32_t data_centre, uint32_t weight)
+{
+    auto node = std::make_unique<Node>();
+    node->world = this;
+    node->address = kPort + 1 + (uint32_t)nodes.size();
+    node->data_centre = data_centre;
+    node->weight = weight;
+    by_address[node->address] = node.get();
+    nodes.push_back(std::move(node));
+}
+
+void
+World::Start(Node *node)
+{
+    BsFleetPart_Destroy(node->fleet);
+    BsCrashers_Destroy(node->crashers);
+    node->crashers = BsCrashers_Create();
+    node->own.clear();
+    node->others.clear();
+    node->peers.clear();
+    node->used = 0;
+    node->others_used = 0;
+    node->told_incarnation = 0;
+    node->fleet =
+        BsFleetPart_Create(node->address, node->data_centre, node->weight,
+                           1000 + (uint64_t)now_ms + incarnation++,
+                           (uint32_t)random(), &kEvents, node, now_ms);
+    for (uint32_t seed : seeds) {
+        BsGossip_AddSeed(BsFleetPart_Gossip(node->fleet), seed, now_ms);
+    }
+    node->alive = true;
+    node->stopping = false;
+    node->next_tick_ms = now_ms + (int64_t)(random() % 20);
+}
+
+void
+World::Run(int64_t ms, const std::function<void()> &each)
+{
+    for (int64_t end = now_ms + ms; now_ms < end; now_ms++) {
+        while (!wire.empty() && wire.begin()->first <= now_ms) {
+            Datagram datagram = wire.begin()->second;
+            wire.erase(wire.begin());
+            Node *to = Find(datagram.to);
+            if (to->alive) {
+                to->got++;
+                to->got_bytes += datagram.data.size();
+                EXPECT_TRUE(BsFleetPart_Receive(to->fleet, datagram.from,
+                                                datagram.data.data(),
+                                                datagram.data.size(), now_ms));
+            }
+        }
+        if (each) {
+            each();
+        }
+        for (auto &node : nodes) {
+            if (node->alive && node->next_tick_ms <= now_ms) {
+                BsFleetPart_Tick(node->fleet, now_ms);
+                node->next_tick_ms =
+                    now_ms + BsFleetPart_PauseMs(node->fleet, now_ms);
+            }
+        }
+    }
+}
+
+void
+World::Change(Node *node, uint64_t upstream, int by)
+{
+    node->own[upstream] += by;
+    node->used += 10;
+    BsFleetPart_Tell(node->fleet, true, now_ms);
+    node->next_tick_ms = std::min(
+        node->next_tick_ms, now_ms + BsFleetPart_PauseMs(node->fleet, now_ms));
+}
+
+uint32_t
+World::Truth(uint64_t upstream, const Node *without)
+{
+    uint32_t sum = 0;
+    for (auto &node : nodes) {
+        auto found = node->own.find(upstream);
+        if (node->alive && node.get() != without && found != node->own.end()) {
+            sum += found->second;
+        }
+    }
+    return sum;
+}
+
+uint32_t
+World::Seen(const Node *node, uint64_t upstream)
+{
+    uint32_t sum = 0;
+    for (const auto &peer : node->peers) {
+        auto found = peer.second.find(upstream);
+        sum += found == peer.second.end() ? 0 : found->second;
+    }
+    auto found = node->others.find((uint32_t)upstream);
+    return sum + (found == node->others.end() ? 0 : found->second);
+}
+
+void
+World::ResetCosts()
+{
+    for (auto &node : nodes) {
+        node->sent = node->sent_bytes = node->far_bytes = 0;
+        node->got = node->got_bytes = 0;
+    }
+}
--- /dev/null
+++ b/tests/gate/fleet_world.h
@@ -0,0 +1,194 @@
+// A large fleet on a logical clock and a simulated network.
+#ifndef FLEET_WORLD_H
+#define FLEET_WORLD_H
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "fleetpart.h"
+}
+
+constexpr int64_t kNearMs = 1;
+constexpr int64_t kFarMs = 12;
+constexpr uint32_t kPort = 0x0a000000;
+constexpr uint64_t kAccount = 77;
+
+struct World;
+
+// One instance: its own requests by upstream, and what it hears of others.
+struct Node {
+    World *world = nullptr;
+    uint32_t address = 0;
+    uint32_t data_centre = 0;
+    uint32_t weight = 88;
+    BsFleetPart *fleet = nullptr;
+    bool alive = true;
+    bool stopping = false;
+    int64_t next_tick_ms = 0;
+    std::map<uint64_t, uint32_t> own;
+    std::map<uint32_t, uint32_t> others; // by the lower half of the hash
+    std::map<uint32_t, std::map<uint64_t, uint32_t>> peers;
+    uint64_t used = 0;
+    uint64_t others_used = 0;
+    uint64_t told_used = 0;
+    uint64_t told_incarnation = 0;
+    uint64_t sent = 0;
+    uint64_t sent_bytes = 0;
+    uint64_t far_bytes = 0;
+    uint64_t got = 0;
+    uint64_t got_bytes = 0;
+    BsCrashers *crashers = nullptr;
+};
+
+struct Datagram {
+    uint32_t from;
+    uint32_t to;
+    std::string data;
+};
+
+struct World {
+    explicit World(unsigned seed) : random(seed)
+    {
+    }
+    ~World()
+    {
+        for (auto &node : nodes) {
+            BsFleetPart_Destroy(node->fleet);
+            BsCrashers_Destroy(node->crashers);
+        }
+    }
+    Node *Find(uint32_t address)
+    {
+        auto found = by_address.find(address);
+        return found == by_address.end() ? nullptr : found->second;
+    }
+    void Add(uint32_t data_centre, uint32_t weight);
+    void Start(Node *node);
+    // Lets time pass, a millisecond at a time.
+    void Run(int64_t ms, const std::function<void()> &each = nullptr);
+    void Change(Node *node, uint64_t upstream, int by);
+    uint32_t Truth(uint64_t upstream, const Node *without);
+    uint32_t Seen(const Node *node, uint64_t upstream);
+    void ResetCosts();
+
+    int64_t now_ms = 0;
+    uint64_t incarnation = 1;
+    double loss = 0;
+    std::mt19937 random;
+    std::vector<std::unique_ptr<Node>> nodes;
+    std::map<uint32_t, Node *> by_address;
+    std::multimap<int64_t, Datagram> wire;
+    std::set<uint32_t> cut;              // instances without a network
+    std::set<uint32_t> cut_data_centres; // that hear only themselves
+    std::vector<uint32_t> seeds;
+};
+
+struct FleetSize {
+    uint32_t data_centres;
+    uint32_t each;
+};
+
+class FleetTest : public testing::Test {
+  protected:
+    // DATA_CENTRES of EACH instances, the first three of them heavy, and seeds
+    // in the first, second and last one.
+    void Build(uint32_t data_centres, uint32_t each)
+    {
+        for (uint32_t dc = 1; dc <= data_centres; dc++) {
+            for (uint32_t i = 0; i < each; i++) {
+                world_.Add(dc, i < 3 ? 512 : 88);
+            }
+        }
+        uint32_t last = (uint32_t)world_.nodes.size();
+        world_.seeds = {kPort + 5, kPort + each + 9, kPort + last};
+        for (auto &node : world_.nodes) {
+            world_.Start(node.get());
+        }
+    }
+    // Requests come and go for MS at PER_S a second over the fleet.
+    void Load(int64_t ms, double per_s)
+    {
+        std::bernoulli_distribution begins(per_s / 1000);
+        world_.Run(ms, [&] {
+            for (double left = per_s / 1000; left > 0; left -= 1) {
+                if (left >= 1 || begins(world_.random)) {
+                    Begin();
+                }
+            }
+            while (!ends_.empty() && ends_.begin()->first <= world_.now_ms) {
+                auto end = ends_.begin()->second;
+                ends_.erase(ends_.begin());
+                if (end.first->alive && end.first->own[end.second] > 0) {
+                    world_.Change(end.first, end.second, -1);
+                }
+            }
+        });
+    }
+    void Begin()
+    {
+        Node *node = world_.nodes[world_.random() % world_.nodes.size()].get();
+        if (!node->alive) {
+            return;
+        }
+        uint64_t upstream = Upstream(world_.random() % kUpstreams);
+        world_.Change(node, upstream, 1);
+        ends_.insert({world_.now_ms + 100 + (int64_t)(world_.random() % 400),
+                      {node, upstream}});
+    }
+    static uint64_t Upstream(uint64_t number)
+    {
+        return (number + 1) * 0x9e3779b97f4a7c15ULL;
+    }
+    // Every living instance that may hear the others knows their requests.
+    void ExpectTruth(const char *what)
+    {
+        int wrong = 0;
+        for (auto &node : world_.nodes) {
+            for (uint64_t i = 0; node->alive && i < kUpstreams; i++) {
+                wrong += world_.Seen(node.get(), Upstream(i)) !=
+                         world_.Truth(Upstream(i), node.get());
+            }
+        }
+        EXPECT_EQ(wrong, 0) << what;
+    }
+    Node *HubOf(uint32_t data_centre)
+    {
+        for (auto &node : world_.nodes) {
+            if (node->alive && node->data_centre == data_centre &&
+                BsGossip_Hub(BsFleetPart_Gossip(node->fleet)) ==
+                    node->address) {
+                return node.get();
+            }
+        }
+        return nullptr;
+    }
+    int Hubs()
+    {
+        std::set<uint32_t> hubs;
+        for (auto &node : world_.nodes) {
+            if (node->alive) {
+                hubs.insert(BsGossip_Hub(BsFleetPart_Gossip(node->fleet)));
+            }
+        }
+        return (int)hubs.size();
+    }
+    unsigned Heard(Node *node)
+    {
+        return BsGossip_Heard(BsFleetPart_Gossip(node->fleet), world_.now_ms);
+    }
+
+    static constexpr uint64_t kUpstreams = 60;
+    World world_{1};
+    std::multimap<int64_t, std::pair<Node *, uint64_t>> ends_;
+};
+
+#endif // FLEET_WORLD_H
