--- a/src/gw_attempt.c
+++ b/src/gw_attempt.c
@@ -287,58 +287,6 @@
     S_on_failure(relay, BS_TARGET_BROKE, cause);
 }
 
-/* The upstream's answer says that it leaves. */
-static void
-S_note_leaving(BsRelay *relay)
-{
-    BsGate *gate = relay->gate;
-    BsTargets_SetLeaving(gate->targets, relay->target);
-    gate->places_changed = true;
-    BsCounters_Add(gate->counters, "upstream_wishes_total{wish=\"leaving\"}",
-                   1);
-    if (BsEventLog_Begin(gate->log, BS_EVENT_STATE, "upstream_leaving")) {
-        BsEventLog_Text(gate->log, "upstream", relay->target->id);
-        BsEventLog_Text(gate->log, "request", relay->id);
-        BsEventLog_End(gate->log);
-    }
-}
-
-/* The upstream refused, and wants nothing for QUIET_MS. */
-static void
-S_note_quiet(BsRelay *relay, int64_t quiet_ms)
-{
-    BsGate *gate = relay->gate;
-    BsTargets_SetQuiet(relay->target, quiet_ms, relay->heard_ms);
-    BsCounters_Add(gate->counters, "upstream_wishes_total{wish=\"quiet\"}", 1);
-    if (BsEventLog_Begin(gate->log, BS_EVENT_STATE, "upstream_quiet")) {
-        BsEventLog_Text(gate->log, "upstream", relay->target->id);
-        BsEventLog_Text(gate->log, "request", relay->id);
-        BsEventLog_Number(gate->log, "pause_ms", quiet_ms);
-        BsEventLog_End(gate->log);
-    }
-}
-
-/* Takes in what the answer says of its upstream, whatever becomes of the
-   request. */
-static void
-S_note_upstream(BsRelay *relay, const BsAnswerInfo *info)
-{
-    if (info->cold_ms > 0) {
-        BsTargets_SetCold(relay->target, info->cold_ms, relay->heard_ms);
-    }
-    bool other =
-        info->request_id != NULL && strcmp(info->request_id, relay->id) != 0;
-    if (info->misdirected || other) {
-        return; /* it may speak of another upstream */
-    }
-    if (info->leaving && !relay->target->leaving) {
-        S_note_leaving(relay);
-    }
-    if (info->quiet_ms > 0) {
-        S_note_quiet(relay, info->quiet_ms);
-    }
-}
-
 static void
 S_on_head(const BsHttpHead *head, void *context)
 {
@@ -348,7 +296,7 @@
     gate->wire->read_answer(head, &info);
     relay->heard_ms = BsClock_NowMs(gate->clock);
     BsTargets_Heard(relay->target, relay->heard_ms);
-    S_note_upstream(relay, &info);
+    BsWishes_Note(relay, &info);
     if (info.refused) {
         relay->refused = true;
         relay->judged =
--- a/src/gw_relay.c
+++ b/src/gw_relay.c
@@ -1,13 +1,10 @@
 /* gw_relay.c - one caller's request from its arrival to its answer. */
 #include "gw_relay.h"
 
-#include "daycount.h"
 #include "gw_relayparts.h"
 #include "linepass.h"
 #include "linewait.h"
 
-#include <string.h>
-
 /* Longest time a request may take when neither its caller nor its route names
    one. */
 #define EXPIRES_DEFAULT_MS 30000
@@ -27,100 +24,8 @@
    soon. */
 #define YIELD_PLACES 2
 
-/* Hexadecimal digits of a content hash in the log. */
-#define CONTENT_DIGITS 16
-
 #define MS_PER_S 1000.0
 
-/* --------------------------------------------------------------- log -- */
-
-/* Tells how long the request waited for its send and for its first event, and
-   the longest pause between two events. */
-static void
-S_log_times(const BsRelay *relay)
-{
-    BsEventLog *log = relay->gate->log;
-    if (relay->sent_ms > 0) {
-        BsEventLog_Number(log, "wait_ms", relay->sent_ms - relay->arrived_ms);
-    }
-    if (relay->events > 0) {
-        BsEventLog_Number(log, "first_ms",
-                          relay->first_event_ms - relay->sent_ms);
-    }
-    if (relay->events > 1) {
-        BsEventLog_Number(log, "gap_ms", relay->gap_ms);
-    }
-}
-
-/* Tells what leads from a failure to others of the same content. */
-static void
-S_log_content(const BsRelay *relay)
-{
-    BsEventLog *log = relay->gate->log;
-    char content[CONTENT_DIGITS + 1];
-    g_snprintf(content, sizeof(content), "%016" G_GINT64_MODIFIER "x",
-               relay->content);
-    BsEventLog_Text(log, "content", content);
-    BsEventLog_Number(
-        log, "breaks",
-        BsCrashers_Breaks(relay->gate->crashers, relay->content));
-    if (relay->target != NULL) {
-        BsEventLog_Number(log, "born_ms", relay->target->born_ms);
-    }
-}
-
-void
-BsRelay_Log(BsRelay *relay, BsEventClass event_class, const char *event,
-            const char *cause)
-{
-    BsGate *gate = relay->gate;
-    if (!BsEventLog_Begin(gate->log, event_class, event)) {
-        return;
-    }
-    int64_t now_ms = BsClock_NowMs(gate->clock);
-    BsEventLog_Text(gate->log, "request", relay->id);
-    BsEventLog_Text(gate->log, "cause", cause);
-    if (relay->info.has_tokens) {
-        BsEventLog_Number(gate->log, "prompt_tokens",
-                          relay->info.prompt_tokens);
-    }
-    if (relay->route != NULL) {
-        BsEventLog_Text(gate->log, "route", relay->route->name);
-        BsEventLog_Number(gate->log, "catalog",
-                          (int64_t)BsCatalog_Version(relay->catalog));
-    }
-    if (relay->account != NULL) {
-        BsEventLog_Text(gate->log, "account", relay->account->name);
-    }
-    if (relay->target != NULL) {
-        BsEventLog_Text(gate->log, "upstream", relay->target->id);
-        BsEventLog_Number(gate->log, "own", relay->target->own);
-        BsEventLog_Number(gate->log, "others", relay->target->others);
-        S_log_times(relay);
-    }
-    if (event_class == BS_EVENT_FAILURE && relay->service != NULL) {
-        S_log_content(relay);
-    }
-    BsEventLog_Number(gate->log, "age_ms", now_ms - relay->arrived_ms);
-    BsEventLog_Number(gate->log, "attempts", relay->attempts);
-    BsEventLog_End(gate->log);
-}
-
-static void
-S_count(BsRelay *relay, const char *outcome)
-{
-    char *name = g_strdup_printf(
-        "requests_total{route=\"%s\",outcome=\"%s\"}",
-        relay->route == NULL ? "" : relay->route->name, outcome);
-    BsCounters_Add(relay->gate->counters, name, 1);
-    g_free(name);
-    if (relay->route != NULL) {
-        BsHistogram_Observe(relay->gate->durations, relay->route->name,
-                            BsClock_NowMs(relay->gate->clock) -
-                                relay->arrived_ms);
-    }
-}
-
 /* --------------------------------------------------------------- end -- */
 
 static void
@@ -138,31 +43,6 @@
     g_free(relay);
 }
 
-static bool
-S_is_in_time(const BsRelay *relay)
-{
-    int64_t answered_ms = relay->route->kind == BS_ROUTE_STREAM
-                              ? relay->first_event_ms
-                              : BsClock_NowMs(relay->gate->clock);
-    return answered_ms - relay->arrived_ms <= relay->route->target_ms;
-}
-
-/* Counts for the evening page what the caller was told. */
-static void
-S_count_day(const BsRelay *relay)
-{
-    if (relay->service == NULL ||
-        (relay->inbound == NULL && !relay->answered)) {
-        return; /* led nowhere, or its caller left before an answer */
-    }
-    BsDayOutcome outcome = relay->answered       ? BS_DAY_RAN
-                           : relay->may_have_run ? BS_DAY_UNKNOWN
-                                                 : BS_DAY_NOT_RUN;
-    BsDayCount_Answer(relay->gate->counters, relay->route->rank,
-                      relay->route->kind == BS_ROUTE_UNSAFE, outcome,
-                      relay->answered && S_is_in_time(relay));
-}
-
 bool
 BsRelay_IsStopped(const BsRelay *relay)
 {
@@ -174,8 +54,7 @@
 void
 BsRelay_Finish(BsRelay *relay, const char *outcome)
 {
-    S_count(relay, outcome);
-    S_count_day(relay);
+    BsRelay_Count(relay, outcome);
     S_free(relay);
 }
 
--- a/src/gw_relayparts.h
+++ b/src/gw_relayparts.h
@@ -1,7 +1,8 @@
 /*
  * gw_relayparts.h - the state of a relayed request, shared by its parts:
- * gw_relay.c (arrival, waiting, end), gw_attempt.c (sending to upstreams) and
- * gw_answer.c (what the caller is given).
+ * gw_relay.c (arrival, waiting, end), gw_attempt.c (sending to upstreams),
+ * gw_wishes.c (what upstreams ask for), gw_answer.c (what the caller is given)
+ * and gw_relaylog.c (what operators are told).
  */
 #ifndef BS_GW_RELAYPARTS_H
 #define BS_GW_RELAYPARTS_H
@@ -93,10 +94,24 @@
 /* Frees the request after its answer has ended. */
 void BsRelay_Finish(BsRelay *relay, const char *outcome);
 
-/* Counts "requests_total" with labels, and writes a line. */
+/* ---------------------------------------------------------- gw_relaylog.c --
+ */
+
+/* Writes a line. */
 void BsRelay_Log(BsRelay *relay, BsEventClass event_class, const char *event,
                  const char *cause);
 
+/* Counts the end of the request: by route and OUTCOME, and for the evening
+   page what its caller was told. */
+void BsRelay_Count(const BsRelay *relay, const char *outcome);
+
+/* ------------------------------------------------------------ gw_wishes.c --
+ */
+
+/* Takes in what an answer says of its upstream, whatever becomes of the
+   request. */
+void BsWishes_Note(BsRelay *relay, const BsAnswerInfo *info);
+
 /* ----------------------------------------------------------- gw_attempt.c --
  */
 
--- /dev/null
+++ b/src/gw_wishes.c
@@ -0,0 +1,54 @@
+/* gw_wishes.c - what upstreams say of themselves in their answers. */
+#include "gw_relayparts.h"
+
+#include <string.h>
+
+/* The upstream's answer says that it leaves. */
+static void
+S_note_leaving(BsRelay *relay)
+{
+    BsGate *gate = relay->gate;
+    BsTargets_SetLeaving(gate->targets, relay->target);
+    gate->places_changed = true;
+    BsCounters_Add(gate->counters, "upstream_wishes_total{wish=\"leaving\"}",
+                   1);
+    if (BsEventLog_Begin(gate->log, BS_EVENT_STATE, "upstream_leaving")) {
+        BsEventLog_Text(gate->log, "upstream", relay->target->id);
+        BsEventLog_Text(gate->log, "request", relay->id);
+        BsEventLog_End(gate->log);
+    }
+}
+
+/* The upstream refused, and wants nothing for QUIET_MS. */
+static void
+S_note_quiet(BsRelay *relay, int64_t quiet_ms)
+{
+    BsGate *gate = relay->gate;
+    BsTargets_SetQuiet(relay->target, quiet_ms, relay->heard_ms);
+    BsCounters_Add(gate->counters, "upstream_wishes_total{wish=\"quiet\"}", 1);
+    if (BsEventLog_Begin(gate->log, BS_EVENT_STATE, "upstream_quiet")) {
+        BsEventLog_Text(gate->log, "upstream", relay->target->id);
+        BsEventLog_Text(gate->log, "request", relay->id);
+        BsEventLog_Number(gate->log, "pause_ms", quiet_ms);
+        BsEventLog_End(gate->log);
+    }
+}
+
+void
+BsWishes_Note(BsRelay *relay, const BsAnswerInfo *info)
+{
+    if (info->cold_ms > 0) {
+        BsTargets_SetCold(relay->target, info->cold_ms, relay->heard_ms);
+    }
+    bool other =
+        info->request_id != NULL && strcmp(info->request_id, relay->id) != 0;
+    if (info->misdirected || other) {
+        return; /* it may speak of another upstream */
+    }
+    if (info->leaving && !relay->target->leaving) {
+        S_note_leaving(relay);
+    }
+    if (info->quiet_ms > 0) {
+        S_note_quiet(relay, info->quiet_ms);
+    }
+}
