Log and count each answer that the gateway cuts

The log could not tell the hypotheses of docs/incidents/silent-upstreams.md apart: a started answer that was reset had the same line as a refusal, without how long its upstream had been silent, what the attempt before it ended for, or how old the configuration was. The line is written before the attempt is dropped, so that it names the upstream. No decision changes.

--- a/src/gw_attempt.c
+++ b/src/gw_attempt.c
@@ -209,6 +209,7 @@
     bool may_retry = S_may_retry(relay) && !blocked;
     char *failed = g_strdup(relay->target->id);
     BsRelay_Log(relay, BS_EVENT_FAILURE, "attempt_failed", cause);
+    relay->given_up = cause;
     S_end_attempt(relay, end);
     S_exclude(relay, failed);
     g_free(failed);
@@ -233,6 +234,7 @@
 {
     char *failed = g_strdup(relay->target->id);
     BsRelay_Log(relay, BS_EVENT_DETAIL, "attempt_not_run", cause);
+    relay->given_up = cause;
     S_end_attempt(relay, end);
     if (end != BS_TARGET_REFUSED) {
         S_exclude(relay, failed);
--- a/src/gw_gate.h
+++ b/src/gw_gate.h
@@ -50,6 +50,7 @@
     BsOverload overload;
     GRand *random;
     BsCatalog *catalog;    /* in force; NULL until one is known */
+    int64_t catalog_ms;    /* when CATALOG came into force */
     unsigned instances;    /* of the fleet, including this one */
     uint64_t next_request; /* number of the next request, for the log */
     bool slots_changed;    /* queued requests may find a free slot */
--- a/src/gw_published.c
+++ b/src/gw_published.c
@@ -41,6 +41,7 @@
     }
     BsCatalog_Unref(gate->catalog);
     gate->catalog = catalog;
+    gate->catalog_ms = BsClock_NowMs(gate->clock);
     BsInboundLimits limits =
         BsGateway_InboundLimits(gateway, BsCatalog_Limits(catalog));
     BsInboundServer_SetLimits(gate->callers, &limits);
--- a/src/gw_relay.c
+++ b/src/gw_relay.c
@@ -67,13 +67,23 @@
     }
 }
 
+static void
+S_count_cut_answer(const BsGate *gate, const char *cause)
+{
+    char *name = g_strdup_printf("answers_cut_total{cause=\"%s\"}", cause);
+    BsCounters_Add(gate->counters, name, 1);
+    g_free(name);
+}
+
 void
 BsRelay_Refuse(BsRelay *relay, uint32_t status, const char *cause,
                int64_t retry_ms)
 {
     GString *headers = g_string_new(NULL);
+    bool cut = relay->inbound != NULL && relay->answer.started;
+    BsRelay_Log(relay, BS_EVENT_FAILURE, cut ? "answer_cut" : "refused",
+                cause);
     BsAttempt_Abandon(relay, BS_TARGET_ABANDONED);
-    BsRelay_Log(relay, BS_EVENT_FAILURE, "refused", cause);
     S_refund_quota(relay);
     if (relay->id[0] != '\0') {
         relay->gate->wire->write_request_id(relay->id, headers);
@@ -87,7 +97,8 @@
         g_ascii_formatd(text, sizeof(text), "%.2f", retry_s);
         g_string_append_printf(headers, "Retry-After: %s\r\n", text);
     }
-    if (relay->inbound != NULL && relay->answer.started) {
+    if (cut) {
+        S_count_cut_answer(relay->gate, cause);
         BsInbound_Reset(relay->inbound);
     }
     else if (relay->inbound != NULL) {
--- a/src/gw_relaylog.c
+++ b/src/gw_relaylog.c
@@ -41,6 +41,22 @@
     }
 }
 
+/* Logs for how long no byte of an answer has arrived, why the attempt before
+   ended, and how long ago the configuration came into force. */
+static void
+S_log_silence(const BsRelay *relay, int64_t now_ms)
+{
+    BsEventLog *log = relay->gate->log;
+    if (relay->last_received_ms > 0) {
+        BsEventLog_Number(log, "silent_ms", now_ms - relay->last_received_ms);
+    }
+    BsEventLog_Text(log, "given_up", relay->given_up);
+    if (relay->gate->catalog != NULL) {
+        BsEventLog_Number(log, "catalog_age_ms",
+                          now_ms - relay->gate->catalog_ms);
+    }
+}
+
 void
 BsRelay_Log(BsRelay *relay, BsEventClass event_class, const char *event,
             const char *cause)
@@ -72,6 +88,7 @@
     }
     if (event_class == BS_EVENT_FAILURE && relay->service != NULL) {
         S_log_content(relay);
+        S_log_silence(relay, now_ms);
     }
     BsEventLog_Number(gate->log, "age_ms", now_ms - relay->arrived_ms);
     BsEventLog_Number(gate->log, "attempts", relay->attempts);
--- a/src/gw_relayparts.h
+++ b/src/gw_relayparts.h
@@ -67,8 +67,10 @@
     BsRelayAnswer answer;
     char *excluded[BS_RELAY_EXCLUDED_MAX];
     size_t excluded_count;
-    uint32_t attempts; /* times it was sent and not refused */
-    uint32_t sends;    /* times it was sent */
+    const char *given_up; /* cause for which the last attempt without an answer
+                             ended; NULL: none has */
+    uint32_t attempts;    /* times it was sent and not refused */
+    uint32_t sends;       /* times it was sent */
     bool may_have_run;
     bool answered; /* with the whole answer of an upstream that ran it */
 } BsRelay;
--- a/tests/gate/gateway_story_test.cc
+++ b/tests/gate/gateway_story_test.cc
@@ -164,6 +164,36 @@
     EXPECT_GE(std::stoi(log.substr(log.find(mark) + mark.size())), pause_ms);
 }
 
+// Guards against an answer that the gateway ends midway without a line that
+// shows why, how long the upstream had been silent and how old the
+// configuration was.
+TEST_F(GatewayTest, AnAnswerThatIsCutIsLoggedAndCounted)
+{
+    Start({[](Socket &socket, const ReceivedRequest &got) {
+        socket.Write(StreamHead(got) + Chunk(Event(0)));
+        return false;
+    }});
+    std::unique_ptr<Socket> caller = gateway_->Open();
+    caller->Write(Call("/once/1", "a"));
+    EXPECT_EQ(ReadUntil(*caller, "0\r\n\r\n").find("0\r\n\r\n"),
+              std::string::npos);
+    ASSERT_TRUE(gateway_->WaitMetric(
+        "boragespur_answers_cut_total{cause=\"answer_cut_off\"} 1"));
+    std::string line;
+    ASSERT_TRUE(Eventually([&] {
+        std::string log = gateway_->Log();
+        size_t at = log.find("\"event\":\"answer_cut\"");
+        line = at == std::string::npos ? "" : log.substr(at);
+        line = line.substr(0, line.find('\n'));
+        return !line.empty();
+    })) << gateway_->Log();
+    for (const char *field :
+         {"\"cause\":\"answer_cut_off\"", "\"given_up\":\"answer_cut_off\"",
+          "\"silent_ms\":", "\"catalog_age_ms\":"}) {
+        EXPECT_NE(line.find(field), std::string::npos) << field << line;
+    }
+}
+
 TEST_F(GatewayTest, MetricsHaveCountersAndHistograms)
 {
     Start({Answers});
