A long answer is not continued by a second run

Callers of a safe route saw one answer joined from two runs, with the length and signature of the first: an answer over 64 KiB is forwarded as it arrives, and when its upstream broke off, or took longer than the objective, the request was sent again and the second body appended after the first part.

Cause: S_may_retry() asked whether the request may run again, not whether what the caller has can be continued; only an event stream can. Such an answer is now cut, as one that may not be repeated.

Test: GatewayTest.ALongAnswerIsNotContinuedByASecondRun failed before (second body found at byte 100109, 2 runs), passes now.

--- a/src/gw_attempt.c
+++ b/src/gw_attempt.c
@@ -49,12 +49,21 @@
     return BsCatalogRoute_MayRepeat(relay->route);
 }
 
+/* Returns whether an answer of another run can be sent to the caller: it has
+   received nothing yet, or an event stream that can be resumed. */
+static bool
+S_may_continue(const BsRelay *relay)
+{
+    return !relay->answer.started || relay->answer.events != NULL;
+}
+
 /* Returns whether the request may be sent to another upstream after this
    attempt. */
 static bool
 S_may_retry(const BsRelay *relay)
 {
-    return S_may_repeat(relay) && relay->attempts < relay->route->attempts_max;
+    return S_may_repeat(relay) && S_may_continue(relay) &&
+           relay->attempts < relay->route->attempts_max;
 }
 
 void
--- a/tests/gate/gateway_test.cc
+++ b/tests/gate/gateway_test.cc
@@ -281,6 +281,28 @@
     EXPECT_EQ(wrong, 0U);
 }
 
+// Guards against an answer that is joined from two runs: part of it has been
+// forwarded when its upstream breaks off, and it cannot be resumed.
+TEST_F(GatewayTest, ALongAnswerIsNotContinuedByASecondRun)
+{
+    const size_t length = 200000;
+    std::atomic<int> runs{0};
+    auto script = [&](Socket &socket, const ReceivedRequest &got) {
+        bool first = runs++ == 0;
+        std::string answer =
+            SignedAnswer(got, std::string(length, first ? 'a' : 'b'));
+        socket.Write(answer.substr(0, answer.size() - first * length / 2));
+        return !first;
+    };
+    Start({script, script});
+    std::unique_ptr<Socket> caller = gateway_->Open();
+    caller->Write(Call("/look/1", "a"));
+    std::string answer = caller->ReadAll();
+    EXPECT_NE(answer.find("aaaa"), std::string::npos);
+    EXPECT_EQ(answer.find("bbbb"), std::string::npos);
+    EXPECT_EQ(runs, 1);
+}
+
 TEST_F(GatewayTest, EventsAreForwardedAsTheyArrive)
 {
     Start({[this](Socket &socket, const ReceivedRequest &got) {
