--- a/src/gw_answer.c
+++ b/src/gw_answer.c
@@ -61,10 +61,10 @@
     }
     BsInbound_SendBody(relay->inbound, answer->body->str, answer->body->len);
     g_string_truncate(answer->body, 0);
-    if (relay->call != NULL &&
+    if (relay->attempt.call != NULL &&
         BsInbound_PendingBytes(relay->inbound) > PENDING_MAX_BYTES) {
-        BsOutbound_SetReading(relay->call, false);
-        relay->paused = true;
+        BsOutbound_SetReading(relay->attempt.call, false);
+        relay->attempt.paused = true;
     }
 }
 
--- a/src/gw_answerhints.c
+++ b/src/gw_answerhints.c
@@ -10,12 +10,12 @@
 S_note_leaving(BsRelay *relay)
 {
     BsGate *gate = relay->gate;
-    BsTargets_SetLeaving(gate->targets, relay->target);
+    BsTargets_SetLeaving(gate->targets, relay->attempt.target);
     gate->slots_changed = true;
     BsCounters_Add(gate->counters, "upstream_wishes_total{wish=\"leaving\"}",
                    1);
     if (BsEventLog_Begin(gate->log, BS_EVENT_STATE, "upstream_leaving")) {
-        BsEventLog_Text(gate->log, "upstream", relay->target->id);
+        BsEventLog_Text(gate->log, "upstream", relay->attempt.target->id);
         BsEventLog_Text(gate->log, "request", relay->id);
         BsEventLog_End(gate->log);
     }
@@ -27,11 +27,11 @@
 S_note_requested_pause(BsRelay *relay, int64_t pause_ms)
 {
     BsGate *gate = relay->gate;
-    BsTargets_SetRequestedPause(relay->target, pause_ms,
-                                relay->last_received_ms);
+    BsTargets_SetRequestedPause(relay->attempt.target, pause_ms,
+                                relay->attempt.last_received_ms);
     BsCounters_Add(gate->counters, "upstream_wishes_total{wish=\"quiet\"}", 1);
     if (BsEventLog_Begin(gate->log, BS_EVENT_STATE, "upstream_quiet")) {
-        BsEventLog_Text(gate->log, "upstream", relay->target->id);
+        BsEventLog_Text(gate->log, "upstream", relay->attempt.target->id);
         BsEventLog_Text(gate->log, "request", relay->id);
         BsEventLog_Number(gate->log, "pause_ms", pause_ms);
         BsEventLog_End(gate->log);
@@ -42,15 +42,15 @@
 BsAnswerHints_Apply(BsRelay *relay, const BsAnswerInfo *info)
 {
     if (info->cold_ms > 0) {
-        BsTargets_SetCold(relay->target, info->cold_ms,
-                          relay->last_received_ms);
+        BsTargets_SetCold(relay->attempt.target, info->cold_ms,
+                          relay->attempt.last_received_ms);
     }
     bool other =
         info->request_id != NULL && strcmp(info->request_id, relay->id) != 0;
     if (info->misdirected || other) {
         return; /* the answer may come from another upstream */
     }
-    if (info->leaving && !relay->target->leaving) {
+    if (info->leaving && !relay->attempt.target->leaving) {
         S_note_leaving(relay);
     }
     if (info->requested_pause_ms > 0) {
--- a/src/gw_attempt.c
+++ b/src/gw_attempt.c
@@ -105,14 +105,15 @@
 static double
 S_pace_ms(const BsRelay *relay, int64_t now_ms)
 {
-    if (relay->events > 1) {
-        return (double)(relay->last_received_ms - relay->first_event_ms) /
-               (relay->events - 1);
+    if (relay->attempt.events > 1) {
+        return (double)(relay->attempt.last_received_ms -
+                        relay->attempt.first_event_ms) /
+               (relay->attempt.events - 1);
     }
-    if (relay->route->kind == BS_ROUTE_STREAM || relay->sent_ms == 0) {
+    if (relay->route->kind == BS_ROUTE_STREAM || relay->attempt.sent_ms == 0) {
         return 0;
     }
-    return (double)(now_ms - relay->sent_ms);
+    return (double)(now_ms - relay->attempt.sent_ms);
 }
 
 /* Records in the target table how the attempt ended, and clears it. */
@@ -121,19 +122,19 @@
 {
     BsGate *gate = relay->gate;
     int64_t now_ms = BsClock_NowMs(gate->clock);
-    char *upstream = g_strdup(relay->target->id);
+    char *upstream = g_strdup(relay->attempt.target->id);
     uint32_t unprocessed_tokens =
-        relay->prefill_reported ? 0 : relay->info.prompt_tokens;
+        relay->attempt.prefill_reported ? 0 : relay->info.prompt_tokens;
     int64_t pause_ms =
-        BsTargets_Ended(gate->targets, relay->target, end,
+        BsTargets_Ended(gate->targets, relay->attempt.target, end,
                         S_pace_ms(relay, now_ms), unprocessed_tokens, now_ms);
     if (pause_ms > 0) {
         S_log_pause(gate, upstream, pause_ms);
     }
     g_free(upstream);
-    relay->target = NULL;
-    relay->call = NULL;
-    relay->sent_ms = 0;
+    relay->attempt.target = NULL;
+    relay->attempt.call = NULL;
+    relay->attempt.sent_ms = 0;
     gate->slots_changed = true;
     gate->report_changed = true;
 }
@@ -141,7 +142,8 @@
 static uint32_t
 S_hash_upstream(const BsRelay *relay)
 {
-    return BsCrashList_HashUpstream(relay->target->id, relay->target->born_ms);
+    return BsCrashList_HashUpstream(relay->attempt.target->id,
+                                    relay->attempt.target->born_ms);
 }
 
 /* Records that the attempt is given up while its upstream may still run it or
@@ -150,12 +152,12 @@
 static void
 S_note_given_up(const BsRelay *relay)
 {
-    const BsTarget *target = relay->target;
+    const BsTarget *target = relay->attempt.target;
     BsCrashList *crash_list = relay->gate->crash_list;
     int64_t now_ms = BsClock_NowMs(relay->gate->clock);
     bool unlisted = target->usable_until_ms != INT64_MAX;
     BsCrashList_NoteGivenUp(crash_list, relay->content, S_hash_upstream(relay),
-                            relay->sent_ms, now_ms);
+                            relay->attempt.sent_ms, now_ms);
     if (unlisted && !target->draining && !target->leaving) {
         BsCrashList_NoteUpstreamEnded(crash_list, S_hash_upstream(relay),
                                       now_ms);
@@ -165,14 +167,14 @@
 void
 BsAttempt_Abandon(BsRelay *relay, BsTargetEnd end)
 {
-    if (relay->target == NULL) {
+    if (relay->attempt.target == NULL) {
         return;
     }
-    if (relay->sent_ms > 0 && !relay->refused) {
+    if (relay->attempt.sent_ms > 0 && !relay->attempt.refused) {
         relay->may_have_run = true;
         S_note_given_up(relay);
     }
-    BsOutbound_Cancel(relay->call);
+    BsOutbound_Cancel(relay->attempt.call);
     S_end_attempt(relay, end);
 }
 
@@ -216,7 +218,7 @@
 {
     bool blocked = BsRelay_IsBlocked(relay);
     bool may_retry = S_may_retry(relay) && !blocked;
-    char *failed = g_strdup(relay->target->id);
+    char *failed = g_strdup(relay->attempt.target->id);
     BsRelay_Log(relay, BS_EVENT_FAILURE, "attempt_failed", cause);
     relay->given_up = cause;
     S_end_attempt(relay, end);
@@ -241,7 +243,7 @@
 static void
 S_on_not_run(BsRelay *relay, BsTargetEnd end, const char *cause)
 {
-    char *failed = g_strdup(relay->target->id);
+    char *failed = g_strdup(relay->attempt.target->id);
     BsRelay_Log(relay, BS_EVENT_DETAIL, "attempt_not_run", cause);
     relay->given_up = cause;
     S_end_attempt(relay, end);
@@ -262,12 +264,12 @@
 S_on_sent(void *context)
 {
     BsRelay *relay = context;
-    relay->sent_ms = BsClock_NowMs(relay->gate->clock);
-    relay->last_received_ms = relay->sent_ms;
+    relay->attempt.sent_ms = BsClock_NowMs(relay->gate->clock);
+    relay->attempt.last_received_ms = relay->attempt.sent_ms;
     if (relay->sends == 0) {
         BsHistogram_Observe(relay->gate->waits, relay->route->name,
-                            relay->sent_ms - relay->arrived_ms);
-        BsRelay_NoteWait(relay, relay->sent_ms - relay->arrived_ms);
+                            relay->attempt.sent_ms - relay->arrived_ms);
+        BsRelay_NoteWait(relay, relay->attempt.sent_ms - relay->arrived_ms);
     }
     if (relay->may_have_run && !S_may_repeat(relay)) {
         BsDayCount_DoubleRun(relay->gate->counters);
@@ -303,7 +305,7 @@
 static void
 S_reject_answer(BsRelay *relay, const char *cause)
 {
-    BsOutbound_Cancel(relay->call);
+    BsOutbound_Cancel(relay->attempt.call);
     relay->may_have_run = true;
     S_on_failure(relay, BS_TARGET_INCOMPLETE, cause);
 }
@@ -315,12 +317,13 @@
     BsGate *gate = relay->gate;
     BsAnswerInfo info;
     gate->wire->read_answer(head, &info);
-    relay->last_received_ms = BsClock_NowMs(gate->clock);
-    BsTargets_NoteReceived(relay->target, relay->last_received_ms);
+    relay->attempt.last_received_ms = BsClock_NowMs(gate->clock);
+    BsTargets_NoteReceived(relay->attempt.target,
+                           relay->attempt.last_received_ms);
     BsAnswerHints_Apply(relay, &info);
     if (info.refused) {
-        relay->refused = true;
-        relay->head_outcome =
+        relay->attempt.refused = true;
+        relay->attempt.head_outcome =
             info.misdirected ? BS_TARGET_MISDIRECTED : BS_TARGET_REFUSED;
         return;
     }
@@ -337,7 +340,7 @@
         S_reject_answer(relay, "resume_failed");
         return;
     }
-    relay->head_outcome =
+    relay->attempt.head_outcome =
         head->status >= 500 ? BS_TARGET_ERROR : BS_TARGET_GOOD;
     BsAnswer_Begin(relay, head);
 }
@@ -348,13 +351,14 @@
 S_note_first_event(BsRelay *relay)
 {
     BsGate *gate = relay->gate;
-    int64_t first_ms = relay->last_received_ms - relay->sent_ms;
-    relay->first_event_ms = relay->last_received_ms;
+    int64_t first_ms =
+        relay->attempt.last_received_ms - relay->attempt.sent_ms;
+    relay->attempt.first_event_ms = relay->attempt.last_received_ms;
     BsHistogram_Observe(gate->first_events, relay->route->name, first_ms);
     BsPredictors_Observe(gate->predictors, relay->service->name,
                          relay->info.prompt_tokens, first_ms);
-    relay->prefill_reported = true;
-    BsTargets_Started(relay->target, relay->info.prompt_tokens);
+    relay->attempt.prefill_reported = true;
+    BsTargets_Started(relay->attempt.target, relay->info.prompt_tokens);
 }
 
 static void
@@ -363,26 +367,28 @@
     if (events == 0) {
         return;
     }
-    if (relay->events == 0) {
+    if (relay->attempt.events == 0) {
         S_note_first_event(relay);
     }
     else {
-        relay->gap_ms =
-            MAX(relay->gap_ms, relay->last_received_ms - relay->last_event_ms);
+        relay->attempt.gap_ms =
+            MAX(relay->attempt.gap_ms,
+                relay->attempt.last_received_ms - relay->last_event_ms);
     }
-    relay->last_event_ms = relay->last_received_ms;
-    relay->events += events;
+    relay->last_event_ms = relay->attempt.last_received_ms;
+    relay->attempt.events += events;
 }
 
 static void
 S_on_body(const char *data, size_t size_bytes, void *context)
 {
     BsRelay *relay = context;
-    if (relay->refused) {
+    if (relay->attempt.refused) {
         return;
     }
-    relay->last_received_ms = BsClock_NowMs(relay->gate->clock);
-    BsTargets_NoteReceived(relay->target, relay->last_received_ms);
+    relay->attempt.last_received_ms = BsClock_NowMs(relay->gate->clock);
+    BsTargets_NoteReceived(relay->attempt.target,
+                           relay->attempt.last_received_ms);
     S_note_events(relay, BsAnswer_Append(relay, data, size_bytes));
     if (relay->answer.events != NULL &&
         BsSseSplitter_PartialBytes(relay->answer.events) >
@@ -402,7 +408,7 @@
         return BS_TARGET_NONE;
     }
     size_t count = relay->excluded_count;
-    relay->excluded[relay->excluded_count++] = relay->target->id;
+    relay->excluded[relay->excluded_count++] = relay->attempt.target->id;
     BsAttempt_FillQuery(relay, &query);
     BsTargets_Choose(relay->gate->targets, &query,
                      BsClock_NowMs(relay->gate->clock), &verdict);
@@ -428,9 +434,9 @@
 static void
 S_on_answer(BsRelay *relay)
 {
-    bool failed = relay->head_outcome == BS_TARGET_ERROR;
+    bool failed = relay->attempt.head_outcome == BS_TARGET_ERROR;
     if (failed && S_retries_after_error(relay)) {
-        S_exclude(relay, relay->target->id);
+        S_exclude(relay, relay->attempt.target->id);
         S_end_attempt(relay, BS_TARGET_ERROR);
         BsCounters_Add(relay->gate->counters, "retries_total", 1);
         BsRelay_Log(relay, BS_EVENT_DETAIL, "retry", "upstream_error");
@@ -439,7 +445,7 @@
     }
     BsRelay_Log(relay, failed ? BS_EVENT_FAILURE : BS_EVENT_DETAIL, "answered",
                 failed ? "upstream_error" : NULL);
-    S_end_attempt(relay, relay->head_outcome);
+    S_end_attempt(relay, relay->attempt.head_outcome);
     if (!failed) {
         BsCrashList_NoteCompleted(relay->gate->crash_list, relay->content,
                                   BsClock_NowMs(relay->gate->clock));
@@ -457,7 +463,7 @@
 {
     BsGate *gate = relay->gate;
     BsCrashList_NoteCrash(gate->crash_list, relay->content,
-                          S_hash_upstream(relay), relay->sent_ms,
+                          S_hash_upstream(relay), relay->attempt.sent_ms,
                           BsClock_NowMs(gate->clock));
 }
 
@@ -465,17 +471,18 @@
 S_on_end(BsOutboundEnd end, void *context)
 {
     BsRelay *relay = context;
-    relay->call = NULL;
+    relay->attempt.call = NULL;
     if (end == BS_OUTBOUND_UNSENT) {
         S_on_not_run(relay, BS_TARGET_UNREACHED, "not_connected");
     }
-    else if (relay->refused) {
+    else if (relay->attempt.refused) {
         /* The head alone says that the request has not run, even if the body
            was truncated. */
         relay->attempts--;
-        S_on_not_run(relay, relay->head_outcome,
-                     relay->head_outcome == BS_TARGET_REFUSED ? "upstream_full"
-                                                              : "misdirected");
+        S_on_not_run(relay, relay->attempt.head_outcome,
+                     relay->attempt.head_outcome == BS_TARGET_REFUSED
+                         ? "upstream_full"
+                         : "misdirected");
     }
     else if (end == BS_OUTBOUND_DONE) {
         relay->may_have_run = true;
@@ -536,20 +543,20 @@
         .connect_timeout_ms = CONNECT_TIMEOUT_MS,
         .no_body = strcmp(relay->head->method, "HEAD") == 0,
     };
-    relay->target = target;
-    relay->sent_ms = 0;
-    relay->extended_until_ms = 0;
-    relay->events = 0;
-    relay->gap_ms = 0;
-    relay->prefill_reported = false;
-    relay->paused = false;
-    relay->resumed_ms = 0;
-    relay->refused = false;
-    relay->head_outcome = BS_TARGET_GOOD;
+    relay->attempt.target = target;
+    relay->attempt.sent_ms = 0;
+    relay->attempt.extended_until_ms = 0;
+    relay->attempt.events = 0;
+    relay->attempt.gap_ms = 0;
+    relay->attempt.prefill_reported = false;
+    relay->attempt.paused = false;
+    relay->attempt.resumed_ms = 0;
+    relay->attempt.refused = false;
+    relay->attempt.head_outcome = BS_TARGET_GOOD;
     BsTargets_Sent(gate->targets, target, &query, now_ms);
     BsCrashList_NoteSent(gate->crash_list, relay->content, now_ms);
     gate->report_changed = true;
-    relay->call =
+    relay->attempt.call =
         BsOutbound_Start(gate->pool, &request, &S_call_events, relay);
     BsRelay_Log(relay, BS_EVENT_DETAIL, "sent", NULL);
     BsRelay_Schedule(relay);
@@ -560,7 +567,7 @@
 static bool
 S_is_reachable(const BsRelay *relay)
 {
-    return relay->target->last_received_ms > relay->sent_ms;
+    return relay->attempt.target->last_received_ms > relay->attempt.sent_ms;
 }
 
 int64_t
@@ -575,27 +582,28 @@
 BsAttempt_TimeoutMs(const BsRelay *relay)
 {
     const BsCatalogRoute *route = relay->route;
-    if (relay->target == NULL || relay->sent_ms == 0) {
+    if (relay->attempt.target == NULL || relay->attempt.sent_ms == 0) {
         return INT64_MAX;
     }
     bool may_retry = S_may_retry(relay);
-    if (relay->paused) {
+    if (relay->attempt.paused) {
         return INT64_MAX; /* the caller is slow, not the upstream */
     }
-    if (route->kind == BS_ROUTE_STREAM && relay->events > 0) {
+    if (route->kind == BS_ROUTE_STREAM && relay->attempt.events > 0) {
         /* Only whole events count as progress, not single bytes. */
-        int64_t since_ms = MAX(relay->last_event_ms, relay->resumed_ms);
-        return may_retry
-                   ? MAX(relay->extended_until_ms, since_ms + STREAM_STALL_MS)
-                   : since_ms + BsAttempt_CallerTimeoutMs(route);
+        int64_t since_ms =
+            MAX(relay->last_event_ms, relay->attempt.resumed_ms);
+        return may_retry ? MAX(relay->attempt.extended_until_ms,
+                               since_ms + STREAM_STALL_MS)
+                         : since_ms + BsAttempt_CallerTimeoutMs(route);
     }
     if (!may_retry) {
         return INT64_MAX;
     }
     int64_t no_answer_ms = MAX(NO_ANSWER_MIN_MS, route->target_ms);
     int64_t factor = S_is_reachable(relay) ? REACHABLE_FACTOR : 1;
-    return MAX(relay->extended_until_ms,
-               relay->sent_ms + factor * no_answer_ms);
+    return MAX(relay->attempt.extended_until_ms,
+               relay->attempt.sent_ms + factor * no_answer_ms);
 }
 
 /* Returns whether to keep waiting for an unresponsive upstream: if it is the
@@ -614,12 +622,12 @@
     BsTargetEnd end =
         S_is_reachable(relay) ? BS_TARGET_ERROR : BS_TARGET_INCOMPLETE;
     if (S_keeps_waiting(relay)) {
-        relay->extended_until_ms =
+        relay->attempt.extended_until_ms =
             BsClock_NowMs(relay->gate->clock) + ALTERNATIVE_CHECK_MS;
         BsRelay_Schedule(relay);
         return;
     }
-    BsOutbound_Cancel(relay->call);
+    BsOutbound_Cancel(relay->attempt.call);
     relay->may_have_run = true;
     S_note_given_up(relay);
     S_on_failure(relay, end, "silent");
--- a/src/gw_relay.c
+++ b/src/gw_relay.c
@@ -132,7 +132,7 @@
     BsRelay *relay = watcher->data;
     int64_t now_ms = BsClock_NowMs(relay->gate->clock);
     if (now_ms >= relay->expires_ms) {
-        bool ran = relay->may_have_run || relay->sent_ms > 0;
+        bool ran = relay->may_have_run || relay->attempt.sent_ms > 0;
         relay->may_have_run = ran;
         BsRelay_Refuse(relay, ran ? 504 : 503, "expired", ran ? 0 : 1);
     }
@@ -510,7 +510,7 @@
     relay->inbound = NULL;
     relay->head = NULL;
     relay->body = NULL;
-    if (relay->target != NULL && relay->sent_ms > 0 &&
+    if (relay->attempt.target != NULL && relay->attempt.sent_ms > 0 &&
         relay->route->kind == BS_ROUTE_UNSAFE) {
         return;
     }
@@ -525,10 +525,10 @@
 {
     (void)context;
     BsRelay *relay = BsInbound_User(inbound);
-    if (relay != NULL && relay->call != NULL) {
-        BsOutbound_SetReading(relay->call, true);
-        relay->paused = false;
-        relay->resumed_ms = BsClock_NowMs(relay->gate->clock);
+    if (relay != NULL && relay->attempt.call != NULL) {
+        BsOutbound_SetReading(relay->attempt.call, true);
+        relay->attempt.paused = false;
+        relay->attempt.resumed_ms = BsClock_NowMs(relay->gate->clock);
         BsRelay_Schedule(relay);
     }
 }
--- a/src/gw_relaylog.c
+++ b/src/gw_relaylog.c
@@ -11,15 +11,17 @@
 S_log_times(const BsRelay *relay)
 {
     BsEventLog *log = relay->gate->log;
-    if (relay->sent_ms > 0) {
-        BsEventLog_Number(log, "wait_ms", relay->sent_ms - relay->arrived_ms);
+    if (relay->attempt.sent_ms > 0) {
+        BsEventLog_Number(log, "wait_ms",
+                          relay->attempt.sent_ms - relay->arrived_ms);
     }
-    if (relay->events > 0) {
+    if (relay->attempt.events > 0) {
         BsEventLog_Number(log, "first_ms",
-                          relay->first_event_ms - relay->sent_ms);
+                          relay->attempt.first_event_ms -
+                              relay->attempt.sent_ms);
     }
-    if (relay->events > 1) {
-        BsEventLog_Number(log, "gap_ms", relay->gap_ms);
+    if (relay->attempt.events > 1) {
+        BsEventLog_Number(log, "gap_ms", relay->attempt.gap_ms);
     }
 }
 
@@ -36,8 +38,8 @@
     BsEventLog_Number(
         log, "breaks",
         BsCrashList_CountCrashes(relay->gate->crash_list, relay->content));
-    if (relay->target != NULL) {
-        BsEventLog_Number(log, "born_ms", relay->target->born_ms);
+    if (relay->attempt.target != NULL) {
+        BsEventLog_Number(log, "born_ms", relay->attempt.target->born_ms);
     }
 }
 
@@ -47,8 +49,9 @@
 S_log_silence(const BsRelay *relay, int64_t now_ms)
 {
     BsEventLog *log = relay->gate->log;
-    if (relay->last_received_ms > 0) {
-        BsEventLog_Number(log, "silent_ms", now_ms - relay->last_received_ms);
+    if (relay->attempt.last_received_ms > 0) {
+        BsEventLog_Number(log, "silent_ms",
+                          now_ms - relay->attempt.last_received_ms);
     }
     BsEventLog_Text(log, "given_up", relay->given_up);
     if (relay->gate->catalog != NULL) {
@@ -80,10 +83,10 @@
     if (relay->account != NULL) {
         BsEventLog_Text(gate->log, "account", relay->account->name);
     }
-    if (relay->target != NULL) {
-        BsEventLog_Text(gate->log, "upstream", relay->target->id);
-        BsEventLog_Number(gate->log, "own", relay->target->own);
-        BsEventLog_Number(gate->log, "others", relay->target->others);
+    if (relay->attempt.target != NULL) {
+        BsEventLog_Text(gate->log, "upstream", relay->attempt.target->id);
+        BsEventLog_Number(gate->log, "own", relay->attempt.target->own);
+        BsEventLog_Number(gate->log, "others", relay->attempt.target->others);
         S_log_times(relay);
     }
     if (event_class == BS_EVENT_FAILURE && relay->service != NULL) {
@@ -114,7 +117,7 @@
 S_is_in_time(const BsRelay *relay)
 {
     int64_t answered_ms = relay->route->kind == BS_ROUTE_STREAM
-                              ? relay->first_event_ms
+                              ? relay->attempt.first_event_ms
                               : BsClock_NowMs(relay->gate->clock);
     return answered_ms - relay->arrived_ms <= relay->route->target_ms;
 }
--- a/src/gw_relayparts.h
+++ b/src/gw_relayparts.h
@@ -24,6 +24,25 @@
     bool started;  /* its head was sent to the caller */
 } BsRelayAnswer;
 
+/* An attempt to run a request at an upstream.  Times are milliseconds on the
+   gate's clock. */
+typedef struct {
+    BsTarget *target; /* NULL: there is no attempt */
+    BsOutbound *call;
+    int64_t sent_ms;           /* 0 until the request was sent */
+    int64_t last_received_ms;  /* last byte of the answer, or SENT_MS */
+    int64_t extended_until_ms; /* no inactivity timeout before this
+                                  time; 0: not extended */
+    int64_t first_event_ms;
+    int64_t resumed_ms;    /* when reading resumed after a pause; 0: never */
+    bool paused;           /* the caller is slow: reading is paused */
+    int64_t gap_ms;        /* longest pause between two events */
+    uint32_t events;       /* received in this attempt */
+    bool prefill_reported; /* BsTargets_Started() was called */
+    bool refused;          /* the upstream answered that it has not run it */
+    BsTargetEnd head_outcome; /* outcome according to the answer's head */
+} BsRelayAttempt;
+
 /* A request that is being relayed.  Times are milliseconds on the gate's
    clock. */
 typedef struct {
@@ -47,22 +66,8 @@
                                may start, it need not leave slots free */
     BsWaitQueueEntry *queue_entry; /* NULL unless it is queued */
     ev_timer timer;
-    /* The current attempt. */
-    BsTarget *target; /* NULL between attempts */
-    BsOutbound *call;
-    int64_t sent_ms;           /* 0 until the request was sent */
-    int64_t last_received_ms;  /* last byte of the answer, or SENT_MS */
-    int64_t extended_until_ms; /* no inactivity timeout before this
-                                  time; 0: not extended */
-    int64_t first_event_ms;
-    int64_t last_event_ms; /* of any attempt; 0 before the first */
-    int64_t resumed_ms;    /* when reading resumed after a pause; 0: never */
-    bool paused;           /* the caller is slow: reading is paused */
-    int64_t gap_ms;        /* longest pause between two events */
-    uint32_t events;       /* received in this attempt */
-    bool prefill_reported; /* BsTargets_Started() was called */
-    bool refused;          /* the upstream answered that it has not run it */
-    BsTargetEnd head_outcome; /* outcome according to the answer's head */
+    BsRelayAttempt attempt; /* the current one */
+    int64_t last_event_ms;  /* of any attempt; 0 before the first */
     /* All attempts. */
     BsRelayAnswer answer;
     char *excluded[BS_RELAY_EXCLUDED_MAX];
