A silent upstream keeps its request until another one gives the answer

Cause: silence was taken for the end of the upstream. BsAttempt_OnTimeout() cancelled the attempt first and asked afterwards whether anything else could take over: retry budget, number of sends, a free slot, a block, the replacement itself. Each no ended the answer. Class: something sound is let go on a belief before its replacement is certain.

Change: silence ends nothing. silence.c decides, from values only, when an upstream counts as silent and whether the request is also sent to another one; gw_held.c keeps the silent attempt open beside it. Whoever goes on first, with the head of an answer or the next whole event, gives the answer; the others are cancelled then. Where the other attempt fails, the silent one is the current one again. The retry budget of a send is taken once, also when it is queued. The deadline, the route's time-out and the caller end a request as before.

An answer in progress is no longer counted from its send: a safe answer that takes longer than twice its objective was tried elsewhere while its bytes came.

Tried and dropped: giving up the place in the queue at its usual time and asking again every 0.1 s; a request beside a gone upstream then found no slot.

--- a/src/gw_answerhints.c
+++ b/src/gw_answerhints.c
@@ -7,15 +7,15 @@
 
 /* Stops sending new requests to the upstream, which stops soon. */
 static void
-S_note_leaving(BsRelay *relay)
+S_note_leaving(const BsRelay *relay, BsTarget *target)
 {
     BsGate *gate = relay->gate;
-    BsTargets_SetLeaving(gate->targets, relay->attempt.target);
+    BsTargets_SetLeaving(gate->targets, target);
     gate->slots_changed = true;
     BsCounters_Add(gate->counters, "upstream_wishes_total{wish=\"leaving\"}",
                    1);
     if (BsEventLog_Begin(gate->log, BS_EVENT_STATE, "upstream_leaving")) {
-        BsEventLog_Text(gate->log, "upstream", relay->attempt.target->id);
+        BsEventLog_Text(gate->log, "upstream", target->id);
         BsEventLog_Text(gate->log, "request", relay->id);
         BsEventLog_End(gate->log);
     }
@@ -24,14 +24,14 @@
 /* Pauses sending to the upstream, which refused and requested a pause of
    PAUSE_MS. */
 static void
-S_note_requested_pause(BsRelay *relay, int64_t pause_ms)
+S_note_requested_pause(const BsRelay *relay, BsTarget *target,
+                       int64_t pause_ms)
 {
     BsGate *gate = relay->gate;
-    BsTargets_SetRequestedPause(relay->attempt.target, pause_ms,
-                                relay->attempt.last_received_ms);
+    BsTargets_SetRequestedPause(target, pause_ms, BsClock_NowMs(gate->clock));
     BsCounters_Add(gate->counters, "upstream_wishes_total{wish=\"quiet\"}", 1);
     if (BsEventLog_Begin(gate->log, BS_EVENT_STATE, "upstream_quiet")) {
-        BsEventLog_Text(gate->log, "upstream", relay->attempt.target->id);
+        BsEventLog_Text(gate->log, "upstream", target->id);
         BsEventLog_Text(gate->log, "request", relay->id);
         BsEventLog_Number(gate->log, "pause_ms", pause_ms);
         BsEventLog_End(gate->log);
@@ -39,21 +39,22 @@
 }
 
 void
-BsAnswerHints_Apply(BsRelay *relay, const BsAnswerInfo *info)
+BsAnswerHints_Apply(const BsRelay *relay, BsTarget *target,
+                    const BsAnswerInfo *info)
 {
     if (info->cold_ms > 0) {
-        BsTargets_SetCold(relay->attempt.target, info->cold_ms,
-                          relay->attempt.last_received_ms);
+        BsTargets_SetCold(target, info->cold_ms,
+                          BsClock_NowMs(relay->gate->clock));
     }
     bool other =
         info->request_id != NULL && strcmp(info->request_id, relay->id) != 0;
     if (info->misdirected || other) {
         return; /* the answer may come from another upstream */
     }
-    if (info->leaving && !relay->attempt.target->leaving) {
-        S_note_leaving(relay);
+    if (info->leaving && !target->leaving) {
+        S_note_leaving(relay, target);
     }
     if (info->requested_pause_ms > 0) {
-        S_note_requested_pause(relay, info->requested_pause_ms);
+        S_note_requested_pause(relay, target, info->requested_pause_ms);
     }
 }
--- a/src/gw_attempt.c
+++ b/src/gw_attempt.c
@@ -1,6 +1,7 @@
 /* gw_attempt.c - attempts to run a request at an upstream, and retries. */
 #include "daycount.h"
 #include "gw_relayparts.h"
+#include "silence.h"
 
 #include <string.h>
 
@@ -18,21 +19,6 @@
    which is shorter, applies. */
 #define REUSE_IDLE_MS 60000
 
-/* Least time without an answer after which a repeatable request is tried at
-   another upstream. */
-#define NO_ANSWER_MIN_MS 300
-
-/* Factor on that time when the upstream answers other requests meanwhile. */
-#define REACHABLE_FACTOR 2
-
-/* Interval of checks for an alternative to an unresponsive upstream that is
-   the only one. */
-#define ALTERNATIVE_CHECK_MS 100
-
-/* Pause between events after which a resumable stream is resumed at another
-   upstream; longer than the pause of a preempted run. */
-#define STREAM_STALL_MS 1000
-
 /* Callers disconnect from a stream after a pause of two seconds, four times
    the route's objective or eight times its allowed pause, whichever is
    longest. */
@@ -103,87 +89,95 @@
 /* Returns the milliseconds per event of a stream, or of the whole answer for
    other routes; 0 when unknown. */
 static double
-S_pace_ms(const BsRelay *relay, int64_t now_ms)
+S_pace_ms(const BsRelay *relay, const BsRelayAttempt *attempt, int64_t now_ms)
 {
-    if (relay->attempt.events > 1) {
-        return (double)(relay->attempt.last_received_ms -
-                        relay->attempt.first_event_ms) /
-               (relay->attempt.events - 1);
+    if (attempt->events > 1) {
+        return (double)(attempt->last_received_ms - attempt->first_event_ms) /
+               (attempt->events - 1);
     }
-    if (relay->route->kind == BS_ROUTE_STREAM || relay->attempt.sent_ms == 0) {
+    if (relay->route->kind == BS_ROUTE_STREAM || attempt->sent_ms == 0) {
         return 0;
     }
-    return (double)(now_ms - relay->attempt.sent_ms);
+    return (double)(now_ms - attempt->sent_ms);
 }
 
-/* Records in the target table how the attempt ended, and clears it. */
-static void
-S_end_attempt(BsRelay *relay, BsTargetEnd end)
+void
+BsAttempt_End(BsRelay *relay, BsRelayAttempt *attempt, BsTargetEnd end)
 {
     BsGate *gate = relay->gate;
     int64_t now_ms = BsClock_NowMs(gate->clock);
-    char *upstream = g_strdup(relay->attempt.target->id);
+    char *upstream = g_strdup(attempt->target->id);
     uint32_t unprocessed_tokens =
-        relay->attempt.prefill_reported ? 0 : relay->info.prompt_tokens;
-    int64_t pause_ms =
-        BsTargets_Ended(gate->targets, relay->attempt.target, end,
-                        S_pace_ms(relay, now_ms), unprocessed_tokens, now_ms);
+        attempt->prefill_reported ? 0 : relay->info.prompt_tokens;
+    int64_t pause_ms = BsTargets_Ended(gate->targets, attempt->target, end,
+                                       S_pace_ms(relay, attempt, now_ms),
+                                       unprocessed_tokens, now_ms);
     if (pause_ms > 0) {
         S_log_pause(gate, upstream, pause_ms);
     }
     g_free(upstream);
-    relay->attempt.target = NULL;
-    relay->attempt.call = NULL;
-    relay->attempt.sent_ms = 0;
+    attempt->target = NULL;
+    attempt->call = NULL;
+    attempt->sent_ms = 0;
     gate->slots_changed = true;
     gate->report_changed = true;
 }
 
 static uint32_t
-S_hash_upstream(const BsRelay *relay)
+S_hash_upstream(const BsRelayAttempt *attempt)
 {
-    return BsCrashList_HashUpstream(relay->attempt.target->id,
-                                    relay->attempt.target->born_ms);
+    return BsCrashList_HashUpstream(attempt->target->id,
+                                    attempt->target->born_ms);
 }
 
-/* Records that the attempt is given up while its upstream may still run it or
-   may be down.  When that upstream was removed from the list without draining
-   or leaving, also records that it has ended. */
-static void
-S_note_given_up(const BsRelay *relay)
+void
+BsAttempt_NoteGivenUp(const BsRelay *relay, const BsRelayAttempt *attempt)
 {
-    const BsTarget *target = relay->attempt.target;
+    const BsTarget *target = attempt->target;
     BsCrashList *crash_list = relay->gate->crash_list;
     int64_t now_ms = BsClock_NowMs(relay->gate->clock);
     bool unlisted = target->usable_until_ms != INT64_MAX;
-    BsCrashList_NoteGivenUp(crash_list, relay->content, S_hash_upstream(relay),
-                            relay->attempt.sent_ms, now_ms);
+    BsCrashList_NoteGivenUp(crash_list, relay->content,
+                            S_hash_upstream(attempt), attempt->sent_ms,
+                            now_ms);
     if (unlisted && !target->draining && !target->leaving) {
-        BsCrashList_NoteUpstreamEnded(crash_list, S_hash_upstream(relay),
+        BsCrashList_NoteUpstreamEnded(crash_list, S_hash_upstream(attempt),
                                       now_ms);
     }
 }
 
 void
-BsAttempt_Abandon(BsRelay *relay, BsTargetEnd end)
+BsAttempt_DropCurrent(BsRelay *relay)
 {
-    if (relay->attempt.target == NULL) {
+    BsRelayAttempt *attempt = &relay->attempt;
+    if (attempt->target == NULL) {
         return;
     }
-    if (relay->attempt.sent_ms > 0 && !relay->attempt.refused) {
+    if (attempt->sent_ms > 0 && !attempt->refused) {
         relay->may_have_run = true;
-        S_note_given_up(relay);
+        BsAttempt_NoteGivenUp(relay, attempt);
     }
-    BsOutbound_Cancel(relay->attempt.call);
-    S_end_attempt(relay, end);
+    BsOutbound_Cancel(attempt->call);
+    BsAttempt_End(relay, attempt, BS_TARGET_ABANDONED);
+}
+
+void
+BsAttempt_AbandonAll(BsRelay *relay)
+{
+    BsAttempt_DropCurrent(relay);
+    BsHeld_DropAll(relay, "abandoned");
 }
 
 /* ---------------------------------------------------------- failures -- */
 
-/* Answers the request with a failure that cannot be retried. */
+/* Answers the request with a failure that cannot be retried, unless a silent
+   upstream may still go on with it. */
 static void
 S_fail_request(BsRelay *relay, const char *cause)
 {
+    if (BsHeld_FallBack(relay)) {
+        return;
+    }
     if (relay->may_have_run) {
         BsRelay_Refuse(relay, 502, cause, 0);
     }
@@ -192,24 +186,40 @@
     }
 }
 
+/* Returns whether the request may be sent once more.  Every send but the first
+   costs retry budget, which is taken here. */
+static bool
+S_take_send(BsRelay *relay)
+{
+    BsGate *gate = relay->gate;
+    if (relay->sends == 0 || relay->send_taken) {
+        return true;
+    }
+    relay->send_taken =
+        relay->sends < SENDS_MAX &&
+        BsRetryBudget_Take(gate->retries, relay->service->name,
+                           gate->instances, BsClock_NowMs(gate->clock));
+    return relay->send_taken;
+}
+
+static void
+S_dispatch_again(BsRelay *relay, const char *cause)
+{
+    BsCounters_Add(relay->gate->counters, "retries_total", 1);
+    BsRelay_Log(relay, BS_EVENT_DETAIL, "retry", cause);
+    BsRelay_Dispatch(relay);
+}
+
 /* Retries the request, or ends it. */
 static void
 S_retry(BsRelay *relay, const char *cause)
 {
-    BsGate *gate = relay->gate;
-    int64_t now_ms = BsClock_NowMs(gate->clock);
-    /* Sending a request again after the first time costs retry budget. */
-    bool allowed = relay->sends == 0 ||
-                   (relay->sends < SENDS_MAX &&
-                    BsRetryBudget_Take(gate->retries, relay->service->name,
-                                       gate->instances, now_ms));
-    if (!allowed || relay->excluded_count >= BS_RELAY_EXCLUDED_MAX) {
+    if (relay->excluded_count >= BS_RELAY_EXCLUDED_MAX ||
+        !S_take_send(relay)) {
         S_fail_request(relay, cause);
         return;
     }
-    BsCounters_Add(gate->counters, "retries_total", 1);
-    BsRelay_Log(relay, BS_EVENT_DETAIL, "retry", cause);
-    BsRelay_Dispatch(relay);
+    S_dispatch_again(relay, cause);
 }
 
 /* The attempt ended without an answer that can be forwarded. */
@@ -221,7 +231,7 @@
     char *failed = g_strdup(relay->attempt.target->id);
     BsRelay_Log(relay, BS_EVENT_FAILURE, "attempt_failed", cause);
     relay->given_up = cause;
-    S_end_attempt(relay, end);
+    BsAttempt_End(relay, &relay->attempt, end);
     S_exclude(relay, failed);
     g_free(failed);
     if (relay->inbound == NULL) {
@@ -246,7 +256,7 @@
     char *failed = g_strdup(relay->attempt.target->id);
     BsRelay_Log(relay, BS_EVENT_DETAIL, "attempt_not_run", cause);
     relay->given_up = cause;
-    S_end_attempt(relay, end);
+    BsAttempt_End(relay, &relay->attempt, end);
     if (end != BS_TARGET_REFUSED) {
         S_exclude(relay, failed);
     }
@@ -275,6 +285,7 @@
         BsDayCount_DoubleRun(relay->gate->counters);
     }
     relay->sends++;
+    relay->send_taken = false;
     relay->attempts++;
     BsRelay_Schedule(relay);
 }
@@ -301,13 +312,51 @@
     return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+/* Returns why an answer with HEAD cannot be sent to the caller, or NULL. */
+static const char *
+S_find_defect(const BsRelay *relay, const BsHttpHead *head,
+              const BsAnswerInfo *info)
+{
+    bool success = head->status >= 200 && head->status < 300;
+    if (!S_is_plausible(relay, head, info)) {
+        return "answer_of_another_request";
+    }
+    if (S_means_not_run(head->status)) {
+        return "false_promise";
+    }
+    return relay->answer.started && !success ? "resume_failed" : NULL;
+}
+
+bool
+BsAttempt_AcceptsHead(const BsRelay *relay, const BsHttpHead *head,
+                      const BsAnswerInfo *info)
+{
+    return S_find_defect(relay, head, info) == NULL && head->status < 500;
+}
+
 /* Cancels the attempt and discards its answer. */
 static void
-S_reject_answer(BsRelay *relay, const char *cause)
+S_reject_answer(BsRelay *relay, BsTargetEnd end, const char *cause)
 {
     BsOutbound_Cancel(relay->attempt.call);
     relay->may_have_run = true;
-    S_on_failure(relay, BS_TARGET_INCOMPLETE, cause);
+    S_on_failure(relay, end, cause);
+}
+
+/* The upstream goes on after it counted as silent. */
+static void
+S_note_resumed(BsRelay *relay)
+{
+    BsGate *gate = relay->gate;
+    if (!relay->attempt.silent) {
+        return;
+    }
+    relay->attempt.silent = false;
+    BsTargets_NoteResumed(relay->attempt.target);
+    gate->slots_changed = true;
+    BsCounters_Add(gate->counters,
+                   "silent_attempts_total{outcome=\"resumed\"}", 1);
+    BsRelay_Log(relay, BS_EVENT_FAILURE, "attempt_resumed", NULL);
 }
 
 static void
@@ -317,31 +366,31 @@
     BsGate *gate = relay->gate;
     BsAnswerInfo info;
     gate->wire->read_answer(head, &info);
+    S_note_resumed(relay);
     relay->attempt.last_received_ms = BsClock_NowMs(gate->clock);
     BsTargets_NoteReceived(relay->attempt.target,
                            relay->attempt.last_received_ms);
-    BsAnswerHints_Apply(relay, &info);
+    BsAnswerHints_Apply(relay, relay->attempt.target, &info);
     if (info.refused) {
         relay->attempt.refused = true;
         relay->attempt.head_outcome =
             info.misdirected ? BS_TARGET_MISDIRECTED : BS_TARGET_REFUSED;
         return;
     }
-    if (!S_is_plausible(relay, head, &info)) {
-        S_reject_answer(relay, "answer_of_another_request");
+    const char *defect = S_find_defect(relay, head, &info);
+    if (defect != NULL) {
+        S_reject_answer(relay, BS_TARGET_INCOMPLETE, defect);
         return;
     }
-    if (S_means_not_run(head->status)) {
-        S_reject_answer(relay, "false_promise");
+    bool failed = head->status >= 500;
+    if (failed && BsHeld_HasAny(relay)) {
+        S_reject_answer(relay, BS_TARGET_ERROR, "upstream_error");
         return;
     }
-    bool success = head->status >= 200 && head->status < 300;
-    if (relay->answer.started && !success) {
-        S_reject_answer(relay, "resume_failed");
-        return;
+    relay->attempt.head_outcome = failed ? BS_TARGET_ERROR : BS_TARGET_GOOD;
+    if (!relay->answer.started) {
+        BsHeld_DropAll(relay, "replaced");
     }
-    relay->attempt.head_outcome =
-        head->status >= 500 ? BS_TARGET_ERROR : BS_TARGET_GOOD;
     BsAnswer_Begin(relay, head);
 }
 
@@ -386,14 +435,19 @@
     if (relay->attempt.refused) {
         return;
     }
-    relay->attempt.last_received_ms = BsClock_NowMs(relay->gate->clock);
-    BsTargets_NoteReceived(relay->attempt.target,
-                           relay->attempt.last_received_ms);
-    S_note_events(relay, BsAnswer_Append(relay, data, size_bytes));
+    int64_t now_ms = BsClock_NowMs(relay->gate->clock);
+    BsTargets_NoteReceived(relay->attempt.target, now_ms);
+    unsigned events = BsAnswer_Append(relay, data, size_bytes);
+    if (events > 0 || relay->answer.events == NULL) {
+        S_note_resumed(relay);
+        BsHeld_DropAll(relay, "replaced");
+    }
+    relay->attempt.last_received_ms = now_ms;
+    S_note_events(relay, events);
     if (relay->answer.events != NULL &&
         BsSseSplitter_PartialBytes(relay->answer.events) >
             BS_SSE_EVENT_MAX_BYTES) {
-        S_reject_answer(relay, "event_too_large");
+        S_reject_answer(relay, BS_TARGET_INCOMPLETE, "event_too_large");
     }
 }
 
@@ -423,11 +477,8 @@
 {
     return S_may_repeat(relay) && !relay->answer.started &&
            relay->attempts < relay->route->attempts_max &&
-           relay->sends < SENDS_MAX && relay->inbound != NULL &&
-           S_find_alternative(relay) == BS_TARGET_CHOSEN &&
-           BsRetryBudget_Take(relay->gate->retries, relay->service->name,
-                              relay->gate->instances,
-                              BsClock_NowMs(relay->gate->clock));
+           relay->inbound != NULL &&
+           S_find_alternative(relay) == BS_TARGET_CHOSEN && S_take_send(relay);
 }
 
 /* The upstream ran the request and its answer is complete. */
@@ -437,7 +488,7 @@
     bool failed = relay->attempt.head_outcome == BS_TARGET_ERROR;
     if (failed && S_retries_after_error(relay)) {
         S_exclude(relay, relay->attempt.target->id);
-        S_end_attempt(relay, BS_TARGET_ERROR);
+        BsAttempt_End(relay, &relay->attempt, BS_TARGET_ERROR);
         BsCounters_Add(relay->gate->counters, "retries_total", 1);
         BsRelay_Log(relay, BS_EVENT_DETAIL, "retry", "upstream_error");
         BsRelay_Dispatch(relay);
@@ -445,7 +496,7 @@
     }
     BsRelay_Log(relay, failed ? BS_EVENT_FAILURE : BS_EVENT_DETAIL, "answered",
                 failed ? "upstream_error" : NULL);
-    S_end_attempt(relay, relay->attempt.head_outcome);
+    BsAttempt_End(relay, &relay->attempt, relay->attempt.head_outcome);
     if (!failed) {
         BsCrashList_NoteCompleted(relay->gate->crash_list, relay->content,
                                   BsClock_NowMs(relay->gate->clock));
@@ -455,16 +506,29 @@
     BsRelay_Finish(relay, failed ? "upstream_error" : "answered");
 }
 
-/* Records for the crash list, which all instances share, that the connection
-   closed while the upstream ran the request; done whatever the outcome of this
-   attempt. */
-static void
-S_note_crash(const BsRelay *relay)
+void
+BsAttempt_NoteCrash(const BsRelay *relay, const BsRelayAttempt *attempt,
+                    BsOutboundEnd end)
 {
     BsGate *gate = relay->gate;
-    BsCrashList_NoteCrash(gate->crash_list, relay->content,
-                          S_hash_upstream(relay), relay->attempt.sent_ms,
-                          BsClock_NowMs(gate->clock));
+    if (end == BS_OUTBOUND_BROKEN || end == BS_OUTBOUND_TRUNCATED) {
+        BsCrashList_NoteCrash(gate->crash_list, relay->content,
+                              S_hash_upstream(attempt), attempt->sent_ms,
+                              BsClock_NowMs(gate->clock));
+    }
+}
+
+const char *
+BsAttempt_CauseOf(BsOutboundEnd end)
+{
+    switch (end) {
+    case BS_OUTBOUND_BROKEN:
+        return "broke_before_answer";
+    case BS_OUTBOUND_TRUNCATED:
+        return "answer_cut_off";
+    default:
+        return "answer_garbled";
+    }
 }
 
 static void
@@ -486,21 +550,17 @@
     }
     else if (end == BS_OUTBOUND_DONE) {
         relay->may_have_run = true;
+        S_note_resumed(relay);
         S_on_answer(relay);
     }
     else {
         relay->may_have_run = true;
-        if (end == BS_OUTBOUND_BROKEN || end == BS_OUTBOUND_TRUNCATED) {
-            S_note_crash(relay);
-        }
-        S_on_failure(relay, BS_TARGET_INCOMPLETE,
-                     end == BS_OUTBOUND_BROKEN      ? "broke_before_answer"
-                     : end == BS_OUTBOUND_TRUNCATED ? "answer_cut_off"
-                                                    : "answer_garbled");
+        BsAttempt_NoteCrash(relay, &relay->attempt, end);
+        S_on_failure(relay, BS_TARGET_INCOMPLETE, BsAttempt_CauseOf(end));
     }
 }
 
-static const BsOutboundEvents S_call_events = {
+const BsOutboundEvents bs_attempt_events = {
     .on_sent = S_on_sent,
     .on_head = S_on_head,
     .on_body = S_on_body,
@@ -543,21 +603,14 @@
         .connect_timeout_ms = CONNECT_TIMEOUT_MS,
         .no_body = strcmp(relay->head->method, "HEAD") == 0,
     };
+    memset(&relay->attempt, 0, sizeof(relay->attempt));
     relay->attempt.target = target;
-    relay->attempt.sent_ms = 0;
-    relay->attempt.extended_until_ms = 0;
-    relay->attempt.events = 0;
-    relay->attempt.gap_ms = 0;
-    relay->attempt.prefill_reported = false;
-    relay->attempt.paused = false;
-    relay->attempt.resumed_ms = 0;
-    relay->attempt.refused = false;
     relay->attempt.head_outcome = BS_TARGET_GOOD;
     BsTargets_Sent(gate->targets, target, &query, now_ms);
     BsCrashList_NoteSent(gate->crash_list, relay->content, now_ms);
     gate->report_changed = true;
     relay->attempt.call =
-        BsOutbound_Start(gate->pool, &request, &S_call_events, relay);
+        BsOutbound_Start(gate->pool, &request, &bs_attempt_events, relay);
     BsRelay_Log(relay, BS_EVENT_DETAIL, "sent", NULL);
     BsRelay_Schedule(relay);
 }
@@ -578,57 +631,110 @@
                    CALLER_TIMEOUT_GAPS * route->gap_ms));
 }
 
+/* Returns whether the upstream's silence matters: the request could be sent
+   to another one, or its caller will not wait much longer. */
+static bool
+S_is_watched(const BsRelay *relay)
+{
+    const BsRelayAttempt *attempt = &relay->attempt;
+    if (attempt->target == NULL || attempt->sent_ms == 0 || attempt->paused) {
+        return false;
+    }
+    bool in_events =
+        relay->route->kind == BS_ROUTE_STREAM && attempt->events > 0;
+    return in_events || S_may_retry(relay);
+}
+
+/* Returns the last progress of the answer.  Of an event stream only whole
+   events count, not single bytes. */
+static int64_t
+S_progressed_ms(const BsRelay *relay)
+{
+    const BsRelayAttempt *attempt = &relay->attempt;
+    if (relay->route->kind != BS_ROUTE_STREAM) {
+        return attempt->last_received_ms;
+    }
+    return attempt->events == 0
+               ? attempt->sent_ms
+               : MAX(relay->last_event_ms, attempt->resumed_ms);
+}
+
 int64_t
 BsAttempt_TimeoutMs(const BsRelay *relay)
 {
-    const BsCatalogRoute *route = relay->route;
-    if (relay->attempt.target == NULL || relay->attempt.sent_ms == 0) {
+    if (!S_is_watched(relay)) {
         return INT64_MAX;
     }
-    bool may_retry = S_may_retry(relay);
-    if (relay->attempt.paused) {
-        return INT64_MAX; /* the caller is slow, not the upstream */
-    }
-    if (route->kind == BS_ROUTE_STREAM && relay->attempt.events > 0) {
-        /* Only whole events count as progress, not single bytes. */
-        int64_t since_ms =
-            MAX(relay->last_event_ms, relay->attempt.resumed_ms);
-        return may_retry ? MAX(relay->attempt.extended_until_ms,
-                               since_ms + STREAM_STALL_MS)
-                         : since_ms + BsAttempt_CallerTimeoutMs(route);
+    BsSilence silence = {
+        .stream = relay->route->kind == BS_ROUTE_STREAM,
+        .in_events = relay->attempt.events > 0,
+        .reachable = S_is_reachable(relay),
+        .progressed_ms = S_progressed_ms(relay),
+        .objective_ms = relay->route->target_ms,
+    };
+    return MAX(relay->attempt.extended_until_ms, BsSilence_LimitMs(&silence));
+}
+
+/* Records that the upstream is silent, so that other requests avoid it. */
+static void
+S_note_silent(BsRelay *relay)
+{
+    BsRelayAttempt *attempt = &relay->attempt;
+    if (attempt->silent) {
+        return;
     }
-    if (!may_retry) {
-        return INT64_MAX;
+    attempt->silent = true;
+    BsRelay_Log(relay, BS_EVENT_FAILURE, "attempt_silent", "silent");
+    int64_t pause_ms =
+        BsTargets_NoteSilent(attempt->target, S_is_reachable(relay),
+                             BsClock_NowMs(relay->gate->clock));
+    if (pause_ms > 0) {
+        S_log_pause(relay->gate, attempt->target->id, pause_ms);
     }
-    int64_t no_answer_ms = MAX(NO_ANSWER_MIN_MS, route->target_ms);
-    int64_t factor = S_is_reachable(relay) ? REACHABLE_FACTOR : 1;
-    return MAX(relay->attempt.extended_until_ms,
-               relay->attempt.sent_ms + factor * no_answer_ms);
 }
 
-/* Returns whether to keep waiting for an unresponsive upstream: if it is the
-   only one, a late answer is better than none.  If others exist but are full,
-   the attempt is ended all the same: its answer may be lost, and its slot is
-   then unused. */
-static bool
-S_keeps_waiting(BsRelay *relay)
+static BsSilenceStep
+S_decide(const BsRelay *relay, BsTargetVerdict alternative)
+{
+    uint32_t attempts_max = relay->route->attempts_max;
+    BsSilenceOptions options = {
+        .may_repeat = S_may_repeat(relay) && S_may_continue(relay),
+        .blocked = BsRelay_IsBlocked(relay),
+        .runs_left = attempts_max - MIN(attempts_max, relay->attempts),
+        .sends_left = SENDS_MAX - MIN(SENDS_MAX, relay->sends),
+        .can_exclude = relay->excluded_count < BS_RELAY_EXCLUDED_MAX &&
+                       BsHeld_HasRoom(relay),
+        .alternative = alternative,
+    };
+    return BsSilence_Decide(&options);
+}
+
+/* Sends the request to another upstream, too. */
+static void
+S_add_send(BsRelay *relay)
 {
-    return S_may_retry(relay) && S_find_alternative(relay) == BS_TARGET_NONE;
+    relay->may_have_run = true;
+    relay->given_up = "silent";
+    S_exclude(relay, relay->attempt.target->id);
+    BsHeld_Park(relay);
+    S_dispatch_again(relay, "silent");
 }
 
 void
 BsAttempt_OnTimeout(BsRelay *relay)
 {
-    BsTargetEnd end =
-        S_is_reachable(relay) ? BS_TARGET_ERROR : BS_TARGET_INCOMPLETE;
-    if (S_keeps_waiting(relay)) {
-        relay->attempt.extended_until_ms =
-            BsClock_NowMs(relay->gate->clock) + ALTERNATIVE_CHECK_MS;
-        BsRelay_Schedule(relay);
+    BsTargetVerdict alternative = S_find_alternative(relay);
+    BsSilenceStep step = S_decide(relay, alternative);
+    if (alternative != BS_TARGET_NONE) {
+        S_note_silent(relay);
+    }
+    if (step == BS_SILENCE_ADD_SEND && S_take_send(relay)) {
+        S_add_send(relay);
         return;
     }
-    BsOutbound_Cancel(relay->attempt.call);
-    relay->may_have_run = true;
-    S_note_given_up(relay);
-    S_on_failure(relay, end, "silent");
+    relay->attempt.extended_until_ms =
+        step == BS_SILENCE_ENDURE
+            ? INT64_MAX
+            : BsClock_NowMs(relay->gate->clock) + BS_RELAY_SILENCE_CHECK_MS;
+    BsRelay_Schedule(relay);
 }
--- a/src/gw_outbound.c
+++ b/src/gw_outbound.c
@@ -450,6 +450,14 @@
     return call;
 }
 
+void
+BsOutbound_SetEvents(BsOutbound *call, const BsOutboundEvents *events,
+                     void *context)
+{
+    call->events = events;
+    call->context = context;
+}
+
 void
 BsOutbound_SetReading(BsOutbound *call, bool reading)
 {
--- a/src/gw_outbound.h
+++ b/src/gw_outbound.h
@@ -73,6 +73,10 @@
    allowed. */
 void BsOutbound_Cancel(BsOutbound *call);
 
+/* Replaces the callbacks and their context. */
+void BsOutbound_SetEvents(BsOutbound *call, const BsOutboundEvents *events,
+                          void *context);
+
 /* Stops or resumes reading the answer. */
 void BsOutbound_SetReading(BsOutbound *call, bool reading);
 
--- a/src/gw_relay.c
+++ b/src/gw_relay.c
@@ -51,9 +51,17 @@
                                  BsClock_NowMs(gate->clock));
 }
 
+void
+BsRelay_LeaveQueue(BsRelay *relay)
+{
+    BsWaitQueue_Remove(relay->gate->queue, relay->queue_entry);
+    relay->queue_entry = NULL;
+}
+
 void
 BsRelay_Finish(BsRelay *relay, const char *outcome)
 {
+    BsAttempt_AbandonAll(relay);
     BsRelay_Count(relay, outcome);
     S_free(relay);
 }
@@ -83,7 +91,7 @@
     bool cut = relay->inbound != NULL && relay->answer.started;
     BsRelay_Log(relay, BS_EVENT_FAILURE, cut ? "answer_cut" : "refused",
                 cause);
-    BsAttempt_Abandon(relay, BS_TARGET_ABANDONED);
+    BsAttempt_AbandonAll(relay);
     S_refund_quota(relay);
     if (relay->id[0] != '\0') {
         relay->gate->wire->write_request_id(relay->id, headers);
@@ -231,6 +239,9 @@
 static int64_t
 S_queue_until_ms(const BsRelay *relay, int64_t now_ms)
 {
+    if (BsHeld_HasAny(relay)) {
+        return relay->expires_ms; /* its answer may come meanwhile */
+    }
     BsQueueTimeout wait = {
         .arrived_ms = relay->arrived_ms,
         .expires_ms = relay->expires_ms,
@@ -245,6 +256,16 @@
     return BsQueueTimeout_UntilMs(&wait, now_ms);
 }
 
+void
+BsRelay_RenewQueueTimeout(BsRelay *relay)
+{
+    if (relay->queue_entry != NULL) {
+        int64_t now_ms = BsClock_NowMs(relay->gate->clock);
+        relay->queue_until_ms = S_queue_until_ms(relay, now_ms);
+        BsRelay_Schedule(relay);
+    }
+}
+
 static void
 S_enqueue(BsRelay *relay)
 {
@@ -267,6 +288,9 @@
 static void
 S_refuse_blocked(BsRelay *relay)
 {
+    if (BsHeld_FallBack(relay)) {
+        return;
+    }
     S_refund_quota(relay);
     relay->may_have_run = true;
     BsRelay_Refuse(relay, 502, "breaks_upstreams", 0);
@@ -285,11 +309,11 @@
     if (target != NULL) {
         BsAttempt_Start(relay, target);
     }
-    else if (verdict == BS_TARGET_NONE) {
+    else if (verdict == BS_TARGET_NONE && !BsHeld_FallBack(relay)) {
         BsRelay_Refuse(relay, relay->may_have_run ? 502 : 503, "no_upstream",
                        relay->may_have_run ? 0 : 1);
     }
-    else {
+    else if (verdict != BS_TARGET_NONE) {
         S_enqueue(relay);
     }
 }
@@ -318,8 +342,7 @@
         BsQueuePass_NoteNoSlot(pass, &kind);
         return;
     }
-    BsWaitQueue_Remove(relay->gate->queue, relay->queue_entry);
-    relay->queue_entry = NULL;
+    BsRelay_LeaveQueue(relay);
     BsAttempt_Start(relay, target);
 }
 
@@ -514,7 +537,7 @@
         relay->route->kind == BS_ROUTE_UNSAFE) {
         return;
     }
-    BsAttempt_Abandon(relay, BS_TARGET_ABANDONED);
+    BsAttempt_AbandonAll(relay);
     BsRelay_Log(relay, BS_EVENT_DETAIL, "cancelled", "caller_gone");
     S_refund_quota(relay);
     BsRelay_Finish(relay, "caller_gone");
--- a/src/gw_relaylog.c
+++ b/src/gw_relaylog.c
@@ -8,27 +8,26 @@
 /* Logs how long the request waited until it was sent and for its first event,
    and the longest pause between two events. */
 static void
-S_log_times(const BsRelay *relay)
+S_log_times(const BsRelay *relay, const BsRelayAttempt *attempt)
 {
     BsEventLog *log = relay->gate->log;
-    if (relay->attempt.sent_ms > 0) {
+    if (attempt->sent_ms > 0) {
         BsEventLog_Number(log, "wait_ms",
-                          relay->attempt.sent_ms - relay->arrived_ms);
+                          attempt->sent_ms - relay->arrived_ms);
     }
-    if (relay->attempt.events > 0) {
+    if (attempt->events > 0) {
         BsEventLog_Number(log, "first_ms",
-                          relay->attempt.first_event_ms -
-                              relay->attempt.sent_ms);
+                          attempt->first_event_ms - attempt->sent_ms);
     }
-    if (relay->attempt.events > 1) {
-        BsEventLog_Number(log, "gap_ms", relay->attempt.gap_ms);
+    if (attempt->events > 1) {
+        BsEventLog_Number(log, "gap_ms", attempt->gap_ms);
     }
 }
 
 /* Logs the content hash, by which other failures of the same content are
    found, and the number of upstreams it has crashed. */
 static void
-S_log_content(const BsRelay *relay)
+S_log_content(const BsRelay *relay, const BsRelayAttempt *attempt)
 {
     BsEventLog *log = relay->gate->log;
     char content[CONTENT_DIGITS + 1];
@@ -38,20 +37,21 @@
     BsEventLog_Number(
         log, "breaks",
         BsCrashList_CountCrashes(relay->gate->crash_list, relay->content));
-    if (relay->attempt.target != NULL) {
-        BsEventLog_Number(log, "born_ms", relay->attempt.target->born_ms);
+    if (attempt->target != NULL) {
+        BsEventLog_Number(log, "born_ms", attempt->target->born_ms);
     }
 }
 
 /* Logs for how long no byte of an answer has arrived, why the attempt before
    ended, and how long ago the configuration came into force. */
 static void
-S_log_silence(const BsRelay *relay, int64_t now_ms)
+S_log_silence(const BsRelay *relay, const BsRelayAttempt *attempt,
+              int64_t now_ms)
 {
     BsEventLog *log = relay->gate->log;
-    if (relay->attempt.last_received_ms > 0) {
+    if (attempt->last_received_ms > 0) {
         BsEventLog_Number(log, "silent_ms",
-                          now_ms - relay->attempt.last_received_ms);
+                          now_ms - attempt->last_received_ms);
     }
     BsEventLog_Text(log, "given_up", relay->given_up);
     if (relay->gate->catalog != NULL) {
@@ -61,8 +61,9 @@
 }
 
 void
-BsRelay_Log(BsRelay *relay, BsEventClass event_class, const char *event,
-            const char *cause)
+BsRelay_LogAttempt(BsRelay *relay, const BsRelayAttempt *attempt,
+                   BsEventClass event_class, const char *event,
+                   const char *cause)
 {
     BsGate *gate = relay->gate;
     if (!BsEventLog_Begin(gate->log, event_class, event)) {
@@ -83,21 +84,28 @@
     if (relay->account != NULL) {
         BsEventLog_Text(gate->log, "account", relay->account->name);
     }
-    if (relay->attempt.target != NULL) {
-        BsEventLog_Text(gate->log, "upstream", relay->attempt.target->id);
-        BsEventLog_Number(gate->log, "own", relay->attempt.target->own);
-        BsEventLog_Number(gate->log, "others", relay->attempt.target->others);
-        S_log_times(relay);
+    if (attempt->target != NULL) {
+        BsEventLog_Text(gate->log, "upstream", attempt->target->id);
+        BsEventLog_Number(gate->log, "own", attempt->target->own);
+        BsEventLog_Number(gate->log, "others", attempt->target->others);
+        S_log_times(relay, attempt);
     }
     if (event_class == BS_EVENT_FAILURE && relay->service != NULL) {
-        S_log_content(relay);
-        S_log_silence(relay, now_ms);
+        S_log_content(relay, attempt);
+        S_log_silence(relay, attempt, now_ms);
     }
     BsEventLog_Number(gate->log, "age_ms", now_ms - relay->arrived_ms);
     BsEventLog_Number(gate->log, "attempts", relay->attempts);
     BsEventLog_End(gate->log);
 }
 
+void
+BsRelay_Log(BsRelay *relay, BsEventClass event_class, const char *event,
+            const char *cause)
+{
+    BsRelay_LogAttempt(relay, &relay->attempt, event_class, event, cause);
+}
+
 static void
 S_count_outcome(const BsRelay *relay, const char *outcome)
 {
--- a/src/gw_relayparts.h
+++ b/src/gw_relayparts.h
@@ -1,8 +1,9 @@
 /*
  * gw_relayparts.h - the state of a relayed request, shared by gw_relay.c
  * (arrival, queueing, end), gw_attempt.c (attempts at upstreams),
- * gw_answerhints.c (what upstreams request in their answers), gw_answer.c (the
- * answer to the caller) and gw_relaylog.c (log lines and metrics).
+ * gw_held.c (attempts whose upstream is silent), gw_answerhints.c (what
+ * upstreams request in their answers), gw_answer.c (the answer to the caller)
+ * and gw_relaylog.c (log lines and metrics).
  */
 #ifndef BS_GW_RELAYPARTS_H
 #define BS_GW_RELAYPARTS_H
@@ -13,6 +14,12 @@
 /* Upstreams that one request may exclude after failed attempts. */
 #define BS_RELAY_EXCLUDED_MAX 6
 
+/* Attempts that one request may hold open beside the current one. */
+#define BS_RELAY_HELD_MAX 3
+
+/* Interval of checks for another upstream while one is silent. */
+#define BS_RELAY_SILENCE_CHECK_MS 100
+
 /* The part of an answer that has not been forwarded yet. */
 typedef struct {
     GString *headers; /* header lines for the caller */
@@ -24,6 +31,8 @@
     bool started;  /* its head was sent to the caller */
 } BsRelayAnswer;
 
+typedef struct BsRelay BsRelay;
+
 /* An attempt to run a request at an upstream.  Times are milliseconds on the
    gate's clock. */
 typedef struct {
@@ -40,12 +49,17 @@
     uint32_t events;       /* received in this attempt */
     bool prefill_reported; /* BsTargets_Started() was called */
     bool refused;          /* the upstream answered that it has not run it */
+    bool silent;           /* the upstream counts as silent */
     BsTargetEnd head_outcome; /* outcome according to the answer's head */
+    /* While the attempt is held beside another one: */
+    BsRelay *relay;
+    BsSseSplitter *splitter; /* of its event stream; NULL: none has begun */
+    GString *whole_events;   /* that arrived meanwhile, or NULL */
 } BsRelayAttempt;
 
 /* A request that is being relayed.  Times are milliseconds on the gate's
    clock. */
-typedef struct {
+struct BsRelay {
     BsGate *gate;
     BsInbound *inbound;     /* NULL once the caller has disconnected */
     const BsHttpHead *head; /* of the request; NULL as INBOUND */
@@ -67,7 +81,8 @@
     BsWaitQueueEntry *queue_entry; /* NULL unless it is queued */
     ev_timer timer;
     BsRelayAttempt attempt; /* the current one */
-    int64_t last_event_ms;  /* of any attempt; 0 before the first */
+    BsRelayAttempt held[BS_RELAY_HELD_MAX];
+    int64_t last_event_ms; /* of any attempt; 0 before the first */
     /* All attempts. */
     BsRelayAnswer answer;
     char *excluded[BS_RELAY_EXCLUDED_MAX];
@@ -76,9 +91,10 @@
                              ended; NULL: none has */
     uint32_t attempts;    /* times it was sent and not refused */
     uint32_t sends;       /* times it was sent */
+    bool send_taken;      /* the retry budget of the next send is taken */
     bool may_have_run;
     bool answered; /* with the whole answer of an upstream that ran it */
-} BsRelay;
+};
 
 /* ----------------------------------------------------------- gw_relay.c -- */
 
@@ -102,6 +118,12 @@
    upstreams, here and at other instances. */
 bool BsRelay_IsBlocked(const BsRelay *relay);
 
+/* Sets anew until when the request may be queued, if it is. */
+void BsRelay_RenewQueueTimeout(BsRelay *relay);
+
+/* Takes the request out of the queue if it is queued. */
+void BsRelay_LeaveQueue(BsRelay *relay);
+
 /* Counts OUTCOME and frees the request, whose answer has ended. */
 void BsRelay_Finish(BsRelay *relay, const char *outcome);
 
@@ -111,15 +133,21 @@
 void BsRelay_Log(BsRelay *relay, BsEventClass event_class, const char *event,
                  const char *cause);
 
+/* As BsRelay_Log(), with ATTEMPT instead of the current one. */
+void BsRelay_LogAttempt(BsRelay *relay, const BsRelayAttempt *attempt,
+                        BsEventClass event_class, const char *event,
+                        const char *cause);
+
 /* Counts the end of the request: by route and OUTCOME, and for the daily
    report by what its caller knows. */
 void BsRelay_Count(const BsRelay *relay, const char *outcome);
 
 /* ----------------------------------------------------- gw_answerhints.c -- */
 
-/* Applies what the head of an answer says about its upstream, whatever the
-   outcome of the request. */
-void BsAnswerHints_Apply(BsRelay *relay, const BsAnswerInfo *info);
+/* Applies what the head of an answer says about its upstream TARGET, whatever
+   the outcome of the request. */
+void BsAnswerHints_Apply(const BsRelay *relay, BsTarget *target,
+                         const BsAnswerInfo *info);
 
 /* --------------------------------------------------------- gw_attempt.c -- */
 
@@ -130,19 +158,70 @@
 /* Sends the request to TARGET. */
 void BsAttempt_Start(BsRelay *relay, BsTarget *target);
 
-/* Cancels the current attempt, if any, and records it as END. */
-void BsAttempt_Abandon(BsRelay *relay, BsTargetEnd end);
+/* Records in the target table how ATTEMPT ended, and clears it. */
+void BsAttempt_End(BsRelay *relay, BsRelayAttempt *attempt, BsTargetEnd end);
+
+/* Cancels the current attempt, if any; its upstream is not blamed. */
+void BsAttempt_DropCurrent(BsRelay *relay);
+
+/* Cancels the current and all held attempts. */
+void BsAttempt_AbandonAll(BsRelay *relay);
+
+/* Records that ATTEMPT is given up while its upstream may still run it or may
+   be down.  When that upstream was removed from the list without draining or
+   leaving, also records that it has ended. */
+void BsAttempt_NoteGivenUp(const BsRelay *relay,
+                           const BsRelayAttempt *attempt);
+
+/* Records for the crash list, which all instances share, that the connection
+   closed while the upstream ran the request, unless END says otherwise; done
+   whatever the outcome of this attempt. */
+void BsAttempt_NoteCrash(const BsRelay *relay, const BsRelayAttempt *attempt,
+                         BsOutboundEnd end);
+
+/* Returns the cause in the log for an answer that ended as END. */
+const char *BsAttempt_CauseOf(BsOutboundEnd end);
+
+/* Returns whether an answer with HEAD can be sent to the caller. */
+bool BsAttempt_AcceptsHead(const BsRelay *relay, const BsHttpHead *head,
+                           const BsAnswerInfo *info);
+
+/* Callbacks of the current attempt; the context is the BsRelay. */
+extern const BsOutboundEvents bs_attempt_events;
 
 /* Returns after how long a pause, in milliseconds, callers of ROUTE disconnect
    from a stream. */
 int64_t BsAttempt_CallerTimeoutMs(const BsCatalogRoute *route);
 
-/* Returns when the attempt times out for inactivity; INT64_MAX: never. */
+/* Returns when the upstream of the current attempt counts as silent;
+   INT64_MAX: never. */
 int64_t BsAttempt_TimeoutMs(const BsRelay *relay);
 
-/* Handles an attempt for which BsAttempt_TimeoutMs() has passed. */
+/* Handles an attempt for which BsAttempt_TimeoutMs() has passed: goes on
+   waiting, or holds it and also sends the request to another upstream. */
 void BsAttempt_OnTimeout(BsRelay *relay);
 
+/* ------------------------------------------------------------ gw_held.c -- */
+
+/* Returns whether one more attempt can be held. */
+bool BsHeld_HasRoom(const BsRelay *relay);
+
+/* Returns whether an attempt is held. */
+bool BsHeld_HasAny(const BsRelay *relay);
+
+/* Holds the current attempt open; the request then has no current one.  When
+   its upstream goes on before another gives the answer, it becomes the current
+   one again and the others end. */
+void BsHeld_Park(BsRelay *relay);
+
+/* Makes the held attempt that was sent last the current one again.  Returns
+   false when none is held.  The request must have no current attempt and is
+   taken out of the queue. */
+bool BsHeld_FallBack(BsRelay *relay);
+
+/* Cancels all held attempts, which are counted as OUTCOME. */
+void BsHeld_DropAll(BsRelay *relay, const char *outcome);
+
 /* ---------------------------------------------------------- gw_answer.c -- */
 
 /* Starts the answer of a new attempt.  When its head was sent to the caller,
--- a/src/targets.c
+++ b/src/targets.c
@@ -393,6 +393,26 @@
     g_hash_table_remove(targets->by_id, target->id);
 }
 
+int64_t
+BsTargets_NoteSilent(BsTarget *target, bool reachable, int64_t now_ms)
+{
+    S_note_error(target, 1);
+    if (!reachable) {
+        return S_note_failure(target, now_ms);
+    }
+    S_note_recovery(target, now_ms);
+    target->failures = 0;
+    return 0;
+}
+
+void
+BsTargets_NoteResumed(BsTarget *target)
+{
+    target->failures = 0;
+    target->retry_at_ms = 0;
+    target->was_down = false;
+}
+
 int64_t
 BsTargets_Ended(BsTargets *targets, BsTarget *target, BsTargetEnd end,
                 double pace_ms, uint32_t prompt_tokens, int64_t now_ms)
--- a/src/targets.h
+++ b/src/targets.h
@@ -201,6 +201,16 @@
    PROMPT_TOKENS arrived. */
 void BsTargets_Started(BsTarget *target, uint32_t prompt_tokens);
 
+/* Notes that TARGET has sent nothing for a request for too long, which goes on
+   there.  REACHABLE tells whether it sent something else meanwhile.  Returns
+   the milliseconds for which it gets no requests because of this; 0: no new
+   pause. */
+int64_t BsTargets_NoteSilent(BsTarget *target, bool reachable, int64_t now_ms);
+
+/* Notes that TARGET goes on with a request for which it was silent, so it was
+   not down: it gets requests again. */
+void BsTargets_NoteResumed(BsTarget *target);
+
 /* Notes the end of a request.  PACE_MS is the time per event, or for the whole
    answer; 0: unknown.  PROMPT_TOKENS are those of a request without a first
    event; pass 0 after BsTargets_Started().  TARGET may be freed.  Returns the
