Idle connections keep the idle time that they were told

Callers saw: a kept connection, told `Keep-Alive: timeout=15`, was closed within 0.2 s after a configuration with a shorter idle time; a request on its way then met the close. Now each connection goes by what its last answer announced, or by the present limit when that is longer. Before its first answer a connection goes by the longer of the limit at its accept and the present one: the caller may know either, and an early close costs a request while a late one costs a descriptor for some seconds. A stop closes idle connections as before.

Evidence: CloseTest.AShorterIdleTimeBindsOnlyConnectionsThatWereToldIt, on the code before: IsHealthy(told->ReadMessage(), "c") Actual: false IsHealthy(untold->ReadMessage(), "d") Actual: false Passes now.

--- a/src/gw_inbound.c
+++ b/src/gw_inbound.c
@@ -47,6 +47,7 @@
     BsInboundState state;
     int64_t started_ms; /* first byte of the request */
     int64_t active_ms;  /* last byte read, or end of the last answer */
+    int64_t idle_ms; /* idle time last announced to the caller, or at accept */
     bool close_after;
     bool chunked;
     bool head_sent;
@@ -326,6 +327,7 @@
         g_string_append(text, "Connection: close\r\n\r\n");
     }
     else {
+        inbound->idle_ms = server->limits.idle_timeout_ms;
         g_string_append_printf(text, "Keep-Alive: timeout=%u\r\n\r\n",
                                server->limits.idle_timeout_ms / MS_PER_S);
     }
@@ -445,6 +447,7 @@
     inbound->body = g_string_new(NULL);
     inbound->pipelined_data = g_string_new(NULL);
     inbound->active_ms = S_now_ms(server);
+    inbound->idle_ms = server->limits.idle_timeout_ms;
     inbound->reader = BsHttpReader_Create(BS_HTTP_REQUEST, &S_reader_events,
                                           inbound, server->limits.header_bytes,
                                           server->limits.body_bytes);
@@ -498,6 +501,14 @@
     }
 }
 
+/* Returns how long INBOUND may be idle.  A shorter limit does not bind a
+   caller that goes by an earlier answer; a longer one applies at once. */
+static int64_t
+S_idle_limit_ms(const BsInbound *inbound)
+{
+    return MAX(inbound->idle_ms, inbound->server->limits.idle_timeout_ms);
+}
+
 /* Closes a connection that is idle for too long, or refuses a request that
    arrives too slowly.  May free INBOUND. */
 static void
@@ -505,7 +516,7 @@
 {
     const BsInboundLimits *limits = &inbound->server->limits;
     if (inbound->state == STATE_IDLE &&
-        now_ms - inbound->active_ms > limits->idle_timeout_ms) {
+        now_ms - inbound->active_ms > S_idle_limit_ms(inbound)) {
         S_close_when_sent(inbound);
         return;
     }
--- a/src/gw_inbound.h
+++ b/src/gw_inbound.h
@@ -56,7 +56,8 @@
 /* Closes all connections and frees SERVER; NULL is allowed. */
 void BsInboundServer_Destroy(BsInboundServer *server);
 
-/* Sets the limits for requests that start after this call. */
+/* Sets the limits for requests that start after this call.  An idle connection
+   keeps the idle time that its last answer announced when that is longer. */
 void BsInboundServer_SetLimits(BsInboundServer *server,
                                const BsInboundLimits *limits);
 
--- /dev/null
+++ b/tests/gate/gateway_close_test.cc
@@ -0,0 +1,64 @@
+// When a gateway closes its connections with callers, on real sockets.
+#include "gateway_fixture.h"
+
+namespace {
+
+// The configuration VERSION with other limits for callers.
+std::string
+ConfigWithLimits(int version, int header_timeout_ms, int idle_timeout_ms)
+{
+    std::string config = Config(version);
+    auto replace = [&](const std::string &name, const std::string &from,
+                       int value) {
+        std::string key = "\"" + name + "\":";
+        config.replace(config.find(key + from), key.size() + from.size(),
+                       key + std::to_string(value));
+    };
+    replace("header-timeout-ms", "1000", header_timeout_ms);
+    replace("idle-timeout-ms", "15000", idle_timeout_ms);
+    return config;
+}
+
+class CloseTest : public GatewayTest {
+  protected:
+    void PutLimits(int version, int header_timeout_ms, int idle_timeout_ms)
+    {
+        store_.Put("op/config", ConfigWithLimits(version, header_timeout_ms,
+                                                 idle_timeout_ms));
+        ASSERT_TRUE(gateway_->WaitMetric("boragespur_catalog_version " +
+                                         std::to_string(version)));
+    }
+    // Waits until the gateway has accepted COUNT connections, and read what
+    // was sent on them before.
+    void WaitConnections(int count)
+    {
+        ASSERT_TRUE(gateway_->WaitMetric("boragespur_connections " +
+                                         std::to_string(count)));
+        gateway_->Metrics();
+    }
+};
+
+// Guards against a request cut by a shorter idle time than its connection was
+// told.
+TEST_F(CloseTest, AShorterIdleTimeBindsOnlyConnectionsThatWereToldIt)
+{
+    Start({Answers});
+    std::unique_ptr<Socket> told = gateway_->Open();
+    told->Write(Call("/look/1", "a"));
+    ASSERT_NE(told->ReadMessage().find("Keep-Alive: timeout=15\r\n"),
+              std::string::npos);
+    std::unique_ptr<Socket> untold = gateway_->Open();
+    WaitConnections(2);
+    PutLimits(2, 1000, 1000);
+    std::unique_ptr<Socket> later = gateway_->Open();
+    later->Write(Call("/look/1", "b"));
+    ASSERT_NE(later->ReadMessage().find("Keep-Alive: timeout=1\r\n"),
+              std::string::npos);
+    ASSERT_TRUE(later->WaitClosed()); /* the others were idle for longer */
+    told->Write(Call("/book/1", "c"));
+    EXPECT_TRUE(IsHealthy(told->ReadMessage(), "c"));
+    untold->Write(Call("/book/1", "d"));
+    EXPECT_TRUE(IsHealthy(untold->ReadMessage(), "d"));
+}
+
+} // namespace
