A request is read to its end by the limits at its start

Callers saw: a request whose head or body was on its way when a configuration with a shorter header time-out or idle time came into force was answered 408 within 0.2 s, though it kept the limits that were in force when it began.

Evidence: on the code before, CloseTest.ABodyIsReadByTheIdleTimeAtItsStart IsHealthy(before->ReadMessage(), "a") Actual: false CloseTest.AHeadIsReadByTheTimeoutAtItsStart IsHealthy(before->ReadMessage(), "a") Actual: false Both pass now; in both a second request that began after the change gets its 408, so the newer limits are in force.

--- a/src/gw_inbound.c
+++ b/src/gw_inbound.c
@@ -48,6 +48,8 @@
     int64_t started_ms; /* first byte of the request */
     int64_t active_ms;  /* last byte read, or end of the last answer */
     int64_t idle_ms; /* idle time last announced to the caller, or at accept */
+    int64_t header_timeout_ms;    /* of the current request */
+    int64_t body_idle_timeout_ms; /* of the current request */
     bool close_after;
     bool chunked;
     bool head_sent;
@@ -150,10 +152,13 @@
     S_free(inbound);
 }
 
+/* Sets the limits by which the request that starts now is read to its end. */
 static void
 S_apply_limits(BsInbound *inbound)
 {
     const BsInboundLimits *limits = &inbound->server->limits;
+    inbound->header_timeout_ms = limits->header_timeout_ms;
+    inbound->body_idle_timeout_ms = limits->idle_timeout_ms;
     BsHttpReader_SetLimits(inbound->reader, limits->header_bytes,
                            limits->body_bytes);
 }
@@ -514,7 +519,6 @@
 static void
 S_check_timeout(BsInbound *inbound, int64_t now_ms)
 {
-    const BsInboundLimits *limits = &inbound->server->limits;
     if (inbound->state == STATE_IDLE &&
         now_ms - inbound->active_ms > S_idle_limit_ms(inbound)) {
         S_close_when_sent(inbound);
@@ -523,9 +527,10 @@
     if (inbound->state != STATE_READING) {
         return;
     }
-    bool late = inbound->head == NULL
-                    ? now_ms - inbound->started_ms > limits->header_timeout_ms
-                    : now_ms - inbound->active_ms > limits->idle_timeout_ms;
+    bool late =
+        inbound->head == NULL
+            ? now_ms - inbound->started_ms > inbound->header_timeout_ms
+            : now_ms - inbound->active_ms > inbound->body_idle_timeout_ms;
     if (late) {
         S_refuse(inbound, 408, NULL);
     }
--- a/tests/gate/gateway_close_test.cc
+++ b/tests/gate/gateway_close_test.cc
@@ -61,4 +61,39 @@
     EXPECT_TRUE(IsHealthy(untold->ReadMessage(), "d"));
 }
 
+// Guards against a request refused by a shorter idle time that came into force
+// while its body was read.
+TEST_F(CloseTest, ABodyIsReadByTheIdleTimeAtItsStart)
+{
+    Start({Answers});
+    const std::string call = Call("/look/1", "a", "", "body");
+    std::unique_ptr<Socket> before = gateway_->Open();
+    before->Write(call.substr(0, call.size() - 1));
+    ASSERT_TRUE(gateway_->WaitMetric("boragespur_body_bytes_held 3"));
+    PutLimits(2, 1000, 500);
+    std::unique_ptr<Socket> after = gateway_->Open();
+    after->Write(call.substr(0, call.size() - 1));
+    ASSERT_EQ(StatusOf(after->ReadAll()), 408);
+    before->Write(call.substr(call.size() - 1));
+    EXPECT_TRUE(IsHealthy(before->ReadMessage(), "a"));
+}
+
+// Guards against a request refused by a shorter header time-out that came into
+// force while its head was read.
+TEST_F(CloseTest, AHeadIsReadByTheTimeoutAtItsStart)
+{
+    Start({Answers});
+    PutLimits(2, 15000, 15000);
+    const std::string call = Call("/look/1", "a");
+    std::unique_ptr<Socket> before = gateway_->Open();
+    before->Write(call.substr(0, call.size() - 1));
+    WaitConnections(1);
+    PutLimits(3, 500, 15000);
+    std::unique_ptr<Socket> after = gateway_->Open();
+    after->Write(call.substr(0, call.size() - 1));
+    ASSERT_EQ(StatusOf(after->ReadAll()), 408);
+    before->Write(call.substr(call.size() - 1));
+    EXPECT_TRUE(IsHealthy(before->ReadMessage(), "a"));
+}
+
 } // namespace
