A request that crosses the close of an idle connection is left unread

Callers saw: a request sent while the gateway closed its idle connection (idle time, or a stop) got neither an answer nor a reset. Cause: such a connection was shut down for writing, and what arrived afterwards was read and dropped. Callers repeat an unsafe request after a close only when it was not read, and a reset is how they are told. Now nothing is read any more: on the first readable event the socket is closed, and the kernel resets the connection when bytes are left. The metric requests_left_unread_total and the log event of the same name count these (FIONREAD, which reads nothing).

A reset drops what the kernel has not delivered. So an idle connection is closed only once its last answer is sent and acknowledged (SIOCOUTQ is 0); until then it stays open, and a stop waits for answers that are still buffered on such connections. Not covered: a caller whose own kernel drops bytes that it has acknowledged and that its program has not read (Linux keeps them, the test reads the earlier answer after the reset); a kernel without SIOCOUTQ, where only the gateway's own buffer counts; a stop that reaches the end of its grace period. A caller that acknowledges nothing is ended by TCP_USER_TIMEOUT as before.

Evidence: on the code before, CloseTest.ARequestThatCrossesAnIdleCloseIsLeftUnread WaitPoll(*caller, 0) Actual: false no reset CloseTest.ARequestThatCrossesTheCloseOfAStopIsLeftUnread WaitPoll(*caller, 0) Actual: false no reset (no reset within 20 s). Both pass now.

--- a/src/gw_gateway.c
+++ b/src/gw_gateway.c
@@ -144,6 +144,7 @@
         BsInboundServer_CloseIdle(gate->callers, STOP_IDLE_MS);
     }
     bool idle = BsInboundServer_Requests(gate->callers) == 0 &&
+                BsInboundServer_PendingBytes(gate->callers) == 0 &&
                 BsStream_ClosingBytes() == 0 &&
                 (BsInboundServer_Connections(gate->callers) == 0 ||
                  passed_ms >= STOP_WITH_CONNECTIONS_MS);
@@ -242,6 +243,22 @@
     return changed;
 }
 
+/* Logs how many requests have been left unread since the last call, because
+   they crossed the close of their idle connections. */
+static void
+S_log_unread(BsGateway *gateway)
+{
+    BsEventLog *log = gateway->gate.log;
+    uint64_t closes = BsStream_UnreadCloses();
+    if (closes > gateway->unread_closes &&
+        BsEventLog_Begin(log, BS_EVENT_STATE, "requests_left_unread")) {
+        BsEventLog_Number(log, "count",
+                          (int64_t)(closes - gateway->unread_closes));
+        BsEventLog_End(log);
+    }
+    gateway->unread_closes = closes;
+}
+
 static void
 S_on_tick(struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -262,6 +279,7 @@
             S_reload(gateway);
         }
     }
+    S_log_unread(gateway);
     if (gateway->gate.stopping) {
         S_check_stop(gateway, now_ms);
     }
--- a/src/gw_gatewayparts.h
+++ b/src/gw_gatewayparts.h
@@ -29,6 +29,7 @@
     int64_t started_ms;
     int64_t stop_ms; /* when the stop signal came */
     int64_t pruned_ms;
+    uint64_t unread_closes; /* BsStream_UnreadCloses() as last logged */
 } BsGateway;
 
 /* ------------------------------------------------------- gw_published.c -- */
--- a/src/gw_inbound.c
+++ b/src/gw_inbound.c
@@ -152,14 +152,18 @@
     S_free(inbound);
 }
 
-/* Closes an idle connection, unless a request or the caller's own close waits
-   to be read: the process may have been held up until its idle time was over.
-   May free INBOUND. */
+/* Closes an idle connection so that a request which crosses the close is not
+   read.  Leaves it open when the next request or the caller's own close waits
+   to be read, as the process may have been held up until the idle time was
+   over, and when the end of the last answer has not arrived, as a reset would
+   drop it.  May free INBOUND. */
 static void
 S_close_idle(BsInbound *inbound)
 {
-    if (BsStream_IsIdle(inbound->stream)) {
-        S_close_when_sent(inbound);
+    if (BsStream_IsIdle(inbound->stream) &&
+        BsStream_UndeliveredBytes(inbound->stream) == 0) {
+        BsStream_CloseUnread(inbound->stream, CLOSE_LIMIT_S);
+        S_free(inbound);
     }
 }
 
@@ -677,6 +681,19 @@
     return g_hash_table_size(server->connections);
 }
 
+size_t
+BsInboundServer_PendingBytes(const BsInboundServer *server)
+{
+    size_t bytes = 0;
+    GHashTableIter iter;
+    gpointer inbound;
+    g_hash_table_iter_init(&iter, server->connections);
+    while (g_hash_table_iter_next(&iter, &inbound, NULL)) {
+        bytes += BsInbound_PendingBytes(inbound);
+    }
+    return bytes;
+}
+
 uint64_t
 BsInboundServer_HeldBytes(const BsInboundServer *server)
 {
--- a/src/gw_inbound.h
+++ b/src/gw_inbound.h
@@ -65,7 +65,7 @@
 void BsInboundServer_StartDrain(BsInboundServer *server);
 
 /* Closes connections that have had no request for at least IDLE_MS, but none
-   whose next request has arrived. */
+   whose next request has arrived or whose last answer has not. */
 void BsInboundServer_CloseIdle(BsInboundServer *server, int64_t idle_ms);
 
 /* Stops accepting connections. */
@@ -74,6 +74,10 @@
 /* Returns the number of open connections. */
 unsigned BsInboundServer_Connections(const BsInboundServer *server);
 
+/* Returns the bytes of answers that the kernel has not accepted yet, of all
+   open connections. */
+size_t BsInboundServer_PendingBytes(const BsInboundServer *server);
+
 /* Returns the size of all buffered request bodies. */
 uint64_t BsInboundServer_HeldBytes(const BsInboundServer *server);
 
--- a/src/gw_pages.c
+++ b/src/gw_pages.c
@@ -1,5 +1,6 @@
 /* gw_pages.c - readiness check for balancers, status and metrics. */
 #include "gw_gatewayparts.h"
+#include "gw_stream.h"
 
 #include <jansson.h>
 #include <string.h>
@@ -47,6 +48,8 @@
     BsCounters_Set(counters, "crashers_stopped_total", crash_counts.blocks);
     BsCounters_Set(counters, "connections",
                    BsInboundServer_Connections(gate->callers));
+    BsCounters_Set(counters, "requests_left_unread_total",
+                   BsStream_UnreadCloses());
     BsCounters_Set(counters, "body_bytes_held",
                    BsInboundServer_HeldBytes(gate->callers));
     BsCounters_Set(counters, "upstream_connections_opened", stats->opened);
--- a/src/gw_stream.c
+++ b/src/gw_stream.c
@@ -3,8 +3,10 @@
 
 #include <errno.h>
 #include <fcntl.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -31,8 +33,9 @@
     int fd;
     unsigned depth; /* nested callbacks; freed only at 0 */
     bool connecting;
-    bool closing;     /* sends what is buffered, then closes itself */
-    bool shut_writes; /* shuts down writing once the buffer is sent */
+    bool closing;       /* sends what is buffered, then closes itself */
+    bool shut_writes;   /* shuts down writing once the buffer is sent */
+    bool leaves_unread; /* reads nothing before it closes itself */
     bool socket_closed;
 };
 
@@ -40,6 +43,9 @@
    global because each process has one event loop. */
 static GQueue S_closing = G_QUEUE_INIT;
 
+/* Streams that were closed with bytes left unread. */
+static uint64_t S_unread_closes;
+
 static void
 S_free(BsStream *stream)
 {
@@ -50,6 +56,15 @@
     g_free(stream);
 }
 
+/* Returns the bytes that have arrived and were not read, 0 when that is
+   unknown. */
+static int
+S_unread_bytes(const BsStream *stream)
+{
+    int bytes = 0;
+    return ioctl(stream->fd, FIONREAD, &bytes) == 0 ? bytes : 0;
+}
+
 static void
 S_close_socket(BsStream *stream)
 {
@@ -57,6 +72,9 @@
         return;
     }
     stream->socket_closed = true;
+    if (stream->leaves_unread && S_unread_bytes(stream) > 0) {
+        S_unread_closes++;
+    }
     ev_io_stop(stream->loop, &stream->read_watcher);
     ev_io_stop(stream->loop, &stream->write_watcher);
     ev_timer_stop(stream->loop, &stream->close_timer);
@@ -186,6 +204,10 @@
     (void)events;
     static char buffer[READ_BYTES];
     BsStream *stream = watcher->data;
+    if (stream->leaves_unread) {
+        BsStream_Destroy(stream);
+        return;
+    }
     ssize_t size = recv(stream->fd, buffer, sizeof(buffer), 0);
     if (size < 0 &&
         (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) {
@@ -274,6 +296,19 @@
     }
 }
 
+void
+BsStream_CloseUnread(BsStream *stream, double limit_s)
+{
+    stream->leaves_unread = true;
+    BsStream_CloseWhenSent(stream, limit_s);
+}
+
+uint64_t
+BsStream_UnreadCloses(void)
+{
+    return S_unread_closes;
+}
+
 size_t
 BsStream_ClosingBytes(void)
 {
@@ -353,6 +388,16 @@
     return stream->out->len - stream->out_at;
 }
 
+size_t
+BsStream_UndeliveredBytes(const BsStream *stream)
+{
+    int unacknowledged = 0;
+    if (ioctl(stream->fd, SIOCOUTQ, &unacknowledged) != 0) {
+        unacknowledged = 0; /* unknown; the buffered bytes count alone */
+    }
+    return BsStream_PendingBytes(stream) + (size_t)unacknowledged;
+}
+
 bool
 BsStream_IsIdle(const BsStream *stream)
 {
--- a/src/gw_stream.h
+++ b/src/gw_stream.h
@@ -43,6 +43,17 @@
    callbacks.  Bytes not sent within LIMIT_S seconds are dropped. */
 void BsStream_CloseWhenSent(BsStream *stream, double limit_s);
 
+/* Shuts down the writing side of STREAM, which must have no undelivered bytes,
+   and frees it once the peer has closed or LIMIT_S seconds have passed,
+   without further callbacks.  Reads nothing more: bytes that still arrive make
+   the kernel reset the connection, so that the peer knows that they were not
+   read. */
+void BsStream_CloseUnread(BsStream *stream, double limit_s);
+
+/* Returns how many streams given to BsStream_CloseUnread() were closed with
+   bytes left unread. */
+uint64_t BsStream_UnreadCloses(void);
+
 /* Returns the unsent bytes of all streams given to
    BsStream_CloseWhenSent(). */
 size_t BsStream_ClosingBytes(void);
@@ -67,6 +78,9 @@
 /* Returns the bytes that the kernel has not accepted yet. */
 size_t BsStream_PendingBytes(const BsStream *stream);
 
+/* Returns the written bytes that the peer has not acknowledged yet. */
+size_t BsStream_UndeliveredBytes(const BsStream *stream);
+
 /* Returns whether the connection is open and has no bytes to read. */
 bool BsStream_IsIdle(const BsStream *stream);
 
--- a/tests/gate/gateway_close_test.cc
+++ b/tests/gate/gateway_close_test.cc
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <csignal>
+#include <poll.h>
 #include <thread>
 
 namespace {
@@ -132,4 +133,51 @@
     EXPECT_NE(StatusOf(caller->ReadMessage()), 0);
 }
 
+// Waits for EVENTS on SOCKET without reading.
+bool
+WaitPoll(const Socket &socket, short events)
+{
+    const int bound_ms = 20000;
+    pollfd entry = {socket.fd(), events, 0};
+    return poll(&entry, 1, bound_ms) == 1;
+}
+
+// Guards against a request that crosses the close of its idle connection and
+// is read and dropped: a caller may repeat it only when it was not read.
+TEST_F(CloseTest, ARequestThatCrossesAnIdleCloseIsLeftUnread)
+{
+    Start({Answers});
+    PutLimits(2, 1000, 500);
+    std::unique_ptr<Socket> caller = gateway_->Open();
+    caller->Write(Call("/book/1", "a"));
+    ASSERT_TRUE(WaitPoll(*caller, POLLRDHUP));
+    caller->Write(Call("/book/1", "b"));
+    ASSERT_TRUE(WaitPoll(*caller, 0)) << "no reset";
+    EXPECT_TRUE(IsHealthy(caller->ReadMessage(), "a")) << "lost by the reset";
+    EXPECT_TRUE(
+        gateway_->WaitMetric("boragespur_requests_left_unread_total 1"));
+    EXPECT_TRUE(Eventually([&] {
+        return gateway_->Log().find("\"requests_left_unread\"") !=
+               std::string::npos;
+    }));
+    EXPECT_EQ(runners_[0]->count(), 1);
+}
+
+// The same with the closes of a stop.
+TEST_F(CloseTest, ARequestThatCrossesTheCloseOfAStopIsLeftUnread)
+{
+    Start({Answers});
+    std::unique_ptr<Socket> caller = gateway_->Open();
+    caller->Write(Call("/book/1", "a"));
+    ASSERT_TRUE(IsHealthy(caller->ReadMessage(), "a"));
+    gateway_->Signal(SIGTERM);
+    ASSERT_TRUE(WaitPoll(*caller, POLLRDHUP));
+    caller->Write(Call("/book/1", "b"));
+    ASSERT_TRUE(WaitPoll(*caller, 0)) << "no reset";
+    EXPECT_EQ(gateway_->Wait(), 0);
+    EXPECT_NE(gateway_->Log().find("\"requests_left_unread\""),
+              std::string::npos);
+    EXPECT_EQ(runners_[0]->count(), 1);
+}
+
 } // namespace
