A connection that is to close goes on while its caller takes the answer

Callers saw: a caller that read a long answer slowly but steadily got its beginning only, with `Connection: close` as well as during a stop. Cause: a connection that is to close was closed two seconds after the end of its answer, sent or not. Now the limit starts anew as long as bytes are buffered and the caller has acknowledged some since the limit was last looked at.

Not covered: a kernel without SIOCOUTQ, where only steps of the gateway's own buffer count; the end of the grace period.

--- a/src/gw_stream.c
+++ b/src/gw_stream.c
@@ -29,7 +29,8 @@
     ev_io write_watcher;
     ev_timer close_timer;
     GString *out;
-    size_t out_at; /* sent bytes at the front of OUT */
+    size_t out_at;      /* sent bytes at the front of OUT */
+    size_t undelivered; /* bytes, when the close limit was last checked */
     int fd;
     unsigned depth; /* nested callbacks; freed only at 0 */
     bool connecting;
@@ -223,12 +224,20 @@
     S_leave_callback(stream);
 }
 
+/* Runs at each end of the close limit: closes, unless the peer has taken some
+   of the buffered bytes since the last one.  Counts what the peer has
+   acknowledged, as the kernel accepts bytes in large steps only. */
 static void
 S_on_close_limit(struct ev_loop *loop, ev_timer *watcher, int events)
 {
     (void)loop;
     (void)events;
-    BsStream_Destroy(watcher->data);
+    BsStream *stream = watcher->data;
+    size_t before = stream->undelivered;
+    stream->undelivered = BsStream_UndeliveredBytes(stream);
+    if (BsStream_PendingBytes(stream) == 0 || stream->undelivered >= before) {
+        BsStream_Destroy(stream);
+    }
 }
 
 static BsStream *
@@ -289,7 +298,8 @@
     stream->closing = true;
     g_queue_push_tail(&S_closing, stream);
     ev_io_start(stream->loop, &stream->read_watcher);
-    ev_timer_set(&stream->close_timer, limit_s, 0);
+    stream->undelivered = BsStream_UndeliveredBytes(stream);
+    ev_timer_set(&stream->close_timer, limit_s, limit_s);
     ev_timer_start(stream->loop, &stream->close_timer);
     if (stream->out->len == 0 && !stream->connecting) {
         S_on_sent(stream);
--- a/src/gw_stream.h
+++ b/src/gw_stream.h
@@ -40,7 +40,8 @@
 void BsStream_Destroy(BsStream *stream);
 
 /* Sends the buffered bytes, then closes and frees STREAM, without further
-   callbacks.  Bytes not sent within LIMIT_S seconds are dropped. */
+   callbacks.  The buffered bytes are dropped when the peer takes none for
+   LIMIT_S seconds, at the latest for twice as long. */
 void BsStream_CloseWhenSent(BsStream *stream, double limit_s);
 
 /* Shuts down the writing side of STREAM, which must have no undelivered bytes,
--- a/tests/gate/gateway_close_test.cc
+++ b/tests/gate/gateway_close_test.cc
@@ -1,9 +1,12 @@
 // When a gateway closes its connections with callers, on real sockets.
 #include "gateway_fixture.h"
 
+#include <arpa/inet.h>
 #include <chrono>
 #include <csignal>
+#include <future>
 #include <poll.h>
+#include <sys/socket.h>
 #include <thread>
 
 namespace {
@@ -180,4 +183,130 @@
     EXPECT_EQ(runners_[0]->count(), 1);
 }
 
+// Connects to GATEWAY with a receive buffer of a few KiB.
+std::unique_ptr<Socket>
+OpenSmall(Gateway &gateway)
+{
+    std::unique_ptr<Socket> other = gateway.Open();
+    sockaddr_in address = {};
+    socklen_t length = sizeof(address);
+    getpeername(other->fd(), reinterpret_cast<sockaddr *>(&address), &length);
+    return std::make_unique<Socket>(
+        ConnectWithSmallBuffer(ntohs(address.sin_port)));
+}
+
+// Returns how many bytes the kernel takes for a caller that does not read.
+size_t
+KernelBytes()
+{
+    std::promise<size_t> taken;
+    std::promise<void> done;
+    Server server([&](Socket &socket) {
+        const std::string block(65536, 'x');
+        size_t bytes = 0;
+        ssize_t size = 0;
+        while ((size = send(socket.fd(), block.data(), block.size(),
+                            MSG_DONTWAIT)) > 0) {
+            bytes += static_cast<size_t>(size);
+        }
+        taken.set_value(bytes);
+        done.get_future().wait();
+    });
+    Socket caller(ConnectWithSmallBuffer(server.port()));
+    size_t bytes = taken.get_future().get();
+    done.set_value();
+    return bytes;
+}
+
+// Reads BYTES from SOCKET every PAUSE_MS for TIME_MS, then the rest at once.
+std::string
+ReadSlowly(Socket &socket, size_t bytes, int pause_ms, int time_ms)
+{
+    std::string text;
+    std::string block(bytes, '\0');
+    for (int at_ms = 0; at_ms < time_ms; at_ms += pause_ms) {
+        ssize_t size = read(socket.fd(), block.data(), block.size());
+        if (size <= 0) {
+            return text;
+        }
+        text.append(block, 0, static_cast<size_t>(size));
+        std::this_thread::sleep_for(std::chrono::milliseconds(pause_ms));
+    }
+    return text + socket.ReadAll();
+}
+
+// A long answer, of which the gateway itself still holds a part when it has
+// ended.
+class SlowCallerTest : public CloseTest {
+  protected:
+    // Less than the gateway reads ahead of a slow caller.
+    static constexpr size_t kHeldBytes = 160 * 1024;
+    void StartLong()
+    {
+        body_ = std::string(KernelBytes() + kHeldBytes, 'x');
+        Start({[this](Socket &socket, const ReceivedRequest &got) {
+            return socket.Write(SignedAnswer(got, body_));
+        }});
+    }
+    void WaitAnswered()
+    {
+        ASSERT_TRUE(gateway_->WaitMetric(
+            "boragespur_requests_total{route=\"look\",outcome=\"answered\"} "
+            "1"));
+    }
+    bool IsWhole(const std::string &answer)
+    {
+        return StatusOf(answer) == 200 && answer.size() > body_.size() &&
+               answer.ends_with(body_);
+    }
+    std::string body_;
+};
+
+// Guards against the end of an answer dropped some seconds after it was
+// written, though the caller reads it steadily.
+TEST_F(SlowCallerTest, GetsTheWholeAnswerBeforeTheClose)
+{
+    StartLong();
+    std::unique_ptr<Socket> caller = OpenSmall(*gateway_);
+    caller->Write(Call("/look/1", "a", "Connection: close\r\n"));
+    WaitAnswered();
+    EXPECT_TRUE(IsWhole(ReadSlowly(*caller, 4096, 40, 9000)));
+}
+
+// The same during a stop.
+TEST_F(SlowCallerTest, GetsTheWholeAnswerDuringAStop)
+{
+    StartLong();
+    std::unique_ptr<Socket> caller = OpenSmall(*gateway_);
+    gateway_->Signal(SIGTERM);
+    ASSERT_TRUE(gateway_->WaitReady(false));
+    caller->Write(Call("/look/1", "a"));
+    WaitAnswered();
+    EXPECT_TRUE(IsWhole(ReadSlowly(*caller, 8192, 25, 3500)));
+    EXPECT_EQ(gateway_->Wait(), 0);
+}
+
+// The same with an answer that began before the stop, so that its connection
+// was to be kept.
+TEST_F(SlowCallerTest, GetsTheWholeAnswerThatBeganBeforeAStop)
+{
+    body_ = std::string(KernelBytes() + kHeldBytes, 'x');
+    Start({[this](Socket &socket, const ReceivedRequest &got) {
+        std::string answer = SignedAnswer(got, body_);
+        size_t half = answer.size() / 2;
+        bool open = socket.Write(answer.substr(0, half));
+        return Eventually([&] { return go_.load(); }) && open &&
+               socket.Write(answer.substr(half));
+    }});
+    std::unique_ptr<Socket> caller = OpenSmall(*gateway_);
+    caller->Write(Call("/look/1", "a"));
+    ASSERT_TRUE(WaitPoll(*caller, POLLIN));
+    gateway_->Signal(SIGTERM);
+    ASSERT_TRUE(gateway_->WaitReady(false));
+    go_ = true;
+    WaitAnswered();
+    EXPECT_TRUE(IsWhole(ReadSlowly(*caller, 8192, 50, 6000)));
+    EXPECT_EQ(gateway_->Wait(), 0);
+}
+
 } // namespace
