A caller may pause at the end of an answer as long as in its middle

Callers saw: a caller that stopped reading for two to four seconds kept its answer while the gateway still wrote it, but lost the end of it when the pause fell after the last write. Cause: the connection was closed after two seconds without progress, while TCP_USER_TIMEOUT lets a connection go unacknowledged for four. The limit is five seconds now, so the kernel's decides. Price: a caller that does not close its side after the end of its answer holds a descriptor for five seconds instead of two.

Evidence: on the code before, SlowCallerTest.GetsTheWholeAnswerAfterAPause IsWhole(ReadSlowly(*caller, 8192, 25, 1500, 3500)) Actual: false Passes now.

--- a/src/gw_inbound.c
+++ b/src/gw_inbound.c
@@ -24,9 +24,10 @@
 /* Pipelined bytes buffered per connection before reading stops. */
 #define PIPELINED_MAX_BYTES 65536
 
-/* Time for a caller to read the end of the last answer before its connection
-   is closed. */
-#define CLOSE_LIMIT_S 2.0
+/* Time for a caller to read a part of the last answer, or to close, before its
+   connection is closed.  Longer than a stream may go unacknowledged, so that a
+   pause which the answer outlives does not cut off its end. */
+#define CLOSE_LIMIT_S 5.0
 
 /* Bodies up to this size are accepted even when the limit on all bodies
    together is exceeded. */
--- a/tests/gate/gateway_close_test.cc
+++ b/tests/gate/gateway_close_test.cc
@@ -218,13 +218,16 @@
     return bytes;
 }
 
-// Reads BYTES from SOCKET every PAUSE_MS for TIME_MS, then the rest at once.
+// Reads BYTES from SOCKET every PAUSE_MS for TIME_MS, then nothing for
+// REST_MS, then the rest at once.
 std::string
-ReadSlowly(Socket &socket, size_t bytes, int pause_ms, int time_ms)
+ReadSlowly(Socket &socket, size_t bytes, int pause_ms, int time_ms,
+           int rest_ms = 0)
 {
     std::string text;
     std::string block(bytes, '\0');
-    for (int at_ms = 0; at_ms < time_ms; at_ms += pause_ms) {
+    for (int at_ms = 0; at_ms < time_ms && WaitPoll(socket, POLLIN);
+         at_ms += pause_ms) {
         ssize_t size = read(socket.fd(), block.data(), block.size());
         if (size <= 0) {
             return text;
@@ -232,6 +235,7 @@
         text.append(block, 0, static_cast<size_t>(size));
         std::this_thread::sleep_for(std::chrono::milliseconds(pause_ms));
     }
+    std::this_thread::sleep_for(std::chrono::milliseconds(rest_ms));
     return text + socket.ReadAll();
 }
 
@@ -309,4 +313,15 @@
     EXPECT_EQ(gateway_->Wait(), 0);
 }
 
+// Guards against the end of an answer dropped because its caller paused for
+// less than a connection may be silent.
+TEST_F(SlowCallerTest, GetsTheWholeAnswerAfterAPause)
+{
+    StartLong();
+    std::unique_ptr<Socket> caller = OpenSmall(*gateway_);
+    caller->Write(Call("/look/1", "a", "Connection: close\r\n"));
+    WaitAnswered();
+    EXPECT_TRUE(IsWhole(ReadSlowly(*caller, 8192, 25, 1500, 3500)));
+}
+
 } // namespace
