--- a/src/gw_inbound.c
+++ b/src/gw_inbound.c
@@ -24,9 +24,10 @@
 /* Pipelined bytes buffered per connection before reading stops. */
 #define PIPELINED_MAX_BYTES 65536
 
-/* Time for a caller to read the end of the last answer before its connection
-   is closed. */
-#define CLOSE_LIMIT_S 2.0
+/* Time for a caller to read a part of the last answer, or to close, before its
+   connection is closed.  Longer than a stream may go unacknowledged, so that a
+   pause which the answer outlives does not cut off its end. */
+#define CLOSE_LIMIT_S 5.0
 
 /* Bodies up to this size are accepted even when the limit on all bodies
    together is exceeded. */
@@ -47,6 +48,9 @@
     BsInboundState state;
     int64_t started_ms; /* first byte of the request */
     int64_t active_ms;  /* last byte read, or end of the last answer */
+    int64_t idle_ms; /* idle time last announced to the caller, or at accept */
+    int64_t header_timeout_ms;    /* of the current request */
+    int64_t body_idle_timeout_ms; /* of the current request */
     bool close_after;
     bool chunked;
     bool head_sent;
@@ -149,10 +153,28 @@
     S_free(inbound);
 }
 
+/* Closes an idle connection so that a request which crosses the close is not
+   read.  Leaves it open when the next request or the caller's own close waits
+   to be read, as the process may have been held up until the idle time was
+   over, and when the end of the last answer has not arrived, as a reset would
+   drop it.  May free INBOUND. */
+static void
+S_close_idle(BsInbound *inbound)
+{
+    if (BsStream_IsIdle(inbound->stream) &&
+        BsStream_UndeliveredBytes(inbound->stream) == 0) {
+        BsStream_CloseUnread(inbound->stream, CLOSE_LIMIT_S);
+        S_free(inbound);
+    }
+}
+
+/* Sets the limits by which the request that starts now is read to its end. */
 static void
 S_apply_limits(BsInbound *inbound)
 {
     const BsInboundLimits *limits = &inbound->server->limits;
+    inbound->header_timeout_ms = limits->header_timeout_ms;
+    inbound->body_idle_timeout_ms = limits->idle_timeout_ms;
     BsHttpReader_SetLimits(inbound->reader, limits->header_bytes,
                            limits->body_bytes);
 }
@@ -326,6 +348,7 @@
         g_string_append(text, "Connection: close\r\n\r\n");
     }
     else {
+        inbound->idle_ms = server->limits.idle_timeout_ms;
         g_string_append_printf(text, "Keep-Alive: timeout=%u\r\n\r\n",
                                server->limits.idle_timeout_ms / MS_PER_S);
     }
@@ -445,6 +468,7 @@
     inbound->body = g_string_new(NULL);
     inbound->pipelined_data = g_string_new(NULL);
     inbound->active_ms = S_now_ms(server);
+    inbound->idle_ms = server->limits.idle_timeout_ms;
     inbound->reader = BsHttpReader_Create(BS_HTTP_REQUEST, &S_reader_events,
                                           inbound, server->limits.header_bytes,
                                           server->limits.body_bytes);
@@ -498,23 +522,31 @@
     }
 }
 
+/* Returns how long INBOUND may be idle.  A shorter limit does not bind a
+   caller that goes by an earlier answer; a longer one applies at once. */
+static int64_t
+S_idle_limit_ms(const BsInbound *inbound)
+{
+    return MAX(inbound->idle_ms, inbound->server->limits.idle_timeout_ms);
+}
+
 /* Closes a connection that is idle for too long, or refuses a request that
    arrives too slowly.  May free INBOUND. */
 static void
 S_check_timeout(BsInbound *inbound, int64_t now_ms)
 {
-    const BsInboundLimits *limits = &inbound->server->limits;
     if (inbound->state == STATE_IDLE &&
-        now_ms - inbound->active_ms > limits->idle_timeout_ms) {
-        S_close_when_sent(inbound);
+        now_ms - inbound->active_ms > S_idle_limit_ms(inbound)) {
+        S_close_idle(inbound);
         return;
     }
     if (inbound->state != STATE_READING) {
         return;
     }
-    bool late = inbound->head == NULL
-                    ? now_ms - inbound->started_ms > limits->header_timeout_ms
-                    : now_ms - inbound->active_ms > limits->idle_timeout_ms;
+    bool late =
+        inbound->head == NULL
+            ? now_ms - inbound->started_ms > inbound->header_timeout_ms
+            : now_ms - inbound->active_ms > inbound->body_idle_timeout_ms;
     if (late) {
         S_refuse(inbound, 408, NULL);
     }
@@ -638,7 +670,7 @@
         BsInbound *inbound = node->data;
         if (inbound->state == STATE_IDLE &&
             now_ms - inbound->active_ms >= idle_ms) {
-            S_close_when_sent(inbound);
+            S_close_idle(inbound);
         }
     }
     g_list_free(connections);
@@ -650,6 +682,19 @@
     return g_hash_table_size(server->connections);
 }
 
+size_t
+BsInboundServer_PendingBytes(const BsInboundServer *server)
+{
+    size_t bytes = 0;
+    GHashTableIter iter;
+    gpointer inbound;
+    g_hash_table_iter_init(&iter, server->connections);
+    while (g_hash_table_iter_next(&iter, &inbound, NULL)) {
+        bytes += BsInbound_PendingBytes(inbound);
+    }
+    return bytes;
+}
+
 uint64_t
 BsInboundServer_HeldBytes(const BsInboundServer *server)
 {
--- a/src/gw_stream.c
+++ b/src/gw_stream.c
@@ -3,8 +3,10 @@
 
 #include <errno.h>
 #include <fcntl.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -27,12 +29,14 @@
     ev_io write_watcher;
     ev_timer close_timer;
     GString *out;
-    size_t out_at; /* sent bytes at the front of OUT */
+    size_t out_at;      /* sent bytes at the front of OUT */
+    size_t undelivered; /* bytes, when the close limit was last checked */
     int fd;
     unsigned depth; /* nested callbacks; freed only at 0 */
     bool connecting;
-    bool closing;     /* sends what is buffered, then closes itself */
-    bool shut_writes; /* shuts down writing once the buffer is sent */
+    bool closing;       /* sends what is buffered, then closes itself */
+    bool shut_writes;   /* shuts down writing once the buffer is sent */
+    bool leaves_unread; /* reads nothing before it closes itself */
     bool socket_closed;
 };
 
@@ -40,6 +44,9 @@
    global because each process has one event loop. */
 static GQueue S_closing = G_QUEUE_INIT;
 
+/* Streams that were closed with bytes left unread. */
+static uint64_t S_unread_closes;
+
 static void
 S_free(BsStream *stream)
 {
@@ -50,6 +57,15 @@
     g_free(stream);
 }
 
+/* Returns the bytes that have arrived and were not read, 0 when that is
+   unknown. */
+static int
+S_unread_bytes(const BsStream *stream)
+{
+    int bytes = 0;
+    return ioctl(stream->fd, FIONREAD, &bytes) == 0 ? bytes : 0;
+}
+
 static void
 S_close_socket(BsStream *stream)
 {
@@ -57,6 +73,9 @@
         return;
     }
     stream->socket_closed = true;
+    if (stream->leaves_unread && S_unread_bytes(stream) > 0) {
+        S_unread_closes++;
+    }
     ev_io_stop(stream->loop, &stream->read_watcher);
     ev_io_stop(stream->loop, &stream->write_watcher);
     ev_timer_stop(stream->loop, &stream->close_timer);
@@ -186,6 +205,10 @@
     (void)events;
     static char buffer[READ_BYTES];
     BsStream *stream = watcher->data;
+    if (stream->leaves_unread) {
+        BsStream_Destroy(stream);
+        return;
+    }
     ssize_t size = recv(stream->fd, buffer, sizeof(buffer), 0);
     if (size < 0 &&
         (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) {
@@ -201,12 +224,20 @@
     S_leave_callback(stream);
 }
 
+/* Runs at each end of the close limit: closes, unless the peer has taken some
+   of the buffered bytes since the last one.  Counts what the peer has
+   acknowledged, as the kernel accepts bytes in large steps only. */
 static void
 S_on_close_limit(struct ev_loop *loop, ev_timer *watcher, int events)
 {
     (void)loop;
     (void)events;
-    BsStream_Destroy(watcher->data);
+    BsStream *stream = watcher->data;
+    size_t before = stream->undelivered;
+    stream->undelivered = BsStream_UndeliveredBytes(stream);
+    if (BsStream_PendingBytes(stream) == 0 || stream->undelivered >= before) {
+        BsStream_Destroy(stream);
+    }
 }
 
 static BsStream *
@@ -267,13 +298,27 @@
     stream->closing = true;
     g_queue_push_tail(&S_closing, stream);
     ev_io_start(stream->loop, &stream->read_watcher);
-    ev_timer_set(&stream->close_timer, limit_s, 0);
+    stream->undelivered = BsStream_UndeliveredBytes(stream);
+    ev_timer_set(&stream->close_timer, limit_s, limit_s);
     ev_timer_start(stream->loop, &stream->close_timer);
     if (stream->out->len == 0 && !stream->connecting) {
         S_on_sent(stream);
     }
 }
 
+void
+BsStream_CloseUnread(BsStream *stream, double limit_s)
+{
+    stream->leaves_unread = true;
+    BsStream_CloseWhenSent(stream, limit_s);
+}
+
+uint64_t
+BsStream_UnreadCloses(void)
+{
+    return S_unread_closes;
+}
+
 size_t
 BsStream_ClosingBytes(void)
 {
@@ -353,6 +398,16 @@
     return stream->out->len - stream->out_at;
 }
 
+size_t
+BsStream_UndeliveredBytes(const BsStream *stream)
+{
+    int unacknowledged = 0;
+    if (ioctl(stream->fd, SIOCOUTQ, &unacknowledged) != 0) {
+        unacknowledged = 0; /* unknown; the buffered bytes count alone */
+    }
+    return BsStream_PendingBytes(stream) + (size_t)unacknowledged;
+}
+
 bool
 BsStream_IsIdle(const BsStream *stream)
 {
