A settings file read during a stop no longer ends requests in progress

What callers saw: a gateway that was stopping and read a settings file with a shorter grace period ended at once. Requests that were queued, sent or in the middle of their answer lost their connection, without an answer or a refusal.

Cause: the end of the grace period was computed from the settings in force at each check of the stop, not from those at SIGTERM. The file is read on SIGHUP and also once a second when it has changed, so no signal was needed.

--- a/src/gw_gateway.c
+++ b/src/gw_gateway.c
@@ -137,8 +137,6 @@
 {
     BsGate *gate = &gateway->gate;
     int64_t passed_ms = now_ms - gateway->stop_ms;
-    int64_t limit_ms =
-        (int64_t)gateway->settings->bounds.grace_s * MS_PER_S - STOP_MARGIN_MS;
     gate->refusing = passed_ms >= STOP_REFUSE_MS;
     if (passed_ms >= STOP_IDLE_AFTER_MS) {
         BsInboundServer_CloseIdle(gate->callers, STOP_IDLE_MS);
@@ -147,7 +145,8 @@
                 BsStream_ClosingBytes() == 0 &&
                 (BsInboundServer_Connections(gate->callers) == 0 ||
                  passed_ms >= STOP_WITH_CONNECTIONS_MS);
-    if ((idle && passed_ms >= STOP_MIN_MS) || passed_ms >= limit_ms) {
+    if ((idle && passed_ms >= STOP_MIN_MS) ||
+        passed_ms >= gateway->stop_limit_ms) {
         ev_break(gate->loop, EVBREAK_ALL);
     }
 }
@@ -164,6 +163,10 @@
     }
     gate->stopping = true;
     gateway->stop_ms = S_now_ms();
+    /* A settings file that is read later must not end requests that are
+       answered meanwhile. */
+    gateway->stop_limit_ms =
+        (int64_t)gateway->settings->bounds.grace_s * MS_PER_S - STOP_MARGIN_MS;
     BsInboundServer_StartDrain(gate->callers);
     if (BsEventLog_Begin(gate->log, BS_EVENT_STATE, "stopping")) {
         BsEventLog_Number(gate->log, "requests",
--- a/src/gw_gatewayparts.h
+++ b/src/gw_gatewayparts.h
@@ -27,7 +27,8 @@
     ev_signal hangup;
     struct timespec read_at; /* modification time of the settings file read */
     int64_t started_ms;
-    int64_t stop_ms; /* when the stop signal came */
+    int64_t stop_ms;       /* when the stop signal came */
+    int64_t stop_limit_ms; /* longest time from then to the exit */
     int64_t pruned_ms;
 } BsGateway;
 
--- a/tests/gate/gateway_planned_test.cc
+++ b/tests/gate/gateway_planned_test.cc
@@ -961,6 +961,22 @@
     EXPECT_EQ(gateway_->Wait(), 0);
 }
 
+// Guards against requests that are cut off because a settings file with a
+// shorter grace period is read while the process stops.
+TEST_F(PlannedTest, AShorterGracePeriodDoesNotShortenAStopInProgress)
+{
+    StartAll(true);
+    BeginAll();
+    gateway_->Signal(SIGTERM);
+    ASSERT_TRUE(WaitLogged("\"event\":\"stopping\""));
+    gateway_->ReplaceSettings("grace_s: 8", "grace_s: 1");
+    gateway_->Signal(SIGHUP);
+    ASSERT_TRUE(WaitLogged(kInForce));
+    ContinueAll();
+    CheckAll({503});
+    EXPECT_EQ(gateway_->Wait(), 0);
+}
+
 // ------------------------------------------------- gaps, one entry for each
 // --
 
