A changed retry window neither uses up nor forgets retries

What callers saw: after a settings file with a longer retry_window_s, retries that were counted before never became free again, so that requests whose attempt failed got 502, or lost their connection when a part of the answer had been sent. After a shorter window all counted retries were forgotten.

Cause: the spans in which retries are counted were numbered by the clock divided by their length. With longer spans the numbers went back, and the counts did not expire until the clock had caught up, which takes as long as the machine has run. With shorter ones the numbers jumped and all counts were cleared, against the contract of BsRetryBudget_SetBounds().

Now each service keeps the start of its newest span, whatever their length.

--- a/src/quota.c
+++ b/src/quota.c
@@ -303,7 +303,8 @@
 typedef struct {
     uint64_t requests[RETRY_SPANS];
     uint64_t retries[RETRY_SPANS];
-    int64_t span; /* number of the newest span */
+    size_t newest;      /* index of the newest span */
+    int64_t started_ms; /* when the newest span began */
 } BsRetryCounts;
 
 struct BsRetryBudget {
@@ -351,16 +352,17 @@
     BsRetryCounts *counts = g_hash_table_lookup(budget->services, service);
     if (counts == NULL) {
         counts = g_new0(BsRetryCounts, 1);
+        counts->started_ms = now_ms;
         g_hash_table_insert(budget->services, g_strdup(service), counts);
     }
-    int64_t span = now_ms / budget->span_ms;
-    int64_t passed = MIN(span - counts->span, RETRY_SPANS);
-    for (int64_t i = 0; i < passed; i++) {
-        size_t at = (size_t)((span - i) % RETRY_SPANS);
-        counts->requests[at] = 0;
-        counts->retries[at] = 0;
+    /* Spans are not numbered by the clock, as their length may change. */
+    int64_t passed = MAX(0, (now_ms - counts->started_ms) / budget->span_ms);
+    for (int64_t i = 0; i < MIN(passed, RETRY_SPANS); i++) {
+        counts->newest = (counts->newest + 1) % RETRY_SPANS;
+        counts->requests[counts->newest] = 0;
+        counts->retries[counts->newest] = 0;
     }
-    counts->span = MAX(counts->span, span);
+    counts->started_ms += passed * budget->span_ms;
     return counts;
 }
 
@@ -369,7 +371,7 @@
                          int64_t now_ms)
 {
     BsRetryCounts *counts = S_current_counts(budget, service, now_ms);
-    counts->requests[counts->span % RETRY_SPANS]++;
+    counts->requests[counts->newest]++;
 }
 
 bool
@@ -389,6 +391,6 @@
     if ((double)retries + 1 > allowed) {
         return false;
     }
-    counts->retries[counts->span % RETRY_SPANS]++;
+    counts->retries[counts->newest]++;
     return true;
 }
