Gateway tests of requests sent ahead beside planned work

Beside a configuration they are answered. Beside SIGTERM they are not: while the process stops, each answer closes its connection, and what was read behind the request is dropped. The caller of a request that was read whole before SIGTERM gets the answer before it, then the end of the connection; the request is never sent to an upstream. S_write_head() and BsInbound_EndAnswer() in gw_inbound.c, not changed here.

--- a/tests/gate/gateway_planned_test.cc
+++ b/tests/gate/gateway_planned_test.cc
@@ -1017,4 +1017,62 @@
     EXPECT_EQ(gateway_->Wait(), 0);
 }
 
+class PlannedAheadTest : public PlannedTest {
+  protected:
+    // Sends two requests of each kind, the second ahead of the first answer.
+    void BeginPairs()
+    {
+        for (const Kind &kind : kKinds) {
+            Begin(kind, kStates[3]);
+            Flow &flow = *flows_.back();
+            std::string id = std::string(kind.name) + "_ahead";
+            flow.socket->Write(
+                RequestText("/" + RouteOf(kind, flow.state) + "/" + id, id));
+        }
+    }
+    // Checks the answers of all pairs.
+    void CheckPairs()
+    {
+        for (auto &flow : flows_) {
+            Received first = flow->reader->Read();
+            EXPECT_TRUE(first.complete && first.status == 200) << flow->id;
+            std::string id = std::string(flow->kind->name) + "_ahead";
+            Received second = flow->reader->Read();
+            EXPECT_TRUE(second.complete && second.status == 200)
+                << id << ": status " << second.status << ", "
+                << (second.complete ? "complete" : "cut off")
+                << ", announced by the first answer: "
+                << (first.keeps ? "kept" : "closed");
+            EXPECT_EQ(CountRuns(id), 1) << id;
+            flow->socket.reset();
+        }
+    }
+};
+
+TEST_F(PlannedAheadTest, RequestsSentAheadAreAnsweredBesideAConfiguration)
+{
+    StartAll(true);
+    BeginPairs();
+    Plan plan = plan_;
+    plan.version = 2;
+    plan.idle_timeout_ms = 1000;
+    Publish(plan);
+    ASSERT_TRUE(WaitInForce());
+    ContinueAll();
+    CheckPairs();
+}
+
+// Guards against requests that a stopping process has read but drops, as the
+// answer before them closes the connection.
+TEST_F(PlannedAheadTest, RequestsSentAheadAreAnsweredBeforeTheProcessEnds)
+{
+    StartAll(true);
+    BeginPairs();
+    gateway_->Signal(SIGTERM);
+    ASSERT_TRUE(WaitLogged("\"event\":\"stopping\""));
+    ContinueAll();
+    CheckPairs();
+    EXPECT_EQ(gateway_->Wait(), 0);
+}
+
 } // namespace
