A request that was sent ahead is answered before a stopping process closes

What callers saw: of two requests sent ahead on one connection, SIGTERM came while the first was at its upstream; the second, read whole before SIGTERM, got no byte (LOST). Cause: in a stop every answer closes its connection, and what was read behind it is dropped. Now an answer behind which bytes have been read does not announce the close; the last one does. What a caller sends after an answer that announces the close is still dropped, as HTTP says.

--- a/src/gw_inbound.c
+++ b/src/gw_inbound.c
@@ -332,7 +332,9 @@
 {
     BsInboundServer *server = inbound->server;
     GString *text = g_string_new(NULL);
-    if (server->draining) {
+    /* A request that was sent ahead is answered before the connection is
+       closed. */
+    if (server->draining && inbound->pipelined_data->len == 0) {
         inbound->close_after = true;
     }
     g_string_append_printf(text, "HTTP/1.1 %u %s\r\n%s", status,
