SIGHUP without tls no longer ends boragespurd

Callers saw: a daemon whose settings have no `tls` ended at once on SIGHUP, which the manual page names as "reload the certificate". All requests in progress got a closed connection: neither an answer nor a refusal.

Cause: only d_tls.c watches SIGHUP, and it exists only with `tls`; without it the default action of the signal ended the process.

Now the signal is watched and logged.

Test: silence_test.cc. Four kinds of request (a stream, a completion, a booking with a key, a lookup) to an upstream that is silent for 2 s at one of six places of its answer, all upstreams at once, alone and beside a new sheet, SIGHUP and SIGTERM; each must get the whole answer, and each is run once.

--- a/src/d_daemon.c
+++ b/src/d_daemon.c
@@ -28,8 +28,28 @@
     BsAdmin *admin;
     BsPlatform *platform;
     BsStopSignals *stop;
+    ev_signal hangup; /* watched only without TLS, which handles it itself */
 } BsDaemon;
 
+/* A settings file without TLS has nothing that SIGHUP reloads; by default the
+   signal would end the process. */
+static void
+S_on_hangup(struct ev_loop *ev, ev_signal *watcher, int events)
+{
+    (void)ev;
+    (void)events;
+    BsLoop_Log(watcher->data, LOG_NOTICE,
+               "SIGHUP: nothing to reload, as there is no tls");
+}
+
+static void
+S_watch_hangup(BsDaemon *daemon)
+{
+    ev_signal_init(&daemon->hangup, S_on_hangup, SIGHUP);
+    daemon->hangup.data = daemon->loop;
+    ev_signal_start(BsLoop_Ev(daemon->loop), &daemon->hangup);
+}
+
 static void
 S_destroy(BsDaemon *daemon)
 {
@@ -41,6 +61,9 @@
     BsHealth_Destroy(daemon->health);
     BsUpstreams_Destroy(daemon->upstreams);
     BsTrace_Destroy(daemon->trace);
+    if (daemon->hangup.data != NULL) {
+        ev_signal_stop(BsLoop_Ev(daemon->loop), &daemon->hangup);
+    }
     BsLoop_Destroy(daemon->loop);
     BsSettings_Destroy(daemon->settings);
 }
@@ -56,6 +79,9 @@
     if (daemon->loop == NULL) {
         return false;
     }
+    if (daemon->settings->tls == NULL) {
+        S_watch_hangup(daemon);
+    }
     daemon->trace = BsTrace_Create(daemon->loop);
     daemon->upstreams = BsUpstreams_Create(daemon->loop);
     daemon->health = BsHealth_Create(daemon->loop);
--- /dev/null
+++ b/tests/contract/silence_test.cc
@@ -0,0 +1,190 @@
+// What callers receive when a sound upstream sends nothing for a while and
+// goes on, alone and beside a new sheet, SIGHUP or a planned stop.
+#include "harness.h"
+
+#include <atomic>
+#include <csignal>
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace {
+
+constexpr useconds_t kSilenceUs = 2000000;
+
+// What is asked for, and the head and body that the upstream sends.
+struct Kind {
+    const char *name;
+    const char *method;
+    const char *path;
+    const char *request;
+    const char *head;
+    const char *body;
+};
+
+const Kind kKinds[] = {
+    {"Stream", "POST", "/v1/chat/completions",
+     "{\"model\":\"m\",\"stream\":true,"
+     "\"messages\":[{\"role\":\"user\",\"content\":\"x\"}]}",
+     "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+     "Connection: close\r\n\r\n",
+     "data: {\"n\":1}\n\ndata: {\"n\":2}\n\ndata: [DONE]\n\n"},
+    {"Completion", "POST", "/v1/chat/completions",
+     "{\"model\":\"m\","
+     "\"messages\":[{\"role\":\"user\",\"content\":\"x\"}]}",
+     "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+     "Content-Length: 11\r\n\r\n",
+     "{\"n\":\"abc\"}"},
+    {"Booking", "POST", "/services/s/book", "{}",
+     "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+     "Content-Length: 10\r\n\r\n",
+     "0123456789"},
+    {"Lookup", "GET", "/services/s/look", "",
+     "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+     "Content-Length: 10\r\n\r\n",
+     "0123456789"},
+};
+
+// Where the upstream is silent: before the byte at this place of its answer.
+struct Place {
+    const char *name;
+    size_t (*at)(const std::string &head, const std::string &body);
+};
+
+const Place kPlaces[] = {
+    {"BeforeHead",
+     [](const std::string &, const std::string &) -> size_t { return 0; }},
+    {"WithinHead",
+     [](const std::string &, const std::string &) -> size_t { return 20; }},
+    {"AfterHead",
+     [](const std::string &head, const std::string &) -> size_t {
+         return head.size();
+     }},
+    {"WithinEvent",
+     [](const std::string &head, const std::string &) -> size_t {
+         return head.size() + 3;
+     }},
+    {"BetweenEvents",
+     [](const std::string &head, const std::string &body) -> size_t {
+         size_t end = body.find("\n\n");
+         return head.size() +
+                (end == std::string::npos ? body.size() / 2 : end + 2);
+     }},
+    {"BeforeLastByte",
+     [](const std::string &head, const std::string &body) -> size_t {
+         return head.size() + body.size() - 1;
+     }},
+};
+constexpr int kPlacesCount = sizeof(kPlaces) / sizeof(kPlaces[0]);
+
+// What happens while all upstreams are silent.
+struct Event {
+    const char *name;
+    void (*act)(Daemon &daemon);
+};
+
+const Event kEvents[] = {
+    {"Alone", [](Daemon &) {}},
+    {"BesideANewSheet",
+     [](Daemon &daemon) {
+         daemon.PublishVersion("2");
+         EXPECT_TRUE(daemon.WaitMetric("sheet_revision", 2));
+     }},
+    {"BesideSighup", [](Daemon &daemon) { daemon.Signal(SIGHUP); }},
+    {"BesideAPlannedStop", [](Daemon &daemon) { daemon.Signal(SIGTERM); }},
+};
+
+class Silence
+    : public testing::TestWithParam<std::tuple<const Kind *, const Event *>> {
+  protected:
+    const Kind &kind()
+    {
+        return *std::get<0>(GetParam());
+    }
+    const Event &event()
+    {
+        return *std::get<1>(GetParam());
+    }
+    // Answers one request, with the silence at the next place.
+    void Serve(Socket &socket)
+    {
+        std::string text = std::string(kind().head) + kind().body;
+        int run = runs_++;
+        size_t at = kPlaces[run % kPlacesCount].at(kind().head, kind().body);
+        socket.Write(text.substr(0, at));
+        usleep(kSilenceUs);
+        socket.Write(text.substr(at));
+    }
+    std::atomic<int> runs_{0};
+};
+
+// Guards against an answer that ends because its upstream is silent for a
+// while, and against a second run of a booking meanwhile.
+TEST_P(Silence, EndsWithTheWholeAnswer)
+{
+    Server upstream([&](Socket &socket) {
+        std::string request;
+        while (!(request = socket.ReadMessage()).empty()) {
+            if (request.compare(0, 12, "GET /health ") != 0) {
+                Serve(socket);
+                return;
+            }
+            std::string report = "{\"boot_id\":\"b\"}";
+            socket.Write("HTTP/1.1 200 OK\r\nContent-Length: " +
+                         std::to_string(report.size()) + "\r\n\r\n" + report);
+        }
+    });
+    Daemon daemon(upstream.port(), upstream.port());
+    Answer answers[kPlacesCount];
+    std::vector<std::thread> callers;
+    for (int i = 0; i < kPlacesCount; i++) {
+        callers.emplace_back([&, i] {
+            answers[i] =
+                daemon.Send(kind().method, kind().path, kind().request,
+                            {"Idempotency-Key: k" + std::to_string(i)});
+        });
+    }
+    EXPECT_TRUE(daemon.WaitCount("upstream_transfers", kPlacesCount));
+    event().act(daemon);
+    for (std::thread &caller : callers) {
+        caller.join();
+    }
+    for (const Answer &answer : answers) {
+        EXPECT_TRUE(answer.whole);
+        EXPECT_EQ(answer.status, 200) << answer.body;
+        EXPECT_EQ(answer.outcome, "ran");
+        EXPECT_EQ(answer.body, kind().body);
+    }
+    EXPECT_EQ(runs_, kPlacesCount);
+}
+
+std::vector<const Kind *>
+Kinds()
+{
+    std::vector<const Kind *> kinds;
+    for (const Kind &kind : kKinds) {
+        kinds.push_back(&kind);
+    }
+    return kinds;
+}
+
+std::vector<const Event *>
+Events()
+{
+    std::vector<const Event *> events;
+    for (const Event &event : kEvents) {
+        events.push_back(&event);
+    }
+    return events;
+}
+
+INSTANTIATE_TEST_SUITE_P(Upstream, Silence,
+                         testing::Combine(testing::ValuesIn(Kinds()),
+                                          testing::ValuesIn(Events())),
+                         [](const auto &info) {
+                             return std::string(
+                                        std::get<0>(info.param)->name) +
+                                    std::get<1>(info.param)->name;
+                         });
+
+} // namespace
