A caller that does not read for some seconds keeps its connection

Callers saw: a caller of boragespurd that had a part of its answer and did not read for more than four seconds got its connection reset; the rest of the answer was lost. The operators' manual promises 30 s without progress.

Cause: the screen before the HTTP server adopts callers' sockets as BsStream, which sets TCP_USER_TIMEOUT to 4 s. The kernel applies it to a closed receive window, too, also when the other side acknowledges every probe. A caller that acknowledges nothing is now given up after 30 s, too, as before the screen.

Test: SilentCaller.ReceivesItsWholeAnswer, 8 MiB, the caller reads nothing for 8 s.

--- a/src/d_screen.c
+++ b/src/d_screen.c
@@ -11,6 +11,7 @@
 #include <gnutls/abstract.h>
 #include <gnutls/gnutls.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -23,6 +24,11 @@
    the idle timeout of the server library. */
 #define CLOSE_LIMIT_S 30.0
 
+/* TCP_USER_TIMEOUT of a caller's connection, which also ends one whose caller
+   does not read for this long: equal to the idle timeout of the server
+   library. */
+#define CALLER_TIMEOUT_MS 30000
+
 /* How long one send() to a caller may block when the process ends. */
 #define FINAL_SEND_LIMIT_S 1
 
@@ -352,6 +358,16 @@
     return true;
 }
 
+/* Replaces the shorter limit that a stream sets for a connection whose other
+   side always reads. */
+static void
+S_set_caller_timeout(int fd)
+{
+    const int timeout_ms = CALLER_TIMEOUT_MS;
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
+               sizeof(timeout_ms));
+}
+
 static BsScreenLink *
 S_create_link(BsScreen *screen, int caller_fd, int server_fd)
 {
@@ -364,6 +380,7 @@
     link->reader = BsHttpReader_Create(BS_HTTP_REQUEST, &S_reader_events, link,
                                        screen->config.header_bytes, 0);
     link->caller = BsStream_Adopt(ev, caller_fd, &S_caller_events, link);
+    S_set_caller_timeout(caller_fd);
     link->server = BsStream_Adopt(ev, server_fd, &S_server_events, link);
     g_hash_table_add(screen->links, link);
     return link;
--- a/tests/contract/silence_test.cc
+++ b/tests/contract/silence_test.cc
@@ -2,6 +2,7 @@
 // goes on, alone and beside a new sheet, SIGHUP or a planned stop.
 #include "harness.h"
 
+#include <algorithm>
 #include <atomic>
 #include <csignal>
 #include <gtest/gtest.h>
@@ -11,6 +12,7 @@
 namespace {
 
 constexpr useconds_t kSilenceUs = 2000000;
+constexpr unsigned kCallerSilenceS = 8;
 
 // What is asked for, and the head and body that the upstream sends.
 struct Kind {
@@ -187,4 +189,30 @@
                                     std::get<1>(info.param)->name;
                          });
 
+// Guards against a connection that is closed because its caller does not read
+// for some seconds while it has a part of its answer.
+TEST(SilentCaller, ReceivesItsWholeAnswer)
+{
+    const std::string body(8U * 1024 * 1024, 'x');
+    Server service([&body](Socket &socket) {
+        socket.ReadMessage();
+        socket.Write("HTTP/1.1 200 OK\r\nContent-Length: " +
+                     std::to_string(body.size()) + "\r\n\r\n" + body);
+    });
+    Daemon daemon(FreePort(), service.port());
+    Socket caller(ConnectWithSmallBuffer(daemon.callers()));
+    caller.Write("GET /services/s/x HTTP/1.1\r\nHost: x\r\nAuthorization: "
+                 "Bearer " +
+                 std::string(kToken) +
+                 "\r\nBoragespur-Deadline-Ms: 30000\r\n"
+                 "Connection: close\r\n\r\n");
+    ASSERT_TRUE(daemon.WaitCount("flow_paused", 1));
+    sleep(kCallerSilenceS);
+    std::string answer = caller.ReadAll();
+    size_t at = answer.find("\r\n\r\n");
+    ASSERT_NE(at, std::string::npos);
+    EXPECT_EQ(std::count(answer.begin() + (long)at, answer.end(), 'x'),
+              (long)body.size());
+}
+
 } // namespace
