A planned stop ends preempted streams with their whole answer

Callers saw: a stream that had been preempted and waited to resume ended with the error event `draining` when its instance was stopped and no other one owned an upstream for it. Its caller had a part of the answer, the engine was sound and the drain limit far away.

Cause: BsOwner_Drain returned all work that was not running at that moment. The entry finds no other owner and ends the request, with an unknown outcome if it has started.

Now only work that never started is returned; the rest resumes here and counts as running work.

--- a/src/owner.c
+++ b/src/owner.c
@@ -401,7 +401,7 @@
     GList *works = g_hash_table_get_values(owner->works);
     for (GList *node = works; node != NULL; node = node->next) {
         BsWork *work = node->data;
-        if (work->upstream == NULL) {
+        if (work->upstream == NULL && work->dispatch == 0) {
             BsOwner_GiveBack(owner, work, BS_ERR_DRAINING);
         }
     }
--- a/src/owner.h
+++ b/src/owner.h
@@ -64,7 +64,8 @@
    reply. */
 void BsOwner_OnInFlight(BsOwner *owner, const BsMessage *message);
 
-/* Gives all queued work back to its senders before a planned stop. */
+/* Gives queued work that never started back to its senders before a planned
+   stop; work that was preempted stays and ends here. */
 void BsOwner_Drain(BsOwner *owner);
 
 /* Returns the number of requests queued and running. */
--- a/src/stop.h
+++ b/src/stop.h
@@ -2,10 +2,10 @@
  * stop.h - planned stop of this instance.
  *
  * Rules: from the start of the stop the ready check fails and no new work is
- * accepted; queued work is returned to its senders and running work may
- * finish; then the records are sent to their next keepers, which acknowledge
- * them; at the time limit the remaining requests end with the outcome known
- * for each.
+ * accepted; work that has not started is returned to its senders, running and
+ * preempted work may finish; then the records are sent to their next keepers,
+ * which acknowledge them; at the time limit the remaining requests end with
+ * the outcome known for each.
  */
 #ifndef BS_STOP_H
 #define BS_STOP_H
