A silent owner's attempt ends only when another owner can take over

Callers saw: when the instance that owns an engine or service did not answer for a while and went on, a request of another instance ended with 502 peer_lost, unknown, after about 1.3 s, and a stream with an error event after a lease (2 s) and four tries, although nothing else could serve it, its deadline was far away and the owner sound. A started answer that can't be restarted was cut after a lease.

Cause: attempt.c gave up an attempt that was not accepted in 300 ms, or whose owner sent nothing for a lease, before anything had taken over. The next attempt went to the same silent owner, or to none, and the limit of three retries ended the request.

Now such an attempt is given up only if the request can be restarted, another responsive owner serves it and a retry is allowed. Otherwise it stays until its deadline; its forward is sent again until it is accepted (after 0.5, 1, 2, 4 and then every 8 s: an answer that is lost on the way back lets the owner run it again). An owner that was removed or has restarted, or a lost piece, ends it as before. The cost: when the only owner of an upstream is killed and stays on the list, its callers learn it at their deadline, not after a few seconds.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -4,10 +4,11 @@
  * Rules: only idempotent requests are retried here; a request that an owner
  * returned unstarted goes to another owner at once, and one whose tier others
  * yield to may try every owner that serves it; a failed attempt is retried
- * within the retry budget after a random wait; a lost attempt (not accepted in
- * time, a piece missing for too long, or an owner that is unresponsive or was
- * replaced) is cancelled and retried; a resumed stream skips the events
- * already sent to the caller.
+ * within the retry budget after a random wait; a lost attempt (a piece missing
+ * for too long, or an owner that was replaced) is cancelled and retried; one
+ * that is silent (not accepted in time, or an owner that is unresponsive) only
+ * if another owner can take over, and goes on until its deadline otherwise; a
+ * resumed stream skips the events already sent to the caller.
  */
 #include "entrystate.h"
 
@@ -31,9 +32,14 @@
 #define OWNER_WAIT_MAX_MS 5000
 #define OWNER_WAIT_STEP_MS 250
 
-/* An attempt not accepted within this time is lost. */
+/* An attempt not accepted within this time is silent. */
 #define ACCEPT_TIMEOUT_MS 300
 
+/* Time between the first two tries to replace or repeat a silent attempt,
+   doubled for each further try. */
+#define REPLACE_INTERVAL_MS 500
+#define REPLACE_DOUBLINGS_MAX 4
+
 /* Time without a message from an owner after which it is checked, and between
    two checks of it. */
 #define OWNER_CHECK_AFTER_MS 500
@@ -72,13 +78,10 @@
                                S_request_data(request)->tier);
 }
 
-void
-BsEntry_CancelAttempt(BsEntry *entry, BsEntryRequest *request,
-                      BsErrorKind reason)
+static void
+S_send_cancel(BsEntry *entry, const BsEntryRequest *request,
+              BsErrorKind reason)
 {
-    if (request->owner == NULL || request->retry_ms != 0) {
-        return;
-    }
     BsMessage *cancel = BsMessage_Create(BS_CANCEL);
     cancel->u.cancel.request_id =
         g_strdup(S_request_data(request)->request_id);
@@ -89,6 +92,15 @@
                 cancel);
 }
 
+void
+BsEntry_CancelAttempt(BsEntry *entry, BsEntryRequest *request,
+                      BsErrorKind reason)
+{
+    if (request->owner != NULL && request->retry_ms == 0) {
+        S_send_cancel(entry, request, reason);
+    }
+}
+
 static const char *
 S_pick_owner(BsEntry *entry, BsEntryRequest *request)
 {
@@ -145,6 +157,28 @@
                  S_final_outcome(request));
 }
 
+/* Sends the forward of the current attempt; an owner that has it already only
+   accepts it again. */
+static void
+S_send_forward(BsEntry *entry, BsEntryRequest *request)
+{
+    S_charge_forward(entry, request);
+    BsMessage *forward = BsMessage_Copy(request->request);
+    forward->u.request.attempt = request->attempt;
+    forward->u.request.deadline_ms =
+        request->deadline_ms - BsCore_NowMs(entry->core);
+    forward->u.request.skip_events += request->events;
+    BsCore_Count(entry->core, "forwards", 1);
+    BsCore_Send(entry->core, request->owner, 0, forward);
+}
+
+static void
+S_reset_replacing(BsEntryRequest *request)
+{
+    request->replace_ms = 0;
+    request->replace_tries = 0;
+}
+
 void
 BsEntry_Forward(BsEntry *entry, BsEntryRequest *request)
 {
@@ -164,13 +198,8 @@
     BsMessage_SetString(&request->owner, owner);
     BsReorder_Destroy(request->reorder);
     request->reorder = BsReorder_Create();
-    S_charge_forward(entry, request);
-    BsMessage *forward = BsMessage_Copy(request->request);
-    forward->u.request.attempt = request->attempt;
-    forward->u.request.deadline_ms = request->deadline_ms - now_ms;
-    forward->u.request.skip_events += request->events;
-    BsCore_Count(entry->core, "forwards", 1);
-    BsCore_Send(entry->core, owner, 0, forward);
+    S_reset_replacing(request);
+    S_send_forward(entry, request);
 }
 
 /* Returns whether the owner returned the request because it cannot serve it,
@@ -247,19 +276,65 @@
     return S_is_transient(answer->error) && S_schedule_retry(entry, request);
 }
 
-void
-BsEntry_OnAttemptLost(BsEntry *entry, BsEntryRequest *request)
+/* Notes that the attempt's owner failed it, and that it may have run. */
+static void
+S_note_lost(BsEntry *entry, BsEntryRequest *request)
 {
     BsCore_Count(entry->core, "attempts_lost", 1);
-    BsEntry_CancelAttempt(entry, request, BS_ERR_PEER_LOST);
     g_hash_table_add(request->tried, g_strdup(request->owner));
     request->maybe_ran = true;
     request->last_error = BS_ERR_PEER_LOST;
+}
+
+void
+BsEntry_OnAttemptLost(BsEntry *entry, BsEntryRequest *request)
+{
+    BsEntry_CancelAttempt(entry, request, BS_ERR_PEER_LOST);
+    S_note_lost(entry, request);
     if (!S_is_restartable(request) || !S_schedule_retry(entry, request)) {
         BsEntry_Fail(entry, request, BS_ERR_PEER_LOST, BS_OUTCOME_UNKNOWN);
     }
 }
 
+/* Returns whether an owner that was not tried yet and is responsive serves
+   REQUEST. */
+static bool
+S_has_other_owner(BsEntry *entry, BsEntryRequest *request)
+{
+    bool known = !g_hash_table_add(request->tried, g_strdup(request->owner));
+    const char *other = BsChoice_PickOwner(
+        entry->core, S_request_data(request), request->tried);
+    if (!known) {
+        g_hash_table_remove(request->tried, request->owner);
+    }
+    return other != NULL &&
+           !BsDigests_IsUnavailable(entry->core->digests, other);
+}
+
+/* Replaces the current attempt, which is silent, if another owner can take it;
+   otherwise repeats its forward until it is accepted. */
+static void
+S_replace_silent(BsEntry *entry, BsEntryRequest *request)
+{
+    int64_t now_ms = BsCore_NowMs(entry->core);
+    if (now_ms < request->replace_ms) {
+        return;
+    }
+    request->replace_ms =
+        now_ms + (REPLACE_INTERVAL_MS
+                  << MIN(request->replace_tries, REPLACE_DOUBLINGS_MAX));
+    request->replace_tries++;
+    BsDigests_OnUnanswered(entry->core->digests, request->owner);
+    if (S_is_restartable(request) && S_has_other_owner(entry, request) &&
+        S_schedule_retry(entry, request)) {
+        S_send_cancel(entry, request, BS_ERR_PEER_LOST);
+        S_note_lost(entry, request);
+    }
+    else if (!request->accepted) {
+        S_send_forward(entry, request);
+    }
+}
+
 /* Returns the time of the owner's last message, but not before the forward or
    the end of a pause of this instance, in which nothing was received. */
 static int64_t
@@ -284,22 +359,25 @@
            known != request->owner_incarnation;
 }
 
+/* Returns whether a piece of the answer is missing for too long. */
 static bool
-S_is_attempt_lost(const BsEntry *entry, const BsEntryRequest *request)
+S_has_lost_piece(const BsEntry *entry, const BsEntryRequest *request)
+{
+    int64_t since_ms = MAX(request->gap_since_ms, entry->running_since_ms);
+    return request->gap_since_ms != 0 &&
+           BsCore_NowMs(entry->core) - since_ms > GAP_TIMEOUT_MS;
+}
+
+/* Returns whether the owner has been silent for too long. */
+static bool
+S_is_attempt_silent(const BsEntry *entry, const BsEntryRequest *request)
 {
     int64_t now_ms = BsCore_NowMs(entry->core);
     int64_t start_ms = MAX(request->forwarded_ms, entry->running_since_ms);
-    if (!request->accepted) {
-        return now_ms - start_ms > ACCEPT_TIMEOUT_MS;
-    }
-    if (request->gap_since_ms != 0 &&
-        now_ms - MAX(request->gap_since_ms, entry->running_since_ms) >
-            GAP_TIMEOUT_MS) {
-        return true;
-    }
-    return S_is_owner_replaced(entry, request) ||
-           now_ms - S_last_owner_message_ms(entry, request) >
-               entry->core->config.lease_ms;
+    return request->accepted
+               ? now_ms - S_last_owner_message_ms(entry, request) >
+                     entry->core->config.lease_ms
+               : now_ms - start_ms > ACCEPT_TIMEOUT_MS;
 }
 
 /* Asks the owner whether it still holds the request, if no message of the
@@ -346,12 +424,22 @@
     if (g_strcmp0(request->owner, entry->core->config.name) == 0) {
         return;
     }
-    if (S_is_attempt_lost(entry, request)) {
-        if (request->gap_since_ms == 0) {
-            BsDigests_OnUnanswered(entry->core->digests, request->owner);
-        }
+    if (S_has_lost_piece(entry, request)) {
+        BsEntry_OnAttemptLost(entry, request);
+        return;
+    }
+    if (S_is_owner_replaced(entry, request)) {
+        BsDigests_OnUnanswered(entry->core->digests, request->owner);
         BsEntry_OnAttemptLost(entry, request);
         return;
     }
-    S_check_owner(entry, request);
+    if (S_is_attempt_silent(entry, request)) {
+        S_replace_silent(entry, request);
+    }
+    else {
+        S_reset_replacing(request);
+    }
+    if (request->accepted && request->retry_ms == 0) {
+        S_check_owner(entry, request);
+    }
 }
--- a/src/entrystate.h
+++ b/src/entrystate.h
@@ -26,11 +26,13 @@
     /* When the wait for an owner started, 0 before, INT64_MIN for no wait. */
     int64_t no_owner_since_ms;
     int64_t gap_since_ms; /* since when a piece is missing, 0 if none is */
+    int64_t replace_ms;   /* next try to replace the silent attempt */
     uint32_t attempt;
     uint32_t retries;
     uint32_t redirects;
-    uint32_t events;     /* of the stream, sent to the caller */
-    uint32_t last_error; /* BsErrorKind of the last attempt */
+    uint32_t replace_tries; /* to replace or repeat the silent attempt */
+    uint32_t events;        /* of the stream, sent to the caller */
+    uint32_t last_error;    /* BsErrorKind of the last attempt */
     uint32_t retry_after_s;
     bool accepted;
     bool remote;    /* the owner is in another region */
