Guard: requests that arrive while their only engine is silent

SilentEngine.AnswersTheRequestsOfItsSilence: the engine answers nothing for 4 s, load reports included; four requests of that time get their whole answers.

--- a/tests/contract/silence_test.cc
+++ b/tests/contract/silence_test.cc
@@ -13,6 +13,7 @@
 
 constexpr useconds_t kSilenceUs = 2000000;
 constexpr unsigned kCallerSilenceS = 8;
+constexpr useconds_t kPollUs = 5000;
 
 // What is asked for, and the head and body that the upstream sends.
 struct Kind {
@@ -189,6 +190,49 @@
                                     std::get<1>(info.param)->name;
                          });
 
+// Guards against requests that are refused because their only engine answers
+// nothing for a while, its load reports included, and goes on.
+TEST(SilentEngine, AnswersTheRequestsOfItsSilence)
+{
+    constexpr int kCallers = 4;
+    constexpr unsigned kFrozenS = 4;
+    const Kind &kind = kKinds[0];
+    std::atomic<bool> frozen{false};
+    Server engine([&](Socket &socket) {
+        std::string request;
+        while (!(request = socket.ReadMessage()).empty()) {
+            while (frozen) {
+                usleep(kPollUs);
+            }
+            if (request.compare(0, 12, "GET /health ") != 0) {
+                socket.Write(std::string(kind.head) + kind.body);
+                return;
+            }
+            std::string report = "{\"boot_id\":\"b\"}";
+            socket.Write("HTTP/1.1 200 OK\r\nContent-Length: " +
+                         std::to_string(report.size()) + "\r\n\r\n" + report);
+        }
+    });
+    Daemon daemon(engine.port(), FreePort());
+    ASSERT_TRUE(daemon.WaitCount("health_reports", 1));
+    frozen = true;
+    Answer answers[kCallers];
+    std::vector<std::thread> callers;
+    for (int i = 0; i < kCallers; i++) {
+        callers.emplace_back([&, i] {
+            answers[i] = daemon.Send(kind.method, kind.path, kind.request);
+        });
+        sleep(kFrozenS / kCallers);
+    }
+    frozen = false;
+    for (int i = 0; i < kCallers; i++) {
+        callers[i].join();
+        EXPECT_TRUE(answers[i].whole);
+        EXPECT_EQ(answers[i].status, 200) << answers[i].body;
+        EXPECT_EQ(answers[i].body, kind.body);
+    }
+}
+
 // Guards against a connection that is closed because its caller does not read
 // for some seconds while it has a part of its answer.
 TEST(SilentCaller, ReceivesItsWholeAnswer)
