Soak: an upstream ends a stream resumed after its last event

The stand-in sent one event more than the stream has when a gateway resumed it after the last one, and the check "order" then reported the gateway. Real upstreams just end such an answer. The check is unchanged.

--- a/tests/soak/soak_upstream.c
+++ b/tests/soak/soak_upstream.c
@@ -107,9 +107,22 @@
     S_end_run(run);
 }
 
+static void
+S_end_stream(Run *run)
+{
+    if (run->inbound != NULL) {
+        BsInbound_EndAnswer(run->inbound);
+    }
+    S_end_run(run);
+}
+
 static void
 S_send_event(Run *run)
 {
+    if (run->next_event >= EVENTS) {
+        S_end_stream(run); /* resumed after the last event */
+        return;
+    }
     char *event =
         g_strdup_printf("id: %u\ndata: %s\n\n", run->next_event, run->id);
     if (run->inbound != NULL) {
@@ -122,10 +135,7 @@
         ev_timer_start(run->upstream->soak->loop, &run->timer);
         return;
     }
-    if (run->inbound != NULL) {
-        BsInbound_EndAnswer(run->inbound);
-    }
-    S_end_run(run);
+    S_end_stream(run);
 }
 
 /* Crashes the upstream that runs a deadly request. */
