Soak: upstreams fall silent, and the promise "silence"

Users saw whole requests end without an answer or a refusal; they add that a sound upstream may say nothing for 0.5 to 2 s and go on. No fault of the soak was like that: its proxies stall for longer, and a gateway's other faults excused what came of it.

The upstreams' proxies now withhold what an upstream sends from an arbitrary byte on, in half of the silences of runs without crashes also what it gets, and forward all of it later; a close is forwarded last. One, some (up to half) or all fall silent at once, with draws of their own, so that a seed's other draws stay.

The promise: no request that a gateway has read ends without a complete answer while an upstream is silent, but for the deadline, a pause after which its caller leaves, the end of the grace period, and other faults in the 4 s before it. In default runs it is thus checked only in the last 2 s; planned work excuses nothing.

--- a/tests/soak/main_soak.c
+++ b/tests/soak/main_soak.c
@@ -2,9 +2,12 @@
  * main_soak.c - fault soak test: injects random faults, reproducible by seed.
  *
  * gatesoak GATEWAY DIRECTORY SEED [--seconds N] [--gateways N] [--runners N]
- * [--rate N] [--deadly MS] [--calm] [--verbose]; exits with 1 if a promise
- * was broken.  --deadly sets the pause between requests that crash upstreams.
- * --calm injects no faults and prints counts and response times by route.
+ * [--rate N] [--deadly MS] [--silent MS] [--silent-all] [--planned] [--calm]
+ * [--store-port N] [--retry-slack N] [--verbose]; exits with 1 if a promise
+ * was broken.  --deadly sets the pause between requests that crash upstreams,
+ * --silent that between silences of upstreams.  --planned injects only planned
+ * work and silences, with longer streams.  --calm injects no faults and prints
+ * counts and response times by route.
  */
 #include "soak.h"
 
@@ -21,9 +24,6 @@
 /* Time without faults at the end of a run, to check the recovery. */
 #define RECOVERY_S 6.0
 
-/* Time to wait for the last answers of a run without faults. */
-#define LAST_ANSWERS_S 2.0
-
 /* Pause between two faults: short, so that they come in series and overlap. */
 #define FAULT_MIN_MS 100
 #define FAULT_MAX_MS 900
@@ -31,9 +31,28 @@
 /* Default pause between deadly requests in a run with faults. */
 #define DEADLY_PAUSE_MS 700
 
+/* Default pause between silences in a run with faults. */
+#define SILENT_PAUSE_MS 1000
+
+#define SILENCE_MIN_MS 500
+#define SILENCE_MAX_MS 2000
+
+/* Events of a stream, and time that callers and routes allow; longer ones in
+   runs with nothing but silences and planned work. */
+#define EVENTS 6
+#define DEADLINE_MS 3000
+#define LONG_EVENTS 32
+#define LONG_DEADLINE_MS 6000
+
+/* Retries of the fleet in its settings; runs with nothing but silences and
+   planned work draw one of both. */
+#define RETRY_SLACK 58
+#define RETRY_SLACK_SMALL 4
+
 typedef struct {
     Soak soak;
     ev_timer next;
+    ev_timer silence;
     ev_timer faults_end;
     ev_timer end;
     struct ev_loop *loop;
@@ -44,6 +63,11 @@
 static gint S_upstreams = 6;
 static gint S_rate = 60;
 static gint S_deadly = -1;
+static gint S_silent = -1;
+static gint S_retry_slack = -1;
+static gint S_store_port = 19999;
+static gboolean S_all_silent;
+static gboolean S_planned;
 static gboolean S_no_faults;
 static gboolean S_verbose;
 
@@ -144,11 +168,11 @@
         g_string_append_printf(
             text,
             "%s{\"name\":\"%s\",\"host\":\"shop.example\",\"prefix\":"
-            "\"/%s/\",\"route-type\":\"%s\",\"timeout-ms\":3000,"
+            "\"/%s/\",\"route-type\":\"%s\",\"timeout-ms\":%d,"
             "\"target-latency-ms\":400,\"gap-aim-ms\":200,\"priority\":%zu,"
             "\"service\":\"desk\",%s}",
             i == 0 ? "" : ",", routes[i].name, routes[i].name, routes[i].type,
-            i, routes[i].extra);
+            soak->deadline_ms, i, routes[i].extra);
     }
     g_string_append(text, "],\"services\":[{\"name\":\"desk\",\"health-path\":"
                           "\"/h\",\"cold-start-s\":1.5,\"cold-per-s\":10}],"
@@ -251,7 +275,13 @@
 static void
 S_inject(Soak *soak)
 {
-    switch (Soak_RandomInt(soak, 0, 15)) {
+    static const int planned[] = {2, 3, 12, 16, 16, 16};
+    int fault = S_planned ? planned[Soak_RandomInt(soak, 0, 5)]
+                          : Soak_RandomInt(soak, 0, 15);
+    if (fault != 2 && fault != 3 && fault != 12 && fault != 16) {
+        soak->trouble_ms = INT64_MAX; /* not planned work */
+    }
+    switch (fault) {
     case 0:
         S_signal(soak, SIGKILL, "SIGKILL");
         break;
@@ -294,6 +324,10 @@
         Soak_Log(soak, "the store drops its history");
         SoakStore_Compact(soak->store);
         break;
+    case 16:
+        Soak_Log(soak, "a configuration that changes nothing");
+        S_publish(soak);
+        break;
     default:
         SoakUpstream_SetErrors(S_pick_upstream(soak),
                                Soak_RandomInt(soak, 0, 40));
@@ -301,6 +335,48 @@
     }
 }
 
+/* Returns how many upstreams fall silent at once: one, some or all. */
+static unsigned
+S_draw_silent(Soak *soak)
+{
+    gint32 all = (gint32)soak->upstream_count;
+    gint32 some =
+        g_rand_int_range(soak->silent_random, 1, MAX(all / 2, 1) + 1);
+    gint32 counts[] = {1, 1, some, all};
+    gint32 draw = g_rand_int_range(soak->silent_random, 0, 4);
+    return (unsigned)(S_all_silent ? all : S_no_faults ? 1 : counts[draw]);
+}
+
+static void
+S_fall_silent(Soak *soak)
+{
+    unsigned count = S_draw_silent(soak);
+    unsigned first = (unsigned)g_rand_int_range(soak->silent_random, 0,
+                                                (gint32)soak->upstream_count);
+    for (unsigned i = 0; i < count; i++) {
+        unsigned number = (first + i) % soak->upstream_count;
+        int silence_ms = g_rand_int_range(soak->silent_random, SILENCE_MIN_MS,
+                                          SILENCE_MAX_MS + 1);
+        /* Requests that arrive in a burst would break other promises, as of
+           cold upstreams. */
+        bool holds_requests =
+            g_rand_boolean(soak->silent_random) && (S_planned || S_no_faults);
+        if (SoakProxy_FallSilent(SoakUpstream_Proxy(soak->upstreams[number]),
+                                 silence_ms, holds_requests)) {
+            Soak_Log(soak, "upstream %u: silent for %d ms%s", number,
+                     silence_ms, holds_requests ? ", reads nothing" : "");
+        }
+    }
+}
+
+static void
+S_on_silence(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    (void)loop;
+    (void)events;
+    S_fall_silent(&((SoakMain *)watcher->data)->soak);
+}
+
 static void
 S_on_next(struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -321,6 +397,7 @@
     Soak *soak = &run->soak;
     ev_timer_stop(loop, &run->next);
     Soak_Log(soak, "all faults end");
+    soak->trouble_ms = MIN(soak->trouble_ms, Soak_NowMs(soak));
     S_set_store_mode(soak, SOAK_SERVES);
     S_close_or_open(soak, false);
     for (unsigned i = 0; i < soak->upstream_count; i++) {
@@ -373,9 +450,21 @@
     soak->clock = &S_clock;
     soak->random = g_rand_new_with_seed(seed);
     soak->deadly_random = g_rand_new_with_seed(seed);
-    soak->deadly_ms = S_deadly >= 0 ? S_deadly
-                      : S_no_faults ? 0
-                                    : DEADLY_PAUSE_MS;
+    soak->silent_random = g_rand_new_with_seed(seed);
+    soak->deadly_ms = S_deadly >= 0              ? S_deadly
+                      : S_no_faults || S_planned ? 0
+                                                 : DEADLY_PAUSE_MS;
+    soak->silent_pause_ms = S_silent >= 0 ? S_silent
+                            : S_no_faults ? 0
+                                          : SILENT_PAUSE_MS;
+    bool longer = S_planned || (S_no_faults && soak->silent_pause_ms > 0);
+    soak->events = longer ? LONG_EVENTS : EVENTS;
+    soak->deadline_ms = longer ? LONG_DEADLINE_MS : DEADLINE_MS;
+    soak->store_port = (uint16_t)S_store_port;
+    bool small = S_planned && g_rand_boolean(soak->silent_random);
+    soak->retry_slack = S_retry_slack >= 0 ? (unsigned)S_retry_slack
+                        : small            ? RETRY_SLACK_SMALL
+                                           : RETRY_SLACK;
     soak->verbose = S_verbose;
     /* Parallel runs use different loopback addresses. */
     soak->base = (127U << 24) + ((10U + seed % 200) << 16);
@@ -384,7 +473,7 @@
     soak->requests =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
     soak->store_fault_ms = Soak_NowMs(soak);
-    Soak_Address(soak, 100, 19999, &address);
+    Soak_Address(soak, 100, soak->store_port, &address);
     soak->store = SoakStore_Create(soak, &address);
     S_publish(soak);
     for (unsigned i = 0; i < soak->upstream_count; i++) {
@@ -403,6 +492,7 @@
     g_hash_table_destroy(soak->requests);
     g_rand_free(soak->random);
     g_rand_free(soak->deadly_random);
+    g_rand_free(soak->silent_random);
 }
 
 /* Checks that requests of each kind were answered after all faults ended;
@@ -422,6 +512,17 @@
     return sum;
 }
 
+/* Checks that silences held started answers, as they do in long streams. */
+static void
+S_check_held(Soak *soak)
+{
+    if (S_planned &&
+        soak->cuts[SOAK_CUT_BETWEEN_EVENTS] + soak->cuts[SOAK_CUT_IN_EVENT] ==
+            0) {
+        Soak_Violation(soak, "silence", "no started answer was held");
+    }
+}
+
 static unsigned
 S_run(const char *program, const char *directory, unsigned seed)
 {
@@ -433,6 +534,12 @@
     if (soak->deadly_ms > 0) {
         SoakCallers_StartDeadly(soak);
     }
+    if (soak->silent_pause_ms > 0) {
+        double pause_s = (double)soak->silent_pause_ms / 1000.0;
+        ev_timer_init(&run.silence, S_on_silence, pause_s, pause_s);
+        run.silence.data = &run;
+        ev_timer_start(run.loop, &run.silence);
+    }
     soak->faults_ended = S_no_faults;
     if (S_no_faults) {
         S_start_timer(&run, &run.faults_end, S_seconds, S_on_stop_sending);
@@ -443,11 +550,17 @@
                       S_on_faults_end);
     }
     S_start_timer(&run, &run.end,
-                  S_seconds + (S_no_faults ? LAST_ANSWERS_S : 0), S_on_end);
+                  S_seconds + (S_no_faults ? soak->deadline_ms / 1000.0 : 0),
+                  S_on_end);
     ev_run(run.loop, 0);
+    ev_timer_stop(run.loop, &run.silence);
     SoakCallers_Stop(soak);
     SoakFleet_Stop(soak);
     unsigned answered_after_faults = S_check_service(soak);
+    S_check_held(soak);
+    if (soak->silences > 0) {
+        SoakLoad_PrintSilences(soak);
+    }
     printf("seed %u: %u requests, %u answered, %u of them at the end, %u "
            "broken; %u upstreams crashed under a deadly request\n",
            seed, g_hash_table_size(soak->requests), soak->answered_good,
@@ -470,6 +583,15 @@
         {"rate", 0, 0, G_OPTION_ARG_INT, &S_rate, "Requests a second", "N"},
         {"deadly", 0, 0, G_OPTION_ARG_INT, &S_deadly,
          "Pause between requests that crash upstreams; 0: none", "MS"},
+        {"silent", 0, 0, G_OPTION_ARG_INT, &S_silent,
+         "Pause between silences of upstreams; 0: none", "MS"},
+        {"silent-all", 0, 0, G_OPTION_ARG_NONE, &S_all_silent,
+         "All upstreams fall silent at once", NULL},
+        {"planned", 0, 0, G_OPTION_ARG_NONE, &S_planned,
+         "No faults but silences and planned work", NULL},
+        {"retry-slack", 0, 0, G_OPTION_ARG_INT, &S_retry_slack,
+         "Retries of the fleet that requests needn't earn", "N"},
+        {"store-port", 0, 0, G_OPTION_ARG_INT, &S_store_port, "Store", "PORT"},
         {"calm", 0, 0, G_OPTION_ARG_NONE, &S_no_faults,
          "No faults; print a table", NULL},
         {"verbose", 0, 0, G_OPTION_ARG_NONE, &S_verbose, "Print faults", NULL},
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -33,6 +33,16 @@
     SOAK_ONE_WAY    /* forwards only bytes from the gateway */
 } SoakProxyMode;
 
+/* Where in an answer an upstream fell silent. */
+typedef enum {
+    SOAK_CUT_BEFORE_HEAD,
+    SOAK_CUT_IN_HEAD,
+    SOAK_CUT_BETWEEN_EVENTS, /* or after the head */
+    SOAK_CUT_IN_EVENT        /* or in another body */
+} SoakCut;
+
+#define SOAK_CUTS 4
+
 /* Kind of a request; each has a route of its own. */
 typedef enum { SOAK_SAFE, SOAK_UNSAFE, SOAK_STREAM, SOAK_ONCE } SoakKind;
 
@@ -48,6 +58,7 @@
     int status;    /* HTTP status of the answer; 0: none */
     bool answered;
     bool refused; /* answered 429 or 503: must not run */
+    bool cut;     /* ended without a complete answer */
     int64_t sent_ms;
     int64_t answered_ms; /* when the answer was complete; 0: not */
     unsigned gateway;
@@ -78,6 +89,24 @@
     int64_t deadly_third_ms; /* time of the third of these crashes */
     unsigned deadly_late;    /* arrivals over DEADLY_MS after it */
     unsigned deadly_runs;    /* crashes in the whole run */
+
+    GRand *silent_random;          /* separate for the same reason */
+    int64_t silent_pause_ms;       /* pause between silences; 0: none */
+    unsigned silent_count;         /* upstreams that are silent now */
+    int64_t silent_ms;             /* end of the last silence */
+    unsigned silences;             /* in the whole run */
+    unsigned cuts[SOAK_CUTS];      /* answers that silences held */
+    unsigned cut_in_silence;       /* requests that ended without a complete
+                                      answer, excused or not */
+    unsigned failed_in_silence[3]; /* requests answered 502, 503 or 504 */
+    int64_t trouble_ms;            /* last fault that is neither planned work
+                                      nor a silence; INT64_MAX while some may
+                                      last */
+
+    unsigned events;      /* of a stream */
+    int deadline_ms;      /* of requests, and time-out of routes */
+    unsigned retry_slack; /* bound in the gateways' settings */
+    uint16_t store_port;
     unsigned violations;
     unsigned answered_good;
     unsigned answered_after_faults[SOAK_KINDS];
@@ -156,6 +185,13 @@
 void SoakProxy_SetListening(SoakProxy *proxy, bool listening);
 void SoakProxy_SetMode(SoakProxy *proxy, SoakProxyMode mode);
 
+/* Withholds for SILENCE_MS what the target sends, from an arbitrary byte on,
+   and what it gets if HOLDS_REQUESTS; then goes on with nothing lost.  Returns
+   false, without effect, while the target is down, silent or was so just
+   before. */
+bool SoakProxy_FallSilent(SoakProxy *proxy, int silence_ms,
+                          bool holds_requests);
+
 /* --------------------------------------------------------------- gateway --
  */
 
@@ -185,6 +221,9 @@
 /* Sets the mode of the gateway's proxy to the store. */
 void SoakFleet_SetStorePath(Soak *soak, unsigned gateway, SoakProxyMode mode);
 
+/* Returns whether the gateway's grace period is nearly over. */
+bool SoakFleet_IsGraceOver(unsigned gateway);
+
 /* Returns whether the gateway is in a planned stop and has had no fault since
    it began. */
 bool SoakFleet_IsStopping(unsigned gateway);
@@ -211,6 +250,9 @@
 /* Returns the name of the route for KIND. */
 const char *SoakLoad_Name(SoakKind kind);
 
+/* Prints where silences cut answers and how requests ended meanwhile. */
+void SoakLoad_PrintSilences(const Soak *soak);
+
 /* Prints a table by route: counts, and response times of complete answers. */
 void SoakLoad_Print(const Soak *soak);
 
--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -16,7 +16,7 @@
     dir=$(mktemp -d)
     if "$bin/gatesoak" "$bin/boragespur-gateway" "$dir" "$seed" "$@" \
         >"$dir/out" 2>&1; then
-        tail -n 1 "$dir/out"
+        tail -n 3 "$dir/out"
     else
         cat "$dir/out"
         rm -rf "$logs/$seed"
--- a/tests/soak/soak_callers.c
+++ b/tests/soak/soak_callers.c
@@ -5,12 +5,23 @@
 #include <stdio.h>
 #include <string.h>
 
-#define DEADLINE_MS 3000
-#define EVENTS 6
-
 /* Longest time past the deadline that a request may be unanswered. */
 #define LATE_MS 1500
 
+/* A caller leaves a stream after a pause of this length; follows from the
+   configuration in main_soak.c. */
+#define PAUSE_MAX_MS 2000
+
+/* Age at which a gateway is taken to have read a request that reached no
+   upstream. */
+#define READ_MS 1000
+
+/* Tolerance when times are compared with those of a gateway. */
+#define SLACK_MS 50
+
+/* Time without trouble before a request that silences may not end. */
+#define STABLE_MS 4000
+
 typedef struct {
     Soak *soak;
     SoakRequest *request;
@@ -18,7 +29,10 @@
     GString *body;
     char *signature;
     bool mismatched;
-    bool stopping; /* sent while the gateway was in a planned stop */
+    bool stopping;       /* sent while the gateway was in a planned stop */
+    int64_t received_ms; /* when bytes of the answer last came, or it was
+                            sent */
+    int64_t pause_ms;    /* longest time without bytes */
     ev_timer limit;
 } Call;
 
@@ -46,19 +60,38 @@
 }
 
 static GString *
-S_expected_body(const SoakRequest *request)
+S_expected_body(const SoakRequest *request, unsigned events)
 {
     GString *body = g_string_new(NULL);
     if (!S_is_stream(request)) {
         g_string_append_printf(body, "body of %s", request->id);
         return body;
     }
-    for (int i = 0; i < EVENTS; i++) {
-        g_string_append_printf(body, "id: %d\ndata: %s\n\n", i, request->id);
+    for (unsigned i = 0; i < events; i++) {
+        g_string_append_printf(body, "id: %u\ndata: %s\n\n", i, request->id);
     }
     return body;
 }
 
+/* Returns whether an upstream was silent since the request was sent. */
+static bool
+S_met_silence(const Call *call)
+{
+    const Soak *soak = call->soak;
+    return !call->request->deadly &&
+           (soak->silent_count > 0 ||
+            soak->silent_ms >= call->request->sent_ms);
+}
+
+/* Notes that bytes of the answer came, or its end. */
+static void
+S_note_received(Call *call)
+{
+    int64_t now_ms = Soak_NowMs(call->soak);
+    call->pause_ms = MAX(call->pause_ms, now_ms - call->received_ms);
+    call->received_ms = now_ms;
+}
+
 /* Checks a complete answer. */
 static void
 S_check_answer(Call *call)
@@ -67,6 +100,10 @@
     SoakRequest *request = call->request;
     request->answered = true;
     request->answered_ms = Soak_NowMs(soak);
+    if (request->status >= 502 && request->status <= 504 &&
+        S_met_silence(call)) {
+        soak->failed_in_silence[request->status - 502]++;
+    }
     if (request->status == 429 || request->status == 503) {
         request->refused = true;
         bool once = request->kind == SOAK_UNSAFE || request->kind == SOAK_ONCE;
@@ -79,7 +116,7 @@
     if (request->status != 200) {
         return;
     }
-    GString *expected = S_expected_body(request);
+    GString *expected = S_expected_body(request, soak->events);
     char *signature = g_strdup_printf("sig-%s", request->id);
     if (call->mismatched || g_strcmp0(call->signature, signature) != 0 ||
         !g_string_equal(call->body, expected)) {
@@ -111,10 +148,48 @@
     }
 }
 
+/* Returns whether something else than a silence may end the request without a
+   complete answer. */
+static bool
+S_is_excused(const Call *call, int64_t age_ms)
+{
+    const SoakRequest *request = call->request;
+    bool unread = request->runs == 0 && age_ms < READ_MS;
+    bool left =
+        S_is_stream(request) && call->pause_ms >= PAUSE_MAX_MS - SLACK_MS;
+    return unread || left || age_ms >= call->soak->deadline_ms - SLACK_MS ||
+           SoakFleet_IsGraceOver(request->gateway) ||
+           call->soak->trouble_ms > request->sent_ms - STABLE_MS;
+}
+
+/* Reports a request that ended without a complete answer although nothing but
+   silences and planned work happened. */
+static void
+S_check_silence(Call *call)
+{
+    const SoakRequest *request = call->request;
+    int64_t age_ms = Soak_NowMs(call->soak) - request->sent_ms;
+    if (!S_met_silence(call)) {
+        return;
+    }
+    call->soak->cut_in_silence++;
+    if (!S_is_excused(call, age_ms)) {
+        Soak_Violation(
+            call->soak, "silence",
+            "%s (%s) at gateway %u%s was cut after %d ms, status "
+            "%d, %u bytes, longest pause %d ms, %u runs",
+            request->id, SoakLoad_Name(request->kind), request->gateway,
+            SoakFleet_IsStopping(request->gateway) ? ", stopping," : "",
+            (int)age_ms, request->status, (unsigned)call->body->len,
+            (int)call->pause_ms, request->runs);
+    }
+}
+
 static void
 S_on_head(const BsHttpHead *head, void *context)
 {
     Call *call = context;
+    S_note_received(call);
     const char *id = BsHttpHead_Find(head, "Request-Id");
     call->request->status = (int)head->status;
     call->signature = g_strdup(BsHttpHead_Find(head, "Response-Signature"));
@@ -124,6 +199,7 @@
 static void
 S_on_body(const char *data, size_t size_bytes, void *context)
 {
+    S_note_received(context);
     g_string_append_len(((Call *)context)->body, data, (gssize)size_bytes);
 }
 
@@ -132,12 +208,17 @@
 {
     Call *call = context;
     call->call = NULL;
+    S_note_received(call);
     if (end == BS_OUTBOUND_DONE) {
         S_check_answer(call);
     }
     else {
         S_check_unanswered(call, end);
     }
+    if (end != BS_OUTBOUND_DONE && end != BS_OUTBOUND_UNSENT) {
+        call->request->cut = true;
+        S_check_silence(call);
+    }
     g_hash_table_remove(S_calls, call);
 }
 
@@ -164,7 +245,7 @@
 }
 
 static GString *
-S_message(const SoakRequest *request)
+S_message(const SoakRequest *request, int deadline_ms)
 {
     GString *text = g_string_new(NULL);
     g_string_append_printf(
@@ -172,7 +253,7 @@
         "POST /%s/x HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: %s\r\n"
         "Deadline-Ms: %d\r\nApi-Key: key-%u\r\nToken-Usage: 50,10\r\n"
         "Content-Length: 4\r\n\r\n%s",
-        SoakLoad_Name(request->kind), request->id, DEADLINE_MS, request->key,
+        SoakLoad_Name(request->kind), request->id, deadline_ms, request->key,
         request->deadly ? "dies" : "body");
     return text;
 }
@@ -219,7 +300,7 @@
     snprintf(owner, sizeof(owner), "gw-%u", request->gateway);
     BsOutboundRequest outbound = {
         .owner = owner,
-        .message = S_message(request),
+        .message = S_message(request, soak->deadline_ms),
         .reuse_idle_ms = 60000,
         .connect_timeout_ms = 1000,
     };
@@ -227,10 +308,11 @@
     call->soak = soak;
     call->request = request;
     call->body = g_string_new(NULL);
+    call->received_ms = request->sent_ms;
     call->stopping = SoakFleet_IsStopping(request->gateway);
     call->call = BsOutbound_Start(S_pool, &outbound, &S_events, call);
-    ev_timer_init(&call->limit, S_on_limit, (DEADLINE_MS + LATE_MS) / 1000.0,
-                  0);
+    ev_timer_init(&call->limit, S_on_limit,
+                  (soak->deadline_ms + LATE_MS) / 1000.0, 0);
     call->limit.data = call;
     ev_timer_start(soak->loop, &call->limit);
     g_hash_table_add(S_calls, call);
--- a/tests/soak/soak_fleet.c
+++ b/tests/soak/soak_fleet.c
@@ -14,6 +14,9 @@
 #define GRACE_MS 8000
 #define RESTART_MS 100
 
+/* Part of the grace period after which unanswered requests may be cut. */
+#define GRACE_USED_MS (GRACE_MS * 5 / 6)
+
 /* Uptime after which a gateway has received the state of the others. */
 #define SYNCED_MS 1500
 
@@ -65,10 +68,11 @@
         "peers: \"%s:8003\"\nseeds: [ %s ]\nstore: \"%s:%u\"\n"
         "machine: { memory_mb: 110, descriptors: 800 }\n"
         "bounds: { drain_ms: 2500, grace_s: %d, retry_ratio: 0.2, "
-        "retry_slack: 58, retry_window_s: 10, quota_over: 0.25, "
+        "retry_slack: %u, retry_window_s: 10, quota_over: 0.25, "
         "quota_slack: 0 }\n",
         gateway->number, gateway->number % 2, host, host, host, host,
-        seeds->str, store, 30000 + gateway->number, GRACE_MS / 1000);
+        seeds->str, store, 30000 + gateway->number, GRACE_MS / 1000,
+        soak->retry_slack);
     if (!g_file_set_contents(gateway->settings, text, -1, NULL)) {
         g_error("%s: cannot be written", gateway->settings);
     }
@@ -170,7 +174,7 @@
     gateway->fault_ms = Soak_NowMs(soak);
     gateway->settings = g_strdup_printf("%s/gw-%u.yaml", S_directory, number);
     Soak_Address(soak, 102, (uint16_t)(30000 + number), &listen_address);
-    Soak_Address(soak, 100, 19999, &target);
+    Soak_Address(soak, 100, soak->store_port, &target);
     gateway->store_path = SoakProxy_Create(soak, &listen_address, &target);
     ev_timer_init(&gateway->start, S_on_start, 0, 0);
     ev_timer_init(&gateway->grace, S_on_grace, 0, 0);
@@ -237,6 +241,14 @@
     return false;
 }
 
+bool
+SoakFleet_IsGraceOver(unsigned number)
+{
+    const Gateway *gateway = &S_gateways[number];
+    return gateway->term_ms > 0 &&
+           Soak_NowMs(gateway->soak) >= gateway->term_ms + GRACE_USED_MS;
+}
+
 bool
 SoakFleet_IsStopping(unsigned gateway)
 {
--- a/tests/soak/soak_load.c
+++ b/tests/soak/soak_load.c
@@ -13,6 +13,7 @@
     unsigned sent;
     unsigned good;
     unsigned refused;
+    unsigned cut;
     GArray *times_ms; /* int64_t; of complete answers */
 } LoadRow;
 
@@ -45,15 +46,17 @@
         row->good++;
         g_array_append_val(row->times_ms, took_ms);
     }
-    row->refused += request->status == 429 || request->status == 503;
+    row->refused += request->refused;
+    row->cut += request->cut;
 }
 
 static void
 S_print(const char *name, LoadRow *row)
 {
     g_array_sort(row->times_ms, S_compare);
-    printf("%-8s %7u %9u %8u %7u %7ld %7ld %7ld\n", name, row->sent, row->good,
-           row->refused, row->sent - row->good - row->refused,
+    printf("%-8s %7u %9u %8u %6u %7u %7ld %7ld %7ld\n", name, row->sent,
+           row->good, row->refused, row->cut,
+           row->sent - row->good - row->refused - row->cut,
            S_quantile(row->times_ms, 0.5), S_quantile(row->times_ms, 0.9),
            S_quantile(row->times_ms, 0.99));
 }
@@ -64,6 +67,20 @@
     return S_names[kind];
 }
 
+void
+SoakLoad_PrintSilences(const Soak *soak)
+{
+    printf("%u silences; answers held: %u before the head, %u in it, %u "
+           "between events, %u in one\n",
+           soak->silences, soak->cuts[SOAK_CUT_BEFORE_HEAD],
+           soak->cuts[SOAK_CUT_IN_HEAD], soak->cuts[SOAK_CUT_BETWEEN_EVENTS],
+           soak->cuts[SOAK_CUT_IN_EVENT]);
+    printf("meanwhile %u requests were cut, excused or not; answered 502: %u, "
+           "503: %u, 504: %u\n",
+           soak->cut_in_silence, soak->failed_in_silence[0],
+           soak->failed_in_silence[1], soak->failed_in_silence[2]);
+}
+
 void
 SoakLoad_Print(const Soak *soak)
 {
@@ -78,8 +95,8 @@
         const SoakRequest *request = value;
         S_add(&rows[request->deadly ? DEADLY : request->kind], request);
     }
-    printf("route       sent  answered  refused   other  p50 ms  p90 ms  "
-           "p99 ms\n");
+    printf("route       sent  answered  refused    cut   other  p50 ms  "
+           "p90 ms  p99 ms\n");
     for (unsigned i = 0; i < KINDS; i++) {
         S_print(S_names[i], &rows[i]);
         g_array_unref(rows[i].times_ms);
--- a/tests/soak/soak_proxy.c
+++ b/tests/soak/soak_proxy.c
@@ -2,11 +2,22 @@
 #include "gw_stream.h"
 #include "soak.h"
 
+#include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #define DELAY_S 0.15
 
+/* Least time between two silences. */
+#define SILENCE_REST_MS 1000
+
+/* Most bytes of an answer that pass after a silence began; more than a head
+   and an event, so that the cut may be anywhere. */
+#define CUT_MAX_BYTES 220
+
+#define HEAD_END "\r\n\r\n"
+#define EVENT_END "\n\n\r\n"
+
 /* A connection from the gateway and the one to the target. */
 typedef struct Pair Pair;
 
@@ -15,7 +26,9 @@
     Pair *pair;
     GString *bytes;
     ev_timer timer;
-    bool from_gateway; /* from the gateway */
+    bool from_gateway;  /* from the gateway */
+    size_t spare_bytes; /* may pass in spite of a silence */
+    GString *passed;    /* since the other direction last had bytes */
 } Direction;
 
 struct Pair {
@@ -23,7 +36,7 @@
     BsStream *gateway_side; /* with the gateway */
     BsStream *target_side;
     Direction directions[2];
-    bool ended;
+    bool ended; /* one side closed during a silence */
 };
 
 struct SoakProxy {
@@ -34,6 +47,10 @@
     int fd;
     ev_io accept;
     GHashTable *pairs;
+    bool silent;
+    bool holds_requests; /* the silence holds both directions */
+    ev_timer silence;    /* end of the silence */
+    int64_t silent_ms;   /* end of the last silence */
 };
 
 static void
@@ -43,6 +60,7 @@
     for (int i = 0; i < 2; i++) {
         ev_timer_stop(pair->proxy->soak->loop, &pair->directions[i].timer);
         g_string_free(pair->directions[i].bytes, TRUE);
+        g_string_free(pair->directions[i].passed, TRUE);
     }
     BsStream_Destroy(pair->gateway_side);
     BsStream_Destroy(pair->target_side);
@@ -55,6 +73,21 @@
     g_hash_table_remove(pair->proxy->pairs, pair);
 }
 
+/* Returns how many of the kept bytes a silence lets pass. */
+static size_t
+S_passing_bytes(Direction *direction)
+{
+    const SoakProxy *proxy = direction->pair->proxy;
+    size_t size_bytes = direction->bytes->len;
+    if (!proxy->silent ||
+        (direction->from_gateway && !proxy->holds_requests)) {
+        return size_bytes;
+    }
+    size_bytes = MIN(size_bytes, direction->spare_bytes);
+    direction->spare_bytes -= size_bytes;
+    return size_bytes;
+}
+
 static void
 S_pass(Direction *direction)
 {
@@ -64,10 +97,16 @@
         (mode == SOAK_ONE_WAY && !direction->from_gateway)) {
         return; /* keep the bytes: a cut by itself loses none */
     }
+    size_t size_bytes = S_passing_bytes(direction);
     BsStream_Write(direction->from_gateway ? pair->target_side
                                            : pair->gateway_side,
-                   direction->bytes->str, direction->bytes->len);
-    g_string_truncate(direction->bytes, 0);
+                   direction->bytes->str, size_bytes);
+    if (size_bytes > 0) {
+        g_string_append_len(direction->passed, direction->bytes->str,
+                            (gssize)size_bytes);
+        g_string_truncate(pair->directions[direction->from_gateway].passed, 0);
+    }
+    g_string_erase(direction->bytes, 0, (gssize)size_bytes);
 }
 
 static void
@@ -103,6 +142,10 @@
     if (mode == SOAK_BLACKHOLE || mode == SOAK_ONE_WAY) {
         return; /* the other side does not see the close either */
     }
+    if (pair->proxy->silent) {
+        pair->ended = true;
+        return;
+    }
     S_pass(&pair->directions[0]);
     S_pass(&pair->directions[1]);
     S_end_pair(pair);
@@ -133,6 +176,7 @@
     for (int i = 0; i < 2; i++) {
         pair->directions[i].pair = pair;
         pair->directions[i].bytes = g_string_new(NULL);
+        pair->directions[i].passed = g_string_new(NULL);
         pair->directions[i].from_gateway = i == 0;
         ev_timer_init(&pair->directions[i].timer, S_on_delay_end, 0, 0);
         pair->directions[i].timer.data = &pair->directions[i];
@@ -147,11 +191,98 @@
     }
 }
 
+/* ---------------------------------------------------------------- silence --
+ */
+
+/* Returns where in its answer the silence cut what the gateway got. */
+static SoakCut
+S_find_cut(const Direction *direction)
+{
+    const GString *passed = direction->passed;
+    if (passed->len == 0) {
+        return SOAK_CUT_BEFORE_HEAD;
+    }
+    if (strstr(passed->str, HEAD_END) == NULL) {
+        return SOAK_CUT_IN_HEAD;
+    }
+    return g_str_has_suffix(passed->str, HEAD_END) ||
+                   g_str_has_suffix(passed->str, EVENT_END)
+               ? SOAK_CUT_BETWEEN_EVENTS
+               : SOAK_CUT_IN_EVENT;
+}
+
+static void
+S_stop_silence(SoakProxy *proxy)
+{
+    if (!proxy->silent) {
+        return;
+    }
+    proxy->silent = false;
+    proxy->silent_ms = Soak_NowMs(proxy->soak);
+    proxy->soak->silent_ms = proxy->silent_ms;
+    proxy->soak->silent_count--;
+    ev_timer_stop(proxy->soak->loop, &proxy->silence);
+}
+
+/* Forwards what the silence held, and the end of connections after it. */
+static void
+S_on_silence_end(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    (void)loop;
+    (void)events;
+    SoakProxy *proxy = watcher->data;
+    S_stop_silence(proxy);
+    GList *pairs = g_hash_table_get_keys(proxy->pairs);
+    for (GList *node = pairs; node != NULL; node = node->next) {
+        Pair *pair = node->data;
+        if (pair->directions[1].bytes->len > 0) {
+            proxy->soak->cuts[S_find_cut(&pair->directions[1])]++;
+        }
+        S_pass(&pair->directions[0]);
+        S_pass(&pair->directions[1]);
+        if (pair->ended) {
+            S_on_end(0, &pair->directions[0]);
+        }
+    }
+    g_list_free(pairs);
+}
+
+bool
+SoakProxy_FallSilent(SoakProxy *proxy, int silence_ms, bool holds_requests)
+{
+    Soak *soak = proxy->soak;
+    GHashTableIter iter;
+    gpointer key;
+    if (proxy->silent || proxy->fd < 0 ||
+        Soak_NowMs(soak) - proxy->silent_ms < SILENCE_REST_MS) {
+        return false;
+    }
+    proxy->silent = true;
+    proxy->holds_requests = holds_requests;
+    soak->silent_count++;
+    soak->silences++;
+    g_hash_table_iter_init(&iter, proxy->pairs);
+    while (g_hash_table_iter_next(&iter, &key, NULL)) {
+        /* About half of the connections are cut at once. */
+        int spare_bytes = g_rand_int_range(soak->silent_random, -CUT_MAX_BYTES,
+                                           CUT_MAX_BYTES);
+        ((Pair *)key)->directions[0].spare_bytes = 0;
+        ((Pair *)key)->directions[1].spare_bytes = (size_t)MAX(spare_bytes, 0);
+    }
+    ev_timer_set(&proxy->silence, silence_ms / 1000.0, 0);
+    ev_timer_start(soak->loop, &proxy->silence);
+    return true;
+}
+
+/* -------------------------------------------------------------- lifecycle --
+ */
+
 void
 SoakProxy_SetListening(SoakProxy *proxy, bool listening)
 {
     int on = 1;
     if (!listening) {
+        S_stop_silence(proxy);
         ev_io_stop(proxy->soak->loop, &proxy->accept);
         close(proxy->fd);
         proxy->fd = -1;
@@ -179,6 +310,8 @@
     proxy->listen = *listen_address;
     proxy->target = *target;
     proxy->pairs = g_hash_table_new_full(NULL, NULL, S_free_pair, NULL);
+    ev_timer_init(&proxy->silence, S_on_silence_end, 0, 0);
+    proxy->silence.data = proxy;
     SoakProxy_SetListening(proxy, true);
     return proxy;
 }
@@ -190,6 +323,7 @@
         ev_io_stop(proxy->soak->loop, &proxy->accept);
         close(proxy->fd);
     }
+    S_stop_silence(proxy);
     g_hash_table_destroy(proxy->pairs);
     g_free(proxy);
 }
--- a/tests/soak/soak_upstream.c
+++ b/tests/soak/soak_upstream.c
@@ -10,7 +10,6 @@
 #define QUEUE 6
 #define RUN_MIN_MS 10
 #define RUN_MAX_MS 120
-#define EVENTS 6
 #define EVENT_MS 25
 
 /* Bounds that follow from the settings in soak_fleet.c and the configuration
@@ -119,7 +118,7 @@
 static void
 S_send_event(Run *run)
 {
-    if (run->next_event >= EVENTS) {
+    if (run->next_event >= run->upstream->soak->events) {
         S_end_stream(run); /* resumed after the last event */
         return;
     }
@@ -130,7 +129,7 @@
     }
     g_free(event);
     run->next_event++;
-    if (run->next_event < EVENTS) {
+    if (run->next_event < run->upstream->soak->events) {
         ev_timer_set(&run->timer, EVENT_MS / 1000.0, 0);
         ev_timer_start(run->upstream->soak->loop, &run->timer);
         return;
@@ -147,6 +146,7 @@
                                    DEADLY_DOWN_MAX_MS);
     soak->deadly_runs++;
     soak->deadly_crashes++;
+    soak->trouble_ms = MAX(soak->trouble_ms, Soak_NowMs(soak));
     if (soak->deadly_crashes == DEADLY_CRASHES) {
         soak->deadly_third_ms = Soak_NowMs(soak);
     }
