A silent upstream does not count as restarted

Now only failed connections show that an upstream was down; silence pauses it. An upstream that went dark and restarted refuses or loses connections, too.

--- a/src/targets.c
+++ b/src/targets.c
@@ -329,19 +329,22 @@
         MIN(target->own_waiting_tokens, prompt_tokens);
 }
 
+/* Returns whether requests in progress at the same time have failed already;
+   they count as one failure. */
+static bool
+S_is_paused(const BsTarget *target, int64_t now_ms)
+{
+    return target->failures > 0 && target->retry_at_ms > now_ms;
+}
+
 /* Returns the length of the pause that begins; 0 when TARGET is already
    paused. */
 static int64_t
-S_note_failure(BsTarget *target, int64_t now_ms)
+S_pause(BsTarget *target, int64_t now_ms)
 {
     uint32_t doublings = MIN(target->failures, 8);
     int64_t pause_ms = MIN((int64_t)RETRY_FIRST_MS << doublings, RETRY_MAX_MS);
-    /* Requests in progress at the same time fail at the same time; they count
-       as one failure. */
-    if (target->failures > 0 && target->retry_at_ms > now_ms) {
-        /* More than one failed request: the target crashed.  It may restart
-           before it has refused a connection. */
-        target->was_down = true;
+    if (S_is_paused(target, now_ms)) {
         return 0;
     }
     target->failures++;
@@ -349,6 +352,18 @@
     return pause_ms;
 }
 
+/* As S_pause(), after a connection that failed. */
+static int64_t
+S_note_failure(BsTarget *target, int64_t now_ms)
+{
+    if (S_is_paused(target, now_ms)) {
+        /* More than one failed request: the target crashed.  It may restart
+           before it has refused a connection. */
+        target->was_down = true;
+    }
+    return S_pause(target, now_ms);
+}
+
 /* Marks a target that was down as cold when it answers again, as it has
    restarted.  The platform may report the restart late, or not at all while
    its store is unavailable. */
@@ -398,7 +413,7 @@
 {
     S_note_error(target, 1);
     if (!reachable) {
-        return S_note_failure(target, now_ms);
+        return S_pause(target, now_ms);
     }
     S_note_recovery(target, now_ms);
     target->failures = 0;
--- a/tests/gate/silence_test.cc
+++ b/tests/gate/silence_test.cc
@@ -101,4 +101,38 @@
             BS_TARGET_CHOSEN, BS_SILENCE_ENDURE}),
     [](const auto &info) { return std::string(info.param.name); });
 
+// Guards against an upstream that counts as cold after a pause, because
+// several requests were waiting there and were answered elsewhere.
+TEST(SilentTarget, IsNotTakenForRestarted)
+{
+    const int64_t cold_ms = 8000;
+    BsCatalogService service = {};
+    service.cold_ms = cold_ms;
+    BsTargetQuery query = {};
+    query.service = &service;
+    BsTargetEntry entry = {};
+    entry.id = "i-1";
+    entry.service = "desk";
+    entry.data_centre = "a";
+    entry.region = "north";
+    entry.slots = 6;
+    BsTargets *targets = BsTargets_Create("a", "north");
+    BsTargets_Put(targets, &entry, kProgressedMs);
+    BsTarget *target = BsTargets_Find(targets, "i-1");
+    for (int i = 0; i < 3; i++) {
+        BsTargets_Sent(targets, target, &query, kProgressedMs);
+    }
+    EXPECT_GT(BsTargets_NoteSilent(target, false, kProgressedMs + 1000), 0);
+    EXPECT_EQ(BsTargets_NoteSilent(target, false, kProgressedMs + 1001), 0);
+    for (int i = 0; i < 2; i++) {
+        BsTargets_Ended(targets, target, BS_TARGET_ABANDONED, 0, 0,
+                        kProgressedMs + 1100);
+    }
+    BsTargets_Ended(targets, target, BS_TARGET_GOOD, 0, 0,
+                    kProgressedMs + 2000);
+    EXPECT_LE(target->cold_until_ms, kProgressedMs + 2000);
+    EXPECT_EQ(target->failures, 0U);
+    BsTargets_Destroy(targets);
+}
+
 } // namespace
