A request sent ahead is answered during a stop

Callers saw: of two requests sent at once after a SIGTERM, the second, which had been read whole, got no answer. Cause: during a stop every answer closes its connection, and the bytes of the next request, already read, were dropped with it. Now an answer does not announce the close while such bytes are buffered; the answer to the last of them does. Not covered: bytes that arrive after the answer's head has announced the close.

--- a/src/gw_inbound.c
+++ b/src/gw_inbound.c
@@ -332,7 +332,8 @@
 {
     BsInboundServer *server = inbound->server;
     GString *text = g_string_new(NULL);
-    if (server->draining) {
+    /* Bytes of the next request that were read already must be answered. */
+    if (server->draining && inbound->pipelined_data->len == 0) {
         inbound->close_after = true;
     }
     g_string_append_printf(text, "HTTP/1.1 %u %s\r\n%s", status,
--- a/src/gw_inbound.h
+++ b/src/gw_inbound.h
@@ -61,7 +61,8 @@
 void BsInboundServer_SetLimits(BsInboundServer *server,
                                const BsInboundLimits *limits);
 
-/* Makes every answer that starts after this call close its connection. */
+/* Makes every answer that starts after this call close its connection, unless
+   bytes of the next request have been read. */
 void BsInboundServer_StartDrain(BsInboundServer *server);
 
 /* Closes connections that have had no request for at least IDLE_MS, but none
--- a/tests/gate/gateway_close_test.cc
+++ b/tests/gate/gateway_close_test.cc
@@ -183,6 +183,22 @@
     EXPECT_EQ(runners_[0]->count(), 1);
 }
 
+// Guards against a request that was read and then dropped, because the answer
+// before it closed its connection during a stop.
+TEST_F(CloseTest, RequestsSentAheadAreAnsweredDuringAStop)
+{
+    Start({Answers});
+    std::unique_ptr<Socket> caller = gateway_->Open();
+    gateway_->Signal(SIGTERM);
+    ASSERT_TRUE(gateway_->WaitReady(false));
+    caller->Write(Call("/look/1", "a") + Call("/look/2", "b"));
+    std::string answers = caller->ReadAll();
+    size_t second = answers.find("HTTP/1.1 200", 1);
+    ASSERT_NE(second, std::string::npos);
+    EXPECT_TRUE(IsHealthy(answers.substr(second), "b"));
+    EXPECT_NE(answers.find("Connection: close", second), std::string::npos);
+}
+
 // Connects to GATEWAY with a receive buffer of a few KiB.
 std::unique_ptr<Socket>
 OpenSmall(Gateway &gateway)
