Silent upstreams: guards for the time when two upstreams hold a request

For a change that keeps the silent attempt beside its replacement: - five rows in which the other upstream brings its head or one event and is silent itself while the first one goes on: nothing doubled or missing; - a request runs at no more upstreams than max-attempts allows, and at one without retry budget; - once the replacement has answered, the connection to the first upstream is closed; - a caller that leaves before the head of a stream, or of a safe request, ends both.

--- a/tests/gate/gateway_silence_test.cc
+++ b/tests/gate/gateway_silence_test.cc
@@ -23,7 +23,8 @@
 enum class Point {
     kBeforeHead,
     kInHead,
-    kAfterHead, // of a stream: before its first event
+    kAfterHead,  // of a stream: before its first event
+    kAfterEvent, // after the first event of this run
     kBetweenEvents,
     kInEvent,
     kInBody,      // of an answer with a length
@@ -37,7 +38,9 @@
     kSilent, // as long as the first one, then answers
     kBreaksOff,
     kBreaksAfterHead,
-    kFails, // answers 500
+    kSilentAfterHead,  // as long as the first one, then goes on
+    kSilentAfterEvent, // the same after its first event
+    kFails,            // answers 500
     kUnreachable,
     kHasNoSlot,
     kMissing, // there is no other upstream
@@ -134,6 +137,8 @@
         return head_bytes / 2;
     case Point::kAfterHead:
         return head_bytes;
+    case Point::kAfterEvent:
+        return answer.find("\n\n\r\n") + 4;
     case Point::kBetweenEvents:
         return event_end;
     case Point::kInEvent:
@@ -412,6 +417,12 @@
         case Other::kSilent:
             return AnswersAfterSilence(socket, got, Point::kBeforeHead,
                                        row.silence_ms);
+        case Other::kSilentAfterHead:
+            return AnswersAfterSilence(socket, got, Point::kAfterHead,
+                                       row.silence_ms);
+        case Other::kSilentAfterEvent:
+            return AnswersAfterSilence(socket, got, Point::kAfterEvent,
+                                       row.silence_ms);
         case Other::kBreaksOff:
             return false;
         case Other::kBreaksAfterHead:
@@ -438,6 +449,20 @@
             AddOther();
         }
     }
+    // Returns how many upstreams may run the request.
+    static int RunsMax()
+    {
+        switch (GetParam().limit) {
+        case Limit::kOneAttempt:
+        case Limit::kNoBudget:
+            return 1;
+        case Limit::kExcluded:
+            return 3;
+        case Limit::kUsual:
+            return 2;
+        }
+        return 0;
+    }
     void SetLimit()
     {
         switch (GetParam().limit) {
@@ -481,6 +506,10 @@
     }
     go_ = true;
     Expect(row.path, caller->ReadAll());
+    // An upstream that refuses it does not run it.
+    if (row.other != Other::kRefuses) {
+        EXPECT_LE(arrivals_, RunsMax());
+    }
 }
 
 const SilenceCase kStreams[] = {
@@ -520,6 +549,16 @@
      Other::kSilent, Limit::kUsual},
     {"BeforeHeadFree", "/chat/1", Point::kBeforeHead, 1400, Other::kAnswers,
      Limit::kUsual},
+    {"OtherSilentAfterEvent", "/chat/1", Point::kBetweenEvents, 1400,
+     Other::kSilentAfterEvent, Limit::kUsual},
+    {"OtherSilentAfterHead", "/chat/1", Point::kBetweenEvents, 1400,
+     Other::kSilentAfterHead, Limit::kUsual},
+    {"InEventOtherSilentAfterEvent", "/chat/1", Point::kInEvent, 1400,
+     Other::kSilentAfterEvent, Limit::kUsual},
+    {"BeforeHeadOtherSilentAfterHead", "/chat/1", Point::kBeforeHead, 1400,
+     Other::kSilentAfterHead, Limit::kUsual},
+    {"BeforeHeadOtherSilentAfterEvent", "/chat/1", Point::kBeforeHead, 1400,
+     Other::kSilentAfterEvent, Limit::kUsual},
     {"BeforeHeadFull", "/chat/1", Point::kBeforeHead, 1400, Other::kRefuses,
      Limit::kUsual},
     {"BeforeHeadBreaksOff", "/chat/1", Point::kBeforeHead, 1400,
@@ -624,13 +663,15 @@
 TEST_P(GoneSilenceTest, TheOtherUpstreamAnswersForOneThatIsGone)
 {
     const SilenceCase &row = GetParam();
-    StartWith([&row](Socket &socket, const ReceivedRequest &got, int arrival) {
+    std::atomic<int> closed{0};
+    StartWith([&](Socket &socket, const ReceivedRequest &got, int arrival) {
         if (arrival > 0) {
             return AnswersAtOnce(socket, got);
         }
         std::string answer = WholeAnswer(got);
         socket.Write(answer.substr(0, BytesBefore(answer, row.point)));
         socket.WaitClosed();
+        closed++;
         return false;
     });
     std::unique_ptr<Socket> caller = Send(row.path);
@@ -638,6 +679,8 @@
     AddOther();
     go_ = true;
     Expect(row.path, caller->ReadAll());
+    EXPECT_TRUE(Eventually([&] { return closed == 1; }));
+    EXPECT_EQ(arrivals_, 2);
 }
 
 const SilenceCase kGone[] = {
@@ -714,7 +757,7 @@
         if (arrival == 0) {
             return AnswersAfterSilence(socket, got, row.point, row.silence_ms);
         }
-        if (row.other == Other::kBreaksAfterHead) {
+        if (row.other == Other::kSilentAfterHead) {
             socket.Write(StreamHead(got));
         }
         socket.WaitClosed();
@@ -729,7 +772,7 @@
     EXPECT_TRUE(Eventually([&] { return closed == arrivals_ - 1; }));
 }
 
-// Here kBreaksAfterHead stands for a head after which nothing comes.
+// The other upstream never goes on.
 const SilenceCase kOvertaken[] = {
     {"StreamBeforeHead", "/chat/1", Point::kBeforeHead, 1400, Other::kSilent,
      Limit::kUsual},
@@ -738,7 +781,7 @@
     {"StreamInEvent", "/chat/1", Point::kInEvent, 1400, Other::kSilent,
      Limit::kUsual},
     {"StreamBetweenEventsOtherSentItsHead", "/chat/1", Point::kBetweenEvents,
-     1400, Other::kBreaksAfterHead, Limit::kUsual},
+     1400, Other::kSilentAfterHead, Limit::kUsual},
     {"SafeBeforeHead", "/look/1", Point::kBeforeHead, 1400, Other::kSilent,
      Limit::kUsual},
     {"SafeInBody", "/look/1", Point::kInBody, 1400, Other::kSilent,
@@ -748,13 +791,18 @@
 INSTANTIATE_TEST_SUITE_P(Routes, OvertakenSilenceTest,
                          testing::ValuesIn(kOvertaken), NameOf);
 
+class LeftSilenceTest : public SilenceTest,
+                        public testing::WithParamInterface<SilenceCase> {};
+
 // Guards against upstreams that go on with a request whose caller has left.
-TEST_F(SilenceTest, ADisconnectedCallerEndsAllAttempts)
+TEST_P(LeftSilenceTest, ADisconnectedCallerEndsAllAttempts)
 {
+    const SilenceCase &row = GetParam();
     std::atomic<int> closed{0};
     StartWith([&](Socket &socket, const ReceivedRequest &got, int arrival) {
+        std::string answer = WholeAnswer(got);
         if (arrival == 0) {
-            socket.Write(StreamHead(got) + Chunk(Event(0)) + Chunk(Event(1)));
+            socket.Write(answer.substr(0, BytesBefore(answer, row.point)));
         }
         socket.WaitClosed();
         closed++;
@@ -762,13 +810,24 @@
     });
     AddOther();
     go_ = true;
-    std::unique_ptr<Socket> caller = Send("/chat/1");
+    std::unique_ptr<Socket> caller = Send(row.path);
     ASSERT_TRUE(Eventually([&] { return arrivals_ == 2; }));
     caller.reset();
     EXPECT_TRUE(Eventually([&] { return closed == 2; }));
     EXPECT_EQ(arrivals_, 2);
 }
 
+const SilenceCase kLeft[] = {
+    {"Stream", "/chat/1", Point::kBetweenEvents, 0, Other::kSilent,
+     Limit::kUsual},
+    {"StreamBeforeHead", "/chat/1", Point::kBeforeHead, 0, Other::kSilent,
+     Limit::kUsual},
+    {"Safe", "/look/1", Point::kBeforeHead, 0, Other::kSilent, Limit::kUsual},
+};
+
+INSTANTIATE_TEST_SUITE_P(Routes, LeftSilenceTest, testing::ValuesIn(kLeft),
+                         NameOf);
+
 // --------------------------------------------------------- silence of all --
 
 // The upstreams of a test of many requests fall silent together.
