One silence pauses an upstream once

What callers saw: while upstreams were silent for a second, new requests were refused (no_place) longer than the pause of an upstream should last. Cause: requests that had been sent before the silence was noticed noticed it one after the other, and each that did so after the end of the last pause began a new, doubled one. A request sent before the last pause began tells nothing new and begins none now.

SilentTarget.IsPausedOnceForOneSilence (new) names the pattern.

--- a/src/gw_attempt.c
+++ b/src/gw_attempt.c
@@ -685,9 +685,9 @@
     }
     attempt->silent = true;
     BsRelay_Log(relay, BS_EVENT_FAILURE, "attempt_silent", "silent");
-    int64_t pause_ms =
-        BsTargets_NoteSilent(attempt->target, S_is_reachable(relay),
-                             BsClock_NowMs(relay->gate->clock));
+    int64_t pause_ms = BsTargets_NoteSilent(attempt->target, attempt->sent_ms,
+                                            S_is_reachable(relay),
+                                            BsClock_NowMs(relay->gate->clock));
     if (pause_ms > 0) {
         S_log_pause(relay->gate, attempt->target->id, pause_ms);
     }
--- a/src/targets.c
+++ b/src/targets.c
@@ -348,6 +348,7 @@
         return 0;
     }
     target->failures++;
+    target->paused_ms = now_ms;
     target->retry_at_ms = now_ms + pause_ms;
     return pause_ms;
 }
@@ -409,11 +410,13 @@
 }
 
 int64_t
-BsTargets_NoteSilent(BsTarget *target, bool reachable, int64_t now_ms)
+BsTargets_NoteSilent(BsTarget *target, int64_t sent_ms, bool reachable,
+                     int64_t now_ms)
 {
+    bool known = target->failures > 0 && sent_ms <= target->paused_ms;
     S_note_error(target, 1);
     if (!reachable) {
-        return S_pause(target, now_ms);
+        return known ? 0 : S_pause(target, now_ms);
     }
     S_note_recovery(target, now_ms);
     target->failures = 0;
--- a/src/targets.h
+++ b/src/targets.h
@@ -63,6 +63,7 @@
     double cold_level;      /* token bucket: requests allowed while cold */
     int64_t cold_filled_ms; /* last refill of the bucket */
     uint32_t failures;      /* consecutive */
+    int64_t paused_ms;      /* when the last pause after a failure began */
     int64_t retry_at_ms;    /* no request before this time, after a failure or
                                refusal */
     int64_t requested_pause_until_ms; /* no request before this time, as
@@ -201,11 +202,13 @@
    PROMPT_TOKENS arrived. */
 void BsTargets_Started(BsTarget *target, uint32_t prompt_tokens);
 
-/* Notes that TARGET has sent nothing for a request for too long, which goes on
-   there.  REACHABLE tells whether it sent something else meanwhile.  Returns
-   the milliseconds for which it gets no requests because of this; 0: no new
-   pause. */
-int64_t BsTargets_NoteSilent(BsTarget *target, bool reachable, int64_t now_ms);
+/* Notes that TARGET has sent nothing for too long for a request, sent at
+   SENT_MS, which goes on there.  REACHABLE tells whether it sent something
+   else meanwhile.  Returns the milliseconds for which it gets no requests
+   because of this; 0: no new pause, as for a request that was sent before the
+   last pause began, which shows the same silence. */
+int64_t BsTargets_NoteSilent(BsTarget *target, int64_t sent_ms, bool reachable,
+                             int64_t now_ms);
 
 /* Notes that TARGET goes on with a request for which it was silent, so it was
    not down: it gets requests again. */
--- a/tests/gate/silence_test.cc
+++ b/tests/gate/silence_test.cc
@@ -101,38 +101,68 @@
             BS_TARGET_CHOSEN, BS_SILENCE_ENDURE}),
     [](const auto &info) { return std::string(info.param.name); });
 
+// An upstream with three requests, sent at kProgressedMs.
+class SilentTarget : public testing::Test {
+  protected:
+    SilentTarget() : targets_(BsTargets_Create("a", "north"))
+    {
+        BsTargetEntry entry = {};
+        entry.id = "i-1";
+        entry.service = "desk";
+        entry.data_centre = "a";
+        entry.region = "north";
+        entry.slots = 6;
+        BsTargets_Put(targets_, &entry, kProgressedMs);
+        target_ = BsTargets_Find(targets_, "i-1");
+        BsCatalogService service = {};
+        service.cold_ms = 8000;
+        BsTargetQuery query = {};
+        query.service = &service;
+        for (int i = 0; i < 3; i++) {
+            BsTargets_Sent(targets_, target_, &query, kProgressedMs);
+        }
+    }
+    ~SilentTarget() override
+    {
+        BsTargets_Destroy(targets_);
+    }
+    // Notes at AT_MS that a request sent at SENT_MS, both counted from
+    // kProgressedMs, waits in vain; returns the pause.
+    int64_t NoteSilent(int64_t sent_ms, int64_t at_ms)
+    {
+        return BsTargets_NoteSilent(target_, kProgressedMs + sent_ms, false,
+                                    kProgressedMs + at_ms);
+    }
+    void End(BsTargetEnd end, int64_t at_ms)
+    {
+        BsTargets_Ended(targets_, target_, end, 0, 0, kProgressedMs + at_ms);
+    }
+
+    BsTargets *targets_;
+    BsTarget *target_;
+};
+
 // Guards against an upstream that counts as cold after a pause, because
 // several requests were waiting there and were answered elsewhere.
-TEST(SilentTarget, IsNotTakenForRestarted)
+TEST_F(SilentTarget, IsNotTakenForRestarted)
 {
-    const int64_t cold_ms = 8000;
-    BsCatalogService service = {};
-    service.cold_ms = cold_ms;
-    BsTargetQuery query = {};
-    query.service = &service;
-    BsTargetEntry entry = {};
-    entry.id = "i-1";
-    entry.service = "desk";
-    entry.data_centre = "a";
-    entry.region = "north";
-    entry.slots = 6;
-    BsTargets *targets = BsTargets_Create("a", "north");
-    BsTargets_Put(targets, &entry, kProgressedMs);
-    BsTarget *target = BsTargets_Find(targets, "i-1");
-    for (int i = 0; i < 3; i++) {
-        BsTargets_Sent(targets, target, &query, kProgressedMs);
-    }
-    EXPECT_GT(BsTargets_NoteSilent(target, false, kProgressedMs + 1000), 0);
-    EXPECT_EQ(BsTargets_NoteSilent(target, false, kProgressedMs + 1001), 0);
-    for (int i = 0; i < 2; i++) {
-        BsTargets_Ended(targets, target, BS_TARGET_ABANDONED, 0, 0,
-                        kProgressedMs + 1100);
-    }
-    BsTargets_Ended(targets, target, BS_TARGET_GOOD, 0, 0,
-                    kProgressedMs + 2000);
-    EXPECT_LE(target->cold_until_ms, kProgressedMs + 2000);
-    EXPECT_EQ(target->failures, 0U);
-    BsTargets_Destroy(targets);
+    EXPECT_GT(NoteSilent(0, 1000), 0);
+    EXPECT_EQ(NoteSilent(0, 1001), 0);
+    End(BS_TARGET_ABANDONED, 1100);
+    End(BS_TARGET_ABANDONED, 1100);
+    End(BS_TARGET_GOOD, 2000);
+    EXPECT_LE(target_->cold_until_ms, kProgressedMs + 2000);
+    EXPECT_EQ(target_->failures, 0U);
+}
+
+// Guards against pauses that follow each other without a gap, because requests
+// that were sent before the silence was noticed notice it one after the other.
+TEST_F(SilentTarget, IsPausedOnceForOneSilence)
+{
+    int64_t pause_ms = NoteSilent(0, 500);
+    EXPECT_GT(pause_ms, 0);
+    EXPECT_EQ(NoteSilent(450, 500 + pause_ms + 100), 0);
+    EXPECT_GT(NoteSilent(500 + pause_ms, 500 + pause_ms + 600), pause_ms);
 }
 
 } // namespace
