Requests wait for upstreams that are all silent

What callers saw: while all upstreams of a service were silent for a second, new requests were refused (503, no_place) after three quarters of their objective, though a slot was free at each and the upstreams went on before the deadline. Cause: the wait in the queue is meant for slots that others use; a pause for silence looked the same.

While every open upstream of the service is silent, a request that was not sent stays queued for up to two seconds, the length of a sound silence, and for half of its time at most, so that its caller can retry after a refusal. One upstream that is full, down or answers ends that.

--- a/src/gw_relay.c
+++ b/src/gw_relay.c
@@ -132,6 +132,24 @@
     return MAX(retry_after_ms, requested_pause_ms);
 }
 
+/* Extends the time in the queue of a request that was not sent while all
+   upstreams are silent.  Returns whether it did. */
+static bool
+S_waits_for_silent(BsRelay *relay, int64_t now_ms)
+{
+    BsTargetQuery query;
+    BsQueueTimeout wait = {.arrived_ms = relay->arrived_ms,
+                           .expires_ms = relay->expires_ms};
+    int64_t until_ms = BsQueueTimeout_SilentUntilMs(&wait);
+    BsAttempt_FillQuery(relay, &query);
+    if (relay->may_have_run || now_ms >= until_ms ||
+        !BsTargets_AreAllSilent(relay->gate->targets, &query, now_ms)) {
+        return false;
+    }
+    relay->queue_until_ms = MIN(until_ms, now_ms + BS_RELAY_SILENCE_CHECK_MS);
+    return true;
+}
+
 static void
 S_on_timer(struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -144,7 +162,8 @@
         relay->may_have_run = ran;
         BsRelay_Refuse(relay, ran ? 504 : 503, "expired", ran ? 0 : 1);
     }
-    else if (relay->queue_entry != NULL && now_ms >= relay->queue_until_ms) {
+    else if (relay->queue_entry != NULL && now_ms >= relay->queue_until_ms &&
+             !S_waits_for_silent(relay, now_ms)) {
         int64_t retry_after_ms = S_retry_after_ms(relay, now_ms);
         BsRelay_NoteWait(relay, relay->route->target_ms);
         BsRelay_Refuse(relay, relay->may_have_run ? 502 : 503, "no_place",
--- a/src/queuetimeout.c
+++ b/src/queuetimeout.c
@@ -8,6 +8,9 @@
 /* Least fraction in an overload: about the time until some slot is free. */
 #define OVERLOAD_WAIT_FRACTION 0.125
 
+/* Longest wait for upstreams that are all silent. */
+#define SILENCE_WAIT_MS 2000
+
 static int64_t
 S_fraction_ms(const BsQueueTimeout *wait, double fraction)
 {
@@ -29,6 +32,13 @@
     return until_ms;
 }
 
+int64_t
+BsQueueTimeout_SilentUntilMs(const BsQueueTimeout *wait)
+{
+    int64_t half_ms = (wait->expires_ms - wait->arrived_ms) / 2;
+    return wait->arrived_ms + MIN(SILENCE_WAIT_MS, half_ms);
+}
+
 int64_t
 BsQueueTimeout_UntilMs(const BsQueueTimeout *wait, int64_t now_ms)
 {
--- a/src/queuetimeout.h
+++ b/src/queuetimeout.h
@@ -6,7 +6,9 @@
  * gets that time again.  In an overload a request that can no longer meet its
  * objective is given up to make room.  A caller that has received the first
  * part of its answer gains nothing by an early end: its request is queued
- * until the caller would disconnect.
+ * until the caller would disconnect.  While all upstreams are silent, a
+ * request is queued for as long as a sound upstream may pause, but at most for
+ * half of its time, so that its caller can still retry.
  */
 #ifndef BS_QUEUETIMEOUT_H
 #define BS_QUEUETIMEOUT_H
@@ -25,6 +27,10 @@
     bool started;         /* first part of the answer was forwarded */
 } BsQueueTimeout;
 
+/* Returns until when the request WAIT, which was not sent, is queued while all
+   upstreams are silent: they may go on together. */
+int64_t BsQueueTimeout_SilentUntilMs(const BsQueueTimeout *wait);
+
 /* Returns when the request WAIT is given up, NOW_MS or later. */
 int64_t BsQueueTimeout_UntilMs(const BsQueueTimeout *wait, int64_t now_ms);
 
--- a/src/targetchoice.c
+++ b/src/targetchoice.c
@@ -463,6 +463,25 @@
     return until_ms == INT64_MAX ? 0 : MAX(until_ms - now_ms, 0);
 }
 
+bool
+BsTargets_AreAllSilent(const BsTargets *targets, const BsTargetQuery *query,
+                       int64_t now_ms)
+{
+    const GPtrArray *list =
+        g_hash_table_lookup(targets->services, query->service->name);
+    bool any = false;
+    for (guint i = 0; list != NULL && i < list->len; i++) {
+        const BsTarget *target = list->pdata[i];
+        if (S_is_open(target, query, now_ms)) {
+            if (!target->silent) {
+                return false;
+            }
+            any = true;
+        }
+    }
+    return any;
+}
+
 double
 BsTargets_Occupancy(const BsTargets *targets, const char *service,
                     int64_t now_ms, uint32_t *slots)
--- a/src/targets.c
+++ b/src/targets.c
@@ -416,6 +416,7 @@
     bool known = target->failures > 0 && sent_ms <= target->paused_ms;
     S_note_error(target, 1);
     if (!reachable) {
+        target->silent = true;
         return known ? 0 : S_pause(target, now_ms);
     }
     S_note_recovery(target, now_ms);
@@ -426,6 +427,7 @@
 void
 BsTargets_NoteResumed(BsTarget *target)
 {
+    target->silent = false;
     target->failures = 0;
     target->retry_at_ms = 0;
     target->was_down = false;
@@ -437,6 +439,7 @@
 {
     int64_t pause_ms = 0;
     target->own -= target->own > 0;
+    target->silent = target->silent && end == BS_TARGET_ABANDONED;
     BsTargets_Started(target, prompt_tokens);
     switch (end) {
     case BS_TARGET_GOOD:
--- a/src/targets.h
+++ b/src/targets.h
@@ -63,6 +63,7 @@
     double cold_level;      /* token bucket: requests allowed while cold */
     int64_t cold_filled_ms; /* last refill of the bucket */
     uint32_t failures;      /* consecutive */
+    bool silent;            /* its last failure was a silence */
     int64_t paused_ms;      /* when the last pause after a failure began */
     int64_t retry_at_ms;    /* no request before this time, after a failure or
                                refusal */
@@ -186,6 +187,11 @@
 int64_t BsTargets_RequestedPauseMs(const BsTargets *targets,
                                    const BsTargetQuery *query, int64_t now_ms);
 
+/* Returns whether all targets that QUERY allows are silent, and there are
+   some. */
+bool BsTargets_AreAllSilent(const BsTargets *targets,
+                            const BsTargetQuery *query, int64_t now_ms);
+
 /* Returns the share of the slots of SERVICE that are in use, 0 to 1 (1 when
    there are none), and the number of slots in SLOTS. */
 double BsTargets_Occupancy(const BsTargets *targets, const char *service,
--- a/tests/gate/queuetimeout_test.cc
+++ b/tests/gate/queuetimeout_test.cc
@@ -71,6 +71,16 @@
               kArrivedMs + 4400);
 }
 
+// Guards against requests that are refused although all their upstreams are
+// about to go on, and against a wait that leaves no time to retry.
+TEST(QueueTimeout, SilentUpstreamsAreWaitedForUntilHalfOfTheTime)
+{
+    BsQueueTimeout wait = MakeWait();
+    EXPECT_EQ(BsQueueTimeout_SilentUntilMs(&wait), kArrivedMs + 2000);
+    wait.expires_ms = kArrivedMs + 800;
+    EXPECT_EQ(BsQueueTimeout_SilentUntilMs(&wait), kArrivedMs + 400);
+}
+
 TEST(QueueTimeout, TimeoutIsNeitherAfterExpiryNorInThePast)
 {
     BsQueueTimeout wait = MakeWait();
--- a/tests/gate/silence_test.cc
+++ b/tests/gate/silence_test.cc
@@ -165,4 +165,41 @@
     EXPECT_GT(NoteSilent(500 + pause_ms, 500 + pause_ms + 600), pause_ms);
 }
 
+// Guards against requests that wait for silent upstreams although another one
+// is full, down or not listed any more.
+TEST_F(SilentTarget, AllAreSilentOnlyWhenNoOtherIsOpen)
+{
+    BsCatalogService service = {};
+    service.name = const_cast<char *>("desk");
+    BsCatalogRoute *route = BsCatalogRoute_Create();
+    BsTargetQuery query = {};
+    query.service = &service;
+    query.route = route;
+    auto all_silent = [&](int64_t at_ms) {
+        return BsTargets_AreAllSilent(targets_, &query, kProgressedMs + at_ms);
+    };
+    EXPECT_FALSE(all_silent(0));
+    NoteSilent(0, 500);
+    EXPECT_TRUE(all_silent(500));
+    BsTargetEntry other = {};
+    other.id = "i-2";
+    other.service = "desk";
+    other.data_centre = "a";
+    other.region = "north";
+    other.slots = 1;
+    BsTargets_Put(targets_, &other, kProgressedMs);
+    EXPECT_FALSE(all_silent(500));
+    BsTargets_Remove(targets_, "i-2", 0, kProgressedMs + 500);
+    EXPECT_TRUE(all_silent(501));
+    End(BS_TARGET_ABANDONED, 600);
+    EXPECT_TRUE(all_silent(600));
+    End(BS_TARGET_UNREACHED, 700);
+    EXPECT_FALSE(all_silent(700));
+    NoteSilent(800, 1300);
+    EXPECT_TRUE(all_silent(1300));
+    BsTargets_NoteResumed(target_);
+    EXPECT_FALSE(all_silent(1400));
+    BsCatalogRoute_Destroy(route);
+}
+
 } // namespace
