An answer that is cut off at the end of a stop ends with a reset

Callers saw: when the grace period ended before an answer did, the connection was closed in order after a part of it. gw_inbound.h promises a reset, so that nobody takes the part for the whole. Cause: the server's end destroyed all connections alike; the close limit and the end of the process did the same with answers whose end was still buffered. Now those that have begun and are not sent whole are reset. A request whose answer has not begun is closed in order as before: it may run, and a reset could be taken for "not read".

Evidence: on the code before, CloseTest.AnAnswerCutAtTheEndOfAStopIsReset EndsWithReset(*caller, 0) Actual: false SlowCallerTest.GetsAResetWhenTheAnswerIsCutAtTheEndOfAStop EndsWithReset(*caller, 25) Actual: false Both pass now. The cut itself remains: the process is killed at the end of the grace period.

--- a/src/gw_inbound.c
+++ b/src/gw_inbound.c
@@ -632,6 +632,20 @@
     close(server->fd);
 }
 
+/* Closes INBOUND at the end of the process; an answer that is cut off by it
+   must not end with an orderly close. */
+static void
+S_end(BsInbound *inbound)
+{
+    bool cut = inbound->state == STATE_ANSWERING && inbound->head_sent;
+    if (cut || BsInbound_PendingBytes(inbound) > 0) {
+        BsInbound_Reset(inbound);
+    }
+    else {
+        S_destroy(inbound);
+    }
+}
+
 void
 BsInboundServer_Destroy(BsInboundServer *server)
 {
@@ -640,7 +654,7 @@
     }
     GList *connections = g_hash_table_get_keys(server->connections);
     for (GList *node = connections; node != NULL; node = node->next) {
-        S_destroy(node->data);
+        S_end(node->data);
     }
     g_list_free(connections);
     BsInboundServer_StopListening(server);
--- a/src/gw_inbound.h
+++ b/src/gw_inbound.h
@@ -53,7 +53,8 @@
                                         const BsInboundLimits *limits,
                                         GError **error);
 
-/* Closes all connections and frees SERVER; NULL is allowed. */
+/* Closes all connections and frees SERVER; NULL is allowed.  Answers that have
+   begun and are not sent whole end with a reset. */
 void BsInboundServer_Destroy(BsInboundServer *server);
 
 /* Sets the limits for requests that start after this call.  An idle connection
--- a/src/gw_stream.c
+++ b/src/gw_stream.c
@@ -224,6 +224,18 @@
     S_leave_callback(stream);
 }
 
+/* Closes STREAM, with a reset when buffered bytes are dropped. */
+static void
+S_end(BsStream *stream)
+{
+    if (BsStream_PendingBytes(stream) > 0) {
+        BsStream_Abort(stream);
+    }
+    else {
+        BsStream_Destroy(stream);
+    }
+}
+
 /* Runs at each end of the close limit: closes, unless the peer has taken some
    of the buffered bytes since the last one.  Counts what the peer has
    acknowledged, as the kernel accepts bytes in large steps only. */
@@ -236,7 +248,7 @@
     size_t before = stream->undelivered;
     stream->undelivered = BsStream_UndeliveredBytes(stream);
     if (BsStream_PendingBytes(stream) == 0 || stream->undelivered >= before) {
-        BsStream_Destroy(stream);
+        S_end(stream);
     }
 }
 
@@ -357,7 +369,7 @@
             S_send_blocking(stream, limit_s);
         }
         stream->depth = 0;
-        BsStream_Destroy(stream);
+        S_end(stream);
     }
 }
 
--- a/src/gw_stream.h
+++ b/src/gw_stream.h
@@ -40,8 +40,9 @@
 void BsStream_Destroy(BsStream *stream);
 
 /* Sends the buffered bytes, then closes and frees STREAM, without further
-   callbacks.  The buffered bytes are dropped when the peer takes none for
-   LIMIT_S seconds, at the latest for twice as long. */
+   callbacks.  When the peer takes none of the buffered bytes for LIMIT_S
+   seconds, at the latest for twice as long, they are dropped, and the
+   connection ends with a reset. */
 void BsStream_CloseWhenSent(BsStream *stream, double limit_s);
 
 /* Shuts down the writing side of STREAM, which must have no undelivered bytes,
@@ -61,7 +62,7 @@
 
 /* Frees the streams given to BsStream_CloseWhenSent(); called at the end of
    the process.  Sends their buffered bytes first, blocking for LIMIT_S seconds
-   per send(); 0 drops them. */
+   per send(); 0 drops them, and the connection ends with a reset. */
 void BsStream_EndClosing(unsigned limit_s);
 
 /* Closes with a TCP reset, so that the peer does not take the message for
--- a/tests/gate/gateway_close_test.cc
+++ b/tests/gate/gateway_close_test.cc
@@ -2,6 +2,7 @@
 #include "gateway_fixture.h"
 
 #include <arpa/inet.h>
+#include <cerrno>
 #include <chrono>
 #include <csignal>
 #include <future>
@@ -340,4 +341,58 @@
     EXPECT_TRUE(IsWhole(ReadSlowly(*caller, 8192, 25, 1500, 3500)));
 }
 
+// Reads 2 KiB every PAUSE_MS; returns whether the connection ends with a
+// reset.
+bool
+EndsWithReset(Socket &socket, int pause_ms)
+{
+    char buffer[2048];
+    ssize_t size = 1;
+    while (size > 0 && WaitPoll(socket, POLLIN)) {
+        size = read(socket.fd(), buffer, sizeof(buffer));
+        if (size < 0) {
+            return errno == ECONNRESET;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(pause_ms));
+    }
+    return false;
+}
+
+// Guards against an answer that is cut off by the end of the grace period and
+// ends with an orderly close.
+TEST_F(CloseTest, AnAnswerCutAtTheEndOfAStopIsReset)
+{
+    Start({[this](Socket &socket, const ReceivedRequest &got) {
+        bool open = socket.Write(StreamHead(got));
+        for (int i = 1; open && !go_; i++) {
+            open = socket.Write(Chunk(Event(i)));
+            std::this_thread::sleep_for(std::chrono::milliseconds(200));
+        }
+        return false;
+    }});
+    std::string call = Call("/once/1", "a");
+    const std::string deadline = "Deadline-Ms: 5000";
+    call.replace(call.find(deadline), deadline.size(), "Deadline-Ms: 20000");
+    std::unique_ptr<Socket> caller = gateway_->Open();
+    caller->Write(call);
+    ASSERT_TRUE(WaitPoll(*caller, POLLIN));
+    gateway_->Signal(SIGTERM);
+    EXPECT_TRUE(EndsWithReset(*caller, 0));
+    go_ = true;
+    EXPECT_EQ(gateway_->Wait(), 0);
+}
+
+// The same with an answer that has ended, and whose caller reads too slowly.
+TEST_F(SlowCallerTest, GetsAResetWhenTheAnswerIsCutAtTheEndOfAStop)
+{
+    StartLong();
+    std::unique_ptr<Socket> caller = OpenSmall(*gateway_);
+    gateway_->Signal(SIGTERM);
+    ASSERT_TRUE(gateway_->WaitReady(false));
+    caller->Write(Call("/look/1", "a"));
+    WaitAnswered();
+    EXPECT_TRUE(EndsWithReset(*caller, 25));
+    EXPECT_EQ(gateway_->Wait(), 0);
+}
+
 } // namespace
