A started stream waits for an owner until its deadline

Callers saw: a stream that had been preempted ended with the error event no_upstream when its only engine answered nothing for 9 s, load reports included, and went on. Its caller had 12 of 20 pieces and 50 s left.

Cause: work that waits while no engine is available is handed back after 500 ms; the entry then tries all owners for 5 s and gives up, whether the caller has a part of the answer or not.

Now a stream whose caller has a part of it waits until its deadline. A request that never started is still refused after 5 s, not-run.

Tests: scenario silent_upstream failed before (r1 unknown, no_upstream, after 12 pieces) and passes.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -27,8 +27,8 @@
    unlimited for the rest. */
 #define REDIRECTS_MAX 2
 
-/* Longest wait until an owner can serve the request, and time between two
-   tries. */
+/* Longest wait until an owner can serve a request without a part of its
+   answer, and time between two tries. */
 #define OWNER_WAIT_MAX_MS 5000
 #define OWNER_WAIT_STEP_MS 250
 
@@ -128,11 +128,24 @@
                         wanted->prompt_tokens + wanted->output_tokens);
 }
 
-/* Handles a request that has no owner left to try.  If the last owner had no
-   upstream, all owners are tried again later, since they may be waiting for
-   their tenure or an upstream.  The request fails if the last error was
-   another one, if no owner was ever found, or if the wait would pass the
-   deadline or OWNER_WAIT_MAX_MS. */
+/* Returns whether a request that has no owner left to try may wait for one
+   until NEXT_MS: until its deadline if its caller has a part of the answer,
+   otherwise for OWNER_WAIT_MAX_MS if the last owner had no upstream. */
+static bool
+S_may_wait_for_owner(const BsEntryRequest *request, int64_t next_ms)
+{
+    if (next_ms >= request->deadline_ms) {
+        return false;
+    }
+    return request->next_seq > 0 ||
+           (request->last_error == BS_ERR_NO_UPSTREAM &&
+            next_ms < request->no_owner_since_ms + OWNER_WAIT_MAX_MS);
+}
+
+/* Handles a request that has no owner left to try.  If it may wait, all owners
+   are tried again later, since they may be waiting for their tenure, an
+   upstream or capacity.  The request fails if it may not, or if no owner was
+   ever found. */
 static void
 S_handle_no_owner(BsEntry *entry, BsEntryRequest *request)
 {
@@ -145,9 +158,7 @@
     if (request->no_owner_since_ms == 0) {
         request->no_owner_since_ms = now_ms;
     }
-    if (request->last_error == BS_ERR_NO_UPSTREAM &&
-        next_ms < request->deadline_ms &&
-        next_ms < request->no_owner_since_ms + OWNER_WAIT_MAX_MS) {
+    if (S_may_wait_for_owner(request, next_ms)) {
         BsCore_Count(entry->core, "owner_waits", 1);
         g_hash_table_remove_all(request->tried);
         request->retry_ms = next_ms;
