Bytes after the last blank line of a stream are forwarded

Callers saw: when an engine or service ended its event stream without a blank line after the last event, that event was missing from the answer, which was reported as complete (`ran`); with `data: [DONE]` and one line ending, the last event of the stream was missing.

Cause: the bytes of an unfinished event are held back so that a stream can resume after whole events, and were dropped at the end. They are sent with the last piece now, unless the stream failed.

Test: Stream.AnEndWithoutABlankLineIsForwarded. Before: the last event was missing from both answers. After: passed, with the other tests of contract, scenario, api, once and e2e.

--- a/src/d_sse.c
+++ b/src/d_sse.c
@@ -87,6 +87,17 @@
     return bytes;
 }
 
+GBytes *
+BsSse_TakeRest(BsSse *sse)
+{
+    if (sse->held->len == 0) {
+        return NULL;
+    }
+    GBytes *bytes = g_byte_array_free_to_bytes(sse->held);
+    sse->held = g_byte_array_new();
+    return bytes;
+}
+
 bool
 BsSse_IsTooLong(const BsSse *sse)
 {
--- a/src/d_sse.h
+++ b/src/d_sse.h
@@ -31,6 +31,10 @@
    the result. */
 GBytes *BsSse_Push(BsSse *sse, const void *data, size_t size_bytes);
 
+/* Takes the bytes after the last whole event, at the end of a stream; returns
+   NULL when there are none. */
+GBytes *BsSse_TakeRest(BsSse *sse);
+
 /* Returns whether the unfinished event exceeds the bound. */
 bool BsSse_IsTooLong(const BsSse *sse);
 
--- a/src/d_transfer.c
+++ b/src/d_transfer.c
@@ -289,6 +289,9 @@
         answer->data = S_take_held(transfer);
     }
     S_classify(transfer, result, answer);
+    if (transfer->events && answer->error == BS_ERR_NONE) {
+        answer->data = BsSse_TakeRest(&transfer->sse);
+    }
     curl_easy_cleanup(transfer->easy);
     transfer->easy = NULL;
     BsLoop_Post(transfer->loop, message);
--- a/tests/contract/upstream_test.cc
+++ b/tests/contract/upstream_test.cc
@@ -227,6 +227,21 @@
     EXPECT_EQ(answer.body, events);
 }
 
+// Guards against the loss of what follows the last blank line of a stream.
+TEST(Stream, AnEndWithoutABlankLineIsForwarded)
+{
+    const std::string events = "data: {\"n\":1}\n\ndata: [DONE]\n";
+    Server upstream(
+        Engine([&](Socket &socket) { socket.Write(kStreamHead + events); }));
+    Daemon daemon(upstream.port(), upstream.port());
+    Answer completion = daemon.Send("POST", "/v1/chat/completions", kChat);
+    EXPECT_EQ(completion.outcome, "ran");
+    EXPECT_EQ(completion.body, events);
+    Answer lookup = daemon.Send("GET", "/services/s/look", "");
+    EXPECT_EQ(lookup.outcome, "ran");
+    EXPECT_EQ(lookup.body, events);
+}
+
 TEST(Stream, CutShortEndsWithAnErrorEvent)
 {
     Server engine(Engine([](Socket &socket) {
