A planned stop announces to callers that their connections close

Callers saw: when an instance of boragespurd was stopped, callers that used their connections again got a closed connection for the request that crossed the close: neither an answer nor a refusal.

Cause: responses during a planned stop did not say that their connection closes, and the process ended as soon as nothing was running, while callers went on to send.

Now each response that begins after the start of the stop carries `Connection: close`, and while connections are open the process stays for 500 ms after the core has drained, so that callers at work learn it. A caller that first sends again after that time, or on a new connection at the moment of the end, can still cross the close.

Test: KeptConnection.IsAnnouncedToCloseBesideAPlannedStop, four callers that send one request after the other.

--- a/src/d_call.c
+++ b/src/d_call.c
@@ -335,6 +335,9 @@
     if (call->events) {
         BsReply_AddHeader(response, "Cache-Control", "no-store");
     }
+    if (BsHttpd_IsClosing(call->httpd)) {
+        BsReply_AddHeader(response, "Connection", "close");
+    }
 }
 
 enum MHD_Result
--- a/src/d_callers.c
+++ b/src/d_callers.c
@@ -326,6 +326,18 @@
     g_free(callers);
 }
 
+void
+BsCallers_StartDrain(BsCallers *callers)
+{
+    BsHttpd_StartClosing(callers->httpd);
+}
+
+uint32_t
+BsCallers_CountConnections(const BsCallers *callers)
+{
+    return callers->connections;
+}
+
 bool
 BsCallers_IsDone(const BsCallers *callers)
 {
--- a/src/d_callers.h
+++ b/src/d_callers.h
@@ -18,6 +18,12 @@
 /* Ends every request, closes the server and frees CALLERS; NULL is allowed. */
 void BsCallers_Destroy(BsCallers *callers);
 
+/* Starts to announce to callers that their connections close. */
+void BsCallers_StartDrain(BsCallers *callers);
+
+/* Returns the number of open connections. */
+uint32_t BsCallers_CountConnections(const BsCallers *callers);
+
 /* Returns whether all requests passed to the core are answered and their
    responses are sent. */
 bool BsCallers_IsDone(const BsCallers *callers);
--- a/src/d_httpd.c
+++ b/src/d_httpd.c
@@ -29,6 +29,7 @@
     ev_prepare resumed; /* only fed by BsHttpd_Resume(), never started */
     ev_timer timer;
     BsScreen *screen; /* NULL when the library itself accepts connections */
+    bool closing;     /* responses announce the end of their connection */
 };
 
 static void
@@ -238,6 +239,18 @@
     ev_feed_event(BsLoop_Ev(httpd->loop), &httpd->resumed, EV_PREPARE);
 }
 
+void
+BsHttpd_StartClosing(BsHttpd *httpd)
+{
+    httpd->closing = true;
+}
+
+bool
+BsHttpd_IsClosing(const BsHttpd *httpd)
+{
+    return httpd->closing;
+}
+
 bool
 BsHttpd_HasUnsent(const BsHttpd *httpd)
 {
--- a/src/d_httpd.h
+++ b/src/d_httpd.h
@@ -42,6 +42,12 @@
 /* Resumes a suspended connection and schedules a run of the server. */
 void BsHttpd_Resume(BsHttpd *httpd, struct MHD_Connection *connection);
 
+/* From now on responses announce that their connection closes. */
+void BsHttpd_StartClosing(BsHttpd *httpd);
+
+/* Returns whether BsHttpd_StartClosing() was called. */
+bool BsHttpd_IsClosing(const BsHttpd *httpd);
+
 /* Returns whether a part of a response that the server has ended is not yet
    given to the kernel; always false for servers that are not screened. */
 bool BsHttpd_HasUnsent(const BsHttpd *httpd);
--- a/src/d_stop.c
+++ b/src/d_stop.c
@@ -9,6 +9,10 @@
 /* Time after the drain limit for the last responses to be sent. */
 #define FLUSH_MS 2000
 
+/* Time after the core has drained in which a request on an open connection is
+   still refused with the news that the connection closes. */
+#define ANNOUNCE_MS 500
+
 /* Drain limit after a second signal. */
 #define SECOND_SIGNAL_LIMIT_MS 1
 
@@ -23,8 +27,8 @@
     ev_timer check;
     int64_t limit_ms;       /* when waiting requests are failed */
     int64_t flush_until_ms; /* end of sending the last responses, or 0 */
+    int64_t drained_ms;     /* when the core had drained, or 0 */
     bool draining;
-    bool drained;
 };
 
 /* Ends waiting requests with an unknown outcome and starts the time limit for
@@ -42,6 +46,16 @@
     stop->flush_until_ms = BsLoop_NowMs(stop->loop) + FLUSH_MS;
 }
 
+/* Returns whether the core has drained, every response is sent, and callers
+   that use their connections again know that these close. */
+static bool
+S_is_finished(const BsStopSignals *stop, int64_t now_ms)
+{
+    return stop->drained_ms != 0 && BsCallers_IsDone(stop->callers) &&
+           (now_ms >= stop->drained_ms + ANNOUNCE_MS ||
+            BsCallers_CountConnections(stop->callers) == 0);
+}
+
 static void
 S_on_check(struct ev_loop *ev, ev_timer *watcher, int events)
 {
@@ -53,9 +67,9 @@
         S_fail_waiting(stop);
     }
     bool failed = stop->flush_until_ms != 0;
-    bool overdue = failed && now_ms >= stop->flush_until_ms;
-    if (overdue ||
-        ((stop->drained || failed) && BsCallers_IsDone(stop->callers))) {
+    bool overdue = failed && (now_ms >= stop->flush_until_ms ||
+                              BsCallers_IsDone(stop->callers));
+    if (overdue || S_is_finished(stop, now_ms)) {
         BsLoop_Log(stop->loop, LOG_NOTICE, "stopped");
         BsLoop_Stop(stop->loop);
     }
@@ -70,6 +84,7 @@
     if (!stop->draining) {
         stop->draining = true;
         stop->limit_ms = limit_ms;
+        BsCallers_StartDrain(stop->callers);
         ev_timer_start(BsLoop_Ev(stop->loop), &stop->check);
     }
     stop->limit_ms = MIN(stop->limit_ms, limit_ms);
@@ -80,7 +95,9 @@
 {
     BsStopSignals *stop = context;
     (void)message;
-    stop->drained = true;
+    if (stop->drained_ms == 0) {
+        stop->drained_ms = BsLoop_NowMs(stop->loop);
+    }
 }
 
 static void
--- a/tests/contract/silence_test.cc
+++ b/tests/contract/silence_test.cc
@@ -309,4 +309,40 @@
     }
 }
 
+// Guards against a planned stop that closes connections in use without notice:
+// a request that crosses the close gets neither an answer nor a refusal.
+TEST(KeptConnection, IsAnnouncedToCloseBesideAPlannedStop)
+{
+    constexpr int kCallers = 4;
+    Server service([](Socket &socket) {
+        while (!socket.ReadMessage().empty()) {
+            socket.Write("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx");
+        }
+    });
+    Daemon daemon(FreePort(), service.port());
+    std::atomic<int> announced{0};
+    std::vector<std::thread> callers;
+    for (int i = 0; i < kCallers; i++) {
+        callers.emplace_back([&] {
+            Socket caller(Connect(daemon.callers()));
+            std::string answer = "first";
+            while (!answer.empty() &&
+                   answer.find("Connection: close") == std::string::npos) {
+                caller.Write("GET /services/s/x HTTP/1.1\r\nHost: x\r\n"
+                             "Authorization: Bearer " +
+                             std::string(kToken) + "\r\n\r\n");
+                answer = caller.ReadMessage();
+            }
+            announced += !answer.empty();
+        });
+    }
+    EXPECT_TRUE(daemon.WaitCount("upstream_transfers", 4 * kCallers));
+    daemon.Signal(SIGTERM);
+    for (std::thread &caller : callers) {
+        caller.join();
+    }
+    EXPECT_EQ(announced, kCallers);
+    EXPECT_EQ(daemon.Wait(), 0);
+}
+
 } // namespace
