Guard: answers whose upstream is silent for longer than the idle time-out

LongSilence.EndsWithTheWholeAnswer: streams, completions, bookings and lookups whose upstream is silent for 33 s before the head, between events and before the last byte. The HTTP server of boragespurd closes connections without progress after 30 s; a suspended one is not counted.

--- a/tests/contract/silence_test.cc
+++ b/tests/contract/silence_test.cc
@@ -5,7 +5,9 @@
 #include <algorithm>
 #include <atomic>
 #include <csignal>
+#include <cstring>
 #include <gtest/gtest.h>
+#include <iterator>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -13,6 +15,8 @@
 
 constexpr useconds_t kSilenceUs = 2000000;
 constexpr unsigned kCallerSilenceS = 8;
+// Longer than the 30 s after which a connection without progress is closed.
+constexpr unsigned kLongSilenceS = 33;
 constexpr useconds_t kPollUs = 5000;
 
 // What is asked for, and the head and body that the upstream sends.
@@ -190,6 +194,79 @@
                                     std::get<1>(info.param)->name;
                          });
 
+// Reads until the other side closes; unlike Socket::ReadAll(), bears the long
+// silence.
+std::string
+ReadThroughSilence(const Socket &socket)
+{
+    timeval limit = {2 * kLongSilenceS, 0};
+    setsockopt(socket.fd(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+    std::string text;
+    char buffer[4096];
+    ssize_t size;
+    while ((size = recv(socket.fd(), buffer, sizeof(buffer), 0)) > 0) {
+        text.append(buffer, static_cast<size_t>(size));
+    }
+    return text;
+}
+
+// Guards against an idle time-out that ends connections whose answer is
+// pending because the upstream is silent for longer than it.
+TEST(LongSilence, EndsWithTheWholeAnswer)
+{
+    std::atomic<int> runs{0};
+    Server upstream([&](Socket &socket) {
+        std::string request = socket.ReadMessage();
+        if (request.compare(0, 12, "GET /health ") == 0) {
+            socket.Write("HTTP/1.1 200 OK\r\nConnection: close\r\n"
+                         "Content-Length: 15\r\n\r\n{\"boot_id\":\"b\"}");
+            return;
+        }
+        runs++;
+        const Kind &kind = kKinds[strtoul(
+            &request[request.find("kind") + strlen("kind")], nullptr, 10)];
+        size_t at = strtoul(&request[request.find("place") + strlen("place")],
+                            nullptr, 10);
+        std::string text = std::string(kind.head) + kind.body;
+        socket.Write(text.substr(0, at));
+        sleep(kLongSilenceS);
+        socket.Write(text.substr(at));
+    });
+    Daemon daemon(upstream.port(), upstream.port());
+    std::vector<std::thread> callers;
+    for (size_t k = 0; k < std::size(kKinds); k++) {
+        for (size_t p : {0, 4, 5}) {
+            callers.emplace_back([&daemon, k, p] {
+                const Kind &kind = kKinds[k];
+                std::string name =
+                    "kind" + std::to_string(k) + "place" +
+                    std::to_string(kPlaces[p].at(kind.head, kind.body));
+                std::string body(kind.request);
+                Socket caller(Connect(daemon.callers()));
+                caller.Write(std::string(kind.method) + " " + kind.path + "?" +
+                             name +
+                             " HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " +
+                             kToken + "\r\nIdempotency-Key: " + name +
+                             "\r\nBoragespur-Deadline-Ms: 60000\r\n"
+                             "Connection: close\r\nContent-Length: " +
+                             std::to_string(body.size()) + "\r\n\r\n" + body);
+                std::string answer = ReadThroughSilence(caller);
+                EXPECT_NE(answer.find("Boragespur-Outcome: ran"),
+                          std::string::npos)
+                    << answer;
+                // A stream is chunked, and its last event ends it.
+                std::string end = kind.body;
+                end = end.substr(end.rfind("data: ") + 1);
+                EXPECT_NE(answer.find(end), std::string::npos) << answer;
+            });
+        }
+    }
+    for (std::thread &caller : callers) {
+        caller.join();
+    }
+    EXPECT_EQ(runs, static_cast<int>(callers.size()));
+}
+
 // Guards against requests that are refused because their only engine answers
 // nothing for a while, its load reports included, and goes on.
 TEST(SilentEngine, AnswersTheRequestsOfItsSilence)
