Silence tests: scripts end before the members that they use

Under the sanitizers gateway_silence_test ended at ManySilenceTest, 11EachOfThree: "member call on address ... which does not point to an object of type 'SharedSilenceTest'". The upstreams' scripts call members of derived fixtures and were ended by the destructor of the base. TearDown() ends them now, while the whole object lives; what is checked is the same.

--- a/tests/gate/gateway_silence_test.cc
+++ b/tests/gate/gateway_silence_test.cc
@@ -280,7 +280,8 @@
         };
         Start({script_});
     }
-    ~SilenceTest() override
+    // Scripts may use members of derived classes, so they end before those.
+    void TearDown() override
     {
         released_ = true;
         go_ = true;
