A held attempt keeps its own answer until another one can be forwarded

- The gateway ended when a held attempt had only the end of its answer left: its call is over by then, and its callbacks were replaced all the same.
- An event was joined from two runs: the incomplete event of the attempt that is dropped stayed in the answer.
It is dropped with its attempt.
- 502 although the silent upstream went on: the head of the replacement's answer ended the held attempt before anything went to the caller, and then the replacement broke off.
As long as the caller has nothing, each attempt has an answer of its own; the first that can be forwarded (a whole event, a whole plain answer or one too long to buffer) ends the others.
- 504 although an attempt was left: one that waits as none was left is looked at again when a held one is refused.

These are one change, as they all come from one answer for several attempts and from ends of it.

--- a/src/gw_answer.c
+++ b/src/gw_answer.c
@@ -1,9 +1,7 @@
 /* gw_answer.c - buffers and forwards an upstream's answer to the caller. */
 #include "gw_relayparts.h"
 
-/* Answers other than event streams are buffered whole up to this size, so that
-   a repeatable request can be retried when its answer is truncated. */
-#define BUFFERED_MAX_BYTES 65536
+#include <string.h>
 
 /* Bytes not sent to the caller above which reading from the upstream pauses.
  */
@@ -17,13 +15,10 @@
 }
 
 void
-BsAnswer_Begin(BsRelay *relay, const BsHttpHead *head)
+BsAnswer_Init(const BsRelay *relay, BsRelayAnswer *answer,
+              const BsHttpHead *head)
 {
-    BsRelayAnswer *answer = &relay->answer;
-    if (answer->started) {
-        return; /* a resumed stream continues after its first head */
-    }
-    BsAnswer_Clear(relay);
+    BsAnswer_Clear(answer);
     answer->status = head->status;
     answer->headers = g_string_new(NULL);
     answer->body = g_string_new(NULL);
@@ -35,6 +30,15 @@
     }
 }
 
+void
+BsAnswer_Begin(BsRelay *relay, const BsHttpHead *head)
+{
+    /* A resumed stream continues after its first head. */
+    if (!relay->answer.started) {
+        BsAnswer_Init(relay, &relay->answer, head);
+    }
+}
+
 static void
 S_start(BsRelay *relay)
 {
@@ -79,7 +83,7 @@
         return events;
     }
     g_string_append_len(answer->body, data, (gssize)size_bytes);
-    if (answer->body->len > BUFFERED_MAX_BYTES) {
+    if (answer->body->len > BS_ANSWER_BUFFERED_MAX_BYTES) {
         answer->streamed = true;
     }
     if (answer->streamed) {
@@ -113,16 +117,12 @@
 }
 
 void
-BsAnswer_Clear(BsRelay *relay)
+BsAnswer_Clear(BsRelayAnswer *answer)
 {
-    BsRelayAnswer *answer = &relay->answer;
     if (answer->headers != NULL) {
         g_string_free(answer->headers, TRUE);
         g_string_free(answer->body, TRUE);
     }
     BsSseSplitter_Destroy(answer->events);
-    answer->headers = NULL;
-    answer->body = NULL;
-    answer->events = NULL;
-    answer->streamed = false;
+    memset(answer, 0, sizeof(*answer));
 }
--- a/src/gw_attempt.c
+++ b/src/gw_attempt.c
@@ -214,7 +214,8 @@
 static void
 S_retry(BsRelay *relay, const char *cause)
 {
-    if (relay->excluded_count >= BS_RELAY_EXCLUDED_MAX ||
+    if (BsHeld_GoesOn(relay) ||
+        relay->excluded_count >= BS_RELAY_EXCLUDED_MAX ||
         !S_take_send(relay)) {
         S_fail_request(relay, cause);
         return;
@@ -343,20 +344,20 @@
     S_on_failure(relay, end, cause);
 }
 
-/* The upstream goes on after it counted as silent. */
-static void
-S_note_resumed(BsRelay *relay)
+void
+BsAttempt_NoteResumed(BsRelay *relay, BsRelayAttempt *attempt)
 {
     BsGate *gate = relay->gate;
-    if (!relay->attempt.silent) {
+    if (!attempt->silent) {
         return;
     }
-    relay->attempt.silent = false;
-    BsTargets_NoteResumed(relay->attempt.target);
+    attempt->silent = false;
+    BsTargets_NoteResumed(attempt->target);
     gate->slots_changed = true;
     BsCounters_Add(gate->counters,
                    "silent_attempts_total{outcome=\"resumed\"}", 1);
-    BsRelay_Log(relay, BS_EVENT_FAILURE, "attempt_resumed", NULL);
+    BsRelay_LogAttempt(relay, attempt, BS_EVENT_FAILURE, "attempt_resumed",
+                       NULL);
 }
 
 static void
@@ -366,7 +367,7 @@
     BsGate *gate = relay->gate;
     BsAnswerInfo info;
     gate->wire->read_answer(head, &info);
-    S_note_resumed(relay);
+    BsAttempt_NoteResumed(relay, &relay->attempt);
     relay->attempt.last_received_ms = BsClock_NowMs(gate->clock);
     BsTargets_NoteReceived(relay->attempt.target,
                            relay->attempt.last_received_ms);
@@ -388,9 +389,6 @@
         return;
     }
     relay->attempt.head_outcome = failed ? BS_TARGET_ERROR : BS_TARGET_GOOD;
-    if (!relay->answer.started) {
-        BsHeld_DropAll(relay, "replaced");
-    }
     BsAnswer_Begin(relay, head);
 }
 
@@ -438,8 +436,11 @@
     int64_t now_ms = BsClock_NowMs(relay->gate->clock);
     BsTargets_NoteReceived(relay->attempt.target, now_ms);
     unsigned events = BsAnswer_Append(relay, data, size_bytes);
-    if (events > 0 || relay->answer.events == NULL) {
-        S_note_resumed(relay);
+    bool progressed = events > 0 || relay->answer.events == NULL;
+    if (progressed) {
+        BsAttempt_NoteResumed(relay, &relay->attempt);
+    }
+    if (progressed && relay->answer.started) {
         BsHeld_DropAll(relay, "replaced");
     }
     relay->attempt.last_received_ms = now_ms;
@@ -501,6 +502,7 @@
         BsCrashList_NoteCompleted(relay->gate->crash_list, relay->content,
                                   BsClock_NowMs(relay->gate->clock));
     }
+    BsHeld_DropAll(relay, "replaced");
     relay->answered = true;
     BsAnswer_End(relay);
     BsRelay_Finish(relay, failed ? "upstream_error" : "answered");
@@ -550,7 +552,7 @@
     }
     else if (end == BS_OUTBOUND_DONE) {
         relay->may_have_run = true;
-        S_note_resumed(relay);
+        BsAttempt_NoteResumed(relay, &relay->attempt);
         S_on_answer(relay);
     }
     else {
--- a/src/gw_held.c
+++ b/src/gw_held.c
@@ -1,5 +1,5 @@
 /* gw_held.c - attempts whose upstream is silent, held open beside the current
-   attempt until one of them goes on. */
+   attempt until one of them gives the answer. */
 #include "gw_relayparts.h"
 
 #include <string.h>
@@ -26,27 +26,60 @@
     return NULL;
 }
 
-/* Returns the held attempt that was sent last, or NULL. */
+/* Returns whether FIRST is to become the current attempt rather than SECOND:
+   one that goes on, else the one that was sent last. */
+static bool
+S_is_better(const BsRelayAttempt *first, const BsRelayAttempt *second)
+{
+    if (first->goes_on != second->goes_on) {
+        return first->goes_on;
+    }
+    return first->sent_ms > second->sent_ms;
+}
+
+/* Returns the held attempt to become the current one next, or NULL. */
 static BsRelayAttempt *
-S_find_latest(BsRelay *relay)
+S_find_best(BsRelay *relay)
 {
-    BsRelayAttempt *latest = NULL;
+    BsRelayAttempt *best = NULL;
     for (size_t i = 0; i < BS_RELAY_HELD_MAX; i++) {
         BsRelayAttempt *held = &relay->held[i];
         if (held->target != NULL &&
-            (latest == NULL || held->sent_ms > latest->sent_ms)) {
-            latest = held;
+            (best == NULL || S_is_better(held, best))) {
+            best = held;
         }
     }
-    return latest;
+    return best;
+}
+
+bool
+BsHeld_HasRoom(const BsRelay *relay)
+{
+    return S_find_free((BsRelay *)relay) != NULL;
+}
+
+bool
+BsHeld_HasAny(const BsRelay *relay)
+{
+    return S_find_best((BsRelay *)relay) != NULL;
+}
+
+bool
+BsHeld_GoesOn(const BsRelay *relay)
+{
+    const BsRelayAttempt *held = S_find_best((BsRelay *)relay);
+    return held != NULL && held->goes_on;
 }
 
+/* -------------------------------------------------------------- ends -- */
+
 static void
 S_clear(BsRelayAttempt *held)
 {
+    BsAnswer_Clear(&held->answer);
     BsSseSplitter_Destroy(held->splitter);
-    if (held->whole_events != NULL) {
-        g_string_free(held->whole_events, TRUE);
+    if (held->pending != NULL) {
+        g_string_free(held->pending, TRUE);
     }
     memset(held, 0, sizeof(*held));
 }
@@ -56,33 +89,74 @@
 S_release(BsRelayAttempt *held, BsTargetEnd end, const char *outcome)
 {
     BsRelay *relay = held->relay;
+    if (held->refused) {
+        relay->attempts--;
+    }
     BsOutbound_Cancel(held->call);
     BsAttempt_End(relay, held, end);
     S_count(relay->gate, outcome);
     S_clear(held);
 }
 
-/* Ends HELD because of what its upstream did; the request goes on without
-   it. */
+/* Ends HELD because of what its upstream did; the request goes on without it,
+   and may have an attempt left again. */
 static void
 S_fail(BsRelayAttempt *held, BsTargetEnd end, const char *cause)
 {
     BsRelay *relay = held->relay;
     BsRelay_LogAttempt(relay, held, BS_EVENT_FAILURE, "attempt_failed", cause);
     S_release(held, end, "failed");
+    if (relay->attempt.extended_until_ms == INT64_MAX) {
+        relay->attempt.extended_until_ms = 0;
+    }
     BsRelay_RenewQueueTimeout(relay);
+    BsRelay_Schedule(relay);
 }
 
-bool
-BsHeld_HasRoom(const BsRelay *relay)
+/* Ends HELD, as the request does not need it any more. */
+static void
+S_drop(BsRelayAttempt *held, const char *outcome)
 {
-    return S_find_free((BsRelay *)relay) != NULL;
+    if (held->complete) {
+        S_release(held, BS_TARGET_GOOD, outcome);
+    }
+    else if (held->refused) {
+        S_release(held, held->head_outcome, outcome);
+    }
+    else {
+        BsAttempt_NoteGivenUp(held->relay, held);
+        S_release(held, BS_TARGET_ABANDONED, outcome);
+    }
 }
 
-bool
-BsHeld_HasAny(const BsRelay *relay)
+void
+BsHeld_DropAll(BsRelay *relay, const char *outcome)
 {
-    return S_find_latest((BsRelay *)relay) != NULL;
+    for (size_t i = 0; i < BS_RELAY_HELD_MAX; i++) {
+        if (relay->held[i].target != NULL) {
+            S_drop(&relay->held[i], outcome);
+        }
+    }
+}
+
+/* ------------------------------------------------ parking and return -- */
+
+/* Prepares HELD, whose answer has begun, for what arrives of it.  EVENTS is
+   the splitter of an event stream, whose incomplete event is taken from it, or
+   NULL. */
+static void
+S_collect(BsRelayAttempt *held, BsSseSplitter *events)
+{
+    held->pending = g_string_new(NULL);
+    if (events == NULL) {
+        return;
+    }
+    GString *partial = g_string_new(NULL);
+    BsSseSplitter_TakePartial(events, partial);
+    held->splitter = BsSseSplitter_Create();
+    BsSseSplitter_Feed(held->splitter, partial->str, partial->len,
+                       held->pending);
+    g_string_free(partial, TRUE);
 }
 
 void
@@ -92,87 +166,117 @@
     *held = relay->attempt;
     held->relay = relay;
     memset(&relay->attempt, 0, sizeof(relay->attempt));
-    if (relay->answer.events != NULL) {
-        GString *partial = g_string_new(NULL);
-        BsSseSplitter_TakePartial(relay->answer.events, partial);
-        held->splitter = BsSseSplitter_Create();
-        held->whole_events = g_string_new(NULL);
-        BsSseSplitter_Feed(held->splitter, partial->str, partial->len,
-                           held->whole_events);
-        g_string_free(partial, TRUE);
+    if (relay->answer.headers != NULL) {
+        S_collect(held, relay->answer.events);
+    }
+    if (!relay->answer.started) {
+        held->answer = relay->answer;
+        memset(&relay->answer, 0, sizeof(relay->answer));
     }
     BsOutbound_SetEvents(held->call, &S_events, held);
 }
 
+/* Appends to BYTES what has arrived of the answer of HELD. */
+static void
+S_take_pending(BsRelayAttempt *held, GString *bytes)
+{
+    if (held->pending != NULL) {
+        g_string_append_len(bytes, held->pending->str,
+                            (gssize)held->pending->len);
+    }
+    if (held->splitter != NULL) {
+        BsSseSplitter_TakePartial(held->splitter, bytes);
+    }
+}
+
+/* Makes the answer of HELD that of the request, or lets it continue what the
+   caller has, without the incomplete event of another attempt. */
+static void
+S_restore_answer(BsRelayAttempt *held)
+{
+    BsRelayAnswer *answer = &held->relay->answer;
+    if (!answer->started) {
+        BsAnswer_Clear(answer);
+        *answer = held->answer;
+        memset(&held->answer, 0, sizeof(held->answer));
+    }
+    else if (answer->events != NULL) {
+        BsSseSplitter_DropPartial(answer->events);
+    }
+}
+
 /* Makes HELD the current attempt of its request, which has no other.  Returns
-   the bytes of its event stream that arrived meanwhile, to be freed by the
-   caller. */
+   what arrived of its answer meanwhile, to be freed by the caller. */
 static GString *
 S_make_current(BsRelayAttempt *held)
 {
     BsRelay *relay = held->relay;
     GString *bytes = g_string_new(NULL);
     BsRelay_LeaveQueue(relay);
-    if (held->splitter != NULL) {
-        g_string_append_len(bytes, held->whole_events->str,
-                            (gssize)held->whole_events->len);
-        BsSseSplitter_TakePartial(held->splitter, bytes);
-    }
+    S_take_pending(held, bytes);
+    S_restore_answer(held);
     relay->attempt = *held;
+    memset(&relay->attempt.answer, 0, sizeof(relay->attempt.answer));
     relay->attempt.splitter = NULL;
-    relay->attempt.whole_events = NULL;
+    relay->attempt.pending = NULL;
     S_clear(held);
-    BsOutbound_SetEvents(relay->attempt.call, &bs_attempt_events, relay);
+    if (relay->attempt.call != NULL) {
+        BsOutbound_SetEvents(relay->attempt.call, &bs_attempt_events, relay);
+    }
     return bytes;
 }
 
+/* HELD replaces the current attempt and passes on what arrived of its
+   answer. */
+static void
+S_take_over(BsRelayAttempt *held)
+{
+    BsRelay *relay = held->relay;
+    bool complete = held->complete;
+    BsAttempt_DropCurrent(relay);
+    GString *bytes = S_make_current(held);
+    BsRelay_Schedule(relay);
+    if (bytes->len > 0) {
+        bs_attempt_events.on_body(bytes->str, bytes->len, relay);
+    }
+    g_string_free(bytes, TRUE);
+    if (complete) {
+        bs_attempt_events.on_end(BS_OUTBOUND_DONE, relay);
+    }
+}
+
 bool
 BsHeld_FallBack(BsRelay *relay)
 {
-    BsRelayAttempt *held = S_find_latest(relay);
+    BsRelayAttempt *held = S_find_best(relay);
     if (held == NULL) {
         return false;
     }
-    GString *partial = S_make_current(held);
-    if (partial->len > 0) {
-        BsAnswer_Append(relay, partial->str, partial->len);
+    if (held->goes_on) {
+        S_take_over(held);
+        return true;
     }
-    g_string_free(partial, TRUE);
+    GString *bytes = S_make_current(held);
+    if (bytes->len > 0) {
+        BsAnswer_Append(relay, bytes->str, bytes->len);
+    }
+    g_string_free(bytes, TRUE);
     relay->attempt.extended_until_ms =
         BsClock_NowMs(relay->gate->clock) + BS_RELAY_SILENCE_CHECK_MS;
     BsRelay_Schedule(relay);
     return true;
 }
 
-void
-BsHeld_DropAll(BsRelay *relay, const char *outcome)
+/* HELD has a part of its answer that can be forwarded. */
+static void
+S_go_on(BsRelayAttempt *held)
 {
-    for (size_t i = 0; i < BS_RELAY_HELD_MAX; i++) {
-        BsRelayAttempt *held = &relay->held[i];
-        if (held->target != NULL) {
-            BsAttempt_NoteGivenUp(relay, held);
-            S_release(held, BS_TARGET_ABANDONED, outcome);
-        }
-    }
+    held->goes_on = true;
+    S_take_over(held);
 }
 
 /* ----------------------------------------------------------- answers -- */
 
-/* HELD goes on: it replaces the current attempt.  Passes on what arrived of
-   its event stream. */
-static void
-S_take_over(BsRelayAttempt *held)
-{
-    BsRelay *relay = held->relay;
-    BsAttempt_DropCurrent(relay);
-    GString *bytes = S_make_current(held);
-    BsRelay_Schedule(relay);
-    if (bytes->len > 0) {
-        bs_attempt_events.on_body(bytes->str, bytes->len, relay);
-    }
-    g_string_free(bytes, TRUE);
-}
-
 static void
 S_on_head(const BsHttpHead *head, void *context)
 {
@@ -180,44 +284,48 @@
     BsRelay *relay = held->relay;
     BsAnswerInfo info;
     relay->gate->wire->read_answer(head, &info);
-    bool accepted = !info.refused && BsAttempt_AcceptsHead(relay, head, &info);
-    if (accepted && !relay->answer.started) {
-        S_take_over(held);
-        bs_attempt_events.on_head(head, relay);
-        return;
-    }
     BsTargets_NoteReceived(held->target, BsClock_NowMs(relay->gate->clock));
     BsAnswerHints_Apply(relay, held->target, &info);
+    BsAttempt_NoteResumed(relay, held);
     if (info.refused) {
         held->refused = true;
         held->head_outcome =
             info.misdirected ? BS_TARGET_MISDIRECTED : BS_TARGET_REFUSED;
+        return;
     }
-    else if (!accepted) {
+    if (!BsAttempt_AcceptsHead(relay, head, &info)) {
         S_fail(held,
                head->status >= 500 ? BS_TARGET_ERROR : BS_TARGET_INCOMPLETE,
                "answer_rejected");
+        return;
+    }
+    if (!relay->answer.started) {
+        BsAnswer_Init(relay, &held->answer, head);
+        S_collect(held, held->answer.events);
     }
 }
 
+/* Adds a part of an answer that is no event stream. */
 static void
-S_on_body(const char *data, size_t size_bytes, void *context)
+S_add_bytes(BsRelayAttempt *held, const char *data, size_t size_bytes)
 {
-    BsRelayAttempt *held = context;
-    BsRelay *relay = held->relay;
-    if (held->refused) {
-        return;
-    }
-    BsTargets_NoteReceived(held->target, BsClock_NowMs(relay->gate->clock));
-    if (held->splitter == NULL) {
-        S_take_over(held);
-        bs_attempt_events.on_body(data, size_bytes, relay);
-        return;
+    g_string_append_len(held->pending, data, (gssize)size_bytes);
+    BsAttempt_NoteResumed(held->relay, held);
+    if (held->head_outcome == BS_TARGET_GOOD &&
+        held->answer.body->len + held->pending->len >
+            BS_ANSWER_BUFFERED_MAX_BYTES) {
+        S_go_on(held);
     }
-    unsigned events = BsSseSplitter_Feed(held->splitter, data, size_bytes,
-                                         held->whole_events);
+}
+
+static void
+S_add_events(BsRelayAttempt *held, const char *data, size_t size_bytes)
+{
+    unsigned events =
+        BsSseSplitter_Feed(held->splitter, data, size_bytes, held->pending);
     if (events > 0) {
-        S_take_over(held);
+        BsAttempt_NoteResumed(held->relay, held);
+        S_go_on(held);
     }
     else if (BsSseSplitter_PartialBytes(held->splitter) >
              BS_SSE_EVENT_MAX_BYTES) {
@@ -225,6 +333,23 @@
     }
 }
 
+static void
+S_on_body(const char *data, size_t size_bytes, void *context)
+{
+    BsRelayAttempt *held = context;
+    if (held->refused) {
+        return;
+    }
+    BsTargets_NoteReceived(held->target,
+                           BsClock_NowMs(held->relay->gate->clock));
+    if (held->splitter != NULL) {
+        S_add_events(held, data, size_bytes);
+    }
+    else {
+        S_add_bytes(held, data, size_bytes);
+    }
+}
+
 static void
 S_on_end(BsOutboundEnd end, void *context)
 {
@@ -232,17 +357,20 @@
     BsRelay *relay = held->relay;
     held->call = NULL;
     if (held->refused) {
-        relay->attempts--;
         S_fail(held, held->head_outcome, "upstream_full");
     }
-    else if (end == BS_OUTBOUND_DONE) {
-        S_take_over(held);
-        bs_attempt_events.on_end(end, relay);
-    }
-    else {
+    else if (end != BS_OUTBOUND_DONE) {
         BsAttempt_NoteCrash(relay, held, end);
         S_fail(held, BS_TARGET_INCOMPLETE, BsAttempt_CauseOf(end));
     }
+    else if (held->head_outcome != BS_TARGET_GOOD) {
+        S_fail(held, held->head_outcome, "upstream_error");
+    }
+    else {
+        held->complete = true;
+        BsAttempt_NoteResumed(relay, held);
+        S_go_on(held);
+    }
 }
 
 static const BsOutboundEvents S_events = {
--- a/src/gw_relay.c
+++ b/src/gw_relay.c
@@ -33,7 +33,7 @@
 {
     ev_timer_stop(relay->gate->loop, &relay->timer);
     BsWaitQueue_Remove(relay->gate->queue, relay->queue_entry);
-    BsAnswer_Clear(relay);
+    BsAnswer_Clear(&relay->answer);
     for (size_t i = 0; i < relay->excluded_count; i++) {
         g_free(relay->excluded[i]);
     }
--- a/src/gw_relayparts.h
+++ b/src/gw_relayparts.h
@@ -20,6 +20,10 @@
 /* Interval of checks for another upstream while one is silent. */
 #define BS_RELAY_SILENCE_CHECK_MS 100
 
+/* Answers other than event streams are buffered whole up to this size, so that
+   a repeatable request can be retried when its answer is truncated. */
+#define BS_ANSWER_BUFFERED_MAX_BYTES 65536
+
 /* The part of an answer that has not been forwarded yet. */
 typedef struct {
     GString *headers; /* header lines for the caller */
@@ -53,8 +57,11 @@
     BsTargetEnd head_outcome; /* outcome according to the answer's head */
     /* While the attempt is held beside another one: */
     BsRelay *relay;
-    BsSseSplitter *splitter; /* of its event stream; NULL: none has begun */
-    GString *whole_events;   /* that arrived meanwhile, or NULL */
+    BsRelayAnswer answer;    /* its own, until the caller has a part of one */
+    BsSseSplitter *splitter; /* NULL: its answer is no stream, or not begun */
+    GString *pending;        /* whole events, or bytes, that arrived */
+    bool goes_on;            /* PENDING can be forwarded */
+    bool complete;           /* the answer has ended; CALL is NULL */
 } BsRelayAttempt;
 
 /* A request that is being relayed.  Times are milliseconds on the gate's
@@ -182,6 +189,9 @@
 /* Returns the cause in the log for an answer that ended as END. */
 const char *BsAttempt_CauseOf(BsOutboundEnd end);
 
+/* Records that the upstream of ATTEMPT goes on after it counted as silent. */
+void BsAttempt_NoteResumed(BsRelay *relay, BsRelayAttempt *attempt);
+
 /* Returns whether an answer with HEAD can be sent to the caller. */
 bool BsAttempt_AcceptsHead(const BsRelay *relay, const BsHttpHead *head,
                            const BsAnswerInfo *info);
@@ -219,6 +229,9 @@
    taken out of the queue. */
 bool BsHeld_FallBack(BsRelay *relay);
 
+/* Returns whether a held attempt has more of the answer. */
+bool BsHeld_GoesOn(const BsRelay *relay);
+
 /* Cancels all held attempts, which are counted as OUTCOME. */
 void BsHeld_DropAll(BsRelay *relay, const char *outcome);
 
@@ -228,6 +241,10 @@
    the answer goes on under that head. */
 void BsAnswer_Begin(BsRelay *relay, const BsHttpHead *head);
 
+/* Prepares ANSWER for the body after HEAD. */
+void BsAnswer_Init(const BsRelay *relay, BsRelayAnswer *answer,
+                   const BsHttpHead *head);
+
 /* Adds a part of the body, and forwards what may be forwarded.  Returns the
    number of events completed by it. */
 unsigned BsAnswer_Append(BsRelay *relay, const char *data, size_t size_bytes);
@@ -236,7 +253,7 @@
    it. */
 void BsAnswer_End(BsRelay *relay);
 
-/* Frees the buffers of the answer. */
-void BsAnswer_Clear(BsRelay *relay);
+/* Frees the buffers of ANSWER and empties it. */
+void BsAnswer_Clear(BsRelayAnswer *answer);
 
 #endif /* BS_GW_RELAYPARTS_H */
