Test of requests that crash upstreams: no send within the tick of a crash

Traced: its stand-ins are back at once, and in failing runs two of them got the request twice (arrivals 2, 2, 1). One crash counts once, and a request sent in the same millisecond counts as hit by the crash before, so the third crash was not counted. A real upstream needs longer to be back. The test waits five milliseconds before the second gateway is asked, as gateway_crash_test does; all it asks for stays.

--- a/tests/gate/gateway_fleet_test.cc
+++ b/tests/gate/gateway_fleet_test.cc
@@ -277,6 +277,9 @@
     EXPECT_EQ(StatusOf(gateway_->Ask(Call("/look/1", "bad"))), 502);
     EXPECT_EQ(Arrivals(), 2);
     ASSERT_TRUE(second.WaitMetric("boragespur_crasher_breaks 2"));
+    // These upstreams are back at once; a request sent to one within the clock
+    // tick of its crash would count as hit by that crash.
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
     EXPECT_EQ(StatusOf(second.Ask(Call("/look/1", "bad"))), 502);
     EXPECT_EQ(Arrivals(), 3);
     EXPECT_EQ(StatusOf(second.Ask(Call("/look/1", "bad"))), 502);
