--- a/tests/gate/log_fields.sh
+++ b/tests/gate/log_fields.sh
@@ -31,7 +31,7 @@
 list 'Fields' >"$page"
 compare fields
 
-calls='BsEventLog_Begin|BsRelay_Log|S_log_start|S_start_line'
+calls='BsEventLog_Begin|BsRelay_Log(Attempt)?|S_log_start|S_start_line'
 joined | grep -oE "($calls)\([^;{]*" |
     grep -oE '(BS_EVENT_[A-Z]+|&gateway|\(log), *([a-z]+ \? )?"[a-z_]+"( : "[a-z_]+")?' |
     grep -oE '"[a-z_]+"' | tr -d '"' >"$code"
