Two engines work on a stream for a moment only

At engines the silent attempt is held until the other one gives its first event, for 300 ms at most. If the other refuses, is not reached or breaks off by then, the silent one goes on, with what arrived meanwhile; otherwise the other has the stream. An engine is tried only if it has sent something since the silence began, as it may be silent as well. Plain services are as before. Before the first event the silent one may still answer first; it has not begun to run then.

--- a/src/gw_attempt.c
+++ b/src/gw_attempt.c
@@ -62,6 +62,10 @@
     query->excluded = (const char *const *)relay->excluded;
     query->excluded_count = relay->excluded_count;
     query->session = relay->session;
+    if (relay->service->engine && BsHeld_HasAny(relay)) {
+        /* An engine that has sent nothing since may be silent as well. */
+        query->spoke_since_ms = relay->silent_since_ms;
+    }
     query->prompt_tokens = relay->info.prompt_tokens;
     query->output_tokens = relay->info.output_tokens;
 }
@@ -452,10 +456,11 @@
     }
 }
 
-/* Returns whether there is an alternative to the request's upstream:
-   BS_TARGET_CHOSEN when another one has a free slot now. */
+/* Returns whether there is an alternative to the request's upstream, among
+   those that have sent something since SPOKE_SINCE_MS: BS_TARGET_CHOSEN when
+   another one has a free slot now. */
 static BsTargetVerdict
-S_find_alternative(BsRelay *relay)
+S_find_alternative(BsRelay *relay, int64_t spoke_since_ms)
 {
     BsTargetQuery query;
     BsTargetVerdict verdict;
@@ -465,6 +470,7 @@
     size_t count = relay->excluded_count;
     relay->excluded[relay->excluded_count++] = relay->attempt.target->id;
     BsAttempt_FillQuery(relay, &query);
+    query.spoke_since_ms = spoke_since_ms;
     BsTargets_Choose(relay->gate->targets, &query,
                      BsClock_NowMs(relay->gate->clock), &verdict);
     relay->excluded_count = count;
@@ -479,7 +485,8 @@
     return S_may_repeat(relay) && !relay->answer.started &&
            relay->attempts < relay->route->attempts_max &&
            relay->inbound != NULL &&
-           S_find_alternative(relay) == BS_TARGET_CHOSEN && S_take_send(relay);
+           S_find_alternative(relay, 0) == BS_TARGET_CHOSEN &&
+           S_take_send(relay);
 }
 
 /* The upstream ran the request and its answer is complete. */
@@ -725,9 +732,12 @@
 void
 BsAttempt_OnTimeout(BsRelay *relay)
 {
-    BsTargetVerdict alternative = S_find_alternative(relay);
-    BsSilenceStep step = S_decide(relay, alternative);
-    if (alternative != BS_TARGET_NONE) {
+    relay->silent_since_ms = S_progressed_ms(relay);
+    int64_t spoke_since_ms =
+        relay->service->engine ? relay->silent_since_ms : 0;
+    BsSilenceStep step =
+        S_decide(relay, S_find_alternative(relay, spoke_since_ms));
+    if (S_find_alternative(relay, 0) != BS_TARGET_NONE) {
         S_note_silent(relay);
     }
     if (step == BS_SILENCE_ADD_SEND && S_take_send(relay)) {
--- a/src/gw_held.c
+++ b/src/gw_held.c
@@ -1,6 +1,7 @@
 /* gw_held.c - attempts whose upstream is silent, held open beside the current
    attempt until one of them gives the answer. */
 #include "gw_relayparts.h"
+#include "silence.h"
 
 #include <string.h>
 
@@ -71,6 +72,16 @@
     return held != NULL && held->goes_on;
 }
 
+int64_t
+BsHeld_LimitMs(const BsRelay *relay)
+{
+    if (!BsHeld_HasAny(relay) || !relay->service->engine ||
+        relay->attempt.sent_ms == 0) {
+        return INT64_MAX;
+    }
+    return BsSilence_HoldUntilMs(relay->attempt.sent_ms);
+}
+
 /* -------------------------------------------------------------- ends -- */
 
 static void
@@ -267,12 +278,18 @@
     return true;
 }
 
-/* HELD has a part of its answer that can be forwarded. */
+/* HELD has a part of its answer that can be forwarded.  An engine that has
+   been replaced in the middle of a stream waits for what becomes of the other
+   attempt, as both must not go on. */
 static void
 S_go_on(BsRelayAttempt *held)
 {
+    const BsRelay *relay = held->relay;
     held->goes_on = true;
-    S_take_over(held);
+    if (!relay->service->engine || !relay->answer.started ||
+        relay->attempt.sent_ms == 0) {
+        S_take_over(held);
+    }
 }
 
 /* ----------------------------------------------------------- answers -- */
--- a/src/gw_relay.c
+++ b/src/gw_relay.c
@@ -169,6 +169,10 @@
         BsRelay_Refuse(relay, relay->may_have_run ? 502 : 503, "no_place",
                        relay->may_have_run ? 0 : retry_after_ms);
     }
+    else if (now_ms >= BsHeld_LimitMs(relay)) {
+        BsHeld_DropAll(relay, "replaced");
+        BsRelay_Schedule(relay);
+    }
     else if (now_ms >= BsAttempt_TimeoutMs(relay)) {
         BsAttempt_OnTimeout(relay);
     }
@@ -183,6 +187,7 @@
     struct ev_loop *loop = relay->gate->loop;
     int64_t now_ms = BsClock_NowMs(relay->gate->clock);
     int64_t next_ms = MIN(relay->expires_ms, BsAttempt_TimeoutMs(relay));
+    next_ms = MIN(next_ms, BsHeld_LimitMs(relay));
     if (relay->queue_entry != NULL) {
         next_ms = MIN(next_ms, relay->queue_until_ms);
     }
--- a/src/gw_relayparts.h
+++ b/src/gw_relayparts.h
@@ -89,7 +89,8 @@
     ev_timer timer;
     BsRelayAttempt attempt; /* the current one */
     BsRelayAttempt held[BS_RELAY_HELD_MAX];
-    int64_t last_event_ms; /* of any attempt; 0 before the first */
+    int64_t last_event_ms;   /* of any attempt; 0 before the first */
+    int64_t silent_since_ms; /* last progress of the latest held attempt */
     /* All attempts. */
     BsRelayAnswer answer;
     char *excluded[BS_RELAY_EXCLUDED_MAX];
@@ -221,7 +222,8 @@
 
 /* Holds the current attempt open; the request then has no current one.  When
    its upstream goes on before another gives the answer, it becomes the current
-   one again and the others end. */
+   one again and the others end.  At an engine that has begun to answer the
+   caller it does so only if the other attempt fails. */
 void BsHeld_Park(BsRelay *relay);
 
 /* Makes the held attempt that was sent last the current one again.  Returns
@@ -232,6 +234,10 @@
 /* Returns whether a held attempt has more of the answer. */
 bool BsHeld_GoesOn(const BsRelay *relay);
 
+/* Returns until when attempts may be held; INT64_MAX: none is held, or for as
+   long as they take. */
+int64_t BsHeld_LimitMs(const BsRelay *relay);
+
 /* Cancels all held attempts, which are counted as OUTCOME. */
 void BsHeld_DropAll(BsRelay *relay, const char *outcome);
 
--- a/src/silence.c
+++ b/src/silence.c
@@ -12,6 +12,16 @@
    preempted run. */
 #define EVENT_PAUSE_MS 1000
 
+/* Time after a send in which an engine that cannot take a request refuses it;
+   with the time to cancel, below the 400 ms for which two may work on it. */
+#define HOLD_MS 300
+
+int64_t
+BsSilence_HoldUntilMs(int64_t sent_ms)
+{
+    return sent_ms + HOLD_MS;
+}
+
 int64_t
 BsSilence_LimitMs(const BsSilence *silence)
 {
--- a/src/silence.h
+++ b/src/silence.h
@@ -39,6 +39,10 @@
     BS_SILENCE_ADD_SEND /* also send the request to another upstream */
 } BsSilenceStep;
 
+/* Returns until when an attempt at a silent engine may be held beside one that
+   was sent at SENT_MS: two engines may work on a request for a moment only. */
+int64_t BsSilence_HoldUntilMs(int64_t sent_ms);
+
 /* Returns from when on the attempt's upstream counts as silent. */
 int64_t BsSilence_LimitMs(const BsSilence *silence);
 
--- a/src/targetchoice.c
+++ b/src/targetchoice.c
@@ -342,7 +342,8 @@
            const BsTargetQuery *query, int64_t now_ms,
            BsTargetVerdict *verdict)
 {
-    if (!S_is_open(target, query, now_ms)) {
+    if (!S_is_open(target, query, now_ms) ||
+        target->last_received_ms < query->spoke_since_ms) {
         return false;
     }
     if (!S_is_available(target, now_ms) ||
--- a/src/targets.h
+++ b/src/targets.h
@@ -85,6 +85,8 @@
     uint64_t session; /* hash of the last part of the prompt; 0: none */
     uint32_t prompt_tokens;
     uint32_t output_tokens;
+    int64_t spoke_since_ms;  /* only targets that have sent something since
+                                then; 0: all */
     uint32_t reserved_slots; /* slots to keep free at the target for other
                              requests; at most a third of its slots */
 } BsTargetQuery;
--- a/tests/gate/silence_test.cc
+++ b/tests/gate/silence_test.cc
@@ -44,6 +44,12 @@
         LimitCase{"StreamThatAnswersOthers", true, true, true, 600, 1000}),
     [](const auto &info) { return std::string(info.param.name); });
 
+// Guards against two engines that work on a request for 400 ms.
+TEST(Silence, EnginesAreHeldBesideAnotherForAMomentOnly)
+{
+    EXPECT_EQ(BsSilence_HoldUntilMs(kProgressedMs), kProgressedMs + 300);
+}
+
 // What is done once it does.
 struct StepCase {
     const char *name;
