Soak: a gateway's own limit on pauses does not excuse a cut

The check "silence" excused each stream without bytes for 2 s, as its caller leaves then. But the soak's callers stay, and gateways cut streams at just that time whose upstream had gone on: given up after 1 s of silence ("attempt_failed", silent), queued for another slot ("waits"), and reset when the caller's limit was reached ("refused", no_place). Two upstreams without a free slot show it, with any retry slack. The pause now excuses a cut only if the upstream that ran the request last is still silent (or was within 50 ms).

--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -52,10 +52,11 @@
 typedef struct {
     char id[24];
     SoakKind kind;
-    bool deadly;   /* crashes each upstream that starts it */
-    unsigned key;  /* number of the API key */
-    unsigned runs; /* number of times an upstream started it */
-    int status;    /* HTTP status of the answer; 0: none */
+    bool deadly;            /* crashes each upstream that starts it */
+    unsigned key;           /* number of the API key */
+    unsigned runs;          /* number of times an upstream started it */
+    SoakUpstream *upstream; /* that started it last; NULL: none */
+    int status;             /* HTTP status of the answer; 0: none */
     bool answered;
     bool refused; /* answered 429 or 503: must not run */
     bool cut;     /* ended without a complete answer */
@@ -192,6 +193,9 @@
 bool SoakProxy_FallSilent(SoakProxy *proxy, int silence_ms,
                           bool holds_requests);
 
+/* Returns when the last silence ended; now while one lasts. */
+int64_t SoakProxy_SilentMs(const SoakProxy *proxy);
+
 /* --------------------------------------------------------------- gateway --
  */
 
--- a/tests/soak/soak_callers.c
+++ b/tests/soak/soak_callers.c
@@ -148,6 +148,21 @@
     }
 }
 
+/* Returns whether the caller of a stream would have left, however long the
+   gateway had waited: its upstream, if any, still says nothing. */
+static bool
+S_would_leave(const Call *call)
+{
+    const SoakRequest *request = call->request;
+    bool silent =
+        request->upstream == NULL ||
+        Soak_NowMs(call->soak) -
+                SoakProxy_SilentMs(SoakUpstream_Proxy(request->upstream)) <=
+            SLACK_MS;
+    return S_is_stream(request) && silent &&
+           call->pause_ms >= PAUSE_MAX_MS - SLACK_MS;
+}
+
 /* Returns whether something else than a silence may end the request without a
    complete answer. */
 static bool
@@ -155,15 +170,14 @@
 {
     const SoakRequest *request = call->request;
     bool unread = request->runs == 0 && age_ms < READ_MS;
-    bool left =
-        S_is_stream(request) && call->pause_ms >= PAUSE_MAX_MS - SLACK_MS;
-    return unread || left || age_ms >= call->soak->deadline_ms - SLACK_MS ||
+    return unread || S_would_leave(call) ||
+           age_ms >= call->soak->deadline_ms - SLACK_MS ||
            SoakFleet_IsGraceOver(request->gateway) ||
            call->soak->trouble_ms > request->sent_ms - STABLE_MS;
 }
 
 /* Reports a request that ended without a complete answer although nothing but
-   silences and planned work happened. */
+   silences and planned work happened; only logs one that is excused. */
 static void
 S_check_silence(Call *call)
 {
@@ -173,16 +187,20 @@
         return;
     }
     call->soak->cut_in_silence++;
-    if (!S_is_excused(call, age_ms)) {
-        Soak_Violation(
-            call->soak, "silence",
-            "%s (%s) at gateway %u%s was cut after %d ms, status "
-            "%d, %u bytes, longest pause %d ms, %u runs",
-            request->id, SoakLoad_Name(request->kind), request->gateway,
-            SoakFleet_IsStopping(request->gateway) ? ", stopping," : "",
-            (int)age_ms, request->status, (unsigned)call->body->len,
-            (int)call->pause_ms, request->runs);
+    char *text = g_strdup_printf(
+        "%s (%s) at gateway %u%s was cut after %d ms, status %d, %u bytes, "
+        "longest pause %d ms, %u runs",
+        request->id, SoakLoad_Name(request->kind), request->gateway,
+        SoakFleet_IsStopping(request->gateway) ? ", stopping," : "",
+        (int)age_ms, request->status, (unsigned)call->body->len,
+        (int)call->pause_ms, request->runs);
+    if (S_is_excused(call, age_ms)) {
+        Soak_Log(call->soak, "excused: %s", text);
+    }
+    else {
+        Soak_Violation(call->soak, "silence", "%s", text);
     }
+    g_free(text);
 }
 
 static void
--- a/tests/soak/soak_proxy.c
+++ b/tests/soak/soak_proxy.c
@@ -274,6 +274,12 @@
     return true;
 }
 
+int64_t
+SoakProxy_SilentMs(const SoakProxy *proxy)
+{
+    return proxy->silent ? Soak_NowMs(proxy->soak) : proxy->silent_ms;
+}
+
 /* -------------------------------------------------------------- lifecycle --
  */
 
--- a/tests/soak/soak_upstream.c
+++ b/tests/soak/soak_upstream.c
@@ -181,6 +181,7 @@
     run->running = true;
     upstream->running++;
     request->runs++;
+    request->upstream = upstream;
     bool once = request->kind == SOAK_UNSAFE || request->kind == SOAK_ONCE;
     if (once && request->runs > 1) {
         Soak_Violation(soak, "once", "%s ran %u times", run->id,
