--- a/src/gw_attempt.c
+++ b/src/gw_attempt.c
@@ -214,7 +214,8 @@
     BsRelay_Dispatch(relay);
 }
 
-/* Retries the request, or ends it. */
+/* Retries the request, or ends it.  A held attempt that goes on takes its
+   place instead. */
 static void
 S_retry(BsRelay *relay, const char *cause)
 {
@@ -640,8 +641,8 @@
                    CALLER_TIMEOUT_GAPS * route->gap_ms));
 }
 
-/* Returns whether the upstream's silence matters: the request could be sent
-   to another one, or its caller will not wait much longer. */
+/* Returns whether to watch for the upstream's silence: the request could be
+   sent to another one, or the answer is a stream that should not pause. */
 static bool
 S_is_watched(const BsRelay *relay)
 {
