A silent owner's attempt is held until another one sends a piece

Callers saw: the owner of an engine was silent for 2 s and went on, the engine of the other owner refused, and the caller got 503 upstream_refused, unknown, at once.

Cause: S_replace_silent() cancelled the silent attempt as soon as another responsive owner was known, before that one had the request. When the other then refused, handed it back, failed or was lost, nothing was left to wait for.

An acceptance does not settle it, since an owner accepts before its engine answers: the attempt that sends the first piece is kept, and the others are cancelled by their own numbers. The caller gets nothing while one is held, so that each of them continues after the same event. When no other attempt is left, a held one is the current one again. Held attempts are dropped when their owner fails them, was replaced or no longer knows them; their forwards are repeated until accepted. An owner whose attempt is held is not given the request a second time.

attempts_lost no longer counts such attempts; attempts_held does.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -6,9 +6,11 @@
  * yield to may try every owner that serves it; a failed attempt is retried
  * within the retry budget after a random wait; a lost attempt (a piece missing
  * for too long, or an owner that was replaced) is cancelled and retried; one
- * that is silent (not accepted in time, or an owner that is unresponsive) only
- * if another owner can take over, and goes on until its deadline otherwise; a
- * resumed stream skips the events already sent to the caller.
+ * that is silent (not accepted in time, or an owner that is unresponsive) is
+ * held while another owner that can take over tries the request: the attempt
+ * that sends the first piece is kept and the others are cancelled, and if all
+ * later ones fail, the held one is current again and goes on until its
+ * deadline; a resumed stream skips the events already sent to the caller.
  */
 #include "entrystate.h"
 
@@ -40,6 +42,9 @@
 #define REPLACE_INTERVAL_MS 500
 #define REPLACE_DOUBLINGS_MAX 4
 
+/* Time between two forwards of a held attempt that is not accepted. */
+#define HELD_INTERVAL_MS 2000
+
 /* Time without a message from an owner after which it is checked, and between
    two checks of it. */
 #define OWNER_CHECK_AFTER_MS 500
@@ -78,26 +83,45 @@
                                S_request_data(request)->tier);
 }
 
-static void
-S_send_cancel(BsEntry *entry, const BsEntryRequest *request,
-              BsErrorKind reason)
+void
+BsEntry_SendCancel(BsEntry *entry, const BsEntryRequest *request,
+                   const BsEntryAttempt *attempt, BsErrorKind reason)
 {
     BsMessage *cancel = BsMessage_Create(BS_CANCEL);
     cancel->u.cancel.request_id =
         g_strdup(S_request_data(request)->request_id);
-    cancel->u.cancel.attempt = request->attempt;
+    cancel->u.cancel.attempt = attempt->number;
     cancel->u.cancel.to_stage = S_request_data(request)->stage;
     cancel->u.cancel.reason = reason;
-    BsCore_Send(entry->core, request->owner, request->owner_incarnation,
+    BsCore_Send(entry->core, attempt->owner, attempt->owner_incarnation,
                 cancel);
 }
 
+static void
+S_cancel_current(BsEntry *entry, const BsEntryRequest *request,
+                 BsErrorKind reason)
+{
+    if (request->current.owner != NULL && request->retry_ms == 0) {
+        BsEntry_SendCancel(entry, request, &request->current, reason);
+    }
+}
+
 void
-BsEntry_CancelAttempt(BsEntry *entry, BsEntryRequest *request,
-                      BsErrorKind reason)
+BsEntry_CancelAttempts(BsEntry *entry, BsEntryRequest *request,
+                       BsErrorKind reason)
+{
+    S_cancel_current(entry, request, reason);
+    BsEntry_DropHeld(entry, request, reason);
+}
+
+/* Lets all owners be tried again, except those of held attempts. */
+static void
+S_forget_tried(BsEntryRequest *request)
 {
-    if (request->owner != NULL && request->retry_ms == 0) {
-        S_send_cancel(entry, request, reason);
+    g_hash_table_remove_all(request->tried);
+    for (guint i = 0; i < request->held->len; i++) {
+        const BsEntryAttempt *held = request->held->pdata[i];
+        g_hash_table_add(request->tried, g_strdup(held->owner));
     }
 }
 
@@ -108,7 +132,7 @@
     const char *owner =
         BsChoice_PickOwner(entry->core, wanted, request->tried);
     if (owner == NULL && request->retries > 0) {
-        g_hash_table_remove_all(request->tried);
+        S_forget_tried(request);
         owner = BsChoice_PickOwner(entry->core, wanted, request->tried);
     }
     return owner;
@@ -116,18 +140,44 @@
 
 /* Charges the forward to the link budget and to the load of the owner. */
 static void
-S_charge_forward(BsEntry *entry, BsEntryRequest *request)
+S_charge_forward(BsEntry *entry, const BsEntryRequest *request,
+                 BsEntryAttempt *attempt)
 {
     const BsRequest *wanted = S_request_data(request);
-    request->remote = BsChoice_IsRemote(entry->core, request->owner);
-    if (request->remote) {
+    attempt->remote = BsChoice_IsRemote(entry->core, attempt->owner);
+    if (attempt->remote) {
         BsLink_Charge(entry->core->link, wanted->tier, request->body_bytes);
     }
-    BsDigests_OnForward(entry->core->digests, request->owner,
+    BsDigests_OnForward(entry->core->digests, attempt->owner,
                         BsRequest_Serves(wanted),
                         wanted->prompt_tokens + wanted->output_tokens);
 }
 
+/* Resumes the held attempt that was forwarded last, if there is one; returns
+   whether there was. */
+static bool
+S_resume_held(BsEntry *entry, BsEntryRequest *request)
+{
+    if (request->held->len == 0) {
+        return false;
+    }
+    BsEntry_ResumeHeld(request, request->held->len - 1);
+    S_forget_tried(request);
+    request->replace_tries = 0;
+    request->replace_ms = BsCore_NowMs(entry->core) + REPLACE_INTERVAL_MS;
+    return true;
+}
+
+/* Fails a request, unless a held attempt may still answer it. */
+static void
+S_fail(BsEntry *entry, BsEntryRequest *request, BsErrorKind error,
+       BsOutcome outcome)
+{
+    if (!S_resume_held(entry, request)) {
+        BsEntry_Fail(entry, request, error, outcome);
+    }
+}
+
 /* Returns whether a request that has no owner left to try may wait for one
    until NEXT_MS: until its deadline if its caller has a part of the answer,
    otherwise for OWNER_WAIT_MAX_MS if the last owner had no upstream. */
@@ -160,27 +210,28 @@
     }
     if (S_may_wait_for_owner(request, next_ms)) {
         BsCore_Count(entry->core, "owner_waits", 1);
-        g_hash_table_remove_all(request->tried);
+        S_forget_tried(request);
         request->retry_ms = next_ms;
         return;
     }
-    BsEntry_Fail(entry, request, (BsErrorKind)request->last_error,
-                 S_final_outcome(request));
+    S_fail(entry, request, (BsErrorKind)request->last_error,
+           S_final_outcome(request));
 }
 
-/* Sends the forward of the current attempt; an owner that has it already only
-   accepts it again. */
+/* Sends the forward of ATTEMPT; an owner that has it already only accepts it
+   again. */
 static void
-S_send_forward(BsEntry *entry, BsEntryRequest *request)
+S_send_forward(BsEntry *entry, const BsEntryRequest *request,
+               BsEntryAttempt *attempt)
 {
-    S_charge_forward(entry, request);
+    S_charge_forward(entry, request, attempt);
     BsMessage *forward = BsMessage_Copy(request->request);
-    forward->u.request.attempt = request->attempt;
+    forward->u.request.attempt = attempt->number;
     forward->u.request.deadline_ms =
         request->deadline_ms - BsCore_NowMs(entry->core);
     forward->u.request.skip_events += request->events;
     BsCore_Count(entry->core, "forwards", 1);
-    BsCore_Send(entry->core, request->owner, 0, forward);
+    BsCore_Send(entry->core, attempt->owner, 0, forward);
 }
 
 static void
@@ -200,17 +251,17 @@
         S_handle_no_owner(entry, request);
         return;
     }
-    request->attempt++;
-    request->accepted = false;
-    request->owner_incarnation = 0;
-    request->forwarded_ms = now_ms;
-    request->last_received_ms = now_ms;
-    request->gap_since_ms = 0;
-    BsMessage_SetString(&request->owner, owner);
-    BsReorder_Destroy(request->reorder);
-    request->reorder = BsReorder_Create();
+    request->current.number = ++request->attempts;
+    request->current.accepted = false;
+    request->current.owner_incarnation = 0;
+    request->current.forwarded_ms = now_ms;
+    request->current.last_received_ms = now_ms;
+    request->current.gap_since_ms = 0;
+    BsMessage_SetString(&request->current.owner, owner);
+    BsReorder_Destroy(request->current.reorder);
+    request->current.reorder = BsReorder_Create();
     S_reset_replacing(request);
-    S_send_forward(entry, request);
+    S_send_forward(entry, request, &request->current);
 }
 
 /* Returns whether the owner returned the request because it cannot serve it,
@@ -258,20 +309,17 @@
     return true;
 }
 
-bool
-BsEntry_TryAgain(BsEntry *entry, BsEntryRequest *request,
-                 const BsAnswer *answer)
+/* Starts or schedules another attempt after a final error, if one is
+   allowed. */
+static bool
+S_try_other(BsEntry *entry, BsEntryRequest *request, const BsAnswer *answer)
 {
-    if (!S_is_restartable(request) ||
-        BsCore_NowMs(entry->core) >= request->deadline_ms) {
-        return false;
-    }
     request->maybe_ran =
         request->maybe_ran || answer->outcome != BS_OUTCOME_NOT_RUN;
     request->request->u.request.crashes += answer->crashed ? 1 : 0;
     request->last_error = answer->error;
     request->retry_after_s = answer->retry_after_s;
-    g_hash_table_add(request->tried, g_strdup(request->owner));
+    g_hash_table_add(request->tried, g_strdup(request->current.owner));
     if (S_is_returned(entry, request, answer)) {
         bool full = answer->error == BS_ERR_OVERLOADED ||
                     answer->error == BS_ERR_MEMORY_FULL;
@@ -287,12 +335,24 @@
     return S_is_transient(answer->error) && S_schedule_retry(entry, request);
 }
 
+bool
+BsEntry_TryAgain(BsEntry *entry, BsEntryRequest *request,
+                 const BsAnswer *answer)
+{
+    if (!S_is_restartable(request) ||
+        BsCore_NowMs(entry->core) >= request->deadline_ms) {
+        return false;
+    }
+    return S_try_other(entry, request, answer) ||
+           S_resume_held(entry, request);
+}
+
 /* Notes that the attempt's owner failed it, and that it may have run. */
 static void
 S_note_lost(BsEntry *entry, BsEntryRequest *request)
 {
     BsCore_Count(entry->core, "attempts_lost", 1);
-    g_hash_table_add(request->tried, g_strdup(request->owner));
+    g_hash_table_add(request->tried, g_strdup(request->current.owner));
     request->maybe_ran = true;
     request->last_error = BS_ERR_PEER_LOST;
 }
@@ -300,10 +360,10 @@
 void
 BsEntry_OnAttemptLost(BsEntry *entry, BsEntryRequest *request)
 {
-    BsEntry_CancelAttempt(entry, request, BS_ERR_PEER_LOST);
+    S_cancel_current(entry, request, BS_ERR_PEER_LOST);
     S_note_lost(entry, request);
     if (!S_is_restartable(request) || !S_schedule_retry(entry, request)) {
-        BsEntry_Fail(entry, request, BS_ERR_PEER_LOST, BS_OUTCOME_UNKNOWN);
+        S_fail(entry, request, BS_ERR_PEER_LOST, BS_OUTCOME_UNKNOWN);
     }
 }
 
@@ -312,18 +372,19 @@
 static bool
 S_has_other_owner(BsEntry *entry, BsEntryRequest *request)
 {
-    bool known = !g_hash_table_add(request->tried, g_strdup(request->owner));
+    bool known =
+        !g_hash_table_add(request->tried, g_strdup(request->current.owner));
     const char *other = BsChoice_PickOwner(
         entry->core, S_request_data(request), request->tried);
     if (!known) {
-        g_hash_table_remove(request->tried, request->owner);
+        g_hash_table_remove(request->tried, request->current.owner);
     }
     return other != NULL &&
            !BsDigests_IsUnavailable(entry->core->digests, other);
 }
 
-/* Replaces the current attempt, which is silent, if another owner can take it;
-   otherwise repeats its forward until it is accepted. */
+/* Holds the current attempt, which is silent, and lets another owner try the
+   request if one can; otherwise repeats its forward until it is accepted. */
 static void
 S_replace_silent(BsEntry *entry, BsEntryRequest *request)
 {
@@ -335,47 +396,50 @@
         now_ms + (REPLACE_INTERVAL_MS
                   << MIN(request->replace_tries, REPLACE_DOUBLINGS_MAX));
     request->replace_tries++;
-    BsDigests_OnUnanswered(entry->core->digests, request->owner);
+    BsDigests_OnUnanswered(entry->core->digests, request->current.owner);
     if (S_is_restartable(request) && S_has_other_owner(entry, request) &&
         S_schedule_retry(entry, request)) {
-        S_send_cancel(entry, request, BS_ERR_PEER_LOST);
-        S_note_lost(entry, request);
+        BsCore_Count(entry->core, "attempts_held", 1);
+        g_hash_table_add(request->tried, g_strdup(request->current.owner));
+        request->last_error = BS_ERR_PEER_LOST;
+        BsEntry_HoldAttempt(request);
     }
-    else if (!request->accepted) {
-        S_send_forward(entry, request);
+    else if (!request->current.accepted) {
+        S_send_forward(entry, request, &request->current);
     }
 }
 
 /* Returns the time of the owner's last message, but not before the forward or
    the end of a pause of this instance, in which nothing was received. */
 static int64_t
-S_last_owner_message_ms(const BsEntry *entry, const BsEntryRequest *request)
+S_last_owner_message_ms(const BsEntry *entry, const BsEntryAttempt *attempt)
 {
     int64_t last_received_ms =
-        BsDigests_LastSeenMs(entry->core->digests, request->owner);
-    last_received_ms = MAX(last_received_ms, request->forwarded_ms);
+        BsDigests_LastSeenMs(entry->core->digests, attempt->owner);
+    last_received_ms = MAX(last_received_ms, attempt->forwarded_ms);
     return MAX(last_received_ms, entry->running_since_ms);
 }
 
 /* Returns whether the owner was removed from the list or has restarted. */
 static bool
-S_is_owner_replaced(const BsEntry *entry, const BsEntryRequest *request)
+S_is_owner_replaced(const BsEntry *entry, const BsEntryAttempt *attempt)
 {
     uint64_t known =
-        BsDigests_Incarnation(entry->core->digests, request->owner);
-    if (BsMembers_Find(entry->core->members, request->owner) == NULL) {
+        BsDigests_Incarnation(entry->core->digests, attempt->owner);
+    if (BsMembers_Find(entry->core->members, attempt->owner) == NULL) {
         return true;
     }
-    return known != 0 && request->owner_incarnation != 0 &&
-           known != request->owner_incarnation;
+    return known != 0 && attempt->owner_incarnation != 0 &&
+           known != attempt->owner_incarnation;
 }
 
 /* Returns whether a piece of the answer is missing for too long. */
 static bool
 S_has_lost_piece(const BsEntry *entry, const BsEntryRequest *request)
 {
-    int64_t since_ms = MAX(request->gap_since_ms, entry->running_since_ms);
-    return request->gap_since_ms != 0 &&
+    int64_t since_ms =
+        MAX(request->current.gap_since_ms, entry->running_since_ms);
+    return request->current.gap_since_ms != 0 &&
            BsCore_NowMs(entry->core) - since_ms > GAP_TIMEOUT_MS;
 }
 
@@ -384,9 +448,10 @@
 S_is_attempt_silent(const BsEntry *entry, const BsEntryRequest *request)
 {
     int64_t now_ms = BsCore_NowMs(entry->core);
-    int64_t start_ms = MAX(request->forwarded_ms, entry->running_since_ms);
-    return request->accepted
-               ? now_ms - S_last_owner_message_ms(entry, request) >
+    int64_t start_ms =
+        MAX(request->current.forwarded_ms, entry->running_since_ms);
+    return request->current.accepted
+               ? now_ms - S_last_owner_message_ms(entry, &request->current) >
                      entry->core->config.lease_ms
                : now_ms - start_ms > ACCEPT_TIMEOUT_MS;
 }
@@ -394,53 +459,79 @@
 /* Asks the owner whether it still holds the request, if no message of the
    owner or no piece of this answer has arrived for too long. */
 static void
-S_check_owner(BsEntry *entry, BsEntryRequest *request)
+S_check_owner(BsEntry *entry, const BsEntryRequest *request,
+              BsEntryAttempt *attempt)
 {
     int64_t now_ms = BsCore_NowMs(entry->core);
-    bool owner_overdue = now_ms - S_last_owner_message_ms(entry, request) >
+    bool owner_overdue = now_ms - S_last_owner_message_ms(entry, attempt) >
                          OWNER_CHECK_AFTER_MS;
     int64_t check_ms = request->next_seq > 0 ? STARTED_CHECK_AFTER_MS
                                              : WAITING_CHECK_AFTER_MS;
-    bool piece_overdue = now_ms - request->last_received_ms > check_ms;
-    int64_t *last_ms = g_hash_table_lookup(entry->checks, request->owner);
+    bool piece_overdue = now_ms - attempt->last_received_ms > check_ms;
+    int64_t *last_ms = g_hash_table_lookup(entry->checks, attempt->owner);
     if (last_ms == NULL) {
         last_ms = g_new0(int64_t, 1);
-        g_hash_table_insert(entry->checks, g_strdup(request->owner), last_ms);
+        g_hash_table_insert(entry->checks, g_strdup(attempt->owner), last_ms);
     }
     if (!piece_overdue &&
         (!owner_overdue || now_ms - *last_ms < OWNER_CHECK_AFTER_MS)) {
         return;
     }
     *last_ms = now_ms;
-    request->last_received_ms =
-        piece_overdue ? now_ms : request->last_received_ms;
+    attempt->last_received_ms =
+        piece_overdue ? now_ms : attempt->last_received_ms;
     BsMessage *check = BsMessage_Create(BS_CHECK);
     check->u.accept.request_id = g_strdup(S_request_data(request)->request_id);
-    check->u.accept.attempt = request->attempt;
+    check->u.accept.attempt = attempt->number;
     check->u.accept.to_stage = S_request_data(request)->stage;
     BsCore_Count(entry->core, "checks", 1);
-    BsCore_Send(entry->core, request->owner, request->owner_incarnation,
+    BsCore_Send(entry->core, attempt->owner, attempt->owner_incarnation,
                 check);
 }
 
+/* Cancels held attempts whose owner was replaced; repeats the forward of the
+   others until it is accepted, then checks their owner. */
+static void
+S_monitor_held(BsEntry *entry, BsEntryRequest *request)
+{
+    int64_t now_ms = BsCore_NowMs(entry->core);
+    for (guint i = request->held->len; i > 0; i--) {
+        BsEntryAttempt *held = request->held->pdata[i - 1];
+        if (S_is_owner_replaced(entry, held)) {
+            BsEntry_SendCancel(entry, request, held, BS_ERR_PEER_LOST);
+            BsCore_Count(entry->core, "attempts_lost", 1);
+            BsEntry_RemoveHeld(request, i - 1);
+            request->maybe_ran = true;
+        }
+        else if (held->accepted) {
+            S_check_owner(entry, request, held);
+        }
+        else if (now_ms - held->last_received_ms > HELD_INTERVAL_MS) {
+            held->last_received_ms = now_ms;
+            S_send_forward(entry, request, held);
+        }
+    }
+}
+
 void
 BsEntry_MonitorAttempt(BsEntry *entry, BsEntryRequest *request)
 {
+    S_monitor_held(entry, request);
     if (request->retry_ms != 0) {
         if (BsCore_NowMs(entry->core) >= request->retry_ms) {
             BsEntry_Forward(entry, request);
         }
         return;
     }
-    if (g_strcmp0(request->owner, entry->core->config.name) == 0) {
+    if (g_strcmp0(request->current.owner, entry->core->config.name) == 0) {
         return;
     }
     if (S_has_lost_piece(entry, request)) {
         BsEntry_OnAttemptLost(entry, request);
         return;
     }
-    if (S_is_owner_replaced(entry, request)) {
-        BsDigests_OnUnanswered(entry->core->digests, request->owner);
+    if (S_is_owner_replaced(entry, &request->current)) {
+        BsDigests_OnUnanswered(entry->core->digests, request->current.owner);
         BsEntry_OnAttemptLost(entry, request);
         return;
     }
@@ -450,7 +541,7 @@
     else {
         S_reset_replacing(request);
     }
-    if (request->accepted && request->retry_ms == 0) {
-        S_check_owner(entry, request);
+    if (request->current.accepted && request->retry_ms == 0) {
+        S_check_owner(entry, request, &request->current);
     }
 }
--- a/src/entry.c
+++ b/src/entry.c
@@ -29,9 +29,10 @@
 {
     BsEntryRequest *request = data;
     BsMessage_Destroy(request->request);
-    BsReorder_Destroy(request->reorder);
+    BsReorder_Destroy(request->current.reorder);
+    g_free(request->current.owner);
+    g_ptr_array_unref(request->held);
     g_hash_table_destroy(request->tried);
-    g_free(request->owner);
     g_free(request);
 }
 
@@ -101,7 +102,7 @@
 {
     BsMessage *answer =
         BsCore_CreateError(BS_CALLER_ANSWER, S_request_id(request),
-                           request->attempt, error, outcome);
+                           request->current.number, error, outcome);
     answer->u.answer.seq = request->next_seq;
     answer->u.answer.retry_after_s =
         MAX(answer->u.answer.retry_after_s, request->retry_after_s);
@@ -191,6 +192,7 @@
     request->request = forward;
     request->tried =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    request->held = BsEntry_CreateHeld();
     request->deadline_ms =
         BsCore_NowMs(entry->core) + forward->u.request.deadline_ms;
     request->body_bytes = S_body_bytes(&forward->u.request);
@@ -237,39 +239,63 @@
         return;
     }
     BsCore_Count(entry->core, "callers_gone", 1);
-    BsEntry_CancelAttempt(entry, request, BS_ERR_CANCELLED);
+    BsEntry_CancelAttempts(entry, request, BS_ERR_CANCELLED);
     S_remove(entry, request);
 }
 
+static void
+S_send_flow(BsEntry *entry, const BsEntryRequest *request,
+            const BsEntryAttempt *attempt, const BsMessage *message)
+{
+    BsMessage *flow = BsMessage_Copy(message);
+    flow->kind = BS_FLOW;
+    flow->u.flow.attempt = attempt->number;
+    flow->u.flow.to_stage = request->request->u.request.stage;
+    BsCore_Send(entry->core, attempt->owner, attempt->owner_incarnation, flow);
+}
+
 void
 BsEntry_OnFlow(BsEntry *entry, const BsMessage *message)
 {
     BsEntryRequest *request = S_find(entry, message->u.flow.request_id);
-    if (request == NULL || request->owner == NULL) {
+    if (request == NULL) {
         return;
     }
-    BsMessage *flow = BsMessage_Copy(message);
-    flow->kind = BS_FLOW;
-    flow->u.flow.attempt = request->attempt;
-    flow->u.flow.to_stage = request->request->u.request.stage;
-    BsCore_Send(entry->core, request->owner, request->owner_incarnation, flow);
+    if (request->current.owner != NULL) {
+        S_send_flow(entry, request, &request->current, message);
+    }
+    for (guint i = 0; i < request->held->len; i++) {
+        S_send_flow(entry, request, request->held->pdata[i], message);
+    }
+}
+
+/* Returns whether a message from FROM about attempt NUMBER is about the
+   current one. */
+static bool
+S_is_current(const BsEntryRequest *request, uint32_t number, const char *from)
+{
+    return request->current.number == number &&
+           g_strcmp0(request->current.owner, from) == 0;
 }
 
 void
 BsEntry_OnAccept(BsEntry *entry, const BsMessage *message)
 {
     BsEntryRequest *request = S_find(entry, message->u.accept.request_id);
-    if (request == NULL || request->attempt != message->u.accept.attempt ||
-        g_strcmp0(request->owner, message->from) != 0) {
+    if (request == NULL) {
+        return;
+    }
+    if (!S_is_current(request, message->u.accept.attempt, message->from)) {
+        BsEntry_OnHeldAccept(entry, request, message);
         return;
     }
     if (message->u.accept.gone) {
         BsEntry_OnAttemptLost(entry, request);
         return;
     }
-    request->accepted = true;
-    request->last_received_ms = BsCore_NowMs(entry->core);
-    request->owner_incarnation = message->from_incarnation;
+    request->current.accepted = true;
+    request->current.last_received_ms = BsCore_NowMs(entry->core);
+    request->current.owner_incarnation = message->from_incarnation;
 }
 
 /* Turns PIECE into the next piece for the caller.  Status and content type
@@ -289,7 +315,8 @@
     answer->seq = request->next_seq++;
 }
 
-/* Sends PIECE to the caller, or starts another attempt after an error. */
+/* Sends PIECE of the current attempt to the caller, which ends the held ones,
+   or starts or resumes another attempt after an error. */
 static void
 S_relay(BsEntry *entry, BsEntryRequest *request, BsMessage *piece)
 {
@@ -299,12 +326,13 @@
         BsMessage_Destroy(piece);
         return;
     }
+    BsEntry_DropHeld(entry, request, BS_ERR_PEER_LOST);
     const BsRequest *wanted = &request->request->u.request;
     bool final = answer->final;
     if (wanted->stream) {
         request->events += BsEvents_Count(answer->data);
     }
-    if (request->remote && answer->data != NULL) {
+    if (request->current.remote && answer->data != NULL) {
         BsLink_Charge(entry->core->link, wanted->tier,
                       g_bytes_get_size(answer->data));
     }
@@ -325,36 +353,44 @@
     }
 }
 
+/* Stores the piece in MESSAGE; returns whether it is one of the attempt that
+   is then the current one. */
+static bool
+S_take_piece(BsEntry *entry, BsEntryRequest *request, const BsMessage *message)
+{
+    return S_is_current(request, message->u.answer.attempt, message->from)
+               ? BsReorder_Push(request->current.reorder, message)
+               : BsEntry_TakeHeldPiece(entry, request, message);
+}
+
 void
 BsEntry_OnAnswer(BsEntry *entry, const BsMessage *message)
 {
     char *id = g_strdup(message->u.answer.request_id);
     BsEntryRequest *request = S_find(entry, id);
     uint32_t attempt = message->u.answer.attempt;
-    if (request == NULL || request->attempt != attempt ||
-        g_strcmp0(request->owner, message->from) != 0 ||
-        !BsReorder_Push(request->reorder, message)) {
+    if (request == NULL || !S_take_piece(entry, request, message)) {
         BsCore_Count(entry->core, "answers_dropped", 1);
         g_free(id);
         return;
     }
-    request->owner_incarnation = message->from_incarnation;
-    request->accepted = true;
-    request->last_received_ms = BsCore_NowMs(entry->core);
+    request->current.owner_incarnation = message->from_incarnation;
+    request->current.accepted = true;
+    request->current.last_received_ms = BsCore_NowMs(entry->core);
     while ((request = S_find(entry, id)) != NULL &&
-           request->attempt == attempt) {
-        BsMessage *piece = BsReorder_Pop(request->reorder);
+           request->current.number == attempt) {
+        BsMessage *piece = BsReorder_Pop(request->current.reorder);
         if (piece == NULL) {
             break;
         }
         S_relay(entry, request, piece);
     }
     if (request != NULL) {
-        bool gap = BsReorder_HasHeld(request->reorder);
-        int64_t since_ms = request->gap_since_ms != 0
-                               ? request->gap_since_ms
-                               : request->last_received_ms;
-        request->gap_since_ms = gap ? since_ms : 0;
+        bool gap = BsReorder_HasHeld(request->current.reorder);
+        int64_t since_ms = request->current.gap_since_ms != 0
+                               ? request->current.gap_since_ms
+                               : request->current.last_received_ms;
+        request->current.gap_since_ms = gap ? since_ms : 0;
     }
     g_free(id);
 }
@@ -363,10 +399,10 @@
 static void
 S_expire(BsEntry *entry, BsEntryRequest *request)
 {
-    BsOutcome outcome = request->attempt == 0 || request->retry_ms != 0
+    BsOutcome outcome = request->attempts == 0 || request->retry_ms != 0
                             ? BS_OUTCOME_NOT_RUN
                             : BS_OUTCOME_UNKNOWN;
-    BsEntry_CancelAttempt(entry, request, BS_ERR_DEADLINE);
+    BsEntry_CancelAttempts(entry, request, BS_ERR_DEADLINE);
     BsEntry_Fail(entry, request, BS_ERR_DEADLINE,
                  request->maybe_ran ? BS_OUTCOME_UNKNOWN : outcome);
 }
@@ -377,7 +413,7 @@
     GList *requests = g_hash_table_get_values(entry->requests);
     for (GList *node = requests; node != NULL; node = node->next) {
         BsEntryRequest *request = node->data;
-        BsEntry_CancelAttempt(entry, request, BS_ERR_DRAINING);
+        BsEntry_CancelAttempts(entry, request, BS_ERR_DRAINING);
         BsEntry_Fail(entry, request, BS_ERR_DRAINING, BS_OUTCOME_UNKNOWN);
     }
     g_list_free(requests);
--- a/src/reorder.c
+++ b/src/reorder.c
@@ -56,3 +56,9 @@
 {
     return g_hash_table_size(reorder->held) > 0;
 }
+
+bool
+BsReorder_HasNext(const BsReorder *reorder)
+{
+    return g_hash_table_contains(reorder->held, &reorder->next_seq);
+}
--- a/src/reorder.h
+++ b/src/reorder.h
@@ -31,4 +31,7 @@
 /* Returns whether pieces are held back because an earlier one is missing. */
 bool BsReorder_HasHeld(const BsReorder *reorder);
 
+/* Returns whether the next piece in order has arrived. */
+bool BsReorder_HasNext(const BsReorder *reorder);
+
 #endif /* BS_REORDER_H */
