--- a/tests/gate/gateway_fixture.h
+++ b/tests/gate/gateway_fixture.h
@@ -4,6 +4,8 @@
 
 #include "gate_harness.h"
 
+#include <algorithm>
+#include <cstdlib>
 #include <gtest/gtest.h>
 
 // Reads from SOCKET until the text contains MARK or the connection ends.
@@ -57,6 +59,26 @@
     std::unique_ptr<Gateway> gateway_;
 };
 
+// Returns the body of a chunked answer as far as it was received, and in
+// COMPLETE whether its end was.
+inline std::string
+Dechunk(const std::string &answer, bool *complete)
+{
+    std::string body;
+    size_t at = answer.find("\r\n\r\n") + 4;
+    *complete = false;
+    for (size_t end; (end = answer.find("\r\n", at)) != std::string::npos;) {
+        size_t size = strtoul(&answer[at], nullptr, 16);
+        if (size == 0) {
+            *complete = answer.substr(end) == "\r\n\r\n";
+            break;
+        }
+        body += answer.substr(end + 2, size);
+        at = std::min(answer.size(), end + 2 + size + 2);
+    }
+    return body;
+}
+
 // Sends a valid, signed answer.
 inline bool
 Answers(Socket &socket, const ReceivedRequest &got)
--- a/tests/gate/gateway_review_test.cc
+++ b/tests/gate/gateway_review_test.cc
@@ -30,25 +30,6 @@
     return text;
 }
 
-// The body of a chunked answer, up to where it ends or is malformed.
-std::string
-Dechunk(const std::string &answer, bool *complete)
-{
-    std::string body;
-    size_t at = answer.find("\r\n\r\n") + 4;
-    *complete = false;
-    for (size_t end; (end = answer.find("\r\n", at)) != std::string::npos;) {
-        size_t size = strtoul(&answer[at], nullptr, 16);
-        if (size == 0) {
-            *complete = answer.substr(end) == "\r\n\r\n";
-            break;
-        }
-        body += answer.substr(end + 2, size);
-        at = std::min(answer.size(), end + 2 + size + 2);
-    }
-    return body;
-}
-
 // The tested request has the id "subject".  Its arrivals are counted from 0
 // over all upstreams.
 class PartwayTest : public GatewayTest {
--- a/tests/gate/gateway_silence_test.cc
+++ b/tests/gate/gateway_silence_test.cc
@@ -177,26 +177,6 @@
     return socket.Write(WholeAnswer(got));
 }
 
-// Returns the body of a chunked answer as far as it was received, and in
-// COMPLETE whether its end was.
-std::string
-Dechunk(const std::string &answer, bool *complete)
-{
-    std::string body;
-    size_t at = answer.find("\r\n\r\n") + 4;
-    *complete = false;
-    for (size_t end; (end = answer.find("\r\n", at)) != std::string::npos;) {
-        size_t size = strtoul(&answer[at], nullptr, 16);
-        if (size == 0) {
-            *complete = answer.substr(end) == "\r\n\r\n";
-            break;
-        }
-        body += answer.substr(end + 2, size);
-        at = std::min(answer.size(), end + 2 + size + 2);
-    }
-    return body;
-}
-
 // Returns "" when ANSWER is the complete stream, with each event once and in
 // order; else what is wrong.
 std::string
