Requests in progress are answered when the process ends

What callers saw: a request that was still at its upstream at the end of the grace period ended with a closed connection, without an answer. Cause: the process ended with its requests as they were; nobody answered or freed them. Now each gets 502, or 503 if it was not sent, and an answer that has begun is reset, as before. Cause in the log: stopped.

--- a/src/gw_gate.h
+++ b/src/gw_gate.h
@@ -38,6 +38,7 @@
     BsHistogram *waits;        /* by route */
     BsHistogram *first_events; /* by route */
     BsOutboundPool *pool;
+    GHashTable *relays; /* set of the requests in progress */
     BsInboundServer *callers;
     BsTargets *targets;
     BsQuotas *quotas;
--- a/src/gw_gateway.c
+++ b/src/gw_gateway.c
@@ -345,6 +345,7 @@
     gate->first_events = BsHistogram_Create(
         "first_event", "From a send to the answer's first event", "route");
     gate->pool = BsOutboundPool_Create(gate->loop, &S_clock);
+    gate->relays = g_hash_table_new(g_direct_hash, g_direct_equal);
     gate->targets = BsTargets_Create(settings->data_centre, settings->region);
     gate->quotas = BsQuotas_Create(bounds->quota_over, bounds->quota_slack);
     gate->retries =
@@ -416,6 +417,8 @@
 {
     BsGate *gate = &gateway->gate;
     gateway->adapter->disconnect(gateway->link);
+    BsRelay_EndAll(gate);
+    g_hash_table_destroy(gate->relays);
     BsGossipTask_Destroy(gateway->gossip);
     BsReplica_Destroy(gateway->replica);
     BsInboundServer_Destroy(gateway->admin);
--- a/src/gw_relay.c
+++ b/src/gw_relay.c
@@ -31,6 +31,7 @@
 static void
 S_free(BsRelay *relay)
 {
+    g_hash_table_remove(relay->gate->relays, relay);
     ev_timer_stop(relay->gate->loop, &relay->timer);
     BsWaitQueue_Remove(relay->gate->queue, relay->queue_entry);
     BsAnswer_Clear(&relay->answer);
@@ -406,6 +407,7 @@
     ev_timer_init(&relay->timer, S_on_timer, 0, 0);
     relay->timer.data = relay;
     BsInbound_SetUser(inbound, relay);
+    g_hash_table_add(gate->relays, relay);
     return relay;
 }
 
@@ -537,6 +539,20 @@
     BsRelay_Dispatch(relay);
 }
 
+void
+BsRelay_EndAll(BsGate *gate)
+{
+    gate->refusing = true;
+    GList *relays = g_hash_table_get_keys(gate->relays);
+    for (GList *node = relays; node != NULL; node = node->next) {
+        BsRelay *relay = node->data;
+        bool ran = relay->may_have_run || relay->attempt.sent_ms > 0;
+        relay->may_have_run = ran;
+        BsRelay_Refuse(relay, ran ? 502 : 503, "stopped", ran ? 0 : 1);
+    }
+    g_list_free(relays);
+}
+
 static void
 S_on_request(BsInbound *inbound, const BsHttpHead *head, const GString *body,
              void *context)
--- a/src/gw_relay.h
+++ b/src/gw_relay.h
@@ -18,4 +18,8 @@
 /* Sends the queued requests for which an upstream has a free slot now. */
 void BsRelay_ServeQueue(BsGate *gate);
 
+/* Ends all requests in progress, as the process ends: an answer that has begun
+   is reset, any other request gets a failure. */
+void BsRelay_EndAll(BsGate *gate);
+
 #endif /* BS_GW_RELAY_H */
--- a/src/logtimeline.c
+++ b/src/logtimeline.c
@@ -32,6 +32,8 @@
      "the configuration itself"},
     {"stopping", "the instance was at the end of a planned stop",
      "line stopping; callers retry at another instance"},
+    {"stopped", "the instance stopped before the request was answered",
+     "line stopping: how long before; the grace period"},
     {"expired", "its deadline passed",
      "line sent: whether, where and when; "
      "metrics: request_duration_seconds"},
--- a/tests/gate/gateway_close_test.cc
+++ b/tests/gate/gateway_close_test.cc
@@ -382,6 +382,27 @@
     EXPECT_EQ(gateway_->Wait(), 0);
 }
 
+// Guards against a request that ends with a closed connection, without an
+// answer, because it is still at its upstream at the end of the grace period.
+TEST_F(CloseTest, ARequestWithoutAnAnswerAtTheEndOfAStopIsToldSo)
+{
+    Start({[](Socket &socket, const ReceivedRequest &) {
+        socket.WaitClosed();
+        return false;
+    }});
+    std::string call = Call("/calm/1", "a");
+    const std::string deadline = "Deadline-Ms: 5000";
+    call.replace(call.find(deadline), deadline.size(), "Deadline-Ms: 20000");
+    std::unique_ptr<Socket> caller = gateway_->Open();
+    gateway_->Signal(SIGTERM);
+    ASSERT_TRUE(gateway_->WaitReady(false));
+    caller->Write(call);
+    EXPECT_EQ(StatusOf(caller->ReadMessage()), 502);
+    EXPECT_EQ(gateway_->Wait(), 0);
+    EXPECT_NE(gateway_->Log().find("\"cause\":\"stopped\""),
+              std::string::npos);
+}
+
 // The same with an answer that has ended, and whose caller reads too slowly.
 TEST_F(SlowCallerTest, GetsAResetWhenTheAnswerIsCutAtTheEndOfAStop)
 {
