--- a/tests/gate/gateway_planned_test.cc
+++ b/tests/gate/gateway_planned_test.cc
@@ -679,6 +679,8 @@
 class ConfigTest : public PlannedTest,
                    public testing::WithParamInterface<ConfigCase> {};
 
+// Guards against a configuration that changes what a request in progress
+// goes by.
 TEST_P(ConfigTest, RequestsInProgressGoByTheVersionOfTheirArrival)
 {
     StartAll(GetParam().silent);
@@ -769,6 +771,7 @@
 class SettingsFileTest : public PlannedTest,
                          public testing::WithParamInterface<SettingsCase> {};
 
+// Guards against a settings file that ends requests in progress.
 TEST_P(SettingsFileTest, RequestsInProgressAreAnswered)
 {
     StartAll(GetParam().silent);
@@ -786,6 +789,7 @@
                              return std::string(info.param.name);
                          });
 
+// Guards against the same when the file is read without a signal.
 TEST_F(PlannedTest, ASettingsFileWithoutASignal)
 {
     StartAll(true);
@@ -888,6 +892,7 @@
     int hangups_ = 0;
 };
 
+// Guards against a stop that ends requests in progress without an answer.
 TEST_P(StopTest, RequestsInProgressAreAnsweredBeforeTheProcessEnds)
 {
     const StopCase &row = GetParam();
@@ -1047,6 +1052,8 @@
     }
 };
 
+// Guards against a configuration beside which a request that was sent
+// ahead is dropped.
 TEST_F(PlannedAheadTest, RequestsSentAheadAreAnsweredBesideAConfiguration)
 {
     StartAll(true);
--- a/tests/gate/retrybudget_test.cc
+++ b/tests/gate/retrybudget_test.cc
@@ -59,6 +59,7 @@
     EXPECT_EQ(TakeAll(kStartMs + kWindowMs), all);
 }
 
+// Guards against retries that are forgotten before their window is over.
 TEST_F(RetryBudgetTest, RetriesStayCountedForAWholeWindow)
 {
     int all = TakeAll(kStartMs);
--- a/tests/gate/silence_test.cc
+++ b/tests/gate/silence_test.cc
@@ -21,6 +21,8 @@
 
 class SilenceLimit : public testing::TestWithParam<LimitCase> {};
 
+// Guards against a limit that is counted from the send while the answer
+// arrives.
 TEST_P(SilenceLimit, IsCountedFromTheLastProgress)
 {
     const LimitCase &row = GetParam();
