Gateway: limits that upstreams name are read and logged

Nothing read them, so the log could not tell whether an instance was told of a limit, which one, and what it did with it. Events upstream_limit and upstream_limit_invalid, the limit in lines about attempts, metrics upstream_limits and upstream_limit_changes_total. A limit is a decimal number from 0.001 to 1,000,000; anything else, two different values among them, is logged and ignored. An answer ends a limit only if its request was sent after the limit was last named. No decision depends on it yet.

--- a/src/gw_answerhints.c
+++ b/src/gw_answerhints.c
@@ -1,6 +1,7 @@
 /* gw_answerhints.c - handles what upstreams report about themselves in
-   answers: that they are cold, that they stop soon, or that they request a
-   pause. */
+   answers: that they are cold, that they stop soon, that they request a pause,
+   or how many requests they take. */
+#include "gw_limitlog.h"
 #include "gw_relayparts.h"
 
 #include <string.h>
@@ -38,10 +39,54 @@
     }
 }
 
+/* Logs once that the upstream names a limit that is no valid number. */
+static void
+S_note_invalid_limit(const BsRelay *relay, BsTarget *target, const char *text)
+{
+    BsEventLog *log = relay->gate->log;
+    if (target->limit.invalid) {
+        return;
+    }
+    target->limit.invalid = true;
+    if (BsEventLog_Begin(log, BS_EVENT_FAILURE, "upstream_limit_invalid")) {
+        BsEventLog_Text(log, "upstream", target->id);
+        BsEventLog_Text(log, "request", relay->id);
+        BsEventLog_Text(log, "limit_per_s", text);
+        BsEventLog_End(log);
+    }
+}
+
+/* Applies the limit that an answer to ATTEMPT names, or that it names none.
+   Only an answer of the upstream's own work tells that a limit has ended. */
+static void
+S_note_limit(const BsRelay *relay, const BsRelayAttempt *attempt,
+             const BsAnswerInfo *info)
+{
+    BsGate *gate = relay->gate;
+    BsTarget *target = attempt->target;
+    if (info->limit_text != NULL && info->limit_per_s <= 0) {
+        S_note_invalid_limit(relay, target, info->limit_text);
+        return;
+    }
+    if (info->limit_text == NULL && !info->is_signed) {
+        return;
+    }
+    int64_t now_ms = BsClock_NowMs(gate->clock);
+    BsTargetLimit before = target->limit;
+    target->limit.invalid = false;
+    if (BsTargets_NoteLimit(target, info->limit_per_s, attempt->sent_ms,
+                            now_ms)) {
+        BsLimitLog_Changed(gate, target, &before, "answer");
+        gate->slots_changed = true;
+        gate->report_changed = true;
+    }
+}
+
 void
-BsAnswerHints_Apply(const BsRelay *relay, BsTarget *target,
+BsAnswerHints_Apply(const BsRelay *relay, const BsRelayAttempt *attempt,
                     const BsAnswerInfo *info)
 {
+    BsTarget *target = attempt->target;
     if (info->cold_ms > 0) {
         BsTargets_SetCold(target, info->cold_ms,
                           BsClock_NowMs(relay->gate->clock));
@@ -57,4 +102,5 @@
     if (info->requested_pause_ms > 0) {
         S_note_requested_pause(relay, target, info->requested_pause_ms);
     }
+    S_note_limit(relay, attempt, info);
 }
--- a/src/gw_attempt.c
+++ b/src/gw_attempt.c
@@ -443,7 +443,7 @@
     relay->attempt.last_received_ms = BsClock_NowMs(gate->clock);
     BsTargets_NoteReceived(relay->attempt.target,
                            relay->attempt.last_received_ms);
-    BsAnswerHints_Apply(relay, relay->attempt.target, &info);
+    BsAnswerHints_Apply(relay, &relay->attempt, &info);
     if (BsAttempt_IsRefused(relay, &relay->attempt, &info)) {
         return;
     }
--- a/src/gw_pages.c
+++ b/src/gw_pages.c
@@ -51,6 +51,8 @@
     BsCounters_Set(counters, "part_suspects",
                    BsCrashParts_CountSuspects(gate->crash_parts,
                                               BsClock_NowMs(gate->clock)));
+    BsCounters_Set(counters, "upstream_limits",
+                   BsTargets_CountLimits(gate->targets));
     BsCounters_Set(counters, "connections",
                    BsInboundServer_Connections(gate->callers));
     BsCounters_Set(counters, "requests_left_unread_total",
--- a/src/gw_relaylog.c
+++ b/src/gw_relaylog.c
@@ -1,5 +1,6 @@
 /* gw_relaylog.c - log lines and metrics of relayed requests. */
 #include "daycount.h"
+#include "gw_limitlog.h"
 #include "gw_relayparts.h"
 
 /* Hexadecimal digits of a content hash in the log. */
@@ -128,6 +129,7 @@
         BsEventLog_Text(gate->log, "upstream", attempt->target->id);
         BsEventLog_Number(gate->log, "own", attempt->target->own);
         BsEventLog_Number(gate->log, "others", attempt->target->others);
+        BsLimitLog_Add(gate, &attempt->target->limit);
         S_log_times(relay, attempt);
         S_log_end(relay, attempt);
     }
--- a/src/gw_relayparts.h
+++ b/src/gw_relayparts.h
@@ -161,9 +161,9 @@
 
 /* ----------------------------------------------------- gw_answerhints.c -- */
 
-/* Applies what the head of an answer says about its upstream TARGET, whatever
-   the outcome of the request. */
-void BsAnswerHints_Apply(const BsRelay *relay, BsTarget *target,
+/* Applies what the head of an answer to ATTEMPT says about its upstream,
+   whatever the outcome of the request. */
+void BsAnswerHints_Apply(const BsRelay *relay, const BsRelayAttempt *attempt,
                          const BsAnswerInfo *info);
 
 /* --------------------------------------------------------- gw_attempt.c -- */
--- a/src/targets.c
+++ b/src/targets.c
@@ -166,6 +166,7 @@
     target->cold_level = 0;
     target->was_down = false;
     target->requested_pause_until_ms = 0;
+    memset(&target->limit, 0, sizeof(target->limit));
 }
 
 /* Returns whether ENTRY is older than the known state of TARGET. */
--- a/src/targets.h
+++ b/src/targets.h
@@ -34,6 +34,16 @@
     bool draining;
 } BsTargetEntry;
 
+/* The limit that an upstream named, as an instance knows it. */
+typedef struct {
+    double per_s;     /* requests a second from all instances; 0: none */
+    uint32_t version; /* increases with what answers say, at any instance;
+                         0: no answer has named a limit */
+    int64_t told_ms;  /* when VERSION last increased */
+    int64_t since_ms; /* when PER_S last changed */
+    bool invalid;     /* the last answer named an invalid one */
+} BsTargetLimit;
+
 /* What an instance knows about an upstream; read-only outside this module. */
 typedef struct {
     char *id;
@@ -69,6 +79,7 @@
                                refusal */
     int64_t requested_pause_until_ms; /* no request before this time, as
                                          the target requested */
+    BsTargetLimit limit;
     int64_t last_received_ms; /* when the last byte of any answer arrived */
     double error_ratio;       /* moving average over recent answers */
     double pace_ms;           /* moving average of the time per event, or per
@@ -244,6 +255,16 @@
 void BsTargets_SetRequestedPause(BsTarget *target, int64_t pause_ms,
                                  int64_t now_ms);
 
+/* Notes that an answer to a request that was sent at SENT_MS named the limit
+   PER_S (requests a second), or 0: none.  Such an answer ends a limit only if
+   the request was sent after the limit was last named: an older one may
+   overtake it.  Returns whether the limit changed. */
+bool BsTargets_NoteLimit(BsTarget *target, double per_s, int64_t sent_ms,
+                         int64_t now_ms);
+
+/* Returns how many upstreams have named a limit that lasts. */
+unsigned BsTargets_CountLimits(const BsTargets *targets);
+
 /* Replaces the loads that PEER reported; LOADS holds BsTargetLoad and is
    copied. */
 void BsTargets_SetPeer(BsTargets *targets, uint32_t peer, const GArray *loads,
--- a/src/targets_private.h
+++ b/src/targets_private.h
@@ -1,7 +1,8 @@
 /*
  * targets_private.h - the table of targets, shared by its parts: targets.c
  * (listing and health), targetchoice.c (the choice of one), targetcold.c
- * (limits of cold ones) and targetpeers.c (loads of peers and of this
+ * (limits of cold ones), targetlimit.c (limits that upstreams name) and
+ * targetpeers.c (loads of peers and of this
  * instance).
  */
 #ifndef BS_TARGETS_PRIVATE_H
--- a/src/wire.h
+++ b/src/wire.h
@@ -48,6 +48,10 @@
     bool leaving;     /* the upstream stops soon and accepts nothing new */
     int64_t requested_pause_ms; /* requested pause: time during which this
                          instance shall send it nothing; -1 when not given */
+    double limit_per_s;     /* requests a second that the upstream takes from
+                               all instances together; 0 when not given */
+    const char *limit_text; /* the limit as it was sent; NULL when not given.
+                               When LIMIT_PER_S is 0 it is not valid */
 } BsAnswerInfo;
 
 /* Reads and writes heads for a platform; no member is NULL. */
--- a/tests/gate/platform_test.cc
+++ b/tests/gate/platform_test.cc
@@ -306,6 +306,45 @@
     }
 }
 
+// Guards against a limit that is taken from something else than one decimal
+// number.
+TEST(Heads, NamedLimitsAreParsed)
+{
+    struct Row {
+        const char *headers;
+        double per_s;
+        bool named;
+    };
+    const Row rows[] = {
+        {"Server-Limit: 3\r\n", 3, true},
+        {"Server-Limit: 0.25\r\n", 0.25, true},
+        {"server-limit: 2.4\r\n", 2.4, true},
+        {"Server-Limit: 1000000\r\n", 1000000, true},
+        {"Server-Limit: 3\r\nServer-Limit: 3\r\n", 3, true},
+        {"Server-Limit: 3\r\nServer-Limit: 9\r\n", 0, true},
+        {"Server-Limit: 3, 9\r\n", 0, true},
+        {"Server-Limit: 0\r\n", 0, true},
+        {"Server-Limit: -1\r\n", 0, true},
+        {"Server-Limit: 1e3\r\n", 0, true},
+        {"Server-Limit: 0x10\r\n", 0, true},
+        {"Server-Limit: 1.2.3\r\n", 0, true},
+        {"Server-Limit: nan\r\n", 0, true},
+        {"Server-Limit: 1000001\r\n", 0, true},
+        {"Server-Limit:\r\n", 0, true},
+        {"", 0, false},
+    };
+    for (const char *status : {"200", "500", "503"}) {
+        for (const Row &row : rows) {
+            Head head(BS_HTTP_RESPONSE, std::string("HTTP/1.1 ") + status +
+                                            " X\r\n" + row.headers + "\r\n");
+            BsAnswerInfo info;
+            p_heads_wire.read_answer(head.head, &info);
+            EXPECT_EQ(info.limit_per_s, row.per_s) << row.headers;
+            EXPECT_EQ(info.limit_text != nullptr, row.named) << row.headers;
+        }
+    }
+}
+
 TEST(Heads, LeavingIsSetByTheValueOneOnly)
 {
     const std::pair<const char *, bool> rows[] = {
