Targets: the senders and the bucket of a shared rate stand in sharedrate

They take values now and know nothing of coldness. The rank is kept until the reachable instances change, so that a choice among many limited upstreams costs no hash of each instance.

--- a/src/gossip.c
+++ b/src/gossip.c
@@ -434,12 +434,12 @@
 void
 BsGossip_AppendSenders(const BsGossip *gossip, int64_t now_ms, GArray *senders)
 {
-    BsTargetSender self = {gossip->address, gossip->data_centre};
+    BsRateSender self = {gossip->address, gossip->data_centre};
     BsGossipWalk walk = BsGossip_Walk(gossip, now_ms);
     const BsGossipMember *member;
     g_array_append_val(senders, self);
     while ((member = BsGossip_Next(&walk)) != NULL) {
-        BsTargetSender sender = {member->address, member->data_centre};
+        BsRateSender sender = {member->address, member->data_centre};
         if (!member->stopping) {
             g_array_append_val(senders, sender);
         }
--- a/src/gossip.h
+++ b/src/gossip.h
@@ -152,7 +152,7 @@
 int64_t BsGossip_RemoteAgeMs(const BsGossip *gossip, int64_t now_ms);
 
 /* Appends this instance and the reachable ones that are not stopping, as
-   BsTargetSender. */
+   BsRateSender. */
 void BsGossip_AppendSenders(const BsGossip *gossip, int64_t now_ms,
                             GArray *senders);
 
--- a/src/gw_gossip.c
+++ b/src/gw_gossip.c
@@ -406,7 +406,7 @@
 static void
 S_set_senders(BsGossipTask *task, int64_t now_ms)
 {
-    GArray *senders = g_array_new(FALSE, FALSE, sizeof(BsTargetSender));
+    GArray *senders = g_array_new(FALSE, FALSE, sizeof(BsRateSender));
     BsGossip_AppendSenders(task->gossip, now_ms, senders);
     BsTargets_SetSenders(task->gate->targets, task->address, senders);
     g_array_unref(senders);
--- a/src/targetpeers.c
+++ b/src/targetpeers.c
@@ -1,6 +1,9 @@
-/* targetpeers.c - the loads reported by peers and those of this instance. */
+/* targetpeers.c - the loads reported by peers and those of this instance, and
+   the instances that are reachable. */
 #include "targets_private.h"
 
+#include <string.h>
+
 /* How long the count of a cold period is still reported to peers after its
    end. */
 #define COLD_REPORTED_MS 2000
@@ -68,7 +71,7 @@
     target->others += load->in_flight;
     uint32_t known = S_cold_sent(before->loads, load->hash);
     if (BsTarget_IsCold(target, now_ms) && load->cold_sent > known) {
-        target->cold_level -= load->cold_sent - known;
+        target->cold_bucket.level -= load->cold_sent - known;
     }
 }
 
@@ -133,7 +136,7 @@
         target->others += load->in_flight;
         if (BsTarget_IsCold(target, now_ms) &&
             load->cold_sent > held->cold_sent) {
-            target->cold_level -= load->cold_sent - held->cold_sent;
+            target->cold_bucket.level -= load->cold_sent - held->cold_sent;
         }
     }
     *held = *load;
@@ -187,3 +190,41 @@
         }
     }
 }
+
+static bool
+S_are_equal(const GArray *first, const GArray *second)
+{
+    return first->len == second->len &&
+           (first->len == 0 || memcmp(first->data, second->data,
+                                      first->len * sizeof(BsRateSender)) == 0);
+}
+
+void
+BsTargets_SetSenders(BsTargets *targets, uint32_t address,
+                     const GArray *senders)
+{
+    if (targets->address == address &&
+        S_are_equal(targets->senders, senders)) {
+        return;
+    }
+    targets->address = address;
+    targets->senders_version++;
+    g_array_set_size(targets->senders, 0);
+    g_array_append_vals(targets->senders, senders->data, senders->len);
+}
+
+BsRateRank
+BsTargets_SenderRank(const BsTargets *targets, BsTarget *target)
+{
+    BsRateSender instance = {
+        .address = targets->address,
+        .data_centre = (uint32_t)BsTargets_Hash(targets->data_centre),
+    };
+    if (target->sender_rank_version != targets->senders_version) {
+        target->sender_rank_version = targets->senders_version;
+        target->sender_rank =
+            BsSharedRate_Rank(targets->senders, &instance, target->hash,
+                              (uint32_t)BsTargets_Hash(target->data_centre));
+    }
+    return target->sender_rank;
+}
--- a/src/targets.c
+++ b/src/targets.c
@@ -71,7 +71,8 @@
     targets->share = 1.0;
     targets->allowances =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    targets->senders = g_array_new(FALSE, FALSE, sizeof(BsTargetSender));
+    targets->senders = g_array_new(FALSE, FALSE, sizeof(BsRateSender));
+    targets->senders_version = 1;
     return targets;
 }
 
@@ -163,7 +164,7 @@
     target->retry_at_ms = 0;
     target->error_ratio = 0;
     target->pace_ms = 0;
-    target->cold_level = 0;
+    target->cold_bucket.level = 0;
     target->was_down = false;
     target->requested_pause_until_ms = 0;
     memset(&target->limit, 0, sizeof(target->limit));
@@ -197,6 +198,7 @@
     S_set_text(&target->data_centre, entry->data_centre);
     S_set_text(&target->region, entry->region);
     target->local = strcmp(target->data_centre, targets->data_centre) == 0;
+    target->sender_rank_version = 0;
     target->same_region = g_strcmp0(target->region, targets->region) == 0;
     target->closed =
         g_hash_table_contains(targets->closed, target->data_centre);
@@ -313,7 +315,7 @@
     target->own_waiting_tokens += query->prompt_tokens;
     if (BsTarget_IsCold(target, now_ms)) {
         target->cold_sent++;
-        target->cold_level -= 1;
+        target->cold_bucket.level -= 1;
     }
 }
 
--- a/src/targets.h
+++ b/src/targets.h
@@ -13,6 +13,7 @@
 #define BS_TARGETS_H
 
 #include "catalog.h"
+#include "sharedrate.h"
 
 #include <netinet/in.h>
 
@@ -69,17 +70,19 @@
     uint32_t others; /* requests of all peers in progress there */
     uint64_t own_waiting_tokens; /* prompt tokens of our requests there that
                                     have no first event yet */
-    uint32_t cold_sent;     /* our requests sent in the latest cold period */
-    double cold_level;      /* token bucket: requests allowed while cold */
-    int64_t cold_filled_ms; /* last refill of the bucket */
-    uint32_t failures;      /* consecutive */
-    bool silent;            /* its last failure was a silence */
-    int64_t paused_ms;      /* when the last pause after a failure began */
-    int64_t retry_at_ms;    /* no request before this time, after a failure or
-                               refusal */
+    uint32_t cold_sent;       /* our requests sent in the latest cold period */
+    BsRateBucket cold_bucket; /* requests allowed while cold */
+    uint32_t failures;        /* consecutive */
+    bool silent;              /* its last failure was a silence */
+    int64_t paused_ms;        /* when the last pause after a failure began */
+    int64_t retry_at_ms; /* no request before this time, after a failure or
+                            refusal */
     int64_t requested_pause_until_ms; /* no request before this time, as
                                          the target requested */
     BsTargetLimit limit;
+    BsRateRank sender_rank;       /* of this instance, for a shared rate */
+    uint32_t sender_rank_version; /* of the senders that it was found for;
+                                     0: none yet */
     int64_t last_received_ms; /* when the last byte of any answer arrived */
     double error_ratio;       /* moving average over recent answers */
     double pace_ms;           /* moving average of the time per event, or per
@@ -130,12 +133,6 @@
     uint32_t cold_sent; /* requests sent in the latest cold period */
 } BsTargetLoad;
 
-/* An instance of the fleet that this one can reach, or this one itself. */
-typedef struct {
-    uint32_t address;
-    uint32_t data_centre; /* lower 32 bits of the hash of its name */
-} BsTargetSender;
-
 typedef struct BsTargets BsTargets;
 
 /* Creates an empty table for an instance in DATA_CENTRE of REGION. */
@@ -180,7 +177,7 @@
 void BsTargets_SetShare(BsTargets *targets, double share);
 
 /* Sets the address of this instance and the instances that are reachable now,
-   this one included; SENDERS holds BsTargetSender and is copied. */
+   this one included; SENDERS holds BsRateSender and is copied. */
 void BsTargets_SetSenders(BsTargets *targets, uint32_t address,
                           const GArray *senders);
 
--- a/src/targets_private.h
+++ b/src/targets_private.h
@@ -41,7 +41,8 @@
     bool summed; /* loads are a hub's sums, the same for many instances */
     GHashTable *allowances; /* data centre to BsTargetAllowance */
     uint32_t address;       /* of this instance */
-    GArray *senders; /* BsTargetSender; empty when the instance is alone */
+    GArray *senders; /* BsRateSender; empty when the instance is alone */
+    uint32_t senders_version; /* increases when SENDERS changes */
 };
 
 /* Returns the requests in progress at TARGET, of this instance and of its
@@ -74,6 +75,9 @@
    the load there is an estimate. */
 void BsTargets_UseAllowance(BsTargets *targets, const BsTarget *target);
 
+/* Returns the rank of this instance among those that can send to TARGET. */
+BsRateRank BsTargets_SenderRank(const BsTargets *targets, BsTarget *target);
+
 /* Returns whether a cold TARGET may get one more request now, by the cold
    limit of SERVICE and the instances that share it. */
 bool BsTargets_AllowsCold(const BsTargets *targets, BsTarget *target,
--- a/tests/gate/gatescript_targets.c
+++ b/tests/gate/gatescript_targets.c
@@ -257,10 +257,10 @@
     if (arguments[0] == NULL) {
         return false;
     }
-    GArray *senders = g_array_new(FALSE, FALSE, sizeof(BsTargetSender));
+    GArray *senders = g_array_new(FALSE, FALSE, sizeof(BsRateSender));
     for (char **argument = arguments + 1; *argument != NULL; argument++) {
         char **parts = g_strsplit(*argument, ":", 2);
-        BsTargetSender sender = {
+        BsRateSender sender = {
             (uint32_t)g_ascii_strtoull(parts[0], NULL, 10),
             (uint32_t)BsTargets_Hash(parts[1] == NULL ? "n1" : parts[1])};
         g_array_append_val(senders, sender);
