--- a/tests/soak/main_soak.c
+++ b/tests/soak/main_soak.c
@@ -3,10 +3,12 @@
  *
  * gatesoak GATEWAY DIRECTORY SEED [--seconds N] [--gateways N] [--runners N]
  * [--rate N] [--deadly MS] [--deadly-part] [--unframed] [--silent MS]
- * [--silent-all] [--planned] [--calm] [--store-port N] [--retry-slack N]
+ * [--limits MS] [--silent-all] [--planned] [--calm] [--store-port N]
+ * [--retry-slack N]
  * [--verbose]; exits with 1 if a promise was broken.  --deadly sets the pause
  * between requests that crash upstreams, which with --deadly-part share one
  * part of their prompts only; --silent that between silences of upstreams.
+ * --limits sets the pause between limits that upstreams name.
  * --unframed lets streams end with their connections.  --planned injects only
  * planned work and silences, with longer streams.  --calm injects no faults
  * and prints counts and response times by route.
@@ -36,6 +38,9 @@
 /* Default pause between silences in a run with faults. */
 #define SILENT_PAUSE_MS 1000
 
+/* Default pause between limits that upstreams name in a run with faults. */
+#define LIMIT_PAUSE_MS 2500
+
 #define SILENCE_MIN_MS 500
 #define SILENCE_MAX_MS 2000
 
@@ -55,6 +60,7 @@
     Soak soak;
     ev_timer next;
     ev_timer silence;
+    ev_timer limits;
     ev_timer faults_end;
     ev_timer end;
     struct ev_loop *loop;
@@ -66,6 +72,7 @@
 static gint S_rate = 60;
 static gint S_deadly = -1;
 static gint S_silent = -1;
+static gint S_limits = -1;
 static gint S_retry_slack = -1;
 static gint S_store_port = 19999;
 static gboolean S_all_silent;
@@ -381,6 +388,22 @@
     S_fall_silent(&((SoakMain *)watcher->data)->soak);
 }
 
+static void
+S_on_limit(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    (void)loop;
+    (void)events;
+    Soak *soak = &((SoakMain *)watcher->data)->soak;
+    gint32 number =
+        g_rand_int_range(soak->limit_random, 0, (gint32)soak->upstream_count);
+    double per_s =
+        SoakLimit_Start(SoakUpstream_Limit(soak->upstreams[number]));
+    if (per_s > 0) {
+        Soak_Log(soak, "upstream %d names a limit of %g a second", number,
+                 per_s);
+    }
+}
+
 static void
 S_on_next(struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -400,6 +423,7 @@
     SoakMain *run = watcher->data;
     Soak *soak = &run->soak;
     ev_timer_stop(loop, &run->next);
+    ev_timer_stop(loop, &run->limits);
     Soak_Log(soak, "all faults end");
     soak->trouble_ms = MIN(soak->trouble_ms, Soak_NowMs(soak));
     S_set_store_mode(soak, SOAK_SERVES);
@@ -407,6 +431,7 @@
     for (unsigned i = 0; i < soak->upstream_count; i++) {
         SoakProxy_SetMode(SoakUpstream_Proxy(soak->upstreams[i]), SOAK_PASS);
         SoakUpstream_SetErrors(soak->upstreams[i], 0);
+        SoakLimit_End(SoakUpstream_Limit(soak->upstreams[i]));
         SoakUpstream_List(soak->upstreams[i], "ready", 0);
     }
     for (unsigned i = 0; i < soak->gateway_count; i++) {
@@ -444,6 +469,19 @@
     ev_timer_start(run->loop, timer);
 }
 
+/* As S_start_timer(), every PAUSE_MS; 0: never. */
+static void
+S_start_repeating(SoakMain *run, ev_timer *timer, int64_t pause_ms,
+                  void (*func)(struct ev_loop *, ev_timer *, int))
+{
+    double pause_s = (double)pause_ms / 1000.0;
+    ev_timer_init(timer, func, pause_s, pause_s);
+    timer->data = run;
+    if (pause_ms > 0) {
+        ev_timer_start(run->loop, timer);
+    }
+}
+
 static void
 S_create(SoakMain *run, unsigned seed)
 {
@@ -455,6 +493,10 @@
     soak->random = g_rand_new_with_seed(seed);
     soak->deadly_random = g_rand_new_with_seed(seed);
     soak->silent_random = g_rand_new_with_seed(seed);
+    soak->limit_random = g_rand_new_with_seed(seed);
+    soak->limit_pause_ms = S_limits >= 0              ? S_limits
+                           : S_no_faults || S_planned ? 0
+                                                      : LIMIT_PAUSE_MS;
     soak->deadly_ms = S_deadly >= 0              ? S_deadly
                       : S_no_faults || S_planned ? 0
                                                  : DEADLY_PAUSE_MS;
@@ -499,6 +541,7 @@
     g_rand_free(soak->random);
     g_rand_free(soak->deadly_random);
     g_rand_free(soak->silent_random);
+    g_rand_free(soak->limit_random);
 }
 
 /* Checks that requests of each kind were answered after all faults ended;
@@ -540,12 +583,8 @@
     if (soak->deadly_ms > 0) {
         SoakCallers_StartDeadly(soak);
     }
-    if (soak->silent_pause_ms > 0) {
-        double pause_s = (double)soak->silent_pause_ms / 1000.0;
-        ev_timer_init(&run.silence, S_on_silence, pause_s, pause_s);
-        run.silence.data = &run;
-        ev_timer_start(run.loop, &run.silence);
-    }
+    S_start_repeating(&run, &run.silence, soak->silent_pause_ms, S_on_silence);
+    S_start_repeating(&run, &run.limits, soak->limit_pause_ms, S_on_limit);
     soak->faults_ended = S_no_faults;
     if (S_no_faults) {
         S_start_timer(&run, &run.faults_end, S_seconds, S_on_stop_sending);
@@ -560,6 +599,7 @@
                   S_on_end);
     ev_run(run.loop, 0);
     ev_timer_stop(run.loop, &run.silence);
+    ev_timer_stop(run.loop, &run.limits);
     SoakCallers_Stop(soak);
     SoakFleet_Stop(soak);
     unsigned answered_after_faults = S_check_service(soak);
@@ -595,6 +635,8 @@
          "Streams end with their connections", NULL},
         {"silent", 0, 0, G_OPTION_ARG_INT, &S_silent,
          "Pause between silences of upstreams; 0: none", "MS"},
+        {"limits", 0, 0, G_OPTION_ARG_INT, &S_limits,
+         "Pause between limits that upstreams name; 0: none", "MS"},
         {"silent-all", 0, 0, G_OPTION_ARG_NONE, &S_all_silent,
          "All upstreams fall silent at once", NULL},
         {"planned", 0, 0, G_OPTION_ARG_NONE, &S_planned,
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -23,6 +23,7 @@
 typedef struct SoakStore SoakStore;
 typedef struct SoakUpstream SoakUpstream;
 typedef struct SoakProxy SoakProxy;
+typedef struct SoakLimit SoakLimit;
 
 /* How a proxy treats the bytes of its connections. */
 typedef enum {
@@ -95,6 +96,9 @@
     unsigned deadly_late;    /* arrivals over DEADLY_MS after it */
     unsigned deadly_runs;    /* crashes in the whole run */
 
+    GRand *limit_random;    /* separate for the same reason */
+    int64_t limit_pause_ms; /* pause between limits of upstreams; 0: none */
+
     GRand *silent_random;          /* separate for the same reason */
     int64_t silent_pause_ms;       /* pause between silences; 0: none */
     unsigned silent_count;         /* upstreams that are silent now */
@@ -177,6 +181,27 @@
 
 SoakProxy *SoakUpstream_Proxy(SoakUpstream *upstream);
 
+/* Returns the limits that the upstream names. */
+SoakLimit *SoakUpstream_Limit(SoakUpstream *upstream);
+
+/* ----------------------------------------------------------------- limit --
+ */
+
+SoakLimit *SoakLimit_Create(Soak *soak);
+void SoakLimit_Destroy(SoakLimit *limit);
+
+/* Starts to name a random limit for some seconds; returns it (requests a
+   second), or 0 if one lasts. */
+double SoakLimit_Start(SoakLimit *limit);
+
+void SoakLimit_End(SoakLimit *limit);
+
+/* Appends the limit, if one lasts, to the HEAD of an answer to GATEWAY. */
+void SoakLimit_AppendHead(SoakLimit *limit, unsigned gateway, GString *head);
+
+/* Checks a request of GATEWAY that arrives at UPSTREAM. */
+void SoakLimit_Check(SoakLimit *limit, const char *upstream, unsigned gateway);
+
 /* ----------------------------------------------------------------- proxy --
  */
 
--- a/tests/soak/soak_upstream.c
+++ b/tests/soak/soak_upstream.c
@@ -60,6 +60,7 @@
     int64_t leaving_ms; /* when listed as draining or removed; 0: not */
     int64_t cold_until_ms;
     GArray *cold_arrivals; /* int64_t */
+    SoakLimit *limit;
     ev_timer restart;
     bool down;
 };
@@ -82,6 +83,7 @@
     g_string_append_printf(head,
                            "Request-Id: %s\r\nResponse-Signature: sig-%s\r\n",
                            run->id, run->id);
+    SoakLimit_AppendHead(run->upstream->limit, run->request->gateway, head);
     return head;
 }
 
@@ -291,6 +293,7 @@
     Soak *soak = upstream->soak;
     int64_t now_ms = Soak_NowMs(soak);
     S_check_cold(upstream, now_ms);
+    SoakLimit_Check(upstream->limit, upstream->id, request->gateway);
     if (request->deadly) {
         S_check_deadly(soak, request);
     }
@@ -317,9 +320,12 @@
 }
 
 static void
-S_refuse(BsInbound *inbound)
+S_refuse(SoakUpstream *upstream, BsInbound *inbound, unsigned gateway)
 {
-    BsInbound_Answer(inbound, 503, "Not-Executed: 1\r\n", "", 0);
+    GString *head = g_string_new("Not-Executed: 1\r\n");
+    SoakLimit_AppendHead(upstream->limit, gateway, head);
+    BsInbound_Answer(inbound, 503, head->str, "", 0);
+    g_string_free(head, TRUE);
 }
 
 static void
@@ -345,7 +351,7 @@
     }
     S_check_arrival(upstream, request);
     if (upstream->runs->len >= SLOTS + QUEUE) {
-        S_refuse(inbound);
+        S_refuse(upstream, inbound, request->gateway);
         return;
     }
     Run *run = g_new0(Run, 1);
@@ -441,6 +447,7 @@
     upstream->down = false;
     upstream->incarnation++;
     upstream->sequence = 0;
+    SoakLimit_End(upstream->limit);
     S_listen(upstream);
     SoakProxy_SetListening(upstream->proxy, true);
     SoakUpstream_List(upstream, "ready", 1500);
@@ -473,6 +480,7 @@
     snprintf(upstream->id, sizeof(upstream->id), "i-%u", number);
     upstream->runs = g_ptr_array_new_with_free_func(S_free_run);
     upstream->cold_arrivals = g_array_new(FALSE, FALSE, sizeof(int64_t));
+    upstream->limit = SoakLimit_Create(soak);
     ev_timer_init(&upstream->restart, S_on_restart, 0, 0);
     upstream->restart.data = upstream;
     Soak_Address(soak, 100, (uint16_t)(20000 + number), &target);
@@ -491,6 +499,7 @@
     BsInboundServer_Destroy(upstream->server);
     g_ptr_array_free(upstream->runs, TRUE);
     g_array_unref(upstream->cold_arrivals);
+    SoakLimit_Destroy(upstream->limit);
     g_free(upstream);
 }
 
@@ -505,3 +514,9 @@
 {
     return upstream->proxy;
 }
+
+SoakLimit *
+SoakUpstream_Limit(SoakUpstream *upstream)
+{
+    return upstream->limit;
+}
