Metrics: the store's era, full reads, and items that are older than known

store_era, store_relists and store_items_outdated tell full reads without effect (revisions that went back) from changes that never arrive (a watch whose position exists again). No decision depends on the era yet.

--- a/src/gw_pages.c
+++ b/src/gw_pages.c
@@ -63,6 +63,10 @@
     BsCounters_Set(counters, "upstream_connections_reused", stats->reused);
     BsCounters_Set(counters, "store_calls", status.calls);
     BsCounters_Set(counters, "store_failures", status.failures);
+    BsCounters_Set(counters, "store_relists", status.relists);
+    BsCounters_Set(counters, "store_era", status.era);
+    BsCounters_Set(counters, "store_items_outdated",
+                   BsReplica_Outdated(gateway->replica));
     BsCounters_Set(counters, "log_lines_dropped",
                    BsEventLog_Dropped(gate->log));
 }
--- a/src/gw_platform.h
+++ b/src/gw_platform.h
@@ -40,6 +40,8 @@
     uint64_t calls;
     uint64_t failures;
     uint64_t relists;  /* full reads after the store dropped its history */
+    uint64_t era;      /* increases each time the store is restored from an
+                          older copy; 0: unknown */
     int64_t failed_ms; /* last failure; INT64_MIN / 2 when none */
     bool up;           /* the last call succeeded */
 } BsPlatformStatus;
--- a/src/replica.c
+++ b/src/replica.c
@@ -14,6 +14,7 @@
     void *context;
     uint64_t newest;
     uint64_t removals_since; /* all removals after this revision are known */
+    uint64_t outdated;       /* see BsReplica_Outdated() */
     unsigned removed;
 };
 
@@ -92,6 +93,7 @@
     BsItem *held = g_hash_table_lookup(replica->items, key);
     if (held == NULL ? S_is_removed(replica, revision, as_of)
                      : held->revision >= revision) {
+        replica->outdated += held != NULL && held->revision > revision;
         return false;
     }
     bool was_removed = held != NULL && held->value == NULL;
@@ -183,6 +185,12 @@
     return replica->removals_since;
 }
 
+uint64_t
+BsReplica_Outdated(const BsReplica *replica)
+{
+    return replica->outdated;
+}
+
 uint64_t
 BsReplica_Newest(const BsReplica *replica)
 {
--- a/src/replica.h
+++ b/src/replica.h
@@ -63,6 +63,10 @@
    behind this revision needs all items, not only the changed ones. */
 uint64_t BsReplica_RemovalsSince(const BsReplica *replica);
 
+/* Returns how many items were not applied as the replica held a newer
+   revision. */
+uint64_t BsReplica_Outdated(const BsReplica *replica);
+
 /* Returns the highest revision of any item. */
 uint64_t BsReplica_Newest(const BsReplica *replica);
 
--- a/src/targets_private.h
+++ b/src/targets_private.h
@@ -41,7 +41,7 @@
     bool summed; /* loads are a hub's sums, the same for many instances */
     GHashTable *allowances; /* data centre to BsTargetAllowance */
     uint32_t address;       /* of this instance */
-    GArray *senders;       /* BsRateSender; empty when the instance is alone */
+    GArray *senders; /* BsRateSender; empty when the instance is alone */
     guint next_changed_limit; /* places of the next limits to report */
     guint next_limit;
     uint32_t senders_version; /* increases when SENDERS changes */
