--- a/tests/gate/gate_harness.cc
+++ b/tests/gate/gate_harness.cc
@@ -146,6 +146,24 @@
     changed_.notify_all();
 }
 
+void
+Store::Copy()
+{
+    std::lock_guard<std::mutex> lock(mutex_);
+    copy_ = items_;
+    copy_revision_ = revision_;
+}
+
+void
+Store::Restore()
+{
+    std::lock_guard<std::mutex> lock(mutex_);
+    items_ = copy_;
+    revision_ = copy_revision_;
+    era_++;
+    changed_.notify_all();
+}
+
 std::string
 Store::Items(const std::string &prefix, long after, bool removed)
 {
@@ -199,12 +217,16 @@
 {
     std::unique_lock<std::mutex> lock(mutex_);
     std::string list;
+    long era = era_;
     changed_.wait_for(lock, std::chrono::milliseconds(wait_ms), [&] {
         list = Items(prefix, after, true);
-        return stopping_ || after < oldest_ || !list.empty() ||
-               mode_ != StoreMode::kServe;
+        return stopping_ || after < oldest_ || after > revision_ ||
+               !list.empty() || mode_ != StoreMode::kServe || era != era_;
     });
-    if (after < oldest_) {
+    if (era != era_) {
+        return "";
+    }
+    if (after < oldest_ || after > revision_) {
         return Empty("410 Gone");
     }
     return Json("{\"events\":[" + list +
@@ -257,6 +279,13 @@
         if (mode == StoreMode::kBusy) {
             answer = Empty("429 Too Many Requests");
         }
+        if (answer.empty()) {
+            return;
+        }
+        lock.lock();
+        answer.insert(answer.find("\r\n") + 2,
+                      "Store-Era: " + std::to_string(era_) + "\r\n");
+        lock.unlock();
         if (!socket.Write(answer)) {
             return;
         }
--- a/tests/gate/gate_harness.h
+++ b/tests/gate/gate_harness.h
@@ -41,6 +41,11 @@
     void SetMode(StoreMode mode);
     // Drops the history: watches from an earlier revision get 410.
     void Compact();
+    // Keeps a copy of the present state.
+    void Copy();
+    // Restores the copy: later changes are lost, their revisions are given
+    // out again, and the era rises.  Open calls are cut.
+    void Restore();
     // The revision of the last change.
     uint64_t revision();
     int calls() const
@@ -72,6 +77,9 @@
     std::mutex mutex_;
     std::condition_variable changed_;
     std::map<std::string, Item> items_;
+    std::map<std::string, Item> copy_;
+    long copy_revision_ = 0;
+    long era_ = 1;
     long revision_ = 10;
     long oldest_ = 0;
     StoreMode mode_ = StoreMode::kServe;
