Gateway: changes count after the store is restored from an older copy

What callers saw: after a restore no change came into force, at any instance, until the store's revision had passed the one before; routes that were added were answered 404, and requests went to regions that a newer version forbids. Cause: the highest revision wins, and revisions go back. Class: a number that orders events, compared across histories.

An equal value is no change any more.

--- a/src/gw_gossip.c
+++ b/src/gw_gossip.c
@@ -380,8 +380,10 @@
     BsEventLog *log = task->gate->log;
     if (BsEventLog_Begin(log, BS_EVENT_STATE, "changes_heard_from")) {
         BsEventLog_Text(log, "source", names[task->reading]);
+        uint64_t position = BsReplica_CompleteRevision(task->replica);
+        BsEventLog_Number(log, "era", (int64_t)BsPosition_Era(position));
         BsEventLog_Number(log, "revision",
-                          (int64_t)BsReplica_CompleteRevision(task->replica));
+                          (int64_t)BsPosition_Revision(position));
         BsEventLog_End(log);
     }
 }
--- a/src/replica.c
+++ b/src/replica.c
@@ -86,6 +86,16 @@
     return revision <= complete && as_of < complete;
 }
 
+/* Returns whether two values are equal; NULL is that of a removed item. */
+static bool
+S_is_same(GBytes *first, GBytes *second)
+{
+    if (first == NULL || second == NULL) {
+        return first == second;
+    }
+    return g_bytes_equal(first, second);
+}
+
 bool
 BsReplica_Apply(BsReplica *replica, const char *key, GBytes *value,
                 uint64_t revision, uint64_t as_of)
@@ -97,6 +107,7 @@
         return false;
     }
     bool was_removed = held != NULL && held->value == NULL;
+    bool is_same = held != NULL && S_is_same(held->value, value);
     BsItem *item = g_new0(BsItem, 1);
     item->key = g_strdup(key);
     item->value = value == NULL ? NULL : g_bytes_ref(value);
@@ -105,7 +116,9 @@
     replica->newest = MAX(replica->newest, revision);
     replica->removed += value == NULL;
     replica->removed -= was_removed;
-    replica->on_change(item, replica->context);
+    if (!is_same) {
+        replica->on_change(item, replica->context);
+    }
     if (replica->removed > REMOVED_MAX) {
         S_prune(replica);
     }
--- a/src/replica.h
+++ b/src/replica.h
@@ -1,9 +1,10 @@
 /*
  * replica.h - an instance's copy of the items that the platform publishes.
  *
- * Rules: the platform numbers all changes with one increasing revision; the
- * highest revision of an item wins, whichever source it came from, so a stale
- * read never undoes a change.  Removals are kept as items without a value, but
+ * Rules: all revisions here are positions (position.h), which only increase,
+ * also when the platform's store is restored from an older copy; the highest
+ * revision of an item wins, whichever source it came from, so a stale read
+ * never undoes a change.  Removals are kept as items without a value, but
  * not all of them are known: a full read shows the existing items, not the
  * earlier removals.  BsReplica_RemovalsSince() returns the revision after
  * which the removals are complete.
@@ -12,6 +13,7 @@
 #define BS_REPLICA_H
 
 #include "boragespur.h"
+#include "position.h"
 
 /* An item; VALUE is NULL when it was removed. */
 typedef struct {
@@ -23,7 +25,7 @@
 
 typedef struct BsReplica BsReplica;
 
-/* Called with a new or changed item. */
+/* Called with an item whose value is new, changed or removed. */
 typedef void (*BsReplicaFunc)(const BsItem *item, void *context);
 
 /* Creates an empty replica that reports changes to ON_CHANGE. */
