Daemon: an answer that breaks off in its head after an interim one is no success

Reported by other operators: an upstream stopped in the middle of its answer's head and closed, and callers got a 200 with an empty body, framed as whole. Cause in boragespurd: the empty line after any head counted as the end of the answer's, also that of 100 Continue; libcurl then calls the answer complete. Callers got 200, outcome ran, for a booking of which nothing is known. Each status line begins a head anew now, and only a final one counts; nothing of an interim head is kept.

--- a/src/d_transfer.c
+++ b/src/d_transfer.c
@@ -9,6 +9,8 @@
 #include <string.h>
 #include <strings.h>
 
+#define STATUS_LINE "HTTP/"
+#define STATUS_FINAL 200 /* lower ones are interim */
 #define CONNECT_TIMEOUT_MS 1000L
 #define DEFAULT_TIMEOUT_MS 60000
 
@@ -38,7 +40,8 @@
     uint32_t sends; /* connections the request was sent on */
     long status;
     char error[CURL_ERROR_SIZE];
-    bool head_read;  /* the empty line after the headers was received */
+    bool head_read;  /* the empty line after the headers of the answer, which
+                        is no interim one, was received */
     bool model;      /* the upstream is a model engine */
     bool stream;     /* a stream was asked for */
     bool events;     /* the answer is a stream */
@@ -164,15 +167,30 @@
     g_free(coding);
 }
 
+/* A head begins; nothing of an interim answer's head holds for it. */
+static void
+S_begin_head(BsTransfer *transfer)
+{
+    transfer->head_read = false;
+    transfer->framed = false;
+    transfer->events = false;
+    transfer->unstarted = false;
+    g_clear_pointer(&transfer->content_type, g_free);
+}
+
 static size_t
 S_on_header(char *line, size_t unit, size_t count, void *context)
 {
     BsTransfer *transfer = context;
     size_t size = unit * count;
     if (size <= 2) {
-        transfer->head_read = true;
+        transfer->head_read = transfer->status >= STATUS_FINAL;
         return size;
     }
+    if (size > strlen(STATUS_LINE) &&
+        strncmp(line, STATUS_LINE, strlen(STATUS_LINE)) == 0) {
+        S_begin_head(transfer);
+    }
     char *type = S_match_header(line, size, "Content-Type");
     char *started = S_match_header(line, size, "X-Request-Started");
     S_read_status(transfer);
--- a/tests/contract/upstream_test.cc
+++ b/tests/contract/upstream_test.cc
@@ -60,6 +60,49 @@
          socket.Write("HTTP/1.1 200 OK\r\nContent-Le");
      },
      502, "unknown", "upstream_failed"},
+    {"HeadWithoutItsLastLine",
+     [](Socket &socket) {
+         socket.ReadMessage();
+         socket.Write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n");
+     },
+     502, "unknown", "upstream_failed"},
+    {"HeadWithoutItsLastLf",
+     [](Socket &socket) {
+         socket.ReadMessage();
+         socket.Write("HTTP/1.1 200 OK\r\nContent-Type: text/x\r\n\r");
+     },
+     502, "unknown", "upstream_failed"},
+    {"HalfStatusLine",
+     [](Socket &socket) {
+         socket.ReadMessage();
+         socket.Write("HTTP/1.1 20");
+     },
+     502, "unknown", "upstream_failed"},
+    {"StatusLineOnly",
+     [](Socket &socket) {
+         socket.ReadMessage();
+         socket.Write("HTTP/1.1 200 OK\r\n");
+     },
+     502, "unknown", "upstream_failed"},
+    {"HalfHeadOfAnOldVersion",
+     [](Socket &socket) {
+         socket.ReadMessage();
+         socket.Write("HTTP/1.0 200 OK\r\nContent-Type: text/x\r\n");
+     },
+     502, "unknown", "upstream_failed"},
+    {"HalfHeadAfterContinue",
+     [](Socket &socket) {
+         socket.ReadMessage();
+         socket.Write("HTTP/1.1 100 Continue\r\n\r\n"
+                      "HTTP/1.1 200 OK\r\nContent-Type: text/x\r\n");
+     },
+     502, "unknown", "upstream_failed"},
+    {"ContinueOnly",
+     [](Socket &socket) {
+         socket.ReadMessage();
+         socket.Write("HTTP/1.1 100 Continue\r\n\r\n");
+     },
+     502, "unknown", "upstream_failed"},
     {"HalfBody",
      [](Socket &socket) {
          socket.ReadMessage();
