Gateway: requests that cannot be answered before a stop ends are refused

Reported by other operators, and reproduced: in a planned stop with a grace period of 4 s and work of 2 s, the requests sent in the last 2 s before new ones are refused were passed on and answered 502 at the end, also those that must not be repeated. Cause: new requests are refused from a fixed moment on, whatever the grace period and the work.

A request is now sent during a stop only if its answer can be expected before the end (stopadmit): by the longest of the latest 64 answers on its route and a quarter more where it must not be repeated, by the median else. Where nothing is known, two thirds of the stop must be left. Requests that were queued are looked at before they are sent, too.

--- a/src/gw_attempt.c
+++ b/src/gw_attempt.c
@@ -580,6 +580,9 @@
     }
     BsRelay_Log(relay, failed ? BS_EVENT_FAILURE : BS_EVENT_DETAIL, "answered",
                 failed ? "upstream_error" : NULL);
+    BsAnswerTimes_Observe(relay->gate->answer_times, relay->route->name,
+                          BsClock_NowMs(relay->gate->clock) -
+                              relay->attempt.sent_ms);
     BsAttempt_End(relay, &relay->attempt, relay->attempt.head_outcome);
     if (!failed) {
         BsCrashList_NoteCompleted(relay->gate->crash_list, relay->content,
--- a/src/gw_gate.h
+++ b/src/gw_gate.h
@@ -20,6 +20,7 @@
 #include "predict.h"
 #include "quota.h"
 #include "removalgrace.h"
+#include "stopadmit.h"
 #include "targets.h"
 #include "waitqueue.h"
 #include "wire.h"
@@ -47,6 +48,7 @@
     BsWaitQueue *queue;
     BsPredictors *predictors;
     BsYields *yields;
+    BsAnswerTimes *answer_times;
     BsRemovalGrace *removal_grace;
     BsCrashList *crash_list;
     BsCrashParts *crash_parts;
@@ -60,6 +62,9 @@
     bool report_changed;   /* state reported to peers has changed */
     bool stopping;         /* SIGTERM came; new requests are still served */
     bool refusing;         /* too late to complete new requests */
+    int64_t stop_began_ms; /* while STOPPING: when SIGTERM came */
+    int64_t stop_end_ms;   /* while STOPPING: when the process ends at the
+                              latest */
 } BsGate;
 
 #endif /* BS_GW_GATE_H */
--- a/src/gw_gateway.c
+++ b/src/gw_gateway.c
@@ -161,12 +161,14 @@
     if (gate->stopping) {
         return;
     }
-    gate->stopping = true;
     gateway->stop_ms = S_now_ms();
     /* A settings file that is read later must not end requests that are
        answered meanwhile. */
     gateway->stop_limit_ms =
         (int64_t)gateway->settings->bounds.grace_s * MS_PER_S - STOP_MARGIN_MS;
+    gate->stopping = true;
+    gate->stop_began_ms = gateway->stop_ms;
+    gate->stop_end_ms = gateway->stop_ms + gateway->stop_limit_ms;
     BsInboundServer_StartDrain(gate->callers);
     if (BsEventLog_Begin(gate->log, BS_EVENT_STATE, "stopping")) {
         BsEventLog_Number(gate->log, "requests",
@@ -357,6 +359,7 @@
     gate->queue = BsWaitQueue_Create();
     gate->predictors = BsPredictors_Create();
     gate->yields = BsYields_Create();
+    gate->answer_times = BsAnswerTimes_Create();
     gate->removal_grace = BsRemovalGrace_Create();
     gate->crash_list = BsCrashList_Create();
     gate->crash_parts = BsCrashParts_Create();
@@ -436,6 +439,7 @@
     BsWaitQueue_Destroy(gate->queue);
     BsPredictors_Destroy(gate->predictors);
     BsYields_Destroy(gate->yields);
+    BsAnswerTimes_Destroy(gate->answer_times);
     BsRemovalGrace_Destroy(gate->removal_grace);
     BsCrashList_Destroy(gate->crash_list);
     BsCrashParts_Destroy(gate->crash_parts);
--- a/src/gw_relay.c
+++ b/src/gw_relay.c
@@ -395,12 +395,49 @@
     BsRelay_Refuse(relay, 502, "breaks_upstreams", 0);
 }
 
+/* Returns whether the instance stops before the request, which has not been
+   sent yet, can be answered. */
+static bool
+S_is_too_late(const BsRelay *relay)
+{
+    const BsGate *gate = relay->gate;
+    if (!gate->stopping || relay->may_have_run || relay->answer.started) {
+        return false;
+    }
+    int64_t now_ms = BsClock_NowMs(gate->clock);
+    const char *route = relay->route->name;
+    BsStopAdmit request = {
+        .may_repeat = BsCatalogRoute_MayRepeat(relay->route),
+        .before_stop = relay->arrived_ms < gate->stop_began_ms,
+        .stop_ms = gate->stop_end_ms - gate->stop_began_ms,
+        .left_ms = gate->stop_end_ms - now_ms,
+        .expires_ms = relay->expires_ms - now_ms,
+        .usual_ms = BsAnswerTimes_UsualMs(gate->answer_times, route),
+        .longest_ms = BsAnswerTimes_LongestMs(gate->answer_times, route),
+    };
+    return !BsStopAdmit_Admits(&request);
+}
+
+/* Refuses a request that must not be sent now.  Returns false if it may be. */
+static bool
+S_refuse_unsendable(BsRelay *relay)
+{
+    if (BsRelay_IsBlocked(relay)) {
+        S_refuse_blocked(relay);
+        return true;
+    }
+    if (S_is_too_late(relay)) {
+        BsRelay_Refuse(relay, 503, "stopping", 1);
+        return true;
+    }
+    return false;
+}
+
 void
 BsRelay_Dispatch(BsRelay *relay)
 {
     BsTargetVerdict verdict;
-    if (BsRelay_IsBlocked(relay)) {
-        S_refuse_blocked(relay);
+    if (S_refuse_unsendable(relay)) {
         return;
     }
     BsTarget *target =
@@ -422,8 +459,7 @@
 S_send_queued(BsRelay *relay, BsQueuePass *pass)
 {
     BsTargetVerdict verdict;
-    if (BsRelay_IsBlocked(relay)) {
-        S_refuse_blocked(relay);
+    if (S_refuse_unsendable(relay)) {
         return;
     }
     BsQueuePassKind kind = {
--- a/src/logtimeline.c
+++ b/src/logtimeline.c
@@ -30,7 +30,7 @@
      "lines started, store_lost and changes_heard_from"},
     {"no_service", "the route's service was not in the configuration",
      "the configuration itself"},
-    {"stopping", "the instance was at the end of a planned stop",
+    {"stopping", "the instance stops before the request could be answered",
      "line stopping; callers retry at another instance"},
     {"stopped", "the instance stopped before the request was answered",
      "line stopping: how long before; the grace period"},
