--- a/src/targetlimit.c
+++ b/src/targetlimit.c
@@ -90,11 +90,14 @@
 S_append_in_turn(const GPtrArray *targets, guint count, guint *next,
                  GArray *records)
 {
+    if (targets->len == 0) {
+        return;
+    }
     count = MIN(count, targets->len);
     for (guint i = 0; i < count; i++) {
         S_append(targets->pdata[(*next + i) % targets->len], records);
     }
-    *next = count == 0 ? 0 : (*next + count) % targets->len;
+    *next = (*next + count) % targets->len;
 }
 
 /* Sorts the targets whose limits are reported into those that CHANGED lately
