--- a/src/targetlimit.c
+++ b/src/targetlimit.c
@@ -90,14 +90,15 @@
 S_append_in_turn(const GPtrArray *targets, guint count, guint *next,
                  GArray *records)
 {
-    if (targets->len == 0) {
+    guint length = targets->len;
+    if (length == 0) {
         return;
     }
-    count = MIN(count, targets->len);
+    count = MIN(count, length);
     for (guint i = 0; i < count; i++) {
-        S_append(targets->pdata[(*next + i) % targets->len], records);
+        S_append(targets->pdata[(*next + i) % length], records);
     }
-    *next = (*next + count) % targets->len;
+    *next = (*next + count) % length;
 }
 
 /* Sorts the targets whose limits are reported into those that CHANGED lately
