--- a/src/targetlimit.c
+++ b/src/targetlimit.c
@@ -91,14 +91,13 @@
                  GArray *records)
 {
     guint length = targets->len;
-    if (length == 0) {
-        return;
-    }
-    count = MIN(count, length);
-    for (guint i = 0; i < count; i++) {
-        S_append(targets->pdata[(*next + i) % length], records);
+    for (guint i = 0; i < count && i < length; i++) {
+        if (*next >= length) {
+            *next = 0;
+        }
+        S_append(targets->pdata[*next], records);
+        (*next)++;
     }
-    *next = (*next + count) % length;
 }
 
 /* Sorts the targets whose limits are reported into those that CHANGED lately
