Store client: an era that is no number, or out of range, is ignored

A value such as was taken for the latest possible era: each answer then began a full read, and all real eras were earlier ones, which are not believed.

--- a/tests/gate/gate_harness.cc
+++ b/tests/gate/gate_harness.cc
@@ -160,10 +160,17 @@
     std::lock_guard<std::mutex> lock(mutex_);
     items_ = copy_;
     revision_ = copy_revision_;
-    era_++;
+    named_era_ = std::to_string(++era_);
     changed_.notify_all();
 }
 
+void
+Store::NameEra(const std::string &era)
+{
+    std::lock_guard<std::mutex> lock(mutex_);
+    named_era_ = era;
+}
+
 std::string
 Store::Items(const std::string &prefix, long after, bool removed)
 {
@@ -284,7 +291,7 @@
         }
         lock.lock();
         answer.insert(answer.find("\r\n") + 2,
-                      "Store-Era: " + std::to_string(era_) + "\r\n");
+                      "Store-Era: " + named_era_ + "\r\n");
         lock.unlock();
         if (!socket.Write(answer)) {
             return;
--- a/tests/gate/gate_harness.h
+++ b/tests/gate/gate_harness.h
@@ -46,6 +46,8 @@
     // Restores the copy: later changes are lost, their revisions are given
     // out again, and the era rises.  Open calls are cut.
     void Restore();
+    // Names ERA in all answers instead of its own.
+    void NameEra(const std::string &era);
     // The revision of the last change.
     uint64_t revision();
     int calls() const
@@ -80,6 +82,7 @@
     std::map<std::string, Item> copy_;
     long copy_revision_ = 0;
     long era_ = 1;
+    std::string named_era_ = "1";
     long revision_ = 10;
     long oldest_ = 0;
     StoreMode mode_ = StoreMode::kServe;
--- a/tests/gate/gateway_restore_test.cc
+++ b/tests/gate/gateway_restore_test.cc
@@ -177,6 +177,22 @@
     EXPECT_EQ(late_runner.count(), before);
 }
 
+// Guards against an era that no store names and that all later ones precede.
+TEST_F(RestoreTest, ErasThatCannotBeReadAreIgnored)
+{
+    Start({Answers});
+    int version = 1;
+    for (const char *era : {"-1", "99999999999999999999", "9999999999", "soon",
+                            "", "2 3", "0"}) {
+        store_.NameEra(era);
+        store_.Put("op/config", Config(++version));
+        WaitVersion(version);
+    }
+    store_.NameEra("1");
+    store_.Put("op/config", Config(++version));
+    WaitVersion(version);
+}
+
 // Guards against a second restore that is taken for the first one.
 TEST_F(RestoreTest, ASecondRestoreIsSeen)
 {
