--- a/tests/gate/position_test.cc
+++ b/tests/gate/position_test.cc
@@ -28,6 +28,8 @@
     }
 }
 
+// Guards against a watch that begins at another revision than was read, and
+// against parts of a position that run into each other.
 TEST(Position, GivesItsParts)
 {
     uint64_t position = BsPosition_Make(7, true, 1234);
--- a/tests/gate/stopadmit_test.cc
+++ b/tests/gate/stopadmit_test.cc
@@ -49,6 +49,8 @@
     }
 }
 
+// Guards against one slow answer of long ago that turns requests away in each
+// later stop.
 TEST(AnswerTimes, TellsTheMedianAndTheLongestOfTheLatest)
 {
     BsAnswerTimes *times = BsAnswerTimes_Create();
