--- a/review/2/case.c
+++ b/review/2/case.c
@@ -1,5 +1,5 @@
-/* case.c - a runner that leaves while the store turns one machine of the zone
-   away. */
+/* case.c - a runner that leaves while one machine of the zone is cut off from
+   the store. */
 #include "../standin/runner.h"
 
 #include <stdio.h>
@@ -16,7 +16,7 @@
 
 #define LISTED_MS 3000
 #define REMOVED_AFTER_MS 100
-#define TURNED_AWAY_MS 9000
+#define CUT_OFF_MS 5500
 #define CALM_MS 4500
 #define REQUEST_GAP_MS 40
 
@@ -28,7 +28,7 @@
 
 static pthread_mutex_t S_lock = PTHREAD_MUTEX_INITIALIZER;
 static Caller S_callers[CALLERS];
-static unsigned S_turned_away; /* the machine, from 0 */
+static unsigned S_cut_off; /* the machine, from 0 */
 static char S_leaving[RV_ID_MAX];
 static int64_t S_removed_ms; /* acknowledged then; 0: it is listed */
 static unsigned S_late;
@@ -44,7 +44,7 @@
     pthread_mutex_lock(&S_lock);
     int64_t late_ms = Rv_NowMs() - S_removed_ms - DRAIN_MS;
     bool gone = S_removed_ms > 0 && strcmp(runner_id, S_leaving) == 0;
-    bool in_touch = machine != S_turned_away + 1 || !Rv_HasTrouble();
+    bool in_touch = machine != S_cut_off + 1 || !Rv_HasTrouble();
     bool late = gone && in_touch && late_ms > 0;
     if (late) {
         S_late++;
@@ -104,14 +104,14 @@
     return NULL;
 }
 
-/* A second runner comes, and leaves without a word while the store turns one
-   machine away. */
+/* A second runner comes, and leaves without a word while one machine is
+   cut off from the store. */
 static void
 S_play_round(unsigned round, RvRunnerOptions *options)
 {
     pthread_mutex_lock(&S_lock);
     snprintf(S_leaving, sizeof(S_leaving), "i-leaves-%u", round + 1);
-    S_turned_away = round;
+    S_cut_off = round;
     S_removed_ms = 0;
     pthread_mutex_unlock(&S_lock);
     options->id = strdup(S_leaving);
@@ -121,7 +121,7 @@
     Rv_SleepMs(LISTED_MS);
     if (Rv_HasTrouble()) {
         RvStore_SetAnswers(round, false);
-        Rv_Note("the store turns front-%u away", round + 1);
+        Rv_Note("front-%u is cut off from the store", round + 1);
     }
     Rv_SleepMs(REMOVED_AFTER_MS);
     pthread_mutex_lock(&S_lock);
@@ -131,9 +131,9 @@
     Rv_SleepMs(DRAIN_MS + LINGER_MS);
     RvRunner_Exit(runner);
     Rv_Note("%s has exited", S_leaving);
-    Rv_SleepMs(TURNED_AWAY_MS - REMOVED_AFTER_MS - DRAIN_MS - LINGER_MS);
+    Rv_SleepMs(CUT_OFF_MS - REMOVED_AFTER_MS - DRAIN_MS - LINGER_MS);
     RvStore_SetAnswers(round, true);
-    Rv_Note("the store answers all machines");
+    Rv_Note("all machines reach the store");
     Rv_SleepMs(CALM_MS);
 }
 
--- a/review/3/case.c
+++ b/review/3/case.c
@@ -1,5 +1,5 @@
-/* case.c - keys that are taken away while the store turns one machine of the
-   zone away. */
+/* case.c - keys that are taken away while one machine of the zone is cut off
+   from the store. */
 #include "../standin/runner.h"
 
 #include <stdio.h>
@@ -13,11 +13,11 @@
 /* The rule's bound. */
 #define CONFIG_MS 2500
 
-/* The configurations come in quick succession; the store turns the machine
-   away in the midst of them. */
+/* The configurations come in quick succession; the machine is cut off in
+   the midst of them. */
 #define CHANGE_GAP_MS 330
-#define TURNED_AWAY_AT_MS 2000
-#define TURNED_AWAY_MS 9000
+#define CUT_OFF_AT_MS 2000
+#define CUT_OFF_MS 5500
 #define CALM_MS 6000
 
 #define REQUEST_GAP_MS 60
@@ -36,8 +36,8 @@
 static Key S_keys[MACHINES][KEYS];
 static pthread_mutex_t S_lock = PTHREAD_MUTEX_INITIALIZER;
 static unsigned S_version;
-static unsigned S_turned_away; /* the machine, from 0 */
-static unsigned S_late;        /* requests that broke the rule */
+static unsigned S_cut_off; /* the machine, from 0 */
+static unsigned S_late;    /* requests that broke the rule */
 static unsigned S_served;
 static int64_t S_worst_ms;
 
@@ -83,7 +83,7 @@
     const Key *key = &S_keys[caller->round][caller->key];
     int64_t late_ms = sent_ms - key->removed_ms - CONFIG_MS;
     bool removed = key->removed_ms > 0;
-    bool in_touch = caller->machine != S_turned_away || !Rv_HasTrouble();
+    bool in_touch = caller->machine != S_cut_off || !Rv_HasTrouble();
     S_served += status == 200;
     if (removed && in_touch && late_ms > 0 && status == 200) {
         S_late++;
@@ -134,30 +134,30 @@
     return NULL;
 }
 
-/* Takes the keys of ROUND away one after the other, while the store turns one
-   machine away. */
+/* Takes the keys of ROUND away one after the other, while one machine is
+   cut off from the store. */
 static void
 S_play_round(unsigned round)
 {
     pthread_t threads[MACHINES * KEYS];
     static Caller callers[MACHINES * KEYS];
-    S_turned_away = round;
+    S_cut_off = round;
     for (unsigned i = 0; i < MACHINES * KEYS; i++) {
         callers[i] =
             (Caller){.machine = i / KEYS, .key = i % KEYS, .round = round};
         pthread_create(&threads[i], NULL, S_call, &callers[i]);
     }
     int64_t start_ms = Rv_NowMs();
-    int64_t away_ms = start_ms + TURNED_AWAY_AT_MS;
-    bool away = false;
+    int64_t cut_off_ms = start_ms + CUT_OFF_AT_MS;
+    bool cut_off = false;
     for (unsigned i = 0; i < KEYS; i++) {
         int64_t change_ms = start_ms + (i + 1) * CHANGE_GAP_MS;
-        if (!away && change_ms > away_ms) {
-            away = true;
-            Rv_SleepMs(away_ms - Rv_NowMs());
+        if (!cut_off && change_ms > cut_off_ms) {
+            cut_off = true;
+            Rv_SleepMs(cut_off_ms - Rv_NowMs());
             if (Rv_HasTrouble()) {
                 RvStore_SetAnswers(round, false);
-                Rv_Note("the store turns front-%u away", round + 1);
+                Rv_Note("front-%u is cut off from the store", round + 1);
             }
         }
         Rv_SleepMs(change_ms - Rv_NowMs());
@@ -171,9 +171,9 @@
     for (unsigned i = 0; i < MACHINES * KEYS; i++) {
         pthread_join(threads[i], NULL);
     }
-    Rv_SleepMs(away_ms + TURNED_AWAY_MS - Rv_NowMs());
+    Rv_SleepMs(cut_off_ms + CUT_OFF_MS - Rv_NowMs());
     RvStore_SetAnswers(round, true);
-    Rv_Note("the store answers all machines");
+    Rv_Note("all machines reach the store");
     Rv_SleepMs(CALM_MS);
 }
 
