--- a/review/2/case.c
+++ b/review/2/case.c
@@ -12,7 +12,7 @@
 
 /* The rule's bound, and how long the runner goes on serving beyond it. */
 #define DRAIN_MS 2500
-#define LINGER_MS 1500
+#define LINGER_MS 1000
 
 #define LISTED_MS 3000
 #define REMOVED_AFTER_MS 100
