--- a/review/2/case.c
+++ b/review/2/case.c
@@ -37,12 +37,13 @@
 static int64_t S_worst_ms;
 
 static void
-S_on_run(const char *runner_id, const char *id, const RvMessage *request)
+S_on_run(const char *runner_id, const char *id, const RvMessage *request,
+         int64_t arrived_ms)
 {
     (void)request;
     unsigned machine = (unsigned)strtoul(id + strlen("booking-f"), NULL, 10);
     pthread_mutex_lock(&S_lock);
-    int64_t late_ms = Rv_NowMs() - S_removed_ms - DRAIN_MS;
+    int64_t late_ms = arrived_ms - S_removed_ms - DRAIN_MS;
     bool gone = S_removed_ms > 0 && strcmp(runner_id, S_leaving) == 0;
     bool in_touch = machine != S_cut_off + 1 || !Rv_HasTrouble();
     bool late = gone && in_touch && late_ms > 0;
@@ -52,7 +53,8 @@
     }
     pthread_mutex_unlock(&S_lock);
     Rv_Note("%s runs %s%s", runner_id, id,
-            late ? " DRAIN: later than drain-ms after its removal" : "");
+            late ? " DRAIN: it arrived later than drain-ms after the removal"
+                 : "");
 }
 
 /* Books through one machine, one booking after the other. */
--- a/review/standin/runner.c
+++ b/review/standin/runner.c
@@ -81,6 +81,7 @@
 {
     char expected[RV_ID_MAX] = "";
     char reason[32] = "";
+    int64_t arrived_ms = Rv_NowMs();
     Rv_Header(request, "Expect-Instance", expected, sizeof(expected));
     unsigned status = 200;
     if (expected[0] != '\0' && strcmp(expected, runner->options.id) != 0) {
@@ -94,7 +95,8 @@
     }
     else {
         if (runner->options.on_run != NULL) {
-            runner->options.on_run(runner->options.id, id, request);
+            runner->options.on_run(runner->options.id, id, request,
+                                   arrived_ms);
         }
         Rv_SleepMs(runner->options.work_ms);
         S_free_slot(runner);
--- a/review/standin/runner.h
+++ b/review/standin/runner.h
@@ -19,10 +19,10 @@
     unsigned slots;
     unsigned queue;
     int64_t work_ms;
-    /* Called for each request that begins to run at the runner RUNNER_ID; may
-       be NULL. */
+    /* Called for each request that begins to run at the runner RUNNER_ID,
+       which it reached at ARRIVED_MS; may be NULL. */
     void (*on_run)(const char *runner_id, const char *request_id,
-                   const RvMessage *request);
+                   const RvMessage *request, int64_t arrived_ms);
     /* Returns whether a second copy of the answer of STATUS is to follow,
        late: where the next answer on the connection is expected.  May be
        NULL. */
