Logs: age of the store's last answer, and why a removed upstream is kept

The logs of an instance did not tell, when the store was lost, for how long it had not answered, nor whose failure made a removed upstream be kept, nor which revision removed it. store_lost has silent_ms now, upstream_gone has the revision and the cause, and store_answer_age_ms is a metric.

No decision changes.

--- a/src/gw_pages.c
+++ b/src/gw_pages.c
@@ -65,6 +65,11 @@
     BsCounters_Set(counters, "store_failures", status.failures);
     BsCounters_Set(counters, "store_relists", status.relists);
     BsCounters_Set(counters, "store_era", status.era);
+    if (status.answered_ms >= 0) {
+        BsCounters_Set(
+            counters, "store_answer_age_ms",
+            (uint64_t)(BsClock_NowMs(gate->clock) - status.answered_ms));
+    }
     BsCounters_Set(counters, "store_items_outdated",
                    BsReplica_Outdated(gateway->replica));
     BsCounters_Set(counters, "log_lines_dropped",
--- a/src/gw_platform.h
+++ b/src/gw_platform.h
@@ -39,11 +39,12 @@
 typedef struct {
     uint64_t calls;
     uint64_t failures;
-    uint64_t relists;  /* full reads after the store dropped its history */
-    uint64_t era;      /* increases each time the store is restored from an
-                          older copy; 0: unknown */
-    int64_t failed_ms; /* last failure; INT64_MIN / 2 when none */
-    bool up;           /* the last call succeeded */
+    uint64_t relists;    /* full reads after the store dropped its history */
+    uint64_t era;        /* increases each time the store is restored from an
+                            older copy; 0: unknown */
+    int64_t failed_ms;   /* last failure; INT64_MIN / 2 when none */
+    int64_t answered_ms; /* last answer; INT64_MIN / 2 when none */
+    bool up;             /* the last call succeeded */
 } BsPlatformStatus;
 
 /* An adapter; every member is set. */
--- a/src/gw_published.c
+++ b/src/gw_published.c
@@ -101,8 +101,8 @@
     BsGate *gate = &gateway->gate;
     BsPlatformStatus status = gateway->adapter->status(gateway->link);
     int64_t now_ms = BsClock_NowMs(gate->clock);
-    int64_t failed_ms =
-        MAX(status.failed_ms, BsGossipTask_StoreFailedMs(gateway->gossip));
+    int64_t peer_failed_ms = BsGossipTask_StoreFailedMs(gateway->gossip);
+    int64_t failed_ms = MAX(status.failed_ms, peer_failed_ms);
     int64_t kept_ms = BsRemovalGrace_KeptMs(gate->removal_grace, revision,
                                             failed_ms, now_ms);
     if (!BsTargets_Remove(gate->targets, id, kept_ms, now_ms)) {
@@ -112,6 +112,14 @@
     if (BsEventLog_Begin(gate->log, BS_EVENT_STATE, "upstream_gone")) {
         BsEventLog_Text(gate->log, "upstream", id);
         BsEventLog_Number(gate->log, "kept_ms", kept_ms);
+        BsEventLog_Number(gate->log, "revision",
+                          (int64_t)BsPosition_Revision(revision));
+        if (kept_ms > 0) {
+            BsEventLog_Text(gate->log, "cause",
+                            status.failed_ms >= peer_failed_ms
+                                ? "own calls to the store failed"
+                                : "a peer's calls to the store failed");
+        }
         BsEventLog_End(gate->log);
     }
 }
@@ -161,11 +169,17 @@
 void
 BsGateway_OnLink(bool up, const char *reason, void *context)
 {
-    BsGate *gate = &((BsGateway *)context)->gate;
+    BsGateway *gateway = context;
+    BsGate *gate = &gateway->gate;
+    BsPlatformStatus status = gateway->adapter->status(gateway->link);
     BsCounters_Set(gate->counters, "store_up", up);
     if (BsEventLog_Begin(gate->log, BS_EVENT_STATE,
                          up ? "store_regained" : "store_lost")) {
         BsEventLog_Text(gate->log, "cause", reason);
+        if (!up && status.answered_ms >= 0) {
+            BsEventLog_Number(gate->log, "silent_ms",
+                              BsClock_NowMs(gate->clock) - status.answered_ms);
+        }
         BsEventLog_End(gate->log);
     }
 }
