Store: a failure beside answers to other instances is no outage

What callers saw: bookings were lost at an upstream that had left and was still used when it exited.

Cause: an upstream whose entry is removed while the store fails is used for 2 s more, as its entry may have expired in an outage and be written again. The report of one instance that the store does not answer it counted as such a failure, for the whole data centre and for as long as the report was repeated, although other instances had answers all the while.

Instances know now when the store last answered any of them. A removed upstream is kept only if calls failed and no instance had an answer for 2 s. An entry expires after some 3.6 s without a heartbeat, so an outage that makes one expire lasts longer than that; a takeover from a reader that is cut off ends sooner, also from a second one. After a restore from an older copy removed upstreams are kept as before.

Ruled out: gaps in the revisions (a store without changes has them always); heartbeats in the answer after the gap (the answer does not tell when they were written).

--- a/src/gw_gossip.c
+++ b/src/gw_gossip.c
@@ -510,6 +510,8 @@
     task->answered_ms = answered_ms;
     BsGossip_NoteStoreAnswer(task->gossip, task->data_centre,
                              S_answer_age_ms(task, now_ms), now_ms);
+    BsRemovalGrace_NoteAnswer(task->gate->removal_grace,
+                              BsGossip_StoreAnsweredMs(task->gossip));
 }
 
 bool
--- a/src/gw_published.c
+++ b/src/gw_published.c
@@ -103,6 +103,10 @@
     int64_t now_ms = BsClock_NowMs(gate->clock);
     int64_t peer_failed_ms = BsGossipTask_StoreFailedMs(gateway->gossip);
     int64_t failed_ms = MAX(status.failed_ms, peer_failed_ms);
+    BsRemovalGrace_NoteAnswer(
+        gate->removal_grace,
+        MAX(status.answered_ms,
+            BsGossipTask_StoreAnsweredMs(gateway->gossip)));
     int64_t kept_ms = BsRemovalGrace_KeptMs(gate->removal_grace, revision,
                                             failed_ms, now_ms);
     if (!BsTargets_Remove(gate->targets, id, kept_ms, now_ms)) {
--- a/src/removalgrace.c
+++ b/src/removalgrace.c
@@ -2,6 +2,8 @@
  * removed. */
 #include "removalgrace.h"
 
+#include "position.h"
+
 /* Time after the store is back within which a running upstream writes an
    expired entry again (the platform's documented bound). */
 #define REWRITE_MS 2000
@@ -14,6 +16,14 @@
    its removal. */
 #define NOTES_KEPT_MS (REWRITE_MS + 2 * NOTE_MS)
 
+/* Shortest time without an answer to any instance that counts as an outage.
+   An entry expires after three missed heartbeats, some 3.6 s, so an outage
+   that makes it expire lasts longer than this; another instance takes over
+   from one that gets no answers sooner. */
+#define OUTAGE_MS 2000
+
+#define NEVER_MS (INT64_MIN / 2)
+
 typedef struct {
     uint64_t revision; /* newest received within NOTE_MS from FIRST_MS */
     int64_t first_ms;
@@ -21,6 +31,8 @@
 
 struct BsRemovalGrace {
     GArray *notes; /* BsRevisionNote, oldest first, revisions ascending */
+    int64_t answered_ms; /* last answer of the store to any instance */
+    int64_t back_ms;     /* first answer after the last outage */
 };
 
 BsRemovalGrace *
@@ -28,6 +40,8 @@
 {
     BsRemovalGrace *grace = g_new0(BsRemovalGrace, 1);
     grace->notes = g_array_new(FALSE, FALSE, sizeof(BsRevisionNote));
+    grace->answered_ms = NEVER_MS;
+    grace->back_ms = NEVER_MS;
     return grace;
 }
 
@@ -71,6 +85,11 @@
     if (last != NULL && revision <= last->revision) {
         return;
     }
+    /* A restored store lacks what was written since its copy was made. */
+    if (last != NULL &&
+        BsPosition_Era(revision) > BsPosition_Era(last->revision)) {
+        grace->back_ms = MAX(grace->back_ms, now_ms);
+    }
     if (last != NULL && now_ms - last->first_ms < NOTE_MS) {
         last->revision = revision;
         return;
@@ -93,12 +112,27 @@
     return now_ms;
 }
 
+void
+BsRemovalGrace_NoteAnswer(BsRemovalGrace *grace, int64_t answered_ms)
+{
+    if (answered_ms <= grace->answered_ms) {
+        return;
+    }
+    if (answered_ms - grace->answered_ms >= OUTAGE_MS) {
+        grace->back_ms = MAX(grace->back_ms, answered_ms);
+    }
+    grace->answered_ms = answered_ms;
+}
+
 int64_t
-BsRemovalGrace_KeptMs(const BsRemovalGrace *grace, uint64_t revision,
+BsRemovalGrace_KeptMs(BsRemovalGrace *grace, uint64_t revision,
                       int64_t failed_ms, int64_t now_ms)
 {
+    BsRemovalGrace_NoteRevision(grace, revision, now_ms);
     int64_t reached_ms = S_reached_ms(grace, revision, now_ms);
-    if (reached_ms - failed_ms >= REWRITE_MS) {
+    bool was_away = grace->answered_ms == NEVER_MS ||
+                    reached_ms - grace->back_ms < REWRITE_MS;
+    if (!was_away || reached_ms - failed_ms >= REWRITE_MS) {
         return 0;
     }
     return MAX(0, reached_ms + REWRITE_MS - now_ms);
--- a/tests/gate/gateway_reader_test.cc
+++ b/tests/gate/gateway_reader_test.cc
@@ -8,6 +8,12 @@
 
 namespace {
 
+// Longer than the time for which an upstream is kept after the store is back.
+const std::chrono::milliseconds kPastGraceMs(2500);
+
+// More than the shortest time without an answer that counts as an outage.
+const std::chrono::milliseconds kOutageMs(2500);
+
 // Longer than the last watch of an instance that stops reading.
 const std::chrono::milliseconds kPastWatchMs(1000);
 
@@ -23,6 +29,23 @@
         return Eventually(
             [&] { return gateway_->Log().find(text) != std::string::npos; });
     }
+    // Returns the kept_ms of the first removed upstream, -1 when there is
+    // none.
+    int KeptMs()
+    {
+        const std::string mark = "\"kept_ms\":";
+        std::string log;
+        size_t at = std::string::npos;
+        Eventually([&] {
+            log = gateway_->Log();
+            at = log.find(mark);
+            return at != std::string::npos;
+        });
+        return at == std::string::npos
+                   ? -1
+                   : std::stoi(log.substr(at + mark.size()));
+    }
+
     int AskWithKey(const std::string &key)
     {
         std::string call = Call("/look/1", "with-" + key);
@@ -55,4 +78,34 @@
     EXPECT_TRUE(gateway_->WaitMetric("boragespur_catalog_version 6"));
 }
 
+// Guards against an upstream that is used for 2 s after its planned stop, as
+// after an outage of the store, because the store does not answer a peer.
+TEST_F(ReaderTest, AFailureOfAPeerAloneIsNoOutage)
+{
+    Start({Answers, Answers});
+    Join(BS_GOSSIP_FAILS);
+    std::this_thread::sleep_for(kPastGraceMs);
+    store_.Remove("servers/i-1");
+    EXPECT_EQ(KeptMs(), 0);
+    int before = runners_[1]->count();
+    for (int i = 0; i < 5; i++) {
+        EXPECT_EQ(StatusOf(gateway_->Ask(Call("/look/1", std::to_string(i)))),
+                  200);
+    }
+    EXPECT_EQ(runners_[1]->count(), before);
+}
+
+// An upstream whose entry expired in an outage is kept until it can have
+// written it again.
+TEST_F(ReaderTest, AfterAnOutageARemovedUpstreamIsKept)
+{
+    Start({Answers});
+    store_.SetMode(StoreMode::kRefuse);
+    ASSERT_TRUE(gateway_->WaitMetric("boragespur_store_up 0"));
+    std::this_thread::sleep_for(kOutageMs);
+    store_.Remove("servers/i-0");
+    store_.SetMode(StoreMode::kServe);
+    EXPECT_GT(KeptMs(), 0);
+}
+
 } // namespace
--- a/tests/gate/removalgrace_test.cc
+++ b/tests/gate/removalgrace_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 extern "C" {
+#include "position.h"
 #include "removalgrace.h"
 }
 
@@ -81,4 +82,48 @@
     EXPECT_EQ(Kept(3000, now_ms - 10, now_ms), 0);
 }
 
+// Guards against an upstream that is used after its planned stop because the
+// store turns one instance away and answers the others.
+TEST_F(RemovalGrace, AFailureBesideAnswersToOthersIsNoOutage)
+{
+    for (int64_t ms = kStartMs - 5000; ms <= kStartMs; ms += 900) {
+        BsRemovalGrace_NoteAnswer(lapses_, ms);
+    }
+    EXPECT_EQ(Kept(7, kStartMs - 10, kStartMs), 0);
+}
+
+// Another instance takes over from the one that reads the store and is cut
+// off, and from a second one after it.
+TEST_F(RemovalGrace, ATakeoverIsNoOutage)
+{
+    BsRemovalGrace_NoteAnswer(lapses_, kStartMs - 5000);
+    BsRemovalGrace_NoteAnswer(lapses_, kStartMs - 4000);
+    BsRemovalGrace_NoteAnswer(lapses_, kStartMs - 2050);
+    BsRemovalGrace_NoteAnswer(lapses_, kStartMs - 100);
+    EXPECT_EQ(Kept(7, kStartMs - 10, kStartMs), 0);
+}
+
+TEST_F(RemovalGrace, AfterAnOutageOfAllInstancesItIsKept)
+{
+    BsRemovalGrace_NoteAnswer(lapses_, kStartMs - 5000);
+    BsRemovalGrace_NoteAnswer(lapses_, kStartMs);
+    EXPECT_EQ(Kept(7, kStartMs - 10, kStartMs), kRewriteMs);
+    // The store has been back for long enough.
+    BsRemovalGrace_NoteAnswer(lapses_, kStartMs + 1000);
+    BsRemovalGrace_NoteAnswer(lapses_, kStartMs + kRewriteMs);
+    EXPECT_EQ(Kept(8, kStartMs + 1000, kStartMs + kRewriteMs), 0);
+}
+
+// A copy from which the store was restored may list entries that expire
+// before their upstreams have written them again.
+TEST_F(RemovalGrace, AfterARestoreItIsKept)
+{
+    for (int64_t ms = kStartMs - 5000; ms <= kStartMs; ms += 900) {
+        BsRemovalGrace_NoteAnswer(lapses_, ms);
+    }
+    Note(BsPosition_Make(1, false, 90), kStartMs - 900);
+    EXPECT_EQ(Kept(BsPosition_Make(2, false, 50), kStartMs - 10, kStartMs),
+              kRewriteMs);
+}
+
 } // namespace
