boragespurd: a silent configuration service is noticed within 7 s

Two instances of each data centre watch the service, so a single one that is cut off does no harm; if the connections of both stop responding, nothing was read for 25 s.

A long poll takes 5 s now and a read 7 s at most, and the sum of the path is checked against 12 s when the file is compiled. Each watcher polls some four times as often, 0.2 calls a second. For 9 instances the 5 s hold only while one of the two watchers of a data centre is answered.

--- a/src/d_platform.c
+++ b/src/d_platform.c
@@ -8,13 +8,26 @@
 #include <strings.h>
 #include <syslog.h>
 
-#define LONG_POLL_MS 20000
-#define READ_TIMEOUT_MS 25000L /* longer than LONG_POLL_MS */
+#define LONG_POLL_MS 5000
+#define READ_TIMEOUT_MS 7000L /* longer than LONG_POLL_MS */
 #define CONNECT_TIMEOUT_MS 1000L
-#define RETRY_DELAY_S 1.0
-#define NEXT_READ_DELAY_S 0.25
+#define RETRY_DELAY_MS 1000
+#define NEXT_READ_DELAY_MS 250
+
+/* Time within which a change is in force, and the part of it for the way from
+   an instance that reads it to the others. */
+#define IN_FORCE_MS 12000
+#define SPREAD_MS 2000
+
+/* A change is read in time on a new connection if the one in use has stopped
+   responding. */
+G_STATIC_ASSERT(NEXT_READ_DELAY_MS + READ_TIMEOUT_MS + RETRY_DELAY_MS +
+                    CONNECT_TIMEOUT_MS + SPREAD_MS <
+                IN_FORCE_MS);
+
 #define VALUE_MAX_BYTES (4 * 1024 * 1024)
 #define POOL_CONNECTIONS 4
+#define MS_PER_S 1000.0
 #define STATUS_OK 200
 #define STATUS_NOT_MODIFIED 304
 #define REVISION_HEADER "X-Revision:"
@@ -42,12 +55,12 @@
 };
 
 static void
-S_schedule(BsKeyWatch *watch, double delay_s)
+S_schedule(BsKeyWatch *watch, int64_t delay_ms)
 {
     struct ev_loop *ev = BsLoop_Ev(watch->platform->loop);
     ev_timer_stop(ev, &watch->timer);
     if (watch->wanted) {
-        ev_timer_set(&watch->timer, delay_s, 0.0);
+        ev_timer_set(&watch->timer, (double)delay_ms / MS_PER_S, 0.0);
         ev_timer_start(ev, &watch->timer);
     }
 }
@@ -153,7 +166,8 @@
         if (status == STATUS_OK) {
             S_accept_value(watch);
         }
-        S_schedule(watch, watch->invalid ? RETRY_DELAY_S : NEXT_READ_DELAY_S);
+        S_schedule(watch,
+                   watch->invalid ? RETRY_DELAY_MS : NEXT_READ_DELAY_MS);
         return;
     }
     g_snprintf(reason, sizeof(reason), "%s %ld", curl_easy_strerror(result),
@@ -161,7 +175,7 @@
     S_set_down(watch, true, reason);
     watch->address_index++;
     watch->has_revision = false;
-    S_schedule(watch, RETRY_DELAY_S);
+    S_schedule(watch, RETRY_DELAY_MS);
 }
 
 static char *
@@ -217,7 +231,7 @@
         BsCurl_Cancel(watch->platform->curl, watch->easy);
         watch->easy = NULL;
     }
-    S_schedule(watch, 0.0);
+    S_schedule(watch, 0);
 }
 
 static void
