--- a/src/gw_gossip.c
+++ b/src/gw_gossip.c
@@ -37,6 +37,10 @@
    knows its peers. */
 #define STARTUP_READ_MS 1000
 
+/* Limit of the items that a peer sends: far more than all items of a large
+   fleet, of which the largest are compressed. */
+#define FETCH_MAX_BYTES (32U * 1024 * 1024)
+
 #define ITEMS_PATH "/items?after="
 
 /* Limits of the server for peers, whose requests are small. */
@@ -296,6 +300,16 @@
     g_string_append_len(task->fetched, data, (gssize)size_bytes);
 }
 
+static void
+S_log_too_large(BsGossipTask *task)
+{
+    BsEventLog *log = task->gate->log;
+    if (BsEventLog_Begin(log, BS_EVENT_FAILURE, "peer_items_too_large")) {
+        BsEventLog_Number(log, "limit_bytes", FETCH_MAX_BYTES);
+        BsEventLog_End(log);
+    }
+}
+
 static void
 S_on_fetch_end(BsOutboundEnd end, void *context)
 {
@@ -306,6 +320,12 @@
     bool good = BsOutboundEnd_IsComplete(end) && task->fetch_status == 200 &&
                 BsItemCodec_Apply(task->fetched->str, task->fetched->len,
                                   task->replica);
+    if (end == BS_OUTBOUND_TOO_LARGE) {
+        S_log_too_large(task);
+    }
+    /* The buffer of a large answer is not kept. */
+    g_string_free(task->fetched, TRUE);
+    task->fetched = g_string_new(NULL);
     BsCounters_Add(gate->counters,
                    good ? "peer_fetches_total{outcome=\"good\"}"
                         : "peer_fetches_total{outcome=\"failed\"}",
@@ -337,6 +357,7 @@
     BsOutboundRequest request = {
         .reuse_idle_ms = FETCH_INTERVAL_MS * 4,
         .connect_timeout_ms = FETCH_CONNECT_MS,
+        .body_max_bytes = FETCH_MAX_BYTES,
         .message = g_string_new(NULL),
     };
     request.address.sin_family = AF_INET;
--- a/src/gw_outbound.c
+++ b/src/gw_outbound.c
@@ -302,14 +302,23 @@
     S_end(call, BS_OUTBOUND_DONE);
 }
 
+/* Returns how a call ends whose answer was rejected. */
+static BsOutboundEnd
+S_get_fault_end(const BsOutbound *call)
+{
+    if (BsHttpReader_Fault(call->reader) == BS_HTTP_BODY_TOO_LARGE) {
+        return BS_OUTBOUND_TOO_LARGE;
+    }
+    return call->head_seen ? BS_OUTBOUND_TRUNCATED : BS_OUTBOUND_GARBLED;
+}
+
 static void
 S_read(BsOutbound *call, const char *data, size_t size_bytes)
 {
     size_t taken = BsHttpReader_Feed(call->reader, data, size_bytes);
     if (!call->ended) {
         if (BsHttpReader_Fault(call->reader) != BS_HTTP_OK) {
-            S_fail(call, call->head_seen ? BS_OUTBOUND_TRUNCATED
-                                         : BS_OUTBOUND_GARBLED);
+            S_fail(call, S_get_fault_end(call));
         }
         else if (BsHttpReader_IsComplete(call->reader)) {
             S_finish(call, taken < size_bytes);
@@ -435,9 +444,9 @@
     call->context = context;
     call->message = request->message;
     call->keep_alive_s = -1;
-    call->reader =
-        BsHttpReader_Create(BS_HTTP_RESPONSE, &S_reader_events, call,
-                            BS_HTTP_RESPONSE_HEAD_MAX_BYTES, 0);
+    call->reader = BsHttpReader_Create(BS_HTTP_RESPONSE, &S_reader_events,
+                                       call, BS_HTTP_RESPONSE_HEAD_MAX_BYTES,
+                                       request->body_max_bytes);
     if (request->no_body) {
         BsHttpReader_ExpectNoBody(call->reader);
     }
--- a/src/gw_outbound.h
+++ b/src/gw_outbound.h
@@ -26,7 +26,8 @@
     BS_OUTBOUND_UNSENT,    /* not connected; no byte was sent */
     BS_OUTBOUND_BROKEN,    /* closed before a complete head; may have run */
     BS_OUTBOUND_TRUNCATED, /* the answer's body ended early or is malformed */
-    BS_OUTBOUND_GARBLED    /* the data received is not a valid answer head */
+    BS_OUTBOUND_GARBLED,   /* the data received is not a valid answer head */
+    BS_OUTBOUND_TOO_LARGE  /* the answer's body is above its limit */
 } BsOutboundEnd;
 
 /* Returns whether HTTP calls an answer that ended as END complete. */
@@ -49,7 +50,8 @@
     GString *message;      /* head and body; ownership is transferred */
     int64_t reuse_idle_ms; /* longest idle time of a reused connection */
     uint32_t connect_timeout_ms;
-    bool no_body; /* the answer has no body, as for HEAD */
+    uint64_t body_max_bytes; /* limit of the answer's body; 0: none */
+    bool no_body;            /* the answer has no body, as for HEAD */
 } BsOutboundRequest;
 
 /* Counts for metrics. */
--- a/tests/gate/gate_harness.cc
+++ b/tests/gate/gate_harness.cc
@@ -91,6 +91,19 @@
     return answer.size() < 12 ? 0 : atoi(answer.c_str() + 9);
 }
 
+size_t
+Flood(Socket &socket, const std::string &head)
+{
+    const std::string part(64 << 10, 'x');
+    size_t written = 0;
+    bool open = socket.Write(head);
+    while (open && written < kFloodBytes) {
+        open = socket.Write(part);
+        written += part.size();
+    }
+    return written;
+}
+
 // ------------------------------------------------------------------- store --
 
 Store::Store() : server_(new Server([this](Socket &socket) { Serve(socket); }))
@@ -280,6 +293,14 @@
             socket.Reset();
             return;
         }
+        if (mode == StoreMode::kFlood || mode == StoreMode::kFloodError) {
+            const char *status = mode == StoreMode::kFlood ? "200" : "500";
+            size_t bytes = Flood(socket, "HTTP/1.1 " + std::string(status) +
+                                             " x\r\n\r\n");
+            flood_bytes_ = std::max(flood_bytes_.load(), bytes);
+            floods_++;
+            return;
+        }
         if (mode == StoreMode::kRefuse) {
             answer = Empty("503 Service Unavailable");
         }
@@ -620,6 +641,18 @@
         [&] { return Metrics().find(line + "\n") != std::string::npos; });
 }
 
+long
+Gateway::PeakKib()
+{
+    std::ifstream file("/proc/" + std::to_string(pid_) + "/status");
+    std::string word;
+    long kib = 0;
+    while (file >> word && word != "VmHWM:") {
+    }
+    file >> kib;
+    return kib;
+}
+
 void
 Gateway::Signal(int number)
 {
--- a/tests/gate/gate_harness.h
+++ b/tests/gate/gate_harness.h
@@ -23,10 +23,17 @@
     kRefuse, // 503
     kBusy,   // 429
     kReset,
-    kSilent,  // accepts calls and never answers
-    kLoseOne, // does not answer the next call, then serves
+    kSilent,     // accepts calls and never answers
+    kLoseOne,    // does not answer the next call, then serves
+    kFlood,      // 200, with a body that does not end
+    kFloodError, // 500, the same
 };
 
+// Writes HEAD and a body without an end to SOCKET, until the other side closes
+// or kFloodBytes are written; returns the bytes written.
+constexpr size_t kFloodBytes = 256u << 20;
+size_t Flood(Socket &socket, const std::string &head);
+
 // Stand-in for the platform's store: range and watch calls, as specified.
 class Store {
   public:
@@ -58,6 +65,15 @@
     {
         return ranges_;
     }
+    // Floods that have ended, and the most bytes of one of them.
+    int floods() const
+    {
+        return floods_;
+    }
+    size_t flood_bytes() const
+    {
+        return flood_bytes_;
+    }
     // Calls on connections that were idle for more than a second.  They are
     // not answered, as if a firewall had dropped the connection.
     int stale_calls() const
@@ -89,6 +105,8 @@
     bool stopping_ = false;
     std::atomic<int> calls_{0};
     std::atomic<int> ranges_{0};
+    std::atomic<int> floods_{0};
+    std::atomic<size_t> flood_bytes_{0};
     std::atomic<int> stale_calls_{0};
     std::unique_ptr<Server> server_;
 };
@@ -185,6 +203,8 @@
     // Waits until the metrics hold LINE.
     bool WaitMetric(const std::string &line);
     void Signal(int number);
+    // Returns the most memory that the process has used so far.
+    long PeakKib();
     // Waits for the exit; returns the exit code, -1 when it was killed.
     int Wait();
     // Closes the reading end of its log's pipe.
--- a/tests/gate/peer_standin.cc
+++ b/tests/gate/peer_standin.cc
@@ -60,6 +60,7 @@
     report.store_age_ms = 0;
     while (!stopping_) {
         report.sequence++;
+        report.newest = newest_;
         report.store_age_ms += cut_off_ ? kReportPauseMs : 0;
         SendReport(port, report);
         std::this_thread::sleep_for(std::chrono::milliseconds(kReportPauseMs));
--- a/tests/gate/peer_standin.h
+++ b/tests/gate/peer_standin.h
@@ -26,10 +26,16 @@
     {
         cut_off_ = true;
     }
+    // From now on it reports that it holds an item of revision NEWEST.
+    void SetNewest(uint64_t newest)
+    {
+        newest_ = newest;
+    }
 
   private:
     void Run(int port, BsGossipReading reading);
     std::atomic<bool> cut_off_{false};
+    std::atomic<uint64_t> newest_{0};
     std::atomic<bool> stopping_{false};
     std::thread thread_;
 };
