Gateway: the answer to a caller who has left is not kept

A request that must not run twice is not cancelled when its caller leaves, as its outcome counts. Its answer was still collected for the caller, without a limit: a faulty upstream that sends without an end fills the memory until the request's time is over, and the requests of all other callers end with the process. The bytes are dropped now as they arrive.

AnAnswerWithoutACallerIsNotKept failed before: the process grew by 259,388 KiB of the 256 MiB that were sent; 64 MiB are allowed.

--- a/src/gw_answer.c
+++ b/src/gw_answer.c
@@ -52,12 +52,17 @@
                           length_bytes);
 }
 
-/* Forwards the buffered body to the caller. */
+/* Forwards the buffered body to the caller; drops it when the caller has left
+   and only the request's outcome counts. */
 static void
 S_forward(BsRelay *relay)
 {
     BsRelayAnswer *answer = &relay->answer;
-    if (relay->inbound == NULL || answer->body->len == 0) {
+    if (relay->inbound == NULL) {
+        g_string_truncate(answer->body, 0);
+        return;
+    }
+    if (answer->body->len == 0) {
         return;
     }
     if (!answer->started) {
--- a/tests/gate/gateway_flood_test.cc
+++ b/tests/gate/gateway_flood_test.cc
@@ -15,6 +15,9 @@
 // The same for the items of a peer.
 const size_t kItemsMaxBytes = 64u << 20;
 
+// Far below a flood, far above what the gateway needs for one request.
+const long kGrowthMaxKib = 64 << 10;
+
 struct FloodCase {
     const char *name;
     StoreMode mode;
@@ -127,4 +130,30 @@
     EXPECT_NE(gateway_->Log().find("peer_items_too_large"), std::string::npos);
 }
 
+// Guards against an answer that is kept for a caller who has left: the request
+// may not run twice, so its outcome is awaited.
+TEST_F(GatewayTest, AnAnswerWithoutACallerIsNotKept)
+{
+    std::atomic<bool> left{false};
+    std::atomic<bool> over{false};
+    Start({[&](Socket &socket, const ReceivedRequest &got) {
+        Eventually([&] { return left.load(); });
+        std::string head = SignedAnswer(got, "");
+        head.replace(head.find("Content-Length: 0"), 17, "X-Length: none");
+        Flood(socket, head);
+        over = true;
+        return false;
+    }});
+    long before = gateway_->PeakKib();
+    {
+        std::unique_ptr<Socket> caller = gateway_->Open();
+        caller->Write(Call("/book/1", "a"));
+        ASSERT_TRUE(runners_[0]->WaitCount(1));
+    }
+    ASSERT_TRUE(gateway_->WaitMetric("boragespur_connections 0"));
+    left = true;
+    ASSERT_TRUE(Eventually([&] { return over.load(); }));
+    EXPECT_LE(gateway_->PeakKib() - before, kGrowthMaxKib);
+}
+
 } // namespace
