Gateway: the error of a held attempt is not kept without a limit

An attempt whose upstream falls silent in the middle of an error is held beside another one. If it went on, the rest of the error was collected without a limit; only a success is passed on once it is long. Such an attempt ends now when the error is above the 64 KiB that are buffered: its outcome is known, and the other attempt goes on.

TheErrorOfAHeldAttemptIsNotKept failed before: the process grew by 259,792 KiB; 64 MiB are allowed.

--- a/src/gw_held.c
+++ b/src/gw_held.c
@@ -327,11 +327,16 @@
 {
     g_string_append_len(held->pending, data, (gssize)size_bytes);
     BsAttempt_NoteResumed(held->relay, held);
-    if (held->head_outcome == BS_TARGET_GOOD &&
-        held->answer.body->len + held->pending->len >
-            BS_ANSWER_BUFFERED_MAX_BYTES) {
+    if (held->answer.body->len + held->pending->len <=
+        BS_ANSWER_BUFFERED_MAX_BYTES) {
+        return;
+    }
+    if (held->head_outcome == BS_TARGET_GOOD) {
         S_go_on(held);
     }
+    else {
+        S_fail(held, held->head_outcome, "upstream_error");
+    }
 }
 
 static void
--- a/tests/gate/gateway_flood_test.cc
+++ b/tests/gate/gateway_flood_test.cc
@@ -156,4 +156,30 @@
     EXPECT_LE(gateway_->PeakKib() - before, kGrowthMaxKib);
 }
 
+// Guards against the body of an error that is kept while another upstream is
+// tried, because its upstream was silent in the middle of it.
+TEST_F(GatewayTest, TheErrorOfAHeldAttemptIsNotKept)
+{
+    std::atomic<int> arrived{0};
+    std::atomic<bool> over{false};
+    auto script = [&](Socket &socket, const ReceivedRequest &got) {
+        if (arrived++ > 0) {
+            Eventually([&] { return over.load(); });
+            return Answers(socket, got);
+        }
+        std::string head = SignedAnswer(got, "", 500);
+        head.replace(head.find("Content-Length: 0"), 17, "X-Length: none");
+        socket.Write(head);
+        Eventually([&] { return arrived > 1; });
+        Flood(socket, "");
+        over = true;
+        return false;
+    };
+    Start({script, script});
+    long before = gateway_->PeakKib();
+    EXPECT_TRUE(IsHealthy(gateway_->Ask(Call("/look/1", "a")), "a"));
+    EXPECT_EQ(arrived, 2);
+    EXPECT_LE(gateway_->PeakKib() - before, kGrowthMaxKib);
+}
+
 } // namespace
