--- a/tests/soak/main_soak.c
+++ b/tests/soak/main_soak.c
@@ -44,6 +44,12 @@
 #define SILENCE_MIN_MS 500
 #define SILENCE_MAX_MS 2000
 
+/* How long gateways are cut off from the store. */
+#define CUT_MS 5500
+
+/* Gateways and upstreams are dealt to these in turn. */
+#define DATA_CENTRES 2
+
 /* Events of a stream, and time that callers and routes allow; longer ones in
    runs with nothing but silences and planned work. */
 #define EVENTS 6
@@ -61,6 +67,9 @@
     ev_timer next;
     ev_timer silence;
     ev_timer limits;
+    ev_timer cuts;
+    ev_timer cut_end;
+    SoakUpstream *leaver; /* left while gateways are cut off from the store */
     ev_timer faults_end;
     ev_timer end;
     struct ev_loop *loop;
@@ -73,6 +82,7 @@
 static gint S_deadly = -1;
 static gint S_silent = -1;
 static gint S_limits = -1;
+static gint S_cuts;
 static gint S_retry_slack = -1;
 static gint S_store_port = 19999;
 static gboolean S_all_silent;
@@ -404,6 +414,44 @@
     }
 }
 
+/* Ends what S_on_cut() began. */
+static void
+S_on_cut_end(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    (void)loop;
+    (void)events;
+    SoakMain *run = watcher->data;
+    for (unsigned i = 0; i < run->soak.gateway_count; i++) {
+        if (SoakFleet_StorePath(i) != SOAK_PASS) {
+            SoakFleet_SetStorePath(&run->soak, i, SOAK_PASS);
+        }
+    }
+    SoakUpstream_List(run->leaver, "ready", 0);
+}
+
+/* Cuts one gateway of each data centre off from the store, silently; then an
+   upstream leaves and keys are revoked. */
+static void
+S_on_cut(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    (void)events;
+    SoakMain *run = watcher->data;
+    Soak *soak = &run->soak;
+    int pairs = (int)soak->gateway_count / DATA_CENTRES;
+    for (unsigned i = 0; i < DATA_CENTRES; i++) {
+        unsigned row = (unsigned)Soak_RandomInt(soak, 0, pairs - 1);
+        unsigned gateway = i + DATA_CENTRES * row;
+        Soak_Log(soak, "gateway %u is cut off from the store", gateway);
+        SoakFleet_SetStorePath(soak, gateway, SOAK_BLACKHOLE);
+    }
+    run->leaver = S_pick_upstream(soak);
+    Soak_Log(soak, "an upstream leaves");
+    SoakUpstream_List(run->leaver, NULL, 0);
+    S_revoke_keys(soak);
+    ev_timer_set(&run->cut_end, CUT_MS / 1000.0, 0);
+    ev_timer_start(loop, &run->cut_end);
+}
+
 static void
 S_on_next(struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -424,6 +472,8 @@
     Soak *soak = &run->soak;
     ev_timer_stop(loop, &run->next);
     ev_timer_stop(loop, &run->limits);
+    ev_timer_stop(loop, &run->cuts);
+    ev_timer_stop(loop, &run->cut_end);
     Soak_Log(soak, "all faults end");
     soak->trouble_ms = MIN(soak->trouble_ms, Soak_NowMs(soak));
     S_set_store_mode(soak, SOAK_SERVES);
@@ -585,6 +635,9 @@
     }
     S_start_repeating(&run, &run.silence, soak->silent_pause_ms, S_on_silence);
     S_start_repeating(&run, &run.limits, soak->limit_pause_ms, S_on_limit);
+    ev_timer_init(&run.cut_end, S_on_cut_end, 0, 0);
+    run.cut_end.data = &run;
+    S_start_repeating(&run, &run.cuts, MAX(S_cuts, 0), S_on_cut);
     soak->faults_ended = S_no_faults;
     if (S_no_faults) {
         S_start_timer(&run, &run.faults_end, S_seconds, S_on_stop_sending);
@@ -637,6 +690,10 @@
          "Pause between silences of upstreams; 0: none", "MS"},
         {"limits", 0, 0, G_OPTION_ARG_INT, &S_limits,
          "Pause between limits that upstreams name; 0: none", "MS"},
+        {"store-cuts", 0, 0, G_OPTION_ARG_INT, &S_cuts,
+         "Pause between cuts of gateways from the store, 6000 at least; 0: "
+         "none",
+         "MS"},
         {"silent-all", 0, 0, G_OPTION_ARG_NONE, &S_all_silent,
          "All upstreams fall silent at once", NULL},
         {"planned", 0, 0, G_OPTION_ARG_NONE, &S_planned,
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -251,6 +251,9 @@
    stopping. */
 void SoakFleet_Signal(Soak *soak, unsigned gateway, int number, int down_ms);
 
+/* Returns the mode of the gateway's proxy to the store. */
+SoakProxyMode SoakFleet_StorePath(unsigned number);
+
 /* Sets the mode of the gateway's proxy to the store. */
 void SoakFleet_SetStorePath(Soak *soak, unsigned gateway, SoakProxyMode mode);
 
--- a/tests/soak/soak_fleet.c
+++ b/tests/soak/soak_fleet.c
@@ -277,6 +277,12 @@
     kill(gateway->pid, signal_number);
 }
 
+SoakProxyMode
+SoakFleet_StorePath(unsigned number)
+{
+    return S_gateways[number].store_mode;
+}
+
 void
 SoakFleet_SetStorePath(Soak *soak, unsigned number, SoakProxyMode mode)
 {
