Gateway: a refused request is sent again on a new connection

Cause: a request that an upstream had refused was sent to it again on the connection that had been kept. A late second copy of the refusal names the same request and was taken for a second refusal; the request, which ran, was sent once more. The copy comes on the connection of the refusal, so the request is sent to that upstream on a new one only.

Ruled out: closing each connection after a refusal (a new connection for each refusal of a full upstream); counting refusals against sends (nothing tells which of two the copy belongs to).

--- a/src/gw_outbound.h
+++ b/src/gw_outbound.h
@@ -48,7 +48,8 @@
     struct sockaddr_in address;
     const char *owner;     /* upstream; has connections of its own */
     GString *message;      /* head and body; ownership is transferred */
-    int64_t reuse_idle_ms; /* longest idle time of a reused connection */
+    int64_t reuse_idle_ms; /* longest idle time of a reused connection; -1:
+                              none is reused */
     uint32_t connect_timeout_ms;
     uint64_t body_max_bytes; /* limit of the answer's body; 0: none */
     bool no_body;            /* the answer has no body, as for HEAD */
--- a/src/gw_relayparts.h
+++ b/src/gw_relayparts.h
@@ -24,6 +24,9 @@
    a repeatable request can be retried when its answer is truncated. */
 #define BS_ANSWER_BUFFERED_MAX_BYTES 65536
 
+/* As many as a request can be sent. */
+#define BS_RELAY_REFUSERS_MAX 4
+
 /* The part of an answer that has not been forwarded yet. */
 typedef struct {
     GString *headers; /* header lines for the caller */
@@ -101,6 +104,9 @@
     BsRelayAnswer answer;
     char *excluded[BS_RELAY_EXCLUDED_MAX];
     size_t excluded_count;
+    uint32_t refusers[BS_RELAY_REFUSERS_MAX]; /* upstreams, hashed, that have
+                                                 refused the request */
+    size_t refusers_count;
     const char *given_up; /* cause for which the last attempt without an answer
                              ended; NULL: none has */
     uint32_t attempts;    /* times it was sent and not refused */
@@ -215,7 +221,7 @@
 
 /* Returns whether the answer with INFO to ATTEMPT says that its upstream has
    not run the request, and records it. */
-bool BsAttempt_IsRefused(const BsRelay *relay, BsRelayAttempt *attempt,
+bool BsAttempt_IsRefused(BsRelay *relay, BsRelayAttempt *attempt,
                          const BsAnswerInfo *info);
 
 /* Returns whether an answer with HEAD can be sent to the caller. */
--- a/tests/gate/gateway_reports_test.cc
+++ b/tests/gate/gateway_reports_test.cc
@@ -228,6 +228,29 @@
                              return std::string(info.param.name);
                          });
 
+// Guards against a copy of a refusal that is taken for a second one: the
+// request has been sent again and runs, and would be sent once more.
+TEST_P(RefusalCopyTest, IsNotTakenForAnAnswerToTheSameRequest)
+{
+    std::mutex mutex;
+    std::map<Socket *, std::string> refused;
+    int arrived = 0;
+    int runs = 0;
+    Start({[&](Socket &socket, const ReceivedRequest &got) {
+        std::lock_guard<std::mutex> lock(mutex);
+        if (arrived++ == 0) {
+            refused[&socket] = WithId(GetParam().refusal, got);
+            return socket.Write(refused[&socket]);
+        }
+        runs++;
+        return refused.count(&socket) > 0 ? socket.Write(refused[&socket])
+                                          : Answers(socket, got);
+    }});
+    gateway_->Ask(Call("/book/1", "once"));
+    std::lock_guard<std::mutex> lock(mutex);
+    EXPECT_LE(runs, 1);
+}
+
 namespace {
 
 // What the second upstream answers when a stream has broken off; "ID" is the
