--- a/src/http1.c
+++ b/src/http1.c
@@ -252,6 +252,9 @@
         return false;
     }
     head->method = g_strndup(line, (gsize)(first - line));
+    if (strcmp(head->method, "CONNECT") == 0) {
+        return false; /* no body follows it, whatever its headers say */
+    }
     head->old_version = version[version_bytes - 1] == '0';
     head->keep_alive = !head->old_version;
     return S_set_target(head, target, (size_t)(second - target));
--- a/tests/gate/http1_test.cc
+++ b/tests/gate/http1_test.cc
@@ -28,6 +28,11 @@
     {"Chunks", Request("Host: a\r\nTransfer-Encoding: chunked\r\n"), true},
     {"AbsoluteForm", "GET http://a.b/c HTTP/1.1\r\nHost: a.b\r\n\r\n", true},
     {"TabInValue", Request("Host: a\r\nX: a\tb\r\n"), true},
+    // Guards against a body that is read as a request of its own.
+    {"Connect", "CONNECT /a HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\n",
+     false},
+    {"ConnectToAuthority", "CONNECT a:80 HTTP/1.1\r\nHost: a:80\r\n\r\n",
+     false},
     {"TwoLengths",
      Request("Host: a\r\nContent-Length: 5\r\nContent-Length: 6\r\n"), false},
     {"SameLengthTwice",
