--- a/tests/gate/gateway_reader_test.cc
+++ b/tests/gate/gateway_reader_test.cc
@@ -95,8 +95,8 @@
     EXPECT_EQ(runners_[1]->count(), before);
 }
 
-// An upstream whose entry expired in an outage is kept until it can have
-// written it again.
+// Guards against a healthy upstream that is dropped because its entry expired
+// in an outage of the store, before it can have written it again.
 TEST_F(ReaderTest, AfterAnOutageARemovedUpstreamIsKept)
 {
     Start({Answers});
--- a/tests/gate/removalgrace_test.cc
+++ b/tests/gate/removalgrace_test.cc
@@ -92,8 +92,9 @@
     EXPECT_EQ(Kept(7, kStartMs - 10, kStartMs), 0);
 }
 
-// Another instance takes over from the one that reads the store and is cut
-// off, and from a second one after it.
+// Guards against an upstream that is used after its planned stop because
+// another instance took over from the one that reads the store and is cut off,
+// and from a second one after it.
 TEST_F(RemovalGrace, ATakeoverIsNoOutage)
 {
     BsRemovalGrace_NoteAnswer(lapses_, kStartMs - 5000);
@@ -103,6 +104,8 @@
     EXPECT_EQ(Kept(7, kStartMs - 10, kStartMs), 0);
 }
 
+// Guards against a healthy upstream that is dropped because its entry expired
+// in an outage, and against one that is kept long after it.
 TEST_F(RemovalGrace, AfterAnOutageOfAllInstancesItIsKept)
 {
     BsRemovalGrace_NoteAnswer(lapses_, kStartMs - 5000);
@@ -114,8 +117,8 @@
     EXPECT_EQ(Kept(8, kStartMs + 1000, kStartMs + kRewriteMs), 0);
 }
 
-// A copy from which the store was restored may list entries that expire
-// before their upstreams have written them again.
+// Guards against a healthy upstream that is dropped because the copy from
+// which the store was restored lists an entry that has expired since.
 TEST_F(RemovalGrace, AfterARestoreItIsKept)
 {
     for (int64_t ms = kStartMs - 5000; ms <= kStartMs; ms += 900) {
