Lint: clang-tidy checks one file per process

Alone the file passes; as the second file of the same process it fails (both run, clang-tidy 14.0.6, x86-64). So the analyzer keeps state from the first file. Every file is still checked, by the same checks; none can be judged by what another one left behind.

Ruled out: a fault of the file; a suppression, which would weaken the check and change review/.

--- a/Makefile
+++ b/Makefile
@@ -38,7 +38,7 @@
 
 lint: build
 	printf '%s\n' $(filter %.c,$(C_FILES)) | \
-		xargs -P $(JOBS) -n 2 clang-tidy --quiet -p $(BUILD)
+		xargs -P $(JOBS) -n 1 clang-tidy --quiet -p $(BUILD)
 	cppcheck --quiet --error-exitcode=1 --inline-suppr --std=c11 \
 		--enable=warning,portability --library=gnu --library=gtk \
 		--suppress=unknownMacro -I src -I platform \
