Gate tests: a value's size is read before it is used

Ruled out: a fault of the replica. The other calls of g_bytes_get_data() were read; none uses the size in the same call's arguments.

--- a/tests/gate/position_test.cc
+++ b/tests/gate/position_test.cc
@@ -74,12 +74,12 @@
         std::string Value(const char *key)
         {
             const BsItem *item = BsReplica_Find(replica, key);
+            if (item == nullptr || item->value == nullptr) {
+                return "-";
+            }
             gsize size = 0;
-            return item == nullptr || item->value == nullptr
-                       ? "-"
-                       : std::string((const char *)g_bytes_get_data(
-                                         item->value, &size),
-                                     size);
+            const void *data = g_bytes_get_data(item->value, &size);
+            return std::string((const char *)data, size);
         }
     };
     // Sends what TO does not have yet.
