--- a/tests/contract/upstream_test.cc
+++ b/tests/contract/upstream_test.cc
@@ -157,9 +157,13 @@
      200, "ran", "whole"},
 };
 
-class Hop : public testing::TestWithParam<HopCase> {};
+class Hop : public testing::TestWithParam<HopCase> {
+  protected:
+    void Play();
+};
 
-TEST_P(Hop, FailureIsReportedWithItsOutcome)
+void
+Hop::Play()
 {
     const HopCase &hop = GetParam();
     std::atomic<int> runs{0};
@@ -187,9 +191,128 @@
     EXPECT_TRUE(daemon.WaitMetric("requests_open", 0));
 }
 
+TEST_P(Hop, FailureIsReportedWithItsOutcome)
+{
+    Play();
+}
+
 INSTANTIATE_TEST_SUITE_P(Upstream, Hop, testing::ValuesIn(kHopCases),
                          [](const auto &info) { return info.param.name; });
 
+// Answers of an upstream that runs the request, which are no refusal though
+// they have a part of one.
+const HopCase kHalfRefusals[] = {
+    {"WithoutTheEndOfItsHead",
+     [](Socket &socket) {
+         socket.ReadMessage();
+         socket.Write("HTTP/1.1 503 Busy\r\nX-Request-Started: no\r\n");
+     },
+     502, "unknown", "upstream_failed"},
+    {"ResetInItsHead",
+     [](Socket &socket) {
+         socket.ReadMessage();
+         socket.Write("HTTP/1.1 503 Busy\r\nX-Request-Started: no\r\nRetry");
+         usleep(100000); /* a reset drops what was not read */
+         socket.Reset();
+     },
+     502, "unknown", "upstream_failed"},
+    {"MarkInItsTrailer",
+     [](Socket &socket) {
+         socket.ReadMessage();
+         socket.Write("HTTP/1.1 503 Busy\r\nTransfer-Encoding: chunked\r\n"
+                      "\r\n4\r\nbusy\r\n0\r\n"
+                      "X-Request-Started: no\r\n\r\n");
+     },
+     503, "ran", "busy"},
+};
+
+const HopCase kNoRefusals[] = {
+    {"Interim",
+     [](Socket &socket) {
+         socket.ReadMessage();
+         socket.Write("HTTP/1.1 103 X\r\nX-Request-Started: no\r\n\r\n");
+     },
+     502, "unknown", "upstream_failed"},
+    {"InterimThenSuccess",
+     [](Socket &socket) {
+         socket.ReadMessage();
+         socket.Write("HTTP/1.1 103 X\r\nX-Request-Started: no\r\n\r\n" +
+                      Http("200 OK", "", "whole"));
+     },
+     200, "ran", "whole"},
+    {"Success",
+     [](Socket &socket) {
+         socket.ReadMessage();
+         socket.Write(Http("200 OK", "X-Request-Started: no\r\n", "whole"));
+     },
+     200, "ran", "whole"},
+    {"Error",
+     [](Socket &socket) {
+         socket.ReadMessage();
+         socket.Write(Http("500 X", "X-Request-Started: no\r\n", "broken"));
+     },
+     500, "ran", "broken"},
+    {"Misdirected",
+     [](Socket &socket) {
+         socket.ReadMessage();
+         socket.Write(Http("421 X", "", "wrong"));
+     },
+     421, "ran", "wrong"},
+    {"Timeout",
+     [](Socket &socket) {
+         socket.ReadMessage();
+         socket.Write(Http("408 X", "", "slow"));
+     },
+     408, "ran", "slow"},
+};
+
+class HalfRefusal : public Hop {};
+class NoRefusal : public Hop {};
+
+// Guards against a request that runs and is reported as not run, or sent once
+// more, because of a part of a refusal.
+TEST_P(HalfRefusal, IsNotBelieved)
+{
+    Play();
+}
+
+// The same with the mark of a refusal on an answer that is none, and with
+// statuses that promise callers of other programs that nothing has run.
+TEST_P(NoRefusal, IsNotTakenForOne)
+{
+    Play();
+}
+
+INSTANTIATE_TEST_SUITE_P(Upstream, HalfRefusal,
+                         testing::ValuesIn(kHalfRefusals),
+                         [](const auto &info) { return info.param.name; });
+
+INSTANTIATE_TEST_SUITE_P(Upstream, NoRefusal, testing::ValuesIn(kNoRefusals),
+                         [](const auto &info) { return info.param.name; });
+
+// Guards against a long request that an upstream begins to run before all of
+// it is written, and that is reported as not run or sent once more.
+TEST(Upstream, APartlyWrittenRequestMayHaveRun)
+{
+    for (bool resets : {false, true}) {
+        std::atomic<int> runs{0};
+        Server service([&](Socket &socket) {
+            char head[512];
+            runs++;
+            EXPECT_GT(recv(socket.fd(), head, sizeof(head), 0), 0);
+            if (resets) {
+                socket.Reset();
+            }
+        });
+        Daemon daemon(FreePort(), service.port());
+        Answer answer =
+            daemon.Send("POST", "/services/s/book", std::string(100000, 'x'),
+                        {"Idempotency-Key: k"});
+        EXPECT_EQ(answer.outcome, "unknown") << answer.status << answer.body;
+        EXPECT_EQ(runs, 1);
+    }
+}
+
 // The reset may reach the daemon before or after it has sent the request; the
 // outcome is "not-run" in the first case and "unknown" in the second.
 TEST(Upstream, ResetAtConnectIsReportedAsObserved)
