--- a/tests/soak/soak_upstream.c
+++ b/tests/soak/soak_upstream.c
@@ -319,11 +319,15 @@
     }
 }
 
+/* Refuses REQUEST, which it names: refusals without an id are believed on a
+   new connection only. */
 static void
-S_refuse(SoakUpstream *upstream, BsInbound *inbound, unsigned gateway)
+S_refuse(SoakUpstream *upstream, BsInbound *inbound,
+         const SoakRequest *request)
 {
     GString *head = g_string_new("Not-Executed: 1\r\n");
-    SoakLimit_AppendHead(upstream->limit, gateway, head);
+    g_string_append_printf(head, "Request-Id: %s\r\n", request->id);
+    SoakLimit_AppendHead(upstream->limit, request->gateway, head);
     BsInbound_Answer(inbound, 503, head->str, "", 0);
     g_string_free(head, TRUE);
 }
@@ -346,12 +350,14 @@
         return;
     }
     if (expected == NULL || strcmp(expected, upstream->id) != 0) {
-        BsInbound_Answer(inbound, 421, NULL, "", 0);
+        char *head = g_strdup_printf("Request-Id: %s\r\n", id);
+        BsInbound_Answer(inbound, 421, head, "", 0);
+        g_free(head);
         return;
     }
     S_check_arrival(upstream, request);
     if (upstream->runs->len >= SLOTS + QUEUE) {
-        S_refuse(upstream, inbound, request->gateway);
+        S_refuse(upstream, inbound, request);
         return;
     }
     Run *run = g_new0(Run, 1);
