Gateway: a refusal without an id proves nothing on a kept connection

What callers saw: 503 or 429 for a booking that runs; a booking made twice; a request that ran at more upstreams than its route allows.

Cause: a refusal that names no request was believed wherever it came. On a connection that has had answers before, it may be a late copy of one of them. The request was sent once more, at the cost of a retry, and the attempt was given back. Now such a refusal is believed on a new connection only, where nothing can be late; else the attempt counts as one that may have run (cause refusal_not_proven).

Ruled out: believing none without an id (an upstream that refuses on a new connection is then never retried); a check of the time that has passed.

--- a/src/gw_attempt.c
+++ b/src/gw_attempt.c
@@ -341,11 +341,20 @@
     }
 }
 
+/* Returns whether the answer names no request and comes on a connection that
+   has had others, of which it may be a late copy. */
+static bool
+S_may_be_stray(const BsRelayAttempt *attempt, const BsAnswerInfo *info)
+{
+    return info->request_id == NULL && BsOutbound_IsReused(attempt->call);
+}
+
 bool
 BsAttempt_IsRefused(BsRelay *relay, BsRelayAttempt *attempt,
                     const BsAnswerInfo *info)
 {
-    if (!info->refused || S_is_of_another_request(relay, info)) {
+    if (!info->refused || S_is_of_another_request(relay, info) ||
+        S_may_be_stray(attempt, info)) {
         return false;
     }
     attempt->refused = true;
@@ -402,6 +411,9 @@
     if (!S_is_plausible(relay, head, info)) {
         return "answer_of_another_request";
     }
+    if (info->refused) {
+        return "refusal_not_proven"; /* see BsAttempt_IsRefused() */
+    }
     if (S_means_not_run(head->status)) {
         return "false_promise";
     }
--- a/src/gw_outbound.c
+++ b/src/gw_outbound.c
@@ -477,6 +477,12 @@
     call->context = context;
 }
 
+bool
+BsOutbound_IsReused(const BsOutbound *call)
+{
+    return call->reused;
+}
+
 void
 BsOutbound_ForbidReuse(BsOutbound *call)
 {
--- a/src/gw_outbound.h
+++ b/src/gw_outbound.h
@@ -85,6 +85,9 @@
 void BsOutbound_SetEvents(BsOutbound *call, const BsOutboundEvents *events,
                           void *context);
 
+/* Returns whether the connection of CALL has had answers to other calls. */
+bool BsOutbound_IsReused(const BsOutbound *call);
+
 /* Closes the connection after the answer instead of keeping it. */
 void BsOutbound_ForbidReuse(BsOutbound *call);
 
--- a/src/logtimeline.c
+++ b/src/logtimeline.c
@@ -71,6 +71,11 @@
      "the upstream sent a status that callers read as 'not run', but did not "
      "declare that it had not run it",
      "other requests to the same upstream"},
+    {"refusal_not_proven",
+     "the upstream declared that it had not run the request, but the answer "
+     "may "
+     "be a stray one: it names no request, and its connection has had others",
+     "other requests to the same upstream"},
     {"resume_failed", "no upstream could resume the interrupted stream",
      "the attempts before it"},
     {"silent", "the upstream sent nothing for too long; the attempt goes on",
