Gateway: a mark of not having run proves nothing beside another status

What callers saw: 503 for a booking that ran at four upstreams.

Cause: the mark alone was believed, also on a signed 200, on an event stream, and on 500 and 504, by which upstreams say that they have run a request. Now it is believed with 503 and 4xx only; else the attempt counts as one that may have run (cause refusal_not_proven). It acted until this commit.

Ruled out: passing on the answer without its mark, as one of both is wrong.

--- a/src/gw_attempt.c
+++ b/src/gw_attempt.c
@@ -349,11 +349,20 @@
     return info->request_id == NULL && BsOutbound_IsReused(attempt->call);
 }
 
+/* Returns whether STATUS may declare that a request has not run.  With any
+   other one, a mark that says so contradicts it. */
+static bool
+S_may_refuse(uint32_t status)
+{
+    return status == 503 || (status >= 400 && status < 500);
+}
+
 bool
-BsAttempt_IsRefused(BsRelay *relay, BsRelayAttempt *attempt,
+BsAttempt_IsRefused(BsRelay *relay, BsRelayAttempt *attempt, uint32_t status,
                     const BsAnswerInfo *info)
 {
-    if (!info->refused || S_is_of_another_request(relay, info) ||
+    if (!info->refused || !S_may_refuse(status) ||
+        S_is_of_another_request(relay, info) ||
         S_may_be_stray(attempt, info)) {
         return false;
     }
@@ -465,7 +474,7 @@
     BsTargets_NoteReceived(relay->attempt.target,
                            relay->attempt.last_received_ms);
     BsAnswerHints_Apply(relay, &relay->attempt, &info);
-    if (BsAttempt_IsRefused(relay, &relay->attempt, &info)) {
+    if (BsAttempt_IsRefused(relay, &relay->attempt, head->status, &info)) {
         return;
     }
     const char *defect = S_find_defect(relay, head, &info);
--- a/src/gw_held.c
+++ b/src/gw_held.c
@@ -305,7 +305,7 @@
     BsTargets_NoteReceived(held->target, BsClock_NowMs(relay->gate->clock));
     BsAnswerHints_Apply(relay, held, &info);
     BsAttempt_NoteResumed(relay, held);
-    if (BsAttempt_IsRefused(relay, held, &info)) {
+    if (BsAttempt_IsRefused(relay, held, head->status, &info)) {
         return;
     }
     if (!BsAttempt_AcceptsHead(relay, head, &info)) {
--- a/src/gw_relayparts.h
+++ b/src/gw_relayparts.h
@@ -219,10 +219,10 @@
 /* Records that the upstream of ATTEMPT goes on after it counted as silent. */
 void BsAttempt_NoteResumed(BsRelay *relay, BsRelayAttempt *attempt);
 
-/* Returns whether the answer with INFO to ATTEMPT says that its upstream has
-   not run the request, and records it. */
+/* Returns whether the answer with STATUS and INFO to ATTEMPT proves that its
+   upstream has not run the request, and records it. */
 bool BsAttempt_IsRefused(BsRelay *relay, BsRelayAttempt *attempt,
-                         const BsAnswerInfo *info);
+                         uint32_t status, const BsAnswerInfo *info);
 
 /* Returns whether an answer with HEAD can be sent to the caller. */
 bool BsAttempt_AcceptsHead(const BsRelay *relay, const BsHttpHead *head,
--- a/src/logtimeline.c
+++ b/src/logtimeline.c
@@ -72,9 +72,9 @@
      "declare that it had not run it",
      "other requests to the same upstream"},
     {"refusal_not_proven",
-     "the upstream declared that it had not run the request, but the answer "
-     "may "
-     "be a stray one: it names no request, and its connection has had others",
+     "the upstream declared that it had not run the request, but its status "
+     "says otherwise, or the answer may be a stray one: it names no request, "
+     "and its connection has had others",
      "other requests to the same upstream"},
     {"resume_failed", "no upstream could resume the interrupted stream",
      "the attempts before it"},
