Gateway: a connection remembers the requests refused on it

What callers saw: 503 for a booking that runs; a booking, sent again by its caller under the same id after 503, that ran twice.

Cause: a copy of a refusal comes late on the refusal's connection. Which one that was had been guessed by the upstream and its start, for one request's life: a new entry of the upstream, or a later request with the same id, was sent on the same connection, and the copy believed. Now the connection keeps the ids and is not reused for them.

Ruled out: no reuse at all after a refusal (a new connection for each). After 64 refusals a connection is closed, so that the list ends.

--- a/src/gw_attempt.c
+++ b/src/gw_attempt.c
@@ -30,7 +30,7 @@
 #define EVENT_STREAM_TYPE "text/event-stream"
 
 /* Most times that one request is sent, including refused attempts. */
-#define SENDS_MAX BS_RELAY_REFUSERS_MAX
+#define SENDS_MAX 4
 
 static bool
 S_may_repeat(const BsRelay *relay)
@@ -333,12 +333,10 @@
            strcmp(info->request_id, relay->id) != 0;
 }
 
-static void
-S_note_refuser(BsRelay *relay, const BsRelayAttempt *attempt)
+static uint64_t
+S_hash_id(const BsRelay *relay)
 {
-    if (relay->refusers_count < BS_RELAY_REFUSERS_MAX) {
-        relay->refusers[relay->refusers_count++] = S_hash_upstream(attempt);
-    }
+    return relay->id[0] == '\0' ? 0 : MAX(BsTargets_Hash(relay->id), 1);
 }
 
 /* Returns whether the answer names no request and comes on a connection that
@@ -367,7 +365,7 @@
         return false;
     }
     attempt->refused = true;
-    S_note_refuser(relay, attempt);
+    BsOutbound_NoteRefused(attempt->call, S_hash_id(relay));
     attempt->head_outcome =
         info->misdirected ? BS_TARGET_MISDIRECTED : BS_TARGET_REFUSED;
     if (info->request_id == NULL) {
@@ -780,21 +778,6 @@
     return message;
 }
 
-/* Returns how long a connection that is reused may have been idle; -1: none is
-   reused.  An upstream that has refused the request may send the refusal once
-   more, which could not be told from the answer to this attempt. */
-static int64_t
-S_reuse_idle_ms(const BsRelay *relay)
-{
-    uint32_t upstream = S_hash_upstream(&relay->attempt);
-    for (size_t i = 0; i < relay->refusers_count; i++) {
-        if (relay->refusers[i] == upstream) {
-            return -1;
-        }
-    }
-    return S_may_repeat(relay) ? REUSE_IDLE_MS : REUSE_UNSAFE_IDLE_MS;
-}
-
 void
 BsAttempt_Start(BsRelay *relay, BsTarget *target)
 {
@@ -808,7 +791,9 @@
         .address = target->address,
         .owner = target->id,
         .message = S_message(relay, target, now_ms),
-        .reuse_idle_ms = S_reuse_idle_ms(relay),
+        .reuse_idle_ms =
+            S_may_repeat(relay) ? REUSE_IDLE_MS : REUSE_UNSAFE_IDLE_MS,
+        .id_hash = S_hash_id(relay),
         .connect_timeout_ms = CONNECT_TIMEOUT_MS,
         .no_body = strcmp(relay->head->method, "HEAD") == 0,
     };
--- a/src/gw_outbound.c
+++ b/src/gw_outbound.c
@@ -17,6 +17,9 @@
 /* Interval of the check for idle connections to close. */
 #define SWEEP_S 0.5
 
+/* Refusals after which a connection is closed: each takes memory and time. */
+#define REFUSALS_MAX 64
+
 #define MS_PER_S 1000
 
 typedef struct {
@@ -24,6 +27,7 @@
     BsStream *stream;
     BsOutbound *call; /* NULL while idle */
     char *owner;
+    GArray *refused; /* uint64_t, requests refused on it; NULL: none */
     int64_t idle_since_ms;
     int64_t idle_limit_ms;
     bool connected;
@@ -63,11 +67,26 @@
 {
     BsStream_Destroy(connection->stream);
     g_free(connection->owner);
+    if (connection->refused != NULL) {
+        g_array_free(connection->refused, TRUE);
+    }
     g_free(connection);
 }
 
 /* -------------------------------------------------------------- idle -- */
 
+static bool
+S_has_refused(const BsOutboundConnection *connection, uint64_t request)
+{
+    const GArray *refused = connection->refused;
+    for (guint i = 0; refused != NULL && i < refused->len; i++) {
+        if (g_array_index(refused, uint64_t, i) == request) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 S_remove_idle(BsOutboundConnection *connection)
 {
@@ -135,17 +154,22 @@
 {
     GQueue *queue = g_hash_table_lookup(pool->idle, request->owner);
     int64_t now_ms = BsClock_NowMs(pool->clock);
-    BsOutboundConnection *newest;
-    while (queue != NULL && (newest = g_queue_peek_head(queue)) != NULL) {
-        int64_t idle_ms = now_ms - newest->idle_since_ms;
-        if (idle_ms > MIN(request->reuse_idle_ms, newest->idle_limit_ms)) {
+    GList *link = queue == NULL ? NULL : queue->head;
+    while (link != NULL) {
+        BsOutboundConnection *connection = link->data;
+        GList *next = link->next;
+        int64_t idle_ms = now_ms - connection->idle_since_ms;
+        if (idle_ms > MIN(request->reuse_idle_ms, connection->idle_limit_ms)) {
             return NULL;
         }
-        g_queue_pop_head(queue);
-        if (BsStream_IsIdle(newest->stream)) {
-            return newest;
+        if (!S_has_refused(connection, request->id_hash)) {
+            g_queue_delete_link(queue, link);
+            if (BsStream_IsIdle(connection->stream)) {
+                return connection;
+            }
+            S_destroy_connection(connection);
         }
-        S_destroy_connection(newest);
+        link = next;
     }
     return NULL;
 }
@@ -489,6 +513,19 @@
     call->keep = false;
 }
 
+void
+BsOutbound_NoteRefused(BsOutbound *call, uint64_t id_hash)
+{
+    BsOutboundConnection *connection = call->connection;
+    if (connection->refused == NULL) {
+        connection->refused = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    }
+    g_array_append_val(connection->refused, id_hash);
+    if (connection->refused->len >= REFUSALS_MAX) {
+        BsOutbound_ForbidReuse(call);
+    }
+}
+
 void
 BsOutbound_SetReading(BsOutbound *call, bool reading)
 {
--- a/src/gw_outbound.h
+++ b/src/gw_outbound.h
@@ -48,8 +48,9 @@
     struct sockaddr_in address;
     const char *owner;     /* upstream; has connections of its own */
     GString *message;      /* head and body; ownership is transferred */
-    int64_t reuse_idle_ms; /* longest idle time of a reused connection; -1:
-                              none is reused */
+    int64_t reuse_idle_ms; /* longest idle time of a reused connection */
+    uint64_t id_hash; /* of the request's id; 0: none.  No connection is reused
+                         on which a request with it was refused. */
     uint32_t connect_timeout_ms;
     uint64_t body_max_bytes; /* limit of the answer's body; 0: none */
     bool no_body;            /* the answer has no body, as for HEAD */
@@ -91,6 +92,10 @@
 /* Closes the connection after the answer instead of keeping it. */
 void BsOutbound_ForbidReuse(BsOutbound *call);
 
+/* Records that a request with ID_HASH was refused on the connection of CALL,
+   where a copy of the refusal may come late.  Called within on_head. */
+void BsOutbound_NoteRefused(BsOutbound *call, uint64_t id_hash);
+
 /* Stops or resumes reading the answer. */
 void BsOutbound_SetReading(BsOutbound *call, bool reading);
 
--- a/src/gw_relayparts.h
+++ b/src/gw_relayparts.h
@@ -24,9 +24,6 @@
    a repeatable request can be retried when its answer is truncated. */
 #define BS_ANSWER_BUFFERED_MAX_BYTES 65536
 
-/* As many as a request can be sent. */
-#define BS_RELAY_REFUSERS_MAX 4
-
 /* The part of an answer that has not been forwarded yet. */
 typedef struct {
     GString *headers; /* header lines for the caller */
@@ -104,9 +101,6 @@
     BsRelayAnswer answer;
     char *excluded[BS_RELAY_EXCLUDED_MAX];
     size_t excluded_count;
-    uint32_t refusers[BS_RELAY_REFUSERS_MAX]; /* upstreams, hashed, that have
-                                                 refused the request */
-    size_t refusers_count;
     const char *given_up; /* cause for which the last attempt without an answer
                              ended; NULL: none has */
     uint32_t attempts;    /* times it was sent and not refused */
