boragespurd: half a refusal proves nothing

What callers saw: not-run for a booking that may run.

Cause: the mark of a refusal counted as soon as its line was read, also when the head then broke off, and when it came in the trailer of an answer that had none in its head. Now it counts at the end of the head, and trailers are not read. It acted until this commit.

Evidence: contract_half_refusal, 3 of 3 cases told not-run before; unknown, unknown and ran now. All 64 contract tests of upstreams, streams and refusals pass.

--- a/src/d_transfer.c
+++ b/src/d_transfer.c
@@ -47,7 +47,8 @@
     bool events;     /* the answer is a stream */
     bool has_events; /* a whole event has arrived */
     bool framed;     /* a length or chunks mark the end of the answer */
-    bool unstarted;  /* the upstream reported that it did not start */
+    bool marked;     /* the head so far says that it did not start */
+    bool unstarted;  /* the same, and the head has ended */
     bool paused;
 };
 
@@ -174,23 +175,22 @@
     transfer->head_read = false;
     transfer->framed = false;
     transfer->events = false;
+    transfer->marked = false;
     transfer->unstarted = false;
     g_clear_pointer(&transfer->content_type, g_free);
 }
 
-static size_t
-S_on_header(char *line, size_t unit, size_t count, void *context)
+/* The head has ended; an interim one says nothing. */
+static void
+S_end_head(BsTransfer *transfer)
+{
+    transfer->head_read = transfer->status >= STATUS_FINAL;
+    transfer->unstarted = transfer->head_read && transfer->marked;
+}
+
+static void
+S_read_header(BsTransfer *transfer, const char *line, size_t size)
 {
-    BsTransfer *transfer = context;
-    size_t size = unit * count;
-    if (size <= 2) {
-        transfer->head_read = transfer->status >= STATUS_FINAL;
-        return size;
-    }
-    if (size > strlen(STATUS_LINE) &&
-        strncmp(line, STATUS_LINE, strlen(STATUS_LINE)) == 0) {
-        S_begin_head(transfer);
-    }
     char *type = S_match_header(line, size, "Content-Type");
     char *started = S_match_header(line, size, "X-Request-Started");
     S_read_status(transfer);
@@ -203,9 +203,29 @@
     }
     if (started != NULL && g_ascii_strcasecmp(started, "no") == 0 &&
         (transfer->status == 429 || transfer->status == 503)) {
-        transfer->unstarted = true;
+        transfer->marked = true;
     }
     g_free(started);
+}
+
+static size_t
+S_on_header(char *line, size_t unit, size_t count, void *context)
+{
+    BsTransfer *transfer = context;
+    size_t size = unit * count;
+    if (size > strlen(STATUS_LINE) &&
+        strncmp(line, STATUS_LINE, strlen(STATUS_LINE)) == 0) {
+        S_begin_head(transfer);
+    }
+    if (transfer->head_read) {
+        return size; /* a trailer */
+    }
+    if (size <= 2) {
+        S_end_head(transfer);
+    }
+    else {
+        S_read_header(transfer, line, size);
+    }
     return size;
 }
 
