--- a/tests/contract/upstream_test.cc
+++ b/tests/contract/upstream_test.cc
@@ -290,9 +290,9 @@
 INSTANTIATE_TEST_SUITE_P(Upstream, NoRefusal, testing::ValuesIn(kNoRefusals),
                          [](const auto &info) { return info.param.name; });
 
-// Guards against a long request that an upstream begins to run before all of
-// it is written, and that is reported as not run or sent once more.
-TEST(Upstream, APartlyWrittenRequestMayHaveRun)
+// Guards against a long request that an upstream begins to run before it has
+// read all of it, and that is reported as not run or sent once more.
+TEST(Upstream, APartlyReadRequestMayHaveRun)
 {
     for (bool resets : {false, true}) {
         std::atomic<int> runs{0};
