--- a/tests/gate/gateway_refused_test.cc
+++ b/tests/gate/gateway_refused_test.cc
@@ -536,6 +536,40 @@
     EXPECT_LE(Runs("a"), PromisesNotRun(status) ? 0 : 1) << status;
 }
 
+// Guards against a request that is sent on a connection which has ended while
+// the gateway was suspended, and is reported as not run or lost.
+TEST_F(RefusedTest, AConnectionThatEndsBesideASuspensionIsNotUsed)
+{
+    Handler handler = [this](Socket &socket) {
+        for (ReceivedRequest got; !(got = Read(socket)).id.empty();) {
+            if (got.id.compare(0, 4, "warm") != 0) {
+                Run(got);
+            }
+            Answers(socket, got);
+            if (got.id == "warm-a" || got.id == "warm-b") {
+                Eventually([this] { return kept_ == 1; }); /* suspended */
+                got.id == "warm-a" ? socket.Reset() : socket.CloseWrite();
+                kept_ = 2;
+                return;
+            }
+        }
+    };
+    StartServers({handler});
+    for (const std::string &id : {std::string("a"), std::string("b")}) {
+        kept_ = 0;
+        std::unique_ptr<Socket> caller = gateway_->Open();
+        EXPECT_TRUE(IsHealthy(gateway_->Ask(Call("/look/1", "warm-" + id)),
+                              "warm-" + id));
+        gateway_->Signal(SIGSTOP);
+        kept_ = 1;
+        EXPECT_TRUE(Eventually([this] { return kept_ == 2; }));
+        caller->Write(Call("/book/1", id));
+        gateway_->Signal(SIGCONT);
+        EXPECT_TRUE(IsHealthy(caller->ReadMessage(), id));
+        EXPECT_EQ(Runs(id), 1);
+    }
+}
+
 // Guards against a false "not run" at the end of a stop.
 TEST_F(RefusedTest, ARequestAtItsUpstreamAtTheEndOfAStopIsNotReportedAsNotRun)
 {
