Retry budget: each repeat granted or denied is logged with what decided

Callers saw 502 or 503 where the budget denied a repeat, and a fleet may have sent more repeats than allowed; neither could be told from the logs. A line for each grant and each denial (once until the request is granted one) gives what is allowed and left, what was counted, and the number of instances. Denials are counted in retries_denied_total. What is granted is unchanged.

--- a/src/gw_attempt.c
+++ b/src/gw_attempt.c
@@ -229,10 +229,13 @@
     if (relay->sends == 0 || relay->send_taken) {
         return true;
     }
+    if (relay->sends >= SENDS_MAX) {
+        return false;
+    }
     relay->send_taken =
-        relay->sends < SENDS_MAX &&
         BsRetryBudget_Take(gate->retries, relay->service->name,
                            gate->instances, BsClock_NowMs(gate->clock));
+    BsRelay_LogBudget(relay, relay->send_taken);
     return relay->send_taken;
 }
 
--- a/src/gw_relaylog.c
+++ b/src/gw_relaylog.c
@@ -3,6 +3,8 @@
 #include "gw_limitlog.h"
 #include "gw_relayparts.h"
 
+#include <math.h>
+
 /* Hexadecimal digits of a content hash in the log. */
 #define CONTENT_DIGITS 16
 
@@ -150,6 +152,37 @@
     BsRelay_LogAttempt(relay, &relay->attempt, event_class, event, cause);
 }
 
+void
+BsRelay_LogBudget(BsRelay *relay, bool granted)
+{
+    BsGate *gate = relay->gate;
+    bool is_known = !granted && relay->send_denied;
+    relay->send_denied = !granted;
+    if (is_known) {
+        return; /* a silent upstream's request asks again and again */
+    }
+    if (!granted) {
+        BsCounters_Add(gate->counters, "retries_denied_total", 1);
+    }
+    if (!BsEventLog_Begin(gate->log,
+                          granted ? BS_EVENT_DETAIL : BS_EVENT_FAILURE,
+                          granted ? "retry_granted" : "retry_denied")) {
+        return;
+    }
+    BsRetryBudgetState state =
+        BsRetryBudget_Read(gate->retries, relay->service->name,
+                           gate->instances, BsClock_NowMs(gate->clock));
+    double left = state.allowed - (double)state.retries;
+    BsEventLog_Text(gate->log, "request", relay->id);
+    BsEventLog_Text(gate->log, "service", relay->service->name);
+    BsEventLog_Number(gate->log, "budget_left", (int64_t)floor(left));
+    BsEventLog_Number(gate->log, "budget_allowed", (int64_t)state.allowed);
+    BsEventLog_Number(gate->log, "budget_requests", (int64_t)state.requests);
+    BsEventLog_Number(gate->log, "budget_retries", (int64_t)state.retries);
+    BsEventLog_Number(gate->log, "instances", gate->instances);
+    BsEventLog_End(gate->log);
+}
+
 static void
 S_count_outcome(const BsRelay *relay, const char *outcome)
 {
--- a/src/gw_relayparts.h
+++ b/src/gw_relayparts.h
@@ -106,6 +106,7 @@
     uint32_t attempts;    /* times it was sent and not refused */
     uint32_t sends;       /* times it was sent */
     bool send_taken;      /* the retry budget of the next send is taken */
+    bool send_denied;     /* the retry budget denied it the next send */
     bool may_have_run;
     bool answered; /* with the whole answer of an upstream that ran it */
 };
@@ -150,6 +151,10 @@
 void BsRelay_Log(BsRelay *relay, BsEventClass event_class, const char *event,
                  const char *cause);
 
+/* Logs the retry budget of the request's service after it granted or denied
+   the request one more send; a denial only once until a send is granted. */
+void BsRelay_LogBudget(BsRelay *relay, bool granted);
+
 /* As BsRelay_Log(), with ATTEMPT instead of the current one. */
 void BsRelay_LogAttempt(BsRelay *relay, const BsRelayAttempt *attempt,
                         BsEventClass event_class, const char *event,
--- a/src/quota.c
+++ b/src/quota.c
@@ -374,23 +374,39 @@
     counts->requests[counts->newest]++;
 }
 
+/* Returns what COUNTS, which are current, allow in a fleet of INSTANCES. */
+static BsRetryBudgetState
+S_read_counts(const BsRetryBudget *budget, const BsRetryCounts *counts,
+              unsigned instances)
+{
+    BsRetryBudgetState state = {0};
+    for (size_t i = 0; i < RETRY_SPANS; i++) {
+        state.requests += counts->requests[i];
+        state.retries += counts->retries[i];
+    }
+    state.allowed =
+        RETRY_BUDGET_FRACTION * (budget->ratio * (double)state.requests +
+                                 budget->slack / MAX(instances, 1));
+    return state;
+}
+
 bool
 BsRetryBudget_Take(BsRetryBudget *budget, const char *service,
                    unsigned instances, int64_t now_ms)
 {
     BsRetryCounts *counts = S_current_counts(budget, service, now_ms);
-    uint64_t requests = 0;
-    uint64_t retries = 0;
-    for (size_t i = 0; i < RETRY_SPANS; i++) {
-        requests += counts->requests[i];
-        retries += counts->retries[i];
-    }
-    double allowed =
-        RETRY_BUDGET_FRACTION *
-        (budget->ratio * (double)requests + budget->slack / MAX(instances, 1));
-    if ((double)retries + 1 > allowed) {
+    BsRetryBudgetState state = S_read_counts(budget, counts, instances);
+    if ((double)state.retries + 1 > state.allowed) {
         return false;
     }
     counts->retries[counts->newest]++;
     return true;
 }
+
+BsRetryBudgetState
+BsRetryBudget_Read(BsRetryBudget *budget, const char *service,
+                   unsigned instances, int64_t now_ms)
+{
+    return S_read_counts(budget, S_current_counts(budget, service, now_ms),
+                         instances);
+}
--- a/src/quota.h
+++ b/src/quota.h
@@ -99,4 +99,16 @@
 bool BsRetryBudget_Take(BsRetryBudget *budget, const char *service,
                         unsigned instances, int64_t now_ms);
 
+/* What a budget of a service was decided by. */
+typedef struct {
+    uint64_t requests; /* counted now */
+    uint64_t retries;  /* counted now */
+    double allowed;    /* this instance's share, in retries */
+} BsRetryBudgetState;
+
+/* Returns the state of the budget of SERVICE, in a fleet of INSTANCES. */
+BsRetryBudgetState BsRetryBudget_Read(BsRetryBudget *budget,
+                                      const char *service, unsigned instances,
+                                      int64_t now_ms);
+
 #endif /* BS_QUOTA_H */
--- a/tests/gate/retrybudget_test.cc
+++ b/tests/gate/retrybudget_test.cc
@@ -67,4 +67,19 @@
     EXPECT_EQ(TakeAll(kStartMs + 2 * kWindowMs), all);
 }
 
+// Guards against log lines that give another state than the one that decided.
+TEST_F(RetryBudgetTest, TheStateThatIsReadIsTheOneThatDecides)
+{
+    for (int i = 0; i < 100; i++) {
+        BsRetryBudget_AddRequest(budget_, "desk", kStartMs);
+    }
+    int all = TakeAll(kStartMs);
+    BsRetryBudgetState state =
+        BsRetryBudget_Read(budget_, "desk", 1, kStartMs);
+    EXPECT_EQ(state.requests, 100U);
+    EXPECT_EQ(state.retries, (uint64_t)all);
+    EXPECT_GE(state.allowed, all);
+    EXPECT_LT(state.allowed, all + 1);
+}
+
 } // namespace
