Retry budget: a new process leaves room for what the previous one sent

Callers were not harmed; upstreams got more repeats in a window than the operators allow. Cause: a process had its whole share (0.7 of its part) from its start, whatever its previous one had just sent: 1.4 or 2.1 shares in a window with restarts. Besides, a window was counted in 4 spans, so that requests of up to 1.33 windows allowed repeats.

For the first window after its start a process uses 0.25 of what requests allow, and 0.25 of its slack in proportion to its age, so that any number of short-lived ones stay within the rest. A window has 20 spans; requests count for a window at most, repeats for one at least.

The price: an isolated failure in the first seconds of a process is denied a repeat where it had few requests. Ruled out: a constant part from the start (restarts in quick succession add up), peers that tell what the previous process used (all may be killed at once).

--- a/src/gw_gateway.c
+++ b/src/gw_gateway.c
@@ -353,9 +353,9 @@
     gate->relays = g_hash_table_new(g_direct_hash, g_direct_equal);
     gate->targets = BsTargets_Create(settings->data_centre, settings->region);
     gate->quotas = BsQuotas_Create(bounds->quota_over, bounds->quota_slack);
-    gate->retries =
-        BsRetryBudget_Create(bounds->retry_ratio, bounds->retry_slack,
-                             (int64_t)bounds->retry_window_s * MS_PER_S);
+    gate->retries = BsRetryBudget_Create(
+        bounds->retry_ratio, bounds->retry_slack,
+        (int64_t)bounds->retry_window_s * MS_PER_S, gateway->started_ms);
     gate->queue = BsWaitQueue_Create();
     gate->predictors = BsPredictors_Create();
     gate->yields = BsYields_Create();
--- a/src/quota.c
+++ b/src/quota.c
@@ -13,18 +13,28 @@
    the last request admitted may be large. */
 #define TOLERANCE_FRACTION 0.5
 
-/* Fraction of the fleet's retry budget that instances use, as requests and
-   retries are counted in sliding windows. */
-#define RETRY_BUDGET_FRACTION 0.7
+/* Percentage of its share of the fleet's retry budget that an instance uses.
+ */
+#define RETRY_PERCENT 70
 
-/* Spans that a window is counted in: as the window slides, only the retries of
-   its oldest span are allowed again at a time. */
-#define RETRY_SPANS 4
+/* The same in the first window after the start.  The process before may have
+   used RETRY_PERCENT just before it ended, and both together must stay
+   within the share. */
+#define RETRY_START_PERCENT 25
+
+/* Spans that a window is counted in.  Retries are counted in one more, so that
+   each counts for a whole window at least; requests are not, so that none
+   counts for longer than a window. */
+#define REQUEST_SPANS 20
+#define RETRY_SPANS (REQUEST_SPANS + 1)
+
+G_STATIC_ASSERT(RETRY_PERCENT + RETRY_START_PERCENT <= 100);
 
 /* Key of the rest of the fleet in the table of peers; not a valid address. */
 #define FLEET_PEER 0
 
 #define MS_PER_S 1000.0
+#define PERCENT 100.0
 
 typedef struct {
     char *name;
@@ -310,14 +320,18 @@
 struct BsRetryBudget {
     double ratio;
     double slack;
+    int64_t started_ms;
+    int64_t window_ms;
     int64_t span_ms;
     GHashTable *services; /* name to BsRetryCounts */
 };
 
 BsRetryBudget *
-BsRetryBudget_Create(double ratio, double slack, int64_t window_ms)
+BsRetryBudget_Create(double ratio, double slack, int64_t window_ms,
+                     int64_t started_ms)
 {
     BsRetryBudget *budget = g_new0(BsRetryBudget, 1);
+    budget->started_ms = started_ms;
     BsRetryBudget_SetBounds(budget, ratio, slack, window_ms);
     budget->services =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -330,9 +344,9 @@
 {
     budget->ratio = ratio;
     budget->slack = slack;
-    /* The kept spans, of which the newest is incomplete, always cover at least
-       a whole window. */
-    budget->span_ms = MAX(1, window_ms / (RETRY_SPANS - 1));
+    budget->window_ms = window_ms;
+    /* Rounded up, so that REQUEST_SPANS complete ones cover a window. */
+    budget->span_ms = MAX(1, (window_ms + REQUEST_SPANS - 1) / REQUEST_SPANS);
 }
 
 void
@@ -377,16 +391,26 @@
 /* Returns what COUNTS, which are current, allow in a fleet of INSTANCES. */
 static BsRetryBudgetState
 S_read_counts(const BsRetryBudget *budget, const BsRetryCounts *counts,
-              unsigned instances)
+              unsigned instances, int64_t now_ms)
 {
     BsRetryBudgetState state = {0};
+    size_t oldest = (counts->newest + 1) % RETRY_SPANS;
     for (size_t i = 0; i < RETRY_SPANS; i++) {
-        state.requests += counts->requests[i];
+        state.requests += i == oldest ? 0 : counts->requests[i];
         state.retries += counts->retries[i];
     }
+    double by_requests = budget->ratio * (double)state.requests;
+    double by_slack = budget->slack / MAX(instances, 1);
+    int64_t age_ms = now_ms - budget->started_ms;
+    if (age_ms >= budget->window_ms) {
+        state.allowed = RETRY_PERCENT / PERCENT * (by_requests + by_slack);
+        return state;
+    }
+    /* The slack grows with the age, as several short-lived processes may have
+       used a part of it one after the other. */
+    double age = (double)MAX(age_ms, 0) / (double)budget->window_ms;
     state.allowed =
-        RETRY_BUDGET_FRACTION * (budget->ratio * (double)state.requests +
-                                 budget->slack / MAX(instances, 1));
+        RETRY_START_PERCENT / PERCENT * (by_requests + by_slack * age);
     return state;
 }
 
@@ -395,7 +419,8 @@
                    unsigned instances, int64_t now_ms)
 {
     BsRetryCounts *counts = S_current_counts(budget, service, now_ms);
-    BsRetryBudgetState state = S_read_counts(budget, counts, instances);
+    BsRetryBudgetState state =
+        S_read_counts(budget, counts, instances, now_ms);
     if ((double)state.retries + 1 > state.allowed) {
         return false;
     }
@@ -408,5 +433,5 @@
                    unsigned instances, int64_t now_ms)
 {
     return S_read_counts(budget, S_current_counts(budget, service, now_ms),
-                         instances);
+                         instances, now_ms);
 }
--- a/src/quota.h
+++ b/src/quota.h
@@ -79,9 +79,10 @@
 
 /* Creates a budget that allows the whole fleet RATIO retries per request plus
    SLACK retries in each WINDOW_MS, for each service; this instance uses its
-   share. */
+   share.  The process started at STARTED_MS; in the first window after that it
+   uses less, as the one before it may have used its own share. */
 BsRetryBudget *BsRetryBudget_Create(double ratio, double slack,
-                                    int64_t window_ms);
+                                    int64_t window_ms, int64_t started_ms);
 
 /* Changes the bounds; requests and retries already counted stay counted. */
 void BsRetryBudget_SetBounds(BsRetryBudget *budget, double ratio, double slack,
