Retry budget: the fleet's size includes instances that cannot be reached

Upstreams got more repeats than the operators allow. Cause: the slack was divided by the instances seen within a minute, by 8 for 10 s after a start without any, then by 1; two halves of a split fleet, or lone instances, each took the whole of it.

It is now divided by the largest size known within an hour, in proportion more while some seeds have not been seen since the start, and by 256 while no other instance was. Quotas and cold limits still go by BsGossip_Known(). Only the slack depends on it; repeats by requests are granted as before.

The price: with a seed that is gone for good, instances started since use 2/3 of their slack (one of three seeds); a fleet that shrinks divides by its old size for an hour.

--- a/src/gossip.c
+++ b/src/gossip.c
@@ -51,6 +51,7 @@
     gossip->fleet_reported_ms = BS_GOSSIP_NEVER_MS;
     gossip->served_ms = BS_GOSSIP_NEVER_MS;
     gossip->fleet_ms = BS_GOSSIP_NEVER_MS;
+    gossip->largest_ms = BS_GOSSIP_NEVER_MS;
     gossip->entries = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     return gossip;
 }
@@ -94,9 +95,11 @@
 void
 BsGossip_AddSeed(BsGossip *gossip, uint32_t address, int64_t now_ms)
 {
-    if (address != gossip->address) {
-        BsGossip_FindOrAdd(gossip, address, now_ms)->member.seed = true;
+    if (address == gossip->address) {
+        gossip->is_seed = true;
+        return;
     }
+    BsGossip_FindOrAdd(gossip, address, now_ms)->member.seed = true;
 }
 
 bool
@@ -426,9 +429,22 @@
     return due;
 }
 
+static void
+S_note_largest(BsGossip *gossip, int64_t now_ms)
+{
+    unsigned known = BsGossip_Known(gossip, now_ms);
+    bool old = now_ms - gossip->largest_ms > BS_GOSSIP_LARGEST_HOLD_MS;
+    bool alone = BsGossip_Counted(gossip, now_ms) == 1;
+    if (!alone && (old || known >= gossip->largest_known)) {
+        gossip->largest_known = known;
+        gossip->largest_ms = now_ms;
+    }
+}
+
 GArray *
 BsGossip_Due(BsGossip *gossip, bool changed, int64_t now_ms)
 {
+    S_note_largest(gossip, now_ms);
     if (now_ms - gossip->purged_ms >= PURGE_PAUSE_MS) {
         gossip->purged_ms = now_ms;
         S_remove_expired(gossip, now_ms);
@@ -606,3 +622,33 @@
     unsigned known = BsGossip_Known(gossip, now_ms);
     return (double)MIN(BsGossip_Reachable(gossip, now_ms), known) / known;
 }
+
+/* Returns KNOWN in the proportion of all seeds to those seen since the
+   start. */
+static unsigned
+S_scale_by_seeds(const BsGossip *gossip, unsigned known)
+{
+    unsigned seeds = gossip->is_seed;
+    unsigned seen = gossip->is_seed;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, gossip->entries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const BsGossipMember *member = &((BsGossipEntry *)value)->member;
+        seeds += member->seed;
+        seen += member->seed && member->last_received_ms != BS_GOSSIP_NEVER_MS;
+    }
+    return seeds <= seen ? known : known * seeds / MAX(seen, 1);
+}
+
+unsigned
+BsGossip_KnownAtMost(const BsGossip *gossip, int64_t now_ms)
+{
+    unsigned known = BsGossip_Known(gossip, now_ms);
+    if (gossip->largest_known == 0) {
+        return known == 1 && g_hash_table_size(gossip->entries) == 0
+                   ? 1
+                   : MAX(known, BS_GOSSIP_UNKNOWN_INSTANCES);
+    }
+    return S_scale_by_seeds(gossip, MAX(known, gossip->largest_known));
+}
--- a/src/gossip.h
+++ b/src/gossip.h
@@ -204,6 +204,17 @@
    the start, while no other instance was seen, a larger size is assumed. */
 unsigned BsGossip_Known(const BsGossip *gossip, int64_t now_ms);
 
+/* Size of the fleet that an instance assumes which has seen no other one since
+   its start although it has seeds. */
+#define BS_GOSSIP_UNKNOWN_INSTANCES 256
+
+/* Returns the size of the fleet, including instances that this one cannot
+   reach: the largest that it knew within an hour
+   (BS_GOSSIP_LARGEST_HOLD_MS), in proportion larger while it has not seen all
+   seeds.  For limits that hold for instances out of touch with each other,
+   too. */
+unsigned BsGossip_KnownAtMost(const BsGossip *gossip, int64_t now_ms);
+
 /* Returns how many instances this one or its hub has seen within a minute
    (BS_GOSSIP_REMOVE_AFTER_MS).  This is the number to report to others;
    BsGossip_Known() includes sizes that they reported, which must not be passed
--- a/src/gossip_private.h
+++ b/src/gossip_private.h
@@ -12,6 +12,9 @@
    seed. */
 #define BS_GOSSIP_REMOVE_AFTER_MS 60000
 
+/* The largest size of the fleet is held for this long. */
+#define BS_GOSSIP_LARGEST_HOLD_MS 3600000
+
 /* Pause between reports to an unresponsive member. */
 #define BS_GOSSIP_RETRY_PAUSE_MS 400
 
@@ -49,6 +52,9 @@
     GHashTable *entries;        /* address to BsGossipEntry */
     uint32_t fleet_reported;    /* largest fleet size reported by others */
     int64_t fleet_reported_ms;  /* when it was reported */
+    uint32_t largest_known;     /* largest size known; 0: no other was seen */
+    int64_t largest_ms;         /* when it was last known */
+    bool is_seed;               /* this instance is a seed itself */
     uint32_t hub;               /* address; 0: none */
     int64_t hub_since_ms;       /* when it was chosen */
     int64_t served_ms; /* when an instance last asked us for summaries */
--- a/src/gw_attempt.c
+++ b/src/gw_attempt.c
@@ -234,7 +234,7 @@
     }
     relay->send_taken =
         BsRetryBudget_Take(gate->retries, relay->service->name,
-                           gate->instances, BsClock_NowMs(gate->clock));
+                           gate->retry_instances, BsClock_NowMs(gate->clock));
     BsRelay_LogBudget(relay, relay->send_taken);
     return relay->send_taken;
 }
--- a/src/gw_gate.h
+++ b/src/gw_gate.h
@@ -65,6 +65,10 @@
     int64_t stop_began_ms; /* while STOPPING: when SIGTERM came */
     int64_t stop_end_ms;   /* while STOPPING: when the process ends at the
                               latest */
+
+    /* Size of the fleet by which the retry budget goes; see
+       BsGossip_KnownAtMost(). */
+    unsigned retry_instances;
 } BsGate;
 
 #endif /* BS_GW_GATE_H */
--- a/src/gw_gossip.c
+++ b/src/gw_gossip.c
@@ -522,6 +522,7 @@
     BsGate *gate = task->gate;
     double share = BsGossip_Share(task->gossip, now_ms);
     gate->instances = BsGossip_Known(task->gossip, now_ms);
+    gate->retry_instances = BsGossip_KnownAtMost(task->gossip, now_ms);
     BsTargets_SetShare(gate->targets, share);
     BsTargets_SetInstances(gate->targets, gate->instances);
     BsQuotas_SetShare(gate->quotas, share);
--- a/src/gw_relaylog.c
+++ b/src/gw_relaylog.c
@@ -171,7 +171,7 @@
     }
     BsRetryBudgetState state =
         BsRetryBudget_Read(gate->retries, relay->service->name,
-                           gate->instances, BsClock_NowMs(gate->clock));
+                           gate->retry_instances, BsClock_NowMs(gate->clock));
     double left = state.allowed - (double)state.retries;
     BsEventLog_Text(gate->log, "request", relay->id);
     BsEventLog_Text(gate->log, "service", relay->service->name);
@@ -179,7 +179,7 @@
     BsEventLog_Number(gate->log, "budget_allowed", (int64_t)state.allowed);
     BsEventLog_Number(gate->log, "budget_requests", (int64_t)state.requests);
     BsEventLog_Number(gate->log, "budget_retries", (int64_t)state.retries);
-    BsEventLog_Number(gate->log, "instances", gate->instances);
+    BsEventLog_Number(gate->log, "instances", gate->retry_instances);
     BsEventLog_End(gate->log);
 }
 
--- a/tests/gate/retryfleet_test.cc
+++ b/tests/gate/retryfleet_test.cc
@@ -117,7 +117,8 @@
     // The number of instances that a gateway goes by.
     unsigned Instances(const Node *node)
     {
-        return BsGossip_Known(BsFleetAgent_Gossip(node->agent), world_.now_ms);
+        return BsGossip_KnownAtMost(BsFleetAgent_Gossip(node->agent),
+                                    world_.now_ms);
     }
     void Kill(Node *node)
     {
