--- a/tests/gate/retryfleet_test.cc
+++ b/tests/gate/retryfleet_test.cc
@@ -38,6 +38,7 @@
     kOneDataCentreInSplit,
     kLongSplit,           // data centres are cut off for over a minute
     kLongSplitAndRestart, // and restart after it
+    kLate,                // repeats wait for slots, or upstreams are paused
 };
 
 struct FleetCase {
@@ -170,9 +171,26 @@
         BsRetryBudget *budget = processes_[node->address].budget;
         BsRetryBudget_AddRequest(budget, service.name, world_.now_ms);
         for (int i = 0; fails_ && i < kRepeatsMax; i++) {
-            service.repeats[step] += BsRetryBudget_Take(
-                budget, service.name, Instances(node), world_.now_ms);
+            if (BsRetryBudget_Take(budget, service.name, Instances(node),
+                                   world_.now_ms)) {
+                late_.push_back({node, &service});
+            }
+        }
+        Arrive();
+    }
+    // The repeats that were granted arrive, unless they are late.
+    void Arrive()
+    {
+        size_t step = (size_t)(world_.now_ms / kStepMs);
+        if (world_.now_ms < late_until_ms_) {
+            return;
+        }
+        for (const auto &late : late_) {
+            std::vector<int> &repeats = late.second->repeats;
+            repeats.resize(std::max(repeats.size(), step + 1));
+            repeats[step]++;
         }
+        late_.clear();
     }
     bool IsPulse()
     {
@@ -227,6 +245,9 @@
             CutDataCentres();
             Run(70000);
         }
+        if (event == Event::kLate) {
+            late_until_ms_ = world_.now_ms + 8000;
+        }
     }
     // What happens while they fail, when budgets have just been used up.
     void Play(Event event)
@@ -263,6 +284,7 @@
             KillAll();
             return;
         case Event::kNone:
+        case Event::kLate:
         case Event::kLongSplit:
             return;
         }
@@ -305,6 +327,8 @@
     }
 
     bool fails_ = false;
+    int64_t late_until_ms_ = 0;
+    std::vector<std::pair<Node *, Service *>> late_; // granted, not arrived
     std::map<uint32_t, Process> processes_;
     std::multimap<int64_t, Node *> starts_;
     std::vector<Service> services_ = {{"desk", 0.75, 0, {}, {}},
@@ -349,6 +373,11 @@
     {"LongSplitAndRestart", Event::kLongSplitAndRestart, Load::kSteady},
 };
 
+const FleetCase kLateArrivals[] = {
+    {"Steady", Event::kLate, Load::kSteady},
+    {"Pulses", Event::kLate, Load::kPulses},
+};
+
 std::string
 Name(const testing::TestParamInfo<std::tuple<Size, FleetCase>> &info)
 {
@@ -366,4 +395,9 @@
                                           testing::ValuesIn(kSplits)),
                          Name);
 
+INSTANTIATE_TEST_SUITE_P(Late, RetryFleetTest,
+                         testing::Combine(testing::ValuesIn(kSizes),
+                                          testing::ValuesIn(kLateArrivals)),
+                         Name);
+
 } // namespace
