Retry budget: a repeat counts until a window after its upstream has answered

Upstreams got more repeats in a window than the operators allow. Cause: a repeat was counted when it was granted and forgotten a window later, though it may wait for a slot, or lie unread at a paused upstream, and arrive beside those of a later window.

A granted repeat is open, and counts, until its upstream has answered or the attempt has ended, and then for a window. One that is not sent is given back.

Not covered: an attempt that the gateway gave up on without an answer and that the upstream reads more than a window later; and the first sending of a request, read after its repeat: it is the arrival beyond the first then, and has no budget of its own. By reading, upstreams' slots bound the second; not measured. Ruled out: counting until the end of the answer, which for long streams would keep repeats from others.

--- a/src/gw_attempt.c
+++ b/src/gw_attempt.c
@@ -130,6 +130,30 @@
     gate->report_changed = true;
 }
 
+void
+BsAttempt_SettleSends(BsRelay *relay)
+{
+    uint32_t unsent = relay->send_taken ? 1 : 0;
+    if (relay->open_sends > unsent) {
+        BsRetryBudget_Settle(relay->gate->retries, relay->service->name,
+                             relay->open_sends - unsent,
+                             BsClock_NowMs(relay->gate->clock));
+        relay->open_sends = unsent;
+    }
+}
+
+void
+BsAttempt_ReturnSends(BsRelay *relay)
+{
+    BsAttempt_SettleSends(relay);
+    if (relay->send_taken) {
+        BsRetryBudget_GiveBack(relay->gate->retries, relay->service->name,
+                               BsClock_NowMs(relay->gate->clock));
+        relay->send_taken = false;
+        relay->open_sends = 0;
+    }
+}
+
 static uint32_t
 S_hash_upstream(const BsRelayAttempt *attempt)
 {
@@ -191,6 +215,7 @@
         relay->may_have_run = true;
         BsAttempt_NoteGivenUp(relay, attempt);
     }
+    BsAttempt_SettleSends(relay);
     BsOutbound_Cancel(attempt->call);
     BsAttempt_End(relay, attempt, BS_TARGET_ABANDONED);
 }
@@ -235,6 +260,7 @@
     relay->send_taken =
         BsRetryBudget_Take(gate->retries, relay->service->name,
                            gate->retry_instances, BsClock_NowMs(gate->clock));
+    relay->open_sends += relay->send_taken;
     BsRelay_LogBudget(relay, relay->send_taken);
     return relay->send_taken;
 }
@@ -470,6 +496,7 @@
     BsGate *gate = relay->gate;
     BsAnswerInfo info;
     gate->wire->read_answer(head, &info);
+    BsAttempt_SettleSends(relay);
     BsAttempt_NoteResumed(relay, &relay->attempt);
     relay->attempt.last_received_ms = BsClock_NowMs(gate->clock);
     BsTargets_NoteReceived(relay->attempt.target,
@@ -727,6 +754,7 @@
 {
     BsRelay *relay = context;
     relay->attempt.call = NULL;
+    BsAttempt_SettleSends(relay);
     if (relay->attempt.ended_by == NULL) {
         end = BsAttempt_JudgeEnd(relay, &relay->attempt, end);
     }
--- a/src/gw_relayparts.h
+++ b/src/gw_relayparts.h
@@ -105,8 +105,10 @@
                              ended; NULL: none has */
     uint32_t attempts;    /* times it was sent and not refused */
     uint32_t sends;       /* times it was sent */
-    bool send_taken;      /* the retry budget of the next send is taken */
-    bool send_denied;     /* the retry budget denied it the next send */
+    uint32_t
+        open_sends;   /* granted by the retry budget and not settled there */
+    bool send_taken;  /* the retry budget of the next send is taken */
+    bool send_denied; /* the retry budget denied it the next send */
     bool may_have_run;
     bool answered; /* with the whole answer of an upstream that ran it */
 };
@@ -189,6 +191,13 @@
 /* Cancels the current and all held attempts. */
 void BsAttempt_AbandonAll(BsRelay *relay);
 
+/* Tells the retry budget that the sends that it granted the request have
+   arrived or ended; not one that is still to be sent. */
+void BsAttempt_SettleSends(BsRelay *relay);
+
+/* The same, and returns the one that is not sent, as the request ends. */
+void BsAttempt_ReturnSends(BsRelay *relay);
+
 /* Records that ATTEMPT is given up while its upstream may still run it or may
    be down.  When that upstream was removed from the list without draining or
    leaving, also records that it has ended. */
--- a/src/quota.c
+++ b/src/quota.c
@@ -313,6 +313,7 @@
 typedef struct {
     uint64_t requests[RETRY_SPANS];
     uint64_t retries[RETRY_SPANS];
+    uint64_t open;      /* granted and not settled */
     size_t newest;      /* index of the newest span */
     int64_t started_ms; /* when the newest span began */
 } BsRetryCounts;
@@ -393,7 +394,7 @@
 S_read_counts(const BsRetryBudget *budget, const BsRetryCounts *counts,
               unsigned instances, int64_t now_ms)
 {
-    BsRetryBudgetState state = {0};
+    BsRetryBudgetState state = {.retries = counts->open};
     size_t oldest = (counts->newest + 1) % RETRY_SPANS;
     for (size_t i = 0; i < RETRY_SPANS; i++) {
         state.requests += i == oldest ? 0 : counts->requests[i];
@@ -424,10 +425,28 @@
     if ((double)state.retries + 1 > state.allowed) {
         return false;
     }
-    counts->retries[counts->newest]++;
+    counts->open++;
     return true;
 }
 
+void
+BsRetryBudget_Settle(BsRetryBudget *budget, const char *service,
+                     unsigned count, int64_t now_ms)
+{
+    BsRetryCounts *counts = S_current_counts(budget, service, now_ms);
+    uint64_t settled = MIN(counts->open, count);
+    counts->open -= settled;
+    counts->retries[counts->newest] += settled;
+}
+
+void
+BsRetryBudget_GiveBack(BsRetryBudget *budget, const char *service,
+                       int64_t now_ms)
+{
+    BsRetryCounts *counts = S_current_counts(budget, service, now_ms);
+    counts->open -= MIN(counts->open, 1);
+}
+
 BsRetryBudgetState
 BsRetryBudget_Read(BsRetryBudget *budget, const char *service,
                    unsigned instances, int64_t now_ms)
--- a/src/quota.h
+++ b/src/quota.h
@@ -96,14 +96,23 @@
                               int64_t now_ms);
 
 /* Returns whether one more retry may be sent to SERVICE, in a fleet of
-   INSTANCES, and if so counts it. */
+   INSTANCES, and if so counts it as open.  An open retry counts until a whole
+   window after BsRetryBudget_Settle(), as it is not known when it arrives. */
 bool BsRetryBudget_Take(BsRetryBudget *budget, const char *service,
                         unsigned instances, int64_t now_ms);
 
+/* Records that COUNT open retries to SERVICE have arrived by now. */
+void BsRetryBudget_Settle(BsRetryBudget *budget, const char *service,
+                          unsigned count, int64_t now_ms);
+
+/* Returns an open retry to SERVICE that is not sent. */
+void BsRetryBudget_GiveBack(BsRetryBudget *budget, const char *service,
+                            int64_t now_ms);
+
 /* What a budget of a service was decided by. */
 typedef struct {
     uint64_t requests; /* counted now */
-    uint64_t retries;  /* counted now */
+    uint64_t retries;  /* counted now, with the open ones */
     double allowed;    /* this instance's share, in retries */
 } BsRetryBudgetState;
 
--- a/tests/gate/gatescript_limits.c
+++ b/tests/gate/gatescript_limits.c
@@ -103,10 +103,12 @@
     int64_t count = g_ascii_strtoll(arguments[0], NULL, 10);
     int64_t allowed = 0;
     for (int64_t i = 0; i < count; i++) {
-        allowed += BsRetryBudget_Take(
+        bool granted = BsRetryBudget_Take(
             script->retries, "desk",
             (unsigned)GateScript_Number(arguments, "instances", 1),
             script->now_ms);
+        BsRetryBudget_Settle(script->retries, "desk", granted, script->now_ms);
+        allowed += granted;
     }
     GateScript_Print(script, "repeats %" G_GINT64_FORMAT, allowed);
     return true;
--- a/tests/gate/retrybudget_test.cc
+++ b/tests/gate/retrybudget_test.cc
@@ -29,6 +29,7 @@
     {
         int taken = 0;
         while (BsRetryBudget_Take(budget_, "desk", 1, now_ms)) {
+            BsRetryBudget_Settle(budget_, "desk", 1, now_ms);
             taken++;
         }
         return taken;
@@ -83,4 +84,29 @@
     EXPECT_LT(state.allowed, all + 1);
 }
 
+// Guards against repeats that are forgotten while they wait for a slot or lie
+// unread at an upstream, and then arrive beside those of another window.
+TEST_F(RetryBudgetTest, RetriesCountUntilAWindowAfterTheirArrival)
+{
+    const int64_t arrived_ms = kStartMs + 3 * kWindowMs;
+    int open = 0;
+    while (BsRetryBudget_Take(budget_, "desk", 1, kStartMs)) {
+        open++;
+    }
+    EXPECT_EQ(TakeAll(arrived_ms), 0);
+    BsRetryBudget_Settle(budget_, "desk", (unsigned)open, arrived_ms);
+    EXPECT_EQ(TakeAll(arrived_ms + kWindowMs - 1), 0);
+    EXPECT_EQ(TakeAll(arrived_ms + 2 * kWindowMs), open);
+}
+
+// Guards against a budget that shrinks with each repeat that is not sent.
+TEST_F(RetryBudgetTest, ARetryThatIsNotSentIsGivenBack)
+{
+    ASSERT_TRUE(BsRetryBudget_Take(budget_, "desk", 1, kStartMs));
+    int left = TakeAll(kStartMs);
+    BsRetryBudget_GiveBack(budget_, "desk", kStartMs);
+    EXPECT_EQ(TakeAll(kStartMs), 1);
+    EXPECT_EQ(TakeAll(kStartMs + 2 * kWindowMs), left + 1);
+}
+
 } // namespace
--- a/tests/gate/retryfleet_test.cc
+++ b/tests/gate/retryfleet_test.cc
@@ -189,6 +189,8 @@
             std::vector<int> &repeats = late.second->repeats;
             repeats.resize(std::max(repeats.size(), step + 1));
             repeats[step]++;
+            BsRetryBudget_Settle(processes_[late.first->address].budget,
+                                 late.second->name, 1, world_.now_ms);
         }
         late_.clear();
     }
