Stream versions: a table of which version began a stream

A stream may go on only at the software version of the upstream that began it, and the next try of a caller may come to another instance. The table answers from records, or from the list when one version alone can have begun streams that are still taken up: listed or named within a stream's longest life, with no time in it at which the list was not current. Two records of one generation with different versions make a stream unknown, in any order.

--- a/src/gw_gate.h
+++ b/src/gw_gate.h
@@ -21,6 +21,7 @@
 #include "quota.h"
 #include "removalgrace.h"
 #include "stopadmit.h"
+#include "streamversions.h"
 #include "targets.h"
 #include "waitqueue.h"
 #include "wire.h"
@@ -52,14 +53,19 @@
     BsRemovalGrace *removal_grace;
     BsCrashList *crash_list;
     BsCrashParts *crash_parts;
+    BsStreamVersions *stream_versions;
+    GArray *stream_questions; /* BsStreamQuestion, to be sent to others at the
+                                 next tick, which empties it */
     BsOverload overload;
     GRand *random;
-    BsCatalog *catalog;    /* in force; NULL until one is known */
-    int64_t catalog_ms;    /* when CATALOG came into force */
-    unsigned instances;    /* of the fleet, including this one */
-    uint64_t next_request; /* number of the next request, for the log */
-    bool slots_changed;    /* queued requests may find a free slot */
-    bool report_changed;   /* state reported to peers has changed */
+    BsCatalog *catalog;          /* in force; NULL until one is known */
+    int64_t catalog_ms;          /* when CATALOG came into force */
+    unsigned instances;          /* of the fleet, including this one */
+    uint64_t next_request;       /* number of the next request, for the log */
+    bool slots_changed;          /* queued requests may find a free slot */
+    bool report_changed;         /* state reported to peers has changed */
+    bool stream_records_changed; /* others told of streams; waiting requests
+                                    may find theirs */
     bool stopping;         /* SIGTERM came; new requests are still served */
     bool refusing;         /* too late to complete new requests */
     int64_t stop_began_ms; /* while STOPPING: when SIGTERM came */
--- a/src/gw_gateway.c
+++ b/src/gw_gateway.c
@@ -364,6 +364,10 @@
     gate->removal_grace = BsRemovalGrace_Create();
     gate->crash_list = BsCrashList_Create();
     gate->crash_parts = BsCrashParts_Create();
+    gate->stream_versions =
+        BsStreamVersions_Create(BsClock_NowMs(gate->clock));
+    gate->stream_questions =
+        g_array_new(FALSE, FALSE, sizeof(BsStreamQuestion));
     gate->random = g_rand_new_with_seed(S_random());
     gate->instances = MAX(settings->seeds_count, 1);
     gate->retry_instances =
@@ -446,6 +450,8 @@
     BsRemovalGrace_Destroy(gate->removal_grace);
     BsCrashList_Destroy(gate->crash_list);
     BsCrashParts_Destroy(gate->crash_parts);
+    BsStreamVersions_Destroy(gate->stream_versions);
+    g_array_unref(gate->stream_questions);
     BsCatalog_Unref(gate->catalog);
     BsCounters_Destroy(gate->counters);
     BsHistogram_Destroy(gate->durations);
--- /dev/null
+++ b/src/streamversions.c
@@ -0,0 +1,556 @@
+/* streamversions.c - which software version began a stream. */
+#include "streamversions.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+/* Longest life of a stream until BsStreamVersions_SetLife() is called. */
+#define DEFAULT_LIFE_MS (120 * 1000)
+
+/* Most records, versions of a service and services that are remembered. */
+#define RECORDS_MAX (1U << 18)
+#define VERSIONS_MAX 16
+#define SERVICES_MAX 1024
+
+#define SERVICE_SHIFT 32
+
+/* The version of a stream for which two records of the same generation name
+   different ones. */
+#define AMBIGUOUS 0
+
+/* A record; in the list of all, the ones noted earlier come first. */
+typedef struct BsStreamEntry BsStreamEntry;
+struct BsStreamEntry {
+    uint64_t key; /* the first member: the table's key */
+    uint64_t version;
+    int64_t noted_ms;
+    BsStreamEntry *next;
+    uint32_t generation;
+    bool own;    /* noted by this instance */
+    bool unsent; /* in the queue */
+};
+
+typedef struct {
+    uint64_t version;
+    int64_t noted_ms; /* when it was last listed or named */
+} BsServedVersion;
+
+typedef struct {
+    uint32_t service;
+    uint32_t count; /* elements used in VERSIONS */
+    BsServedVersion versions[VERSIONS_MAX];
+    bool shared;   /* own records of it are sent to others */
+    bool reported; /* BsStreamVersions_EachChange() told that it is mixed */
+} BsServedService;
+
+struct BsStreamVersions {
+    GHashTable *entries;  /* set of BsStreamEntry, which it owns */
+    GHashTable *services; /* service to BsServedService, which it owns */
+    BsStreamEntry *first;
+    BsStreamEntry *last;
+    GArray *unsent; /* keys of own records, uint64_t */
+    int64_t life_ms;
+    int64_t earlier_life_ms;       /* a longer one, valid until ... */
+    int64_t earlier_life_until_ms; /* ... this time */
+    int64_t gap_ms;                /* end of the last gap */
+    uint64_t dropped;
+};
+
+BsStreamVersions *
+BsStreamVersions_Create(int64_t now_ms)
+{
+    BsStreamVersions *versions = g_new0(BsStreamVersions, 1);
+    versions->entries =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+    versions->services = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+    versions->unsent = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    versions->life_ms = DEFAULT_LIFE_MS;
+    versions->earlier_life_until_ms = now_ms;
+    versions->gap_ms = now_ms;
+    return versions;
+}
+
+void
+BsStreamVersions_Destroy(BsStreamVersions *versions)
+{
+    if (versions == NULL) {
+        return;
+    }
+    g_hash_table_destroy(versions->entries);
+    g_hash_table_destroy(versions->services);
+    g_array_unref(versions->unsent);
+    g_free(versions);
+}
+
+/* ------------------------------------------------------------ hashes -- */
+
+uint64_t
+BsStreamVersions_Key(const char *service, const char *account,
+                     const char *request_id)
+{
+    uint64_t key = XXH3_64bits(service, strlen(service));
+    if (account != NULL) {
+        key = XXH3_64bits_withSeed(account, strlen(account), key + 1);
+    }
+    return XXH3_64bits_withSeed(request_id, strlen(request_id), key);
+}
+
+uint32_t
+BsStreamVersions_HashService(const char *service)
+{
+    return MAX((uint32_t)XXH3_64bits(service, strlen(service)), 1);
+}
+
+uint64_t
+BsStreamVersions_Hash(const char *service, const char *version)
+{
+    const char *text = version == NULL ? "" : version;
+    return (uint64_t)BsStreamVersions_HashService(service) << SERVICE_SHIFT |
+           (uint32_t)XXH3_64bits(text, strlen(text));
+}
+
+uint32_t
+BsStreamVersions_Service(uint64_t version)
+{
+    return (uint32_t)(version >> SERVICE_SHIFT);
+}
+
+/* ------------------------------------------------- versions in service -- */
+
+void
+BsStreamVersions_SetLife(BsStreamVersions *versions, int64_t life_ms,
+                         int64_t now_ms)
+{
+    if (life_ms == versions->life_ms) {
+        return;
+    }
+    bool longer = versions->life_ms >= versions->earlier_life_ms ||
+                  now_ms >= versions->earlier_life_until_ms;
+    if (longer) {
+        versions->earlier_life_ms = versions->life_ms;
+    }
+    versions->earlier_life_until_ms = now_ms + versions->earlier_life_ms;
+    versions->life_ms = life_ms;
+}
+
+static int64_t
+S_life_ms(const BsStreamVersions *versions, int64_t now_ms)
+{
+    return now_ms < versions->earlier_life_until_ms
+               ? MAX(versions->life_ms, versions->earlier_life_ms)
+               : versions->life_ms;
+}
+
+static bool
+S_had_gap(const BsStreamVersions *versions, int64_t now_ms)
+{
+    return now_ms - versions->gap_ms <= S_life_ms(versions, now_ms);
+}
+
+static BsServedService *
+S_find_service(const BsStreamVersions *versions, uint32_t service)
+{
+    return g_hash_table_lookup(versions->services, GUINT_TO_POINTER(service));
+}
+
+/* Returns how many versions of SERVED count, and one of them. */
+static uint32_t
+S_count_versions(const BsStreamVersions *versions,
+                 const BsServedService *served, int64_t now_ms,
+                 uint64_t *version)
+{
+    int64_t life_ms = S_life_ms(versions, now_ms);
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < served->count; i++) {
+        if (now_ms - served->versions[i].noted_ms <= life_ms) {
+            *version = served->versions[i].version;
+            count++;
+        }
+    }
+    return count;
+}
+
+static bool
+S_is_mixed(const BsStreamVersions *versions, const BsServedService *served,
+           int64_t now_ms)
+{
+    uint64_t version;
+    return S_had_gap(versions, now_ms) ||
+           S_count_versions(versions, served, now_ms, &version) > 1;
+}
+
+bool
+BsStreamVersions_IsMixed(const BsStreamVersions *versions, uint32_t service,
+                         int64_t now_ms)
+{
+    const BsServedService *served = S_find_service(versions, service);
+    return served == NULL ? S_had_gap(versions, now_ms)
+                          : S_is_mixed(versions, served, now_ms);
+}
+
+/* Removes the versions of SERVED that no longer count. */
+static void
+S_expire_versions(const BsStreamVersions *versions, BsServedService *served,
+                  int64_t now_ms)
+{
+    int64_t life_ms = S_life_ms(versions, now_ms);
+    uint32_t kept = 0;
+    for (uint32_t i = 0; i < served->count; i++) {
+        if (now_ms - served->versions[i].noted_ms <= life_ms) {
+            served->versions[kept++] = served->versions[i];
+        }
+    }
+    served->count = kept;
+}
+
+/* Returns SERVICE, which is created when there is none; NULL when there are
+   too many. */
+static BsServedService *
+S_find_or_add(BsStreamVersions *versions, uint32_t service)
+{
+    BsServedService *served = S_find_service(versions, service);
+    if (served == NULL &&
+        g_hash_table_size(versions->services) < SERVICES_MAX) {
+        served = g_new0(BsServedService, 1);
+        served->service = service;
+        g_hash_table_insert(versions->services, GUINT_TO_POINTER(service),
+                            served);
+    }
+    return served;
+}
+
+void
+BsStreamVersions_NoteServing(BsStreamVersions *versions, uint64_t version,
+                             int64_t now_ms)
+{
+    BsServedService *served =
+        S_find_or_add(versions, BsStreamVersions_Service(version));
+    if (served == NULL) {
+        BsStreamVersions_NoteGap(versions, now_ms);
+        return;
+    }
+    for (uint32_t i = 0; i < served->count; i++) {
+        if (served->versions[i].version == version) {
+            served->versions[i].noted_ms = now_ms;
+            return;
+        }
+    }
+    S_expire_versions(versions, served, now_ms);
+    if (served->count == VERSIONS_MAX) {
+        BsStreamVersions_NoteGap(versions, now_ms);
+        return;
+    }
+    served->versions[served->count++] = (BsServedVersion){version, now_ms};
+}
+
+void
+BsStreamVersions_NoteGap(BsStreamVersions *versions, int64_t now_ms)
+{
+    versions->gap_ms = MAX(versions->gap_ms, now_ms);
+}
+
+void
+BsStreamVersions_NoteUnreachable(BsStreamVersions *versions, int64_t now_ms)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, versions->services);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        BsServedService *served = value;
+        S_expire_versions(versions, served, now_ms);
+        for (uint32_t i = 0; i < served->count; i++) {
+            served->versions[i].noted_ms = now_ms;
+        }
+    }
+}
+
+void
+BsStreamVersions_EachChange(BsStreamVersions *versions, int64_t now_ms,
+                            void (*func)(uint32_t service, bool mixed,
+                                         uint32_t versions_count,
+                                         void *context),
+                            void *context)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, versions->services);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        BsServedService *served = value;
+        uint64_t version;
+        bool mixed = S_is_mixed(versions, served, now_ms);
+        if (mixed != served->reported) {
+            served->reported = mixed;
+            func(served->service, mixed,
+                 S_count_versions(versions, served, now_ms, &version),
+                 context);
+        }
+    }
+}
+
+/* ----------------------------------------------------------- records -- */
+
+static bool
+S_is_expired(const BsStreamVersions *versions, const BsStreamEntry *entry,
+             int64_t now_ms)
+{
+    return now_ms - entry->noted_ms > S_life_ms(versions, now_ms);
+}
+
+static void
+S_append(BsStreamVersions *versions, BsStreamEntry *entry)
+{
+    entry->next = NULL;
+    if (versions->last == NULL) {
+        versions->first = entry;
+    }
+    else {
+        versions->last->next = entry;
+    }
+    versions->last = entry;
+}
+
+static BsStreamEntry *
+S_take_first(BsStreamVersions *versions)
+{
+    BsStreamEntry *entry = versions->first;
+    versions->first = entry->next;
+    if (versions->first == NULL) {
+        versions->last = NULL;
+    }
+    return entry;
+}
+
+/* Drops the first records that have expired.  One that was noted again since
+   it was appended moves to the end. */
+static void
+S_drop_expired(BsStreamVersions *versions, int64_t now_ms)
+{
+    int64_t previous_ms = INT64_MIN;
+    while (versions->first != NULL) {
+        BsStreamEntry *entry = versions->first;
+        if (S_is_expired(versions, entry, now_ms)) {
+            g_hash_table_remove(versions->entries, S_take_first(versions));
+        }
+        else if (entry->next != NULL &&
+                 entry->noted_ms > entry->next->noted_ms &&
+                 entry->noted_ms > previous_ms) {
+            previous_ms = entry->noted_ms;
+            S_append(versions, S_take_first(versions));
+        }
+        else {
+            return;
+        }
+    }
+}
+
+static void
+S_make_room(BsStreamVersions *versions, int64_t now_ms)
+{
+    S_drop_expired(versions, now_ms);
+    if (g_hash_table_size(versions->entries) >= RECORDS_MAX) {
+        g_hash_table_remove(versions->entries, S_take_first(versions));
+        versions->dropped++;
+    }
+}
+
+static void
+S_queue(BsStreamVersions *versions, BsStreamEntry *entry)
+{
+    if (!entry->unsent) {
+        entry->unsent = true;
+        g_array_append_val(versions->unsent, entry->key);
+    }
+}
+
+static BsStreamEntry *
+S_add(BsStreamVersions *versions, const BsStreamRecord *record, int64_t now_ms)
+{
+    S_make_room(versions, now_ms);
+    BsStreamEntry *entry = g_new0(BsStreamEntry, 1);
+    entry->key = record->key;
+    entry->version = record->version;
+    entry->generation = record->generation;
+    g_hash_table_add(versions->entries, entry);
+    S_append(versions, entry);
+    return entry;
+}
+
+/* Applies RECORD to ENTRY.  Returns whether that changed it. */
+static bool
+S_update(BsStreamEntry *entry, const BsStreamRecord *record)
+{
+    if (record->generation < entry->generation ||
+        record->version == entry->version) {
+        bool newer = record->generation > entry->generation;
+        entry->generation = MAX(entry->generation, record->generation);
+        return newer;
+    }
+    if (record->generation > entry->generation) {
+        entry->version = record->version;
+        entry->generation = record->generation;
+        return true;
+    }
+    bool changed = entry->version != AMBIGUOUS;
+    entry->version = AMBIGUOUS;
+    return changed;
+}
+
+/* Applies RECORD, and sets *CHANGED if it says something new.  Returns its
+   entry. */
+static BsStreamEntry *
+S_apply(BsStreamVersions *versions, const BsStreamRecord *record,
+        int64_t now_ms, bool *changed)
+{
+    BsStreamEntry *entry =
+        g_hash_table_lookup(versions->entries, &record->key);
+    if (entry == NULL) {
+        entry = S_add(versions, record, now_ms);
+        *changed = true;
+    }
+    else if (S_is_expired(versions, entry, now_ms)) {
+        entry->version = record->version;
+        entry->generation = record->generation;
+        entry->own = false;
+        *changed = true;
+    }
+    else {
+        *changed |= S_update(entry, record);
+    }
+    entry->noted_ms = now_ms;
+    return entry;
+}
+
+void
+BsStreamVersions_Note(BsStreamVersions *versions, const BsStreamRecord *record,
+                      int64_t now_ms)
+{
+    bool changed = false;
+    uint32_t service = BsStreamVersions_Service(record->version);
+    BsStreamVersions_NoteServing(versions, record->version, now_ms);
+    BsStreamEntry *entry = S_apply(versions, record, now_ms, &changed);
+    entry->own = true;
+    if (BsStreamVersions_IsMixed(versions, service, now_ms)) {
+        S_queue(versions, entry);
+    }
+}
+
+bool
+BsStreamVersions_Merge(BsStreamVersions *versions, const GArray *records,
+                       int64_t now_ms)
+{
+    bool changed = false;
+    for (guint i = 0; i < records->len; i++) {
+        const BsStreamRecord *record =
+            &g_array_index(records, BsStreamRecord, i);
+        if (BsStreamVersions_Service(record->version) == 0) {
+            continue;
+        }
+        BsStreamVersions_NoteServing(versions, record->version, now_ms);
+        S_apply(versions, record, now_ms, &changed);
+    }
+    return changed;
+}
+
+BsStreamVersionState
+BsStreamVersions_Find(const BsStreamVersions *versions, uint64_t key,
+                      uint32_t service, int64_t now_ms, uint64_t *version)
+{
+    const BsStreamEntry *entry = g_hash_table_lookup(versions->entries, &key);
+    if (entry != NULL && !S_is_expired(versions, entry, now_ms)) {
+        *version = entry->version;
+        return entry->version == AMBIGUOUS ? BS_STREAM_VERSION_UNKNOWN
+                                           : BS_STREAM_VERSION_KNOWN;
+    }
+    const BsServedService *served = S_find_service(versions, service);
+    if (served != NULL && !S_had_gap(versions, now_ms) &&
+        S_count_versions(versions, served, now_ms, version) == 1) {
+        return BS_STREAM_VERSION_KNOWN;
+    }
+    *version = 0;
+    return BS_STREAM_VERSION_UNKNOWN;
+}
+
+/* ----------------------------------------------------------- sending -- */
+
+/* Queues the own records of all services that are shared; with NEWLY, only of
+   those that were not before. */
+static void
+S_queue_own(BsStreamVersions *versions, GHashTable *newly)
+{
+    for (BsStreamEntry *entry = versions->first; entry != NULL;
+         entry = entry->next) {
+        uint32_t service = BsStreamVersions_Service(entry->version);
+        const BsServedService *served = S_find_service(versions, service);
+        bool queued =
+            newly != NULL
+                ? g_hash_table_contains(newly, GUINT_TO_POINTER(service))
+                : served != NULL && served->shared;
+        if (entry->own && queued) {
+            S_queue(versions, entry);
+        }
+    }
+}
+
+/* Queues the own records of the services that have become mixed. */
+static void
+S_update_shared(BsStreamVersions *versions, int64_t now_ms)
+{
+    GHashTable *newly = g_hash_table_new(NULL, NULL);
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, versions->services);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        BsServedService *served = value;
+        bool mixed = S_is_mixed(versions, served, now_ms);
+        if (mixed && !served->shared) {
+            g_hash_table_add(newly, GUINT_TO_POINTER(served->service));
+        }
+        served->shared = mixed;
+    }
+    if (g_hash_table_size(newly) > 0) {
+        S_queue_own(versions, newly);
+    }
+    g_hash_table_unref(newly);
+}
+
+void
+BsStreamVersions_TakeUnsent(BsStreamVersions *versions, guint max,
+                            int64_t now_ms, GArray *records)
+{
+    guint taken = 0;
+    S_drop_expired(versions, now_ms);
+    S_update_shared(versions, now_ms);
+    while (taken < versions->unsent->len && records->len < max) {
+        uint64_t key = g_array_index(versions->unsent, uint64_t, taken++);
+        BsStreamEntry *entry = g_hash_table_lookup(versions->entries, &key);
+        if (entry == NULL || !entry->unsent) {
+            continue;
+        }
+        entry->unsent = false;
+        if (entry->version != AMBIGUOUS) {
+            BsStreamRecord record = {key, entry->version, entry->generation};
+            g_array_append_val(records, record);
+        }
+    }
+    if (taken > 0) {
+        g_array_remove_range(versions->unsent, 0, taken);
+    }
+}
+
+void
+BsStreamVersions_SendAgain(BsStreamVersions *versions)
+{
+    S_queue_own(versions, NULL);
+}
+
+uint32_t
+BsStreamVersions_Count(const BsStreamVersions *versions)
+{
+    return g_hash_table_size(versions->entries);
+}
+
+uint64_t
+BsStreamVersions_Dropped(const BsStreamVersions *versions)
+{
+    return versions->dropped;
+}
--- /dev/null
+++ b/src/streamversions.h
@@ -0,0 +1,135 @@
+/*
+ * streamversions.h - which software version of an upstream began a stream that
+ * a caller may take up again.
+ *
+ * What two versions write does not fit together, so a stream goes on at the
+ * version that began it.  The instance that gets the next try of a caller need
+ * not be the one that got the first.  Instances therefore tell each other the
+ * version of each stream, but only of services of which several versions may
+ * have begun streams that can still be taken up.  Of the other services, the
+ * one version answers for all streams.
+ *
+ * Rules: a version counts from when it was listed, or named in a record, until
+ * a stream's longest life after that.  For as long after a time at which the
+ * list of upstreams was not current, no version is taken to be the only one:
+ * only records answer.  Records are merged by their generation, so that order,
+ * duplicates and routes do not matter.  Memory is bounded; the oldest records
+ * are dropped first.
+ */
+#ifndef BS_STREAMVERSIONS_H
+#define BS_STREAMVERSIONS_H
+
+#include "boragespur.h"
+
+/* What is known of one stream; also the record that instances exchange. */
+typedef struct {
+    uint64_t key;        /* BsStreamVersions_Key() */
+    uint64_t version;    /* BsStreamVersions_Hash(); 0: none */
+    uint32_t generation; /* the higher one holds; if equal ones name different
+                            versions, the version is unknown */
+} BsStreamRecord;
+
+/* What an instance asks the others. */
+typedef struct {
+    uint64_t key;
+    uint32_t service; /* BsStreamVersions_HashService() */
+} BsStreamQuestion;
+
+typedef enum {
+    BS_STREAM_VERSION_UNKNOWN = 0, /* not known here; others may know it */
+    BS_STREAM_VERSION_KNOWN        /* the version that began the stream, or the
+                                      only one that can have begun it */
+} BsStreamVersionState;
+
+typedef struct BsStreamVersions BsStreamVersions;
+
+/* Creates an empty table, which has not known the list of upstreams before
+   NOW_MS; free it with BsStreamVersions_Destroy(). */
+BsStreamVersions *BsStreamVersions_Create(int64_t now_ms);
+
+/* Frees VERSIONS; NULL is allowed. */
+void BsStreamVersions_Destroy(BsStreamVersions *versions);
+
+/* Returns the key of the stream that began as REQUEST_ID, a request of ACCOUNT
+   (NULL: none) to SERVICE. */
+uint64_t BsStreamVersions_Key(const char *service, const char *account,
+                              const char *request_id);
+
+/* Returns a hash of the name SERVICE; never 0. */
+uint32_t BsStreamVersions_HashService(const char *service);
+
+/* Returns a hash of VERSION (NULL: the same as "") of SERVICE; never 0. */
+uint64_t BsStreamVersions_Hash(const char *service, const char *version);
+
+/* Returns the service of VERSION, as BsStreamVersions_HashService(). */
+uint32_t BsStreamVersions_Service(uint64_t version);
+
+/* Sets the longest time for which a stream may be taken up after it began, in
+   milliseconds; above 0.  A shorter one than before applies when the earlier
+   one has passed. */
+void BsStreamVersions_SetLife(BsStreamVersions *versions, int64_t life_ms,
+                              int64_t now_ms);
+
+/* Records that an upstream of VERSION is listed, or was until now.  Call it
+   for all of them at an interval far shorter than the life of a stream. */
+void BsStreamVersions_NoteServing(BsStreamVersions *versions, uint64_t version,
+                                  int64_t now_ms);
+
+/* Records that the list of upstreams was not known to be current until NOW_MS,
+   so that unknown versions may have begun streams. */
+void BsStreamVersions_NoteGap(BsStreamVersions *versions, int64_t now_ms);
+
+/* Records that an instance cannot be reached at NOW_MS: it may not know of
+   changes, and send requests to upstreams of every version known. */
+void BsStreamVersions_NoteUnreachable(BsStreamVersions *versions,
+                                      int64_t now_ms);
+
+/* Records that this instance sends the request of RECORD's stream to an
+   upstream, or takes the stream up, which makes all remember it for longer.
+   The generation counts the sends before the first event; any one up to that
+   of the known record will do for a take-up. */
+void BsStreamVersions_Note(BsStreamVersions *versions,
+                           const BsStreamRecord *record, int64_t now_ms);
+
+/* Finds the version at which the stream KEY of SERVICE
+   (BsStreamVersions_HashService()) has to go on.  *VERSION is set to 0 when it
+   is unknown. */
+BsStreamVersionState BsStreamVersions_Find(const BsStreamVersions *versions,
+                                           uint64_t key, uint32_t service,
+                                           int64_t now_ms, uint64_t *version);
+
+/* Returns whether more than one version may have begun streams of SERVICE that
+   can still be taken up. */
+bool BsStreamVersions_IsMixed(const BsStreamVersions *versions,
+                              uint32_t service, int64_t now_ms);
+
+/* Moves up to MAX records of this instance that the others need and were not
+   told yet to RECORDS (BsStreamRecord).  When a service becomes mixed, these
+   are all its streams that can still be taken up. */
+void BsStreamVersions_TakeUnsent(BsStreamVersions *versions, guint max,
+                                 int64_t now_ms, GArray *records);
+
+/* Makes BsStreamVersions_TakeUnsent() return all records of this instance
+   again, for an instance that was not told before. */
+void BsStreamVersions_SendAgain(BsStreamVersions *versions);
+
+/* Merges the records (BsStreamRecord) that another instance sent.  Returns
+   whether one of them was new. */
+bool BsStreamVersions_Merge(BsStreamVersions *versions, const GArray *records,
+                            int64_t now_ms);
+
+/* Calls FUNC for each service that became mixed, or is no longer mixed, since
+   the last call; VERSIONS_COUNT is the number of versions that count. */
+void BsStreamVersions_EachChange(BsStreamVersions *versions, int64_t now_ms,
+                                 void (*func)(uint32_t service, bool mixed,
+                                              uint32_t versions_count,
+                                              void *context),
+                                 void *context);
+
+/* Returns how many records are known. */
+uint32_t BsStreamVersions_Count(const BsStreamVersions *versions);
+
+/* Returns how many records were dropped before their age was over. */
+uint64_t BsStreamVersions_Dropped(const BsStreamVersions *versions);
+
+#endif /* BS_STREAMVERSIONS_H */
