Log: the software versions of upstreams, and requests that take a stream up

The log named neither the version of an upstream's software nor that a request resumes a stream, so a record of a stream joined from two versions could not tell whether that happened within one answer or over a caller's requests.

The version of a listed entry is read (a missing one is a version of its own, ""; another JSON type makes the entry a broken one, as with its other fields) and logged with the entry and with each attempt, as it was when the attempt began. taken_up names the stream and the last event of a request that resumes one; stream_joined and streams_joined_total tell of an answer that goes on at another version than the one that began it. No decision uses any of it yet.

--- a/src/gw_attempt.c
+++ b/src/gw_attempt.c
@@ -542,6 +542,7 @@
     BsPredictors_Observe(gate->predictors, relay->service->name,
                          relay->info.prompt_tokens, first_ms);
     S_note_progress(relay);
+    BsTakeUp_NoteFirstEvent(relay);
     relay->attempt.prefill_reported = true;
     BsTargets_Started(relay->attempt.target, relay->info.prompt_tokens);
 }
@@ -818,6 +819,7 @@
     BsAttempt_FillQuery(relay, &query);
     memset(&relay->attempt, 0, sizeof(relay->attempt));
     relay->attempt.target = target;
+    BsTakeUp_SetSoftware(relay);
     BsOutboundRequest request = {
         .address = target->address,
         .owner = target->id,
--- a/src/gw_published.c
+++ b/src/gw_published.c
@@ -75,6 +75,8 @@
     entry.region = BsGateSettings_Region(gateway->settings, entry.data_centre);
     const BsTarget *before = BsTargets_Find(gate->targets, entry.id);
     bool was_draining = before != NULL && before->draining;
+    bool new_version =
+        before != NULL && g_strcmp0(before->version, entry.version) != 0;
     if (before != NULL && before->born_ms > 0 &&
         entry.born_ms > before->born_ms) {
         S_note_target_ended(gate, before);
@@ -82,10 +84,11 @@
     bool is_new =
         BsTargets_Put(gate->targets, &entry, BsClock_NowMs(gate->clock));
     gate->slots_changed = true;
-    if ((is_new || was_draining != entry.draining) &&
+    if ((is_new || new_version || was_draining != entry.draining) &&
         BsEventLog_Begin(gate->log, BS_EVENT_STATE, "upstream_listed")) {
         BsEventLog_Text(gate->log, "upstream", entry.id);
         BsEventLog_Text(gate->log, "service", entry.service);
+        BsEventLog_Text(gate->log, "software", entry.version);
         BsEventLog_Text(gate->log, "data_centre", entry.data_centre);
         BsEventLog_Text(gate->log, "state",
                         entry.draining ? "draining" : "ready");
--- a/src/gw_relay.c
+++ b/src/gw_relay.c
@@ -653,6 +653,7 @@
         BsRelay_Refuse(relay, 503, "no_service", 1);
         return;
     }
+    BsTakeUp_Log(relay);
     if (!S_take_quota(relay, &wait_ms)) {
         S_log_quota(relay);
         BsRelay_Refuse(relay, 429, "account_limit", wait_ms);
--- a/src/gw_relaylog.c
+++ b/src/gw_relaylog.c
@@ -129,6 +129,7 @@
     }
     if (attempt->target != NULL) {
         BsEventLog_Text(gate->log, "upstream", attempt->target->id);
+        BsEventLog_Text(gate->log, "software", attempt->software.name);
         BsEventLog_Number(gate->log, "own", attempt->target->own);
         BsEventLog_Number(gate->log, "others", attempt->target->others);
         BsLimitLog_Add(gate, &attempt->target->limit);
--- a/src/gw_relayparts.h
+++ b/src/gw_relayparts.h
@@ -1,9 +1,10 @@
 /*
  * gw_relayparts.h - the state of a relayed request, shared by gw_relay.c
  * (arrival, queueing, end), gw_attempt.c (attempts at upstreams),
- * gw_held.c (attempts whose upstream is silent), gw_answerhints.c (what
- * upstreams request in their answers), gw_answer.c (the answer to the caller)
- * and gw_relaylog.c (log lines and metrics).
+ * gw_held.c (attempts whose upstream is silent), gw_takeup.c (software
+ * versions of streams), gw_answerhints.c (what upstreams request in their
+ * answers), gw_answer.c (the answer to the caller) and gw_relaylog.c (log
+ * lines and metrics).
  */
 #ifndef BS_GW_RELAYPARTS_H
 #define BS_GW_RELAYPARTS_H
@@ -24,6 +25,16 @@
    a repeatable request can be retried when its answer is truncated. */
 #define BS_ANSWER_BUFFERED_MAX_BYTES 65536
 
+/* Most bytes of a software version in log lines; the rest is cut off. */
+#define BS_RELAY_SOFTWARE_MAX 31
+
+/* The software version of an upstream at some time, as its entry may
+   change. */
+typedef struct {
+    uint64_t hash; /* BsTarget.version_hash; 0: none */
+    char name[BS_RELAY_SOFTWARE_MAX + 1];
+} BsRelaySoftware;
+
 /* The part of an answer that has not been forwarded yet. */
 typedef struct {
     GString *headers; /* header lines for the caller */
@@ -42,6 +53,7 @@
 typedef struct {
     BsTarget *target; /* NULL: there is no attempt */
     BsOutbound *call;
+    BsRelaySoftware software;  /* of TARGET at the start of the attempt */
     int64_t sent_ms;           /* 0 until the request was sent */
     int64_t last_received_ms;  /* last byte of the answer, or SENT_MS */
     int64_t extended_until_ms; /* no inactivity timeout before this
@@ -99,6 +111,7 @@
     int64_t silent_since_ms; /* last progress of the latest held attempt */
     /* All attempts. */
     BsRelayAnswer answer;
+    BsRelaySoftware began; /* of the attempt that brought the first event */
     char *excluded[BS_RELAY_EXCLUDED_MAX];
     size_t excluded_count;
     const char *given_up; /* cause for which the last attempt without an answer
@@ -280,6 +293,22 @@
 /* Cancels all held attempts, which are counted as OUTCOME. */
 void BsHeld_DropAll(BsRelay *relay, const char *outcome);
 
+/* --------------------------------------------------------- gw_takeup.c -- */
+
+/* Returns whether the caller resumes a stream that an earlier request of it
+   began. */
+bool BsTakeUp_IsOne(const BsRelay *relay);
+
+/* Logs the request if it resumes a stream. */
+void BsTakeUp_Log(BsRelay *relay);
+
+/* Sets the software version of the current attempt, whose upstream is set. */
+void BsTakeUp_SetSoftware(BsRelay *relay);
+
+/* Notes the software version at the first event of the current attempt, and
+   logs one that differs from that of the first event of the answer. */
+void BsTakeUp_NoteFirstEvent(BsRelay *relay);
+
 /* ---------------------------------------------------------- gw_answer.c -- */
 
 /* Starts the answer of a new attempt.  When its head was sent to the caller,
--- a/src/targets.c
+++ b/src/targets.c
@@ -26,6 +26,12 @@
     return XXH3_64bits(id, strlen(id));
 }
 
+uint64_t
+BsTargets_HashVersion(const char *version)
+{
+    return MAX(BsTargets_Hash(version), 1);
+}
+
 static void
 S_destroy_target(gpointer data)
 {
@@ -34,6 +40,7 @@
     g_free(target->service);
     g_free(target->data_centre);
     g_free(target->region);
+    g_free(target->version);
     g_free(target);
 }
 
@@ -156,6 +163,13 @@
     g_ptr_array_add(S_service_list(targets, service), target);
 }
 
+static void
+S_set_version(BsTarget *target, const char *version)
+{
+    S_set_text(&target->version, version == NULL ? "" : version);
+    target->version_hash = BsTargets_HashVersion(target->version);
+}
+
 /* Resets what was learned about TARGET before its present start. */
 static void
 S_reset_health(BsTarget *target)
@@ -197,6 +211,7 @@
     S_move_service(targets, target, entry->service);
     S_set_text(&target->data_centre, entry->data_centre);
     S_set_text(&target->region, entry->region);
+    S_set_version(target, entry->version);
     target->local = strcmp(target->data_centre, targets->data_centre) == 0;
     target->sender_rank_version = 0;
     target->same_region = g_strcmp0(target->region, targets->region) == 0;
--- a/src/targets.h
+++ b/src/targets.h
@@ -26,7 +26,8 @@
     const char *id;
     const char *service;
     const char *data_centre;
-    const char *region; /* NULL when the data centre is unknown */
+    const char *region;  /* NULL when the data centre is unknown */
+    const char *version; /* of its software; NULL as "" */
     struct sockaddr_in address;
     uint32_t slots;   /* requests that it runs at once */
     int64_t born_ms;  /* Unix time of its start; 0: not reported */
@@ -67,6 +68,8 @@
     char *service;
     char *data_centre;
     char *region;
+    char *version;         /* of its software; "" when not listed */
+    uint64_t version_hash; /* BsTargets_HashVersion() of VERSION */
     struct sockaddr_in address;
     uint64_t hash;
     uint32_t slots;
@@ -161,6 +164,9 @@
    instances. */
 uint64_t BsTargets_Hash(const char *id);
 
+/* Returns the hash of the software version VERSION; never 0. */
+uint64_t BsTargets_HashVersion(const char *version);
+
 /* Adds or updates a listed entry.  A changed start time resets what was
    learned about the target; an entry from an earlier start or report than the
    known one was written late and is ignored.  Returns whether the target was
--- a/src/wire.h
+++ b/src/wire.h
@@ -24,6 +24,8 @@
     GArray *parts;       /* BsPromptPart, in the order of the prompt */
     int64_t deadline_ms; /* time that the caller waits; -1 when not given */
     int64_t last_event;  /* resume after this event; -1 from the start */
+    const char *resumes; /* id of the request that brought the first event of
+                            the stream to be resumed */
     uint32_t prompt_tokens;
     uint32_t output_tokens; /* most tokens that may be generated */
     bool has_tokens;        /* the request states its token counts */
--- a/tests/gate/platform_names.sh
+++ b/tests/gate/platform_names.sh
@@ -9,7 +9,7 @@
 names="$names|Kv-Backup|Length-Hint|Api-Key|kv-(key|range|watch|events|list)"
 names="$names|op/config|op/evacuate|servers/|current-rev|more-pages|stale-ok"
 names="$names|route-type|max-attempts|allowed-regions|target-latency|api-keys"
-names="$names|rate-per-s|plain-tokens|token_stream|cold-remaining|gap-aim"
+names="$names|\"Resumes\"|rate-per-s|plain-tokens|token_stream|cold-remaining|gap-aim"
 # The product's own headers begin with its name.
 if grep -rnE "$names" --include='*.c' --include='*.h' src |
     grep -v 'Boragespur-'; then
