Instances tell and ask each other which version began a stream

New datagrams carry records, and questions, of streams: while a service is mixed, an instance sends the streams that begin there twice, 200 ms apart, to all others or, where hubs are used, to the two best hubs of its data centre; the hub passes them on to those of the others. An instance that does not know a stream asks the same ones; hubs pass on what they cannot answer. A new listener (a new hub, a member that is back) gets all records again. Instances without this count the datagrams as broken.

A gateway notes the listed versions every 200 ms. The list counts as not current when the store answered no instance for 2 s, others have had newer items for as long, or the store's era has changed; while an instance is unreachable, no version expires, as that one may still send to all. The life of a stream is the longest time-out of a resumable route and 10 s. No request is decided by it yet.

--- a/src/catalog.c
+++ b/src/catalog.c
@@ -191,6 +191,25 @@
     return g_hash_table_lookup(catalog->keys, key);
 }
 
+uint32_t
+BsCatalog_LongestStreamMs(const BsCatalog *catalog)
+{
+    uint32_t longest_ms = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, catalog->hosts);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const GPtrArray *routes = value;
+        for (guint i = 0; i < routes->len; i++) {
+            const BsCatalogRoute *route = routes->pdata[i];
+            if (route->kind == BS_ROUTE_STREAM && route->resumable) {
+                longest_ms = MAX(longest_ms, route->timeout_ms);
+            }
+        }
+    }
+    return longest_ms;
+}
+
 const char *
 BsCatalogRoute_PickService(const BsCatalogRoute *route, uint64_t seed)
 {
--- a/src/catalog.h
+++ b/src/catalog.h
@@ -113,6 +113,10 @@
 const BsCatalogAccount *BsCatalog_FindKey(const BsCatalog *catalog,
                                           const char *key);
 
+/* Returns the longest time-out of a stream's route that callers may take up
+   again, in milliseconds; 0 without such routes. */
+uint32_t BsCatalog_LongestStreamMs(const BsCatalog *catalog);
+
 /* Returns the service for a request on ROUTE, chosen by weight; equal SEEDs
    give the same service. */
 const char *BsCatalogRoute_PickService(const BsCatalogRoute *route,
--- a/src/fleetagent.c
+++ b/src/fleetagent.c
@@ -4,6 +4,7 @@
 
 #include "fleetview.h"
 #include "hub.h"
+#include "streamcodec.h"
 
 #include <string.h>
 
@@ -43,11 +44,23 @@
 /* Each datagram starts with this many bytes, least significant first.  The
    lowest bits are its kind: KIND_SUMMARY, or the BsGossipRequest of a report.
    In a summary, the rest is the sequence number of the last report received
-   from the addressee. */
+   from the addressee.  The prefixes of datagrams about streams are those of a
+   report whose other bits are not all 0. */
 #define PREFIX_BYTES 8
 #define KIND_BITS 2
 #define KIND_MASK 3
 #define KIND_SUMMARY 3
+#define PREFIX_STREAM_NOTES (1 << KIND_BITS)       /* to be passed on */
+#define PREFIX_STREAM_RECORDS (2 << KIND_BITS)     /* passed on, or answers */
+#define PREFIX_STREAM_QUESTIONS (3 << KIND_BITS)   /* of the sender */
+#define PREFIX_STREAM_PASSED (4 << KIND_BITS)      /* passed on to hubs */
+#define PREFIX_STREAM_LAST_PASSED (5 << KIND_BITS) /* passed on by those */
+
+/* Interval between checks for new receivers of records. */
+#define LISTENERS_CHECK_INTERVAL_MS 50
+
+/* Most records that a hub keeps until it passes them on at its next tick. */
+#define PASSED_RECORDS_MAX 4096
 
 #define NEVER_MS (INT64_MIN / 2)
 
@@ -75,6 +88,10 @@
     int64_t uses_sent_ms;
     int64_t roster_sent_ms;
     int64_t timeouts_checked_ms;
+    int64_t listeners_checked_ms;
+    GArray *passing;       /* BsStreamRecord, to pass on to other hubs */
+    GHashTable *listeners; /* address to incarnation (uint64_t) of the last
+                              receivers of records */
 };
 
 BsFleetAgent *
@@ -101,6 +118,9 @@
     agent->uses_sent_ms = NEVER_MS;
     agent->roster_sent_ms = NEVER_MS;
     agent->timeouts_checked_ms = NEVER_MS;
+    agent->listeners_checked_ms = NEVER_MS;
+    agent->passing = g_array_new(FALSE, FALSE, sizeof(BsStreamRecord));
+    agent->listeners = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     return agent;
 }
 
@@ -114,6 +134,8 @@
     BsHub_Destroy(agent->hub);
     BsFleetView_Destroy(agent->view);
     g_rand_free(agent->random);
+    g_array_unref(agent->passing);
+    g_hash_table_unref(agent->listeners);
     g_free(agent);
 }
 
@@ -326,6 +348,232 @@
     }
 }
 
+/* ----------------------------------------------------------- streams -- */
+
+static void
+S_send_to_all(BsFleetAgent *agent, const GArray *receivers, GString *data,
+              uint64_t prefix)
+{
+    for (guint i = 0; i < receivers->len; i++) {
+        uint32_t address =
+            g_array_index(receivers, BsGossipReceiver, i).address;
+        if (address != agent->address) {
+            S_send(agent, address, data, prefix);
+        }
+    }
+}
+
+static void
+S_send_records(BsFleetAgent *agent, const GArray *receivers,
+               const GArray *records, uint64_t prefix)
+{
+    for (guint first = 0; first < records->len;
+         first += BS_STREAM_RECORDS_MAX) {
+        GString *data = S_begin_datagram();
+        BsStreamCodec_EncodeRecords(
+            records, first, MIN(records->len - first, BS_STREAM_RECORDS_MAX),
+            data);
+        S_send_to_all(agent, receivers, data, prefix);
+        g_string_free(data, TRUE);
+    }
+}
+
+static void
+S_send_questions(BsFleetAgent *agent, const GArray *receivers,
+                 const GArray *questions, uint32_t origin, uint64_t prefix)
+{
+    for (guint first = 0; first < questions->len;
+         first += BS_STREAM_QUESTIONS_MAX) {
+        GString *data = S_begin_datagram();
+        BsStreamCodec_EncodeQuestions(
+            questions, first,
+            MIN(questions->len - first, BS_STREAM_QUESTIONS_MAX), origin,
+            data);
+        S_send_to_all(agent, receivers, data, prefix);
+        g_string_free(data, TRUE);
+    }
+}
+
+/* Sends the records of the own data centre, as its hub, to the hubs of the
+   others. */
+static void
+S_pass_records(BsFleetAgent *agent, int64_t now_ms)
+{
+    if (agent->passing->len == 0) {
+        return;
+    }
+    GArray *receivers = BsGossip_StreamReceivers(agent->gossip, true, now_ms);
+    S_send_records(agent, receivers, agent->passing, PREFIX_STREAM_RECORDS);
+    g_array_unref(receivers);
+    g_array_set_size(agent->passing, 0);
+}
+
+/* Keeps RECORDS until they are passed on, if this instance is the hub. */
+static void
+S_keep_to_pass(BsFleetAgent *agent, const GArray *records, int64_t now_ms)
+{
+    if (BsGossip_Hub(agent->gossip) != agent->address) {
+        return;
+    }
+    g_array_append_vals(agent->passing, records->data, records->len);
+    if (agent->passing->len >= PASSED_RECORDS_MAX) {
+        S_pass_records(agent, now_ms);
+    }
+}
+
+void
+BsFleetAgent_SendStreamRecords(BsFleetAgent *agent, const GArray *records,
+                               int64_t now_ms)
+{
+    GArray *receivers = BsGossip_StreamReceivers(agent->gossip, false, now_ms);
+    S_send_records(agent, receivers, records, PREFIX_STREAM_NOTES);
+    S_keep_to_pass(agent, records, now_ms);
+    g_array_unref(receivers);
+}
+
+/* Passes questions of the instance at ORIGIN on to the hubs of the own data
+   centre or, with REMOTE, of the others. */
+static void
+S_pass_questions(BsFleetAgent *agent, const GArray *questions, uint32_t origin,
+                 bool remote, uint64_t prefix, int64_t now_ms)
+{
+    GArray *receivers =
+        BsGossip_StreamReceivers(agent->gossip, remote, now_ms);
+    S_send_questions(agent, receivers, questions, origin, prefix);
+    g_array_unref(receivers);
+}
+
+/* Passes questions that cannot be answered here on where hubs are used: the
+   sender's to all hubs, those from another hub to the ones that stand by. */
+static void
+S_pass_unanswered(BsFleetAgent *agent, const GArray *questions,
+                  uint32_t origin, uint64_t prefix, int64_t now_ms)
+{
+    bool is_hub = BsGossip_Hub(agent->gossip) == agent->address;
+    if (questions->len == 0 || !BsGossip_UsesHubs(agent->gossip, now_ms)) {
+        return;
+    }
+    if (prefix == PREFIX_STREAM_PASSED && is_hub) {
+        S_pass_questions(agent, questions, origin, false,
+                         PREFIX_STREAM_LAST_PASSED, now_ms);
+    }
+    if (prefix == PREFIX_STREAM_QUESTIONS) {
+        S_pass_questions(agent, questions, origin, true, PREFIX_STREAM_PASSED,
+                         now_ms);
+        if (!is_hub) {
+            S_pass_questions(agent, questions, origin, false,
+                             PREFIX_STREAM_PASSED, now_ms);
+        }
+    }
+}
+
+void
+BsFleetAgent_AskStreams(BsFleetAgent *agent, const GArray *questions,
+                        int64_t now_ms)
+{
+    GArray *receivers = BsGossip_StreamReceivers(agent->gossip, false, now_ms);
+    S_send_questions(agent, receivers, questions, 0, PREFIX_STREAM_QUESTIONS);
+    g_array_unref(receivers);
+    if (BsGossip_Hub(agent->gossip) == agent->address) {
+        S_pass_questions(agent, questions, agent->address, true,
+                         PREFIX_STREAM_PASSED, now_ms);
+    }
+}
+
+bool
+BsFleetAgent_HasNewListener(BsFleetAgent *agent, int64_t now_ms)
+{
+    bool found = false;
+    if (now_ms - agent->listeners_checked_ms < LISTENERS_CHECK_INTERVAL_MS) {
+        return false;
+    }
+    agent->listeners_checked_ms = now_ms;
+    GArray *receivers = BsGossip_StreamReceivers(agent->gossip, false, now_ms);
+    GHashTable *listeners = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+    for (guint i = 0; i < receivers->len; i++) {
+        const BsGossipReceiver *receiver =
+            &g_array_index(receivers, BsGossipReceiver, i);
+        gpointer address = GUINT_TO_POINTER(receiver->address);
+        const uint64_t *before =
+            g_hash_table_lookup(agent->listeners, address);
+        found |= before == NULL || *before != receiver->incarnation;
+        uint64_t *incarnation = g_new(uint64_t, 1);
+        *incarnation = receiver->incarnation;
+        g_hash_table_insert(listeners, address, incarnation);
+    }
+    g_hash_table_unref(agent->listeners);
+    agent->listeners = listeners;
+    g_array_unref(receivers);
+    return found;
+}
+
+static bool
+S_receive_records(BsFleetAgent *agent, const char *data, size_t size_bytes,
+                  bool pass_on, int64_t now_ms)
+{
+    GArray *records = g_array_new(FALSE, FALSE, sizeof(BsStreamRecord));
+    bool valid = BsStreamCodec_DecodeRecords(data, size_bytes, records);
+    if (valid) {
+        agent->events->on_stream_records(records, now_ms, agent->context);
+    }
+    if (valid && pass_on) {
+        S_keep_to_pass(agent, records, now_ms);
+    }
+    g_array_unref(records);
+    return valid;
+}
+
+static void
+S_answer(BsFleetAgent *agent, uint32_t address, GArray *questions,
+         int64_t now_ms)
+{
+    GArray *records = g_array_new(FALSE, FALSE, sizeof(BsStreamRecord));
+    GArray *receivers = g_array_new(FALSE, FALSE, sizeof(BsGossipReceiver));
+    BsGossipReceiver receiver = {.address = address};
+    g_array_append_val(receivers, receiver);
+    agent->events->answer_questions(questions, records, now_ms,
+                                    agent->context);
+    S_send_records(agent, receivers, records, PREFIX_STREAM_RECORDS);
+    g_array_unref(receivers);
+    g_array_unref(records);
+}
+
+static bool
+S_receive_questions(BsFleetAgent *agent, uint32_t address, const char *data,
+                    size_t size_bytes, uint64_t prefix, int64_t now_ms)
+{
+    GArray *questions = g_array_new(FALSE, FALSE, sizeof(BsStreamQuestion));
+    uint32_t origin = 0;
+    bool valid =
+        BsStreamCodec_DecodeQuestions(data, size_bytes, questions, &origin);
+    if (valid) {
+        origin = origin == 0 ? address : origin;
+        S_answer(agent, origin, questions, now_ms);
+        S_pass_unanswered(agent, questions, origin, prefix, now_ms);
+    }
+    g_array_unref(questions);
+    return valid;
+}
+
+static bool
+S_receive_streams(BsFleetAgent *agent, uint32_t address, uint64_t prefix,
+                  const char *data, size_t size_bytes, int64_t now_ms)
+{
+    switch (prefix) {
+    case PREFIX_STREAM_NOTES:
+    case PREFIX_STREAM_RECORDS:
+        return S_receive_records(agent, data, size_bytes,
+                                 prefix == PREFIX_STREAM_NOTES, now_ms);
+    case PREFIX_STREAM_QUESTIONS:
+    case PREFIX_STREAM_PASSED:
+    case PREFIX_STREAM_LAST_PASSED:
+        return S_receive_questions(agent, address, data, size_bytes, prefix,
+                                   now_ms);
+    default:
+        return false;
+    }
+}
+
 bool
 BsFleetAgent_Receive(BsFleetAgent *agent, uint32_t address, const char *data,
                      size_t size_bytes, int64_t now_ms)
@@ -342,6 +590,10 @@
         return S_receive_summary(agent, address, data, size_bytes,
                                  prefix >> KIND_BITS, now_ms);
     }
+    if (prefix >> KIND_BITS != 0) {
+        return S_receive_streams(agent, address, prefix, data, size_bytes,
+                                 now_ms);
+    }
     BsGossipReport report;
     BsGossipReport_Init(&report);
     bool valid = BsGossipReport_Decode(data, size_bytes, &report);
@@ -565,6 +817,7 @@
     if (agent->uses_hubs) {
         S_send_due_summaries(agent, now_ms);
     }
+    S_pass_records(agent, now_ms);
 }
 
 int64_t
--- a/src/fleetagent.h
+++ b/src/fleetagent.h
@@ -13,6 +13,7 @@
 #define BS_FLEETAGENT_H
 
 #include "gossip.h"
+#include "streamversions.h"
 
 /* Maximum size of a datagram. */
 #define BS_FLEET_MAX_BYTES (BS_GOSSIP_MAX_BYTES + 8)
@@ -69,6 +70,13 @@
     void (*on_newest)(uint64_t newest, int64_t now_ms, void *context);
     /* The hub in use changed to the instance at ADDRESS; 0: none. */
     void (*on_hub_changed)(uint32_t address, void *context);
+    /* An instance sent RECORDS (BsStreamRecord) of streams. */
+    void (*on_stream_records)(const GArray *records, int64_t now_ms,
+                              void *context);
+    /* An instance asks for streams: moves those of QUESTIONS
+       (BsStreamQuestion) that can be answered to RECORDS (BsStreamRecord). */
+    void (*answer_questions)(GArray *questions, GArray *records,
+                             int64_t now_ms, void *context);
 } BsFleetEvents;
 
 typedef struct BsFleetAgent BsFleetAgent;
@@ -96,6 +104,20 @@
 void BsFleetAgent_SendReports(BsFleetAgent *agent, bool changed,
                               int64_t now_ms);
 
+/* Tells the others of streams that began at this instance: RECORDS
+   (BsStreamRecord). */
+void BsFleetAgent_SendStreamRecords(BsFleetAgent *agent, const GArray *records,
+                                    int64_t now_ms);
+
+/* Asks the others for streams: QUESTIONS (BsStreamQuestion).  Answers come as
+   records; nobody answers what is not known. */
+void BsFleetAgent_AskStreams(BsFleetAgent *agent, const GArray *questions,
+                             int64_t now_ms);
+
+/* Returns whether records now reach an instance that was not told those before
+   the last call. */
+bool BsFleetAgent_HasNewListener(BsFleetAgent *agent, int64_t now_ms);
+
 /* Runs the periodic work: timeouts, choice of the hub, reports and summaries.
    Call it after each BsFleetAgent_PauseMs(). */
 void BsFleetAgent_Tick(BsFleetAgent *agent, int64_t now_ms);
--- a/src/gossip.c
+++ b/src/gossip.c
@@ -538,6 +538,24 @@
     return gossip->direct_answered_ms;
 }
 
+GArray *
+BsGossip_StreamReceivers(const BsGossip *gossip, bool remote, int64_t now_ms)
+{
+    GArray *out = g_array_new(FALSE, FALSE, sizeof(BsGossipReceiver));
+    if (BsGossip_UsesHubs(gossip, now_ms)) {
+        BsGossip_AppendStreamHubs(gossip, remote, now_ms, out);
+        return out;
+    }
+    BsGossipWalk walk = BsGossip_Walk(gossip, now_ms);
+    const BsGossipMember *member;
+    while (!remote && (member = BsGossip_Next(&walk)) != NULL) {
+        BsGossipReceiver receiver = {.address = member->address,
+                                     .incarnation = member->incarnation};
+        g_array_append_val(out, receiver);
+    }
+    return out;
+}
+
 /* Counts the instances last seen within LIMIT_MS, including this one; with
    LOCAL, only those of the same data centre. */
 static unsigned
--- a/src/gossip.h
+++ b/src/gossip.h
@@ -67,7 +67,8 @@
 typedef struct {
     uint32_t address;
     BsGossipRequest request;
-    uint64_t taken; /* sequence of the last report accepted from it */
+    uint64_t taken;       /* sequence of the last report accepted from it */
+    uint64_t incarnation; /* of BsGossip_StreamReceivers() only */
 } BsGossipReceiver;
 
 /* Creates the member table of the instance at ADDRESS, in DATA_CENTRE (a hash
@@ -141,6 +142,13 @@
 unsigned BsGossip_AppendRoster(const BsGossip *gossip, unsigned first,
                                unsigned count, int64_t now_ms, GArray *out);
 
+/* Returns the receivers (BsGossipReceiver) of what this instance tells or asks
+   about streams: all reachable members or, where hubs are used, the best hubs
+   of the own data centre.  With REMOTE, the best hubs of the other data
+   centres; none where no hubs are used.  Free with g_array_unref(). */
+GArray *BsGossip_StreamReceivers(const BsGossip *gossip, bool remote,
+                                 int64_t now_ms);
+
 /* Sets how many instances of the fleet are reachable (REACHABLE) and known, as
    reported by the hub. */
 void BsGossip_SetFleet(BsGossip *gossip, uint32_t reachable, uint32_t known,
--- a/src/gossip_private.h
+++ b/src/gossip_private.h
@@ -112,4 +112,9 @@
 /* Appends the first hubs of each data centre as BsGossipMemberInfo. */
 void BsGossip_AppendHubs(const BsGossip *gossip, int64_t now_ms, GArray *out);
 
+/* Appends the best hubs as BsGossipReceiver: of the own data centre, or with
+   REMOTE those of the others. */
+void BsGossip_AppendStreamHubs(const BsGossip *gossip, bool remote,
+                               int64_t now_ms, GArray *out);
+
 #endif /* BS_GOSSIP_PRIVATE_H */
--- a/src/gossiphub.c
+++ b/src/gossiphub.c
@@ -416,6 +416,40 @@
     return out;
 }
 
+/* ----------------------------------------------------------- streams -- */
+
+static void
+S_append_stream_hubs(const BsGossipHubs *hubs, GArray *out)
+{
+    for (size_t n = 0; n < HUBS_PER_DATA_CENTRE && hubs->hubs[n] != NULL;
+         n++) {
+        BsGossipReceiver receiver = {.address = hubs->hubs[n]->member.address,
+                                     .incarnation =
+                                         hubs->hubs[n]->member.incarnation};
+        g_array_append_val(out, receiver);
+    }
+}
+
+void
+BsGossip_AppendStreamHubs(const BsGossip *gossip, bool remote, int64_t now_ms,
+                          GArray *out)
+{
+    if (!remote) {
+        BsGossipHubs local;
+        S_rank_local_hubs(gossip, &local, now_ms);
+        S_append_stream_hubs(&local, out);
+        return;
+    }
+    GArray *all = S_rank_hubs(gossip, now_ms);
+    for (guint i = 0; i < all->len; i++) {
+        const BsGossipHubs *hubs = &g_array_index(all, BsGossipHubs, i);
+        if (hubs->data_centre != gossip->data_centre) {
+            S_append_stream_hubs(hubs, out);
+        }
+    }
+    g_array_unref(all);
+}
+
 /* ----------------------------------------------------------- members -- */
 
 void
--- a/src/gw_gate.h
+++ b/src/gw_gate.h
@@ -54,8 +54,8 @@
     BsCrashList *crash_list;
     BsCrashParts *crash_parts;
     BsStreamVersions *stream_versions;
-    GArray *stream_questions; /* BsStreamQuestion, to be sent to others at the
-                                 next tick, which empties it */
+    GArray *stream_questions; /* BsStreamQuestion, to be sent to others when
+                                 the loop waits next; emptied then */
     BsOverload overload;
     GRand *random;
     BsCatalog *catalog;          /* in force; NULL until one is known */
--- a/src/gw_gateway.c
+++ b/src/gw_gateway.c
@@ -127,6 +127,7 @@
         BsGossipTask_SendReports(gateway->gossip, true);
         S_advance_tick(gateway);
     }
+    BsGossipTask_AskStreams(gateway->gossip);
     BsEventLog_Flush(gate->log);
 }
 
--- a/src/gw_gossip.c
+++ b/src/gw_gossip.c
@@ -4,7 +4,9 @@
 #include "fleetagent.h"
 #include "gw_inbound.h"
 #include "gw_limitlog.h"
+#include "gw_streams.h"
 #include "itemcodec.h"
+#include "streamshare.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -88,6 +90,7 @@
     int64_t behind_since_ms; /* since a peer has newer items; 0: none has */
     int64_t senders_set_ms;  /* last update of the senders */
     uint32_t spread_ms;      /* own random delay below FETCH_SPREAD_MS */
+    BsStreamWatch *streams;
 };
 
 /* -------------------------------------------------------- sent state -- */
@@ -245,6 +248,22 @@
     }
 }
 
+static void
+S_on_stream_records(const GArray *records, int64_t now_ms, void *context)
+{
+    BsGate *gate = ((BsGossipTask *)context)->gate;
+    gate->stream_records_changed |=
+        BsStreamVersions_Merge(gate->stream_versions, records, now_ms);
+}
+
+static void
+S_answer_questions(GArray *questions, GArray *records, int64_t now_ms,
+                   void *context)
+{
+    const BsGate *gate = ((BsGossipTask *)context)->gate;
+    BsStreamVersions_Answer(gate->stream_versions, questions, now_ms, records);
+}
+
 static void
 S_on_readable(struct ev_loop *loop, ev_io *watcher, int events)
 {
@@ -548,6 +567,31 @@
                               BsGossip_StoreAnsweredMs(task->gossip));
 }
 
+void
+BsGossipTask_AskStreams(BsGossipTask *task)
+{
+    GArray *questions = task->gate->stream_questions;
+    if (questions->len > 0) {
+        BsFleetAgent_AskStreams(task->agent, questions,
+                                BsClock_NowMs(task->gate->clock));
+        g_array_set_size(questions, 0);
+    }
+}
+
+/* Exchanges records of streams with the other instances. */
+static void
+S_share_streams(BsGossipTask *task, int64_t now_ms)
+{
+    BsGate *gate = task->gate;
+    BsStreamListState state = {
+        .answered_ms = BsGossip_StoreAnsweredMs(task->gossip),
+        .behind_ms = task->behind_since_ms,
+    };
+    bool current = BsStreamWatch_Update(task->streams, &state, now_ms);
+    BsStreamShare_Tick(task->agent, gate->stream_versions, current,
+                       gate->stream_questions, now_ms);
+}
+
 bool
 BsGossipTask_Tick(BsGossipTask *task, const BsPlatformStatus *store)
 {
@@ -557,6 +601,7 @@
     S_set_shares(task, now_ms);
     S_choose_reading(task, store->up, now_ms);
     S_fetch_if_behind(task, now_ms);
+    S_share_streams(task, now_ms);
     return task->reading != BS_GOSSIP_IDLE || task->backup;
 }
 
@@ -632,6 +677,8 @@
     .on_changes = S_on_changes,
     .on_newest = S_on_newest,
     .on_hub_changed = S_on_hub_changed,
+    .on_stream_records = S_on_stream_records,
+    .answer_questions = S_answer_questions,
 };
 
 /* Returns the wall clock time in milliseconds, which increases with each start
@@ -658,6 +705,7 @@
     task->port = ntohs(address.sin_port);
     task->read_until_ms = now_ms + STARTUP_READ_MS;
     task->fetched = g_string_new(NULL);
+    task->streams = BsStreamWatch_Create(gate, replica);
     task->spread_ms =
         (uint32_t)g_rand_int_range(gate->random, 0, FETCH_SPREAD_MS);
     task->answered_ms = INT64_MIN / 2;
@@ -696,6 +744,7 @@
     }
     BsInboundServer_Destroy(task->server);
     BsFleetAgent_Destroy(task->agent);
+    BsStreamWatch_Destroy(task->streams);
     g_string_free(task->fetched, TRUE);
     g_free(task);
 }
--- a/src/gw_gossip.h
+++ b/src/gw_gossip.h
@@ -31,6 +31,9 @@
    changed since the last call. */
 void BsGossipTask_SendReports(BsGossipTask *task, bool changed);
 
+/* Sends the gate's questions about streams now, and removes them. */
+void BsGossipTask_AskStreams(BsGossipTask *task);
+
 /* Runs the periodic work: detects unresponsive members, updates the usable
    fraction of common limits and fetches newer items from peers.  STORE tells
    how the store answers this instance.  Returns whether this instance is to
--- a/src/gw_pages.c
+++ b/src/gw_pages.c
@@ -51,6 +51,10 @@
     BsCounters_Set(counters, "part_suspects",
                    BsCrashParts_CountSuspects(gate->crash_parts,
                                               BsClock_NowMs(gate->clock)));
+    BsCounters_Set(counters, "stream_records",
+                   BsStreamVersions_Count(gate->stream_versions));
+    BsCounters_Set(counters, "stream_records_dropped_total",
+                   BsStreamVersions_Dropped(gate->stream_versions));
     BsCounters_Set(counters, "upstream_limits",
                    BsTargets_CountLimits(gate->targets));
     BsCounters_Set(counters, "connections",
--- /dev/null
+++ b/src/streamshare.c
@@ -0,0 +1,39 @@
+/* streamshare.c - the periodic part of the exchange of stream records. */
+#include "streamshare.h"
+
+#include "streamcodec.h"
+
+/* Sends the records that are due.  Without a listener they are dropped: the
+   next one gets all. */
+static void
+S_send_records(BsFleetAgent *agent, BsStreamVersions *versions, int64_t now_ms)
+{
+    GArray *records = g_array_new(FALSE, FALSE, sizeof(BsStreamRecord));
+    if (BsFleetAgent_HasNewListener(agent, now_ms)) {
+        BsStreamVersions_SendAgain(versions);
+    }
+    BsStreamVersions_TakeUnsent(versions, BS_STREAM_RECORDS_MAX, now_ms,
+                                records);
+    if (records->len > 0) {
+        BsFleetAgent_SendStreamRecords(agent, records, now_ms);
+    }
+    g_array_unref(records);
+}
+
+void
+BsStreamShare_Tick(BsFleetAgent *agent, BsStreamVersions *versions,
+                   bool list_current, GArray *questions, int64_t now_ms)
+{
+    const BsGossip *gossip = BsFleetAgent_Gossip(agent);
+    if (!list_current) {
+        BsStreamVersions_NoteGap(versions, now_ms);
+    }
+    if (BsGossip_Reachable(gossip, now_ms) < BsGossip_Known(gossip, now_ms)) {
+        BsStreamVersions_NoteUnreachable(versions, now_ms);
+    }
+    S_send_records(agent, versions, now_ms);
+    if (questions->len > 0) {
+        BsFleetAgent_AskStreams(agent, questions, now_ms);
+        g_array_set_size(questions, 0);
+    }
+}
--- a/src/streamversions.c
+++ b/src/streamversions.c
@@ -12,6 +12,10 @@
 #define VERSIONS_MAX 16
 #define SERVICES_MAX 1024
 
+/* A record is sent again after this time, as the first datagram may be lost
+   and the instance may not live to be asked. */
+#define REPEAT_MS 200
+
 #define SERVICE_SHIFT 32
 
 /* The version of a stream for which two records of the same generation name
@@ -30,6 +34,12 @@
     bool unsent; /* in the queue */
 };
 
+/* A record that is to be sent again. */
+typedef struct {
+    uint64_t key;
+    int64_t due_ms;
+} BsStreamRepeat;
+
 typedef struct {
     uint64_t version;
     int64_t noted_ms; /* when it was last listed or named */
@@ -48,8 +58,10 @@
     GHashTable *services; /* service to BsServedService, which it owns */
     BsStreamEntry *first;
     BsStreamEntry *last;
-    GArray *unsent; /* keys of own records, uint64_t */
+    GArray *unsent;  /* keys of own records, uint64_t */
+    GArray *repeats; /* BsStreamRepeat, by due_ms */
     int64_t life_ms;
+    bool life_set;                 /* false: LIFE_MS is the default */
     int64_t earlier_life_ms;       /* a longer one, valid until ... */
     int64_t earlier_life_until_ms; /* ... this time */
     int64_t gap_ms;                /* end of the last gap */
@@ -64,6 +76,7 @@
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
     versions->services = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     versions->unsent = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    versions->repeats = g_array_new(FALSE, FALSE, sizeof(BsStreamRepeat));
     versions->life_ms = DEFAULT_LIFE_MS;
     versions->earlier_life_until_ms = now_ms;
     versions->gap_ms = now_ms;
@@ -79,6 +92,7 @@
     g_hash_table_destroy(versions->entries);
     g_hash_table_destroy(versions->services);
     g_array_unref(versions->unsent);
+    g_array_unref(versions->repeats);
     g_free(versions);
 }
 
@@ -121,7 +135,12 @@
 BsStreamVersions_SetLife(BsStreamVersions *versions, int64_t life_ms,
                          int64_t now_ms)
 {
-    if (life_ms == versions->life_ms) {
+    if (life_ms == versions->life_ms && versions->life_set) {
+        return;
+    }
+    if (!versions->life_set) {
+        versions->life_set = true;
+        versions->life_ms = life_ms;
         return;
     }
     bool longer = versions->life_ms >= versions->earlier_life_ms ||
@@ -470,6 +489,30 @@
     return BS_STREAM_VERSION_UNKNOWN;
 }
 
+void
+BsStreamVersions_Answer(const BsStreamVersions *versions, GArray *questions,
+                        int64_t now_ms, GArray *records)
+{
+    guint kept = 0;
+    for (guint i = 0; i < questions->len; i++) {
+        BsStreamQuestion question =
+            g_array_index(questions, BsStreamQuestion, i);
+        BsStreamRecord record = {.key = question.key};
+        if (BsStreamVersions_Find(versions, question.key, question.service,
+                                  now_ms, &record.version) ==
+            BS_STREAM_VERSION_KNOWN) {
+            const BsStreamEntry *entry =
+                g_hash_table_lookup(versions->entries, &question.key);
+            record.generation = entry == NULL ? 0 : entry->generation;
+            g_array_append_val(records, record);
+        }
+        else {
+            g_array_index(questions, BsStreamQuestion, kept++) = question;
+        }
+    }
+    g_array_set_size(questions, kept);
+}
+
 /* ----------------------------------------------------------- sending -- */
 
 /* Queues the own records of all services that are shared; with NEWLY, only of
@@ -495,7 +538,7 @@
 static void
 S_update_shared(BsStreamVersions *versions, int64_t now_ms)
 {
-    GHashTable *newly = g_hash_table_new(NULL, NULL);
+    GHashTable *newly = NULL;
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, versions->services);
@@ -503,33 +546,45 @@
         BsServedService *served = value;
         bool mixed = S_is_mixed(versions, served, now_ms);
         if (mixed && !served->shared) {
+            newly = newly == NULL ? g_hash_table_new(NULL, NULL) : newly;
             g_hash_table_add(newly, GUINT_TO_POINTER(served->service));
         }
         served->shared = mixed;
     }
-    if (g_hash_table_size(newly) > 0) {
+    if (newly != NULL) {
         S_queue_own(versions, newly);
+        g_hash_table_unref(newly);
     }
-    g_hash_table_unref(newly);
 }
 
-void
-BsStreamVersions_TakeUnsent(BsStreamVersions *versions, guint max,
-                            int64_t now_ms, GArray *records)
+/* Appends the record of KEY, if it still is one, to RECORDS.  Returns its
+   entry, or NULL. */
+static BsStreamEntry *
+S_append_record(const BsStreamVersions *versions, uint64_t key,
+                GArray *records)
+{
+    BsStreamEntry *entry = g_hash_table_lookup(versions->entries, &key);
+    if (entry != NULL && entry->version != AMBIGUOUS) {
+        BsStreamRecord record = {key, entry->version, entry->generation};
+        g_array_append_val(records, record);
+    }
+    return entry;
+}
+
+/* Takes the records that were not sent yet, which will be repeated. */
+static void
+S_take_first_sends(BsStreamVersions *versions, guint max, int64_t now_ms,
+                   GArray *records)
 {
     guint taken = 0;
-    S_drop_expired(versions, now_ms);
-    S_update_shared(versions, now_ms);
     while (taken < versions->unsent->len && records->len < max) {
-        uint64_t key = g_array_index(versions->unsent, uint64_t, taken++);
-        BsStreamEntry *entry = g_hash_table_lookup(versions->entries, &key);
-        if (entry == NULL || !entry->unsent) {
-            continue;
-        }
-        entry->unsent = false;
-        if (entry->version != AMBIGUOUS) {
-            BsStreamRecord record = {key, entry->version, entry->generation};
-            g_array_append_val(records, record);
+        BsStreamRepeat repeat = {
+            .key = g_array_index(versions->unsent, uint64_t, taken++),
+            .due_ms = now_ms + REPEAT_MS};
+        BsStreamEntry *entry = S_append_record(versions, repeat.key, records);
+        if (entry != NULL) {
+            entry->unsent = false;
+            g_array_append_val(versions->repeats, repeat);
         }
     }
     if (taken > 0) {
@@ -537,6 +592,35 @@
     }
 }
 
+static void
+S_take_repeats(BsStreamVersions *versions, guint max, int64_t now_ms,
+               GArray *records)
+{
+    guint taken = 0;
+    while (taken < versions->repeats->len && records->len < max) {
+        const BsStreamRepeat *repeat =
+            &g_array_index(versions->repeats, BsStreamRepeat, taken);
+        if (repeat->due_ms > now_ms) {
+            break;
+        }
+        S_append_record(versions, repeat->key, records);
+        taken++;
+    }
+    if (taken > 0) {
+        g_array_remove_range(versions->repeats, 0, taken);
+    }
+}
+
+void
+BsStreamVersions_TakeUnsent(BsStreamVersions *versions, guint max,
+                            int64_t now_ms, GArray *records)
+{
+    S_drop_expired(versions, now_ms);
+    S_update_shared(versions, now_ms);
+    S_take_first_sends(versions, max, now_ms, records);
+    S_take_repeats(versions, max, now_ms, records);
+}
+
 void
 BsStreamVersions_SendAgain(BsStreamVersions *versions)
 {
--- a/src/streamversions.h
+++ b/src/streamversions.h
@@ -98,14 +98,21 @@
                                            uint64_t key, uint32_t service,
                                            int64_t now_ms, uint64_t *version);
 
+/* Moves the QUESTIONS (BsStreamQuestion) whose streams are known here to
+   RECORDS (BsStreamRecord). */
+void BsStreamVersions_Answer(const BsStreamVersions *versions,
+                             GArray *questions, int64_t now_ms,
+                             GArray *records);
+
 /* Returns whether more than one version may have begun streams of SERVICE that
    can still be taken up. */
 bool BsStreamVersions_IsMixed(const BsStreamVersions *versions,
                               uint32_t service, int64_t now_ms);
 
 /* Moves up to MAX records of this instance that the others need and were not
-   told yet to RECORDS (BsStreamRecord).  When a service becomes mixed, these
-   are all its streams that can still be taken up. */
+   told yet, and those to be repeated, to RECORDS (BsStreamRecord).  When a
+   service becomes mixed, these are all its streams that can still be taken
+   up. */
 void BsStreamVersions_TakeUnsent(BsStreamVersions *versions, guint max,
                                  int64_t now_ms, GArray *records);
 
--- a/src/targets.c
+++ b/src/targets.c
@@ -312,6 +312,19 @@
     return listed;
 }
 
+void
+BsTargets_Each(const BsTargets *targets,
+               void (*func)(const BsTarget *target, void *context),
+               void *context)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, targets->by_id);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        func(value, context);
+    }
+}
+
 void
 BsTargets_SetShare(BsTargets *targets, double share)
 {
--- a/src/targets.h
+++ b/src/targets.h
@@ -194,6 +194,11 @@
 /* Returns how many targets are listed. */
 unsigned BsTargets_Listed(const BsTargets *targets);
 
+/* Calls FUNC for each target, listed or still in use. */
+void BsTargets_Each(const BsTargets *targets,
+                    void (*func)(const BsTarget *target, void *context),
+                    void *context);
+
 /* Sets the fraction of the cold limits that the reachable instances may use
    together, above 0 and at most 1; see BsGossip_Share(). */
 void BsTargets_SetShare(BsTargets *targets, double share);
--- a/tests/gate/fleet_world.cc
+++ b/tests/gate/fleet_world.cc
@@ -78,6 +78,29 @@
     }
 }
 
+void
+OnStreamRecords(const GArray *records, int64_t now_ms, void *context)
+{
+    BsStreamVersions_Merge(static_cast<Node *>(context)->stream_versions,
+                           records, now_ms);
+}
+
+void
+AnswerQuestions(GArray *questions, GArray *records, int64_t now_ms,
+                void *context)
+{
+    BsStreamVersions_Answer(static_cast<Node *>(context)->stream_versions,
+                            questions, now_ms, records);
+}
+
+// Returns whether DATA is about streams: its prefix has the bits of a report's
+// request, but others as well.
+bool
+IsAboutStreams(const char *data)
+{
+    return (data[0] & 3) == 0 && (data[0] & ~3) != 0;
+}
+
 void
 Send(uint32_t address, const char *data, size_t size_bytes, void *context)
 {
@@ -86,6 +109,10 @@
     Node *to = world->Find(address);
     node->sent++;
     node->sent_bytes += size_bytes;
+    if (IsAboutStreams(data)) {
+        node->stream_sent++;
+        node->stream_bytes += size_bytes;
+    }
     if (to == nullptr) {
         return;
     }
@@ -165,10 +192,10 @@
 }
 
 const BsFleetEvents kEvents = {
-    Fill,          FillCrashRecords, OnCrashRecords, FillPartRecords,
-    OnPartRecords, FillLimitRecords, OnLimitRecords, Send,
-    OnPeerReport,  OnUnresponsive,   OnHubsUsed,     OnChanges,
-    OnNewest,      OnHubChanged};
+    Fill,          FillCrashRecords, OnCrashRecords,  FillPartRecords,
+    OnPartRecords, FillLimitRecords, OnLimitRecords,  Send,
+    OnPeerReport,  OnUnresponsive,   OnHubsUsed,      OnChanges,
+    OnNewest,      OnHubChanged,     OnStreamRecords, AnswerQuestions};
 
 } // namespace
 
@@ -192,6 +219,13 @@
     node->crash_list = BsCrashList_Create();
     BsCrashParts_Destroy(node->crash_parts);
     node->crash_parts = BsCrashParts_Create();
+    BsStreamVersions_Destroy(node->stream_versions);
+    node->stream_versions = BsStreamVersions_Create(now_ms);
+    BsStreamVersions_SetLife(node->stream_versions, stream_life_ms, now_ms);
+    if (node->questions == nullptr) {
+        node->questions = g_array_new(FALSE, FALSE, sizeof(BsStreamQuestion));
+    }
+    g_array_set_size(node->questions, 0);
     node->own.clear();
     node->others.clear();
     node->peers.clear();
@@ -232,6 +266,7 @@
         for (auto &node : nodes) {
             if (node->alive && node->next_tick_ms <= now_ms) {
                 BsFleetAgent_Tick(node->agent, now_ms);
+                TickStreams(node.get());
                 node->next_tick_ms =
                     now_ms + BsFleetAgent_PauseMs(node->agent, now_ms);
             }
@@ -239,6 +274,19 @@
     }
 }
 
+void
+World::TickStreams(Node *node)
+{
+    if (versions.empty()) {
+        return;
+    }
+    for (uint64_t version : versions) {
+        BsStreamVersions_NoteServing(node->stream_versions, version, now_ms);
+    }
+    BsStreamShare_Tick(node->agent, node->stream_versions, node->list_current,
+                       node->questions, now_ms);
+}
+
 void
 World::Change(Node *node, uint64_t upstream, int by)
 {
@@ -281,5 +329,6 @@
     for (auto &node : nodes) {
         node->sent = node->sent_bytes = node->remote_bytes = 0;
         node->received = node->received_bytes = 0;
+        node->stream_sent = node->stream_bytes = 0;
     }
 }
--- a/tests/gate/fleet_world.h
+++ b/tests/gate/fleet_world.h
@@ -15,6 +15,7 @@
 
 extern "C" {
 #include "fleetagent.h"
+#include "streamshare.h"
 }
 
 constexpr int64_t kLocalDelayMs = 1;
@@ -52,6 +53,11 @@
     int64_t answered_ms = -1; // last answer of the store; -1: none
     BsCrashList *crash_list = nullptr;
     BsCrashParts *crash_parts = nullptr;
+    BsStreamVersions *stream_versions = nullptr;
+    GArray *questions = nullptr; // about streams, to be sent
+    bool list_current = true;    // the list of upstreams is
+    uint64_t stream_sent = 0;    // datagrams about streams
+    uint64_t stream_bytes = 0;
     BsTargets *targets = nullptr; // of a test that needs it
 };
 
@@ -71,6 +77,10 @@
             BsFleetAgent_Destroy(node->agent);
             BsCrashList_Destroy(node->crash_list);
             BsCrashParts_Destroy(node->crash_parts);
+            BsStreamVersions_Destroy(node->stream_versions);
+            if (node->questions != nullptr) {
+                g_array_unref(node->questions);
+            }
             BsTargets_Destroy(node->targets);
         }
     }
@@ -87,6 +97,7 @@
     uint32_t ActualLoad(uint64_t upstream, const Node *without);
     uint32_t ReportedLoad(const Node *node, uint64_t upstream);
     void ResetTraffic();
+    void TickStreams(Node *node);
 
     int64_t now_ms = 0;
     uint64_t incarnation = 1;
@@ -98,6 +109,9 @@
     std::set<uint32_t> disconnected; // instances that lose all datagrams
     std::set<uint32_t> isolated_data_centres; // no datagrams to or from others
     std::vector<uint32_t> seeds;
+    std::vector<uint64_t> versions; // of listed upstreams; with none, no
+                                    // streams are exchanged
+    int64_t stream_life_ms = 60000;
 };
 
 struct FleetSize {
--- a/tests/gate/streamversions_test.cc
+++ b/tests/gate/streamversions_test.cc
@@ -252,6 +252,19 @@
     EXPECT_EQ(table.Take().size(), 3u);
 }
 
+// Guards against a stream that is lost with one datagram.
+TEST(StreamVersionsTest, ARecordIsSentASecondTimeLater)
+{
+    Table table;
+    table.Serve("v1");
+    table.Serve("v2");
+    table.Note(8, "v1");
+    EXPECT_EQ(table.Take().size(), 1u);
+    EXPECT_TRUE(table.Take(1000, kStartMs + 100).empty());
+    EXPECT_EQ(table.Take(1000, kStartMs + 300).size(), 1u);
+    EXPECT_TRUE(table.Take(1000, kStartMs + 2000).empty());
+}
+
 // Guards against echoes: records of others are not sent.
 TEST(StreamVersionsTest, RecordsOfOthersAreNotSent)
 {
