Instances announce a software version that they see beside another one

The list reaches instances up to some seconds apart. One that had seen only v1 took it for the only version, while another already sent streams to v1.1; a take-up at the first one was answered by v1. In a fleet with hubs no record told it otherwise: members get none.

An instance that sees a new version beside another one now says so three times within 100 ms, to all or to the hubs; a hub tells its members. A service is then mixed for all before the list shows it to them.

--- a/src/fleetagent.c
+++ b/src/fleetagent.c
@@ -402,7 +402,8 @@
     if (agent->passing->len == 0) {
         return;
     }
-    GArray *receivers = BsGossip_StreamReceivers(agent->gossip, true, now_ms);
+    GArray *receivers = BsGossip_StreamReceivers(
+        agent->gossip, BS_GOSSIP_STREAMS_REMOTE, now_ms);
     S_send_records(agent, receivers, agent->passing, PREFIX_STREAM_RECORDS);
     g_array_unref(receivers);
     g_array_set_size(agent->passing, 0);
@@ -421,13 +422,36 @@
     }
 }
 
+/* Tells the members of the data centre, as its hub, of the versions that
+   RECORDS announce. */
+static void
+S_announce(BsFleetAgent *agent, const GArray *records, int64_t now_ms)
+{
+    GArray *announced = g_array_new(FALSE, FALSE, sizeof(BsStreamRecord));
+    for (guint i = 0; i < records->len; i++) {
+        BsStreamRecord record = g_array_index(records, BsStreamRecord, i);
+        if (record.key == 0) {
+            g_array_append_val(announced, record);
+        }
+    }
+    if (announced->len > 0 && BsGossip_Hub(agent->gossip) == agent->address) {
+        GArray *members = BsGossip_StreamReceivers(
+            agent->gossip, BS_GOSSIP_STREAMS_MEMBERS, now_ms);
+        S_send_records(agent, members, announced, PREFIX_STREAM_RECORDS);
+        g_array_unref(members);
+    }
+    g_array_unref(announced);
+}
+
 void
 BsFleetAgent_SendStreamRecords(BsFleetAgent *agent, const GArray *records,
                                int64_t now_ms)
 {
-    GArray *receivers = BsGossip_StreamReceivers(agent->gossip, false, now_ms);
+    GArray *receivers = BsGossip_StreamReceivers(
+        agent->gossip, BS_GOSSIP_STREAMS_LOCAL, now_ms);
     S_send_records(agent, receivers, records, PREFIX_STREAM_NOTES);
     S_keep_to_pass(agent, records, now_ms);
+    S_announce(agent, records, now_ms);
     g_array_unref(receivers);
 }
 
@@ -437,8 +461,9 @@
 S_pass_questions(BsFleetAgent *agent, const GArray *questions, uint32_t origin,
                  bool remote, uint64_t prefix, int64_t now_ms)
 {
-    GArray *receivers =
-        BsGossip_StreamReceivers(agent->gossip, remote, now_ms);
+    GArray *receivers = BsGossip_StreamReceivers(
+        agent->gossip,
+        remote ? BS_GOSSIP_STREAMS_REMOTE : BS_GOSSIP_STREAMS_LOCAL, now_ms);
     S_send_questions(agent, receivers, questions, origin, prefix);
     g_array_unref(receivers);
 }
@@ -471,7 +496,8 @@
 BsFleetAgent_AskStreams(BsFleetAgent *agent, const GArray *questions,
                         int64_t now_ms)
 {
-    GArray *receivers = BsGossip_StreamReceivers(agent->gossip, false, now_ms);
+    GArray *receivers = BsGossip_StreamReceivers(
+        agent->gossip, BS_GOSSIP_STREAMS_LOCAL, now_ms);
     S_send_questions(agent, receivers, questions, 0, PREFIX_STREAM_QUESTIONS);
     g_array_unref(receivers);
     if (BsGossip_Hub(agent->gossip) == agent->address) {
@@ -488,7 +514,8 @@
         return false;
     }
     agent->listeners_checked_ms = now_ms;
-    GArray *receivers = BsGossip_StreamReceivers(agent->gossip, false, now_ms);
+    GArray *receivers = BsGossip_StreamReceivers(
+        agent->gossip, BS_GOSSIP_STREAMS_LOCAL, now_ms);
     GHashTable *listeners = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     for (guint i = 0; i < receivers->len; i++) {
         const BsGossipReceiver *receiver =
--- a/src/gossip.c
+++ b/src/gossip.c
@@ -538,20 +538,36 @@
     return gossip->direct_answered_ms;
 }
 
-GArray *
-BsGossip_StreamReceivers(const BsGossip *gossip, bool remote, int64_t now_ms)
+static void
+S_append_reachable(const BsGossip *gossip, bool local, int64_t now_ms,
+                   GArray *out)
 {
-    GArray *out = g_array_new(FALSE, FALSE, sizeof(BsGossipReceiver));
-    if (BsGossip_UsesHubs(gossip, now_ms)) {
-        BsGossip_AppendStreamHubs(gossip, remote, now_ms, out);
-        return out;
-    }
     BsGossipWalk walk = BsGossip_Walk(gossip, now_ms);
     const BsGossipMember *member;
-    while (!remote && (member = BsGossip_Next(&walk)) != NULL) {
+    while ((member = BsGossip_Next(&walk)) != NULL) {
         BsGossipReceiver receiver = {.address = member->address,
                                      .incarnation = member->incarnation};
-        g_array_append_val(out, receiver);
+        if (!local || BsGossip_IsLocal(gossip, member)) {
+            g_array_append_val(out, receiver);
+        }
+    }
+}
+
+GArray *
+BsGossip_StreamReceivers(const BsGossip *gossip,
+                         BsGossipStreamReceivers receivers, int64_t now_ms)
+{
+    GArray *out = g_array_new(FALSE, FALSE, sizeof(BsGossipReceiver));
+    bool uses_hubs = BsGossip_UsesHubs(gossip, now_ms);
+    if (uses_hubs && receivers == BS_GOSSIP_STREAMS_MEMBERS) {
+        S_append_reachable(gossip, true, now_ms, out);
+    }
+    else if (uses_hubs) {
+        BsGossip_AppendStreamHubs(
+            gossip, receivers == BS_GOSSIP_STREAMS_REMOTE, now_ms, out);
+    }
+    else if (receivers == BS_GOSSIP_STREAMS_LOCAL) {
+        S_append_reachable(gossip, false, now_ms, out);
     }
     return out;
 }
--- a/src/gossip.h
+++ b/src/gossip.h
@@ -142,11 +142,19 @@
 unsigned BsGossip_AppendRoster(const BsGossip *gossip, unsigned first,
                                unsigned count, int64_t now_ms, GArray *out);
 
-/* Returns the receivers (BsGossipReceiver) of what this instance tells or asks
-   about streams: all reachable members or, where hubs are used, the best hubs
-   of the own data centre.  With REMOTE, the best hubs of the other data
-   centres; none where no hubs are used.  Free with g_array_unref(). */
-GArray *BsGossip_StreamReceivers(const BsGossip *gossip, bool remote,
+/* Who is told of streams. */
+typedef enum {
+    BS_GOSSIP_STREAMS_LOCAL = 0, /* all reachable members or, where hubs are
+                                    used, the best hubs of the data centre */
+    BS_GOSSIP_STREAMS_REMOTE,    /* the best hubs of the other data centres;
+                                    none where no hubs are used */
+    BS_GOSSIP_STREAMS_MEMBERS    /* where hubs are used, all reachable members
+                                    of the data centre; else none */
+} BsGossipStreamReceivers;
+
+/* Returns the RECEIVERS (BsGossipReceiver).  Free with g_array_unref(). */
+GArray *BsGossip_StreamReceivers(const BsGossip *gossip,
+                                 BsGossipStreamReceivers receivers,
                                  int64_t now_ms);
 
 /* Sets how many instances of the fleet are reachable (REACHABLE) and known, as
--- a/src/streamshare.c
+++ b/src/streamshare.c
@@ -10,7 +10,7 @@
 {
     GArray *records = g_array_new(FALSE, FALSE, sizeof(BsStreamRecord));
     if (BsFleetAgent_HasNewListener(agent, now_ms)) {
-        BsStreamVersions_SendAgain(versions);
+        BsStreamVersions_SendAgain(versions, now_ms);
     }
     BsStreamVersions_TakeUnsent(versions, BS_STREAM_RECORDS_MAX, now_ms,
                                 records);
--- a/src/streamversions.c
+++ b/src/streamversions.c
@@ -16,6 +16,13 @@
    and the instance may not live to be asked. */
 #define REPEAT_MS 200
 
+/* How often, and at which interval, a new version is announced. */
+#define ANNOUNCEMENTS 3
+#define ANNOUNCE_INTERVAL_MS 50
+
+/* A version noted within this time is in service now. */
+#define IN_SERVICE_MS 1000
+
 #define SERVICE_SHIFT 32
 
 /* The version of a stream for which two records of the same generation name
@@ -42,7 +49,9 @@
 
 typedef struct {
     uint64_t version;
-    int64_t noted_ms; /* when it was last listed or named */
+    int64_t noted_ms;       /* when it was last listed or named */
+    int64_t announce_ms;    /* when it is announced next */
+    uint32_t announcements; /* that are left */
 } BsServedVersion;
 
 typedef struct {
@@ -259,7 +268,13 @@
         BsStreamVersions_NoteGap(versions, now_ms);
         return;
     }
-    served->versions[served->count++] = (BsServedVersion){version, now_ms};
+    served->versions[served->count] = (BsServedVersion){
+        .version = version,
+        .noted_ms = now_ms,
+        .announce_ms = now_ms,
+        .announcements = served->count > 0 ? ANNOUNCEMENTS : 0,
+    };
+    served->count++;
 }
 
 void
@@ -465,7 +480,9 @@
             continue;
         }
         BsStreamVersions_NoteServing(versions, record->version, now_ms);
-        S_apply(versions, record, now_ms, &changed);
+        if (record->key != 0) {
+            S_apply(versions, record, now_ms, &changed);
+        }
     }
     return changed;
 }
@@ -611,20 +628,70 @@
     }
 }
 
+/* Appends the versions of SERVED that are to be announced. */
+static void
+S_announce(BsServedService *served, guint max, int64_t now_ms, GArray *records)
+{
+    for (uint32_t i = 0; i < served->count && records->len < max; i++) {
+        BsServedVersion *version = &served->versions[i];
+        if (version->announcements > 0 && now_ms >= version->announce_ms) {
+            BsStreamRecord record = {.version = version->version};
+            g_array_append_val(records, record);
+            version->announcements--;
+            version->announce_ms = now_ms + ANNOUNCE_INTERVAL_MS;
+        }
+    }
+}
+
+static void
+S_announce_all(BsStreamVersions *versions, guint max, int64_t now_ms,
+               GArray *records)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, versions->services);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        S_announce(value, max, now_ms, records);
+    }
+}
+
 void
 BsStreamVersions_TakeUnsent(BsStreamVersions *versions, guint max,
                             int64_t now_ms, GArray *records)
 {
     S_drop_expired(versions, now_ms);
     S_update_shared(versions, now_ms);
+    S_announce_all(versions, max, now_ms, records);
     S_take_first_sends(versions, max, now_ms, records);
     S_take_repeats(versions, max, now_ms, records);
 }
 
+/* Announces the versions of SERVED that are in service, if there are
+   several. */
+static void
+S_announce_again(const BsStreamVersions *versions, BsServedService *served,
+                 int64_t now_ms)
+{
+    uint64_t any;
+    bool several = S_count_versions(versions, served, now_ms, &any) > 1;
+    for (uint32_t i = 0; several && i < served->count; i++) {
+        if (now_ms - served->versions[i].noted_ms <= IN_SERVICE_MS) {
+            served->versions[i].announcements = ANNOUNCEMENTS;
+            served->versions[i].announce_ms = now_ms;
+        }
+    }
+}
+
 void
-BsStreamVersions_SendAgain(BsStreamVersions *versions)
+BsStreamVersions_SendAgain(BsStreamVersions *versions, int64_t now_ms)
 {
+    GHashTableIter iter;
+    gpointer value;
     S_queue_own(versions, NULL);
+    g_hash_table_iter_init(&iter, versions->services);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        S_announce_again(versions, value, now_ms);
+    }
 }
 
 uint32_t
--- a/src/streamversions.h
+++ b/src/streamversions.h
@@ -9,6 +9,9 @@
  * have begun streams that can still be taken up.  Of the other services, the
  * one version answers for all streams.
  *
+ * An instance that sees a new version beside another one says so at once: the
+ * others may see it in the list only later.
+ *
  * Rules: a version counts from when it was listed, or named in a record, until
  * a stream's longest life after that.  For as long after a time at which the
  * list of upstreams was not current, no version is taken to be the only one:
@@ -23,7 +26,8 @@
 
 /* What is known of one stream; also the record that instances exchange. */
 typedef struct {
-    uint64_t key;        /* BsStreamVersions_Key() */
+    uint64_t key;        /* BsStreamVersions_Key(); 0: of no stream, it says
+                            only that VERSION is in service */
     uint64_t version;    /* BsStreamVersions_Hash(); 0: none */
     uint32_t generation; /* the higher one holds; if equal ones name different
                             versions, the version is unknown */
@@ -116,9 +120,9 @@
 void BsStreamVersions_TakeUnsent(BsStreamVersions *versions, guint max,
                                  int64_t now_ms, GArray *records);
 
-/* Makes BsStreamVersions_TakeUnsent() return all records of this instance
-   again, for an instance that was not told before. */
-void BsStreamVersions_SendAgain(BsStreamVersions *versions);
+/* Makes BsStreamVersions_TakeUnsent() return all records of this instance, and
+   the versions in service, again, for an instance that was not told before. */
+void BsStreamVersions_SendAgain(BsStreamVersions *versions, int64_t now_ms);
 
 /* Merges the records (BsStreamRecord) that another instance sent.  Returns
    whether one of them was new. */
--- a/tests/gate/streamfleet_test.cc
+++ b/tests/gate/streamfleet_test.cc
@@ -222,10 +222,9 @@
     uint64_t key = Begin(first, "v2");
     world_.Run(kKnownMs);
     for (auto &node : world_.nodes) {
-        uint64_t found = Find(node.get(), key);
-        // Where hubs are used, only these are told.
-        EXPECT_TRUE(found == Version("v2") || world_.nodes.size() > 24);
+        EXPECT_NE(Find(node.get(), key), Version("v1"));
     }
+    EXPECT_EQ(CountWrong(key, "v2"), 0);
 }
 
 // Guards against an instance that takes the version it last saw for the only
--- a/tests/gate/streamversions_test.cc
+++ b/tests/gate/streamversions_test.cc
@@ -71,19 +71,29 @@
         return BsStreamVersions_IsMixed(
             table_, BsStreamVersions_HashService(kService), now_ms);
     }
+    // The records of streams that are to be sent.
     std::vector<BsStreamRecord> Take(guint max = 1000,
                                      int64_t now_ms = kStartMs)
     {
         GArray *array = g_array_new(FALSE, FALSE, sizeof(BsStreamRecord));
         BsStreamVersions_TakeUnsent(table_, max, now_ms, array);
         std::vector<BsStreamRecord> records;
+        announced.clear();
         for (guint i = 0; i < array->len; i++) {
-            records.push_back(g_array_index(array, BsStreamRecord, i));
+            BsStreamRecord record = g_array_index(array, BsStreamRecord, i);
+            if (record.key == 0) {
+                announced.push_back(record.version);
+            }
+            else {
+                records.push_back(record);
+            }
         }
         g_array_unref(array);
         return records;
     }
 
+    std::vector<uint64_t> announced; // versions, by the last Take()
+
   private:
     BsStreamVersions *table_;
 };
@@ -240,6 +250,7 @@
     table.Note(9, "v1");
     EXPECT_TRUE(table.Take().empty());
     table.Serve("v2");
+    EXPECT_TRUE(table.Take(1).empty()); // the new version goes first
     EXPECT_EQ(table.Take(1).size(), 1u);
     EXPECT_EQ(table.Take().size(), 1u);
     EXPECT_TRUE(table.Take().empty());
@@ -248,10 +259,38 @@
     ASSERT_EQ(records.size(), 1u);
     EXPECT_EQ(records[0].key, 10u);
     EXPECT_EQ(records[0].version, Version("v2"));
-    BsStreamVersions_SendAgain(table.get());
+    BsStreamVersions_SendAgain(table.get(), kStartMs);
     EXPECT_EQ(table.Take().size(), 3u);
 }
 
+// Guards against an instance that takes a version for the only one as its list
+// is older than that of others.
+TEST(StreamVersionsTest, ANewVersionIsAnnouncedBesideAnotherOne)
+{
+    Table a;
+    Table b;
+    a.Serve("v1");
+    a.Take();
+    EXPECT_TRUE(a.announced.empty());
+    b.Serve("v1");
+    a.Serve("v2");
+    for (int i = 0; i < 3; i++) {
+        a.Take(1000, kStartMs + i * 50);
+        EXPECT_EQ(a.announced, std::vector<uint64_t>({Version("v2")}));
+    }
+    a.Take(1000, kStartMs + 5000);
+    EXPECT_TRUE(a.announced.empty());
+    EXPECT_EQ(b.Find(7), Version("v1"));
+    EXPECT_FALSE(b.Merge({{0, Version("v2"), 0}}));
+    EXPECT_EQ(b.Find(7), 0u);
+    EXPECT_EQ(BsStreamVersions_Count(b.get()), 0u);
+    // A new listener hears of those that are in service.
+    a.Serve("v2", kStartMs + 5000);
+    BsStreamVersions_SendAgain(a.get(), kStartMs + 5000);
+    a.Take(1000, kStartMs + 5000);
+    EXPECT_EQ(a.announced, std::vector<uint64_t>({Version("v2")}));
+}
+
 // Guards against a stream that is lost with one datagram.
 TEST(StreamVersionsTest, ARecordIsSentASecondTimeLater)
 {
@@ -271,7 +310,7 @@
     Table table;
     table.Serve("v1");
     table.Merge({{8, Version("v2"), 1}});
-    BsStreamVersions_SendAgain(table.get());
+    BsStreamVersions_SendAgain(table.get(), kStartMs);
     EXPECT_TRUE(table.Take().empty());
 }
 
