Stream fleet tests: a fleet per cut, also with 295 instances

The test of a cut between data centres built two fleets in one world and leaked the first, as AddressSanitizer showed. It has a fleet per size now; 295 instances are new.

--- a/tests/gate/streamfleet_test.cc
+++ b/tests/gate/streamfleet_test.cc
@@ -296,39 +296,47 @@
 
 // Guards against a guess on either side of a cut between data centres, and
 // against streams from the time of the cut that stay unknown after it.
-TEST_F(StreamFleet, ADataCentreThatIsCutOffDoesNotGuess)
-{
-    for (uint32_t per_data_centre : {3U, 30U}) {
-        world_.nodes.clear();
-        world_.by_address.clear();
-        world_.wire.clear();
-        world_.isolated_data_centres.clear();
-        Start({3, per_data_centre});
-        world_.isolated_data_centres = {1};
-        for (uint32_t i = 0; i < per_data_centre; i++) {
-            At(i)->list_current = false;
-        }
-        world_.Run(2000);
-        uint64_t key = Begin(At(1), "v1");
-        Node *other = At(per_data_centre);
-        world_.versions.push_back(Version("v2"));
-        world_.Run(10000);
-        world_.versions = {Version("v2")};
-        world_.Run(10000);
-        // The old version may still begin streams where the change is not
-        // known.
-        EXPECT_EQ(TakeUp(other, key), 0U);
-        EXPECT_EQ(TakeUp(At(0), key), Version("v1"));
-        EXPECT_EQ(TakeUp(At(0), 12345), 0U);
-        world_.isolated_data_centres.clear();
-        for (uint32_t i = 0; i < per_data_centre; i++) {
-            At(i)->list_current = true;
+class StreamCutTest : public StreamFleet,
+                      public testing::WithParamInterface<FleetSize> {
+  protected:
+    void SetLocalListCurrent(bool current)
+    {
+        for (auto &node : world_.nodes) {
+            node->list_current = current || node->data_centre != 1;
         }
-        world_.Run(3000);
-        EXPECT_EQ(TakeUp(other, key), Version("v1"));
     }
+};
+
+TEST_P(StreamCutTest, ADataCentreThatIsCutOffDoesNotGuess)
+{
+    Start(GetParam());
+    Node *other = At(GetParam().per_data_centre);
+    world_.isolated_data_centres = {1};
+    SetLocalListCurrent(false);
+    world_.Run(2000);
+    uint64_t key = Begin(At(1), "v1");
+    world_.versions.push_back(Version("v2"));
+    world_.Run(10000);
+    world_.versions = {Version("v2")};
+    world_.Run(10000);
+    // The old version may still begin streams where the change is not known.
+    EXPECT_EQ(TakeUp(other, key), 0U);
+    EXPECT_EQ(TakeUp(At(0), key), Version("v1"));
+    EXPECT_EQ(TakeUp(At(0), 12345), 0U);
+    world_.isolated_data_centres.clear();
+    SetLocalListCurrent(true);
+    world_.Run(3000);
+    EXPECT_EQ(TakeUp(other, key), Version("v1"));
 }
 
+INSTANTIATE_TEST_SUITE_P(Sizes, StreamCutTest,
+                         testing::Values(FleetSize{3, 3}, FleetSize{3, 30},
+                                         FleetSize{5, 59}),
+                         [](const auto &info) {
+                             return std::to_string(info.param.data_centres *
+                                                   info.param.per_data_centre);
+                         });
+
 // Guards against needless load: datagrams about streams while two versions
 // serve, with the streams of a large site; two hundredths of them are taken
 // up.
