Streams: an answer goes on at the software version that began it

Callers held events of two software versions in one answer: when the upstream of a stream broke off, or was silent in mid-stream, the gateway resumed the stream at whichever upstream was cheapest, of any version. What two versions write does not fit together.

Cause: the choice of an upstream knew nothing of the version. The query by which all sends of a request are chosen (retries, replacements of silent upstreams, alternatives after an error) now has a version, which is that of the attempt that brought the first event; before it there is none. An attempt keeps the version that its upstream had at its start, as an entry may change. When no upstream of the version is left, the answer is cut, with the cause version_gone. A queued request that is bound to a version says nothing about slots for others.

Held attempts need nothing more: before the first event they end once another has brought one, and after it all of them are of the version.

--- a/src/gw_attempt.c
+++ b/src/gw_attempt.c
@@ -65,6 +65,7 @@
     query->excluded = (const char *const *)relay->excluded;
     query->excluded_count = relay->excluded_count;
     query->session = relay->session;
+    query->version = relay->began.hash;
     if (relay->service->engine && BsHeld_HasAny(relay)) {
         /* An engine that has sent nothing since may be silent as well. */
         query->spoke_since_ms = relay->silent_since_ms;
--- a/src/gw_relay.c
+++ b/src/gw_relay.c
@@ -447,7 +447,8 @@
         BsAttempt_Start(relay, target);
     }
     else if (verdict == BS_TARGET_NONE && !BsHeld_FallBack(relay)) {
-        BsRelay_Refuse(relay, relay->may_have_run ? 502 : 503, "no_upstream",
+        BsRelay_Refuse(relay, relay->may_have_run ? 502 : 503,
+                       BsTakeUp_CauseWithoutUpstream(relay),
                        relay->may_have_run ? 0 : 1);
     }
     else if (verdict != BS_TARGET_NONE && !S_refuse_limited(relay)) {
@@ -468,7 +469,7 @@
         .service = relay->service,
         .account = relay->account,
         .reserved_slots = S_reserved_slots(relay),
-        .excludes = relay->excluded_count > 0,
+        .excludes = relay->excluded_count > 0 || relay->began.hash != 0,
     };
     if (!BsQueuePass_MayFindSlot(pass, &kind)) {
         return;
--- a/src/gw_relayparts.h
+++ b/src/gw_relayparts.h
@@ -111,7 +111,8 @@
     int64_t silent_since_ms; /* last progress of the latest held attempt */
     /* All attempts. */
     BsRelayAnswer answer;
-    BsRelaySoftware began; /* of the attempt that brought the first event */
+    BsRelaySoftware began; /* of the attempt that brought the first event; the
+                              answer goes on at this version only */
     char *excluded[BS_RELAY_EXCLUDED_MAX];
     size_t excluded_count;
     const char *given_up; /* cause for which the last attempt without an answer
@@ -305,6 +306,10 @@
 /* Sets the software version of the current attempt, whose upstream is set. */
 void BsTakeUp_SetSoftware(BsRelay *relay);
 
+/* Returns why no upstream may get the request: none is listed, open and
+   allowed, or none of the version at which its stream began. */
+const char *BsTakeUp_CauseWithoutUpstream(const BsRelay *relay);
+
 /* Notes the software version at the first event of the current attempt, and
    logs one that differs from that of the first event of the answer. */
 void BsTakeUp_NoteFirstEvent(BsRelay *relay);
--- a/src/gw_takeup.c
+++ b/src/gw_takeup.c
@@ -35,6 +35,19 @@
               sizeof(attempt->software.name));
 }
 
+const char *
+BsTakeUp_CauseWithoutUpstream(const BsRelay *relay)
+{
+    BsTargetQuery query;
+    BsTargetVerdict verdict;
+    BsAttempt_FillQuery(relay, &query);
+    query.version = 0;
+    BsTargets_Choose(relay->gate->targets, &query,
+                     BsClock_NowMs(relay->gate->clock), &verdict);
+    return relay->began.hash != 0 && verdict != BS_TARGET_NONE ? "version_gone"
+                                                               : "no_upstream";
+}
+
 /* Logs that the answer goes on at another version than that at which it
    began. */
 static void
--- a/src/logtimeline.c
+++ b/src/logtimeline.c
@@ -17,6 +17,10 @@
      "upstream_gone before it"},
     {"no_upstream", "no upstream of its service was listed, open and allowed",
      "lines upstream_gone, data_centre_closed; the route's allowed regions"},
+    {"version_gone",
+     "its stream began at a software version of which no upstream was listed, "
+     "open and allowed",
+     "'software' in the lines upstream_listed; lines upstream_gone"},
     {"account_limit", "its account had used up its limit",
      "line over_limit of the same request: left, per_s, burst and the share "
      "that the instance could use"},
--- a/src/targetchoice.c
+++ b/src/targetchoice.c
@@ -87,6 +87,7 @@
     return !BsTarget_IsLeaving(target) && target->usable_until_ms > now_ms &&
            target->region != NULL && !target->closed &&
            !S_is_excluded(query, target->id) &&
+           (query->version == 0 || query->version == target->version_hash) &&
            BsCatalog_AllowsRegion(query->route, query->account,
                                   target->region);
 }
--- a/src/targets.c
+++ b/src/targets.c
@@ -1,4 +1,5 @@
 /* targets.c - the table of upstreams: listing and health. */
+#include "streamversions.h"
 #include "targets_private.h"
 
 #include <string.h>
@@ -26,12 +27,6 @@
     return XXH3_64bits(id, strlen(id));
 }
 
-uint64_t
-BsTargets_HashVersion(const char *version)
-{
-    return MAX(BsTargets_Hash(version), 1);
-}
-
 static void
 S_destroy_target(gpointer data)
 {
@@ -167,7 +162,8 @@
 S_set_version(BsTarget *target, const char *version)
 {
     S_set_text(&target->version, version == NULL ? "" : version);
-    target->version_hash = BsTargets_HashVersion(target->version);
+    target->version_hash =
+        BsStreamVersions_Hash(target->service, target->version);
 }
 
 /* Resets what was learned about TARGET before its present start. */
--- a/src/targets.h
+++ b/src/targets.h
@@ -69,7 +69,7 @@
     char *data_centre;
     char *region;
     char *version;         /* of its software; "" when not listed */
-    uint64_t version_hash; /* BsTargets_HashVersion() of VERSION */
+    uint64_t version_hash; /* BsStreamVersions_Hash() of VERSION */
     struct sockaddr_in address;
     uint64_t hash;
     uint32_t slots;
@@ -118,6 +118,7 @@
     uint64_t session; /* hash of the last part of the prompt; 0: none */
     uint32_t prompt_tokens;
     uint32_t output_tokens;
+    uint64_t version;        /* only targets with this VERSION_HASH; 0: any */
     int64_t spoke_since_ms;  /* only targets that have sent something since
                                 then; 0: all */
     uint32_t reserved_slots; /* slots to keep free at the target for other
@@ -164,9 +165,6 @@
    instances. */
 uint64_t BsTargets_Hash(const char *id);
 
-/* Returns the hash of the software version VERSION; never 0. */
-uint64_t BsTargets_HashVersion(const char *version);
-
 /* Adds or updates a listed entry.  A changed start time resets what was
    learned about the target; an entry from an earlier start or report than the
    known one was written late and is ignored.  Returns whether the target was
