Stream versions: an old list of upstreams counts as unknown by its age

A process that was stalled may get requests that take streams up before its first tick, which would have noted the gap. Until then the list from before the stall answered: at the one version in it, also for streams that began meanwhile at another.

The table now holds the time of which the list is known to be. A version is the only one while that time is at most 2 s ago, so the answer changes with the clock, not with a call. A list whose time jumps by more counts as a gap.

--- a/src/gw_gossip.c
+++ b/src/gw_gossip.c
@@ -587,8 +587,8 @@
         .answered_ms = BsGossip_StoreAnsweredMs(task->gossip),
         .behind_ms = task->behind_since_ms,
     };
-    bool current = BsStreamWatch_Update(task->streams, &state, now_ms);
-    BsStreamShare_Tick(task->agent, gate->stream_versions, current,
+    int64_t current_ms = BsStreamWatch_Update(task->streams, &state, now_ms);
+    BsStreamShare_Tick(task->agent, gate->stream_versions, current_ms,
                        gate->stream_questions, now_ms);
 }
 
--- a/src/gw_streams.c
+++ b/src/gw_streams.c
@@ -4,10 +4,6 @@
 /* Interval between two passes over the list of upstreams. */
 #define SERVING_INTERVAL_MS 200
 
-/* The list is current when the store answered within this time, and no other
-   instance has had newer items for as long. */
-#define CURRENT_MS 2000
-
 /* How long after its time-out a stream may still be taken up: a caller may
    pause first. */
 #define TAKE_UP_MARGIN_MS 10000
@@ -122,27 +118,31 @@
 
 /* ------------------------------------------------------------ update -- */
 
-/* Returns whether the list is known to be current.  After the store was
-   restored from an older copy, it is not until a full read has settled. */
-static bool
-S_is_current(BsStreamWatch *watch, const BsStreamListState *state,
+/* Returns the time of the list.  Where the store was restored from an older
+   copy, it is not known until a full read has settled. */
+static int64_t
+S_current_ms(BsStreamWatch *watch, const BsStreamListState *state,
              int64_t now_ms)
 {
     uint64_t position = BsReplica_CompleteRevision(watch->replica);
     uint64_t era = position == 0 ? 0 : BsPosition_Era(position);
-    bool same_era = era == watch->era && era != 0;
-    watch->era = era;
-    return same_era && (era == 1 || BsPosition_IsSettled(position)) &&
-           now_ms - state->answered_ms <= CURRENT_MS &&
-           (state->behind_ms == 0 || now_ms - state->behind_ms <= CURRENT_MS);
+    if (era != watch->era) {
+        watch->era = era;
+        BsStreamVersions_NoteGap(watch->gate->stream_versions, now_ms);
+    }
+    if (era == 0 || (era > 1 && !BsPosition_IsSettled(position))) {
+        return INT64_MIN / 2;
+    }
+    return state->behind_ms == 0 ? state->answered_ms
+                                 : MIN(state->answered_ms, state->behind_ms);
 }
 
-bool
+int64_t
 BsStreamWatch_Update(BsStreamWatch *watch, const BsStreamListState *state,
                      int64_t now_ms)
 {
     BsStreamVersions *versions = watch->gate->stream_versions;
-    bool current = S_is_current(watch, state, now_ms);
+    int64_t current_ms = S_current_ms(watch, state, now_ms);
     S_set_life(watch, now_ms);
     if (now_ms - watch->served_ms >= SERVING_INTERVAL_MS) {
         BsServingPass pass = {.versions = versions, .now_ms = now_ms};
@@ -152,5 +152,5 @@
                                     watch->gate);
     }
     S_log_dropped(watch, now_ms);
-    return current;
+    return current_ms;
 }
--- a/src/gw_streams.h
+++ b/src/gw_streams.h
@@ -23,8 +23,9 @@
 void BsStreamWatch_Destroy(BsStreamWatch *watch);
 
 /* Notes the versions in service, at intervals, and logs what has changed.
-   Returns whether the list of upstreams is known to be current. */
-bool BsStreamWatch_Update(BsStreamWatch *watch, const BsStreamListState *state,
-                          int64_t now_ms);
+   Returns the time of which, or later, the list of upstreams is known to be;
+   INT64_MIN / 2 if it is not known at all. */
+int64_t BsStreamWatch_Update(BsStreamWatch *watch,
+                             const BsStreamListState *state, int64_t now_ms);
 
 #endif /* BS_GW_STREAMS_H */
--- a/src/streamshare.c
+++ b/src/streamshare.c
@@ -22,12 +22,10 @@
 
 void
 BsStreamShare_Tick(BsFleetAgent *agent, BsStreamVersions *versions,
-                   bool list_current, GArray *questions, int64_t now_ms)
+                   int64_t current_ms, GArray *questions, int64_t now_ms)
 {
     const BsGossip *gossip = BsFleetAgent_Gossip(agent);
-    if (!list_current) {
-        BsStreamVersions_NoteGap(versions, now_ms);
-    }
+    BsStreamVersions_NoteCurrent(versions, current_ms);
     if (BsGossip_Reachable(gossip, now_ms) < BsGossip_Known(gossip, now_ms)) {
         BsStreamVersions_NoteUnreachable(versions, now_ms);
     }
--- a/src/streamshare.h
+++ b/src/streamshare.h
@@ -8,10 +8,10 @@
 
 #include "fleetagent.h"
 
-/* Runs the exchange; call it after each BsFleetAgent_Tick().  LIST_CURRENT
-   tells whether the list of upstreams is known to be current.  QUESTIONS
+/* Runs the exchange; call it after each BsFleetAgent_Tick().  The list of
+   upstreams is known to be that of CURRENT_MS or later.  QUESTIONS
    (BsStreamQuestion) are sent and removed. */
 void BsStreamShare_Tick(BsFleetAgent *agent, BsStreamVersions *versions,
-                        bool list_current, GArray *questions, int64_t now_ms);
+                        int64_t current_ms, GArray *questions, int64_t now_ms);
 
 #endif /* BS_STREAMSHARE_H */
--- a/src/streamversions.c
+++ b/src/streamversions.c
@@ -23,6 +23,9 @@
 /* A version noted within this time is in service now. */
 #define IN_SERVICE_MS 1000
 
+/* The list of upstreams is known while it is at most this old. */
+#define CURRENT_MS 2000
+
 #define SERVICE_SHIFT 32
 
 /* The version of a stream for which two records of the same generation name
@@ -73,7 +76,8 @@
     bool life_set;                 /* false: LIFE_MS is the default */
     int64_t earlier_life_ms;       /* a longer one, valid until ... */
     int64_t earlier_life_until_ms; /* ... this time */
-    int64_t gap_ms;                /* end of the last gap */
+    int64_t current_ms; /* the list is known to be that of this time */
+    int64_t gap_ms;     /* end of the last gap */
     uint64_t dropped;
 };
 
@@ -88,6 +92,7 @@
     versions->repeats = g_array_new(FALSE, FALSE, sizeof(BsStreamRepeat));
     versions->life_ms = DEFAULT_LIFE_MS;
     versions->earlier_life_until_ms = now_ms;
+    versions->current_ms = now_ms;
     versions->gap_ms = now_ms;
     return versions;
 }
@@ -172,7 +177,8 @@
 static bool
 S_had_gap(const BsStreamVersions *versions, int64_t now_ms)
 {
-    return now_ms - versions->gap_ms <= S_life_ms(versions, now_ms);
+    return now_ms - versions->current_ms > CURRENT_MS ||
+           now_ms - versions->gap_ms <= S_life_ms(versions, now_ms);
 }
 
 static BsServedService *
@@ -277,6 +283,15 @@
     served->count++;
 }
 
+void
+BsStreamVersions_NoteCurrent(BsStreamVersions *versions, int64_t current_ms)
+{
+    if (current_ms - versions->current_ms > CURRENT_MS) {
+        BsStreamVersions_NoteGap(versions, current_ms);
+    }
+    versions->current_ms = MAX(versions->current_ms, current_ms);
+}
+
 void
 BsStreamVersions_NoteGap(BsStreamVersions *versions, int64_t now_ms)
 {
--- a/src/streamversions.h
+++ b/src/streamversions.h
@@ -79,6 +79,12 @@
 void BsStreamVersions_NoteServing(BsStreamVersions *versions, uint64_t version,
                                   int64_t now_ms);
 
+/* Records that the list of upstreams is known to be that of CURRENT_MS or
+   later.  Where that is long ago, also because this process was stalled, the
+   list counts as not known. */
+void BsStreamVersions_NoteCurrent(BsStreamVersions *versions,
+                                  int64_t current_ms);
+
 /* Records that the list of upstreams was not known to be current until NOW_MS,
    so that unknown versions may have begun streams. */
 void BsStreamVersions_NoteGap(BsStreamVersions *versions, int64_t now_ms);
--- a/tests/gate/fleet_world.cc
+++ b/tests/gate/fleet_world.cc
@@ -283,7 +283,8 @@
     for (uint64_t version : versions) {
         BsStreamVersions_NoteServing(node->stream_versions, version, now_ms);
     }
-    BsStreamShare_Tick(node->agent, node->stream_versions, node->list_current,
+    BsStreamShare_Tick(node->agent, node->stream_versions,
+                       node->list_current ? now_ms : INT64_MIN / 2,
                        node->questions, now_ms);
 }
 
--- a/tests/gate/streamfleet_test.cc
+++ b/tests/gate/streamfleet_test.cc
@@ -38,6 +38,10 @@
                 BsStreamVersions_Create(world_.now_ms - kLifeMs - 1);
             BsStreamVersions_SetLife(node->stream_versions, kLifeMs,
                                      world_.now_ms - kLifeMs);
+            for (int64_t ms = kLifeMs; ms >= 0; ms -= 1000) {
+                BsStreamVersions_NoteCurrent(node->stream_versions,
+                                             world_.now_ms - ms);
+            }
         }
         world_.Run(100);
         world_.ResetTraffic();
@@ -234,11 +238,26 @@
     Node *node = At(1);
     node->list_current = false;
     world_.disconnected = {node->address};
-    world_.Run(200);
+    world_.Run(2100);
     EXPECT_EQ(Find(node, 12345), 0U);
     EXPECT_EQ(TakeUp(node, 12345), 0U);
 }
 
+// Guards against an instance that stalls and, before it has noticed that, goes
+// by the list from before.
+TEST_P(StreamFleetTest, AnInstanceThatHasStalledDoesNotGuess)
+{
+    Node *node = At(1);
+    EXPECT_EQ(Find(node, 12345), Version("v1"));
+    node->next_tick_ms = INT64_MAX;
+    world_.Run(5000);
+    EXPECT_EQ(Find(node, 12345), 0U);
+    node->next_tick_ms = world_.now_ms;
+    world_.Run(1000);
+    EXPECT_EQ(Find(node, 12345), 0U);
+    EXPECT_EQ(TakeUp(node, 12345), Version("v1"));
+}
+
 // Guards against messages that nobody needs.
 TEST_P(StreamFleetTest, NothingIsSentWhileOneVersionServes)
 {
--- a/tests/gate/streamversions_test.cc
+++ b/tests/gate/streamversions_test.cc
@@ -26,6 +26,15 @@
     Table() : table_(BsStreamVersions_Create(kStartMs - 2 * kLifeMs - 1))
     {
         BsStreamVersions_SetLife(table_, kLifeMs, kStartMs - 2 * kLifeMs);
+        KeepCurrent(kStartMs);
+    }
+    // The list is known to be current until NOW_MS.
+    void KeepCurrent(int64_t now_ms)
+    {
+        for (; current_ms_ < now_ms; current_ms_ += 1000) {
+            BsStreamVersions_NoteCurrent(table_, current_ms_);
+        }
+        BsStreamVersions_NoteCurrent(table_, now_ms);
     }
     ~Table()
     {
@@ -39,6 +48,7 @@
     }
     void Serve(const char *version, int64_t now_ms = kStartMs)
     {
+        KeepCurrent(now_ms);
         BsStreamVersions_NoteServing(table_, Version(version), now_ms);
     }
     void Note(uint64_t key, const char *version, uint32_t generation = 1,
@@ -96,6 +106,7 @@
 
   private:
     BsStreamVersions *table_;
+    int64_t current_ms_ = kStartMs - 2 * kLifeMs;
 };
 
 // Guards against equal hashes of different services, accounts or versions.
@@ -169,6 +180,19 @@
     EXPECT_EQ(table.Find(7, kStartMs + kLifeMs + 1), Version("v1"));
 }
 
+// Guards against a process that has stalled and goes by an old list.
+TEST(StreamVersionsTest, AnOldListCountsAsAGap)
+{
+    Table table;
+    table.Serve("v1");
+    EXPECT_EQ(table.Find(7, kStartMs + 2000), Version("v1"));
+    EXPECT_EQ(table.Find(7, kStartMs + 2001), 0u);
+    BsStreamVersions_NoteCurrent(table.get(), kStartMs + 5000);
+    EXPECT_EQ(table.Find(7, kStartMs + 5000), 0u);
+    table.Serve("v1", kStartMs + 5000 + kLifeMs + 1);
+    EXPECT_EQ(table.Find(7, kStartMs + 5000 + kLifeMs + 1), Version("v1"));
+}
+
 // Guards against the one version of a fresh table, which may have had others.
 TEST(StreamVersionsTest, AFreshTableKnowsNothing)
 {
