Soak: check the bound on repeats; failing upstreams, restarts of all, copies

The soak did not check how often requests are sent once more, and no fault of it used up the gateways' retry budget. The new check counts, over all gateways and their restarts, what upstreams read beyond the first arrival of each request in every 10 s that end with such an arrival.

Refusals of the stand-ins carry the request's id, as those of real upstreams; late copies come with and without one.

--- a/tests/soak/main_soak.c
+++ b/tests/soak/main_soak.c
@@ -4,11 +4,13 @@
  * gatesoak GATEWAY DIRECTORY SEED [--seconds N] [--gateways N] [--runners N]
  * [--rate N] [--deadly MS] [--deadly-part] [--unframed] [--silent MS]
  * [--limits MS] [--silent-all] [--planned] [--calm] [--store-port N]
- * [--retry-slack N]
+ * [--retry-slack N] [--failing MS] [--restarts MS] [--copies]
  * [--verbose]; exits with 1 if a promise was broken.  --deadly sets the pause
  * between requests that crash upstreams, which with --deadly-part share one
  * part of their prompts only; --silent that between silences of upstreams.
- * --limits sets the pause between limits that upstreams name.
+ * --limits sets the pause between limits that upstreams name, --failing that
+ * between failures of upstreams in series, --restarts that between restarts of
+ * all gateways at once.  --copies sends late copies of upstreams' answers.
  * --unframed lets streams end with their connections.  --planned injects only
  * planned work and silences, with longer streams.  --calm injects no faults
  * and prints counts and response times by route.
@@ -83,6 +85,8 @@
 static gint S_silent = -1;
 static gint S_limits = -1;
 static gint S_cuts;
+static gint S_failing;
+static gint S_restarts;
 static gint S_retry_slack = -1;
 static gint S_store_port = 19999;
 static gboolean S_all_silent;
@@ -90,6 +94,7 @@
 static gboolean S_unframed;
 static gboolean S_planned;
 static gboolean S_no_faults;
+static gboolean S_copies;
 static gboolean S_verbose;
 
 static struct timespec
@@ -475,6 +480,7 @@
     ev_timer_stop(loop, &run->cuts);
     ev_timer_stop(loop, &run->cut_end);
     Soak_Log(soak, "all faults end");
+    SoakFailures_Stop(soak);
     soak->trouble_ms = MIN(soak->trouble_ms, Soak_NowMs(soak));
     S_set_store_mode(soak, SOAK_SERVES);
     S_close_or_open(soak, false);
@@ -496,7 +502,9 @@
 {
     (void)loop;
     (void)events;
-    SoakCallers_StopSending(&((SoakMain *)watcher->data)->soak);
+    Soak *soak = &((SoakMain *)watcher->data)->soak;
+    SoakCallers_StopSending(soak);
+    SoakFailures_Stop(soak);
 }
 
 static void
@@ -544,6 +552,10 @@
     soak->deadly_random = g_rand_new_with_seed(seed);
     soak->silent_random = g_rand_new_with_seed(seed);
     soak->limit_random = g_rand_new_with_seed(seed);
+    soak->failure_random = g_rand_new_with_seed(seed);
+    soak->copies = S_copies;
+    soak->failure_pause_ms = MAX(S_failing, 0);
+    soak->restart_pause_ms = MAX(S_restarts, 0);
     soak->limit_pause_ms = S_limits >= 0              ? S_limits
                            : S_no_faults || S_planned ? 0
                                                       : LIMIT_PAUSE_MS;
@@ -573,6 +585,7 @@
     soak->store_fault_ms = Soak_NowMs(soak);
     Soak_Address(soak, 100, soak->store_port, &address);
     soak->store = SoakStore_Create(soak, &address);
+    soak->repeats = SoakRepeats_Create(soak);
     S_publish(soak);
     for (unsigned i = 0; i < soak->upstream_count; i++) {
         soak->upstreams[i] = SoakUpstream_Create(soak, i);
@@ -587,11 +600,13 @@
         SoakUpstream_Destroy(soak->upstreams[i]);
     }
     SoakStore_Destroy(soak->store);
+    SoakRepeats_Destroy(soak->repeats);
     g_hash_table_destroy(soak->requests);
     g_rand_free(soak->random);
     g_rand_free(soak->deadly_random);
     g_rand_free(soak->silent_random);
     g_rand_free(soak->limit_random);
+    g_rand_free(soak->failure_random);
 }
 
 /* Checks that requests of each kind were answered after all faults ended;
@@ -635,6 +650,7 @@
     }
     S_start_repeating(&run, &run.silence, soak->silent_pause_ms, S_on_silence);
     S_start_repeating(&run, &run.limits, soak->limit_pause_ms, S_on_limit);
+    SoakFailures_Start(soak);
     ev_timer_init(&run.cut_end, S_on_cut_end, 0, 0);
     run.cut_end.data = &run;
     S_start_repeating(&run, &run.cuts, MAX(S_cuts, 0), S_on_cut);
@@ -667,6 +683,7 @@
     if (S_no_faults) {
         SoakLoad_Print(soak);
     }
+    SoakRepeats_Print(soak->repeats);
     unsigned violations = soak->violations;
     S_destroy(&run);
     return violations;
@@ -694,6 +711,12 @@
          "Pause between cuts of gateways from the store, 6000 at least; 0: "
          "none",
          "MS"},
+        {"failing", 0, 0, G_OPTION_ARG_INT, &S_failing,
+         "Pause between failures of upstreams in series; 0: none", "MS"},
+        {"restarts", 0, 0, G_OPTION_ARG_INT, &S_restarts,
+         "Pause between restarts of all gateways; 0: none", "MS"},
+        {"copies", 0, 0, G_OPTION_ARG_NONE, &S_copies,
+         "Upstreams send late copies of answers", NULL},
         {"silent-all", 0, 0, G_OPTION_ARG_NONE, &S_all_silent,
          "All upstreams fall silent at once", NULL},
         {"planned", 0, 0, G_OPTION_ARG_NONE, &S_planned,
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -19,11 +19,24 @@
 #define SOAK_GATEWAYS_MAX 64
 #define SOAK_UPSTREAMS_MAX 128
 
+/* Bounds of retries in the gateways' settings. */
+#define SOAK_RETRY_RATIO 0.2
+#define SOAK_RETRY_WINDOW_MS 10000
+
 typedef struct Soak Soak;
 typedef struct SoakStore SoakStore;
 typedef struct SoakUpstream SoakUpstream;
 typedef struct SoakProxy SoakProxy;
 typedef struct SoakLimit SoakLimit;
+typedef struct SoakRepeats SoakRepeats;
+
+/* How an upstream fails. */
+typedef enum {
+    SOAK_SOUND,
+    SOAK_REFUSING, /* runs no request */
+    SOAK_CLOSING,  /* runs requests, but resets their connections */
+    SOAK_LATE      /* answers after callers have given up */
+} SoakFailure;
 
 /* How a proxy treats the bytes of its connections. */
 typedef enum {
@@ -55,11 +68,12 @@
     SoakKind kind;
     bool deadly;            /* crashes each upstream that starts it */
     unsigned key;           /* number of the API key */
+    unsigned arrivals;      /* number of times an upstream read it */
     unsigned runs;          /* number of times an upstream started it */
     SoakUpstream *upstream; /* that started it last; NULL: none */
     int status;             /* HTTP status of the answer; 0: none */
     bool answered;
-    bool refused; /* answered 429 or 503: must not run */
+    bool refused; /* answered 429, 503, 408 or 421: must not run */
     bool cut;     /* ended without a complete answer */
     int64_t sent_ms;
     int64_t answered_ms; /* when the answer was complete; 0: not */
@@ -76,6 +90,7 @@
     unsigned gateway_count;
     unsigned upstream_count;
     SoakStore *store;
+    SoakRepeats *repeats;
     SoakUpstream *upstreams[SOAK_UPSTREAMS_MAX];
     GHashTable *requests; /* request id to SoakRequest */
     unsigned config_version;
@@ -99,6 +114,13 @@
     GRand *limit_random;    /* separate for the same reason */
     int64_t limit_pause_ms; /* pause between limits of upstreams; 0: none */
 
+    GRand *failure_random;    /* separate for the same reason */
+    int64_t failure_pause_ms; /* pause between failures of upstreams in series;
+                                 0: none */
+    bool copies;              /* upstreams send late copies of answers */
+    int64_t restart_pause_ms; /* pause between restarts of all gateways; 0:
+                                 none */
+
     GRand *silent_random;          /* separate for the same reason */
     int64_t silent_pause_ms;       /* pause between silences; 0: none */
     unsigned silent_count;         /* upstreams that are silent now */
@@ -179,6 +201,9 @@
 /* Answers PERCENT of the requests with status 500. */
 void SoakUpstream_SetErrors(SoakUpstream *upstream, int percent);
 
+/* Lets the upstream fail, or work again. */
+void SoakUpstream_SetFailure(SoakUpstream *upstream, SoakFailure failure);
+
 SoakProxy *SoakUpstream_Proxy(SoakUpstream *upstream);
 
 /* Returns the limits that the upstream names. */
@@ -202,6 +227,22 @@
 /* Checks a request of GATEWAY that arrives at UPSTREAM. */
 void SoakLimit_Check(SoakLimit *limit, const char *upstream, unsigned gateway);
 
+/* --------------------------------------------------------------- repeats --
+ */
+
+SoakRepeats *SoakRepeats_Create(Soak *soak);
+void SoakRepeats_Destroy(SoakRepeats *repeats);
+
+/* Notes that a caller sends a request. */
+void SoakRepeats_NoteSent(SoakRepeats *repeats);
+
+/* Notes that an upstream has read REQUEST, and checks the number of repeats
+   in the window that ends now. */
+void SoakRepeats_NoteArrival(SoakRepeats *repeats, SoakRequest *request);
+
+/* Prints how many repeats there were. */
+void SoakRepeats_Print(const SoakRepeats *repeats);
+
 /* ----------------------------------------------------------------- proxy --
  */
 
@@ -215,6 +256,9 @@
 void SoakProxy_SetListening(SoakProxy *proxy, bool listening);
 void SoakProxy_SetMode(SoakProxy *proxy, SoakProxyMode mode);
 
+/* Sends late copies of answers, or no longer does. */
+void SoakProxy_SetCopies(SoakProxy *proxy, bool copies);
+
 /* Withholds for SILENCE_MS what the target sends, from an arbitrary byte on,
    and what it gets if HOLDS_REQUESTS; then goes on with nothing lost.  Returns
    false, without effect, while the target is down, silent or was so just
@@ -264,6 +308,16 @@
    it began. */
 bool SoakFleet_IsStopping(unsigned gateway);
 
+/* -------------------------------------------------------------- failures --
+ */
+
+/* Starts the failures of upstreams and the restarts of gateways whose pauses
+   are set. */
+void SoakFailures_Start(Soak *soak);
+
+/* Stops both; upstreams that answer wrongly work again. */
+void SoakFailures_Stop(Soak *soak);
+
 /* --------------------------------------------------------------- callers --
  */
 
--- a/tests/soak/soak_callers.c
+++ b/tests/soak/soak_callers.c
@@ -110,7 +110,8 @@
         S_met_silence(call)) {
         soak->failed_in_silence[request->status - 502]++;
     }
-    if (request->status == 429 || request->status == 503) {
+    if (request->status == 429 || request->status == 503 ||
+        request->status == 408 || request->status == 421) {
         request->refused = true;
         bool once = request->kind == SOAK_UNSAFE || request->kind == SOAK_ONCE;
         if (once && request->runs > 0) {
@@ -315,6 +316,7 @@
         (unsigned)Soak_RandomInt(soak, 0, (int)soak->gateway_count - 1);
     request->sent_ms = Soak_NowMs(soak);
     g_hash_table_insert(soak->requests, request->id, request);
+    SoakRepeats_NoteSent(soak->repeats);
     return request;
 }
 
@@ -333,6 +335,7 @@
                                                   (gint32)soak->gateway_count);
     request->sent_ms = Soak_NowMs(soak);
     g_hash_table_insert(soak->requests, request->id, request);
+    SoakRepeats_NoteSent(soak->repeats);
     return request;
 }
 
--- a/tests/soak/soak_fleet.c
+++ b/tests/soak/soak_fleet.c
@@ -67,12 +67,12 @@
         "callers: \"%s:8000\"\nready: \"%s:8001\"\nadmin: \"%s:8002\"\n"
         "peers: \"%s:8003\"\nseeds: [ %s ]\nstore: \"%s:%u\"\n"
         "machine: { memory_mb: 110, descriptors: 800 }\n"
-        "bounds: { drain_ms: 2500, grace_s: %d, retry_ratio: 0.2, "
-        "retry_slack: %u, retry_window_s: 10, quota_over: 0.25, "
+        "bounds: { drain_ms: 2500, grace_s: %d, retry_ratio: %g, "
+        "retry_slack: %u, retry_window_s: %d, quota_over: 0.25, "
         "quota_slack: 0 }\n",
         gateway->number, gateway->number % 2, host, host, host, host,
         seeds->str, store, 30000 + gateway->number, GRACE_MS / 1000,
-        soak->retry_slack);
+        SOAK_RETRY_RATIO, soak->retry_slack, SOAK_RETRY_WINDOW_MS / 1000);
     if (!g_file_set_contents(gateway->settings, text, -1, NULL)) {
         g_error("%s: cannot be written", gateway->settings);
     }
--- a/tests/soak/soak_proxy.c
+++ b/tests/soak/soak_proxy.c
@@ -15,6 +15,12 @@
    and an event, so that the cut may be anywhere. */
 #define CUT_MAX_BYTES 220
 
+/* Of the answers on kept connections, one in this many comes again. */
+#define COPY_ONE_IN 4
+
+#define LENGTH_NAME "Content-Length:"
+#define ID_NAME "Request-Id:"
+#define OTHER_NAME "Other-Id:"
 #define VERSION_LINE " HTTP/1.1\r\n"
 #define HEAD_END "\r\n\r\n"
 #define EVENT_END "\n\n\r\n"
@@ -48,6 +54,7 @@
     int fd;
     ev_io accept;
     GHashTable *pairs;
+    bool copies; /* answers on kept connections come again */
     bool silent;
     bool holds_requests; /* the silence holds both directions */
     ev_timer silence;    /* end of the silence */
@@ -89,6 +96,26 @@
     return size_bytes;
 }
 
+/* Sends the gateway another copy of the last answer, of half of them without
+   the request's id, now that it expects the next one. */
+static void
+S_send_copy(Pair *pair)
+{
+    Soak *soak = pair->proxy->soak;
+    const GString *answer = pair->directions[1].passed;
+    if (!pair->proxy->copies ||
+        g_strstr_len(answer->str, (gssize)answer->len, LENGTH_NAME) == NULL ||
+        g_rand_int_range(soak->failure_random, 0, COPY_ONE_IN) != 0) {
+        return;
+    }
+    GString *copy = g_string_new_len(answer->str, (gssize)answer->len);
+    if (g_rand_boolean(soak->failure_random)) {
+        g_string_replace(copy, ID_NAME, OTHER_NAME, 0);
+    }
+    BsStream_Write(pair->gateway_side, copy->str, copy->len);
+    g_string_free(copy, TRUE);
+}
+
 static void
 S_pass(Direction *direction)
 {
@@ -99,6 +126,9 @@
         return; /* keep the bytes: a cut by itself loses none */
     }
     size_t size_bytes = S_passing_bytes(direction);
+    if (direction->from_gateway && size_bytes > 0) {
+        S_send_copy(pair);
+    }
     BsStream_Write(direction->from_gateway ? pair->target_side
                                            : pair->gateway_side,
                    direction->bytes->str, size_bytes);
@@ -298,6 +328,12 @@
 /* -------------------------------------------------------------- lifecycle --
  */
 
+void
+SoakProxy_SetCopies(SoakProxy *proxy, bool copies)
+{
+    proxy->copies = copies;
+}
+
 void
 SoakProxy_SetListening(SoakProxy *proxy, bool listening)
 {
--- a/tests/soak/soak_upstream.c
+++ b/tests/soak/soak_upstream.c
@@ -18,6 +18,7 @@
 #define CLOSED_MS 5000
 #define KEYS_MS 2500
 #define COLD_PER_S 10
+#define COLD_MS 1500
 #define COLD_ALLOWED (COLD_PER_S * 1.5 + 5)
 
 /* Once deadly requests have crashed DEADLY_CRASHES upstreams, or
@@ -42,6 +43,7 @@
     bool running;
     bool stream;
     bool fails;
+    bool closes; /* ends without an answer */
     ev_timer timer;
 } Run;
 
@@ -57,6 +59,7 @@
     GPtrArray *runs; /* Run, in order of arrival */
     unsigned running;
     int errors_percent;
+    SoakFailure failure;
     int64_t leaving_ms; /* when listed as draining or removed; 0: not */
     int64_t cold_until_ms;
     GArray *cold_arrivals; /* int64_t */
@@ -97,6 +100,16 @@
     S_start_runs(upstream);
 }
 
+/* Resets the connection of the run and ends it. */
+static void
+S_close(Run *run)
+{
+    if (run->inbound != NULL) {
+        BsInbound_Reset(run->inbound);
+    }
+    S_end_run(run);
+}
+
 static void
 S_answer(Run *run)
 {
@@ -192,6 +205,10 @@
         S_crash_by_request(run->upstream);
         return;
     }
+    if (run->closes) {
+        S_close(run);
+        return;
+    }
     if (!run->stream || run->fails) {
         S_answer(run);
         return;
@@ -225,7 +242,11 @@
         BsInbound_StartAnswer(run->inbound, 200, head->str, -1);
         g_string_free(head, TRUE);
     }
+    run->closes = upstream->failure == SOAK_CLOSING;
     int run_ms = Soak_RandomInt(soak, RUN_MIN_MS, RUN_MAX_MS);
+    if (upstream->failure == SOAK_LATE) {
+        run_ms += soak->deadline_ms;
+    }
     ev_timer_set(&run->timer, run_ms / 1000.0, 0);
     ev_timer_start(soak->loop, &run->timer);
 }
@@ -349,6 +370,7 @@
         BsInbound_Answer(inbound, 400, "Not-Executed: 1\r\n", "", 0);
         return;
     }
+    SoakRepeats_NoteArrival(upstream->soak->repeats, request);
     if (expected == NULL || strcmp(expected, upstream->id) != 0) {
         char *head = g_strdup_printf("Request-Id: %s\r\n", id);
         BsInbound_Answer(inbound, 421, head, "", 0);
@@ -360,6 +382,10 @@
         S_refuse(upstream, inbound, request);
         return;
     }
+    if (upstream->failure == SOAK_REFUSING) {
+        S_refuse(upstream, inbound, request);
+        return;
+    }
     Run *run = g_new0(Run, 1);
     run->upstream = upstream;
     run->inbound = inbound;
@@ -456,7 +482,10 @@
     SoakLimit_End(upstream->limit);
     S_listen(upstream);
     SoakProxy_SetListening(upstream->proxy, true);
-    SoakUpstream_List(upstream, "ready", 1500);
+    /* A pause that ends delivers many requests at once, which a cold upstream
+       does not take. */
+    bool cold = upstream->soak->failure_pause_ms == 0;
+    SoakUpstream_List(upstream, "ready", cold ? COLD_MS : 0);
 }
 
 void
@@ -515,6 +544,12 @@
     upstream->errors_percent = percent;
 }
 
+void
+SoakUpstream_SetFailure(SoakUpstream *upstream, SoakFailure failure)
+{
+    upstream->failure = failure;
+}
+
 SoakProxy *
 SoakUpstream_Proxy(SoakUpstream *upstream)
 {
