Soak: releases of upstreams' software, and streams that join two versions

Entries of the stand-ins carry a software version. The check "versions" reads the version from each event; "take-up" compares the share of take-ups that go on with that of new streams.

--- a/tests/soak/main_soak.c
+++ b/tests/soak/main_soak.c
@@ -5,12 +5,15 @@
  * [--rate N] [--deadly MS] [--deadly-part] [--unframed] [--silent MS]
  * [--limits MS] [--silent-all] [--planned] [--calm] [--store-port N]
  * [--retry-slack N] [--failing MS] [--restarts MS] [--copies]
+ * [--releases MS]
  * [--verbose]; exits with 1 if a promise was broken.  --deadly sets the pause
  * between requests that crash upstreams, which with --deadly-part share one
  * part of their prompts only; --silent that between silences of upstreams.
  * --limits sets the pause between limits that upstreams name, --failing that
  * between failures of upstreams in series, --restarts that between restarts of
  * all gateways at once.  --copies sends late copies of upstreams' answers.
+ * --releases sets the pause between releases of upstreams' software, of which
+ * half of the upstreams serve at a time.
  * --unframed lets streams end with their connections.  --planned injects only
  * planned work and silences, with longer streams.  --calm injects no faults
  * and prints counts and response times by route.
@@ -86,6 +89,7 @@
 static gint S_limits = -1;
 static gint S_cuts;
 static gint S_failing;
+static gint S_releases;
 static gint S_restarts;
 static gint S_retry_slack = -1;
 static gint S_store_port = 19999;
@@ -554,6 +558,7 @@
     soak->limit_random = g_rand_new_with_seed(seed);
     soak->failure_random = g_rand_new_with_seed(seed);
     soak->copies = S_copies;
+    soak->release_pause_ms = MAX(S_releases, 0);
     soak->failure_pause_ms = MAX(S_failing, 0);
     soak->restart_pause_ms = MAX(S_restarts, 0);
     soak->limit_pause_ms = S_limits >= 0              ? S_limits
@@ -567,7 +572,8 @@
     soak->silent_pause_ms = S_silent >= 0 ? S_silent
                             : S_no_faults ? 0
                                           : SILENT_PAUSE_MS;
-    bool longer = S_planned || (S_no_faults && soak->silent_pause_ms > 0);
+    bool longer = S_planned || S_releases > 0 ||
+                  (S_no_faults && soak->silent_pause_ms > 0);
     soak->events = longer ? LONG_EVENTS : EVENTS;
     soak->deadline_ms = longer ? LONG_DEADLINE_MS : DEADLINE_MS;
     soak->store_port = (uint16_t)S_store_port;
@@ -586,6 +592,7 @@
     Soak_Address(soak, 100, soak->store_port, &address);
     soak->store = SoakStore_Create(soak, &address);
     soak->repeats = SoakRepeats_Create(soak);
+    soak->versions = SoakVersions_Create(soak);
     S_publish(soak);
     for (unsigned i = 0; i < soak->upstream_count; i++) {
         soak->upstreams[i] = SoakUpstream_Create(soak, i);
@@ -601,6 +608,7 @@
     }
     SoakStore_Destroy(soak->store);
     SoakRepeats_Destroy(soak->repeats);
+    SoakVersions_Destroy(soak->versions);
     g_hash_table_destroy(soak->requests);
     g_rand_free(soak->random);
     g_rand_free(soak->deadly_random);
@@ -651,6 +659,7 @@
     S_start_repeating(&run, &run.silence, soak->silent_pause_ms, S_on_silence);
     S_start_repeating(&run, &run.limits, soak->limit_pause_ms, S_on_limit);
     SoakFailures_Start(soak);
+    SoakVersions_Start(soak->versions);
     ev_timer_init(&run.cut_end, S_on_cut_end, 0, 0);
     run.cut_end.data = &run;
     S_start_repeating(&run, &run.cuts, MAX(S_cuts, 0), S_on_cut);
@@ -673,6 +682,7 @@
     SoakFleet_Stop(soak);
     unsigned answered_after_faults = S_check_service(soak);
     S_check_held(soak);
+    SoakVersions_CheckShare(soak->versions);
     if (soak->silences > 0) {
         SoakLoad_PrintSilences(soak);
     }
@@ -715,6 +725,8 @@
          "Pause between failures of upstreams in series; 0: none", "MS"},
         {"restarts", 0, 0, G_OPTION_ARG_INT, &S_restarts,
          "Pause between restarts of all gateways; 0: none", "MS"},
+        {"releases", 0, 0, G_OPTION_ARG_INT, &S_releases,
+         "Pause between releases of upstreams' software; 0: none", "MS"},
         {"copies", 0, 0, G_OPTION_ARG_NONE, &S_copies,
          "Upstreams send late copies of answers", NULL},
         {"silent-all", 0, 0, G_OPTION_ARG_NONE, &S_all_silent,
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -29,6 +29,7 @@
 typedef struct SoakProxy SoakProxy;
 typedef struct SoakLimit SoakLimit;
 typedef struct SoakRepeats SoakRepeats;
+typedef struct SoakVersions SoakVersions;
 
 /* How an upstream fails. */
 typedef enum {
@@ -62,12 +63,24 @@
 
 #define SOAK_KINDS 4
 
+/* What a caller has of a stream, over its tries. */
+typedef struct {
+    char first_id[24];   /* id of the request that brought the first event */
+    unsigned version;    /* of the upstream's software; 0: no event came */
+    unsigned next_event; /* first one that is missing */
+    unsigned tries;      /* number of take-ups so far */
+} SoakStream;
+
 /* A caller's request and its outcome. */
 typedef struct {
     char id[24];
     SoakKind kind;
-    bool deadly;            /* crashes each upstream that starts it */
-    unsigned key;           /* number of the API key */
+    bool deadly;  /* crashes each upstream that starts it */
+    unsigned key; /* number of the API key */
+    SoakStream stream;
+    unsigned first_event;   /* that it asks for */
+    bool counts;            /* in the shares of streams that are served */
+    bool joined;            /* got events of two versions */
     unsigned arrivals;      /* number of times an upstream read it */
     unsigned runs;          /* number of times an upstream started it */
     SoakUpstream *upstream; /* that started it last; NULL: none */
@@ -91,6 +104,7 @@
     unsigned upstream_count;
     SoakStore *store;
     SoakRepeats *repeats;
+    SoakVersions *versions;
     SoakUpstream *upstreams[SOAK_UPSTREAMS_MAX];
     GHashTable *requests; /* request id to SoakRequest */
     unsigned config_version;
@@ -121,6 +135,10 @@
     int64_t restart_pause_ms; /* pause between restarts of all gateways; 0:
                                  none */
 
+    int64_t release_pause_ms; /* pause between releases of upstreams' software;
+                                 0: none */
+    bool sending_ended;
+
     GRand *silent_random;          /* separate for the same reason */
     int64_t silent_pause_ms;       /* pause between silences; 0: none */
     unsigned silent_count;         /* upstreams that are silent now */
@@ -201,6 +219,18 @@
 /* Answers PERCENT of the requests with status 500. */
 void SoakUpstream_SetErrors(SoakUpstream *upstream, int percent);
 
+/* Starts an upstream that was stopped, with a new id and VERSION. */
+void SoakUpstream_Start(SoakUpstream *upstream, unsigned version);
+
+/* Ends the upstream and removes its entry. */
+void SoakUpstream_Stop(SoakUpstream *upstream);
+
+bool SoakUpstream_IsStopped(const SoakUpstream *upstream);
+
+/* Returns the version of the upstream's software while it runs and is listed
+   as ready, else 0. */
+unsigned SoakUpstream_Version(const SoakUpstream *upstream);
+
 /* Lets the upstream fail, or work again. */
 void SoakUpstream_SetFailure(SoakUpstream *upstream, SoakFailure failure);
 
@@ -243,6 +273,26 @@
 /* Prints how many repeats there were. */
 void SoakRepeats_Print(const SoakRepeats *repeats);
 
+/* -------------------------------------------------------------- versions --
+ */
+
+SoakVersions *SoakVersions_Create(Soak *soak);
+void SoakVersions_Destroy(SoakVersions *versions);
+
+/* Starts releases, if their pause is set. */
+void SoakVersions_Start(SoakVersions *versions);
+
+/* Notes that a caller sends a stream's REQUEST. */
+void SoakVersions_NoteSent(SoakVersions *versions, SoakRequest *request);
+
+/* Checks the events of BODY, and has the caller take the stream up later if
+   some are missing. */
+void SoakVersions_NoteEnd(SoakVersions *versions, SoakRequest *request,
+                          const char *body);
+
+/* Checks that enough take-ups went on, and prints counts. */
+void SoakVersions_CheckShare(SoakVersions *versions);
+
 /* ----------------------------------------------------------------- proxy --
  */
 
@@ -328,6 +378,9 @@
    and body with a new id each time, or the same part of a prompt. */
 void SoakCallers_StartDeadly(Soak *soak);
 
+/* Takes STREAM up at a random gateway. */
+void SoakCallers_TakeUp(Soak *soak, const SoakStream *stream);
+
 /* Stops sending; calls in progress continue. */
 void SoakCallers_StopSending(Soak *soak);
 
--- a/tests/soak/soak_callers.c
+++ b/tests/soak/soak_callers.c
@@ -28,6 +28,12 @@
 /* Time without trouble before a request that silences may not end. */
 #define STABLE_MS 4000
 
+/* Of streams in runs with releases, the connections of one in CUT_ONE_IN break
+   off. */
+#define CUT_ONE_IN 2
+#define CUT_MIN_MS 200
+#define CUT_MAX_MS 1200
+
 typedef struct {
     Soak *soak;
     SoakRequest *request;
@@ -40,6 +46,7 @@
                             sent */
     int64_t pause_ms;    /* longest time without bytes */
     ev_timer limit;
+    ev_timer cut; /* the caller's connection breaks */
 } Call;
 
 static BsOutboundPool *S_pool;
@@ -53,6 +60,7 @@
 {
     Call *call = data;
     ev_timer_stop(call->soak->loop, &call->limit);
+    ev_timer_stop(call->soak->loop, &call->cut);
     BsOutbound_Cancel(call->call);
     g_string_free(call->body, TRUE);
     g_free(call->signature);
@@ -73,8 +81,12 @@
         g_string_append_printf(body, "body of %s", request->id);
         return body;
     }
-    for (unsigned i = 0; i < events; i++) {
-        g_string_append_printf(body, "id: %u\ndata: %s\n\n", i, request->id);
+    for (unsigned i = request->first_event; i < events; i++) {
+        g_string_append_printf(body, "id: %u\ndata: %s", i, request->id);
+        if (request->stream.version > 0) {
+            g_string_append_printf(body, " v%u", request->stream.version);
+        }
+        g_string_append(body, "\n\n");
     }
     return body;
 }
@@ -125,6 +137,11 @@
     }
     GString *expected = S_expected_body(request, soak->events);
     char *signature = g_strdup_printf("sig-%s", request->id);
+    if (request->joined) {
+        g_free(signature);
+        g_string_free(expected, TRUE);
+        return;
+    }
     if (call->mismatched || g_strcmp0(call->signature, signature) != 0 ||
         !g_string_equal(call->body, expected)) {
         Soak_Violation(soak, S_is_stream(request) ? "order" : "whole",
@@ -234,6 +251,7 @@
     Call *call = context;
     call->call = NULL;
     S_note_received(call);
+    SoakVersions_NoteEnd(call->soak->versions, call->request, call->body->str);
     if (end == BS_OUTBOUND_DONE) {
         S_check_answer(call);
     }
@@ -266,9 +284,38 @@
         Soak_Violation(call->soak, "service", "%s was not answered in time",
                        request->id);
     }
+    SoakVersions_NoteEnd(call->soak->versions, call->request, call->body->str);
     g_hash_table_remove(S_calls, call);
 }
 
+/* Breaks the connection of a call off. */
+static void
+S_on_cut(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    (void)loop;
+    (void)events;
+    Call *call = watcher->data;
+    call->request->cut = true;
+    SoakVersions_NoteEnd(call->soak->versions, call->request, call->body->str);
+    g_hash_table_remove(S_calls, call);
+}
+
+/* Lets the connections of some streams break off while upstreams change. */
+static void
+S_draw_cut(Call *call)
+{
+    Soak *soak = call->soak;
+    ev_timer_init(&call->cut, S_on_cut, 0, 0);
+    call->cut.data = call;
+    if (soak->release_pause_ms > 0 && call->request->kind == SOAK_STREAM &&
+        g_rand_int_range(soak->failure_random, 0, CUT_ONE_IN) == 0) {
+        gint32 cut_ms =
+            g_rand_int_range(soak->failure_random, CUT_MIN_MS, CUT_MAX_MS + 1);
+        ev_timer_set(&call->cut, cut_ms / 1000.0, 0);
+        ev_timer_start(soak->loop, &call->cut);
+    }
+}
+
 /* Adds the parts of the prompt: two that many requests share, of which the
    second may be deadly, and one of the request's own. */
 static void
@@ -290,6 +337,11 @@
         "Deadline-Ms: %d\r\nApi-Key: key-%u\r\nToken-Usage: 50,10\r\n",
         SoakLoad_Name(request->kind), request->id, soak->deadline_ms,
         request->key);
+    if (request->stream.tries > 0) {
+        g_string_append_printf(text, "Last-Event-Id: %u\r\nResumes: %s\r\n",
+                               request->first_event - 1,
+                               request->stream.first_id);
+    }
     if (soak->deadly_part) {
         S_add_parts(request, text);
         g_string_append_printf(text, "Content-Length: %zu\r\n\r\n%s",
@@ -357,14 +409,33 @@
     call->body = g_string_new(NULL);
     call->received_ms = request->sent_ms;
     call->stopping = SoakFleet_IsStopping(request->gateway);
+    SoakVersions_NoteSent(soak->versions, request);
     call->call = BsOutbound_Start(S_pool, &outbound, &S_events, call);
     ev_timer_init(&call->limit, S_on_limit,
                   (soak->deadline_ms + LATE_MS) / 1000.0, 0);
     call->limit.data = call;
     ev_timer_start(soak->loop, &call->limit);
+    S_draw_cut(call);
     g_hash_table_add(S_calls, call);
 }
 
+void
+SoakCallers_TakeUp(Soak *soak, const SoakStream *stream)
+{
+    SoakRequest *request = g_new0(SoakRequest, 1);
+    snprintf(request->id, sizeof(request->id), "t%u", ++S_serial);
+    request->kind = SOAK_STREAM;
+    request->stream = *stream;
+    request->first_event = stream->next_event;
+    request->key = soak->first_valid_key + 1;
+    request->gateway = (unsigned)g_rand_int_range(soak->failure_random, 0,
+                                                  (gint32)soak->gateway_count);
+    request->sent_ms = Soak_NowMs(soak);
+    g_hash_table_insert(soak->requests, request->id, request);
+    SoakRepeats_NoteSent(soak->repeats);
+    S_send(soak, request);
+}
+
 static void
 S_on_timer(struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -406,6 +477,7 @@
 void
 SoakCallers_StopSending(Soak *soak)
 {
+    soak->sending_ended = true;
     ev_timer_stop(soak->loop, &S_timer);
     ev_timer_stop(soak->loop, &S_deadly_timer);
 }
--- a/tests/soak/soak_upstream.c
+++ b/tests/soak/soak_upstream.c
@@ -51,6 +51,7 @@
     Soak *soak;
     unsigned number;
     unsigned incarnation;
+    unsigned version;
     unsigned sequence;
     char id[32];
     struct sockaddr_in address; /* of the proxy, as listed in the store */
@@ -65,6 +66,7 @@
     GArray *cold_arrivals; /* int64_t */
     SoakLimit *limit;
     ev_timer restart;
+    bool stopped; /* ended for good, or until its next start */
     bool down;
 };
 
@@ -144,7 +146,11 @@
     if (!run->event_begun) {
         g_string_append_printf(bytes, "id: %u\n", next);
     }
-    g_string_append_printf(bytes, "data: %s\n\n", run->id);
+    g_string_append_printf(bytes, "data: %s", run->id);
+    if (soak->release_pause_ms > 0) {
+        g_string_append_printf(bytes, " v%u", run->upstream->version);
+    }
+    g_string_append(bytes, "\n\n");
     run->event_begun = soak->unframed && next + 1 < soak->events;
     if (run->event_begun) {
         g_string_append_printf(bytes, "id: %u\n", next + 1);
@@ -456,10 +462,10 @@
             : g_strdup_printf(
                   "{\"service\":\"desk\",\"address\":\"%s:%u\",\"zone\":"
                   "\"d%u\",\"slots\":%d,\"state\":\"%s\",\"sequence\":%u,"
-                  "\"born\":%u,\"cold-remaining-ms\":%d}",
+                  "\"born\":%u,\"version\":\"v%u\",\"cold-remaining-ms\":%d}",
                   host, ntohs(upstream->address.sin_port),
                   upstream->number % 2, SLOTS, state, ++upstream->sequence,
-                  upstream->incarnation, cold_ms);
+                  upstream->incarnation, upstream->version, cold_ms);
     bool ready = state != NULL && strcmp(state, "ready") == 0;
     upstream->leaving_ms = ready                      ? 0
                            : upstream->leaving_ms > 0 ? upstream->leaving_ms
@@ -484,7 +490,8 @@
     SoakProxy_SetListening(upstream->proxy, true);
     /* A pause that ends delivers many requests at once, which a cold upstream
        does not take. */
-    bool cold = upstream->soak->failure_pause_ms == 0;
+    bool cold = upstream->soak->failure_pause_ms == 0 &&
+                upstream->soak->release_pause_ms == 0;
     SoakUpstream_List(upstream, "ready", cold ? COLD_MS : 0);
 }
 
@@ -504,6 +511,42 @@
     ev_timer_start(upstream->soak->loop, &upstream->restart);
 }
 
+void
+SoakUpstream_Start(SoakUpstream *upstream, unsigned version)
+{
+    upstream->stopped = false;
+    upstream->down = false;
+    upstream->version = version;
+    upstream->incarnation++;
+    upstream->sequence = 0;
+    snprintf(upstream->id, sizeof(upstream->id), "i-%u-%u", upstream->number,
+             upstream->incarnation);
+    S_listen(upstream);
+    SoakProxy_SetListening(upstream->proxy, true);
+    SoakUpstream_List(upstream, "ready", 0);
+}
+
+void
+SoakUpstream_Stop(SoakUpstream *upstream)
+{
+    SoakUpstream_List(upstream, NULL, 0);
+    SoakUpstream_Crash(upstream, 0);
+    ev_timer_stop(upstream->soak->loop, &upstream->restart);
+    upstream->stopped = true;
+}
+
+bool
+SoakUpstream_IsStopped(const SoakUpstream *upstream)
+{
+    return upstream->stopped;
+}
+
+unsigned
+SoakUpstream_Version(const SoakUpstream *upstream)
+{
+    return upstream->down || upstream->leaving_ms > 0 ? 0 : upstream->version;
+}
+
 SoakUpstream *
 SoakUpstream_Create(Soak *soak, unsigned number)
 {
@@ -512,6 +555,7 @@
     upstream->soak = soak;
     upstream->number = number;
     upstream->incarnation = 1;
+    upstream->version = 1;
     snprintf(upstream->id, sizeof(upstream->id), "i-%u", number);
     upstream->runs = g_ptr_array_new_with_free_func(S_free_run);
     upstream->cold_arrivals = g_array_new(FALSE, FALSE, sizeof(int64_t));
