--- a/tests/soak/main_soak.c
+++ b/tests/soak/main_soak.c
@@ -5,13 +5,15 @@
  * [--rate N] [--deadly MS] [--deadly-part] [--unframed] [--silent MS]
  * [--limits MS] [--silent-all] [--planned] [--calm] [--store-port N]
  * [--retry-slack N] [--failing MS] [--restarts MS] [--copies]
- * [--releases MS]
+ * [--pauses MS] [--releases MS]
  * [--verbose]; exits with 1 if a promise was broken.  --deadly sets the pause
  * between requests that crash upstreams, which with --deadly-part share one
  * part of their prompts only; --silent that between silences of upstreams.
  * --limits sets the pause between limits that upstreams name, --failing that
  * between failures of upstreams in series, --restarts that between restarts of
- * all gateways at once.  --copies sends late copies of upstreams' answers.
+ * all gateways at once.  --pauses sets the pause between those in which
+ * all upstreams read nothing for long.  --copies sends late copies of
+ * upstreams' answers.
  * --releases sets the pause between releases of upstreams' software, of which
  * half of the upstreams serve at a time.
  * --unframed lets streams end with their connections.  --planned injects only
@@ -89,6 +91,7 @@
 static gint S_limits = -1;
 static gint S_cuts;
 static gint S_failing;
+static gint S_pauses;
 static gint S_releases;
 static gint S_restarts;
 static gint S_retry_slack = -1;
@@ -558,6 +561,7 @@
     soak->limit_random = g_rand_new_with_seed(seed);
     soak->failure_random = g_rand_new_with_seed(seed);
     soak->copies = S_copies;
+    soak->long_pause_ms = MAX(S_pauses, 0);
     soak->release_pause_ms = MAX(S_releases, 0);
     soak->failure_pause_ms = MAX(S_failing, 0);
     soak->restart_pause_ms = MAX(S_restarts, 0);
@@ -727,6 +731,8 @@
          "Pause between restarts of all gateways; 0: none", "MS"},
         {"releases", 0, 0, G_OPTION_ARG_INT, &S_releases,
          "Pause between releases of upstreams' software; 0: none", "MS"},
+        {"pauses", 0, 0, G_OPTION_ARG_INT, &S_pauses,
+         "Pause between long pauses of all upstreams; 0: none", "MS"},
         {"copies", 0, 0, G_OPTION_ARG_NONE, &S_copies,
          "Upstreams send late copies of answers", NULL},
         {"silent-all", 0, 0, G_OPTION_ARG_NONE, &S_all_silent,
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -135,6 +135,8 @@
     int64_t restart_pause_ms; /* pause between restarts of all gateways; 0:
                                  none */
 
+    int64_t long_pause_ms;    /* pause between long pauses of all upstreams; 0:
+                                 none */
     int64_t release_pause_ms; /* pause between releases of upstreams' software;
                                  0: none */
     bool sending_ended;
--- a/tests/soak/soak_failures.c
+++ b/tests/soak/soak_failures.c
@@ -11,6 +11,10 @@
 #define PAUSE_OVER_MIN_MS 200
 #define PAUSE_OVER_MAX_MS 2000
 
+/* Pauses of all upstreams at once: long against the window of retries. */
+#define LONG_MIN_MS (SOAK_RETRY_WINDOW_MS / 2)
+#define LONG_MAX_MS (SOAK_RETRY_WINDOW_MS * 9 / 10)
+
 #define DOWN_MIN_MS 50
 #define DOWN_MAX_MS 300
 
@@ -19,6 +23,7 @@
 
 static ev_timer S_failures;
 static ev_timer S_restarts;
+static ev_timer S_pauses;
 
 static int
 S_draw(Soak *soak, int low, int high)
@@ -27,10 +32,8 @@
 }
 
 static void
-S_pause(Soak *soak, unsigned number)
+S_pause(Soak *soak, unsigned number, int pause_ms)
 {
-    int pause_ms =
-        soak->deadline_ms + S_draw(soak, PAUSE_OVER_MIN_MS, PAUSE_OVER_MAX_MS);
     if (SoakProxy_FallSilent(SoakUpstream_Proxy(soak->upstreams[number]),
                              pause_ms, true)) {
         Soak_Log(soak, "upstream %u: reads nothing for %d ms", number,
@@ -55,7 +58,9 @@
                                            SOAK_CLOSING,  SOAK_LATE};
     int draw = S_draw(soak, 0, 2 + G_N_ELEMENTS(failures) - 1);
     if (draw == 0) {
-        S_pause(soak, number);
+        S_pause(soak, number,
+                soak->deadline_ms +
+                    S_draw(soak, PAUSE_OVER_MIN_MS, PAUSE_OVER_MAX_MS));
     }
     else if (draw == 1) {
         S_crash(soak, number);
@@ -81,6 +86,18 @@
     }
 }
 
+static void
+S_on_pauses(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    (void)loop;
+    (void)events;
+    Soak *soak = watcher->data;
+    int pause_ms = S_draw(soak, LONG_MIN_MS, LONG_MAX_MS);
+    for (unsigned i = 0; i < soak->upstream_count; i++) {
+        S_pause(soak, i, pause_ms);
+    }
+}
+
 static void
 S_on_restarts(struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -117,6 +134,7 @@
     }
     S_start(soak, &S_failures, soak->failure_pause_ms, S_on_failures);
     S_start(soak, &S_restarts, soak->restart_pause_ms, S_on_restarts);
+    S_start(soak, &S_pauses, soak->long_pause_ms, S_on_pauses);
 }
 
 void
@@ -124,6 +142,7 @@
 {
     ev_timer_stop(soak->loop, &S_failures);
     ev_timer_stop(soak->loop, &S_restarts);
+    ev_timer_stop(soak->loop, &S_pauses);
     for (unsigned i = 0; i < soak->upstream_count; i++) {
         SoakUpstream_SetFailure(soak->upstreams[i], SOAK_SOUND);
         SoakProxy_SetCopies(SoakUpstream_Proxy(soak->upstreams[i]), false);
