--- a/tests/soak/main_soak.c
+++ b/tests/soak/main_soak.c
@@ -697,6 +697,7 @@
     if (S_no_faults) {
         SoakLoad_Print(soak);
     }
+    SoakVersions_Print(soak->versions);
     SoakRepeats_Print(soak->repeats);
     unsigned violations = soak->violations;
     S_destroy(&run);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -292,9 +292,12 @@
 void SoakVersions_NoteEnd(SoakVersions *versions, SoakRequest *request,
                           const char *body);
 
-/* Checks that enough take-ups went on, and prints counts. */
+/* Checks that enough take-ups went on. */
 void SoakVersions_CheckShare(SoakVersions *versions);
 
+/* Prints counts of take-ups, in runs with releases. */
+void SoakVersions_Print(const SoakVersions *versions);
+
 /* ----------------------------------------------------------------- proxy --
  */
 
--- a/tests/soak/soak_versions.c
+++ b/tests/soak/soak_versions.c
@@ -302,13 +302,6 @@
 {
     const Share *taken_up = &versions->taken_up;
     const Share *fresh = &versions->fresh;
-    if (versions->soak->release_pause_ms == 0) {
-        return;
-    }
-    printf("versions: %u streams joined two; %u take-ups; of those that count "
-           "%u of %u went on, %u of %u new streams began\n",
-           versions->joined, versions->take_ups, taken_up->served,
-           taken_up->sent, fresh->served, fresh->sent);
     if (taken_up->sent >= TAKE_UPS_MIN &&
         S_part(taken_up) < PART_MIN * S_part(fresh)) {
         Soak_Violation(versions->soak, "take-up",
@@ -318,6 +311,19 @@
     }
 }
 
+void
+SoakVersions_Print(const SoakVersions *versions)
+{
+    const Share *taken_up = &versions->taken_up;
+    const Share *fresh = &versions->fresh;
+    if (versions->soak->release_pause_ms > 0) {
+        printf("versions: %u streams joined two; %u take-ups; of those that "
+               "count %u of %u went on, %u of %u new streams began\n",
+               versions->joined, versions->take_ups, taken_up->served,
+               taken_up->sent, fresh->served, fresh->sent);
+    }
+}
+
 /* -------------------------------------------------------------- lifecycle --
  */
 
