Questions about streams are passed on in batches

After the loss of all instances nobody knows the streams that callers take up, and each question went through all hubs in datagrams of its own: at 295 instances and 5000 such questions a second, one hub sent 16862 messages a second.

An instance now keeps the questions until its next tick, and a datagram holds those of many askers: each names the instance to answer. Only the hub passes questions on to other data centres; another instance does while it has none. Questions beyond 4096 at a tick are dropped and asked again.

--- a/src/fleetagent.c
+++ b/src/fleetagent.c
@@ -59,8 +59,10 @@
 /* Interval between checks for new receivers of records. */
 #define LISTENERS_CHECK_INTERVAL_MS 50
 
-/* Most records that a hub keeps until it passes them on at its next tick. */
+/* Most records, and questions, that an instance keeps until it passes them on
+   at its next tick. */
 #define PASSED_RECORDS_MAX 4096
+#define PASSED_QUESTIONS_MAX 4096
 
 #define NEVER_MS (INT64_MIN / 2)
 
@@ -89,9 +91,12 @@
     int64_t roster_sent_ms;
     int64_t timeouts_checked_ms;
     int64_t listeners_checked_ms;
-    GArray *passing;       /* BsStreamRecord, to pass on to other hubs */
-    GHashTable *listeners; /* address to incarnation (uint64_t) of the last
-                              receivers of records */
+    GArray *passing;          /* BsStreamRecord, to pass on to other hubs */
+    GArray *local_questions;  /* BsStreamQuestion, to pass on to the hubs of
+                                 the own data centre */
+    GArray *remote_questions; /* the same, of the others */
+    GHashTable *listeners;    /* address to incarnation (uint64_t) of the last
+                                 receivers of records */
 };
 
 BsFleetAgent *
@@ -120,6 +125,10 @@
     agent->timeouts_checked_ms = NEVER_MS;
     agent->listeners_checked_ms = NEVER_MS;
     agent->passing = g_array_new(FALSE, FALSE, sizeof(BsStreamRecord));
+    agent->local_questions =
+        g_array_new(FALSE, FALSE, sizeof(BsStreamQuestion));
+    agent->remote_questions =
+        g_array_new(FALSE, FALSE, sizeof(BsStreamQuestion));
     agent->listeners = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     return agent;
 }
@@ -135,6 +144,8 @@
     BsFleetView_Destroy(agent->view);
     g_rand_free(agent->random);
     g_array_unref(agent->passing);
+    g_array_unref(agent->local_questions);
+    g_array_unref(agent->remote_questions);
     g_hash_table_unref(agent->listeners);
     g_free(agent);
 }
@@ -380,15 +391,14 @@
 
 static void
 S_send_questions(BsFleetAgent *agent, const GArray *receivers,
-                 const GArray *questions, uint32_t origin, uint64_t prefix)
+                 const GArray *questions, uint64_t prefix)
 {
     for (guint first = 0; first < questions->len;
          first += BS_STREAM_QUESTIONS_MAX) {
         GString *data = S_begin_datagram();
         BsStreamCodec_EncodeQuestions(
             questions, first,
-            MIN(questions->len - first, BS_STREAM_QUESTIONS_MAX), origin,
-            data);
+            MIN(questions->len - first, BS_STREAM_QUESTIONS_MAX), data);
         S_send_to_all(agent, receivers, data, prefix);
         g_string_free(data, TRUE);
     }
@@ -455,40 +465,63 @@
     g_array_unref(receivers);
 }
 
-/* Passes questions of the instance at ORIGIN on to the hubs of the own data
-   centre or, with REMOTE, of the others. */
+/* Sends the questions that are to be passed on, and removes them. */
 static void
-S_pass_questions(BsFleetAgent *agent, const GArray *questions, uint32_t origin,
-                 bool remote, uint64_t prefix, int64_t now_ms)
+S_pass_questions(BsFleetAgent *agent, GArray *questions,
+                 BsGossipStreamReceivers to, uint64_t prefix, int64_t now_ms)
 {
-    GArray *receivers = BsGossip_StreamReceivers(
-        agent->gossip,
-        remote ? BS_GOSSIP_STREAMS_REMOTE : BS_GOSSIP_STREAMS_LOCAL, now_ms);
-    S_send_questions(agent, receivers, questions, origin, prefix);
+    if (questions->len == 0) {
+        return;
+    }
+    GArray *receivers = BsGossip_StreamReceivers(agent->gossip, to, now_ms);
+    S_send_questions(agent, receivers, questions, prefix);
     g_array_unref(receivers);
+    g_array_set_size(questions, 0);
+}
+
+static void
+S_pass_all_questions(BsFleetAgent *agent, int64_t now_ms)
+{
+    bool is_hub = BsGossip_Hub(agent->gossip) == agent->address;
+    S_pass_questions(agent, agent->remote_questions, BS_GOSSIP_STREAMS_REMOTE,
+                     PREFIX_STREAM_PASSED, now_ms);
+    S_pass_questions(agent, agent->local_questions, BS_GOSSIP_STREAMS_LOCAL,
+                     is_hub ? PREFIX_STREAM_LAST_PASSED : PREFIX_STREAM_PASSED,
+                     now_ms);
+}
+
+/* Appends QUESTIONS, which came from ORIGIN, to TO. */
+static void
+S_keep_questions(GArray *to, const GArray *questions, uint32_t origin)
+{
+    for (guint i = 0; i < questions->len && to->len < PASSED_QUESTIONS_MAX;
+         i++) {
+        BsStreamQuestion question =
+            g_array_index(questions, BsStreamQuestion, i);
+        question.origin = question.origin == 0 ? origin : question.origin;
+        g_array_append_val(to, question);
+    }
 }
 
-/* Passes questions that cannot be answered here on where hubs are used: the
-   sender's to all hubs, those from another hub to the ones that stand by. */
+/* Passes questions that cannot be answered here on where hubs are used.  A hub
+   passes those of a sender on to the other data centres, and those from
+   another hub to the ones that stand by; an instance that is not the hub
+   leaves that to the hub while there is one. */
 static void
-S_pass_unanswered(BsFleetAgent *agent, const GArray *questions,
-                  uint32_t origin, uint64_t prefix, int64_t now_ms)
+S_pass_unanswered(BsFleetAgent *agent, uint32_t address,
+                  const GArray *questions, uint64_t prefix, int64_t now_ms)
 {
     bool is_hub = BsGossip_Hub(agent->gossip) == agent->address;
-    if (questions->len == 0 || !BsGossip_UsesHubs(agent->gossip, now_ms)) {
+    bool from_sender = prefix == PREFIX_STREAM_QUESTIONS;
+    if (!BsGossip_UsesHubs(agent->gossip, now_ms)) {
         return;
     }
-    if (prefix == PREFIX_STREAM_PASSED && is_hub) {
-        S_pass_questions(agent, questions, origin, false,
-                         PREFIX_STREAM_LAST_PASSED, now_ms);
+    if (from_sender &&
+        (is_hub || !BsGossip_IsHubReachable(agent->gossip, now_ms))) {
+        S_keep_questions(agent->remote_questions, questions, address);
     }
-    if (prefix == PREFIX_STREAM_QUESTIONS) {
-        S_pass_questions(agent, questions, origin, true, PREFIX_STREAM_PASSED,
-                         now_ms);
-        if (!is_hub) {
-            S_pass_questions(agent, questions, origin, false,
-                             PREFIX_STREAM_PASSED, now_ms);
-        }
+    else if (from_sender || (prefix == PREFIX_STREAM_PASSED && is_hub)) {
+        S_keep_questions(agent->local_questions, questions, address);
     }
 }
 
@@ -498,11 +531,10 @@
 {
     GArray *receivers = BsGossip_StreamReceivers(
         agent->gossip, BS_GOSSIP_STREAMS_LOCAL, now_ms);
-    S_send_questions(agent, receivers, questions, 0, PREFIX_STREAM_QUESTIONS);
+    S_send_questions(agent, receivers, questions, PREFIX_STREAM_QUESTIONS);
     g_array_unref(receivers);
     if (BsGossip_Hub(agent->gossip) == agent->address) {
-        S_pass_questions(agent, questions, agent->address, true,
-                         PREFIX_STREAM_PASSED, now_ms);
+        S_keep_questions(agent->remote_questions, questions, agent->address);
     }
 }
 
@@ -550,18 +582,41 @@
     return valid;
 }
 
+/* Sends RECORD, an answer, to the instance at ADDRESS. */
 static void
-S_answer(BsFleetAgent *agent, uint32_t address, GArray *questions,
-         int64_t now_ms)
+S_answer(BsFleetAgent *agent, uint32_t address, const GArray *records)
+{
+    GString *data = S_begin_datagram();
+    BsStreamCodec_EncodeRecords(records, 0, records->len, data);
+    S_send(agent, address, data, PREFIX_STREAM_RECORDS);
+    g_string_free(data, TRUE);
+}
+
+/* Answers those of QUESTIONS that it can, and removes them. */
+static void
+S_answer_known(BsFleetAgent *agent, uint32_t address, GArray *questions,
+               int64_t now_ms)
 {
     GArray *records = g_array_new(FALSE, FALSE, sizeof(BsStreamRecord));
-    GArray *receivers = g_array_new(FALSE, FALSE, sizeof(BsGossipReceiver));
-    BsGossipReceiver receiver = {.address = address};
-    g_array_append_val(receivers, receiver);
-    agent->events->answer_questions(questions, records, now_ms,
-                                    agent->context);
-    S_send_records(agent, receivers, records, PREFIX_STREAM_RECORDS);
-    g_array_unref(receivers);
+    GArray *one = g_array_new(FALSE, FALSE, sizeof(BsStreamQuestion));
+    guint kept = 0;
+    for (guint i = 0; i < questions->len; i++) {
+        BsStreamQuestion question =
+            g_array_index(questions, BsStreamQuestion, i);
+        g_array_set_size(records, 0);
+        g_array_set_size(one, 0);
+        g_array_append_val(one, question);
+        agent->events->answer_questions(one, records, now_ms, agent->context);
+        if (records->len > 0) {
+            S_answer(agent, question.origin == 0 ? address : question.origin,
+                     records);
+        }
+        else {
+            g_array_index(questions, BsStreamQuestion, kept++) = question;
+        }
+    }
+    g_array_set_size(questions, kept);
+    g_array_unref(one);
     g_array_unref(records);
 }
 
@@ -570,13 +625,10 @@
                     size_t size_bytes, uint64_t prefix, int64_t now_ms)
 {
     GArray *questions = g_array_new(FALSE, FALSE, sizeof(BsStreamQuestion));
-    uint32_t origin = 0;
-    bool valid =
-        BsStreamCodec_DecodeQuestions(data, size_bytes, questions, &origin);
+    bool valid = BsStreamCodec_DecodeQuestions(data, size_bytes, questions);
     if (valid) {
-        origin = origin == 0 ? address : origin;
-        S_answer(agent, origin, questions, now_ms);
-        S_pass_unanswered(agent, questions, origin, prefix, now_ms);
+        S_answer_known(agent, address, questions, now_ms);
+        S_pass_unanswered(agent, address, questions, prefix, now_ms);
     }
     g_array_unref(questions);
     return valid;
@@ -845,6 +897,7 @@
         S_send_due_summaries(agent, now_ms);
     }
     S_pass_records(agent, now_ms);
+    S_pass_all_questions(agent, now_ms);
 }
 
 int64_t
--- a/src/streamcodec.c
+++ b/src/streamcodec.c
@@ -10,13 +10,11 @@
 #define MARK_BYTES 1
 
 #define RECORD_BYTES 20
-#define QUESTION_BYTES 12
-#define ORIGIN_BYTES 4
+#define QUESTION_BYTES 16
 
 G_STATIC_ASSERT(MARK_BYTES + BS_STREAM_RECORDS_MAX * RECORD_BYTES <=
                 BS_GOSSIP_MAX_BYTES);
-G_STATIC_ASSERT(MARK_BYTES + ORIGIN_BYTES +
-                    BS_STREAM_QUESTIONS_MAX * QUESTION_BYTES <=
+G_STATIC_ASSERT(MARK_BYTES + BS_STREAM_QUESTIONS_MAX * QUESTION_BYTES <=
                 BS_GOSSIP_MAX_BYTES);
 
 static void
@@ -102,34 +100,33 @@
 
 void
 BsStreamCodec_EncodeQuestions(const GArray *questions, guint first,
-                              guint count, uint32_t origin, GString *out)
+                              guint count, GString *out)
 {
     g_string_append_c(out, (gchar)MARK);
-    S_put_32(out, origin);
     for (guint i = first; i < first + MIN(count, BS_STREAM_QUESTIONS_MAX);
          i++) {
         const BsStreamQuestion *question =
             &g_array_index(questions, BsStreamQuestion, i);
         S_put_64(out, question->key);
         S_put_32(out, question->service);
+        S_put_32(out, question->origin);
     }
 }
 
 bool
 BsStreamCodec_DecodeQuestions(const char *data, size_t size_bytes,
-                              GArray *questions, uint32_t *origin)
+                              GArray *questions)
 {
-    size_t count = S_count(data, size_bytes, MARK_BYTES + ORIGIN_BYTES,
-                           QUESTION_BYTES, BS_STREAM_QUESTIONS_MAX);
-    if (count == 0) {
-        return false;
-    }
-    *origin = S_get_32(data + MARK_BYTES);
+    size_t count = S_count(data, size_bytes, MARK_BYTES, QUESTION_BYTES,
+                           BS_STREAM_QUESTIONS_MAX);
     for (size_t i = 0; i < count; i++) {
-        const char *at = data + MARK_BYTES + ORIGIN_BYTES + i * QUESTION_BYTES;
+        const char *at = data + MARK_BYTES + i * QUESTION_BYTES;
         BsStreamQuestion question = {
-            .key = S_get_64(at), .service = S_get_32(at + sizeof(uint64_t))};
+            .key = S_get_64(at),
+            .service = S_get_32(at + sizeof(uint64_t)),
+            .origin = S_get_32(at + sizeof(uint64_t) + sizeof(uint32_t)),
+        };
         g_array_append_val(questions, question);
     }
-    return true;
+    return count > 0;
 }
--- a/src/streamcodec.h
+++ b/src/streamcodec.h
@@ -13,7 +13,7 @@
 /* Most records, and questions, in one encoding; it has at most
    BS_GOSSIP_MAX_BYTES then. */
 #define BS_STREAM_RECORDS_MAX 69
-#define BS_STREAM_QUESTIONS_MAX 100
+#define BS_STREAM_QUESTIONS_MAX 87
 
 /* Appends the encoding of COUNT records (BsStreamRecord) from index FIRST on
    to OUT; BS_STREAM_RECORDS_MAX at most. */
@@ -25,11 +25,11 @@
 bool BsStreamCodec_DecodeRecords(const char *data, size_t size_bytes,
                                  GArray *records);
 
-/* The same for questions (BsStreamQuestion); BS_STREAM_QUESTIONS_MAX at most.
-   ORIGIN is the address of the instance to answer; 0: the sender. */
+/* The same for questions (BsStreamQuestion); BS_STREAM_QUESTIONS_MAX at
+   most. */
 void BsStreamCodec_EncodeQuestions(const GArray *questions, guint first,
-                                   guint count, uint32_t origin, GString *out);
+                                   guint count, GString *out);
 bool BsStreamCodec_DecodeQuestions(const char *data, size_t size_bytes,
-                                   GArray *questions, uint32_t *origin);
+                                   GArray *questions);
 
 #endif /* BS_STREAMCODEC_H */
--- a/src/streamversions.h
+++ b/src/streamversions.h
@@ -37,6 +37,7 @@
 typedef struct {
     uint64_t key;
     uint32_t service; /* BsStreamVersions_HashService() */
+    uint32_t origin;  /* address of the instance to answer; 0: the sender */
 } BsStreamQuestion;
 
 typedef enum {
--- a/tests/gate/streamfleet_test.cc
+++ b/tests/gate/streamfleet_test.cc
@@ -73,8 +73,8 @@
     }
     void Ask(Node *node, uint64_t key)
     {
-        BsStreamQuestion question = {key,
-                                     BsStreamVersions_HashService(kService)};
+        BsStreamQuestion question = {
+            key, BsStreamVersions_HashService(kService), 0};
         g_array_append_val(node->questions, question);
     }
     // NODE takes up KEY: it asks if it has to, and again after a while.
@@ -412,16 +412,45 @@
                                                    info.param.per_data_centre);
                          });
 
+// Guards against hubs that are busy with questions which nobody can answer,
+// when all instances have started again and all callers take up what broke
+// off.
+TEST_F(StreamFleet, QuestionsAfterTheLossOfAllInstancesCostLittle)
+{
+    Start({5, 59});
+    for (auto &node : world_.nodes) {
+        world_.Start(node.get());
+    }
+    world_.Run(3000);
+    world_.ResetTraffic();
+    const int seconds = 2;
+    const int per_ms = 5;
+    world_.Run(seconds * 1000, [&] {
+        for (int i = 0; i < per_ms; i++) {
+            Ask(RandomNode(), ++key_);
+        }
+    });
+    uint64_t most = 0;
+    uint64_t most_bytes = 0;
+    for (auto &node : world_.nodes) {
+        most = std::max(most, node->stream_sent);
+        most_bytes = std::max(most_bytes, node->stream_bytes);
+    }
+    std::cout << "most " << most / seconds << " messages/s, "
+              << most_bytes / seconds << " bytes/s\n";
+    // A hub sends 40 summaries a second to each instance of its data centre.
+    EXPECT_LT(most / seconds, 40U * 59);
+}
+
 // Guards against a datagram that reads beyond its end, or that is not counted
 // as broken.
 TEST(StreamCodecTest, MalformedDatagramsAreRejected)
 {
     GArray *records = g_array_new(FALSE, FALSE, sizeof(BsStreamRecord));
     GArray *questions = g_array_new(FALSE, FALSE, sizeof(BsStreamQuestion));
-    uint32_t origin = 0;
     for (uint64_t i = 1; i <= 200; i++) {
         BsStreamRecord record = {i, Version("v1"), (uint32_t)i};
-        BsStreamQuestion question = {i, (uint32_t)i + 7};
+        BsStreamQuestion question = {i, (uint32_t)i + 7, (uint32_t)i + 90};
         g_array_append_val(records, record);
         g_array_append_val(questions, question);
     }
@@ -457,20 +486,26 @@
     g_string_truncate(data, 0);
     g_array_set_size(read, 0);
     GArray *asked = g_array_new(FALSE, FALSE, sizeof(BsStreamQuestion));
-    BsStreamCodec_EncodeQuestions(questions, 0, 3, 99, data);
+    BsStreamCodec_EncodeQuestions(questions, 0, 3, data);
     for (size_t size = 0; size <= data->len; size++) {
         std::vector<char> part(data->str, data->str + size);
         g_array_set_size(asked, 0);
-        bool whole = size > 5 && (size - 5) % 12 == 0;
-        EXPECT_EQ(
-            BsStreamCodec_DecodeQuestions(part.data(), size, asked, &origin),
-            whole)
+        bool whole = size > 1 && (size - 1) % 16 == 0;
+        EXPECT_EQ(BsStreamCodec_DecodeQuestions(part.data(), size, asked),
+                  whole)
             << size;
     }
     ASSERT_EQ(asked->len, 3U);
     EXPECT_EQ(g_array_index(asked, BsStreamQuestion, 2).key, 3U);
     EXPECT_EQ(g_array_index(asked, BsStreamQuestion, 2).service, 10U);
-    EXPECT_EQ(origin, 99U);
+    EXPECT_EQ(g_array_index(asked, BsStreamQuestion, 2).origin, 93U);
+    // More than a datagram holds.
+    g_string_truncate(data, 0);
+    BsStreamCodec_EncodeQuestions(questions, 0, 200, data);
+    EXPECT_LE(data->len, (size_t)BS_GOSSIP_MAX_BYTES);
+    more = std::string(data->str, data->len) + std::string(16, 'x');
+    EXPECT_FALSE(
+        BsStreamCodec_DecodeQuestions(more.data(), more.size(), asked));
     g_string_free(data, TRUE);
     g_array_unref(read);
     g_array_unref(asked);
