--- a/tests/gate/gateway_version_test.cc
+++ b/tests/gate/gateway_version_test.cc
@@ -595,4 +595,47 @@
     ExpectRest(TakeUp(*third_, "b", "a"), "v1");
 }
 
+// Guards against a stream of a route with two services that is resumed at the
+// other service than the one that began it.
+TEST_F(VersionNamesTest, AStreamOfASplitRouteStaysAtItsService)
+{
+    const std::vector<std::string> streams = {"a", "b", "c", "d", "e", "f"};
+    size_t desk = Add("desk", After::kWait);
+    size_t annex = Add("annex", After::kWait);
+    std::string config = VersionConfig();
+    auto replace = [&](const std::string &from, const std::string &to) {
+        config.replace(config.find(from), from.size(), to);
+    };
+    replace("\"service\":\"desk\",\"max-attempts\":2,\"timeout-ms\":8000,"
+            "\"resumable\"",
+            "\"backends\":[{\"service\":\"desk\",\"weight\":1},"
+            "{\"service\":\"annex\",\"weight\":1}],"
+            "\"max-attempts\":1,\"timeout-ms\":8000,\"resumable\"");
+    replace("\"services\":[", "\"services\":[{\"name\":\"annex\","
+                              "\"health-path\":\"/h\",\"max-connections\":"
+                              "100},");
+    store_.Put("servers/" + Name(desk),
+               Listed("desk", runners_[desk]->port()));
+    store_.Put("servers/" + Name(annex),
+               Listed("annex", runners_[annex]->port()));
+    StartFleet(config);
+    WaitListed(2);
+    std::vector<std::unique_ptr<Socket>> callers;
+    std::vector<std::string> began;
+    for (const std::string &stream : streams) {
+        callers.push_back(gateway_->Open());
+        callers.back()->Write(
+            Call("/chat/1", stream, "Connection: close\r\n"));
+        std::string first = ReadUntil(*callers.back(), "wrote 1\n\n");
+        bool at_desk = first.find("desk wrote") != std::string::npos;
+        began.push_back(at_desk ? "desk" : "annex");
+    }
+    go_ = true;
+    for (size_t i = 0; i < streams.size(); i++) {
+        callers[i]->ReadAll();
+        ExpectRest(TakeUp(*gateway_, "again-" + streams[i], streams[i]),
+                   began[i]);
+    }
+}
+
 } // namespace
