Retry budget: a repeat that is given up counts for two windows

Upstreams got more repeats in a window than the operators allow, without any restart. Cause: a repeat counted until a window after it was given up, but an upstream that is paused for longer than the request may take reads it later, beside those that the budget granted meanwhile.

An attempt that ends without an answer is abandoned instead of settled, and counts for two windows. Each attempt settles for itself now: before, the head or the end of the current one also settled those that were held open beside it, and a stray answer counted as an arrival.

Ruled out: counting until the upstream answers something else, which says nothing about this connection.

--- a/src/gw_attempt.c
+++ b/src/gw_attempt.c
@@ -109,11 +109,31 @@
     return (double)(now_ms - attempt->sent_ms);
 }
 
+/* Tells the retry budget that ATTEMPT, if it is a repeat that counts as open,
+   has arrived at its upstream, or that it was given up without an answer. */
+static void
+S_settle(const BsRelay *relay, BsRelayAttempt *attempt, bool arrived)
+{
+    BsGate *gate = relay->gate;
+    int64_t now_ms = BsClock_NowMs(gate->clock);
+    if (!attempt->open_repeat) {
+        return;
+    }
+    attempt->open_repeat = false;
+    if (arrived) {
+        BsRetryBudget_Settle(gate->retries, relay->service->name, 1, now_ms);
+    }
+    else {
+        BsRetryBudget_Abandon(gate->retries, relay->service->name, now_ms);
+    }
+}
+
 void
 BsAttempt_End(BsRelay *relay, BsRelayAttempt *attempt, BsTargetEnd end)
 {
     BsGate *gate = relay->gate;
     int64_t now_ms = BsClock_NowMs(gate->clock);
+    S_settle(relay, attempt, end != BS_TARGET_ABANDONED);
     char *upstream = g_strdup(attempt->target->id);
     uint32_t unprocessed_tokens =
         attempt->prefill_reported ? 0 : relay->info.prompt_tokens;
@@ -132,26 +152,12 @@
 }
 
 void
-BsAttempt_SettleSends(BsRelay *relay)
+BsAttempt_ReturnSend(BsRelay *relay)
 {
-    uint32_t unsent = relay->send_taken ? 1 : 0;
-    if (relay->open_sends > unsent) {
-        BsRetryBudget_Settle(relay->gate->retries, relay->service->name,
-                             relay->open_sends - unsent,
-                             BsClock_NowMs(relay->gate->clock));
-        relay->open_sends = unsent;
-    }
-}
-
-void
-BsAttempt_ReturnSends(BsRelay *relay)
-{
-    BsAttempt_SettleSends(relay);
     if (relay->send_taken) {
         BsRetryBudget_GiveBack(relay->gate->retries, relay->service->name,
                                BsClock_NowMs(relay->gate->clock));
         relay->send_taken = false;
-        relay->open_sends = 0;
     }
 }
 
@@ -216,7 +222,6 @@
         relay->may_have_run = true;
         BsAttempt_NoteGivenUp(relay, attempt);
     }
-    BsAttempt_SettleSends(relay);
     BsOutbound_Cancel(attempt->call);
     BsAttempt_End(relay, attempt, BS_TARGET_ABANDONED);
 }
@@ -261,7 +266,6 @@
     relay->send_taken =
         BsRetryBudget_Take(gate->retries, relay->service->name,
                            gate->retry_instances, BsClock_NowMs(gate->clock));
-    relay->open_sends += relay->send_taken;
     BsRelay_LogBudget(relay, relay->send_taken);
     return relay->send_taken;
 }
@@ -351,6 +355,7 @@
         BsDayCount_DoubleRun(relay->gate->counters);
     }
     relay->sends++;
+    relay->attempt.open_repeat = relay->send_taken;
     relay->send_taken = false;
     relay->attempts++;
     BsRelay_Schedule(relay);
@@ -363,6 +368,15 @@
            strcmp(info->request_id, relay->id) != 0;
 }
 
+void
+BsAttempt_NoteArrived(const BsRelay *relay, BsRelayAttempt *attempt,
+                      const BsAnswerInfo *info)
+{
+    if (!S_is_of_another_request(relay, info)) {
+        S_settle(relay, attempt, true);
+    }
+}
+
 static uint64_t
 S_hash_id(const BsRelay *relay)
 {
@@ -497,7 +511,7 @@
     BsGate *gate = relay->gate;
     BsAnswerInfo info;
     gate->wire->read_answer(head, &info);
-    BsAttempt_SettleSends(relay);
+    BsAttempt_NoteArrived(relay, &relay->attempt, &info);
     BsAttempt_NoteResumed(relay, &relay->attempt);
     relay->attempt.last_received_ms = BsClock_NowMs(gate->clock);
     BsTargets_NoteReceived(relay->attempt.target,
@@ -756,7 +770,6 @@
 {
     BsRelay *relay = context;
     relay->attempt.call = NULL;
-    BsAttempt_SettleSends(relay);
     if (relay->attempt.ended_by == NULL) {
         end = BsAttempt_JudgeEnd(relay, &relay->attempt, end);
     }
--- a/src/gw_held.c
+++ b/src/gw_held.c
@@ -304,6 +304,7 @@
     relay->gate->wire->read_answer(head, &info);
     BsTargets_NoteReceived(held->target, BsClock_NowMs(relay->gate->clock));
     BsAnswerHints_Apply(relay, held, &info);
+    BsAttempt_NoteArrived(relay, held, &info);
     BsAttempt_NoteResumed(relay, held);
     if (BsAttempt_IsRefused(relay, held, head->status, &info)) {
         return;
--- a/src/gw_relay.c
+++ b/src/gw_relay.c
@@ -35,7 +35,7 @@
 static void
 S_free(BsRelay *relay)
 {
-    BsAttempt_ReturnSends(relay);
+    BsAttempt_ReturnSend(relay);
     g_hash_table_remove(relay->gate->relays, relay);
     ev_timer_stop(relay->gate->loop, &relay->timer);
     BsWaitQueue_Remove(relay->gate->queue, relay->queue_entry);
--- a/src/gw_relayparts.h
+++ b/src/gw_relayparts.h
@@ -77,8 +77,9 @@
     uint32_t events;       /* received in this attempt */
     bool prefill_reported; /* BsTargets_Started() was called */
     bool refused;          /* the upstream answered that it has not run it */
-    bool begun;            /* the head of its answer has arrived */
-    bool silent;           /* the upstream counts as silent */
+    bool open_repeat; /* a repeat that counts as open in the retry budget */
+    bool begun;       /* the head of its answer has arrived */
+    bool silent;      /* the upstream counts as silent */
     BsTargetEnd head_outcome; /* outcome according to the answer's head */
     const char *ended_by;     /* what ended an answer that HTTP calls complete,
                                  for the log; NULL before */
@@ -132,10 +133,8 @@
                              ended; NULL: none has */
     uint32_t attempts;    /* times it was sent and not refused */
     uint32_t sends;       /* times it was sent */
-    uint32_t
-        open_sends;   /* granted by the retry budget and not settled there */
-    bool send_taken;  /* the retry budget of the next send is taken */
-    bool send_denied; /* the retry budget denied it the next send */
+    bool send_taken;      /* the retry budget of the next send is taken */
+    bool send_denied;     /* the retry budget denied it the next send */
     bool may_have_run;
     bool answered; /* with the whole answer of an upstream that ran it */
 };
@@ -218,12 +217,14 @@
 /* Cancels the current and all held attempts. */
 void BsAttempt_AbandonAll(BsRelay *relay);
 
-/* Tells the retry budget that the sends that it granted the request have
-   arrived or ended; not one that is still to be sent. */
-void BsAttempt_SettleSends(BsRelay *relay);
+/* Returns to the retry budget the send that it granted the request and that
+   was not made, if any. */
+void BsAttempt_ReturnSend(BsRelay *relay);
 
-/* The same, and returns the one that is not sent, as the request ends. */
-void BsAttempt_ReturnSends(BsRelay *relay);
+/* Records that an answer with INFO to ATTEMPT has begun, if it is one to this
+   request: the attempt has arrived at its upstream. */
+void BsAttempt_NoteArrived(const BsRelay *relay, BsRelayAttempt *attempt,
+                           const BsAnswerInfo *info);
 
 /* Records that ATTEMPT is given up while its upstream may still run it or may
    be down.  When that upstream was removed from the list without draining or
--- a/src/quota.c
+++ b/src/quota.c
@@ -28,6 +28,9 @@
 #define REQUEST_SPANS 20
 #define RETRY_SPANS (REQUEST_SPANS + 1)
 
+/* Spans that are kept: two windows, for retries that were given up. */
+#define KEPT_SPANS (2 * REQUEST_SPANS + 1)
+
 G_STATIC_ASSERT(RETRY_PERCENT + RETRY_START_PERCENT <= 100);
 
 /* Key of the rest of the fleet in the table of peers; not a valid address. */
@@ -311,9 +314,10 @@
 /* ----------------------------------------------------- retry budgets -- */
 
 typedef struct {
-    uint64_t requests[RETRY_SPANS];
-    uint64_t retries[RETRY_SPANS];
-    uint64_t open;      /* granted and not settled */
+    uint64_t requests[KEPT_SPANS];
+    uint64_t retries[KEPT_SPANS];   /* that have arrived */
+    uint64_t abandoned[KEPT_SPANS]; /* given up without an answer */
+    uint64_t open;      /* granted, and neither arrived nor given up */
     size_t newest;      /* index of the newest span */
     int64_t started_ms; /* when the newest span began */
 } BsRetryCounts;
@@ -372,10 +376,11 @@
     }
     /* Spans are not numbered by the clock, as their length may change. */
     int64_t passed = MAX(0, (now_ms - counts->started_ms) / budget->span_ms);
-    for (int64_t i = 0; i < MIN(passed, RETRY_SPANS); i++) {
-        counts->newest = (counts->newest + 1) % RETRY_SPANS;
+    for (int64_t i = 0; i < MIN(passed, KEPT_SPANS); i++) {
+        counts->newest = (counts->newest + 1) % KEPT_SPANS;
         counts->requests[counts->newest] = 0;
         counts->retries[counts->newest] = 0;
+        counts->abandoned[counts->newest] = 0;
     }
     counts->started_ms += passed * budget->span_ms;
     return counts;
@@ -395,10 +400,11 @@
               unsigned instances, int64_t now_ms)
 {
     BsRetryBudgetState state = {.retries = counts->open};
-    size_t oldest = (counts->newest + 1) % RETRY_SPANS;
-    for (size_t i = 0; i < RETRY_SPANS; i++) {
-        state.requests += i == oldest ? 0 : counts->requests[i];
-        state.retries += counts->retries[i];
+    for (size_t i = 0; i < KEPT_SPANS; i++) {
+        size_t age = (counts->newest + KEPT_SPANS - i) % KEPT_SPANS;
+        state.requests += age < REQUEST_SPANS ? counts->requests[i] : 0;
+        state.retries += age < RETRY_SPANS ? counts->retries[i] : 0;
+        state.retries += counts->abandoned[i];
     }
     double by_requests = budget->ratio * (double)state.requests;
     double by_slack = budget->slack / MAX(instances, 1);
@@ -439,6 +445,17 @@
     counts->retries[counts->newest] += settled;
 }
 
+void
+BsRetryBudget_Abandon(BsRetryBudget *budget, const char *service,
+                      int64_t now_ms)
+{
+    BsRetryCounts *counts = S_current_counts(budget, service, now_ms);
+    if (counts->open > 0) {
+        counts->open--;
+        counts->abandoned[counts->newest]++;
+    }
+}
+
 void
 BsRetryBudget_GiveBack(BsRetryBudget *budget, const char *service,
                        int64_t now_ms)
--- a/src/quota.h
+++ b/src/quota.h
@@ -105,6 +105,12 @@
 void BsRetryBudget_Settle(BsRetryBudget *budget, const char *service,
                           unsigned count, int64_t now_ms);
 
+/* Records that an open retry to SERVICE was given up without an answer.  It
+   counts for two windows from now, as its upstream may read it during the
+   first one. */
+void BsRetryBudget_Abandon(BsRetryBudget *budget, const char *service,
+                           int64_t now_ms);
+
 /* Returns an open retry to SERVICE that is not sent. */
 void BsRetryBudget_GiveBack(BsRetryBudget *budget, const char *service,
                             int64_t now_ms);
--- a/tests/gate/retrylate_test.cc
+++ b/tests/gate/retrylate_test.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <map>
 #include <ostream>
+#include <set>
 #include <vector>
 
 extern "C" {
@@ -51,13 +52,22 @@
                                  now_ms);
             settles_.erase(settles_.begin());
         }
+        while (!abandons_.empty() && *abandons_.begin() <= now_ms) {
+            BsRetryBudget_Abandon(budget_, "desk", now_ms);
+            abandons_.erase(abandons_.begin());
+        }
         for (int i = 0; now_ms >= kPausedMs && i < 6; i++) {
             if (!BsRetryBudget_Take(budget_, "desk", 1, now_ms)) {
                 break;
             }
             int64_t arrives_ms = std::max(now_ms, resumed_ms);
             arrivals_[arrives_ms / kStepMs]++;
-            settles_[std::min(arrives_ms, now_ms + row.timeout_ms)]++;
+            if (arrives_ms <= now_ms + row.timeout_ms) {
+                settles_[arrives_ms]++;
+            }
+            else {
+                abandons_.insert(now_ms + row.timeout_ms);
+            }
         }
     }
     int Most()
@@ -77,6 +87,7 @@
     BsRetryBudget *budget_ =
         BsRetryBudget_Create(kRatio, kSlack, kWindowMs, 0);
     std::map<int64_t, unsigned> settles_; // by time
+    std::multiset<int64_t> abandons_;     // times of those given up
     std::map<int64_t, int> arrivals_;     // by step
 };
 
