Account use: the first total of another data centre's hub counts by its amount

A hub counts the use of an account from a base of 2^30, so that refunds do not make the total negative. When another hub, already known, named an account for the first time, the receiver took 0 for the total before, and added the base: 2^30 tokens of use, which the whole fleet deducted from the account. Its level fell to minus one burst and its requests got 429 for a second or more, at the start of the traffic and after each start of a hub, once for each pair of data centres.

Ruled out: the share of the limits (100 percent in these seconds) and the use itself (250,000 tokens of 1,357,879 a second).

An account that had no room in earlier summaries still adds nothing when it is first named, as its use since then is not known.

--- a/src/hub.c
+++ b/src/hub.c
@@ -224,9 +224,22 @@
     return use;
 }
 
-/* Adds what accounts used since the previous message of SOURCE.  Use before
-   its first message does not count: unless KNOWN (an earlier message came from
-   the same incarnation), nothing is added. */
+/* Returns the total from which the use of an account counts that SOURCE names
+   for the first time.  An instance counts from 0, the hub of another data
+   centre from USE_BASE.  Use before the first message of a source does not
+   count, nor does that of an account that had no room in earlier summaries. */
+static uint64_t
+S_first_baseline(const BsQuotaUse *reported, const GArray *uses, bool remote,
+                 bool known)
+{
+    if (!known || (remote && uses->len >= USES_MAX)) {
+        return reported->used;
+    }
+    return remote ? USE_BASE : 0;
+}
+
+/* Adds what accounts used since the previous message of SOURCE.  KNOWN tells
+   whether an earlier message came from the same incarnation. */
 static void
 S_add_uses(BsHub *hub, BsHubSource *source, const GArray *uses, bool remote,
            bool known)
@@ -235,9 +248,9 @@
         const BsQuotaUse *reported = &g_array_index(uses, BsQuotaUse, i);
         const uint64_t *previous =
             g_hash_table_lookup(source->uses, &reported->hash);
-        uint64_t baseline = previous != NULL ? *previous
-                            : known          ? 0
-                                             : reported->used;
+        uint64_t baseline =
+            previous != NULL ? *previous
+                             : S_first_baseline(reported, uses, remote, known);
         if (reported->used != baseline) {
             BsHubUse *use = S_find_or_add_use(hub, reported->hash);
             *(remote ? &use->remote : &use->local) +=
