--- a/src/catalog.h
+++ b/src/catalog.h
@@ -48,8 +48,6 @@
     double cold_per_s;        /* request rate that a cold upstream can handle;
                                  0 means no limit */
     bool engine;              /* upstreams batch model requests */
-    uint32_t event_tokens;    /* generated tokens in an event of a stream; 0:
-                                 unknown */
 } BsCatalogService;
 
 /* A client account. */
--- a/src/gatesettings.c
+++ b/src/gatesettings.c
@@ -10,9 +10,6 @@
 #define DATA_CENTRES_MAX 64
 #define SEEDS_MAX 16
 
-/* Upper limit of placement.pause_min_ms. */
-#define PAUSE_MIN_MAX_MS 60000
-
 #define REQUIRED CYAML_FLAG_DEFAULT
 #define STRING(key, owner, member)                                            \
     CYAML_FIELD_STRING_PTR(key, CYAML_FLAG_POINTER, owner, member, 1,         \
@@ -43,11 +40,6 @@
     CYAML_FIELD_UINT("quota_slack", REQUIRED, BsGateBounds, quota_slack),
     CYAML_FIELD_END};
 
-static const cyaml_schema_field_t S_placement_fields[] = {
-    CYAML_FIELD_UINT("pause_min_ms", CYAML_FLAG_OPTIONAL, BsGatePlacement,
-                     pause_min_ms),
-    CYAML_FIELD_END};
-
 static const cyaml_schema_field_t S_fields[] = {
     STRING("name", BsGateSettings, name),
     STRING("data_centre", BsGateSettings, data_centre),
@@ -67,8 +59,6 @@
                         S_machine_fields),
     CYAML_FIELD_MAPPING("bounds", REQUIRED, BsGateSettings, bounds,
                         S_bounds_fields),
-    CYAML_FIELD_MAPPING("placement", CYAML_FLAG_OPTIONAL, BsGateSettings,
-                        placement, S_placement_fields),
     CYAML_FIELD_END};
 
 static const cyaml_schema_value_t S_schema = {
@@ -107,8 +97,6 @@
     TEXT("bounds.retry_window_s", "a whole number of 1 or more"),
     TEXT("bounds.quota_over", "a number from 0 to 10"),
     TEXT("bounds.quota_slack", WHOLE_TEXT),
-    TEXT("placement", "the key pause_min_ms"),
-    TEXT("placement.pause_min_ms", "0 (off) or a whole number up to 60000"),
 };
 
 static const BsSettingsKeys S_keys = {S_rows, G_N_ELEMENTS(S_rows)};
@@ -186,10 +174,7 @@
            S_check_number(file, "bounds.retry_window_s",
                           bounds->retry_window_s, 1, UINT32_MAX, error) &&
            S_check_number(file, "bounds.quota_over", bounds->quota_over, 0, 10,
-                          error) &&
-           S_check_number(file, "placement.pause_min_ms",
-                          settings->placement.pause_min_ms, 0,
-                          PAUSE_MIN_MAX_MS, error);
+                          error);
 }
 
 BsGateSettings *
--- a/src/gatesettings.h
+++ b/src/gatesettings.h
@@ -38,13 +38,6 @@
                                 unit */
 } BsGateBounds;
 
-/* Which engine a stream is sent to, of several of unlike speed. */
-typedef struct {
-    uint32_t pause_min_ms; /* streams are placed by their prompts on routes
-                              that allow pauses between events of this length
-                              or more; 0: on none */
-} BsGatePlacement;
-
 /* Settings of a gateway. */
 typedef struct {
     char *name;
@@ -61,7 +54,6 @@
     char *store; /* IP:port of the platform's store */
     BsGateMachine machine;
     BsGateBounds bounds;
-    BsGatePlacement placement;
 } BsGateSettings;
 
 /* Reads and checks FILE; NULL with BS_ERR_SETTINGS set when it is missing or
--- a/src/gw_attempt.c
+++ b/src/gw_attempt.c
@@ -72,10 +72,6 @@
     }
     query->prompt_tokens = relay->info.prompt_tokens;
     query->output_tokens = relay->info.output_tokens;
-    query->expected_tokens = relay->info.expected_tokens;
-    int64_t now_ms = BsClock_NowMs(relay->gate->clock);
-    query->left_ms = relay->expires_ms - now_ms;
-    query->shortage = BsOverload_Lasts(&relay->gate->overload, now_ms);
 }
 
 static void
@@ -141,11 +137,6 @@
     char *upstream = g_strdup(attempt->target->id);
     uint32_t unprocessed_tokens =
         attempt->prefill_reported ? 0 : relay->info.prompt_tokens;
-    if (attempt->events > 1) {
-        BsTargets_NoteEvents(
-            attempt->target, attempt->events - 1,
-            (double)(attempt->last_received_ms - attempt->first_event_ms));
-    }
     int64_t pause_ms = BsTargets_Ended(gate->targets, attempt->target, end,
                                        S_pace_ms(relay, attempt, now_ms),
                                        unprocessed_tokens, now_ms);
--- a/src/targetchoice.c
+++ b/src/targetchoice.c
@@ -107,10 +107,8 @@
 typedef struct {
     double usual_pace_ms;   /* mean; 0: unknown */
     double best_error;      /* lowest error ratio */
-    double usual_tokens;    /* mean prompt, for a placement by it; 0: none */
     const BsTarget *affine; /* where the session's prompt is likely cached;
                                NULL: no session */
-    bool some_fit;          /* an open target is expected to end in time */
     uint32_t open;          /* number of open targets */
     uint32_t local;         /* those of the own data centre */
 } BsTargetContext;
@@ -126,7 +124,7 @@
 static BsTargetContext
 S_summarize(const GPtrArray *list, const BsTargetQuery *query, int64_t now_ms)
 {
-    BsTargetContext context = {0, 1.0, 0, NULL, false, 0, 0};
+    BsTargetContext context = {0, 1.0, NULL, 0, 0};
     uint64_t best_weight = 0;
     unsigned paced = 0;
     for (guint i = 0; i < list->len; i++) {
@@ -153,26 +151,6 @@
     return context;
 }
 
-/* Describes the request at TARGET for its placement. */
-static BsPlacement
-S_placement(const BsTarget *target, const BsTargetQuery *query,
-            const BsTargetContext *context)
-{
-    uint32_t event_tokens = query->service->event_tokens;
-    return (BsPlacement){
-        .prompt_tokens = target == context->affine ? 0 : query->prompt_tokens,
-        .waiting_tokens = target->own_waiting_tokens,
-        .usual_tokens = context->usual_tokens,
-        .slowness = S_pace(target, context->usual_pace_ms),
-        .load = BsTarget_Load(target),
-        .events = event_tokens == 0
-                      ? 0
-                      : (double)query->expected_tokens / event_tokens,
-        .event_ms = target->event_ms,
-        .left_ms = query->left_ms,
-    };
-}
-
 /* Returns the cost of the request at TARGET, in milliseconds; lower is
    better. */
 static double
@@ -182,11 +160,7 @@
     double pace = S_pace(target, context->usual_pace_ms);
     double error = target->error_ratio - context->best_error;
     double cost;
-    if (context->usual_tokens > 0) {
-        BsPlacement placement = S_placement(target, query, context);
-        cost = BsPlacement_CostMs(&placement);
-    }
-    else if (query->service->engine) {
+    if (query->service->engine) {
         double own = target == context->affine ? 0 : query->prompt_tokens;
         double waiting = (double)target->own_waiting_tokens;
         cost = pace * ((own + waiting) / PREFILL_TOKENS_PER_MS +
@@ -215,41 +189,6 @@
     return cost;
 }
 
-void
-BsTargets_SetPlacement(BsTargets *targets, uint32_t pause_ms)
-{
-    targets->placement_pause_ms = pause_ms;
-}
-
-/* Returns the mean prompt of the service if QUERY is a stream that is placed
-   by its prompt, else 0. */
-static double
-S_usual_tokens(const BsTargets *targets, const BsTargetQuery *query)
-{
-    if (!query->service->engine || query->route->kind != BS_ROUTE_STREAM ||
-        targets->placement_pause_ms == 0 ||
-        query->route->gap_ms < targets->placement_pause_ms) {
-        return 0;
-    }
-    const double *usual =
-        g_hash_table_lookup(targets->usual_tokens, query->service->name);
-    return usual == NULL ? 0 : *usual;
-}
-
-/* Updates the mean prompt of the service that QUERY was sent to. */
-void
-BsTargets_NotePrompt(BsTargets *targets, const BsTargetQuery *query)
-{
-    double *usual =
-        g_hash_table_lookup(targets->usual_tokens, query->service->name);
-    if (usual == NULL) {
-        usual = g_new0(double, 1);
-        g_hash_table_insert(targets->usual_tokens,
-                            g_strdup(query->service->name), usual);
-    }
-    *usual = BsPlacement_UpdateMean(*usual, query->prompt_tokens);
-}
-
 void
 BsTargets_SetInstances(BsTargets *targets, unsigned instances)
 {
@@ -406,55 +345,19 @@
     return target->retry_at_ms <= now_ms && target->own == 0;
 }
 
-/* Returns whether the answer at TARGET is expected to be unfinished at its
-   deadline, and should not start there: slots are short, or another target
-   would end in time. */
-static bool
-S_is_unfinished(const BsTarget *target, const BsTargetQuery *query,
-                const BsTargetContext *context)
-{
-    if (context->usual_tokens <= 0 ||
-        !(query->shortage || context->some_fit)) {
-        return false;
-    }
-    BsPlacement placement = S_placement(target, query, context);
-    return !BsPlacement_Fits(&placement);
-}
-
-/* Returns whether one of the open targets in LIST is expected to end the
-   answer in time. */
-static bool
-S_do_some_fit(const GPtrArray *list, const BsTargetQuery *query,
-              const BsTargetContext *context, int64_t now_ms)
-{
-    if (context->usual_tokens <= 0) {
-        return false;
-    }
-    for (guint i = 0; i < list->len; i++) {
-        const BsTarget *target = list->pdata[i];
-        BsPlacement placement = S_placement(target, query, context);
-        if (BsTarget_IsOpen(target, query, now_ms) &&
-            BsPlacement_Fits(&placement)) {
-            return true;
-        }
-    }
-    return false;
-}
-
 /* Returns whether TARGET can take the request now.  If not, lowers VERDICT to
    the reason; over all targets the lowest one, the soonest to pass, stays. */
 static bool
 S_can_take(const BsTargets *targets, BsTarget *target,
-           const BsTargetQuery *query, const BsTargetContext *context,
-           int64_t now_ms, BsTargetVerdict *verdict)
+           const BsTargetQuery *query, int64_t now_ms,
+           BsTargetVerdict *verdict)
 {
     if (!BsTarget_IsOpen(target, query, now_ms) ||
         target->last_received_ms < query->spoke_since_ms) {
         return false;
     }
     if (!S_is_available(target, now_ms) ||
-        !S_has_free_slot(targets, target, query) ||
-        S_is_unfinished(target, query, context)) {
+        !S_has_free_slot(targets, target, query)) {
         *verdict = MIN(*verdict, BS_TARGET_BUSY);
         return false;
     }
@@ -509,7 +412,7 @@
     for (guint i = 0; i < list->len; i++) {
         BsTarget *target = list->pdata[i];
         if (!S_is_selected(targets, target, context, selection, now_ms) ||
-            !S_can_take(targets, target, query, context, now_ms, verdict) ||
+            !S_can_take(targets, target, query, now_ms, verdict) ||
             (selection == SELECT_ESTIMATED &&
              !S_is_allowed(targets, target))) {
             continue;
@@ -540,8 +443,6 @@
         return NULL;
     }
     BsTargetContext context = S_summarize(list, query, now_ms);
-    context.usual_tokens = S_usual_tokens(targets, query);
-    context.some_fit = S_do_some_fit(list, query, &context, now_ms);
     BsTarget *best = S_cheapest(targets, list, query, &context,
                                 targets->summed ? SELECT_SAMPLE : SELECT_KNOWN,
                                 now_ms, verdict);
--- a/src/targets.c
+++ b/src/targets.c
@@ -17,9 +17,6 @@
 #define ERROR_WEIGHT 0.08
 #define PACE_WEIGHT 0.15
 
-/* Events of a stream that have half of the weight in the time per event. */
-#define EVENTS_HALF_WEIGHT 50.0
-
 /* Number of upstreams remembered as leaving at which the unlisted ones among
    them are dropped. */
 #define LEAVING_MAX 4096
@@ -76,8 +73,6 @@
     targets->share = 1.0;
     targets->allowances =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    targets->usual_tokens =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     targets->senders = g_array_new(FALSE, FALSE, sizeof(BsRateSender));
     targets->senders_version = 1;
     return targets;
@@ -90,7 +85,6 @@
         return;
     }
     g_array_unref(targets->senders);
-    g_hash_table_destroy(targets->usual_tokens);
     g_hash_table_destroy(targets->allowances);
     g_hash_table_destroy(targets->leaving_starts);
     g_hash_table_destroy(targets->fleet);
@@ -180,7 +174,6 @@
     target->retry_at_ms = 0;
     target->error_ratio = 0;
     target->pace_ms = 0;
-    target->event_ms = 0;
     target->cold_bucket.level = 0;
     target->was_down = false;
     target->requested_pause_until_ms = 0;
@@ -341,7 +334,6 @@
                const BsTargetQuery *query, int64_t now_ms)
 {
     BsTargets_UseAllowance(targets, target);
-    BsTargets_NotePrompt(targets, query);
     target->own++;
     target->cold_ms = query->service->cold_ms;
     target->own_waiting_tokens += query->prompt_tokens;
@@ -471,20 +463,6 @@
     target->was_down = false;
 }
 
-void
-BsTargets_NoteEvents(BsTarget *target, uint32_t events, double time_ms)
-{
-    if (events == 0) {
-        return;
-    }
-    double event_ms = time_ms / events;
-    double weight = events / (events + EVENTS_HALF_WEIGHT);
-    target->event_ms =
-        target->event_ms <= 0
-            ? event_ms
-            : target->event_ms + weight * (event_ms - target->event_ms);
-}
-
 int64_t
 BsTargets_Ended(BsTargets *targets, BsTarget *target, BsTargetEnd end,
                 double pace_ms, uint32_t prompt_tokens, int64_t now_ms)
--- a/src/targets.h
+++ b/src/targets.h
@@ -106,9 +106,6 @@
     double error_ratio;       /* moving average over recent answers */
     double pace_ms;           /* moving average of the time per event, or per
                                  whole answer; 0: unknown */
-    double event_ms; /* time per event, in which long streams count more
-                        than short ones, whose first events follow each
-                        other faster; 0: unknown */
 } BsTarget;
 
 /* The request to choose a target for. */
@@ -121,11 +118,7 @@
     uint64_t session; /* hash of the last part of the prompt; 0: none */
     uint32_t prompt_tokens;
     uint32_t output_tokens;
-    uint32_t expected_tokens; /* estimate of those generated; 0: unknown */
-    int64_t left_ms;          /* time left for the whole answer */
-    bool shortage;    /* slots are short: none is given to an answer that is
-                         expected to be unfinished at the deadline */
-    uint64_t version; /* only targets with this VERSION_HASH; 0: any */
+    uint64_t version;        /* only targets with this VERSION_HASH; 0: any */
     int64_t spoke_since_ms;  /* only targets that have sent something since
                                 then; 0: all */
     uint32_t reserved_slots; /* slots to keep free at the target for other
@@ -216,11 +209,6 @@
 /* Sets the number of instances in the fleet, this one included. */
 void BsTargets_SetInstances(BsTargets *targets, unsigned instances);
 
-/* Places streams by the length of their prompts and the speed of the engines
-   (placement.h) on routes whose allowed pause between events is PAUSE_MS or
-   more; 0: on none.  A shorter pause may need a fast engine for any prompt. */
-void BsTargets_SetPlacement(BsTargets *targets, uint32_t pause_ms);
-
 /* Sets the age of the counts received from instances of other data centres,
    in milliseconds. */
 void BsTargets_SetRemoteAge(BsTargets *targets, int64_t age_ms);
@@ -268,9 +256,6 @@
    not down: it gets requests again. */
 void BsTargets_NoteResumed(BsTarget *target);
 
-/* Notes that EVENTS events of a stream, after its first one, took TIME_MS. */
-void BsTargets_NoteEvents(BsTarget *target, uint32_t events, double time_ms);
-
 /* Notes the end of a request.  PACE_MS is the time per event, or for the whole
    answer; 0: unknown.  PROMPT_TOKENS are those of a request without a first
    event; pass 0 after BsTargets_Started().  TARGET may be freed.  Returns the
--- a/src/targets_private.h
+++ b/src/targets_private.h
@@ -8,7 +8,6 @@
 #ifndef BS_TARGETS_PRIVATE_H
 #define BS_TARGETS_PRIVATE_H
 
-#include "placement.h"
 #include "targets.h"
 
 /* The loads that a peer last reported. */
@@ -46,8 +45,6 @@
     guint next_changed_limit; /* places of the next limits to report */
     guint next_limit;
     uint32_t senders_version; /* increases when SENDERS changes */
-    uint32_t placement_pause_ms; /* see BsTargets_SetPlacement() */
-    GHashTable *usual_tokens;    /* service to double, mean prompt */
 };
 
 /* Returns the requests in progress at TARGET, of this instance and of its
@@ -80,9 +77,6 @@
    the load there is an estimate. */
 void BsTargets_UseAllowance(BsTargets *targets, const BsTarget *target);
 
-/* Updates the mean prompt of the service that QUERY was sent to. */
-void BsTargets_NotePrompt(BsTargets *targets, const BsTargetQuery *query);
-
 /* Returns the rank of this instance among those that can send to TARGET. */
 BsRateRank BsTargets_SenderRank(const BsTargets *targets, BsTarget *target);
 
--- a/src/wire.h
+++ b/src/wire.h
@@ -27,10 +27,8 @@
     const char *resumes; /* id of the request that brought the first event of
                             the stream to be resumed */
     uint32_t prompt_tokens;
-    uint32_t output_tokens;   /* most tokens that may be generated */
-    uint32_t expected_tokens; /* the caller's estimate of those generated; 0
-                                 when not given */
-    bool has_tokens;          /* the request states its token counts */
+    uint32_t output_tokens; /* most tokens that may be generated */
+    bool has_tokens;        /* the request states its token counts */
 } BsRequestInfo;
 
 /* Metadata sent to an upstream in addition to the caller's own headers. */
