Ejection of upstreams that fail most of their requests

An upstream that fails every request at once keeps its slots free, so while slots are short it gets more requests than sound ones; a cost for each error decides only between free slots, and each instance learned it alone.

A sequential test of each upstream's answers ejects it: it counts as if it had named a limit, which the fleet shares already and which ends with the next sound answer. An error no longer ends a limit.

--- a/src/gatesettings.c
+++ b/src/gatesettings.c
@@ -10,6 +10,9 @@
 #define DATA_CENTRES_MAX 64
 #define SEEDS_MAX 16
 
+/* Upper limit of ejection.probe_per_s. */
+#define PROBE_PER_S_MAX 100
+
 #define REQUIRED CYAML_FLAG_DEFAULT
 #define STRING(key, owner, member)                                            \
     CYAML_FIELD_STRING_PTR(key, CYAML_FLAG_POINTER, owner, member, 1,         \
@@ -40,6 +43,11 @@
     CYAML_FIELD_UINT("quota_slack", REQUIRED, BsGateBounds, quota_slack),
     CYAML_FIELD_END};
 
+static const cyaml_schema_field_t S_ejection_fields[] = {
+    CYAML_FIELD_FLOAT("probe_per_s", CYAML_FLAG_OPTIONAL, BsGateEjection,
+                      probe_per_s),
+    CYAML_FIELD_END};
+
 static const cyaml_schema_field_t S_fields[] = {
     STRING("name", BsGateSettings, name),
     STRING("data_centre", BsGateSettings, data_centre),
@@ -59,6 +67,8 @@
                         S_machine_fields),
     CYAML_FIELD_MAPPING("bounds", REQUIRED, BsGateSettings, bounds,
                         S_bounds_fields),
+    CYAML_FIELD_MAPPING("ejection", CYAML_FLAG_OPTIONAL, BsGateSettings,
+                        ejection, S_ejection_fields),
     CYAML_FIELD_END};
 
 static const cyaml_schema_value_t S_schema = {
@@ -97,6 +107,8 @@
     TEXT("bounds.retry_window_s", "a whole number of 1 or more"),
     TEXT("bounds.quota_over", "a number from 0 to 10"),
     TEXT("bounds.quota_slack", WHOLE_TEXT),
+    TEXT("ejection", "the key probe_per_s"),
+    TEXT("ejection.probe_per_s", "0 (off) or a number up to 100"),
 };
 
 static const BsSettingsKeys S_keys = {S_rows, G_N_ELEMENTS(S_rows)};
@@ -174,6 +186,9 @@
            S_check_number(file, "bounds.retry_window_s",
                           bounds->retry_window_s, 1, UINT32_MAX, error) &&
            S_check_number(file, "bounds.quota_over", bounds->quota_over, 0, 10,
+                          error) &&
+           S_check_number(file, "ejection.probe_per_s",
+                          settings->ejection.probe_per_s, 0, PROBE_PER_S_MAX,
                           error);
 }
 
--- a/src/gatesettings.h
+++ b/src/gatesettings.h
@@ -38,6 +38,12 @@
                                 unit */
 } BsGateBounds;
 
+/* Upstreams that fail most of their requests. */
+typedef struct {
+    double probe_per_s; /* requests a second that an ejected upstream gets from
+                           the whole fleet; 0: none is ejected */
+} BsGateEjection;
+
 /* Settings of a gateway. */
 typedef struct {
     char *name;
@@ -54,6 +60,7 @@
     char *store; /* IP:port of the platform's store */
     BsGateMachine machine;
     BsGateBounds bounds;
+    BsGateEjection ejection;
 } BsGateSettings;
 
 /* Reads and checks FILE; NULL with BS_ERR_SETTINGS set when it is missing or
--- a/src/gw_answerhints.c
+++ b/src/gw_answerhints.c
@@ -6,6 +6,9 @@
 
 #include <string.h>
 
+/* Lowest status of an answer that says that the upstream failed. */
+#define STATUS_ERROR_MIN 500
+
 /* Stops sending new requests to the upstream, which stops soon. */
 static void
 S_note_leaving(const BsRelay *relay, BsTarget *target)
@@ -57,10 +60,12 @@
 }
 
 /* Applies the limit that an answer to ATTEMPT names, or that it names none.
-   Only an answer of the upstream's own work tells that a limit has ended. */
+   Only an answer of the upstream's own work tells that a limit has ended; one
+   with an error STATUS does not, as the upstream may be limited because it
+   fails. */
 static void
 S_note_limit(const BsRelay *relay, const BsRelayAttempt *attempt,
-             const BsAnswerInfo *info)
+             uint32_t status, const BsAnswerInfo *info)
 {
     BsGate *gate = relay->gate;
     BsTarget *target = attempt->target;
@@ -73,9 +78,10 @@
     }
     int64_t now_ms = BsClock_NowMs(gate->clock);
     BsTargetLimit before = target->limit;
+    bool keeps = info->limit_text == NULL && status >= STATUS_ERROR_MIN;
+    double per_s = keeps ? before.per_s : info->limit_per_s;
     target->limit.invalid = false;
-    if (BsTargets_NoteLimit(target, info->limit_per_s, attempt->sent_ms,
-                            now_ms)) {
+    if (BsTargets_NoteLimit(target, per_s, attempt->sent_ms, now_ms)) {
         BsLimitLog_Changed(gate, target, &before, "answer");
         gate->slots_changed = true;
         gate->report_changed = true;
@@ -84,7 +90,7 @@
 
 void
 BsAnswerHints_Apply(const BsRelay *relay, const BsRelayAttempt *attempt,
-                    const BsAnswerInfo *info)
+                    uint32_t status, const BsAnswerInfo *info)
 {
     BsTarget *target = attempt->target;
     if (info->cold_ms > 0) {
@@ -102,5 +108,21 @@
     if (info->requested_pause_ms > 0) {
         S_note_requested_pause(relay, target, info->requested_pause_ms);
     }
-    S_note_limit(relay, attempt, info);
+    S_note_limit(relay, attempt, status, info);
+}
+
+void
+BsAnswerHints_NoteEnd(const BsRelay *relay, const BsRelayAttempt *attempt,
+                      bool failed)
+{
+    BsGate *gate = relay->gate;
+    BsTarget *target = attempt->target;
+    BsTargetLimit before = target->limit;
+    if (!BsTargets_NoteAnswer(gate->targets, target, failed,
+                              BsClock_NowMs(gate->clock))) {
+        return;
+    }
+    BsCounters_Add(gate->counters, "upstream_ejections_total", 1);
+    BsLimitLog_Changed(gate, target, &before, "failures");
+    gate->report_changed = true;
 }
--- a/src/gw_attempt.c
+++ b/src/gw_attempt.c
@@ -134,6 +134,9 @@
     BsGate *gate = relay->gate;
     int64_t now_ms = BsClock_NowMs(gate->clock);
     S_settle(relay, attempt, end != BS_TARGET_ABANDONED);
+    if (end == BS_TARGET_GOOD || end == BS_TARGET_ERROR) {
+        BsAnswerHints_NoteEnd(relay, attempt, end == BS_TARGET_ERROR);
+    }
     char *upstream = g_strdup(attempt->target->id);
     uint32_t unprocessed_tokens =
         attempt->prefill_reported ? 0 : relay->info.prompt_tokens;
@@ -516,7 +519,7 @@
     relay->attempt.last_received_ms = BsClock_NowMs(gate->clock);
     BsTargets_NoteReceived(relay->attempt.target,
                            relay->attempt.last_received_ms);
-    BsAnswerHints_Apply(relay, &relay->attempt, &info);
+    BsAnswerHints_Apply(relay, &relay->attempt, head->status, &info);
     if (BsAttempt_IsRefused(relay, &relay->attempt, head->status, &info)) {
         return;
     }
--- a/src/gw_gateway.c
+++ b/src/gw_gateway.c
@@ -206,8 +206,10 @@
 }
 
 static void
-S_apply_bounds(BsGate *gate, const BsGateBounds *bounds)
+S_apply_settings(BsGate *gate, const BsGateSettings *settings)
 {
+    const BsGateBounds *bounds = &settings->bounds;
+    BsTargets_SetProbeRate(gate->targets, settings->ejection.probe_per_s);
     BsRetryBudget_SetBounds(gate->retries, bounds->retry_ratio,
                             bounds->retry_slack,
                             (int64_t)bounds->retry_window_s * MS_PER_S);
@@ -235,7 +237,7 @@
     BsGateSettings_Destroy(gateway->settings);
     gateway->settings = settings;
     gateway->gate.settings = settings;
-    S_apply_bounds(&gateway->gate, &settings->bounds);
+    S_apply_settings(&gateway->gate, settings);
     BsGossipTask_AddSeeds(gateway->gossip);
 }
 
@@ -358,6 +360,7 @@
     gate->pool = BsOutboundPool_Create(gate->loop, &S_clock);
     gate->relays = g_hash_table_new(g_direct_hash, g_direct_equal);
     gate->targets = BsTargets_Create(settings->data_centre, settings->region);
+    BsTargets_SetProbeRate(gate->targets, settings->ejection.probe_per_s);
     gate->quotas = BsQuotas_Create(bounds->quota_over, bounds->quota_slack);
     gate->retries = BsRetryBudget_Create(
         bounds->retry_ratio, bounds->retry_slack,
--- a/src/gw_held.c
+++ b/src/gw_held.c
@@ -303,7 +303,7 @@
     BsAnswerInfo info;
     relay->gate->wire->read_answer(head, &info);
     BsTargets_NoteReceived(held->target, BsClock_NowMs(relay->gate->clock));
-    BsAnswerHints_Apply(relay, held, &info);
+    BsAnswerHints_Apply(relay, held, head->status, &info);
     BsAttempt_NoteArrived(relay, held, &info);
     BsAttempt_NoteResumed(relay, held);
     if (BsAttempt_IsRefused(relay, held, head->status, &info)) {
--- a/src/gw_relayparts.h
+++ b/src/gw_relayparts.h
@@ -197,7 +197,12 @@
 /* Applies what the head of an answer to ATTEMPT says about its upstream,
    whatever the outcome of the request. */
 void BsAnswerHints_Apply(const BsRelay *relay, const BsRelayAttempt *attempt,
-                         const BsAnswerInfo *info);
+                         uint32_t status, const BsAnswerInfo *info);
+
+/* Records that the upstream of ATTEMPT answered it, and whether it FAILED; may
+   eject the upstream. */
+void BsAnswerHints_NoteEnd(const BsRelay *relay, const BsRelayAttempt *attempt,
+                           bool failed);
 
 /* --------------------------------------------------------- gw_attempt.c -- */
 
--- a/src/targetlimit.c
+++ b/src/targetlimit.c
@@ -1,5 +1,5 @@
-/* targetlimit.c - limits that upstreams name: requests a second that one takes
-   from all instances together. */
+/* targetlimit.c - limits that upstreams name, or get because they fail:
+   requests a second that one takes from all instances together. */
 #include "targets_private.h"
 
 #include <math.h>
@@ -71,6 +71,50 @@
     return count;
 }
 
+/* ------------------------------------------------------------- ejection -- */
+
+void
+BsTargets_SetProbeRate(BsTargets *targets, double per_s)
+{
+    targets->probe_per_s = per_s;
+}
+
+static BsEjectionUsual *
+S_usual_failures(BsTargets *targets, const char *service)
+{
+    BsEjectionUsual *usual =
+        g_hash_table_lookup(targets->usual_failures, service);
+    if (usual == NULL) {
+        usual = g_new0(BsEjectionUsual, 1);
+        g_hash_table_insert(targets->usual_failures, g_strdup(service), usual);
+    }
+    return usual;
+}
+
+/* Returns whether one more upstream of SERVICE may be ejected. */
+static bool
+S_may_eject(const BsTargets *targets, const char *service)
+{
+    const GPtrArray *list = g_hash_table_lookup(targets->services, service);
+    unsigned limited = 0;
+    for (guint i = 0; list != NULL && i < list->len; i++) {
+        const BsTarget *target = list->pdata[i];
+        limited += target->limit.per_s > 0;
+    }
+    return list != NULL && BsEjection_MayEject(limited, list->len);
+}
+
+bool
+BsTargets_NoteAnswer(BsTargets *targets, BsTarget *target, bool failed,
+                     int64_t now_ms)
+{
+    BsEjectionUsual *usual = S_usual_failures(targets, target->service);
+    return BsEjection_Note(&target->ejection, usual, failed) &&
+           targets->probe_per_s > 0 && target->limit.per_s <= 0 &&
+           S_may_eject(targets, target->service) &&
+           BsTargets_NoteLimit(target, targets->probe_per_s, now_ms, now_ms);
+}
+
 /* -------------------------------------------------------------- reports -- */
 
 static void
--- a/src/targets.c
+++ b/src/targets.c
@@ -73,6 +73,8 @@
     targets->share = 1.0;
     targets->allowances =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    targets->usual_failures =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     targets->senders = g_array_new(FALSE, FALSE, sizeof(BsRateSender));
     targets->senders_version = 1;
     return targets;
@@ -85,6 +87,7 @@
         return;
     }
     g_array_unref(targets->senders);
+    g_hash_table_destroy(targets->usual_failures);
     g_hash_table_destroy(targets->allowances);
     g_hash_table_destroy(targets->leaving_starts);
     g_hash_table_destroy(targets->fleet);
@@ -174,6 +177,7 @@
     target->retry_at_ms = 0;
     target->error_ratio = 0;
     target->pace_ms = 0;
+    target->ejection.evidence = 0;
     target->cold_bucket.level = 0;
     target->was_down = false;
     target->requested_pause_until_ms = 0;
--- a/src/targets.h
+++ b/src/targets.h
@@ -13,6 +13,7 @@
 #define BS_TARGETS_H
 
 #include "catalog.h"
+#include "ejection.h"
 #include "sharedrate.h"
 
 #include <netinet/in.h>
@@ -99,6 +100,7 @@
     int64_t requested_pause_until_ms; /* no request before this time, as
                                          the target requested */
     BsTargetLimit limit;
+    BsEjection ejection;
     BsRateRank sender_rank;       /* of this instance, for a shared rate */
     uint32_t sender_rank_version; /* of the senders that it was found for;
                                      0: none yet */
@@ -285,6 +287,16 @@
 bool BsTargets_NoteLimit(BsTarget *target, double per_s, int64_t sent_ms,
                          int64_t now_ms);
 
+/* Sets how many requests a second an ejected upstream gets from all instances
+   together, to find out whether it has recovered; 0: none is ejected. */
+void BsTargets_SetProbeRate(BsTargets *targets, double per_s);
+
+/* Notes that TARGET answered a request, and whether the answer is an error.
+   Returns whether TARGET is ejected now: it counts as if it had named the
+   limit BsTargets_SetProbeRate(), which ends with its next sound answer. */
+bool BsTargets_NoteAnswer(BsTargets *targets, BsTarget *target, bool failed,
+                          int64_t now_ms);
+
 /* Appends limits (BsLimitRecord) to report to other instances: those that
    changed lately, and some of the rest in turn. */
 void BsTargets_AppendLimits(BsTargets *targets, int64_t now_ms,
--- a/src/targets_private.h
+++ b/src/targets_private.h
@@ -40,6 +40,8 @@
     unsigned instances;         /* in the fleet; 0: not set */
     bool summed; /* loads are a hub's sums, the same for many instances */
     GHashTable *allowances; /* data centre to BsTargetAllowance */
+    GHashTable *usual_failures; /* service to BsEjectionUsual */
+    double probe_per_s;         /* see BsTargets_SetProbeRate() */
     uint32_t address;       /* of this instance */
     GArray *senders; /* BsRateSender; empty when the instance is alone */
     guint next_changed_limit; /* places of the next limits to report */
--- a/tests/gate/settings_test.cc
+++ b/tests/gate/settings_test.cc
@@ -55,6 +55,11 @@
     {"NoGrace", "grace_s: 8", "grace_s: 0", "bounds.grace_s"},
     {"LargeRatio", "retry_ratio: 0.2", "retry_ratio: 7", "bounds.retry_ratio"},
     {"LittleMemory", "memory_mb: 110", "memory_mb: 1", "machine.memory_mb"},
+    {"Ejection", "bounds:\n", "ejection: { probe_per_s: 0.5 }\nbounds:\n", ""},
+    {"LargeProbeRate", "bounds:\n",
+     "ejection: { probe_per_s: 101 }\nbounds:\n", "ejection.probe_per_s"},
+    {"NegativeProbeRate", "bounds:\n",
+     "ejection: { probe_per_s: -1 }\nbounds:\n", "ejection.probe_per_s"},
     {"MissingBound", "  drain_ms: 2500\n", "", "drain_ms"},
 };
 
