hedge: decide when a request is repeated early

The delay is a percentile of the route's recent times to the first byte or event. The number of early repeats is a percentage of a service's requests, and half of the retry budget stays free for failures. None is sent in overload, for suspect contents, with few samples, or after the process was stopped. No socket and no clock; nothing calls it yet.

--- /dev/null
+++ b/tests/gate/hedge_test.cc
@@ -0,0 +1,270 @@
+// Early repeats: when one is sent, by the module alone, without a network.
+#include <gtest/gtest.h>
+
+extern "C" {
+#include "hedge.h"
+}
+
+namespace {
+
+const int64_t kStartMs = 100000;
+const char kService[] = "desk";
+const char kRoute[] = "look";
+
+// An instance with enough samples, from 1 to 100 ms, and a request that may be
+// repeated early.
+class HedgeTest : public testing::Test {
+  protected:
+    HedgeTest() : hedges_(BsHedges_Create())
+    {
+        SetLimits(10, 70, 95);
+        for (int i = 1; i <= 100; i++) {
+            BsHedges_Observe(hedges_, kRoute, i, kStartMs);
+        }
+        AddRequests(10);
+        request_.service = kService;
+        request_.route = kRoute;
+        request_.upstream = 7;
+        request_.due_ms = kStartMs;
+        request_.expires_ms = kStartMs + 4000;
+        request_.occupancy = 0.3;
+        request_.budget.allowed = 20;
+    }
+    ~HedgeTest() override
+    {
+        BsHedges_Destroy(hedges_);
+    }
+    void SetLimits(uint32_t percent, uint32_t occupancy, uint32_t percentile)
+    {
+        BsHedgeLimits limits = {percent, occupancy, percentile};
+        BsHedges_SetLimits(hedges_, &limits);
+    }
+    void AddRequests(int count)
+    {
+        for (int i = 0; i < count; i++) {
+            BsHedges_AddRequest(hedges_, kService);
+        }
+    }
+    std::string Verdict(int64_t now_ms = kStartMs)
+    {
+        return BsHedgeVerdict_Name(
+            BsHedges_Decide(hedges_, &request_, now_ms));
+    }
+
+    BsHedges *hedges_;
+    BsHedgeRequest request_ = {};
+};
+
+// Guards against a delay that is not taken from the tail of the route, or is
+// taken from that of another one.
+TEST_F(HedgeTest, TheDelayIsAHighPercentileOfTheRoute)
+{
+    EXPECT_EQ(BsHedges_DelayMs(hedges_, kRoute, kStartMs), 95);
+    SetLimits(10, 70, 80);
+    EXPECT_EQ(BsHedges_DelayMs(hedges_, kRoute, kStartMs), 80);
+    EXPECT_EQ(BsHedges_DelayMs(hedges_, "other", kStartMs), 0);
+}
+
+// Guards against a delay of times that are long past.
+TEST_F(HedgeTest, OnlyRecentTimesCount)
+{
+    EXPECT_EQ(BsHedges_DelayMs(hedges_, kRoute, kStartMs + 119000), 95);
+    EXPECT_EQ(BsHedges_DelayMs(hedges_, kRoute, kStartMs + 130000), 0);
+    for (int i = 0; i < 40; i++) {
+        BsHedges_Observe(hedges_, kRoute, 500, kStartMs + 130000);
+    }
+    EXPECT_EQ(BsHedges_DelayMs(hedges_, kRoute, kStartMs + 130000), 500);
+}
+
+// Guards against early repeats of routes of which too little is known, as
+// after a start of the process.
+TEST_F(HedgeTest, ThereAreNoneWithFewSamples)
+{
+    BsHedges *fresh = BsHedges_Create();
+    BsHedgeLimits limits = {10, 70, 95};
+    BsHedges_SetLimits(fresh, &limits);
+    for (int i = 0; i < 100; i++) {
+        BsHedges_AddRequest(fresh, kService);
+    }
+    for (int i = 0; i < 39; i++) {
+        BsHedges_Observe(fresh, kRoute, 50, kStartMs);
+    }
+    EXPECT_EQ(BsHedges_DelayMs(fresh, kRoute, kStartMs), 0);
+    EXPECT_EQ(BsHedges_Decide(fresh, &request_, kStartMs),
+              BS_HEDGE_NO_SAMPLES);
+    BsHedges_Destroy(fresh);
+}
+
+// Guards against a delay that shrinks with each early repeat, as the slow
+// answers that they replace are not counted: a cancelled attempt counts with
+// the time that it had.
+TEST_F(HedgeTest, ReplacedAttemptsStayInTheTail)
+{
+    int64_t now_ms = kStartMs;
+    for (int round = 0; round < 20; round++) {
+        int64_t delay_ms = BsHedges_DelayMs(hedges_, kRoute, now_ms);
+        for (int i = 1; i <= 100; i++) {
+            // Those above the delay are cancelled 5 ms after it.
+            int64_t took_ms = i <= delay_ms ? i : delay_ms + 5;
+            BsHedges_Observe(hedges_, kRoute, took_ms, now_ms);
+        }
+        now_ms += 1000;
+    }
+    int64_t delay_ms = BsHedges_DelayMs(hedges_, kRoute, now_ms);
+    EXPECT_GE(delay_ms, 90);
+    EXPECT_LE(delay_ms, 100);
+}
+
+// Guards against the feature being on without settings that ask for it.
+TEST_F(HedgeTest, TheyAreOffByDefault)
+{
+    BsHedges *fresh = BsHedges_Create();
+    EXPECT_FALSE(BsHedges_AreOn(fresh));
+    for (int i = 0; i < 100; i++) {
+        BsHedges_Observe(fresh, kRoute, 50, kStartMs);
+    }
+    EXPECT_EQ(BsHedges_DelayMs(fresh, kRoute, kStartMs), 0);
+    BsHedges_Destroy(fresh);
+}
+
+TEST_F(HedgeTest, OneIsSentWhenNothingSpeaksAgainstIt)
+{
+    EXPECT_EQ(Verdict(), "none");
+}
+
+// Guards against more early repeats than the percentage of the requests.
+TEST_F(HedgeTest, TheirNumberIsAPercentageOfTheRequests)
+{
+    int sent = 0;
+    BsHedges_Take(hedges_, kService);
+    for (int i = 0; i < 1000; i++) {
+        AddRequests(1);
+        if (Verdict() == "none") {
+            BsHedges_Take(hedges_, kService);
+            sent++;
+        }
+    }
+    EXPECT_EQ(sent, 100);
+    EXPECT_EQ(Verdict(), "limit");
+}
+
+// Guards against a burst of early repeats after a time without any.
+TEST_F(HedgeTest, AFewAreSavedUpAtMost)
+{
+    int sent = 0;
+    AddRequests(100000);
+    while (Verdict() == "none") {
+        BsHedges_Take(hedges_, kService);
+        sent++;
+    }
+    EXPECT_EQ(sent, 10);
+}
+
+// Guards against early repeats that add load while slots are short.
+TEST_F(HedgeTest, ThereAreNoneInOverload)
+{
+    request_.overload = true;
+    EXPECT_EQ(Verdict(), "overload");
+    request_.overload = false;
+    request_.occupancy = 0.71;
+    EXPECT_EQ(Verdict(), "occupancy");
+    request_.occupancy = 0.7;
+    EXPECT_EQ(Verdict(), "none");
+    SetLimits(10, 20, 95);
+    EXPECT_EQ(Verdict(), "occupancy");
+}
+
+// Guards against early repeats that take slots from queued requests; those of
+// other services do not matter.
+TEST_F(HedgeTest, ThereAreNoneWhileRequestsOfTheServiceAreQueued)
+{
+    BsHedges_EnterQueue(hedges_, "other");
+    EXPECT_EQ(Verdict(), "none");
+    BsHedges_EnterQueue(hedges_, kService);
+    BsHedges_EnterQueue(hedges_, kService);
+    BsHedges_LeaveQueue(hedges_, kService);
+    EXPECT_EQ(Verdict(), "queued");
+    BsHedges_LeaveQueue(hedges_, kService);
+    EXPECT_EQ(Verdict(), "none");
+}
+
+// Guards against requests that crash two upstreams instead of one.
+TEST_F(HedgeTest, ThereAreNoneOfSuspectRequests)
+{
+    request_.suspect = true;
+    EXPECT_EQ(Verdict(), "suspect");
+}
+
+// Guards against early repeats that leave no retries for failures.
+TEST_F(HedgeTest, HalfOfTheRetryBudgetStaysFree)
+{
+    request_.budget.retries = 9;
+    EXPECT_EQ(Verdict(), "none");
+    request_.budget.retries = 10;
+    EXPECT_EQ(Verdict(), "budget");
+}
+
+// Guards against early repeats of all requests of a process that was stopped:
+// their answers may have arrived meanwhile.
+TEST_F(HedgeTest, ThereAreNoneAfterThePauseOfAProcess)
+{
+    EXPECT_EQ(Verdict(kStartMs + 50), "none");
+    EXPECT_EQ(Verdict(kStartMs + 3000), "stalled");
+    request_.due_ms = kStartMs + 3100;
+    EXPECT_EQ(Verdict(kStartMs + 3100), "stalled");
+    request_.due_ms = kStartMs + 4000;
+    request_.expires_ms = kStartMs + 9000;
+    EXPECT_EQ(Verdict(kStartMs + 4000), "none");
+}
+
+// Guards against early repeats by a process that is about to end.
+TEST_F(HedgeTest, ThereAreNoneInAStop)
+{
+    request_.stopping = true;
+    EXPECT_EQ(Verdict(), "stopping");
+}
+
+// Guards against early repeats that cannot succeed.
+TEST_F(HedgeTest, ThereAreNoneThatWouldUsuallyComeTooLate)
+{
+    request_.expires_ms = kStartMs + 50;
+    EXPECT_EQ(Verdict(), "deadline");
+    request_.expires_ms = kStartMs + 51;
+    EXPECT_EQ(Verdict(), "none");
+}
+
+// Guards against early repeats at engines that are always ended before their
+// first event.
+TEST_F(HedgeTest, ThereAreNoneThatUsuallyTakeLongerThanBothMayRun)
+{
+    request_.hold_ms = 300;
+    EXPECT_EQ(Verdict(), "none");
+    request_.hold_ms = 50;
+    EXPECT_EQ(Verdict(), "hold_time");
+}
+
+// Guards against an upstream that is gone but never found to be silent, as
+// each of its requests is repeated early.
+TEST_F(HedgeTest, AnUpstreamThatStaysSilentIsLeftToTheRuleForSilence)
+{
+    request_.received_ms = kStartMs - 10;
+    BsHedges_NoteReplaced(hedges_, 7, kStartMs - 5);
+    EXPECT_EQ(Verdict(), "silent");
+    request_.received_ms = kStartMs - 4;
+    EXPECT_EQ(Verdict(), "none");
+    request_.upstream = 8;
+    request_.received_ms = 0;
+    EXPECT_EQ(Verdict(), "none");
+}
+
+// Guards against a request that is lost with an upstream that is gone, or
+// comes later than without the early repeat.
+TEST(HedgeHold, TheFirstIsKeptUnlessOnlyTheSecondIsKnownToBeReachable)
+{
+    EXPECT_TRUE(BsHedge_KeepsFirst(true, true));
+    EXPECT_TRUE(BsHedge_KeepsFirst(true, false));
+    EXPECT_TRUE(BsHedge_KeepsFirst(false, false));
+    EXPECT_FALSE(BsHedge_KeepsFirst(false, true));
+}
+
+} // namespace
