crashparts: tell whether a part of a prompt is under suspicion

One crash without progress since is enough, while a block needs crashes in three periods. Early repeats will ask it, so that a request which may crash upstreams does not reach two at once.

--- a/src/crashparts.c
+++ b/src/crashparts.c
@@ -406,6 +406,23 @@
     return false;
 }
 
+bool
+BsCrashParts_IsSuspect(const BsCrashParts *table, const BsSharedParts *shared,
+                       int64_t now_ms)
+{
+    if (table->crashes.length == 0) {
+        return false;
+    }
+    for (uint32_t i = 0; i < shared->count; i++) {
+        const BsSuspectPart *suspect = S_find(table, shared->parts[i]);
+        if (suspect != NULL && suspect->last_crash_ms > suspect->progress_ms &&
+            now_ms - suspect->last_crash_ms <= EXPIRY_MS) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void
 BsCrashParts_NoteSent(BsCrashParts *table, const BsSharedParts *shared,
                       int64_t now_ms)
--- a/src/crashparts.h
+++ b/src/crashparts.h
@@ -78,6 +78,11 @@
 bool BsCrashParts_IsBlocked(const BsCrashParts *table,
                             const BsSharedParts *shared, int64_t now_ms);
 
+/* Returns whether one of SHARED is under suspicion: an upstream has crashed on
+   it, and it has made no progress since. */
+bool BsCrashParts_IsSuspect(const BsCrashParts *table,
+                            const BsSharedParts *shared, int64_t now_ms);
+
 /* Records that a request with SHARED is sent to an upstream, which uses up the
    trial. */
 void BsCrashParts_NoteSent(BsCrashParts *table, const BsSharedParts *shared,
--- a/tests/gate/crashparts_test.cc
+++ b/tests/gate/crashparts_test.cc
@@ -67,6 +67,11 @@
         BsSharedParts shared = Shared(parts);
         return BsCrashParts_IsBlocked(table_, &shared, now_ms);
     }
+    bool IsSuspect(const Parts &parts, int64_t now_ms)
+    {
+        BsSharedParts shared = Shared(parts);
+        return BsCrashParts_IsSuspect(table_, &shared, now_ms);
+    }
     uint32_t Crashes()
     {
         return BsCrashParts_CountCrashes(table_);
@@ -102,6 +107,23 @@
 
 } // namespace
 
+// Guards against early repeats of a request with a part that has crashed an
+// upstream, and against none for long with one that is sound.
+TEST(CrashParts, OneCrashMakesAPartSuspectUntilItMakesProgress)
+{
+    PartTable table;
+    EXPECT_FALSE(table.IsSuspect({kFirst, kDeadly}, kStartMs));
+    table.Crash({kFirst, kDeadly}, kStartMs);
+    EXPECT_TRUE(table.IsSuspect({7, kDeadly}, kStartMs + 1));
+    EXPECT_FALSE(table.IsSuspect({7}, kStartMs + 1));
+    EXPECT_FALSE(table.IsSuspect({}, kStartMs + 1));
+    table.Progress({kFirst}, kStartMs + 2);
+    EXPECT_FALSE(table.IsSuspect({kFirst}, kStartMs + 3));
+    EXPECT_TRUE(table.IsSuspect({kFirst, kDeadly}, kStartMs + 3));
+    int64_t expired_ms = kStartMs + 601 * kSecondMs;
+    EXPECT_FALSE(table.IsSuspect({kDeadly}, expired_ms));
+}
+
 // Guards against a part that crashes upstreams again and again and is sent on.
 TEST(CrashParts, CrashesInThreePeriodsBlockAPart)
 {
