gatesettings: optional section early_repeats, off by default

percent (0 to 20), occupancy_percent (1 to 100) and percentile (50 to 99); an invalid value is rejected with the key, the value and the range.

--- a/src/gatesettings.c
+++ b/src/gatesettings.c
@@ -40,6 +40,16 @@
     CYAML_FIELD_UINT("quota_slack", REQUIRED, BsGateBounds, quota_slack),
     CYAML_FIELD_END};
 
+#define OPTIONAL_UINT(key, owner, member)                                     \
+    CYAML_FIELD_UINT_PTR(key, CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,       \
+                         owner, member)
+
+static const cyaml_schema_field_t S_early_repeats_fields[] = {
+    OPTIONAL_UINT("percent", BsGateEarlyRepeats, percent),
+    OPTIONAL_UINT("occupancy_percent", BsGateEarlyRepeats, occupancy_percent),
+    OPTIONAL_UINT("percentile", BsGateEarlyRepeats, percentile),
+    CYAML_FIELD_END};
+
 static const cyaml_schema_field_t S_fields[] = {
     STRING("name", BsGateSettings, name),
     STRING("data_centre", BsGateSettings, data_centre),
@@ -59,6 +69,8 @@
                         S_machine_fields),
     CYAML_FIELD_MAPPING("bounds", REQUIRED, BsGateSettings, bounds,
                         S_bounds_fields),
+    CYAML_FIELD_MAPPING("early_repeats", CYAML_FLAG_OPTIONAL, BsGateSettings,
+                        early_repeats, S_early_repeats_fields),
     CYAML_FIELD_END};
 
 static const cyaml_schema_value_t S_schema = {
@@ -71,6 +83,8 @@
 #define NAME_TEXT "1 to 1024 characters"
 #define ADDRESS_TEXT "IPv4:port"
 #define WHOLE_TEXT "a whole number of 0 or more"
+#define WHOLE_RANGE_TEXT(min, max)                                            \
+    "a whole number from " G_STRINGIFY(min) " to " G_STRINGIFY(max)
 
 static const BsSettingsKey S_rows[] = {
     TEXT("name", NAME_TEXT),
@@ -97,6 +111,14 @@
     TEXT("bounds.retry_window_s", "a whole number of 1 or more"),
     TEXT("bounds.quota_over", "a number from 0 to 10"),
     TEXT("bounds.quota_slack", WHOLE_TEXT),
+    TEXT("early_repeats",
+         "the keys percent, occupancy_percent and percentile"),
+    TEXT("early_repeats.percent", WHOLE_RANGE_TEXT(0, BS_HEDGE_PERCENT_MAX)),
+    TEXT("early_repeats.occupancy_percent",
+         WHOLE_RANGE_TEXT(BS_HEDGE_OCCUPANCY_PERCENT_MIN,
+                          BS_HEDGE_OCCUPANCY_PERCENT_MAX)),
+    TEXT("early_repeats.percentile",
+         WHOLE_RANGE_TEXT(BS_HEDGE_PERCENTILE_MIN, BS_HEDGE_PERCENTILE_MAX)),
 };
 
 static const BsSettingsKeys S_keys = {S_rows, G_N_ELEMENTS(S_rows)};
@@ -148,6 +170,23 @@
            S_check_address(file, "store", settings->store, error);
 }
 
+/* Checks the limits on early repeats, or the defaults, which are valid. */
+static bool
+S_check_early_repeats(const BsGateSettings *settings, const char *file,
+                      GError **error)
+{
+    BsHedgeLimits limits = BsGateSettings_EarlyRepeats(settings);
+    return S_check_number(file, "early_repeats.percent", limits.percent, 0,
+                          BS_HEDGE_PERCENT_MAX, error) &&
+           S_check_number(file, "early_repeats.occupancy_percent",
+                          limits.occupancy_percent,
+                          BS_HEDGE_OCCUPANCY_PERCENT_MIN,
+                          BS_HEDGE_OCCUPANCY_PERCENT_MAX, error) &&
+           S_check_number(file, "early_repeats.percentile", limits.percentile,
+                          BS_HEDGE_PERCENTILE_MIN, BS_HEDGE_PERCENTILE_MAX,
+                          error);
+}
+
 static bool
 S_check(const BsGateSettings *settings, const char *file, GError **error)
 {
@@ -174,7 +213,8 @@
            S_check_number(file, "bounds.retry_window_s",
                           bounds->retry_window_s, 1, UINT32_MAX, error) &&
            S_check_number(file, "bounds.quota_over", bounds->quota_over, 0, 10,
-                          error);
+                          error) &&
+           S_check_early_repeats(settings, file, error);
 }
 
 BsGateSettings *
@@ -230,6 +270,25 @@
     return NULL;
 }
 
+static uint32_t
+S_value_or(const uint32_t *value, uint32_t otherwise)
+{
+    return value == NULL ? otherwise : *value;
+}
+
+BsHedgeLimits
+BsGateSettings_EarlyRepeats(const BsGateSettings *settings)
+{
+    const BsGateEarlyRepeats *set = &settings->early_repeats;
+    BsHedgeLimits limits = {
+        .percent = S_value_or(set->percent, 0),
+        .occupancy_percent =
+            S_value_or(set->occupancy_percent, BS_HEDGE_OCCUPANCY_PERCENT),
+        .percentile = S_value_or(set->percentile, BS_HEDGE_PERCENTILE),
+    };
+    return limits;
+}
+
 bool
 BsGateSettings_ParseAddress(const char *text, struct sockaddr_in *address)
 {
--- a/src/gatesettings.h
+++ b/src/gatesettings.h
@@ -9,6 +9,7 @@
 #define BS_GATESETTINGS_H
 
 #include "boragespur.h"
+#include "hedge.h"
 
 #include <netinet/in.h>
 
@@ -38,6 +39,13 @@
                                 unit */
 } BsGateBounds;
 
+/* Early repeats of slow requests; NULL: the default. */
+typedef struct {
+    uint32_t *percent;           /* of the requests of a service */
+    uint32_t *occupancy_percent; /* of a service's slots; none above it */
+    uint32_t *percentile;        /* of the times of a route's answers */
+} BsGateEarlyRepeats;
+
 /* Settings of a gateway. */
 typedef struct {
     char *name;
@@ -54,6 +62,7 @@
     char *store; /* IP:port of the platform's store */
     BsGateMachine machine;
     BsGateBounds bounds;
+    BsGateEarlyRepeats early_repeats;
 } BsGateSettings;
 
 /* Reads and checks FILE; NULL with BS_ERR_SETTINGS set when it is missing or
@@ -67,6 +76,10 @@
 const char *BsGateSettings_Region(const BsGateSettings *settings,
                                   const char *data_centre);
 
+/* Returns the limits on early repeats, with the defaults of those that are not
+   set. */
+BsHedgeLimits BsGateSettings_EarlyRepeats(const BsGateSettings *settings);
+
 /* Parses IPv4:port into ADDRESS; returns whether TEXT is valid. */
 bool BsGateSettings_ParseAddress(const char *text,
                                  struct sockaddr_in *address);
--- a/tests/gate/settings_test.cc
+++ b/tests/gate/settings_test.cc
@@ -56,6 +56,33 @@
     {"LargeRatio", "retry_ratio: 0.2", "retry_ratio: 7", "bounds.retry_ratio"},
     {"LittleMemory", "memory_mb: 110", "memory_mb: 1", "machine.memory_mb"},
     {"MissingBound", "  drain_ms: 2500\n", "", "drain_ms"},
+    {"EarlyRepeats", "name: gw\n",
+     "name: gw\nearly_repeats:\n  percent: 20\n  occupancy_percent: 100\n"
+     "  percentile: 99\n",
+     ""},
+    {"EarlyRepeatsOff", "name: gw\n",
+     "name: gw\nearly_repeats: { percent: 0 }\n", ""},
+    {"ManyEarlyRepeats", "name: gw\n",
+     "name: gw\nearly_repeats: { percent: 21 }\n",
+     "early_repeats.percent: '21' is not valid; allowed: a whole number from "
+     "0 to 20;"},
+    {"NegativeEarlyRepeats", "name: gw\n",
+     "name: gw\nearly_repeats: { percent: -1 }\n", "early_repeats.percent"},
+    {"TextForEarlyRepeats", "name: gw\n",
+     "name: gw\nearly_repeats: { percent: few }\n",
+     "early_repeats.percent: near line 2: Invalid uint64_t value: 'few'; "
+     "allowed: a whole number from 0 to 20;"},
+    {"EarlyRepeatsWithoutFreeSlots", "name: gw\n",
+     "name: gw\nearly_repeats: { occupancy_percent: 101 }\n",
+     "early_repeats.occupancy_percent: '101' is not valid; allowed: a whole "
+     "number from 1 to 100;"},
+    {"EarlyRepeatsWithoutASlot", "name: gw\n",
+     "name: gw\nearly_repeats: { occupancy_percent: 0 }\n",
+     "early_repeats.occupancy_percent: '0' is not valid"},
+    {"EarlyRepeatsOfMost", "name: gw\n",
+     "name: gw\nearly_repeats: { percentile: 49 }\n",
+     "early_repeats.percentile: '49' is not valid; allowed: a whole number "
+     "from 50 to 99;"},
 };
 
 class GateSettings : public testing::TestWithParam<SettingsCase> {};
