gateway: send early repeats of slow requests

The first attempt is held beside its early repeat, as one at a silent upstream is; the first answer that can be forwarded ends the other attempt, and a refusal or failure of one ends nothing while the other runs.

--- a/src/gw_attempt.c
+++ b/src/gw_attempt.c
@@ -29,9 +29,6 @@
 
 #define EVENT_STREAM_TYPE "text/event-stream"
 
-/* Most times that one request is sent, including refused attempts. */
-#define SENDS_MAX 4
-
 static bool
 S_may_repeat(const BsRelay *relay)
 {
@@ -82,6 +79,12 @@
     }
 }
 
+void
+BsAttempt_ExcludeCurrent(BsRelay *relay)
+{
+    S_exclude(relay, relay->attempt.target->id);
+}
+
 /* Logs that no requests are sent to UPSTREAM for PAUSE_MS. */
 static void
 S_log_pause(BsGate *gate, const char *upstream, int64_t pause_ms)
@@ -260,7 +263,7 @@
     if (relay->sends == 0 || relay->send_taken) {
         return true;
     }
-    if (relay->sends >= SENDS_MAX) {
+    if (relay->sends >= BS_RELAY_SENDS_MAX) {
         return false;
     }
     relay->send_taken =
@@ -278,12 +281,12 @@
     BsRelay_Dispatch(relay);
 }
 
-/* Retries the request, or ends it.  A held attempt that goes on takes its
-   place instead. */
+/* Retries the request, or ends it.  A held attempt that goes on, or that the
+   failed one repeated early, takes its place instead. */
 static void
 S_retry(BsRelay *relay, const char *cause)
 {
-    if (BsHeld_GoesOn(relay) ||
+    if (BsHeld_GoesOn(relay) || BsHedge_HasOther(relay) ||
         relay->excluded_count >= BS_RELAY_EXCLUDED_MAX ||
         !S_take_send(relay)) {
         S_fail_request(relay, cause);
@@ -300,6 +303,7 @@
     bool may_retry = S_may_retry(relay) && !blocked;
     char *failed = g_strdup(relay->attempt.target->id);
     BsRelay_Log(relay, BS_EVENT_FAILURE, "attempt_failed", cause);
+    BsHedge_NoteFailed(relay, &relay->attempt);
     relay->given_up = cause;
     BsAttempt_End(relay, &relay->attempt, end);
     S_exclude(relay, failed);
@@ -325,6 +329,7 @@
 {
     char *failed = g_strdup(relay->attempt.target->id);
     BsRelay_Log(relay, BS_EVENT_DETAIL, "attempt_not_run", cause);
+    BsHedge_NoteFailed(relay, &relay->attempt);
     relay->given_up = cause;
     BsAttempt_End(relay, &relay->attempt, end);
     if (end != BS_TARGET_REFUSED) {
@@ -358,6 +363,7 @@
     relay->attempt.open_repeat = relay->send_taken;
     relay->send_taken = false;
     relay->attempts++;
+    BsHedge_NoteSent(relay);
     BsRelay_Schedule(relay);
 }
 
@@ -532,6 +538,7 @@
         return;
     }
     relay->attempt.head_outcome = failed ? BS_TARGET_ERROR : BS_TARGET_GOOD;
+    BsHedge_NoteHead(relay, &relay->attempt);
     BsAnswer_Begin(relay, head);
 }
 
@@ -556,6 +563,7 @@
     BsHistogram_Observe(gate->first_events, relay->route->name, first_ms);
     BsPredictors_Observe(gate->predictors, relay->service->name,
                          relay->info.prompt_tokens, first_ms);
+    BsHedge_NoteFirstEvent(relay, &relay->attempt);
     S_note_progress(relay);
     BsTakeUp_NoteFirstEvent(relay);
     relay->attempt.prefill_reported = true;
@@ -595,6 +603,7 @@
         BsAttempt_NoteResumed(relay, &relay->attempt);
     }
     if (progressed && relay->answer.started) {
+        BsHedge_NoteAnswer(relay, &relay->attempt);
         BsHeld_DropAll(relay, "replaced");
     }
     relay->attempt.last_received_ms = now_ms;
@@ -644,6 +653,12 @@
 S_on_answer(BsRelay *relay)
 {
     bool failed = relay->attempt.head_outcome == BS_TARGET_ERROR;
+    if (failed) {
+        BsHedge_NoteFailed(relay, &relay->attempt);
+    }
+    else {
+        BsHedge_NoteAnswer(relay, &relay->attempt);
+    }
     if (failed && S_retries_after_error(relay)) {
         S_exclude(relay, relay->attempt.target->id);
         BsAttempt_End(relay, &relay->attempt, BS_TARGET_ERROR);
@@ -943,7 +958,8 @@
         .may_repeat = S_may_repeat(relay) && S_may_continue(relay),
         .blocked = BsRelay_IsBlocked(relay),
         .runs_left = attempts_max - MIN(attempts_max, relay->attempts),
-        .sends_left = SENDS_MAX - MIN(SENDS_MAX, relay->sends),
+        .sends_left =
+            BS_RELAY_SENDS_MAX - MIN(BS_RELAY_SENDS_MAX, relay->sends),
         .can_exclude = relay->excluded_count < BS_RELAY_EXCLUDED_MAX &&
                        BsHeld_HasRoom(relay),
         .alternative = alternative,
@@ -957,7 +973,7 @@
 {
     relay->may_have_run = true;
     relay->given_up = "silent";
-    S_exclude(relay, relay->attempt.target->id);
+    BsAttempt_ExcludeCurrent(relay);
     BsHeld_Park(relay);
     S_dispatch_again(relay, "silent");
 }
--- a/src/gw_gate.h
+++ b/src/gw_gate.h
@@ -16,6 +16,7 @@
 #include "gatesettings.h"
 #include "gw_inbound.h"
 #include "gw_outbound.h"
+#include "hedge.h"
 #include "histogram.h"
 #include "predict.h"
 #include "quota.h"
@@ -46,6 +47,7 @@
     BsTargets *targets;
     BsQuotas *quotas;
     BsRetryBudget *retries;
+    BsHedges *hedges;
     BsWaitQueue *queue;
     BsPredictors *predictors;
     BsYields *yields;
--- a/src/gw_gateway.c
+++ b/src/gw_gateway.c
@@ -206,8 +206,11 @@
 }
 
 static void
-S_apply_bounds(BsGate *gate, const BsGateBounds *bounds)
+S_apply_bounds(BsGate *gate, const BsGateSettings *settings)
 {
+    const BsGateBounds *bounds = &settings->bounds;
+    BsHedgeLimits early_repeats = BsGateSettings_EarlyRepeats(settings);
+    BsHedges_SetLimits(gate->hedges, &early_repeats);
     BsRetryBudget_SetBounds(gate->retries, bounds->retry_ratio,
                             bounds->retry_slack,
                             (int64_t)bounds->retry_window_s * MS_PER_S);
@@ -235,7 +238,7 @@
     BsGateSettings_Destroy(gateway->settings);
     gateway->settings = settings;
     gateway->gate.settings = settings;
-    S_apply_bounds(&gateway->gate, &settings->bounds);
+    S_apply_bounds(&gateway->gate, settings);
     BsGossipTask_AddSeeds(gateway->gossip);
 }
 
@@ -362,6 +365,9 @@
     gate->retries = BsRetryBudget_Create(
         bounds->retry_ratio, bounds->retry_slack,
         (int64_t)bounds->retry_window_s * MS_PER_S, gateway->started_ms);
+    BsHedgeLimits early_repeats = BsGateSettings_EarlyRepeats(settings);
+    gate->hedges = BsHedges_Create();
+    BsHedges_SetLimits(gate->hedges, &early_repeats);
     gate->queue = BsWaitQueue_Create();
     gate->predictors = BsPredictors_Create();
     gate->yields = BsYields_Create();
@@ -448,6 +454,7 @@
     BsTargets_Destroy(gate->targets);
     BsQuotas_Destroy(gate->quotas);
     BsRetryBudget_Destroy(gate->retries);
+    BsHedges_Destroy(gate->hedges);
     BsWaitQueue_Destroy(gate->queue);
     BsPredictors_Destroy(gate->predictors);
     BsYields_Destroy(gate->yields);
--- a/src/gw_held.c
+++ b/src/gw_held.c
@@ -1,5 +1,5 @@
-/* gw_held.c - attempts whose upstream is silent, held open beside the current
-   attempt until one of them gives the answer. */
+/* gw_held.c - attempts whose upstream is silent, or slow, held open beside the
+   current attempt until one of them gives the answer. */
 #include "gw_relayparts.h"
 #include "silence.h"
 
@@ -105,7 +105,9 @@
     }
     BsOutbound_Cancel(held->call);
     BsAttempt_End(relay, held, end);
-    S_count(relay->gate, outcome);
+    if (!held->hedged) {
+        S_count(relay->gate, outcome); /* its upstream was silent */
+    }
     S_clear(held);
 }
 
@@ -116,6 +118,7 @@
 {
     BsRelay *relay = held->relay;
     BsRelay_LogAttempt(relay, held, BS_EVENT_FAILURE, "attempt_failed", cause);
+    BsHedge_NoteFailed(relay, held);
     S_release(held, end, "failed");
     if (relay->attempt.extended_until_ms == INT64_MAX) {
         relay->attempt.extended_until_ms = 0;
@@ -230,6 +233,7 @@
     memset(&relay->attempt.answer, 0, sizeof(relay->attempt.answer));
     relay->attempt.splitter = NULL;
     relay->attempt.pending = NULL;
+    relay->attempt.hedged = false;
     S_clear(held);
     if (relay->attempt.call != NULL) {
         BsOutbound_SetEvents(relay->attempt.call, &bs_attempt_events, relay);
@@ -245,6 +249,7 @@
     BsRelay *relay = held->relay;
     bool complete = held->complete;
     BsOutboundEnd end = held->end;
+    BsHedge_NoteAnswer(relay, held);
     BsAttempt_DropCurrent(relay);
     GString *bytes = S_make_current(held);
     BsRelay_Schedule(relay);
@@ -316,6 +321,7 @@
         return;
     }
     held->begun = true;
+    BsHedge_NoteHead(relay, held);
     if (!relay->answer.started) {
         BsAnswer_Init(relay, &held->answer, head);
         S_collect(held, held->answer.events);
--- a/src/gw_relay.c
+++ b/src/gw_relay.c
@@ -38,7 +38,7 @@
     BsAttempt_ReturnSend(relay);
     g_hash_table_remove(relay->gate->relays, relay);
     ev_timer_stop(relay->gate->loop, &relay->timer);
-    BsWaitQueue_Remove(relay->gate->queue, relay->queue_entry);
+    BsRelay_LeaveQueue(relay);
     BsAnswer_Clear(&relay->answer);
     for (size_t i = 0; i < relay->excluded_count; i++) {
         g_free(relay->excluded[i]);
@@ -81,13 +81,17 @@
 void
 BsRelay_LeaveQueue(BsRelay *relay)
 {
-    BsWaitQueue_Remove(relay->gate->queue, relay->queue_entry);
-    relay->queue_entry = NULL;
+    if (relay->queue_entry != NULL) {
+        BsHedges_LeaveQueue(relay->gate->hedges, relay->service->name);
+        BsWaitQueue_Remove(relay->gate->queue, relay->queue_entry);
+        relay->queue_entry = NULL;
+    }
 }
 
 void
 BsRelay_Finish(BsRelay *relay, const char *outcome)
 {
+    BsHedge_NoteEnd(relay);
     BsAttempt_AbandonAll(relay);
     BsRelay_Count(relay, outcome);
     S_free(relay);
@@ -197,8 +201,10 @@
                        relay->may_have_run ? 0 : retry_after_ms);
     }
     else if (now_ms >= BsHeld_LimitMs(relay)) {
-        BsHeld_DropAll(relay, "replaced");
-        BsRelay_Schedule(relay);
+        BsHedge_OnHoldEnd(relay);
+    }
+    else if (now_ms >= BsHedge_DueMs(relay)) {
+        BsHedge_OnDue(relay);
     }
     else if (now_ms >= BsTakeUp_DueMs(relay)) {
         BsTakeUp_OnTimeout(relay);
@@ -219,6 +225,7 @@
     int64_t next_ms = MIN(relay->expires_ms, BsAttempt_TimeoutMs(relay));
     next_ms = MIN(next_ms, BsHeld_LimitMs(relay));
     next_ms = MIN(next_ms, BsTakeUp_DueMs(relay));
+    next_ms = MIN(next_ms, BsHedge_DueMs(relay));
     if (relay->queue_entry != NULL) {
         next_ms = MIN(next_ms, relay->queue_until_ms);
     }
@@ -369,6 +376,7 @@
     };
     relay->queue_until_ms = S_queue_until_ms(relay, now_ms);
     relay->queue_entry = BsWaitQueue_Add(relay->gate->queue, &key, relay);
+    BsHedges_EnterQueue(relay->gate->hedges, relay->service->name);
     BsRelay_Log(relay, BS_EVENT_DETAIL, "waits", limited ? "limited" : NULL);
     BsRelay_Schedule(relay);
 }
@@ -665,6 +673,7 @@
     }
     BsRetryBudget_AddRequest(gate->retries, relay->service->name,
                              BsClock_NowMs(gate->clock));
+    BsHedges_AddRequest(gate->hedges, relay->service->name);
     BsTakeUp_Dispatch(relay);
 }
 
--- a/src/gw_relayparts.h
+++ b/src/gw_relayparts.h
@@ -1,10 +1,10 @@
 /*
  * gw_relayparts.h - the state of a relayed request, shared by gw_relay.c
  * (arrival, queueing, end), gw_attempt.c (attempts at upstreams),
- * gw_held.c (attempts whose upstream is silent), gw_takeup.c (software
- * versions of streams), gw_answerhints.c (what upstreams request in their
- * answers), gw_answer.c (the answer to the caller) and gw_relaylog.c (log
- * lines and metrics).
+ * gw_held.c (attempts whose upstream is silent), gw_hedge.c (early repeats),
+ * gw_takeup.c (software versions of streams), gw_answerhints.c (what upstreams
+ * request in their answers), gw_answer.c (the answer to the caller) and
+ * gw_relaylog.c (log lines and metrics).
  */
 #ifndef BS_GW_RELAYPARTS_H
 #define BS_GW_RELAYPARTS_H
@@ -12,6 +12,9 @@
 #include "gw_gate.h"
 #include "ssesplitter.h"
 
+/* Most times that one request is sent, including refused attempts. */
+#define BS_RELAY_SENDS_MAX 4
+
 /* Upstreams that one request may exclude after failed attempts. */
 #define BS_RELAY_EXCLUDED_MAX 6
 
@@ -58,6 +61,13 @@
                                does not wait for it */
 } BsRelayStream;
 
+/* The early repeat of a request. */
+typedef struct {
+    int64_t due_ms; /* of the current attempt; 0: not repeated early */
+    bool asked;     /* it was decided whether to send one */
+    bool open;      /* one was sent, and its outcome is not known */
+} BsRelayHedge;
+
 typedef struct BsRelay BsRelay;
 
 /* An attempt to run a request at an upstream.  Times are milliseconds on the
@@ -80,6 +90,9 @@
     bool open_repeat; /* a repeat that counts as open in the retry budget */
     bool begun;       /* the head of its answer has arrived */
     bool silent;      /* the upstream counts as silent */
+    bool early;       /* an early repeat */
+    bool hedged;      /* held beside its early repeat */
+    bool observed;    /* BsHedges_Observe() was called */
     BsTargetEnd head_outcome; /* outcome according to the answer's head */
     const char *ended_by;     /* what ended an answer that HTTP calls complete,
                                  for the log; NULL before */
@@ -124,6 +137,7 @@
     int64_t silent_since_ms; /* last progress of the latest held attempt */
     /* All attempts. */
     BsRelayAnswer answer;
+    BsRelayHedge hedge;
     BsRelayStream stream;
     BsRelaySoftware began; /* of the attempt that brought the first event of
                               the stream, which goes on at this version only */
@@ -211,6 +225,10 @@
 /* Records in the target table how ATTEMPT ended, and clears it. */
 void BsAttempt_End(BsRelay *relay, BsRelayAttempt *attempt, BsTargetEnd end);
 
+/* Keeps the upstream of the current attempt from being chosen again for the
+   request. */
+void BsAttempt_ExcludeCurrent(BsRelay *relay);
+
 /* Cancels the current attempt, if any; its upstream is not blamed. */
 void BsAttempt_DropCurrent(BsRelay *relay);
 
@@ -308,6 +326,42 @@
 /* Cancels all held attempts, which are counted as OUTCOME. */
 void BsHeld_DropAll(BsRelay *relay, const char *outcome);
 
+/* ---------------------------------------------------------- gw_hedge.c -- */
+
+/* Records that the current attempt was sent: sets when it is repeated
+   early. */
+void BsHedge_NoteSent(BsRelay *relay);
+
+/* Record that the answer to ATTEMPT has begun, with its head or with the first
+   event of a stream. */
+void BsHedge_NoteHead(const BsRelay *relay, BsRelayAttempt *attempt);
+void BsHedge_NoteFirstEvent(const BsRelay *relay, BsRelayAttempt *attempt);
+
+/* Returns when BsHedge_OnDue() is due; INT64_MAX: never. */
+int64_t BsHedge_DueMs(const BsRelay *relay);
+
+/* Holds the current attempt and sends the request to another upstream as well,
+   or counts why not. */
+void BsHedge_OnDue(BsRelay *relay);
+
+/* Records that ATTEMPT gives the answer; called before the others are
+   cancelled. */
+void BsHedge_NoteAnswer(BsRelay *relay, const BsRelayAttempt *attempt);
+
+/* Records that ATTEMPT ends without an answer that can be forwarded. */
+void BsHedge_NoteFailed(BsRelay *relay, const BsRelayAttempt *attempt);
+
+/* Records that the request ends. */
+void BsHedge_NoteEnd(BsRelay *relay);
+
+/* Returns whether the current attempt is an early repeat and another one goes
+   on, so that its failure is not retried. */
+bool BsHedge_HasOther(const BsRelay *relay);
+
+/* Handles the end of the time for which attempts may be held; see
+   BsHeld_LimitMs().  Of an attempt and its early repeat one goes on. */
+void BsHedge_OnHoldEnd(BsRelay *relay);
+
 /* --------------------------------------------------------- gw_takeup.c -- */
 
 /* Returns whether the request takes up a stream that an earlier one of its
--- a/src/logtimeline.c
+++ b/src/logtimeline.c
@@ -92,6 +92,18 @@
     {"answer_rejected",
      "an upstream that had been silent sent an answer that cannot be used",
      "other requests to the same upstream"},
+    {"early_repeat_won",
+     "the answer of its upstream took longer than usual, and another upstream "
+     "gave it",
+     "lines sent and early_repeat_sent: the upstreams"},
+    {"early_repeat_lost",
+     "it was also sent to another upstream, but the first one gave the answer "
+     "or was kept",
+     "lines sent and early_repeat_sent: the upstreams"},
+    {"early_repeat_failed",
+     "it was also sent to another upstream, which failed or refused it; the "
+     "first one goes on",
+     "other requests to the second upstream"},
     {"upstream_error", "the upstream ran it and failed",
      "the upstream's own log"},
     {"caller_gone", "its caller disconnected",
--- /dev/null
+++ b/tests/gate/gateway_hedge_test.cc
@@ -0,0 +1,348 @@
+// Early repeats at a running gateway: a request whose upstream is slow is sent
+// to a second one, and the first answer that can be forwarded is the only one.
+#include "gateway_fixture.h"
+
+#include <atomic>
+#include <csignal>
+#include <mutex>
+#include <thread>
+
+namespace {
+
+// Requests before the subject, so that the tail of the route is known.
+const int kSamples = 60;
+
+// Tries until one is repeated early: a gateway whose machine is busy may find
+// that it was stopped for a while, and then sends none.
+const int kTries = 20;
+
+// Answers with the whole stream of upstream NAME.
+std::string
+Events(const std::string &name)
+{
+    std::string text;
+    for (int id = 0; id < 3; id++) {
+        text += Chunk("id: " + std::to_string(id) + "\ndata: " + name + " " +
+                      std::to_string(id) + "\n\n");
+    }
+    return text + LastChunk();
+}
+
+class HedgeTest : public GatewayTest {
+  protected:
+    using Script = Runner::Script;
+
+    // Starts two upstreams, which answer a request whose id begins with
+    // "subject" by FIRST where it arrives first and by SECOND where it arrives
+    // next, and all others at once.
+    void StartTwo(const Script &first, const Script &second)
+    {
+        Script script = [this, first, second](Socket &socket,
+                                              const ReceivedRequest &got) {
+            if (got.id.compare(0, 7, "subject") != 0) {
+                return Fast(socket, got);
+            }
+            int number = Number(got.id);
+            return number == 0 ? first(socket, got) : second(socket, got);
+        };
+        Start({script, script});
+    }
+    void SwitchOn()
+    {
+        gateway_->ReplaceSettings("bounds:",
+                                  "early_repeats: { percent: 20 }\nbounds:");
+        gateway_->Signal(SIGHUP);
+        ASSERT_TRUE(Eventually([&] {
+            return gateway_->Log().find("in force") != std::string::npos;
+        }));
+    }
+    // Makes the desk's upstreams engines.
+    void MakeEngines()
+    {
+        std::string text = Config(2);
+        const std::string service = "\"health-path\":\"/h\",";
+        text.replace(text.find(service), service.size(),
+                     service + "\"engine\":{},");
+        store_.Put("op/config", text);
+        ASSERT_TRUE(gateway_->WaitMetric("boragespur_catalog_version 2"));
+    }
+    void AddSamples(const std::string &path)
+    {
+        for (int i = 0; i < kSamples; i++) {
+            gateway_->Ask(Call(path, "fast-" + std::to_string(i)));
+        }
+    }
+    bool Fast(Socket &socket, const ReceivedRequest &got)
+    {
+        if (got.text.find(" /chat/") != std::string::npos) {
+            return socket.Write(StreamHead(got) + Events("fast"));
+        }
+        return Answers(socket, got);
+    }
+    // Counts the arrivals of ID; returns how many were before.
+    int Number(const std::string &id)
+    {
+        std::lock_guard<std::mutex> lock(mutex_);
+        return arrivals_[id]++;
+    }
+    int ArrivalsOf(const std::string &id)
+    {
+        std::lock_guard<std::mutex> lock(mutex_);
+        return arrivals_[id];
+    }
+    bool HasOutcome(const std::string &outcome)
+    {
+        return gateway_->Metrics().find(
+                   "boragespur_early_repeats_total{outcome=\"" + outcome +
+                   "\"}") != std::string::npos;
+    }
+    // Sends subjects to PATH until one of them had OUTCOME; returns its answer
+    // and sets id_.
+    std::string AskUntil(const std::string &path, const std::string &outcome)
+    {
+        std::string answer;
+        for (int i = 0; i < kTries; i++) {
+            id_ = "subject-" + std::to_string(i);
+            begun_ = false;
+            closed_ = 0;
+            std::unique_ptr<Socket> caller = gateway_->Open();
+            caller->Write(Call(path, id_, "Connection: close\r\n"));
+            answer = caller->ReadAll();
+            if (HasOutcome(outcome)) {
+                return answer;
+            }
+        }
+        ADD_FAILURE() << "none was " << outcome << "\n" << gateway_->Metrics();
+        return answer;
+    }
+    bool WaitsForClose(Socket &socket)
+    {
+        socket.WaitClosed();
+        closed_++;
+        return false;
+    }
+    // Waits until the early repeat has begun, or the gateway has given up the
+    // first attempt for another reason.
+    void WaitBegun()
+    {
+        for (int i = 0; i < 100 && !begun_; i++) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(10));
+        }
+    }
+    void TearDown() override
+    {
+        begun_ = true;
+        gateway_.reset();
+        runners_.clear();
+    }
+
+    std::mutex mutex_;
+    std::map<std::string, int> arrivals_;
+    std::string id_;
+    std::atomic<bool> begun_{false}; // the second attempt has arrived
+    std::atomic<int> closed_{0};     // attempts that the gateway cancelled
+};
+
+// Guards against a slow upstream that decides when the caller is answered, and
+// against a loser that works on.
+TEST_F(HedgeTest, ASlowUpstreamIsOvertakenAndItsAttemptCancelled)
+{
+    StartTwo([this](Socket &socket,
+                    const ReceivedRequest &) { return WaitsForClose(socket); },
+             Answers);
+    SwitchOn();
+    AddSamples("/look/1");
+    std::string answer = AskUntil("/look/1", "won");
+    EXPECT_TRUE(IsHealthy(answer, id_)) << answer;
+    EXPECT_EQ(ArrivalsOf(id_), 2);
+    EXPECT_TRUE(Eventually([&] { return closed_ == 1; }));
+    std::string log = gateway_->Log();
+    EXPECT_NE(log.find("early_repeat_sent"), std::string::npos);
+    EXPECT_NE(log.find("early_repeat_decided"), std::string::npos);
+    EXPECT_EQ(gateway_->Metrics().find("silent_attempts_total"),
+              std::string::npos);
+}
+
+// Guards against a request that ends with the refusal of its early repeat.
+TEST_F(HedgeTest, ARefusedEarlyRepeatEndsNothing)
+{
+    StartTwo(
+        [this](Socket &socket, const ReceivedRequest &got) {
+            WaitBegun();
+            std::this_thread::sleep_for(std::chrono::milliseconds(50));
+            return Answers(socket, got);
+        },
+        [this](Socket &socket, const ReceivedRequest &got) {
+            begun_ = true;
+            return Refuses(socket, got);
+        });
+    SwitchOn();
+    AddSamples("/look/1");
+    std::string answer = AskUntil("/look/1", "failed");
+    EXPECT_TRUE(IsHealthy(answer, id_)) << answer;
+    EXPECT_EQ(ArrivalsOf(id_), 2);
+}
+
+// Guards against a request that ends with the failure of its first attempt.
+TEST_F(HedgeTest, AFailureOfTheFirstAttemptEndsNothing)
+{
+    StartTwo(
+        [this](Socket &, const ReceivedRequest &) {
+            WaitBegun();
+            return false;
+        },
+        [this](Socket &socket, const ReceivedRequest &got) {
+            begun_ = true;
+            std::this_thread::sleep_for(std::chrono::milliseconds(100));
+            return Answers(socket, got);
+        });
+    SwitchOn();
+    AddSamples("/look/1");
+    std::string answer = AskUntil("/look/1", "won");
+    EXPECT_TRUE(IsHealthy(answer, id_)) << answer;
+    EXPECT_EQ(ArrivalsOf(id_), 2);
+}
+
+// Guards against more upstreams than the route allows.
+TEST_F(HedgeTest, ThereAreNoneWithOneAttempt)
+{
+    auto slow = [](Socket &socket, const ReceivedRequest &got) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(200));
+        return Answers(socket, got);
+    };
+    StartTwo(slow, slow);
+    SwitchOn();
+    AddSamples("/open/1");
+    for (int i = 0; i < 5; i++) {
+        std::string id = "subject-" + std::to_string(i);
+        EXPECT_TRUE(IsHealthy(gateway_->Ask(Call("/open/1", id)), id));
+        EXPECT_EQ(ArrivalsOf(id), 1);
+    }
+    EXPECT_EQ(gateway_->Metrics().find("early_repeats_total"),
+              std::string::npos);
+}
+
+// Guards against early repeats where the settings do not ask for them.
+TEST_F(HedgeTest, ThereAreNoneByDefault)
+{
+    auto slow = [](Socket &socket, const ReceivedRequest &got) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(200));
+        return Answers(socket, got);
+    };
+    StartTwo(slow, slow);
+    AddSamples("/look/1");
+    EXPECT_TRUE(
+        IsHealthy(gateway_->Ask(Call("/look/1", "subject")), "subject"));
+    EXPECT_EQ(ArrivalsOf("subject"), 1);
+    EXPECT_EQ(gateway_->Metrics().find("early_repeats"), std::string::npos);
+}
+
+// Guards against attempts that run on after their caller has left.
+TEST_F(HedgeTest, BothEndWhenTheCallerLeaves)
+{
+    auto waits = [this](Socket &socket, const ReceivedRequest &) {
+        return WaitsForClose(socket);
+    };
+    StartTwo(waits, waits);
+    SwitchOn();
+    AddSamples("/look/1");
+    for (int i = 0; i < kTries && ArrivalsOf(id_) != 2; i++) {
+        id_ = "subject-" + std::to_string(i);
+        closed_ = 0;
+        std::unique_ptr<Socket> caller = gateway_->Open();
+        caller->Write(Call("/look/1", id_));
+        // Well before the upstream counts as silent.
+        for (int k = 0; k < 25 && ArrivalsOf(id_) != 2; k++) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(10));
+        }
+    }
+    ASSERT_EQ(ArrivalsOf(id_), 2);
+    EXPECT_TRUE(Eventually([&] { return closed_ == 2; }));
+    EXPECT_TRUE(HasOutcome("lost"));
+}
+
+// Guards against two engines that work on a request for long, and against a
+// part of the early repeat in the answer of the first attempt.
+TEST_F(HedgeTest, AnEngineWithoutAnEventIsCancelledAndLeavesNothing)
+{
+    StartTwo(
+        [this](Socket &socket, const ReceivedRequest &got) {
+            // Its head shows that it is reachable; it goes on only when the
+            // other one is cancelled.
+            std::this_thread::sleep_for(std::chrono::milliseconds(50));
+            socket.Write(StreamHead(got));
+            for (int i = 0; i < 200 && closed_ == 0; i++) {
+                std::this_thread::sleep_for(std::chrono::milliseconds(10));
+            }
+            return socket.Write(Events("first"));
+        },
+        [this](Socket &socket, const ReceivedRequest &got) {
+            std::string part = Chunk("id: 0\ndata: second 0\n");
+            socket.Write(StreamHead(got) + part);
+            return WaitsForClose(socket);
+        });
+    SwitchOn();
+    MakeEngines();
+    AddSamples("/chat/1");
+    std::string answer = AskUntil("/chat/1", "lost");
+    bool complete;
+    std::string body = Dechunk(answer, &complete);
+    EXPECT_TRUE(complete) << answer;
+    EXPECT_EQ(body.find("second"), std::string::npos) << body;
+    EXPECT_EQ(body.substr(0, 20), "id: 0\ndata: first 0\n") << body;
+    EXPECT_EQ(ArrivalsOf(id_), 2);
+}
+
+// Guards against a stream that stays at an engine that is gone, because its
+// early repeat needs longer than both may run.
+TEST_F(HedgeTest, AnEngineThatSendsNothingIsReplacedByOneThatDoes)
+{
+    StartTwo([this](Socket &socket,
+                    const ReceivedRequest &) { return WaitsForClose(socket); },
+             [this](Socket &socket, const ReceivedRequest &got) {
+                 std::this_thread::sleep_for(std::chrono::milliseconds(50));
+                 socket.Write(StreamHead(got));
+                 for (int i = 0; i < 200 && closed_ == 0; i++) {
+                     std::this_thread::sleep_for(
+                         std::chrono::milliseconds(10));
+                 }
+                 return socket.Write(Events("second"));
+             });
+    SwitchOn();
+    MakeEngines();
+    AddSamples("/chat/1");
+    std::string answer = AskUntil("/chat/1", "won");
+    bool complete;
+    std::string body = Dechunk(answer, &complete);
+    EXPECT_TRUE(complete) << answer;
+    EXPECT_EQ(body.substr(0, 21), "id: 0\ndata: second 0\n") << body;
+    EXPECT_EQ(closed_, 1);
+}
+
+// Guards against a stream of events of both attempts.
+TEST_F(HedgeTest, TheFirstEventDecidesWhoseStreamItIs)
+{
+    StartTwo(
+        [this](Socket &socket, const ReceivedRequest &got) {
+            socket.Write(StreamHead(got) + Chunk("id: 0\ndata: first 0\n"));
+            WaitBegun();
+            std::this_thread::sleep_for(std::chrono::milliseconds(50));
+            return socket.Write(Events("first"));
+        },
+        [this](Socket &socket, const ReceivedRequest &got) {
+            bool sent = socket.Write(StreamHead(got) + Events("second"));
+            begun_ = true;
+            return sent;
+        });
+    SwitchOn();
+    MakeEngines();
+    AddSamples("/chat/1");
+    std::string answer = AskUntil("/chat/1", "won");
+    bool complete;
+    std::string body = Dechunk(answer, &complete);
+    EXPECT_TRUE(complete) << answer;
+    EXPECT_EQ(body.find("first"), std::string::npos) << body;
+    EXPECT_EQ(body.substr(0, 21), "id: 0\ndata: second 0\n") << body;
+}
+
+} // namespace
