hedge: read waiting answers first, and find upstreams that are gone

The event loop calls timers before it reads, so after a pause of the process requests were repeated whose answers had arrived; the decision now comes after the next wait. An upstream that early repeats replaced three times without a byte from it is left to the rule for silence, which pauses it.

--- a/src/gw_hedge.c
+++ b/src/gw_hedge.c
@@ -202,6 +202,13 @@
 BsHedge_OnDue(BsRelay *relay)
 {
     BsTarget *target = NULL;
+    if (!relay->hedge.seen) {
+        /* The event loop calls timers before it reads answers that are ready,
+           which are many after a pause of this process. */
+        relay->hedge.seen = true;
+        BsRelay_Schedule(relay);
+        return;
+    }
     relay->hedge.asked = true;
     BsHedgeVerdict verdict = S_ask(relay);
     if (verdict == BS_HEDGE_SEND) {
@@ -249,6 +256,7 @@
         if (held->target != NULL && held->hedged) {
             S_observe(relay, held);
             BsHedges_NoteReplaced(gate->hedges, held->target->hash,
+                                  held->target->last_received_ms,
                                   BsClock_NowMs(gate->clock));
         }
     }
--- a/src/gw_relayparts.h
+++ b/src/gw_relayparts.h
@@ -64,6 +64,8 @@
 /* The early repeat of a request. */
 typedef struct {
     int64_t due_ms; /* of the current attempt; 0: not repeated early */
+    bool seen;      /* the time has come; decided after the next wait of the
+                       event loop */
     bool asked;     /* it was decided whether to send one */
     bool open;      /* one was sent, and its outcome is not known */
 } BsRelayHedge;
--- a/src/hedge.c
+++ b/src/hedge.c
@@ -29,13 +29,16 @@
 #define BUDGET_PERCENT 50
 
 /* A decision that comes so long after it was due shows that the process was
-   stopped; answers may be waiting to be read.  None is sent for STALL_MS after
-   that. */
-#define LATE_MS 50
+   stopped, for longer than the period of 100 ms in which a part of a core is
+   granted.  None is sent for STALL_MS after that. */
+#define LATE_MS 110
 #define STALL_MS 1000
 
-/* Upstreams that are remembered as replaced. */
+/* Upstreams that are remembered as replaced, and how often each may be in a
+   row without a byte from it.  One that is only slow sends something after
+   this many requests at the latest, as the next one is not cancelled. */
 #define REPLACED_MAX 32
+#define REPLACED_IN_A_ROW_MAX 3
 
 #define PERCENT 100.0
 
@@ -58,7 +61,8 @@
 
 typedef struct {
     uint64_t upstream;
-    int64_t replaced_ms;
+    int64_t replaced_ms; /* the last time */
+    unsigned in_a_row;   /* without a byte from it; 0: not used */
 } BsHedgeReplaced;
 
 struct BsHedges {
@@ -154,34 +158,45 @@
     held->queued -= MIN(held->queued, 1);
 }
 
-void
-BsHedges_NoteReplaced(BsHedges *hedges, uint64_t upstream, int64_t now_ms)
+static BsHedgeReplaced *
+S_find_replaced(BsHedges *hedges, uint64_t upstream)
 {
     for (unsigned i = 0; i < REPLACED_MAX; i++) {
-        if (hedges->replaced[i].upstream == upstream) {
-            hedges->replaced[i].replaced_ms = now_ms;
-            return;
+        BsHedgeReplaced *replaced = &hedges->replaced[i];
+        if (replaced->in_a_row > 0 && replaced->upstream == upstream) {
+            return replaced;
         }
     }
-    BsHedgeReplaced *oldest = &hedges->replaced[hedges->next_replaced];
-    hedges->next_replaced = (hedges->next_replaced + 1) % REPLACED_MAX;
-    oldest->upstream = upstream;
-    oldest->replaced_ms = now_ms;
+    return NULL;
 }
 
-/* Returns whether nothing has arrived from the request's upstream since an
-   early repeat replaced it. */
-static bool
-S_is_silent(const BsHedges *hedges, const BsHedgeRequest *request)
+void
+BsHedges_NoteReplaced(BsHedges *hedges, uint64_t upstream, int64_t received_ms,
+                      int64_t now_ms)
 {
-    for (unsigned i = 0; i < REPLACED_MAX; i++) {
-        const BsHedgeReplaced *replaced = &hedges->replaced[i];
-        if (replaced->replaced_ms != 0 &&
-            replaced->upstream == request->upstream) {
-            return request->received_ms <= replaced->replaced_ms;
-        }
+    BsHedgeReplaced *replaced = S_find_replaced(hedges, upstream);
+    if (replaced == NULL) {
+        replaced = &hedges->replaced[hedges->next_replaced];
+        hedges->next_replaced = (hedges->next_replaced + 1) % REPLACED_MAX;
+        replaced->upstream = upstream;
+        replaced->in_a_row = 0;
     }
-    return false;
+    else if (received_ms > replaced->replaced_ms) {
+        replaced->in_a_row = 0;
+    }
+    replaced->in_a_row++;
+    replaced->replaced_ms = now_ms;
+}
+
+/* Returns whether nothing has arrived from the request's upstream while early
+   repeats replaced it several times. */
+static bool
+S_is_silent(BsHedges *hedges, const BsHedgeRequest *request)
+{
+    const BsHedgeReplaced *replaced =
+        S_find_replaced(hedges, request->upstream);
+    return replaced != NULL && replaced->in_a_row >= REPLACED_IN_A_ROW_MAX &&
+           request->received_ms <= replaced->replaced_ms;
 }
 
 /* -------------------------------------------------------------- delay -- */
@@ -308,8 +323,7 @@
 
 /* Returns why an early repeat would not help the request. */
 static BsHedgeVerdict
-S_check_times(const BsHedges *hedges, const BsHedgeRequest *request,
-              int64_t now_ms)
+S_check_times(BsHedges *hedges, const BsHedgeRequest *request, int64_t now_ms)
 {
     const BsHedgeRoute *route = S_route(hedges, request->route, now_ms);
     if (route == NULL) {
--- a/src/hedge.h
+++ b/src/hedge.h
@@ -104,10 +104,10 @@
 void BsHedges_EnterQueue(BsHedges *hedges, const char *service);
 void BsHedges_LeaveQueue(BsHedges *hedges, const char *service);
 
-/* Records that an early repeat gave the answer instead of UPSTREAM (its
-   hash). */
+/* Records that an early repeat gave the answer instead of UPSTREAM (its hash),
+   from which the last byte of any answer arrived at RECEIVED_MS. */
 void BsHedges_NoteReplaced(BsHedges *hedges, uint64_t upstream,
-                           int64_t now_ms);
+                           int64_t received_ms, int64_t now_ms);
 
 /* Returns whether an early repeat may be sent now, apart from the choice of an
    upstream; changes no counts. */
--- a/tests/gate/gateway_hedge_test.cc
+++ b/tests/gate/gateway_hedge_test.cc
@@ -237,6 +237,64 @@
     EXPECT_EQ(gateway_->Metrics().find("early_repeats"), std::string::npos);
 }
 
+// Guards against early repeats that use up the retry budget, or go round it.
+TEST_F(HedgeTest, ThereAreNoneWithoutRetryBudget)
+{
+    auto slow = [](Socket &socket, const ReceivedRequest &got) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(200));
+        return Answers(socket, got);
+    };
+    StartTwo(slow, slow);
+    gateway_->ReplaceSettings("retry_ratio: 0.2, retry_slack: 58000",
+                              "retry_ratio: 0, retry_slack: 0");
+    SwitchOn();
+    AddSamples("/look/1");
+    for (int i = 0; i < kTries; i++) {
+        std::string id = "subject-" + std::to_string(i);
+        EXPECT_TRUE(IsHealthy(gateway_->Ask(Call("/look/1", id)), id));
+        EXPECT_EQ(ArrivalsOf(id), 1);
+        if (gateway_->Metrics().find(
+                "early_repeats_denied_total{cause=\"budget\"}") !=
+            std::string::npos) {
+            return;
+        }
+    }
+    FAIL() << gateway_->Metrics();
+}
+
+// Guards against early repeats of requests whose answers have arrived while
+// the process was stopped.
+TEST_F(HedgeTest, ThereAreNoneAfterAPauseOfTheProcess)
+{
+    std::atomic<bool> stopped{false};
+    StartTwo(
+        [this, &stopped](Socket &socket, const ReceivedRequest &got) {
+            gateway_->Signal(SIGSTOP);
+            bool sent = Answers(socket, got);
+            stopped = true;
+            return sent;
+        },
+        [](Socket &socket, const ReceivedRequest &got) {
+            return Answers(socket, got);
+        });
+    SwitchOn();
+    AddSamples("/look/1");
+    for (int i = 0; i < 5; i++) {
+        std::string id = "subject-" + std::to_string(i);
+        stopped = false;
+        std::unique_ptr<Socket> caller = gateway_->Open();
+        caller->Write(Call("/look/1", id, "Connection: close\r\n"));
+        ASSERT_TRUE(Eventually([&] { return stopped.load(); }));
+        // A short pause, after which the answer is read first, and a long one.
+        std::this_thread::sleep_for(
+            std::chrono::milliseconds(i % 2 == 0 ? 60 : 200));
+        int before = ArrivalsOf(id); // 2: repeated before the process stopped
+        gateway_->Signal(SIGCONT);
+        EXPECT_TRUE(IsHealthy(caller->ReadAll(), id));
+        EXPECT_EQ(ArrivalsOf(id), before);
+    }
+}
+
 // Guards against attempts that run on after their caller has left.
 TEST_F(HedgeTest, BothEndWhenTheCallerLeaves)
 {
