--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -445,10 +445,15 @@
 }
 
 static const SlopesPart S_parts[] = {
-    {"steady", S_steady}, {"spread", S_propagation},
-    {"loss", S_loss},     {"changes", S_changes},
-    {"sheets", S_sheets}, {"requests", S_requests},
-    {"memory", S_memory}, {"breaks", Slopes_PrintRecovery},
+    {"steady", S_steady},
+    {"spread", S_propagation},
+    {"loss", S_loss},
+    {"changes", S_changes},
+    {"sheets", S_sheets},
+    {"requests", S_requests},
+    {"memory", S_memory},
+    {"breaks", Slopes_PrintRecovery},
+    {"hedges", Slopes_PrintHedges},
 };
 
 int
--- a/bench/slopes.h
+++ b/bench/slopes.h
@@ -34,6 +34,10 @@
 uint32_t Slopes_CountInForce(World *world, const SlopesFleet *fleet,
                              uint64_t revision);
 
+/* Prints the processor time of a decision whether to repeat a request early,
+   by the size of the fleet. */
+void Slopes_PrintHedges(void);
+
 /* Prints how long a fleet takes to recover from large failures. */
 void Slopes_PrintRecovery(void);
 
