--- a/tests/soak/main_soak.c
+++ b/tests/soak/main_soak.c
@@ -95,6 +95,7 @@
 static gint S_releases;
 static gint S_restarts;
 static gint S_retry_slack = -1;
+static gint S_early_repeats;
 static gint S_store_port = 19999;
 static gboolean S_all_silent;
 static gboolean S_deadly_part;
@@ -582,6 +583,7 @@
     soak->deadline_ms = longer ? LONG_DEADLINE_MS : DEADLINE_MS;
     soak->store_port = (uint16_t)S_store_port;
     bool small = S_planned && g_rand_boolean(soak->silent_random);
+    soak->early_repeats = (unsigned)S_early_repeats;
     soak->retry_slack = S_retry_slack >= 0 ? (unsigned)S_retry_slack
                         : small            ? RETRY_SLACK_SMALL
                                            : RETRY_SLACK;
@@ -742,6 +744,8 @@
          "No faults but silences and planned work", NULL},
         {"retry-slack", 0, 0, G_OPTION_ARG_INT, &S_retry_slack,
          "Retries of the fleet that requests needn't earn", "N"},
+        {"early-repeats", 0, 0, G_OPTION_ARG_INT, &S_early_repeats,
+         "Requests of 100 that gateways may repeat early; 0: none", "N"},
         {"store-port", 0, 0, G_OPTION_ARG_INT, &S_store_port, "Store", "PORT"},
         {"calm", 0, 0, G_OPTION_ARG_NONE, &S_no_faults,
          "No faults; print a table", NULL},
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -154,9 +154,10 @@
                                       nor a silence; INT64_MAX while some may
                                       last */
 
-    unsigned events;      /* of a stream */
-    int deadline_ms;      /* of requests, and time-out of routes */
-    unsigned retry_slack; /* bound in the gateways' settings */
+    unsigned events;        /* of a stream */
+    int deadline_ms;        /* of requests, and time-out of routes */
+    unsigned retry_slack;   /* bound in the gateways' settings */
+    unsigned early_repeats; /* percentage in the gateways' settings; 0: off */
     uint16_t store_port;
     unsigned violations;
     unsigned answered_good;
