--- a/tests/gate/gateway_hedge_test.cc
+++ b/tests/gate/gateway_hedge_test.cc
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <csignal>
 #include <mutex>
+#include <sstream>
 #include <thread>
 
 namespace {
@@ -96,6 +97,18 @@
                    "boragespur_early_repeats_total{outcome=\"" + outcome +
                    "\"}") != std::string::npos;
     }
+    // The metrics whose names begin with NAME.
+    std::string MetricsOf(const std::string &name)
+    {
+        std::istringstream all(gateway_->Metrics());
+        std::string lines;
+        for (std::string line; std::getline(all, line);) {
+            if (line.compare(0, 11 + name.size(), "boragespur_" + name) == 0) {
+                lines += line + "\n";
+            }
+        }
+        return lines;
+    }
     // Sends subjects to PATH until one of them had OUTCOME; returns its answer
     // and sets id_.
     std::string AskUntil(const std::string &path, const std::string &outcome)
@@ -105,6 +118,7 @@
             id_ = "subject-" + std::to_string(i);
             begun_ = false;
             closed_ = 0;
+            retries_before_ = MetricsOf("retries_total");
             std::unique_ptr<Socket> caller = gateway_->Open();
             caller->Write(Call(path, id_, "Connection: close\r\n"));
             answer = caller->ReadAll();
@@ -139,6 +153,7 @@
     std::mutex mutex_;
     std::map<std::string, int> arrivals_;
     std::string id_;
+    std::string retries_before_;     // the metric before the last subject
     std::atomic<bool> begun_{false}; // the second attempt has arrived
     std::atomic<int> closed_{0};     // attempts that the gateway cancelled
 };
@@ -163,7 +178,8 @@
               std::string::npos);
 }
 
-// Guards against a request that ends with the refusal of its early repeat.
+// Guards against a request that ends with the refusal of its early repeat, or
+// is sent once more because of it.
 TEST_F(HedgeTest, ARefusedEarlyRepeatEndsNothing)
 {
     StartTwo(
@@ -181,6 +197,7 @@
     std::string answer = AskUntil("/look/1", "failed");
     EXPECT_TRUE(IsHealthy(answer, id_)) << answer;
     EXPECT_EQ(ArrivalsOf(id_), 2);
+    EXPECT_EQ(MetricsOf("retries_total"), retries_before_);
 }
 
 // Guards against a request that ends with the failure of its first attempt.
@@ -281,6 +298,7 @@
     AddSamples("/look/1");
     for (int i = 0; i < 5; i++) {
         std::string id = "subject-" + std::to_string(i);
+        std::string sent = MetricsOf("early_repeats_total");
         stopped = false;
         std::unique_ptr<Socket> caller = gateway_->Open();
         caller->Write(Call("/look/1", id, "Connection: close\r\n"));
@@ -292,6 +310,9 @@
         gateway_->Signal(SIGCONT);
         EXPECT_TRUE(IsHealthy(caller->ReadAll(), id));
         EXPECT_EQ(ArrivalsOf(id), before);
+        if (before == 1) {
+            EXPECT_EQ(MetricsOf("early_repeats_total"), sent);
+        }
     }
 }
 
