tests: early repeats of a fleet beside restarts

All requests are slow and a third of the processes restart every 7 s: in no window do more early repeats arrive than half of the retry budget, at 9, 89 and 344 instances.

--- a/tests/gate/hedge_test.cc
+++ b/tests/gate/hedge_test.cc
@@ -1,5 +1,8 @@
 // Early repeats: when one is sent, by the module alone, without a network.
 #include <gtest/gtest.h>
+#include <memory>
+#include <string>
+#include <vector>
 
 extern "C" {
 #include "hedge.h"
@@ -289,6 +292,104 @@
     EXPECT_EQ(Verdict(), "none");
 }
 
+// An instance that is asked about each of its requests, as if all were slow.
+class SlowInstance {
+  public:
+    SlowInstance(unsigned instances, int64_t now_ms)
+        : instances_(instances), hedges_(BsHedges_Create()),
+          retries_(BsRetryBudget_Create(kRatio, kSlack, kWindowMs, now_ms))
+    {
+        BsHedgeLimits limits = {20, 70, 95};
+        BsHedges_SetLimits(hedges_, &limits);
+    }
+    ~SlowInstance()
+    {
+        BsHedges_Destroy(hedges_);
+        BsRetryBudget_Destroy(retries_);
+    }
+    SlowInstance(const SlowInstance &) = delete;
+    SlowInstance &operator=(const SlowInstance &) = delete;
+    // Returns whether a request at NOW_MS is repeated early.  The early repeat
+    // is given up at once, and its upstream may read it later.
+    bool Request(int64_t now_ms)
+    {
+        BsHedges_AddRequest(hedges_, kService);
+        BsHedges_Observe(hedges_, kRoute, 100, now_ms);
+        BsRetryBudget_AddRequest(retries_, kService, now_ms);
+        BsHedgeRequest request = {};
+        request.service = kService;
+        request.route = kRoute;
+        request.due_ms = now_ms;
+        request.expires_ms = now_ms + 4000;
+        request.budget =
+            BsRetryBudget_Read(retries_, kService, instances_, now_ms);
+        if (BsHedges_Decide(hedges_, &request, now_ms) != BS_HEDGE_SEND ||
+            !BsRetryBudget_Take(retries_, kService, instances_, now_ms)) {
+            return false;
+        }
+        BsHedges_Take(hedges_, kService);
+        BsRetryBudget_Abandon(retries_, kService, now_ms);
+        return true;
+    }
+    BsRetryBudgetState Budget(int64_t now_ms)
+    {
+        return BsRetryBudget_Read(retries_, kService, instances_, now_ms);
+    }
+
+    static constexpr double kRatio = 0.2;
+    static constexpr double kSlack = 158;
+    static constexpr int64_t kWindowMs = 10000;
+
+  private:
+    unsigned instances_;
+    BsHedges *hedges_;
+    BsRetryBudget *retries_;
+};
+
+class HedgeFleet : public testing::TestWithParam<unsigned> {};
+
+// Guards against a fleet that sends more early repeats in a window than half
+// of the retry budget, where all requests are slow and processes restart, and
+// against early repeats that leave no retries for failures.
+TEST_P(HedgeFleet, StaysWithinHalfOfTheRetryBudgetBesideRestarts)
+{
+    const unsigned count = GetParam();
+    const int64_t step_ms = 100;
+    const int64_t end_ms = 60000;
+    std::vector<std::unique_ptr<SlowInstance>> fleet(count);
+    std::vector<int> sent(end_ms / step_ms);
+    int total = 0;
+    for (int64_t at_ms = 0; at_ms < end_ms; at_ms += step_ms) {
+        for (unsigned i = 0; i < count; i++) {
+            // Each third process is started again every 7 s.
+            if (fleet[i] == nullptr || (i % 3 == 0 && at_ms % 7000 == 0)) {
+                fleet[i] =
+                    std::make_unique<SlowInstance>(count, kStartMs + at_ms);
+            }
+            bool repeated = fleet[i]->Request(kStartMs + at_ms);
+            if (repeated) {
+                BsRetryBudgetState budget = fleet[i]->Budget(kStartMs + at_ms);
+                EXPECT_LE((double)budget.retries, budget.allowed / 2);
+            }
+            sent[at_ms / step_ms] += repeated ? 1 : 0;
+            total += repeated ? 1 : 0;
+        }
+    }
+    const int steps = SlowInstance::kWindowMs / step_ms;
+    const double bound =
+        SlowInstance::kRatio * steps * count + SlowInstance::kSlack;
+    for (int from = 0; from + steps <= (int)sent.size(); from++) {
+        int in_window = 0;
+        for (int i = from; i < from + steps; i++) {
+            in_window += sent[i];
+        }
+        EXPECT_LE(in_window, bound / 2) << "from " << from * step_ms;
+    }
+    EXPECT_GT(total, 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(Sizes, HedgeFleet, testing::Values(9U, 89U, 344U));
+
 // Guards against a request that is lost with an upstream that is gone, or
 // comes later than without the early repeat.
 TEST(HedgeHold, TheFirstIsKeptUnlessOnlyTheSecondIsKnownToBeReachable)
