--- a/src/gatesettings.h
+++ b/src/gatesettings.h
@@ -9,6 +9,7 @@
 #define BS_GATESETTINGS_H
 
 #include "boragespur.h"
+#include "hedge.h"
 
 #include <netinet/in.h>
 
@@ -44,6 +45,13 @@
                            the whole fleet; 0: none is ejected */
 } BsGateEjection;
 
+/* Early repeats of slow requests; NULL: the default. */
+typedef struct {
+    uint32_t *percent;           /* of the requests of a service */
+    uint32_t *occupancy_percent; /* of a service's slots; none above it */
+    uint32_t *percentile;        /* of the times of a route's answers */
+} BsGateEarlyRepeats;
+
 /* Settings of a gateway. */
 typedef struct {
     char *name;
@@ -61,6 +69,7 @@
     BsGateMachine machine;
     BsGateBounds bounds;
     BsGateEjection ejection;
+    BsGateEarlyRepeats early_repeats;
 } BsGateSettings;
 
 /* Reads and checks FILE; NULL with BS_ERR_SETTINGS set when it is missing or
@@ -74,6 +83,10 @@
 const char *BsGateSettings_Region(const BsGateSettings *settings,
                                   const char *data_centre);
 
+/* Returns the limits on early repeats, with the defaults of those that are not
+   set. */
+BsHedgeLimits BsGateSettings_EarlyRepeats(const BsGateSettings *settings);
+
 /* Parses IPv4:port into ADDRESS; returns whether TEXT is valid. */
 bool BsGateSettings_ParseAddress(const char *text,
                                  struct sockaddr_in *address);
--- a/src/gw_gateway.c
+++ b/src/gw_gateway.c
@@ -210,6 +210,8 @@
 {
     const BsGateBounds *bounds = &settings->bounds;
     BsTargets_SetProbeRate(gate->targets, settings->ejection.probe_per_s);
+    BsHedgeLimits early_repeats = BsGateSettings_EarlyRepeats(settings);
+    BsHedges_SetLimits(gate->hedges, &early_repeats);
     BsRetryBudget_SetBounds(gate->retries, bounds->retry_ratio,
                             bounds->retry_slack,
                             (int64_t)bounds->retry_window_s * MS_PER_S);
@@ -365,6 +367,9 @@
     gate->retries = BsRetryBudget_Create(
         bounds->retry_ratio, bounds->retry_slack,
         (int64_t)bounds->retry_window_s * MS_PER_S, gateway->started_ms);
+    BsHedgeLimits early_repeats = BsGateSettings_EarlyRepeats(settings);
+    gate->hedges = BsHedges_Create();
+    BsHedges_SetLimits(gate->hedges, &early_repeats);
     gate->queue = BsWaitQueue_Create();
     gate->predictors = BsPredictors_Create();
     gate->yields = BsYields_Create();
@@ -451,6 +456,7 @@
     BsTargets_Destroy(gate->targets);
     BsQuotas_Destroy(gate->quotas);
     BsRetryBudget_Destroy(gate->retries);
+    BsHedges_Destroy(gate->hedges);
     BsWaitQueue_Destroy(gate->queue);
     BsPredictors_Destroy(gate->predictors);
     BsYields_Destroy(gate->yields);
