gateway: an answer does not end before its request was received

An answer with neither a length nor chunks ends with its connection. The gateway took every orderly end of the connection for that, also while the request was still being written, so a part of an answer reached its caller as a complete response. Such an end now counts as a truncated answer: 502, a reset, or a resumed stream.

Bytes count as delivered once the upstream's system has acknowledged them. An empty buffer of the gateway says nothing: on loopback, the kernel accepted 4.1 MB from a sender whose peer reads nothing, 4.1 MB of it unacknowledged.

Ruled out: a reset alone (recv() or send() reports it, and each error ends the call as truncated); the error of a failed send on a reused connection that recv() then does not report again (no head can have been read at that point). An early answer with a length, and an answer without one after the whole request, are complete as before.

Early error answers without a length, for example 413 with the end of the connection, become 502, too: whether they are whole cannot be known.

--- a/src/gw_outbound.c
+++ b/src/gw_outbound.c
@@ -366,6 +366,17 @@
     S_destroy_connection(connection);
 }
 
+/* Returns whether the end of the connection, with ERROR_NUMBER, is the regular
+   end of the answer to CALL.  An upstream that ends it without having received
+   the whole request may have crashed in the middle of its answer. */
+static bool
+S_is_regular_end(const BsOutbound *call, int error_number)
+{
+    return error_number == 0 &&
+           BsStream_UndeliveredBytes(call->connection->stream) == 0 &&
+           BsHttpReader_Finish(call->reader);
+}
+
 static void
 S_on_end(int error_number, void *context)
 {
@@ -376,7 +387,7 @@
         S_destroy_connection(connection);
         return;
     }
-    bool complete = error_number == 0 && BsHttpReader_Finish(call->reader);
+    bool complete = S_is_regular_end(call, error_number);
     if (!call->ended) {
         S_fail(call, S_get_closed_end(call, complete));
     }
--- a/src/gw_outbound.h
+++ b/src/gw_outbound.h
@@ -22,7 +22,8 @@
 typedef enum {
     BS_OUTBOUND_DONE,      /* complete by its length, last chunk or status */
     BS_OUTBOUND_CLOSED,    /* neither a length nor chunks: ended with its
-                              connection, in order */
+                              connection, in order, after the upstream had
+                              received the whole request */
     BS_OUTBOUND_UNSENT,    /* not connected; no byte was sent */
     BS_OUTBOUND_BROKEN,    /* closed before a complete head; may have run */
     BS_OUTBOUND_TRUNCATED, /* the answer's body ended early or is malformed */
