gateway: only statuses from 100 to 599 are read

The reader of heads accepted any three digits. A status above 599 was passed on to the caller; one below 100 counted as interim, so that the next answer on the connection was taken for that of the request, and without one the upstream counted as crashed. Both are malformed now (502, answer_garbled).

Ruled out: statuses of two or four digits, with signs or letters, and interim statuses as the last ones were rejected before, also with a length and a body; interim ones before a final one pass.

Result: StatusTest and its kin before: 4 of 27 cases fail; after: 27 of 27 pass.

--- a/src/http1.c
+++ b/src/http1.c
@@ -6,7 +6,9 @@
 
 #define HEAD_END "\r\n\r\n"
 #define HEAD_END_BYTES 4
+#define STATUS_MIN 100
 #define STATUS_OK_MIN 200
+#define STATUS_MAX 599
 
 /* Limit of interim (1xx) responses before the final one: an upstream could
    send them without end. */
@@ -274,6 +276,9 @@
         }
         head->status = head->status * 10 + (uint32_t)(line[i] - '0');
     }
+    if (head->status < STATUS_MIN || head->status > STATUS_MAX) {
+        return false;
+    }
     head->old_version = line[7] == '0';
     head->keep_alive = line[7] == '1';
     return size_bytes == status_at + 3 || line[status_at + 3] == ' ';
