--- a/tests/contract/upstream_test.cc
+++ b/tests/contract/upstream_test.cc
@@ -19,6 +19,9 @@
            body;
 }
 
+// More than an upstream takes that reads the head of a request only.
+const size_t kUploadBytes = 300000;
+
 // Long enough for the request to reach the upstream on a busy machine.
 const char kShortDeadline[] = "Boragespur-Deadline-Ms: 3000";
 
@@ -313,6 +316,206 @@
     }
 }
 
+// A status line that is none, with the headers and body of a complete answer,
+// and interim statuses as the last ones.
+struct StatusCase {
+    const char *name;
+    const char *line;
+};
+
+const StatusCase kStatuses[] = {
+    {"Zero", "HTTP/1.1 000 X"},
+    {"One", "HTTP/1.1 001 X"},
+    {"BelowTheLowest", "HTTP/1.1 099 X"},
+    {"AboveTheHighest", "HTTP/1.1 600 X"},
+    {"Highest", "HTTP/1.1 999 X"},
+    {"TwoDigits", "HTTP/1.1 20 X"},
+    {"TwoDigitsOnly", "HTTP/1.1 20"},
+    {"FourDigits", "HTTP/1.1 2000 X"},
+    {"LeadingZero", "HTTP/1.1 0200 X"},
+    {"Signed", "HTTP/1.1 +20 X"},
+    {"Negative", "HTTP/1.1 -20 X"},
+    {"Letters", "HTTP/1.1 2OO X"},
+    {"None", "HTTP/1.1 "},
+    {"OldVersion", "HTTP/1.0 000 X"},
+    {"Continue", "HTTP/1.1 100 X"},
+    {"SwitchingProtocols", "HTTP/1.1 101 X"},
+    {"EarlyHints", "HTTP/1.1 103 X"},
+    {"HighestInterim", "HTTP/1.1 199 X"},
+};
+
+class InvalidStatus : public testing::TestWithParam<StatusCase> {};
+
+// Guards against a status that is none and reaches its caller, as an answer or
+// as one of another status.
+TEST_P(InvalidStatus, IsNoAnswer)
+{
+    for (const char *rest : {"Content-Length: 4\r\n\r\nbody", "\r\n"}) {
+        Server service([&](Socket &socket) {
+            socket.ReadMessage();
+            socket.Write(std::string(GetParam().line) + "\r\n" + rest);
+        });
+        Daemon daemon(FreePort(), service.port());
+        Answer answer = daemon.Send("POST", "/services/s/book", "{}",
+                                    {"Idempotency-Key: k"});
+        EXPECT_EQ(answer.status, 502) << rest << answer.body;
+        EXPECT_EQ(answer.outcome, "unknown") << rest << answer.body;
+    }
+}
+
+// Guards against an answer with such a status that is skipped like an interim
+// one, so that the one after it is taken for the answer.
+TEST(Upstream, ALowStatusIsNotSkipped)
+{
+    for (const char *line : {"HTTP/1.1 000 X", "HTTP/1.1 099 X"}) {
+        Server service([&](Socket &socket) {
+            socket.ReadMessage();
+            socket.Write(std::string(line) + "\r\n\r\n" +
+                         Http("200 OK", "", "late"));
+        });
+        Daemon daemon(FreePort(), service.port());
+        Answer answer = daemon.Send("POST", "/services/s/book", "{}",
+                                    {"Idempotency-Key: k"});
+        EXPECT_EQ(answer.status, 502) << line << answer.body;
+        EXPECT_EQ(answer.outcome, "unknown") << line << answer.body;
+    }
+}
+
+// Guards against an interim status that hides the final one, and against a
+// valid one that is rejected.
+TEST(Upstream, AFinalStatusFollowsInterimOnes)
+{
+    for (const char *line :
+         {"HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 102 X\r\n\r\n",
+          "HTTP/1.1 103 X\r\nLink: x\r\n\r\n",
+          "HTTP/1.1 100 X\r\n\r\nHTTP/1.1 103 X\r\n\r\n",
+          "HTTP/1.1 199 X\r\n\r\n", ""}) {
+        Server service([&](Socket &socket) {
+            socket.ReadMessage();
+            socket.Write(line + Http("599 X", "", "whole"));
+        });
+        Daemon daemon(FreePort(), service.port());
+        Answer answer = daemon.Send("POST", "/services/s/book", "{}",
+                                    {"Idempotency-Key: k"});
+        EXPECT_EQ(answer.status, 599) << line;
+        EXPECT_EQ(answer.body, "whole") << line;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Upstream, InvalidStatus, testing::ValuesIn(kStatuses),
+                         [](const auto &info) {
+                             return std::string(info.param.name);
+                         });
+
+// How an upstream that has read the head of a long request only ends the
+// connection in its answer.
+enum class CutKind { kReset, kCloseUnread, kHalfClose, kHalfCloseReset };
+
+struct CutCase {
+    const char *name;
+    CutKind kind;
+    const char *head;
+};
+
+const char kPlainHead[] = "HTTP/1.1 200 OK\r\n\r\n";
+const char kOldHead[] = "HTTP/1.0 200 OK\r\n\r\n";
+const char kEventsHead[] =
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+
+const CutCase kCuts[] = {
+    {"Reset", CutKind::kReset, kPlainHead},
+    {"ResetOfAnOldVersion", CutKind::kReset, kOldHead},
+    {"ResetOfEvents", CutKind::kReset, kEventsHead},
+    {"CloseUnread", CutKind::kCloseUnread, kPlainHead},
+    {"HalfClose", CutKind::kHalfClose, kPlainHead},
+    {"HalfCloseOfAnOldVersion", CutKind::kHalfClose, kOldHead},
+    {"HalfCloseOfEvents", CutKind::kHalfClose, kEventsHead},
+    {"HalfCloseAndReset", CutKind::kHalfCloseReset, kPlainHead},
+};
+
+class UploadCut : public testing::TestWithParam<CutCase> {
+  protected:
+    // Reads the head of a request only, with a small buffer for the rest.
+    static bool ReadHead(Socket &socket)
+    {
+        const int buffer_bytes = 4096;
+        setsockopt(socket.fd(), SOL_SOCKET, SO_RCVBUF, &buffer_bytes,
+                   sizeof(buffer_bytes));
+        std::string head;
+        char byte;
+        while (head.find("\r\n\r\n") == std::string::npos &&
+               recv(socket.fd(), &byte, 1, 0) == 1) {
+            head.push_back(byte);
+        }
+        return head.compare(0, 5, "POST ") == 0;
+    }
+    static void Cut(Socket &socket)
+    {
+        CutKind kind = GetParam().kind;
+        if (kind == CutKind::kHalfClose || kind == CutKind::kHalfCloseReset) {
+            socket.CloseWrite();
+        }
+        if (kind == CutKind::kReset || kind == CutKind::kHalfCloseReset) {
+            socket.Reset();
+        }
+        if (kind == CutKind::kHalfClose) {
+            usleep(500000); /* the daemon may end the connection before */
+        }
+    }
+};
+
+// Guards against a part of an answer that reaches its caller as complete, as
+// the upstream's connection ended while the request was still being written.
+TEST_P(UploadCut, APartIsNoCompleteAnswer)
+{
+    Server service([&](Socket &socket) {
+        if (ReadHead(socket)) {
+            socket.Write(std::string(GetParam().head) + "data: 1\n\n");
+            usleep(100000); /* the daemon reads it before the end */
+            Cut(socket);
+        }
+    });
+    Daemon daemon(FreePort(), service.port());
+    Answer answer =
+        daemon.Send("POST", "/services/s/book", std::string(kUploadBytes, 'x'),
+                    {"Idempotency-Key: k"});
+    EXPECT_EQ(answer.status, 502) << answer.body;
+    EXPECT_EQ(answer.outcome, "unknown") << answer.body;
+    EXPECT_EQ(answer.body.find("data: 1"), std::string::npos) << answer.body;
+}
+
+INSTANTIATE_TEST_SUITE_P(Upstream, UploadCut, testing::ValuesIn(kCuts),
+                         [](const auto &info) {
+                             return std::string(info.param.name);
+                         });
+
+// Guards against a complete early answer that is taken for a part of one, and
+// against the same of an answer that ends with its connection after the whole
+// request.
+TEST(Upstream, AnAnswerToALongRequestIsComplete)
+{
+    for (bool early : {true, false}) {
+        Server service([&](Socket &socket) {
+            char head[512];
+            if (early) {
+                recv(socket.fd(), head, sizeof(head), 0);
+                socket.Write(Http("200 OK", "", "whole"));
+                usleep(500000); /* a close beside unread bytes is a reset */
+                return;
+            }
+            socket.ReadMessage();
+            socket.Write(std::string(kPlainHead) + "whole");
+        });
+        Daemon daemon(FreePort(), service.port());
+        Answer answer = daemon.Send("POST", "/services/s/book",
+                                    std::string(kUploadBytes, 'x'),
+                                    {"Idempotency-Key: k"});
+        EXPECT_EQ(answer.status, 200) << early << answer.body;
+        EXPECT_EQ(answer.outcome, "ran") << early;
+        EXPECT_EQ(answer.body, "whole") << early;
+    }
+}
+
 // The reset may reach the daemon before or after it has sent the request; the
 // outcome is "not-run" in the first case and "unknown" in the second.
 TEST(Upstream, ResetAtConnectIsReportedAsObserved)
