boragespurd: a status above 599 is no answer

libcurl accepts statuses up to 999, and the daemon passed them on to the caller with the outcome ran. The transfer ends at such a status now, as upstream_failed with an unknown outcome.

Ruled out: 000, 001 and 099, statuses that are not three digits, and interim ones as the last ones: libcurl or the daemon rejected them before. Interim statuses before a final one pass.

--- a/src/d_transfer.c
+++ b/src/d_transfer.c
@@ -10,7 +10,9 @@
 #include <strings.h>
 
 #define STATUS_LINE "HTTP/"
+#define STATUS_MIN 100
 #define STATUS_FINAL 200 /* lower ones are interim */
+#define STATUS_MAX 599
 #define CONNECT_TIMEOUT_MS 1000L
 #define DEFAULT_TIMEOUT_MS 60000
 
@@ -158,6 +160,12 @@
                       &transfer->status);
 }
 
+static bool
+S_is_status(long status)
+{
+    return status >= STATUS_MIN && status <= STATUS_MAX;
+}
+
 static void
 S_note_framing(BsTransfer *transfer, const char *line, size_t size)
 {
@@ -226,7 +234,7 @@
     else {
         S_read_header(transfer, line, size);
     }
-    return size;
+    return S_is_status(transfer->status) ? size : 0; /* 0 ends the transfer */
 }
 
 /* Called by libcurl just before the request is sent on a connection.  Aborts a
@@ -324,6 +332,10 @@
                       "the answer ended within its head");
         answer->crashed = true;
     }
+    else if (transfer->status > STATUS_MAX) {
+        S_set_failure(answer, BS_ERR_UPSTREAM_FAILED, BS_OUTCOME_UNKNOWN,
+                      "the answer's status is above 599");
+    }
     else if (result != CURLE_OK) {
         S_set_failure(answer, BS_ERR_UPSTREAM_FAILED, BS_OUTCOME_UNKNOWN,
                       detail);
