boragespurd: an answer does not end before its request was received

libcurl closes the connection before it reports the end, so a callback counts, at the close, what the peer has not acknowledged; a connection is found by its local port. CURLINFO_SIZE_UPLOAD_T alone does not tell: on loopback, the kernel accepted 4.1 MB from a sender whose peer reads nothing.

The answer to HEAD counted as ended by its connection, as the mark for it was dropped with the first line of the head; by reading.

Ruled out: resets, which libcurl reports as failures.

--- a/src/d_curl.c
+++ b/src/d_curl.c
@@ -1,6 +1,12 @@
 /* d_curl.c - libcurl transfers driven by the event loop. */
 #include "d_curl.h"
 
+#include <arpa/inet.h>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #define MS_PER_S 1000.0
 
 typedef struct {
@@ -11,7 +17,8 @@
 struct BsCurl {
     BsLoop *loop;
     CURLM *multi;
-    GHashTable *jobs; /* easy handle to BsCurlJob */
+    GHashTable *jobs;    /* easy handle to BsCurlJob */
+    GArray *undelivered; /* int, local ports; see BsCurl_IsUndelivered() */
     ev_timer timer;
 };
 
@@ -44,6 +51,7 @@
 S_socket_action(BsCurl *curl, curl_socket_t fd, int action)
 {
     int running;
+    g_array_set_size(curl->undelivered, 0);
     curl_multi_socket_action(curl->multi, fd, action, &running);
     S_finish(curl);
 }
@@ -108,12 +116,38 @@
     return 0;
 }
 
+/* Returns the local port of the IPv4 socket FD, 0 when it has none. */
+static int
+S_local_port(curl_socket_t fd)
+{
+    struct sockaddr_in address = {0};
+    socklen_t size = sizeof(address);
+    if (getsockname(fd, (struct sockaddr *)&address, &size) != 0 ||
+        address.sin_family != AF_INET) {
+        return 0;
+    }
+    return ntohs(address.sin_port);
+}
+
+static int
+S_close_socket(void *context, curl_socket_t fd)
+{
+    BsCurl *curl = context;
+    int bytes = 0;
+    if (ioctl(fd, SIOCOUTQ, &bytes) == 0 && bytes > 0) {
+        int port = S_local_port(fd);
+        g_array_append_val(curl->undelivered, port);
+    }
+    return close(fd);
+}
+
 BsCurl *
 BsCurl_Create(BsLoop *loop, long pool)
 {
     BsCurl *curl = g_new0(BsCurl, 1);
     curl->loop = loop;
     curl->jobs = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+    curl->undelivered = g_array_new(FALSE, FALSE, sizeof(int));
     curl->multi = curl_multi_init();
     ev_timer_init(&curl->timer, S_on_timer, 0.0, 0.0);
     curl->timer.data = curl;
@@ -139,6 +173,7 @@
     curl_multi_cleanup(curl->multi);
     ev_timer_stop(BsLoop_Ev(curl->loop), &curl->timer);
     g_hash_table_destroy(curl->jobs);
+    g_array_unref(curl->undelivered);
     g_free(curl);
 }
 
@@ -150,9 +185,22 @@
     job->context = context;
     g_hash_table_insert(curl->jobs, easy, job);
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, S_close_socket);
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, curl);
     curl_multi_add_handle(curl->multi, easy);
 }
 
+bool
+BsCurl_IsUndelivered(const BsCurl *curl, int local_port)
+{
+    for (guint i = 0; i < curl->undelivered->len; i++) {
+        if (g_array_index(curl->undelivered, int, i) == local_port) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void
 BsCurl_Cancel(BsCurl *curl, CURL *easy)
 {
--- a/src/d_curl.h
+++ b/src/d_curl.h
@@ -29,6 +29,11 @@
 void BsCurl_Start(BsCurl *curl, CURL *easy, BsCurlDoneFunc done,
                   void *context);
 
+/* Returns whether the connection from LOCAL_PORT was closed, as its transfer
+   ended, with sent bytes that its peer had not received.  For DONE callbacks
+   only: the next call by the event loop forgets it. */
+bool BsCurl_IsUndelivered(const BsCurl *curl, int local_port);
+
 /* Aborts the transfer EASY without calling its callback, and frees it. */
 void BsCurl_Cancel(BsCurl *curl, CURL *easy);
 
--- a/src/d_transfer.c
+++ b/src/d_transfer.c
@@ -12,6 +12,8 @@
 #define STATUS_LINE "HTTP/"
 #define STATUS_MIN 100
 #define STATUS_FINAL 200 /* lower ones are interim */
+#define STATUS_NO_CONTENT 204
+#define STATUS_NOT_MODIFIED 304
 #define STATUS_MAX 599
 #define CONNECT_TIMEOUT_MS 1000L
 #define DEFAULT_TIMEOUT_MS 60000
@@ -40,6 +42,7 @@
     uint32_t cached_tokens;
     uint32_t usage_tokens;
     uint32_t sends; /* connections the request was sent on */
+    int local_port; /* of the first one */
     long status;
     char error[CURL_ERROR_SIZE];
     bool head_read;  /* the empty line after the headers of the answer, which
@@ -51,6 +54,7 @@
     bool framed;     /* a length or chunks mark the end of the answer */
     bool marked;     /* the head so far says that it did not start */
     bool unstarted;  /* the same, and the head has ended */
+    bool no_body;    /* the method is HEAD: the head ends the answer */
     bool paused;
 };
 
@@ -181,7 +185,7 @@
 S_begin_head(BsTransfer *transfer)
 {
     transfer->head_read = false;
-    transfer->framed = false;
+    transfer->framed = transfer->no_body;
     transfer->events = false;
     transfer->marked = false;
     transfer->unstarted = false;
@@ -248,8 +252,10 @@
     (void)remote_ip;
     (void)local_ip;
     (void)remote_port;
-    (void)local_port;
     transfer->sends++;
+    if (transfer->sends == 1) {
+        transfer->local_port = local_port;
+    }
     return transfer->sends == 1 ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
 }
 
@@ -312,6 +318,31 @@
     return !BsStreamEnd_IsComplete(&end);
 }
 
+/* Returns whether the end of the connection marks the end of the answer. */
+static bool
+S_ends_with_connection(const BsTransfer *transfer)
+{
+    return !transfer->framed && transfer->status != STATUS_NO_CONTENT &&
+           transfer->status != STATUS_NOT_MODIFIED;
+}
+
+/* Returns whether the upstream may have crashed in the middle of its answer:
+   it ended the connection, which marks the answer's end, without having
+   received the whole request. */
+static bool
+S_is_cut_off(const BsTransfer *transfer)
+{
+    curl_off_t sent = 0;
+    size_t size =
+        transfer->body == NULL ? 0 : g_bytes_get_size(transfer->body);
+    if (!S_ends_with_connection(transfer)) {
+        return false;
+    }
+    curl_easy_getinfo(transfer->easy, CURLINFO_SIZE_UPLOAD_T, &sent);
+    return (size_t)sent < size ||
+           BsCurl_IsUndelivered(transfer->curl, transfer->local_port);
+}
+
 /* Sets the error and outcome of the final piece from the result of the
    transfer. */
 static void
@@ -341,6 +372,11 @@
                       detail);
         answer->crashed = S_is_crash(transfer, result);
     }
+    else if (S_is_cut_off(transfer)) {
+        S_set_failure(answer, BS_ERR_UPSTREAM_FAILED, BS_OUTCOME_UNKNOWN,
+                      "the answer ended before its request was received");
+        answer->crashed = true;
+    }
     else if (S_is_broken_off(transfer)) {
         S_set_failure(answer, BS_ERR_UPSTREAM_FAILED, BS_OUTCOME_UNKNOWN,
                       transfer->model
@@ -437,7 +473,7 @@
     }
     if (strcmp(request->method, "HEAD") == 0) {
         curl_easy_setopt(transfer->easy, CURLOPT_NOBODY, 1L);
-        transfer->framed = true;
+        transfer->no_body = true;
     }
     curl_easy_setopt(transfer->easy, CURLOPT_CUSTOMREQUEST, request->method);
 }
