tests: upstream tests wait until the gateway allows repeats

The retry budget of a process grows with its age, by 1.45 a millisecond in these tests, and allows no repeat in its first millisecond; the test needs one. The 503 was true.

The fixtures now wait 20 ms once the gateway is ready. The process cannot be younger then, on any machine; what the cases check is unchanged.

--- a/tests/gate/gateway_fixture.h
+++ b/tests/gate/gateway_fixture.h
@@ -5,8 +5,10 @@
 #include "gate_harness.h"
 
 #include <algorithm>
+#include <chrono>
 #include <cstdlib>
 #include <gtest/gtest.h>
+#include <thread>
 
 // Reads from SOCKET until the text contains MARK or the connection ends.
 inline std::string
@@ -21,6 +23,18 @@
     return text;
 }
 
+// Age from which a gateway allows a test's repeats: with Config() and the
+// harness's settings its retry budget grows by 1.45 a millisecond and allows
+// none in the first one.
+constexpr std::chrono::milliseconds kRepeatsFrom(20);
+
+// Waits until a gateway, which is ready now, is old enough to repeat requests.
+inline void
+WaitForRepeats()
+{
+    std::this_thread::sleep_for(kRepeatsFrom);
+}
+
 // Upstream I runs script I and is listed in the store as Name(I).
 class GatewayTest : public testing::Test {
   protected:
@@ -36,6 +50,7 @@
         ASSERT_TRUE(gateway_->WaitReady());
         ASSERT_TRUE(gateway_->WaitMetric("boragespur_upstreams " +
                                          std::to_string(scripts.size())));
+        WaitForRepeats();
     }
     static std::string Name(size_t index)
     {
--- a/tests/gate/gateway_refused_test.cc
+++ b/tests/gate/gateway_refused_test.cc
@@ -37,6 +37,7 @@
         ASSERT_TRUE(gateway_->WaitReady());
         ASSERT_TRUE(gateway_->WaitMetric("boragespur_upstreams " +
                                          std::to_string(handlers.size())));
+        WaitForRepeats();
     }
     void List(size_t index, const std::string &extra = "")
     {
