targets: The choice judges each upstream with a reason and the parts of its cost

One function judges whether an upstream can take a request and returns the first reason against it; the cost is a struct whose sum decides. An observer sees each judgement, so that an explanation can use the evaluation of the choice itself.

--- a/src/targetchoice.c
+++ b/src/targetchoice.c
@@ -80,16 +80,40 @@
     return false;
 }
 
+/* Returns BS_TARGET_ELIGIBLE if the settings, the list and the target's own
+   reports let TARGET get the request, or why not. */
+static BsTargetReason
+S_judge_open(const BsTarget *target, const BsTargetQuery *query,
+             int64_t now_ms)
+{
+    if (BsTarget_IsLeaving(target)) {
+        return BS_TARGET_LEAVING;
+    }
+    if (target->usable_until_ms <= now_ms) {
+        return BS_TARGET_UNLISTED;
+    }
+    if (target->region == NULL) {
+        return BS_TARGET_REGION_UNKNOWN;
+    }
+    if (target->closed) {
+        return BS_TARGET_CLOSED;
+    }
+    if (S_is_excluded(query, target->id)) {
+        return BS_TARGET_EXCLUDED;
+    }
+    if (query->version != 0 && query->version != target->version_hash) {
+        return BS_TARGET_OTHER_VERSION;
+    }
+    bool allowed =
+        BsCatalog_AllowsRegion(query->route, query->account, target->region);
+    return allowed ? BS_TARGET_ELIGIBLE : BS_TARGET_OTHER_REGION;
+}
+
 bool
 BsTarget_IsOpen(const BsTarget *target, const BsTargetQuery *query,
                 int64_t now_ms)
 {
-    return !BsTarget_IsLeaving(target) && target->usable_until_ms > now_ms &&
-           target->region != NULL && !target->closed &&
-           !S_is_excluded(query, target->id) &&
-           (query->version == 0 || query->version == target->version_hash) &&
-           BsCatalog_AllowsRegion(query->route, query->account,
-                                  target->region);
+    return S_judge_open(target, query, now_ms) == BS_TARGET_ELIGIBLE;
 }
 
 /* Returns the time per event or answer relative to USUAL_MS, the mean of the
@@ -151,40 +175,39 @@
     return context;
 }
 
-/* Returns the cost of the request at TARGET, in milliseconds; lower is
-   better. */
-static double
+/* Returns the cost of the request at TARGET; lower is better. */
+static BsTargetCost
 S_cost(const BsTarget *target, const BsTargetQuery *query,
        const BsTargetContext *context, int64_t now_ms)
 {
     double pace = S_pace(target, context->usual_pace_ms);
     double error = target->error_ratio - context->best_error;
-    double cost;
+    BsTargetCost cost = {0};
     if (query->service->engine) {
         double own = target == context->affine ? 0 : query->prompt_tokens;
         double waiting = (double)target->own_waiting_tokens;
-        cost = pace * ((own + waiting) / PREFILL_TOKENS_PER_MS +
-                       STEP_MS * query->output_tokens / 4);
-        cost += pace * STEP_MS * 4 * BsTarget_Load(target);
+        cost.work_ms = pace * ((own + waiting) / PREFILL_TOKENS_PER_MS +
+                               STEP_MS * query->output_tokens / 4);
+        cost.load_ms = pace * STEP_MS * 4 * BsTarget_Load(target);
     }
     else {
-        cost = pace * PLAIN_MS * (1.0 + (double)BsTarget_Load(target));
+        cost.load_ms = pace * PLAIN_MS * (1.0 + (double)BsTarget_Load(target));
     }
     if (error > ERROR_TOLERATED) {
-        cost += (error - ERROR_TOLERATED) * ERROR_COST_MS;
+        cost.error_ms = (error - ERROR_TOLERATED) * ERROR_COST_MS;
     }
     if (!target->same_region) {
-        cost += OTHER_REGION_COST_MS;
+        cost.distance_ms = OTHER_REGION_COST_MS;
     }
     else if (!target->local) {
-        cost += OTHER_DATA_CENTRE_COST_MS;
+        cost.distance_ms = OTHER_DATA_CENTRE_COST_MS;
     }
     if (BsTarget_IsCold(target, now_ms)) {
-        cost += COLD_COST_MS;
+        cost.cold_ms = COLD_COST_MS;
     }
     if (target->limit.per_s > 0 &&
         now_ms - target->limit.told_ms >= LIMIT_CHECK_MS) {
-        cost -= LIMIT_CHECK_GAIN_MS;
+        cost.limit_check_ms = -LIMIT_CHECK_GAIN_MS;
     }
     return cost;
 }
@@ -207,12 +230,12 @@
     return targets->remote_age_ms > REMOTE_FRESH_MS && !target->local;
 }
 
-/* Returns whether TARGET has a free slot beyond those to be kept free.  If its
-   load is an estimate, REMOTE_FREE_SLOTS must be free and this instance must
-   have fewer than REMOTE_OWN_MAX requests there. */
-static bool
-S_has_free_slot(const BsTargets *targets, const BsTarget *target,
-                const BsTargetQuery *query)
+/* Returns BS_TARGET_ELIGIBLE if TARGET has a free slot beyond those to be kept
+   free.  If its load is an estimate, REMOTE_FREE_SLOTS must be free and this
+   instance must have fewer than REMOTE_OWN_MAX requests there. */
+static BsTargetReason
+S_judge_slots(const BsTargets *targets, const BsTarget *target,
+              const BsTargetQuery *query)
 {
     uint32_t reserved =
         MIN(query->reserved_slots, target->slots / SLOTS_PER_RESERVED_SLOT);
@@ -220,10 +243,14 @@
     if (BsTargets_IsEstimated(targets, target)) {
         wanted = MAX(wanted, REMOTE_FREE_SLOTS);
         if (target->own >= REMOTE_OWN_MAX) {
-            return false;
+            return BS_TARGET_OWN_ENOUGH;
         }
     }
-    return BsTarget_Load(target) + wanted <= target->slots;
+    uint32_t load = BsTarget_Load(target);
+    if (load + wanted <= target->slots) {
+        return BS_TARGET_ELIGIBLE;
+    }
+    return load < target->slots ? BS_TARGET_RESERVED : BS_TARGET_FULL;
 }
 
 static BsTargetAllowance *
@@ -330,47 +357,69 @@
     return (double)(XXH3_64bits(parts, sizeof(parts)) % REMOTE_JITTER_MS);
 }
 
-/* Returns whether TARGET is expected to answer: it has not requested a pause,
-   and the pause after a failure or refusal is over.  After a failure only one
-   request is sent to it as a probe. */
-static bool
-S_is_available(const BsTarget *target, int64_t now_ms)
+/* Returns BS_TARGET_ELIGIBLE if TARGET is expected to answer: it has not
+   requested a pause, and the pause after a failure or refusal is over.  After
+   a failure only one request is sent to it as a probe. */
+static BsTargetReason
+S_judge_health(const BsTarget *target, int64_t now_ms)
 {
     if (target->requested_pause_until_ms > now_ms) {
-        return false;
+        return BS_TARGET_PAUSE_REQUESTED;
     }
-    if (target->failures == 0) {
-        return target->retry_at_ms <= now_ms;
+    if (target->retry_at_ms > now_ms) {
+        return BS_TARGET_PAUSED;
     }
-    return target->retry_at_ms <= now_ms && target->own == 0;
+    bool probed = target->failures > 0 && target->own > 0;
+    return probed ? BS_TARGET_PROBED : BS_TARGET_ELIGIBLE;
 }
 
-/* Returns whether TARGET can take the request now.  If not, lowers VERDICT to
-   the reason; over all targets the lowest one, the soonest to pass, stays. */
-static bool
-S_can_take(const BsTargets *targets, BsTarget *target,
-           const BsTargetQuery *query, int64_t now_ms,
-           BsTargetVerdict *verdict)
+BsTargetReason
+BsTargets_Judge(const BsTargets *targets, BsTarget *target,
+                const BsTargetQuery *query, int64_t now_ms)
 {
-    if (!BsTarget_IsOpen(target, query, now_ms) ||
-        target->last_received_ms < query->spoke_since_ms) {
-        return false;
+    BsTargetReason reason = S_judge_open(target, query, now_ms);
+    if (reason != BS_TARGET_ELIGIBLE) {
+        return reason;
     }
-    if (!S_is_available(target, now_ms) ||
-        !S_has_free_slot(targets, target, query)) {
-        *verdict = MIN(*verdict, BS_TARGET_BUSY);
-        return false;
+    if (target->last_received_ms < query->spoke_since_ms) {
+        return BS_TARGET_QUIET;
+    }
+    reason = S_judge_health(target, now_ms);
+    if (reason != BS_TARGET_ELIGIBLE) {
+        return reason;
+    }
+    reason = S_judge_slots(targets, target, query);
+    if (reason != BS_TARGET_ELIGIBLE) {
+        return reason;
     }
     if (BsTarget_IsCold(target, now_ms) &&
         !BsTargets_AllowsCold(targets, target, query->service, now_ms)) {
-        *verdict = MIN(*verdict, BS_TARGET_COLD);
-        return false;
+        return BS_TARGET_COLD_LIMITED;
     }
-    if (!BsTargets_AllowsLimit(targets, target, now_ms)) {
-        *verdict = MIN(*verdict, BS_TARGET_COLD);
-        return false;
+    return BsTargets_AllowsLimit(targets, target, now_ms)
+               ? BS_TARGET_ELIGIBLE
+               : BS_TARGET_NAMED_LIMITED;
+}
+
+/* Returns the verdict when a target that was left for REASON is the one that
+   can take a request soonest. */
+static BsTargetVerdict
+S_verdict(BsTargetReason reason)
+{
+    switch (reason) {
+    case BS_TARGET_PAUSE_REQUESTED:
+    case BS_TARGET_PAUSED:
+    case BS_TARGET_PROBED:
+    case BS_TARGET_OWN_ENOUGH:
+    case BS_TARGET_FULL:
+    case BS_TARGET_RESERVED:
+        return BS_TARGET_BUSY;
+    case BS_TARGET_COLD_LIMITED:
+    case BS_TARGET_NAMED_LIMITED:
+        return BS_TARGET_COLD;
+    default:
+        return BS_TARGET_NONE;
     }
-    return true;
 }
 
 /* Which targets are considered. */
@@ -380,51 +429,91 @@
     SELECT_ESTIMATED /* those whose load is an estimate */
 } BsTargetSelection;
 
-/* Returns whether TARGET is one of those that SELECTION names. */
-static bool
-S_is_selected(const BsTargets *targets, const BsTarget *target,
-              const BsTargetContext *context, BsTargetSelection selection,
-              int64_t now_ms)
+/* Returns BS_TARGET_ELIGIBLE if TARGET is one of those that SELECTION names,
+   or why it isn't. */
+static BsTargetReason
+S_judge_selection(const BsTargets *targets, const BsTarget *target,
+                  const BsTargetContext *context, BsTargetSelection selection,
+                  int64_t now_ms)
 {
     if (BsTargets_IsEstimated(targets, target) !=
         (selection == SELECT_ESTIMATED)) {
-        return false;
+        return BS_TARGET_OTHER_PASS;
     }
     if (selection != SELECT_SAMPLE || target == context->affine) {
-        return true;
+        return BS_TARGET_ELIGIBLE;
     }
     uint64_t parts[3] = {target->hash, targets->address, (uint64_t)now_ms};
     uint64_t one_in =
         CLAMP(context->local / SAMPLE_LOCAL, 1, SAMPLE_ONE_IN_MAX);
-    return XXH3_64bits(parts, sizeof(parts)) % one_in == 0;
+    return XXH3_64bits(parts, sizeof(parts)) % one_in == 0
+               ? BS_TARGET_ELIGIBLE
+               : BS_TARGET_NOT_SAMPLED;
+}
+
+/* Returns BS_TARGET_ELIGIBLE if TARGET is one of those that SELECTION names
+   and can take the request now, or why not. */
+static BsTargetReason
+S_judge(BsTargets *targets, BsTarget *target, const BsTargetQuery *query,
+        const BsTargetContext *context, BsTargetSelection selection,
+        int64_t now_ms)
+{
+    BsTargetReason reason =
+        S_judge_selection(targets, target, context, selection, now_ms);
+    if (reason == BS_TARGET_ELIGIBLE) {
+        reason = BsTargets_Judge(targets, target, query, now_ms);
+    }
+    if (reason == BS_TARGET_ELIGIBLE && selection == SELECT_ESTIMATED &&
+        !S_is_allowed(targets, target)) {
+        reason = BS_TARGET_NO_ALLOWANCE;
+    }
+    return reason;
+}
+
+/* Returns the part of the cost that spreads the requests of all instances. */
+static double
+S_selection_jitter(const BsTargets *targets, const BsTarget *target,
+                   BsTargetSelection selection, int64_t now_ms)
+{
+    switch (selection) {
+    case SELECT_ESTIMATED:
+        return S_jitter(targets, target, now_ms);
+    case SELECT_SAMPLE:
+        return S_jitter(targets, target, now_ms) / SAMPLE_JITTER_DIVISOR;
+    default:
+        return 0;
+    }
 }
 
 /* Returns the cheapest of the targets that SELECTION names and that can take
-   the request, or NULL. */
+   the request, or NULL.  Lowers VERDICT to the reason why others cannot; over
+   all targets the lowest one, the soonest to pass, stays. */
 static BsTarget *
 S_cheapest(BsTargets *targets, const GPtrArray *list,
            const BsTargetQuery *query, const BsTargetContext *context,
            BsTargetSelection selection, int64_t now_ms,
-           BsTargetVerdict *verdict)
+           BsTargetVerdict *verdict, const BsTargetObserver *observer)
 {
     BsTarget *best = NULL;
     double best_cost = HUGE_VAL;
     for (guint i = 0; i < list->len; i++) {
         BsTarget *target = list->pdata[i];
-        if (!S_is_selected(targets, target, context, selection, now_ms) ||
-            !S_can_take(targets, target, query, now_ms, verdict) ||
-            (selection == SELECT_ESTIMATED &&
-             !S_is_allowed(targets, target))) {
+        BsTargetJudgement judgement = {
+            .reason =
+                S_judge(targets, target, query, context, selection, now_ms)};
+        bool eligible = judgement.reason == BS_TARGET_ELIGIBLE;
+        *verdict = MIN(*verdict, S_verdict(judgement.reason));
+        if (!eligible && observer == NULL) {
             continue;
         }
-        double cost = S_cost(target, query, context, now_ms);
-        if (selection == SELECT_ESTIMATED) {
-            cost += S_jitter(targets, target, now_ms);
-        }
-        else if (selection == SELECT_SAMPLE) {
-            cost += S_jitter(targets, target, now_ms) / SAMPLE_JITTER_DIVISOR;
+        judgement.cost = S_cost(target, query, context, now_ms);
+        judgement.cost.jitter_ms =
+            S_selection_jitter(targets, target, selection, now_ms);
+        if (observer != NULL) {
+            observer->on_judged(target, &judgement, observer->context);
         }
-        if (cost < best_cost) {
+        double cost = BsTargetCost_Sum(&judgement.cost);
+        if (eligible && cost < best_cost) {
             best = target;
             best_cost = cost;
         }
@@ -433,8 +522,9 @@
 }
 
 BsTarget *
-BsTargets_Choose(BsTargets *targets, const BsTargetQuery *query,
-                 int64_t now_ms, BsTargetVerdict *verdict)
+BsTargets_ChooseObserved(BsTargets *targets, const BsTargetQuery *query,
+                         int64_t now_ms, BsTargetVerdict *verdict,
+                         const BsTargetObserver *observer)
 {
     const GPtrArray *list =
         g_hash_table_lookup(targets->services, query->service->name);
@@ -445,7 +535,7 @@
     BsTargetContext context = S_summarize(list, query, now_ms);
     BsTarget *best = S_cheapest(targets, list, query, &context,
                                 targets->summed ? SELECT_SAMPLE : SELECT_KNOWN,
-                                now_ms, verdict);
+                                now_ms, verdict, observer);
     if (targets->summed && context.open > 0) {
         /* A target outside the sample may have a free slot. */
         *verdict = MIN(*verdict, BS_TARGET_BUSY);
@@ -454,7 +544,7 @@
         bool no_local = *verdict == BS_TARGET_NONE;
         S_fill_allowances(targets, list, query, &context, no_local, now_ms);
         best = S_cheapest(targets, list, query, &context, SELECT_ESTIMATED,
-                          now_ms, verdict);
+                          now_ms, verdict, observer);
     }
     if (best != NULL) {
         *verdict = BS_TARGET_CHOSEN;
@@ -462,6 +552,13 @@
     return best;
 }
 
+BsTarget *
+BsTargets_Choose(BsTargets *targets, const BsTargetQuery *query,
+                 int64_t now_ms, BsTargetVerdict *verdict)
+{
+    return BsTargets_ChooseObserved(targets, query, now_ms, verdict, NULL);
+}
+
 int64_t
 BsTargets_RequestedPauseMs(const BsTargets *targets,
                            const BsTargetQuery *query, int64_t now_ms)
--- a/src/targets_private.h
+++ b/src/targets_private.h
@@ -8,6 +8,7 @@
 #ifndef BS_TARGETS_PRIVATE_H
 #define BS_TARGETS_PRIVATE_H
 
+#include "targetjudgement.h"
 #include "targets.h"
 
 /* The loads that a peer last reported. */
@@ -95,6 +96,25 @@
 bool BsTarget_IsOpen(const BsTarget *target, const BsTargetQuery *query,
                      int64_t now_ms);
 
+/* Told of each target that the choice judges, with its cost even if it is not
+   eligible.  A target may be judged in two passes. */
+typedef struct {
+    void (*on_judged)(BsTarget *target, const BsTargetJudgement *judgement,
+                      void *context);
+    void *context;
+} BsTargetObserver;
+
+/* As BsTargets_Choose(); OBSERVER may be NULL. */
+BsTarget *BsTargets_ChooseObserved(BsTargets *targets,
+                                   const BsTargetQuery *query, int64_t now_ms,
+                                   BsTargetVerdict *verdict,
+                                   const BsTargetObserver *observer);
+
+/* Returns BS_TARGET_ELIGIBLE if TARGET can take the request now, whichever
+   targets are considered, or why not. */
+BsTargetReason BsTargets_Judge(const BsTargets *targets, BsTarget *target,
+                               const BsTargetQuery *query, int64_t now_ms);
+
 /* Returns the target with the hash HASH, of which the lower 32 bits count, or
    NULL. */
 BsTarget *BsTargets_FindHash(const BsTargets *targets, uint64_t hash);
