quota, yield, catalog: Looks that change nothing

BsQuotas_Peek() and BsYields_Peek() return what the next BsQuotas_Take() and BsYields_Share() would, by the same code. BsCatalog_FindAccount() finds an account by its name, as the key is not known to an operator.

--- a/src/catalog.c
+++ b/src/catalog.c
@@ -185,6 +185,12 @@
     return g_hash_table_lookup(catalog->services, name);
 }
 
+const BsCatalogAccount *
+BsCatalog_FindAccount(const BsCatalog *catalog, const char *name)
+{
+    return g_hash_table_lookup(catalog->accounts, name);
+}
+
 const BsCatalogAccount *
 BsCatalog_FindKey(const BsCatalog *catalog, const char *key)
 {
--- a/src/catalog.h
+++ b/src/catalog.h
@@ -109,6 +109,10 @@
 const BsCatalogService *BsCatalog_FindService(const BsCatalog *catalog,
                                               const char *name);
 
+/* Returns the account NAME, or NULL. */
+const BsCatalogAccount *BsCatalog_FindAccount(const BsCatalog *catalog,
+                                              const char *name);
+
 /* Returns the account that holds KEY, or NULL. */
 const BsCatalogAccount *BsCatalog_FindKey(const BsCatalog *catalog,
                                           const char *key);
--- a/src/quota.c
+++ b/src/quota.c
@@ -173,11 +173,12 @@
         S_refill_one(bucket->tolerated, passed_s, per_s * over, most, used);
 }
 
-int64_t
-BsQuotas_Take(BsQuotas *quotas, const BsCatalogAccount *account, uint64_t cost,
-              bool tolerant, int64_t now_ms)
+/* As BsQuotas_Take(), with the bucket of ACCOUNT. */
+static int64_t
+S_take(const BsQuotas *quotas, BsQuotaBucket *bucket,
+       const BsCatalogAccount *account, uint64_t cost, bool tolerant,
+       int64_t now_ms)
 {
-    BsQuotaBucket *bucket = S_find_or_add(quotas, account->name);
     if (account->per_s > 0) {
         S_refill(quotas, bucket, account, now_ms);
         bool admitted =
@@ -194,6 +195,27 @@
     return 0;
 }
 
+int64_t
+BsQuotas_Take(BsQuotas *quotas, const BsCatalogAccount *account, uint64_t cost,
+              bool tolerant, int64_t now_ms)
+{
+    return S_take(quotas, S_find_or_add(quotas, account->name), account, cost,
+                  tolerant, now_ms);
+}
+
+int64_t
+BsQuotas_Peek(BsQuotas *quotas, const BsCatalogAccount *account, uint64_t cost,
+              bool tolerant, int64_t now_ms)
+{
+    const BsQuotaBucket *bucket =
+        g_hash_table_lookup(quotas->buckets, account->name);
+    BsQuotaBucket copy = {0};
+    if (bucket != NULL) {
+        copy = *bucket;
+    }
+    return S_take(quotas, &copy, account, cost, tolerant, now_ms);
+}
+
 int64_t
 BsQuotas_Left(BsQuotas *quotas, const BsCatalogAccount *account)
 {
--- a/src/quota.h
+++ b/src/quota.h
@@ -51,6 +51,10 @@
 int64_t BsQuotas_Take(BsQuotas *quotas, const BsCatalogAccount *account,
                       uint64_t cost, bool tolerant, int64_t now_ms);
 
+/* Returns what BsQuotas_Take() would return, and takes nothing. */
+int64_t BsQuotas_Peek(BsQuotas *quotas, const BsCatalogAccount *account,
+                      uint64_t cost, bool tolerant, int64_t now_ms);
+
 /* Returns the level of the bucket of ACCOUNT; below 0 after overuse. */
 int64_t BsQuotas_Left(BsQuotas *quotas, const BsCatalogAccount *account);
 
--- a/src/yield.c
+++ b/src/yield.c
@@ -116,24 +116,46 @@
     }
 }
 
-double
-BsYields_Share(BsYields *yields, const char *service, BsYieldRank rank,
-               int64_t now_ms)
+/* Returns the share of STATE at NOW_MS. */
+static double
+S_share(const GArray *states, const BsYieldState *state, int64_t now_ms)
 {
-    GArray *states = S_states(yields, service);
-    bool pressed = S_is_under_pressure(states, rank, now_ms);
-    BsYieldState *state = S_state(states, rank);
+    double share = state->share;
     int64_t passed_ms = now_ms - state->updated_ms;
     if (state->updated_ms == 0 || passed_ms > STALE_MS) {
-        state->share = 1;
+        share = 1;
     }
-    else if (pressed) {
-        state->share -= (double)passed_ms / SHARE_FALL_MS;
+    else if (S_is_under_pressure(states, state->rank, now_ms)) {
+        share -= (double)passed_ms / SHARE_FALL_MS;
     }
     else {
-        state->share += (double)passed_ms / SHARE_RISE_MS;
+        share += (double)passed_ms / SHARE_RISE_MS;
     }
-    state->share = CLAMP(state->share, SHARE_MIN, 1);
+    return CLAMP(share, SHARE_MIN, 1);
+}
+
+double
+BsYields_Share(BsYields *yields, const char *service, BsYieldRank rank,
+               int64_t now_ms)
+{
+    GArray *states = S_states(yields, service);
+    BsYieldState *state = S_state(states, rank);
+    state->share = S_share(states, state, now_ms);
     state->updated_ms = now_ms;
     return state->share;
 }
+
+double
+BsYields_Peek(const BsYields *yields, const char *service, BsYieldRank rank,
+              int64_t now_ms)
+{
+    const GArray *states = g_hash_table_lookup(yields->services, service);
+    for (guint i = 0; states != NULL && i < states->len; i++) {
+        const BsYieldState *state = &g_array_index(states, BsYieldState, i);
+        if (state->rank.account == rank.account &&
+            state->rank.route == rank.route) {
+            return S_share(states, state, now_ms);
+        }
+    }
+    return 1;
+}
--- a/src/yield.h
+++ b/src/yield.h
@@ -41,4 +41,8 @@
 double BsYields_Share(BsYields *yields, const char *service, BsYieldRank rank,
                       int64_t now_ms);
 
+/* Returns what BsYields_Share() would return, and changes nothing. */
+double BsYields_Peek(const BsYields *yields, const char *service,
+                     BsYieldRank rank, int64_t now_ms);
+
 #endif /* BS_YIELD_H */
--- a/tests/gate/yield_test.cc
+++ b/tests/gate/yield_test.cc
@@ -49,6 +49,19 @@
     }
 }
 
+// Guards against a look at the share that moves it.
+TEST_F(Yield, PeekShowsTheShareAndChangesNothing)
+{
+    EXPECT_EQ(BsYields_Peek(yields_, "desk", kRoutine, kStartMs), 1);
+    NoteLongWaits(kUrgent, kStartMs, kStartMs + 500);
+    for (int64_t ms = 10; ms <= 200; ms += 10) {
+        BsYields_Peek(yields_, "desk", kRoutine, kStartMs + 500 + ms);
+    }
+    double seen = BsYields_Peek(yields_, "desk", kRoutine, kStartMs + 700);
+    EXPECT_LT(seen, 0.6);
+    EXPECT_EQ(Share(kRoutine, kStartMs + 700), seen);
+}
+
 // While urgent requests wait long, fewer routine requests start, but never
 // less than the minimum share: their long answers would occupy the slots.
 TEST_F(Yield, PressureLowersShareToMinimum)
