--- a/src/targetjudgement.h
+++ b/src/targetjudgement.h
@@ -31,8 +31,9 @@
     BS_TARGET_RESERVED,      /* its free slots are kept free */
     BS_TARGET_COLD_LIMITED,  /* by the limit of its service for cold ones */
     BS_TARGET_NAMED_LIMITED, /* by the limit that it named */
-    BS_TARGET_NO_ALLOWANCE   /* the allowance of its data centre, whose load
+    BS_TARGET_NO_ALLOWANCE,  /* the allowance of its data centre, whose load
                                 is an estimate, is used up */
+    BS_TARGET_REASONS        /* number of the reasons */
 } BsTargetReason;
 
 /* The parts of the cost of a request at a target, in milliseconds. */
