gateway: GET /explain tells where a request would go now, and why

The request is described by host, path, account and token counts. The decision comes from the code that decides about requests, by looks that change nothing.

--- a/src/gw_gatewayparts.h
+++ b/src/gw_gatewayparts.h
@@ -1,7 +1,8 @@
 /*
  * gw_gatewayparts.h - the state of the gateway process, shared by
  * gw_gateway.c (start, event loop, signals, end), gw_published.c (items that
- * the platform publishes) and gw_pages.c (readiness check, status, metrics).
+ * the platform publishes), gw_pages.c (readiness check, status, metrics) and
+ * gw_explain.c (explanations).
  */
 #ifndef BS_GW_GATEWAYPARTS_H
 #define BS_GW_GATEWAYPARTS_H
@@ -32,6 +33,7 @@
     int64_t stop_ms;       /* when the stop signal came */
     int64_t stop_limit_ms; /* longest time from then to the exit */
     int64_t pruned_ms;
+    int64_t explained_ms;   /* when the last explanation was made */
     uint64_t unread_closes; /* BsStream_UnreadCloses() as last logged */
 } BsGateway;
 
@@ -55,7 +57,18 @@
    its context is the gateway. */
 extern const BsInboundApp bs_ready_app;
 
-/* Metrics and the instance's name; its context is the gateway. */
+/* Metrics, the instance's name and explanations; its context is the
+   gateway. */
 extern const BsInboundApp bs_admin_app;
 
+/* --------------------------------------------------------- gw_explain.c -- */
+
+/* Returns whether a request for TARGET asks for an explanation. */
+bool BsExplainPage_IsFor(const char *target);
+
+/* Answers what would become of a request that TARGET describes, if it arrived
+   now. */
+void BsExplainPage_Answer(BsGateway *gateway, BsInbound *inbound,
+                          const char *target);
+
 #endif /* BS_GW_GATEWAYPARTS_H */
--- a/src/gw_pages.c
+++ b/src/gw_pages.c
@@ -102,6 +102,10 @@
         S_answer_status(gateway, inbound);
         return;
     }
+    if (BsExplainPage_IsFor(head->target)) {
+        BsExplainPage_Answer(gateway, inbound, head->target);
+        return;
+    }
     if (strcmp(head->target, "/metrics") != 0) {
         BsInbound_Answer(inbound, 404, NULL, "", 0);
         return;
--- a/src/gw_relay.c
+++ b/src/gw_relay.c
@@ -264,7 +264,18 @@
 }
 
 /* Returns how many slots of an upstream the request must leave to more urgent
-   ones: none once the caller has a part of the answer. */
+   ones while SHARE of the requests of its rank may start: none once the caller
+   has a part of the answer. */
+static uint32_t
+S_reserved_slots_at(const BsRelay *relay, double share)
+{
+    if (BsTakeUp_HasPart(relay)) {
+        return 0;
+    }
+    return relay->yield_draw >= share ? YIELD_SLOTS : 0;
+}
+
+/* As S_reserved_slots_at(), at the present share. */
 static uint32_t
 S_reserved_slots(const BsRelay *relay)
 {
@@ -274,7 +285,7 @@
     double share =
         BsYields_Share(relay->gate->yields, relay->service->name,
                        S_yield_rank(relay), BsClock_NowMs(relay->gate->clock));
-    return relay->yield_draw >= share ? YIELD_SLOTS : 0;
+    return S_reserved_slots_at(relay, share);
 }
 
 /* As BsTargets_Choose(), for the request; RESERVED_SLOTS slots of the target
@@ -582,6 +593,34 @@
                                &slots) < SPARE_OCCUPANCY_MAX;
 }
 
+/* BsQuotas_Take() or BsQuotas_Peek(). */
+typedef int64_t (*BsQuotaFunc)(BsQuotas *quotas,
+                               const BsCatalogAccount *account, uint64_t cost,
+                               bool tolerant, int64_t now_ms);
+
+/* Returns after how long ASK admits the request, whose account is known. */
+static int64_t
+S_ask_quota(const BsRelay *relay, uint64_t cost, BsQuotaFunc ask)
+{
+    int64_t now_ms = BsClock_NowMs(relay->gate->clock);
+    BsQuotas *quotas = relay->gate->quotas;
+    int64_t wait_ms = ask(quotas, relay->account, cost, false, now_ms);
+    /* Occupancy is checked only for accounts over their limit, as the check
+       goes through all upstreams of the service. */
+    if (wait_ms > 0 && S_has_spare_slots(relay)) {
+        wait_ms = ask(quotas, relay->account, cost, true, now_ms);
+    }
+    return wait_ms;
+}
+
+static uint64_t
+S_quota_cost(const BsRelay *relay)
+{
+    uint64_t tokens =
+        (uint64_t)relay->info.prompt_tokens + relay->info.output_tokens;
+    return BsQuotas_Cost(relay->account, relay->info.has_tokens, tokens);
+}
+
 /* Charges the request's cost to its account.  Returns false, and in WAIT_MS
    after how long it would be admitted, when the account is over its limit. */
 static bool
@@ -590,22 +629,29 @@
     if (relay->account == NULL) {
         return true;
     }
-    uint64_t tokens =
-        (uint64_t)relay->info.prompt_tokens + relay->info.output_tokens;
-    uint64_t cost =
-        BsQuotas_Cost(relay->account, relay->info.has_tokens, tokens);
-    int64_t now_ms = BsClock_NowMs(relay->gate->clock);
-    BsQuotas *quotas = relay->gate->quotas;
-    *wait_ms = BsQuotas_Take(quotas, relay->account, cost, false, now_ms);
-    /* Occupancy is checked only for accounts over their limit, as the check
-       goes through all upstreams of the service. */
-    if (*wait_ms > 0 && S_has_spare_slots(relay)) {
-        *wait_ms = BsQuotas_Take(quotas, relay->account, cost, true, now_ms);
-    }
+    uint64_t cost = S_quota_cost(relay);
+    *wait_ms = S_ask_quota(relay, cost, BsQuotas_Take);
     relay->cost = *wait_ms == 0 ? cost : 0;
     return *wait_ms == 0;
 }
 
+void
+BsRelay_Forecast(const BsRelay *relay, BsRelayForecast *forecast)
+{
+    const BsGate *gate = relay->gate;
+    int64_t now_ms = BsClock_NowMs(gate->clock);
+    forecast->quota_wait_ms =
+        relay->account == NULL
+            ? 0
+            : S_ask_quota(relay, S_quota_cost(relay), BsQuotas_Peek);
+    forecast->too_late = S_is_too_late(relay);
+    forecast->yield_share = BsYields_Peek(gate->yields, relay->service->name,
+                                          S_yield_rank(relay), now_ms);
+    forecast->reserved_slots =
+        S_reserved_slots_at(relay, forecast->yield_share);
+    forecast->queue_ms = S_queue_until_ms(relay, now_ms) - now_ms;
+}
+
 /* Logs the quota state that led to the refusal. */
 static void
 S_log_quota(const BsRelay *relay)
--- a/src/gw_relayparts.h
+++ b/src/gw_relayparts.h
@@ -145,6 +145,20 @@
    it. */
 void BsRelay_Dispatch(BsRelay *relay);
 
+/* By what a request that arrives now would be decided, beside the upstreams
+   themselves. */
+typedef struct {
+    int64_t quota_wait_ms;   /* until its account's limit admits it; 0: now */
+    bool too_late;           /* the instance stops before it can be answered */
+    double yield_share;      /* of the requests of its rank that may start */
+    uint32_t reserved_slots; /* slots to leave to more urgent requests */
+    int64_t queue_ms;        /* how long it may be queued */
+} BsRelayForecast;
+
+/* Fills FORECAST for RELAY, whose route and service are set, by the code that
+   decides about requests.  Changes nothing. */
+void BsRelay_Forecast(const BsRelay *relay, BsRelayForecast *forecast);
+
 /* Records that the request waited WAITED_MS, which decides how many less
    urgent requests may start. */
 void BsRelay_NoteWait(const BsRelay *relay, int64_t waited_ms);
