--- a/src/cli_command.c
+++ b/src/cli_command.c
@@ -12,7 +12,7 @@
 
 typedef struct {
     const char *name;
-    int arguments;
+    int arguments; /* as S_arguments() */
     int (*run)(const BsCommandOptions *options, const char *argument);
 } BsSubcommand;
 
@@ -44,6 +44,9 @@
     "  explain REQUEST-ID  print what became of a request and why; with "
     "--log\n"
     "                      from the logs of gateways\n"
+    "  explain             with --host and --path: print where a gateway "
+    "would\n"
+    "                      send a request now, and why\n"
     "  drain               start a planned stop of an instance\n"
     "  evening ADDRESS,... print the daily report from the admin\n"
     "                      addresses of all instances\n"
@@ -76,6 +79,16 @@
          "Time the caller waits", "MS"},
         {"log", 'l', 0, G_OPTION_ARG_STRING, &options->log,
          "Log files of gateways, '-' for standard input", "FILE,..."},
+        {"host", 0, 0, G_OPTION_ARG_STRING, &options->host,
+         "Host of a request to explain", "HOST"},
+        {"path", 0, 0, G_OPTION_ARG_STRING, &options->path,
+         "Path of a request to explain", "PATH"},
+        {"account", 0, 0, G_OPTION_ARG_STRING, &options->account,
+         "Account of a request to explain", "NAME"},
+        {"prompt-tokens", 0, 0, G_OPTION_ARG_INT64, &options->prompt_tokens,
+         "Prompt tokens of a request to explain", "N"},
+        {"output-tokens", 0, 0, G_OPTION_ARG_INT64, &options->output_tokens,
+         "Most output tokens of a request to explain", "N"},
         {"json", 0, 0, G_OPTION_ARG_NONE, &options->json,
          "Print one JSON document", NULL},
         {"platform", 0, 0, G_OPTION_ARG_STRING, &options->platform,
@@ -97,6 +110,16 @@
     return parsed;
 }
 
+/* Returns how many arguments COMMAND takes: none where options describe the
+   request to explain. */
+static int
+S_arguments(const BsSubcommand *command, const BsCommandOptions *options)
+{
+    bool described = options->host != NULL || options->path != NULL;
+    return command->run == BsCommand_Explain && described ? 0
+                                                          : command->arguments;
+}
+
 static int
 S_run(int argc, char **argv, const BsCommandOptions *options)
 {
@@ -104,11 +127,12 @@
     for (size_t i = 0; i < G_N_ELEMENTS(S_subcommands); i++) {
         const BsSubcommand *command = &S_subcommands[i];
         if (strcmp(name, command->name) == 0) {
-            if (argc - 2 != command->arguments) {
+            int arguments = S_arguments(command, options);
+            if (argc - 2 != arguments) {
                 fprintf(stderr,
                         "boragespur: %s takes %d argument(s); see "
                         "boragespur --help\n",
-                        name, command->arguments);
+                        name, arguments);
                 return BS_EXIT_USAGE;
             }
             return command->run(options, argc > 2 ? argv[2] : NULL);
@@ -127,6 +151,9 @@
     g_free(options->admin);
     g_free(options->platform);
     g_free(options->log);
+    g_free(options->host);
+    g_free(options->path);
+    g_free(options->account);
     g_free(options->callers);
     g_free(options->token);
     g_free(options->key);
@@ -139,7 +166,7 @@
 int
 BsCommand_Main(int argc, char **argv)
 {
-    BsCommandOptions options = {0};
+    BsCommandOptions options = {.prompt_tokens = -1, .output_tokens = -1};
     options.admin = g_strdup(DEFAULT_ADMIN);
     options.callers = g_strdup(DEFAULT_CALLERS);
     int code = BS_EXIT_USAGE;
--- a/src/cli_command.h
+++ b/src/cli_command.h
@@ -23,9 +23,14 @@
     char *ticket;
     char *tier;
     char *method;
-    char *data;         /* body of the request, or @FILE */
-    gint64 deadline_ms; /* 0 sends none */
-    char *platform;     /* address of the configuration service */
+    char *data;           /* body of the request, or @FILE */
+    gint64 deadline_ms;   /* 0 sends none */
+    char *platform;       /* address of the configuration service */
+    char *host;           /* of a request to explain */
+    char *path;           /* of a request to explain */
+    char *account;        /* of a request to explain; NULL: none */
+    gint64 prompt_tokens; /* of a request to explain; -1: not stated */
+    gint64 output_tokens; /* of a request to explain; -1: not stated */
     char *log; /* log files of gateways, separated by commas; "-" for standard
                   input */
     gboolean json;
@@ -45,9 +50,14 @@
 int BsCommand_Status(const BsCommandOptions *options, const char *argument);
 
 /* Prints what an instance knows about the request ID, or, if log files are
-   given, what they contain about it. */
+   given, what they contain about it.  Without ID, prints where a gateway would
+   send the request that the options describe. */
 int BsCommand_Explain(const BsCommandOptions *options, const char *id);
 
+/* Prints where a gateway would send a request now, and why; see
+   docs/design/explain.md. */
+int BsCommand_ExplainRequest(const BsCommandOptions *options);
+
 /* Prints the daily report, from the metrics of the instances at ADDRESSES
    (admin addresses, separated by commas).  Returns a BsDailyReportResult; 3
    means that not everything is known. */
--- a/src/cli_operate.c
+++ b/src/cli_operate.c
@@ -109,6 +109,9 @@
 int
 BsCommand_Explain(const BsCommandOptions *options, const char *id)
 {
+    if (id == NULL) {
+        return BsCommand_ExplainRequest(options);
+    }
     if (options->log != NULL) {
         return S_explain_logs(options->log, id);
     }
