--- a/tests/gate/gate_harness.cc
+++ b/tests/gate/gate_harness.cc
@@ -604,6 +604,12 @@
     return std::make_unique<Socket>(ConnectTo(callers_));
 }
 
+std::unique_ptr<Socket>
+Gateway::OpenAdmin()
+{
+    return std::make_unique<Socket>(ConnectTo(admin_));
+}
+
 std::string
 Gateway::Ask(const std::string &request)
 {
--- a/tests/gate/gate_harness.h
+++ b/tests/gate/gate_harness.h
@@ -189,6 +189,8 @@
     ~Gateway();
     // Connects to the callers' address.
     std::unique_ptr<Socket> Open();
+    // Connects to the admin address.
+    std::unique_ptr<Socket> OpenAdmin();
     // Sends one request on a new connection; returns the complete answer.
     std::string Ask(const std::string &request);
     // Returns the result of the readiness check.
