--- a/src/gw_explain.c
+++ b/src/gw_explain.c
@@ -14,7 +14,7 @@
 #define EXPLAIN_INTERVAL_MS 50
 
 /* No explanation is made while more bytes of earlier answers wait for their
-   readers; one explanation has about 10,000. */
+   readers; one explanation with 20 candidates has about 5,000. */
 #define EXPLAIN_UNREAD_MAX_BYTES 65536
 
 /* Longest text of a caller or of the platform in an explanation. */
