--- a/tests/gate/gateway_explain_test.cc
+++ b/tests/gate/gateway_explain_test.cc
@@ -211,6 +211,22 @@
     EXPECT_EQ(TextOf(Explain("--path /open/1"), "decision"), "sent");
 }
 
+// Guards against answers that grow with the number of upstreams.
+TEST_F(ExplainTest, ListsTwentyCandidatesAndCountsTheRest)
+{
+    Start(std::vector<Runner::Script>(25, Answers));
+    Result result = Run("--json --host shop.example --path /open/1");
+    Json json = Parse(result.output);
+    RecordProperty("bytes", (int)result.output.size());
+    EXPECT_EQ(json_array_size(json_object_get(json.get(), "candidates")), 20u);
+    EXPECT_EQ(json_integer_value(json_object_get(json.get(), "upstreams")),
+              25);
+    EXPECT_EQ(json_integer_value(json_object_get(
+                  json_object_get(json.get(), "reasons"), "eligible")),
+              25);
+    EXPECT_LT(result.output.size(), 16384u);
+}
+
 // Guards against explanations that take the time of requests: of many calls at
 // once, some are denied, and each gets an answer.
 TEST_F(ExplainTest, ManyCallsAtOnceAreBounded)
