--- a/completion/boragespur.bash
+++ b/completion/boragespur.bash
@@ -6,6 +6,9 @@
     local commands="check send status explain drain version"
     local options="--admin= --callers= --token= --key= --ticket= --tier=
         --method= --data= --deadline-ms= --json --help"
+    local explain="--admin= --host= --path= --account= --prompt-tokens=
+        --output-tokens= --log= --json --help"
+    [[ ${COMP_WORDS[1]} == explain ]] && options=$explain
     if [[ $previous == check ]]; then
         mapfile -t COMPREPLY < <(compgen -f -- "$current")
     elif [[ $previous == send ]]; then
