Limits of the fleet: shares by the largest size that may be true

An instance divides a limit by the largest size of the fleet counted within an hour, by itself or by another that told of it, instead of that of the last minute. Reports carry that size and its age, so a process that starts in a part of a split fleet learns of the other part. Shares of parts add up to at most one; before, to 3 after a long split of three data centres and to 9 when 9 instances start alone.

The script members expects that an unreachable member's share is held after the member itself is forgotten.

--- a/src/fleetagent.c
+++ b/src/fleetagent.c
@@ -197,6 +197,8 @@
     report->weight = agent->weight;
     report->age_ms = S_age_ms(agent, now_ms);
     report->fleet = BsGossip_Counted(agent->gossip, now_ms);
+    report->largest = BsGossip_LargestToReport(agent->gossip, now_ms,
+                                               &report->largest_age_ms);
     agent->events->fill(report, true, now_ms, agent->context);
     agent->events->fill_crash_records(report->crash_records, now_ms,
                                       agent->context);
--- a/src/gossip.c
+++ b/src/gossip.c
@@ -51,7 +51,7 @@
     gossip->fleet_reported_ms = BS_GOSSIP_NEVER_MS;
     gossip->served_ms = BS_GOSSIP_NEVER_MS;
     gossip->fleet_ms = BS_GOSSIP_NEVER_MS;
-    gossip->largest_ms = BS_GOSSIP_NEVER_MS;
+    gossip->share = BsFleetShare_Create();
     gossip->entries = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     return gossip;
 }
@@ -61,6 +61,7 @@
 {
     if (gossip != NULL) {
         g_hash_table_destroy(gossip->entries);
+        BsFleetShare_Destroy(gossip->share);
         g_free(gossip);
     }
 }
@@ -243,6 +244,8 @@
     }
     entry->asks |= request == BS_GOSSIP_REQUEST_HUBS;
     S_note_fleet(gossip, report->fleet, now_ms);
+    BsFleetShare_Learn(gossip->share, report->largest, report->largest_age_ms,
+                       now_ms);
     for (guint i = 0; i < report->members->len; i++) {
         BsGossip_ApplyMemberInfo(
             gossip, &g_array_index(report->members, BsGossipMemberInfo, i),
@@ -429,22 +432,36 @@
     return due;
 }
 
-static void
-S_note_largest(BsGossip *gossip, int64_t now_ms)
+/* Returns what this instance counts of the fleet now. */
+static BsFleetCounts
+S_counts(const BsGossip *gossip, int64_t now_ms)
 {
-    unsigned known = BsGossip_Known(gossip, now_ms);
-    bool old = now_ms - gossip->largest_ms > BS_GOSSIP_LARGEST_HOLD_MS;
-    bool alone = BsGossip_Counted(gossip, now_ms) == 1;
-    if (!alone && (old || known >= gossip->largest_known)) {
-        gossip->largest_known = known;
-        gossip->largest_ms = now_ms;
+    BsFleetCounts counts = {
+        .reachable = BsGossip_Reachable(gossip, now_ms),
+        .counted = BsGossip_Counted(gossip, now_ms),
+        .known = BsGossip_Known(gossip, now_ms),
+        .seeds = gossip->is_seed,
+        .seeds_seen = gossip->is_seed,
+        .is_seed = gossip->is_seed,
+        .is_single = g_hash_table_size(gossip->entries) == 0,
+    };
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, gossip->entries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const BsGossipMember *member = &((BsGossipEntry *)value)->member;
+        counts.seeds += member->seed;
+        counts.seeds_seen +=
+            member->seed && member->last_received_ms != BS_GOSSIP_NEVER_MS;
     }
+    return counts;
 }
 
 GArray *
 BsGossip_Due(BsGossip *gossip, bool changed, int64_t now_ms)
 {
-    S_note_largest(gossip, now_ms);
+    BsFleetCounts counts = S_counts(gossip, now_ms);
+    BsFleetShare_Note(gossip->share, &counts, now_ms);
     if (now_ms - gossip->purged_ms >= PURGE_PAUSE_MS) {
         gossip->purged_ms = now_ms;
         S_remove_expired(gossip, now_ms);
@@ -653,36 +670,21 @@
 double
 BsGossip_Share(const BsGossip *gossip, int64_t now_ms)
 {
-    unsigned known = BsGossip_Known(gossip, now_ms);
-    return (double)MIN(BsGossip_Reachable(gossip, now_ms), known) / known;
+    BsFleetCounts counts = S_counts(gossip, now_ms);
+    return BsFleetShare_Fraction(gossip->share, &counts, now_ms);
 }
 
-/* Returns KNOWN in the proportion of all seeds to those seen since the
-   start. */
-static unsigned
-S_scale_by_seeds(const BsGossip *gossip, unsigned known)
+unsigned
+BsGossip_KnownAtMost(const BsGossip *gossip, int64_t now_ms)
 {
-    unsigned seeds = gossip->is_seed;
-    unsigned seen = gossip->is_seed;
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, gossip->entries);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const BsGossipMember *member = &((BsGossipEntry *)value)->member;
-        seeds += member->seed;
-        seen += member->seed && member->last_received_ms != BS_GOSSIP_NEVER_MS;
-    }
-    return seeds <= seen ? known : known * seeds / MAX(seen, 1);
+    BsFleetCounts counts = S_counts(gossip, now_ms);
+    return BsFleetShare_AtMost(gossip->share, &counts, now_ms);
 }
 
-unsigned
-BsGossip_KnownAtMost(const BsGossip *gossip, int64_t now_ms)
+uint32_t
+BsGossip_LargestToReport(const BsGossip *gossip, int64_t now_ms,
+                         int64_t *age_ms)
 {
-    unsigned known = BsGossip_Known(gossip, now_ms);
-    if (gossip->largest_known == 0) {
-        return known == 1 && g_hash_table_size(gossip->entries) == 0
-                   ? 1
-                   : MAX(known, BS_GOSSIP_UNKNOWN_INSTANCES);
-    }
-    return S_scale_by_seeds(gossip, MAX(known, gossip->largest_known));
+    BsFleetCounts counts = S_counts(gossip, now_ms);
+    return BsFleetShare_Tell(gossip->share, &counts, now_ms, age_ms);
 }
--- a/src/gossip.h
+++ b/src/gossip.h
@@ -11,9 +11,9 @@
  * for a lost one, and an old one is dropped by its sequence number.  Members
  * are discovered through seeds and through the members that other instances
  * name; no instance keeps a complete list, and nothing here needs one.  A
- * member that stops sending is unresponsive, not removed: it keeps its share
- * of common limits until it has been unresponsive for a minute
- * (BS_GOSSIP_REMOVE_AFTER_MS).
+ * member that stops sending is unresponsive, and is removed after a minute
+ * (BS_GOSSIP_REMOVE_AFTER_MS); its share of common limits is held for longer
+ * (fleetshare.h).
  */
 #ifndef BS_GOSSIP_H
 #define BS_GOSSIP_H
@@ -220,17 +220,16 @@
    the start, while no other instance was seen, a larger size is assumed. */
 unsigned BsGossip_Known(const BsGossip *gossip, int64_t now_ms);
 
-/* Size of the fleet that an instance assumes which has seen no other one since
-   its start although it has seeds. */
-#define BS_GOSSIP_UNKNOWN_INSTANCES 256
-
-/* Returns the size of the fleet, including instances that this one cannot
-   reach: the largest that it knew within an hour
-   (BS_GOSSIP_LARGEST_HOLD_MS), in proportion larger while it has not seen all
-   seeds.  For limits that hold for instances out of touch with each other,
-   too. */
+/* Returns the largest size of the fleet that may be true, including instances
+   that this one cannot reach (fleetshare.h).  For limits that hold for
+   instances out of touch with each other, too. */
 unsigned BsGossip_KnownAtMost(const BsGossip *gossip, int64_t now_ms);
 
+/* Returns the largest size of the fleet to report to others, and sets AGE_MS
+   to the time since it was counted; 0: this instance cannot tell. */
+uint32_t BsGossip_LargestToReport(const BsGossip *gossip, int64_t now_ms,
+                                  int64_t *age_ms);
+
 /* Returns how many instances this one or its hub has seen within a minute
    (BS_GOSSIP_REMOVE_AFTER_MS).  This is the number to report to others;
    BsGossip_Known() includes sizes that they reported, which must not be passed
@@ -241,7 +240,7 @@
 unsigned BsGossip_Reachable(const BsGossip *gossip, int64_t now_ms);
 
 /* Returns the fraction of a common limit that the reachable instances may use
-   together: 1 while all are reachable. */
+   together: 1 while all are reachable (fleetshare.h). */
 double BsGossip_Share(const BsGossip *gossip, int64_t now_ms);
 
 #endif /* BS_GOSSIP_H */
--- a/src/gossip_private.h
+++ b/src/gossip_private.h
@@ -6,15 +6,13 @@
 #ifndef BS_GOSSIP_PRIVATE_H
 #define BS_GOSSIP_PRIVATE_H
 
+#include "fleetshare.h"
 #include "gossip.h"
 
 /* A member not seen for this long is removed from the table, unless it is a
    seed. */
 #define BS_GOSSIP_REMOVE_AFTER_MS 60000
 
-/* The largest size of the fleet is held for this long. */
-#define BS_GOSSIP_LARGEST_HOLD_MS 3600000
-
 /* Pause between reports to an unresponsive member. */
 #define BS_GOSSIP_RETRY_PAUSE_MS 400
 
@@ -52,8 +50,7 @@
     GHashTable *entries;        /* address to BsGossipEntry */
     uint32_t fleet_reported;    /* largest fleet size reported by others */
     int64_t fleet_reported_ms;  /* when it was reported */
-    uint32_t largest_known;     /* largest size known; 0: no other was seen */
-    int64_t largest_ms;         /* when it was last known */
+    BsFleetShare *share;        /* the share of common limits */
     bool is_seed;               /* this instance is a seed itself */
     uint32_t hub;               /* address; 0: none */
     int64_t hub_since_ms;       /* when it was chosen */
--- a/src/gossipreport.c
+++ b/src/gossipreport.c
@@ -14,7 +14,9 @@
 #define PART_RECORDS_ITEM 15
 #define LIMIT_RECORDS_ITEM 16
 #define STORE_AGE_ITEM 17
-#define ADDED_ITEMS 3
+#define LARGEST_ITEM 18
+#define LARGEST_AGE_ITEM 19
+#define ADDED_ITEMS 5
 
 /* The first item holds the version and, in STOPPING_BIT, whether the instance
    is stopping. */
@@ -22,13 +24,14 @@
 #define STOPPING_BIT 256
 
 /* Largest encoded size of the fixed part and the list headers of a report. */
-#define FIXED_BYTES 122
+#define FIXED_BYTES 132
 
 void
 BsGossipReport_Init(BsGossipReport *report)
 {
     memset(report, 0, sizeof(*report));
     report->store_age_ms = -1;
+    report->largest_age_ms = -1;
     report->loads = g_array_new(FALSE, FALSE, sizeof(BsTargetLoad));
     report->uses = g_array_new(FALSE, FALSE, sizeof(BsQuotaUse));
     report->members = g_array_new(FALSE, FALSE, sizeof(BsGossipMemberInfo));
@@ -86,6 +89,8 @@
     msgpack_pack_uint32(&packer, report->age_ms);
     S_pack_lists(&packer, report);
     BsReportCodec_PackAge(&packer, report->store_age_ms);
+    msgpack_pack_uint32(&packer, report->largest);
+    BsReportCodec_PackAge(&packer, report->largest_age_ms);
 }
 
 static bool
@@ -99,6 +104,23 @@
            BsReportCodec_ReadMembers(&items[3], numbers, report->members);
 }
 
+/* Reads the largest size of the fleet, which older instances do not send. */
+static bool
+S_read_largest(const msgpack_object_array *array, BsGossipReport *report)
+{
+    uint64_t largest;
+    if (array->size <= LARGEST_AGE_ITEM) {
+        return true;
+    }
+    if (!BsReportCodec_U64(&array->ptr[LARGEST_ITEM], &largest) ||
+        largest > UINT32_MAX) {
+        return false;
+    }
+    report->largest = (uint32_t)largest;
+    return BsReportCodec_ReadAge(&array->ptr[LARGEST_AGE_ITEM],
+                                 &report->largest_age_ms);
+}
+
 static bool
 S_read(const msgpack_object *root, BsGossipReport *report)
 {
@@ -145,7 +167,9 @@
          BsReportCodec_ReadLimitRecords(&items[LIMIT_RECORDS_ITEM], numbers,
                                         report->limit_records)) &&
         (root->via.array.size <= STORE_AGE_ITEM ||
-         BsReportCodec_ReadAge(&items[STORE_AGE_ITEM], &report->store_age_ms));
+         BsReportCodec_ReadAge(&items[STORE_AGE_ITEM],
+                               &report->store_age_ms)) &&
+        S_read_largest(&root->via.array, report);
     g_array_unref(numbers);
     return valid;
 }
--- a/src/gossipreport.h
+++ b/src/gossipreport.h
@@ -47,9 +47,11 @@
     BsGossipReading reading;
     int64_t store_age_ms; /* since the store last answered it; -1: unknown */
     uint32_t data_centre; /* hash of the name */
-    uint32_t weight; /* capacity beside its callers' requests: memory, MB */
-    uint32_t age_ms; /* since its start, BS_GOSSIP_AGE_MAX_MS at most */
-    uint32_t fleet;  /* size of the fleet that it has counted */
+    uint32_t weight;  /* capacity beside its callers' requests: memory, MB */
+    uint32_t age_ms;  /* since its start, BS_GOSSIP_AGE_MAX_MS at most */
+    uint32_t fleet;   /* size of the fleet that it has counted */
+    uint32_t largest; /* largest size of the fleet; 0: it cannot tell */
+    int64_t largest_age_ms; /* since LARGEST was counted; -1: unknown */
     bool stopping;
     GArray *loads;         /* BsTargetLoad */
     GArray *uses;          /* BsQuotaUse */
--- a/src/gw_gateway.c
+++ b/src/gw_gateway.c
@@ -2,7 +2,7 @@
 #include "gw_gateway.h"
 
 #include "daycount.h"
-#include "gossip.h"
+#include "fleetshare.h"
 #include "gw_gatewayparts.h"
 #include "gw_relay.h"
 #include "gw_stream.h"
@@ -376,7 +376,7 @@
     gate->random = g_rand_new_with_seed(S_random());
     gate->instances = MAX(settings->seeds_count, 1);
     gate->retry_instances =
-        settings->seeds_count > 0 ? BS_GOSSIP_UNKNOWN_INSTANCES : 1;
+        settings->seeds_count > 0 ? BS_FLEETSHARE_UNKNOWN_INSTANCES : 1;
 }
 
 static bool
