Account limits: a process begins with a credit instead of a whole burst

A process that starts does not know what was used just before, nor does one that resumes after a pause of more than a second. Its buckets now begin with a credit: its part of a quarter of what the operators tolerate above a limit. They fill from the start on, at the fleet's rate, and what peers report is deducted also for accounts that no request has asked for here.

Use is deducted when it is reported, not at the next request, so a bucket that was idle is full only if the account was idle everywhere. What a peer used while it was out of reach is not deducted when it returns: it had its own share.

--- a/src/quota.c
+++ b/src/quota.c
@@ -1,6 +1,7 @@
 /* quota.c - rate limits of accounts and retry budgets for the whole fleet. */
 #include "quota.h"
 
+#include "fleetshare.h"
 #include "targets.h"
 
 #include <math.h>
@@ -13,6 +14,13 @@
    the last request admitted may be large. */
 #define TOLERANCE_FRACTION 0.5
 
+/* Window in which operators count an account's use against its limit. */
+#define QUOTA_WINDOW_S 8.0
+
+/* For this long after a start, the credit grows as the fleet becomes known,
+   and callers are told to retry as if the fleet were complete. */
+#define START_MS 2000
+
 /* Percentage of its share of the fleet's retry budget that an instance uses.
  */
 #define RETRY_PERCENT 70
@@ -40,12 +48,15 @@
 #define PERCENT 100.0
 
 typedef struct {
-    char *name;
-    uint64_t hash;
+    uint64_t hash;    /* of the account's name */
+    double per_s;     /* limit of the account */
+    double burst;     /* the same */
     double level;     /* within the limit */
     double tolerated; /* within the tolerance */
+    double credit;    /* included in both, of the start */
     int64_t filled_ms;
-    bool used; /* LEVEL and FILLED_MS are set */
+    bool open;  /* the limit is known, and the values after it are set */
+    bool taken; /* this instance's own use was asked for */
     uint64_t own_used;
     int64_t peers_pending; /* used by peers, not yet deducted; below 0 when
                               they refunded more */
@@ -53,25 +64,23 @@
 
 typedef struct {
     uint64_t incarnation;
-    GHashTable *used; /* account hash to uint64_t */
+    int64_t reported_ms; /* last report */
+    GHashTable *used;    /* account hash to uint64_t */
 } BsQuotaPeer;
 
 struct BsQuotas {
-    GHashTable *buckets; /* account name to BsQuotaBucket */
+    GHashTable *buckets; /* account hash to BsQuotaBucket */
     GHashTable *peers;   /* number to BsQuotaPeer */
-    double over;         /* usable tolerance, as a fraction of the limit */
-    double slack;        /* usable tolerance, in requests or tokens */
+    double over;         /* tolerance, as a fraction of the limit */
+    double slack;        /* tolerance, in requests or tokens */
     double share;
+    unsigned instances; /* that may each take a credit at their start */
+    int64_t started_ms; /* of the process, or the end of its last pause;
+                           INT64_MIN: unknown */
+    int64_t now_ms;     /* last time passed in */
+    int64_t ticked_ms;  /* last tick; INT64_MIN: none */
 };
 
-static void
-S_destroy_bucket(gpointer data)
-{
-    BsQuotaBucket *bucket = data;
-    g_free(bucket->name);
-    g_free(bucket);
-}
-
 static void
 S_destroy_peer(gpointer data)
 {
@@ -86,17 +95,21 @@
     BsQuotas *quotas = g_new0(BsQuotas, 1);
     BsQuotas_SetTolerance(quotas, over, slack);
     quotas->buckets =
-        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, S_destroy_bucket);
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     quotas->peers = g_hash_table_new_full(NULL, NULL, NULL, S_destroy_peer);
     quotas->share = 1.0;
+    quotas->instances = BS_FLEETSHARE_UNKNOWN_INSTANCES;
+    quotas->started_ms = INT64_MIN;
+    quotas->now_ms = INT64_MIN;
+    quotas->ticked_ms = INT64_MIN;
     return quotas;
 }
 
 void
 BsQuotas_SetTolerance(BsQuotas *quotas, double over, double slack)
 {
-    quotas->over = over * TOLERANCE_FRACTION;
-    quotas->slack = slack * TOLERANCE_FRACTION;
+    quotas->over = over;
+    quotas->slack = slack;
 }
 
 void
@@ -110,12 +123,6 @@
     g_free(quotas);
 }
 
-void
-BsQuotas_SetShare(BsQuotas *quotas, double share)
-{
-    quotas->share = share;
-}
-
 uint64_t
 BsQuotas_Cost(const BsCatalogAccount *account, bool has_tokens,
               uint64_t tokens)
@@ -127,18 +134,23 @@
 }
 
 static BsQuotaBucket *
-S_find_or_add(BsQuotas *quotas, const char *name)
+S_find_or_add_hash(BsQuotas *quotas, uint64_t hash)
 {
-    BsQuotaBucket *bucket = g_hash_table_lookup(quotas->buckets, name);
+    BsQuotaBucket *bucket = g_hash_table_lookup(quotas->buckets, &hash);
     if (bucket == NULL) {
         bucket = g_new0(BsQuotaBucket, 1);
-        bucket->name = g_strdup(name);
-        bucket->hash = BsTargets_Hash(name);
-        g_hash_table_insert(quotas->buckets, bucket->name, bucket);
+        bucket->hash = hash;
+        g_hash_table_insert(quotas->buckets, &bucket->hash, bucket);
     }
     return bucket;
 }
 
+static BsQuotaBucket *
+S_find_or_add(BsQuotas *quotas, const char *name)
+{
+    return S_find_or_add_hash(quotas, BsTargets_Hash(name));
+}
+
 static double
 S_refill_one(double level, double passed_s, double per_s, double burst,
              double used)
@@ -149,47 +161,194 @@
     return CLAMP(level, -MAX(burst, 1.0), burst);
 }
 
+/* Returns the credit of a process that starts, from the bucket's tolerance. */
+static double
+S_credit(const BsQuotas *quotas, const BsQuotaBucket *bucket)
+{
+    double limit = bucket->per_s * QUOTA_WINDOW_S + bucket->burst;
+    return BsFleetShare_StartCredit(limit * quotas->over + quotas->slack,
+                                    quotas->instances);
+}
+
 /* Refills BUCKET and deducts what the peers used since the last refill. */
 static void
-S_refill(const BsQuotas *quotas, BsQuotaBucket *bucket,
-         const BsCatalogAccount *account, int64_t now_ms)
-{
-    double per_s = account->per_s * quotas->share;
-    double burst = account->burst * quotas->share;
-    double over = 1.0 + quotas->over;
-    double most = burst * over + quotas->slack * quotas->share;
-    if (!bucket->used) {
-        bucket->used = true;
-        bucket->level = burst;
-        bucket->tolerated = most;
-        bucket->filled_ms = now_ms;
+S_refill(const BsQuotas *quotas, BsQuotaBucket *bucket)
+{
+    if (!bucket->open) {
+        return;
     }
-    double passed_s = (double)(now_ms - bucket->filled_ms) / MS_PER_S;
+    double per_s = bucket->per_s * quotas->share;
+    double burst = bucket->burst * quotas->share;
+    double over = 1.0 + quotas->over * TOLERANCE_FRACTION;
+    double most =
+        burst * over + quotas->slack * TOLERANCE_FRACTION * quotas->share;
+    int64_t passed_ms = MAX(0, quotas->now_ms - bucket->filled_ms);
+    double passed_s = (double)passed_ms / MS_PER_S;
     double used = (double)bucket->peers_pending;
-    bucket->filled_ms = now_ms;
+    bucket->filled_ms += passed_ms;
     bucket->peers_pending = 0;
     bucket->level = S_refill_one(bucket->level, passed_s, per_s, burst, used);
     bucket->tolerated =
         S_refill_one(bucket->tolerated, passed_s, per_s * over, most, used);
 }
 
+static void
+S_refill_all(const BsQuotas *quotas)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, quotas->buckets);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        S_refill(quotas, value);
+    }
+}
+
+/* Leaves only the credit of a start in all buckets: what was used meanwhile is
+   not known. */
+static void
+S_resume(BsQuotas *quotas)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, quotas->buckets);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        BsQuotaBucket *bucket = value;
+        bucket->credit = S_credit(quotas, bucket);
+        bucket->level = MIN(bucket->level, bucket->credit);
+        bucket->tolerated = MIN(bucket->tolerated, bucket->credit);
+        bucket->filled_ms = quotas->now_ms;
+        bucket->peers_pending = 0;
+    }
+    g_hash_table_remove_all(quotas->peers);
+    quotas->started_ms = quotas->now_ms;
+}
+
+/* Takes over the time, and notices the end of a pause. */
+static void
+S_set_now(BsQuotas *quotas, int64_t now_ms)
+{
+    quotas->now_ms = MAX(quotas->now_ms, now_ms);
+    if (quotas->started_ms == INT64_MIN) {
+        quotas->started_ms = quotas->now_ms;
+    }
+    if (BsFleetShare_WasPaused(quotas->ticked_ms, now_ms)) {
+        quotas->ticked_ms = now_ms;
+        S_resume(quotas);
+    }
+}
+
+void
+BsQuotas_SetStart(BsQuotas *quotas, int64_t started_ms)
+{
+    quotas->started_ms = started_ms;
+}
+
+void
+BsQuotas_Tick(BsQuotas *quotas, int64_t now_ms)
+{
+    S_set_now(quotas, now_ms);
+    quotas->ticked_ms = now_ms;
+}
+
+void
+BsQuotas_SetShare(BsQuotas *quotas, double share)
+{
+    if (share != quotas->share) {
+        S_refill_all(quotas); /* the time until now goes by the old share */
+        quotas->share = share;
+    }
+}
+
+/* Returns whether the process started, or resumed, a short time ago. */
+static bool
+S_is_starting(const BsQuotas *quotas)
+{
+    return quotas->now_ms < quotas->started_ms + START_MS;
+}
+
+void
+BsQuotas_SetInstances(BsQuotas *quotas, unsigned instances)
+{
+    bool fewer = instances < quotas->instances;
+    quotas->instances = instances;
+    if (!fewer || !S_is_starting(quotas)) {
+        return;
+    }
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, quotas->buckets);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        BsQuotaBucket *bucket = value;
+        double credit = S_credit(quotas, bucket);
+        if (bucket->open && credit > bucket->credit) {
+            bucket->level += credit - bucket->credit;
+            bucket->tolerated += credit - bucket->credit;
+            bucket->credit = credit;
+        }
+    }
+}
+
+/* Fills BUCKET for the first time: since the process started. */
+static void
+S_open(const BsQuotas *quotas, BsQuotaBucket *bucket)
+{
+    bucket->open = true;
+    bucket->credit = S_credit(quotas, bucket);
+    bucket->level = bucket->credit;
+    bucket->tolerated = bucket->credit;
+    bucket->filled_ms = quotas->started_ms;
+}
+
+/* Returns the bucket of ACCOUNT, which has a limit, refilled. */
+static BsQuotaBucket *
+S_refilled(BsQuotas *quotas, const BsCatalogAccount *account)
+{
+    BsQuotaBucket *bucket = S_find_or_add(quotas, account->name);
+    bucket->per_s = account->per_s;
+    bucket->burst = account->burst;
+    if (!bucket->open) {
+        S_open(quotas, bucket);
+    }
+    S_refill(quotas, bucket);
+    return bucket;
+}
+
+void
+BsQuotas_Track(BsQuotas *quotas, const BsCatalogAccount *account,
+               int64_t now_ms)
+{
+    S_set_now(quotas, now_ms);
+    if (account->per_s > 0) {
+        S_refilled(quotas, account);
+    }
+}
+
+/* Returns after how many milliseconds a caller may retry. */
+static int64_t
+S_wait_ms(const BsQuotas *quotas, const BsQuotaBucket *bucket)
+{
+    double share = S_is_starting(quotas) ? 1.0 : quotas->share;
+    double wait_s = -bucket->level / (bucket->per_s * share);
+    return (int64_t)CLAMP(wait_s * MS_PER_S, 1, RETRY_AFTER_MAX_MS);
+}
+
 int64_t
 BsQuotas_Take(BsQuotas *quotas, const BsCatalogAccount *account, uint64_t cost,
               bool tolerant, int64_t now_ms)
 {
-    BsQuotaBucket *bucket = S_find_or_add(quotas, account->name);
+    S_set_now(quotas, now_ms);
     if (account->per_s > 0) {
-        S_refill(quotas, bucket, account, now_ms);
+        BsQuotaBucket *bucket = S_refilled(quotas, account);
         bool admitted =
             bucket->tolerated > 0 && (tolerant || bucket->level > 0);
         if (!admitted) {
-            double per_s = account->per_s * quotas->share;
-            double wait_s = -bucket->level / per_s;
-            return (int64_t)CLAMP(wait_s * MS_PER_S, 1, RETRY_AFTER_MAX_MS);
+            return S_wait_ms(quotas, bucket);
         }
         bucket->level -= (double)cost;
         bucket->tolerated -= (double)cost;
     }
+    BsQuotaBucket *bucket = S_find_or_add(quotas, account->name);
+    bucket->taken = true;
     bucket->own_used += cost;
     return 0;
 }
@@ -216,29 +375,18 @@
     bucket->own_used -= MIN(bucket->own_used, cost);
 }
 
-static BsQuotaBucket *
-S_find_by_hash(const BsQuotas *quotas, uint64_t hash)
-{
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, quotas->buckets);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        if (((BsQuotaBucket *)value)->hash == hash) {
-            return value;
-        }
-    }
-    return NULL;
-}
-
-/* Returns the totals reported by PEER, empty ones when INCARNATION is new;
-   sets KNOWN to whether it reported before in this incarnation. */
+/* Returns the totals reported by PEER, empty ones when INCARNATION is new or
+   its last report is old: an unreachable peer uses its own share, which must
+   not be deducted when it returns.  Sets KNOWN to whether they are not empty.
+ */
 static BsQuotaPeer *
 S_find_or_reset_peer(BsQuotas *quotas, uint32_t peer, uint64_t incarnation,
                      bool *known)
 {
     BsQuotaPeer *held =
         g_hash_table_lookup(quotas->peers, GUINT_TO_POINTER(peer));
-    *known = held != NULL && held->incarnation == incarnation;
+    *known = held != NULL && held->incarnation == incarnation &&
+             !BsFleetShare_WasPaused(held->reported_ms, quotas->now_ms);
     if (!*known) {
         held = g_new0(BsQuotaPeer, 1);
         held->incarnation = incarnation;
@@ -246,17 +394,19 @@
             g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
         g_hash_table_insert(quotas->peers, GUINT_TO_POINTER(peer), held);
     }
+    held->reported_ms = quotas->now_ms;
     return held;
 }
 
 /* Stores the total USE that PEER reported and deducts its growth from
    BEFORE. */
 static void
-S_add_peer_use(const BsQuotas *quotas, BsQuotaPeer *peer,
-               const BsQuotaUse *use, uint64_t before)
+S_add_peer_use(BsQuotas *quotas, BsQuotaPeer *peer, const BsQuotaUse *use,
+               uint64_t before)
 {
-    BsQuotaBucket *bucket = S_find_by_hash(quotas, use->hash);
-    if (bucket != NULL) {
+    if (use->used != before) {
+        BsQuotaBucket *bucket = S_find_or_add_hash(quotas, use->hash);
+        S_refill(quotas, bucket);
         /* A total shrinks when a request that did not run is refunded. */
         bucket->peers_pending += (int64_t)(use->used - before);
     }
@@ -307,7 +457,9 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const BsQuotaBucket *bucket = value;
         BsQuotaUse use = {bucket->hash, bucket->own_used};
-        g_array_append_val(uses, use);
+        if (bucket->taken) {
+            g_array_append_val(uses, use);
+        }
     }
 }
 
--- a/src/quota.h
+++ b/src/quota.h
@@ -6,6 +6,7 @@
  * bucket.  While peers are unresponsive the reachable instances together use
  * only their share of the rate.  A request is admitted while the bucket is not
  * empty, so that a request within the limit is never refused for its size.
+ * After a start or a pause, buckets begin with a credit only (fleetshare.h).
  * While slots are free, an account may also use a fraction of the tolerance
  * that the operators grant above its limit, which costs other accounts
  * nothing.
@@ -36,6 +37,24 @@
 /* Frees QUOTAS; NULL is allowed. */
 void BsQuotas_Destroy(BsQuotas *quotas);
 
+/* Sets when the process started; without it, the first time that is passed in
+   counts.  A bucket fills from then on, beginning with a credit only, as the
+   process before may have used the limit. */
+void BsQuotas_SetStart(BsQuotas *quotas, int64_t started_ms);
+
+/* Passes in the time, at least twice a second.  After a longer time the
+   process was paused, and its buckets begin as at a start. */
+void BsQuotas_Tick(BsQuotas *quotas, int64_t now_ms);
+
+/* Sets the largest size of the fleet that may be true, by which credits are
+   divided; see BsGossip_KnownAtMost(). */
+void BsQuotas_SetInstances(BsQuotas *quotas, unsigned instances);
+
+/* Keeps the bucket of ACCOUNT up to date although no request asks for it, so
+   that the first one finds what is left of the limit. */
+void BsQuotas_Track(BsQuotas *quotas, const BsCatalogAccount *account,
+                    int64_t now_ms);
+
 /* Sets the fraction of every limit that this instance and the peers whose use
    it deducts may use together, 0 to 1; see BsGossip_Share(). */
 void BsQuotas_SetShare(BsQuotas *quotas, double share);
--- a/tests/gate/gatescript.c
+++ b/tests/gate/gatescript.c
@@ -95,6 +95,7 @@
     script->account->name = g_strdup("acme");
     script->account->counts_tokens = true;
     script->quotas = BsQuotas_Create(0.2, 1000);
+    BsQuotas_SetStart(script->quotas, -10000);
     script->retries = BsRetryBudget_Create(0.2, 50, 10000, -10000);
     script->queue = BsWaitQueue_Create();
     script->waiting =
