Gateway: account limits and cold limits go by the share of the fleet

The gateway tells its account limits the time, the largest size of the fleet and, four times a second, every account of the configuration, so that the first request of an account finds what is left of its limit. The first request to a cold upstream counts by the share, too: instances that cannot reach each other sent one each.

--- a/src/catalog.c
+++ b/src/catalog.c
@@ -191,6 +191,20 @@
     return g_hash_table_lookup(catalog->keys, key);
 }
 
+void
+BsCatalog_EachAccount(const BsCatalog *catalog,
+                      void (*func)(const BsCatalogAccount *account,
+                                   void *context),
+                      void *context)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, catalog->accounts);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        func(value, context);
+    }
+}
+
 uint32_t
 BsCatalog_LongestStreamMs(const BsCatalog *catalog)
 {
--- a/src/catalog.h
+++ b/src/catalog.h
@@ -113,6 +113,12 @@
 const BsCatalogAccount *BsCatalog_FindKey(const BsCatalog *catalog,
                                           const char *key);
 
+/* Calls FUNC for each account. */
+void BsCatalog_EachAccount(const BsCatalog *catalog,
+                           void (*func)(const BsCatalogAccount *account,
+                                        void *context),
+                           void *context);
+
 /* Returns the longest time-out of a stream's route that callers may take up
    again, in milliseconds; 0 without such routes. */
 uint32_t BsCatalog_LongestStreamMs(const BsCatalog *catalog);
--- a/src/gw_gossip.c
+++ b/src/gw_gossip.c
@@ -48,6 +48,9 @@
    hubs are used. */
 #define SENDERS_INTERVAL_MS 100
 
+/* Interval between updates of the buckets of all accounts. */
+#define TRACK_INTERVAL_MS 250
+
 /* After its start, an instance reads the store itself for this long, until it
    knows its peers. */
 #define STARTUP_READ_MS 1000
@@ -89,6 +92,7 @@
     int64_t fetch_started_ms;
     int64_t behind_since_ms; /* since a peer has newer items; 0: none has */
     int64_t senders_set_ms;  /* last update of the senders */
+    int64_t tracked_ms;      /* last update of the accounts' buckets */
     uint32_t spread_ms;      /* own random delay below FETCH_SPREAD_MS */
     BsStreamWatch *streams;
 };
@@ -172,6 +176,7 @@
 {
     BsGate *gate = ((BsGossipTask *)context)->gate;
     BsTargets_SetPeer(gate->targets, address, report->loads, now_ms);
+    BsQuotas_Tick(gate->quotas, now_ms);
     BsQuotas_SetPeer(gate->quotas, address, report->incarnation, report->uses);
     gate->slots_changed = true;
 }
@@ -182,6 +187,7 @@
     BsGossipTask *task = context;
     BsGate *gate = task->gate;
     BsTargets_SetFleet(gate->targets, changes->loads, now_ms);
+    BsQuotas_Tick(gate->quotas, now_ms);
     BsQuotas_SetFleet(gate->quotas, changes->incarnation, changes->uses);
     gate->slots_changed |= changes->loads->len > 0;
 }
@@ -532,6 +538,25 @@
     g_array_unref(senders);
 }
 
+static void
+S_track_account(const BsCatalogAccount *account, void *context)
+{
+    BsGate *gate = context;
+    BsQuotas_Track(gate->quotas, account, BsClock_NowMs(gate->clock));
+}
+
+/* Keeps the buckets of all accounts up to date. */
+static void
+S_track_accounts(BsGossipTask *task, int64_t now_ms)
+{
+    if (task->gate->catalog != NULL &&
+        now_ms - task->tracked_ms >= TRACK_INTERVAL_MS) {
+        task->tracked_ms = now_ms;
+        BsCatalog_EachAccount(task->gate->catalog, S_track_account,
+                              task->gate);
+    }
+}
+
 /* Sets the fraction of common limits that the reachable instances may use
    together, and what else the limits depend on: the size of the fleet, the age
    of remote counts and, when due, the reachable instances. */
@@ -544,7 +569,10 @@
     gate->retry_instances = BsGossip_KnownAtMost(task->gossip, now_ms);
     BsTargets_SetShare(gate->targets, share);
     BsTargets_SetInstances(gate->targets, gate->instances);
+    BsQuotas_Tick(gate->quotas, now_ms);
     BsQuotas_SetShare(gate->quotas, share);
+    BsQuotas_SetInstances(gate->quotas, gate->retry_instances);
+    S_track_accounts(task, now_ms);
     BsTargets_SetRemoteAge(gate->targets,
                            BsGossip_RemoteAgeMs(task->gossip, now_ms));
     bool due = now_ms - task->senders_set_ms >= SENDERS_INTERVAL_MS ||
--- a/src/targetcold.c
+++ b/src/targetcold.c
@@ -14,6 +14,7 @@
     if (!BsTarget_IsCold(target, now_ms)) {
         target->cold_bucket.filled_ms = now_ms;
         target->cold_bucket.level = 1;
+        target->cold_began = true;
     }
     target->cold_until_ms = now_ms + cold_ms;
 }
@@ -30,6 +31,12 @@
         rank.before >= BsSharedRate_Senders(service->cold_per_s)) {
         return false;
     }
+    if (target->cold_began) {
+        /* Of the first request, too, an instance that is out of touch with
+           others has only its share. */
+        target->cold_began = false;
+        target->cold_bucket.level -= 1 - targets->share;
+    }
     double per_s = service->cold_per_s * COLD_USED_SHARE * targets->share;
     return BsRateBucket_Fill(&target->cold_bucket, per_s, now_ms);
 }
--- a/src/targets.h
+++ b/src/targets.h
@@ -91,6 +91,7 @@
                                     have no first event yet */
     uint32_t cold_sent;       /* our requests sent in the latest cold period */
     BsRateBucket cold_bucket; /* requests allowed while cold */
+    bool cold_began;          /* no request was asked for since it is cold */
     uint32_t failures;        /* consecutive */
     bool silent;              /* its last failure was a silence */
     int64_t paused_ms;        /* when the last pause after a failure began */
