--- a/tests/gate/fleet_world.cc
+++ b/tests/gate/fleet_world.cc
@@ -16,6 +16,11 @@
     if (!work) {
         return;
     }
+    if (node->quotas != nullptr) {
+        BsTargets_AppendLoads(node->targets, now_ms, report->loads);
+        BsQuotas_AppendUses(node->quotas, report->uses);
+        return;
+    }
     for (const auto &load : node->own) {
         if (load.second > 0) {
             BsTargetLoad reported = {load.first, load.second, 0};
@@ -136,10 +141,17 @@
 }
 
 void
-OnPeerReport(uint32_t address, const BsGossipReport *report, int64_t,
+OnPeerReport(uint32_t address, const BsGossipReport *report, int64_t now_ms,
              void *context)
 {
     Node *node = static_cast<Node *>(context);
+    if (node->quotas != nullptr) {
+        BsTargets_SetPeer(node->targets, address, report->loads, now_ms);
+        BsQuotas_Tick(node->quotas, now_ms);
+        BsQuotas_SetPeer(node->quotas, address, report->incarnation,
+                         report->uses);
+        return;
+    }
     auto &reported = node->peers[address];
     reported.clear();
     for (guint i = 0; i < report->loads->len; i++) {
@@ -152,19 +164,33 @@
 void
 OnUnresponsive(const BsGossipMember *member, void *context)
 {
-    static_cast<Node *>(context)->peers.erase(member->address);
+    Node *node = static_cast<Node *>(context);
+    node->peers.erase(member->address);
+    if (node->quotas != nullptr) {
+        BsTargets_DropPeer(node->targets, member->address);
+    }
 }
 
 void
 OnHubsUsed(void *context)
 {
-    static_cast<Node *>(context)->peers.clear();
+    Node *node = static_cast<Node *>(context);
+    node->peers.clear();
+    if (node->quotas != nullptr) {
+        BsTargets_DropPeers(node->targets);
+    }
 }
 
 void
-OnChanges(const BsFleetChanges *changes, int64_t, void *context)
+OnChanges(const BsFleetChanges *changes, int64_t now_ms, void *context)
 {
     Node *node = static_cast<Node *>(context);
+    if (node->quotas != nullptr) {
+        BsTargets_SetFleet(node->targets, changes->loads, now_ms);
+        BsQuotas_Tick(node->quotas, now_ms);
+        BsQuotas_SetFleet(node->quotas, changes->incarnation, changes->uses);
+        return;
+    }
     for (guint i = 0; i < changes->loads->len; i++) {
         const BsTargetLoad &load =
             g_array_index(changes->loads, BsTargetLoad, i);
--- a/tests/gate/fleet_world.h
+++ b/tests/gate/fleet_world.h
@@ -59,6 +59,9 @@
     uint64_t stream_sent = 0;    // datagrams about streams
     uint64_t stream_bytes = 0;
     BsTargets *targets = nullptr; // of a test that needs it
+    // Of a test that needs them; their use and the loads of TARGETS then go
+    // into the reports.
+    BsQuotas *quotas = nullptr;
 };
 
 struct Datagram {
@@ -82,6 +85,7 @@
                 g_array_unref(node->questions);
             }
             BsTargets_Destroy(node->targets);
+            BsQuotas_Destroy(node->quotas);
         }
     }
     Node *Find(uint32_t address)
