Hubs: what a source used while it was away is not counted

A source that was out of reach for over a second had its own share of limits; its use since then was deducted at once when it returned, which left accounts refused for up to a burst's time. The first uses of another data centre's hub are the totals to count from also when loads came before them, as they do.

--- a/src/hub.c
+++ b/src/hub.c
@@ -273,8 +273,10 @@
                 uint64_t incarnation, const GArray *loads, const GArray *uses,
                 bool remote, int64_t now_ms)
 {
-    bool known =
-        source->address == address && source->incarnation == incarnation;
+    /* A source that was away used its own share of limits meanwhile. */
+    bool known = source->address == address &&
+                 source->incarnation == incarnation &&
+                 now_ms - source->received_ms <= SOURCE_TIMEOUT_MS;
     if (!known) {
         g_hash_table_remove_all(source->uses);
         S_clear_loads(hub, source, NULL, remote);
@@ -284,7 +286,10 @@
     source->received_ms = now_ms;
     source->timed_out = false;
     S_set_loads(hub, source, loads, remote);
-    S_add_uses(hub, source, uses, remote, known);
+    /* A hub sends loads before uses, so only its first uses are the totals
+       from which to count. */
+    bool counted = !remote || g_hash_table_size(source->uses) > 0;
+    S_add_uses(hub, source, uses, remote, known && counted);
 }
 
 void
