Account limits: no tolerance while half of the fleet is out of reach

Until a cut is noticed, each part of the fleet uses the limit; the tolerance has to pay for that. So requests over the limit are admitted less the more instances are out of reach, and not at all from a half on.

--- a/src/quota.c
+++ b/src/quota.c
@@ -170,6 +170,15 @@
                                     quotas->instances);
 }
 
+/* Returns the fraction of the tolerance that is used.  While many instances
+   are out of reach it is kept for what all parts use until a cut is noticed.
+ */
+static double
+S_tolerance(const BsQuotas *quotas)
+{
+    return TOLERANCE_FRACTION * MAX(2 * quotas->share - 1, 0);
+}
+
 /* Refills BUCKET and deducts what the peers used since the last refill. */
 static void
 S_refill(const BsQuotas *quotas, BsQuotaBucket *bucket)
@@ -179,9 +188,9 @@
     }
     double per_s = bucket->per_s * quotas->share;
     double burst = bucket->burst * quotas->share;
-    double over = 1.0 + quotas->over * TOLERANCE_FRACTION;
-    double most =
-        burst * over + quotas->slack * TOLERANCE_FRACTION * quotas->share;
+    double tolerance = S_tolerance(quotas);
+    double over = 1.0 + quotas->over * tolerance;
+    double most = burst * over + quotas->slack * tolerance * quotas->share;
     int64_t passed_ms = MAX(0, quotas->now_ms - bucket->filled_ms);
     double passed_s = (double)passed_ms / MS_PER_S;
     double used = (double)bucket->peers_pending;
