--- a/tests/gate/hub_test.cc
+++ b/tests/gate/hub_test.cc
@@ -93,6 +93,7 @@
 {
     uint64_t before = TotalOfOwnUse();
     Use(kAccount + 1, 0); // the member is known
+    Use(kAccount + 1, 50);
     Exchange(1);
     Use(kAccount, 300);
     Exchange(1);
@@ -102,6 +103,21 @@
     EXPECT_EQ(Total(kAccount) - before, 700U);
 }
 
+// Guards against the use of a hub's whole life, which counts at once when its
+// first summary had no room for uses: what it names first is the baseline.
+TEST_F(HubUseTest, TheFirstUsesOfAHubAreTheBaseline)
+{
+    uint64_t before = TotalOfOwnUse();
+    Exchange(1);
+    Use(kAccount, 0);
+    Use(kAccount, 5000);
+    Exchange(1);
+    EXPECT_EQ(Total(kAccount), before);
+    Use(kAccount, 5300);
+    Exchange(1);
+    EXPECT_EQ(Total(kAccount) - before, 300U);
+}
+
 // Guards against the use of a process's whole life, which counts at once when
 // its hub is replaced or starts again.
 TEST_F(HubUseTest, TheFirstTotalOfANewHubIsTheBaseline)
