gateway, boragespurd: signals are held back until they are watched

SIGHUP, SIGTERM and SIGINT killed a process that had not yet installed its handlers, and stayed blocked for ever when the process was started with them blocked. main() now blocks them first, and unblocks them when libev watches all of them; the kernel keeps one of each until then, so that it has its usual effect.

What remains is the time before main(), in which the process is loaded: a supervisor that may signal so early starts the process with the signals blocked, as the tests do.

--- a/src/d_daemon.c
+++ b/src/d_daemon.c
@@ -9,6 +9,7 @@
 #include "d_stop.h"
 #include "d_trace.h"
 #include "d_upstreams.h"
+#include "startsignals.h"
 
 #include <curl/curl.h>
 #include <signal.h>
@@ -99,6 +100,7 @@
     }
     daemon->platform = BsPlatform_Create(daemon->loop);
     daemon->stop = BsStopSignals_Create(daemon->loop, daemon->callers);
+    BsStartSignals_Release();
     return true;
 }
 
--- a/src/gw_gateway.c
+++ b/src/gw_gateway.c
@@ -6,6 +6,7 @@
 #include "gw_gatewayparts.h"
 #include "gw_relay.h"
 #include "gw_stream.h"
+#include "startsignals.h"
 
 #include <signal.h>
 #include <stdio.h>
@@ -426,6 +427,7 @@
     S_start_signal(gateway, &gateway->terminate, SIGTERM, S_on_terminate);
     S_start_signal(gateway, &gateway->interrupt, SIGINT, S_on_terminate);
     S_start_signal(gateway, &gateway->hangup, SIGHUP, S_on_hangup);
+    BsStartSignals_Release();
     gateway->link = gateway->adapter->connect(
         loop, &S_clock, gateway->settings, gateway->replica, S_random(),
         BsGateway_OnLink, gateway);
