--- a/tests/gate/gateway_explain_test.cc
+++ b/tests/gate/gateway_explain_test.cc
@@ -211,6 +211,44 @@
     EXPECT_EQ(TextOf(Explain("--path /open/1"), "decision"), "sent");
 }
 
+// The rejections that follow from the upstreams are those of real requests.
+TEST_F(ExplainTest, RejectionsByTheUpstreamsAreThoseOfRequests)
+{
+    Start({[](Socket &socket, const ReceivedRequest &got) {
+        std::string answer = SignedAnswer(got, "body of " + got.id);
+        return socket.Write(
+            answer.insert(answer.find("\r\n") + 2, "Server-Limit: 0.01\r\n"));
+    }});
+    const std::string options = "--path /look/1 --account acme";
+    gateway_->Ask(Call("/look/1", "first"));
+    Json json = Explain(options);
+    EXPECT_EQ(TextOf(json, "decision"), "rejected");
+    EXPECT_EQ(TextOf(json, "rule"), "limited");
+    json_t *candidate =
+        json_array_get(json_object_get(json.get(), "candidates"), 0);
+    EXPECT_STREQ(json_string_value(json_object_get(candidate, "reason")),
+                 "named_limit");
+    EXPECT_STREQ(json_string_value(
+                     json_array_get(json_object_get(candidate, "states"), 0)),
+                 "limited");
+    EXPECT_EQ(StatusOf(gateway_->Ask(Call("/look/1", "second"))), 503);
+    EXPECT_NE(gateway_->Log().find("\"limited\""), std::string::npos);
+
+    store_.Put("servers/" + Name(0),
+               Listed("desk", runners_[0]->port(), "z1", "draining"));
+    ASSERT_TRUE(Eventually([&] {
+        json = Explain(options);
+        return TextOf(json, "rule") == "no_upstream";
+    }));
+    EXPECT_EQ(json_integer_value(json_object_get(
+                  json_object_get(json.get(), "reasons"), "draining")),
+              1);
+    EXPECT_EQ(StatusOf(gateway_->Ask(Call("/look/1", "third"))), 503);
+    ASSERT_TRUE(Eventually([&] {
+        return gateway_->Log().find("\"no_upstream\"") != std::string::npos;
+    }));
+}
+
 // Guards against answers that grow with the number of upstreams.
 TEST_F(ExplainTest, ListsTwentyCandidatesAndCountsTheRest)
 {
