Test of blocked requests: the account's bucket is full before it is used

A process begins with an empty bucket where operators tolerate nothing above limits, as this test's settings do; it used the burst right after the start. It now waits until the bucket is full. What it checks is unchanged: five blocked requests that were charged would leave nothing for the last one.

--- a/tests/gate/gateway_crash_test.cc
+++ b/tests/gate/gateway_crash_test.cc
@@ -13,6 +13,10 @@
 const int kUpstreams = 8;
 const int kCrashesToBlock = 3;
 
+// Time in which the bucket of the account "small" fills.  A process begins
+// with an empty one, as the settings tolerate nothing above limits.
+const std::chrono::seconds kSmallBurst(5);
+
 // Closes the connection on the deadly body and answers everything else.
 bool
 Crashes(Socket &socket, const ReceivedRequest &got)
@@ -114,6 +118,7 @@
 TEST_F(CrashTest, BlockedRequestsAreNotChargedToTheAccount)
 {
     Start(std::vector<Runner::Script>(kCrashesToBlock + 1, Crashes));
+    std::this_thread::sleep_for(kSmallBurst);
     auto ask = [&](const std::string &body) {
         std::string id = "small-" + std::to_string(++asked_);
         std::string call = Call("/book/1", id, "Token-Usage: 1,0\r\n", body);
