--- a/tests/gate/gate_harness.cc
+++ b/tests/gate/gate_harness.cc
@@ -8,6 +8,7 @@
 #include <csignal>
 #include <cstring>
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
 #include <glib.h>
 #include <gtest/gtest.h>
@@ -511,7 +512,8 @@
 // ----------------------------------------------------------------- gateway --
 
 Gateway::Gateway(int store_port, const std::string &ip, int peers_port,
-                 const std::vector<std::string> &seeds, LogTo log_to)
+                 const std::vector<std::string> &seeds, LogTo log_to,
+                 const std::string &machine)
     : ip_(ip), callers_(FreePort()), ready_(FreePort()), admin_(FreePort()),
       peers_port_(peers_port == 0 ? FreePort() : peers_port)
 {
@@ -535,7 +537,7 @@
     }
     file << (seeds.empty() ? "  []\n" : "")
          << "store: \"127.0.0.1:" << store_port << "\"\n"
-         << "machine: { memory_mb: 110, descriptors: 1000 }\n"
+         << "machine: { " << machine << " }\n"
          << "bounds: { drain_ms: 2500, grace_s: 8, retry_ratio: 0.2, "
             "retry_slack: 58000, retry_window_s: 10, quota_over: 0, "
             "quota_slack: 0 }\n";
@@ -653,6 +655,29 @@
     return kib;
 }
 
+size_t
+Gateway::Descriptors()
+{
+    size_t count = 0;
+    std::error_code error;
+    for (std::filesystem::directory_iterator
+             at("/proc/" + std::to_string(pid_) + "/fd", error),
+         end;
+         !error && at != end; at.increment(error)) {
+        count++;
+    }
+    return count;
+}
+
+bool
+Gateway::IsAlive()
+{
+    if (pid_ > 0 && waitpid(pid_, nullptr, WNOHANG) == pid_) {
+        pid_ = -1;
+    }
+    return pid_ > 0;
+}
+
 void
 Gateway::Signal(int number)
 {
--- a/tests/gate/gate_harness.h
+++ b/tests/gate/gate_harness.h
@@ -185,7 +185,9 @@
     explicit Gateway(int store_port, const std::string &ip = "127.0.0.1",
                      int peers_port = 0,
                      const std::vector<std::string> &seeds = {},
-                     LogTo log_to = LogTo::kFile);
+                     LogTo log_to = LogTo::kFile,
+                     const std::string &machine = "memory_mb: 110, "
+                                                  "descriptors: 1000");
     ~Gateway();
     // Connects to the callers' address.
     std::unique_ptr<Socket> Open();
@@ -205,6 +207,10 @@
     void Signal(int number);
     // Returns the most memory that the process has used so far.
     long PeakKib();
+    // Returns the number of descriptors that the process has open.
+    size_t Descriptors();
+    // Returns whether the process runs.
+    bool IsAlive();
     // Waits for the exit; returns the exit code, -1 when it was killed.
     int Wait();
     // Closes the reading end of its log's pipe.
@@ -219,6 +225,14 @@
     {
         return peers_port_;
     }
+    int callers_port() const
+    {
+        return callers_;
+    }
+    int ready_port() const
+    {
+        return ready_;
+    }
     const std::string &settings() const
     {
         return settings_;
