connbudget: a lower number comes into force as connections end

Half of the new limit is left as room for new connections meanwhile, and the limit in force never rises.

--- a/src/connbudget.c
+++ b/src/connbudget.c
@@ -26,7 +26,9 @@
 struct BsConnBudget {
     uint64_t bytes_max;
     uint64_t bytes;
-    uint32_t connections_max;
+    uint32_t connections_set; /* the limit that was set */
+    uint32_t connections_max; /* the limit in force, above it for a while after
+                                 it was lowered */
     uint32_t connections;
     BsConnGroup groups[GROUPS];
     GQueue phases[BS_CONN_PHASES];
@@ -47,12 +49,24 @@
     g_free(budget);
 }
 
+/* Lowers the limit in force to the one that was set, but leaves half of that
+   as room for new connections, so that open ones need not be closed. */
+static void
+S_lower_limit(BsConnBudget *budget)
+{
+    uint64_t needed =
+        (uint64_t)budget->connections + budget->connections_set / 2;
+    budget->connections_max = (uint32_t)MAX(
+        budget->connections_set, MIN(budget->connections_max, needed));
+}
+
 void
 BsConnBudget_SetLimits(BsConnBudget *budget, uint64_t bytes,
                        uint32_t connections)
 {
     budget->bytes_max = bytes;
-    budget->connections_max = connections;
+    budget->connections_set = connections;
+    S_lower_limit(budget);
 }
 
 static unsigned
@@ -123,6 +137,7 @@
 {
     S_unlink(budget, entry);
     budget->connections--;
+    S_lower_limit(budget);
 }
 
 /* Returns the group that holds the most bytes. */
--- a/src/connbudget.h
+++ b/src/connbudget.h
@@ -62,8 +62,8 @@
 /* Frees BUDGET, which must have no entries; NULL is allowed. */
 void BsConnBudget_Destroy(BsConnBudget *budget);
 
-/* Replaces the limits.  Connections beyond them are closed when the budget is
-   enforced next. */
+/* Replaces the limits.  A lower limit on memory closes connections when it is
+   enforced next; one on their number comes into force as they end. */
 void BsConnBudget_SetLimits(BsConnBudget *budget, uint64_t bytes,
                             uint32_t connections);
 
--- a/tests/gate/connbudget_test.cc
+++ b/tests/gate/connbudget_test.cc
@@ -145,6 +145,30 @@
     EXPECT_TRUE(closed_.empty());
 }
 
+// Guards against requests that are closed because operators lower the limit
+// below the number of open connections, and a lower limit without an effect.
+TEST_F(ConnBudget, ALowerNumberComesIntoForceAsConnectionsEnd)
+{
+    for (uint32_t i = 0; i < kConnections; i++) {
+        Add(BS_CONN_READING, 20);
+    }
+    BsConnBudget_SetLimits(budget_, kBytes, 4);
+    EXPECT_FALSE(BsConnBudget_HasRoom(budget_));
+    for (int i = 0; i < 3; i++) {
+        BsConnBudget_Remove(budget_, &connections_[(size_t)i]->entry);
+    }
+    EXPECT_TRUE(BsConnBudget_MakeRoom(budget_, now_ms_));
+    EXPECT_TRUE(closed_.empty());
+    for (int i = 3; i < 8; i++) {
+        BsConnBudget_Remove(budget_, &connections_[(size_t)i]->entry);
+    }
+    Add(BS_CONN_READING, 20);
+    Add(BS_CONN_READING, 20);
+    EXPECT_FALSE(BsConnBudget_HasRoom(budget_));
+    EXPECT_TRUE(BsConnBudget_MakeRoom(budget_, now_ms_));
+    EXPECT_EQ(closed_, std::vector<int>{8});
+}
+
 // Guards against a log line for each closed connection.
 TEST_F(ConnBudget, ReportsEachChangeOnce)
 {
