gw_stream, http1: give large buffers back

An empty write buffer and the buffer for heads kept the size of the largest message that the connection had carried, for as long as it was open, also on idle connections to upstreams: a body of 4 MB per connection. Above 1 KiB they are freed now.

BsStream_CloseNow(), BsStream_SetOnFreed() and two functions that return the sizes are for the budget of inbound connections.

--- a/src/gw_stream.c
+++ b/src/gw_stream.c
@@ -16,6 +16,10 @@
 /* Sent bytes are removed from the front of the buffer when there are more. */
 #define COMPACT_BYTES 65536
 
+/* A write buffer that has grown beyond this is given back once it is sent, so
+   that idle connections do not keep the largest message that they carried. */
+#define KEPT_BUFFER_BYTES 1024
+
 /* TCP_USER_TIMEOUT: the connection fails when sent data is not acknowledged
    for this long.  Longer than any pause of a working link and shorter than the
    time limits of requests. */
@@ -25,6 +29,8 @@
     struct ev_loop *loop;
     const BsStreamEvents *events;
     void *context;
+    void (*on_freed)(void *context);
+    void *freed_context;
     ev_io read_watcher;
     ev_io write_watcher;
     ev_timer close_timer;
@@ -53,6 +59,9 @@
     if (stream->closing) {
         g_queue_remove(&S_closing, stream);
     }
+    if (stream->on_freed != NULL) {
+        stream->on_freed(stream->freed_context);
+    }
     g_string_free(stream->out, TRUE);
     g_free(stream);
 }
@@ -121,6 +130,19 @@
     stream->events->on_end(error_number, stream->context);
 }
 
+/* Empties the write buffer. */
+static void
+S_clear_buffer(BsStream *stream)
+{
+    stream->out_at = 0;
+    if (stream->out->allocated_len <= KEPT_BUFFER_BYTES) {
+        g_string_truncate(stream->out, 0);
+        return;
+    }
+    g_string_free(stream->out, TRUE);
+    stream->out = g_string_new(NULL);
+}
+
 /* Sends as much as the kernel accepts.  Returns false with errno set when the
    connection failed. */
 static bool
@@ -141,8 +163,7 @@
         stream->out_at += (size_t)sent;
     }
     if (stream->out_at == stream->out->len) {
-        g_string_truncate(stream->out, 0);
-        stream->out_at = 0;
+        S_clear_buffer(stream);
     }
     else if (stream->out_at > COMPACT_BYTES) {
         g_string_erase(stream->out, 0, (gssize)stream->out_at);
@@ -224,9 +245,8 @@
     S_leave_callback(stream);
 }
 
-/* Closes STREAM, with a reset when buffered bytes are dropped. */
-static void
-S_end(BsStream *stream)
+void
+BsStream_CloseNow(BsStream *stream)
 {
     if (BsStream_PendingBytes(stream) > 0) {
         BsStream_Abort(stream);
@@ -248,7 +268,7 @@
     size_t before = stream->undelivered;
     stream->undelivered = BsStream_UndeliveredBytes(stream);
     if (BsStream_PendingBytes(stream) == 0 || stream->undelivered >= before) {
-        S_end(stream);
+        BsStream_CloseNow(stream);
     }
 }
 
@@ -325,6 +345,14 @@
     BsStream_CloseWhenSent(stream, limit_s);
 }
 
+void
+BsStream_SetOnFreed(BsStream *stream, void (*on_freed)(void *context),
+                    void *context)
+{
+    stream->on_freed = on_freed;
+    stream->freed_context = context;
+}
+
 uint64_t
 BsStream_UnreadCloses(void)
 {
@@ -369,7 +397,7 @@
             S_send_blocking(stream, limit_s);
         }
         stream->depth = 0;
-        S_end(stream);
+        BsStream_CloseNow(stream);
     }
 }
 
@@ -410,6 +438,12 @@
     return stream->out->len - stream->out_at;
 }
 
+size_t
+BsStream_BufferBytes(const BsStream *stream)
+{
+    return stream->out->allocated_len;
+}
+
 size_t
 BsStream_UndeliveredBytes(const BsStream *stream)
 {
--- a/src/gw_stream.h
+++ b/src/gw_stream.h
@@ -52,6 +52,16 @@
    read. */
 void BsStream_CloseUnread(BsStream *stream, double limit_s);
 
+/* Sets a function that is called with CONTEXT when STREAM, which must have
+   been given to BsStream_CloseWhenSent() or BsStream_CloseUnread(), is freed.
+ */
+void BsStream_SetOnFreed(BsStream *stream, void (*on_freed)(void *context),
+                         void *context);
+
+/* Closes STREAM at once and frees it, with a TCP reset when buffered bytes are
+   dropped. */
+void BsStream_CloseNow(BsStream *stream);
+
 /* Returns how many streams given to BsStream_CloseUnread() were closed with
    bytes left unread. */
 uint64_t BsStream_UnreadCloses(void);
@@ -80,6 +90,9 @@
 /* Returns the bytes that the kernel has not accepted yet. */
 size_t BsStream_PendingBytes(const BsStream *stream);
 
+/* Returns the size of the write buffer. */
+size_t BsStream_BufferBytes(const BsStream *stream);
+
 /* Returns the written bytes that the peer has not acknowledged yet. */
 size_t BsStream_UndeliveredBytes(const BsStream *stream);
 
--- a/src/http1.c
+++ b/src/http1.c
@@ -12,6 +12,14 @@
    send them without end. */
 #define INTERIM_MAX 16
 
+/* Memory of a parsed header beside its text: its entry in an array that grows
+   by doubling, and two allocations of at least 32 bytes. */
+#define HEADER_COST_BYTES (2 * sizeof(BsHttpHeader) + 64)
+
+/* A buffer for heads that has grown beyond this is given back with the
+   message. */
+#define KEPT_RAW_BYTES 1024
+
 /* Position in a chunked body. */
 typedef enum {
     CHUNK_SIZE,      /* in the digits of the size */
@@ -475,6 +483,10 @@
 {
     BsHttpHead_Destroy(reader->head);
     reader->head = NULL;
+    if (reader->raw->allocated_len > KEPT_RAW_BYTES) {
+        g_string_free(reader->raw, TRUE);
+        reader->raw = g_string_new(NULL);
+    }
     g_string_truncate(reader->raw, 0);
     http_parser_init(&reader->parser, reader->kind == BS_HTTP_REQUEST
                                           ? HTTP_REQUEST
@@ -677,3 +689,13 @@
 {
     return reader->fault;
 }
+
+size_t
+BsHttpReader_HeadBytes(const BsHttpReader *reader)
+{
+    size_t bytes = reader->raw->allocated_len;
+    if (reader->head != NULL) {
+        bytes += reader->head->headers->len * HEADER_COST_BYTES;
+    }
+    return bytes;
+}
--- a/src/http1.h
+++ b/src/http1.h
@@ -108,6 +108,9 @@
 /* Returns why the current message was rejected, or BS_HTTP_OK. */
 BsHttpFault BsHttpReader_Fault(const BsHttpReader *reader);
 
+/* Returns the memory that the head of the current message takes. */
+size_t BsHttpReader_HeadBytes(const BsHttpReader *reader);
+
 /* Prepares for the next message on the connection. */
 void BsHttpReader_Reset(BsHttpReader *reader);
 
