gatesettings: optional limits on inbound connections

inbound.memory_percent (default 20, 1 to 60), inbound.reserved_descriptors (600, 16 to 1000000) and inbound.unsent_kib (64, 1 to 65536). An invalid value is rejected with its key, itself and the range.

--- a/src/gatesettings.c
+++ b/src/gatesettings.c
@@ -10,6 +10,19 @@
 #define DATA_CENTRES_MAX 64
 #define SEEDS_MAX 16
 
+/* Defaults and ranges of the limits on inbound connections.  One caller uses
+   at most its body (4,194,304 bytes), its head and the pipelined bytes of one
+   connection (65,536): less than a fifth of 88 MB. */
+#define INBOUND_MEMORY_PERCENT 20
+#define INBOUND_MEMORY_PERCENT_MIN 1
+#define INBOUND_MEMORY_PERCENT_MAX 60
+#define INBOUND_RESERVED 600
+#define INBOUND_RESERVED_MIN 16
+#define INBOUND_RESERVED_MAX 1000000
+#define INBOUND_UNSENT_KIB 64
+#define INBOUND_UNSENT_KIB_MIN 1
+#define INBOUND_UNSENT_KIB_MAX 65536
+
 #define REQUIRED CYAML_FLAG_DEFAULT
 #define STRING(key, owner, member)                                            \
     CYAML_FIELD_STRING_PTR(key, CYAML_FLAG_POINTER, owner, member, 1,         \
@@ -40,6 +53,15 @@
     CYAML_FIELD_UINT("quota_slack", REQUIRED, BsGateBounds, quota_slack),
     CYAML_FIELD_END};
 
+#define OPTIONAL_UINT(key, member)                                            \
+    CYAML_FIELD_UINT_PTR(key, CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,       \
+                         BsGateInboundGiven, member)
+
+static const cyaml_schema_field_t S_inbound_fields[] = {
+    OPTIONAL_UINT("memory_percent", memory_percent),
+    OPTIONAL_UINT("reserved_descriptors", reserved_descriptors),
+    OPTIONAL_UINT("unsent_kib", unsent_kib), CYAML_FIELD_END};
+
 static const cyaml_schema_field_t S_fields[] = {
     STRING("name", BsGateSettings, name),
     STRING("data_centre", BsGateSettings, data_centre),
@@ -59,6 +81,8 @@
                         S_machine_fields),
     CYAML_FIELD_MAPPING("bounds", REQUIRED, BsGateSettings, bounds,
                         S_bounds_fields),
+    CYAML_FIELD_MAPPING("inbound", CYAML_FLAG_OPTIONAL, BsGateSettings,
+                        inbound_given, S_inbound_fields),
     CYAML_FIELD_END};
 
 static const cyaml_schema_value_t S_schema = {
@@ -97,6 +121,11 @@
     TEXT("bounds.retry_window_s", "a whole number of 1 or more"),
     TEXT("bounds.quota_over", "a number from 0 to 10"),
     TEXT("bounds.quota_slack", WHOLE_TEXT),
+    TEXT("inbound", "the optional keys memory_percent, reserved_descriptors "
+                    "and unsent_kib"),
+    TEXT("inbound.memory_percent", "a whole number from 1 to 60"),
+    TEXT("inbound.reserved_descriptors", "a whole number from 16 to 1000000"),
+    TEXT("inbound.unsent_kib", "a whole number from 1 to 65536"),
 };
 
 static const BsSettingsKeys S_keys = {S_rows, G_N_ELEMENTS(S_rows)};
@@ -148,6 +177,39 @@
            S_check_address(file, "store", settings->store, error);
 }
 
+static uint32_t
+S_or_default(const uint32_t *given, uint32_t value)
+{
+    return given == NULL ? value : *given;
+}
+
+static void
+S_set_inbound(BsGateSettings *settings)
+{
+    const BsGateInboundGiven *given = &settings->inbound_given;
+    settings->inbound = (BsGateInbound){
+        .memory_percent =
+            S_or_default(given->memory_percent, INBOUND_MEMORY_PERCENT),
+        .reserved_descriptors =
+            S_or_default(given->reserved_descriptors, INBOUND_RESERVED),
+        .unsent_kib = S_or_default(given->unsent_kib, INBOUND_UNSENT_KIB),
+    };
+}
+
+static bool
+S_check_inbound(const BsGateInbound *inbound, const char *file, GError **error)
+{
+    return S_check_number(file, "inbound.memory_percent",
+                          inbound->memory_percent, INBOUND_MEMORY_PERCENT_MIN,
+                          INBOUND_MEMORY_PERCENT_MAX, error) &&
+           S_check_number(file, "inbound.reserved_descriptors",
+                          inbound->reserved_descriptors, INBOUND_RESERVED_MIN,
+                          INBOUND_RESERVED_MAX, error) &&
+           S_check_number(file, "inbound.unsent_kib", inbound->unsent_kib,
+                          INBOUND_UNSENT_KIB_MIN, INBOUND_UNSENT_KIB_MAX,
+                          error);
+}
+
 static bool
 S_check(const BsGateSettings *settings, const char *file, GError **error)
 {
@@ -161,6 +223,7 @@
         return S_fail(error, file, "region", settings->region);
     }
     return S_check_addresses(settings, file, error) &&
+           S_check_inbound(&settings->inbound, file, error) &&
            S_check_number(file, "machine.memory_mb",
                           settings->machine.memory_mb, 16, UINT32_MAX,
                           error) &&
@@ -200,8 +263,11 @@
                                : report->len > 0  ? report->str
                                                   : cyaml_strerror(result));
     }
-    else if (!S_check(settings, file, error)) {
-        g_clear_pointer(&settings, BsGateSettings_Destroy);
+    else {
+        S_set_inbound(settings);
+        if (!S_check(settings, file, error)) {
+            g_clear_pointer(&settings, BsGateSettings_Destroy);
+        }
     }
     g_string_free(report, TRUE);
     return settings;
--- a/src/gatesettings.h
+++ b/src/gatesettings.h
@@ -12,6 +12,8 @@
 
 #include <netinet/in.h>
 
+#define BS_KIBIBYTE 1024U
+
 /* A data centre and its region. */
 typedef struct {
     char *name;
@@ -38,6 +40,23 @@
                                 unit */
 } BsGateBounds;
 
+/* Limits on the connections of callers, balancers, operators and peers. */
+typedef struct {
+    uint32_t memory_percent; /* of the machine's memory, for what all of them
+                                buffer */
+    uint32_t reserved_descriptors; /* not used for them, at most half of the
+                                      machine's */
+    uint32_t unsent_kib; /* unread answers of a connection, above which its
+                            next request is not read */
+} BsGateInbound;
+
+/* The same as the file gives them; NULL: the default. */
+typedef struct {
+    uint32_t *memory_percent;
+    uint32_t *reserved_descriptors;
+    uint32_t *unsent_kib;
+} BsGateInboundGiven;
+
 /* Settings of a gateway. */
 typedef struct {
     char *name;
@@ -54,6 +73,8 @@
     char *store; /* IP:port of the platform's store */
     BsGateMachine machine;
     BsGateBounds bounds;
+    BsGateInboundGiven inbound_given;
+    BsGateInbound inbound; /* with the defaults */
 } BsGateSettings;
 
 /* Reads and checks FILE; NULL with BS_ERR_SETTINGS set when it is missing or
