gw_inbound: one budget for all connections, pipelined requests without nesting

Limits held per connection or per listening address, so a crowd could exceed them at will: bodies up to 65,536 bytes were exempt, heads, pipelined bytes and unsent answers were not counted, each address had its own number of connections, and closing connections counted nowhere. All of them are entered in one BsConnBudget now. It is enforced after each read, before each wait of the loop and before each accept. A request that is being read is refused with 503 (it has not run); others are closed.

Requests sent ahead are parsed in a loop. Each was parsed within the answer of its predecessor, with a copy of all bytes after it. The next one is not read while more than inbound.unsent_kib of answers are unread.

Large buffers are mapped on their own (M_MMAP_THRESHOLD), as the allocator raises that size by itself and then keeps their memory.

Metrics inbound_connections, inbound_bytes_held, inbound_closed_total{limit}; log event inbound_limit when a limit is reached and when it is over.

--- a/src/gw_gate.h
+++ b/src/gw_gate.h
@@ -41,7 +41,8 @@
     BsHistogram *waits;        /* by route */
     BsHistogram *first_events; /* by route */
     BsOutboundPool *pool;
-    GHashTable *relays; /* set of the requests in progress */
+    GHashTable *relays;        /* set of the requests in progress */
+    BsConnBudget *conn_budget; /* of all inbound connections */
     BsInboundServer *callers;
     BsTargets *targets;
     BsQuotas *quotas;
--- a/src/gw_gateway.c
+++ b/src/gw_gateway.c
@@ -7,6 +7,7 @@
 #include "gw_relay.h"
 #include "gw_stream.h"
 
+#include <malloc.h>
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
@@ -45,6 +46,9 @@
 
 #define MS_PER_S 1000
 
+/* Size from which the allocator maps a block on its own. */
+#define MAPPED_MIN_BYTES 131072
+
 static const BsCatalogLimits S_default_limits = {
     .header_bytes = 16384,
     .body_bytes = 4 * 1024 * 1024,
@@ -236,6 +240,7 @@
     gateway->settings = settings;
     gateway->gate.settings = settings;
     S_apply_bounds(&gateway->gate, &settings->bounds);
+    BsGateway_ApplyInbound(gateway);
     BsGossipTask_AddSeeds(gateway->gossip);
 }
 
@@ -273,6 +278,33 @@
     gateway->unread_closes = closes;
 }
 
+/* Logs that a limit on inbound connections has been reached, or is over. */
+static void
+S_log_inbound_limits(BsGateway *gateway, int64_t now_ms)
+{
+    static const char *const causes[] = {
+        [BS_CONN_LIMIT_MEMORY] = "inbound_memory",
+        [BS_CONN_LIMIT_NUMBER] = "inbound_connections",
+    };
+    const BsConnBudget *budget = gateway->gate.conn_budget;
+    BsEventLog *log = gateway->gate.log;
+    for (int limit = 0; limit < BS_CONN_LIMITS; limit++) {
+        bool reached;
+        if (!BsConnBudget_TakeChange(gateway->gate.conn_budget, limit, now_ms,
+                                     &reached) ||
+            !BsEventLog_Begin(log, BS_EVENT_STATE, "inbound_limit")) {
+            continue;
+        }
+        BsEventLog_Text(log, "outcome", reached ? "reached" : "over");
+        BsEventLog_Text(log, "cause", causes[limit]);
+        uint64_t closed = BsConnBudget_Closed(budget, limit);
+        BsEventLog_Number(log, "count",
+                          (int64_t)(closed - gateway->inbound_closed[limit]));
+        BsEventLog_End(log);
+        gateway->inbound_closed[limit] = closed;
+    }
+}
+
 static void
 S_on_tick(struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -294,6 +326,7 @@
         }
     }
     S_log_unread(gateway);
+    S_log_inbound_limits(gateway, now_ms);
     if (gateway->gate.stopping) {
         S_check_stop(gateway, now_ms);
     }
@@ -321,7 +354,8 @@
         BsGateway_InboundLimits(gateway, &S_default_limits);
     BsGateSettings_ParseAddress(text, &address);
     return BsInboundServer_Create(gateway->gate.loop, &S_clock, &address, app,
-                                  context, &limits, error);
+                                  context, &limits, gateway->gate.conn_budget,
+                                  error);
 }
 
 static uint32_t
@@ -356,6 +390,8 @@
     gate->first_events = BsHistogram_Create(
         "first_event", "From a send to the answer's first event", "route");
     gate->pool = BsOutboundPool_Create(gate->loop, &S_clock);
+    gate->conn_budget = BsConnBudget_Create(0, 0);
+    BsGateway_ApplyInbound(gateway);
     gate->relays = g_hash_table_new(g_direct_hash, g_direct_equal);
     gate->targets = BsTargets_Create(settings->data_centre, settings->region);
     gate->quotas = BsQuotas_Create(bounds->quota_over, bounds->quota_slack);
@@ -444,6 +480,7 @@
     BsInboundServer_Destroy(gateway->ready);
     BsInboundServer_Destroy(gate->callers);
     BsStream_EndClosing(0);
+    BsConnBudget_Destroy(gate->conn_budget);
     BsOutboundPool_Destroy(gate->pool);
     BsTargets_Destroy(gate->targets);
     BsQuotas_Destroy(gate->quotas);
@@ -532,5 +569,9 @@
         return EXIT_USAGE;
     }
     signal(SIGPIPE, SIG_IGN);
+    /* Large buffers are mapped on their own and given back when freed.  By
+       default the allocator raises this size once such a buffer is freed, and
+       then keeps their memory. */
+    mallopt(M_MMAP_THRESHOLD, MAPPED_MIN_BYTES);
     return S_run(argv[1], adapter);
 }
--- a/src/gw_gatewayparts.h
+++ b/src/gw_gatewayparts.h
@@ -33,6 +33,8 @@
     int64_t stop_limit_ms; /* longest time from then to the exit */
     int64_t pruned_ms;
     uint64_t unread_closes; /* BsStream_UnreadCloses() as last logged */
+    uint64_t inbound_closed[BS_CONN_LIMITS]; /* BsConnBudget_Closed(), the
+                                                same */
 } BsGateway;
 
 /* ------------------------------------------------------- gw_published.c -- */
@@ -42,6 +44,10 @@
 BsInboundLimits BsGateway_InboundLimits(const BsGateway *gateway,
                                         const BsCatalogLimits *limits);
 
+/* Applies the settings of the machine and of inbound connections to the budget
+   that all servers share. */
+void BsGateway_ApplyInbound(const BsGateway *gateway);
+
 /* Decodes and applies a changed ITEM; CONTEXT is the gateway. */
 void BsGateway_OnItem(const BsItem *item, void *context);
 
--- a/src/gw_gossip.c
+++ b/src/gw_gossip.c
@@ -633,8 +633,8 @@
         .body_bytes = PEER_BODY_BYTES,
         .header_timeout_ms = PEER_TIMEOUT_MS,
         .idle_timeout_ms = PEER_TIMEOUT_MS,
-        .held_bytes = PEER_BODY_BYTES,
         .connections = PEER_CONNECTIONS,
+        .unsent_bytes = task->gate->settings->inbound.unsent_kib * BS_KIBIBYTE,
     };
     task->fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (task->fd < 0 || bind(task->fd, (const struct sockaddr *)address,
@@ -644,9 +644,9 @@
                     task->port, g_strerror(errno));
         return false;
     }
-    task->server =
-        BsInboundServer_Create(task->gate->loop, task->gate->clock, address,
-                               &S_app, task, &limits, error);
+    task->server = BsInboundServer_Create(task->gate->loop, task->gate->clock,
+                                          address, &S_app, task, &limits,
+                                          task->gate->conn_budget, error);
     return task->server != NULL;
 }
 
--- a/src/gw_inbound.c
+++ b/src/gw_inbound.c
@@ -5,6 +5,7 @@
 #include "gw_stream.h"
 
 #include <errno.h>
+#include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -29,9 +30,13 @@
    pause which the answer outlives does not cut off its end. */
 #define CLOSE_LIMIT_S 5.0
 
-/* Bodies up to this size are accepted even when the limit on all bodies
-   together is exceeded. */
-#define BODY_EXEMPT_BYTES 65536
+/* A buffer up to this size is kept between requests.  It does not count, as
+   the limit on connections covers it. */
+#define KEPT_BUFFER_BYTES 1024
+
+/* Other buffers count with their allocated size up to this size.  Larger ones
+   are mapped on their own, and their unused part takes no memory. */
+#define MAPPED_MIN_BYTES 131072
 
 #define MS_PER_S 1000
 
@@ -44,6 +49,9 @@
     const BsHttpHead *head; /* owned by the reader */
     GString *body;
     GString *pipelined_data; /* bytes after the current request */
+    size_t pipelined_at;     /* parsed bytes at the front of PIPELINED_DATA */
+    BsConnEntry entry;       /* in the server's budget */
+    bool *freed; /* while requests are parsed: set when INBOUND is freed */
     void *user;
     BsInboundState state;
     int64_t started_ms; /* first byte of the request */
@@ -67,6 +75,8 @@
     ev_io accept_watcher;
     ev_timer pause_timer;
     ev_timer sweep_timer;
+    ev_prepare prepare;
+    BsConnBudget *budget;
     GHashTable *connections; /* set of BsInbound */
     uint64_t held_bytes;
     unsigned requests;
@@ -124,11 +134,57 @@
     inbound->body = g_string_new(NULL);
 }
 
+/* Returns the memory of a buffer of ALLOCATED bytes, of which USED are filled.
+ */
+static uint64_t
+S_buffer_bytes(size_t allocated, size_t used)
+{
+    if (allocated <= KEPT_BUFFER_BYTES) {
+        return 0;
+    }
+    return allocated <= MAPPED_MIN_BYTES ? allocated : used;
+}
+
+static uint64_t
+S_string_bytes(const GString *string)
+{
+    return S_buffer_bytes(string->allocated_len, string->len);
+}
+
+static size_t
+S_pipelined_bytes(const BsInbound *inbound)
+{
+    return inbound->pipelined_data->len - inbound->pipelined_at;
+}
+
+/* Enters in the budget what INBOUND does and buffers. */
+static void
+S_account(BsInbound *inbound)
+{
+    static const BsConnPhase phases[] = {
+        [STATE_IDLE] = BS_CONN_IDLE,
+        [STATE_READING] = BS_CONN_READING,
+        [STATE_ANSWERING] = BS_CONN_ANSWERING,
+    };
+    size_t head = BsHttpReader_HeadBytes(inbound->reader);
+    size_t out = BsStream_BufferBytes(inbound->stream);
+    uint64_t bytes = S_buffer_bytes(head, head) + S_buffer_bytes(out, out) +
+                     S_string_bytes(inbound->body) +
+                     S_string_bytes(inbound->pipelined_data);
+    BsConnBudget_Update(inbound->server->budget, &inbound->entry,
+                        phases[inbound->state], bytes,
+                        S_now_ms(inbound->server));
+}
+
 /* Frees everything but the stream, which must be closed separately. */
 static void
 S_free(BsInbound *inbound)
 {
     BsInboundServer *server = inbound->server;
+    if (inbound->freed != NULL) {
+        *inbound->freed = true;
+    }
+    BsConnBudget_Remove(server->budget, &inbound->entry);
     if (inbound->state == STATE_ANSWERING) {
         server->requests--;
     }
@@ -147,11 +203,59 @@
     S_free(inbound);
 }
 
+/* A connection without a request, of which only the stream is left. */
+typedef struct {
+    BsConnEntry entry;
+    BsConnBudget *budget;
+    BsStream *stream;
+} BsClosing;
+
+static void
+S_on_closing_freed(void *context)
+{
+    BsClosing *closing = context;
+    BsConnBudget_Remove(closing->budget, &closing->entry);
+    g_free(closing);
+}
+
+static void
+S_end_closing(void *owner, BsConnLimit limit)
+{
+    (void)limit;
+    BsClosing *closing = owner;
+    BsStream *stream = closing->stream;
+    /* The stream may be freed later, when it is closed from its own callback.
+     */
+    BsStream_SetOnFreed(stream, NULL, NULL);
+    S_on_closing_freed(closing);
+    BsStream_CloseNow(stream);
+}
+
+/* Frees INBOUND but its stream, which goes on to close itself and stays in the
+   budget. */
+static void
+S_release_stream(BsInbound *inbound)
+{
+    BsClosing *closing = g_new0(BsClosing, 1);
+    BsInboundServer *server = inbound->server;
+    closing->budget = server->budget;
+    closing->stream = inbound->stream;
+    closing->entry.close = S_end_closing;
+    closing->entry.owner = closing;
+    S_free(inbound);
+    BsConnBudget_Add(closing->budget, &closing->entry, BS_CONN_CLOSING,
+                     S_now_ms(server));
+    BsConnBudget_Update(closing->budget, &closing->entry, BS_CONN_CLOSING,
+                        BsStream_BufferBytes(closing->stream),
+                        S_now_ms(server));
+    BsStream_SetOnFreed(closing->stream, S_on_closing_freed, closing);
+}
+
 static void
 S_close_when_sent(BsInbound *inbound)
 {
     BsStream_CloseWhenSent(inbound->stream, CLOSE_LIMIT_S);
-    S_free(inbound);
+    S_release_stream(inbound);
 }
 
 /* Closes an idle connection so that a request which crosses the close is not
@@ -165,7 +269,7 @@
     if (BsStream_IsIdle(inbound->stream) &&
         BsStream_UndeliveredBytes(inbound->stream) == 0) {
         BsStream_CloseUnread(inbound->stream, CLOSE_LIMIT_S);
-        S_free(inbound);
+        S_release_stream(inbound);
     }
 }
 
@@ -234,14 +338,6 @@
     }
 }
 
-static bool
-S_exceeds_held_limit(const BsInbound *inbound)
-{
-    const BsInboundServer *server = inbound->server;
-    return inbound->body->len > BODY_EXEMPT_BYTES &&
-           server->held_bytes > server->limits.held_bytes;
-}
-
 static void
 S_start_request(BsInbound *inbound)
 {
@@ -256,9 +352,9 @@
                             server->context);
 }
 
-/* Parses DATA up to the end of one request and buffers the rest.  May free
-   INBOUND. */
-static void
+/* Parses DATA up to the end of one request.  Returns the bytes consumed.  May
+   free INBOUND. */
+static size_t
 S_parse(BsInbound *inbound, const char *data, size_t size_bytes)
 {
     if (inbound->state == STATE_IDLE && size_bytes > 0) {
@@ -270,32 +366,113 @@
     BsHttpFault fault = BsHttpReader_Fault(inbound->reader);
     if (fault != BS_HTTP_OK) {
         S_refuse(inbound, S_fault_status(fault), NULL);
-        return;
     }
-    if (S_exceeds_held_limit(inbound)) {
-        S_refuse(inbound, 503, "Retry-After: 1\r\n");
-        return;
+    return taken;
+}
+
+/* Returns whether the caller has so many unread answers that its next request
+   is not read. */
+static bool
+S_is_blocked(const BsInbound *inbound)
+{
+    return BsStream_PendingBytes(inbound->stream) >
+           inbound->server->limits.unsent_bytes;
+}
+
+/* Drops the parsed bytes at the front of the pipelined ones. */
+static void
+S_compact_pipelined(BsInbound *inbound)
+{
+    if (S_pipelined_bytes(inbound) == 0 &&
+        inbound->pipelined_data->allocated_len > KEPT_BUFFER_BYTES) {
+        g_string_free(inbound->pipelined_data, TRUE);
+        inbound->pipelined_data = g_string_new(NULL);
+    }
+    else {
+        g_string_erase(inbound->pipelined_data, 0,
+                       (gssize)inbound->pipelined_at);
+    }
+    inbound->pipelined_at = 0;
+}
+
+/* Parses the pipelined bytes, answering one request after the other, until one
+   is not answered at once or the caller has too many unread answers.  Does
+   nothing when it is called for an answer that it caused itself.  Returns
+   false when INBOUND was freed. */
+static bool
+S_parse_pipelined(BsInbound *inbound)
+{
+    bool freed = false;
+    if (inbound->freed != NULL) {
+        return true; /* the caller of this call goes on */
+    }
+    inbound->freed = &freed;
+    while (inbound->state != STATE_ANSWERING &&
+           S_pipelined_bytes(inbound) > 0 && !S_is_blocked(inbound)) {
+        size_t left = S_pipelined_bytes(inbound);
+        const char *data =
+            inbound->pipelined_data->str + inbound->pipelined_at;
+        size_t taken = S_parse(inbound, data, left);
+        if (freed) {
+            return false;
+        }
+        inbound->pipelined_at += taken;
+        if (BsHttpReader_IsComplete(inbound->reader)) {
+            S_start_request(inbound);
+        }
+        if (freed) {
+            return false;
+        }
+    }
+    inbound->freed = NULL;
+    S_compact_pipelined(inbound);
+    BsStream_SetReading(inbound->stream,
+                        S_pipelined_bytes(inbound) <= PIPELINED_MAX_BYTES &&
+                            !S_is_blocked(inbound));
+    S_account(inbound);
+    return true;
+}
+
+/* Takes DATA: bytes of the current request, or of later ones.  Returns false
+   when INBOUND was freed. */
+static bool
+S_take(BsInbound *inbound, const char *data, size_t size_bytes)
+{
+    /* Bytes of a body are not copied into the pipelined ones first. */
+    if (inbound->state != STATE_ANSWERING && S_pipelined_bytes(inbound) == 0) {
+        bool freed = false;
+        inbound->freed = &freed;
+        size_t taken = S_parse(inbound, data, size_bytes);
+        if (freed) {
+            return false;
+        }
+        inbound->freed = NULL;
+        data += taken;
+        size_bytes -= taken;
     }
-    if (BsHttpReader_IsComplete(inbound->reader)) {
-        g_string_append_len(inbound->pipelined_data, data + taken,
-                            (gssize)(size_bytes - taken));
+    g_string_append_len(inbound->pipelined_data, data, (gssize)size_bytes);
+    if (inbound->state != STATE_ANSWERING &&
+        BsHttpReader_IsComplete(inbound->reader)) {
+        bool freed = false;
+        inbound->freed = &freed;
         S_start_request(inbound);
+        if (freed) {
+            return false;
+        }
+        inbound->freed = NULL;
     }
+    return S_parse_pipelined(inbound);
 }
 
 static void
 S_on_data(const char *data, size_t size_bytes, void *context)
 {
     BsInbound *inbound = context;
-    inbound->active_ms = S_now_ms(inbound->server);
-    if (inbound->state != STATE_ANSWERING) {
-        S_parse(inbound, data, size_bytes);
-        return;
-    }
-    g_string_append_len(inbound->pipelined_data, data, (gssize)size_bytes);
-    if (inbound->pipelined_data->len > PIPELINED_MAX_BYTES) {
-        BsStream_SetReading(inbound->stream, false);
-    }
+    BsInboundServer *server = inbound->server;
+    inbound->active_ms = S_now_ms(server);
+    bool lives = S_take(inbound, data, size_bytes);
+    BsConnBudget_EnforceMemory(server->budget, lives ? &inbound->entry : NULL,
+                               S_now_ms(server));
 }
 
 static void
@@ -315,7 +492,11 @@
 {
     BsInbound *inbound = context;
     BsInboundServer *server = inbound->server;
-    if (inbound->state == STATE_ANSWERING && server->app->on_drained != NULL) {
+    S_account(inbound);
+    if (inbound->state != STATE_ANSWERING) {
+        S_parse_pipelined(inbound); /* stopped while answers were unread */
+    }
+    else if (server->app->on_drained != NULL) {
         server->app->on_drained(inbound, server->context);
     }
 }
@@ -336,7 +517,7 @@
     GString *text = g_string_new(NULL);
     /* A request that was sent ahead is answered before the connection is
        closed. */
-    if (server->draining && inbound->pipelined_data->len == 0) {
+    if (server->draining && S_pipelined_bytes(inbound) == 0) {
         inbound->close_after = true;
     }
     inbound->chunked = length_bytes < 0 && !inbound->no_chunks;
@@ -363,6 +544,7 @@
     inbound->head_sent = true;
     BsStream_Write(inbound->stream, text->str, text->len);
     g_string_free(text, TRUE);
+    S_account(inbound);
 }
 
 void
@@ -380,6 +562,7 @@
     }
     if (!inbound->chunked) {
         BsStream_Write(inbound->stream, data, size_bytes);
+        S_account(inbound);
         return;
     }
     GString *chunk = g_string_sized_new(size_bytes + 16);
@@ -388,20 +571,7 @@
     g_string_append(chunk, "\r\n");
     BsStream_Write(inbound->stream, chunk->str, chunk->len);
     g_string_free(chunk, TRUE);
-}
-
-/* Parses the pipelined bytes buffered after the last request.  May free
-   INBOUND. */
-static void
-S_parse_pipelined(BsInbound *inbound)
-{
-    if (inbound->pipelined_data->len == 0) {
-        return;
-    }
-    GString *pipelined_data = inbound->pipelined_data;
-    inbound->pipelined_data = g_string_new(NULL);
-    S_parse(inbound, pipelined_data->str, pipelined_data->len);
-    g_string_free(pipelined_data, TRUE);
+    S_account(inbound);
 }
 
 void
@@ -421,7 +591,6 @@
     inbound->active_ms = S_now_ms(inbound->server);
     S_release_body(inbound);
     BsHttpReader_Reset(inbound->reader);
-    BsStream_SetReading(inbound->stream, true);
     S_parse_pipelined(inbound);
 }
 
@@ -467,6 +636,38 @@
 
 /* ------------------------------------------------------------ server -- */
 
+/* Closes the connection OWNER in favour of others: a request that is being
+   read is refused if only memory is short; without a descriptor to spare,
+   there is no answer. */
+static void
+S_close_for_others(void *owner, BsConnLimit limit)
+{
+    BsInbound *inbound = owner;
+    BsInboundServer *server = inbound->server;
+    if (inbound->state == STATE_READING && limit == BS_CONN_LIMIT_MEMORY) {
+        S_refuse(inbound, 503, "Retry-After: 1\r\n");
+        return;
+    }
+    if (inbound->state == STATE_ANSWERING) {
+        server->app->on_disconnect(inbound, server->context);
+        BsInbound_Reset(inbound);
+        return;
+    }
+    BsStream_CloseNow(inbound->stream);
+    S_free(inbound);
+}
+
+/* Runs before each wait of the event loop: answers have grown the buffers of
+   connections that were not read from. */
+static void
+S_on_prepare(struct ev_loop *loop, ev_prepare *watcher, int events)
+{
+    (void)loop;
+    (void)events;
+    BsInboundServer *server = watcher->data;
+    BsConnBudget_EnforceMemory(server->budget, NULL, S_now_ms(server));
+}
+
 static void
 S_add_connection(BsInboundServer *server, int fd)
 {
@@ -482,6 +683,10 @@
     g_hash_table_add(server->connections, inbound);
     inbound->stream =
         BsStream_Adopt(server->loop, fd, &S_stream_events, inbound);
+    inbound->entry.close = S_close_for_others;
+    inbound->entry.owner = inbound;
+    BsConnBudget_Add(server->budget, &inbound->entry, BS_CONN_IDLE,
+                     S_now_ms(server));
 }
 
 static void
@@ -502,6 +707,14 @@
     }
 }
 
+/* Returns whether a connection waits to be accepted. */
+static bool
+S_has_waiting(const BsInboundServer *server)
+{
+    struct pollfd waiting = {.fd = server->fd, .events = POLLIN};
+    return poll(&waiting, 1, 0) > 0;
+}
+
 static void
 S_on_accept(struct ev_loop *loop, ev_io *watcher, int events)
 {
@@ -514,6 +727,13 @@
             S_pause_accepting(server);
             return;
         }
+        if (!BsConnBudget_HasRoom(server->budget) && !S_has_waiting(server)) {
+            return;
+        }
+        if (!BsConnBudget_MakeRoom(server->budget, S_now_ms(server))) {
+            S_pause_accepting(server);
+            return;
+        }
         struct sockaddr_in from;
         socklen_t length = sizeof(from);
         int fd = accept4(server->fd, (struct sockaddr *)&from, &length,
@@ -600,7 +820,8 @@
 BsInboundServer_Create(struct ev_loop *loop, const BsClock *clock,
                        const struct sockaddr_in *address,
                        const BsInboundApp *app, void *context,
-                       const BsInboundLimits *limits, GError **error)
+                       const BsInboundLimits *limits, BsConnBudget *budget,
+                       GError **error)
 {
     int fd = S_listen(address, error);
     if (fd < 0) {
@@ -612,6 +833,7 @@
     server->app = app;
     server->context = context;
     server->limits = *limits;
+    server->budget = budget;
     server->fd = fd;
     server->listening = true;
     server->connections = g_hash_table_new(g_direct_hash, g_direct_equal);
@@ -621,6 +843,9 @@
     server->accept_watcher.data = server;
     server->pause_timer.data = server;
     server->sweep_timer.data = server;
+    ev_prepare_init(&server->prepare, S_on_prepare);
+    server->prepare.data = server;
+    ev_prepare_start(loop, &server->prepare);
     ev_io_start(loop, &server->accept_watcher);
     ev_timer_start(loop, &server->sweep_timer);
     return server;
@@ -665,6 +890,7 @@
     g_list_free(connections);
     BsInboundServer_StopListening(server);
     ev_timer_stop(server->loop, &server->sweep_timer);
+    ev_prepare_stop(server->loop, &server->prepare);
     g_hash_table_destroy(server->connections);
     g_free(server);
 }
--- a/src/gw_inbound.h
+++ b/src/gw_inbound.h
@@ -6,11 +6,14 @@
  * buffered until the current one is answered.  A malformed request is answered
  * here and its connection closed, so that the bytes after it are never parsed
  * as a request.  An answer that cannot be completed ends with a TCP reset,
- * never with an orderly close.
+ * never with an orderly close.  All servers of a process share one budget of
+ * memory and connections (connbudget.h); what exceeds it is refused with 503
+ * or closed.
  */
 #ifndef BS_GW_INBOUND_H
 #define BS_GW_INBOUND_H
 
+#include "connbudget.h"
 #include "http1.h"
 
 #include <ev.h>
@@ -41,17 +44,20 @@
     uint32_t body_bytes;
     uint32_t header_timeout_ms;
     uint32_t idle_timeout_ms;
-    uint64_t held_bytes; /* buffered bodies of all connections together */
     uint32_t connections;
+    /* Unsent bytes of answers above which no further request of the connection
+       is read. */
+    uint32_t unsent_bytes;
 } BsInboundLimits;
 
-/* Listens on ADDRESS.  Returns NULL with ERROR set on failure. */
+/* Listens on ADDRESS.  BUDGET must outlive the server and its closing
+   connections.  Returns NULL with ERROR set on failure. */
 BsInboundServer *BsInboundServer_Create(struct ev_loop *loop,
                                         const BsClock *clock,
                                         const struct sockaddr_in *address,
                                         const BsInboundApp *app, void *context,
                                         const BsInboundLimits *limits,
-                                        GError **error);
+                                        BsConnBudget *budget, GError **error);
 
 /* Closes all connections and frees SERVER; NULL is allowed.  Answers that have
    begun and are not sent whole end with a reset. */
--- a/src/gw_pages.c
+++ b/src/gw_pages.c
@@ -63,6 +63,16 @@
                    BsStream_UnreadCloses());
     BsCounters_Set(counters, "body_bytes_held",
                    BsInboundServer_HeldBytes(gate->callers));
+    BsCounters_Set(counters, "inbound_connections",
+                   BsConnBudget_Connections(gate->conn_budget));
+    BsCounters_Set(counters, "inbound_bytes_held",
+                   BsConnBudget_Bytes(gate->conn_budget));
+    BsCounters_Set(
+        counters, "inbound_closed_total{limit=\"memory\"}",
+        BsConnBudget_Closed(gate->conn_budget, BS_CONN_LIMIT_MEMORY));
+    BsCounters_Set(
+        counters, "inbound_closed_total{limit=\"connections\"}",
+        BsConnBudget_Closed(gate->conn_budget, BS_CONN_LIMIT_NUMBER));
     BsCounters_Set(counters, "upstream_connections_opened", stats->opened);
     BsCounters_Set(counters, "upstream_connections_reused", stats->reused);
     BsCounters_Set(counters, "store_calls", status.calls);
--- a/src/gw_published.c
+++ b/src/gw_published.c
@@ -4,27 +4,38 @@
 
 #include <string.h>
 
-/* Divisor for the share of the memory that request bodies may use. */
-#define BODY_MEMORY_DIVISOR 5
+#define MEBIBYTE (1024ULL * 1024)
+#define PERCENT 100
 
-/* Descriptors not used for callers: for upstreams, peers, the store, files. */
-#define RESERVED_DESCRIPTORS 600
+static uint32_t
+S_connections(const BsGateSettings *settings)
+{
+    uint32_t descriptors = settings->machine.descriptors;
+    return descriptors -
+           MIN(settings->inbound.reserved_descriptors, descriptors / 2);
+}
 
-#define MEBIBYTE (1024ULL * 1024)
+void
+BsGateway_ApplyInbound(const BsGateway *gateway)
+{
+    const BsGateSettings *settings = gateway->settings;
+    BsConnBudget_SetLimits(gateway->gate.conn_budget,
+                           settings->machine.memory_mb * MEBIBYTE *
+                               settings->inbound.memory_percent / PERCENT,
+                           S_connections(settings));
+}
 
 BsInboundLimits
 BsGateway_InboundLimits(const BsGateway *gateway,
                         const BsCatalogLimits *limits)
 {
-    const BsGateMachine *machine = &gateway->settings->machine;
-    uint32_t reserved = MIN(RESERVED_DESCRIPTORS, machine->descriptors / 2);
     BsInboundLimits result = {
         .header_bytes = limits->header_bytes,
         .body_bytes = limits->body_bytes,
         .header_timeout_ms = limits->header_timeout_ms,
         .idle_timeout_ms = limits->idle_timeout_ms,
-        .held_bytes = machine->memory_mb * MEBIBYTE / BODY_MEMORY_DIVISOR,
-        .connections = machine->descriptors - reserved,
+        .connections = S_connections(gateway->settings),
+        .unsent_bytes = gateway->settings->inbound.unsent_kib * BS_KIBIBYTE,
     };
     return result;
 }
--- a/src/logtimeline.c
+++ b/src/logtimeline.c
@@ -39,6 +39,16 @@
      "lines started, store_lost and changes_heard_from"},
     {"no_service", "the route's service was not in the configuration",
      "the configuration itself"},
+    {"inbound_memory",
+     "the connections of callers buffered too much; some "
+     "were refused or closed",
+     "metrics: inbound_bytes_held, inbound_closed_total; settings: "
+     "inbound.memory_percent"},
+    {"inbound_connections",
+     "callers had too many connections open; some were "
+     "closed",
+     "metrics: inbound_connections, inbound_closed_total; settings: "
+     "inbound.reserved_descriptors"},
     {"stopping", "the instance stops before the request could be answered",
      "line stopping; callers retry at another instance"},
     {"stopped", "the instance stopped before the request was answered",
@@ -105,7 +115,8 @@
     "catalog_in_force", "upstream_gone",      "upstream_listed",
     "upstream_paused",  "data_centre_closed", "data_centre_open",
     "store_lost",       "store_regained",     "changes_heard_from",
-    "peer_silent",      "stopping",           "started"};
+    "peer_silent",      "inbound_limit",      "stopping",
+    "started"};
 
 struct BsLogTimeline {
     char *id;
--- a/tests/soak/main_soak.c
+++ b/tests/soak/main_soak.c
@@ -20,6 +20,7 @@
  * planned work and silences, with longer streams.  --calm injects no faults
  * and prints counts and response times by route.
  */
+#include "gw_stream.h"
 #include "soak.h"
 
 #include <arpa/inet.h>
@@ -555,6 +556,7 @@
     run->loop = ev_default_loop(EVBACKEND_EPOLL);
     soak->loop = run->loop;
     soak->clock = &S_clock;
+    soak->conn_budget = BsConnBudget_Create(UINT64_MAX, UINT32_MAX);
     soak->random = g_rand_new_with_seed(seed);
     soak->deadly_random = g_rand_new_with_seed(seed);
     soak->silent_random = g_rand_new_with_seed(seed);
@@ -611,6 +613,8 @@
         SoakUpstream_Destroy(soak->upstreams[i]);
     }
     SoakStore_Destroy(soak->store);
+    BsStream_EndClosing(0);
+    BsConnBudget_Destroy(soak->conn_budget);
     SoakRepeats_Destroy(soak->repeats);
     SoakVersions_Destroy(soak->versions);
     g_hash_table_destroy(soak->requests);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -97,6 +97,7 @@
 struct Soak {
     struct ev_loop *loop;
     const BsClock *clock;
+    BsConnBudget *conn_budget; /* of all servers; never used up */
     GRand *random;
     uint32_t base; /* address of the first gateway, host order */
     unsigned number;
--- a/tests/soak/soak_store.c
+++ b/tests/soak/soak_store.c
@@ -209,7 +209,7 @@
 SoakStore *
 SoakStore_Create(Soak *soak, const struct sockaddr_in *address)
 {
-    BsInboundLimits limits = {8192, 1024, 5000, 60000, 1 << 20, 4096};
+    BsInboundLimits limits = {8192, 1024, 5000, 60000, 4096, 1 << 20};
     GError *error = NULL;
     SoakStore *store = g_new0(SoakStore, 1);
     store->soak = soak;
@@ -217,8 +217,9 @@
     store->items =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, S_free_item);
     store->watches = g_ptr_array_new_with_free_func(S_free_watch);
-    store->server = BsInboundServer_Create(soak->loop, soak->clock, address,
-                                           &S_app, store, &limits, &error);
+    store->server =
+        BsInboundServer_Create(soak->loop, soak->clock, address, &S_app, store,
+                               &limits, soak->conn_budget, &error);
     if (store->server == NULL) {
         g_error("store: %s", error->message);
     }
--- a/tests/soak/soak_upstream.c
+++ b/tests/soak/soak_upstream.c
@@ -435,14 +435,14 @@
 static void
 S_listen(SoakUpstream *upstream)
 {
-    BsInboundLimits limits = {16384, 1 << 20, 5000, 20000, 1 << 24, 1000};
+    BsInboundLimits limits = {16384, 1 << 20, 5000, 20000, 1000, 1 << 20};
     GError *error = NULL;
     struct sockaddr_in address;
     Soak_Address(upstream->soak, 100, (uint16_t)(20000 + upstream->number),
                  &address);
-    upstream->server =
-        BsInboundServer_Create(upstream->soak->loop, upstream->soak->clock,
-                               &address, &S_app, upstream, &limits, &error);
+    upstream->server = BsInboundServer_Create(
+        upstream->soak->loop, upstream->soak->clock, &address, &S_app,
+        upstream, &limits, upstream->soak->conn_budget, &error);
     if (upstream->server == NULL) {
         g_error("upstream: %s", error->message);
     }
