--- a/tests/contract/harness.h
+++ b/tests/contract/harness.h
@@ -108,6 +108,10 @@
     {
         return peers_;
     }
+    pid_t pid() const
+    {
+        return pid_;
+    }
     const std::string &settings() const
     {
         return settings_;
--- a/tests/gate/gateway_crowd_test.cc
+++ b/tests/gate/gateway_crowd_test.cc
@@ -3,22 +3,15 @@
 // things: the process is alive, its peak memory and its descriptors stay under
 // the bounds, and an ordinary request is answered while the crowd is still
 // connected.
+#include "crowd.h"
 #include "gateway_fixture.h"
 
-#include <arpa/inet.h>
-#include <cerrno>
 #include <chrono>
-#include <fcntl.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
 #include <thread>
-#include <tuple>
-#include <unistd.h>
 
 namespace {
 
 using std::chrono::milliseconds;
-using std::chrono::steady_clock;
 
 // The machine of the tests.  The gateway's peak memory, in MiB, and its
 // descriptors must stay under these.
@@ -26,121 +19,12 @@
 constexpr size_t kDescriptors = 1400;
 constexpr size_t kFewDescriptors = 200;
 
-// A crowd has done its worst when no member could send for this long.
-constexpr milliseconds kStalled(1000);
-
 #if defined(__SANITIZE_ADDRESS__)
 constexpr bool kMeasuresMemory = false; // the sanitizer keeps freed memory
 #else
 constexpr bool kMeasuresMemory = true;
 #endif
 
-// A small receive buffer, so that unread answers stay with the gateway.
-constexpr int kReceiveBytes = 4096;
-
-// Clients that send what they are told and read nothing.
-class Crowd {
-  public:
-    Crowd(Gateway &gateway, int port) : gateway_(gateway), port_(port)
-    {
-    }
-    ~Crowd()
-    {
-        for (Member &member : members_) {
-            close(member.fd);
-        }
-    }
-    Crowd(const Crowd &) = delete;
-    Crowd &operator=(const Crowd &) = delete;
-
-    // Adds COUNT members that send HEAD and after it, in pieces of
-    // PIECE_BYTES, REST.
-    void Add(int count, const std::string &head, const std::string &rest = "",
-             size_t piece_bytes = 1 << 20)
-    {
-        auto text = std::make_shared<std::string>(head + rest);
-        for (int i = 0; i < count; i++) {
-            members_.push_back({Open(), text, 0, head.size(), piece_bytes});
-        }
-    }
-
-    // Sends until all members have sent everything, or were closed, or none
-    // of them could send for a while.  Returns the most descriptors that the
-    // gateway had open.
-    size_t Run()
-    {
-        size_t most = 0;
-        auto progress = steady_clock::now();
-        bool more = true;
-        while (more && steady_clock::now() - progress < kStalled) {
-            bool sent = false;
-            more = false;
-            for (Member &member : members_) {
-                sent = Step(member) || sent;
-                more = more || !member.Done();
-            }
-            most = std::max(most, gateway_.Descriptors());
-            if (sent) {
-                progress = steady_clock::now();
-            }
-            else {
-                std::this_thread::sleep_for(milliseconds(5));
-            }
-        }
-        return std::max(most, gateway_.Descriptors());
-    }
-
-  private:
-    struct Member {
-        int fd;
-        std::shared_ptr<std::string> text;
-        size_t sent;
-        size_t head_bytes;
-        size_t piece_bytes;
-        bool Done() const
-        {
-            return sent == text->size();
-        }
-    };
-
-    int Open()
-    {
-        int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &kReceiveBytes,
-                   sizeof(kReceiveBytes));
-        sockaddr_in address = {};
-        address.sin_family = AF_INET;
-        address.sin_port = htons((uint16_t)port_);
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        EXPECT_EQ(connect(fd, (sockaddr *)&address, sizeof(address)), 0);
-        fcntl(fd, F_SETFL, O_NONBLOCK);
-        return fd;
-    }
-
-    // Returns whether MEMBER could send.
-    static bool Step(Member &member)
-    {
-        if (member.Done()) {
-            return false;
-        }
-        size_t end = member.sent < member.head_bytes
-                         ? member.head_bytes
-                         : member.sent + member.piece_bytes;
-        end = std::min(end, member.text->size());
-        ssize_t size = send(member.fd, &(*member.text)[member.sent],
-                            end - member.sent, MSG_NOSIGNAL);
-        if (size < 0 && errno != EAGAIN) {
-            member.sent = member.text->size(); // closed by the gateway
-        }
-        member.sent += size > 0 ? (size_t)size : 0;
-        return size > 0;
-    }
-
-    Gateway &gateway_;
-    int port_;
-    std::vector<Member> members_;
-};
-
 // Where a crowd sends its requests.
 enum class Place { kServed, kNoRoute, kReady };
 
@@ -169,17 +53,6 @@
            "Content-Length: " + std::to_string(size_bytes) + "\r\n\r\n";
 }
 
-std::string
-Repeat(const std::string &text, size_t count)
-{
-    std::string all;
-    all.reserve(text.size() * count);
-    for (size_t i = 0; i < count; i++) {
-        all += text;
-    }
-    return all;
-}
-
 class CrowdTest : public GatewayTest {
   protected:
     void StartSmall(const Runner::Script &script, size_t descriptors)
@@ -200,6 +73,10 @@
         ASSERT_TRUE(gateway_->WaitMetric("boragespur_upstreams 1"));
         ASSERT_TRUE(gateway_->WaitMetric("boragespur_catalog_version 1"));
     }
+    std::function<size_t()> Descriptors()
+    {
+        return [this] { return gateway_->Descriptors(); };
+    }
     int PortOf(Place place)
     {
         return place == Place::kReady ? gateway_->ready_port()
@@ -231,7 +108,7 @@
                   const Runner::Script &script = Answers)
     {
         StartSmall(script, kDescriptors);
-        Crowd crowd(*gateway_, PortOf(GetParam()));
+        Crowd crowd(PortOf(GetParam()), Descriptors());
         add(crowd);
         ExpectServing(crowd.Run(), kDescriptors);
     }
@@ -307,6 +184,18 @@
     });
 }
 
+// Guards against whole requests of that kind, each of which stops the process
+// for as long as it compares all fields with each other.
+TEST_P(PlaceCrowdTest, WholeRequestsWithManyHeaderFields)
+{
+    RunCrowd([](Crowd &crowd) {
+        crowd.Add(kSome,
+                  Head("GET", GetParam()) + Repeat("a:\r\n", 4000) + "\r\n");
+        crowd.Add(kSome, Head("GET", GetParam()) +
+                             Repeat("Connection:b\r\n", 1100) + "\r\n");
+    });
+}
+
 // Guards against answers to pipelined requests that are collected without a
 // limit because the caller does not read them.
 TEST_P(PlaceCrowdTest, PipelinedRequestsWithoutReading)
@@ -383,7 +272,7 @@
         return Answers(socket, got);
     };
     StartSmall(script, kDescriptors);
-    Crowd crowd(*gateway_, gateway_->callers_port());
+    Crowd crowd(gateway_->callers_port(), Descriptors());
     crowd.Add(kMany, Head("GET", Place::kServed) + "\r\n",
               Sized(Place::kServed, kLargeBodyBytes) +
                   std::string(kLargeBodyBytes / 4, 'x'));
@@ -402,7 +291,7 @@
             SignedAnswer(got, got.id == "a" ? "body of a" : body));
     };
     StartSmall(script, kDescriptors);
-    Crowd crowd(*gateway_, gateway_->callers_port());
+    Crowd crowd(gateway_->callers_port(), Descriptors());
     crowd.Add(kMany, Head("GET", Place::kServed) + "\r\n");
     size_t most = crowd.Run();
     EXPECT_TRUE(gateway_->WaitMetric("boragespur_waiting 0"));
@@ -418,10 +307,11 @@
 TEST_P(StopCrowdTest, ConnectionsToAllAddresses)
 {
     StartSmall(Answers, kFewDescriptors);
-    Crowd callers(*gateway_, gateway_->callers_port());
-    Crowd ready(*gateway_, gateway_->ready_port());
-    Crowd admin(*gateway_, std::stoi(gateway_->admin().substr(
-                               gateway_->admin().find(':') + 1)));
+    Crowd callers(gateway_->callers_port(), Descriptors());
+    Crowd ready(gateway_->ready_port(), Descriptors());
+    Crowd admin(
+        std::stoi(gateway_->admin().substr(gateway_->admin().find(':') + 1)),
+        Descriptors());
     callers.Add(kFewDescriptors, GetParam());
     ready.Add(kFewDescriptors, GetParam());
     admin.Add(kFewDescriptors, GetParam());
