--- a/tests/contract/crowd.h
+++ b/tests/contract/crowd.h
@@ -80,7 +80,12 @@
                 std::this_thread::sleep_for(std::chrono::milliseconds(5));
             }
         }
-        return std::max(most, descriptors_());
+        // The process may still have to accept and read what was sent.
+        for (int i = 0; i < 50; i++) {
+            most = std::max(most, descriptors_());
+            std::this_thread::sleep_for(std::chrono::milliseconds(10));
+        }
+        return most;
     }
 
   private:
