boragespurd: bodies that are being read count against limits.queue_bytes

The limit held for complete requests only; bodies that stop short, up to limits.body_bytes on each connection, were kept without a limit on all of them. They have a BsConnBudget of that size beside the core's: those of similar size that hold the most together are refused with 503 memory_full, and the rest of them is discarded. A complete body is freed once the core has its copy.

Metrics caller_body_bytes and caller_bodies_refused, a log line when the limit is reached and when it is over.

--- a/src/connbudget.c
+++ b/src/connbudget.c
@@ -107,6 +107,7 @@
 BsConnBudget_Add(BsConnBudget *budget, BsConnEntry *entry, BsConnPhase phase,
                  int64_t now_ms)
 {
+    entry->budget = budget;
     entry->size_link = (GList){.data = entry};
     entry->phase_link = (GList){.data = entry};
     entry->bytes = 0;
--- a/src/connbudget.h
+++ b/src/connbudget.h
@@ -44,6 +44,7 @@
 /* The entry of a connection.  It belongs to the connection; its members are
    private to the budget. */
 typedef struct {
+    BsConnBudget *budget;
     GList size_link;  /* in the group of its size */
     GList phase_link; /* among the connections of its phase */
     uint64_t bytes;
--- a/src/d_call.c
+++ b/src/d_call.c
@@ -32,6 +32,7 @@
     char *target;
     const char *id;
     GByteArray *body;
+    BsConnEntry body_entry;
     size_t received_bytes;
     GByteArray *out;
     size_t out_sent;
@@ -97,7 +98,7 @@
     }
     else if (call->state == CALL_READING) {
         BsCall_RefuseTooLarge(call, limit_bytes);
-        g_byte_array_set_size(call->body, 0);
+        BsCall_DropBody(call);
     }
     return call->received_bytes <= BS_CALL_DISCARD_MAX_BYTES;
 }
@@ -109,6 +110,19 @@
     return call->body->data;
 }
 
+void
+BsCall_DropBody(BsCall *call)
+{
+    g_byte_array_unref(call->body);
+    call->body = g_byte_array_new();
+}
+
+BsConnEntry *
+BsCall_BodyEntry(BsCall *call)
+{
+    return &call->body_entry;
+}
+
 const char *
 BsCall_Target(const BsCall *call)
 {
--- a/src/d_call.h
+++ b/src/d_call.h
@@ -10,6 +10,7 @@
 #ifndef BS_D_CALL_H
 #define BS_D_CALL_H
 
+#include "connbudget.h"
 #include "d_httpd.h"
 
 /* Bytes of a refused body that are read and discarded, so that a caller that
@@ -44,6 +45,12 @@
 /* Returns the request body, which is owned by CALL. */
 const void *BsCall_Body(const BsCall *call, size_t *size_bytes);
 
+/* Frees the request body. */
+void BsCall_DropBody(BsCall *call);
+
+/* Returns the entry of the body in the server's budget. */
+BsConnEntry *BsCall_BodyEntry(BsCall *call);
+
 /* Returns the path and query as sent. */
 const char *BsCall_Target(const BsCall *call);
 
--- a/src/d_callers.c
+++ b/src/d_callers.c
@@ -9,6 +9,7 @@
 #include "d_tls.h"
 
 #include <string.h>
+#include <syslog.h>
 
 /* Connections accepted beyond limits.connections, so that they can be refused
    with an HTTP response. */
@@ -17,8 +18,10 @@
 struct BsCallers {
     BsLoop *loop;
     BsHttpd *httpd;
-    BsTls *tls;        /* NULL for plain HTTP */
-    GHashTable *calls; /* request or query id to BsCall */
+    BsTls *tls;              /* NULL for plain HTTP */
+    GHashTable *calls;       /* request or query id to BsCall */
+    BsConnBudget *bodies;    /* that are being read */
+    uint64_t bodies_refused; /* as last counted */
     uint64_t next_id;
     uint32_t connections;
 };
@@ -38,6 +41,73 @@
                            (guint64)++callers->next_id);
 }
 
+/* Enters the body of CALL in the budget. */
+static void
+S_account_body(BsCallers *callers, BsCall *call)
+{
+    size_t size = 0;
+    BsCall_Body(call, &size);
+    BsConnBudget_Update(callers->bodies, BsCall_BodyEntry(call),
+                        BS_CONN_READING, size, BsLoop_NowMs(callers->loop));
+    BsLoop_SetGauge(callers->loop, "caller_body_bytes",
+                    BsConnBudget_Bytes(callers->bodies));
+}
+
+/* Refuses the call OWNER, whose body is being read, in favour of others.  The
+   rest of the body is discarded. */
+static void
+S_refuse_for_others(void *owner, BsConnLimit limit)
+{
+    BsCall *call = owner;
+    (void)limit;
+    BsCall_Refuse(call, BS_ERR_MEMORY_FULL,
+                  "limits.queue_bytes is reached by the bodies that are being "
+                  "read on this instance");
+    BsCall_DropBody(call);
+    BsConnEntry *entry = BsCall_BodyEntry(call);
+    BsConnBudget_Update(entry->budget, entry, BS_CONN_READING, 0,
+                        entry->changed_ms);
+}
+
+/* Counts the bodies refused since the last call, and logs when the limit is
+   reached and when it is over. */
+static void
+S_report_refused(BsCallers *callers)
+{
+    uint64_t refused =
+        BsConnBudget_Closed(callers->bodies, BS_CONN_LIMIT_MEMORY);
+    bool reached;
+    if (refused > callers->bodies_refused) {
+        BsLoop_Count(callers->loop, "caller_bodies_refused",
+                     refused - callers->bodies_refused);
+        callers->bodies_refused = refused;
+    }
+    if (BsConnBudget_TakeChange(callers->bodies, BS_CONN_LIMIT_MEMORY,
+                                BsLoop_NowMs(callers->loop), &reached)) {
+        BsLoop_Log(callers->loop, LOG_WARNING,
+                   "limits.queue_bytes is %s by the bodies that "
+                   "callers send; %" G_GUINT64_FORMAT " refused so far",
+                   reached ? "reached" : "no longer reached",
+                   (guint64)refused);
+    }
+}
+
+/* Adds a part of the body of CALL.  Returns false when the connection should
+   be closed. */
+static bool
+S_add_body(BsCallers *callers, BsCall *call, const char *data,
+           size_t size_bytes)
+{
+    bool accepted =
+        BsCall_AddBody(call, data, size_bytes,
+                       BsLoop_Settings(callers->loop)->limits.body_bytes);
+    S_account_body(callers, call);
+    BsConnBudget_EnforceMemory(callers->bodies, BsCall_BodyEntry(call),
+                               BsLoop_NowMs(callers->loop));
+    S_report_refused(callers);
+    return accepted;
+}
+
 /* Registers CALL under a new id; returns the id. */
 static const char *
 S_register(BsCallers *callers, BsCall *call)
@@ -191,14 +261,14 @@
                                                 : MHD_YES;
     }
     if (*data_bytes > 0) {
-        bool accepted =
-            BsCall_AddBody(call, data, *data_bytes,
-                           BsLoop_Settings(callers->loop)->limits.body_bytes);
+        bool accepted = S_add_body(callers, call, data, *data_bytes);
         *data_bytes = 0;
         return accepted ? MHD_YES : MHD_NO;
     }
     if (BsCall_IsReading(call)) {
         S_start(callers, call, method);
+        BsCall_DropBody(call); /* the core has its own copy */
+        S_account_body(callers, call);
     }
     return BsCall_SendHead(call);
 }
@@ -209,8 +279,14 @@
     BsCallers *callers = context;
     (void)connection;
     BsLoop_Count(callers->loop, "caller_requests", 1);
-    return BsCall_Create(callers->loop, callers->httpd,
-                         BsHeadCheck_OriginForm(uri));
+    BsCall *call = BsCall_Create(callers->loop, callers->httpd,
+                                 BsHeadCheck_OriginForm(uri));
+    BsConnEntry *entry = BsCall_BodyEntry(call);
+    entry->close = S_refuse_for_others;
+    entry->owner = call;
+    BsConnBudget_Add(callers->bodies, entry, BS_CONN_READING,
+                     BsLoop_NowMs(callers->loop));
+    return call;
 }
 
 static void
@@ -227,6 +303,7 @@
     if (BsCall_Id(call) != NULL) {
         g_hash_table_remove(callers->calls, BsCall_Id(call));
     }
+    BsConnBudget_Remove(callers->bodies, BsCall_BodyEntry(call));
     BsCall_Destroy(call);
     *request_context = NULL;
 }
@@ -276,6 +353,8 @@
     const BsSettings *settings = BsLoop_Settings(loop);
     BsCallers *callers = g_new0(BsCallers, 1);
     callers->loop = loop;
+    callers->bodies =
+        BsConnBudget_Create(settings->limits.queue_bytes, UINT32_MAX);
     callers->calls =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     if (settings->tls != NULL) {
@@ -323,6 +402,7 @@
     BsHttpd_Destroy(callers->httpd);
     BsTls_Destroy(callers->tls);
     g_hash_table_destroy(callers->calls);
+    BsConnBudget_Destroy(callers->bodies);
     g_free(callers);
 }
 
