http1: look up the tokens of Connection headers in a set

For each header that was forwarded, all headers were searched for Connection ones, and their lists for the name. A head of permitted size stopped the event loop for 61 ms (4,000 fields) or 158 ms (5,000 listed tokens, 1,500 fields); a hundred of them for many seconds.

--- a/src/http1.c
+++ b/src/http1.c
@@ -16,6 +16,10 @@
    by doubling, and two allocations of at least 32 bytes. */
 #define HEADER_COST_BYTES (2 * sizeof(BsHttpHeader) + 64)
 
+/* Memory of a token that a Connection header lists: an allocation of at least
+   32 bytes, and its entry in a hash table. */
+#define LISTED_COST_BYTES 80
+
 /* A buffer for heads that has grown beyond this is given back with the
    message. */
 #define KEPT_RAW_BYTES 1024
@@ -108,6 +112,9 @@
     g_free(head->host);
     g_free(head->authority);
     g_array_free(head->headers, TRUE);
+    if (head->listed != NULL) {
+        g_hash_table_destroy(head->listed);
+    }
     g_free(head);
 }
 
@@ -150,6 +157,40 @@
     return false;
 }
 
+/* Adds the tokens of the comma-separated LIST to TOKENS. */
+static void
+S_add_tokens(GHashTable *tokens, const char *list)
+{
+    while (*list != '\0') {
+        list += strspn(list, " \t,");
+        size_t word = strcspn(list, " \t,;");
+        if (word > 0) {
+            g_hash_table_add(tokens, g_ascii_strdown(list, (gssize)word));
+        }
+        list += word;
+        list += strcspn(list, ",");
+    }
+}
+
+/* Collects the tokens of the Connection headers.  They are looked up once for
+   each header that is forwarded, so searching all headers each time would take
+   quadratic time. */
+static void
+S_collect_listed(BsHttpHead *head)
+{
+    for (guint i = 0; i < head->headers->len; i++) {
+        BsHttpHeader *header = &g_array_index(head->headers, BsHttpHeader, i);
+        if (g_ascii_strcasecmp(header->name, "Connection") != 0) {
+            continue;
+        }
+        if (head->listed == NULL) {
+            head->listed =
+                g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+        }
+        S_add_tokens(head->listed, header->value);
+    }
+}
+
 bool
 BsHttpHead_IsHopByHop(const BsHttpHead *head, const char *name)
 {
@@ -168,14 +209,13 @@
             return true;
         }
     }
-    for (guint i = 0; i < head->headers->len; i++) {
-        BsHttpHeader *header = &g_array_index(head->headers, BsHttpHeader, i);
-        if (g_ascii_strcasecmp(header->name, "Connection") == 0 &&
-            BsHttp_ListHolds(header->value, name)) {
-            return true;
-        }
+    if (head->listed == NULL) {
+        return false;
     }
-    return false;
+    char *lower = g_ascii_strdown(name, -1);
+    bool listed = g_hash_table_contains(head->listed, lower);
+    g_free(lower);
+    return listed;
 }
 
 int64_t
@@ -408,6 +448,7 @@
         return NULL;
     }
     S_set_keep_alive(head);
+    S_collect_listed(head);
     *fault = BS_HTTP_OK;
     return head;
 }
@@ -719,6 +760,10 @@
     size_t bytes = reader->raw->allocated_len;
     if (reader->head != NULL) {
         bytes += reader->head->headers->len * HEADER_COST_BYTES;
+        if (reader->head->listed != NULL) {
+            bytes +=
+                g_hash_table_size(reader->head->listed) * LISTED_COST_BYTES;
+        }
     }
     return bytes;
 }
--- a/src/http1.h
+++ b/src/http1.h
@@ -38,6 +38,8 @@
     char *host;           /* requests only; without port, in lower case */
     char *authority;      /* requests only; as received */
     GArray *headers;      /* BsHttpHeader, in the order received */
+    GHashTable *listed;   /* set of the tokens of the Connection headers, in
+                             lower case; NULL when there are none */
     int64_t length_bytes; /* declared body length, or -1 */
     uint32_t status;      /* responses only */
     bool chunked;
--- a/tests/gate/http1_test.cc
+++ b/tests/gate/http1_test.cc
@@ -257,6 +257,26 @@
     BsHttpHead_Destroy(head);
 }
 
+// Guards against headers that are forwarded although one of several Connection
+// headers lists them, in whatever form, and against empty tokens.
+TEST(HttpHead, RecognisesHeadersThatSeveralConnectionHeadersList)
+{
+    std::string text =
+        Request("Host: a\r\nConnection: ,, X-One ;q=1,\tx-two,\r\n"
+                "Connection:\r\nCONNECTION: keep-alive,X-THREE\r\n");
+    BsHttpFault fault;
+    BsHttpHead *head =
+        BsHttpHead_Parse(BS_HTTP_REQUEST, text.data(), text.size(), &fault);
+    ASSERT_NE(head, nullptr);
+    for (const char *name : {"X-One", "X-Two", "x-three"}) {
+        EXPECT_TRUE(BsHttpHead_IsHopByHop(head, name)) << name;
+    }
+    for (const char *name : {"X", "X-", "q=1", "", "Host"}) {
+        EXPECT_FALSE(BsHttpHead_IsHopByHop(head, name)) << name;
+    }
+    BsHttpHead_Destroy(head);
+}
+
 TEST(HttpHead, AbsoluteFormNamesTheHost)
 {
     std::string text = "GET http://Shop.Example:80/a?b HTTP/1.1\r\n"
