--- a/src/gatesettings.h
+++ b/src/gatesettings.h
@@ -13,6 +13,8 @@
 
 #include <netinet/in.h>
 
+#define BS_KIBIBYTE 1024U
+
 /* A data centre and its region. */
 typedef struct {
     char *name;
@@ -52,6 +54,23 @@
     uint32_t *percentile;        /* of the times of a route's answers */
 } BsGateEarlyRepeats;
 
+/* Limits on the connections of callers, balancers, operators and peers. */
+typedef struct {
+    uint32_t memory_percent; /* of the machine's memory, for what all of them
+                                buffer */
+    uint32_t reserved_descriptors; /* not used for them, at most half of the
+                                      machine's */
+    uint32_t unsent_kib; /* unread answers of a connection, above which its
+                            next request is not read */
+} BsGateInbound;
+
+/* The same as the file gives them; NULL: the default. */
+typedef struct {
+    uint32_t *memory_percent;
+    uint32_t *reserved_descriptors;
+    uint32_t *unsent_kib;
+} BsGateInboundGiven;
+
 /* Settings of a gateway. */
 typedef struct {
     char *name;
@@ -70,6 +89,8 @@
     BsGateBounds bounds;
     BsGateEjection ejection;
     BsGateEarlyRepeats early_repeats;
+    BsGateInboundGiven inbound_given;
+    BsGateInbound inbound; /* with the defaults */
 } BsGateSettings;
 
 /* Reads and checks FILE; NULL with BS_ERR_SETTINGS set when it is missing or
--- a/src/http1.c
+++ b/src/http1.c
@@ -14,6 +14,18 @@
    send them without end. */
 #define INTERIM_MAX 16
 
+/* Memory of a parsed header beside its text: its entry in an array that grows
+   by doubling, and two allocations of at least 32 bytes. */
+#define HEADER_COST_BYTES (2 * sizeof(BsHttpHeader) + 64)
+
+/* Memory of a token that a Connection header lists: an allocation of at least
+   32 bytes, and its entry in a hash table. */
+#define LISTED_COST_BYTES 80
+
+/* A buffer for heads that has grown beyond this is given back with the
+   message. */
+#define KEPT_RAW_BYTES 1024
+
 /* Position in a chunked body. */
 typedef enum {
     CHUNK_SIZE,      /* in the digits of the size */
@@ -83,6 +95,14 @@
     g_free(header->value);
 }
 
+static GArray *
+S_create_headers(void)
+{
+    GArray *headers = g_array_new(FALSE, FALSE, sizeof(BsHttpHeader));
+    g_array_set_clear_func(headers, S_clear_header);
+    return headers;
+}
+
 void
 BsHttpHead_Destroy(BsHttpHead *head)
 {
@@ -94,6 +114,9 @@
     g_free(head->host);
     g_free(head->authority);
     g_array_free(head->headers, TRUE);
+    if (head->listed != NULL) {
+        g_hash_table_destroy(head->listed);
+    }
     g_free(head);
 }
 
@@ -136,6 +159,40 @@
     return false;
 }
 
+/* Adds the tokens of the comma-separated LIST to TOKENS. */
+static void
+S_add_tokens(GHashTable *tokens, const char *list)
+{
+    while (*list != '\0') {
+        list += strspn(list, " \t,");
+        size_t word = strcspn(list, " \t,;");
+        if (word > 0) {
+            g_hash_table_add(tokens, g_ascii_strdown(list, (gssize)word));
+        }
+        list += word;
+        list += strcspn(list, ",");
+    }
+}
+
+/* Collects the tokens of the Connection headers.  They are looked up once for
+   each header that is forwarded, so searching all headers each time would take
+   quadratic time. */
+static void
+S_collect_listed(BsHttpHead *head)
+{
+    for (guint i = 0; i < head->headers->len; i++) {
+        BsHttpHeader *header = &g_array_index(head->headers, BsHttpHeader, i);
+        if (g_ascii_strcasecmp(header->name, "Connection") != 0) {
+            continue;
+        }
+        if (head->listed == NULL) {
+            head->listed =
+                g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+        }
+        S_add_tokens(head->listed, header->value);
+    }
+}
+
 bool
 BsHttpHead_IsHopByHop(const BsHttpHead *head, const char *name)
 {
@@ -154,14 +211,13 @@
             return true;
         }
     }
-    for (guint i = 0; i < head->headers->len; i++) {
-        BsHttpHeader *header = &g_array_index(head->headers, BsHttpHeader, i);
-        if (g_ascii_strcasecmp(header->name, "Connection") == 0 &&
-            BsHttp_ListHolds(header->value, name)) {
-            return true;
-        }
+    if (head->listed == NULL) {
+        return false;
     }
-    return false;
+    char *lower = g_ascii_strdown(name, -1);
+    bool listed = g_hash_table_contains(head->listed, lower);
+    g_free(lower);
+    return listed;
 }
 
 int64_t
@@ -387,8 +443,7 @@
                  BsHttpFault *fault)
 {
     BsHttpHead *head = g_new0(BsHttpHead, 1);
-    head->headers = g_array_new(FALSE, FALSE, sizeof(BsHttpHeader));
-    g_array_set_clear_func(head->headers, S_clear_header);
+    head->headers = S_create_headers();
     bool good = S_parse_lines(head, kind, text, size_bytes) &&
                 S_set_framing(head, kind) &&
                 (kind == BS_HTTP_RESPONSE || S_set_host(head));
@@ -398,6 +453,7 @@
         return NULL;
     }
     S_set_keep_alive(head);
+    S_collect_listed(head);
     *fault = BS_HTTP_OK;
     return head;
 }
@@ -475,12 +531,22 @@
     reader->body_max_bytes = body_max_bytes;
 }
 
+static void
+S_clear_raw(BsHttpReader *reader)
+{
+    if (reader->raw->allocated_len > KEPT_RAW_BYTES) {
+        g_string_free(reader->raw, TRUE);
+        reader->raw = g_string_new(NULL);
+    }
+    g_string_truncate(reader->raw, 0);
+}
+
 void
 BsHttpReader_Reset(BsHttpReader *reader)
 {
     BsHttpHead_Destroy(reader->head);
     reader->head = NULL;
-    g_string_truncate(reader->raw, 0);
+    S_clear_raw(reader);
     http_parser_init(&reader->parser, reader->kind == BS_HTTP_REQUEST
                                           ? HTTP_REQUEST
                                           : HTTP_RESPONSE);
@@ -682,3 +748,27 @@
 {
     return reader->fault;
 }
+
+void
+BsHttpReader_ForgetHeaders(BsHttpReader *reader)
+{
+    if (reader->head != NULL && reader->head->headers->len > 0) {
+        g_array_free(reader->head->headers, TRUE);
+        reader->head->headers = S_create_headers();
+        S_clear_raw(reader);
+    }
+}
+
+size_t
+BsHttpReader_HeadBytes(const BsHttpReader *reader)
+{
+    size_t bytes = reader->raw->allocated_len;
+    if (reader->head != NULL) {
+        bytes += reader->head->headers->len * HEADER_COST_BYTES;
+        if (reader->head->listed != NULL) {
+            bytes +=
+                g_hash_table_size(reader->head->listed) * LISTED_COST_BYTES;
+        }
+    }
+    return bytes;
+}
--- a/src/http1.h
+++ b/src/http1.h
@@ -38,6 +38,8 @@
     char *host;           /* requests only; without port, in lower case */
     char *authority;      /* requests only; as received */
     GArray *headers;      /* BsHttpHeader, in the order received */
+    GHashTable *listed;   /* set of the tokens of the Connection headers, in
+                             lower case; NULL when there are none */
     int64_t length_bytes; /* declared body length, or -1 */
     uint32_t status;      /* responses only */
     bool chunked;
@@ -108,6 +110,13 @@
 /* Returns why the current message was rejected, or BS_HTTP_OK. */
 BsHttpFault BsHttpReader_Fault(const BsHttpReader *reader);
 
+/* Frees the headers of the current message, whose head has been read, for a
+   reader that needs them no longer while the body is read. */
+void BsHttpReader_ForgetHeaders(BsHttpReader *reader);
+
+/* Returns the memory that the head of the current message takes. */
+size_t BsHttpReader_HeadBytes(const BsHttpReader *reader);
+
 /* Prepares for the next message on the connection. */
 void BsHttpReader_Reset(BsHttpReader *reader);
 
