--- a/tests/gate/gateway_hedge_test.cc
+++ b/tests/gate/gateway_hedge_test.cc
@@ -280,6 +280,32 @@
     EXPECT_EQ(gateway_->Metrics().find("early_repeats"), std::string::npos);
 }
 
+// Guards against a request that crashes two upstreams at once.
+TEST_F(HedgeTest, ThereAreNoneOfARequestThatHasCrashedAnUpstream)
+{
+    const std::string body = "deadly";
+    auto crashes = [](Socket &socket, const ReceivedRequest &got) {
+        if (got.id == "subject-crash") {
+            return false;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(200));
+        return Answers(socket, got);
+    };
+    StartTwo(crashes, crashes);
+    SwitchOn();
+    AddSamples("/look/1");
+    gateway_->Ask(Call("/look/1", "subject-crash", "", body));
+    EXPECT_GE(ArrivalsOf("subject-crash"), 1);
+    // Until the pause after the crash is over.
+    EXPECT_TRUE(Eventually([&] {
+        return IsHealthy(gateway_->Ask(Call("/look/1", "fast")), "fast");
+    }));
+    EXPECT_TRUE(IsHealthy(gateway_->Ask(Call("/look/1", "subject", "", body)),
+                          "subject"));
+    EXPECT_EQ(ArrivalsOf("subject"), 1);
+    EXPECT_NE(MetricsOf("early_repeats_denied_total{cause=\"suspect\"}"), "");
+}
+
 // Guards against early repeats that use up the retry budget, or go round it.
 TEST_F(HedgeTest, ThereAreNoneWithoutRetryBudget)
 {
