--- a/tests/soak/main_soak.c
+++ b/tests/soak/main_soak.c
@@ -97,6 +97,7 @@
 static gint S_restarts;
 static gint S_retry_slack = -1;
 static gint S_early_repeats;
+static gint S_ejection;
 static gint S_store_port = 19999;
 static gboolean S_all_silent;
 static gboolean S_deadly_part;
@@ -586,6 +587,7 @@
     soak->store_port = (uint16_t)S_store_port;
     bool small = S_planned && g_rand_boolean(soak->silent_random);
     soak->early_repeats = (unsigned)S_early_repeats;
+    soak->ejection_per_s = (unsigned)S_ejection;
     soak->retry_slack = S_retry_slack >= 0 ? (unsigned)S_retry_slack
                         : small            ? RETRY_SLACK_SMALL
                                            : RETRY_SLACK;
@@ -750,6 +752,9 @@
          "Retries of the fleet that requests needn't earn", "N"},
         {"early-repeats", 0, 0, G_OPTION_ARG_INT, &S_early_repeats,
          "Requests of 100 that gateways may repeat early; 0: none", "N"},
+        {"ejection", 0, 0, G_OPTION_ARG_INT, &S_ejection,
+         "Requests a second to upstreams that fail most; 0: none is ejected",
+         "N"},
         {"store-port", 0, 0, G_OPTION_ARG_INT, &S_store_port, "Store", "PORT"},
         {"calm", 0, 0, G_OPTION_ARG_NONE, &S_no_faults,
          "No faults; print a table", NULL},
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -155,10 +155,11 @@
                                       nor a silence; INT64_MAX while some may
                                       last */
 
-    unsigned events;        /* of a stream */
-    int deadline_ms;        /* of requests, and time-out of routes */
-    unsigned retry_slack;   /* bound in the gateways' settings */
-    unsigned early_repeats; /* percentage in the gateways' settings; 0: off */
+    unsigned events;         /* of a stream */
+    int deadline_ms;         /* of requests, and time-out of routes */
+    unsigned retry_slack;    /* bound in the gateways' settings */
+    unsigned early_repeats;  /* percentage in the gateways' settings; 0: off */
+    unsigned ejection_per_s; /* probe rate in the gateways' settings; 0: off */
     uint16_t store_port;
     unsigned violations;
     unsigned answered_good;
--- a/tests/soak/soak_fleet.c
+++ b/tests/soak/soak_fleet.c
@@ -73,11 +73,12 @@
         "bounds: { drain_ms: 2500, grace_s: %d, retry_ratio: %g, "
         "retry_slack: %u, retry_window_s: %d, quota_over: 0.25, "
         "quota_slack: 0 }\n"
-        "early_repeats: { percent: %u, percentile: %d }\n",
+        "early_repeats: { percent: %u, percentile: %d }\n"
+        "ejection: { probe_per_s: %u }\n",
         gateway->number, gateway->number % 2, host, host, host, host,
         seeds->str, store, 30000 + gateway->number, GRACE_MS / 1000,
         SOAK_RETRY_RATIO, soak->retry_slack, SOAK_RETRY_WINDOW_MS / 1000,
-        soak->early_repeats, EARLY_REPEATS_PERCENTILE);
+        soak->early_repeats, EARLY_REPEATS_PERCENTILE, soak->ejection_per_s);
     if (!g_file_set_contents(gateway->settings, text, -1, NULL)) {
         g_error("%s: cannot be written", gateway->settings);
     }
