cli: defaults of addresses are set after parsing; a test keeps its id alive

The entry of a test kept the pointer of a temporary string. Both found by the address sanitizer; ExplainTest and the module tests pass under it now.

--- a/src/cli_command.c
+++ b/src/cli_command.c
@@ -163,14 +163,26 @@
     g_free(options->data);
 }
 
+/* Sets the addresses that were not given.  GOption does not free a default
+   that it replaces, so they are set after parsing. */
+static void
+S_set_defaults(BsCommandOptions *options)
+{
+    if (options->admin == NULL) {
+        options->admin = g_strdup(DEFAULT_ADMIN);
+    }
+    if (options->callers == NULL) {
+        options->callers = g_strdup(DEFAULT_CALLERS);
+    }
+}
+
 int
 BsCommand_Main(int argc, char **argv)
 {
     BsCommandOptions options = {.prompt_tokens = -1, .output_tokens = -1};
-    options.admin = g_strdup(DEFAULT_ADMIN);
-    options.callers = g_strdup(DEFAULT_CALLERS);
     int code = BS_EXIT_USAGE;
     if (S_parse(&argc, &argv, &options)) {
+        S_set_defaults(&options);
         curl_global_init(CURL_GLOBAL_DEFAULT);
         code = S_run(argc, argv, &options);
         curl_global_cleanup();
--- a/tests/gate/targetexplain_test.cc
+++ b/tests/gate/targetexplain_test.cc
@@ -34,11 +34,12 @@
         g_ptr_array_free(route.regions, TRUE);
     }
     Table(const Table &) = delete;
-    BsTargetEntry Entry(const std::string &id, const char *data_centre = "dc0",
+    // ID must outlive the entry.
+    BsTargetEntry Entry(const char *id, const char *data_centre = "dc0",
                         const char *region = "north")
     {
         BsTargetEntry entry = {};
-        entry.id = id.c_str();
+        entry.id = id;
         entry.service = "desk";
         entry.data_centre = data_centre;
         entry.region = region;
@@ -51,7 +52,7 @@
     BsTarget *Add(const std::string &id, const char *data_centre = "dc0",
                   const char *region = "north")
     {
-        BsTargetEntry entry = Entry(id, data_centre, region);
+        BsTargetEntry entry = Entry(id.c_str(), data_centre, region);
         return Put(entry);
     }
     BsTarget *Put(const BsTargetEntry &entry)
