--- a/src/gw_inbound.c
+++ b/src/gw_inbound.c
@@ -51,7 +51,8 @@
     GString *pipelined_data; /* bytes after the current request */
     size_t pipelined_at;     /* parsed bytes at the front of PIPELINED_DATA */
     BsConnEntry entry;       /* in the server's budget */
-    bool *freed; /* while requests are parsed: set when INBOUND is freed */
+    bool held;     /* while requests are parsed: S_free() leaves its memory */
+    bool is_freed; /* S_free() was called while HELD */
     void *user;
     BsInboundState state;
     int64_t started_ms; /* first byte of the request */
@@ -181,9 +182,6 @@
 S_free(BsInbound *inbound)
 {
     BsInboundServer *server = inbound->server;
-    if (inbound->freed != NULL) {
-        *inbound->freed = true;
-    }
     BsConnBudget_Remove(server->budget, &inbound->entry);
     if (inbound->state == STATE_ANSWERING) {
         server->requests--;
@@ -193,7 +191,23 @@
     g_string_free(inbound->body, TRUE);
     g_string_free(inbound->pipelined_data, TRUE);
     BsHttpReader_Destroy(inbound->reader);
-    g_free(inbound);
+    inbound->is_freed = true;
+    if (!inbound->held) {
+        g_free(inbound);
+    }
+}
+
+/* Ends the time in which INBOUND is held.  Returns false if it was freed
+   meanwhile. */
+static bool
+S_release(BsInbound *inbound)
+{
+    inbound->held = false;
+    if (inbound->is_freed) {
+        g_free(inbound);
+        return false;
+    }
+    return true;
 }
 
 static void
@@ -402,29 +416,27 @@
 static bool
 S_parse_pipelined(BsInbound *inbound)
 {
-    bool freed = false;
-    if (inbound->freed != NULL) {
+    if (inbound->held) {
         return true; /* the caller of this call goes on */
     }
-    inbound->freed = &freed;
-    while (inbound->state != STATE_ANSWERING &&
+    inbound->held = true;
+    while (!inbound->is_freed && inbound->state != STATE_ANSWERING &&
            S_pipelined_bytes(inbound) > 0 && !S_is_blocked(inbound)) {
         size_t left = S_pipelined_bytes(inbound);
         const char *data =
             inbound->pipelined_data->str + inbound->pipelined_at;
         size_t taken = S_parse(inbound, data, left);
-        if (freed) {
-            return false;
+        if (inbound->is_freed) {
+            break;
         }
         inbound->pipelined_at += taken;
         if (BsHttpReader_IsComplete(inbound->reader)) {
             S_start_request(inbound);
         }
-        if (freed) {
-            return false;
-        }
     }
-    inbound->freed = NULL;
+    if (!S_release(inbound)) {
+        return false;
+    }
     S_compact_pipelined(inbound);
     BsStream_SetReading(inbound->stream,
                         S_pipelined_bytes(inbound) <= PIPELINED_MAX_BYTES &&
@@ -440,26 +452,22 @@
 {
     /* Bytes of a body are not copied into the pipelined ones first. */
     if (inbound->state != STATE_ANSWERING && S_pipelined_bytes(inbound) == 0) {
-        bool freed = false;
-        inbound->freed = &freed;
+        inbound->held = true;
         size_t taken = S_parse(inbound, data, size_bytes);
-        if (freed) {
+        if (!S_release(inbound)) {
             return false;
         }
-        inbound->freed = NULL;
         data += taken;
         size_bytes -= taken;
     }
     g_string_append_len(inbound->pipelined_data, data, (gssize)size_bytes);
     if (inbound->state != STATE_ANSWERING &&
         BsHttpReader_IsComplete(inbound->reader)) {
-        bool freed = false;
-        inbound->freed = &freed;
+        inbound->held = true;
         S_start_request(inbound);
-        if (freed) {
+        if (!S_release(inbound)) {
             return false;
         }
-        inbound->freed = NULL;
     }
     return S_parse_pipelined(inbound);
 }
