--- a/tests/gate/gateway_explain_test.cc
+++ b/tests/gate/gateway_explain_test.cc
@@ -232,7 +232,10 @@
                      json_array_get(json_object_get(candidate, "states"), 0)),
                  "limited");
     EXPECT_EQ(StatusOf(gateway_->Ask(Call("/look/1", "second"))), 503);
-    EXPECT_NE(gateway_->Log().find("\"limited\""), std::string::npos);
+    // The line is written after the answer.
+    EXPECT_TRUE(Eventually([&] {
+        return gateway_->Log().find("\"limited\"") != std::string::npos;
+    }));
 
     store_.Put("servers/" + Name(0),
                Listed("desk", runners_[0]->port(), "z1", "draining"));
