--- a/tests/gate/ejection_test.cc
+++ b/tests/gate/ejection_test.cc
@@ -44,6 +44,7 @@
     EXPECT_LE(AnswersUntilEjected(1.0, &usual, 100, 1), 5);
 }
 
+// Guards against a test that finds only upstreams that fail everything.
 TEST(Ejection, OneThatFailsHalfIsEjected)
 {
     for (unsigned seed = 1; seed <= 20; seed++) {
@@ -146,12 +147,15 @@
     int64_t now_ms_ = 1000000;
 };
 
+// Guards against a deployment that does not ask for ejection and gets it.
 TEST_F(EjectionTargetsTest, OffByDefault)
 {
     List(5);
     EXPECT_FALSE(FailAt("i-0"));
 }
 
+// Guards against an ejected upstream that still gets requests because all its
+// slots are free.
 TEST_F(EjectionTargetsTest, AnEjectedOneGetsProbesOnly)
 {
     BsTargets_SetProbeRate(targets_, 2);
@@ -173,6 +177,7 @@
     EXPECT_EQ(BsTargets_CountLimits(targets_), 0U);
 }
 
+// Guards against a service without upstreams because all of them fail.
 TEST_F(EjectionTargetsTest, AServiceThatFailsKeepsMostOfItsUpstreams)
 {
     BsTargets_SetProbeRate(targets_, 2);
--- a/tests/gate/gateway_ejection_test.cc
+++ b/tests/gate/gateway_ejection_test.cc
@@ -63,6 +63,7 @@
     }));
 }
 
+// Guards against a deployment that does not ask for ejection and gets it.
 TEST_F(EjectionTest, NoneIsEjectedWithoutTheSetting)
 {
     StartWith("");
