spill: streams leave a data centre whose engines are nearly full

Cause: while one slot was free at home, a request went there, beside idle engines of other data centres; on a deployment whose demand swings by 55 percent in each data centre at another time, callers waited at engines with five of six slots taken.

--- a/src/gatesettings.c
+++ b/src/gatesettings.c
@@ -71,6 +71,10 @@
     OPTIONAL_UINT("percentile", BsGateEarlyRepeats, percentile),
     CYAML_FIELD_END};
 
+static const cyaml_schema_field_t S_spill_fields[] = {
+    OPTIONAL_UINT("gain_ms", BsGateSpill, gain_ms),
+    OPTIONAL_UINT("pause_min_ms", BsGateSpill, pause_min_ms), CYAML_FIELD_END};
+
 static const cyaml_schema_field_t S_inbound_fields[] = {
     OPTIONAL_UINT("memory_percent", BsGateInboundGiven, memory_percent),
     OPTIONAL_UINT("reserved_descriptors", BsGateInboundGiven,
@@ -101,6 +105,8 @@
                         ejection, S_ejection_fields),
     CYAML_FIELD_MAPPING("early_repeats", CYAML_FLAG_OPTIONAL, BsGateSettings,
                         early_repeats, S_early_repeats_fields),
+    CYAML_FIELD_MAPPING("spill", CYAML_FLAG_OPTIONAL, BsGateSettings, spill,
+                        S_spill_fields),
     CYAML_FIELD_MAPPING("inbound", CYAML_FLAG_OPTIONAL, BsGateSettings,
                         inbound_given, S_inbound_fields),
     CYAML_FIELD_END};
@@ -153,6 +159,9 @@
                           BS_HEDGE_OCCUPANCY_PERCENT_MAX)),
     TEXT("early_repeats.percentile",
          WHOLE_RANGE_TEXT(BS_HEDGE_PERCENTILE_MIN, BS_HEDGE_PERCENTILE_MAX)),
+    TEXT("spill", "the keys gain_ms and pause_min_ms"),
+    TEXT("spill.gain_ms", WHOLE_RANGE_TEXT(0, BS_SPILL_GAIN_MAX_MS)),
+    TEXT("spill.pause_min_ms", WHOLE_RANGE_TEXT(1, BS_SPILL_PAUSE_MAX_MS)),
     TEXT("inbound", "the optional keys memory_percent, reserved_descriptors "
                     "and unsent_kib"),
     TEXT("inbound.memory_percent", "a whole number from 1 to 60"),
@@ -226,6 +235,16 @@
                           error);
 }
 
+static bool
+S_check_spill(const BsGateSettings *settings, const char *file, GError **error)
+{
+    BsSpillLimits limits = BsGateSettings_Spill(settings);
+    return S_check_number(file, "spill.gain_ms", limits.gain_ms, 0,
+                          BS_SPILL_GAIN_MAX_MS, error) &&
+           S_check_number(file, "spill.pause_min_ms", limits.pause_min_ms, 1,
+                          BS_SPILL_PAUSE_MAX_MS, error);
+}
+
 static uint32_t
 S_or_default(const uint32_t *given, uint32_t value)
 {
@@ -290,7 +309,8 @@
            S_check_number(file, "ejection.probe_per_s",
                           settings->ejection.probe_per_s, 0, PROBE_PER_S_MAX,
                           error) &&
-           S_check_early_repeats(settings, file, error);
+           S_check_early_repeats(settings, file, error) &&
+           S_check_spill(settings, file, error);
 }
 
 BsGateSettings *
@@ -355,6 +375,17 @@
     return value == NULL ? otherwise : *value;
 }
 
+BsSpillLimits
+BsGateSettings_Spill(const BsGateSettings *settings)
+{
+    BsSpillLimits limits = {
+        .gain_ms = S_value_or(settings->spill.gain_ms, 0),
+        .pause_min_ms =
+            S_value_or(settings->spill.pause_min_ms, BS_SPILL_PAUSE_MIN_MS),
+    };
+    return limits;
+}
+
 BsHedgeLimits
 BsGateSettings_EarlyRepeats(const BsGateSettings *settings)
 {
--- a/src/gatesettings.h
+++ b/src/gatesettings.h
@@ -10,6 +10,7 @@
 
 #include "boragespur.h"
 #include "hedge.h"
+#include "spill.h"
 
 #include <netinet/in.h>
 
@@ -47,6 +48,13 @@
                            the whole fleet; 0: none is ejected */
 } BsGateEjection;
 
+/* Requests that go to other data centres although a slot of the own one is
+   free; NULL: the default. */
+typedef struct {
+    uint32_t *gain_ms;      /* 0: none */
+    uint32_t *pause_min_ms; /* pause that the routes of these allow */
+} BsGateSpill;
+
 /* Early repeats of slow requests; NULL: the default. */
 typedef struct {
     uint32_t *percent;           /* of the requests of a service */
@@ -89,6 +97,7 @@
     BsGateBounds bounds;
     BsGateEjection ejection;
     BsGateEarlyRepeats early_repeats;
+    BsGateSpill spill;
     BsGateInboundGiven inbound_given;
     BsGateInbound inbound; /* with the defaults */
 } BsGateSettings;
@@ -104,6 +113,10 @@
 const char *BsGateSettings_Region(const BsGateSettings *settings,
                                   const char *data_centre);
 
+/* Returns when requests leave the data centre, with the defaults of what is
+   not set. */
+BsSpillLimits BsGateSettings_Spill(const BsGateSettings *settings);
+
 /* Returns the limits on early repeats, with the defaults of those that are not
    set. */
 BsHedgeLimits BsGateSettings_EarlyRepeats(const BsGateSettings *settings);
--- a/src/gw_attempt.c
+++ b/src/gw_attempt.c
@@ -871,7 +871,9 @@
     gate->report_changed = true;
     relay->attempt.call =
         BsOutbound_Start(gate->pool, &request, &bs_attempt_events, relay);
-    BsRelay_Log(relay, BS_EVENT_DETAIL, "sent", NULL);
+    bool spilled = BsTargets_HasSpilled(gate->targets, target);
+    BsCounters_Add(gate->counters, "spilled_total", spilled);
+    BsRelay_Log(relay, BS_EVENT_DETAIL, "sent", spilled ? "spilled" : NULL);
     BsRelay_Schedule(relay);
 }
 
--- a/src/gw_explain.c
+++ b/src/gw_explain.c
@@ -200,7 +200,8 @@
 {
     switch (explanation->verdict) {
     case BS_TARGET_CHOSEN:
-        return (BsExplainDecision){"sent", "cheapest", 0};
+        return (BsExplainDecision){
+            "sent", explanation->spilled ? "spilled" : "cheapest", 0};
     case BS_TARGET_NONE:
         return (BsExplainDecision){"rejected", "no_upstream", 503};
     default:
--- a/src/gw_gateway.c
+++ b/src/gw_gateway.c
@@ -215,6 +215,8 @@
 {
     const BsGateBounds *bounds = &settings->bounds;
     BsTargets_SetProbeRate(gate->targets, settings->ejection.probe_per_s);
+    BsSpillLimits spill = BsGateSettings_Spill(settings);
+    BsTargets_SetSpill(gate->targets, &spill);
     BsHedgeLimits early_repeats = BsGateSettings_EarlyRepeats(settings);
     BsHedges_SetLimits(gate->hedges, &early_repeats);
     BsRetryBudget_SetBounds(gate->retries, bounds->retry_ratio,
@@ -400,6 +402,8 @@
     gate->relays = g_hash_table_new(g_direct_hash, g_direct_equal);
     gate->targets = BsTargets_Create(settings->data_centre, settings->region);
     BsTargets_SetProbeRate(gate->targets, settings->ejection.probe_per_s);
+    BsSpillLimits spill = BsGateSettings_Spill(settings);
+    BsTargets_SetSpill(gate->targets, &spill);
     gate->quotas = BsQuotas_Create(bounds->quota_over, bounds->quota_slack);
     gate->retries = BsRetryBudget_Create(
         bounds->retry_ratio, bounds->retry_slack,
--- a/src/targetchoice.c
+++ b/src/targetchoice.c
@@ -212,6 +212,18 @@
     return cost;
 }
 
+void
+BsTargets_SetSpill(BsTargets *targets, const BsSpillLimits *limits)
+{
+    targets->spill = *limits;
+}
+
+bool
+BsTargets_HasSpilled(const BsTargets *targets, const BsTarget *target)
+{
+    return target != NULL && targets->spilled == target;
+}
+
 void
 BsTargets_SetInstances(BsTargets *targets, unsigned instances)
 {
@@ -267,7 +279,7 @@
 }
 
 /* Counts the estimated free slots of each other data centre, without those of
-   upstreams that fail or have named a limit. */
+   upstreams that fail or have named a limit, and the requests of others. */
 static void
 S_count_free(BsTargets *targets, const GPtrArray *list,
              const BsTargetQuery *query, int64_t now_ms)
@@ -277,13 +289,19 @@
     g_hash_table_iter_init(&iter, targets->allowances);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         ((BsTargetAllowance *)value)->free = 0;
+        ((BsTargetAllowance *)value)->in_use = 0;
     }
     for (guint i = 0; i < list->len; i++) {
         const BsTarget *target = list->pdata[i];
-        if (BsTargets_IsEstimated(targets, target) && target->failures == 0 &&
-            target->limit.per_s <= 0 &&
-            BsTarget_IsOpen(target, query, now_ms)) {
-            S_allowance(targets, target->data_centre)->free +=
+        if (!BsTargets_IsEstimated(targets, target) ||
+            !BsTarget_IsOpen(target, query, now_ms)) {
+            continue;
+        }
+        BsTargetAllowance *allowance =
+            S_allowance(targets, target->data_centre);
+        allowance->in_use += target->others;
+        if (target->failures == 0 && target->limit.per_s <= 0) {
+            allowance->free +=
                 target->slots - MIN(target->slots, BsTarget_Load(target));
         }
     }
@@ -485,16 +503,22 @@
     }
 }
 
+/* The cheapest target of a selection. */
+typedef struct {
+    BsTarget *target; /* NULL: none can take the request */
+    double cost_ms;   /* without the pseudorandom part */
+} BsTargetFound;
+
 /* Returns the cheapest of the targets that SELECTION names and that can take
-   the request, or NULL.  Lowers VERDICT to the reason why others cannot; over
-   all targets the lowest one, the soonest to pass, stays. */
-static BsTarget *
+   the request.  Lowers VERDICT to the reason why others cannot; over all
+   targets the lowest one, the soonest to pass, stays. */
+static BsTargetFound
 S_cheapest(BsTargets *targets, const GPtrArray *list,
            const BsTargetQuery *query, const BsTargetContext *context,
            BsTargetSelection selection, int64_t now_ms,
            BsTargetVerdict *verdict, const BsTargetObserver *observer)
 {
-    BsTarget *best = NULL;
+    BsTargetFound best = {NULL, HUGE_VAL};
     double best_cost = HUGE_VAL;
     for (guint i = 0; i < list->len; i++) {
         BsTarget *target = list->pdata[i];
@@ -514,13 +538,44 @@
         }
         double cost = BsTargetCost_Sum(&judgement.cost);
         if (eligible && cost < best_cost) {
-            best = target;
+            best.target = target;
+            best.cost_ms = cost - judgement.cost.jitter_ms;
             best_cost = cost;
         }
     }
     return best;
 }
 
+/* Returns the target in another data centre that takes the request instead of
+   LOCAL, the cheapest of the own one, or NULL. */
+static BsTarget *
+S_spill(BsTargets *targets, const GPtrArray *list, const BsTargetQuery *query,
+        const BsTargetContext *context, const BsTargetFound *local,
+        int64_t now_ms, const BsTargetObserver *observer)
+{
+    if (targets->remote_age_ms <= REMOTE_FRESH_MS ||
+        !BsSpill_Applies(&targets->spill, query->service, query->route) ||
+        !BsSpill_CanGain(&targets->spill, local->cost_ms,
+                         OTHER_DATA_CENTRE_COST_MS)) {
+        return NULL;
+    }
+    BsTargetVerdict verdict = BS_TARGET_NONE;
+    S_fill_allowances(targets, list, query, context, false, now_ms);
+    BsTargetFound found =
+        S_cheapest(targets, list, query, context, SELECT_ESTIMATED, now_ms,
+                   &verdict, observer);
+    if (found.target == NULL) {
+        return NULL;
+    }
+    BsSpillCosts costs = {
+        .local_ms = local->cost_ms,
+        .remote_ms = found.cost_ms,
+        .reported =
+            S_allowance(targets, found.target->data_centre)->in_use > 0,
+    };
+    return BsSpill_Leaves(&targets->spill, &costs) ? found.target : NULL;
+}
+
 BsTarget *
 BsTargets_ChooseObserved(BsTargets *targets, const BsTargetQuery *query,
                          int64_t now_ms, BsTargetVerdict *verdict,
@@ -533,23 +588,30 @@
         return NULL;
     }
     BsTargetContext context = S_summarize(list, query, now_ms);
-    BsTarget *best = S_cheapest(targets, list, query, &context,
-                                targets->summed ? SELECT_SAMPLE : SELECT_KNOWN,
-                                now_ms, verdict, observer);
+    BsTargetFound best =
+        S_cheapest(targets, list, query, &context,
+                   targets->summed ? SELECT_SAMPLE : SELECT_KNOWN, now_ms,
+                   verdict, observer);
     if (targets->summed && context.open > 0) {
         /* A target outside the sample may have a free slot. */
         *verdict = MIN(*verdict, BS_TARGET_BUSY);
     }
-    if (best == NULL && targets->remote_age_ms > REMOTE_FRESH_MS) {
+    BsTarget *spilled = NULL;
+    if (best.target != NULL) {
+        spilled =
+            S_spill(targets, list, query, &context, &best, now_ms, observer);
+    }
+    else if (targets->remote_age_ms > REMOTE_FRESH_MS) {
         bool no_local = *verdict == BS_TARGET_NONE;
         S_fill_allowances(targets, list, query, &context, no_local, now_ms);
         best = S_cheapest(targets, list, query, &context, SELECT_ESTIMATED,
                           now_ms, verdict, observer);
     }
-    if (best != NULL) {
+    targets->spilled = spilled;
+    if (best.target != NULL) {
         *verdict = BS_TARGET_CHOSEN;
     }
-    return best;
+    return spilled != NULL ? spilled : best.target;
 }
 
 BsTarget *
--- a/src/targetexplain.c
+++ b/src/targetexplain.c
@@ -8,11 +8,12 @@
 
 /* ------------------------------------------------- state kept unchanged -- */
 
-/* What a choice changes: rate buckets and the cached rank of each target, and
-   the allowances. */
+/* What a choice changes: rate buckets and the cached rank of each target, the
+   allowances, and the target that it takes by the limits of spill.h. */
 typedef struct {
     BsTarget *copies; /* of all targets of the service, in order */
     GHashTable *allowances;
+    const BsTarget *spilled;
 } BsTargetsBackup;
 
 static GHashTable *
@@ -40,6 +41,7 @@
     for (guint i = 0; i < list->len; i++) {
         backup->copies[i] = *(const BsTarget *)list->pdata[i];
     }
+    backup->spilled = targets->spilled;
     backup->allowances = targets->allowances;
     targets->allowances = S_copy_allowances(backup->allowances);
 }
@@ -53,6 +55,7 @@
     g_free(backup->copies);
     g_hash_table_destroy(targets->allowances);
     targets->allowances = backup->allowances;
+    targets->spilled = backup->spilled;
 }
 
 /* ----------------------------------------------------------- candidates -- */
@@ -154,6 +157,7 @@
     BsTargetObserver observer = {S_on_judged, &records};
     explanation->chosen = BsTargets_ChooseObserved(
         targets, query, now_ms, &explanation->verdict, &observer);
+    explanation->spilled = BsTargets_HasSpilled(targets, explanation->chosen);
     S_judge_rest(targets, query, now_ms, records.candidates);
     S_fill(records.candidates, explanation);
     explanation->limit_wait_ms = BsTargets_LimitWaitMs(targets, query, now_ms);
--- a/src/targetexplain.h
+++ b/src/targetexplain.h
@@ -27,6 +27,8 @@
 typedef struct {
     BsTargetVerdict verdict;
     const BsTarget *chosen; /* NULL unless VERDICT is BS_TARGET_CHOSEN */
+    bool spilled;           /* CHOSEN is elsewhere although a slot of the own
+                               data centre is free */
     int64_t limit_wait_ms;  /* BsTargets_LimitWaitMs() */
     bool all_silent;        /* BsTargets_AreAllSilent() */
     int64_t remote_age_ms;  /* of the counts from other data centres */
--- a/src/targets.h
+++ b/src/targets.h
@@ -15,6 +15,7 @@
 #include "catalog.h"
 #include "ejection.h"
 #include "sharedrate.h"
+#include "spill.h"
 
 #include <netinet/in.h>
 
@@ -212,6 +213,13 @@
 /* Sets the number of instances in the fleet, this one included. */
 void BsTargets_SetInstances(BsTargets *targets, unsigned instances);
 
+/* Sets when requests go to other data centres although an upstream of the own
+   one has a free slot (spill.h); never by default. */
+void BsTargets_SetSpill(BsTargets *targets, const BsSpillLimits *limits);
+
+/* Returns whether the latest choice took TARGET by these limits. */
+bool BsTargets_HasSpilled(const BsTargets *targets, const BsTarget *target);
+
 /* Sets the age of the counts received from instances of other data centres,
    in milliseconds. */
 void BsTargets_SetRemoteAge(BsTargets *targets, int64_t age_ms);
--- a/src/targets_private.h
+++ b/src/targets_private.h
@@ -8,6 +8,7 @@
 #ifndef BS_TARGETS_PRIVATE_H
 #define BS_TARGETS_PRIVATE_H
 
+#include "spill.h"
 #include "targetjudgement.h"
 #include "targets.h"
 
@@ -22,6 +23,7 @@
     double level;      /* requests allowed now */
     int64_t filled_ms; /* last refill */
     uint32_t free;     /* free slots there by the estimate, while choosing */
+    uint32_t in_use;   /* requests of others in progress there */
 } BsTargetAllowance;
 
 struct BsTargets {
@@ -43,7 +45,10 @@
     GHashTable *allowances;     /* data centre to BsTargetAllowance */
     GHashTable *usual_failures; /* service to BsEjectionUsual */
     double probe_per_s;         /* see BsTargets_SetProbeRate() */
-    uint32_t address;           /* of this instance */
+    BsSpillLimits spill;
+    const BsTarget *spilled; /* chosen last although the own data centre had a
+                                free slot; NULL: the last choice was another */
+    uint32_t address;        /* of this instance */
     GArray *senders; /* BsRateSender; empty when the instance is alone */
     guint next_changed_limit; /* places of the next limits to report */
     guint next_limit;
--- a/tests/gate/settings_test.cc
+++ b/tests/gate/settings_test.cc
@@ -114,6 +114,18 @@
      "name: gw\nearly_repeats: { percentile: 49 }\n",
      "early_repeats.percentile: '49' is not valid; allowed: a whole number "
      "from 50 to 99;"},
+    {"Spill", "name: gw\n",
+     "name: gw\nspill: { gain_ms: 10000, pause_min_ms: 60000 }\n", ""},
+    {"SpillOff", "name: gw\n", "name: gw\nspill: { gain_ms: 0 }\n", ""},
+    {"SpillForMuchGain", "name: gw\n", "name: gw\nspill: { gain_ms: 10001 }\n",
+     "spill.gain_ms: '10001' is not valid; allowed: a whole number from 0 to "
+     "10000;"},
+    {"SpillOfAnyPause", "name: gw\n",
+     "name: gw\nspill: { gain_ms: 60, pause_min_ms: 0 }\n",
+     "spill.pause_min_ms: '0' is not valid; allowed: a whole number from 1 to "
+     "60000;"},
+    {"TextForSpill", "name: gw\n", "name: gw\nspill: { gain_ms: few }\n",
+     "spill.gain_ms"},
 };
 
 class GateSettings : public testing::TestWithParam<SettingsCase> {};
