--- a/bench/slopes.h
+++ b/bench/slopes.h
@@ -38,6 +38,10 @@
    by the size of the fleet. */
 void Slopes_PrintHedges(void);
 
+/* Prints the processor time of the choice of an upstream, with and without
+   requests that leave their data centre. */
+void Slopes_PrintSpill(void);
+
 /* Prints how long a fleet takes to recover from large failures. */
 void Slopes_PrintRecovery(void);
 
