tests: reserve the addresses and ports of a soak run

A run now reserves its /16 of the loopback addresses by an abstract socket name, which needs no cleaning up and is visible exactly where the addresses are, and binds its ports, without listening, from its start to its end. The range is that of the seed as before, or the next free one. Ports chosen by the kernel were ruled out: an upstream closes its port while it is down, and those ports are given to other processes meanwhile.

--store-port is dropped; it set only one of the ports apart.

--- a/tests/soak/main_soak.c
+++ b/tests/soak/main_soak.c
@@ -3,8 +3,8 @@
  *
  * gatesoak GATEWAY DIRECTORY SEED [--seconds N] [--gateways N] [--runners N]
  * [--rate N] [--deadly MS] [--deadly-part] [--unframed] [--silent MS]
- * [--limits MS] [--silent-all] [--planned] [--calm] [--store-port N]
- * [--retry-slack N] [--failing MS] [--restarts MS] [--copies]
+ * [--limits MS] [--silent-all] [--planned] [--calm] [--retry-slack N]
+ * [--failing MS] [--restarts MS] [--copies]
  * [--pauses MS] [--releases MS]
  * [--verbose]; exits with 1 if a promise was broken.  --deadly sets the pause
  * between requests that crash upstreams, which with --deadly-part share one
@@ -81,6 +81,7 @@
     ev_timer faults_end;
     ev_timer end;
     struct ev_loop *loop;
+    GArray *ports; /* sockets that hold the run's ports */
 } SoakMain;
 
 static gint S_seconds = 20;
@@ -98,7 +99,6 @@
 static gint S_retry_slack = -1;
 static gint S_early_repeats;
 static gint S_ejection;
-static gint S_store_port = 19999;
 static gboolean S_all_silent;
 static gboolean S_deadly_part;
 static gboolean S_unframed;
@@ -584,7 +584,6 @@
                   (S_no_faults && soak->silent_pause_ms > 0);
     soak->events = longer ? LONG_EVENTS : EVENTS;
     soak->deadline_ms = longer ? LONG_DEADLINE_MS : DEADLINE_MS;
-    soak->store_port = (uint16_t)S_store_port;
     bool small = S_planned && g_rand_boolean(soak->silent_random);
     soak->early_repeats = (unsigned)S_early_repeats;
     soak->ejection_per_s = (unsigned)S_ejection;
@@ -592,14 +591,13 @@
                         : small            ? RETRY_SLACK_SMALL
                                            : RETRY_SLACK;
     soak->verbose = S_verbose;
-    /* Parallel runs use different loopback addresses. */
-    soak->base = (127U << 24) + ((10U + seed % 200) << 16);
     soak->gateway_count = (unsigned)CLAMP(S_gateways, 1, SOAK_GATEWAYS_MAX);
     soak->upstream_count = (unsigned)CLAMP(S_upstreams, 1, SOAK_UPSTREAMS_MAX);
+    run->ports = SoakNetwork_Reserve(soak, seed);
     soak->requests =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
     soak->store_fault_ms = Soak_NowMs(soak);
-    Soak_Address(soak, 100, soak->store_port, &address);
+    Soak_Address(soak, SOAK_TARGETS_HOST, SOAK_STORE_PORT, &address);
     soak->store = SoakStore_Create(soak, &address);
     soak->repeats = SoakRepeats_Create(soak);
     soak->versions = SoakVersions_Create(soak);
@@ -627,6 +625,7 @@
     g_rand_free(soak->silent_random);
     g_rand_free(soak->limit_random);
     g_rand_free(soak->failure_random);
+    SoakNetwork_Release(run->ports);
 }
 
 /* Checks that requests of each kind were answered after all faults ended;
@@ -755,7 +754,6 @@
         {"ejection", 0, 0, G_OPTION_ARG_INT, &S_ejection,
          "Requests a second to upstreams that fail most; 0: none is ejected",
          "N"},
-        {"store-port", 0, 0, G_OPTION_ARG_INT, &S_store_port, "Store", "PORT"},
         {"calm", 0, 0, G_OPTION_ARG_NONE, &S_no_faults,
          "No faults; print a table", NULL},
         {"verbose", 0, 0, G_OPTION_ARG_NONE, &S_verbose, "Print faults", NULL},
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -160,7 +160,6 @@
     unsigned retry_slack;    /* bound in the gateways' settings */
     unsigned early_repeats;  /* percentage in the gateways' settings; 0: off */
     unsigned ejection_per_s; /* probe rate in the gateways' settings; 0: off */
-    uint16_t store_port;
     unsigned violations;
     unsigned answered_good;
     unsigned answered_after_faults[SOAK_KINDS];
@@ -407,6 +406,35 @@
 /* Prints a table by route: counts, and response times of complete answers. */
 void SoakLoad_Print(const Soak *soak);
 
+/* --------------------------------------------------------------- network --
+ */
+
+/* Hosts of a run beside those of its gateways, which are numbered from 0. */
+#define SOAK_TARGETS_HOST 100     /* store and upstreams */
+#define SOAK_PROXIES_HOST 101     /* proxies of the upstreams */
+#define SOAK_STORE_PATHS_HOST 102 /* proxies of the store */
+
+#define SOAK_STORE_PORT 19999
+
+/* Ports of each gateway. */
+#define SOAK_CALLERS_PORT 8000
+#define SOAK_READY_PORT 8001
+#define SOAK_ADMIN_PORT 8002
+#define SOAK_PEERS_PORT 8003
+
+/* Return the port of an upstream and its proxy, and of a gateway's proxy of
+   the store. */
+uint16_t SoakNetwork_UpstreamPort(unsigned upstream);
+uint16_t SoakNetwork_StorePathPort(unsigned gateway);
+
+/* Sets the addresses of the run and reserves its ports.  The range of
+   addresses is chosen by SEED; if another run has it or a port is taken, it is
+   the next free one.  Returns the sockets that hold them; ends the process if
+   none is free. */
+GArray *SoakNetwork_Reserve(Soak *soak, unsigned seed);
+
+void SoakNetwork_Release(GArray *held);
+
 /* Sets ADDRESS to PORT of the loopback address number HOST of this run. */
 void Soak_Address(const Soak *soak, unsigned host, uint16_t port,
                   struct sockaddr_in *address);
--- a/tests/soak/soak_callers.c
+++ b/tests/soak/soak_callers.c
@@ -403,7 +403,7 @@
         .reuse_idle_ms = 60000,
         .connect_timeout_ms = 1000,
     };
-    Soak_Address(soak, request->gateway, 8000, &outbound.address);
+    Soak_Address(soak, request->gateway, SOAK_CALLERS_PORT, &outbound.address);
     call->soak = soak;
     call->request = request;
     call->body = g_string_new(NULL);
--- a/tests/soak/soak_fleet.c
+++ b/tests/soak/soak_fleet.c
@@ -57,7 +57,7 @@
     struct sockaddr_in address;
     Soak_Address(soak, gateway->number, 0, &address);
     inet_ntop(AF_INET, &address.sin_addr, host, sizeof(host));
-    Soak_Address(soak, 102, 0, &address);
+    Soak_Address(soak, SOAK_STORE_PATHS_HOST, 0, &address);
     inet_ntop(AF_INET, &address.sin_addr, store, sizeof(store));
     for (unsigned i = 0; i < MIN(SEEDS_MAX, soak->gateway_count); i++) {
         Soak_Address(soak, i, 0, &address);
@@ -67,18 +67,20 @@
     char *text = g_strdup_printf(
         "name: gw-%u\ndata_centre: d%u\nregion: r\ndata_centres:\n"
         "  - { name: d0, region: r }\n  - { name: d1, region: r }\n"
-        "callers: \"%s:8000\"\nready: \"%s:8001\"\nadmin: \"%s:8002\"\n"
-        "peers: \"%s:8003\"\nseeds: [ %s ]\nstore: \"%s:%u\"\n"
+        "callers: \"%s:%d\"\nready: \"%s:%d\"\nadmin: \"%s:%d\"\n"
+        "peers: \"%s:%d\"\nseeds: [ %s ]\nstore: \"%s:%u\"\n"
         "machine: { memory_mb: 110, descriptors: 800 }\n"
         "bounds: { drain_ms: 2500, grace_s: %d, retry_ratio: %g, "
         "retry_slack: %u, retry_window_s: %d, quota_over: 0.25, "
         "quota_slack: 0 }\n"
         "early_repeats: { percent: %u, percentile: %d }\n"
         "ejection: { probe_per_s: %u }\n",
-        gateway->number, gateway->number % 2, host, host, host, host,
-        seeds->str, store, 30000 + gateway->number, GRACE_MS / 1000,
-        SOAK_RETRY_RATIO, soak->retry_slack, SOAK_RETRY_WINDOW_MS / 1000,
-        soak->early_repeats, EARLY_REPEATS_PERCENTILE, soak->ejection_per_s);
+        gateway->number, gateway->number % 2, host, SOAK_CALLERS_PORT, host,
+        SOAK_READY_PORT, host, SOAK_ADMIN_PORT, host, SOAK_PEERS_PORT,
+        seeds->str, store, SoakNetwork_StorePathPort(gateway->number),
+        GRACE_MS / 1000, SOAK_RETRY_RATIO, soak->retry_slack,
+        SOAK_RETRY_WINDOW_MS / 1000, soak->early_repeats,
+        EARLY_REPEATS_PERCENTILE, soak->ejection_per_s);
     if (!g_file_set_contents(gateway->settings, text, -1, NULL)) {
         g_error("%s: cannot be written", gateway->settings);
     }
@@ -179,8 +181,9 @@
     gateway->number = number;
     gateway->fault_ms = Soak_NowMs(soak);
     gateway->settings = g_strdup_printf("%s/gw-%u.yaml", S_directory, number);
-    Soak_Address(soak, 102, (uint16_t)(30000 + number), &listen_address);
-    Soak_Address(soak, 100, soak->store_port, &target);
+    Soak_Address(soak, SOAK_STORE_PATHS_HOST,
+                 SoakNetwork_StorePathPort(number), &listen_address);
+    Soak_Address(soak, SOAK_TARGETS_HOST, SOAK_STORE_PORT, &target);
     gateway->store_path = SoakProxy_Create(soak, &listen_address, &target);
     ev_timer_init(&gateway->start, S_on_start, 0, 0);
     ev_timer_init(&gateway->grace, S_on_grace, 0, 0);
--- a/tests/soak/soak_upstream.c
+++ b/tests/soak/soak_upstream.c
@@ -438,8 +438,8 @@
     BsInboundLimits limits = {16384, 1 << 20, 5000, 20000, 1000, 1 << 20};
     GError *error = NULL;
     struct sockaddr_in address;
-    Soak_Address(upstream->soak, 100, (uint16_t)(20000 + upstream->number),
-                 &address);
+    Soak_Address(upstream->soak, SOAK_TARGETS_HOST,
+                 SoakNetwork_UpstreamPort(upstream->number), &address);
     upstream->server = BsInboundServer_Create(
         upstream->soak->loop, upstream->soak->clock, &address, &S_app,
         upstream, &limits, upstream->soak->conn_budget, &error);
@@ -562,8 +562,9 @@
     upstream->limit = SoakLimit_Create(soak);
     ev_timer_init(&upstream->restart, S_on_restart, 0, 0);
     upstream->restart.data = upstream;
-    Soak_Address(soak, 100, (uint16_t)(20000 + number), &target);
-    Soak_Address(soak, 101, (uint16_t)(20000 + number), &upstream->address);
+    uint16_t port = SoakNetwork_UpstreamPort(number);
+    Soak_Address(soak, SOAK_TARGETS_HOST, port, &target);
+    Soak_Address(soak, SOAK_PROXIES_HOST, port, &upstream->address);
     S_listen(upstream);
     upstream->proxy = SoakProxy_Create(soak, &upstream->address, &target);
     SoakUpstream_List(upstream, "ready", 0);
