tests: start the soak's gateways without a hold on its sockets

Between fork and exec a gateway process has the sockets of the soak.

All sockets are close-on-exec already, so only the time before exec was open. The start now waits for exec, by a close-on-exec pipe; it holds up the soak for the time of one exec.

--- a/tests/soak/soak_fleet.c
+++ b/tests/soak/soak_fleet.c
@@ -101,13 +101,36 @@
 
 static void S_on_child(struct ev_loop *loop, ev_child *watcher, int events);
 
+/* Waits until the other end of the pipe FD is closed in all processes. */
+static void
+S_wait_closed(int fd)
+{
+    char byte;
+    while (read(fd, &byte, 1) < 0 && errno == EINTR) {
+    }
+    close(fd);
+}
+
+/* Starts the process and returns when it no longer has the sockets of this
+   one, which exec closes.  Before that, an upstream that crashes would still
+   listen there, and its restart would find its port taken. */
 static void
 S_start(Gateway *gateway)
 {
+    int ends[2];
+    if (pipe2(ends, O_CLOEXEC) != 0) {
+        g_error("gateway %u: no pipe: %s", gateway->number, g_strerror(errno));
+    }
     gateway->pid = fork();
+    if (gateway->pid < 0) {
+        g_error("gateway %u: cannot be started: %s", gateway->number,
+                g_strerror(errno));
+    }
     if (gateway->pid == 0) {
         S_exec(gateway);
     }
+    close(ends[1]);
+    S_wait_closed(ends[0]);
     gateway->term_ms = 0;
     gateway->paused = false;
     gateway->up_since_ms = Soak_NowMs(gateway->soak);
