tests: end the scripts before the fixture that they use

AnAnswerEndsAtTheShorterTimeout ends while upstreams still hold answers. Their scripts went on until the base class joined them, after the members of PlannedTest were gone: under the sanitizers "member access within address ... which does not point to an object of type 'PlannedTest'", each run (1 of 1). The other tests end so only after a failure. TearDown() now ends the upstreams.

--- a/tests/gate/gateway_planned_test.cc
+++ b/tests/gate/gateway_planned_test.cc
@@ -620,6 +620,8 @@
     void TearDown() override
     {
         go_ = true; // no script waits after a failure
+        // Scripts that still run use members of this class.
+        runners_.clear();
     }
 
     bool silent_ = false;
