gateway: split gw_attempt.c by task

1,004 lines become gw_attempt.c (start, end, retries), gw_attemptanswer.c (answers), gw_attemptend.c (how attempts ended) and gw_attemptsilence.c (silent upstreams), with gw_attemptparts.h between them. A pure move: the bodies and parameters of all 65 functions were compared by a script and are equal but for the names of those that are used by several files.

Of the 50 tests by ctest -R 'gateway_|gate_soak', 49 passed. EjectionTest failed in gateway_test_5; alone it fails on the commit before, too (3 of 25 runs, 4 of 25 with this one): its fixture does not wait until the gateway has read that the other upstreams are draining.

--- a/src/gw_relayparts.h
+++ b/src/gw_relayparts.h
@@ -1,6 +1,6 @@
 /*
  * gw_relayparts.h - the state of a relayed request, shared by gw_relay.c
- * (arrival, queueing, end), gw_attempt.c (attempts at upstreams),
+ * (arrival, queueing, end), gw_attempt*.c (attempts at upstreams),
  * gw_held.c (attempts whose upstream is silent), gw_hedge.c (early repeats),
  * gw_takeup.c (software versions of streams), gw_answerhints.c (what upstreams
  * request in their answers), gw_answer.c (the answer to the caller) and
@@ -234,7 +234,7 @@
 void BsAnswerHints_NoteEnd(const BsRelay *relay, const BsRelayAttempt *attempt,
                            bool failed);
 
-/* --------------------------------------------------------- gw_attempt.c -- */
+/* -------------------------------------------------------- gw_attempt*.c -- */
 
 /* Fills QUERY, by which BsTargets_Choose() finds an upstream for the request.
    QUERY points to data of RELAY. */
