--- a/src/gatesettings.h
+++ b/src/gatesettings.h
@@ -48,6 +48,12 @@
                            the whole fleet; 0: none is ejected */
 } BsGateEjection;
 
+/* Accounts over their limits. */
+typedef struct {
+    uint32_t urgent_percent; /* part of its limit that each rank leaves to an
+                                account's more urgent requests; 0: none */
+} BsGateAccounts;
+
 /* Requests that go to other data centres although a slot of the own one is
    free; NULL: the default. */
 typedef struct {
@@ -97,6 +103,7 @@
     BsGateBounds bounds;
     BsGateEjection ejection;
     BsGateEarlyRepeats early_repeats;
+    BsGateAccounts accounts;
     BsGateSpill spill;
     BsGateInboundGiven inbound_given;
     BsGateInbound inbound; /* with the defaults */
--- a/src/gw_relay.c
+++ b/src/gw_relay.c
@@ -601,10 +601,10 @@
                                &slots) < SPARE_OCCUPANCY_MAX;
 }
 
-/* BsQuotas_Take() or BsQuotas_Peek(). */
+/* BsQuotas_TakeRanked() or BsQuotas_PeekRanked(). */
 typedef int64_t (*BsQuotaFunc)(BsQuotas *quotas,
-                               const BsCatalogAccount *account, uint64_t cost,
-                               bool tolerant, int64_t now_ms);
+                               const BsCatalogAccount *account,
+                               const BsQuotaRequest *request, int64_t now_ms);
 
 /* Returns after how long ASK admits the request, whose account is known. */
 static int64_t
@@ -612,11 +612,13 @@
 {
     int64_t now_ms = BsClock_NowMs(relay->gate->clock);
     BsQuotas *quotas = relay->gate->quotas;
-    int64_t wait_ms = ask(quotas, relay->account, cost, false, now_ms);
+    BsQuotaRequest request = {.cost = cost, .rank = relay->route->rank};
+    int64_t wait_ms = ask(quotas, relay->account, &request, now_ms);
     /* Occupancy is checked only for accounts over their limit, as the check
        goes through all upstreams of the service. */
     if (wait_ms > 0 && S_has_spare_slots(relay)) {
-        wait_ms = ask(quotas, relay->account, cost, true, now_ms);
+        request.tolerant = true;
+        wait_ms = ask(quotas, relay->account, &request, now_ms);
     }
     return wait_ms;
 }
@@ -638,7 +640,7 @@
         return true;
     }
     uint64_t cost = S_quota_cost(relay);
-    *wait_ms = S_ask_quota(relay, cost, BsQuotas_Take);
+    *wait_ms = S_ask_quota(relay, cost, BsQuotas_TakeRanked);
     relay->cost = *wait_ms == 0 ? cost : 0;
     return *wait_ms == 0;
 }
@@ -651,7 +653,7 @@
     forecast->quota_wait_ms =
         relay->account == NULL
             ? 0
-            : S_ask_quota(relay, S_quota_cost(relay), BsQuotas_Peek);
+            : S_ask_quota(relay, S_quota_cost(relay), BsQuotas_PeekRanked);
     forecast->too_late = S_is_too_late(relay);
     forecast->yield_share = BsYields_Peek(gate->yields, relay->service->name,
                                           S_yield_rank(relay), now_ms);
@@ -673,6 +675,7 @@
                           BsQuotas_Left(gate->quotas, account));
         BsEventLog_Number(gate->log, "per_s", (int64_t)account->per_s);
         BsEventLog_Number(gate->log, "burst", (int64_t)account->burst);
+        BsEventLog_Number(gate->log, "rank", relay->route->rank);
         BsEventLog_Number(gate->log, "share_percent",
                           (int64_t)(BsQuotas_Share(gate->quotas) * 100));
         BsEventLog_End(gate->log);
--- a/src/quota.c
+++ b/src/quota.c
@@ -17,6 +17,13 @@
 /* Window in which operators count an account's use against its limit. */
 #define QUOTA_WINDOW_S 8.0
 
+/* For this long after a refusal an account counts as over its limit. */
+#define OVER_LIMIT_MS 2000
+
+/* Ranks that leave a part of the bucket to more urgent ones; less urgent ones
+   than these leave no more. */
+#define URGENT_RANKS_MAX 3
+
 /* For this long after a start, the credit grows as the fleet becomes known,
    and callers are told to retry as if the fleet were complete. */
 #define START_MS 2000
@@ -55,6 +62,7 @@
     double tolerated; /* within the tolerance */
     double credit;    /* included in both, of the start */
     int64_t filled_ms;
+    int64_t over_until_ms; /* over its limit, by the last refusal */
     bool open;  /* the limit is known, and the values after it are set */
     bool taken; /* this instance's own use was asked for */
     uint64_t own_used;
@@ -74,6 +82,8 @@
     double over;         /* tolerance, as a fraction of the limit */
     double slack;        /* tolerance, in requests or tokens */
     double share;
+    double urgent;      /* part of a bucket that each rank leaves to more
+                           urgent ones */
     unsigned instances; /* that may each take a credit at their start */
     int64_t started_ms; /* of the process, or the end of its last pause;
                            INT64_MIN: unknown */
@@ -331,47 +341,84 @@
     }
 }
 
-/* Returns after how many milliseconds a caller may retry. */
+void
+BsQuotas_SetUrgent(BsQuotas *quotas, uint32_t percent)
+{
+    quotas->urgent = percent / PERCENT;
+}
+
+/* Returns the level of BUCKET above which a request of RANK is admitted. */
+static double
+S_least_level(const BsQuotas *quotas, const BsQuotaBucket *bucket,
+              uint32_t rank)
+{
+    if (quotas->now_ms >= bucket->over_until_ms) {
+        return 0;
+    }
+    return quotas->urgent * MIN(rank, URGENT_RANKS_MAX) * bucket->burst *
+           quotas->share;
+}
+
+/* Returns after how many milliseconds a caller may retry whose request needs a
+   level above LEAST. */
 static int64_t
-S_wait_ms(const BsQuotas *quotas, const BsQuotaBucket *bucket)
+S_wait_ms(const BsQuotas *quotas, const BsQuotaBucket *bucket, double least)
 {
     double share = S_is_starting(quotas) ? 1.0 : quotas->share;
-    double wait_s = -bucket->level / (bucket->per_s * share);
+    double wait_s = (least - bucket->level) / (bucket->per_s * share);
     return (int64_t)CLAMP(wait_s * MS_PER_S, 1, RETRY_AFTER_MAX_MS);
 }
 
-/* As BsQuotas_Take(), with the bucket of ACCOUNT. */
+/* As BsQuotas_TakeRanked(), with the bucket of ACCOUNT. */
 static int64_t
 S_take(const BsQuotas *quotas, BsQuotaBucket *bucket,
-       const BsCatalogAccount *account, uint64_t cost, bool tolerant)
+       const BsCatalogAccount *account, const BsQuotaRequest *request)
 {
     if (account->per_s > 0) {
         S_refill_for(quotas, bucket, account);
-        bool admitted =
-            bucket->tolerated > 0 && (tolerant || bucket->level > 0);
+        double least = S_least_level(quotas, bucket, request->rank);
+        bool admitted = bucket->tolerated > 0 &&
+                        (request->tolerant || bucket->level > least);
         if (!admitted) {
-            return S_wait_ms(quotas, bucket);
+            bucket->over_until_ms = quotas->now_ms + OVER_LIMIT_MS;
+            return S_wait_ms(quotas, bucket, least);
         }
-        bucket->level -= (double)cost;
-        bucket->tolerated -= (double)cost;
+        bucket->level -= (double)request->cost;
+        bucket->tolerated -= (double)request->cost;
     }
     bucket->taken = true;
-    bucket->own_used += cost;
+    bucket->own_used += request->cost;
     return 0;
 }
 
+int64_t
+BsQuotas_TakeRanked(BsQuotas *quotas, const BsCatalogAccount *account,
+                    const BsQuotaRequest *request, int64_t now_ms)
+{
+    S_set_now(quotas, now_ms);
+    return S_take(quotas, S_find_or_add(quotas, account->name), account,
+                  request);
+}
+
 int64_t
 BsQuotas_Take(BsQuotas *quotas, const BsCatalogAccount *account, uint64_t cost,
               bool tolerant, int64_t now_ms)
 {
-    S_set_now(quotas, now_ms);
-    return S_take(quotas, S_find_or_add(quotas, account->name), account, cost,
-                  tolerant);
+    BsQuotaRequest request = {.cost = cost, .tolerant = tolerant};
+    return BsQuotas_TakeRanked(quotas, account, &request, now_ms);
 }
 
 int64_t
 BsQuotas_Peek(BsQuotas *quotas, const BsCatalogAccount *account, uint64_t cost,
               bool tolerant, int64_t now_ms)
+{
+    BsQuotaRequest request = {.cost = cost, .tolerant = tolerant};
+    return BsQuotas_PeekRanked(quotas, account, &request, now_ms);
+}
+
+int64_t
+BsQuotas_PeekRanked(BsQuotas *quotas, const BsCatalogAccount *account,
+                    const BsQuotaRequest *request, int64_t now_ms)
 {
     uint64_t hash = BsTargets_Hash(account->name);
     const BsQuotaBucket *bucket = g_hash_table_lookup(quotas->buckets, &hash);
@@ -384,7 +431,7 @@
     if (bucket != NULL) {
         copy = *bucket;
     }
-    return S_take(&at, &copy, account, cost, tolerant);
+    return S_take(&at, &copy, account, request);
 }
 
 int64_t
--- a/src/quota.h
+++ b/src/quota.h
@@ -10,6 +10,8 @@
  * While slots are free, an account may also use a fraction of the tolerance
  * that the operators grant above its limit, which costs other accounts
  * nothing.
+ * While an account is over its limit, a part of its bucket may be kept for its
+ * more urgent requests.
  * Each instance has its own retry budget; together these stay well below the
  * fleet's bound.
  */
@@ -25,6 +27,16 @@
     uint64_t used;
 } BsQuotaUse;
 
+/* Range of the part of a bucket that each rank leaves to more urgent ones. */
+#define BS_QUOTA_URGENT_PERCENT_MAX 25
+
+/* A request that asks for a part of its account's limit. */
+typedef struct {
+    uint64_t cost;
+    uint32_t rank; /* of its route; 0 is the most urgent */
+    bool tolerant; /* may use the tolerance, as slots are free */
+} BsQuotaRequest;
+
 typedef struct BsQuotas BsQuotas;
 
 /* Creates limits with a tolerance above them of OVER times an account's limit
@@ -70,6 +82,21 @@
 int64_t BsQuotas_Take(BsQuotas *quotas, const BsCatalogAccount *account,
                       uint64_t cost, bool tolerant, int64_t now_ms);
 
+/* Keeps PERCENT of an account's bucket, for each rank, for its requests of
+   more urgent ranks, from a refusal of the account until none has been refused
+   for two seconds; 0, the default: requests of all ranks are admitted alike.
+ */
+void BsQuotas_SetUrgent(BsQuotas *quotas, uint32_t percent);
+
+/* As BsQuotas_Take(), for REQUEST; BsQuotas_Take() is for the most urgent
+   rank. */
+int64_t BsQuotas_TakeRanked(BsQuotas *quotas, const BsCatalogAccount *account,
+                            const BsQuotaRequest *request, int64_t now_ms);
+
+/* Returns what BsQuotas_TakeRanked() would return, and takes nothing. */
+int64_t BsQuotas_PeekRanked(BsQuotas *quotas, const BsCatalogAccount *account,
+                            const BsQuotaRequest *request, int64_t now_ms);
+
 /* Returns what BsQuotas_Take() would return, and takes nothing. */
 int64_t BsQuotas_Peek(BsQuotas *quotas, const BsCatalogAccount *account,
                       uint64_t cost, bool tolerant, int64_t now_ms);
--- a/tests/gate/settings_test.cc
+++ b/tests/gate/settings_test.cc
@@ -114,6 +114,13 @@
      "name: gw\nearly_repeats: { percentile: 49 }\n",
      "early_repeats.percentile: '49' is not valid; allowed: a whole number "
      "from 50 to 99;"},
+    {"UrgentPart", "name: gw\n",
+     "name: gw\naccounts: { urgent_percent: 25 }\n", ""},
+    {"LargeUrgentPart", "name: gw\n",
+     "name: gw\naccounts: { urgent_percent: 26 }\n",
+     "accounts.urgent_percent: '26' is not valid; allowed: a whole number "
+     "from "
+     "0 to 25;"},
     {"Spill", "name: gw\n",
      "name: gw\nspill: { gain_ms: 10000, pause_min_ms: 60000 }\n", ""},
     {"SpillOff", "name: gw\n", "name: gw\nspill: { gain_ms: 0 }\n", ""},
