tests: streams of a version that serves only beyond a partition

Model of the fleet at 3, 9 and 295 instances: a data centre is cut off for 90 s and serves v1, the others get v2 instead, then the data centre loses power and its streams are taken up in the others. Also processes that start during the partition, one or all in succession, and one that starts cut off.

--- a/tests/gate/fleet_world.cc
+++ b/tests/gate/fleet_world.cc
@@ -306,7 +306,9 @@
     if (versions.empty()) {
         return;
     }
-    for (uint64_t version : versions) {
+    auto other = versions_of.find(node->data_centre);
+    for (uint64_t version :
+         other == versions_of.end() ? versions : other->second) {
         BsStreamVersions_NoteServing(node->stream_versions, version, now_ms);
     }
     BsStreamShare_Tick(node->agent, node->stream_versions,
--- a/tests/gate/fleet_world.h
+++ b/tests/gate/fleet_world.h
@@ -115,6 +115,8 @@
     std::vector<uint32_t> seeds;
     std::vector<uint64_t> versions; // of listed upstreams; with none, no
                                     // streams are exchanged
+    // The same in a data centre whose list of upstreams is another one.
+    std::map<uint32_t, std::vector<uint64_t>> versions_of;
     int64_t stream_life_ms = 60000;
 };
 
--- a/tests/gate/streamfleet_test.cc
+++ b/tests/gate/streamfleet_test.cc
@@ -25,9 +25,9 @@
 class StreamFleet : public FleetTest {
   protected:
     // The fleet after a life with one version.
-    void Start(const FleetSize &size)
+    void Start(const FleetSize &size, int64_t life_ms = kLifeMs)
     {
-        world_.stream_life_ms = kLifeMs;
+        world_.stream_life_ms = life_ms;
         world_.versions = {Version("v1")};
         Build(size.data_centres, size.per_data_centre);
         // Instances are known to each other before the life starts.
@@ -35,10 +35,10 @@
         for (auto &node : world_.nodes) {
             BsStreamVersions_Destroy(node->stream_versions);
             node->stream_versions =
-                BsStreamVersions_Create(world_.now_ms - kLifeMs - 1);
-            BsStreamVersions_SetLife(node->stream_versions, kLifeMs,
-                                     world_.now_ms - kLifeMs);
-            for (int64_t ms = kLifeMs; ms >= 0; ms -= 1000) {
+                BsStreamVersions_Create(world_.now_ms - life_ms - 1);
+            BsStreamVersions_SetLife(node->stream_versions, life_ms,
+                                     world_.now_ms - life_ms);
+            for (int64_t ms = life_ms; ms >= 0; ms -= 1000) {
                 BsStreamVersions_NoteCurrent(node->stream_versions,
                                              world_.now_ms - ms);
             }
@@ -356,6 +356,189 @@
                                                    info.param.per_data_centre);
                          });
 
+// Guards against an instance that takes the only version it knows for the only
+// one that can have begun a stream, while a data centre that it cannot reach
+// serves another one.
+class StreamPartitionTest : public StreamFleet,
+                            public testing::WithParamInterface<FleetSize> {
+  protected:
+    // The longest time-out of a resumable route, 15 s, and 10 s.
+    static constexpr int64_t kPartitionLifeMs = 25000;
+    static constexpr uint32_t kCutOff = 1;
+
+    void SetUp() override
+    {
+        Start(GetParam(), kPartitionLifeMs);
+        // Until all instances have been in touch for longer than a start
+        // takes.
+        world_.Run(12000);
+    }
+    // Cuts a data centre off: it goes on with v1.  In the others, which read
+    // the store, v2 replaces v1 within 6 s.
+    void CutAndRelease()
+    {
+        world_.isolated_data_centres = {kCutOff};
+        world_.versions_of[kCutOff] = {Version("v1")};
+        for (auto &node : world_.nodes) {
+            node->list_current = node->data_centre != kCutOff;
+        }
+        world_.Run(2000);
+        world_.versions.push_back(Version("v2"));
+        world_.Run(4000);
+        world_.versions = {Version("v2")};
+    }
+    void EndPartition()
+    {
+        world_.isolated_data_centres.clear();
+        world_.versions_of.clear();
+        for (auto &node : world_.nodes) {
+            node->list_current = true;
+        }
+    }
+    // Ends all instances of the data centre that is cut off.
+    void LosePower()
+    {
+        for (auto &node : world_.nodes) {
+            node->alive &= node->data_centre != kCutOff;
+        }
+    }
+    Node *OfOthers(size_t index)
+    {
+        return At(GetParam().per_data_centre + index);
+    }
+    // How many running instances outside take KEY up, each on its own.
+    int CountTakenUp(uint64_t key)
+    {
+        int taken_up = 0;
+        for (auto &node : world_.nodes) {
+            if (node->alive && node->data_centre != kCutOff &&
+                Find(node.get(), key) == 0) {
+                Ask(node.get(), key);
+            }
+        }
+        world_.Run(kKnownMs);
+        for (auto &node : world_.nodes) {
+            taken_up += node->alive && node->data_centre != kCutOff &&
+                        Find(node.get(), key) != 0;
+        }
+        return taken_up;
+    }
+};
+
+// The data centre is forgotten 60 s after it was last heard, and its version
+// would expire a life later (review/6).
+TEST_P(StreamPartitionTest, AVersionIsNotForgottenDuringALongPartition)
+{
+    CutAndRelease();
+    world_.Run(84000);
+    uint64_t key = Begin(At(0), "v1");
+    uint64_t known = Begin(OfOthers(0), "v2");
+    world_.Run(2000);
+    LosePower();
+    EXPECT_EQ(CountTakenUp(key), 0);
+    // Streams of the instances that are in touch go on.
+    EXPECT_EQ(CountWrong(known, "v2"), 0);
+}
+
+// A process that starts has never heard the data centre that is cut off, and
+// must neither assume a version nor tell one to those that know better
+// (review/8).
+TEST_P(StreamPartitionTest, AProcessStartedDuringAPartitionDoesNotGuess)
+{
+    CutAndRelease();
+    world_.Run(8000);
+    world_.Start(OfOthers(1));
+    world_.Run(40000);
+    uint64_t key = Begin(At(0), "v1");
+    uint64_t known = Begin(OfOthers(1), "v2");
+    world_.Run(2000);
+    LosePower();
+    EXPECT_EQ(Find(OfOthers(1), key), 0U);
+    EXPECT_EQ(CountTakenUp(key), 0);
+    EXPECT_EQ(CountWrong(known, "v2"), 0);
+}
+
+// The same for processes that start one after the other until none is left
+// that has heard the data centre.
+TEST_P(StreamPartitionTest, ProcessesStartedInSuccessionDoNotGuess)
+{
+    CutAndRelease();
+    world_.Run(1000);
+    for (auto &node : world_.nodes) {
+        if (node->data_centre != kCutOff) {
+            world_.Start(node.get());
+            world_.Run(GetParam().per_data_centre > 9 ? 60 : 2000);
+        }
+    }
+    world_.Run(30000);
+    uint64_t key = Begin(At(0), "v1");
+    world_.Run(2000);
+    LosePower();
+    EXPECT_EQ(CountTakenUp(key), 0);
+}
+
+// Guards against a process that has seen nobody and takes what is listed for
+// all there is.
+TEST_P(StreamPartitionTest, AProcessThatStartsCutOffDoesNotGuess)
+{
+    Node *node = OfOthers(0);
+    world_.disconnected = {node->address};
+    world_.versions_of[node->data_centre] = {Version("v2")};
+    world_.Start(node);
+    world_.Run(kPartitionLifeMs + 5000);
+    EXPECT_EQ(Find(node, 12345), 0U);
+}
+
+// Guards against streams that stay rejected when the partition is over, and
+// against an end of it that is taken for complete knowledge of the time
+// before.
+TEST_P(StreamPartitionTest, TheOnlyVersionIsAssumedALifeAfterThePartition)
+{
+    CutAndRelease();
+    world_.Run(8000);
+    world_.Start(OfOthers(1));
+    world_.Run(76000);
+    uint64_t key = Begin(At(0), "v1");
+    EndPartition();
+    world_.Run(3000);
+    EXPECT_EQ(CountWrong(key, "v1"), 0);
+    EXPECT_EQ(Find(OfOthers(1), 12345), 0U);
+    world_.Run(kPartitionLifeMs + 1000);
+    EXPECT_EQ(CountWrong(12345, "v2"), 0);
+}
+
+// Guards against needless rejections: nothing was cut, so a process that
+// starts answers by others at once, and a life later by itself.
+TEST_P(StreamPartitionTest, WithoutAPartitionAStartedProcessAssumesTheVersion)
+{
+    Node *node = OfOthers(1);
+    world_.Start(node);
+    world_.Run(2000);
+    EXPECT_EQ(TakeUp(node, 12345), Version("v1"));
+    world_.Run(kPartitionLifeMs - 1000);
+    EXPECT_EQ(Find(node, 54321), Version("v1"));
+}
+
+// The same for a fleet that starts as a whole.
+TEST_P(StreamPartitionTest, AFleetThatStartsAssumesTheVersionALifeLater)
+{
+    for (auto &node : world_.nodes) {
+        world_.Start(node.get());
+    }
+    world_.Run(kPartitionLifeMs + 500);
+    for (auto &node : world_.nodes) {
+        EXPECT_EQ(Find(node.get(), 12345), Version("v1"));
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Sizes, StreamPartitionTest,
+                         testing::Values(FleetSize{3, 1}, FleetSize{3, 3},
+                                         FleetSize{5, 59}),
+                         [](const auto &info) {
+                             return std::to_string(info.param.data_centres *
+                                                   info.param.per_data_centre);
+                         });
+
 // Guards against needless load: datagrams about streams while two versions
 // serve, with the streams of a large site; two hundredths of them are taken
 // up.
