streams: an instance assumes a version only where its knowledge is complete

Cause: what an instance knew of the fleet was taken for all there is. Members are forgotten after 60 s, so a partition of more than 85 s let the other side's version expire; a process that started during a partition had never heard the other side, took the one version left for that of each unknown stream and told that to better informed instances as a record.

Now each instance keeps which data centres it hears (centrewatch), for an hour, and names those that it does not hear in its reports and summaries, eight at most. While one is silent no version expires; while one was never heard since the start, or an instance with seeds has heard nobody, only records answer, to callers and to others.

Reports and summaries grow by one byte while all is heard.

--- a/src/fleetagent.c
+++ b/src/fleetagent.c
@@ -211,6 +211,8 @@
     }
     BsGossip_AppendMembers(agent->gossip, agent->random, MEMBERS_PER_REPORT,
                            now_ms, report->members);
+    BsGossip_AppendSilentCentres(agent->gossip, now_ms,
+                                 report->silent_centres);
 }
 
 static void
@@ -712,6 +714,8 @@
     summary->store_failed_ms = failed_ms > INT32_MAX ? -1 : failed_ms;
     summary->reachable = BsGossip_LocalReachable(agent->gossip, now_ms);
     summary->known = BsGossip_LocalKnown(agent->gossip, now_ms);
+    BsGossip_AppendSilentCentres(agent->gossip, now_ms,
+                                 summary->silent_centres);
     if (!remote) {
         summary->reachable += BsHub_RemoteReachable(agent->hub);
         summary->known += BsHub_RemoteKnown(agent->hub);
--- a/src/gossip.c
+++ b/src/gossip.c
@@ -52,6 +52,7 @@
     gossip->served_ms = BS_GOSSIP_NEVER_MS;
     gossip->fleet_ms = BS_GOSSIP_NEVER_MS;
     gossip->share = BsFleetShare_Create();
+    gossip->centres = BsCentreWatch_Create(data_centre, now_ms);
     gossip->entries = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     return gossip;
 }
@@ -62,6 +63,7 @@
     if (gossip != NULL) {
         g_hash_table_destroy(gossip->entries);
         BsFleetShare_Destroy(gossip->share);
+        BsCentreWatch_Destroy(gossip->centres);
         g_free(gossip);
     }
 }
@@ -101,6 +103,7 @@
         return;
     }
     BsGossip_FindOrAdd(gossip, address, now_ms)->member.seed = true;
+    BsCentreWatch_ExpectOthers(gossip->centres);
 }
 
 bool
@@ -193,6 +196,21 @@
     }
 }
 
+/* Records that an instance of DATA_CENTRE is heard, which tells of the data
+   centres that it does not hear. */
+static void
+S_note_centres(BsGossip *gossip, uint32_t data_centre,
+               const GArray *silent_centres, int64_t now_ms)
+{
+    BsCentreWatch_NoteHeard(gossip->centres, data_centre, now_ms);
+    for (guint i = 0; i < silent_centres->len; i++) {
+        const BsSilentCentre *silent =
+            &g_array_index(silent_centres, BsSilentCentre, i);
+        BsCentreWatch_Learn(gossip->centres, silent->data_centre,
+                            silent->age_ms, now_ms);
+    }
+}
+
 void
 BsGossip_NoteStoreAnswer(BsGossip *gossip, uint32_t data_centre,
                          int64_t age_ms, int64_t now_ms)
@@ -236,6 +254,8 @@
         gossip->store_failed_ms = now_ms;
     }
     member->data_centre = report->data_centre;
+    S_note_centres(gossip, report->data_centre, report->silent_centres,
+                   now_ms);
     member->weight = report->weight;
     member->stopping = report->stopping;
     if (request == BS_GOSSIP_REQUEST_SUMMARIES) {
@@ -265,9 +285,14 @@
     BsGossipMember *member = &entry->member;
     member->data_centre = named->data_centre;
     member->weight = named->weight;
-    if (!BsGossip_UsesHubs(gossip, now_ms) || !named->reachable) {
+    if (!named->reachable) {
+        return;
+    }
+    BsCentreWatch_Learn(gossip->centres, named->data_centre, 0, now_ms);
+    if (!BsGossip_UsesHubs(gossip, now_ms)) {
         return;
     }
+    BsCentreWatch_NoteHeard(gossip->centres, named->data_centre, now_ms);
     member->last_received_ms = now_ms;
     entry->unresponsive = false;
     if (BsGossip_IsDirect(entry, now_ms)) {
@@ -327,6 +352,8 @@
         member->reading = summary->reading;
     }
     member->data_centre = summary->data_centre;
+    S_note_centres(gossip, summary->data_centre, summary->silent_centres,
+                   now_ms);
     member->weight = summary->weight;
     member->stopping = summary->stopping;
     entry->summary_ms = now_ms;
@@ -667,6 +694,19 @@
     return alone ? ALONE_INSTANCES : known;
 }
 
+BsCentreWatchState
+BsGossip_Centres(const BsGossip *gossip, int64_t now_ms)
+{
+    return BsCentreWatch_State(gossip->centres, now_ms);
+}
+
+void
+BsGossip_AppendSilentCentres(const BsGossip *gossip, int64_t now_ms,
+                             GArray *out)
+{
+    BsCentreWatch_AppendSilent(gossip->centres, now_ms, out);
+}
+
 double
 BsGossip_Share(const BsGossip *gossip, int64_t now_ms)
 {
--- a/src/gossip.h
+++ b/src/gossip.h
@@ -13,7 +13,7 @@
  * name; no instance keeps a complete list, and nothing here needs one.  A
  * member that stops sending is unresponsive, and is removed after a minute
  * (BS_GOSSIP_REMOVE_AFTER_MS); its share of common limits is held for longer
- * (fleetshare.h).
+ * (fleetshare.h), and so is that its data centre exists (centrewatch.h).
  */
 #ifndef BS_GOSSIP_H
 #define BS_GOSSIP_H
@@ -239,6 +239,14 @@
 /* Returns how many instances are reachable, including this one. */
 unsigned BsGossip_Reachable(const BsGossip *gossip, int64_t now_ms);
 
+/* Returns what is known of the data centres of the fleet (centrewatch.h). */
+BsCentreWatchState BsGossip_Centres(const BsGossip *gossip, int64_t now_ms);
+
+/* Appends the data centres that this instance does not hear (BsSilentCentre),
+   to report to others. */
+void BsGossip_AppendSilentCentres(const BsGossip *gossip, int64_t now_ms,
+                                  GArray *out);
+
 /* Returns the fraction of a common limit that the reachable instances may use
    together: 1 while all are reachable (fleetshare.h). */
 double BsGossip_Share(const BsGossip *gossip, int64_t now_ms);
--- a/src/gossip_private.h
+++ b/src/gossip_private.h
@@ -6,6 +6,7 @@
 #ifndef BS_GOSSIP_PRIVATE_H
 #define BS_GOSSIP_PRIVATE_H
 
+#include "centrewatch.h"
 #include "fleetshare.h"
 #include "gossip.h"
 
@@ -51,6 +52,7 @@
     uint32_t fleet_reported;    /* largest fleet size reported by others */
     int64_t fleet_reported_ms;  /* when it was reported */
     BsFleetShare *share;        /* the share of common limits */
+    BsCentreWatch *centres;     /* the data centres heard */
     bool is_seed;               /* this instance is a seed itself */
     uint32_t hub;               /* address; 0: none */
     int64_t hub_since_ms;       /* when it was chosen */
--- a/src/gossipreport.c
+++ b/src/gossipreport.c
@@ -16,7 +16,8 @@
 #define STORE_AGE_ITEM 17
 #define LARGEST_ITEM 18
 #define LARGEST_AGE_ITEM 19
-#define ADDED_ITEMS 5
+#define SILENT_CENTRES_ITEM 20
+#define ADDED_ITEMS 6
 
 /* The first item holds the version and, in STOPPING_BIT, whether the instance
    is stopping. */
@@ -24,7 +25,7 @@
 #define STOPPING_BIT 256
 
 /* Largest encoded size of the fixed part and the list headers of a report. */
-#define FIXED_BYTES 132
+#define FIXED_BYTES 135
 
 void
 BsGossipReport_Init(BsGossipReport *report)
@@ -38,6 +39,7 @@
     report->crash_records = g_array_new(FALSE, FALSE, sizeof(BsCrashRecord));
     report->part_records = g_array_new(FALSE, FALSE, sizeof(BsPartRecord));
     report->limit_records = g_array_new(FALSE, FALSE, sizeof(BsLimitRecord));
+    report->silent_centres = g_array_new(FALSE, FALSE, sizeof(BsSilentCentre));
 }
 
 void
@@ -49,12 +51,15 @@
     g_array_unref(report->crash_records);
     g_array_unref(report->part_records);
     g_array_unref(report->limit_records);
+    g_array_unref(report->silent_centres);
 }
 
 static void
 S_pack_lists(msgpack_packer *packer, const BsGossipReport *report)
 {
-    size_t space_bytes = BS_GOSSIP_MAX_BYTES - FIXED_BYTES;
+    size_t space_bytes =
+        BS_GOSSIP_MAX_BYTES - FIXED_BYTES -
+        BsReportCodec_SilentCentresBytes(report->silent_centres);
     BsReportCodec_PackCrashRecords(packer, report->crash_records,
                                    &space_bytes);
     guint part_records =
@@ -91,6 +96,7 @@
     BsReportCodec_PackAge(&packer, report->store_age_ms);
     msgpack_pack_uint32(&packer, report->largest);
     BsReportCodec_PackAge(&packer, report->largest_age_ms);
+    BsReportCodec_PackSilentCentres(&packer, report->silent_centres);
 }
 
 static bool
@@ -169,7 +175,10 @@
         (root->via.array.size <= STORE_AGE_ITEM ||
          BsReportCodec_ReadAge(&items[STORE_AGE_ITEM],
                                &report->store_age_ms)) &&
-        S_read_largest(&root->via.array, report);
+        S_read_largest(&root->via.array, report) &&
+        (root->via.array.size <= SILENT_CENTRES_ITEM ||
+         BsReportCodec_ReadSilentCentres(&items[SILENT_CENTRES_ITEM], numbers,
+                                         report->silent_centres));
     g_array_unref(numbers);
     return valid;
 }
--- a/src/gossipreport.h
+++ b/src/gossipreport.h
@@ -6,6 +6,7 @@
 #ifndef BS_GOSSIPREPORT_H
 #define BS_GOSSIPREPORT_H
 
+#include "centrewatch.h"
 #include "crashlist.h"
 #include "crashparts.h"
 #include "quota.h"
@@ -53,12 +54,14 @@
     uint32_t largest; /* largest size of the fleet; 0: it cannot tell */
     int64_t largest_age_ms; /* since LARGEST was counted; -1: unknown */
     bool stopping;
-    GArray *loads;         /* BsTargetLoad */
-    GArray *uses;          /* BsQuotaUse */
-    GArray *members;       /* BsGossipMemberInfo; some reachable members */
-    GArray *crash_records; /* BsCrashRecord */
-    GArray *part_records;  /* BsPartRecord */
-    GArray *limit_records; /* BsLimitRecord */
+    GArray *loads;          /* BsTargetLoad */
+    GArray *uses;           /* BsQuotaUse */
+    GArray *members;        /* BsGossipMemberInfo; some reachable members */
+    GArray *crash_records;  /* BsCrashRecord */
+    GArray *part_records;   /* BsPartRecord */
+    GArray *limit_records;  /* BsLimitRecord */
+    GArray *silent_centres; /* BsSilentCentre; BS_CENTREWATCH_TOLD_MAX at
+                               most */
 } BsGossipReport;
 
 /* Fills REPORT with empty lists, or frees its lists. */
--- a/src/reportcodec.c
+++ b/src/reportcodec.c
@@ -18,6 +18,10 @@
 /* Numbers in an encoded limit of an upstream. */
 #define LIMIT_NUMBERS 4
 
+/* Numbers of a silent data centre, and the most bytes that they take. */
+#define SILENT_CENTRE_NUMBERS 2
+#define SILENT_CENTRE_BYTES 10
+
 /* Bits of a member's flags. */
 #define FLAG_REACHABLE 1
 #define FLAG_STOPPING 2
@@ -240,6 +244,27 @@
     msgpack_pack_uint32(packer, known ? (uint32_t)age_ms + 1 : 0);
 }
 
+size_t
+BsReportCodec_SilentCentresBytes(const GArray *silent_centres)
+{
+    return MIN(silent_centres->len, BS_CENTREWATCH_TOLD_MAX) *
+           SILENT_CENTRE_BYTES;
+}
+
+void
+BsReportCodec_PackSilentCentres(msgpack_packer *packer,
+                                const GArray *silent_centres)
+{
+    guint count = MIN(silent_centres->len, BS_CENTREWATCH_TOLD_MAX);
+    msgpack_pack_array(packer, (size_t)count * SILENT_CENTRE_NUMBERS);
+    for (guint i = 0; i < count; i++) {
+        const BsSilentCentre *silent =
+            &g_array_index(silent_centres, BsSilentCentre, i);
+        msgpack_pack_uint32(packer, silent->data_centre);
+        msgpack_pack_uint32(packer, silent->age_ms);
+    }
+}
+
 bool
 BsReportCodec_ReadAge(const msgpack_object *object, int64_t *age_ms)
 {
@@ -434,3 +459,25 @@
     }
     return true;
 }
+
+bool
+BsReportCodec_ReadSilentCentres(const msgpack_object *object, GArray *numbers,
+                                GArray *silent_centres)
+{
+    if (!BsReportCodec_Numbers(object, numbers) ||
+        numbers->len % SILENT_CENTRE_NUMBERS != 0 ||
+        numbers->len > SILENT_CENTRE_NUMBERS * BS_CENTREWATCH_TOLD_MAX) {
+        return false;
+    }
+    for (guint i = 0; i < numbers->len; i += SILENT_CENTRE_NUMBERS) {
+        uint64_t data_centre = NUMBER(numbers, i);
+        uint64_t age_ms = NUMBER(numbers, i + 1);
+        if (data_centre > UINT32_MAX || age_ms > UINT32_MAX) {
+            return false;
+        }
+        BsSilentCentre silent = {.data_centre = (uint32_t)data_centre,
+                                 .age_ms = (uint32_t)age_ms};
+        g_array_append_val(silent_centres, silent);
+    }
+    return true;
+}
--- a/src/reportcodec.h
+++ b/src/reportcodec.h
@@ -54,6 +54,14 @@
    whether OBJECT is valid. */
 bool BsReportCodec_ReadAge(const msgpack_object *object, int64_t *age_ms);
 
+/* Returns the most bytes that the elements of SILENT_CENTRES (BsSilentCentre)
+   take. */
+size_t BsReportCodec_SilentCentresBytes(const GArray *silent_centres);
+
+/* Packs SILENT_CENTRES (BsSilentCentre), BS_CENTREWATCH_TOLD_MAX at most. */
+void BsReportCodec_PackSilentCentres(msgpack_packer *packer,
+                                     const GArray *silent_centres);
+
 /* Reads an unsigned integer; returns whether OBJECT is one. */
 bool BsReportCodec_U64(const msgpack_object *object, uint64_t *value);
 
@@ -73,6 +81,8 @@
                                    GArray *numbers, GArray *part_records);
 bool BsReportCodec_ReadLimitRecords(const msgpack_object *object,
                                     GArray *numbers, GArray *limit_records);
+bool BsReportCodec_ReadSilentCentres(const msgpack_object *object,
+                                     GArray *numbers, GArray *silent_centres);
 bool BsReportCodec_ReadMembers(const msgpack_object *object, GArray *numbers,
                                GArray *members);
 
--- a/src/streamversions.c
+++ b/src/streamversions.c
@@ -26,6 +26,10 @@
 /* The list of upstreams is known while it is at most this old. */
 #define CURRENT_MS 2000
 
+/* A fleet that starts as a whole needs this long at most until all hear each
+   other. */
+#define START_MS 5000
+
 #define SERVICE_SHIFT 32
 
 /* The version of a stream for which two records of the same generation name
@@ -78,6 +82,8 @@
     int64_t earlier_life_until_ms; /* ... this time */
     int64_t current_ms; /* the list is known to be that of this time */
     int64_t gap_ms;     /* end of the last gap */
+    int64_t started_ms;
+    bool unheard; /* a part of the fleet was never heard */
     uint64_t dropped;
 };
 
@@ -94,6 +100,7 @@
     versions->earlier_life_until_ms = now_ms;
     versions->current_ms = now_ms;
     versions->gap_ms = now_ms;
+    versions->started_ms = now_ms;
     return versions;
 }
 
@@ -177,7 +184,7 @@
 static bool
 S_had_gap(const BsStreamVersions *versions, int64_t now_ms)
 {
-    return now_ms - versions->current_ms > CURRENT_MS ||
+    return versions->unheard || now_ms - versions->current_ms > CURRENT_MS ||
            now_ms - versions->gap_ms <= S_life_ms(versions, now_ms);
 }
 
@@ -313,6 +320,16 @@
     }
 }
 
+void
+BsStreamVersions_NoteUnheard(BsStreamVersions *versions, bool unheard,
+                             int64_t now_ms)
+{
+    versions->unheard = unheard;
+    if (unheard && now_ms - versions->started_ms > START_MS) {
+        BsStreamVersions_NoteGap(versions, now_ms);
+    }
+}
+
 void
 BsStreamVersions_EachChange(BsStreamVersions *versions, int64_t now_ms,
                             void (*func)(uint32_t service, bool mixed,
--- a/src/streamversions.h
+++ b/src/streamversions.h
@@ -14,10 +14,11 @@
  *
  * Rules: a version counts from when it was listed, or named in a record, until
  * a stream's longest life after that.  For as long after a time at which the
- * list of upstreams was not current, no version is taken to be the only one:
- * only records answer.  Records are merged by their generation, so that order,
- * duplicates and routes do not matter.  Memory is bounded; the oldest records
- * are dropped first.
+ * list of upstreams was not current, or a part of the fleet was never heard,
+ * no version is taken to be the only one: only records answer.  So an
+ * assumption that is made without complete knowledge is never told to others.
+ * Records are merged by their generation, so that order, duplicates and routes
+ * do not matter.  Memory is bounded; the oldest records are dropped first.
  */
 #ifndef BS_STREAMVERSIONS_H
 #define BS_STREAMVERSIONS_H
@@ -95,6 +96,15 @@
 void BsStreamVersions_NoteUnreachable(BsStreamVersions *versions,
                                       int64_t now_ms);
 
+/* Records whether a part of the fleet is known to exist, or is to be expected,
+   of which this instance has heard nothing since its start: any version may
+   have begun streams there.  Until it is heard, and for a life of a stream
+   after that, only records answer.  Shortly after the start it may take a
+   while to hear all; that makes the time no longer for which nothing is known
+   after a start anyhow. */
+void BsStreamVersions_NoteUnheard(BsStreamVersions *versions, bool unheard,
+                                  int64_t now_ms);
+
 /* Records that this instance sends the request of RECORD's stream to an
    upstream, or takes the stream up, which makes all remember it for longer.
    The generation counts the sends before the first event; any one up to that
--- a/src/summary.c
+++ b/src/summary.c
@@ -14,7 +14,8 @@
 #define PART_RECORDS_ITEM 16
 #define LIMIT_RECORDS_ITEM 17
 #define STORE_AGE_ITEM 18
-#define ADDED_ITEMS 3
+#define SILENT_CENTRES_ITEM 19
+#define ADDED_ITEMS 4
 
 /* The first item holds the version and these flags. */
 #define VERSION_BITS 255
@@ -22,7 +23,7 @@
 #define REMOTE_BIT 512
 
 /* Largest encoded size of the fixed part and the list headers. */
-#define FIXED_BYTES 130
+#define FIXED_BYTES 133
 
 void
 BsSummary_Init(BsSummary *summary)
@@ -36,6 +37,8 @@
     summary->crash_records = g_array_new(FALSE, FALSE, sizeof(BsCrashRecord));
     summary->part_records = g_array_new(FALSE, FALSE, sizeof(BsPartRecord));
     summary->limit_records = g_array_new(FALSE, FALSE, sizeof(BsLimitRecord));
+    summary->silent_centres =
+        g_array_new(FALSE, FALSE, sizeof(BsSilentCentre));
 }
 
 void
@@ -47,13 +50,16 @@
     g_array_unref(summary->crash_records);
     g_array_unref(summary->part_records);
     g_array_unref(summary->limit_records);
+    g_array_unref(summary->silent_centres);
 }
 
 void
 BsSummary_Encode(const BsSummary *summary, GString *out)
 {
     msgpack_packer packer;
-    size_t space_bytes = BS_GOSSIP_MAX_BYTES - FIXED_BYTES;
+    size_t space_bytes =
+        BS_GOSSIP_MAX_BYTES - FIXED_BYTES -
+        BsReportCodec_SilentCentresBytes(summary->silent_centres);
     msgpack_packer_init(&packer, out, BsReportCodec_Write);
     msgpack_pack_array(&packer, SUMMARY_ITEMS + ADDED_ITEMS);
     msgpack_pack_uint32(&packer, SUMMARY_VERSION |
@@ -84,6 +90,7 @@
     BsReportCodec_PackLimitRecords(&packer, summary->limit_records,
                                    limit_records);
     BsReportCodec_PackAge(&packer, summary->store_age_ms);
+    BsReportCodec_PackSilentCentres(&packer, summary->silent_centres);
 }
 
 static bool
@@ -136,7 +143,10 @@
                                         summary->limit_records)) &&
         (root->via.array.size <= STORE_AGE_ITEM ||
          BsReportCodec_ReadAge(&items[STORE_AGE_ITEM],
-                               &summary->store_age_ms));
+                               &summary->store_age_ms)) &&
+        (root->via.array.size <= SILENT_CENTRES_ITEM ||
+         BsReportCodec_ReadSilentCentres(&items[SILENT_CENTRES_ITEM], numbers,
+                                         summary->silent_centres));
     g_array_unref(numbers);
     return valid;
 }
--- a/src/summary.h
+++ b/src/summary.h
@@ -37,6 +37,8 @@
     GArray *crash_records;   /* BsCrashRecord */
     GArray *part_records;    /* BsPartRecord */
     GArray *limit_records;   /* BsLimitRecord */
+    GArray *silent_centres;  /* BsSilentCentre; BS_CENTREWATCH_TOLD_MAX at
+                                most */
 } BsSummary;
 
 /* Fills SUMMARY with empty lists, or frees its lists. */
--- a/tests/gate/streamversions_test.cc
+++ b/tests/gate/streamversions_test.cc
@@ -416,6 +416,60 @@
     EXPECT_EQ(services.Find(7), 0u);
 }
 
+// Guards against an instance that has never heard a part of the fleet and
+// takes the version it knows for the only one, or tells others that as a
+// record.
+TEST(StreamVersionsTest, WhileAPartIsUnheardOnlyRecordsAnswer)
+{
+    Table table;
+    table.Serve("v1");
+    table.Note(8, "v1");
+    BsStreamVersions_NoteUnheard(table.get(), true, kStartMs);
+    EXPECT_TRUE(table.Mixed());
+    EXPECT_EQ(table.Find(7), 0u);
+    EXPECT_EQ(table.Find(8), Version("v1"));
+    GArray *questions = g_array_new(FALSE, FALSE, sizeof(BsStreamQuestion));
+    GArray *records = g_array_new(FALSE, FALSE, sizeof(BsStreamRecord));
+    for (uint64_t key : {7, 8}) {
+        BsStreamQuestion question = {
+            key, BsStreamVersions_HashService(kService), 0};
+        g_array_append_val(questions, question);
+    }
+    BsStreamVersions_Answer(table.get(), questions, kStartMs, records);
+    ASSERT_EQ(records->len, 1u);
+    EXPECT_EQ(g_array_index(records, BsStreamRecord, 0).key, 8u);
+    g_array_unref(questions);
+    g_array_unref(records);
+    // For a life after it was heard, its streams may be taken up.
+    BsStreamVersions_NoteUnheard(table.get(), false, kStartMs);
+    table.Serve("v1", kStartMs + kLifeMs);
+    EXPECT_EQ(table.Find(7, kStartMs + kLifeMs), 0u);
+    table.Serve("v1", kStartMs + kLifeMs + 1);
+    EXPECT_EQ(table.Find(7, kStartMs + kLifeMs + 1), Version("v1"));
+}
+
+// Guards against a fleet that waits for longer after its start, as it takes a
+// moment until all hear each other.
+TEST(StreamVersionsTest, APartThatIsHeardSoonAfterTheStartCostsNothing)
+{
+    BsStreamVersions *fresh = BsStreamVersions_Create(kStartMs);
+    uint32_t service = BsStreamVersions_HashService(kService);
+    uint64_t version = 0;
+    BsStreamVersions_SetLife(fresh, kLifeMs, kStartMs);
+    for (int64_t ms = 0; ms <= kLifeMs + 1; ms += 1000) {
+        BsStreamVersions_NoteCurrent(fresh, kStartMs + ms);
+        BsStreamVersions_NoteServing(fresh, Version("v1"), kStartMs + ms);
+        BsStreamVersions_NoteUnheard(fresh, ms < 5000, kStartMs + ms);
+    }
+    EXPECT_EQ(
+        BsStreamVersions_Find(fresh, 7, service, kStartMs + kLifeMs, &version),
+        BS_STREAM_VERSION_UNKNOWN);
+    EXPECT_EQ(BsStreamVersions_Find(fresh, 7, service, kStartMs + kLifeMs + 1,
+                                    &version),
+              BS_STREAM_VERSION_KNOWN);
+    BsStreamVersions_Destroy(fresh);
+}
+
 struct Changes {
     std::vector<bool> mixed;
     std::vector<uint32_t> counts;
