tests: an upstream that starts again at another version under its id

An answer, and a resumption at the same and at another instance, whose stream was sent to the upstream between its start and the read of its new entry: either version may have begun it, so it must go on nowhere. The control, an upstream of the same version that did not start again, goes on.

--- a/tests/gate/gateway_version_test.cc
+++ b/tests/gate/gateway_version_test.cc
@@ -276,6 +276,38 @@
     EXPECT_EQ(runners_[other]->count(), 0);
 }
 
+// Guards against an answer that goes on at the version its upstream had before
+// it started again under its id: it began between that start and the moment at
+// which the gateway read the new entry, so either version may have begun it
+// (review/7).  Another answer of that time, whose upstream did not start
+// again, goes on.
+TEST_F(VersionAnswerTest, IsCutWhenItsUpstreamStartedAgainBeforeItWasSent)
+{
+    size_t again = Add("v2", After::kWait);
+    size_t same = Add("v1", After::kWait);
+    size_t last = Add("v1");
+    List(same, "v1", ",\"born\":1000");
+    StartOne();
+    WaitListed(1);
+    std::unique_ptr<Socket> other = Begin(*gateway_, "b", "v1");
+    std::string read = read_;
+    List(same, "v1", ",\"born\":1000", "draining");
+    List(again, "v1", ",\"born\":1000");
+    WaitListed(2);
+    std::unique_ptr<Socket> caller = Begin(*gateway_, "a", "v2");
+    List(again, "v2", ",\"born\":2000");
+    List(last, "v1", ",\"born\":1000");
+    WaitListed(3);
+    go_ = true;
+    std::string answer = read_ + caller->ReadAll();
+    bool complete;
+    EXPECT_EQ(Dechunk(answer, &complete), VersionEvents("v2", 0, kFirstPart));
+    EXPECT_FALSE(complete) << answer;
+    answer = read + other->ReadAll();
+    EXPECT_EQ(Dechunk(answer, &complete), VersionEvents("v1", 0, kEvents));
+    EXPECT_TRUE(complete) << answer;
+}
+
 // Guards against entries without a version that are taken for upstreams of any
 // version.
 TEST_F(VersionAnswerTest, AnEntryWithoutAVersionIsOfAnotherOne)
@@ -370,6 +402,27 @@
     EXPECT_EQ(runners_[other]->count(), 0);
 }
 
+// Guards against a stream that is resumed at the version its upstream had
+// before it started again under its id, as in VersionAnswerTest, at the
+// instance where it began or at another one.
+TEST_F(VersionTriesTest, IsRefusedWhenItsUpstreamStartedAgainBeforeItWasSent)
+{
+    size_t again = Add("v2", After::kWait);
+    size_t same = Add("v1");
+    List(again, "v1", ",\"born\":1000");
+    StartFleet();
+    WaitListed(1);
+    std::unique_ptr<Socket> caller = Begin(*gateway_, "a", "v2");
+    List(again, "v2", ",\"born\":2000");
+    List(same, "v1", ",\"born\":1000");
+    WaitListed(2);
+    caller.reset();
+    int arrivals = Arrivals();
+    ExpectNotSent(TakeUp(*second_, "b", "a"), arrivals);
+    ExpectNotSent(TakeUp(*gateway_, "c", "a"), arrivals);
+    EXPECT_EQ(runners_[same]->count(), 0);
+}
+
 // Guards against a stream that began while two versions served, and of which
 // the others do not hear.
 TEST_F(VersionTriesTest, OneThatBeganBesideAnotherVersionIsKnownToAll)
