streams: what a restarted upstream ran before its entry was read is in doubt

Cause: the version of an attempt is that of the entry known at its send. An upstream that starts again under its id at another version serves before its new entry has been read; streams that began there meanwhile were remembered at the earlier version, and went on at it as complete.

Now an entry with a later start and another version puts the streams in doubt that were sent to this upstream since 2 s before the time for which the list is known: their answers go on nowhere else, their records become unknown, here and, by two records of one generation that differ, at the instances that were told. Records stay at 40 bytes.

Ruled out: the version from the answer (answers do not name it), the time of 'born' (two clocks), doubting all streams of the service (refuses those of upstreams that did not start again). Entries without 'born' go by the version at the send as before (VersionAnswerTest.GoesByTheVersionAtItsSend).

--- a/src/gw_published.c
+++ b/src/gw_published.c
@@ -1,6 +1,7 @@
 /* gw_published.c - decodes and applies the items that the platform publishes.
  */
 #include "gw_gatewayparts.h"
+#include "gw_relay.h"
 
 #include <string.h>
 
@@ -92,12 +93,17 @@
         entry.born_ms > before->born_ms) {
         S_note_target_ended(gate, before);
     }
+    bool started_again =
+        new_version && before->born_ms > 0 && entry.born_ms > before->born_ms;
     bool is_new =
         BsTargets_Put(gate->targets, &entry, BsClock_NowMs(gate->clock));
     BsStreamVersions_NoteServing(
         gate->stream_versions,
         BsStreamVersions_Hash(entry.service, entry.version),
         BsClock_NowMs(gate->clock));
+    if (started_again) {
+        BsRelay_NoteRestart(gate, BsTargets_Find(gate->targets, entry.id));
+    }
     gate->slots_changed = true;
     if ((is_new || new_version || was_draining != entry.draining) &&
         BsEventLog_Begin(gate->log, BS_EVENT_STATE, "upstream_listed")) {
--- a/src/gw_relay.h
+++ b/src/gw_relay.h
@@ -22,6 +22,12 @@
    instances know of them. */
 void BsRelay_ServeTakeUps(BsGate *gate);
 
+/* Handles that the upstream TARGET started again, at the version that it is
+   listed with now.  Streams that were sent to it between its start and this
+   moment may run at that version or at the earlier one: they go on nowhere
+   else. */
+void BsRelay_NoteRestart(BsGate *gate, const BsTarget *target);
+
 /* Ends all requests in progress, as the process ends: an answer that has begun
    is reset, any other request gets a failure. */
 void BsRelay_EndAll(BsGate *gate);
--- a/src/gw_takeup.c
+++ b/src/gw_takeup.c
@@ -167,6 +167,19 @@
                           BsClock_NowMs(relay->gate->clock));
 }
 
+static void
+S_note_upstream(const BsRelay *relay, uint64_t key, uint32_t upstream)
+{
+    BsStreamVersions_NoteUpstream(relay->gate->stream_versions, key, upstream,
+                                  BsClock_NowMs(relay->gate->clock));
+}
+
+static uint32_t
+S_upstream(const BsTarget *target)
+{
+    return (uint32_t)BsTargets_Hash(target->id);
+}
+
 /* Records VERSION under the request's own key, if it is another than
    before. */
 static void
@@ -188,8 +201,13 @@
     }
     if (relay->stream.named_key != 0) {
         S_note(relay, relay->stream.named_key, relay->began.hash, 0);
+        S_note_upstream(relay, relay->stream.named_key, 0);
     }
     S_note_own(relay, relay->attempt.software.hash);
+    if (relay->began.hash == 0) {
+        S_note_upstream(relay, relay->stream.own_key,
+                        S_upstream(relay->attempt.target));
+    }
 }
 
 void
@@ -238,11 +256,52 @@
     const BsRelaySoftware *software = &relay->attempt.software;
     if (relay->began.hash == 0) {
         relay->began = *software;
-        if (relay->stream.noted_version != 0) {
+        if (relay->stream.noted_version != 0 &&
+            software->hash != BS_STREAM_VERSION_UNSURE) {
             S_note_own(relay, software->hash);
+            S_note_upstream(relay, relay->stream.own_key,
+                            S_upstream(relay->attempt.target));
         }
     }
-    else if (relay->began.hash != software->hash) {
+    else if (relay->began.hash != software->hash &&
+             software->hash != BS_STREAM_VERSION_UNSURE) {
         S_log_change(relay);
     }
 }
+
+/* ----------------------------------------- upstreams that start again -- */
+
+/* Makes the version of ATTEMPT at TARGET unknown if it was sent at SINCE_MS or
+   later, and so that of the stream of which it has brought events. */
+static void
+S_doubt(BsRelay *relay, BsRelayAttempt *attempt, const BsTarget *target,
+        int64_t since_ms)
+{
+    bool sent_before = attempt->sent_ms != 0 && attempt->sent_ms < since_ms;
+    if (attempt->target != target || sent_before ||
+        attempt->software.hash == target->version_hash) {
+        return;
+    }
+    attempt->software.hash = BS_STREAM_VERSION_UNSURE;
+    if (attempt->first_event_ms != 0) {
+        relay->began.hash = BS_STREAM_VERSION_UNSURE;
+    }
+}
+
+void
+BsRelay_NoteRestart(BsGate *gate, const BsTarget *target)
+{
+    GHashTableIter iter;
+    gpointer value;
+    int64_t since_ms = BsStreamVersions_NoteRestart(
+        gate->stream_versions, S_upstream(target), target->version_hash,
+        BsClock_NowMs(gate->clock));
+    g_hash_table_iter_init(&iter, gate->relays);
+    while (g_hash_table_iter_next(&iter, &value, NULL)) {
+        BsRelay *relay = value;
+        S_doubt(relay, &relay->attempt, target, since_ms);
+        for (size_t i = 0; i < BS_RELAY_HELD_MAX; i++) {
+            S_doubt(relay, &relay->held[i], target, since_ms);
+        }
+    }
+}
--- a/src/streamversions.c
+++ b/src/streamversions.c
@@ -16,6 +16,9 @@
    and the instance may not live to be asked. */
 #define REPEAT_MS 200
 
+/* How often others are told that the version of a stream is not sure. */
+#define DOUBT_SENDS 2
+
 /* How often, and at which interval, a new version is announced. */
 #define ANNOUNCEMENTS 3
 #define ANNOUNCE_INTERVAL_MS 50
@@ -32,6 +35,10 @@
 
 #define SERVICE_SHIFT 32
 
+/* Bits of an upstream's hash in a record; they keep the record at 40 bytes. */
+#define UPSTREAM_BITS 30
+#define UPSTREAM_MASK ((1U << UPSTREAM_BITS) - 1)
+
 /* The version of a stream for which two records of the same generation name
    different ones. */
 #define AMBIGUOUS 0
@@ -44,8 +51,9 @@
     int64_t noted_ms;
     BsStreamEntry *next;
     uint32_t generation;
-    bool own;    /* noted by this instance */
-    bool unsent; /* in the queue */
+    uint32_t upstream : UPSTREAM_BITS; /* where it was sent; 0: any */
+    uint32_t own : 1;                  /* noted by this instance */
+    uint32_t unsent : 1;               /* in the queue */
 };
 
 /* A record that is to be sent again. */
@@ -54,6 +62,14 @@
     int64_t due_ms;
 } BsStreamRepeat;
 
+/* A stream that may have begun at either version.  Two records of the same
+   generation tell others so. */
+typedef struct {
+    BsStreamRecord records[2];
+    int64_t due_ms;
+    uint32_t sends; /* that are left */
+} BsStreamDoubt;
+
 typedef struct {
     uint64_t version;
     int64_t noted_ms;       /* when it was last listed or named */
@@ -76,6 +92,7 @@
     BsStreamEntry *last;
     GArray *unsent;  /* keys of own records, uint64_t */
     GArray *repeats; /* BsStreamRepeat, by due_ms */
+    GArray *doubts;  /* BsStreamDoubt */
     int64_t life_ms;
     bool life_set;                 /* false: LIFE_MS is the default */
     int64_t earlier_life_ms;       /* a longer one, valid until ... */
@@ -96,6 +113,7 @@
     versions->services = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     versions->unsent = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     versions->repeats = g_array_new(FALSE, FALSE, sizeof(BsStreamRepeat));
+    versions->doubts = g_array_new(FALSE, FALSE, sizeof(BsStreamDoubt));
     versions->life_ms = DEFAULT_LIFE_MS;
     versions->earlier_life_until_ms = now_ms;
     versions->current_ms = now_ms;
@@ -114,6 +132,7 @@
     g_hash_table_destroy(versions->services);
     g_array_unref(versions->unsent);
     g_array_unref(versions->repeats);
+    g_array_unref(versions->doubts);
     g_free(versions);
 }
 
@@ -500,6 +519,52 @@
     }
 }
 
+void
+BsStreamVersions_NoteUpstream(BsStreamVersions *versions, uint64_t key,
+                              uint32_t upstream, int64_t now_ms)
+{
+    BsStreamEntry *entry = g_hash_table_lookup(versions->entries, &key);
+    if (entry != NULL && entry->own) {
+        entry->upstream = upstream & UPSTREAM_MASK;
+        entry->noted_ms = now_ms;
+    }
+}
+
+/* Makes the version of ENTRY unknown: it may also be VERSION. */
+static void
+S_doubt(BsStreamVersions *versions, BsStreamEntry *entry, uint64_t version,
+        int64_t now_ms)
+{
+    BsStreamDoubt doubt = {
+        .records = {{entry->key, entry->version, entry->generation},
+                    {entry->key, version, entry->generation}},
+        .due_ms = now_ms,
+        .sends = DOUBT_SENDS};
+    const BsServedService *served =
+        S_find_service(versions, BsStreamVersions_Service(version));
+    entry->version = AMBIGUOUS;
+    if (served != NULL && served->shared) {
+        g_array_append_val(versions->doubts, doubt);
+    }
+}
+
+int64_t
+BsStreamVersions_NoteRestart(BsStreamVersions *versions, uint32_t upstream,
+                             uint64_t version, int64_t now_ms)
+{
+    /* The list is that of CURRENT_MS, but for what others are behind. */
+    int64_t since_ms = MIN(versions->current_ms, now_ms) - CURRENT_MS;
+    for (BsStreamEntry *entry = versions->first; entry != NULL;
+         entry = entry->next) {
+        if (entry->own && entry->upstream == (upstream & UPSTREAM_MASK) &&
+            entry->noted_ms >= since_ms && entry->version != AMBIGUOUS &&
+            entry->version != version) {
+            S_doubt(versions, entry, version, now_ms);
+        }
+    }
+    return since_ms;
+}
+
 bool
 BsStreamVersions_Merge(BsStreamVersions *versions, const GArray *records,
                        int64_t now_ms)
@@ -660,6 +725,29 @@
     }
 }
 
+/* Takes what others are told of streams whose version is not sure. */
+static void
+S_take_doubts(BsStreamVersions *versions, guint max, int64_t now_ms,
+              GArray *records)
+{
+    guint kept = 0;
+    for (guint i = 0; i < versions->doubts->len; i++) {
+        BsStreamDoubt doubt =
+            g_array_index(versions->doubts, BsStreamDoubt, i);
+        if (doubt.due_ms <= now_ms &&
+            records->len + G_N_ELEMENTS(doubt.records) <= max) {
+            g_array_append_vals(records, doubt.records,
+                                G_N_ELEMENTS(doubt.records));
+            doubt.due_ms = now_ms + REPEAT_MS;
+            doubt.sends--;
+        }
+        if (doubt.sends > 0) {
+            g_array_index(versions->doubts, BsStreamDoubt, kept++) = doubt;
+        }
+    }
+    g_array_set_size(versions->doubts, kept);
+}
+
 /* Appends the versions of SERVED that are to be announced. */
 static void
 S_announce(BsServedService *served, guint max, int64_t now_ms, GArray *records)
@@ -694,6 +782,7 @@
     S_drop_expired(versions, now_ms);
     S_update_shared(versions, now_ms);
     S_announce_all(versions, max, now_ms, records);
+    S_take_doubts(versions, max, now_ms, records);
     S_take_first_sends(versions, max, now_ms, records);
     S_take_repeats(versions, max, now_ms, records);
 }
--- a/src/streamversions.h
+++ b/src/streamversions.h
@@ -25,6 +25,9 @@
 
 #include "boragespur.h"
 
+/* Of a stream whose version is not sure: no version of any service. */
+#define BS_STREAM_VERSION_UNSURE 1
+
 /* What is known of one stream; also the record that instances exchange. */
 typedef struct {
     uint64_t key;        /* BsStreamVersions_Key(); 0: of no stream, it says
@@ -112,6 +115,20 @@
 void BsStreamVersions_Note(BsStreamVersions *versions,
                            const BsStreamRecord *record, int64_t now_ms);
 
+/* Records that the stream KEY, which was noted, is sent to UPSTREAM (a hash;
+   0: it goes on at a version that is sure). */
+void BsStreamVersions_NoteUpstream(BsStreamVersions *versions, uint64_t key,
+                                   uint32_t upstream, int64_t now_ms);
+
+/* Records that UPSTREAM is listed at VERSION since it started again.  What was
+   sent there between that start and this moment may have run at VERSION,
+   although it was noted with another one: its version is unknown from now on,
+   here and at the instances that were told.  Returns the earliest time of such
+   a send. */
+int64_t BsStreamVersions_NoteRestart(BsStreamVersions *versions,
+                                     uint32_t upstream, uint64_t version,
+                                     int64_t now_ms);
+
 /* Finds the version at which the stream KEY of SERVICE
    (BsStreamVersions_HashService()) has to go on.  *VERSION is set to 0 when it
    is unknown. */
--- a/tests/gate/streamversions_test.cc
+++ b/tests/gate/streamversions_test.cc
@@ -66,6 +66,16 @@
         g_array_unref(array);
         return changed;
     }
+    void Send(uint64_t key, uint32_t upstream, int64_t now_ms = kStartMs)
+    {
+        BsStreamVersions_NoteUpstream(table_, key, upstream, now_ms);
+    }
+    int64_t Restart(uint32_t upstream, const char *version,
+                    int64_t now_ms = kStartMs)
+    {
+        return BsStreamVersions_NoteRestart(table_, upstream, Version(version),
+                                            now_ms);
+    }
     // The version found; 0 if it is unknown.
     uint64_t Find(uint64_t key, int64_t now_ms = kStartMs)
     {
@@ -470,6 +480,77 @@
     BsStreamVersions_Destroy(fresh);
 }
 
+// Guards against a stream that goes on at the version which its upstream had
+// before it started again, although it may have begun after that (review/7).
+TEST(StreamVersionsTest, AStreamOfARestartedUpstreamIsUnknown)
+{
+    Table table;
+    table.Serve("v1");
+    int64_t now_ms = kStartMs + 10000;
+    table.Serve("v1", now_ms);
+    table.Note(8, "v1", 1, now_ms - 3000);
+    table.Send(8, 55, now_ms - 3000); // ran before the start
+    table.Note(9, "v1", 1, now_ms - 400);
+    table.Send(9, 55, now_ms - 400);
+    table.Note(10, "v1", 1, now_ms - 400);
+    table.Send(10, 66, now_ms - 400); // at another upstream
+    table.Note(11, "v1", 1, now_ms - 400);
+    table.Send(11, 55, now_ms - 400);
+    table.Send(11, 0, now_ms - 300); // goes on at a version that is sure
+    table.Serve("v2", now_ms);
+    EXPECT_EQ(table.Restart(55, "v2", now_ms), now_ms - 2000);
+    EXPECT_EQ(table.Find(8, now_ms), Version("v1"));
+    EXPECT_EQ(table.Find(9, now_ms), 0u);
+    EXPECT_EQ(table.Find(10, now_ms), Version("v1"));
+    EXPECT_EQ(table.Find(11, now_ms), Version("v1"));
+    // Nobody was told of it, so nobody is told of the doubt.
+    for (const BsStreamRecord &record : table.Take(1000, now_ms)) {
+        EXPECT_NE(record.key, 9u);
+    }
+    // A later attempt that is known settles it.
+    table.Note(9, "v2", 2, now_ms);
+    EXPECT_EQ(table.Find(9, now_ms), Version("v2"));
+}
+
+// Guards against an instance that was told of the earlier version before the
+// restart was known, and one that is told of the later version only.
+TEST(StreamVersionsTest, TheOthersAreToldOfARestartedUpstream)
+{
+    Table table;
+    Table told;
+    Table untold;
+    table.Serve("v1");
+    table.Serve("v2");
+    table.Note(9, "v1");
+    table.Send(9, 55);
+    std::vector<BsStreamRecord> records = table.Take();
+    ASSERT_EQ(records.size(), 1u);
+    told.Merge(records);
+    EXPECT_EQ(told.Find(9), Version("v1"));
+    table.Restart(55, "v2");
+    EXPECT_TRUE(table.Take(1).empty()); // both records or none
+    records = table.Take();
+    ASSERT_EQ(records.size(), 2u);
+    told.Merge(records);
+    untold.Merge(records);
+    EXPECT_EQ(told.Find(9), 0u);
+    EXPECT_EQ(untold.Find(9), 0u);
+    EXPECT_EQ(table.Take(1000, kStartMs + 300).size(), 2u);
+    EXPECT_TRUE(table.Take(1000, kStartMs + 900).empty());
+}
+
+// Guards against a restart that was noticed late, as the list was old: all
+// that was sent since the list was current is in doubt.
+TEST(StreamVersionsTest, AnOldListPutsAllSendsSinceInDoubt)
+{
+    Table table;
+    table.Serve("v1");
+    table.Note(9, "v1", 1, kStartMs + 1000);
+    table.Send(9, 55, kStartMs + 1000);
+    EXPECT_EQ(table.Restart(55, "v2", kStartMs + 30000), kStartMs - 2000);
+    EXPECT_EQ(table.Find(9, kStartMs + 30000), 0u);
+}
+
 struct Changes {
     std::vector<bool> mixed;
     std::vector<uint32_t> counts;
