tests: processes that are paused during a partition

All processes that are in touch are paused for longer than a life while a data centre is cut off, as on a host that is suspended. With only one of them paused the others tell it; that passed, so the test pauses all.

--- a/tests/gate/streamfleet_test.cc
+++ b/tests/gate/streamfleet_test.cc
@@ -477,6 +477,29 @@
     EXPECT_EQ(CountTakenUp(key), 0);
 }
 
+// Processes that are paused during the partition for longer than a life must
+// not forget the versions that they knew before, also if no other process is
+// left to tell them.
+TEST_P(StreamPartitionTest, ProcessesPausedDuringAPartitionDoNotGuess)
+{
+    CutAndRelease();
+    world_.Run(1000);
+    for (auto &node : world_.nodes) {
+        if (node->data_centre != kCutOff) {
+            node->next_tick_ms = INT64_MAX;
+        }
+    }
+    world_.Run(kPartitionLifeMs + 5000);
+    for (auto &node : world_.nodes) {
+        node->next_tick_ms = std::min(node->next_tick_ms, world_.now_ms);
+    }
+    world_.Run(kPartitionLifeMs + 1000);
+    uint64_t key = Begin(At(0), "v1");
+    world_.Run(1000);
+    LosePower();
+    EXPECT_EQ(CountTakenUp(key), 0);
+}
+
 // Guards against a process that has seen nobody and takes what is listed for
 // all there is.
 TEST_P(StreamPartitionTest, AProcessThatStartsCutOffDoesNotGuess)
