streams: a pause during a partition counts as a start

Cause: a process that was paused for longer than a life forgot the versions that it held because a data centre was silent, and took the one listed for the only one a life later. Versions no longer expire while the list is old. After a pause of more than 2 s the data centres count as never heard until they are heard again; as datagrams from before the pause may be read after it, that alone would not be enough.

In a fleet that is in touch nothing changes: the list counts as old after the same 2 s, and for a life after it already.

--- a/src/centrewatch.c
+++ b/src/centrewatch.c
@@ -13,7 +13,8 @@
 struct BsCentreWatch {
     GHashTable *centres; /* data centre to BsCentre, which it owns */
     uint32_t own_centre;
-    int64_t started_ms;
+    int64_t started_ms;  /* or resumed after a pause */
+    int64_t ticked_ms;   /* NEVER_MS before the first tick */
     int64_t overflow_ms; /* when one was last not added */
     bool expects_others;
     bool heard_any; /* any other instance, also of the own data centre */
@@ -26,6 +27,7 @@
     watch->centres = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     watch->own_centre = own_centre;
     watch->started_ms = now_ms;
+    watch->ticked_ms = NEVER_MS;
     watch->overflow_ms = NEVER_MS;
     return watch;
 }
@@ -91,6 +93,27 @@
     return centre;
 }
 
+void
+BsCentreWatch_Tick(BsCentreWatch *watch, int64_t now_ms)
+{
+    bool paused = watch->ticked_ms != NEVER_MS &&
+                  now_ms - watch->ticked_ms > BS_CENTREWATCH_SILENT_MS;
+    watch->ticked_ms = now_ms;
+    if (!paused) {
+        return;
+    }
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, watch->centres);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        BsCentre *centre = value;
+        centre->heard_ms = NEVER_MS;
+        centre->learned_ms = now_ms;
+    }
+    watch->started_ms = now_ms;
+    watch->heard_any = false;
+}
+
 void
 BsCentreWatch_NoteHeard(BsCentreWatch *watch, uint32_t data_centre,
                         int64_t now_ms)
--- a/src/centrewatch.h
+++ b/src/centrewatch.h
@@ -12,7 +12,7 @@
  * instance hears it says that it exists, no more.  Its age, told with it, is
  * the time since any instance heard it, so that all forget it at the same time
  * and do not keep it alive for each other.  The own data centre does not
- * count.  Memory is bounded.
+ * count.  A pause of the process counts as a start.  Memory is bounded.
  */
 #ifndef BS_CENTREWATCH_H
 #define BS_CENTREWATCH_H
@@ -60,6 +60,11 @@
    one, it knows nothing of the fleet. */
 void BsCentreWatch_ExpectOthers(BsCentreWatch *watch);
 
+/* Records that this process runs at NOW_MS.  Call it far more often than
+   BS_CENTREWATCH_SILENT_MS: a process that was paused for that long knows no
+   more of the others than one that has started. */
+void BsCentreWatch_Tick(BsCentreWatch *watch, int64_t now_ms);
+
 /* Records that an instance of DATA_CENTRE (0: not known) is heard. */
 void BsCentreWatch_NoteHeard(BsCentreWatch *watch, uint32_t data_centre,
                              int64_t now_ms);
--- a/src/gossip.c
+++ b/src/gossip.c
@@ -489,6 +489,7 @@
 {
     BsFleetCounts counts = S_counts(gossip, now_ms);
     BsFleetShare_Note(gossip->share, &counts, now_ms);
+    BsCentreWatch_Tick(gossip->centres, now_ms);
     if (now_ms - gossip->purged_ms >= PURGE_PAUSE_MS) {
         gossip->purged_ms = now_ms;
         S_remove_expired(gossip, now_ms);
--- a/src/streamversions.c
+++ b/src/streamversions.c
@@ -248,11 +248,15 @@
                           : S_is_mixed(versions, served, now_ms);
 }
 
-/* Removes the versions of SERVED that no longer count. */
+/* Removes the versions of SERVED that no longer count.  While the list is old,
+   also because the process was paused, none was noted, so none expires. */
 static void
 S_expire_versions(const BsStreamVersions *versions, BsServedService *served,
                   int64_t now_ms)
 {
+    if (now_ms - versions->current_ms > CURRENT_MS) {
+        return;
+    }
     int64_t life_ms = S_life_ms(versions, now_ms);
     uint32_t kept = 0;
     for (uint32_t i = 0; i < served->count; i++) {
@@ -309,15 +313,6 @@
     served->count++;
 }
 
-void
-BsStreamVersions_NoteCurrent(BsStreamVersions *versions, int64_t current_ms)
-{
-    if (current_ms - versions->current_ms > CURRENT_MS) {
-        BsStreamVersions_NoteGap(versions, current_ms);
-    }
-    versions->current_ms = MAX(versions->current_ms, current_ms);
-}
-
 void
 BsStreamVersions_NoteGap(BsStreamVersions *versions, int64_t now_ms)
 {
@@ -334,11 +329,22 @@
         BsServedService *served = value;
         S_expire_versions(versions, served, now_ms);
         for (uint32_t i = 0; i < served->count; i++) {
-            served->versions[i].noted_ms = now_ms;
+            served->versions[i].noted_ms =
+                MAX(served->versions[i].noted_ms, now_ms);
         }
     }
 }
 
+void
+BsStreamVersions_NoteCurrent(BsStreamVersions *versions, int64_t current_ms)
+{
+    if (current_ms - versions->current_ms > CURRENT_MS) {
+        BsStreamVersions_NoteGap(versions, current_ms);
+        BsStreamVersions_NoteUnreachable(versions, current_ms);
+    }
+    versions->current_ms = MAX(versions->current_ms, current_ms);
+}
+
 void
 BsStreamVersions_NoteUnheard(BsStreamVersions *versions, bool unheard,
                              int64_t now_ms)
--- a/tests/gate/centrewatch_test.cc
+++ b/tests/gate/centrewatch_test.cc
@@ -139,6 +139,26 @@
     EXPECT_EQ(watch.State(kStartMs + 1000), BS_CENTREWATCH_COMPLETE);
 }
 
+// Guards against a process that was paused while a data centre was cut off,
+// and goes by what it heard before.
+TEST(CentreWatchTest, APauseCountsAsAStart)
+{
+    Watch watch;
+    BsCentreWatch_ExpectOthers(watch.get());
+    BsCentreWatch_Tick(watch.get(), kStartMs);
+    watch.Hear(2);
+    watch.Hear(3);
+    BsCentreWatch_Tick(watch.get(), kStartMs + 2000);
+    EXPECT_EQ(watch.State(kStartMs + 5000), BS_CENTREWATCH_SILENT);
+    int64_t now_ms = kStartMs + 30000;
+    BsCentreWatch_Tick(watch.get(), now_ms);
+    EXPECT_EQ(watch.State(now_ms), BS_CENTREWATCH_UNHEARD);
+    watch.Hear(2, now_ms + 2001);
+    EXPECT_EQ(watch.State(now_ms + 2001), BS_CENTREWATCH_UNHEARD);
+    watch.Hear(3, now_ms + 2002);
+    EXPECT_EQ(watch.State(now_ms + 2002), BS_CENTREWATCH_COMPLETE);
+}
+
 // Guards against unbounded memory, and against a data centre that is not
 // remembered and counts as heard.
 TEST(CentreWatchTest, TooManyDataCentresCountAsUnheard)
--- a/tests/gate/streamversions_test.cc
+++ b/tests/gate/streamversions_test.cc
@@ -426,6 +426,25 @@
     EXPECT_EQ(services.Find(7), 0u);
 }
 
+// Guards against a process that was paused and, before it knows the list
+// again, drops the versions that it knew.
+TEST(StreamVersionsTest, VersionsDoNotExpireDuringAPause)
+{
+    Table table;
+    table.Serve("v1");
+    int64_t now_ms = kStartMs + kLifeMs + 5000;
+    BsStreamVersions_NoteServing(table.get(), Version("v2"), now_ms);
+    BsStreamVersions_NoteCurrent(table.get(), now_ms);
+    for (int64_t ms = 0; ms <= kLifeMs + 1000; ms += 1000) {
+        table.Serve("v2", now_ms + ms);
+        BsStreamVersions_NoteUnreachable(table.get(), now_ms + ms);
+    }
+    EXPECT_EQ(table.Find(7, now_ms + kLifeMs + 1000), 0u);
+    now_ms += 2 * kLifeMs + 1001;
+    table.Serve("v2", now_ms);
+    EXPECT_EQ(table.Find(7, now_ms), Version("v2"));
+}
+
 // Guards against an instance that has never heard a part of the fleet and
 // takes the version it knows for the only one, or tells others that as a
 // record.
