--- a/src/streamversions.c
+++ b/src/streamversions.c
@@ -16,6 +16,9 @@
    and the instance may not live to be asked. */
 #define REPEAT_MS 200
 
+/* How often others are told that the version of a stream is not sure. */
+#define DOUBT_SENDS 2
+
 /* How often, and at which interval, a new version is announced. */
 #define ANNOUNCEMENTS 3
 #define ANNOUNCE_INTERVAL_MS 50
@@ -26,8 +29,16 @@
 /* The list of upstreams is known while it is at most this old. */
 #define CURRENT_MS 2000
 
+/* A fleet that starts as a whole needs this long at most until all hear each
+   other. */
+#define START_MS 5000
+
 #define SERVICE_SHIFT 32
 
+/* Bits of an upstream's hash in a record; they keep the record at 40 bytes. */
+#define UPSTREAM_BITS 30
+#define UPSTREAM_MASK ((1U << UPSTREAM_BITS) - 1)
+
 /* The version of a stream for which two records of the same generation name
    different ones. */
 #define AMBIGUOUS 0
@@ -40,8 +51,9 @@
     int64_t noted_ms;
     BsStreamEntry *next;
     uint32_t generation;
-    bool own;    /* noted by this instance */
-    bool unsent; /* in the queue */
+    uint32_t upstream : UPSTREAM_BITS; /* where it was sent; 0: any */
+    uint32_t own : 1;                  /* noted by this instance */
+    uint32_t unsent : 1;               /* in the queue */
 };
 
 /* A record that is to be sent again. */
@@ -50,6 +62,14 @@
     int64_t due_ms;
 } BsStreamRepeat;
 
+/* A stream that may have begun at either version.  Two records of the same
+   generation tell others so. */
+typedef struct {
+    BsStreamRecord records[2];
+    int64_t due_ms;
+    uint32_t sends; /* that are left */
+} BsStreamDoubt;
+
 typedef struct {
     uint64_t version;
     int64_t noted_ms;       /* when it was last listed or named */
@@ -72,12 +92,15 @@
     BsStreamEntry *last;
     GArray *unsent;  /* keys of own records, uint64_t */
     GArray *repeats; /* BsStreamRepeat, by due_ms */
+    GArray *doubts;  /* BsStreamDoubt */
     int64_t life_ms;
     bool life_set;                 /* false: LIFE_MS is the default */
     int64_t earlier_life_ms;       /* a longer one, valid until ... */
     int64_t earlier_life_until_ms; /* ... this time */
     int64_t current_ms; /* the list is known to be that of this time */
     int64_t gap_ms;     /* end of the last gap */
+    int64_t started_ms;
+    bool unheard; /* a part of the fleet was never heard */
     uint64_t dropped;
 };
 
@@ -90,10 +113,12 @@
     versions->services = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     versions->unsent = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     versions->repeats = g_array_new(FALSE, FALSE, sizeof(BsStreamRepeat));
+    versions->doubts = g_array_new(FALSE, FALSE, sizeof(BsStreamDoubt));
     versions->life_ms = DEFAULT_LIFE_MS;
     versions->earlier_life_until_ms = now_ms;
     versions->current_ms = now_ms;
     versions->gap_ms = now_ms;
+    versions->started_ms = now_ms;
     return versions;
 }
 
@@ -107,6 +132,7 @@
     g_hash_table_destroy(versions->services);
     g_array_unref(versions->unsent);
     g_array_unref(versions->repeats);
+    g_array_unref(versions->doubts);
     g_free(versions);
 }
 
@@ -177,7 +203,7 @@
 static bool
 S_had_gap(const BsStreamVersions *versions, int64_t now_ms)
 {
-    return now_ms - versions->current_ms > CURRENT_MS ||
+    return versions->unheard || now_ms - versions->current_ms > CURRENT_MS ||
            now_ms - versions->gap_ms <= S_life_ms(versions, now_ms);
 }
 
@@ -222,11 +248,15 @@
                           : S_is_mixed(versions, served, now_ms);
 }
 
-/* Removes the versions of SERVED that no longer count. */
+/* Removes the versions of SERVED that no longer count.  While the list is old,
+   also because the process was paused, none was noted, so none expires. */
 static void
 S_expire_versions(const BsStreamVersions *versions, BsServedService *served,
                   int64_t now_ms)
 {
+    if (now_ms - versions->current_ms > CURRENT_MS) {
+        return;
+    }
     int64_t life_ms = S_life_ms(versions, now_ms);
     uint32_t kept = 0;
     for (uint32_t i = 0; i < served->count; i++) {
@@ -283,15 +313,6 @@
     served->count++;
 }
 
-void
-BsStreamVersions_NoteCurrent(BsStreamVersions *versions, int64_t current_ms)
-{
-    if (current_ms - versions->current_ms > CURRENT_MS) {
-        BsStreamVersions_NoteGap(versions, current_ms);
-    }
-    versions->current_ms = MAX(versions->current_ms, current_ms);
-}
-
 void
 BsStreamVersions_NoteGap(BsStreamVersions *versions, int64_t now_ms)
 {
@@ -308,11 +329,32 @@
         BsServedService *served = value;
         S_expire_versions(versions, served, now_ms);
         for (uint32_t i = 0; i < served->count; i++) {
-            served->versions[i].noted_ms = now_ms;
+            served->versions[i].noted_ms =
+                MAX(served->versions[i].noted_ms, now_ms);
         }
     }
 }
 
+void
+BsStreamVersions_NoteCurrent(BsStreamVersions *versions, int64_t current_ms)
+{
+    if (current_ms - versions->current_ms > CURRENT_MS) {
+        BsStreamVersions_NoteGap(versions, current_ms);
+        BsStreamVersions_NoteUnreachable(versions, current_ms);
+    }
+    versions->current_ms = MAX(versions->current_ms, current_ms);
+}
+
+void
+BsStreamVersions_NoteUnheard(BsStreamVersions *versions, bool unheard,
+                             int64_t now_ms)
+{
+    versions->unheard = unheard;
+    if (unheard && now_ms - versions->started_ms > START_MS) {
+        BsStreamVersions_NoteGap(versions, now_ms);
+    }
+}
+
 void
 BsStreamVersions_EachChange(BsStreamVersions *versions, int64_t now_ms,
                             void (*func)(uint32_t service, bool mixed,
@@ -483,6 +525,52 @@
     }
 }
 
+void
+BsStreamVersions_NoteUpstream(BsStreamVersions *versions, uint64_t key,
+                              uint32_t upstream, int64_t now_ms)
+{
+    BsStreamEntry *entry = g_hash_table_lookup(versions->entries, &key);
+    if (entry != NULL && entry->own) {
+        entry->upstream = upstream & UPSTREAM_MASK;
+        entry->noted_ms = now_ms;
+    }
+}
+
+/* Makes the version of ENTRY unknown: it may also be VERSION. */
+static void
+S_doubt(BsStreamVersions *versions, BsStreamEntry *entry, uint64_t version,
+        int64_t now_ms)
+{
+    BsStreamDoubt doubt = {
+        .records = {{entry->key, entry->version, entry->generation},
+                    {entry->key, version, entry->generation}},
+        .due_ms = now_ms,
+        .sends = DOUBT_SENDS};
+    const BsServedService *served =
+        S_find_service(versions, BsStreamVersions_Service(version));
+    entry->version = AMBIGUOUS;
+    if (served != NULL && served->shared) {
+        g_array_append_val(versions->doubts, doubt);
+    }
+}
+
+int64_t
+BsStreamVersions_NoteRestart(BsStreamVersions *versions, uint32_t upstream,
+                             uint64_t version, int64_t now_ms)
+{
+    /* The list is that of CURRENT_MS, but for what others are behind. */
+    int64_t since_ms = MIN(versions->current_ms, now_ms) - CURRENT_MS;
+    for (BsStreamEntry *entry = versions->first; entry != NULL;
+         entry = entry->next) {
+        if (entry->own && entry->upstream == (upstream & UPSTREAM_MASK) &&
+            entry->noted_ms >= since_ms && entry->version != AMBIGUOUS &&
+            entry->version != version) {
+            S_doubt(versions, entry, version, now_ms);
+        }
+    }
+    return since_ms;
+}
+
 bool
 BsStreamVersions_Merge(BsStreamVersions *versions, const GArray *records,
                        int64_t now_ms)
@@ -643,6 +731,29 @@
     }
 }
 
+/* Takes what others are told of streams whose version is not sure. */
+static void
+S_take_doubts(BsStreamVersions *versions, guint max, int64_t now_ms,
+              GArray *records)
+{
+    guint kept = 0;
+    for (guint i = 0; i < versions->doubts->len; i++) {
+        BsStreamDoubt doubt =
+            g_array_index(versions->doubts, BsStreamDoubt, i);
+        if (doubt.due_ms <= now_ms &&
+            records->len + G_N_ELEMENTS(doubt.records) <= max) {
+            g_array_append_vals(records, doubt.records,
+                                G_N_ELEMENTS(doubt.records));
+            doubt.due_ms = now_ms + REPEAT_MS;
+            doubt.sends--;
+        }
+        if (doubt.sends > 0) {
+            g_array_index(versions->doubts, BsStreamDoubt, kept++) = doubt;
+        }
+    }
+    g_array_set_size(versions->doubts, kept);
+}
+
 /* Appends the versions of SERVED that are to be announced. */
 static void
 S_announce(BsServedService *served, guint max, int64_t now_ms, GArray *records)
@@ -677,6 +788,7 @@
     S_drop_expired(versions, now_ms);
     S_update_shared(versions, now_ms);
     S_announce_all(versions, max, now_ms, records);
+    S_take_doubts(versions, max, now_ms, records);
     S_take_first_sends(versions, max, now_ms, records);
     S_take_repeats(versions, max, now_ms, records);
 }
--- a/src/streamversions.h
+++ b/src/streamversions.h
@@ -14,16 +14,20 @@
  *
  * Rules: a version counts from when it was listed, or named in a record, until
  * a stream's longest life after that.  For as long after a time at which the
- * list of upstreams was not current, no version is taken to be the only one:
- * only records answer.  Records are merged by their generation, so that order,
- * duplicates and routes do not matter.  Memory is bounded; the oldest records
- * are dropped first.
+ * list of upstreams was not current, or a part of the fleet was never heard,
+ * no version is taken to be the only one: only records answer.  So an
+ * assumption that is made without complete knowledge is never told to others.
+ * Records are merged by their generation, so that order, duplicates and routes
+ * do not matter.  Memory is bounded; the oldest records are dropped first.
  */
 #ifndef BS_STREAMVERSIONS_H
 #define BS_STREAMVERSIONS_H
 
 #include "boragespur.h"
 
+/* Of a stream whose version is not sure: no version of any service. */
+#define BS_STREAM_VERSION_UNSURE 1
+
 /* What is known of one stream; also the record that instances exchange. */
 typedef struct {
     uint64_t key;        /* BsStreamVersions_Key(); 0: of no stream, it says
@@ -95,6 +99,15 @@
 void BsStreamVersions_NoteUnreachable(BsStreamVersions *versions,
                                       int64_t now_ms);
 
+/* Records whether a part of the fleet is known to exist, or is to be expected,
+   of which this instance has heard nothing since its start: any version may
+   have begun streams there.  Until it is heard, and for a life of a stream
+   after that, only records answer.  Shortly after the start it may take a
+   while to hear all; that makes the time no longer for which nothing is known
+   after a start anyhow. */
+void BsStreamVersions_NoteUnheard(BsStreamVersions *versions, bool unheard,
+                                  int64_t now_ms);
+
 /* Records that this instance sends the request of RECORD's stream to an
    upstream, or takes the stream up, which makes all remember it for longer.
    The generation counts the sends before the first event; any one up to that
@@ -102,6 +115,20 @@
 void BsStreamVersions_Note(BsStreamVersions *versions,
                            const BsStreamRecord *record, int64_t now_ms);
 
+/* Records that the stream KEY, which was noted, is sent to UPSTREAM (a hash;
+   0: it goes on at a version that is sure). */
+void BsStreamVersions_NoteUpstream(BsStreamVersions *versions, uint64_t key,
+                                   uint32_t upstream, int64_t now_ms);
+
+/* Records that UPSTREAM is listed at VERSION since it started again.  What was
+   sent there between that start and this moment may have run at VERSION,
+   although it was noted with another one: its version is unknown from now on,
+   here and at the instances that were told.  Returns the earliest time of such
+   a send. */
+int64_t BsStreamVersions_NoteRestart(BsStreamVersions *versions,
+                                     uint32_t upstream, uint64_t version,
+                                     int64_t now_ms);
+
 /* Finds the version at which the stream KEY of SERVICE
    (BsStreamVersions_HashService()) has to go on.  *VERSION is set to 0 when it
    is unknown. */
--- a/tests/gate/streamversions_test.cc
+++ b/tests/gate/streamversions_test.cc
@@ -66,6 +66,16 @@
         g_array_unref(array);
         return changed;
     }
+    void Send(uint64_t key, uint32_t upstream, int64_t now_ms = kStartMs)
+    {
+        BsStreamVersions_NoteUpstream(table_, key, upstream, now_ms);
+    }
+    int64_t Restart(uint32_t upstream, const char *version,
+                    int64_t now_ms = kStartMs)
+    {
+        return BsStreamVersions_NoteRestart(table_, upstream, Version(version),
+                                            now_ms);
+    }
     // The version found; 0 if it is unknown.
     uint64_t Find(uint64_t key, int64_t now_ms = kStartMs)
     {
@@ -416,6 +426,150 @@
     EXPECT_EQ(services.Find(7), 0u);
 }
 
+// Guards against a process that was paused and, before it knows the list
+// again, drops the versions that it knew.
+TEST(StreamVersionsTest, VersionsDoNotExpireDuringAPause)
+{
+    Table table;
+    table.Serve("v1");
+    int64_t now_ms = kStartMs + kLifeMs + 5000;
+    BsStreamVersions_NoteServing(table.get(), Version("v2"), now_ms);
+    BsStreamVersions_NoteCurrent(table.get(), now_ms);
+    for (int64_t ms = 0; ms <= kLifeMs + 1000; ms += 1000) {
+        table.Serve("v2", now_ms + ms);
+        BsStreamVersions_NoteUnreachable(table.get(), now_ms + ms);
+    }
+    EXPECT_EQ(table.Find(7, now_ms + kLifeMs + 1000), 0u);
+    now_ms += 2 * kLifeMs + 1001;
+    table.Serve("v2", now_ms);
+    EXPECT_EQ(table.Find(7, now_ms), Version("v2"));
+}
+
+// Guards against an instance that has never heard a part of the fleet and
+// takes the version it knows for the only one, or tells others that as a
+// record.
+TEST(StreamVersionsTest, WhileAPartIsUnheardOnlyRecordsAnswer)
+{
+    Table table;
+    table.Serve("v1");
+    table.Note(8, "v1");
+    BsStreamVersions_NoteUnheard(table.get(), true, kStartMs);
+    EXPECT_TRUE(table.Mixed());
+    EXPECT_EQ(table.Find(7), 0u);
+    EXPECT_EQ(table.Find(8), Version("v1"));
+    GArray *questions = g_array_new(FALSE, FALSE, sizeof(BsStreamQuestion));
+    GArray *records = g_array_new(FALSE, FALSE, sizeof(BsStreamRecord));
+    for (uint64_t key : {7, 8}) {
+        BsStreamQuestion question = {
+            key, BsStreamVersions_HashService(kService), 0};
+        g_array_append_val(questions, question);
+    }
+    BsStreamVersions_Answer(table.get(), questions, kStartMs, records);
+    ASSERT_EQ(records->len, 1u);
+    EXPECT_EQ(g_array_index(records, BsStreamRecord, 0).key, 8u);
+    g_array_unref(questions);
+    g_array_unref(records);
+    // For a life after it was heard, its streams may be taken up.
+    BsStreamVersions_NoteUnheard(table.get(), false, kStartMs);
+    table.Serve("v1", kStartMs + kLifeMs);
+    EXPECT_EQ(table.Find(7, kStartMs + kLifeMs), 0u);
+    table.Serve("v1", kStartMs + kLifeMs + 1);
+    EXPECT_EQ(table.Find(7, kStartMs + kLifeMs + 1), Version("v1"));
+}
+
+// Guards against a fleet that waits for longer after its start, as it takes a
+// moment until all hear each other.
+TEST(StreamVersionsTest, APartThatIsHeardSoonAfterTheStartCostsNothing)
+{
+    BsStreamVersions *fresh = BsStreamVersions_Create(kStartMs);
+    uint32_t service = BsStreamVersions_HashService(kService);
+    uint64_t version = 0;
+    BsStreamVersions_SetLife(fresh, kLifeMs, kStartMs);
+    for (int64_t ms = 0; ms <= kLifeMs + 1; ms += 1000) {
+        BsStreamVersions_NoteCurrent(fresh, kStartMs + ms);
+        BsStreamVersions_NoteServing(fresh, Version("v1"), kStartMs + ms);
+        BsStreamVersions_NoteUnheard(fresh, ms < 5000, kStartMs + ms);
+    }
+    EXPECT_EQ(
+        BsStreamVersions_Find(fresh, 7, service, kStartMs + kLifeMs, &version),
+        BS_STREAM_VERSION_UNKNOWN);
+    EXPECT_EQ(BsStreamVersions_Find(fresh, 7, service, kStartMs + kLifeMs + 1,
+                                    &version),
+              BS_STREAM_VERSION_KNOWN);
+    BsStreamVersions_Destroy(fresh);
+}
+
+// Guards against a stream that goes on at the version which its upstream had
+// before it started again, although it may have begun after that (review/7).
+TEST(StreamVersionsTest, AStreamOfARestartedUpstreamIsUnknown)
+{
+    Table table;
+    table.Serve("v1");
+    int64_t now_ms = kStartMs + 10000;
+    table.Serve("v1", now_ms);
+    table.Note(8, "v1", 1, now_ms - 3000);
+    table.Send(8, 55, now_ms - 3000); // ran before the start
+    table.Note(9, "v1", 1, now_ms - 400);
+    table.Send(9, 55, now_ms - 400);
+    table.Note(10, "v1", 1, now_ms - 400);
+    table.Send(10, 66, now_ms - 400); // at another upstream
+    table.Note(11, "v1", 1, now_ms - 400);
+    table.Send(11, 55, now_ms - 400);
+    table.Send(11, 0, now_ms - 300); // goes on at a version that is sure
+    table.Serve("v2", now_ms);
+    EXPECT_EQ(table.Restart(55, "v2", now_ms), now_ms - 2000);
+    EXPECT_EQ(table.Find(8, now_ms), Version("v1"));
+    EXPECT_EQ(table.Find(9, now_ms), 0u);
+    EXPECT_EQ(table.Find(10, now_ms), Version("v1"));
+    EXPECT_EQ(table.Find(11, now_ms), Version("v1"));
+    // Nobody was told of it, so nobody is told of the doubt.
+    for (const BsStreamRecord &record : table.Take(1000, now_ms)) {
+        EXPECT_NE(record.key, 9u);
+    }
+    // A later attempt that is known settles it.
+    table.Note(9, "v2", 2, now_ms);
+    EXPECT_EQ(table.Find(9, now_ms), Version("v2"));
+}
+
+// Guards against an instance that was told of the earlier version before the
+// restart was known, and one that is told of the later version only.
+TEST(StreamVersionsTest, TheOthersAreToldOfARestartedUpstream)
+{
+    Table table;
+    Table told;
+    Table untold;
+    table.Serve("v1");
+    table.Serve("v2");
+    table.Note(9, "v1");
+    table.Send(9, 55);
+    std::vector<BsStreamRecord> records = table.Take();
+    ASSERT_EQ(records.size(), 1u);
+    told.Merge(records);
+    EXPECT_EQ(told.Find(9), Version("v1"));
+    table.Restart(55, "v2");
+    EXPECT_TRUE(table.Take(1).empty()); // both records or none
+    records = table.Take();
+    ASSERT_EQ(records.size(), 2u);
+    told.Merge(records);
+    untold.Merge(records);
+    EXPECT_EQ(told.Find(9), 0u);
+    EXPECT_EQ(untold.Find(9), 0u);
+    EXPECT_EQ(table.Take(1000, kStartMs + 300).size(), 2u);
+    EXPECT_TRUE(table.Take(1000, kStartMs + 900).empty());
+}
+
+// Guards against a restart that was noticed late, as the list was old: all
+// that was sent since the list was current is in doubt.
+TEST(StreamVersionsTest, AnOldListPutsAllSendsSinceInDoubt)
+{
+    Table table;
+    table.Serve("v1");
+    table.Note(9, "v1", 1, kStartMs + 1000);
+    table.Send(9, 55, kStartMs + 1000);
+    EXPECT_EQ(table.Restart(55, "v2", kStartMs + 30000), kStartMs - 2000);
+    EXPECT_EQ(table.Find(9, kStartMs + 30000), 0u);
+}
+
 struct Changes {
     std::vector<bool> mixed;
     std::vector<uint32_t> counts;
