tests: requests larger than every listed upstream (red)

Guards against a request that no listed upstream can ever accept, but that waits until its deadline and is answered with "a later deadline" as remedy.

Daemons.RequestsLargerThanEveryUpstreamAreRejected (600,000 bytes to a healthy service, 45.9 s): Service, ServiceWithKey: status 504, "the deadline cannot be met", "send it again with a later deadline", not-run Model (its engine is not reachable): 503 no_upstream

--- a/tests/contract/input_test.cc
+++ b/tests/contract/input_test.cc
@@ -335,6 +335,60 @@
     EXPECT_NE(answer.body.find("\"unknown\""), std::string::npos);
 }
 
+struct SizeCase {
+    const char *name;
+    const char *path;
+    std::string body;
+    std::vector<std::string> headers;
+    const char *detail; // size of the request and the largest upstream
+};
+
+// The upstreams of the harness list 100,000 tokens; a request of 600,000 bytes
+// is estimated at 150,000.
+const SizeCase kSizeCases[] = {
+    {"Service",
+     "/services/s/x",
+     std::string(600000, 'x'),
+     {},
+     "150000 tokens; the largest upstream, x, takes 100000"},
+    {"ServiceWithKey",
+     "/services/s/x",
+     std::string(600000, 'x'),
+     {"Idempotency-Key: k"},
+     "150000 tokens; the largest upstream, x, takes 100000"},
+    {"Model",
+     kChat,
+     "{\"model\":\"m\",\"max_tokens\":10,\"messages\":[{\"content\":\"" +
+         std::string(600000, 'x') + "\"}]}",
+     {},
+     "150010 tokens; the largest upstream, e, takes 100000"},
+};
+
+// Guards against a request that no listed upstream can ever accept, but that
+// waits until its deadline and is answered with "a later deadline" as remedy.
+TEST(Daemons, RequestsLargerThanEveryUpstreamAreRejected)
+{
+    Server service([](Socket &socket) {
+        while (!socket.ReadMessage().empty()) {
+            socket.Write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        }
+    });
+    Daemon daemon(FreePort(), service.port());
+    for (const SizeCase &input : kSizeCases) {
+        SCOPED_TRACE(input.name);
+        Answer answer =
+            daemon.Send("POST", input.path, input.body, input.headers);
+        EXPECT_EQ(answer.status, 413);
+        EXPECT_EQ(answer.outcome, "not-run");
+        EXPECT_NE(answer.body.find(input.detail), std::string::npos)
+            << answer.body;
+        EXPECT_NE(answer.body.find("send a smaller request"),
+                  std::string::npos)
+            << answer.body;
+    }
+    EXPECT_EQ(daemon.Send("POST", "/services/s/x", "{}").status, 200);
+}
+
 TEST(Daemons, GracefulShutdownAnswersRunningRequests)
 {
     Server service([](Socket &socket) {
