boragespurd: reject a request that no listed upstream can ever accept

Cause: work that fits at no upstream, not even an empty one, was set aside and tried again on each tick until its deadline, whether a larger upstream was listed or not. A POST of 410,000 bytes or more (one token for four bytes) to upstreams that list 100,000 tokens ended as 504 not-run with "a later deadline" as remedy.

The pool now keeps the listed upstream with the most tokens, of any owner and state, from the list and the sheet. Work that is larger, also with its prefix cached at an upstream of the owner, ends as 413 too_large, not-run, and names its estimate and that upstream: on arrival, and when the list shrinks while it waits. The keeper passes that text on for a request with a key. Work that fits only at the upstream of another owner waits as before.

Ruled out: the check at the entry. It does not know the cached prefixes, and a resend of a request that ran must reach its keeper, which has the outcome.

--- a/src/admit.c
+++ b/src/admit.c
@@ -1,8 +1,9 @@
 /*
  * admit.c - admission control of an owner's queues.
  *
- * Rules: work that would miss its deadline in the queue is refused on arrival,
- * unless it can preempt other work; when the queue limits are reached, the
+ * Rules: work that is larger than every listed upstream is refused; work that
+ * would miss its deadline in the queue is refused on arrival, unless it can
+ * preempt other work; when the queue limits are reached, the
  * least urgent queued work is returned to its sender in favour of more urgent
  * work.
  */
@@ -82,6 +83,9 @@
     if (BsWork_Request(work)->deadline_ms <= 0) {
         return BS_ERR_DEADLINE;
     }
+    if (BsPool_IsTooLarge(pool, work)) {
+        return BS_ERR_TOO_LARGE;
+    }
     if (S_misses_deadline(owner, pool, work)) {
         return BS_ERR_OVERLOADED;
     }
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -215,6 +215,10 @@
         BsOwner_GiveBack(owner, work, BS_ERR_OVERLOADED);
         return STEP_DONE;
     }
+    if (BsPool_IsTooLarge(pool, work)) {
+        BsOwner_GiveBack(owner, work, BS_ERR_TOO_LARGE);
+        return STEP_DONE;
+    }
     if (work->alone || !BsPool_FitsEmpty(pool, work, cold, now_ms)) {
         S_set_aside(owner, pool, work);
         return STEP_DONE;
--- a/src/keeperrun.c
+++ b/src/keeperrun.c
@@ -277,6 +277,7 @@
         S_try_another_owner(keeper, record, answer->error);
         return;
     }
+    BsMessage_SetString(&record->detail, answer->detail);
     BsKeeper_Refuse(keeper, record, answer->error);
 }
 
--- a/src/keeperserve.c
+++ b/src/keeperserve.c
@@ -56,9 +56,10 @@
 {
     for (guint i = 0; i < record->waiters->len; i++) {
         BsWaiter *waiter = record->waiters->pdata[i];
-        S_send_to_waiter(keeper, waiter,
-                         BsCore_CreateError(BS_ANSWER, waiter->request_id, 0,
-                                            error, outcome));
+        BsMessage *answer = BsCore_CreateError(BS_ANSWER, waiter->request_id,
+                                               0, error, outcome);
+        answer->u.answer.detail = g_strdup(record->detail);
+        S_send_to_waiter(keeper, waiter, answer);
     }
     g_ptr_array_set_size(record->waiters, 0);
 }
--- a/src/owner.c
+++ b/src/owner.c
@@ -216,6 +216,19 @@
     g_hash_table_remove(owner->works, work->id);
 }
 
+/* Returns what an answer with ERROR says of WORK, or NULL; g_free() it. */
+static char *
+S_describe(const BsPool *pool, const BsWork *work, BsErrorKind error)
+{
+    if (error != BS_ERR_TOO_LARGE || pool == NULL || pool->largest == NULL) {
+        return NULL;
+    }
+    return g_strdup_printf("it is estimated at %u tokens; the largest "
+                           "upstream, %s, takes %u",
+                           work->cost_tokens, pool->largest,
+                           pool->largest_tokens);
+}
+
 void
 BsOwner_GiveBack(BsOwner *owner, BsWork *work, BsErrorKind error)
 {
@@ -226,6 +239,7 @@
         work->dispatch == 0 ? BS_OUTCOME_NOT_RUN : BS_OUTCOME_UNKNOWN);
     answer->u.answer.retry_after_s =
         (uint32_t)CLAMP(wait_ms / MS_PER_S + 1, 1, RETRY_AFTER_MAX_S);
+    answer->u.answer.detail = S_describe(pool, work, error);
     BsOwner_Answer(owner, work, answer);
     S_remove_work(owner, work);
 }
--- a/src/ownership.c
+++ b/src/ownership.c
@@ -86,6 +86,27 @@
     g_strfreev(names);
 }
 
+/* Finds the listed upstream with the most tokens for POOL. */
+static void
+S_update_largest(const BsOwner *owner, BsPool *pool)
+{
+    const BsSheet *sheet = BsCore_Sheet(owner->core);
+    const GPtrArray *entries =
+        BsMembers_Serving(owner->core->members, pool->serves);
+    const char *largest = NULL;
+    pool->largest_tokens = 0;
+    for (guint i = 0; entries != NULL && i < entries->len; i++) {
+        const BsListEntry *entry = entries->pdata[i];
+        uint32_t tokens =
+            BsUpstream_TokensOf(entry, S_concurrency(sheet, entry));
+        if (tokens > pool->largest_tokens) {
+            pool->largest_tokens = tokens;
+            largest = entry->name;
+        }
+    }
+    BsMessage_SetString(&pool->largest, largest);
+}
+
 static bool
 S_is_owned(const BsOwner *owner, const char *upstream)
 {
@@ -173,10 +194,13 @@
         BsPool *pool = node->data;
         g_ptr_array_set_size(pool->upstreams, 0);
     }
+    g_list_free(pools);
     S_add_upstreams(owner);
     S_drop_lost(owner);
+    pools = g_hash_table_get_values(owner->pools);
     for (GList *node = pools; node != NULL; node = node->next) {
-        const BsPool *pool = node->data;
+        BsPool *pool = node->data;
+        S_update_largest(owner, pool);
         if (pool->upstreams->len == 0) {
             BsOwner_GiveBackQueued(owner, pool->serves, BS_ERR_NO_UPSTREAM);
         }
--- a/src/pool.c
+++ b/src/pool.c
@@ -34,6 +34,7 @@
     g_ptr_array_unref(pool->aside);
     g_free(pool->serves);
     g_free(pool->version);
+    g_free(pool->largest);
     g_free(pool);
 }
 
@@ -128,6 +129,21 @@
     return false;
 }
 
+bool
+BsPool_IsTooLarge(const BsPool *pool, const BsWork *work)
+{
+    if (pool->largest == NULL || work->cost_tokens <= pool->largest_tokens) {
+        return false;
+    }
+    for (guint i = 0; i < pool->upstreams->len; i++) {
+        const BsUpstream *upstream = pool->upstreams->pdata[i];
+        if (BsUpstream_Cost(upstream, work) <= upstream->tokens) {
+            return false;
+        }
+    }
+    return true;
+}
+
 int64_t
 BsPool_ExpectMs(const BsPool *pool, const BsWork *work, int64_t now_ms)
 {
--- a/src/pool.h
+++ b/src/pool.h
@@ -14,10 +14,13 @@
 typedef struct {
     char *serves;
     char *version; /* model@version the sheet asks for, or NULL */
+    char *largest; /* the listed upstream with the most tokens, of any owner
+                      and state; NULL when none is listed */
     BsQueue *queue;
     GPtrArray *upstreams;              /* of BsUpstream, owned and open */
     GPtrArray *aside;                  /* of BsWork, too large at present */
     uint32_t running[BS_RANK_MAX + 1]; /* dispatched requests by rank */
+    uint32_t largest_tokens;           /* of LARGEST */
     uint64_t ended_tokens;             /* of work ended since measured_ms */
     double tokens_per_s;               /* recent rate; 0: unknown */
     int64_t measured_ms;               /* last measurement of the rate */
@@ -44,6 +47,10 @@
 bool BsPool_FitsEmpty(const BsPool *pool, const BsWork *work,
                       const BsColdStart *cold, int64_t now_ms);
 
+/* Returns whether WORK is larger than every listed upstream, also when its
+   prefix is cached at one of POOL; false when no upstream is listed. */
+bool BsPool_IsTooLarge(const BsPool *pool, const BsWork *work);
+
 /* Returns the shortest time in milliseconds that WORK would take if started
    now; 0 when unknown, or when no upstream runs work that can show its
    speed. */
--- a/src/record.c
+++ b/src/record.c
@@ -52,6 +52,7 @@
     g_free(record->owner);
     g_free(record->keeper);
     g_free(record->witness);
+    g_free(record->detail);
     BsMessage_Destroy(record->request);
     BsSpanScope_Clear(&record->span);
     BsReorder_Destroy(record->reorder);
--- a/src/record.h
+++ b/src/record.h
@@ -59,6 +59,7 @@
     BsRecordState state;
     BsOutcome outcome;
     BsErrorKind error; /* sent with OUTCOME when there is no answer */
+    char *detail;      /* extra text of ERROR from the owner, or NULL */
     bool fenced;       /* never ran here and never will */
     bool accepted;     /* the owner confirmed that it has the run */
     bool complete;     /* PIECES ends with the final piece */
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -89,18 +89,31 @@
     g_free(upstream);
 }
 
+static uint32_t
+S_slots(const BsListEntry *entry, uint32_t concurrency)
+{
+    uint32_t slots = entry->slots == 0 ? DEFAULT_SLOTS : entry->slots;
+    return concurrency == 0 ? slots : MIN(slots, concurrency);
+}
+
+uint32_t
+BsUpstream_TokensOf(const BsListEntry *entry, uint32_t concurrency)
+{
+    return entry->tokens == 0
+               ? S_slots(entry, concurrency) * DEFAULT_TOKENS_PER_SLOT
+               : entry->tokens;
+}
+
 void
 BsUpstream_Update(BsUpstream *upstream, const BsListEntry *entry,
                   uint32_t concurrency)
 {
-    uint32_t slots = entry->slots == 0 ? DEFAULT_SLOTS : entry->slots;
-    slots = concurrency == 0 ? slots : MIN(slots, concurrency);
+    uint32_t slots = S_slots(entry, concurrency);
     if (slots > upstream->slots) {
         upstream->limit += slots - upstream->slots;
     }
     upstream->slots = slots;
-    upstream->tokens =
-        entry->tokens == 0 ? slots * DEFAULT_TOKENS_PER_SLOT : entry->tokens;
+    upstream->tokens = BsUpstream_TokensOf(entry, concurrency);
     upstream->limit = MIN(upstream->limit, slots);
     BsMessage_SetString(&upstream->generation, entry->kind == BS_NODE_ENGINE
                                                    ? entry->generation
--- a/src/upstream.h
+++ b/src/upstream.h
@@ -67,6 +67,10 @@
 void BsUpstream_Update(BsUpstream *upstream, const BsListEntry *entry,
                        uint32_t concurrency);
 
+/* Returns the most tokens that the upstream of ENTRY may have in flight;
+   CONCURRENCY bounds its slots, 0 means no bound. */
+uint32_t BsUpstream_TokensOf(const BsListEntry *entry, uint32_t concurrency);
+
 /* Marks UPSTREAM as cold and its prompt cache as lost. */
 void BsUpstream_TurnCold(BsUpstream *upstream, int64_t now_ms);
 
--- a/tests/api/capacity_test.cc
+++ b/tests/api/capacity_test.cc
@@ -3,6 +3,7 @@
 extern "C" {
 #include "account.h"
 #include "link.h"
+#include "pool.h"
 #include "queue.h"
 #include "retry.h"
 #include "schema.h"
@@ -99,6 +100,35 @@
     BsQueue_Destroy(queue);
 }
 
+// Guards against a rejection of work that fits only because an upstream has
+// its prefix cached, and of work for which no upstream is listed.
+TEST(Pool, WorkIsTooLargeOnlyIfNoListedUpstreamCanAcceptIt)
+{
+    BsListEntry entry = {};
+    entry.name = g_strdup("e1");
+    entry.slots = 8;
+    entry.tokens = 10000;
+    BsUpstream *upstream = BsUpstream_Create(&entry, 0);
+    BsPool *pool = BsPool_Create("blade");
+    BsWork *work = CreateWork("r", "a", 1, 10001, 1000);
+    work->request->u.request.prefix_hash = 7;
+    EXPECT_FALSE(BsPool_IsTooLarge(pool, work));
+    g_ptr_array_add(pool->upstreams, upstream);
+    pool->largest = g_strdup("e1");
+    pool->largest_tokens = 10000;
+    EXPECT_TRUE(BsPool_IsTooLarge(pool, work));
+    BsPrefixes_Note(upstream->prefixes, 7, 1);
+    EXPECT_FALSE(BsPool_IsTooLarge(pool, work));
+    BsPrefixes_Clear(upstream->prefixes);
+    EXPECT_TRUE(BsPool_IsTooLarge(pool, work));
+    pool->largest_tokens = 10001; // another owner's upstream
+    EXPECT_FALSE(BsPool_IsTooLarge(pool, work));
+    BsWork_Destroy(work);
+    BsPool_Destroy(pool);
+    BsUpstream_Destroy(upstream);
+    g_free(entry.name);
+}
+
 class Upstream : public ::testing::Test {
   protected:
     void SetUp() override
