--- a/tests/contract/version_test.cc
+++ b/tests/contract/version_test.cc
@@ -122,6 +122,9 @@
     EXPECT_NE(answer.body.find("\"by\":\"1\""), std::string::npos);
     EXPECT_EQ(answer.body.find("\"by\":\"2\""), std::string::npos)
         << answer.body;
+    EXPECT_EQ(answer.body.find("[DONE]"), std::string::npos) << answer.body;
+    EXPECT_NE(answer.body.find("event: error"), std::string::npos)
+        << answer.body;
 }
 
 } // namespace
