boragespurd: a stream goes on only at the version of the weights that began it

Cause: nothing kept the model version at which a stream began. After an interruption the owner picked an engine by the version that the sheet names now, and so did an owner that had preempted the stream itself.

The owner names the version in the first piece in which it is known (tag 21 of an answer). The entry keeps it and sends it with each later forward, in the field "version" that forwards had but did not use. For a stream with an event, an owner picks only engines that report the version, by a report from after their last failure and order; while the sheet asks for another version, only those that have no other version of the model and are not loading one, as a request names no version and the engine would choose. The first piece of a resumed stream is dropped if that no longer holds when it arrives. An owner none of whose engines can have the version says so (version_gone, new); when every owner has, the stream ends with that error. While an engine may still have it, the request waits as before, until its deadline at most.

The time that a load report describes now starts with the poll: a report written before a failure can arrive after it.

Previous release: an instance that does not know tag 21 skips it; without a version in the message it is unknown, and the stream goes on as before. version_gone is sent only in answer to a forward that names the version.

Ruled out: the version at the dispatch alone. The version is now also learnt from the next report.

--- a/src/admit.c
+++ b/src/admit.c
@@ -64,6 +64,19 @@
                work->deadline_ms;
 }
 
+BsErrorKind
+BsOwner_FindObstacle(const BsPool *pool, const BsWork *work)
+{
+    if (BsPool_IsTooLarge(pool, work)) {
+        return BS_ERR_TOO_LARGE;
+    }
+    if (!BsPool_IsVersionGone(pool, work)) {
+        return BS_ERR_NONE;
+    }
+    return BsWork_Request(work)->version == NULL ? BS_ERR_NO_UPSTREAM
+                                                 : BS_ERR_VERSION_GONE;
+}
+
 BsErrorKind
 BsOwner_Admit(BsOwner *owner, BsWork *work)
 {
@@ -83,8 +96,9 @@
     if (BsWork_Request(work)->deadline_ms <= 0) {
         return BS_ERR_DEADLINE;
     }
-    if (BsPool_IsTooLarge(pool, work)) {
-        return BS_ERR_TOO_LARGE;
+    BsErrorKind obstacle = BsOwner_FindObstacle(pool, work);
+    if (obstacle != BS_ERR_NONE) {
+        return obstacle;
     }
     if (S_misses_deadline(owner, pool, work)) {
         return BS_ERR_OVERLOADED;
--- a/src/attempt.c
+++ b/src/attempt.c
@@ -10,7 +10,9 @@
  * held while another owner that can take over tries the request: the attempt
  * that sends the first piece is kept and the others are cancelled, and if all
  * later ones fail, the held one is current again and goes on until its
- * deadline; a resumed stream skips the events already sent to the caller.
+ * deadline; a resumed stream skips the events already sent to the caller, and
+ * names the model version that began it; it ends with an error once every
+ * owner lacks that version.
  */
 #include "entrystate.h"
 
@@ -114,17 +116,6 @@
     BsEntry_DropHeld(entry, request, reason);
 }
 
-/* Lets all owners be tried again, except those of held attempts. */
-static void
-S_forget_tried(BsEntryRequest *request)
-{
-    g_hash_table_remove_all(request->tried);
-    for (guint i = 0; i < request->held->len; i++) {
-        const BsEntryAttempt *held = request->held->pdata[i];
-        g_hash_table_add(request->tried, g_strdup(held->owner));
-    }
-}
-
 static const char *
 S_pick_owner(BsEntry *entry, BsEntryRequest *request)
 {
@@ -132,7 +123,7 @@
     const char *owner =
         BsChoice_PickOwner(entry->core, wanted, request->tried);
     if (owner == NULL && request->retries > 0) {
-        S_forget_tried(request);
+        BsEntry_ForgetTried(request);
         owner = BsChoice_PickOwner(entry->core, wanted, request->tried);
     }
     return owner;
@@ -162,7 +153,7 @@
         return false;
     }
     BsEntry_ResumeHeld(request, request->held->len - 1);
-    S_forget_tried(request);
+    BsEntry_ForgetTried(request);
     request->replace_tries = 0;
     request->replace_ms = BsCore_NowMs(entry->core) + REPLACE_INTERVAL_MS;
     return true;
@@ -201,6 +192,11 @@
 {
     int64_t now_ms = BsCore_NowMs(entry->core);
     int64_t next_ms = now_ms + OWNER_WAIT_STEP_MS;
+    if (BsEntry_IsVersionGone(entry, request)) {
+        BsCore_Count(entry->core, "streams_ended_version_gone", 1);
+        S_fail(entry, request, BS_ERR_VERSION_GONE, S_final_outcome(request));
+        return;
+    }
     if (request->last_error == BS_ERR_NONE) {
         request->last_error = BS_ERR_NO_UPSTREAM;
         request->no_owner_since_ms = INT64_MIN;
@@ -210,7 +206,7 @@
     }
     if (S_may_wait_for_owner(request, next_ms)) {
         BsCore_Count(entry->core, "owner_waits", 1);
-        S_forget_tried(request);
+        BsEntry_ForgetTried(request);
         request->retry_ms = next_ms;
         return;
     }
@@ -276,6 +272,7 @@
     case BS_ERR_DRAINING:
     case BS_ERR_MEMORY_FULL:
     case BS_ERR_NOT_READY:
+    case BS_ERR_VERSION_GONE:
         return true;
     case BS_ERR_DEADLINE:
         return S_is_privileged(entry, request) &&
@@ -320,6 +317,9 @@
     request->last_error = answer->error;
     request->retry_after_s = answer->retry_after_s;
     g_hash_table_add(request->tried, g_strdup(request->current.owner));
+    if (answer->error == BS_ERR_VERSION_GONE) {
+        BsEntry_AddGone(request, request->current.owner);
+    }
     if (S_is_returned(entry, request, answer)) {
         bool full = answer->error == BS_ERR_OVERLOADED ||
                     answer->error == BS_ERR_MEMORY_FULL;
--- a/src/boragespur.h
+++ b/src/boragespur.h
@@ -64,8 +64,9 @@
     BS_ERR_NOT_FOUND,     /* no such request */
     BS_ERR_INCARNATION,   /* addressed to another incarnation */
     BS_ERR_NOT_KEEPER,    /* another instance is the key's keeper */
-    BS_ERR_KEY_MOVED,   /* another instance has the record; KEEPER names it */
-    BS_ERR_ANSWER_LOST, /* the request ran, but its answer was not kept */
+    BS_ERR_KEY_MOVED,    /* another instance has the record; KEEPER names it */
+    BS_ERR_ANSWER_LOST,  /* the request ran, but its answer was not kept */
+    BS_ERR_VERSION_GONE, /* no engine has the version that began the stream */
     BS_ERR_COUNT
 } BsErrorKind;
 
@@ -199,7 +200,9 @@
     char *ticket;         /* ticket, or NULL */
     char *service;        /* plain service name, or NULL for a model call */
     char *model;          /* model name, or NULL for a service call */
-    char *version;        /* model version chosen by the owner */
+    char *version;        /* in a forward, the model version that began the
+                             stream, NULL when unknown; on dispatch, the one
+                             chosen by the owner */
     char *method;         /* HTTP method */
     char *path;           /* path and query sent to the upstream */
     char *content_type;   /* of the body, or NULL */
@@ -231,6 +234,8 @@
     char *request_id;
     char *content_type; /* in the first piece */
     char *upstream;     /* in the first piece */
+    char *version;      /* model version of a stream, in the first piece in
+                           which it is known */
     char *ticket;       /* for a later request, in the first piece */
     char *detail;       /* extra error text, or NULL */
     char *keeper;       /* that holds the record, with BS_ERR_KEY_MOVED */
--- a/src/choice.c
+++ b/src/choice.c
@@ -240,3 +240,20 @@
     const char *owner = S_pick(core, request, avoid, false);
     return owner != NULL ? owner : S_pick(core, request, avoid, true);
 }
+
+bool
+BsChoice_HasOwner(const BsCore *core, const BsRequest *request,
+                  GHashTable *avoid)
+{
+    const GPtrArray *upstreams =
+        BsMembers_Serving(core->members, BsRequest_Serves(request));
+    for (guint i = 0; upstreams != NULL && i < upstreams->len; i++) {
+        const BsListEntry *upstream = upstreams->pdata[i];
+        const char *owner = BsMembers_OwnerOf(core->members, upstream->name);
+        if (owner != NULL && BsChoice_IsOpen(core, upstream) &&
+            !g_hash_table_contains(avoid, owner)) {
+            return true;
+        }
+    }
+    return false;
+}
--- a/src/choice.h
+++ b/src/choice.h
@@ -17,6 +17,11 @@
 const char *BsChoice_PickOwner(BsCore *core, const BsRequest *request,
                                GHashTable *avoid);
 
+/* Returns whether an open upstream that serves REQUEST has an owner which is
+   not in AVOID, whatever its load and distance. */
+bool BsChoice_HasOwner(const BsCore *core, const BsRequest *request,
+                       GHashTable *avoid);
+
 /* Returns whether the list and the sheet let UPSTREAM get new work. */
 bool BsChoice_IsOpen(const BsCore *core, const BsListEntry *upstream);
 
--- a/src/d_health.c
+++ b/src/d_health.c
@@ -69,6 +69,15 @@
     return size;
 }
 
+/* Adds the duration of the poll to the age of REPORT, as the engine wrote it
+   at some time since the poll was started. */
+static void
+S_add_age(BsReport *report, int64_t poll_ms)
+{
+    report->age_ms =
+        (uint32_t)MIN((int64_t)report->age_ms + poll_ms, UINT32_MAX);
+}
+
 static void
 S_on_report(CURL *easy, CURLcode result, void *context)
 {
@@ -84,6 +93,7 @@
         result == CURLE_OK && status == STATUS_OK &&
         BsReport_Parse(engine->body->data, engine->body->len,
                        &message->u.report);
+    S_add_age(&message->u.report, BsLoop_NowMs(loop) - engine->started_ms);
     BsLoop_Count(loop,
                  message->u.report.reachable ? "health_reports"
                                              : "health_reports_failed",
@@ -111,6 +121,7 @@
         return;
     }
     engine->poll = S_create_easy(engine->address, "/health", POLL_TIMEOUT_MS);
+    engine->started_ms = BsLoop_NowMs(engine->health->loop);
     g_byte_array_set_size(engine->body, 0);
     curl_easy_setopt(engine->poll, CURLOPT_WRITEFUNCTION, S_on_write);
     curl_easy_setopt(engine->poll, CURLOPT_WRITEDATA, engine);
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -61,7 +61,8 @@
         BsSheet_FindModel(BsCore_Sheet(owner->core), request->model);
     dispatch->kind = BS_UPSTREAM_DISPATCH;
     BsMessage_SetString(&request->upstream, upstream->name);
-    if (model != NULL) {
+    BsOwner_SetVersion(pool, work, upstream);
+    if (model != NULL && work->version == NULL) {
         BsMessage_SetString(&request->version, model->version);
     }
     work->dispatch = ++owner->last_dispatch;
@@ -99,6 +100,7 @@
             return;
         }
         if (upstream->reserved == NULL &&
+            (work->version == NULL || BsPool_Serves(pool, upstream, work)) &&
             (best == NULL ||
              upstream->tokens_in_flight < best->tokens_in_flight)) {
             best = upstream;
@@ -215,8 +217,9 @@
         BsOwner_GiveBack(owner, work, BS_ERR_OVERLOADED);
         return STEP_DONE;
     }
-    if (BsPool_IsTooLarge(pool, work)) {
-        BsOwner_GiveBack(owner, work, BS_ERR_TOO_LARGE);
+    BsErrorKind obstacle = BsOwner_FindObstacle(pool, work);
+    if (obstacle != BS_ERR_NONE) {
+        BsOwner_GiveBack(owner, work, obstacle);
         return STEP_DONE;
     }
     if (work->alone || !BsPool_FitsEmpty(pool, work, cold, now_ms)) {
@@ -238,6 +241,7 @@
         BsUpstream *upstream = pool->upstreams->pdata[i];
         BsWork *work = upstream->reserved;
         if (work != NULL && work->upstream == NULL &&
+            (work->version == NULL || BsPool_Serves(pool, upstream, work)) &&
             BsUpstream_Fits(upstream, work, cold, now_ms)) {
             BsOwner_Dispatch(owner, pool, work, upstream);
             return true;
--- a/src/entry.c
+++ b/src/entry.c
@@ -33,6 +33,7 @@
     g_free(request->current.owner);
     g_ptr_array_unref(request->held);
     g_hash_table_destroy(request->tried);
+    g_clear_pointer(&request->gone, g_hash_table_destroy);
     g_free(request);
 }
 
@@ -315,12 +316,25 @@
     answer->seq = request->next_seq++;
 }
 
+/* Keeps the model version that ANSWER names for later forwards.  Until the
+   caller has an event, another attempt may begin the stream anew. */
+static void
+S_keep_version(BsEntryRequest *request, const BsAnswer *answer)
+{
+    BsRequest *forward = &request->request->u.request;
+    if (answer->version != NULL &&
+        (forward->version == NULL || request->events == 0)) {
+        BsMessage_SetString(&forward->version, answer->version);
+    }
+}
+
 /* Sends PIECE of the current attempt to the caller, which ends the held ones,
    or starts or resumes another attempt after an error. */
 static void
 S_relay(BsEntry *entry, BsEntryRequest *request, BsMessage *piece)
 {
     const BsAnswer *answer = &piece->u.answer;
+    S_keep_version(request, answer);
     if (answer->final && answer->error != BS_ERR_NONE &&
         BsEntry_TryAgain(entry, request, answer)) {
         BsMessage_Destroy(piece);
--- a/src/entrystate.h
+++ b/src/entrystate.h
@@ -1,9 +1,9 @@
 /*
  * entrystate.h - the state of the entry role, shared by its files.
  *
- * Rules: private to entry.c, resolve.c, attempt.c and heldattempt.c; each
- * request has at most one current attempt; attempts that were silent may be
- * held beside it until a piece of one of them arrives, and answer pieces of
+ * Rules: private to entry.c, resolve.c, attempt.c, heldattempt.c and tried.c;
+ * each request has at most one current attempt; attempts that were silent may
+ * be held beside it until a piece of one of them arrives, and answer pieces of
  * all others are dropped.
  */
 #ifndef BS_ENTRYSTATE_H
@@ -30,6 +30,7 @@
     BsEntryAttempt current;
     GPtrArray *held;   /* of BsEntryAttempt, in the order of their forwards */
     GHashTable *tried; /* owners that hold, returned, failed or lost it */
+    GHashTable *gone;  /* owners without the version of the stream, or NULL */
     uint64_t next_seq; /* of the next piece for the caller */
     uint64_t body_bytes;
     int64_t deadline_ms; /* on this core's clock */
@@ -75,6 +76,17 @@
 void BsEntry_CancelAttempts(BsEntry *entry, BsEntryRequest *request,
                             BsErrorKind reason);
 
+/* Adds OWNER to those that lack the version which began the stream. */
+void BsEntry_AddGone(BsEntryRequest *request, const char *owner);
+
+/* Returns whether every owner lacks the version that began the stream. */
+bool BsEntry_IsVersionGone(const BsEntry *entry,
+                           const BsEntryRequest *request);
+
+/* Lets all owners be tried again, except those of held attempts and those that
+   lack the version which began the stream. */
+void BsEntry_ForgetTried(BsEntryRequest *request);
+
 /* Returns an empty list of held attempts. */
 GPtrArray *BsEntry_CreateHeld(void);
 
--- a/src/error.c
+++ b/src/error.c
@@ -82,6 +82,10 @@
                             "the request ran; its answer is not kept",
                             "read the result from the service; do not send "
                             "it again under a new key"},
+    [BS_ERR_VERSION_GONE] = {"version_gone", 502,
+                             "no engine has the model version that began "
+                             "the stream",
+                             "send the request again from its start"},
 };
 
 const BsErrorText *
--- a/src/order.c
+++ b/src/order.c
@@ -1,6 +1,7 @@
 /* order.c - orders that bring engines to the sheet's model versions. */
 #include "order.h"
 
+#include "owner.h"
 #include "sheetstore.h"
 #include "tenure.h"
 
@@ -117,6 +118,18 @@
     return S_has_loaded(engine, model, wanted->version);
 }
 
+char *
+BsOrders_CopyLoaded(const BsOrders *orders, const char *upstream,
+                    int64_t *reported_ms)
+{
+    const BsEngine *engine = g_hash_table_lookup(orders->engines, upstream);
+    if (engine == NULL || engine->loaded == NULL) {
+        return NULL;
+    }
+    *reported_ms = engine->reported_ms;
+    return g_strjoinv(",", engine->loaded);
+}
+
 /* Clears a load order once the engine reports the version as loaded. */
 static void
 S_check_done(BsEngine *engine)
@@ -256,6 +269,7 @@
     message->u.order.version = g_strdup(version);
     message->u.order.fencing = fencing;
     BsCore_Count(core, "orders_sent", 1);
+    BsOwner_OnOrder(core->owner, message);
     BsCore_Emit(core, message);
 }
 
--- a/src/order.h
+++ b/src/order.h
@@ -21,6 +21,12 @@
 bool BsOrder_IsCurrent(const BsOrders *orders, const char *upstream,
                        const char *model);
 
+/* Returns what UPSTREAM last reported as loaded (comma-separated
+   model@version), g_free() it, and sets REPORTED_MS to the time that it
+   describes; NULL when it has reported nothing of that. */
+char *BsOrders_CopyLoaded(const BsOrders *orders, const char *upstream,
+                          int64_t *reported_ms);
+
 /* Handles the load report of an engine. */
 void BsOrders_OnReport(BsOrders *orders, const BsMessage *message);
 
--- a/src/owner.c
+++ b/src/owner.c
@@ -136,6 +136,7 @@
         g_clear_pointer(&answer->content_type, g_free);
         answer->status = 0;
     }
+    BsWork_NameVersion(work, answer);
     if (answer->final) {
         BsSpanScope_End(&work->span, owner->core, "owner",
                         request->request_id);
@@ -373,6 +374,9 @@
         BsCore_Count(owner->core, "answers_dropped", 1);
         return;
     }
+    if (BsOwner_RejectVersion(owner, work, answer)) {
+        return;
+    }
     if (work->first_ms == 0 && answer->error == BS_ERR_NONE &&
         work->upstream->hits_seen &&
         answer->cached_tokens < work->cached_tokens) {
@@ -385,6 +389,7 @@
     S_count_cold(owner, upstream, warmth);
     if (BsWork_Request(work)->stream) {
         work->events += BsEvents_Count(answer->data);
+        BsWork_BindVersion(work);
     }
     BsOwner_Answer(owner, work, BsMessage_Copy(message));
     if (answer->final) {
@@ -404,6 +409,7 @@
     if (upstream != NULL) {
         BsWarmth warmth = upstream->warmth;
         BsUpstream_OnReport(upstream, report, BsCore_NowMs(owner->core));
+        BsOwner_LearnVersions(owner, upstream);
         S_count_cold(owner, upstream, warmth);
         BsOwner_DispatchAll(owner);
     }
--- a/src/owner.h
+++ b/src/owner.h
@@ -30,6 +30,9 @@
 /* Handles the load report of an upstream. */
 void BsOwner_OnReport(BsOwner *owner, const BsMessage *message);
 
+/* Handles an order that is sent to an engine. */
+void BsOwner_OnOrder(BsOwner *owner, const BsMessage *message);
+
 /* Handles the cancellation of a request. */
 void BsOwner_OnCancel(BsOwner *owner, const BsMessage *message);
 
--- a/src/ownership.c
+++ b/src/ownership.c
@@ -10,6 +10,7 @@
 
 #include "choice.h"
 #include "digest.h"
+#include "order.h"
 #include "owner.h"
 #include "schema.h"
 #include "sheetstore.h"
@@ -40,11 +41,18 @@
     bool open = BsChoice_IsOpen(owner->core, entry);
     if (upstream == NULL) {
         upstream = BsUpstream_Create(entry, now_ms);
+        /* Its first report may have come before the sheet. */
+        upstream->loaded = BsOrders_CopyLoaded(
+            owner->core->orders, entry->name, &upstream->reported_ms);
+        upstream->heard = upstream->loaded != NULL;
         g_hash_table_insert(owner->upstreams, upstream->name, upstream);
     }
     else if ((open && !upstream->open) || upstream->lost_ms != 0) {
         BsUpstream_TurnCold(upstream, now_ms);
     }
+    if (upstream->lost_ms != 0) {
+        BsUpstream_ForgetVersions(upstream, now_ms);
+    }
     upstream->lost_ms = 0;
     upstream->open = open;
     BsUpstream_Update(upstream, entry,
--- a/src/ownerstate.h
+++ b/src/ownerstate.h
@@ -1,9 +1,9 @@
 /*
  * ownerstate.h - the state of the owner role, shared by its files.
  *
- * Rules: private to owner.c, admit.c, ownership.c, dispatch.c, preempt.c and
- * upkeep.c; each work is in the table of works from its arrival until its
- * final answer.
+ * Rules: private to owner.c, admit.c, ownership.c, ownerversion.c, dispatch.c,
+ * preempt.c and upkeep.c; each work is in the table of works from its arrival
+ * until its final answer.
  */
 #ifndef BS_OWNERSTATE_H
 #define BS_OWNERSTATE_H
@@ -41,6 +41,12 @@
 /* Returns why WORK is refused on arrival, or BS_ERR_NONE if it is admitted. */
 BsErrorKind BsOwner_Admit(BsOwner *owner, BsWork *work);
 
+/* Returns why WORK can never run at an upstream of POOL, or BS_ERR_NONE.  The
+   sender of a stream that has begun is told BS_ERR_VERSION_GONE only if its
+   forward named the version: a sender that did not may be of a release that
+   does not know that error. */
+BsErrorKind BsOwner_FindObstacle(const BsPool *pool, const BsWork *work);
+
 /* Adds WORK to the queue of its pool. */
 void BsOwner_Enqueue(BsOwner *owner, BsWork *work);
 
@@ -72,6 +78,21 @@
 void BsOwner_Dispatch(BsOwner *owner, BsPool *pool, BsWork *work,
                       BsUpstream *upstream);
 
+/* Sets the model version that WORK gets at UPSTREAM, as far as the upstream
+   reports it. */
+void BsOwner_SetVersion(const BsPool *pool, BsWork *work,
+                        const BsUpstream *upstream);
+
+/* Sets the model version of the streams that UPSTREAM began before its first
+   report, unless it was ordered to change versions since. */
+void BsOwner_LearnVersions(const BsOwner *owner, const BsUpstream *upstream);
+
+/* If ANSWER is the first piece that resumes the stream of WORK, and its
+   upstream may have changed the version since the dispatch, stops the dispatch
+   and queues WORK again; returns whether it did. */
+bool BsOwner_RejectVersion(BsOwner *owner, BsWork *work,
+                           const BsAnswer *answer);
+
 /* Dispatches queued work until no more fits. */
 void BsOwner_DispatchAll(BsOwner *owner);
 
--- a/src/pool.c
+++ b/src/pool.c
@@ -66,6 +66,27 @@
     return known ? weight | (UINT64_C(1) << 63) : weight;
 }
 
+bool
+BsPool_Serves(const BsPool *pool, const BsUpstream *upstream,
+              const BsWork *work)
+{
+    return work->version == NULL
+               ? BsUpstream_HasLoaded(upstream, pool->version)
+               : BsUpstream_Continues(upstream, work->version, pool->version);
+}
+
+bool
+BsPool_IsVersionGone(const BsPool *pool, const BsWork *work)
+{
+    for (guint i = 0; work->version != NULL && i < pool->upstreams->len; i++) {
+        if (BsUpstream_MayContinue(pool->upstreams->pdata[i], work->version,
+                                   pool->version)) {
+            return false;
+        }
+    }
+    return work->version != NULL;
+}
+
 BsUpstream *
 BsPool_Pick(const BsPool *pool, const BsWork *work, const BsColdStart *cold,
             int64_t now_ms)
@@ -78,7 +99,7 @@
     uint64_t preferred_affinity = 0;
     for (guint i = 0; i < pool->upstreams->len; i++) {
         BsUpstream *upstream = pool->upstreams->pdata[i];
-        if (!BsUpstream_HasLoaded(upstream, pool->version) ||
+        if (!BsPool_Serves(pool, upstream, work) ||
             !BsUpstream_Fits(upstream, work, cold, now_ms)) {
             continue;
         }
@@ -107,7 +128,7 @@
     for (guint i = 0; i < pool->upstreams->len; i++) {
         const BsUpstream *upstream = pool->upstreams->pdata[i];
         if (BsPrefixes_Find(upstream->prefixes, prefix_hash) > 0 &&
-            BsUpstream_HasLoaded(upstream, pool->version) &&
+            BsPool_Serves(pool, upstream, work) &&
             BsUpstream_Fits(upstream, work, cold, now_ms)) {
             return true;
         }
@@ -121,7 +142,7 @@
 {
     for (guint i = 0; i < pool->upstreams->len; i++) {
         const BsUpstream *upstream = pool->upstreams->pdata[i];
-        if (BsUpstream_HasLoaded(upstream, pool->version) &&
+        if (BsPool_Serves(pool, upstream, work) &&
             BsUpstream_FitsEmpty(upstream, work, cold, now_ms)) {
             return true;
         }
--- a/src/pool.h
+++ b/src/pool.h
@@ -39,6 +39,15 @@
 BsUpstream *BsPool_Pick(const BsPool *pool, const BsWork *work,
                         const BsColdStart *cold, int64_t now_ms);
 
+/* Returns whether the models that UPSTREAM has loaded allow WORK: the sheet's
+   version, or for a stream that has begun the version which began it. */
+bool BsPool_Serves(const BsPool *pool, const BsUpstream *upstream,
+                   const BsWork *work);
+
+/* Returns whether WORK is a stream that has begun, and no upstream has or may
+   soon report the version which began it. */
+bool BsPool_IsVersionGone(const BsPool *pool, const BsWork *work);
+
 /* Returns whether an upstream with room for WORK has its prefix cached. */
 bool BsPool_HasCached(const BsPool *pool, const BsWork *work,
                       const BsColdStart *cold, int64_t now_ms);
--- a/src/preempt.c
+++ b/src/preempt.c
@@ -107,16 +107,16 @@
     return victims;
 }
 
-/* Returns whether work may be preempted at UPSTREAM in favour of other work of
-   POOL. */
+/* Returns whether work may be preempted at UPSTREAM in favour of WORK, which
+   is of POOL. */
 static bool
 S_is_usable(const BsOwner *owner, const BsPool *pool,
-            const BsUpstream *upstream)
+            const BsUpstream *upstream, const BsWork *work)
 {
     int64_t now_ms = BsCore_NowMs(owner->core);
     return upstream->reserved == NULL &&
            BsUpstream_IsAvailable(upstream, now_ms) &&
-           BsUpstream_HasLoaded(upstream, pool->version);
+           BsPool_Serves(pool, upstream, work);
 }
 
 /* Reduces the victims of PLAN to those that must stop for WORK to fit; returns
@@ -181,7 +181,7 @@
     }
     for (guint i = 0; i < pool->upstreams->len; i++) {
         BsPlan plan = {pool->upstreams->pdata[i], NULL, 0};
-        if (!S_is_usable(owner, pool, plan.upstream)) {
+        if (!S_is_usable(owner, pool, plan.upstream, work)) {
             continue;
         }
         plan.victims = S_list_victims(owner, plan.upstream, work);
--- a/src/schema.c
+++ b/src/schema.c
@@ -198,6 +198,7 @@
     FIELD(18, BOOL, BsAnswer, crashed),
     FIELD(19, STRING, BsAnswer, keeper),
     FIELD(20, U64, BsAnswer, keeper_incarnation),
+    FIELD(21, STRING, BsAnswer, version),
 };
 
 static const BsSchema S_answer_schema =
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -86,6 +86,7 @@
     g_free(upstream->generation);
     g_free(upstream->boot_id);
     g_free(upstream->loaded);
+    g_free(upstream->loading);
     g_free(upstream);
 }
 
@@ -209,24 +210,6 @@
            now_ms >= upstream->suspended_ms;
 }
 
-bool
-BsUpstream_HasLoaded(const BsUpstream *upstream, const char *version)
-{
-    const char *loaded = upstream->loaded;
-    if (loaded == NULL || version == NULL) {
-        return true;
-    }
-    size_t length = strlen(version);
-    for (const char *at = loaded; at != NULL; at = strchr(at, ',')) {
-        at += *at == ',';
-        if (strncmp(at, version, length) == 0 &&
-            (at[length] == ',' || at[length] == '\0')) {
-            return true;
-        }
-    }
-    return false;
-}
-
 bool
 BsUpstream_Fits(const BsUpstream *upstream, const BsWork *work,
                 const BsColdStart *cold, int64_t now_ms)
@@ -355,6 +338,7 @@
     if (answer->crashed || answer->error == BS_ERR_CONNECT) {
         BsUpstream_TurnCold(upstream, now_ms);
     }
+    upstream->uncertain_ms = now_ms;
     int64_t pause_ms = SUSPEND_MS << MIN(upstream->failures, 8);
     upstream->suspended_ms = now_ms + MIN(pause_ms, SUSPEND_MAX_MS);
     upstream->failures++;
@@ -409,9 +393,7 @@
     }
     upstream->reported = report->running + report->waiting;
     upstream->own_when_reported = g_hash_table_size(upstream->running);
-    if (report->loaded != NULL) {
-        BsMessage_SetString(&upstream->loaded, report->loaded);
-    }
+    BsUpstream_OnLoaded(upstream, report, now_ms);
     bool contradicted = now_ms - upstream->last_ms < CONTRADICTION_MS &&
                         g_hash_table_size(upstream->running) > 0;
     upstream->reachable = report->reachable || contradicted;
--- a/src/upstream.h
+++ b/src/upstream.h
@@ -27,6 +27,8 @@
     char *generation;    /* of an engine; NULL for a service */
     char *boot_id;       /* last reported, or NULL */
     char *loaded;        /* last reported, or NULL */
+    char *loading;       /* model@version that it was ordered to load and has
+                            not reported since, or NULL */
     GHashTable *running; /* set of BsWork */
     BsPrefixes *prefixes;
     BsSpeed speed;
@@ -38,6 +40,9 @@
     int64_t ramp_ms;            /* when the ramp started */
     int64_t suspended_ms;       /* no dispatch before this time */
     int64_t last_ms;            /* last piece of any answer */
+    int64_t reported_ms;        /* time that LOADED describes, 0 if none */
+    int64_t uncertain_ms;       /* last failure or order; an older report may
+                                   no longer tell what is loaded */
     int64_t lost_ms;            /* when another instance became owner, or 0 */
     GHashTable *foreign;        /* previous owner to its reported BsInFlight */
     int64_t foreign_ms;         /* when the newest of them first reported */
@@ -51,6 +56,7 @@
     uint32_t lost_hits;      /* consecutive misses of expected cache hits */
     bool hits_seen;          /* it has reported a cache hit */
     bool reachable;
+    bool heard;     /* a report was read since this instance is its owner */
     bool open;      /* according to instance list and sheet */
     bool permitted; /* this instance may dispatch to it now */
     bool straggling;
@@ -100,6 +106,42 @@
    true when VERSION or the loaded versions are unknown. */
 bool BsUpstream_HasLoaded(const BsUpstream *upstream, const char *version);
 
+/* Returns whether the upstream reported VERSION (model@version) as loaded;
+   false when the loaded versions are unknown. */
+bool BsUpstream_Reports(const BsUpstream *upstream, const char *version);
+
+/* Returns the version (model@version) of MODEL that the upstream reported as
+   loaded, NULL if there is none or more than one; g_free() it.  MODEL may be
+   followed by '@' and a version, which are ignored. */
+char *BsUpstream_OnlyVersion(const BsUpstream *upstream, const char *model);
+
+/* Returns whether a stream that VERSION (model@version) began may go on at the
+   upstream while the sheet asks for CURRENT, which may be NULL: it reported
+   VERSION after its last failure and order.  While the sheet asks for another
+   version, it must also have no other version of the model and must not be
+   loading any: a request names no version, so the engine chooses. */
+bool BsUpstream_Continues(const BsUpstream *upstream, const char *version,
+                          const char *current);
+
+/* Returns whether BsUpstream_Continues() may become true later, by the reports
+   so far. */
+bool BsUpstream_MayContinue(const BsUpstream *upstream, const char *version,
+                            const char *current);
+
+/* Records that the upstream was ordered to load LOADING (model@version), or
+   to unload something when it is NULL. */
+void BsUpstream_OnOrder(BsUpstream *upstream, const char *loading,
+                        int64_t now_ms);
+
+/* Records the models that REPORT lists as loaded; called by
+   BsUpstream_OnReport(). */
+void BsUpstream_OnLoaded(BsUpstream *upstream, const BsReport *report,
+                         int64_t now_ms);
+
+/* Forgets what is known of the versions that are loaded, as another instance
+   may have ordered others. */
+void BsUpstream_ForgetVersions(BsUpstream *upstream, int64_t now_ms);
+
 /* Returns whether any new work may be dispatched to the upstream now. */
 bool BsUpstream_IsAvailable(const BsUpstream *upstream, int64_t now_ms);
 
--- a/src/work.c
+++ b/src/work.c
@@ -43,12 +43,36 @@
     work->cost_tokens = request->prompt_tokens + request->output_tokens;
     work->cost_tokens = MAX(work->cost_tokens, 1);
     work->events = request->skip_events;
+    if (request->stream && request->skip_events > 0 &&
+        request->version != NULL) {
+        work->version =
+            g_strdup_printf("%s@%s", work->serves, request->version);
+    }
     if (request->body != NULL) {
         work->body_bytes = g_bytes_get_size(request->body);
     }
     return work;
 }
 
+void
+BsWork_BindVersion(BsWork *work)
+{
+    if (work->version == NULL && work->events > 0) {
+        work->version = g_strdup(work->dispatch_version);
+    }
+}
+
+void
+BsWork_NameVersion(BsWork *work, BsAnswer *answer)
+{
+    if (BsWork_Request(work)->stream && work->version != NULL &&
+        !work->version_named) {
+        BsMessage_SetString(&answer->version,
+                            work->version + strlen(work->serves) + 1);
+        work->version_named = true;
+    }
+}
+
 void
 BsWork_Destroy(BsWork *work)
 {
@@ -58,6 +82,8 @@
     BsMessage_Destroy(work->request);
     BsSpanScope_Clear(&work->span);
     g_free(work->id);
+    g_free(work->version);
+    g_free(work->dispatch_version);
     g_free(work);
 }
 
--- a/src/work.h
+++ b/src/work.h
@@ -4,7 +4,7 @@
  * Rules: work is in exactly one queue or at exactly one upstream; each
  * dispatch has its own number, so that a late piece of an earlier dispatch is
  * recognised; forwarded events are counted, so that a further dispatch resumes
- * after them.
+ * after them; a stream resumes only at the model version that began it.
  */
 #ifndef BS_WORK_H
 #define BS_WORK_H
@@ -16,10 +16,14 @@
 typedef struct {
     BsMessage *request; /* BS_FORWARD as received */
     BsSpanScope span;
-    char *id;              /* request id and attempt */
-    const char *serves;    /* model or service it asks for */
-    BsUpstream *upstream;  /* where it runs, or NULL */
-    GSequenceIter *queued; /* position in a queue, or NULL */
+    char *id;               /* request id and attempt */
+    const char *serves;     /* model or service it asks for */
+    char *version;          /* model@version that began its stream, NULL before
+                               the first event and when unknown */
+    char *dispatch_version; /* model@version of the last dispatch, NULL when
+                               unknown */
+    BsUpstream *upstream;   /* where it runs, or NULL */
+    GSequenceIter *queued;  /* position in a queue, or NULL */
     int64_t arrived_ms;
     int64_t queued_ms; /* last time it was queued */
     int64_t deadline_ms;
@@ -42,12 +46,21 @@
     bool waiting;            /* queued or set aside */
     bool preempted;          /* was preempted at least once */
     bool alone;              /* must run alone at its upstream */
+    bool version_named;      /* the version was sent with a piece */
 } BsWork;
 
 /* Creates work for FORWARD, a BS_FORWARD message that is copied; free it with
    BsWork_Destroy(). */
 BsWork *BsWork_Create(const BsMessage *forward, uint32_t rank, int64_t now_ms);
 
+/* Binds the stream of WORK to the version of its last dispatch, if an event
+   was forwarded and it is not bound yet. */
+void BsWork_BindVersion(BsWork *work);
+
+/* Names the version of the stream in ANSWER, if it is known and was not named
+   in an earlier piece. */
+void BsWork_NameVersion(BsWork *work, BsAnswer *answer);
+
 /* Frees WORK; NULL is allowed. */
 void BsWork_Destroy(BsWork *work);
 
