boragespurd: ask an engine for a report when a stream waits for its version

Cause: a stream goes on at an engine only by a report from after the engine's last failure, and engines are polled every 2 s. A stream waited that long after a break, and an engine on which some request fails more often than that would have never got it again.

The owner asks for a report when such a stream is set aside (BS_UPSTREAM_POLL, to the host), at most every 250 ms for each engine that is reachable.

Ruled out: not to count failures that other requests of the engine outlive. Which of them began before a restart is not known here.

--- a/src/boragespur.h
+++ b/src/boragespur.h
@@ -164,6 +164,8 @@
     BS_SPAN,               /* span */
     BS_LOG,                /* log */
     BS_DRAINED,            /* no payload; the host may exit */
+    BS_UPSTREAM_POLL,      /* report, of which only UPSTREAM is set; asks for
+                              a new report */
 
     /* Core to core. */
     BS_FORWARD = 64,   /* request */
--- a/src/d_health.c
+++ b/src/d_health.c
@@ -289,6 +289,17 @@
     BsCurl_Start(health->curl, easy, S_on_order_done, job);
 }
 
+static void
+S_on_poll(const BsMessage *message, void *context)
+{
+    BsHealth *health = context;
+    BsEngine *engine =
+        g_hash_table_lookup(health->engines, message->u.report.upstream);
+    if (engine != NULL) {
+        S_poll(engine);
+    }
+}
+
 BsHealth *
 BsHealth_Create(BsLoop *loop)
 {
@@ -304,6 +315,7 @@
     ev_timer_start(BsLoop_Ev(loop), &health->timer);
     BsLoop_Handle(loop, BS_PLATFORM_LIST, S_on_list, health);
     BsLoop_Handle(loop, BS_UPSTREAM_ORDER, S_on_order, health);
+    BsLoop_Handle(loop, BS_UPSTREAM_POLL, S_on_poll, health);
     return health;
 }
 
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -223,6 +223,7 @@
         return STEP_DONE;
     }
     if (work->alone || !BsPool_FitsEmpty(pool, work, cold, now_ms)) {
+        BsOwner_PollVersions(owner, pool, work);
         S_set_aside(owner, pool, work);
         return STEP_DONE;
     }
--- a/src/ownerstate.h
+++ b/src/ownerstate.h
@@ -87,6 +87,11 @@
    report, unless it was ordered to change versions since. */
 void BsOwner_LearnVersions(const BsOwner *owner, const BsUpstream *upstream);
 
+/* Asks for new reports of the upstreams of POOL at which the stream of WORK
+   may go on, if theirs are too old to tell. */
+void BsOwner_PollVersions(BsOwner *owner, const BsPool *pool,
+                          const BsWork *work);
+
 /* If ANSWER is the first piece that resumes the stream of WORK, and its
    upstream may have changed the version since the dispatch, stops the dispatch
    and queues WORK again; returns whether it did. */
--- a/src/ownerversion.c
+++ b/src/ownerversion.c
@@ -12,6 +12,9 @@
 
 #include <string.h>
 
+/* Time between two requests for a report of an upstream. */
+#define POLL_INTERVAL_MS 250
+
 void
 BsOwner_SetVersion(const BsPool *pool, BsWork *work,
                    const BsUpstream *upstream)
@@ -51,6 +54,26 @@
     }
 }
 
+void
+BsOwner_PollVersions(BsOwner *owner, const BsPool *pool, const BsWork *work)
+{
+    int64_t now_ms = BsCore_NowMs(owner->core);
+    for (guint i = 0; work->version != NULL && i < pool->upstreams->len; i++) {
+        BsUpstream *upstream = pool->upstreams->pdata[i];
+        if (!upstream->reachable ||
+            upstream->reported_ms > upstream->uncertain_ms ||
+            now_ms - upstream->polled_ms < POLL_INTERVAL_MS ||
+            !BsUpstream_MayContinue(upstream, work->version, pool->version)) {
+            continue;
+        }
+        upstream->polled_ms = now_ms;
+        BsMessage *poll = BsMessage_Create(BS_UPSTREAM_POLL);
+        poll->u.report.upstream = g_strdup(upstream->name);
+        BsCore_Count(owner->core, "version_polls", 1);
+        BsCore_Emit(owner->core, poll);
+    }
+}
+
 bool
 BsOwner_RejectVersion(BsOwner *owner, BsWork *work, const BsAnswer *answer)
 {
--- a/src/schema.c
+++ b/src/schema.c
@@ -405,6 +405,7 @@
     {BS_SPAN, "span", &S_span_schema},
     {BS_LOG, "log", &S_log_schema},
     {BS_DRAINED, "drained", NULL},
+    {BS_UPSTREAM_POLL, "upstream_poll", &S_report_schema},
     {BS_FORWARD, "forward", &S_request_schema},
     {BS_ACCEPT, "accept", &S_accept_schema},
     {BS_ANSWER, "answer", &S_answer_schema},
--- a/src/upstream.h
+++ b/src/upstream.h
@@ -41,6 +41,7 @@
     int64_t suspended_ms;       /* no dispatch before this time */
     int64_t last_ms;            /* last piece of any answer */
     int64_t reported_ms;        /* time that LOADED describes, 0 if none */
+    int64_t polled_ms;          /* last request for a report, 0 if none */
     int64_t uncertain_ms;       /* last failure or order; an older report may
                                    no longer tell what is loaded */
     int64_t lost_ms;            /* when another instance became owner, or 0 */
--- a/tests/contract/version_test.cc
+++ b/tests/contract/version_test.cc
@@ -12,8 +12,9 @@
                      "text/event-stream\r\nConnection: close\r\n\r\n";
 
 // An engine that loads what it is ordered to, one version at a time.  Its
-// first stream breaks off after two events once it has loaded the version "2";
-// all others are whole.  Each event names the version that wrote it.
+// first stream breaks off after two events once it has loaded the version "2",
+// or when Break() is called; all others are whole.  Each event names the
+// version that wrote it.
 class VersionEngine {
   public:
     VersionEngine() : server_([this](Socket &socket) { Serve(socket); })
@@ -28,6 +29,17 @@
     {
         return Wait([this] { return begun_.load(); });
     }
+    // Waits until it was asked for a report since the first stream began.
+    bool WaitReported()
+    {
+        return Wait([this] { return reported_; });
+    }
+    void Break()
+    {
+        std::lock_guard<std::mutex> lock(mutex_);
+        broken_ = true;
+        changed_.notify_all();
+    }
 
   private:
     bool Wait(const std::function<bool()> &ready)
@@ -59,6 +71,8 @@
     std::string Report()
     {
         std::lock_guard<std::mutex> lock(mutex_);
+        reported_ = begun_;
+        changed_.notify_all();
         return "{\"boot_id\":\"b\",\"checks_fencing\":true,\"loaded\":[{"
                "\"model\":\"m\",\"version\":\"" +
                version_ + "\"}]}";
@@ -90,7 +104,7 @@
                 begun_ = true;
                 changed_.notify_all();
             }
-            Wait([this] { return version_ == "2"; });
+            Wait([this] { return version_ == "2" || broken_; });
             return;
         }
         std::string events;
@@ -103,6 +117,8 @@
     std::mutex mutex_;
     std::condition_variable changed_;
     std::string version_ = "1";
+    bool reported_ = false;
+    bool broken_ = false;
     std::atomic<bool> begun_{false};
     Server server_;
 };
@@ -127,4 +143,24 @@
         << answer.body;
 }
 
+// Guards against a stream that ends although its engine still has the version
+// that began it.
+TEST(StreamVersionTest, AStreamGoesOnAtItsModelVersion)
+{
+    VersionEngine engine;
+    Daemon daemon(engine.port(), FreePort());
+    Answer answer;
+    std::thread caller(
+        [&] { answer = daemon.Send("POST", "/v1/chat/completions", kChat); });
+    EXPECT_TRUE(engine.WaitBegun());
+    EXPECT_TRUE(engine.WaitReported());
+    engine.Break();
+    caller.join();
+    EXPECT_EQ(answer.body, "data: {\"n\":0,\"by\":\"1\"}\n\n"
+                           "data: {\"n\":1,\"by\":\"1\"}\n\n"
+                           "data: {\"n\":2,\"by\":\"1\"}\n\n"
+                           "data: {\"n\":3,\"by\":\"1\"}\n\n"
+                           "data: [DONE]\n\n");
+}
+
 } // namespace
--- a/tests/scenario/world.c
+++ b/tests/scenario/world.c
@@ -463,6 +463,9 @@
     case BS_UPSTREAM_ORDER:
         WorldUpstream_OnOrder(world, node, message);
         break;
+    case BS_UPSTREAM_POLL:
+        WorldUpstream_OnPoll(world, node, message);
+        break;
     case BS_PLATFORM_WATCH:
         node->watch_sheet = message->u.watch.sheet;
         node->watch_list = message->u.watch.list;
--- a/tests/scenario/world_private.h
+++ b/tests/scenario/world_private.h
@@ -112,6 +112,8 @@
                             const BsMessage *message);
 void WorldUpstream_OnOrder(World *world, WorldNode *node,
                            const BsMessage *message);
+void WorldUpstream_OnPoll(World *world, WorldNode *node,
+                          const BsMessage *message);
 
 /* Removes the transfers dispatched by a killed instance. */
 void WorldUpstream_OnKill(World *world, WorldNode *node);
--- a/tests/scenario/world_upstream.c
+++ b/tests/scenario/world_upstream.c
@@ -421,6 +421,12 @@
     World_Schedule(world, node, message, 1);
 }
 
+void
+WorldUpstream_OnPoll(World *world, WorldNode *node, const BsMessage *message)
+{
+    S_report_to(world, S_find(world, message->u.report.upstream), node);
+}
+
 GHashTable *
 WorldUpstream_Own(World *world, const BsList *list)
 {
