--- a/src/admit.c
+++ b/src/admit.c
@@ -1,8 +1,9 @@
 /*
  * admit.c - admission control of an owner's queues.
  *
- * Rules: work that would miss its deadline in the queue is refused on arrival,
- * unless it can preempt other work; when the queue limits are reached, the
+ * Rules: work that is larger than every listed upstream is refused; work that
+ * would miss its deadline in the queue is refused on arrival, unless it can
+ * preempt other work; when the queue limits are reached, the
  * least urgent queued work is returned to its sender in favour of more urgent
  * work.
  */
@@ -63,6 +64,19 @@
                work->deadline_ms;
 }
 
+BsErrorKind
+BsOwner_FindObstacle(const BsPool *pool, const BsWork *work)
+{
+    if (BsPool_IsTooLarge(pool, work)) {
+        return BS_ERR_TOO_LARGE;
+    }
+    if (!BsPool_IsVersionGone(pool, work)) {
+        return BS_ERR_NONE;
+    }
+    return BsWork_Request(work)->version == NULL ? BS_ERR_NO_UPSTREAM
+                                                 : BS_ERR_VERSION_GONE;
+}
+
 BsErrorKind
 BsOwner_Admit(BsOwner *owner, BsWork *work)
 {
@@ -82,6 +96,10 @@
     if (BsWork_Request(work)->deadline_ms <= 0) {
         return BS_ERR_DEADLINE;
     }
+    BsErrorKind obstacle = BsOwner_FindObstacle(pool, work);
+    if (obstacle != BS_ERR_NONE) {
+        return obstacle;
+    }
     if (S_misses_deadline(owner, pool, work)) {
         return BS_ERR_OVERLOADED;
     }
--- a/src/owner.c
+++ b/src/owner.c
@@ -136,6 +136,7 @@
         g_clear_pointer(&answer->content_type, g_free);
         answer->status = 0;
     }
+    BsWork_NameVersion(work, answer);
     if (answer->final) {
         BsSpanScope_End(&work->span, owner->core, "owner",
                         request->request_id);
@@ -216,6 +217,19 @@
     g_hash_table_remove(owner->works, work->id);
 }
 
+/* Returns what an answer with ERROR says of WORK, or NULL; g_free() it. */
+static char *
+S_describe(const BsPool *pool, const BsWork *work, BsErrorKind error)
+{
+    if (error != BS_ERR_TOO_LARGE || pool == NULL || pool->largest == NULL) {
+        return NULL;
+    }
+    return g_strdup_printf("it is estimated at %u tokens; the largest "
+                           "upstream, %s, takes %u",
+                           work->cost_tokens, pool->largest,
+                           pool->largest_tokens);
+}
+
 void
 BsOwner_GiveBack(BsOwner *owner, BsWork *work, BsErrorKind error)
 {
@@ -226,6 +240,7 @@
         work->dispatch == 0 ? BS_OUTCOME_NOT_RUN : BS_OUTCOME_UNKNOWN);
     answer->u.answer.retry_after_s =
         (uint32_t)CLAMP(wait_ms / MS_PER_S + 1, 1, RETRY_AFTER_MAX_S);
+    answer->u.answer.detail = S_describe(pool, work, error);
     BsOwner_Answer(owner, work, answer);
     S_remove_work(owner, work);
 }
@@ -359,6 +374,9 @@
         BsCore_Count(owner->core, "answers_dropped", 1);
         return;
     }
+    if (BsOwner_RejectVersion(owner, work, answer)) {
+        return;
+    }
     if (work->first_ms == 0 && answer->error == BS_ERR_NONE &&
         work->upstream->hits_seen &&
         answer->cached_tokens < work->cached_tokens) {
@@ -371,6 +389,7 @@
     S_count_cold(owner, upstream, warmth);
     if (BsWork_Request(work)->stream) {
         work->events += BsEvents_Count(answer->data);
+        BsWork_BindVersion(work);
     }
     BsOwner_Answer(owner, work, BsMessage_Copy(message));
     if (answer->final) {
@@ -390,6 +409,7 @@
     if (upstream != NULL) {
         BsWarmth warmth = upstream->warmth;
         BsUpstream_OnReport(upstream, report, BsCore_NowMs(owner->core));
+        BsOwner_LearnVersions(owner, upstream);
         S_count_cold(owner, upstream, warmth);
         BsOwner_DispatchAll(owner);
     }
--- a/src/pool.c
+++ b/src/pool.c
@@ -34,6 +34,7 @@
     g_ptr_array_unref(pool->aside);
     g_free(pool->serves);
     g_free(pool->version);
+    g_free(pool->largest);
     g_free(pool);
 }
 
@@ -65,6 +66,27 @@
     return known ? weight | (UINT64_C(1) << 63) : weight;
 }
 
+bool
+BsPool_Serves(const BsPool *pool, const BsUpstream *upstream,
+              const BsWork *work)
+{
+    return work->version == NULL
+               ? BsUpstream_HasLoaded(upstream, pool->version)
+               : BsUpstream_Continues(upstream, work->version, pool->version);
+}
+
+bool
+BsPool_IsVersionGone(const BsPool *pool, const BsWork *work)
+{
+    for (guint i = 0; work->version != NULL && i < pool->upstreams->len; i++) {
+        if (BsUpstream_MayContinue(pool->upstreams->pdata[i], work->version,
+                                   pool->version)) {
+            return false;
+        }
+    }
+    return work->version != NULL;
+}
+
 BsUpstream *
 BsPool_Pick(const BsPool *pool, const BsWork *work, const BsColdStart *cold,
             int64_t now_ms)
@@ -77,7 +99,7 @@
     uint64_t preferred_affinity = 0;
     for (guint i = 0; i < pool->upstreams->len; i++) {
         BsUpstream *upstream = pool->upstreams->pdata[i];
-        if (!BsUpstream_HasLoaded(upstream, pool->version) ||
+        if (!BsPool_Serves(pool, upstream, work) ||
             !BsUpstream_Fits(upstream, work, cold, now_ms)) {
             continue;
         }
@@ -106,7 +128,7 @@
     for (guint i = 0; i < pool->upstreams->len; i++) {
         const BsUpstream *upstream = pool->upstreams->pdata[i];
         if (BsPrefixes_Find(upstream->prefixes, prefix_hash) > 0 &&
-            BsUpstream_HasLoaded(upstream, pool->version) &&
+            BsPool_Serves(pool, upstream, work) &&
             BsUpstream_Fits(upstream, work, cold, now_ms)) {
             return true;
         }
@@ -120,7 +142,7 @@
 {
     for (guint i = 0; i < pool->upstreams->len; i++) {
         const BsUpstream *upstream = pool->upstreams->pdata[i];
-        if (BsUpstream_HasLoaded(upstream, pool->version) &&
+        if (BsPool_Serves(pool, upstream, work) &&
             BsUpstream_FitsEmpty(upstream, work, cold, now_ms)) {
             return true;
         }
@@ -128,6 +150,21 @@
     return false;
 }
 
+bool
+BsPool_IsTooLarge(const BsPool *pool, const BsWork *work)
+{
+    if (pool->largest == NULL || work->cost_tokens <= pool->largest_tokens) {
+        return false;
+    }
+    for (guint i = 0; i < pool->upstreams->len; i++) {
+        const BsUpstream *upstream = pool->upstreams->pdata[i];
+        if (BsUpstream_Cost(upstream, work) <= upstream->tokens) {
+            return false;
+        }
+    }
+    return true;
+}
+
 int64_t
 BsPool_ExpectMs(const BsPool *pool, const BsWork *work, int64_t now_ms)
 {
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -86,21 +86,35 @@
     g_free(upstream->generation);
     g_free(upstream->boot_id);
     g_free(upstream->loaded);
+    g_free(upstream->loading);
     g_free(upstream);
 }
 
+static uint32_t
+S_slots(const BsListEntry *entry, uint32_t concurrency)
+{
+    uint32_t slots = entry->slots == 0 ? DEFAULT_SLOTS : entry->slots;
+    return concurrency == 0 ? slots : MIN(slots, concurrency);
+}
+
+uint32_t
+BsUpstream_TokensOf(const BsListEntry *entry, uint32_t concurrency)
+{
+    return entry->tokens == 0
+               ? S_slots(entry, concurrency) * DEFAULT_TOKENS_PER_SLOT
+               : entry->tokens;
+}
+
 void
 BsUpstream_Update(BsUpstream *upstream, const BsListEntry *entry,
                   uint32_t concurrency)
 {
-    uint32_t slots = entry->slots == 0 ? DEFAULT_SLOTS : entry->slots;
-    slots = concurrency == 0 ? slots : MIN(slots, concurrency);
+    uint32_t slots = S_slots(entry, concurrency);
     if (slots > upstream->slots) {
         upstream->limit += slots - upstream->slots;
     }
     upstream->slots = slots;
-    upstream->tokens =
-        entry->tokens == 0 ? slots * DEFAULT_TOKENS_PER_SLOT : entry->tokens;
+    upstream->tokens = BsUpstream_TokensOf(entry, concurrency);
     upstream->limit = MIN(upstream->limit, slots);
     BsMessage_SetString(&upstream->generation, entry->kind == BS_NODE_ENGINE
                                                    ? entry->generation
@@ -196,24 +210,6 @@
            now_ms >= upstream->suspended_ms;
 }
 
-bool
-BsUpstream_HasLoaded(const BsUpstream *upstream, const char *version)
-{
-    const char *loaded = upstream->loaded;
-    if (loaded == NULL || version == NULL) {
-        return true;
-    }
-    size_t length = strlen(version);
-    for (const char *at = loaded; at != NULL; at = strchr(at, ',')) {
-        at += *at == ',';
-        if (strncmp(at, version, length) == 0 &&
-            (at[length] == ',' || at[length] == '\0')) {
-            return true;
-        }
-    }
-    return false;
-}
-
 bool
 BsUpstream_Fits(const BsUpstream *upstream, const BsWork *work,
                 const BsColdStart *cold, int64_t now_ms)
@@ -342,6 +338,7 @@
     if (answer->crashed || answer->error == BS_ERR_CONNECT) {
         BsUpstream_TurnCold(upstream, now_ms);
     }
+    upstream->uncertain_ms = now_ms;
     int64_t pause_ms = SUSPEND_MS << MIN(upstream->failures, 8);
     upstream->suspended_ms = now_ms + MIN(pause_ms, SUSPEND_MAX_MS);
     upstream->failures++;
@@ -396,9 +393,7 @@
     }
     upstream->reported = report->running + report->waiting;
     upstream->own_when_reported = g_hash_table_size(upstream->running);
-    if (report->loaded != NULL) {
-        BsMessage_SetString(&upstream->loaded, report->loaded);
-    }
+    BsUpstream_OnLoaded(upstream, report, now_ms);
     bool contradicted = now_ms - upstream->last_ms < CONTRADICTION_MS &&
                         g_hash_table_size(upstream->running) > 0;
     upstream->reachable = report->reachable || contradicted;
