--- a/src/gw_attempt.c
+++ b/src/gw_attempt.c
@@ -505,7 +505,8 @@
         return;
     }
     attempt->silent = false;
-    BsTargets_NoteResumed(attempt->target);
+    BsTargets_NoteResumed(attempt->target, attempt->sent_ms,
+                          BsClock_NowMs(gate->clock));
     gate->slots_changed = true;
     BsCounters_Add(gate->counters,
                    "silent_attempts_total{outcome=\"resumed\"}", 1);
--- a/src/targetpeers.c
+++ b/src/targetpeers.c
@@ -70,8 +70,8 @@
     }
     target->others += load->in_flight;
     uint32_t known = S_cold_sent(before->loads, load->hash);
-    if (BsTarget_IsCold(target, now_ms) && load->cold_sent > known) {
-        target->cold_bucket.level -= load->cold_sent - known;
+    if (load->cold_sent > known) {
+        BsTargets_NotePeersColdSent(target, load->cold_sent - known, now_ms);
     }
 }
 
@@ -134,9 +134,9 @@
     if (target != NULL) {
         target->others -= MIN(target->others, held->in_flight);
         target->others += load->in_flight;
-        if (BsTarget_IsCold(target, now_ms) &&
-            load->cold_sent > held->cold_sent) {
-            target->cold_bucket.level -= load->cold_sent - held->cold_sent;
+        if (load->cold_sent > held->cold_sent) {
+            /* Senders of a fleet with hubs have separate parts. */
+            target->peer_cold_ms = now_ms;
         }
     }
     *held = *load;
--- a/src/targets.c
+++ b/src/targets.c
@@ -179,7 +179,7 @@
     target->pace_ms = 0;
     target->ejection.evidence = 0;
     target->cold_bucket.level = 0;
-    target->was_down = false;
+    BsTargets_ForgetFailures(target);
     target->requested_pause_until_ms = 0;
     memset(&target->limit, 0, sizeof(target->limit));
 }
@@ -341,6 +341,7 @@
     target->own++;
     target->cold_ms = query->service->cold_ms;
     target->own_waiting_tokens += query->prompt_tokens;
+    target->sent_since_failure++;
     if (BsTarget_IsCold(target, now_ms)) {
         target->cold_sent++;
         target->cold_bucket.level -= 1;
@@ -394,7 +395,7 @@
     if (S_is_paused(target, now_ms)) {
         /* More than one failed request: the target crashed.  It may restart
            before it has refused a connection. */
-        target->was_down = true;
+        BsTargets_NoteDown(target, now_ms);
     }
     return S_pause(target, now_ms);
 }
@@ -406,8 +407,10 @@
 S_note_recovery(BsTarget *target, int64_t now_ms)
 {
     if (target->was_down) {
-        target->was_down = false;
-        BsTargets_SetCold(target, target->cold_ms, now_ms);
+        BsTargets_NoteBack(target, now_ms);
+    }
+    else if (target->sent_since_failure == 0) {
+        BsTargets_NoteNotRestarted(target, now_ms);
     }
 }
 
@@ -451,7 +454,11 @@
     S_note_error(target, 1);
     if (!reachable) {
         target->silent = true;
-        return known ? 0 : S_pause(target, now_ms);
+        int64_t pause_ms = known ? 0 : S_pause(target, now_ms);
+        if (!known) {
+            BsTargets_NoteMaybeDown(target, now_ms);
+        }
+        return pause_ms;
     }
     S_note_recovery(target, now_ms);
     target->failures = 0;
@@ -459,12 +466,18 @@
 }
 
 void
-BsTargets_NoteResumed(BsTarget *target)
+BsTargets_NoteResumed(BsTarget *target, int64_t sent_ms, int64_t now_ms)
 {
+    bool has_run_on = sent_ms <= target->paused_ms;
     target->silent = false;
     target->failures = 0;
     target->retry_at_ms = 0;
-    target->was_down = false;
+    if (has_run_on) {
+        BsTargets_NoteNotRestarted(target, now_ms);
+    }
+    else if (target->was_down) {
+        BsTargets_NoteBack(target, now_ms);
+    }
 }
 
 int64_t
@@ -492,7 +505,7 @@
             MAX(target->retry_at_ms, now_ms + REFUSED_PAUSE_MS);
         break;
     case BS_TARGET_UNREACHED:
-        target->was_down = true;
+        BsTargets_NoteDown(target, now_ms);
         S_note_error(target, 1);
         pause_ms = S_note_failure(target, now_ms);
         break;
--- a/src/targets.h
+++ b/src/targets.h
@@ -76,9 +76,14 @@
     uint32_t slots;
     int64_t born_ms;
     int64_t sequence;
-    int64_t cold_until_ms;
-    int64_t cold_ms;         /* warm-up time after a start */
-    bool was_down;           /* considered down since its last answer */
+    int64_t cold_until_ms;        /* the latest of the following three */
+    int64_t listed_cold_until_ms; /* by the list and its own answers */
+    int64_t down_cold_until_ms;   /* since it was down, whatever the list says;
+                                     INT64_MAX until it answers */
+    int64_t silent_cold_until_ms; /* since a silence, whatever the list
+                                     says */
+    int64_t cold_ms;              /* warm-up time after a start */
+    bool was_down;                /* considered down since its last answer */
     int64_t usable_until_ms; /* usable until then although removed from the
                            list; INT64_MAX while listed */
     bool local;              /* in this instance's data centre */
@@ -93,9 +98,13 @@
     uint32_t cold_sent;       /* our requests sent in the latest cold period */
     BsRateBucket cold_bucket; /* requests allowed while cold */
     bool cold_began;          /* no request was asked for since it is cold */
+    int64_t peer_cold_ms;     /* when a peer last reported a request to it as
+                                 to a cold one */
     uint32_t failures;        /* consecutive */
     bool silent;              /* its last failure was a silence */
-    int64_t paused_ms;        /* when the last pause after a failure began */
+    uint32_t sent_since_failure; /* our requests since the last failure */
+    int64_t failed_ms;           /* when it last failed */
+    int64_t paused_ms;   /* when the last pause after a failure began */
     int64_t retry_at_ms; /* no request before this time, after a failure or
                             refusal */
     int64_t requested_pause_until_ms; /* no request before this time, as
@@ -255,9 +264,10 @@
 int64_t BsTargets_NoteSilent(BsTarget *target, int64_t sent_ms, bool reachable,
                              int64_t now_ms);
 
-/* Notes that TARGET goes on with a request for which it was silent, so it was
-   not down: it gets requests again. */
-void BsTargets_NoteResumed(BsTarget *target);
+/* Notes that TARGET goes on with a request, sent at SENT_MS, for which it was
+   silent: it gets requests again.  It was not down if the request was sent
+   before the last pause began. */
+void BsTargets_NoteResumed(BsTarget *target, int64_t sent_ms, int64_t now_ms);
 
 /* Notes the end of a request.  PACE_MS is the time per event, or for the whole
    answer; 0: unknown.  PROMPT_TOKENS are those of a request without a first
@@ -268,7 +278,8 @@
                         double pace_ms, uint32_t prompt_tokens,
                         int64_t now_ms);
 
-/* Notes that TARGET stays cold for COLD_MS more; 0 or less: it is warm. */
+/* Notes that TARGET stays cold for COLD_MS more, by the list or one of its
+   answers; 0 or less: it is warm, unless it failed since its start. */
 void BsTargets_SetCold(BsTarget *target, int64_t cold_ms, int64_t now_ms);
 
 /* Notes that TARGET reported that it is shutting down.  It gets no new
--- a/src/targets_private.h
+++ b/src/targets_private.h
@@ -93,6 +93,28 @@
 bool BsTargets_AllowsLimit(const BsTargets *targets, BsTarget *target,
                            int64_t now_ms);
 
+/* Takes TARGET, which is down, for cold from its next request on, until it has
+   answered one and had time to warm up. */
+void BsTargets_NoteDown(BsTarget *target, int64_t now_ms);
+
+/* Notes that TARGET, which was down, answers. */
+void BsTargets_NoteBack(BsTarget *target, int64_t now_ms);
+
+/* Takes TARGET, which is silent, for cold for a short time after its pause: it
+   may have restarted. */
+void BsTargets_NoteMaybeDown(BsTarget *target, int64_t now_ms);
+
+/* Notes that TARGET has run since before its last silence. */
+void BsTargets_NoteNotRestarted(BsTarget *target, int64_t now_ms);
+
+/* Ends what was concluded from failures of TARGET, which has a new start or
+   is listed anew. */
+void BsTargets_ForgetFailures(BsTarget *target);
+
+/* Notes that peers sent COUNT requests to TARGET as to a cold one. */
+void BsTargets_NotePeersColdSent(BsTarget *target, uint32_t count,
+                                 int64_t now_ms);
+
 /* Returns whether the settings, the list and the target's own reports let
    TARGET get the request. */
 bool BsTarget_IsOpen(const BsTarget *target, const BsTargetQuery *query,
--- a/tests/gate/silence_test.cc
+++ b/tests/gate/silence_test.cc
@@ -205,7 +205,7 @@
     EXPECT_FALSE(all_silent(700));
     NoteSilent(800, 1300);
     EXPECT_TRUE(all_silent(1300));
-    BsTargets_NoteResumed(target_);
+    BsTargets_NoteResumed(target_, kProgressedMs, kProgressedMs + 1400);
     EXPECT_FALSE(all_silent(1400));
     BsCatalogRoute_Destroy(route);
 }
