tests: a scripted run of ejection

Ejection of failing upstreams had module tests and process tests, but no scripted run. New commands of gatescript: probe-rate, answer, report-limit.

--- a/tests/gate/gatescript_targets.c
+++ b/tests/gate/gatescript_targets.c
@@ -328,12 +328,99 @@
     return true;
 }
 
+/* probe-rate N: requests a second that an ejected upstream gets; 0: none is
+   ejected */
+static bool
+S_probe_rate(GateScript *script, char **arguments)
+{
+    if (arguments[0] == NULL) {
+        return false;
+    }
+    BsTargets_SetProbeRate(script->targets,
+                           g_ascii_strtod(arguments[0], NULL));
+    return true;
+}
+
+/* answer ID sound|failed count=N: the upstream answers COUNT requests; a sound
+   answer names no limit.  Prints after which of them it is ejected, or that
+   its limit has ended. */
+static bool
+S_answer(GateScript *script, char **arguments)
+{
+    BsTarget *target = arguments[0] == NULL
+                           ? NULL
+                           : BsTargets_Find(script->targets, arguments[0]);
+    if (target == NULL || arguments[1] == NULL) {
+        return false;
+    }
+    bool failed = strcmp(arguments[1], "failed") == 0;
+    int64_t count = GateScript_Number(arguments, "count", 1);
+    for (int64_t i = 1; i <= count; i++) {
+        if (!failed &&
+            BsTargets_NoteLimit(target, 0, script->now_ms, script->now_ms)) {
+            GateScript_Print(script, "%s has no limit", target->id);
+        }
+        if (BsTargets_NoteAnswer(script->targets, target, failed,
+                                 script->now_ms)) {
+            GateScript_Print(script, "%s ejected at answer %" G_GINT64_FORMAT,
+                             target->id, i);
+        }
+    }
+    return true;
+}
+
+static void
+S_on_limit_change(const BsTarget *target, const BsTargetLimit *before,
+                  void *context)
+{
+    GateScript_Print(context, "%s limit %.3f, before %.3f", target->id,
+                     target->limit.per_s, before->per_s);
+}
+
+/* report-limit ID version=N milli=N born=N: another instance reports a limit
+   of MILLI thousandths of a request a second; prints what changes */
+static bool
+S_report_limit(GateScript *script, char **arguments)
+{
+    if (arguments[0] == NULL) {
+        return false;
+    }
+    GArray *records = g_array_new(FALSE, FALSE, sizeof(BsLimitRecord));
+    BsLimitRecord record = {
+        .hash = BsTargets_Hash(arguments[0]),
+        .born_ms = (uint64_t)GateScript_Number(arguments, "born", 0),
+        .version = (uint32_t)GateScript_Number(arguments, "version", 1),
+        .per_s_milli = (uint32_t)GateScript_Number(arguments, "milli", 0),
+    };
+    g_array_append_val(records, record);
+    BsTargets_MergeLimits(script->targets, records, script->now_ms,
+                          S_on_limit_change, script);
+    g_array_unref(records);
+    return true;
+}
+
 const GateScriptCommand gate_script_target_commands[] = {
-    {"list", S_list},           {"unlist", S_unlist},   {"close", S_close},
-    {"open", S_open},           {"service", S_service}, {"regions", S_regions},
-    {"choose", S_choose},       {"send", S_send},       {"end", S_end},
-    {"peer", S_peer},           {"silent", S_silent},   {"share", S_share},
-    {"show", S_show},           {"prune", S_prune},     {"senders", S_senders},
-    {"far-age", S_far_age},     {"leaving", S_leaving}, {"quiet", S_quiet},
-    {"quiet-for", S_quiet_for}, {NULL, NULL},
+    {"list", S_list},
+    {"unlist", S_unlist},
+    {"close", S_close},
+    {"open", S_open},
+    {"service", S_service},
+    {"regions", S_regions},
+    {"choose", S_choose},
+    {"send", S_send},
+    {"end", S_end},
+    {"peer", S_peer},
+    {"silent", S_silent},
+    {"share", S_share},
+    {"show", S_show},
+    {"prune", S_prune},
+    {"senders", S_senders},
+    {"far-age", S_far_age},
+    {"leaving", S_leaving},
+    {"quiet", S_quiet},
+    {"quiet-for", S_quiet_for},
+    {"probe-rate", S_probe_rate},
+    {"answer", S_answer},
+    {"report-limit", S_report_limit},
+    {NULL, NULL},
 };
