--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -454,6 +454,7 @@
     {"memory", S_memory},
     {"breaks", Slopes_PrintRecovery},
     {"hedges", Slopes_PrintHedges},
+    {"ejection", Slopes_PrintEjection},
 };
 
 int
--- a/bench/slopes.h
+++ b/bench/slopes.h
@@ -38,6 +38,10 @@
    by the size of the fleet. */
 void Slopes_PrintHedges(void);
 
+/* Prints the processor time of noting an answer for the ejection of failing
+   upstreams, by their number. */
+void Slopes_PrintEjection(void);
+
 /* Prints how long a fleet takes to recover from large failures. */
 void Slopes_PrintRecovery(void);
 
