tests: limits that upstreams name, in the common test of sums

An upstream names 20 requests a second in each answer and is asked 100 times a second. As in the soak, 1.5 times the limit in any 4 s and 5 more are allowed, of instances whose process got the first such answer 0.5 s ago; unlike there, instances with a fault count, too. Guards against parts of a split fleet that each use the whole of it, and restarted or paused processes that do not know of it.

--- a/tests/gate/fleetsums_test.cc
+++ b/tests/gate/fleetsums_test.cc
@@ -1,6 +1,6 @@
 // Every sum over a fleet (the limit of an account, the limit of a cold
-// upstream, the retry budget), on a logical clock: under its limit whatever is
-// split, started or paused, and usable in calm.
+// upstream, one that an upstream names, the retry budget), on a logical clock:
+// under its limit whatever is split, started or paused, and usable in calm.
 #include "fleet_world.h"
 
 extern "C" {
@@ -20,6 +20,15 @@
 constexpr double kColdPerS = 20;
 constexpr int64_t kColdWindowMs = 1000;
 
+// The upstream that names a limit in each answer: requests.  As in the soak,
+// operators allow this factor on a window and these more, and an instance is
+// bound from this time after its process got the first such answer.
+constexpr double kNamedPerS = 20;
+constexpr int64_t kNamedWindowMs = 4000;
+constexpr double kNamedFactor = 1.5;
+constexpr double kNamedSlack = 5;
+constexpr int64_t kNamedToldMs = 500;
+
 // The retry budget.
 constexpr double kRatio = 0.2;
 constexpr double kRetrySlack = 158;
@@ -118,6 +127,8 @@
         memset(&service_, 0, sizeof(service_));
         service_.name = const_cast<char *>("desk");
         service_.cold_per_s = kColdPerS;
+        memset(&naming_, 0, sizeof(naming_));
+        naming_.name = const_cast<char *>("naming");
         route_.regions = g_ptr_array_new();
     }
     ~SumsTest() override
@@ -162,6 +173,11 @@
         entry.slots = 100000;
         entry.cold_ms = 10000000;
         BsTargets_Put(node->targets, &entry, world_.now_ms);
+        entry.id = "v";
+        entry.service = "naming";
+        entry.cold_ms = 0;
+        BsTargets_Put(node->targets, &entry, world_.now_ms);
+        told_.erase(node);
         BsRetryBudget *&budget = budgets_[node];
         BsRetryBudget_Destroy(budget);
         budget = BsRetryBudget_Create(kRatio, kRetrySlack, kRetryWindowMs,
@@ -225,6 +241,28 @@
             BsFleetAgent_SendReports(node->agent, true, world_.now_ms);
         }
     }
+    // Each request is answered at once, and the answer names the limit.
+    void AskNaming(Node *node)
+    {
+        BsTargetQuery query = {};
+        BsTargetVerdict verdict;
+        int64_t now_ms = world_.now_ms;
+        query.service = &naming_;
+        query.route = &route_;
+        BsTarget *target =
+            BsTargets_Choose(node->targets, &query, now_ms, &verdict);
+        if (target == nullptr) {
+            return;
+        }
+        BsTargets_Sent(node->targets, target, &query, now_ms);
+        int64_t told_ms = told_.insert({node, now_ms}).first->second;
+        if (now_ms - told_ms >= kNamedToldMs) {
+            named_.Add(now_ms, 1);
+        }
+        BsTargets_NoteLimit(target, kNamedPerS, now_ms, now_ms);
+        BsTargets_Ended(node->targets, target, BS_TARGET_GOOD, 0, 0, now_ms);
+        BsFleetAgent_SendReports(node->agent, true, now_ms);
+    }
     void AskRetry(Node *node)
     {
         requests_.Add(world_.now_ms, 1);
@@ -260,6 +298,7 @@
         if (load_ > 1) {
             Ask(kColdFloodPerS, due_cold_, &SumsTest::AskCold);
             Ask(kRequestsPerS, due_retry_, &SumsTest::AskRetry);
+            Ask(kColdFloodPerS, due_named_, &SumsTest::AskNaming);
         }
         int64_t tick_ms = world_.nodes.size() > 24 ? kHubTickMs : kTickMs;
         for (auto &node : world_.nodes) {
@@ -387,6 +426,7 @@
 
     BsCatalogAccount account_ = {};
     BsCatalogService service_;
+    BsCatalogService naming_; // of the upstream that names a limit
     BsCatalogRoute route_ = {};
     uint32_t data_centres_ = 0;
     std::map<Node *, BsRetryBudget *> budgets_;
@@ -397,9 +437,12 @@
     double due_quota_ = 0;
     double due_cold_ = 0;
     double due_retry_ = 0;
+    double due_named_ = 0;
     int asked_ = 0;
     Sum quota_;
     Sum cold_;
+    Sum named_;
+    std::map<Node *, int64_t> told_; // first answer that named the limit
     Sum requests_;
     Sum retries_;
     Sum refused_;
@@ -425,12 +468,17 @@
     double quota = quota_.Most(kQuotaWindowMs, from_ms) / allowed;
     double cold = cold_.Most(kColdWindowMs, from_ms) /
                   (kColdPerS * kColdWindowMs / 1000);
+    double named =
+        named_.Most(kNamedWindowMs, from_ms) /
+        (kNamedFactor * kNamedPerS * kNamedWindowMs / 1000 + kNamedSlack);
     double retries = RetryWorst(from_ms);
-    printf("worst window: account %.3f, cold %.2f, retries %.2f of what is "
-           "allowed\n",
-           quota, cold, retries);
+    printf("worst window: account %.3f, cold %.2f, named %.2f, retries %.2f "
+           "of what is allowed\n",
+           quota, cold, named, retries);
     EXPECT_LE(quota, 1);
     EXPECT_LE(cold, 1);
+    EXPECT_LE(named, 1);
+    EXPECT_GT(named, 0); /* the limit was asked for */
     EXPECT_LE(retries, 1);
 }
 
