tests: the ejection tests wait until the others are known as draining

Cause: the fixture lists three upstreams as draining, then waits for the new settings only. Where the gateway read the listing later, it sent to the others after the first two failures, so 2 of 20 requests failed and nothing was ejected.

What is checked is unchanged.

--- a/tests/gate/gateway_ejection_test.cc
+++ b/tests/gate/gateway_ejection_test.cc
@@ -28,12 +28,26 @@
             store_.Put("servers/" + Name(i),
                        Listed("desk", runners_[i]->port(), "z1", "draining"));
         }
+        // Until then it may send to the others after the first failures.
+        ASSERT_TRUE(Eventually([&] { return Draining() == 3; }));
         gateway_->ReplaceSettings("bounds:", settings + "bounds:");
         gateway_->Signal(SIGHUP);
         ASSERT_TRUE(Eventually([&] {
             return gateway_->Log().find("in force") != std::string::npos;
         }));
     }
+    // Upstreams that the gateway knows as draining.
+    int Draining()
+    {
+        const std::string log = gateway_->Log();
+        const std::string state = "\"state\":\"draining\"";
+        int found = 0;
+        for (size_t at = log.find(state); at != std::string::npos;
+             at = log.find(state, at + 1)) {
+            found++;
+        }
+        return found;
+    }
     void Send(int count)
     {
         for (int i = 0; i < count; i++) {
