--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -455,6 +455,7 @@
     {"breaks", Slopes_PrintRecovery},
     {"hedges", Slopes_PrintHedges},
     {"spill", Slopes_PrintSpill},
+    {"ejection", Slopes_PrintEjection},
 };
 
 int
--- a/bench/slopes.h
+++ b/bench/slopes.h
@@ -42,6 +42,10 @@
    requests that leave their data centre. */
 void Slopes_PrintSpill(void);
 
+/* Prints the processor time of noting an answer for the ejection of failing
+   upstreams, by their number. */
+void Slopes_PrintEjection(void);
+
 /* Prints how long a fleet takes to recover from large failures. */
 void Slopes_PrintRecovery(void);
 
