boragespurd: a second SIGTERM no longer kills a process that stops

Callers of a planned stop saw the process end by the signal: after 'stopped', ev_signal_stop() restores the default action, and a second SIGTERM arrived before the process had exited. The signals are now blocked before they are no longer watched.

--- a/src/d_daemon.c
+++ b/src/d_daemon.c
@@ -54,6 +54,9 @@
 static void
 S_destroy(BsDaemon *daemon)
 {
+    /* A second SIGTERM would end the process by the signal once the first one
+       is no longer watched. */
+    BsStartSignals_Hold();
     BsStopSignals_Destroy(daemon->stop);
     BsPlatform_Destroy(daemon->platform);
     BsAdmin_Destroy(daemon->admin);
--- a/tests/gate/gateway_earlysignal_test.cc
+++ b/tests/gate/gateway_earlysignal_test.cc
@@ -1,5 +1,5 @@
-// Signals that arrive before a process watches them, in the gateway and in
-// boragespurd.  No test depends on time.
+// Signals that arrive before a process watches them or after it has stopped
+// watching them, in the gateway and in boragespurd.  No test depends on time.
 #include "gateway_fixture.h"
 
 #include <csignal>
@@ -89,6 +89,16 @@
     {
         kill(pid_, SIGTERM);
     }
+    // Sends SIGTERM without a pause until the process ends; as Wait().
+    int TerminateUntilTheEnd()
+    {
+        int status = 0;
+        while (waitpid(pid_, &status, WNOHANG) == 0) {
+            Terminate();
+        }
+        pid_ = -1;
+        return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+    }
 
   private:
     // Starts the process, with SIGNAL_NUMBER blocked and pending unless it is
@@ -160,4 +170,31 @@
                              return std::string(info.param.name);
                          });
 
+class LateSignalTest : public GatewayTest {};
+
+// Guards against a second SIGTERM that kills a stopping gateway after it has
+// stopped to watch signals.
+TEST_F(LateSignalTest, RepeatedSignalsDoNotKillTheGateway)
+{
+    gateway_ = std::make_unique<Gateway>(store_.port());
+    gateway_->Signal(SIGKILL);
+    EXPECT_EQ(gateway_->Wait(), -1);
+    EarlyProcess process(BORAGESPUR_GATEWAY, gateway_->settings());
+    process.Start({"", 0, Arrival::kPending});
+    EXPECT_TRUE(process.WaitLog("\"started\""));
+    EXPECT_EQ(process.TerminateUntilTheEnd(), 0);
+}
+
+// Guards against the same in boragespurd.
+TEST_F(LateSignalTest, RepeatedSignalsDoNotKillTheDaemon)
+{
+    Daemon daemon(FreePort(), FreePort());
+    daemon.Signal(SIGKILL);
+    EXPECT_EQ(daemon.Wait(), -1);
+    EarlyProcess process(BORAGESPURD, daemon.settings());
+    process.Start({"", 0, Arrival::kPending});
+    EXPECT_TRUE(process.WaitLog("listening for callers"));
+    EXPECT_EQ(process.TerminateUntilTheEnd(), 0);
+}
+
 } // namespace
