tests: crowds that occupy boragespurd, by connections, descriptors and answers

Adds crowds that come back as soon as they are closed, in seven ways: idle, a part of a head, a slow head, a slow body (served path and none), slow chunks, answers that are not read. They occupy the callers' connections, the descriptors of a process whose limit of open files is 400, and the admin address. Further: connections that the daemon has closed and its clients have not, 250 answers of 400,000 bytes that nobody reads, and a limit of open files that is lowered while the process runs.

--- a/tests/contract/crowd_test.cc
+++ b/tests/contract/crowd_test.cc
@@ -4,10 +4,12 @@
 // the crowd is still connected.
 #include "crowd.h"
 #include "harness.h"
+#include "lastingcrowd.h"
 
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <sys/resource.h>
 
 namespace {
 
@@ -177,4 +179,244 @@
                     Place{"Ready", "/readyz", true}),
     [](const auto &info) { return std::string(info.param.name); });
 
+// Starts the processes of its scope with at most COUNT descriptors each.
+class DescriptorLimit {
+  public:
+    explicit DescriptorLimit(rlim_t count)
+    {
+        getrlimit(RLIMIT_NOFILE, &before_);
+        rlimit lower = {count, before_.rlim_max};
+        setrlimit(RLIMIT_NOFILE, &lower);
+    }
+    ~DescriptorLimit()
+    {
+        setrlimit(RLIMIT_NOFILE, &before_);
+    }
+
+  private:
+    rlimit before_;
+};
+
+// An upstream that answers the path /services/s/long with LONG_BYTES.
+constexpr size_t kLongBytes = 400000;
+
+void
+ServeBody(Socket &socket)
+{
+    std::string request;
+    while (!(request = socket.ReadMessage()).empty()) {
+        std::string body(
+            request.find("long") == std::string::npos ? 1 : kLongBytes, 'x');
+        socket.Write("HTTP/1.1 200 OK\r\nContent-Length: " +
+                     std::to_string(body.size()) + "\r\n\r\n" + body);
+    }
+}
+
+std::string
+HeadOf(const std::string &method, const std::string &path)
+{
+    return method + " " + path + " HTTP/1.1\r\nHost: a\r\n" +
+           "Authorization: Bearer " + kToken + "\r\n";
+}
+
+// How a crowd occupies connections.
+struct Way {
+    const char *name;
+    std::string text;
+    std::string drip;
+};
+
+void
+PrintTo(const Way &way, std::ostream *out)
+{
+    *out << way.name;
+}
+
+const Way kWays[] = {
+    {"Idle", "", ""},
+    {"HalfHead", "GET /v1/mod", ""},
+    {"SlowHead", "GET /v1/models HTTP/1.1\r\n", "a:\r\n"},
+    {"SlowBody",
+     HeadOf("POST", "/v1/chat/completions") + "Content-Length: 200000\r\n\r\n",
+     "x"},
+    {"SlowBodyNowhere",
+     HeadOf("POST", "/none") + "Content-Length: 200000\r\n\r\n", "x"},
+    {"SlowChunks",
+     HeadOf("POST", "/v1/chat/completions") +
+         "Transfer-Encoding: chunked\r\n\r\n",
+     "1\r\nx\r\n"},
+    {"NotRead", HeadOf("GET", "/services/s/long") + "\r\n", ""},
+};
+
+// How long an ordinary request is tried: longer than any time-out that would
+// end a crowd whose members do not come back.
+constexpr std::chrono::seconds kServedWithin{45};
+
+class OccupiedTest : public testing::Test {
+  protected:
+    // Runs SERVED, which makes an ordinary request, until it returns true.
+    // Returns whether it did, and in MOST the descriptors of PID meanwhile.
+    static bool TryServed(pid_t pid, size_t *most,
+                          const std::function<bool()> &served)
+    {
+        auto end = std::chrono::steady_clock::now() + kServedWithin;
+        while (std::chrono::steady_clock::now() < end) {
+            *most = std::max(*most, Descriptors(pid));
+            if (served()) {
+                return true;
+            }
+            std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        }
+        return false;
+    }
+    // Lets a crowd fill what it can before the ordinary request is made.
+    static size_t Settle(pid_t pid)
+    {
+        size_t most = 0;
+        for (int i = 0; i < 200; i++) {
+            most = std::max(most, Descriptors(pid));
+            std::this_thread::sleep_for(std::chrono::milliseconds(10));
+        }
+        return most;
+    }
+    static void ExpectBounds(pid_t pid, long before_kib, size_t most,
+                             size_t descriptors_max)
+    {
+        EXPECT_EQ(kill(pid, 0), 0);
+        EXPECT_LE(most, descriptors_max);
+        long growth_kib = PeakKib(pid) - before_kib;
+        printf("growth %ld KiB, %zu descriptors\n", growth_kib, most);
+        if (kMeasuresMemory) {
+            EXPECT_LE(growth_kib, kGrowthMaxKib);
+        }
+    }
+    static bool IsServedByUpstream(Daemon &daemon)
+    {
+        return daemon.Send("GET", "/services/s/x", "").body == "x";
+    }
+};
+
+class OccupiedWayTest : public OccupiedTest,
+                        public testing::WithParamInterface<Way> {};
+
+// Guards against a crowd that occupies all connections and returns as soon as
+// it is closed, so that nobody else is served.
+TEST_P(OccupiedWayTest, AllConnections)
+{
+    Server service(ServeBody);
+    Daemon daemon(FreePort(), service.port(), kLimits);
+    long before_kib = PeakKib(daemon.pid());
+    LastingCrowd crowd(daemon.callers(), 2 * kConnections, GetParam().text,
+                       GetParam().drip);
+    size_t most = Settle(daemon.pid());
+    EXPECT_TRUE(TryServed(daemon.pid(), &most,
+                          [&] { return IsServedByUpstream(daemon); }));
+    ExpectBounds(daemon.pid(), before_kib, most, kDescriptorsMax);
+}
+
+// Guards against a crowd that takes all descriptors of a process whose limit
+// is lower than its connections need: nothing is left for its upstreams.
+TEST_P(OccupiedWayTest, AllDescriptors)
+{
+    constexpr size_t kDescriptors = 400;
+    constexpr size_t kKept = 40; // for upstreams, peers, platform and files
+    Server service(ServeBody);
+    std::unique_ptr<Daemon> daemon;
+    {
+        DescriptorLimit limit(kDescriptors);
+        daemon = std::make_unique<Daemon>(FreePort(), service.port(), kLimits);
+    }
+    long before_kib = PeakKib(daemon->pid());
+    LastingCrowd crowd(daemon->callers(), 2 * kConnections, GetParam().text,
+                       GetParam().drip);
+    size_t most = Settle(daemon->pid());
+    EXPECT_TRUE(TryServed(daemon->pid(), &most,
+                          [&] { return IsServedByUpstream(*daemon); }));
+    ExpectBounds(daemon->pid(), before_kib, most, kDescriptors - kKept);
+}
+
+// Guards against a crowd that occupies the admin address, so that the ready
+// check and the operator get no answer.
+TEST_P(OccupiedWayTest, AdminAddress)
+{
+    Daemon daemon(FreePort(), FreePort(), kLimits);
+    long before_kib = PeakKib(daemon.pid());
+    LastingCrowd crowd(daemon.admin(), kConnections, GetParam().text,
+                       GetParam().drip);
+    size_t most = Settle(daemon.pid());
+    EXPECT_TRUE(TryServed(daemon.pid(), &most, [&] {
+        return daemon.Metric("list_revision") == 1;
+    }));
+    EXPECT_TRUE(TryServed(daemon.pid(), &most, [&] {
+        return daemon.Send("GET", "/v1/models", "").status == 200;
+    }));
+    ExpectBounds(daemon.pid(), before_kib, most, kDescriptorsMax);
+}
+
+INSTANTIATE_TEST_SUITE_P(Ways, OccupiedWayTest, testing::ValuesIn(kWays),
+                         [](const auto &info) { return info.param.name; });
+
+// Guards against connections that the daemon has closed, but whose clients
+// have not, and that count against no limit.
+TEST_F(OccupiedTest, ClosedByTheDaemonOnly)
+{
+    Server service(ServeBody);
+    Daemon daemon(FreePort(), service.port(), kLimits);
+    pid_t pid = daemon.pid();
+    long before_kib = PeakKib(pid);
+    std::vector<std::unique_ptr<Crowd>> waves;
+    size_t most = 0;
+    for (int i = 0; i < 10; i++) {
+        waves.push_back(std::make_unique<Crowd>(
+            daemon.callers(), [pid] { return Descriptors(pid); }));
+        waves.back()->Add(kMany, HeadOf("GET", "/none") +
+                                     "Connection: close\r\n\r\n");
+        most = std::max(most, waves.back()->Run());
+    }
+    EXPECT_TRUE(
+        TryServed(pid, &most, [&] { return IsServedByUpstream(daemon); }));
+    ExpectBounds(pid, before_kib, most, kDescriptorsMax);
+}
+
+// Guards against answers that are kept for many callers who do not read them,
+// each within the limit of one answer.
+TEST_F(OccupiedTest, AnswersThatNobodyReads)
+{
+    Server service(ServeBody);
+    Daemon daemon(FreePort(), service.port(), kLimits);
+    pid_t pid = daemon.pid();
+    long before_kib = PeakKib(pid);
+    Crowd crowd(daemon.callers(), [pid] { return Descriptors(pid); });
+    crowd.Add(kMany, HeadOf("GET", "/services/s/long") + "\r\n");
+    size_t most = crowd.Run();
+    most = std::max(most, Settle(pid));
+    EXPECT_TRUE(
+        TryServed(pid, &most, [&] { return IsServedByUpstream(daemon); }));
+    ExpectBounds(pid, before_kib, most, kDescriptorsMax);
+}
+
+// Guards against a crowd that takes the last descriptor of the process, after
+// which the daemon neither accepts nor serves: the limit is lowered while it
+// runs, so that its own limit on connections does not help.
+TEST_F(OccupiedTest, NoDescriptorLeft)
+{
+    Server service(ServeBody);
+    Daemon daemon(FreePort(), service.port(), kLimits);
+    pid_t pid = daemon.pid();
+    long before_kib = PeakKib(pid);
+    rlimit before = {};
+    rlimit lower = {};
+    ASSERT_EQ(prlimit(pid, RLIMIT_NOFILE, nullptr, &before), 0);
+    lower = {Descriptors(pid) + 30, before.rlim_max};
+    ASSERT_EQ(prlimit(pid, RLIMIT_NOFILE, &lower, nullptr), 0);
+    size_t most = 0;
+    {
+        LastingCrowd crowd(daemon.callers(), kConnections, "", "");
+        most = Settle(pid);
+    }
+    EXPECT_TRUE(
+        TryServed(pid, &most, [&] { return IsServedByUpstream(daemon); }));
+    ExpectBounds(pid, before_kib, most, kDescriptorsMax);
+}
+
 } // namespace
