tests: crowds at the callers' address with TLS

Crowds that occupy all connections before or within the TLS handshake, and 250 callers that complete it and then stop within a head, within a body, or do not read their answer. The bound on memory is that of the crowds without TLS and 64 KiB more for each connection.

--- a/tests/contract/crowd_test.cc
+++ b/tests/contract/crowd_test.cc
@@ -2,13 +2,16 @@
 // test checks three things: the process is alive, its peak memory and its
 // descriptors stay under the bounds, and an ordinary request is answered while
 // the crowd is still connected.
+#include "certificate.h"
 #include "crowd.h"
 #include "harness.h"
 #include "lastingcrowd.h"
 
 #include <csignal>
+#include <curl/curl.h>
 #include <filesystem>
 #include <fstream>
+#include <gnutls/gnutls.h>
 #include <sys/resource.h>
 
 namespace {
@@ -280,14 +283,15 @@
         return most;
     }
     static void ExpectBounds(pid_t pid, long before_kib, size_t most,
-                             size_t descriptors_max)
+                             size_t descriptors_max,
+                             long growth_max_kib = kGrowthMaxKib)
     {
         EXPECT_EQ(kill(pid, 0), 0);
         EXPECT_LE(most, descriptors_max);
         long growth_kib = PeakKib(pid) - before_kib;
         printf("growth %ld KiB, %zu descriptors\n", growth_kib, most);
         if (kMeasuresMemory) {
-            EXPECT_LE(growth_kib, kGrowthMaxKib);
+            EXPECT_LE(growth_kib, growth_max_kib);
         }
     }
     static bool IsServedByUpstream(Daemon &daemon)
@@ -419,4 +423,155 @@
     ExpectBounds(pid, before_kib, most, kDescriptorsMax);
 }
 
+// A daemon whose callers use TLS.
+class TlsDaemon {
+  public:
+    explicit TlsDaemon(int service_port)
+    {
+        char path[] = "/tmp/boragespur-tls-XXXXXX";
+        directory_ = mkdtemp(path);
+        WritePair(directory_ + "/c.pem", directory_ + "/c.key");
+        daemon_ = std::make_unique<Daemon>(
+            FreePort(), service_port,
+            kLimits + ("tls: {certificate: " + directory_ +
+                       "/c.pem, key: " + directory_ + "/c.key}\n"));
+    }
+    ~TlsDaemon()
+    {
+        daemon_.reset();
+        std::filesystem::remove_all(directory_);
+    }
+    pid_t pid() const
+    {
+        return daemon_->pid();
+    }
+    int callers() const
+    {
+        return daemon_->callers();
+    }
+    bool IsServedByUpstream() const
+    {
+        std::string url =
+            "https://127.0.0.1:" + std::to_string(callers()) + "/services/s/x";
+        std::string account = std::string("Authorization: Bearer ") + kToken;
+        std::string body;
+        CURL *easy = curl_easy_init();
+        curl_slist *list = curl_slist_append(nullptr, account.c_str());
+        curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
+        curl_easy_setopt(easy, CURLOPT_PROXY, "");
+        curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+        curl_easy_setopt(easy, CURLOPT_TIMEOUT, 30L);
+        curl_easy_setopt(easy, CURLOPT_HTTPHEADER, list);
+        curl_easy_setopt(easy, CURLOPT_CAINFO,
+                         (directory_ + "/c.pem").c_str());
+        curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, Append);
+        curl_easy_setopt(easy, CURLOPT_WRITEDATA, &body);
+        curl_easy_perform(easy);
+        curl_easy_cleanup(easy);
+        curl_slist_free_all(list);
+        return body == "x";
+    }
+
+  private:
+    static size_t Append(char *data, size_t unit, size_t count, void *body)
+    {
+        static_cast<std::string *>(body)->append(data, unit * count);
+        return unit * count;
+    }
+    std::string directory_;
+    std::unique_ptr<Daemon> daemon_;
+};
+
+// A caller that completes its handshake, sends TEXT and reads nothing.
+class TlsMember {
+  public:
+    TlsMember(int port, const std::string &text)
+        : socket_(ConnectWithSmallBuffer(port))
+    {
+        gnutls_certificate_allocate_credentials(&credentials_);
+        gnutls_init(&session_, GNUTLS_CLIENT);
+        gnutls_set_default_priority(session_);
+        gnutls_credentials_set(session_, GNUTLS_CRD_CERTIFICATE, credentials_);
+        gnutls_transport_set_int(session_, socket_.fd());
+        gnutls_handshake_set_timeout(session_, 10000);
+        if (gnutls_handshake(session_) == GNUTLS_E_SUCCESS) {
+            gnutls_record_send(session_, text.data(), text.size());
+        }
+    }
+    ~TlsMember()
+    {
+        gnutls_deinit(session_);
+        gnutls_certificate_free_credentials(credentials_);
+    }
+
+  private:
+    Socket socket_;
+    gnutls_session_t session_;
+    gnutls_certificate_credentials_t credentials_;
+};
+
+// Growth of the peak memory with TLS: 64 KiB more for each connection, for its
+// session and the records that are being read and written.
+constexpr long kTlsGrowthMaxKib = kGrowthMaxKib + 64L * (kConnections + 64);
+
+const Way kTlsWays[] = {
+    {"Idle", "", ""},
+    {"HalfHandshake", std::string("\x16\x03\x01\x02\x00\x01\x00\x01\xfc", 9),
+     std::string(1, '\0')},
+    {"NotTls", "GET /v1/models HTTP/1.1\r\n", ""},
+};
+
+class TlsCrowdTest : public OccupiedTest,
+                     public testing::WithParamInterface<Way> {};
+
+// Guards against a crowd that occupies all connections before or within the
+// TLS handshake, where the HTTP server does not see it.
+TEST_P(TlsCrowdTest, BeforeTheHandshake)
+{
+    Server service(ServeBody);
+    TlsDaemon daemon(service.port());
+    pid_t pid = daemon.pid();
+    long before_kib = PeakKib(pid);
+    LastingCrowd crowd(daemon.callers(), 2 * kConnections, GetParam().text,
+                       GetParam().drip);
+    size_t most = Settle(pid);
+    EXPECT_TRUE(
+        TryServed(pid, &most, [&] { return daemon.IsServedByUpstream(); }));
+    ExpectBounds(pid, before_kib, most, kDescriptorsMax, kTlsGrowthMaxKib);
+}
+
+INSTANTIATE_TEST_SUITE_P(Ways, TlsCrowdTest, testing::ValuesIn(kTlsWays),
+                         [](const auto &info) { return info.param.name; });
+
+// What callers with TLS send after the handshake.
+const Way kTlsTexts[] = {
+    {"HalfHead", "GET /v1/mod", ""},
+    {"HalfBody", HeadOf("POST", "/none") + "Content-Length: 9\r\n\r\n", ""},
+    {"NotRead", HeadOf("GET", "/services/s/long") + "\r\n", ""},
+};
+
+class TlsStoppedTest : public TlsCrowdTest {};
+
+// Guards against callers with TLS that stop after the handshake, and against
+// answers that they do not read.
+TEST_P(TlsStoppedTest, AfterTheHandshake)
+{
+    Server service(ServeBody);
+    TlsDaemon daemon(service.port());
+    pid_t pid = daemon.pid();
+    long before_kib = PeakKib(pid);
+    std::vector<std::unique_ptr<TlsMember>> members;
+    for (int i = 0; i < kMany; i++) {
+        members.push_back(
+            std::make_unique<TlsMember>(daemon.callers(), GetParam().text));
+    }
+    size_t most = Settle(pid);
+    EXPECT_TRUE(
+        TryServed(pid, &most, [&] { return daemon.IsServedByUpstream(); }));
+    ExpectBounds(pid, before_kib, most, kDescriptorsMax, kTlsGrowthMaxKib);
+}
+
+INSTANTIATE_TEST_SUITE_P(Ways, TlsStoppedTest, testing::ValuesIn(kTlsTexts),
+                         [](const auto &info) { return info.param.name; });
+
 } // namespace
