boragespurd: bound callers' connections, descriptors and unread answers

Cause: the daemon counted only bodies that are being read. Connections were counted by libmicrohttpd, which sees neither TLS handshakes, nor heads that the screen holds back, nor connections that it has closed and whose callers have not; each new one beyond the limit was closed, so that a crowd which comes back kept everybody else out. Limits did not consider the limit of open files, and accept() without a descriptor left the listening socket readable and the loop busy. Unread answers were kept up to 1 MiB each in the call, once more in the library, and 256 KiB in the screen.

Now d_connguard, over connbudget, gives each connection a place from its accept until its socket is closed. Without a place, the connection that waits longest among the most numerous kind is closed, never one whose request is being answered; nothing of its request has been passed to the core. A request on a connection beyond limits.connections displaces one that has waited for 10 s, or any that waits within 10 s after all places were taken; otherwise it gets 503 not-run as before. Unread answers together may hold limits.queue_bytes. The number of places follows from the limit of open files; a warning at the start names it when it is lower than limits.connections needs. Accepting pauses for 0.1 s when no place or descriptor is left. A final answer is kept once, by the library.

Ruled out: displacing in all cases beyond limits.connections, which would change the documented 503 for callers that reach it without a crowd; a reset limit by received bytes, which a slow body never reaches; own settings keys, as open files have their limit already.

--- a/src/d_call.c
+++ b/src/d_call.c
@@ -36,6 +36,7 @@
     size_t received_bytes;
     GByteArray *out;
     size_t out_sent;
+    size_t copied_bytes; /* of the answer, kept by the HTTP server */
     BsCallState state;
     uint32_t status;
     uint32_t outcome;
@@ -274,6 +275,17 @@
     return call->out->len - call->out_sent;
 }
 
+/* Enters the unsent bytes of the answer in the limits of the server. */
+static void
+S_account(BsCall *call)
+{
+    BsConnPhase phase = call->final && call->state == CALL_SENDING
+                            ? BS_CONN_CLOSING
+                            : BS_CONN_ANSWERING;
+    BsHttpd_SetState(call->httpd, call->connection, phase,
+                     call->copied_bytes + S_unsent(call));
+}
+
 static void
 S_set_flow(BsCall *call, bool paused)
 {
@@ -322,6 +334,7 @@
         call->out_sent = 0;
     }
     S_check_flow(call);
+    S_account(call);
     return (ssize_t)size;
 }
 
@@ -365,10 +378,16 @@
     }
     struct MHD_Response *response = S_create_response(call);
     S_add_headers(call, response);
+    if (call->final) {
+        call->copied_bytes = call->out->len;
+        g_byte_array_unref(call->out);
+        call->out = g_byte_array_new();
+    }
     call->state = CALL_SENDING;
     enum MHD_Result result =
         MHD_queue_response(call->connection, call->status, response);
     MHD_destroy_response(response);
+    S_account(call);
     return result;
 }
 
@@ -472,6 +491,7 @@
         S_release_head_early(call);
     }
     S_check_flow(call);
+    S_account(call);
     if (call->state != CALL_WAITING) {
         S_resume(call);
     }
--- a/src/d_callers.c
+++ b/src/d_callers.c
@@ -2,10 +2,12 @@
 #include "d_callers.h"
 
 #include "d_call.h"
+#include "d_connguard.h"
 #include "d_headcheck.h"
 #include "d_httpd.h"
 #include "d_reply.h"
 #include "d_request.h"
+#include "d_screen.h"
 #include "d_tls.h"
 
 #include <string.h>
@@ -24,6 +26,8 @@
     uint64_t bodies_refused; /* as last counted */
     uint64_t next_id;
     uint32_t connections;
+    uint32_t connections_max; /* beyond it requests are refused */
+    bool few_descriptors;     /* fewer than limits.connections needs */
 };
 
 static const char *
@@ -212,10 +216,14 @@
 S_refuse_early(BsCallers *callers, BsCall *call)
 {
     const BsSettings *settings = BsLoop_Settings(callers->loop);
-    if (callers->connections > settings->limits.connections) {
+    if (callers->connections > callers->connections_max &&
+        !BsHttpd_Displace(callers->httpd, BsCall_Connection(call))) {
         BsLoop_Count(callers->loop, "connections_refused", 1);
         BsCall_Refuse(call, BS_ERR_MEMORY_FULL,
-                      "limits.connections is reached on this instance");
+                      callers->few_descriptors
+                          ? "the limit of open files is reached by "
+                            "connections on this instance"
+                          : "limits.connections is reached on this instance");
         return true;
     }
     if (S_is_declared_too_large(callers, BsCall_Connection(call))) {
@@ -266,6 +274,7 @@
         return accepted ? MHD_YES : MHD_NO;
     }
     if (BsCall_IsReading(call)) {
+        BsHttpd_SetState(callers->httpd, connection, BS_CONN_ANSWERING, 0);
         S_start(callers, call, method);
         BsCall_DropBody(call); /* the core has its own copy */
         S_account_body(callers, call);
@@ -277,8 +286,8 @@
 S_on_uri(void *context, const char *uri, struct MHD_Connection *connection)
 {
     BsCallers *callers = context;
-    (void)connection;
     BsLoop_Count(callers->loop, "caller_requests", 1);
+    BsHttpd_SetState(callers->httpd, connection, BS_CONN_READING, 0);
     BsCall *call = BsCall_Create(callers->loop, callers->httpd,
                                  BsHeadCheck_OriginForm(uri));
     BsConnEntry *entry = BsCall_BodyEntry(call);
@@ -295,10 +304,10 @@
 {
     BsCallers *callers = context;
     BsCall *call = *request_context;
-    (void)connection;
     if (call == NULL) {
         return;
     }
+    BsHttpd_SetState(callers->httpd, connection, BS_CONN_IDLE, 0);
     BsCall_Close(call, code == MHD_REQUEST_TERMINATED_COMPLETED_OK);
     if (BsCall_Id(call) != NULL) {
         g_hash_table_remove(callers->calls, BsCall_Id(call));
@@ -347,6 +356,28 @@
     }
 }
 
+/* Sets how many connections are served; returns how many are accepted, as far
+   as the limit of open files goes. */
+static uint32_t
+S_set_connections(BsCallers *callers)
+{
+    uint32_t wanted = BsLoop_Settings(callers->loop)->limits.connections;
+    uint32_t affordable = BsConnGuard_Affordable(BS_SCREEN_DESCRIPTORS);
+    uint32_t accepted = MIN(wanted + CONNECTIONS_SPARE, affordable);
+    callers->few_descriptors = accepted < wanted + CONNECTIONS_SPARE;
+    callers->connections_max =
+        callers->few_descriptors
+            ? accepted - MIN(CONNECTIONS_SPARE, accepted / 4)
+            : wanted;
+    if (callers->few_descriptors) {
+        BsLoop_Log(callers->loop, LOG_WARNING,
+                   "the limit of open files permits %u connections of "
+                   "callers instead of limits.connections %u; raise it",
+                   callers->connections_max, wanted);
+    }
+    return accepted;
+}
+
 BsCallers *
 BsCallers_Create(BsLoop *loop, GError **error)
 {
@@ -373,8 +404,9 @@
         .connected = S_on_connection,
         .context = callers,
         .header_bytes = settings->limits.header_bytes,
-        .connections = settings->limits.connections + CONNECTIONS_SPARE,
+        .connections = S_set_connections(callers),
         .screened = true,
+        .unsent_bytes = settings->limits.queue_bytes,
         .certificate_callback = callers->tls != NULL ? BsTls_Callback() : NULL,
     };
     callers->httpd = BsHttpd_Create(loop, &config, error);
--- /dev/null
+++ b/src/d_connguard.c
@@ -0,0 +1,161 @@
+/* d_connguard.c - limits on the connections of one listening address. */
+#include "d_connguard.h"
+
+#include <sys/resource.h>
+#include <syslog.h>
+
+/* Descriptors kept for upstreams, peers, the platform, the admin address and
+   files, but at most a third of those of the process: callers need three for
+   each connection, and as a rule one to an upstream. */
+#define RESERVED_DESCRIPTORS 700
+
+/* Time in a phase after which a connection may be displaced by a request
+   although places are left: longer than callers pause within a request, and
+   shorter than the idle timeout of the server library. */
+#define DISPLACED_AFTER_MS 10000
+
+struct BsConnGuard {
+    BsLoop *loop;
+    const char *key;
+    BsConnBudget *budget;
+    uint64_t reported[BS_CONN_LIMITS]; /* closed connections, as counted */
+    int64_t full_ms;                   /* when no place was left, or -1 */
+};
+
+static const char *const S_counters[BS_CONN_LIMITS] = {
+    [BS_CONN_LIMIT_MEMORY] = "connections_closed_unread",
+    [BS_CONN_LIMIT_NUMBER] = "connections_displaced",
+};
+
+static const char *const S_limits[BS_CONN_LIMITS] = {
+    [BS_CONN_LIMIT_MEMORY] = "limits.queue_bytes for answers that callers "
+                             "have not read",
+    [BS_CONN_LIMIT_NUMBER] = "the limit on connections",
+};
+
+uint32_t
+BsConnGuard_Affordable(uint32_t descriptors_each)
+{
+    struct rlimit limit;
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0 ||
+        limit.rlim_cur == RLIM_INFINITY) {
+        return UINT32_MAX;
+    }
+    uint64_t descriptors = limit.rlim_cur;
+    uint64_t reserved = MIN(RESERVED_DESCRIPTORS, descriptors / 3);
+    uint64_t connections = (descriptors - reserved) / descriptors_each;
+    return (uint32_t)CLAMP(connections, 1, UINT32_MAX);
+}
+
+BsConnGuard *
+BsConnGuard_Create(BsLoop *loop, const char *key, uint32_t places,
+                   uint64_t unsent_bytes)
+{
+    BsConnGuard *guard = g_new0(BsConnGuard, 1);
+    guard->loop = loop;
+    guard->key = key;
+    guard->budget = BsConnBudget_Create(unsent_bytes, places);
+    guard->full_ms = -1;
+    return guard;
+}
+
+void
+BsConnGuard_Destroy(BsConnGuard *guard)
+{
+    if (guard != NULL) {
+        BsConnBudget_Destroy(guard->budget);
+        g_free(guard);
+    }
+}
+
+/* Counts the connections that LIMIT has closed since the last call, and logs
+   when it is reached and when it is over. */
+static void
+S_report(BsConnGuard *guard, BsConnLimit limit)
+{
+    uint64_t closed = BsConnBudget_Closed(guard->budget, limit);
+    bool reached;
+    if (closed > guard->reported[limit]) {
+        BsLoop_Count(guard->loop, S_counters[limit],
+                     closed - guard->reported[limit]);
+        guard->reported[limit] = closed;
+    }
+    if (BsConnBudget_TakeChange(guard->budget, limit,
+                                BsLoop_NowMs(guard->loop), &reached)) {
+        BsLoop_Log(guard->loop, LOG_WARNING,
+                   "%s: %s is %s; %" G_GUINT64_FORMAT
+                   " connections closed so far",
+                   guard->key, S_limits[limit],
+                   reached ? "reached" : "no longer reached", (guint64)closed);
+    }
+}
+
+void
+BsConnGuard_Add(BsConnGuard *guard, BsConnPlace *place, BsConnPhase phase)
+{
+    place->since_ms = BsLoop_NowMs(guard->loop);
+    BsConnBudget_Add(guard->budget, &place->entry, phase, place->since_ms);
+}
+
+void
+BsConnGuard_Remove(BsConnGuard *guard, BsConnPlace *place)
+{
+    BsConnBudget_Remove(guard->budget, &place->entry);
+}
+
+void
+BsConnGuard_Move(BsConnGuard *guard, BsConnPlace *from, BsConnPlace *to,
+                 uint64_t bytes)
+{
+    int64_t now_ms = BsLoop_NowMs(guard->loop);
+    BsConnBudget_Update(guard->budget, &from->entry, BS_CONN_CLOSING, 0,
+                        now_ms);
+    BsConnGuard_Add(guard, to, BS_CONN_CLOSING);
+    BsConnBudget_Update(guard->budget, &to->entry, BS_CONN_CLOSING, bytes,
+                        now_ms);
+}
+
+void
+BsConnGuard_Update(BsConnGuard *guard, BsConnPlace *place, BsConnPhase phase,
+                   uint64_t bytes)
+{
+    int64_t now_ms = BsLoop_NowMs(guard->loop);
+    if (place->entry.phase != phase) {
+        place->since_ms = now_ms;
+    }
+    BsConnBudget_Update(guard->budget, &place->entry, phase, bytes, now_ms);
+    BsConnBudget_EnforceMemory(guard->budget, &place->entry, now_ms);
+    S_report(guard, BS_CONN_LIMIT_MEMORY);
+}
+
+bool
+BsConnGuard_MakeRoom(BsConnGuard *guard)
+{
+    int64_t now_ms = BsLoop_NowMs(guard->loop);
+    if (!BsConnBudget_HasRoom(guard->budget)) {
+        guard->full_ms = now_ms;
+    }
+    bool room = BsConnBudget_MakeRoom(guard->budget, now_ms);
+    S_report(guard, BS_CONN_LIMIT_NUMBER);
+    return room;
+}
+
+bool
+BsConnGuard_Displace(BsConnGuard *guard)
+{
+    int64_t now_ms = BsLoop_NowMs(guard->loop);
+    BsConnEntry *entry = BsConnBudget_PickForNumber(guard->budget);
+    if (entry == NULL) {
+        return false;
+    }
+    /* The entry is the first member of its place. */
+    const BsConnPlace *place = (const BsConnPlace *)entry;
+    bool crowded =
+        guard->full_ms >= 0 && now_ms - guard->full_ms < DISPLACED_AFTER_MS;
+    if (!crowded && now_ms - place->since_ms < DISPLACED_AFTER_MS) {
+        return false;
+    }
+    BsLoop_Count(guard->loop, S_counters[BS_CONN_LIMIT_NUMBER], 1);
+    entry->close(entry->owner, BS_CONN_LIMIT_NUMBER);
+    return true;
+}
--- a/src/d_httpd.c
+++ b/src/d_httpd.c
@@ -21,6 +21,10 @@
 
 #define MS_PER_S 1000.0
 
+/* Connections that the library may have for each one that the screen has: it
+   notices the end of a closed one later. */
+#define LIBRARY_CONNECTIONS 2U
+
 struct BsHttpd {
     BsLoop *loop;
     struct MHD_Daemon *daemon;
@@ -131,7 +135,10 @@
         MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG;
     struct MHD_OptionItem options[] = {
         {MHD_OPTION_EXTERNAL_LOGGER, (intptr_t)S_on_log, loop},
-        {MHD_OPTION_CONNECTION_LIMIT, config->connections, NULL},
+        {MHD_OPTION_CONNECTION_LIMIT,
+         config->screened ? LIBRARY_CONNECTIONS * config->connections
+                          : config->connections,
+         NULL},
         {MHD_OPTION_CONNECTION_TIMEOUT, IDLE_TIMEOUT_S, NULL},
         {MHD_OPTION_CONNECTION_MEMORY_LIMIT, config->header_bytes, NULL},
         {MHD_OPTION_NOTIFY_COMPLETED, (intptr_t)config->completed,
@@ -165,6 +172,9 @@
     BsScreenConfig screen = {
         .listen_fd = fd,
         .header_bytes = config->header_bytes,
+        .places = config->connections,
+        .unsent_bytes = config->unsent_bytes,
+        .key = config->key,
         .certificate_callback = config->certificate_callback,
         .add = S_add_connection,
         .context = httpd,
@@ -239,6 +249,31 @@
     ev_feed_event(BsLoop_Ev(httpd->loop), &httpd->resumed, EV_PREPARE);
 }
 
+static int
+S_connection_fd(struct MHD_Connection *connection)
+{
+    const union MHD_ConnectionInfo *info =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    return info->connect_fd;
+}
+
+void
+BsHttpd_SetState(BsHttpd *httpd, struct MHD_Connection *connection,
+                 BsConnPhase phase, uint64_t held_bytes)
+{
+    if (httpd->screen != NULL) {
+        BsScreen_SetState(httpd->screen, S_connection_fd(connection), phase,
+                          held_bytes);
+    }
+}
+
+bool
+BsHttpd_Displace(BsHttpd *httpd, struct MHD_Connection *connection)
+{
+    return httpd->screen != NULL &&
+           BsScreen_Displace(httpd->screen, S_connection_fd(connection));
+}
+
 void
 BsHttpd_StartClosing(BsHttpd *httpd)
 {
--- a/src/d_httpd.h
+++ b/src/d_httpd.h
@@ -7,6 +7,7 @@
 #ifndef BS_D_HTTPD_H
 #define BS_D_HTTPD_H
 
+#include "connbudget.h"
 #include "d_loop.h"
 
 #include <microhttpd.h>
@@ -28,6 +29,8 @@
     uint32_t connections;
     /* Whether connections pass through a BsScreen. */
     bool screened;
+    uint64_t unsent_bytes; /* of answers that callers have not read; screened
+                              servers only */
     void *certificate_callback; /* gnutls_certificate_retrieve_function2, or
                                    NULL without TLS; screened servers only */
 } BsHttpdConfig;
@@ -42,6 +45,16 @@
 /* Resumes a suspended connection and schedules a run of the server. */
 void BsHttpd_Resume(BsHttpd *httpd, struct MHD_Connection *connection);
 
+/* Sets what the server does for CONNECTION, and how many bytes of answers it
+   holds for it.  May close connections that hold too much.  Does nothing for
+   servers that are not screened. */
+void BsHttpd_SetState(BsHttpd *httpd, struct MHD_Connection *connection,
+                      BsConnPhase phase, uint64_t held_bytes);
+
+/* Closes a connection that waits in favour of a request on CONNECTION; returns
+   whether there was one that may be closed.  Screened servers only. */
+bool BsHttpd_Displace(BsHttpd *httpd, struct MHD_Connection *connection);
+
 /* From now on responses announce that their connection closes. */
 void BsHttpd_StartClosing(BsHttpd *httpd);
 
--- a/src/d_screen.c
+++ b/src/d_screen.c
@@ -3,6 +3,7 @@
  */
 #include "d_screen.h"
 
+#include "d_connguard.h"
 #include "gw_stream.h"
 #include "http1.h"
 
@@ -12,6 +13,7 @@
 #include <gnutls/gnutls.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <string.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
@@ -33,14 +35,23 @@
 /* How long one send() to a caller may block when the process ends. */
 #define FINAL_SEND_LIMIT_S 1
 
+/* Connections accepted per loop iteration.  The server closes its end of a
+   displaced connection in the next one, so that this bounds the descriptors
+   that are needed beside those of the places. */
+#define ACCEPTS_AT_ONCE 16
+
+/* Time until connections are accepted again after no place or descriptor was
+   left. */
+#define ACCEPT_RETRY_S 0.1
+
 /* Bytes decrypted at a time: the largest TLS record. */
 #define RECORD_BYTES 16384
 
-/* The head that replaces a malformed one. */
 /* A buffer for held bytes that has grown beyond this is given back once they
    are forwarded. */
 #define KEPT_HELD_BYTES 1024
 
+/* The head that replaces a malformed one. */
 #define MALFORMED_HEAD                                                        \
     "GET /malformed HTTP/1.1\r\n" BS_SCREEN_MALFORMED_HEADER ": 1\r\n"        \
     "Connection: close\r\n\r\n"
@@ -49,16 +60,23 @@
     BsLoop *loop;
     BsScreenConfig config;
     ev_io accepting;
+    ev_timer retry; /* runs while accepting is paused */
+    BsConnGuard *guard;
+    GHashTable *by_fd; /* BsScreenLink by the server's end */
     gnutls_certificate_credentials_t credentials; /* NULL without TLS */
     GHashTable *links;                            /* set of BsScreenLink */
 };
 
 /* A caller's connection and the socket that links it to the server. */
 typedef struct {
+    BsConnPlace place;
     BsScreen *screen;
     BsStream *caller;
     BsStream *server;
-    int server_fd; /* owned by SERVER */
+    int server_fd;       /* owned by SERVER */
+    int library_fd;      /* the server library's end, owned by it */
+    BsConnPhase phase;   /* as the server has set it */
+    uint64_t held_bytes; /* of answers, as the server has set it */
     gnutls_session_t tls;
     GString *ciphertext; /* encrypted bytes not yet read by TLS */
     BsHttpReader *reader;
@@ -68,10 +86,26 @@
     bool done;        /* nothing more of the caller is forwarded */
 } BsScreenLink;
 
+/* A caller's connection of which only the sending of the last bytes and the
+   close are left. */
+typedef struct {
+    BsConnPlace place;
+    BsScreen *screen;
+    BsStream *stream;
+} BsScreenClosing;
+
 static void
 S_destroy_link(gpointer data)
 {
     BsScreenLink *link = data;
+    BsConnGuard_Remove(link->screen->guard, &link->place);
+    /* The number may belong to a newer connection, when the library has closed
+       its end. */
+    if (g_hash_table_lookup(link->screen->by_fd,
+                            GINT_TO_POINTER(link->library_fd)) == link) {
+        g_hash_table_remove(link->screen->by_fd,
+                            GINT_TO_POINTER(link->library_fd));
+    }
     BsStream_Destroy(link->caller);
     BsStream_Destroy(link->server);
     if (link->tls != NULL) {
@@ -89,6 +123,32 @@
     g_hash_table_remove(link->screen->links, link);
 }
 
+/* Closes the connection of the link OWNER because of LIMIT. */
+static void
+S_close_for_limit(void *owner, BsConnLimit limit)
+{
+    BsScreenLink *link = owner;
+    if (limit == BS_CONN_LIMIT_MEMORY ||
+        BsStream_PendingBytes(link->caller) > 0) {
+        BsStream_Abort(link->caller); /* the answer is not whole */
+        link->caller = NULL;
+    }
+    S_remove_link(link);
+}
+
+/* Enters the state of LINK in the limits; may free LINK. */
+static void
+S_account(BsScreenLink *link)
+{
+    size_t pending = BsStream_PendingBytes(link->caller);
+    BsConnPhase phase = link->phase == BS_CONN_IDLE && pending > 0
+                            ? BS_CONN_CLOSING
+                            : link->phase;
+    uint64_t buffered = pending > 0 ? BsStream_BufferBytes(link->caller) : 0;
+    BsConnGuard_Update(link->screen->guard, &link->place, phase,
+                       link->held_bytes + buffered);
+}
+
 static void
 S_write_server(BsScreenLink *link, const char *data, size_t size_bytes)
 {
@@ -273,6 +333,7 @@
 {
     BsScreenLink *link = context;
     BsStream_SetReading(link->server, true);
+    S_account(link);
 }
 
 /* Writes bytes of the server to the caller, encrypted when it uses TLS. */
@@ -305,6 +366,7 @@
     if (BsStream_PendingBytes(link->caller) > PENDING_MAX_BYTES) {
         BsStream_SetReading(link->server, false);
     }
+    S_account(link);
 }
 
 static void
@@ -316,15 +378,46 @@
     }
 }
 
-/* Closes the caller's connection after what was written to it is sent. */
+static void
+S_on_closing_freed(void *context)
+{
+    BsScreenClosing *closing = context;
+    BsConnGuard_Remove(closing->screen->guard, &closing->place);
+    g_free(closing);
+}
+
+/* Ends the closing connection OWNER because of LIMIT. */
+static void
+S_end_closing(void *owner, BsConnLimit limit)
+{
+    (void)limit;
+    BsScreenClosing *closing = owner;
+    BsStream *stream = closing->stream;
+    /* The stream may be freed later, when it is closed from its own callback.
+     */
+    BsStream_SetOnFreed(stream, NULL, NULL);
+    S_on_closing_freed(closing);
+    BsStream_CloseNow(stream);
+}
+
+/* Closes the caller's connection after what was written to it is sent; it
+   keeps a place until then. */
 static void
 S_close_caller(BsScreenLink *link)
 {
     if (link->tls != NULL && !link->handshaking) {
         gnutls_bye(link->tls, GNUTLS_SHUT_WR);
     }
-    BsStream_CloseWhenSent(link->caller, CLOSE_LIMIT_S);
+    BsScreenClosing *closing = g_new0(BsScreenClosing, 1);
+    closing->screen = link->screen;
+    closing->stream = link->caller;
+    closing->place.entry.close = S_end_closing;
+    closing->place.entry.owner = closing;
     link->caller = NULL;
+    BsConnGuard_Move(link->screen->guard, &link->place, &closing->place,
+                     BsStream_PendingBytes(closing->stream));
+    BsStream_CloseWhenSent(closing->stream, CLOSE_LIMIT_S);
+    BsStream_SetOnFreed(closing->stream, S_on_closing_freed, closing);
 }
 
 /* Handles the server's close: sends the caller the remaining bytes, then
@@ -378,37 +471,59 @@
                sizeof(timeout_ms));
 }
 
+/* Creates the link of the socket CALLER_FD to the server through the pair
+   ENDS, of which the second is the library's. */
 static BsScreenLink *
-S_create_link(BsScreen *screen, int caller_fd, int server_fd)
+S_create_link(BsScreen *screen, int caller_fd, const int ends[2])
 {
     struct ev_loop *ev = BsLoop_Ev(screen->loop);
     BsScreenLink *link = g_new0(BsScreenLink, 1);
     link->screen = screen;
-    link->server_fd = server_fd;
+    link->server_fd = ends[0];
+    link->library_fd = ends[1];
+    link->phase = BS_CONN_READING;
+    link->place.entry.close = S_close_for_limit;
+    link->place.entry.owner = link;
     link->ciphertext = g_string_new(NULL);
     link->held = g_string_new(NULL);
     link->reader = BsHttpReader_Create(BS_HTTP_REQUEST, &S_reader_events, link,
                                        screen->config.header_bytes, 0);
     link->caller = BsStream_Adopt(ev, caller_fd, &S_caller_events, link);
     S_set_caller_timeout(caller_fd);
-    link->server = BsStream_Adopt(ev, server_fd, &S_server_events, link);
+    link->server = BsStream_Adopt(ev, ends[0], &S_server_events, link);
     g_hash_table_add(screen->links, link);
+    g_hash_table_insert(screen->by_fd, GINT_TO_POINTER(ends[1]), link);
+    BsConnGuard_Add(screen->guard, &link->place, link->phase);
     return link;
 }
 
-/* Links the accepted socket FD to the server through a socket pair. */
+/* Accepts again when a place or a descriptor may be free.  The listening
+   socket stays readable meanwhile, so that watching it would keep the loop
+   busy. */
 static void
-S_link_to_server(BsScreen *screen, int fd, const struct sockaddr *address,
-                 socklen_t address_bytes)
+S_pause_accepting(BsScreen *screen)
 {
-    int ends[2];
-    if (socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0,
-                   ends) != 0) {
-        BsLoop_Count(screen->loop, "connections_refused", 1);
-        close(fd);
-        return;
-    }
-    BsScreenLink *link = S_create_link(screen, fd, ends[0]);
+    struct ev_loop *ev = BsLoop_Ev(screen->loop);
+    BsLoop_Count(screen->loop, "accepts_paused", 1);
+    ev_io_stop(ev, &screen->accepting);
+    ev_timer_set(&screen->retry, ACCEPT_RETRY_S, 0.0);
+    ev_timer_start(ev, &screen->retry);
+}
+
+static void
+S_on_retry(struct ev_loop *ev, ev_timer *watcher, int events)
+{
+    (void)events;
+    BsScreen *screen = watcher->data;
+    ev_io_start(ev, &screen->accepting);
+}
+
+/* Links the accepted socket FD to the server through the socket pair ENDS. */
+static void
+S_link_to_server(BsScreen *screen, int fd, const int ends[2],
+                 const struct sockaddr *address, socklen_t address_bytes)
+{
+    BsScreenLink *link = S_create_link(screen, fd, ends);
     if (!screen->config.add(screen->config.context, ends[1], address,
                             address_bytes) ||
         !S_start_tls(link)) {
@@ -417,33 +532,108 @@
     }
 }
 
+/* Accepts a connection; returns whether there may be another one.  Creates the
+   socket pair first, so that a connection that cannot be linked stays in the
+   queue of the listening socket. */
+static bool
+S_accept(BsScreen *screen)
+{
+    int ends[2];
+    struct sockaddr_storage address;
+    socklen_t address_bytes = sizeof(address);
+    if (socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0,
+                   ends) != 0) {
+        S_pause_accepting(screen);
+        return false;
+    }
+    int fd = accept4(screen->config.listen_fd, (struct sockaddr *)&address,
+                     &address_bytes, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd >= 0) {
+        S_link_to_server(screen, fd, ends, (struct sockaddr *)&address,
+                         address_bytes);
+        return true;
+    }
+    int error_number = errno;
+    close(ends[0]);
+    close(ends[1]);
+    if (error_number == EINTR || error_number == ECONNABORTED) {
+        return true;
+    }
+    if (error_number != EAGAIN && error_number != EWOULDBLOCK) {
+        S_pause_accepting(screen);
+    }
+    return false;
+}
+
+/* Returns whether a connection waits to be accepted. */
+static bool
+S_has_waiting(const BsScreen *screen)
+{
+    struct pollfd state = {.fd = screen->config.listen_fd, .events = POLLIN};
+    return poll(&state, 1, 0) > 0;
+}
+
 static void
 S_on_accepting(struct ev_loop *ev, ev_io *watcher, int events)
 {
     (void)ev;
     (void)events;
     BsScreen *screen = watcher->data;
-    for (;;) {
-        struct sockaddr_storage address;
-        socklen_t address_bytes = sizeof(address);
-        int fd = accept4(watcher->fd, (struct sockaddr *)&address,
-                         &address_bytes, SOCK_NONBLOCK | SOCK_CLOEXEC);
-        if (fd >= 0) {
-            S_link_to_server(screen, fd, (struct sockaddr *)&address,
-                             address_bytes);
+    for (int i = 0; i < ACCEPTS_AT_ONCE && S_has_waiting(screen); i++) {
+        if (!BsConnGuard_MakeRoom(screen->guard)) {
+            S_pause_accepting(screen);
+            return;
         }
-        else if (errno != EINTR && errno != ECONNABORTED) {
+        if (!S_accept(screen)) {
             return;
         }
     }
 }
 
+static BsScreenLink *
+S_find_link(const BsScreen *screen, int fd)
+{
+    return g_hash_table_lookup(screen->by_fd, GINT_TO_POINTER(fd));
+}
+
+void
+BsScreen_SetState(BsScreen *screen, int fd, BsConnPhase phase,
+                  uint64_t held_bytes)
+{
+    BsScreenLink *link = S_find_link(screen, fd);
+    if (link != NULL) {
+        link->phase = phase;
+        link->held_bytes = held_bytes;
+        S_account(link);
+    }
+}
+
+bool
+BsScreen_Displace(BsScreen *screen, int fd)
+{
+    BsScreenLink *link = S_find_link(screen, fd);
+    if (link == NULL) {
+        return false;
+    }
+    BsConnPhase phase = link->phase;
+    BsScreen_SetState(screen, fd, BS_CONN_ANSWERING, link->held_bytes);
+    bool displaced = BsConnGuard_Displace(screen->guard);
+    link = S_find_link(screen, fd);
+    if (link != NULL) {
+        BsScreen_SetState(screen, fd, phase, link->held_bytes);
+    }
+    return displaced;
+}
+
 BsScreen *
 BsScreen_Create(BsLoop *loop, const BsScreenConfig *config)
 {
     BsScreen *screen = g_new0(BsScreen, 1);
     screen->loop = loop;
     screen->config = *config;
+    screen->guard = BsConnGuard_Create(loop, config->key, config->places,
+                                       config->unsent_bytes);
+    screen->by_fd = g_hash_table_new(g_direct_hash, g_direct_equal);
     screen->links = g_hash_table_new_full(g_direct_hash, g_direct_equal,
                                           S_destroy_link, NULL);
     if (config->certificate_callback != NULL &&
@@ -454,6 +644,8 @@
     }
     ev_io_init(&screen->accepting, S_on_accepting, config->listen_fd, EV_READ);
     screen->accepting.data = screen;
+    ev_timer_init(&screen->retry, S_on_retry, ACCEPT_RETRY_S, 0.0);
+    screen->retry.data = screen;
     ev_io_start(BsLoop_Ev(loop), &screen->accepting);
     return screen;
 }
@@ -495,6 +687,7 @@
         return;
     }
     ev_io_stop(BsLoop_Ev(screen->loop), &screen->accepting);
+    ev_timer_stop(BsLoop_Ev(screen->loop), &screen->retry);
     close(screen->config.listen_fd);
     GHashTableIter iter;
     gpointer link;
@@ -504,6 +697,8 @@
     }
     g_hash_table_unref(screen->links);
     BsStream_EndClosing(FINAL_SEND_LIMIT_S);
+    g_hash_table_unref(screen->by_fd);
+    BsConnGuard_Destroy(screen->guard);
     if (screen->credentials != NULL) {
         gnutls_certificate_free_credentials(screen->credentials);
     }
