boragespurd: a crowd at the admin address no longer keeps operators out

Cause: libmicrohttpd accepts 64 connections there and then no more, until one ends; a body that is sent slowly never ends, and a closed one is replaced at once. So the ready check failed while the crowd lasted. Now the connection that waits longest among the most numerous kind gives its place to a new one, as at the callers' address; one whose request is being answered does not.

Ruled out: the screen in front of this address, which would check heads more strictly than health checks of balancers may expect, for two more descriptors.

--- a/src/d_admin.c
+++ b/src/d_admin.c
@@ -1,22 +1,36 @@
 /* d_admin.c - the HTTP server on the admin address. */
 #include "d_admin.h"
 
+#include "d_connguard.h"
 #include "d_httpd.h"
 #include "d_reply.h"
 
 #include <string.h>
+#include <sys/socket.h>
 
 #define CONNECTIONS_MAX 64
+
+/* Connections that the library may have beyond CONNECTIONS_MAX: it notices the
+   end of a displaced one in a later loop iteration. */
+#define CONNECTIONS_SPARE 32
 #define HEADER_BYTES 16384
 #define EXPLAIN_PATH "/explain/"
 
 struct BsAdmin {
     BsLoop *loop;
     BsHttpd *httpd;
+    BsConnGuard *guard;
     GHashTable *requests; /* BsAdminRequest by query id */
     uint64_t next_id;
 };
 
+/* A connection. */
+typedef struct {
+    BsConnPlace place;
+    int fd;         /* owned by the library */
+    bool displaced; /* has no place, and ends */
+} BsAdminConnection;
+
 /* One HTTP request. */
 typedef struct {
     struct MHD_Connection *connection;
@@ -105,8 +119,58 @@
                  "/explain/ID or POST /drain\"}");
 }
 
+/* Sets what CONNECTION does. */
+static void
+S_set_phase(BsAdmin *admin, struct MHD_Connection *connection,
+            BsConnPhase phase)
+{
+    const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+        connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+    BsAdminConnection *entry = info->socket_context;
+    if (entry != NULL && !entry->displaced) {
+        BsConnGuard_Update(admin->guard, &entry->place, phase, 0);
+    }
+}
+
+/* Ends the connection OWNER, which the library closes then. */
+static void
+S_on_displaced(void *owner, BsConnLimit limit)
+{
+    BsAdminConnection *entry = owner;
+    (void)limit;
+    entry->displaced = true;
+    BsConnBudget_Remove(entry->place.entry.budget, &entry->place.entry);
+    shutdown(entry->fd, SHUT_RDWR);
+}
+
+static void
+S_on_connection(void *context, struct MHD_Connection *connection, void **slot,
+                enum MHD_ConnectionNotificationCode code)
+{
+    BsAdmin *admin = context;
+    BsAdminConnection *entry = *slot;
+    if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+        entry = g_new0(BsAdminConnection, 1);
+        entry->fd = MHD_get_connection_info(connection,
+                                            MHD_CONNECTION_INFO_CONNECTION_FD)
+                        ->connect_fd;
+        entry->place.entry.close = S_on_displaced;
+        entry->place.entry.owner = entry;
+        BsConnGuard_MakeRoom(admin->guard);
+        BsConnGuard_Add(admin->guard, &entry->place, BS_CONN_READING);
+        *slot = entry;
+    }
+    else if (entry != NULL) {
+        if (!entry->displaced) {
+            BsConnGuard_Remove(admin->guard, &entry->place);
+        }
+        g_free(entry);
+        *slot = NULL;
+    }
+}
+
 static enum MHD_Result
-S_respond(BsAdminRequest *request)
+S_respond(BsAdmin *admin, BsAdminRequest *request)
 {
     gsize size;
     const void *data = g_bytes_get_data(request->body, &size);
@@ -118,6 +182,7 @@
     enum MHD_Result result =
         MHD_queue_response(request->connection, request->status, response);
     MHD_destroy_response(response);
+    S_set_phase(admin, request->connection, BS_CONN_CLOSING);
     return result;
 }
 
@@ -134,6 +199,7 @@
         request = g_new0(BsAdminRequest, 1);
         request->connection = connection;
         *slot = request;
+        S_set_phase(admin, connection, BS_CONN_READING);
         return MHD_YES;
     }
     if (*data_bytes > 0) {
@@ -141,10 +207,11 @@
         return MHD_YES;
     }
     if (!request->routed) {
+        S_set_phase(admin, connection, BS_CONN_ANSWERING);
         S_route(admin, request, method, url);
     }
     if (request->status != 0) {
-        return S_respond(request);
+        return S_respond(admin, request);
     }
     request->suspended = true;
     MHD_suspend_connection(connection);
@@ -157,11 +224,11 @@
 {
     BsAdmin *admin = context;
     BsAdminRequest *request = *slot;
-    (void)connection;
     (void)code;
     if (request == NULL) {
         return;
     }
+    S_set_phase(admin, connection, BS_CONN_IDLE);
     if (request->id != NULL) {
         g_hash_table_remove(admin->requests, request->id);
     }
@@ -215,14 +282,17 @@
     BsAdmin *admin = g_new0(BsAdmin, 1);
     admin->loop = loop;
     admin->requests = g_hash_table_new(g_str_hash, g_str_equal);
+    admin->guard =
+        BsConnGuard_Create(loop, "admin", CONNECTIONS_MAX, UINT64_MAX);
     BsHttpdConfig config = {
         .address = BsLoop_Settings(loop)->admin,
         .key = "admin",
         .handle = S_on_access,
         .completed = S_on_completed,
+        .connected = S_on_connection,
         .context = admin,
         .header_bytes = HEADER_BYTES,
-        .connections = CONNECTIONS_MAX,
+        .connections = CONNECTIONS_MAX + CONNECTIONS_SPARE,
     };
     admin->httpd = BsHttpd_Create(loop, &config, error);
     if (admin->httpd == NULL) {
@@ -251,6 +321,7 @@
         S_resume(admin, request);
     }
     BsHttpd_Destroy(admin->httpd);
+    BsConnGuard_Destroy(admin->guard);
     g_hash_table_destroy(admin->requests);
     g_free(admin);
 }
