tests: ordinary callers on open connections, and a crowd at the peers' address

An ordinary caller has had one answer when the crowd comes, and sends its next request on the same connection two seconds later.

Red on the present code in one way:

OpenConnection/NotRead: Expected equality of these values: answer.compare(0, 12, "HTTP/1.1 200") Which is: -12 (the connection was closed)

The crowd waits for answers there, so that the only idle connection is the ordinary caller's.

PeersAddress (300 connections that come back) is green before and after: ZeroMQ ends a connection without a handshake after 3 s. It is a guard for this number only; connections to the address have no limit.

--- a/tests/contract/crowd_test.cc
+++ b/tests/contract/crowd_test.cc
@@ -357,6 +357,42 @@
     ExpectBounds(daemon.pid(), before_kib, most, kDescriptorsMax);
 }
 
+// Guards against a crowd in whose favour the connections of ordinary callers
+// are closed while they are idle.
+TEST_P(OccupiedWayTest, OpenConnection)
+{
+    Server service(ServeBody);
+    Daemon daemon(FreePort(), service.port(), kLimits);
+    pid_t pid = daemon.pid();
+    long before_kib = PeakKib(pid);
+    Socket caller(Connect(daemon.callers()));
+    const std::string request = HeadOf("GET", "/services/s/x") + "\r\n";
+    caller.Write(request);
+    EXPECT_EQ(caller.ReadMessage().compare(0, 12, "HTTP/1.1 200"), 0);
+    LastingCrowd crowd(daemon.callers(), 2 * kConnections, GetParam().text,
+                       GetParam().drip);
+    size_t most = Settle(pid);
+    caller.Write(request);
+    std::string answer = caller.ReadMessage();
+    EXPECT_EQ(answer.compare(0, 12, "HTTP/1.1 200"), 0) << answer;
+    ExpectBounds(pid, before_kib, most, kDescriptorsMax);
+}
+
+// Guards against a crowd at the peers' address that takes what callers need.
+TEST_P(OccupiedWayTest, PeersAddress)
+{
+    Server service(ServeBody);
+    Daemon daemon(FreePort(), service.port(), kLimits);
+    pid_t pid = daemon.pid();
+    long before_kib = PeakKib(pid);
+    LastingCrowd crowd(daemon.peers(), kConnections, GetParam().text,
+                       GetParam().drip);
+    size_t most = Settle(pid);
+    EXPECT_TRUE(
+        TryServed(pid, &most, [&] { return IsServedByUpstream(daemon); }));
+    ExpectBounds(pid, before_kib, most, kDescriptorsMax);
+}
+
 INSTANTIATE_TEST_SUITE_P(Ways, OccupiedWayTest, testing::ValuesIn(kWays),
                          [](const auto &info) { return info.param.name; });
 
