--- a/src/d_admin.c
+++ b/src/d_admin.c
@@ -27,6 +27,7 @@
 /* A connection. */
 typedef struct {
     BsConnPlace place;
+    BsConnGuard *guard;
     int fd;         /* owned by the library */
     bool displaced; /* has no place, and ends */
 } BsAdminConnection;
@@ -129,6 +130,7 @@
     BsAdminConnection *entry = info->socket_context;
     if (entry != NULL && !entry->displaced) {
         BsConnGuard_Update(admin->guard, &entry->place, phase, 0);
+        BsConnGuard_Shrink(admin->guard);
     }
 }
 
@@ -139,7 +141,7 @@
     BsAdminConnection *entry = owner;
     (void)limit;
     entry->displaced = true;
-    BsConnBudget_Remove(entry->place.entry.budget, &entry->place.entry);
+    BsConnGuard_Remove(entry->guard, &entry->place);
     shutdown(entry->fd, SHUT_RDWR);
 }
 
@@ -151,6 +153,7 @@
     BsAdminConnection *entry = *slot;
     if (code == MHD_CONNECTION_NOTIFY_STARTED) {
         entry = g_new0(BsAdminConnection, 1);
+        entry->guard = admin->guard;
         entry->fd = MHD_get_connection_info(connection,
                                             MHD_CONNECTION_INFO_CONNECTION_FD)
                         ->connect_fd;
@@ -283,7 +286,7 @@
     admin->loop = loop;
     admin->requests = g_hash_table_new(g_str_hash, g_str_equal);
     admin->guard =
-        BsConnGuard_Create(loop, "admin", CONNECTIONS_MAX, UINT64_MAX);
+        BsConnGuard_Create(loop, "admin", CONNECTIONS_MAX, UINT64_MAX, 0);
     BsHttpdConfig config = {
         .address = BsLoop_Settings(loop)->admin,
         .key = "admin",
--- a/src/d_callers.c
+++ b/src/d_callers.c
@@ -30,6 +30,11 @@
     bool few_descriptors;     /* fewer than limits.connections needs */
 };
 
+/* A connection of a caller. */
+typedef struct {
+    bool beyond; /* it came beyond the limit, and is not served yet */
+} BsCallerConnection;
+
 static const char *
 S_get_header(void *context, const char *name)
 {
@@ -210,14 +215,34 @@
     return true;
 }
 
+static BsCallerConnection *
+S_get_connection(struct MHD_Connection *connection)
+{
+    return MHD_get_connection_info(connection,
+                                   MHD_CONNECTION_INFO_SOCKET_CONTEXT)
+        ->socket_context;
+}
+
+/* Returns whether the connection of CALL is one too many.  One that is not
+   stays served while others come. */
+static bool
+S_is_beyond_limit(BsCallers *callers, BsCall *call)
+{
+    BsCallerConnection *connection = S_get_connection(BsCall_Connection(call));
+    connection->beyond =
+        connection->beyond &&
+        callers->connections > callers->connections_max &&
+        !BsHttpd_Displace(callers->httpd, BsCall_Connection(call));
+    return connection->beyond;
+}
+
 /* Refuses, before the body is read, a request that the connection limit or the
    declared body length rules out. */
 static bool
 S_refuse_early(BsCallers *callers, BsCall *call)
 {
     const BsSettings *settings = BsLoop_Settings(callers->loop);
-    if (callers->connections > callers->connections_max &&
-        !BsHttpd_Displace(callers->httpd, BsCall_Connection(call))) {
+    if (S_is_beyond_limit(callers, call)) {
         BsLoop_Count(callers->loop, "connections_refused", 1);
         BsCall_Refuse(call, BS_ERR_MEMORY_FULL,
                       callers->few_descriptors
@@ -307,7 +332,11 @@
     if (call == NULL) {
         return;
     }
-    BsHttpd_SetState(callers->httpd, connection, BS_CONN_IDLE, 0);
+    /* One that has only been refused is not among those that were served. */
+    BsHttpd_SetState(callers->httpd, connection,
+                     S_get_connection(connection)->beyond ? BS_CONN_READING
+                                                          : BS_CONN_IDLE,
+                     0);
     BsCall_Close(call, code == MHD_REQUEST_TERMINATED_COMPLETED_OK);
     if (BsCall_Id(call) != NULL) {
         g_hash_table_remove(callers->calls, BsCall_Id(call));
@@ -318,18 +347,21 @@
 }
 
 static void
-S_on_connection(void *context, struct MHD_Connection *connection,
-                void **request_context,
+S_on_connection(void *context, struct MHD_Connection *connection, void **slot,
                 enum MHD_ConnectionNotificationCode code)
 {
     BsCallers *callers = context;
     (void)connection;
-    (void)request_context;
     if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+        BsCallerConnection *entry = g_new0(BsCallerConnection, 1);
         callers->connections++;
+        entry->beyond = callers->connections > callers->connections_max;
+        *slot = entry;
     }
     else {
         callers->connections--;
+        g_free(*slot);
+        *slot = NULL;
     }
     BsLoop_SetGauge(callers->loop, "caller_connections", callers->connections);
 }
--- a/src/d_connguard.c
+++ b/src/d_connguard.c
@@ -14,10 +14,18 @@
    shorter than the idle timeout of the server library. */
 #define DISPLACED_AFTER_MS 10000
 
+/* A kind of connections is a crowd when it has at least one of this many
+   places.  There are four kinds, so that one is a crowd when all places are
+   taken; if only those are that are being answered, nobody is displaced. */
+#define CROWD_FRACTION 4
+
 struct BsConnGuard {
     BsLoop *loop;
     const char *key;
     BsConnBudget *budget;
+    uint32_t settle_ms;
+    uint32_t places;
+    uint32_t taken[BS_CONN_PHASES];    /* places by phase */
     uint64_t reported[BS_CONN_LIMITS]; /* closed connections, as counted */
     int64_t full_ms;                   /* when no place was left, or -1 */
 };
@@ -49,11 +57,13 @@
 
 BsConnGuard *
 BsConnGuard_Create(BsLoop *loop, const char *key, uint32_t places,
-                   uint64_t unsent_bytes)
+                   uint64_t unsent_bytes, uint32_t settle_ms)
 {
     BsConnGuard *guard = g_new0(BsConnGuard, 1);
     guard->loop = loop;
     guard->key = key;
+    guard->places = places;
+    guard->settle_ms = settle_ms;
     guard->budget = BsConnBudget_Create(unsent_bytes, places);
     guard->full_ms = -1;
     return guard;
@@ -94,25 +104,38 @@
 BsConnGuard_Add(BsConnGuard *guard, BsConnPlace *place, BsConnPhase phase)
 {
     place->since_ms = BsLoop_NowMs(guard->loop);
+    guard->taken[phase]++;
     BsConnBudget_Add(guard->budget, &place->entry, phase, place->since_ms);
 }
 
 void
 BsConnGuard_Remove(BsConnGuard *guard, BsConnPlace *place)
 {
+    guard->taken[place->entry.phase]--;
     BsConnBudget_Remove(guard->budget, &place->entry);
 }
 
+/* Sets the phase and the bytes of PLACE without enforcing a limit. */
+static void
+S_set(BsConnGuard *guard, BsConnPlace *place, BsConnPhase phase,
+      uint64_t bytes, int64_t now_ms)
+{
+    if (place->entry.phase != phase) {
+        guard->taken[place->entry.phase]--;
+        guard->taken[phase]++;
+        place->since_ms = now_ms;
+    }
+    BsConnBudget_Update(guard->budget, &place->entry, phase, bytes, now_ms);
+}
+
 void
 BsConnGuard_Move(BsConnGuard *guard, BsConnPlace *from, BsConnPlace *to,
                  uint64_t bytes)
 {
     int64_t now_ms = BsLoop_NowMs(guard->loop);
-    BsConnBudget_Update(guard->budget, &from->entry, BS_CONN_CLOSING, 0,
-                        now_ms);
+    S_set(guard, from, BS_CONN_CLOSING, 0, now_ms);
     BsConnGuard_Add(guard, to, BS_CONN_CLOSING);
-    BsConnBudget_Update(guard->budget, &to->entry, BS_CONN_CLOSING, bytes,
-                        now_ms);
+    S_set(guard, to, BS_CONN_CLOSING, bytes, now_ms);
 }
 
 void
@@ -120,41 +143,64 @@
                    uint64_t bytes)
 {
     int64_t now_ms = BsLoop_NowMs(guard->loop);
-    if (place->entry.phase != phase) {
-        place->since_ms = now_ms;
-    }
-    BsConnBudget_Update(guard->budget, &place->entry, phase, bytes, now_ms);
+    S_set(guard, place, phase, bytes, now_ms);
     BsConnBudget_EnforceMemory(guard->budget, &place->entry, now_ms);
     S_report(guard, BS_CONN_LIMIT_MEMORY);
 }
 
+/* Returns whether a connection is left that may be closed for another one: the
+   next one of the budget has waited for CROWD_MS in a crowd, or for so long
+   that it is not missed. */
+static bool
+S_may_displace(const BsConnGuard *guard, int64_t crowd_ms, int64_t now_ms)
+{
+    const BsConnEntry *entry = BsConnBudget_PickForNumber(guard->budget);
+    if (entry == NULL) {
+        return false;
+    }
+    /* The entry is the first member of its place. */
+    const BsConnPlace *place = (const BsConnPlace *)entry;
+    bool crowd =
+        (uint64_t)guard->taken[entry->phase] * CROWD_FRACTION >= guard->places;
+    return now_ms - place->since_ms >= (crowd ? crowd_ms : DISPLACED_AFTER_MS);
+}
+
 bool
 BsConnGuard_MakeRoom(BsConnGuard *guard)
 {
     int64_t now_ms = BsLoop_NowMs(guard->loop);
     if (!BsConnBudget_HasRoom(guard->budget)) {
         guard->full_ms = now_ms;
+        if (!S_may_displace(guard, guard->settle_ms, now_ms)) {
+            return false;
+        }
     }
     bool room = BsConnBudget_MakeRoom(guard->budget, now_ms);
     S_report(guard, BS_CONN_LIMIT_NUMBER);
     return room;
 }
 
+void
+BsConnGuard_Shrink(BsConnGuard *guard)
+{
+    if (BsConnBudget_Connections(guard->budget) > guard->places) {
+        BsConnGuard_MakeRoom(guard);
+    }
+}
+
 bool
 BsConnGuard_Displace(BsConnGuard *guard)
 {
     int64_t now_ms = BsLoop_NowMs(guard->loop);
-    BsConnEntry *entry = BsConnBudget_PickForNumber(guard->budget);
-    if (entry == NULL) {
-        return false;
-    }
-    /* The entry is the first member of its place. */
-    const BsConnPlace *place = (const BsConnPlace *)entry;
     bool crowded =
         guard->full_ms >= 0 && now_ms - guard->full_ms < DISPLACED_AFTER_MS;
-    if (!crowded && now_ms - place->since_ms < DISPLACED_AFTER_MS) {
+    /* Half of the time, as those that have had the whole of it have been
+       displaced by new connections. */
+    int64_t crowd_ms = crowded ? guard->settle_ms / 2 : DISPLACED_AFTER_MS;
+    if (!S_may_displace(guard, crowd_ms, now_ms)) {
         return false;
     }
+    BsConnEntry *entry = BsConnBudget_PickForNumber(guard->budget);
     BsLoop_Count(guard->loop, S_counters[BS_CONN_LIMIT_NUMBER], 1);
     entry->close(entry->owner, BS_CONN_LIMIT_NUMBER);
     return true;
--- a/src/d_connguard.h
+++ b/src/d_connguard.h
@@ -4,8 +4,9 @@
  *
  * Rules: a connection has one place from its accept until its descriptor is
  * closed.  When a place is needed, a connection that waits gives up its own:
- * the one that waits longest among the most numerous kind (connbudget.h),
- * never one whose request is being answered.
+ * the one that waits longest among the most numerous kind (connbudget.h), if
+ * that kind is a crowd or the connection has waited for long, but never one
+ * whose request is being answered.
  */
 #ifndef BS_D_CONNGUARD_H
 #define BS_D_CONNGUARD_H
@@ -27,9 +28,11 @@
 uint32_t BsConnGuard_Affordable(uint32_t descriptors_each);
 
 /* Creates the limits of the address under the settings key KEY, a constant:
-   PLACES connections that hold at most UNSENT_BYTES of answers. */
+   PLACES connections that hold at most UNSENT_BYTES of answers.  A connection
+   has its place for at least SETTLE_MS, so that a crowd that comes back at
+   once displaces nobody who is still sending a request. */
 BsConnGuard *BsConnGuard_Create(BsLoop *loop, const char *key, uint32_t places,
-                                uint64_t unsent_bytes);
+                                uint64_t unsent_bytes, uint32_t settle_ms);
 
 /* Frees GUARD, which must have no places taken; NULL is allowed. */
 void BsConnGuard_Destroy(BsConnGuard *guard);
@@ -51,6 +54,9 @@
 /* Closes a connection if all places are taken; returns whether one is free. */
 bool BsConnGuard_MakeRoom(BsConnGuard *guard);
 
+/* Closes a connection if there are more than places. */
+void BsConnGuard_Shrink(BsConnGuard *guard);
+
 /* Closes a connection in favour of a request, if one has waited for so long
    that it is not missed, or if a crowd has taken all places a short while ago.
    Returns whether it did. */
--- a/src/d_screen.c
+++ b/src/d_screen.c
@@ -40,6 +40,10 @@
    that are needed beside those of the places. */
 #define ACCEPTS_AT_ONCE 16
 
+/* Time that a new connection has for its TLS handshake and its first request
+   before it is displaced by another one. */
+#define SETTLE_MS 1000
+
 /* Time until connections are accepted again after no place or descriptor was
    left. */
 #define ACCEPT_RETRY_S 0.1
@@ -632,7 +636,7 @@
     screen->loop = loop;
     screen->config = *config;
     screen->guard = BsConnGuard_Create(loop, config->key, config->places,
-                                       config->unsent_bytes);
+                                       config->unsent_bytes, SETTLE_MS);
     screen->by_fd = g_hash_table_new(g_direct_hash, g_direct_equal);
     screen->links = g_hash_table_new_full(g_direct_hash, g_direct_equal,
                                           S_destroy_link, NULL);
