boragespurd: spare idle connections for 5 s in a crowd

Cause: a crowd whose requests are refused with 503 by the core has connections that are idle and were served, as ordinary callers have; the longest idle one among them was the ordinary caller's after two seconds. An idle connection is now displaced by a crowd after 5 s only.

--- a/src/d_connguard.c
+++ b/src/d_connguard.c
@@ -14,6 +14,10 @@
    shorter than the idle timeout of the server library. */
 #define DISPLACED_AFTER_MS 10000
 
+/* Time for which an idle connection is not displaced by a crowd: longer than
+   callers in use pause between requests. */
+#define IDLE_SPARED_MS 5000
+
 /* A kind of connections is a crowd when it has at least one of this many
    places.  There are four kinds, so that one is a crowd when all places are
    taken; if only those are that are being answered, nobody is displaced. */
@@ -162,6 +166,11 @@
     const BsConnPlace *place = (const BsConnPlace *)entry;
     bool crowd =
         (uint64_t)guard->taken[entry->phase] * CROWD_FRACTION >= guard->places;
+    /* A crowd whose requests are refused is idle like ordinary callers, which
+       may be idle for longer than it is there. */
+    if (entry->phase == BS_CONN_IDLE && guard->settle_ms > 0) {
+        crowd_ms = MAX(crowd_ms, IDLE_SPARED_MS);
+    }
     return now_ms - place->since_ms >= (crowd ? crowd_ms : DISPLACED_AFTER_MS);
 }
 
