--- a/src/d_callers.c
+++ b/src/d_callers.c
@@ -2,10 +2,12 @@
 #include "d_callers.h"
 
 #include "d_call.h"
+#include "d_connguard.h"
 #include "d_headcheck.h"
 #include "d_httpd.h"
 #include "d_reply.h"
 #include "d_request.h"
+#include "d_screen.h"
 #include "d_tls.h"
 
 #include <string.h>
@@ -24,8 +26,15 @@
     uint64_t bodies_refused; /* as last counted */
     uint64_t next_id;
     uint32_t connections;
+    uint32_t connections_max; /* beyond it requests are refused */
+    bool few_descriptors;     /* fewer than limits.connections needs */
 };
 
+/* A connection of a caller. */
+typedef struct {
+    bool beyond; /* it came beyond the limit, and is not served yet */
+} BsCallerConnection;
+
 static const char *
 S_get_header(void *context, const char *name)
 {
@@ -206,16 +215,40 @@
     return true;
 }
 
+static BsCallerConnection *
+S_get_connection(struct MHD_Connection *connection)
+{
+    return MHD_get_connection_info(connection,
+                                   MHD_CONNECTION_INFO_SOCKET_CONTEXT)
+        ->socket_context;
+}
+
+/* Returns whether the connection of CALL is one too many.  One that is not
+   stays served while others come. */
+static bool
+S_is_beyond_limit(BsCallers *callers, BsCall *call)
+{
+    BsCallerConnection *connection = S_get_connection(BsCall_Connection(call));
+    connection->beyond =
+        connection->beyond &&
+        callers->connections > callers->connections_max &&
+        !BsHttpd_Displace(callers->httpd, BsCall_Connection(call));
+    return connection->beyond;
+}
+
 /* Refuses, before the body is read, a request that the connection limit or the
    declared body length rules out. */
 static bool
 S_refuse_early(BsCallers *callers, BsCall *call)
 {
     const BsSettings *settings = BsLoop_Settings(callers->loop);
-    if (callers->connections > settings->limits.connections) {
+    if (S_is_beyond_limit(callers, call)) {
         BsLoop_Count(callers->loop, "connections_refused", 1);
         BsCall_Refuse(call, BS_ERR_MEMORY_FULL,
-                      "limits.connections is reached on this instance");
+                      callers->few_descriptors
+                          ? "the limit of open files is reached by "
+                            "connections on this instance"
+                          : "limits.connections is reached on this instance");
         return true;
     }
     if (S_is_declared_too_large(callers, BsCall_Connection(call))) {
@@ -266,6 +299,7 @@
         return accepted ? MHD_YES : MHD_NO;
     }
     if (BsCall_IsReading(call)) {
+        BsHttpd_SetState(callers->httpd, connection, BS_CONN_ANSWERING, 0);
         S_start(callers, call, method);
         BsCall_DropBody(call); /* the core has its own copy */
         S_account_body(callers, call);
@@ -277,8 +311,8 @@
 S_on_uri(void *context, const char *uri, struct MHD_Connection *connection)
 {
     BsCallers *callers = context;
-    (void)connection;
     BsLoop_Count(callers->loop, "caller_requests", 1);
+    BsHttpd_SetState(callers->httpd, connection, BS_CONN_READING, 0);
     BsCall *call = BsCall_Create(callers->loop, callers->httpd,
                                  BsHeadCheck_OriginForm(uri));
     BsConnEntry *entry = BsCall_BodyEntry(call);
@@ -295,10 +329,14 @@
 {
     BsCallers *callers = context;
     BsCall *call = *request_context;
-    (void)connection;
     if (call == NULL) {
         return;
     }
+    /* One that has only been refused is not among those that were served. */
+    BsHttpd_SetState(callers->httpd, connection,
+                     S_get_connection(connection)->beyond ? BS_CONN_READING
+                                                          : BS_CONN_IDLE,
+                     0);
     BsCall_Close(call, code == MHD_REQUEST_TERMINATED_COMPLETED_OK);
     if (BsCall_Id(call) != NULL) {
         g_hash_table_remove(callers->calls, BsCall_Id(call));
@@ -309,18 +347,21 @@
 }
 
 static void
-S_on_connection(void *context, struct MHD_Connection *connection,
-                void **request_context,
+S_on_connection(void *context, struct MHD_Connection *connection, void **slot,
                 enum MHD_ConnectionNotificationCode code)
 {
     BsCallers *callers = context;
     (void)connection;
-    (void)request_context;
     if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+        BsCallerConnection *entry = g_new0(BsCallerConnection, 1);
         callers->connections++;
+        entry->beyond = callers->connections > callers->connections_max;
+        *slot = entry;
     }
     else {
         callers->connections--;
+        g_free(*slot);
+        *slot = NULL;
     }
     BsLoop_SetGauge(callers->loop, "caller_connections", callers->connections);
 }
@@ -347,6 +388,28 @@
     }
 }
 
+/* Sets how many connections are served; returns how many are accepted, as far
+   as the limit of open files goes. */
+static uint32_t
+S_set_connections(BsCallers *callers)
+{
+    uint32_t wanted = BsLoop_Settings(callers->loop)->limits.connections;
+    uint32_t affordable = BsConnGuard_Affordable(BS_SCREEN_DESCRIPTORS);
+    uint32_t accepted = MIN(wanted + CONNECTIONS_SPARE, affordable);
+    callers->few_descriptors = accepted < wanted + CONNECTIONS_SPARE;
+    callers->connections_max =
+        callers->few_descriptors
+            ? accepted - MIN(CONNECTIONS_SPARE, accepted / 4)
+            : wanted;
+    if (callers->few_descriptors) {
+        BsLoop_Log(callers->loop, LOG_WARNING,
+                   "the limit of open files permits %u connections of "
+                   "callers instead of limits.connections %u; raise it",
+                   callers->connections_max, wanted);
+    }
+    return accepted;
+}
+
 BsCallers *
 BsCallers_Create(BsLoop *loop, GError **error)
 {
@@ -373,8 +436,9 @@
         .connected = S_on_connection,
         .context = callers,
         .header_bytes = settings->limits.header_bytes,
-        .connections = settings->limits.connections + CONNECTIONS_SPARE,
+        .connections = S_set_connections(callers),
         .screened = true,
+        .unsent_bytes = settings->limits.queue_bytes,
         .certificate_callback = callers->tls != NULL ? BsTls_Callback() : NULL,
     };
     callers->httpd = BsHttpd_Create(loop, &config, error);
