--- a/src/gatesettings.c
+++ b/src/gatesettings.c
@@ -72,8 +72,8 @@
     OPTIONAL_UINT("percentile", BsGateEarlyRepeats, percentile),
     CYAML_FIELD_END};
 
-static const cyaml_schema_field_t S_accounts_fields[] = {
-    CYAML_FIELD_UINT("urgent_percent", CYAML_FLAG_OPTIONAL, BsGateAccounts,
+static const cyaml_schema_field_t S_account_order_fields[] = {
+    CYAML_FIELD_UINT("urgent_percent", CYAML_FLAG_OPTIONAL, BsGateAccountOrder,
                      urgent_percent),
     CYAML_FIELD_END};
 
@@ -111,8 +111,8 @@
                         ejection, S_ejection_fields),
     CYAML_FIELD_MAPPING("early_repeats", CYAML_FLAG_OPTIONAL, BsGateSettings,
                         early_repeats, S_early_repeats_fields),
-    CYAML_FIELD_MAPPING("accounts", CYAML_FLAG_OPTIONAL, BsGateSettings,
-                        accounts, S_accounts_fields),
+    CYAML_FIELD_MAPPING("account_order", CYAML_FLAG_OPTIONAL, BsGateSettings,
+                        account_order, S_account_order_fields),
     CYAML_FIELD_MAPPING("spill", CYAML_FLAG_OPTIONAL, BsGateSettings, spill,
                         S_spill_fields),
     CYAML_FIELD_MAPPING("inbound", CYAML_FLAG_OPTIONAL, BsGateSettings,
@@ -167,8 +167,8 @@
                           BS_HEDGE_OCCUPANCY_PERCENT_MAX)),
     TEXT("early_repeats.percentile",
          WHOLE_RANGE_TEXT(BS_HEDGE_PERCENTILE_MIN, BS_HEDGE_PERCENTILE_MAX)),
-    TEXT("accounts", "the key urgent_percent"),
-    TEXT("accounts.urgent_percent",
+    TEXT("account_order", "the key urgent_percent"),
+    TEXT("account_order.urgent_percent",
          WHOLE_RANGE_TEXT(0, BS_QUOTA_URGENT_PERCENT_MAX)),
     TEXT("spill", "the keys gain_ms and pause_min_ms"),
     TEXT("spill.gain_ms", WHOLE_RANGE_TEXT(0, BS_SPILL_GAIN_MAX_MS)),
@@ -321,8 +321,8 @@
                           settings->ejection.probe_per_s, 0, PROBE_PER_S_MAX,
                           error) &&
            S_check_early_repeats(settings, file, error) &&
-           S_check_number(file, "accounts.urgent_percent",
-                          settings->accounts.urgent_percent, 0,
+           S_check_number(file, "account_order.urgent_percent",
+                          settings->account_order.urgent_percent, 0,
                           BS_QUOTA_URGENT_PERCENT_MAX, error) &&
            S_check_spill(settings, file, error);
 }
--- a/src/gatesettings.h
+++ b/src/gatesettings.h
@@ -52,7 +52,7 @@
 typedef struct {
     uint32_t urgent_percent; /* part of its limit that each rank leaves to an
                                 account's more urgent requests; 0: none */
-} BsGateAccounts;
+} BsGateAccountOrder;
 
 /* Requests that go to other data centres although a slot of the own one is
    free; NULL: the default. */
@@ -103,7 +103,7 @@
     BsGateBounds bounds;
     BsGateEjection ejection;
     BsGateEarlyRepeats early_repeats;
-    BsGateAccounts accounts;
+    BsGateAccountOrder account_order;
     BsGateSpill spill;
     BsGateInboundGiven inbound_given;
     BsGateInbound inbound; /* with the defaults */
--- a/src/gw_gateway.c
+++ b/src/gw_gateway.c
@@ -224,7 +224,7 @@
                             (int64_t)bounds->retry_window_s * MS_PER_S);
     BsQuotas_SetTolerance(gate->quotas, bounds->quota_over,
                           bounds->quota_slack);
-    BsQuotas_SetUrgent(gate->quotas, settings->accounts.urgent_percent);
+    BsQuotas_SetUrgent(gate->quotas, settings->account_order.urgent_percent);
 }
 
 /* Reads the settings file again and applies the settings that can change
@@ -406,7 +406,7 @@
     BsSpillLimits spill = BsGateSettings_Spill(settings);
     BsTargets_SetSpill(gate->targets, &spill);
     gate->quotas = BsQuotas_Create(bounds->quota_over, bounds->quota_slack);
-    BsQuotas_SetUrgent(gate->quotas, settings->accounts.urgent_percent);
+    BsQuotas_SetUrgent(gate->quotas, settings->account_order.urgent_percent);
     gate->retries = BsRetryBudget_Create(
         bounds->retry_ratio, bounds->retry_slack,
         (int64_t)bounds->retry_window_s * MS_PER_S, gateway->started_ms);
